Thin whole path: one router binary, stand-ins, real processes in tests

Change: modules Base, Decide, Request, Control, Net and Cli with one umbrella header each; the program catkinloft; stand-ins for engine, plain service, table, objects and VM list; a fleet of real processes for integration tests.

--- /dev/null
+++ b/src/Base/Log.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <type_traits>
+#include <variant>
+
+namespace catkinloft {
+
+enum class LogLevel { Debug, Info, Warning, Error };
+
+/// \brief One named value of a log line.
+struct LogField
+{
+    using Value = std::variant<std::int64_t, double, bool, std::string_view>;
+
+    template<typename T>
+    LogField(std::string_view fieldName, T fieldValue) : name(fieldName), value(convert(fieldValue))
+    { }
+
+    std::string_view name;
+    Value value;
+
+private:
+    template<typename T>
+    static Value convert(T v)
+    {
+        if constexpr (std::is_same_v<T, bool>)
+            return v;
+        else if constexpr (std::is_integral_v<T>)
+            return static_cast<std::int64_t>(v);
+        else if constexpr (std::is_floating_point_v<T>)
+            return static_cast<double>(v);
+        else
+            return std::string_view(v);
+    }
+};
+
+/// \brief Writes one JSON object a line to standard error.
+class Log
+{
+public:
+    using Sink = std::function<void(std::string_view line)>;
+
+    /// \param source name of this process, written as `source`.
+    static void setSource(std::string source);
+
+    /// \param level lines below it are dropped.
+    static void setLevel(LogLevel level);
+
+    /// \brief Replaces standard error; an empty sink restores it. For tests.
+    static void setSink(Sink sink);
+
+    /// \param event short stable name of what happened, in snake_case.
+    static void write(LogLevel level, std::string_view event,
+                      std::initializer_list<LogField> fields = {});
+
+    static void info(std::string_view event, std::initializer_list<LogField> fields = {})
+    {
+        write(LogLevel::Info, event, fields);
+    }
+    static void warning(std::string_view event, std::initializer_list<LogField> fields = {})
+    {
+        write(LogLevel::Warning, event, fields);
+    }
+    static void error(std::string_view event, std::initializer_list<LogField> fields = {})
+    {
+        write(LogLevel::Error, event, fields);
+    }
+};
+
+/// \returns \a text as a JSON string with quotes; bytes that are not UTF-8 become U+FFFD.
+std::string jsonQuoted(std::string_view text);
+
+} // namespace catkinloft
--- /dev/null
+++ b/src/Cli/Commands.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <span>
+
+namespace catkinloft {
+
+// One function a subcommand, each in a file named after it; all return an exit code.
+int runRouter(std::span<char *const> arguments);
+int runCheck(std::span<char *const> arguments);
+int runApply(std::span<char *const> arguments);
+int runStatus(std::span<char *const> arguments);
+int runExplain(std::span<char *const> arguments);
+int runWhere(std::span<char *const> arguments);
+
+} // namespace catkinloft
--- /dev/null
+++ b/src/Cli/internal/Tools.cpp
@@ -0,0 +1,57 @@
+#include "Cli/internal/Tools.h"
+
+#include "Net/EventLoop.h"
+
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+DEFINE_string(router, "127.0.0.1:8080", "address of any router, IP:PORT");
+
+namespace catkinloft::internal {
+
+std::optional<std::string> readFile(const std::string &path)
+{
+    const std::ifstream in(path, std::ios::binary);
+    if (!in)
+        return std::nullopt;
+    std::ostringstream out;
+    out << in.rdbuf();
+    return out.str();
+}
+
+Result<HttpAnswer> fetchNow(HttpCall call)
+{
+    EventLoop loop;
+    HttpClient client(loop);
+    std::optional<Result<HttpAnswer>> out;
+    client.fetch(std::move(call), [&](Result<HttpAnswer> answer) {
+        out = std::move(answer);
+        loop.stop();
+    });
+    loop.run();
+    return *out;
+}
+
+std::string routerAddress()
+{
+    return FLAGS_router;
+}
+
+HttpHeaders authorization()
+{
+    const char *key = std::getenv("CATKINLOFT_KEY");
+    if (!key)
+        return {};
+    return {{"Authorization", fmt::format("Bearer {}", key)}};
+}
+
+void complain(const std::string &text)
+{
+    fmt::print(stderr, "catkinloft: {}\n", text);
+}
+
+} // namespace catkinloft::internal
--- /dev/null
+++ b/src/Cli/internal/Tools.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "Net/HttpClient.h"
+
+#include <optional>
+#include <string>
+
+namespace catkinloft::internal {
+
+/// \returns the content of the file at \a path; nothing where it can not be read.
+std::optional<std::string> readFile(const std::string &path);
+
+/// \brief Sends \a call and waits for its answer.
+Result<HttpAnswer> fetchNow(HttpCall call);
+
+/// \returns the address of a router, from the flag `--router`.
+std::string routerAddress();
+
+/// \returns the Authorization header made from the environment variable CATKINLOFT_KEY, which
+/// keeps the key out of process lists.
+HttpHeaders authorization();
+
+/// \brief Prints \a text to standard error after the program's name.
+void complain(const std::string &text);
+
+} // namespace catkinloft::internal
--- /dev/null
+++ b/src/Net/EventLoop.cpp
@@ -0,0 +1,131 @@
+#include "Net/EventLoop.h"
+
+#include "Net/internal/Timeval.h"
+
+#include <map>
+#include <utility>
+#include <vector>
+
+#include <event2/event.h>
+
+namespace catkinloft {
+
+struct EventLoop::Private
+{
+    struct Signal
+    {
+        Callback callback;
+        event *ev = nullptr;
+    };
+
+    event_base *base = event_base_new();
+    struct OneShot
+    {
+        Private *owner;
+        Callback callback;
+    };
+
+    std::vector<std::unique_ptr<Signal>> signals;
+    std::map<OneShot *, std::unique_ptr<OneShot>> shots;
+    std::vector<Callback> posted;
+    event *wake = nullptr;
+
+    void runPosted()
+    {
+        // Callbacks may post more; those wait for the next turn so that sockets get theirs.
+        const std::vector<Callback> batch = std::exchange(posted, {});
+        for (const Callback &it : batch)
+            it();
+    }
+};
+
+EventLoop::EventLoop() : m_d(std::make_unique<Private>())
+{
+    m_d->wake = event_new(
+            m_d->base, -1, 0,
+            [](evutil_socket_t, short, void *arg) { static_cast<Private *>(arg)->runPosted(); },
+            m_d.get());
+}
+
+EventLoop::~EventLoop()
+{
+    // What waits may own connections, which have to go before the base does.
+    while (!m_d->posted.empty() || !m_d->shots.empty()) {
+        const auto shots = std::exchange(m_d->shots, {});
+        const auto posted = std::exchange(m_d->posted, {});
+    }
+    for (const auto &it : m_d->signals)
+        event_free(it->ev);
+    event_free(m_d->wake);
+    event_base_free(m_d->base);
+}
+
+TimePoint EventLoop::now() const
+{
+    return std::chrono::steady_clock::now();
+}
+
+WallTime EventLoop::wallNow() const
+{
+    return std::chrono::time_point_cast<std::chrono::milliseconds>(
+            std::chrono::system_clock::now());
+}
+
+void EventLoop::run()
+{
+    event_base_loop(m_d->base, EVLOOP_NO_EXIT_ON_EMPTY);
+}
+
+void EventLoop::stop()
+{
+    event_base_loopbreak(m_d->base);
+}
+
+void EventLoop::runOnce()
+{
+    event_base_loop(m_d->base, EVLOOP_NONBLOCK);
+}
+
+void EventLoop::post(Callback callback)
+{
+    m_d->posted.push_back(std::move(callback));
+    event_active(m_d->wake, EV_TIMEOUT, 1);
+}
+
+void EventLoop::after(Duration delay, Callback callback)
+{
+    const timeval tv = internal::toTimeval(delay);
+    auto shot =
+            std::make_unique<Private::OneShot>(Private::OneShot{m_d.get(), std::move(callback)});
+    Private::OneShot *key = shot.get();
+    m_d->shots.emplace(key, std::move(shot));
+    event_base_once(
+            m_d->base, -1, EV_TIMEOUT,
+            [](evutil_socket_t, short, void *arg) {
+                auto *it = static_cast<Private::OneShot *>(arg);
+                const auto owned = std::move(it->owner->shots.extract(it).mapped());
+                owned->callback();
+            },
+            key, &tv);
+}
+
+void EventLoop::onSignal(int number, Callback callback)
+{
+    auto signal = std::make_unique<Private::Signal>();
+    signal->callback = std::move(callback);
+    signal->ev = evsignal_new(
+            m_d->base, number,
+            [](evutil_socket_t, short, void *arg) {
+                static_cast<Private::Signal *>(arg)->callback();
+            },
+            signal.get());
+    event_add(signal->ev, nullptr);
+    m_d->signals.push_back(std::move(signal));
+}
+
+event_base *EventLoop::base() const
+{
+    return m_d->base;
+}
+
+} // namespace catkinloft
--- /dev/null
+++ b/src/Net/EventLoop.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "Base/Clock.h"
+
+#include <functional>
+#include <memory>
+
+struct event_base;
+
+namespace catkinloft {
+
+/// \brief The event loop of one thread; also its clock.
+///
+/// Everything that a task owns is touched on this thread only. Other tasks hand it messages by
+/// post().
+class EventLoop final : public Clock
+{
+public:
+    using Callback = std::function<void()>;
+
+    EventLoop();
+    ~EventLoop() override;
+    EventLoop(const EventLoop &) = delete;
+    EventLoop &operator=(const EventLoop &) = delete;
+
+    TimePoint now() const override;
+    WallTime wallNow() const override;
+
+    /// \brief Runs until stop().
+    void run();
+    void stop();
+
+    /// \brief Runs what is due and returns. For tests.
+    void runOnce();
+
+    /// \brief Queues \a callback behind the events at hand, so that it runs outside of the
+    /// caller's stack.
+    void post(Callback callback);
+
+    /// \brief Calls \a callback once after \a delay.
+    void after(Duration delay, Callback callback);
+
+    /// \brief Calls \a callback when the process receives signal \a number.
+    void onSignal(int number, Callback callback);
+
+    event_base *base() const;
+
+private:
+    struct Private;
+    std::unique_ptr<Private> m_d;
+};
+
+} // namespace catkinloft
--- /dev/null
+++ b/src/Net/HttpClient.cpp
@@ -0,0 +1,228 @@
+#include "Net/HttpClient.h"
+
+#include "Net/EventLoop.h"
+#include "Net/Timer.h"
+#include "Net/internal/HttpConnection.h"
+
+#include <deque>
+#include <map>
+#include <strings.h>
+
+namespace catkinloft {
+
+using internal::HttpConnection;
+
+namespace {
+
+/// Idle connections kept for one upstream; more than this only hold memory at both ends.
+constexpr std::size_t MaxIdlePerAddress = 64;
+
+/// Idle connections older than this are not trusted: upstreams and middleboxes drop them silently.
+constexpr Duration MaxIdleAge = std::chrono::seconds(20);
+
+struct IdleConnection
+{
+    std::unique_ptr<HttpConnection> connection;
+    TimePoint since;
+};
+
+} // namespace
+
+std::string_view HttpHead::header(std::string_view name) const
+{
+    for (const auto &[key, value] : headers) {
+        if (key.size() == name.size() && strncasecmp(key.data(), name.data(), name.size()) == 0)
+            return value;
+    }
+    return {};
+}
+
+struct HttpClient::Private
+{
+    explicit Private(EventLoop &eventLoop) : loop(eventLoop) { }
+
+    EventLoop &loop;
+    std::map<std::string, std::deque<IdleConnection>> idle;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+
+    std::unique_ptr<HttpConnection> take(const std::string &address, bool fresh)
+    {
+        std::deque<IdleConnection> &list = idle[address];
+        while (!fresh && !list.empty()) {
+            IdleConnection it = std::move(list.back());
+            list.pop_back();
+            if (it.connection->isReusable() && loop.now() - it.since < MaxIdleAge)
+                return std::move(it.connection);
+            retire(std::move(it.connection));
+        }
+        return HttpConnection::open(loop, address);
+    }
+
+    void give(const std::string &address, std::unique_ptr<HttpConnection> connection)
+    {
+        std::deque<IdleConnection> &list = idle[address];
+        if (!connection->isReusable()) {
+            retire(std::move(connection));
+            return;
+        }
+        list.push_back({std::move(connection), loop.now()});
+        if (list.size() > MaxIdlePerAddress || loop.now() - list.front().since > MaxIdleAge) {
+            retire(std::move(list.front().connection));
+            list.pop_front();
+        }
+    }
+
+    /// A connection may not be freed from within its own callbacks.
+    void retire(std::unique_ptr<HttpConnection> connection)
+    {
+        loop.post([held = std::shared_ptr<HttpConnection>(std::move(connection))] {});
+    }
+};
+
+namespace {
+
+/// One call on one connection; gives the connection back when it ends.
+class Call final : public HttpCallHandle
+{
+public:
+    using GiveBack = std::function<void(std::unique_ptr<HttpConnection>)>;
+
+    Call(EventLoop &loop, std::unique_ptr<HttpConnection> connection, HttpCall call,
+         HttpCallEvents events, GiveBack giveBack)
+        : m_connection(std::move(connection)), m_events(std::move(events)),
+          m_giveBack(std::move(giveBack)), m_progressTimeout(call.progressTimeout),
+          m_deadline(loop, [this] { timedOut(); }), m_progress(loop, [this] { timedOut(); })
+    {
+        m_deadline.start(call.timeout);
+        noteProgress();
+        m_connection->start(call,
+                            {.onHead =
+                                     [this](const HttpHead &head) {
+                                         noteProgress();
+                                         if (m_events.onHead)
+                                             m_events.onHead(head);
+                                     },
+                             .onData =
+                                     [this](std::string_view data) {
+                                         noteProgress();
+                                         if (m_events.onData)
+                                             m_events.onData(data);
+                                     },
+                             .onEnd = [this](Result<void> result) { finish(std::move(result)); }});
+    }
+
+    ~Call() override
+    {
+        if (m_connection) {
+            m_connection->mute();
+            m_giveBack(std::move(m_connection));
+        }
+    }
+
+    void pause() override
+    {
+        m_progress.stop();
+        m_paused = true;
+        if (m_connection)
+            m_connection->setReading(false);
+    }
+
+    void resume() override
+    {
+        m_paused = false;
+        noteProgress();
+        if (m_connection)
+            m_connection->setReading(true);
+    }
+
+private:
+    void noteProgress()
+    {
+        if (m_progressTimeout > Duration::zero() && !m_paused)
+            m_progress.start(m_progressTimeout);
+    }
+
+    void timedOut()
+    {
+        const Verdict verdict = m_connection->verdict();
+        m_connection->mute();
+        finish(Error{.reason = Reason::UpstreamTimeout,
+                     .verdict = verdict,
+                     .detail = "no answer in time",
+                     .retryAfter = {}});
+    }
+
+    void finish(Result<void> result)
+    {
+        m_deadline.stop();
+        m_progress.stop();
+        m_giveBack(std::move(m_connection));
+        const auto onEnd = std::exchange(m_events.onEnd, nullptr);
+        if (onEnd)
+            onEnd(std::move(result)); // May destroy this call.
+    }
+
+    std::unique_ptr<HttpConnection> m_connection;
+    HttpCallEvents m_events;
+    GiveBack m_giveBack;
+    Duration m_progressTimeout;
+    bool m_paused = false;
+    Timer m_deadline;
+    Timer m_progress;
+};
+
+} // namespace
+
+HttpClient::HttpClient(EventLoop &loop) : m_d(std::make_unique<Private>(loop)) { }
+
+HttpClient::~HttpClient()
+{
+    *m_d->alive = false;
+}
+
+HttpCallPtr HttpClient::send(HttpCall call, HttpCallEvents events)
+{
+    auto connection = m_d->take(call.address, call.freshConnection);
+    auto giveBack = [d = m_d.get(), alive = m_d->alive,
+                     address = call.address](std::unique_ptr<HttpConnection> it) {
+        if (*alive)
+            d->give(address, std::move(it));
+    };
+    return std::make_unique<Call>(m_d->loop, std::move(connection), std::move(call),
+                                  std::move(events), std::move(giveBack));
+}
+
+void HttpClient::fetch(HttpCall call, std::function<void(Result<HttpAnswer>)> done)
+{
+    struct Collector
+    {
+        HttpCallPtr handle;
+        HttpAnswer answer;
+    };
+    auto state = std::make_shared<Collector>();
+    state->handle =
+            send(std::move(call),
+                 {.onHead = [state](const HttpHead &head) { state->answer.head = head; },
+                  .onData = [state](std::string_view data) { state->answer.body += data; },
+                  .onEnd =
+                          [this, state, done = std::move(done)](const Result<void> &result) {
+                              // Released later: the handle is still on the stack, and its hooks
+                              // hold this state.
+                              m_d->loop.post([held = std::shared_ptr<HttpCallHandle>(
+                                                      std::move(state->handle))] {});
+                              if (result)
+                                  done(std::move(state->answer));
+                              else
+                                  done(result.error());
+                          }});
+}
+
+std::size_t HttpClient::idleConnections() const
+{
+    std::size_t n = 0;
+    for (const auto &it : m_d->idle)
+        n += it.second.size();
+    return n;
+}
+
+} // namespace catkinloft
--- /dev/null
+++ b/src/Net/HttpExchange.cpp
@@ -0,0 +1,238 @@
+#include "Net/HttpExchange.h"
+
+#include <sys/socket.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+#include <fmt/format.h>
+
+namespace catkinloft {
+
+namespace {
+
+/// Bytes of a pipelined request that are read while the answer to the one before is pending; they
+/// are read only so that a closed connection is noticed.
+constexpr std::size_t MaxReadAhead = 64 * 1024;
+
+std::string_view methodName(evhttp_cmd_type type)
+{
+    switch (type) {
+    case EVHTTP_REQ_GET:
+        return "GET";
+    case EVHTTP_REQ_POST:
+        return "POST";
+    case EVHTTP_REQ_HEAD:
+        return "HEAD";
+    case EVHTTP_REQ_PUT:
+        return "PUT";
+    case EVHTTP_REQ_DELETE:
+        return "DELETE";
+    case EVHTTP_REQ_OPTIONS:
+        return "OPTIONS";
+    case EVHTTP_REQ_TRACE:
+        return "TRACE";
+    case EVHTTP_REQ_CONNECT:
+        return "CONNECT";
+    case EVHTTP_REQ_PATCH:
+        return "PATCH";
+    }
+    return "UNKNOWN";
+}
+
+std::string_view bodyOf(evhttp_request *request)
+{
+    evbuffer *buf = evhttp_request_get_input_buffer(request);
+    const std::size_t n = evbuffer_get_length(buf);
+    if (n == 0)
+        return {};
+    return {reinterpret_cast<const char *>(evbuffer_pullup(buf, -1)), n};
+}
+
+} // namespace
+
+HttpExchange::HttpExchange(evhttp_request *request)
+    : m_request(request), m_method(methodName(evhttp_request_get_command(request))),
+      m_body(bodyOf(request))
+{
+    const std::string_view target = evhttp_request_get_uri(request);
+    const std::size_t mark = target.find('?');
+    m_path = target.substr(0, mark);
+    if (mark != std::string_view::npos)
+        m_query = target.substr(mark + 1);
+    watchConnection();
+}
+
+HttpExchange::~HttpExchange()
+{
+    // A request that nobody answered would hold its connection for good. A stream can't get here:
+    // it keeps itself alive until it is ended or its connection is closed.
+    respond(500, {}, {});
+}
+
+void HttpExchange::watchConnection()
+{
+    evhttp_connection *con = evhttp_request_get_connection(m_request);
+    evhttp_connection_set_closecb(
+            con,
+            [](evhttp_connection *, void *arg) {
+                static_cast<HttpExchange *>(arg)->connectionClosed();
+            },
+            this);
+    // evhttp stops reading while it waits for the answer, and so would not see the caller leave.
+    // With no read callback set, data stays in the buffer and only the end is reported.
+    bufferevent *bev = evhttp_connection_get_bufferevent(con);
+    bufferevent_data_cb onWrite = nullptr;
+    bufferevent_event_cb onEvent = nullptr;
+    void *arg = nullptr;
+    bufferevent_getcb(bev, nullptr, &onWrite, &onEvent, &arg);
+    bufferevent_setcb(bev, nullptr, onWrite, onEvent, arg);
+    bufferevent_setwatermark(bev, EV_READ, 0, MaxReadAhead);
+    // The caller owes nothing while it waits: only writing may time out.
+    bufferevent_set_timeouts(bev, nullptr, nullptr);
+    bufferevent_enable(bev, EV_READ);
+}
+
+void HttpExchange::connectionClosed()
+{
+    const HttpExchangePtr self = std::exchange(m_keepAlive, nullptr);
+    evhttp_request *request = std::exchange(m_request, nullptr);
+    const auto closed = std::exchange(m_onClosed, nullptr);
+    m_onDrained = nullptr;
+    m_body = {};
+    // Where evhttp let go of the request before it closed the connection, ending it frees it;
+    // otherwise evhttp frees it itself.
+    if (!evhttp_request_get_connection(request))
+        evhttp_send_reply_end(request);
+    if (closed)
+        closed();
+}
+
+evhttp_request *HttpExchange::takeRequest()
+{
+    evhttp_connection *con = evhttp_request_get_connection(m_request);
+    evhttp_connection_set_closecb(con, nullptr, nullptr);
+    m_onClosed = nullptr;
+    m_onDrained = nullptr;
+    m_body = {};
+    return std::exchange(m_request, nullptr);
+}
+
+std::string_view HttpExchange::header(const char *name) const
+{
+    if (!m_request)
+        return {};
+    const char *value = evhttp_find_header(evhttp_request_get_input_headers(m_request), name);
+    return value ? std::string_view(value) : std::string_view();
+}
+
+HttpHeaders HttpExchange::headers() const
+{
+    HttpHeaders out;
+    if (!m_request)
+        return out;
+    const evkeyvalq *all = evhttp_request_get_input_headers(m_request);
+    for (const evkeyval *it = all->tqh_first; it; it = it->next.tqe_next)
+        out.emplace_back(it->key, it->value);
+    return out;
+}
+
+std::string HttpExchange::queryValue(const char *name) const
+{
+    evkeyvalq params{};
+    if (evhttp_parse_query_str(m_query.c_str(), &params) != 0)
+        return {};
+    const char *value = evhttp_find_header(&params, name);
+    std::string out = value ? value : "";
+    evhttp_clear_headers(&params);
+    return out;
+}
+
+std::string HttpExchange::peer() const
+{
+    if (!isOpen())
+        return {};
+    char *host = nullptr;
+    std::uint16_t port = 0;
+    evhttp_connection_get_peer(evhttp_request_get_connection(m_request), &host, &port);
+    return fmt::format("{}:{}", host ? host : "", port);
+}
+
+void HttpExchange::addHeaders(const HttpHeaders &headers)
+{
+    evkeyvalq *out = evhttp_request_get_output_headers(m_request);
+    for (const auto &[name, value] : headers)
+        evhttp_add_header(out, name.c_str(), value.c_str());
+}
+
+void HttpExchange::respond(int status, const HttpHeaders &headers, std::string_view body)
+{
+    if (!isOpen() || m_streaming)
+        return;
+    addHeaders(headers);
+    evbuffer_add(evhttp_request_get_output_buffer(m_request), body.data(), body.size());
+    evhttp_send_reply(takeRequest(), status, nullptr, nullptr);
+}
+
+void HttpExchange::beginStream(int status, const HttpHeaders &headers)
+{
+    if (!isOpen())
+        return;
+    addHeaders(headers);
+    m_streaming = true;
+    m_keepAlive = shared_from_this();
+    evhttp_send_reply_start(m_request, status, nullptr);
+}
+
+void HttpExchange::write(std::string_view data)
+{
+    if (!isOpen() || data.empty())
+        return;
+    evbuffer *buf = evbuffer_new();
+    evbuffer_add(buf, data.data(), data.size());
+    evhttp_send_reply_chunk_with_cb(
+            m_request, buf,
+            [](evhttp_connection *, void *arg) {
+                auto *self = static_cast<HttpExchange *>(arg);
+                if (self->m_onDrained) {
+                    const auto drained = self->m_onDrained;
+                    drained();
+                }
+            },
+            this);
+    evbuffer_free(buf);
+}
+
+void HttpExchange::end()
+{
+    if (!isOpen() || !m_streaming)
+        return;
+    const HttpExchangePtr self = std::exchange(m_keepAlive, nullptr);
+    evhttp_send_reply_end(takeRequest());
+}
+
+void HttpExchange::abort()
+{
+    if (!isOpen())
+        return;
+    m_onClosed = nullptr;
+    m_onDrained = nullptr;
+    if (!m_keepAlive)
+        m_keepAlive = shared_from_this();
+    bufferevent *bev = evhttp_connection_get_bufferevent(evhttp_request_get_connection(m_request));
+    // Shutting the socket down lets evhttp see the end and clean up by its own rules.
+    shutdown(bufferevent_getfd(bev), SHUT_RDWR);
+}
+
+std::size_t HttpExchange::backlog() const
+{
+    if (!isOpen())
+        return 0;
+    bufferevent *bev = evhttp_connection_get_bufferevent(evhttp_request_get_connection(m_request));
+    return evbuffer_get_length(bufferevent_get_output(bev));
+}
+
+} // namespace catkinloft
--- /dev/null
+++ b/src/Net/HttpExchange.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <initializer_list>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+struct evhttp_request;
+
+namespace catkinloft {
+
+using HttpHeader = std::pair<std::string, std::string>;
+using HttpHeaders = std::vector<HttpHeader>;
+
+/// \brief One request that a listener received, and the way to answer it.
+///
+/// Lives until it has been answered or dropped. After the caller has gone, answering is allowed
+/// and does nothing. A stream lives until end() or until its connection closes; whoever gives up
+/// on one calls abort(). Views of the request are valid until the answer is complete.
+class HttpExchange : public std::enable_shared_from_this<HttpExchange>
+{
+public:
+    /// \param request owned by evhttp until it is answered.
+    explicit HttpExchange(evhttp_request *request);
+    ~HttpExchange();
+    HttpExchange(const HttpExchange &) = delete;
+    HttpExchange &operator=(const HttpExchange &) = delete;
+
+    const std::string &method() const { return m_method; }
+    const std::string &path() const { return m_path; } ///< Without the query, not decoded.
+    const std::string &query() const { return m_query; }
+    std::string_view body() const { return m_body; }
+
+    /// \returns the value of request header \a name, empty where it is missing.
+    std::string_view header(const char *name) const;
+
+    /// \returns all request headers.
+    HttpHeaders headers() const;
+
+    /// \returns the decoded value of query parameter \a name, empty where it is missing.
+    std::string queryValue(const char *name) const;
+
+    /// \returns the caller's `ip:port`.
+    std::string peer() const;
+
+    /// \brief Answers as a whole.
+    void respond(int status, const HttpHeaders &headers, std::string_view body);
+
+    /// \brief Starts an answer whose body follows by write() and end().
+    void beginStream(int status, const HttpHeaders &headers);
+    void write(std::string_view data);
+    void end();
+
+    /// \brief Breaks the connection, so that the caller sees that the answer is not complete.
+    void abort();
+
+    /// \returns bytes written but not yet taken by the caller.
+    std::size_t backlog() const;
+
+    bool isOpen() const { return m_request != nullptr; }
+    bool isStreaming() const { return m_streaming; }
+
+    /// \param closed runs once if the caller goes away before the answer is complete.
+    void onClosed(std::function<void()> closed) { m_onClosed = std::move(closed); }
+
+    /// \param drained runs each time the backlog has been written out.
+    void onDrained(std::function<void()> drained) { m_onDrained = std::move(drained); }
+
+private:
+    void watchConnection();
+    void connectionClosed();
+    evhttp_request *takeRequest();
+    void addHeaders(const HttpHeaders &headers);
+
+    evhttp_request *m_request;
+    std::string m_method;
+    std::string m_path;
+    std::string m_query;
+    std::string_view m_body;
+    bool m_streaming = false;
+    std::shared_ptr<HttpExchange> m_keepAlive; ///< While a stream is open.
+    std::function<void()> m_onClosed;
+    std::function<void()> m_onDrained;
+};
+
+using HttpExchangePtr = std::shared_ptr<HttpExchange>;
+
+} // namespace catkinloft
--- /dev/null
+++ b/src/Net/HttpServer.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "Base/Error.h"
+#include "Base/Settings.h"
+#include "Net/HttpExchange.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace catkinloft {
+
+class EventLoop;
+
+/// \brief An HTTP listener over evhttp.
+class HttpServer
+{
+public:
+    using Handler = std::function<void(HttpExchangePtr)>;
+
+    struct Options
+    {
+        std::string address; ///< `ip:port`; port 0 is not allowed.
+        ListenerLimits limits;
+    };
+
+    /// \brief Does not listen yet.
+    HttpServer(EventLoop &loop, Options options, Handler handler);
+    ~HttpServer();
+    HttpServer(const HttpServer &) = delete;
+    HttpServer &operator=(const HttpServer &) = delete;
+
+    /// \returns an error where the address can not be bound.
+    Result<void> listen();
+
+    /// \brief Accepts no more connections; open ones go on.
+    void stopAccepting();
+
+private:
+    struct Private;
+    std::unique_ptr<Private> m_d;
+};
+
+} // namespace catkinloft
--- /dev/null
+++ b/src/Net/Net.h
@@ -0,0 +1,9 @@
+#pragma once
+
+/// \file
+/// \brief Module Net: event loop, HTTP both ways and the adapters to the platform.
+
+#include "Net/EventLoop.h" // IWYU pragma: export
+#include "Net/HttpClient.h" // IWYU pragma: export
+#include "Net/HttpServer.h" // IWYU pragma: export
+#include "Net/Timer.h" // IWYU pragma: export
--- /dev/null
+++ b/src/Net/internal/HttpConnection.cpp
@@ -0,0 +1,227 @@
+#include "Net/internal/HttpConnection.h"
+
+#include "Base/YamlSection.h"
+#include "Net/EventLoop.h"
+
+#include <charconv>
+#include <optional>
+#include <strings.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+
+namespace catkinloft::internal {
+
+namespace {
+
+constexpr std::size_t MaxAnswerHeaderBytes = 64 * 1024;
+
+evhttp_cmd_type commandOf(std::string_view method)
+{
+    if (method == "POST")
+        return EVHTTP_REQ_POST;
+    if (method == "PUT")
+        return EVHTTP_REQ_PUT;
+    if (method == "DELETE")
+        return EVHTTP_REQ_DELETE;
+    if (method == "PATCH")
+        return EVHTTP_REQ_PATCH;
+    if (method == "HEAD")
+        return EVHTTP_REQ_HEAD;
+    if (method == "OPTIONS")
+        return EVHTTP_REQ_OPTIONS;
+    return EVHTTP_REQ_GET;
+}
+
+HttpHead headOf(evhttp_request *request)
+{
+    HttpHead head{.status = evhttp_request_get_response_code(request), .headers = {}};
+    const evkeyvalq *all = evhttp_request_get_input_headers(request);
+    for (const evkeyval *it = all->tqh_first; it; it = it->next.tqe_next)
+        head.headers.emplace_back(it->key, it->value);
+    return head;
+}
+
+std::optional<std::size_t> contentLength(const HttpHead &head)
+{
+    const std::string_view text = head.header("Content-Length");
+    std::size_t n = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
+    if (text.empty() || ec != std::errc() || end != text.data() + text.size())
+        return std::nullopt;
+    return n;
+}
+
+bool hasNoBody(int status)
+{
+    return status == 204 || status == 304 || (status >= 100 && status < 200);
+}
+
+} // namespace
+
+std::unique_ptr<HttpConnection> HttpConnection::open(EventLoop &loop, const std::string &address)
+{
+    const Endpoint endpoint = parseEndpoint(address).value_or(Endpoint{"0.0.0.0", 0});
+    evhttp_connection *con = evhttp_connection_base_bufferevent_new(
+            loop.base(), nullptr, nullptr, endpoint.host.c_str(), endpoint.port);
+    return std::unique_ptr<HttpConnection>(new HttpConnection(loop, con));
+}
+
+HttpConnection::HttpConnection(EventLoop &loop, evhttp_connection *connection)
+    : m_loop(loop), m_connection(connection)
+{
+    evhttp_connection_set_max_headers_size(m_connection, MaxAnswerHeaderBytes);
+    // The time limits are the caller's; evhttp's own default would cut long streams.
+    evhttp_connection_set_timeout(m_connection, 24 * 3600);
+    evhttp_connection_set_closecb(
+            m_connection,
+            [](evhttp_connection *, void *arg) {
+                static_cast<HttpConnection *>(arg)->m_reusable = false;
+            },
+            this);
+    evbuffer *out = bufferevent_get_output(evhttp_connection_get_bufferevent(m_connection));
+    evbuffer_add_cb(
+            out,
+            [](evbuffer *, const evbuffer_cb_info *info, void *arg) {
+                static_cast<HttpConnection *>(arg)->m_bytesSent += info->n_deleted;
+            },
+            this);
+}
+
+HttpConnection::~HttpConnection()
+{
+    mute();
+    if (m_request)
+        evhttp_cancel_request(m_request);
+    evhttp_connection_set_closecb(m_connection, nullptr, nullptr);
+    evhttp_connection_free(m_connection);
+}
+
+void HttpConnection::start(const HttpCall &call, HttpCallEvents events)
+{
+    m_events = std::move(events);
+    m_listening = std::make_shared<bool>(true);
+    m_bytesSent = 0;
+    m_bytesReceived = 0;
+    m_delimited = false;
+    m_headOnly = call.method == "HEAD";
+    m_errorCode = -1;
+    evhttp_connection_set_max_body_size(m_connection, static_cast<ev_ssize_t>(call.maxBodyBytes));
+    m_request = evhttp_request_new(&HttpConnection::onDone, this);
+    evhttp_request_set_header_cb(m_request, [](evhttp_request *request, void *arg) {
+        onHead(request, static_cast<HttpConnection *>(arg));
+        return 0;
+    });
+    evhttp_request_set_chunked_cb(m_request, [](evhttp_request *request, void *arg) {
+        auto *self = static_cast<HttpConnection *>(arg);
+        evbuffer *buf = evhttp_request_get_input_buffer(request);
+        const std::size_t n = evbuffer_get_length(buf);
+        self->m_bytesReceived += n;
+        if (self->m_events.onData && n > 0)
+            self->m_events.onData({reinterpret_cast<const char *>(evbuffer_pullup(buf, -1)), n});
+    });
+    evhttp_request_set_error_cb(m_request, [](evhttp_request_error error, void *arg) {
+        static_cast<HttpConnection *>(arg)->m_errorCode = error;
+    });
+    evkeyvalq *out = evhttp_request_get_output_headers(m_request);
+    evhttp_add_header(out, "Host", call.address.c_str());
+    for (const auto &[name, value] : call.headers)
+        evhttp_add_header(out, name.c_str(), value.c_str());
+    evbuffer_add(evhttp_request_get_output_buffer(m_request), call.body.data(), call.body.size());
+    if (evhttp_make_request(m_connection, m_request, commandOf(call.method), call.target.c_str())
+        != 0) {
+        // evhttp has freed the request.
+        m_request = nullptr;
+        m_reusable = false;
+        fail(Reason::UpstreamUnreachable, "no socket for a connection");
+    }
+}
+
+void HttpConnection::mute()
+{
+    m_events = {};
+    m_listening.reset();
+}
+
+void HttpConnection::setReading(bool enabled)
+{
+    bufferevent *bev = evhttp_connection_get_bufferevent(m_connection);
+    if (enabled)
+        bufferevent_enable(bev, EV_READ);
+    else
+        bufferevent_disable(bev, EV_READ);
+}
+
+void HttpConnection::onHead(evhttp_request *request, HttpConnection *self)
+{
+    const HttpHead head = headOf(request);
+    self->m_delimited = self->m_headOnly || hasNoBody(head.status) || contentLength(head)
+            || !head.header("Transfer-Encoding").empty();
+    if (!head.header("Connection").empty()
+        && strcasecmp(std::string(head.header("Connection")).c_str(), "close") == 0)
+        self->m_reusable = false;
+    if (self->m_events.onHead)
+        self->m_events.onHead(head);
+}
+
+void HttpConnection::onDone(evhttp_request *request, void *arg)
+{
+    auto *self = static_cast<HttpConnection *>(arg);
+    self->m_request = nullptr;
+    if (!request || self->m_errorCode >= 0) {
+        self->m_reusable = false;
+        const bool tooLong = self->m_errorCode == EVREQ_HTTP_DATA_TOO_LONG;
+        self->fail(Reason::UpstreamBroken,
+                   tooLong ? "the answer is longer than the limit" : "the connection broke");
+    } else if (evhttp_request_get_response_code(request) == 0) {
+        self->m_reusable = false;
+        self->fail(Reason::UpstreamUnreachable, "the connection was not established");
+    } else {
+        self->succeed(request);
+    }
+}
+
+void HttpConnection::succeed(evhttp_request *request)
+{
+    const HttpHead head = headOf(request);
+    const auto length = contentLength(head);
+    evbuffer *rest = evhttp_request_get_input_buffer(request);
+    const std::size_t n = evbuffer_get_length(rest);
+    if (n > 0) {
+        m_bytesReceived += n;
+        if (m_events.onData)
+            m_events.onData({reinterpret_cast<const char *>(evbuffer_pullup(rest, -1)), n});
+    }
+    if (!m_delimited) {
+        m_reusable = false;
+        fail(Reason::UpstreamBroken, "the answer does not say where it ends");
+    } else if (length && !m_headOnly && m_bytesReceived != *length) {
+        m_reusable = false;
+        fail(Reason::UpstreamBroken, "the answer is shorter than it says");
+    } else {
+        end(outcome::success());
+    }
+}
+
+void HttpConnection::fail(Reason reason, const char *detail)
+{
+    end(Error{.reason = reason, .verdict = verdict(), .detail = detail, .retryAfter = {}});
+}
+
+void HttpConnection::end(Result<void> result)
+{
+    const auto onEnd = std::exchange(m_events.onEnd, nullptr);
+    // The receiver may start the next request on this connection or give it away, so it is told
+    // outside of evhttp's stack.
+    m_loop.post(
+            [onEnd, listening = std::weak_ptr(m_listening), result = std::move(result)]() mutable {
+                if (onEnd && !listening.expired())
+                    onEnd(std::move(result));
+            });
+}
+
+} // namespace catkinloft::internal
--- /dev/null
+++ b/src/Net/internal/HttpConnection.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "Net/HttpClient.h"
+
+#include <memory>
+#include <string>
+
+struct evbuffer;
+struct evbuffer_cb_info;
+struct evhttp_connection;
+struct evhttp_request;
+
+namespace catkinloft::internal {
+
+/// \brief One client connection over evhttp, carrying one request at a time.
+class HttpConnection
+{
+public:
+    static std::unique_ptr<HttpConnection> open(EventLoop &loop, const std::string &address);
+
+    ~HttpConnection();
+    HttpConnection(const HttpConnection &) = delete;
+    HttpConnection &operator=(const HttpConnection &) = delete;
+
+    /// \brief Sends \a call; onEnd comes once, unless detach() comes first.
+    void start(const HttpCall &call, HttpCallEvents events);
+
+    /// \brief Reports nothing more of the request in progress. The connection can be freed then,
+    /// though not from within one of its own callbacks.
+    void mute();
+
+    void setReading(bool enabled);
+
+    /// \returns what is known of the request in progress: NotRun until its first byte has left.
+    Verdict verdict() const { return m_bytesSent == 0 ? Verdict::NotRun : Verdict::MayHaveRun; }
+
+    bool isReusable() const { return m_reusable && !m_request; }
+
+private:
+    HttpConnection(EventLoop &loop, evhttp_connection *connection);
+
+    static void onHead(evhttp_request *request, HttpConnection *self);
+    static void onDone(evhttp_request *request, void *arg);
+    void succeed(evhttp_request *request);
+    void fail(Reason reason, const char *detail);
+    void end(Result<void> result);
+
+    EventLoop &m_loop;
+    evhttp_connection *m_connection;
+    evhttp_request *m_request = nullptr;
+    HttpCallEvents m_events;
+    std::size_t m_bytesSent = 0;
+    std::size_t m_bytesReceived = 0;
+    bool m_delimited = false; ///< The answer states its length or ends with a last chunk.
+    bool m_headOnly = false;
+    int m_errorCode = -1;
+    bool m_reusable = true;
+    std::shared_ptr<bool> m_listening; ///< Gone once nobody waits for the posted end.
+};
+
+} // namespace catkinloft::internal
--- /dev/null
+++ b/src/Net/internal/Timeval.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "Base/Clock.h"
+
+#include <sys/time.h>
+
+namespace catkinloft::internal {
+
+/// \returns \a d for libevent; negative durations become zero.
+inline timeval toTimeval(Duration d)
+{
+    const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(
+            d < Duration::zero() ? Duration::zero() : d);
+    return {.tv_sec = static_cast<time_t>(micros.count() / 1'000'000),
+            .tv_usec = static_cast<suseconds_t>(micros.count() % 1'000'000)};
+}
+
+} // namespace catkinloft::internal
--- /dev/null
+++ b/src/Request/AuthenticateFilter.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "Request/FilterChain.h"
+
+#include <functional>
+
+namespace catkinloft {
+
+/// \brief Finds the workspace whose API key a request carries as `Authorization: Bearer KEY`.
+class AuthenticateFilter
+{
+public:
+    /// \param inventory yields the inventory in force; nullptr before the first one.
+    explicit AuthenticateFilter(std::function<InventoryPtr()> inventory);
+
+    void operator()(const RequestPtr &request, const FilterChain::Next &next) const;
+
+    /// \returns the key in an Authorization header, empty where it holds none.
+    static std::string_view bearerKey(std::string_view authorization);
+
+private:
+    std::function<InventoryPtr()> m_inventory;
+};
+
+} // namespace catkinloft
--- /dev/null
+++ b/standin/Standin.cpp
@@ -0,0 +1,24 @@
+#include "Standin.h"
+
+#include "Net/internal/Json.h"
+
+namespace catkinloft::standin {
+
+Json::Value bodyObject(const HttpExchange &exchange)
+{
+    const Result<Json::Value> parsed = internal::parseJsonObject(exchange.body());
+    return parsed ? parsed.value() : Json::Value(Json::objectValue);
+}
+
+void respondJson(HttpExchange &exchange, int status, const Json::Value &value)
+{
+    exchange.respond(status, {{"Content-Type", "application/json"}},
+                     internal::printJson(value) + "\n");
+}
+
+void respondNotFound(HttpExchange &exchange)
+{
+    respondJson(exchange, 404, Json::Value(Json::objectValue));
+}
+
+} // namespace catkinloft::standin
--- /dev/null
+++ b/standin/fleet/ChildProcess.cpp
@@ -0,0 +1,77 @@
+#include "fleet/ChildProcess.h"
+
+#include <csignal>
+#include <stdexcept>
+
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace catkinloft::standin {
+
+namespace {
+
+/// Runs in the child; only functions that are safe between fork and exec.
+[[noreturn]] void runChild(pid_t parent, const char *logFile, char **argv)
+{
+    // A child of a run that was killed must not stay behind.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    const int fd = open(logFile, O_WRONLY | O_CREAT | O_APPEND, 0600);
+    if (getppid() == parent && fd >= 0) {
+        dup2(fd, STDOUT_FILENO);
+        dup2(fd, STDERR_FILENO);
+        execv(argv[0], argv);
+    }
+    _exit(127);
+}
+
+} // namespace
+
+ChildProcess::ChildProcess(const std::vector<std::string> &command, const std::string &logFile)
+{
+    std::vector<char *> argv;
+    argv.reserve(command.size() + 1);
+    for (const std::string &it : command)
+        argv.push_back(const_cast<char *>(it.c_str()));
+    argv.push_back(nullptr);
+    const std::string target = logFile.empty() ? std::string("/dev/null") : logFile;
+    const pid_t parent = getpid();
+    m_pid = fork();
+    if (m_pid < 0)
+        throw std::runtime_error("can not start " + command[0]);
+    if (m_pid == 0)
+        runChild(parent, target.c_str(), argv.data());
+}
+
+ChildProcess::~ChildProcess()
+{
+    if (isRunning()) {
+        ::kill(m_pid, SIGKILL);
+        wait();
+    }
+}
+
+void ChildProcess::signal(int number) const
+{
+    if (!m_ended)
+        ::kill(m_pid, number);
+}
+
+int ChildProcess::wait()
+{
+    if (!m_ended) {
+        waitpid(m_pid, &m_status, 0);
+        m_ended = true;
+    }
+    return WIFEXITED(m_status) ? WEXITSTATUS(m_status) : -WTERMSIG(m_status);
+}
+
+bool ChildProcess::isRunning()
+{
+    if (!m_ended && waitpid(m_pid, &m_status, WNOHANG) == m_pid)
+        m_ended = true;
+    return !m_ended;
+}
+
+} // namespace catkinloft::standin
--- /dev/null
+++ b/test/integration/PathTest.cpp
@@ -0,0 +1,82 @@
+#include "fleet/Fleet.h"
+
+#include <doctest/doctest.h>
+
+#include <json/json.h>
+
+using namespace catkinloft;
+using standin::Fleet;
+
+namespace {
+
+struct RunningFleetFixture
+{
+    RunningFleetFixture()
+    {
+        standin::Deployment small = standin::deploymentNamed("sofiyska");
+        small.engines = 3;
+        small.replicas = 2;
+        small.routers = 3;
+        fleet = std::make_unique<Fleet>(
+                Fleet::Options{.deployment = small, .binaries = CATKINLOFT_BINARIES});
+        fleet->start();
+    }
+
+    HttpCall chat(bool stream, std::size_t router = 0) const
+    {
+        return {.address = fleet->routerAddress(router),
+                .method = "POST",
+                .target = "/v1/chat/completions",
+                .headers = {{"Authorization", "Bearer " + Fleet::workspaceKey(0)},
+                            {"X-Request-Id", "request-1"}},
+                .body = std::string(R"({"model":"planning","max_tokens":5,"stream":)")
+                        + (stream ? "true" : "false")
+                        + R"(,"messages":[{"role":"user","content":"a plan, please"}]})"};
+    }
+
+    std::unique_ptr<Fleet> fleet;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(RunningFleetFixture, "fleet_wholeChat_answersOnEveryRouter")
+{
+    for (std::size_t i = 0; i < 3; ++i) {
+        const Result<HttpAnswer> answer = Fleet::fetch(chat(false, i));
+        REQUIRE(answer);
+        CHECK(answer.value().head.status == 200);
+        CHECK(answer.value().head.header("X-Request-Id") == "request-1");
+        CHECK(answer.value().body.find("t0 t1 t2 t3 t4 ") != std::string::npos);
+    }
+}
+
+TEST_CASE_FIXTURE(RunningFleetFixture, "fleet_streamedChat_bringsEveryTokenAndTheEnd")
+{
+    const Result<HttpAnswer> answer = Fleet::fetch(chat(true));
+    REQUIRE(answer);
+    CHECK(answer.value().head.header("Content-Type") == "text/event-stream");
+    for (const char *it : {"t0 ", "t4 ", "data: [DONE]"})
+        CHECK(answer.value().body.find(it) != std::string::npos);
+}
+
+TEST_CASE_FIXTURE(RunningFleetFixture, "fleet_plainCall_reachesTheService")
+{
+    const Result<HttpAnswer> answer =
+            Fleet::fetch({.address = fleet->routerAddress(1),
+                          .method = "POST",
+                          .target = "/services/dispatch/orders",
+                          .headers = {{"Authorization", "Bearer " + Fleet::workspaceKey(0)}},
+                          .body = "{}"});
+    REQUIRE(answer);
+    CHECK(answer.value().head.status == 200);
+}
+
+TEST_CASE_FIXTURE(RunningFleetFixture, "fleet_wrongKey_answers401WithReason")
+{
+    HttpCall call = chat(false);
+    call.headers.front().second = "Bearer wrong";
+    const Result<HttpAnswer> answer = Fleet::fetch(call);
+    REQUIRE(answer);
+    CHECK(answer.value().head.status == 401);
+    CHECK(answer.value().body.find("\"reason\":\"unknown_key\"") != std::string::npos);
+}
