Check: 53 bad settings and inventories, each with the message it must get

Change: test/data/bad with expected messages, CheckTest; a missing section is reported at the line of the mapping that should hold it.

--- a/src/Base/YamlSection.cpp
+++ b/src/Base/YamlSection.cpp
@@ -45,8 +45,9 @@
 }
 
 YamlSection::YamlSection(YAML::Node node, std::string file, std::string path,
-                         YamlProblems &problems)
-    : m_node(node), m_file(std::move(file)), m_path(std::move(path)), m_problems(&problems)
+                         YamlProblems &problems, int line)
+    : m_node(node), m_file(std::move(file)), m_path(std::move(path)), m_problems(&problems),
+      m_line(node.IsDefined() && !node.IsNull() ? node.Mark().line + 1 : line)
 {
     if (m_node.IsDefined() && !m_node.IsNull() && !m_node.IsMap()) {
         problem({}, "expected a mapping of keys to values");
@@ -68,7 +69,7 @@
 
 void YamlSection::problem(std::string_view key, std::string message)
 {
-    int line = m_node.IsDefined() ? m_node.Mark().line + 1 : 0;
+    int line = m_line;
     if (!key.empty() && has(key))
         line = m_node[std::string(key)].Mark().line + 1;
     m_problems->push_back(
@@ -190,7 +191,8 @@
 YamlSection YamlSection::section(std::string_view key)
 {
     m_read.emplace(key);
-    return {has(key) ? m_node[std::string(key)] : YAML::Node(), m_file, pathOf(key), *m_problems};
+    return {has(key) ? m_node[std::string(key)] : YAML::Node(), m_file, pathOf(key), *m_problems,
+            m_line};
 }
 
 std::vector<YamlSection> YamlSection::sections(std::string_view key)
--- a/src/Base/YamlSection.h
+++ b/src/Base/YamlSection.h
@@ -35,7 +35,9 @@
 public:
     /// \param node the mapping; an undefined node reads as an empty one.
     /// \param path dotted path of \a node from the root, for messages.
-    YamlSection(YAML::Node node, std::string file, std::string path, YamlProblems &problems);
+    /// \param line where a missing mapping would stand, for messages.
+    YamlSection(YAML::Node node, std::string file, std::string path, YamlProblems &problems,
+                int line = 1);
 
     bool has(std::string_view key) const;
 
@@ -80,6 +82,7 @@
     std::string m_file;
     std::string m_path;
     YamlProblems *m_problems;
+    int m_line;
     std::set<std::string, std::less<>> m_read;
 };
 
--- a/src/Cli/CheckCommand.cpp
+++ b/src/Cli/CheckCommand.cpp
@@ -1,34 +1,12 @@
-#include "Base/Inventory.h"
-#include "Base/Settings.h"
 #include "Cli/Command.h"
 #include "Cli/Commands.h"
+#include "Cli/internal/CheckFile.h"
 #include "Cli/internal/Tools.h"
 
 #include <fmt/format.h>
 
 namespace catkinloft {
 
-namespace {
-
-/// A file with a peer address is a router's settings, any other an inventory.
-void checkFile(const std::string &path, YamlProblems &problems)
-{
-    const auto text = internal::readFile(path);
-    if (!text) {
-        problems.push_back({.file = path, .line = 0, .key = {}, .message = "can not be read"});
-        return;
-    }
-    YamlProblems ignored;
-    const auto root = parseYaml(*text, path, ignored);
-    const bool isSettings = root && ((*root)["peer_address"] || (*root)["caller_address"]);
-    if (isSettings)
-        Settings::parse(*text, path, problems);
-    else
-        Inventory::parse(*text, path, 1, problems);
-}
-
-} // namespace
-
 int runCheck(std::span<char *const> arguments)
 {
     if (arguments.empty()) {
@@ -37,7 +15,7 @@
     }
     YamlProblems problems;
     for (const char *it : arguments)
-        checkFile(it, problems);
+        internal::checkFile(it, problems);
     for (const YamlProblem &it : problems)
         fmt::print(stderr, "{}\n", it.text());
     return problems.empty() ? exit_code::Ok : exit_code::Usage;
--- /dev/null
+++ b/test/CheckTest.cpp
@@ -0,0 +1,49 @@
+#include "Cli/internal/CheckFile.h"
+
+#include <doctest/doctest.h>
+
+#include <fstream>
+#include <string>
+
+using namespace catkinloft;
+
+namespace {
+
+const std::string Data = CATKINLOFT_TEST_DATA;
+
+} // namespace
+
+TEST_CASE("check_eachBadFile_namesItsMistakeOnce")
+{
+    std::ifstream list(Data + "/bad/expected.txt");
+    int files = 0;
+    for (std::string line; std::getline(list, line); ++files) {
+        const std::string file = line.substr(0, line.find('|'));
+        const std::string expected = line.substr(line.find('|') + 1);
+        CAPTURE(file);
+        YamlProblems problems;
+        internal::checkFile(Data + "/bad/" + file, problems);
+        REQUIRE_FALSE(problems.empty());
+        CAPTURE(problems.front().text());
+        CHECK(problems.front().text().find(file) != std::string::npos);
+        CHECK(problems.front().text().find(expected) != std::string::npos);
+        CHECK(problems.front().line > 0);
+    }
+    CHECK(files >= 50);
+}
+
+TEST_CASE("check_goodFiles_findsNothing")
+{
+    YamlProblems problems;
+    internal::checkFile(Data + "/good-settings.yaml", problems);
+    internal::checkFile(Data + "/good-inventory.yaml", problems);
+    CHECK(problems.empty());
+}
+
+TEST_CASE("check_missingFile_saysSo")
+{
+    YamlProblems problems;
+    internal::checkFile(Data + "/no-such-file.yaml", problems);
+    REQUIRE(problems.size() == 1);
+    CHECK(problems.front().message == "can not be read");
+}
