Stand-ins: resumable engine streams, orders, cache events, outages and a fault proxy

Engine: batch with priorities and slowdown, prefix cache with late, gappy events, streams kept 30 s for resuming, orders with and without fencing, KV export and import, lagged load; its parsing no longer shares code with the router. Platform roles share rate limits and outages; new roles weights and proxy (TCP and UDP). Integration tests pass.

--- a/standin/EngineStandin.cpp
+++ b/standin/EngineStandin.cpp
@@ -1,140 +1,199 @@
 #include "EngineStandin.h"
 
-#include "Base/Log.h"
-#include "Request/ChatRequest.h"
-
-#include <algorithm>
+#include <charconv>
 
 #include <fmt/format.h>
 
 namespace catkinloft::standin {
 
-EngineStandin::EngineStandin(Options options) : m_options(std::move(options)) { }
+namespace {
 
-void EngineStandin::handle(const HttpExchangePtr &exchange)
+/// How long a stream can be taken up again after its last token.
+constexpr Duration StreamLifetime = std::chrono::seconds(30);
+
+constexpr std::string_view StreamPrefix = "/v1/streams/";
+constexpr std::string_view KvPrefix = "kv1:";
+
+int parseNumber(std::string_view text, int otherwise)
+{
+    int out = otherwise;
+    std::from_chars(text.data(), text.data() + text.size(), out);
+    return out;
+}
+
+} // namespace
+
+EngineStandin::EngineStandin(Options options)
+    : m_options(std::move(options)), m_cache({.clock = m_options.loop,
+                                              .capacity = m_options.cacheTokens,
+                                              .eventLag = m_options.eventLag}),
+      m_orders(m_options.checksFencing, m_options.model)
+{
+    addRoutes();
+}
+
+void EngineStandin::addRoutes()
 {
-    if (exchange->path() == "/v1/chat/completions") {
-        complete(exchange);
-    } else if (exchange->path() == "/v1/load") {
-        respondJson(*exchange, 200, load());
-    } else if (exchange->path() == "/v1/executions") {
+    m_routes["/v1/chat/completions"] = [this](const HttpExchangePtr &it) { complete(it); };
+    m_routes["/v1/load"] = [this](const HttpExchangePtr &it) { respondJson(*it, 200, load()); };
+    m_routes["/v1/cache-events"] = [this](const HttpExchangePtr &it) {
+        const int after = parseNumber(it->queryValue("after"), 0);
+        respondJson(*it, 200, m_cache.events(static_cast<std::uint64_t>(after)));
+    };
+    m_routes["/v1/orders"] = [this](const HttpExchangePtr &it) {
+        if (it->method() == "POST") {
+            m_orders.order(it);
+            return;
+        }
+        Json::Value out;
+        out["orders"] = m_orders.history();
+        respondJson(*it, 200, out);
+    };
+    m_routes["/v1/state"] = [this](const HttpExchangePtr &it) {
+        respondJson(*it, 200, m_orders.state());
+    };
+    m_routes["/v1/kv/export"] = [this](const HttpExchangePtr &it) { exportKv(it); };
+    m_routes["/v1/kv/import"] = [this](const HttpExchangePtr &it) { importKv(it); };
+    m_routes["/v1/executions"] = [this](const HttpExchangePtr &it) {
         Json::Value out;
         out["executions"] = m_executions;
-        respondJson(*exchange, 200, out);
-    } else {
+        respondJson(*it, 200, out);
+    };
+}
+
+void EngineStandin::handle(const HttpExchangePtr &exchange)
+{
+    const auto route = m_routes.find(exchange->path());
+    if (route != m_routes.end())
+        route->second(exchange);
+    else if (exchange->path().starts_with(StreamPrefix))
+        stream(exchange);
+    else
         respondNotFound(*exchange);
-    }
 }
 
 void EngineStandin::complete(const HttpExchangePtr &exchange)
 {
-    const Result<ChatRequest> request = ChatRequest::parse(exchange->body());
+    const std::optional<EngineRequest> request = EngineRequest::parse(*exchange);
     if (!request) {
         Json::Value out;
-        out["error"] = request.error().detail;
+        out["error"] = "no chat request";
         respondJson(*exchange, 400, out);
         return;
     }
-    auto it = std::make_shared<Generation>();
-    it->exchange = exchange;
-    it->id = exchange->header("X-Request-Id");
-    it->streamed = request.value().stream;
-    it->promptTokens = request.value().promptTokens;
-    it->tokens = static_cast<int>(request.value().outputTokens);
-    const std::string chat =
-            request.value().chatId.empty() ? request.value().opening : request.value().chatId;
-    it->cachedTokens = takeFromCache(chat, it->promptTokens);
-    m_waiting.push_back(it);
+    const auto it = std::make_shared<Generation>(*request, exchange);
+    if (!request->id.empty())
+        m_streams[request->id] = it;
+    m_waiting.emplace(request->priority, it);
     startNext();
 }
 
-double EngineStandin::takeFromCache(const std::string &chat, double tokens)
+void EngineStandin::stream(const HttpExchangePtr &exchange)
 {
-    const auto found = std::find_if(m_cache.begin(), m_cache.end(),
-                                    [&](const auto &it) { return it.first == chat; });
-    double cached = 0;
-    if (found != m_cache.end()) {
-        cached = std::min(found->second, tokens);
-        m_cachedTokens -= found->second;
-        m_cache.erase(found);
+    const auto found = m_streams.find(exchange->path().substr(StreamPrefix.size()));
+    if (found == m_streams.end()) {
+        respondNotFound(*exchange);
+    } else if (exchange->method() == "DELETE") {
+        found->second->cancel();
+        exchange->respond(204, {}, {});
+    } else if (!found->second->request().streamed) {
+        respondNotFound(*exchange);
+    } else {
+        found->second->follow(exchange, parseNumber(exchange->header("Last-Event-ID"), -1));
     }
-    m_cache.emplace_front(chat, tokens);
-    m_cachedTokens += tokens;
-    while (m_cachedTokens > m_options.cacheTokens && m_cache.size() > 1) {
-        m_cachedTokens -= m_cache.back().second;
-        m_cache.pop_back();
+}
+
+void EngineStandin::exportKv(const HttpExchangePtr &exchange)
+{
+    const Json::Value request = bodyObject(*exchange);
+    const double tokens =
+            request["chat"].isString() ? m_cache.tokensOf(request["chat"].asString()) : 0;
+    if (tokens <= 0) {
+        respondNotFound(*exchange);
+        return;
     }
-    return cached;
+    Json::Value out;
+    out["blob"] = fmt::format("{}{}", KvPrefix, static_cast<int>(tokens));
+    respondJson(*exchange, 200, out);
+}
+
+void EngineStandin::importKv(const HttpExchangePtr &exchange)
+{
+    const Json::Value request = bodyObject(*exchange);
+    const std::string blob = request["blob"].isString() ? request["blob"].asString() : "";
+    const bool known = blob.starts_with(KvPrefix) && request["chat"].isString();
+    const int tokens = known ? parseNumber(std::string_view(blob).substr(KvPrefix.size()), 0) : 0;
+    if (tokens > 0)
+        m_cache.use(request["chat"].asString(), tokens);
+    Json::Value out;
+    out["imported"] = tokens > 0;
+    respondJson(*exchange, tokens > 0 ? 200 : 400, out);
 }
 
 void EngineStandin::startNext()
 {
     while (m_running < m_options.slots && !m_waiting.empty()) {
-        const GenerationPtr it = m_waiting.front();
-        m_waiting.pop_front();
+        const GenerationPtr it = m_waiting.extract(m_waiting.begin()).mapped();
+        const EngineRequest &request = it->request();
         ++m_running;
-        m_runningTokens += it->promptTokens + it->tokens;
+        m_runningTokens += request.promptTokens + request.outputTokens;
+        it->cachedTokens = m_cache.use(request.chat, request.promptTokens);
         Json::Value record;
-        record["request_id"] = it->id;
-        record["prompt_tokens"] = it->promptTokens;
+        record["request_id"] = request.id;
+        record["echo"] = request.echo;
+        record["chat"] = request.chat;
+        record["prompt_tokens"] = request.promptTokens;
         record["cached_tokens"] = it->cachedTokens;
         m_executions.append(record);
-        const double prefill = (it->promptTokens - it->cachedTokens) / m_options.prefillRate;
+        const double prefill = (request.promptTokens - it->cachedTokens) / m_options.prefillRate;
         m_options.loop.after(fromSeconds(prefill), [this, it] { nextToken(it); });
     }
 }
 
+Duration EngineStandin::tokenTime() const
+{
+    const double share = static_cast<double>(m_running) / m_options.slots;
+    return fromSeconds(toSeconds(m_options.tokenTime) * (1 + m_options.batchSlowdown * share));
+}
+
 void EngineStandin::nextToken(const GenerationPtr &it)
 {
-    if (!it->exchange->isOpen() || it->sent == it->tokens) {
+    if (it->produce())
+        m_options.loop.after(tokenTime(), [this, it] { nextToken(it); });
+    else
         finish(it);
-        return;
-    }
-    if (it->streamed && it->sent == 0)
-        it->exchange->beginStream(
-                200, {{"Content-Type", "text/event-stream"}, {"X-Request-Id", it->id}});
-    if (it->streamed) {
-        it->exchange->write(fmt::format(
-                "id: {}\ndata: {{\"id\":{},\"object\":\"chat.completion.chunk\",\"choices\":"
-                "[{{\"index\":0,\"delta\":{{\"content\":\"t{} \"}}}}]}}\n\n",
-                it->sent, jsonQuoted(it->id), it->sent));
-    }
-    ++it->sent;
-    m_options.loop.after(m_options.tokenTime, [this, it] { nextToken(it); });
 }
 
 void EngineStandin::finish(const GenerationPtr &it)
 {
-    if (it->streamed) {
-        it->exchange->write("data: [DONE]\n\n");
-        it->exchange->end();
-    } else {
-        std::string text;
-        for (int i = 0; i < it->tokens; ++i)
-            text += fmt::format("t{} ", i);
-        Json::Value out;
-        out["id"] = it->id;
-        out["object"] = "chat.completion";
-        out["choices"][0]["message"]["role"] = "assistant";
-        out["choices"][0]["message"]["content"] = text;
-        out["usage"]["prompt_tokens"] = static_cast<int>(it->promptTokens);
-        out["usage"]["completion_tokens"] = it->tokens;
-        out["usage"]["prompt_tokens_details"]["cached_tokens"] = static_cast<int>(it->cachedTokens);
-        it->exchange->respond(200, {{"Content-Type", "application/json"}, {"X-Request-Id", it->id}},
-                              Json::writeString(Json::StreamWriterBuilder(), out));
-    }
+    it->complete();
     --m_running;
-    m_runningTokens -= it->promptTokens + it->tokens;
+    m_runningTokens -= it->request().promptTokens + it->request().outputTokens;
+    forgetLater(it);
     startNext();
 }
 
-Json::Value EngineStandin::load() const
+void EngineStandin::forgetLater(const GenerationPtr &it)
 {
-    Json::Value out;
-    out["running"] = m_running;
-    out["waiting"] = static_cast<int>(m_waiting.size());
-    out["tokens"] = m_runningTokens;
-    return out;
+    m_options.loop.after(StreamLifetime, [this, it] {
+        const auto found = m_streams.find(it->request().id);
+        if (found != m_streams.end() && found->second == it)
+            m_streams.erase(found);
+    });
+}
+
+const Json::Value &EngineStandin::load()
+{
+    const TimePoint now = m_options.loop.now();
+    if (m_load.isNull() || now - m_loadAt >= m_options.loadLag) {
+        m_loadAt = now;
+        m_load["running"] = m_running;
+        m_load["waiting"] = static_cast<int>(m_waiting.size());
+        m_load["tokens"] = m_runningTokens;
+        m_load["as_of_ms"] =
+                static_cast<Json::Int64>(m_options.loop.wallNow().time_since_epoch().count());
+    }
+    return m_load;
 }
 
 } // namespace catkinloft::standin
--- a/standin/EngineStandin.h
+++ b/standin/EngineStandin.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "Standin.h"
+#include "EngineOrders.h"
+#include "Generation.h"
+#include "PrefixCache.h"
 
 #include <cstdint>
-#include <deque>
-#include <list>
-#include <memory>
+#include <map>
 #include <unordered_map>
 
 namespace catkinloft::standin {
@@ -19,10 +19,15 @@
     {
         EventLoop &loop;
         std::string name;
+        std::string model; ///< What it runs until it is ordered otherwise.
         int slots = 32; ///< Requests in one batch; more wait.
         double prefillRate = 20'000; ///< Prompt tokens read a second.
-        Duration tokenTime = std::chrono::milliseconds(5); ///< Between two tokens of a request.
+        Duration tokenTime = std::chrono::milliseconds(5); ///< Between two tokens, alone.
+        double batchSlowdown = 0.5; ///< Share by which a full batch makes a token slower.
         double cacheTokens = 400'000; ///< Prompt tokens kept.
+        Duration eventLag = std::chrono::milliseconds(500); ///< Until a cache event shows.
+        Duration loadLag = std::chrono::milliseconds(200); ///< Longest age of a load report.
+        bool checksFencing = false; ///< Refuses orders with an old fencing number.
     };
 
     explicit EngineStandin(Options options);
@@ -30,31 +35,30 @@
     void handle(const HttpExchangePtr &exchange) override;
 
 private:
-    struct Generation
-    {
-        HttpExchangePtr exchange;
-        std::string id;
-        bool streamed = false;
-        double promptTokens = 0;
-        double cachedTokens = 0;
-        int tokens = 0; ///< To be generated.
-        int sent = 0;
-    };
-    using GenerationPtr = std::shared_ptr<Generation>;
+    using Route = std::function<void(const HttpExchangePtr &)>;
 
+    void addRoutes();
     void complete(const HttpExchangePtr &exchange);
+    void stream(const HttpExchangePtr &exchange);
+    void exportKv(const HttpExchangePtr &exchange);
+    void importKv(const HttpExchangePtr &exchange);
     void startNext();
     void nextToken(const GenerationPtr &it);
     void finish(const GenerationPtr &it);
-    double takeFromCache(const std::string &chat, double tokens);
-    Json::Value load() const;
+    void forgetLater(const GenerationPtr &it);
+    Duration tokenTime() const;
+    const Json::Value &load();
 
     Options m_options;
-    std::deque<GenerationPtr> m_waiting;
+    std::map<std::string, Route> m_routes;
+    PrefixCache m_cache;
+    EngineOrders m_orders;
+    std::multimap<int, GenerationPtr> m_waiting; ///< By priority, then arrival.
+    std::unordered_map<std::string, GenerationPtr> m_streams; ///< The latest by request id.
     int m_running = 0;
     double m_runningTokens = 0;
-    std::list<std::pair<std::string, double>> m_cache; ///< Most recently used first.
-    double m_cachedTokens = 0;
+    Json::Value m_load;
+    TimePoint m_loadAt;
     Json::Value m_executions{Json::arrayValue};
 };
 
--- a/standin/ServiceStandin.cpp
+++ b/standin/ServiceStandin.cpp
@@ -1,5 +1,7 @@
 #include "ServiceStandin.h"
 
+#include "Net/internal/Json.h"
+
 namespace catkinloft::standin {
 
 ServiceStandin::ServiceStandin(Options options) : m_options(std::move(options)) { }
@@ -12,18 +14,41 @@
         respondJson(*exchange, 200, out);
         return;
     }
+    if (exchange->path() == "/v1/load") {
+        Json::Value out;
+        out["calls"] = m_calls;
+        respondJson(*exchange, 200, out);
+        return;
+    }
+    ++m_calls;
+    if (m_options.refuseEvery > 0 && m_calls % m_options.refuseEvery == 0) {
+        exchange->respond(503, {{"X-Request-Id", std::string(exchange->header("X-Request-Id"))}},
+                          {});
+        return;
+    }
+    execute(exchange);
+}
+
+void ServiceStandin::execute(const HttpExchangePtr &exchange)
+{
     Json::Value record;
     record["request_id"] = std::string(exchange->header("X-Request-Id"));
     record["idempotency_key"] = std::string(exchange->header("Idempotency-Key"));
     record["method"] = exchange->method();
     record["path"] = exchange->path();
-    m_executions.append(record);
+    record["body"] = std::string(exchange->body());
+    if (m_options.recorded)
+        m_executions.append(record);
     record["service"] = m_options.name;
-    record["execution"] = m_executions.size();
+    record["execution"] = m_calls;
     const HttpHeaders headers{{"Content-Type", "application/json"},
                               {"X-Request-Id", std::string(exchange->header("X-Request-Id"))}};
+    if (m_options.serviceTime <= Duration::zero()) {
+        exchange->respond(200, headers, internal::printJson(record));
+        return;
+    }
     m_options.loop.after(m_options.serviceTime, [exchange, headers, record] {
-        exchange->respond(200, headers, Json::writeString(Json::StreamWriterBuilder(), record));
+        exchange->respond(200, headers, internal::printJson(record));
     });
 }
 
--- a/standin/ServiceStandin.h
+++ b/standin/ServiceStandin.h
@@ -15,6 +15,8 @@
         EventLoop &loop;
         std::string name;
         Duration serviceTime; ///< From the request to its answer.
+        int refuseEvery = 0; ///< Every so many calls get a 503 and do nothing; 0: none.
+        bool recorded = true; ///< Off for benches, which would fill the memory.
     };
 
     explicit ServiceStandin(Options options);
@@ -22,7 +24,10 @@
     void handle(const HttpExchangePtr &exchange) override;
 
 private:
+    void execute(const HttpExchangePtr &exchange);
+
     Options m_options;
+    int m_calls = 0;
     Json::Value m_executions{Json::arrayValue};
 };
 
--- a/standin/TableStandin.cpp
+++ b/standin/TableStandin.cpp
@@ -2,17 +2,21 @@
 
 namespace catkinloft::standin {
 
-void TableStandin::handle(const HttpExchangePtr &exchange)
+bool TableStandin::isWrite(const HttpExchange &exchange) const
 {
-    const Json::Value request = bodyObject(*exchange);
-    if (exchange->path() == "/v1/read")
-        respondJson(*exchange, 200, read(request));
-    else if (exchange->path() == "/v1/scan")
-        respondJson(*exchange, 200, scan(request));
-    else if (exchange->path() == "/v1/commit")
-        respondJson(*exchange, 200, commit(request));
-    else
-        respondNotFound(*exchange);
+    return exchange.path() == "/v1/commit";
+}
+
+PlatformStandin::Answer TableStandin::answer(const HttpExchange &exchange)
+{
+    const Json::Value request = bodyObject(exchange);
+    if (exchange.path() == "/v1/read")
+        return jsonAnswer(200, read(request));
+    if (exchange.path() == "/v1/scan")
+        return jsonAnswer(200, scan(request));
+    if (exchange.path() == "/v1/commit")
+        return jsonAnswer(200, commit(request));
+    return jsonAnswer(404, Json::Value(Json::objectValue));
 }
 
 Json::Value TableStandin::rowJson(const std::string &key) const
--- a/standin/TableStandin.h
+++ b/standin/TableStandin.h
@@ -1,16 +1,18 @@
 #pragma once
 
-#include "Standin.h"
-
-#include <cstdint>
+#include "PlatformStandin.h"
 
 namespace catkinloft::standin {
 
 /// \brief The platform's transactional table service: rows with versions, compare-and-set.
-class TableStandin final : public Standin
+class TableStandin final : public PlatformStandin
 {
 public:
-    void handle(const HttpExchangePtr &exchange) override;
+    using PlatformStandin::PlatformStandin;
+
+protected:
+    bool isWrite(const HttpExchange &exchange) const override;
+    Answer answer(const HttpExchange &exchange) override;
 
 private:
     struct Row
--- a/standin/main.cpp
+++ b/standin/main.cpp
@@ -1,9 +1,11 @@
 #include "Base/Log.h"
 #include "EngineStandin.h"
+#include "FaultProxy.h"
 #include "ObjectStandin.h"
 #include "ServiceStandin.h"
 #include "TableStandin.h"
 #include "VmListStandin.h"
+#include "WeightStandin.h"
 
 #include <csignal>
 #include <cstdio>
@@ -17,6 +19,17 @@
 DEFINE_double(prefill_rate, 20000, "engine: prompt tokens read a second");
 DEFINE_double(token_ms, 5, "engine: milliseconds between two tokens of a request");
 DEFINE_double(cache_tokens, 400000, "engine: prompt tokens kept");
+DEFINE_double(batch_slowdown, 0.5, "engine: share by which a full batch makes a token slower");
+DEFINE_double(event_lag_ms, 500, "engine: milliseconds until a cache event shows");
+DEFINE_double(load_lag_ms, 200, "engine: longest age of a load report in milliseconds");
+DEFINE_string(model, "", "engine: model that it runs at first");
+DEFINE_bool(checks_fencing, false, "engine: refuses orders with an old fencing number");
+DEFINE_int32(refuse_every, 0, "service: every so many calls get a 503 and do nothing");
+DEFINE_bool(recorded, true, "service: keeps a record of every execution");
+DEFINE_double(writes_per_second, 500, "table, objects, weights: limit of writes");
+DEFINE_double(reads_per_second, 2000, "table, objects, weights: limit of reads");
+DEFINE_string(control, "", "proxy: address for its faults, IP:PORT");
+DEFINE_string(target, "", "proxy: address that it passes on to, IP:PORT");
 DEFINE_double(service_ms, 2, "service: milliseconds from a call to its answer");
 DEFINE_double(lag_ms, 500, "vms: milliseconds until a change shows");
 
@@ -24,28 +37,65 @@
 
 namespace {
 
-std::unique_ptr<Standin> makeStandin(std::string_view role, EventLoop &loop)
+using Factory = std::function<std::unique_ptr<Standin>(EventLoop &)>;
+
+std::unique_ptr<Standin> makeEngine(EventLoop &loop)
+{
+    return std::make_unique<EngineStandin>(
+            EngineStandin::Options{.loop = loop,
+                                   .name = FLAGS_name,
+                                   .model = FLAGS_model,
+                                   .slots = FLAGS_slots,
+                                   .prefillRate = FLAGS_prefill_rate,
+                                   .tokenTime = fromSeconds(FLAGS_token_ms / 1000),
+                                   .batchSlowdown = FLAGS_batch_slowdown,
+                                   .cacheTokens = FLAGS_cache_tokens,
+                                   .eventLag = fromSeconds(FLAGS_event_lag_ms / 1000),
+                                   .loadLag = fromSeconds(FLAGS_load_lag_ms / 1000),
+                                   .checksFencing = FLAGS_checks_fencing});
+}
+
+std::unique_ptr<Standin> makeService(EventLoop &loop)
+{
+    return std::make_unique<ServiceStandin>(
+            ServiceStandin::Options{.loop = loop,
+                                    .name = FLAGS_name,
+                                    .serviceTime = fromSeconds(FLAGS_service_ms / 1000),
+                                    .refuseEvery = FLAGS_refuse_every,
+                                    .recorded = FLAGS_recorded});
+}
+
+template<typename T>
+std::unique_ptr<Standin> makePlatform(EventLoop &loop)
+{
+    return std::make_unique<T>(PlatformStandin::Options{.loop = loop,
+                                                        .writesPerSecond = FLAGS_writes_per_second,
+                                                        .readsPerSecond = FLAGS_reads_per_second});
+}
+
+std::unique_ptr<Standin> makeVmList(EventLoop &loop)
+{
+    return std::make_unique<VmListStandin>(loop, fromSeconds(FLAGS_lag_ms / 1000));
+}
+
+std::unique_ptr<Standin> makeProxy(EventLoop &loop)
+{
+    return std::make_unique<FaultProxy>(
+            FaultProxy::Options{.loop = loop, .listen = FLAGS_listen, .target = FLAGS_target});
+}
+
+const std::map<std::string_view, Factory> &factories()
 {
-    if (role == "engine")
-        return std::make_unique<EngineStandin>(
-                EngineStandin::Options{.loop = loop,
-                                       .name = FLAGS_name,
-                                       .slots = FLAGS_slots,
-                                       .prefillRate = FLAGS_prefill_rate,
-                                       .tokenTime = fromSeconds(FLAGS_token_ms / 1000),
-                                       .cacheTokens = FLAGS_cache_tokens});
-    if (role == "service")
-        return std::make_unique<ServiceStandin>(
-                ServiceStandin::Options{.loop = loop,
-                                        .name = FLAGS_name,
-                                        .serviceTime = fromSeconds(FLAGS_service_ms / 1000)});
-    if (role == "table")
-        return std::make_unique<TableStandin>();
-    if (role == "objects")
-        return std::make_unique<ObjectStandin>();
-    if (role == "vms")
-        return std::make_unique<VmListStandin>(loop, fromSeconds(FLAGS_lag_ms / 1000));
-    return nullptr;
+    static const std::map<std::string_view, Factory> all = {
+            {"engine", &makeEngine},
+            {"service", &makeService},
+            {"table", &makePlatform<TableStandin>},
+            {"objects", &makePlatform<ObjectStandin>},
+            {"weights", &makePlatform<WeightStandin>},
+            {"vms", &makeVmList},
+            {"proxy", &makeProxy},
+    };
+    return all;
 }
 
 int runStandin(std::string_view role)
@@ -53,12 +103,15 @@
     std::signal(SIGPIPE, SIG_IGN);
     Log::setSource(FLAGS_name);
     EventLoop loop;
-    const std::unique_ptr<Standin> it = makeStandin(role, loop);
-    if (!it) {
+    const auto factory = factories().find(role);
+    if (factory == factories().end()) {
         fmt::print(stderr, "catkinloft-standin: no role '{}'\n", role);
         return 2;
     }
-    HttpServer server(loop, {.address = FLAGS_listen, .limits = {.maxBodyBytes = 64 * 1024 * 1024}},
+    const std::unique_ptr<Standin> it = factory->second(loop);
+    HttpServer server(loop,
+                      {.address = role == "proxy" ? FLAGS_control : FLAGS_listen,
+                       .limits = {.maxBodyBytes = 64 * 1024 * 1024}},
                       [&](const HttpExchangePtr &exchange) { it->handle(exchange); });
     if (const Result<void> result = server.listen(); !result) {
         Log::error("listen_failed", {{"detail", result.error().detail}});
@@ -75,10 +128,12 @@
 
 int main(int argc, char **argv)
 {
-    gflags::SetUsageMessage("engine|service|table|objects|vms");
+    gflags::SetUsageMessage("engine|service|table|objects|weights|vms|proxy");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     if (argc != 2) {
-        fmt::print(stderr, "usage: catkinloft-standin [flags] engine|service|table|objects|vms\n");
+        fmt::print(stderr,
+                   "usage: catkinloft-standin [flags] "
+                   "engine|service|table|objects|weights|vms|proxy\n");
         return 2;
     }
     return catkinloft::standin::runStandin(argv[1]);
