--- a/test/CheckTest.cpp
+++ b/test/CheckTest.cpp
@@ -5,6 +5,8 @@
 #include <fstream>
 #include <string>
 
+#include <fmt/format.h>
+
 using namespace catkinloft;
 
 namespace {
@@ -22,7 +24,7 @@
         const std::string expected = line.substr(line.find('|') + 1);
         CAPTURE(file);
         YamlProblems problems;
-        internal::checkFile(Data + "/bad/" + file, problems);
+        internal::checkFile(fmt::format("{}/bad/{}", Data, file), problems);
         REQUIRE_FALSE(problems.empty());
         CAPTURE(problems.front().text());
         CHECK(problems.front().text().find(file) != std::string::npos);
