--- /dev/null
+++ b/src/Net/StatusPage.cpp
@@ -0,0 +1,186 @@
+#include "Net/StatusPage.h"
+
+#include "Base/Log.h"
+
+#include <fmt/format.h>
+
+namespace catkinloft {
+
+namespace {
+
+constexpr int ReloadSeconds = 5;
+
+constexpr std::string_view Style =
+        "body{font:1rem/1.5 system-ui,sans-serif;margin:2rem auto;max-width:60rem;padding:0 1rem;"
+        "color:#111;background:#fff}"
+        "table{border-collapse:collapse;width:100%;margin:1.5rem 0}"
+        "caption{text-align:left;font-weight:bold;font-size:1.15rem;padding:.25rem 0}"
+        "th,td{text-align:left;padding:.3rem .6rem;border-bottom:1px solid #767676}"
+        "td.n,th.n{text-align:right;font-variant-numeric:tabular-nums}"
+        "meter{width:8rem}";
+
+/// Text that is safe between tags and in attribute values.
+std::string escaped(std::string_view text)
+{
+    std::string out;
+    for (const char c : text) {
+        switch (c) {
+        case '&':
+            out += "&amp;";
+            break;
+        case '<':
+            out += "&lt;";
+            break;
+        case '>':
+            out += "&gt;";
+            break;
+        case '"':
+            out += "&quot;";
+            break;
+        default:
+            out += c;
+        }
+    }
+    return out;
+}
+
+struct Column
+{
+    std::string_view title;
+    bool isNumber = false;
+};
+
+/// One table; rows hold cells that are escaped already.
+std::string table(std::string_view caption, std::initializer_list<Column> columns,
+                  const std::vector<std::vector<std::string>> &rows)
+{
+    std::string out = fmt::format("<table><caption>{}</caption><thead><tr>", caption);
+    for (const Column &it : columns)
+        out += fmt::format("<th scope=\"col\"{}>{}</th>", it.isNumber ? " class=\"n\"" : "",
+                           it.title);
+    out += "</tr></thead><tbody>";
+    for (const auto &row : rows) {
+        out += "<tr>";
+        for (std::size_t i = 0; i < row.size(); ++i) {
+            const bool isNumber = (columns.begin() + i)->isNumber;
+            out += i == 0 ? fmt::format("<th scope=\"row\">{}</th>", row[i])
+                          : fmt::format("<td{}>{}</td>", isNumber ? " class=\"n\"" : "", row[i]);
+        }
+        out += "</tr>";
+    }
+    if (rows.empty())
+        out += fmt::format("<tr><td colspan=\"{}\">none</td></tr>", columns.size());
+    return out + "</tbody></table>\n";
+}
+
+std::string routersTable(const StatusReport &report)
+{
+    std::vector<std::vector<std::string>> rows;
+    for (const RouterView &it : report.routers)
+        rows.push_back({escaped(it.name), escaped(it.callerAddress), escaped(it.failureDomain),
+                        it.leaving ? "leaving" : "live", fmt::format("{:.0f}", it.load)});
+    return table("Routers",
+                 {{"Name"}, {"Address"}, {"Failure domain"}, {"State"}, {"Requests", true}}, rows);
+}
+
+std::string_view upstreamState(const StatusReport::Upstream &it)
+{
+    return it.leaving ? "leaving" : it.ejected ? "ejected" : "serving";
+}
+
+std::string upstreamsTable(const StatusReport &report)
+{
+    std::vector<std::vector<std::string>> rows;
+    for (const StatusReport::Upstream &it : report.upstreams) {
+        const double share = it.bound > 0 ? it.work / it.bound : 0;
+        rows.push_back({escaped(it.name), escaped(it.pool), std::string(upstreamState(it)),
+                        fmt::format("{:.0f}", it.work), fmt::format("{:.0f}", it.bound),
+                        fmt::format("<meter min=\"0\" max=\"1\" high=\"0.9\" value=\"{0:.2f}\">"
+                                    "{1:.0f}%</meter> {1:.0f}%",
+                                    share, share * 100)});
+    }
+    return table("Engines and replicas: load against the bound",
+                 {{"Name"}, {"Pool"}, {"State"}, {"Work", true}, {"Bound", true}, {"Share", true}},
+                 rows);
+}
+
+std::string workspacesTable(const StatusReport &report)
+{
+    std::vector<std::vector<std::string>> rows;
+    for (const StatusReport::WorkspaceLoad &it : report.workspaces)
+        rows.push_back({escaped(it.name), it.isProtected ? "protected" : "",
+                        fmt::format("{}", it.inProgress)});
+    return table("Workspaces", {{"Name"}, {"Rule"}, {"In progress", true}}, rows);
+}
+
+std::string refusalsTable(const StatusReport &report)
+{
+    std::vector<std::vector<std::string>> rows;
+    for (const StatusReport::Count &it : report.refusals)
+        rows.push_back({escaped(it.reason), fmt::format("{}", it.n)});
+    return table("Refusals by reason, since the router started", {{"Reason"}, {"Count", true}},
+                 rows);
+}
+
+/// Joins what \a print makes of each entry with commas.
+template<typename List, typename Print>
+std::string jsonList(const List &list, Print print)
+{
+    std::string out;
+    for (const auto &it : list)
+        out += (out.empty() ? "" : ",") + print(it);
+    return "[" + out + "]";
+}
+
+std::string routerJson(const RouterView &it)
+{
+    return fmt::format(R"({{"name":{},"address":{},"failure_domain":{},"leaving":{},"load":{}}})",
+                       jsonQuoted(it.name), jsonQuoted(it.callerAddress),
+                       jsonQuoted(it.failureDomain), it.leaving, it.load);
+}
+
+std::string upstreamJson(const StatusReport::Upstream &it)
+{
+    return fmt::format(R"({{"name":{},"pool":{},"state":"{}","work":{},"bound":{}}})",
+                       jsonQuoted(it.name), jsonQuoted(it.pool), upstreamState(it), it.work,
+                       it.bound);
+}
+
+std::string workspaceJson(const StatusReport::WorkspaceLoad &it)
+{
+    return fmt::format(R"({{"name":{},"in_progress":{},"protected":{}}})", jsonQuoted(it.name),
+                       it.inProgress, it.isProtected);
+}
+
+} // namespace
+
+std::string printStatusJson(const StatusReport &report)
+{
+    const std::string refusals = jsonList(report.refusals, [](const StatusReport::Count &it) {
+        return fmt::format(R"({{"reason":{},"count":{}}})", jsonQuoted(it.reason), it.n);
+    });
+    return fmt::format(R"({{"router":{},"revision":{},"config_age_s":{:.3f},"in_progress":{},)"
+                       R"("routers":{},"upstreams":{},"workspaces":{},"refusals":{}}})"
+                       "\n",
+                       jsonQuoted(report.router), report.revision, report.configAgeSeconds,
+                       report.inProgress, jsonList(report.routers, routerJson),
+                       jsonList(report.upstreams, upstreamJson),
+                       jsonList(report.workspaces, workspaceJson), refusals);
+}
+
+std::string printStatusPage(const StatusReport &report)
+{
+    return fmt::format("<!doctype html>\n<html lang=\"en\"><head><meta charset=\"utf-8\">"
+                       "<meta name=\"viewport\" content=\"width=device-width\">"
+                       "<meta http-equiv=\"refresh\" content=\"{}\">"
+                       "<title>{} - catkinloft</title><style>{}</style></head><body><main>"
+                       "<h1>Router {}</h1>\n<p>Configuration revision <strong>{}</strong>, last "
+                       "confirmed {:.1f} s ago. {} requests in progress.</p>\n{}{}{}{}"
+                       "</main></body></html>\n",
+                       ReloadSeconds, escaped(report.router), Style, escaped(report.router),
+                       report.revision, report.configAgeSeconds, report.inProgress,
+                       routersTable(report), upstreamsTable(report), workspacesTable(report),
+                       refusalsTable(report));
+}
+
+} // namespace catkinloft
