--- a/src/Request/ClaimKeeper.cpp
+++ b/src/Request/ClaimKeeper.cpp
@@ -72,12 +72,11 @@
 } // namespace
 
 ClaimKeeper::ClaimKeeper(Options options)
-    : m_options(std::move(options)),
-      m_committer({.table = m_options.table,
-                   .clock = m_options.clock,
-                   .window = m_options.window,
-                   .maxRows = m_options.maxRows,
-                   .wake = [this] { wake(); }})
+    : m_options(std::move(options)), m_committer({.table = m_options.table,
+                                                  .clock = m_options.clock,
+                                                  .window = m_options.window,
+                                                  .maxRows = m_options.maxRows,
+                                                  .wake = [this] { wake(); }})
 { }
 
 ClaimKeeper::~ClaimKeeper()
@@ -118,8 +117,8 @@
             .router = m_options.router,
             .until = claim.until,
             .expires = state == ClaimRow::State::Done ? m_options.clock.wallNow() + Retention
-                    : state == ClaimRow::State::Free ? m_options.clock.wallNow() + FreeRetention
-                                                     : claim.expires,
+                    : state == ClaimRow::State::Free  ? m_options.clock.wallNow() + FreeRetention
+                                                      : claim.expires,
             .answer = {},
             .object = {}};
 }
@@ -141,9 +140,13 @@
             decided(unknownOutcome("the first attempt was sent and got no whole answer"));
         return true;
     }
-    if (!m_running.contains(claim->rowKey))
+    const auto running = m_running.find(claim->rowKey);
+    if (running == m_running.end())
         return false;
-    decided(inProgress(ProgressRetryAfter));
+    if (running->second == claim->fingerprint)
+        decided(inProgress(ProgressRetryAfter));
+    else
+        decided(keyReused());
     return true;
 }
 
@@ -162,7 +165,7 @@
 {
     const ClaimPtr &claim = waiting->claim;
     claim->version = expected;
-    m_running.insert(claim->rowKey);
+    m_running.insert_or_assign(claim->rowKey, claim->fingerprint);
     m_committer.submit({.key = claim->rowKey,
                         .expected = expected,
                         .value = rowOf(*claim, ClaimRow::State::Claimed).encode()},
@@ -227,9 +230,10 @@
     if (row.state == ClaimRow::State::Claimed && left > Duration::zero())
         tell(waiting, inProgress(std::min(left, ProgressRetryAfter)));
     else if (row.state == ClaimRow::State::Claimed)
-        tell(waiting, unknownOutcome(fmt::format("router {} claimed the call and recorded no "
-                                                 "outcome within its deadline",
-                                                 row.router)));
+        tell(waiting,
+             unknownOutcome(fmt::format("router {} claimed the call and recorded no "
+                                        "outcome within its deadline",
+                                        row.router)));
     else
         tell(waiting, unknownOutcome("the first attempt was sent and got no whole answer"));
 }
@@ -241,8 +245,9 @@
         return;
     }
     m_options.objects.get(
-            row.object, [this, alive = m_alive, waiting, answer = row.answer](
-                                Result<std::optional<std::string>> body) mutable {
+            row.object,
+            [this, alive = m_alive, waiting,
+             answer = row.answer](Result<std::optional<std::string>> body) mutable {
                 if (!*alive)
                     return;
                 if (body && body.value()) {
@@ -250,10 +255,11 @@
                     tell(waiting, Grant{.claim = nullptr, .answer = std::move(answer)});
                     return;
                 }
-                tell(waiting, Error{.reason = Reason::OutcomeUnknown,
-                                    .verdict = Verdict::Ran,
-                                    .detail = "the call ran; its recorded answer can't be read",
-                                    .retryAfter = ProgressRetryAfter});
+                tell(waiting,
+                     Error{.reason = Reason::OutcomeUnknown,
+                           .verdict = Verdict::Ran,
+                           .detail = "the call ran; its recorded answer can't be read",
+                           .retryAfter = ProgressRetryAfter});
             });
 }
 
@@ -376,8 +382,7 @@
     m_committer.poll();
     while (!m_waiting.empty() && m_waiting.begin()->first <= now) {
         // What is still under way is released by claimed() when it settles.
-        tell(WaitingPtr(m_waiting.begin()->second),
-             storeDown("the store did not answer in time"));
+        tell(WaitingPtr(m_waiting.begin()->second), storeDown("the store did not answer in time"));
     }
     std::vector<std::string> due;
     for (const auto &[rowKey, it] : m_settlements) {
--- a/src/Request/ClaimKeeper.h
+++ b/src/Request/ClaimKeeper.h
@@ -8,7 +8,6 @@
 #include "Request/GroupCommitter.h"
 
 #include <map>
-#include <set>
 
 namespace catkinloft {
 
@@ -127,7 +126,7 @@
     Options m_options;
     GroupCommitter m_committer;
     std::multimap<TimePoint, WaitingPtr> m_waiting; ///< By when the caller is told.
-    std::set<std::string> m_running; ///< Rows claimed here whose outcome is open.
+    std::map<std::string, std::string> m_running; ///< Fingerprints of open claims by row key.
     std::map<std::string, Settlement> m_settlements; ///< By row key.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); ///< Answers may come later.
 };
--- a/src/Request/ClaimRow.cpp
+++ b/src/Request/ClaimRow.cpp
@@ -13,8 +13,7 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 4> StateNames = {"claimed", "done", "unknown",
-                                                          "free"};
+constexpr std::array<std::string_view, 4> StateNames = {"claimed", "done", "unknown", "free"};
 
 std::int64_t millis(WallTime t)
 {
--- a/src/Request/GroupCommitter.cpp
+++ b/src/Request/GroupCommitter.cpp
@@ -122,16 +122,16 @@
     std::vector<std::string> keys;
     for (const Entry &it : *batch)
         keys.push_back(it.write.key);
-    m_options.table.read(std::move(keys),
-                         [this, alive = m_alive, batch,
-                          round](const Result<std::vector<TableRow>> &rows) {
-                             if (!*alive)
-                                 return;
-                             if (rows)
-                                 sortOut(batch, rows.value(), round);
-                             else
-                                 fail(*batch, rows.error());
-                         });
+    m_options.table.read(
+            std::move(keys),
+            [this, alive = m_alive, batch, round](const Result<std::vector<TableRow>> &rows) {
+                if (!*alive)
+                    return;
+                if (rows)
+                    sortOut(batch, rows.value(), round);
+                else
+                    fail(*batch, rows.error());
+            });
 }
 
 /// Settles the rows that \a rows decides, and sends the others again without them.
