Load driver: returning callers that check every answer and judge by the stand-ins' records

Promises have to be counted by those outside of the router. Callers ask /v1/where, keep the answer, repeat by the stated rules and check that an answer is whole and their own; executions are written to files that outlive a killed stand-in. The fleet can put fault proxies before upstreams and the platform.

--- a/standin/EngineStandin.cpp
+++ b/standin/EngineStandin.cpp
@@ -27,7 +27,7 @@
     : m_options(std::move(options)), m_cache({.clock = m_options.loop,
                                               .capacity = m_options.cacheTokens,
                                               .eventLag = m_options.eventLag}),
-      m_orders(m_options.checksFencing, m_options.model)
+      m_orders(m_options.checksFencing, m_options.model), m_record(m_options.recordFile)
 {
     addRoutes();
 }
@@ -145,6 +145,7 @@
         record["prompt_tokens"] = request.promptTokens;
         record["cached_tokens"] = it->cachedTokens;
         m_executions.append(record);
+        m_record.add(record);
         const double prefill = (request.promptTokens - it->cachedTokens) / m_options.prefillRate;
         m_options.loop.after(fromSeconds(prefill), [this, it] { nextToken(it); });
     }
--- a/standin/EngineStandin.h
+++ b/standin/EngineStandin.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "EngineOrders.h"
+#include "ExecutionRecord.h"
 #include "Generation.h"
 #include "PrefixCache.h"
 
@@ -28,6 +29,7 @@
         Duration eventLag = std::chrono::milliseconds(500); ///< Until a cache event shows.
         Duration loadLag = std::chrono::milliseconds(200); ///< Longest age of a load report.
         bool checksFencing = false; ///< Refuses orders with an old fencing number.
+        std::string recordFile = {}; ///< Executions are added to it; empty: nowhere.
     };
 
     explicit EngineStandin(Options options);
@@ -60,6 +62,7 @@
     Json::Value m_load;
     TimePoint m_loadAt;
     Json::Value m_executions{Json::arrayValue};
+    ExecutionRecord m_record;
 };
 
 } // namespace catkinloft::standin
--- /dev/null
+++ b/standin/ExecutionRecord.cpp
@@ -0,0 +1,20 @@
+#include "ExecutionRecord.h"
+
+#include "Net/internal/Json.h"
+
+namespace catkinloft::standin {
+
+ExecutionRecord::ExecutionRecord(const std::string &file)
+{
+    if (!file.empty())
+        m_out.open(file, std::ios::app);
+}
+
+void ExecutionRecord::add(const Json::Value &execution)
+{
+    // Flushed each time, since the process may be killed at any moment.
+    if (m_out.is_open())
+        m_out << internal::printJson(execution) + "\n" << std::flush;
+}
+
+} // namespace catkinloft::standin
--- a/standin/ServiceStandin.cpp
+++ b/standin/ServiceStandin.cpp
@@ -4,7 +4,9 @@
 
 namespace catkinloft::standin {
 
-ServiceStandin::ServiceStandin(Options options) : m_options(std::move(options)) { }
+ServiceStandin::ServiceStandin(Options options)
+    : m_options(std::move(options)), m_record(m_options.recordFile)
+{ }
 
 void ServiceStandin::handle(const HttpExchangePtr &exchange)
 {
@@ -37,8 +39,10 @@
     record["method"] = exchange->method();
     record["path"] = exchange->path();
     record["body"] = std::string(exchange->body());
-    if (m_options.recorded)
+    if (m_options.recorded) {
         m_executions.append(record);
+        m_record.add(record);
+    }
     record["service"] = m_options.name;
     record["execution"] = m_calls;
     const HttpHeaders headers{{"Content-Type", "application/json"},
--- a/standin/ServiceStandin.h
+++ b/standin/ServiceStandin.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ExecutionRecord.h"
 #include "Standin.h"
 
 #include <vector>
@@ -17,6 +18,7 @@
         Duration serviceTime; ///< From the request to its answer.
         int refuseEvery = 0; ///< Every so many calls get a 503 and do nothing; 0: none.
         bool recorded = true; ///< Off for benches, which would fill the memory.
+        std::string recordFile = {}; ///< Executions are added to it; empty: nowhere.
     };
 
     explicit ServiceStandin(Options options);
@@ -29,6 +31,7 @@
     Options m_options;
     int m_calls = 0;
     Json::Value m_executions{Json::arrayValue};
+    ExecutionRecord m_record;
 };
 
 } // namespace catkinloft::standin
--- /dev/null
+++ b/standin/fleet/Caller.cpp
@@ -0,0 +1,211 @@
+#include "fleet/Caller.h"
+
+#include <charconv>
+#include <sstream>
+
+#include <fmt/format.h>
+#include <json/json.h>
+
+namespace catkinloft::standin {
+
+namespace {
+
+constexpr Duration FirstBackoff = std::chrono::milliseconds(100);
+constexpr Duration MaxBackoff = std::chrono::seconds(1);
+
+bool isChat(RequestShape shape)
+{
+    return shape == RequestShape::StreamedChat || shape == RequestShape::WholeChat;
+}
+
+Json::Value parseBody(const HttpAnswer &answer)
+{
+    Json::Value out;
+    std::istringstream in(answer.body);
+    if (!Json::parseFromStream(Json::CharReaderBuilder(), in, &out, nullptr) || !out.isObject())
+        return Json::Value(Json::objectValue);
+    return out;
+}
+
+} // namespace
+
+Caller::Caller(CallerContext &context, Options options)
+    : m_context(context), m_options(std::move(options))
+{ }
+
+void Caller::start()
+{
+    const double share = uniform(m_context.random);
+    m_context.loop.after(fromSeconds(toSeconds(m_context.maxPause) * share),
+                         [self = shared_from_this()] { self->next(); });
+}
+
+void Caller::next()
+{
+    if (m_request == m_options.requests) {
+        m_options.done();
+        return;
+    }
+    m_attempt = 0;
+    m_lastExplained = false;
+    m_operation = fmt::format("{}-{}", m_options.name, m_request++);
+    m_started = m_context.loop.now();
+    m_expected = {
+            .operation = m_operation,
+            .chat = isChat(m_options.shape),
+            .streamed = m_options.shape == RequestShape::StreamedChat,
+            .tokens = 1
+                    + static_cast<int>(below(m_context.random,
+                                             static_cast<std::uint64_t>(m_context.maxTokens)))};
+    ++m_context.report.requests;
+    if (m_options.shape == RequestShape::NonIdempotentCall)
+        m_context.onceOnly.insert(m_operation);
+    attempt();
+}
+
+void Caller::attempt()
+{
+    if (m_context.loop.now() < m_addressUntil)
+        send();
+    else
+        askWhere();
+}
+
+void Caller::askWhere()
+{
+    const std::size_t i = below(m_context.random, m_context.fleet.deployment().routers);
+    m_context.client.fetch(
+            {.address = m_context.fleet.routerAddress(i),
+             .target = fmt::format("/v1/where?workspace={}&chat={}",
+                                   Fleet::workspaceName(m_options.workspace), m_options.name),
+             .timeout = std::chrono::seconds(1)},
+            [self = shared_from_this()](const Result<HttpAnswer> &answer) {
+                const Json::Value root = answer ? parseBody(answer.value()) : Json::Value();
+                if (!root["address"].isString()) {
+                    self->retry(FirstBackoff, true);
+                    return;
+                }
+                self->m_address = root["address"].asString();
+                self->m_addressUntil = self->m_context.loop.now()
+                        + std::chrono::milliseconds(root["lifetime_ms"].asInt64());
+                self->send();
+            });
+}
+
+std::string Caller::chatBody() const
+{
+    // A chat starts the same each time, so that its context counts.
+    return fmt::format(R"({{"model":"{}","stream":{},"max_tokens":{},"messages":[)"
+                       R"({{"role":"user","content":"start of {}"}},)"
+                       R"({{"role":"user","content":"{}"}}]}})",
+                       m_context.fleet.deployment().model, m_expected.streamed, m_expected.tokens,
+                       m_options.name, m_operation);
+}
+
+HttpCall Caller::makeCall()
+{
+    m_requestId = fmt::format("{}-try-{}", m_operation, m_attempt++);
+    HttpCall call{
+            .address = m_address,
+            .method = "POST",
+            .target = "/v1/chat/completions",
+            .headers = {{"Authorization", "Bearer " + Fleet::workspaceKey(m_options.workspace)},
+                        {"X-Request-Id", m_requestId}},
+            .timeout = m_context.answerTimeout};
+    if (m_expected.chat) {
+        call.headers.emplace_back("X-Chat-Id", m_options.name);
+        call.body = chatBody();
+        return call;
+    }
+    call.target = fmt::format("/services/{}/orders", m_context.fleet.deployment().service);
+    call.body = m_operation;
+    if (m_options.shape == RequestShape::IdempotentCall)
+        call.method = "PUT";
+    else
+        call.headers.emplace_back("Idempotency-Key", m_operation);
+    return call;
+}
+
+void Caller::send()
+{
+    ++m_context.report.attempts;
+    m_context.client.fetch(makeCall(), [self = shared_from_this()](Result<HttpAnswer> answer) {
+        self->answered(answer);
+    });
+}
+
+void Caller::answered(const Result<HttpAnswer> &answer)
+{
+    if (!answer) {
+        // The router or the way to it has gone: another address, and the same operation.
+        m_addressUntil = {};
+        m_lastExplained = false;
+        retry(FirstBackoff, true);
+    } else if (answer.value().head.status == 200) {
+        succeeded(answer.value());
+    } else {
+        refused(answer.value());
+    }
+}
+
+void Caller::succeeded(const HttpAnswer &answer)
+{
+    const AnswerFault fault = checkAnswer(answer, m_expected);
+    LoadReport &report = m_context.report;
+    if (fault == AnswerFault::None) {
+        ++report.answered;
+        report.latencies.push_back(m_context.loop.now() - m_started);
+        m_context.answeredOperations.insert(m_operation);
+    } else {
+        ++(fault == AnswerFault::Crossed ? report.crossed : report.truncated);
+        report.note(fmt::format("{} {} got: {}",
+                                fault == AnswerFault::Crossed ? "crossed" : "truncated",
+                                m_requestId, answer.body.substr(0, 300)));
+    }
+    finishRequest();
+}
+
+void Caller::refused(const HttpAnswer &answer)
+{
+    const Json::Value problem = parseBody(answer);
+    const std::string reason = problem["reason"].isString() ? problem["reason"].asString() : "";
+    const std::string verdict = problem["verdict"].isString() ? problem["verdict"].asString() : "";
+    ++m_context.report.reasons[reason];
+    m_lastExplained = !reason.empty() && !verdict.empty();
+    if (!m_lastExplained) {
+        ++m_context.report.unexplained;
+        m_context.report.note(fmt::format("unexplained {} {}: {}", m_requestId, answer.head.status,
+                                          answer.body.substr(0, 200)));
+    }
+    if (verdict == "not_run")
+        m_context.toldNotRun.insert(m_requestId);
+    if (reason == "draining" || reason == "not_ready")
+        m_addressUntil = {};
+    // One operation is repeated under one idempotency key; the unknown outcome is final.
+    retry(MaxBackoff, reason != "outcome_unknown");
+}
+
+void Caller::retry(Duration delay, bool repeatable)
+{
+    if (repeatable && m_context.loop.now() - m_started < m_context.patience) {
+        const Duration wait = std::min(delay, FirstBackoff * (1 << std::min(m_attempt, 3)));
+        m_context.loop.after(wait, [self = shared_from_this()] { self->attempt(); });
+        return;
+    }
+    if (m_lastExplained) {
+        ++m_context.report.refused;
+    } else {
+        ++m_context.report.lost;
+        m_context.report.note(fmt::format("lost {}: no answer", m_requestId));
+    }
+    finishRequest();
+}
+
+void Caller::finishRequest()
+{
+    const double share = uniform(m_context.random);
+    m_context.loop.after(fromSeconds(toSeconds(m_context.maxPause) * share),
+                         [self = shared_from_this()] { self->next(); });
+}
+
+} // namespace catkinloft::standin
--- /dev/null
+++ b/standin/fleet/Caller.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "Base/Random.h"
+#include "Net/EventLoop.h"
+#include "fleet/AnswerCheck.h"
+#include "fleet/Fleet.h"
+#include "fleet/LoadReport.h"
+
+#include <set>
+
+namespace catkinloft::standin {
+
+enum class RequestShape { StreamedChat, WholeChat, IdempotentCall, NonIdempotentCall };
+
+/// \brief What all callers of a LoadDriver share.
+struct CallerContext
+{
+    const Fleet &fleet;
+    EventLoop &loop;
+    HttpClient &client;
+    RandomSource random;
+    LoadReport &report;
+    Duration answerTimeout = std::chrono::seconds(8); ///< Of one attempt.
+    Duration patience = std::chrono::seconds(25); ///< Of one request with all its attempts.
+    Duration maxPause = std::chrono::milliseconds(200); ///< Between two requests of a caller.
+    int maxTokens = 20;
+    std::set<std::string> toldNotRun = {}; ///< Request ids of attempts.
+    std::set<std::string> answeredOperations = {};
+    std::set<std::string> onceOnly = {}; ///< Operations that must not be executed twice.
+};
+
+/// \brief One returning caller: asks which address to use, keeps the answer for a while, sends one
+/// request after another with pauses and repeats by the rules that the system states.
+class Caller : public std::enable_shared_from_this<Caller>
+{
+public:
+    struct Options
+    {
+        std::string name;
+        int workspace = 0;
+        RequestShape shape = RequestShape::WholeChat;
+        int requests = 1;
+        std::function<void()> done;
+    };
+
+    Caller(CallerContext &context, Options options);
+
+    void start();
+
+private:
+    void next();
+    void attempt();
+    void askWhere();
+    void send();
+    HttpCall makeCall();
+    std::string chatBody() const;
+    void answered(const Result<HttpAnswer> &answer);
+    void succeeded(const HttpAnswer &answer);
+    void refused(const HttpAnswer &answer);
+    void retry(Duration delay, bool repeatable);
+    void finishRequest();
+
+    CallerContext &m_context;
+    Options m_options;
+    int m_request = 0;
+    int m_attempt = 0;
+    std::string m_operation;
+    std::string m_requestId;
+    ExpectedAnswer m_expected;
+    std::string m_address;
+    TimePoint m_addressUntil;
+    TimePoint m_started;
+    bool m_lastExplained = false; ///< The last attempt got an answer that says what happened.
+};
+
+} // namespace catkinloft::standin
--- a/standin/fleet/Fleet.cpp
+++ b/standin/fleet/Fleet.cpp
@@ -19,7 +19,7 @@
 
 namespace {
 
-constexpr std::array PlatformRoles = {"table", "objects", "vms"};
+constexpr std::array PlatformRoles = {"table", "objects", "vms", "weights"};
 
 std::string local(std::uint16_t port)
 {
@@ -64,6 +64,7 @@
     m_engines.clear();
     m_replicas.clear();
     m_platform.clear();
+    m_proxies.clear();
     std::error_code ec;
     std::filesystem::remove_all(m_folder, ec);
 }
@@ -91,26 +92,108 @@
     }
 }
 
-void Fleet::startUpstreams()
+void Fleet::startProxies()
 {
-    for (std::size_t i = 0; i < m_engines.size(); ++i) {
-        const std::string name = fmt::format("engine-{}", i);
-        std::vector<std::string> command{"catkinloft-standin", "--name=" + name,
-                                         "--listen=" + m_engineAddresses[i]};
-        command.insert(command.end(), m_options.engineFlags.begin(), m_options.engineFlags.end());
-        command.emplace_back("engine");
-        spawn(m_engines[i], std::move(command), name);
+    std::vector<std::string> targets;
+    if (m_options.proxiedUpstreams) {
+        targets = m_engineAddresses;
+        targets.insert(targets.end(), m_replicaAddresses.begin(), m_replicaAddresses.end());
+    }
+    if (m_options.proxiedPlatform) {
+        for (const char *it : PlatformRoles)
+            targets.push_back(m_platformAddresses.at(it));
     }
-    for (std::size_t i = 0; i < m_replicas.size(); ++i) {
-        const std::string name = fmt::format("{}-{}", deployment().service, i);
-        std::vector<std::string> command{"catkinloft-standin", "--name=" + name,
-                                         "--listen=" + m_replicaAddresses[i]};
-        command.insert(command.end(), m_options.serviceFlags.begin(), m_options.serviceFlags.end());
-        command.emplace_back("service");
-        spawn(m_replicas[i], std::move(command), name);
+    for (const std::string &it : targets) {
+        const std::vector<std::string> own = localAddresses(2);
+        Proxy &proxy = m_proxies[it];
+        proxy.listen = own[0];
+        proxy.control = own[1];
+        spawn(proxy.process,
+              {"catkinloft-standin", "--listen=" + own[0], "--control=" + own[1], "--target=" + it,
+               "proxy"},
+              "proxy-" + it);
     }
 }
 
+std::string Fleet::via(const std::string &address) const
+{
+    const auto it = m_proxies.find(address);
+    return it == m_proxies.end() ? address : it->second.listen;
+}
+
+void Fleet::strike(const std::string &address, const std::string &faults)
+{
+    const Result<HttpAnswer> answer = fetch({.address = m_proxies.at(address).control,
+                                             .method = "POST",
+                                             .target = "/v1/faults",
+                                             .body = faults});
+    if (!answer || answer.value().head.status != 200)
+        throw std::runtime_error("a proxy does not take its faults");
+}
+
+void Fleet::setPlatformMode(const std::string &role, const std::string &mode,
+                            const std::string &more)
+{
+    const Result<HttpAnswer> answer =
+            fetch({.address = platformAddress(role),
+                   .method = "POST",
+                   .target = "/v1/control",
+                   .body = fmt::format(R"({{"mode":"{}"{}}})", mode, more)});
+    if (!answer || answer.value().head.status != 204)
+        throw std::runtime_error("a platform role does not take its mode");
+}
+
+std::string Fleet::recordFile(const std::string &name) const
+{
+    return m_folder + "/" + name + ".executions";
+}
+
+std::vector<Json::Value> Fleet::executions() const
+{
+    std::vector<Json::Value> out;
+    for (const auto &entry : std::filesystem::directory_iterator(m_folder)) {
+        if (entry.path().extension() != ".executions")
+            continue;
+        std::ifstream in(entry.path());
+        for (std::string line; std::getline(in, line);) {
+            Json::Value execution;
+            std::istringstream(line) >> execution;
+            out.push_back(std::move(execution));
+        }
+    }
+    return out;
+}
+
+void Fleet::startEngine(std::size_t i)
+{
+    const std::string name = fmt::format("engine-{}", i);
+    std::vector<std::string> command{
+            "catkinloft-standin", "--name=" + name, "--listen=" + m_engineAddresses[i],
+            "--model=" + deployment().model, "--record_file=" + recordFile(name)};
+    command.insert(command.end(), m_options.engineFlags.begin(), m_options.engineFlags.end());
+    command.emplace_back("engine");
+    spawn(m_engines[i], std::move(command), name);
+}
+
+void Fleet::startReplica(std::size_t i)
+{
+    const std::string name = fmt::format("{}-{}", deployment().service, i);
+    std::vector<std::string> command{"catkinloft-standin", "--name=" + name,
+                                     "--listen=" + m_replicaAddresses[i],
+                                     "--record_file=" + recordFile(name)};
+    command.insert(command.end(), m_options.serviceFlags.begin(), m_options.serviceFlags.end());
+    command.emplace_back("service");
+    spawn(m_replicas[i], std::move(command), name);
+}
+
+void Fleet::startUpstreams()
+{
+    for (std::size_t i = 0; i < m_engines.size(); ++i)
+        startEngine(i);
+    for (std::size_t i = 0; i < m_replicas.size(); ++i)
+        startReplica(i);
+}
+
 void Fleet::writeSettings(std::size_t i)
 {
     const Deployment &d = deployment();
@@ -121,8 +204,10 @@
                        m_routerAddresses[i], m_peerAddresses[i], sha256Hex(operatorKey()))
         << "peer_keys:\n  - {id: k1, secret: peer-secret-of-the-tests}\n"
         << "refusal_keys:\n  - {id: r1, secret: refusal-secret-of-the-tests}\n"
-        << fmt::format("platform:\n  table_service: {}\n  object_store: {}\n  vm_list: {}\n",
-                       platformAddress("table"), platformAddress("objects"), platformAddress("vms"))
+        << fmt::format("platform:\n  table_service: {}\n  object_store: {}\n  vm_list: {}\n"
+                       "  weight_store: {}\n",
+                       via(platformAddress("table")), via(platformAddress("objects")),
+                       via(platformAddress("vms")), via(platformAddress("weights")))
         << m_options.extraSettings;
 }
 
@@ -137,6 +222,7 @@
 {
     startPlatform();
     startUpstreams();
+    startProxies();
     for (std::size_t i = 0; i < m_routers.size(); ++i)
         startRouter(i);
     const auto answers = [](const std::string &address, const char *target) {
@@ -181,7 +267,7 @@
 std::string Fleet::inventory(const std::function<std::string(std::string)> &edit) const
 {
     const Deployment &d = deployment();
-    const auto address = [&](const std::string &it) { return edit ? edit(it) : it; };
+    const auto address = [&](const std::string &it) { return edit ? edit(it) : via(it); };
     const auto domain = [&](std::size_t i) {
         return d.failureDomains[i % d.failureDomains.size()];
     };
--- a/standin/fleet/Fleet.h
+++ b/standin/fleet/Fleet.h
@@ -10,6 +10,8 @@
 #include <string>
 #include <vector>
 
+#include <json/json.h>
+
 namespace catkinloft::standin {
 
 /// \brief Real processes of one deployment on loopback: platform, engines, plain service and
@@ -25,6 +27,8 @@
         std::vector<std::string> serviceFlags = {}; ///< Further flags of each replica.
         std::string extraRules = {}; ///< Lines under `rules:` of the inventory.
         std::string extraSettings = {}; ///< Further lines of each router's settings.
+        bool proxiedUpstreams = false; ///< Engines and replicas stand behind fault proxies.
+        bool proxiedPlatform = false; ///< So do the table service and the object store.
     };
 
     explicit Fleet(Options options);
@@ -63,6 +67,23 @@
     /// that a proxy can stand in between.
     std::string inventory(const std::function<std::string(std::string)> &edit = {}) const;
 
+    /// \returns where routers reach what listens at \a address: its proxy, if there is one.
+    std::string via(const std::string &address) const;
+
+    /// \brief Sets \a faults, a JSON object, at the proxy before \a address.
+    void strike(const std::string &address, const std::string &faults);
+
+    /// \brief Sets the mode of a platform role, with further members in \a more.
+    void setPlatformMode(const std::string &role, const std::string &mode,
+                         const std::string &more = {});
+
+    /// \brief Starts engine or replica \a i, again after it was stopped.
+    void startEngine(std::size_t i);
+    void startReplica(std::size_t i);
+
+    /// \returns what all engines and replicas executed since the start, killed ones included.
+    std::vector<Json::Value> executions() const;
+
     /// \brief Puts \a inventory in force through router \a i.
     /// \returns the answer's status; 0 where there was none.
     int apply(const std::string &inventory, std::size_t i = 0);
@@ -86,12 +107,22 @@
     std::string logFile(const std::string &name) const;
     void startPlatform();
     void startUpstreams();
+    void startProxies();
     void writeSettings(std::size_t i);
+    std::string recordFile(const std::string &name) const;
     void spawn(std::unique_ptr<ChildProcess> &into, std::vector<std::string> command,
                const std::string &name);
 
+    struct Proxy
+    {
+        std::string listen;
+        std::string control;
+        std::unique_ptr<ChildProcess> process;
+    };
+
     Options m_options;
     std::string m_folder;
+    std::map<std::string, Proxy> m_proxies; ///< By the address behind them.
     std::map<std::string, std::string> m_platformAddresses;
     std::vector<std::string> m_engineAddresses;
     std::vector<std::string> m_replicaAddresses;
--- /dev/null
+++ b/standin/fleet/LoadDriver.cpp
@@ -0,0 +1,89 @@
+#include "fleet/LoadDriver.h"
+
+#include <fmt/format.h>
+
+namespace catkinloft::standin {
+
+LoadDriver::LoadDriver(Options options)
+    : m_options(std::move(options)),
+      m_client(m_loop), m_context{.fleet = m_options.fleet,
+                                  .loop = m_loop,
+                                  .client = m_client,
+                                  .random = seededRandom(m_options.seed),
+                                  .report = m_report,
+                                  .patience = m_options.patience,
+                                  .maxPause = m_options.maxPause,
+                                  .maxTokens = m_options.maxTokens}
+{ }
+
+void LoadDriver::at(Duration delay, std::function<void()> event)
+{
+    m_loop.after(delay, std::move(event));
+}
+
+int LoadDriver::workspaceOf(int caller) const
+{
+    const Deployment &d = m_options.fleet.deployment();
+    const double place = (caller % 10 + 0.5) / 10;
+    if (place < m_options.largeShare)
+        return caller % d.largeWorkspaces;
+    return d.largeWorkspaces + caller % (d.workspaces - d.largeWorkspaces);
+}
+
+LoadReport LoadDriver::run()
+{
+    int open = m_options.callers;
+    for (int i = 0; i < m_options.callers; ++i) {
+        const auto n = static_cast<std::size_t>(i);
+        std::make_shared<Caller>(
+                m_context,
+                Caller::Options{.name = fmt::format("s{}-c{}", m_options.seed, i),
+                                .workspace = workspaceOf(i),
+                                .shape = m_options.shapes[n % m_options.shapes.size()],
+                                .requests = m_options.requestsEach,
+                                .done =
+                                        [&] {
+                                            if (--open == 0)
+                                                m_loop.stop();
+                                        }})
+                ->start();
+    }
+    m_loop.run();
+    judge();
+    return m_report;
+}
+
+void LoadDriver::judge()
+{
+    const std::string prefix = fmt::format("s{}-", m_options.seed);
+    std::map<std::string, int> byOperation;
+    std::set<std::string> byRequest;
+    for (const Json::Value &it : m_options.fleet.executions()) {
+        const std::string operation = (it.isMember("echo") ? it["echo"] : it["body"]).asString();
+        if (!operation.starts_with(prefix))
+            continue;
+        ++m_report.executions;
+        ++byOperation[operation];
+        byRequest.insert(it["request_id"].asString());
+    }
+    for (const std::string &it : m_context.onceOnly) {
+        if (byOperation[it] > 1) {
+            ++m_report.doubled;
+            m_report.note(fmt::format("doubled {}: {} executions", it, byOperation[it]));
+        }
+    }
+    for (const std::string &it : m_context.answeredOperations) {
+        if (byOperation[it] == 0) {
+            ++m_report.lost;
+            m_report.note(fmt::format("lost {}: answered, never executed", it));
+        }
+    }
+    for (const std::string &it : m_context.toldNotRun) {
+        if (byRequest.contains(it)) {
+            ++m_report.untrueNotRun;
+            m_report.note(fmt::format("untrue not_run {}", it));
+        }
+    }
+}
+
+} // namespace catkinloft::standin
--- /dev/null
+++ b/standin/fleet/LoadReport.cpp
@@ -0,0 +1,45 @@
+#include "fleet/LoadReport.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace catkinloft::standin {
+
+namespace {
+
+constexpr std::size_t MaxNotes = 10;
+
+} // namespace
+
+Duration LoadReport::quantile(double share) const
+{
+    if (latencies.empty())
+        return Duration::zero();
+    std::vector<Duration> sorted = latencies;
+    std::sort(sorted.begin(), sorted.end());
+    const auto i = static_cast<std::size_t>(share * static_cast<double>(sorted.size()));
+    return sorted[std::min(i, sorted.size() - 1)];
+}
+
+std::string LoadReport::summary() const
+{
+    std::string out = fmt::format(
+            "requests {} answered {} refused {} attempts {} executions {} lost {} doubled {} "
+            "crossed {} truncated {} untrue_not_run {} unexplained {}",
+            requests, answered, refused, attempts, executions, lost, doubled, crossed, truncated,
+            untrueNotRun, unexplained);
+    for (const auto &[code, n] : reasons)
+        out += fmt::format("; {} {}", code, n);
+    for (const std::string &it : notes)
+        out += "\n  " + it;
+    return out;
+}
+
+void LoadReport::note(std::string line)
+{
+    if (notes.size() < MaxNotes)
+        notes.push_back(std::move(line));
+}
+
+} // namespace catkinloft::standin
--- a/standin/main.cpp
+++ b/standin/main.cpp
@@ -26,6 +26,7 @@
 DEFINE_bool(checks_fencing, false, "engine: refuses orders with an old fencing number");
 DEFINE_int32(refuse_every, 0, "service: every so many calls get a 503 and do nothing");
 DEFINE_bool(recorded, true, "service: keeps a record of every execution");
+DEFINE_string(record_file, "", "engine, service: executions are added to this file");
 DEFINE_double(writes_per_second, 500, "table, objects, weights: limit of writes");
 DEFINE_double(reads_per_second, 2000, "table, objects, weights: limit of reads");
 DEFINE_string(control, "", "proxy: address for its faults, IP:PORT");
@@ -52,7 +53,8 @@
                                    .cacheTokens = FLAGS_cache_tokens,
                                    .eventLag = fromSeconds(FLAGS_event_lag_ms / 1000),
                                    .loadLag = fromSeconds(FLAGS_load_lag_ms / 1000),
-                                   .checksFencing = FLAGS_checks_fencing});
+                                   .checksFencing = FLAGS_checks_fencing,
+                                   .recordFile = FLAGS_record_file});
 }
 
 std::unique_ptr<Standin> makeService(EventLoop &loop)
@@ -62,7 +64,8 @@
                                     .name = FLAGS_name,
                                     .serviceTime = fromSeconds(FLAGS_service_ms / 1000),
                                     .refuseEvery = FLAGS_refuse_every,
-                                    .recorded = FLAGS_recorded});
+                                    .recorded = FLAGS_recorded,
+                                    .recordFile = FLAGS_record_file});
 }
 
 template<typename T>
