--- /dev/null
+++ b/bench/demo/RawLoad.cpp
@@ -0,0 +1,130 @@
+#include "RawLoad.h"
+
+#include "Net/EventLoop.h"
+
+#include <algorithm>
+#include <fstream>
+#include <sstream>
+#include <thread>
+
+#include <fmt/format.h>
+#include <unistd.h>
+
+namespace catkinloft::demo {
+
+namespace {
+
+/// \returns processor time of \a pid so far, in seconds.
+double processorTime(pid_t pid)
+{
+    std::ifstream in(fmt::format("/proc/{}/stat", pid));
+    std::string text((std::istreambuf_iterator<char>(in)), {});
+    // The name in parentheses may hold blanks; user and system time are fields 14 and 15.
+    const std::size_t end = text.rfind(')');
+    if (end == std::string::npos)
+        return 0;
+    std::istringstream rest(text.substr(end + 1));
+    std::string skipped;
+    for (int i = 0; i < 11; ++i)
+        rest >> skipped;
+    double user = 0;
+    double system = 0;
+    rest >> user >> system;
+    return (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+/// The share of one thread, with its own loop and connections.
+class Sender
+{
+public:
+    Sender(const RawLoad::Options &options, std::vector<Duration> &latencies, int &failures)
+        : m_options(options), m_latencies(latencies), m_failures(failures), m_client(m_loop),
+          m_end(m_loop.now() + options.duration), m_open(options.connectionsEach)
+    {
+        if (options.rate > 0) {
+            const int all = options.threads * options.connectionsEach;
+            m_interval = fromSeconds(all / options.rate);
+        }
+    }
+
+    void run()
+    {
+        for (int i = 0; i < m_options.connectionsEach; ++i) {
+            // Spread over one interval, so that paced connections don't send in step.
+            m_loop.after(m_interval * i / m_options.connectionsEach,
+                         [this] { send(m_loop.now()); });
+        }
+        m_loop.run();
+    }
+
+private:
+    /// \param due when the request should have left: waiting to be sent counts as latency.
+    void send(TimePoint due)
+    {
+        if (m_loop.now() >= m_end) {
+            if (--m_open == 0)
+                m_loop.stop();
+            return;
+        }
+        m_client.fetch(m_options.call, [this, due](const Result<HttpAnswer> &answer) {
+            if (answer && answer.value().head.status == 200)
+                m_latencies.push_back(m_loop.now() - due);
+            else
+                ++m_failures;
+            const TimePoint next = due + m_interval;
+            if (m_interval > Duration::zero() && next > m_loop.now())
+                m_loop.after(next - m_loop.now(), [this, next] { send(next); });
+            else
+                send(m_interval > Duration::zero() ? next : m_loop.now());
+        });
+    }
+
+    const RawLoad::Options &m_options;
+    std::vector<Duration> &m_latencies;
+    int &m_failures;
+    EventLoop m_loop;
+    HttpClient m_client;
+    TimePoint m_end;
+    int m_open;
+    Duration m_interval = Duration::zero();
+};
+
+Duration quantile(const std::vector<Duration> &sorted, double share)
+{
+    if (sorted.empty())
+        return Duration::zero();
+    const auto i = static_cast<std::size_t>(share * static_cast<double>(sorted.size()));
+    return sorted[std::min(i, sorted.size() - 1)];
+}
+
+} // namespace
+
+RawLoad::Outcome RawLoad::run(const Options &options)
+{
+    const auto n = static_cast<std::size_t>(options.threads);
+    std::vector<std::vector<Duration>> latencies(n);
+    std::vector<int> failures(n);
+    const auto start = std::chrono::steady_clock::now();
+    const double before = processorTime(options.server);
+    std::vector<std::thread> threads;
+    threads.reserve(n);
+    for (std::size_t i = 0; i < n; ++i)
+        threads.emplace_back([&, i] { Sender(options, latencies[i], failures[i]).run(); });
+    for (std::thread &it : threads)
+        it.join();
+    const double seconds = toSeconds(std::chrono::steady_clock::now() - start);
+    std::vector<Duration> all;
+    Outcome out;
+    for (std::size_t i = 0; i < n; ++i) {
+        all.insert(all.end(), latencies[i].begin(), latencies[i].end());
+        out.failures += failures[i];
+    }
+    std::sort(all.begin(), all.end());
+    out.rate = static_cast<double>(all.size()) / seconds;
+    out.coreShare = (processorTime(options.server) - before) / seconds;
+    out.p50 = quantile(all, 0.5);
+    out.p99 = quantile(all, 0.99);
+    return out;
+}
+
+} // namespace catkinloft::demo
--- a/standin/EngineStandin.cpp
+++ b/standin/EngineStandin.cpp
@@ -141,6 +141,8 @@
         Json::Value record;
         record["request_id"] = request.id;
         record["echo"] = request.echo;
+        record["by"] = m_options.name;
+        record["work"] = request.promptTokens - it->cachedTokens + request.outputTokens;
         record["chat"] = request.chat;
         record["prompt_tokens"] = request.promptTokens;
         record["cached_tokens"] = it->cachedTokens;
--- a/standin/fleet/LoadDriver.cpp
+++ b/standin/fleet/LoadDriver.cpp
@@ -63,8 +63,18 @@
         if (!operation.starts_with(prefix))
             continue;
         ++m_report.executions;
+        m_report.promptTokens += it["prompt_tokens"].asDouble();
+        m_report.cachedTokens += it["cached_tokens"].asDouble();
+        if (it.isMember("echo"))
+            m_report.workByEngine[it["by"].asString()] += it["work"].asDouble();
         ++byOperation[operation];
-        byRequest.insert(it["request_id"].asString());
+        // A router may put something before the caller's own id.
+        const std::string id = it["request_id"].asString();
+        const std::size_t start = id.find(prefix);
+        if (start == std::string::npos)
+            ++m_report.unmatched;
+        else
+            byRequest.insert(id.substr(start));
     }
     for (const std::string &it : m_context.onceOnly) {
         if (byOperation[it] > 1) {
--- a/standin/fleet/LoadReport.cpp
+++ b/standin/fleet/LoadReport.cpp
@@ -22,6 +22,17 @@
     return sorted[std::min(i, sorted.size() - 1)];
 }
 
+double LoadReport::skew(int engines) const
+{
+    double sum = 0;
+    double most = 0;
+    for (const auto &[name, work] : workByEngine) {
+        sum += work;
+        most = std::max(most, work);
+    }
+    return sum > 0 ? most * engines / sum : 0;
+}
+
 std::string LoadReport::summary() const
 {
     std::string out = fmt::format(
--- a/standin/fleet/LoadReport.h
+++ b/standin/fleet/LoadReport.h
@@ -17,6 +17,10 @@
     int refused = 0; ///< Given up after a last answer that said why and whether it may have run.
     int attempts = 0;
     int executions = 0;
+    int unmatched = 0; ///< Executions that no attempt could be found for.
+    double promptTokens = 0; ///< Of all executed chats.
+    double cachedTokens = 0; ///< Of these, found in the engines' prefix caches.
+    std::map<std::string, double> workByEngine; ///< Tokens read anew or generated.
 
     // Broken promises.
     int lost = 0; ///< No answer at all, or an answer to what was never executed.
@@ -38,6 +42,10 @@
     /// \returns the latency that \a share of the answers took at most.
     Duration quantile(double share) const;
 
+    /// \returns the most work of an engine as a multiple of the mean; 0 without any work.
+    /// \param engines including those that got none.
+    double skew(int engines) const;
+
     /// \returns one line for a person.
     std::string summary() const;
 
