--- a/bench/demo/main.cpp
+++ b/bench/demo/main.cpp
@@ -81,8 +81,11 @@
                        .callers = FLAGS_callers,
                        .requestsEach = FLAGS_requests_each,
                        .maxPause = std::chrono::milliseconds(FLAGS_faults ? 900 : 300)});
-    if (FLAGS_kill_router)
+    if (FLAGS_kill_router) {
         driver.at(std::chrono::seconds(2), [&] { fleet.router(0).signal(SIGKILL); });
+        // The platform's list lags.
+        driver.at(std::chrono::seconds(5), [&] { fleet.publishVms({0}); });
+    }
     if (FLAGS_faults)
         scheduleFaults(fleet, driver);
     LoadReport report = driver.run();
