Membership, signed datagrams and spread of configuration as pure modules (not wired yet)

Cause: routers knew each other only from the platform's lagging list and read every change from the store. Change: Membership (SWIM), NewsQueue, PeerCodec, PeerGuard, ConfigSpread, TrafficGovernor, TextDelta; ConfigKeeper settles lost answers and repeated change ids.

--- a/src/Control/ConfigKeeper.cpp
+++ b/src/Control/ConfigKeeper.cpp
@@ -2,38 +2,27 @@
 
 #include "Base/Hash.h"
 #include "Base/Log.h"
-
-#include <memory>
+#include "Control/TextDelta.h"
 
 #include <fmt/format.h>
-#include <json/json.h>
 
 namespace catkinloft {
 
 namespace {
 
-constexpr const char *HeadKey = "config/head";
+/// How long a router that reads a higher head waits for a peer to bring the change. At full size
+/// the body is over a megabyte and a peer's delta a few hundred bytes.
+constexpr Duration PeersFirst = std::chrono::seconds(2);
 
-struct Head
-{
-    std::uint64_t revision = 0;
-    std::string object;
-};
+/// Reads of whether a commit with a lost answer took effect, and the pause before the first; each
+/// further one is twice as long. Together 6 s: an operator waits no longer for an unknown result.
+constexpr int MaxSettling = 5;
+constexpr Duration SettlePause = std::chrono::milliseconds(200);
 
-std::string encodeHead(const Head &head)
-{
-    return fmt::format(R"({{"revision":{},"object":"{}"}})", head.revision, head.object);
-}
+/// Accepted changes kept in the table, two days' worth at 25,000 a day, so that it stays bounded.
+constexpr std::uint64_t KeptHistory = 50'000;
 
-std::optional<Head> decodeHead(const std::string &text)
-{
-    Json::Value root;
-    const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
-    if (!reader->parse(text.data(), text.data() + text.size(), &root, nullptr) || !root.isObject()
-        || !root["revision"].isUInt64() || !root["object"].isString())
-        return std::nullopt;
-    return Head{.revision = root["revision"].asUInt64(), .object = root["object"].asString()};
-}
+constexpr std::size_t MaxDiffLines = 20;
 
 std::string problemsText(const YamlProblems &problems)
 {
@@ -43,49 +32,81 @@
     return out;
 }
 
+Error storeDown(const Error &error, Verdict verdict)
+{
+    return {.reason = Reason::StoreDown,
+            .verdict = verdict,
+            .detail = error.detail,
+            .retryAfter = std::chrono::seconds(1)};
+}
+
 } // namespace
 
-ConfigKeeper::ConfigKeeper(Options options) : m_options(options) { }
+ConfigKeeper::ConfigKeeper(Options options) : m_options(std::move(options)) { }
 
 void ConfigKeeper::refresh()
 {
-    m_options.table.read({HeadKey}, [this](Result<std::vector<TableRow>> rows) {
-        if (!rows || rows.value().empty())
-            return;
-        const TableRow &row = rows.value().front();
-        const auto head = decodeHead(row.value);
-        if (!head || head->revision < m_headRevision)
+    m_options.table.read({config_rows::Head}, [this](Result<std::vector<TableRow>> rows) {
+        if (!rows)
             return;
-        m_headVersion = row.version;
-        m_headRevision = head->revision;
-        if (!m_current || head->revision > m_current->revision)
-            fetchBody(head->revision, head->object);
+        m_lastConfirmed = m_options.clock.now();
+        const TableRow *row = config_rows::find(rows.value(), config_rows::Head);
+        const auto head = row ? config_rows::decode(row->value) : std::nullopt;
+        const std::uint64_t revision = head ? head->digest.revision : 0;
+        if (revision < m_digest.revision)
+            Log::warning("config_head_behind",
+                         {{"head", revision}, {"in_force", m_digest.revision}});
+        else if (head && revision == m_digest.revision && head->digest.hash != m_digest.hash)
+            Log::error("config_chain_broken", {{"revision", revision}});
+        else if (head && revision > m_digest.revision && revision > m_fetching)
+            fetchHead(*head);
     });
 }
 
-void ConfigKeeper::fetchBody(std::uint64_t revision, const std::string &object)
+void ConfigKeeper::fetchHead(const ConfigRecord &head)
 {
-    m_options.objects.get(object, [this, revision](Result<std::optional<std::string>> body) {
-        if (body && body.value())
-            apply(revision, *body.value());
-    });
+    m_fetching = head.digest.revision;
+    const auto fetch = [this, head] {
+        if (m_digest.revision >= head.digest.revision) {
+            m_fetching = 0;
+            return;
+        }
+        m_options.objects.get(head.object, [this, head](Result<std::optional<std::string>> body) {
+            m_fetching = 0;
+            if (body && body.value())
+                takeOver(head.digest, *body.value());
+        });
+    };
+    if (m_current)
+        m_options.after(PeersFirst, fetch);
+    else
+        fetch();
 }
 
-void ConfigKeeper::apply(std::uint64_t revision, const std::string &text)
+bool ConfigKeeper::takeOver(const ConfigDigest &digest, const std::string &text)
 {
-    if (m_current && revision <= m_current->revision)
-        return;
+    // The rule that an accepted configuration never reverts rests on this comparison alone:
+    // whoever brings an older text, be it a peer, the store or a late answer, is refused.
+    if (digest.revision <= m_digest.revision)
+        return false;
+    if (hash64(text) != digest.hash) {
+        Log::error("config_body_wrong", {{"revision", digest.revision}});
+        return false;
+    }
     YamlProblems problems;
-    InventoryPtr next = Inventory::parse(text, "inventory", revision, problems);
+    InventoryPtr next = Inventory::parse(text, "inventory", digest.revision, problems);
     if (!next) {
         Log::error("config_unreadable",
-                   {{"revision", revision}, {"problems", problemsText(problems)}});
-        return;
+                   {{"revision", digest.revision}, {"problems", problemsText(problems)}});
+        return false;
     }
+    m_replacing.emit(text);
     m_current = std::move(next);
     m_text = text;
-    Log::info("config_applied", {{"revision", revision}});
+    m_digest = digest;
+    Log::info("config_applied", {{"revision", digest.revision}});
     m_changed.emit(m_current);
+    return true;
 }
 
 void ConfigKeeper::propose(ConfigChange change, std::function<void(Result<std::uint64_t>)> done)
@@ -95,45 +116,221 @@
         done(Error{.reason = Reason::ConfigInvalid, .detail = problemsText(problems)});
         return;
     }
-    const std::string object =
-            fmt::format("config/{}-{}", change.base + 1, sha256Hex(change.text).substr(0, 16));
-    m_options.objects.put(object, change.text, [this, change, object, done](Result<void> stored) {
+    // Without an id of the operator's, one of our own still settles a lost answer.
+    if (change.changeId.empty())
+        change.changeId = fmt::format("{:016x}", m_options.random());
+    auto it = std::make_shared<Proposal>();
+    const std::uint64_t revision = change.base + 1;
+    it->record = {
+            .digest = {.revision = revision, .hash = hash64(change.text)},
+            .object = fmt::format("config/{}-{}", revision, sha256Hex(change.text).substr(0, 16)),
+            .changeId = change.changeId,
+            .author = change.author,
+            .acceptedAt = static_cast<std::uint64_t>(
+                    m_options.clock.wallNow().time_since_epoch().count())};
+    it->change = std::move(change);
+    it->done = std::move(done);
+    std::vector<std::string> keys{config_rows::Head, config_rows::changeKey(it->change.changeId)};
+    if (revision > KeptHistory)
+        keys.push_back(config_rows::historyKey(revision - KeptHistory));
+    m_options.table.read(std::move(keys), [this, it](Result<std::vector<TableRow>> rows) {
+        if (rows)
+            decide(it, rows.value());
+        else
+            it->done(storeDown(rows.error(), Verdict::NotRun));
+    });
+}
+
+void ConfigKeeper::decide(const ProposalPtr &it, const std::vector<TableRow> &rows)
+{
+    if (answerRepeated(it, rows))
+        return;
+    const TableRow *row = config_rows::find(rows, config_rows::Head);
+    const ConfigRecord head =
+            (row ? config_rows::decode(row->value) : std::nullopt).value_or(ConfigRecord{});
+    if (head.digest.revision < m_digest.revision) {
+        // A table restored from a copy: a new revision above its head would be applied nowhere.
+        it->done(Error{.reason = Reason::StoreDown,
+                       .detail = fmt::format("the table service shows revision {}, but {} is in "
+                                             "force",
+                                             head.digest.revision, m_digest.revision)});
+        return;
+    }
+    if (head.digest.revision != it->change.base) {
+        lose(it, head);
+        return;
+    }
+    if (it->record.digest.revision > KeptHistory) {
+        const TableRow *old = config_rows::find(
+                rows, config_rows::historyKey(it->record.digest.revision - KeptHistory));
+        if (const auto record = old ? config_rows::decode(old->value) : std::nullopt)
+            it->expiredChangeId = record->changeId;
+    }
+    it->headVersion = row ? row->version : 0;
+    store(it);
+}
+
+bool ConfigKeeper::answerRepeated(const ProposalPtr &it, const std::vector<TableRow> &rows)
+{
+    const TableRow *row = config_rows::find(rows, config_rows::changeKey(it->change.changeId));
+    const auto first = row ? config_rows::decode(row->value) : std::nullopt;
+    if (!first)
+        return false;
+    if (first->digest.hash != it->record.digest.hash)
+        it->done(Error{.reason = Reason::KeyReused,
+                       .detail = fmt::format("the change id brought revision {} with another text",
+                                             first->digest.revision)});
+    else
+        it->done(first->digest.revision);
+    return true;
+}
+
+void ConfigKeeper::lose(const ProposalPtr &it, const ConfigRecord &head)
+{
+    const auto tell = [it, head](const std::string &differs) {
+        it->done(Error{.reason = Reason::ConfigConflict,
+                       .detail = fmt::format("made against revision {}, but {} of {} is in force; "
+                                             "it differs by:\n{}",
+                                             it->change.base, head.digest.revision, head.author,
+                                             differs),
+                       .figures = {{"base_revision", static_cast<double>(it->change.base)},
+                                   {"revision", static_cast<double>(head.digest.revision)}}});
+    };
+    m_options.objects.get(head.object, [it, tell](Result<std::optional<std::string>> body) {
+        tell(body && body.value() ? describeDelta(*body.value(), it->change.text, MaxDiffLines)
+                                  : "(its text can not be read now)\n");
+    });
+}
+
+void ConfigKeeper::store(const ProposalPtr &it)
+{
+    m_options.objects.put(it->record.object, it->change.text, [this, it](Result<void> stored) {
         if (stored)
-            commitHead(change, object, done);
+            commit(it);
         else
-            done(Error{.reason = Reason::StoreDown, .detail = stored.error().detail});
+            it->done(storeDown(stored.error(), Verdict::NotRun));
     });
 }
 
-void ConfigKeeper::commitHead(const ConfigChange &change, const std::string &object,
-                              std::function<void(Result<std::uint64_t>)> done)
+void ConfigKeeper::commit(const ProposalPtr &it)
 {
-    if (change.base != m_headRevision) {
-        done(Error{.reason = Reason::ConfigConflict,
-                   .detail = fmt::format("made against revision {}, but {} is in force",
-                                         change.base, m_headRevision)});
+    const std::string value = config_rows::encode(it->record);
+    const std::string changeKey = config_rows::changeKey(it->change.changeId);
+    const std::uint64_t revision = it->record.digest.revision;
+    TableTransaction transaction{
+            .expects = {{.key = config_rows::Head, .version = it->headVersion},
+                        {.key = changeKey, .version = 0}},
+            .writes = {{.key = config_rows::Head, .value = value},
+                       {.key = changeKey, .value = value},
+                       {.key = config_rows::historyKey(revision), .value = value}}};
+    if (!it->expiredChangeId.empty()) {
+        transaction.writes.push_back(
+                {.key = config_rows::historyKey(revision - KeptHistory), .value = {}});
+        transaction.writes.push_back(
+                {.key = config_rows::changeKey(it->expiredChangeId), .value = {}});
+    }
+    m_options.table.commit(std::move(transaction), [this, it](Result<TableCommit> answer) {
+        if (!answer && answer.error().verdict == Verdict::NotRun)
+            it->done(storeDown(answer.error(), Verdict::NotRun));
+        else if (answer && answer.value().committed)
+            accept(it);
+        else
+            settle(it);
+    });
+}
+
+void ConfigKeeper::settle(const ProposalPtr &it)
+{
+    m_options.table.read(
+            {config_rows::Head, config_rows::changeKey(it->change.changeId)},
+            [this, it](Result<std::vector<TableRow>> rows) {
+                if (!rows) {
+                    settleLater(it);
+                    return;
+                }
+                const TableRow *row = config_rows::find(rows.value(), config_rows::Head);
+                const auto head = row ? config_rows::decode(row->value) : std::nullopt;
+                if (config_rows::find(rows.value(), config_rows::changeKey(it->change.changeId))) {
+                    if (head && head->changeId == it->change.changeId)
+                        accept(it);
+                    else
+                        answerRepeated(it, rows.value());
+                } else if (head && head->digest.revision > it->change.base) {
+                    lose(it, *head);
+                } else {
+                    // The write may still be on its way: only another one in its place, or time,
+                    // shows that it did not take effect.
+                    settleLater(it);
+                }
+            });
+}
+
+void ConfigKeeper::settleLater(const ProposalPtr &it)
+{
+    if (++it->settling > MaxSettling) {
+        it->done(Error{.reason = Reason::StoreDown,
+                       .verdict = Verdict::MayHaveRun,
+                       .detail = "the table service does not tell whether the change was accepted; "
+                                 "send it again with change id "
+                               + it->change.changeId,
+                       .retryAfter = std::chrono::seconds(5)});
         return;
     }
-    const std::uint64_t revision = change.base + 1;
-    TableTransaction transaction;
-    transaction.expects.push_back({.key = HeadKey, .version = m_headVersion});
-    transaction.writes.push_back(
-            {.key = HeadKey, .value = encodeHead({.revision = revision, .object = object})});
-    m_options.table.commit(std::move(transaction),
-                           [this, revision, text = change.text, done](Result<TableCommit> answer) {
-                               if (!answer) {
-                                   done(answer.error());
-                               } else if (!answer.value().committed) {
-                                   refresh();
-                                   done(Error{.reason = Reason::ConfigConflict,
-                                              .detail = "another change was accepted first"});
-                               } else {
-                                   m_headRevision = revision;
-                                   refresh();
-                                   apply(revision, text);
-                                   done(revision);
-                               }
-                           });
+    m_options.after(SettlePause * (1 << (it->settling - 1)), [this, it] { settle(it); });
+}
+
+void ConfigKeeper::accept(const ProposalPtr &it)
+{
+    m_lastConfirmed = m_options.clock.now();
+    takeOver(it->record.digest, it->change.text);
+    it->done(it->record.digest.revision);
+}
+
+void ConfigKeeper::rollBack(std::uint64_t revision, ConfigChange change,
+                            std::function<void(Result<std::uint64_t>)> done)
+{
+    const std::string key = config_rows::historyKey(revision);
+    m_options.table.read({key}, [this, key, change, done](Result<std::vector<TableRow>> rows) {
+        if (!rows) {
+            done(storeDown(rows.error(), Verdict::NotRun));
+            return;
+        }
+        const TableRow *row = config_rows::find(rows.value(), key);
+        const auto record = row ? config_rows::decode(row->value) : std::nullopt;
+        if (!record) {
+            done(Error{.reason = Reason::NotFound, .detail = "no such revision is kept"});
+            return;
+        }
+        m_options.objects.get(record->object,
+                              [this, change, done](Result<std::optional<std::string>> body) {
+                                  if (!body || !body.value()) {
+                                      done(Error{.reason = Reason::StoreDown,
+                                                 .detail = "its text can not be read now"});
+                                      return;
+                                  }
+                                  ConfigChange next = change;
+                                  next.text = *body.value();
+                                  propose(std::move(next), done);
+                              });
+    });
+}
+
+void ConfigKeeper::history(std::size_t limit,
+                           std::function<void(Result<std::vector<ConfigRecord>>)> done)
+{
+    m_options.table.scan(config_rows::HistoryPrefix, limit,
+                         [done](Result<std::vector<TableRow>> rows) {
+                             if (!rows) {
+                                 done(storeDown(rows.error(), Verdict::NotRun));
+                                 return;
+                             }
+                             std::vector<ConfigRecord> out;
+                             for (const TableRow &it : rows.value()) {
+                                 if (auto record = config_rows::decode(it.value))
+                                     out.push_back(std::move(*record));
+                             }
+                             done(std::move(out));
+                         });
 }
 
 } // namespace catkinloft
--- /dev/null
+++ b/src/Control/ConfigRecords.cpp
@@ -0,0 +1,67 @@
+#include "Control/ConfigRecords.h"
+
+#include "Base/Hash.h"
+
+#include <limits>
+#include <memory>
+
+#include <fmt/format.h>
+#include <json/json.h>
+
+namespace catkinloft::config_rows {
+
+std::string historyKey(std::uint64_t revision)
+{
+    return fmt::format("{}{:020}", HistoryPrefix,
+                       std::numeric_limits<std::uint64_t>::max() - revision);
+}
+
+std::string changeKey(std::string_view changeId)
+{
+    // Hashed, because an operator's id may hold what a row key may not.
+    return "config/change/" + sha256Hex(changeId).substr(0, 32);
+}
+
+std::string encode(const ConfigRecord &record)
+{
+    Json::Value root;
+    root["revision"] = static_cast<Json::UInt64>(record.digest.revision);
+    root["hash"] = static_cast<Json::UInt64>(record.digest.hash);
+    root["object"] = record.object;
+    root["change_id"] = record.changeId;
+    root["author"] = record.author;
+    root["accepted_at"] = static_cast<Json::UInt64>(record.acceptedAt);
+    Json::StreamWriterBuilder writer;
+    writer["indentation"] = "";
+    return Json::writeString(writer, root);
+}
+
+std::optional<ConfigRecord> decode(const std::string &text)
+{
+    const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
+    Json::Value root;
+    try {
+        if (!reader->parse(text.data(), text.data() + text.size(), &root, nullptr)
+            || !root.isObject())
+            return std::nullopt;
+        return ConfigRecord{.digest = {.revision = root["revision"].asUInt64(),
+                                       .hash = root["hash"].asUInt64()},
+                            .object = root["object"].asString(),
+                            .changeId = root["change_id"].asString(),
+                            .author = root["author"].asString(),
+                            .acceptedAt = root["accepted_at"].asUInt64()};
+    } catch (const Json::Exception &) {
+        return std::nullopt;
+    }
+}
+
+const TableRow *find(const std::vector<TableRow> &rows, std::string_view key)
+{
+    for (const TableRow &it : rows) {
+        if (it.key == key && it.version != 0)
+            return &it;
+    }
+    return nullptr;
+}
+
+} // namespace catkinloft::config_rows
--- /dev/null
+++ b/src/Control/Membership.cpp
@@ -0,0 +1,506 @@
+#include "Control/Membership.h"
+
+#include "Base/Hash.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace catkinloft {
+
+namespace {
+
+/// Items of news on one message. About 110 bytes each: the datagram stays under the 1,200 bytes
+/// that pass every link whole, together with a delta's own limit.
+constexpr std::size_t NewsPerMessage = 3;
+
+/// Members on a page of a whole list, for the same reason.
+constexpr std::size_t SyncPage = 6;
+
+/// Transmissions of one item for each factor of ten in the number of members. Three times
+/// log10(890) = 9 lets news reach all but one in e^9 members at no loss; the comparison of whole
+/// lists finds the rest.
+constexpr double SendsPerDecade = 3;
+
+/// Pause before a gossip is repeated: longer than a round trip, so that the second wave starts from
+/// what the first one reached.
+constexpr Duration GossipPause = std::chrono::milliseconds(250);
+
+/// Candidates that are asked in one period: the list of 890 VMs is tried within minutes and costs
+/// no burst.
+constexpr std::size_t CandidatesPerPeriod = 2;
+
+bool isUp(MemberState state)
+{
+    return state == MemberState::Alive || state == MemberState::Suspect;
+}
+
+} // namespace
+
+Membership::Membership(Options options)
+    : m_options(std::move(options)), m_self(m_options.self), m_nextPeriod(m_options.clock.now()),
+      m_nextSync(m_options.clock.now() + std::chrono::seconds(2))
+{
+    m_news.add(m_self);
+}
+
+void Membership::addSeed(const std::string &peerAddress)
+{
+    if (peerAddress != m_self.peerAddress)
+        m_candidates.emplace("seed " + peerAddress, peerAddress);
+}
+
+void Membership::setVms(const std::vector<VmEntry> &vms)
+{
+    std::erase_if(m_candidates, [](const auto &it) { return !it.first.starts_with("seed "); });
+    for (const VmEntry &it : vms) {
+        const auto known = m_members.find(it.name);
+        if (it.name != m_self.name && (known == m_members.end() || !isUp(known->second.state)))
+            m_candidates[it.name] = it.peerAddress;
+    }
+}
+
+PeerMessage Membership::compose(PeerMessageKind kind, std::string_view to)
+{
+    PeerMessage out{.kind = kind, .from = m_self.name, .to = std::string(to), .load = m_load};
+    if (m_options.digest)
+        out.digest = m_options.digest();
+    return out;
+}
+
+std::size_t Membership::newsRoom() const
+{
+    // Where the byte limit is near, news waits for later messages.
+    return !m_options.mayDefer || m_options.mayDefer() ? NewsPerMessage : 1;
+}
+
+void Membership::sendTo(const Member &member, PeerMessage message)
+{
+    if (message.news.empty())
+        message.news = m_news.take(newsRoom(), maxSends());
+    m_options.send(member.peerAddress, std::move(message));
+}
+
+int Membership::maxSends() const
+{
+    return static_cast<int>(
+            std::ceil(SendsPerDecade * std::log10(static_cast<double>(m_members.size()) + 10)));
+}
+
+Duration Membership::suspicionTime() const
+{
+    // A refutation has to travel to all: the time grows with the logarithm of the members, as
+    // spreading does. At 890 it is 6 s, at 9 it is 2.6 s.
+    const double decades = std::log10(static_cast<double>(m_members.size()) + 10);
+    return fromSeconds(toSeconds(m_options.timing.period) * m_options.timing.suspicionPeriods
+                       * decades);
+}
+
+void Membership::receive(const std::string &address, const PeerMessage &message)
+{
+    if (message.from == m_self.name)
+        return;
+    m_lastHeard = m_options.clock.now();
+    for (const Member &it : message.news)
+        accept(it);
+    heardFrom(address, message);
+    switch (message.kind) {
+    case PeerMessageKind::Ping: {
+        PeerMessage ack = compose(PeerMessageKind::Ack, message.from);
+        ack.probe = message.probe;
+        ack.news = m_news.take(newsRoom(), maxSends());
+        m_options.send(address, std::move(ack));
+        break;
+    }
+    case PeerMessageKind::Ack:
+        if (m_probe && m_probe->id == message.probe)
+            m_probe->answered = true;
+        relayAck(message);
+        break;
+    case PeerMessageKind::PingRequest:
+        answerPingRequest(address, message);
+        break;
+    case PeerMessageKind::SyncRequest:
+        answerSync(address, message);
+        break;
+    case PeerMessageKind::Sync:
+        continueSync(message);
+        break;
+    case PeerMessageKind::Gossip:
+    case PeerMessageKind::ConfigRequest:
+    case PeerMessageKind::ConfigDelta:
+    case PeerMessageKind::ConfigLarge:
+        break;
+    }
+    if (m_gossipWanted)
+        gossip();
+}
+
+void Membership::heardFrom(const std::string &address, const PeerMessage &message)
+{
+    const auto it = m_members.find(message.from);
+    if (it == m_members.end()) {
+        // Its own page tells who it is.
+        PeerMessage request = compose(PeerMessageKind::SyncRequest, message.from);
+        request.news = {m_self};
+        if (message.kind != PeerMessageKind::SyncRequest && message.kind != PeerMessageKind::Sync)
+            m_options.send(address, std::move(request));
+        return;
+    }
+    it->second.load = message.load;
+    if (it->second.state == MemberState::Suspect || it->second.state == MemberState::Dead) {
+        // It lives, but only its own higher incarnation may say so to all: it gets told.
+        PeerMessage told = compose(PeerMessageKind::Gossip, message.from);
+        told.news = {it->second};
+        m_options.send(address, std::move(told));
+    }
+}
+
+void Membership::accept(const Member &news)
+{
+    if (news.name == m_self.name) {
+        acceptAboutSelf(news);
+        return;
+    }
+    const auto it = m_members.find(news.name);
+    if (it == m_members.end() && news.state == MemberState::Dead)
+        return;
+    if (it != m_members.end() && !overrides(news, it->second))
+        return;
+    noteState(news);
+}
+
+void Membership::noteState(const Member &news)
+{
+    const auto old = m_members.find(news.name);
+    const bool isNew = old == m_members.end();
+    const bool stateChanged = isNew || old->second.state != news.state;
+    Member &member = m_members[news.name];
+    member = news;
+    m_news.add(news);
+    if (isNew)
+        m_order.insert(
+                m_order.begin()
+                        + static_cast<std::ptrdiff_t>(below(m_options.random, m_order.size() + 1)),
+                news.name);
+    m_candidates.erase(news.name);
+    const TimePoint now = m_options.clock.now();
+    if (news.state == MemberState::Suspect)
+        m_deadlines[news.name] = now + suspicionTime();
+    else if (news.state == MemberState::Dead)
+        m_deadlines[news.name] = now + m_options.timing.deadKept;
+    else
+        m_deadlines.erase(news.name);
+    if (!stateChanged)
+        return;
+    // Death and leaving take callers off an address, so they don't wait for the next probe.
+    m_gossipWanted =
+            m_gossipWanted || news.state == MemberState::Dead || news.state == MemberState::Leaving;
+    m_changed.emit(member);
+}
+
+void Membership::acceptAboutSelf(const Member &news)
+{
+    const bool wrong = news.state != m_self.state;
+    if (news.incarnation < m_self.incarnation || (!wrong && news.incarnation == m_self.incarnation))
+        return;
+    m_self.incarnation = news.incarnation + 1;
+    m_news.add(m_self);
+    m_gossipWanted = true;
+}
+
+void Membership::answerPingRequest(const std::string &address, const PeerMessage &message)
+{
+    const std::uint64_t id = m_nextId++;
+    m_relays[id] = {.address = address, .probe = message.probe, .sent = m_options.clock.now()};
+    PeerMessage ping = compose(PeerMessageKind::Ping, message.target);
+    ping.probe = id;
+    ping.news = m_news.take(newsRoom(), maxSends());
+    m_options.send(message.targetAddress, std::move(ping));
+}
+
+void Membership::relayAck(const PeerMessage &message)
+{
+    const auto it = m_relays.find(message.probe);
+    if (it == m_relays.end())
+        return;
+    PeerMessage ack = compose(PeerMessageKind::Ack, {});
+    ack.probe = it->second.probe;
+    m_options.send(it->second.address, std::move(ack));
+    m_relays.erase(it);
+}
+
+void Membership::poll()
+{
+    const TimePoint now = m_options.clock.now();
+    if (m_probe && !m_probe->answered && !m_probe->indirect
+        && now >= m_probe->sent + m_options.timing.ackTimeout)
+        askOthers();
+    if (now >= m_gossipAgain) {
+        m_gossipAgain = TimePoint::max();
+        gossipNow();
+    }
+    if (now >= m_nextPeriod) {
+        endProbe();
+        expire();
+        startProbe();
+        if (m_syncAfter)
+            requestPage();
+        // A random part keeps routers that started together from probing together.
+        const double jitter = 0.9 + 0.2 * uniform(m_options.random);
+        m_nextPeriod = now + fromSeconds(toSeconds(m_options.timing.period) * jitter);
+    }
+    if (now >= m_nextSync)
+        startSync();
+    if (m_gossipWanted)
+        gossip();
+}
+
+TimePoint Membership::nextDeadline() const
+{
+    TimePoint out = std::min({m_nextPeriod, m_nextSync, m_gossipAgain});
+    if (m_probe && !m_probe->answered && !m_probe->indirect)
+        out = std::min(out, m_probe->sent + m_options.timing.ackTimeout);
+    return out;
+}
+
+std::string Membership::nextTarget()
+{
+    // A shuffled round bounds the longest time until a member is probed, where independent draws
+    // would leave some out for long.
+    for (int round = 0; round < 2; ++round) {
+        while (!m_order.empty()) {
+            std::string name = std::move(m_order.back());
+            m_order.pop_back();
+            const auto it = m_members.find(name);
+            if (it != m_members.end() && it->second.state != MemberState::Dead)
+                return name;
+        }
+        for (const auto &[name, member] : m_members)
+            m_order.push_back(name);
+        for (std::size_t i = m_order.size(); i > 1; --i)
+            std::swap(m_order[i - 1], m_order[below(m_options.random, i)]);
+    }
+    return {};
+}
+
+void Membership::startProbe()
+{
+    joinThroughSeeds();
+    const std::string name = nextTarget();
+    if (name.empty())
+        return;
+    m_probe = Probe{.target = name, .id = m_nextId++, .sent = m_options.clock.now()};
+    PeerMessage ping = compose(PeerMessageKind::Ping, name);
+    ping.probe = m_probe->id;
+    const Member &member = m_members.at(name);
+    // A suspect hears of the suspicion from everybody who probes it, so that it can refute it.
+    if (member.state == MemberState::Suspect)
+        ping.news = {member};
+    sendTo(member, std::move(ping));
+}
+
+void Membership::askOthers()
+{
+    m_probe->indirect = true;
+    const auto it = m_members.find(m_probe->target);
+    if (it == m_members.end())
+        return;
+    PeerMessage again = compose(PeerMessageKind::Ping, it->first);
+    again.probe = m_probe->id;
+    sendTo(it->second, std::move(again));
+    const auto n = static_cast<std::size_t>(m_options.timing.indirectProbes);
+    for (const Member *helper : randomMembers(n, m_probe->target)) {
+        PeerMessage request = compose(PeerMessageKind::PingRequest, helper->name);
+        request.probe = m_probe->id;
+        request.target = it->first;
+        request.targetAddress = it->second.peerAddress;
+        sendTo(*helper, std::move(request));
+    }
+}
+
+void Membership::endProbe()
+{
+    if (!m_probe)
+        return;
+    const Probe probe = *m_probe;
+    m_probe.reset();
+    const auto it = m_members.find(probe.target);
+    if (probe.answered || it == m_members.end())
+        return;
+    // A router that was paused itself finds its probe unanswered through no fault of the target.
+    if (m_options.clock.now() > probe.sent + 2 * m_options.timing.period)
+        return;
+    Member news = it->second;
+    if (news.state == MemberState::Alive)
+        news.state = MemberState::Suspect;
+    else if (news.state == MemberState::Leaving)
+        news.state = MemberState::Dead;
+    if (overrides(news, it->second))
+        noteState(news);
+}
+
+void Membership::joinThroughSeeds()
+{
+    std::vector<std::string> addresses;
+    for (const auto &[name, address] : m_candidates) {
+        // Seeds are only for a router that knows nobody.
+        if (!name.starts_with("seed ") || liveCount() == 0)
+            addresses.push_back(address);
+    }
+    for (std::size_t i = 0; i < CandidatesPerPeriod && !addresses.empty(); ++i) {
+        const std::size_t at = below(m_options.random, addresses.size());
+        PeerMessage request = compose(PeerMessageKind::SyncRequest, {});
+        request.news = {m_self};
+        m_options.send(addresses[at], std::move(request));
+        addresses.erase(addresses.begin() + static_cast<std::ptrdiff_t>(at));
+    }
+}
+
+void Membership::expire()
+{
+    const TimePoint now = m_options.clock.now();
+    std::vector<std::string> due;
+    for (const auto &[name, deadline] : m_deadlines) {
+        if (now >= deadline)
+            due.push_back(name);
+    }
+    for (const std::string &name : due) {
+        Member member = m_members.at(name);
+        if (member.state == MemberState::Suspect) {
+            member.state = MemberState::Dead;
+            noteState(member);
+        } else {
+            m_deadlines.erase(name);
+            m_members.erase(name);
+        }
+    }
+    std::erase_if(m_relays, [&](const auto &it) {
+        return now > it.second.sent + 2 * m_options.timing.period;
+    });
+}
+
+void Membership::startSync()
+{
+    const double jitter = 0.5 + uniform(m_options.random);
+    m_nextSync =
+            m_options.clock.now() + fromSeconds(toSeconds(m_options.timing.syncInterval) * jitter);
+    m_syncAfter = "";
+    requestPage();
+}
+
+/// Load: a router that comes up among 890 reads 150 pages, 1,200 times a day in the fleet. Each
+/// page is asked of another member, so that no router pays for the whole list; a lost page is asked
+/// for again in the next period.
+void Membership::requestPage()
+{
+    if (m_options.mayDefer && !m_options.mayDefer())
+        return;
+    for (const Member *it : randomMembers(1, {})) {
+        PeerMessage request = compose(PeerMessageKind::SyncRequest, it->name);
+        request.target = m_syncAfter.value_or("");
+        request.news = {m_self};
+        // The hash spares the pages where the lists agree, which is nearly always.
+        if (request.target.empty())
+            request.listHash = listHash();
+        m_options.send(it->peerAddress, std::move(request));
+    }
+}
+
+std::uint64_t Membership::listHash() const
+{
+    // A sum, so that the place of this router in its own list does not matter.
+    const auto one = [](const Member &it) {
+        return it.state == MemberState::Dead
+                ? 0
+                : hash64(it.name, it.incarnation * 8 + static_cast<std::uint64_t>(it.state));
+    };
+    std::uint64_t out = one(m_self);
+    for (const auto &[name, member] : m_members)
+        out += one(member);
+    return out;
+}
+
+void Membership::answerSync(const std::string &address, const PeerMessage &message)
+{
+    if (m_options.mayDefer && !m_options.mayDefer())
+        return;
+    PeerMessage page = compose(PeerMessageKind::Sync, message.from);
+    if (message.target.empty())
+        page.news.push_back(m_self);
+    auto it = m_members.upper_bound(message.target);
+    if (message.listHash != 0 && message.listHash == listHash())
+        it = m_members.end();
+    for (; it != m_members.end() && page.news.size() < SyncPage; ++it) {
+        if (it->first != message.from)
+            page.news.push_back(it->second);
+    }
+    if (it != m_members.end())
+        page.target = std::prev(it)->first;
+    m_options.send(address, std::move(page));
+}
+
+void Membership::continueSync(const PeerMessage &message)
+{
+    if (message.target.empty()) {
+        m_syncAfter.reset();
+        return;
+    }
+    // An answer to an older request must not take the reading back.
+    if (m_syncAfter.value_or("") >= message.target)
+        return;
+    m_syncAfter = message.target;
+    requestPage();
+}
+
+void Membership::gossip()
+{
+    m_gossipWanted = false;
+    if (m_options.mayDefer && !m_options.mayDefer())
+        return;
+    gossipNow();
+    m_gossipAgain = m_options.clock.now() + GossipPause;
+}
+
+void Membership::gossipNow()
+{
+    const auto n = static_cast<std::size_t>(m_options.timing.gossipFanout);
+    for (const Member *it : randomMembers(n, {}))
+        sendTo(*it, compose(PeerMessageKind::Gossip, it->name));
+}
+
+std::vector<const Member *> Membership::randomMembers(std::size_t n, std::string_view except)
+{
+    std::vector<const Member *> all;
+    for (const auto &[name, member] : m_members) {
+        if (member.state != MemberState::Dead && name != except)
+            all.push_back(&member);
+    }
+    for (std::size_t i = 0; i < std::min(n, all.size()); ++i)
+        std::swap(all[i], all[i + below(m_options.random, all.size() - i)]);
+    all.resize(std::min(n, all.size()));
+    return all;
+}
+
+std::string Membership::randomAddress()
+{
+    const auto some = randomMembers(1, {});
+    return some.empty() ? std::string() : some.front()->peerAddress;
+}
+
+void Membership::leave()
+{
+    m_self.state = MemberState::Leaving;
+    ++m_self.incarnation;
+    m_news.add(m_self);
+    gossipNow();
+    m_gossipAgain = m_options.clock.now() + GossipPause;
+}
+
+std::size_t Membership::liveCount() const
+{
+    return static_cast<std::size_t>(
+            std::count_if(m_members.begin(), m_members.end(),
+                          [](const auto &it) { return isUp(it.second.state); }));
+}
+
+} // namespace catkinloft
--- /dev/null
+++ b/src/Control/RpcClient.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <string>
+
+namespace Json {
+class Value;
+}
+
+namespace catkinloft::internal {
+
+/// \returns \a method and \a params as the text of a JSON-RPC notification.
+std::string encodeNotification(const std::string &method, const Json::Value &params);
+
+} // namespace catkinloft::internal
