--- a/src/Base/TableService.h
+++ b/src/Base/TableService.h
@@ -13,8 +13,8 @@
 /// \brief A row of the platform's table service.
 struct TableRow
 {
-    std::string key;
-    std::string value;
+    std::string key = {};
+    std::string value = {};
     std::uint64_t version = 0; ///< Rises with every write of the row; 0: the row does not exist.
 };
 
@@ -40,7 +40,7 @@
 struct TableCommit
 {
     bool committed = false;
-    std::vector<TableRow> current; ///< The rows named in `expects`, as they stand now.
+    std::vector<TableRow> current = {}; ///< The rows named in `expects`, as they stand now.
 };
 
 /// \brief The platform's transactional table service.
--- a/src/Base/VmList.h
+++ b/src/Base/VmList.h
@@ -11,10 +11,10 @@
 /// \brief One VM of the platform's list.
 struct VmEntry
 {
-    std::string name;
-    std::string callerAddress; ///< `ip:port` that callers connect to.
-    std::string peerAddress; ///< `ip:port` for other routers.
-    std::string failureDomain;
+    std::string name = {};
+    std::string callerAddress = {}; ///< `ip:port` that callers connect to.
+    std::string peerAddress = {}; ///< `ip:port` for other routers.
+    std::string failureDomain = {};
     bool leaving = false;
 };
 
--- a/src/Control/Member.h
+++ b/src/Control/Member.h
@@ -20,10 +20,10 @@
 /// \brief A router as membership knows it, and one item of news about it.
 struct Member
 {
-    std::string name;
-    std::string callerAddress; ///< `ip:port`.
-    std::string peerAddress; ///< `ip:port`.
-    std::string failureDomain;
+    std::string name = {};
+    std::string callerAddress = {}; ///< `ip:port`.
+    std::string peerAddress = {}; ///< `ip:port`.
+    std::string failureDomain = {};
     MemberState state = MemberState::Alive;
     std::uint64_t incarnation = 0; ///< Raised only by the member itself.
     std::uint32_t load = 0; ///< Requests in progress, as last heard.
--- a/src/Control/Membership.cpp
+++ b/src/Control/Membership.cpp
@@ -100,8 +100,10 @@
     if (message.from == m_self.name)
         return;
     m_lastHeard = m_options.clock.now();
+    // Pages of a whole list bring what others know already: passing that on would fill messages.
+    const bool isNews = message.kind != PeerMessageKind::Sync;
     for (const Member &it : message.news)
-        accept(it);
+        accept(it, isNews);
     heardFrom(address, message);
     switch (message.kind) {
     case PeerMessageKind::Ping: {
@@ -156,7 +158,7 @@
     }
 }
 
-void Membership::accept(const Member &news)
+void Membership::accept(const Member &news, bool passOn)
 {
     if (news.name == m_self.name) {
         acceptAboutSelf(news);
@@ -167,10 +169,10 @@
         return;
     if (it != m_members.end() && !overrides(news, it->second))
         return;
-    noteState(news);
+    noteState(news, passOn);
 }
 
-void Membership::noteState(const Member &news)
+void Membership::noteState(const Member &news, bool passOn)
 {
     const auto old = m_members.find(news.name);
     const bool isNew = old == m_members.end();
@@ -180,7 +182,8 @@
     member = news;
     member.load = before.load;
     member.heardAt = before.heardAt;
-    m_news.add(news);
+    if (passOn)
+        m_news.add(news);
     if (isNew)
         m_order.insert(
                 m_order.begin()
--- a/src/Control/Membership.h
+++ b/src/Control/Membership.h
@@ -111,10 +111,10 @@
         TimePoint sent;
     };
 
-    void accept(const Member &news);
+    void accept(const Member &news, bool passOn);
     void acceptAboutSelf(const Member &news);
     void heardFrom(const std::string &address, const PeerMessage &message);
-    void noteState(const Member &news);
+    void noteState(const Member &news, bool passOn = true);
     void answerPingRequest(const std::string &address, const PeerMessage &message);
     void relayAck(const PeerMessage &message);
     void answerSync(const std::string &address, const PeerMessage &message);
--- a/src/Control/PeerGuard.cpp
+++ b/src/Control/PeerGuard.cpp
@@ -34,7 +34,7 @@
 
 } // namespace
 
-std::string_view toString(PeerFault fault)
+std::string_view peerFaultName(PeerFault fault)
 {
     switch (fault) {
     case PeerFault::None:
--- a/src/Control/PeerGuard.h
+++ b/src/Control/PeerGuard.h
@@ -16,7 +16,7 @@
 enum class PeerFault : std::uint8_t { None, Forged, Replayed, Misdirected, Malformed };
 
 /// \returns the label of \a fault in metrics.
-std::string_view toString(PeerFault fault);
+std::string_view peerFaultName(PeerFault fault);
 
 /// \brief Signs datagrams between routers and refuses those that nobody who knows a key has sent,
 /// or that were sent before.
--- a/src/Net/PeerTask.cpp
+++ b/src/Net/PeerTask.cpp
@@ -99,7 +99,7 @@
     if (fault == PeerFault::None)
         return false;
     options.metrics.count("catkinloft_peer_refused_total",
-                          Metrics::label("fault", toString(fault)));
+                          Metrics::label("fault", peerFaultName(fault)));
     return true;
 }
 
