Inventory: a changed revision reads only the entries that changed

Change: InventoryParser finds entries by lines and indentation, reads the new ones, checks all names again, and hands anything it can't vouch for (anchors, block scalars, quotes over lines, mistakes) to the whole parser.

--- a/src/Base/Base.h
+++ b/src/Base/Base.h
@@ -7,6 +7,7 @@
 #include "Base/Error.h" // IWYU pragma: export
 #include "Base/Hash.h" // IWYU pragma: export
 #include "Base/Inventory.h" // IWYU pragma: export
+#include "Base/InventoryParser.h" // IWYU pragma: export
 #include "Base/Log.h" // IWYU pragma: export
 #include "Base/ManualClock.h" // IWYU pragma: export
 #include "Base/Metrics.h" // IWYU pragma: export
--- a/src/Base/Inventory.h
+++ b/src/Base/Inventory.h
@@ -17,6 +17,8 @@
 {
     std::string name; ///< Name of the failure domain.
     std::string region;
+
+    bool operator==(const Place &) const = default;
 };
 
 /// \brief A model engine, one replica of one model.
@@ -33,6 +35,8 @@
     std::vector<std::string> adapters; ///< Adapters that it is meant to have loaded.
     std::string version; ///< Model version that it is meant to run; empty: any.
     std::string role = "serve"; ///< `serve` or `standby`.
+
+    bool operator==(const Engine &) const = default;
 };
 
 /// \brief One replica of a plain service.
@@ -41,6 +45,8 @@
     std::string address; ///< `ip:port`.
     std::string failureDomain;
     bool leaving = false;
+
+    bool operator==(const ServiceReplica &) const = default;
 };
 
 /// \brief A plain service and its contract.
@@ -52,6 +58,8 @@
     std::vector<int> notRunStatuses; ///< Statuses by which it promises that it did nothing.
     Duration timeout = std::chrono::seconds(30); ///< Longest wait for a whole answer.
     int concurrency = 64; ///< Calls in progress that one replica takes.
+
+    bool operator==(const Service &) const = default;
 };
 
 /// \brief A customer of the system.
@@ -62,6 +70,8 @@
     double weight = 1.0; ///< Share of a saturated engine, relative to the others.
     bool isProtected = false; ///< Served before the rest when work has to be refused.
     int maxInFlight = 0; ///< Requests in progress on a router; 0: no limit of its own.
+
+    bool operator==(const Workspace &) const = default;
 };
 
 /// \brief Who may change the configuration.
@@ -69,6 +79,8 @@
 {
     std::string name;
     std::string keySha256;
+
+    bool operator==(const Operator &) const = default;
 };
 
 /// \brief What operators decide on top of what they own.
@@ -82,6 +94,8 @@
     Duration requestTimeout = std::chrono::seconds(120); ///< Deadline where a caller names none.
     Duration addressLifetime = std::chrono::seconds(20); ///< How long an address answer is kept.
     double maxEjectedShare = 0.34; ///< Most engines of a pool that may be ejected at once.
+
+    bool operator==(const Rules &) const = default;
 };
 
 /// \brief What the operators own and the rules on top, as one checked value.
@@ -114,9 +128,10 @@
     /// \returns positions in `engines` of the replicas of \a model; empty for an unknown one.
     const std::vector<std::size_t> &enginesOf(std::string_view model) const;
 
-private:
+    /// \brief Makes the look-ups above work; to be called once after the lists were filled.
     void buildIndexes();
 
+private:
     std::map<std::string, std::size_t, std::less<>> m_workspaceByKey;
     std::map<std::string, std::size_t, std::less<>> m_operatorByKey;
     std::map<std::string, std::vector<std::size_t>, std::less<>> m_byModel;
--- /dev/null
+++ b/src/Base/InventoryParser.cpp
@@ -0,0 +1,169 @@
+#include "Base/InventoryParser.h"
+
+#include "Base/internal/InventoryOutline.h"
+#include "Base/internal/InventoryReader.h"
+
+#include <unordered_map>
+#include <unordered_set>
+
+namespace catkinloft {
+
+using internal::InventoryOutline;
+
+namespace {
+
+using Positions = std::unordered_map<std::string_view, std::size_t>;
+
+Positions positionsOf(const std::vector<std::string_view> &items)
+{
+    Positions out;
+    out.reserve(items.size());
+    for (std::size_t i = 0; i < items.size(); ++i)
+        out.emplace(items[i], i);
+    return out;
+}
+
+/// Appends to \a text the entries that \a known does not have.
+std::size_t appendNew(std::string &text, std::string_view key,
+                      const std::vector<std::string_view> &items, const Positions &known)
+{
+    std::size_t n = 0;
+    for (const std::string_view it : items) {
+        if (known.contains(it))
+            continue;
+        if (n++ == 0)
+            text.append(key).append(":\n");
+        text.append(it).append("\n");
+    }
+    return n;
+}
+
+/// Puts the entries of \a items together from those known before and those read anew, which come
+/// in the same order.
+template<typename T>
+std::vector<T> merged(const std::vector<std::string_view> &items, const Positions &known,
+                      const std::vector<T> &before, std::vector<T> &&fresh)
+{
+    std::vector<T> out;
+    out.reserve(items.size());
+    std::size_t next = 0;
+    for (const std::string_view it : items) {
+        const auto found = known.find(it);
+        out.push_back(found == known.end() ? std::move(fresh[next++]) : before[found->second]);
+    }
+    return out;
+}
+
+bool allDistinct(const Inventory &inventory)
+{
+    std::unordered_set<std::string_view> names;
+    std::unordered_set<std::string_view> addresses;
+    names.reserve(inventory.engines.size());
+    addresses.reserve(inventory.engines.size());
+    for (const Engine &it : inventory.engines) {
+        if (!names.insert(it.name).second || !addresses.insert(it.address).second)
+            return false;
+    }
+    std::unordered_set<std::string_view> workspaces;
+    std::unordered_set<std::string_view> keys;
+    for (const Workspace &it : inventory.workspaces) {
+        if (!workspaces.insert(it.name).second || !keys.insert(it.keySha256).second)
+            return false;
+    }
+    for (const Operator &it : inventory.operators) {
+        if (!keys.insert(it.keySha256).second)
+            return false;
+    }
+    return true;
+}
+
+} // namespace
+
+struct InventoryParser::Private
+{
+    std::string text; ///< Of `last`; the outline looks into it.
+    InventoryOutline outline;
+    Positions engines;
+    Positions workspaces;
+    InventoryPtr last;
+    std::size_t entriesRead = 0;
+
+    InventoryPtr parseChanges(const InventoryOutline &next, const std::string &file,
+                              std::uint64_t revision);
+    void remember(const std::string &newText, InventoryPtr inventory);
+};
+
+InventoryPtr InventoryParser::Private::parseChanges(const InventoryOutline &next,
+                                                    const std::string &file, std::uint64_t revision)
+{
+    // Known engines were checked against these places.
+    if (!last || next.places != outline.places)
+        return nullptr;
+    std::string reduced;
+    for (const std::string_view it : next.others)
+        reduced.append(it).append("\n");
+    const std::size_t newEngines = appendNew(reduced, "engines", next.engines, engines);
+    const std::size_t newWorkspaces = appendNew(reduced, "workspaces", next.workspaces, workspaces);
+    YamlProblems ignored;
+    const auto root = parseYaml(reduced, file, ignored);
+    if (!root)
+        return nullptr;
+    auto out = std::make_shared<Inventory>();
+    out->revision = revision;
+    internal::readInventory(YamlSection(*root, file, {}, ignored), *out);
+    if (!ignored.empty() || out->engines.size() != newEngines
+        || out->workspaces.size() != newWorkspaces)
+        return nullptr;
+    entriesRead = newEngines + newWorkspaces;
+    out->engines = merged(next.engines, engines, last->engines, std::move(out->engines));
+    out->workspaces =
+            merged(next.workspaces, workspaces, last->workspaces, std::move(out->workspaces));
+    if (!allDistinct(*out))
+        return nullptr;
+    out->buildIndexes();
+    return out;
+}
+
+void InventoryParser::Private::remember(const std::string &newText, InventoryPtr inventory)
+{
+    text = newText;
+    last = nullptr;
+    outline = {};
+    engines.clear();
+    workspaces.clear();
+    const auto next = InventoryOutline::of(text);
+    if (!next || next->engines.size() != inventory->engines.size()
+        || next->workspaces.size() != inventory->workspaces.size())
+        return;
+    outline = *next;
+    engines = positionsOf(outline.engines);
+    workspaces = positionsOf(outline.workspaces);
+    last = std::move(inventory);
+}
+
+InventoryParser::InventoryParser() : m_d(std::make_unique<Private>()) { }
+
+InventoryParser::~InventoryParser() = default;
+
+InventoryPtr InventoryParser::parse(const std::string &text, const std::string &file,
+                                    std::uint64_t revision, YamlProblems &problems)
+{
+    InventoryPtr out;
+    if (const auto next = InventoryOutline::of(text))
+        out = m_d->parseChanges(*next, file, revision);
+    if (!out) {
+        out = Inventory::parse(text, file, revision, problems);
+        if (!out)
+            return nullptr;
+        m_d->entriesRead = out->engines.size() + out->workspaces.size();
+    }
+    m_d->remember(text, out);
+    return out;
+}
+
+std::size_t InventoryParser::entriesRead() const
+{
+    return m_d->entriesRead;
+}
+
+} // namespace catkinloft
