--- a/src/Control/ConfigKeeper.cpp
+++ b/src/Control/ConfigKeeper.cpp
@@ -94,7 +94,7 @@
         return false;
     }
     YamlProblems problems;
-    InventoryPtr next = Inventory::parse(text, "inventory", digest.revision, problems);
+    InventoryPtr next = m_parser.parse(text, "inventory", digest.revision, problems);
     if (!next) {
         Log::error("config_unreadable",
                    {{"revision", digest.revision}, {"problems", problemsText(problems)}});
@@ -112,7 +112,7 @@
 void ConfigKeeper::propose(ConfigChange change, std::function<void(Result<std::uint64_t>)> done)
 {
     YamlProblems problems;
-    if (!Inventory::parse(change.text, "inventory", change.base + 1, problems)) {
+    if (!m_parser.parse(change.text, "inventory", change.base + 1, problems)) {
         done(Error{.reason = Reason::ConfigInvalid, .detail = problemsText(problems)});
         return;
     }
--- a/src/Control/ConfigKeeper.h
+++ b/src/Control/ConfigKeeper.h
@@ -2,7 +2,7 @@
 
 #include "Base/Clock.h"
 #include "Base/Error.h"
-#include "Base/Inventory.h"
+#include "Base/InventoryParser.h"
 #include "Base/ObjectStore.h"
 #include "Base/Random.h"
 #include "Base/TableService.h"
@@ -108,6 +108,7 @@
     void accept(const ProposalPtr &it);
 
     Options m_options;
+    InventoryParser m_parser;
     InventoryPtr m_current;
     std::string m_text;
     ConfigDigest m_digest;
