Status page wired: /status for browsers, /v1/status as JSON

Cause: operators need engines, load against the bound, workspaces and refusals in one place. Change: OperatorPages collects a StatusReport; a browser sends the operator's key as the password.

--- a/src/Decide/Dispatcher.h
+++ b/src/Decide/Dispatcher.h
@@ -95,6 +95,9 @@
     /// Whether the verdict allows a repetition is the caller's to check.
     bool mayRetry(const Job &job, Reason reason);
 
+    /// \returns requests that wait or run here, by workspace.
+    const std::map<std::string, int> &inFlight() const { return m_inFlight; }
+
     const Counters &counters() const { return m_counters; }
     const Placement &placement() const { return m_placement; }
     std::size_t waiting() const { return m_queue.size(); }
--- a/src/Net/Forwarder.cpp
+++ b/src/Net/Forwarder.cpp
@@ -141,6 +141,29 @@
     attempt->start();
 }
 
+void Forwarder::describe(StatusReport &report) const
+{
+    report.inProgress = inProgress();
+    std::map<std::string, int> workspaces;
+    for (const auto &[key, pool] : m_d->pools) {
+        const Placement &placement = pool->placement();
+        const std::string name = key.substr(key.find(':') + 1);
+        for (std::size_t i = 0; i < placement.size(); ++i) {
+            const auto state = placement.healthOf(i).state;
+            report.upstreams.push_back({.name = placement.upstream(i).name,
+                                        .pool = name,
+                                        .work = placement.loadOf(i),
+                                        .bound = placement.boundOf(i, 0),
+                                        .leaving = placement.upstream(i).leaving,
+                                        .ejected = state != HealthTracker::State::Healthy});
+        }
+        for (const auto &[workspace, n] : pool->inFlight())
+            workspaces[workspace] += n;
+    }
+    for (const auto &[workspace, n] : workspaces)
+        report.workspaces.push_back({.name = workspace, .inProgress = n});
+}
+
 std::size_t Forwarder::inProgress() const
 {
     return m_d->attempts.size();
--- a/src/Net/Forwarder.h
+++ b/src/Net/Forwarder.h
@@ -6,6 +6,7 @@
 #include "Control/RouterDirectory.h"
 #include "Decide/Dispatcher.h"
 #include "Net/HttpExchange.h"
+#include "Net/StatusPage.h"
 #include "Request/RequestContext.h"
 
 #include <functional>
@@ -44,6 +45,9 @@
     /// \returns requests that have not got their whole answer.
     std::size_t inProgress() const;
 
+    /// \brief Adds the load of upstreams and workspaces to \a report.
+    void describe(StatusReport &report) const;
+
 private:
     class Attempt;
     struct Private;
--- a/src/Net/Gateway.cpp
+++ b/src/Net/Gateway.cpp
@@ -27,6 +27,7 @@
     void request(const HttpExchangePtr &exchange);
     void refuse(const RequestPtr &request, const HttpExchangePtr &exchange, const Error &error);
     void fail(const HttpExchangePtr &exchange, const Error &error);
+    void describe(StatusReport &report) const;
     void explain(const HttpExchangePtr &exchange);
     Options options;
     FilterChain chain;
@@ -53,7 +54,7 @@
              .membership = options.peers.membership(),
              .directory = options.directory,
              .random = options.random,
-             .inProgress = [this] { return forwarder.inProgress(); },
+             .describe = [this](StatusReport &report) { describe(report); },
              .fail = [this](const HttpExchangePtr &exchange,
                             const Error &error) { fail(exchange, error); }})
 {
@@ -87,6 +88,7 @@
     routes["/v1/where"]["GET"] = [this](const HttpExchangePtr &it) { pages.where(it); };
     routes["/v1/status"]["GET"] = [this](const HttpExchangePtr &it) { pages.status(it); };
     routes["/v1/explain"]["GET"] = [this](const HttpExchangePtr &it) { explain(it); };
+    routes["/status"]["GET"] = [this](const HttpExchangePtr &it) { pages.statusPage(it); };
     routes["/v1/config"]["GET"] = [this](const HttpExchangePtr &it) { pages.readConfig(it); };
     routes["/v1/history"]["GET"] = [this](const HttpExchangePtr &it) { pages.history(it); };
     routes["/v1/config"]["PUT"] = [this](const HttpExchangePtr &it) { pages.writeConfig(it); };
@@ -136,6 +138,17 @@
                       {{"Content-Type", "application/problem+json"}}, Problem::body(error, {}, {}));
 }
 
+void Gateway::Private::describe(StatusReport &report) const
+{
+    forwarder.describe(report);
+    for (const ReasonInfo &it : allReasons()) {
+        const std::uint64_t n = options.metrics.counter("catkinloft_refusals_total",
+                                                        Metrics::label("reason", it.reason));
+        if (n > 0)
+            report.refusals.push_back({.reason = std::string(it.code), .n = n});
+    }
+}
+
 void Gateway::Private::explain(const HttpExchangePtr &exchange)
 {
     const Result<Refusal> refusal =
--- a/src/Net/OperatorPages.cpp
+++ b/src/Net/OperatorPages.cpp
@@ -46,6 +46,22 @@
     return parseRevision(text);
 }
 
+/// The key in an Authorization header: `Bearer KEY`, or the password of `Basic`.
+std::string keyOf(std::string_view authorization)
+{
+    constexpr std::string_view Basic = "Basic ";
+    if (!authorization.starts_with(Basic))
+        return std::string(AuthenticateFilter::bearerKey(authorization));
+    std::string encoded(authorization.substr(Basic.size()));
+    while (!encoded.empty() && encoded.back() == '=')
+        encoded.pop_back();
+    std::replace(encoded.begin(), encoded.end(), '+', '-');
+    std::replace(encoded.begin(), encoded.end(), '/', '_');
+    const std::string pair = base64UrlDecode(encoded);
+    const std::size_t colon = pair.find(':');
+    return colon == std::string::npos ? std::string() : pair.substr(colon + 1);
+}
+
 } // namespace
 
 OperatorPages::OperatorPages(Options options) : m_options(std::move(options)) { }
@@ -88,31 +104,42 @@
                        {.reason = Reason::OperatorOnly, .detail = "an operator's key is needed"});
         return;
     }
-    std::string list;
+    exchange->respond(200, JsonType, printStatusJson(report()));
+}
+
+void OperatorPages::statusPage(const HttpExchangePtr &exchange)
+{
+    if (operatorOf(exchange)) {
+        exchange->respond(200, {{"Content-Type", "text/html; charset=utf-8"}},
+                          printStatusPage(report()));
+        return;
+    }
+    // A browser asks its user for the key: any name, the operator's key as the password.
+    exchange->respond(401,
+                      {{"Content-Type", "text/plain"},
+                       {"WWW-Authenticate", "Basic realm=\"catkinloft operators\""}},
+                      "an operator's key is needed, as the password\n");
+}
+
+StatusReport OperatorPages::report() const
+{
+    StatusReport out{.router = m_options.settings.name, .revision = revision()};
     for (const RouterView &it : m_options.directory.routers()) {
         const bool isSelf = it.name == m_options.settings.name;
-        list += fmt::format(R"({}{{"name":{},"address":{},"failure_domain":{},"leaving":{},)"
-                            R"("revision":{}}})",
-                            list.empty() ? "" : ",", jsonQuoted(it.name),
-                            jsonQuoted(it.callerAddress), jsonQuoted(it.failureDomain), it.leaving,
-                            isSelf ? revision() : m_options.spread.revisionOf(it.name));
+        out.routers.push_back(
+                {.view = it,
+                 .revision = isSelf ? revision() : m_options.spread.revisionOf(it.name)});
     }
-    const TimePoint confirmed = m_options.config.lastConfirmed();
-    const std::int64_t age = confirmed == TimePoint::min()
-            ? -1
-            : (m_options.clock.now() - confirmed).count() / 1'000'000;
-    exchange->respond(200, JsonType,
-                      fmt::format(R"({{"router":{},"revision":{},"store_age_ms":{},)"
-                                  R"("in_progress":{},"routers":[{}]}})"
-                                  "\n",
-                                  jsonQuoted(m_options.settings.name), revision(), age,
-                                  m_options.inProgress(), list));
+    if (const TimePoint at = m_options.config.lastConfirmed(); at != TimePoint::min())
+        out.storeAge = m_options.clock.now() - at;
+    m_options.describe(out);
+    return out;
 }
 
 std::optional<std::string> OperatorPages::operatorOf(const HttpExchangePtr &exchange)
 {
     const InventoryPtr inventory = m_options.config.current();
-    const std::string_view key = AuthenticateFilter::bearerKey(exchange->header("Authorization"));
+    const std::string key = keyOf(exchange->header("Authorization"));
     if (key.empty())
         return std::nullopt;
     const std::string hash = sha256Hex(key);
--- a/src/Net/OperatorPages.h
+++ b/src/Net/OperatorPages.h
@@ -4,6 +4,7 @@
 #include "Base/Random.h"
 #include "Base/Settings.h"
 #include "Net/HttpExchange.h"
+#include "Net/StatusPage.h"
 
 #include <cstdint>
 #include <functional>
@@ -30,14 +31,15 @@
         const Membership &membership;
         RouterDirectory &directory;
         RandomSource random;
-        std::function<std::size_t()> inProgress;
+        std::function<void(StatusReport &)> describe; ///< Adds what requests are in progress.
         std::function<void(const HttpExchangePtr &, const Error &)> fail; ///< Answers a refusal.
     };
 
     explicit OperatorPages(Options options);
 
     void where(const HttpExchangePtr &exchange);
-    void status(const HttpExchangePtr &exchange);
+    void status(const HttpExchangePtr &exchange); ///< As JSON.
+    void statusPage(const HttpExchangePtr &exchange); ///< For a browser.
     void readConfig(const HttpExchangePtr &exchange);
 
     /// \brief Puts the body in force, or with `rollback=N` the text of revision N again.
@@ -48,6 +50,7 @@
     std::optional<std::string> operatorOf(const HttpExchangePtr &exchange);
     void proposed(const HttpExchangePtr &exchange, const Result<std::uint64_t> &result);
     std::uint64_t revision() const;
+    StatusReport report() const;
 
     Options m_options;
 };
--- a/src/Net/StatusPage.cpp
+++ b/src/Net/StatusPage.cpp
@@ -76,11 +76,25 @@
 std::string routersTable(const StatusReport &report)
 {
     std::vector<std::vector<std::string>> rows;
-    for (const RouterView &it : report.routers)
+    for (const auto &[it, revision] : report.routers)
         rows.push_back({escaped(it.name), escaped(it.callerAddress), escaped(it.failureDomain),
-                        it.leaving ? "leaving" : "live", fmt::format("{:.0f}", it.load)});
+                        it.leaving ? "leaving" : "live", fmt::format("{}", revision),
+                        fmt::format("{:.0f}", it.load)});
     return table("Routers",
-                 {{"Name"}, {"Address"}, {"Failure domain"}, {"State"}, {"Requests", true}}, rows);
+                 {{"Name"},
+                  {"Address"},
+                  {"Failure domain"},
+                  {"State"},
+                  {"Revision", true},
+                  {"Requests", true}},
+                 rows);
+}
+
+std::string confirmedText(const StatusReport &report)
+{
+    if (!report.storeAge)
+        return "not confirmed by the table service yet";
+    return fmt::format("confirmed by the table service {:.1f} s ago", toSeconds(*report.storeAge));
 }
 
 std::string_view upstreamState(const StatusReport::Upstream &it)
@@ -132,11 +146,13 @@
     return "[" + out + "]";
 }
 
-std::string routerJson(const RouterView &it)
+std::string routerJson(const StatusReport::Router &router)
 {
-    return fmt::format(R"({{"name":{},"address":{},"failure_domain":{},"leaving":{},"load":{}}})",
+    const RouterView &it = router.view;
+    return fmt::format(R"({{"name":{},"address":{},"failure_domain":{},"leaving":{},)"
+                       R"("revision":{},"load":{}}})",
                        jsonQuoted(it.name), jsonQuoted(it.callerAddress),
-                       jsonQuoted(it.failureDomain), it.leaving, it.load);
+                       jsonQuoted(it.failureDomain), it.leaving, router.revision, it.load);
 }
 
 std::string upstreamJson(const StatusReport::Upstream &it)
@@ -159,11 +175,12 @@
     const std::string refusals = jsonList(report.refusals, [](const StatusReport::Count &it) {
         return fmt::format(R"({{"reason":{},"count":{}}})", jsonQuoted(it.reason), it.n);
     });
-    return fmt::format(R"({{"router":{},"revision":{},"config_age_s":{:.3f},"in_progress":{},)"
+    const std::int64_t age = report.storeAge ? report.storeAge->count() / 1'000'000 : -1;
+    return fmt::format(R"({{"router":{},"revision":{},"store_age_ms":{},"in_progress":{},)"
                        R"("routers":{},"upstreams":{},"workspaces":{},"refusals":{}}})"
                        "\n",
-                       jsonQuoted(report.router), report.revision, report.configAgeSeconds,
-                       report.inProgress, jsonList(report.routers, routerJson),
+                       jsonQuoted(report.router), report.revision, age, report.inProgress,
+                       jsonList(report.routers, routerJson),
                        jsonList(report.upstreams, upstreamJson),
                        jsonList(report.workspaces, workspaceJson), refusals);
 }
@@ -174,11 +191,11 @@
                        "<meta name=\"viewport\" content=\"width=device-width\">"
                        "<meta http-equiv=\"refresh\" content=\"{}\">"
                        "<title>{} - catkinloft</title><style>{}</style></head><body><main>"
-                       "<h1>Router {}</h1>\n<p>Configuration revision <strong>{}</strong>, last "
-                       "confirmed {:.1f} s ago. {} requests in progress.</p>\n{}{}{}{}"
+                       "<h1>Router {}</h1>\n<p>Configuration revision <strong>{}</strong>, "
+                       "{}. {} requests in progress.</p>\n{}{}{}{}"
                        "</main></body></html>\n",
                        ReloadSeconds, escaped(report.router), Style, escaped(report.router),
-                       report.revision, report.configAgeSeconds, report.inProgress,
+                       report.revision, confirmedText(report), report.inProgress,
                        routersTable(report), upstreamsTable(report), workspacesTable(report),
                        refusalsTable(report));
 }
--- a/src/Net/StatusPage.h
+++ b/src/Net/StatusPage.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "Base/Clock.h"
 #include "Decide/RouterView.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,6 +28,11 @@
         int inProgress = 0;
         bool isProtected = false;
     };
+    struct Router
+    {
+        RouterView view;
+        std::uint64_t revision = 0; ///< Last heard of it.
+    };
     struct Count
     {
         std::string reason;
@@ -34,12 +41,13 @@
 
     std::string router;
     std::uint64_t revision = 0;
-    double configAgeSeconds = 0; ///< Since the table service last confirmed the revision.
+    /// Since the table service last confirmed the revision; nothing: not yet.
+    std::optional<Duration> storeAge = {};
     std::size_t inProgress = 0;
-    std::vector<RouterView> routers;
-    std::vector<Upstream> upstreams;
-    std::vector<WorkspaceLoad> workspaces;
-    std::vector<Count> refusals;
+    std::vector<Router> routers = {};
+    std::vector<Upstream> upstreams = {};
+    std::vector<WorkspaceLoad> workspaces = {};
+    std::vector<Count> refusals = {};
 };
 
 /// \returns \a report as a JSON object on one line, for `catkinloft status`.
--- a/test/StatusPageTest.cpp
+++ b/test/StatusPageTest.cpp
@@ -14,9 +14,9 @@
     StatusReport report{
             .router = "router-1",
             .revision = 7,
-            .configAgeSeconds = 1.5,
+            .storeAge = std::chrono::milliseconds(1500),
             .inProgress = 3,
-            .routers = {{.name = "router-1", .callerAddress = "127.0.0.1:80", .load = 2}},
+            .routers = {{{.name = "router-1", .callerAddress = "127.0.0.1:80", .load = 2}, 7}},
             .upstreams = {{.name = "e<1>", .pool = "planning", .work = 90, .bound = 100},
                           {.name = "e2", .pool = "planning", .leaving = true}},
             .workspaces = {{.name = "a\"b", .inProgress = 2, .isProtected = true}},
@@ -57,6 +57,8 @@
     const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
     REQUIRE(reader->parse(text.data(), text.data() + text.size(), &root, nullptr));
     CHECK(root["revision"].asInt() == 7);
+    CHECK(root["store_age_ms"].asInt() == 1500);
+    CHECK(root["routers"][0]["revision"].asInt() == 7);
     CHECK(root["upstreams"][0]["name"].asString() == "e<1>");
     CHECK(root["upstreams"][1]["state"].asString() == "leaving");
     CHECK(root["workspaces"][0]["protected"].asBool());
