Engines: knowledge with an age, orders under a lease, caches moved before a leave

Cause: engines report late and with gaps, some ignore fencing numbers, and the weight store refuses more than a few loads at a time. OrderController compares what the inventory wants with what an engine says and gives the next order; engines that ignore numbers change version only while they get no requests. They found that one router could load for two engines at once; it now keeps to one.

--- /dev/null
+++ b/src/Control/EnginePoller.cpp
@@ -0,0 +1,47 @@
+#include "Control/EnginePoller.h"
+
+namespace catkinloft {
+
+EnginePoller::EnginePoller(Options options) : m_options(options) { }
+
+void EnginePoller::setEngines(std::vector<Engine> engines)
+{
+    m_engines = std::move(engines);
+}
+
+TimePoint EnginePoller::nextDeadline() const
+{
+    return m_engines.empty() ? TimePoint::max() : m_next;
+}
+
+void EnginePoller::poll()
+{
+    const TimePoint now = m_options.clock.now();
+    if (now < nextDeadline())
+        return;
+    m_next = now + fromSeconds(1 / m_options.enginesPerSecond);
+    m_position = (m_position + 1) % m_engines.size();
+    read(m_engines[m_position]);
+}
+
+void EnginePoller::read(const Engine &engine)
+{
+    m_options.engines.readLoad(engine.address,
+                               [this, name = engine.name,
+                                alive = std::weak_ptr(m_alive)](const Result<EngineLoad> &load) {
+                                   if (alive.expired())
+                                       return;
+                                   if (load)
+                                       m_options.knowledge.noteLoad(name, load.value());
+                                   else
+                                       m_options.knowledge.noteUnreachable(name);
+                               });
+    m_options.engines.readCacheEvents(engine.address, m_options.knowledge.cursor(engine.name),
+                                      [this, name = engine.name, alive = std::weak_ptr(m_alive)](
+                                              const Result<CacheFeed> &feed) {
+                                          if (!alive.expired() && feed)
+                                              m_options.knowledge.noteEvents(name, feed.value());
+                                      });
+}
+
+} // namespace catkinloft
--- /dev/null
+++ b/src/Control/OrderController.cpp
@@ -0,0 +1,373 @@
+#include "Control/OrderController.h"
+
+#include "Base/Hash.h"
+#include "Base/Log.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace catkinloft {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// An order is read back after this long; engines switch versions and roles well within it.
+constexpr Duration ReadBackDelay = 1s;
+
+/// Longest time between two readings of an engine that fails: a dead one costs next to nothing and
+/// a mended one is found within a minute.
+constexpr Duration MaxBackOff = 60s;
+
+/// While a load waits for a slot of the weight store.
+constexpr Duration SlotDelay = 5s;
+
+bool wantsTheSame(const Engine &a, const Engine &b)
+{
+    return a.address == b.address && a.model == b.model && a.version == b.version
+            && a.adapters == b.adapters && a.role == b.role && a.leaving == b.leaving
+            && a.checksFencing == b.checksFencing;
+}
+
+} // namespace
+
+OrderController::OrderController(Options options)
+    : m_options(std::move(options)), m_weights({.clock = m_options.clock,
+                                                .random = [this] { return m_options.random(); },
+                                                .table = m_options.table,
+                                                .self = m_options.self})
+{ }
+
+void OrderController::setInventory(InventoryPtr inventory)
+{
+    std::map<std::string, Target> next;
+    for (auto &it : m_groups)
+        it.second.engines.clear();
+    for (const Engine &it : inventory->engines)
+        addTarget(it, next);
+    m_targets = std::move(next);
+    m_inventory = std::move(inventory);
+    forgetLostLoads();
+    routersChanged();
+}
+
+void OrderController::addTarget(const Engine &engine, std::map<std::string, Target> &into)
+{
+    const std::size_t group = orderGroupOf(engine.name);
+    Group &it = m_groups[group];
+    if (!it.lease) {
+        it.lease = std::make_unique<LeaseKeeper>(
+                LeaseKeeper::Options{.clock = m_options.clock,
+                                     .random = [this] { return m_options.random(); },
+                                     .table = m_options.table,
+                                     .key = orderLeaseKey(group),
+                                     .self = m_options.self});
+    }
+    it.engines.push_back(engine.name);
+    Target &target = into[engine.name];
+    // Changes come every 3.5 s at full size: starting all readings anew with each would leave the
+    // engines at the end of the group unread.
+    const auto old = m_targets.find(engine.name);
+    if (old != m_targets.end())
+        target = std::move(old->second);
+    if (old == m_targets.end() || !wantsTheSame(target.wanted, engine))
+        target.nextCheck = m_options.clock.now();
+    target.wanted = engine;
+    target.group = group;
+}
+
+void OrderController::routersChanged()
+{
+    for (auto &[group, it] : m_groups)
+        it.lease->setWanted(!it.engines.empty() && m_options.isFirst(hash64("orders", group)));
+}
+
+void OrderController::poll()
+{
+    forgetLostLoads();
+    m_weights.poll();
+    for (auto &it : m_groups)
+        it.second.lease->poll();
+    checkMostOverdue();
+}
+
+TimePoint OrderController::nextDeadline() const
+{
+    TimePoint out = m_weights.nextDeadline();
+    for (const auto &it : m_groups) {
+        out = std::min(out, it.second.lease->nextDeadline());
+        if (!it.second.lease->fence())
+            continue;
+        for (const std::string &name : it.second.engines) {
+            const Target &target = m_targets.at(name);
+            if (!target.busy)
+                out = std::min(out, std::max(target.nextCheck, m_nextReading));
+        }
+    }
+    return out;
+}
+
+std::size_t OrderController::groupsHeld() const
+{
+    return static_cast<std::size_t>(
+            std::count_if(m_groups.begin(), m_groups.end(),
+                          [](const auto &it) { return it.second.lease->fence().has_value(); }));
+}
+
+std::vector<OrderController::Target *> OrderController::targetsHeld()
+{
+    std::vector<Target *> out;
+    for (const auto &it : m_groups) {
+        if (!it.second.lease->fence())
+            continue;
+        for (const std::string &name : it.second.engines)
+            out.push_back(&m_targets.at(name));
+    }
+    return out;
+}
+
+void OrderController::checkMostOverdue()
+{
+    const TimePoint now = m_options.clock.now();
+    if (m_nextReading > now)
+        return;
+    Target *best = nullptr;
+    for (Target *it : targetsHeld()) {
+        if (!it->busy && it->nextCheck <= now && (!best || it->nextCheck < best->nextCheck))
+            best = it;
+    }
+    if (!best)
+        return;
+    m_nextReading = now + fromSeconds(1 / m_options.checksPerSecond);
+    check(best->wanted.name, *best);
+}
+
+template<typename T>
+std::function<void(Result<T>)>
+OrderController::receiver(const std::string &name, std::function<void(Target &, Result<T>)> then)
+{
+    return [this, name, then = std::move(then), alive = std::weak_ptr(m_alive)](Result<T> answer) {
+        if (alive.expired())
+            return;
+        const auto it = m_targets.find(name);
+        if (it == m_targets.end())
+            return;
+        it->second.busy = false;
+        then(it->second, std::move(answer));
+    };
+}
+
+void OrderController::check(const std::string &name, Target &target)
+{
+    checkAgainIn(target, m_options.checkInterval);
+    target.busy = true;
+    m_options.engines.readState(
+            target.wanted.address,
+            receiver<EngineState>(name, [this, name](Target &it, const auto &state) {
+                if (state)
+                    learned(name, state.value());
+                else
+                    failed(it, "reading its state", state.error());
+            }));
+}
+
+void OrderController::checkAgainIn(Target &target, Duration delay)
+{
+    target.nextCheck = m_options.clock.now() + delay;
+}
+
+void OrderController::failed(Target &target, std::string_view what, const Error &error)
+{
+    const int doublings = std::min(++target.failures, 10);
+    const Duration delay = std::min(ReadBackDelay * (1 << doublings), MaxBackOff);
+    checkAgainIn(target, fromSeconds(toSeconds(delay) * (0.5 + uniform(m_options.random))));
+    noLoad(target.wanted.name);
+    m_options.metrics.count("catkinloft_engine_control_failures_total",
+                            Metrics::label("reason", error.reason));
+    Log::warning("engine_control_failed",
+                 {{"engine", target.wanted.name},
+                  {"during", what},
+                  {"reason", reasonInfo(error.reason).code},
+                  {"detail", error.detail},
+                  {"verdict", toString(error.verdict)}});
+}
+
+void OrderController::noLoad(const std::string &name)
+{
+    m_loads.erase(name);
+    if (m_loading == name)
+        m_loading.clear();
+    m_weights.setWanted(!m_loads.empty());
+}
+
+void OrderController::forgetLostLoads()
+{
+    const auto isLost = [this](const std::string &name) {
+        const auto it = m_targets.find(name);
+        return it == m_targets.end() || (!it->second.busy && !leaseOf(it->second).fence());
+    };
+    std::erase_if(m_loads, isLost);
+    if (!m_loads.contains(m_loading))
+        m_loading.clear();
+    m_weights.setWanted(!m_loads.empty());
+}
+
+void OrderController::learned(const std::string &name, const EngineState &state)
+{
+    Target &target = m_targets.at(name);
+    LeaseKeeper &lease = leaseOf(target);
+    const auto fence = lease.fence();
+    if (!fence)
+        return; // Whoever holds it now reads for itself.
+    if (target.wanted.checksFencing && state.fence > *fence) {
+        // Its row is younger than what the engine saw, as after a rename: raised before any order.
+        lease.raiseFence(state.fence);
+        checkAgainIn(target, ReadBackDelay);
+        return;
+    }
+    auto step = nextOrderStep(target.wanted, state, target.loadedVersion);
+    if (step)
+        step->revision = m_inventory->revision;
+    if (!step || !step->needsWeights)
+        noLoad(name);
+    if (!step) {
+        target.failures = 0;
+        target.lastCause.clear();
+    } else if (step->withheld) {
+        withhold(target, *step);
+    } else if (!step->needsWeights) {
+        prepare(name, *step);
+    } else if (mayLoad(name, target)) {
+        askWeights(name, *step);
+    }
+}
+
+void OrderController::withhold(Target &target, const OrderStep &step)
+{
+    m_options.metrics.count("catkinloft_orders_withheld_total",
+                            Metrics::label("order", toString(step.order.kind)));
+    if (target.lastCause == step.cause)
+        return;
+    target.lastCause = step.cause;
+    Log::warning("order_withheld",
+                 {{"engine", target.wanted.name},
+                  {"order", toString(step.order.kind)},
+                  {"cause", step.cause}});
+}
+
+bool OrderController::mayLoad(const std::string &name, Target &target)
+{
+    m_loads.insert(name);
+    m_weights.setWanted(true);
+    // One load at a time, for this router has one slot.
+    if ((m_loading.empty() || m_loading == name) && m_weights.mayAsk()) {
+        m_loading = name;
+        return true;
+    }
+    checkAgainIn(target, SlotDelay);
+    return false;
+}
+
+void OrderController::askWeights(const std::string &name, const OrderStep &step)
+{
+    if (step.order.kind != OrderKind::LoadModel || step.order.version.empty()) {
+        prepare(name, step);
+        return;
+    }
+    m_targets.at(name).busy = true;
+    m_options.engines.askWeights(
+            step.order.model, step.order.version,
+            receiver<void>(name, [this, name, step](Target &target, const auto &answer) {
+                if (answer) {
+                    prepare(name, step);
+                    return;
+                }
+                if (answer.error().retryAfter)
+                    m_weights.backOff(*answer.error().retryAfter);
+                failed(target, "asking the weight store", answer.error());
+                if (answer.error().retryAfter)
+                    target.nextCheck = std::max(target.nextCheck,
+                                                m_options.clock.now() + *answer.error().retryAfter);
+            }));
+}
+
+void OrderController::prepare(const std::string &name, const OrderStep &step)
+{
+    Target &target = m_targets.at(name);
+    if (target.wanted.checksFencing) {
+        give(name, step);
+        return;
+    }
+    // The engine won't notice that the lease went to another, so the row is read right before.
+    target.busy = true;
+    leaseOf(target).confirm([this, name, step, alive = std::weak_ptr(m_alive)](bool isHeld) {
+        if (alive.expired())
+            return;
+        const auto it = m_targets.find(name);
+        if (it == m_targets.end())
+            return;
+        it->second.busy = false;
+        if (isHeld)
+            give(name, step);
+    });
+}
+
+void OrderController::give(const std::string &name, const OrderStep &step)
+{
+    Target &target = m_targets.at(name);
+    // Asked right here: this process may have been paused since the state was read.
+    const auto fence = leaseOf(target).fence();
+    if (!fence || step.revision != m_inventory->revision) {
+        noLoad(name);
+        checkAgainIn(target, ReadBackDelay); // Worked out anew from what is wanted by then.
+        return;
+    }
+    EngineOrder order = step.order;
+    order.fence = *fence;
+    order.id = fmt::format("{}-{}-{}", m_options.self, order.fence, ++m_orders);
+    Log::info("order_given",
+              {{"engine", name},
+               {"order", toString(order.kind)},
+               {"cause", step.cause},
+               {"fence", order.fence},
+               {"order_id", order.id},
+               {"revision", m_inventory->revision}});
+    target.busy = true;
+    m_options.engines.give(
+            target.wanted.address, order,
+            receiver<OrderAnswer>(name, [this, name, order](Target &it, const auto &answer) {
+                checkAgainIn(it, ReadBackDelay);
+                answered(name, order, answer);
+            }));
+}
+
+void OrderController::answered(const std::string &name, const EngineOrder &order,
+                               const Result<OrderAnswer> &answer)
+{
+    Target &target = m_targets.at(name);
+    noLoad(name);
+    const auto count = [&](std::string_view result) {
+        m_options.metrics.count("catkinloft_orders_total",
+                                Metrics::label("order", toString(order.kind)) + ","
+                                        + Metrics::label("result", result));
+    };
+    if (!answer) {
+        count("unknown"); // The read-back tells.
+        failed(target, "giving an order", answer.error());
+    } else if (!answer.value().applied) {
+        count("fenced");
+        Log::warning("order_fenced",
+                     {{"engine", name},
+                      {"order_id", order.id},
+                      {"fence", order.fence},
+                      {"seen", answer.value().fence}});
+        leaseOf(target).raiseFence(answer.value().fence);
+    } else {
+        count("applied");
+        if (order.kind == OrderKind::LoadModel)
+            target.loadedVersion = order.version;
+    }
+}
+
+} // namespace catkinloft
--- /dev/null
+++ b/src/Control/OrderController.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "Base/Inventory.h"
+#include "Base/Metrics.h"
+#include "Control/EnginePort.h"
+#include "Control/LeaseKeeper.h"
+#include "Control/OrderPlan.h"
+#include "Control/WeightBudget.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace catkinloft {
+
+/// \brief Brings the engines to the state that the inventory wants: reads each one's state, gives
+/// the next order where it differs and reads back. Orders only while it holds the lease of the
+/// engine's group.
+///
+/// Load: 10,000 engines in 256 groups, a new version for thousands of them at once.
+/// Harm prevented: orders of a holder that was paused past its lease, a weight store asked beyond
+/// its limit, and readings that eat the node's budget for control traffic.
+class OrderController
+{
+public:
+    struct Options
+    {
+        const Clock &clock;
+        RandomSource random;
+        TableService &table;
+        EnginePort &engines;
+        Metrics &metrics;
+        std::string self; ///< Name of this router.
+        /// Whether this router comes first for a key among the routers that it knows. A hint only:
+        /// where two believe it, the lease decides.
+        std::function<bool(std::uint64_t key)> isFirst;
+        /// Shortest time between two readings of one engine: drift is repaired within it.
+        Duration checkInterval = std::chrono::seconds(10);
+        /// A reading is about 450 bytes with headers, so this is 15% of 3 KB/s. A group of 39
+        /// engines is gone through in 40 s.
+        double checksPerSecond = 1;
+    };
+
+    explicit OrderController(Options options);
+
+    /// \brief Takes over what is wanted; engines of which something else is wanted than before
+    /// are read first.
+    void setInventory(InventoryPtr inventory);
+
+    /// \brief Asks isFirst() anew for each group.
+    void routersChanged();
+
+    void poll();
+
+    /// \returns when poll() has to run next.
+    TimePoint nextDeadline() const;
+
+    /// \returns groups whose lease is held now.
+    std::size_t groupsHeld() const;
+
+private:
+    struct Target
+    {
+        Engine wanted;
+        std::size_t group = 0;
+        TimePoint nextCheck;
+        bool busy = false; ///< A call to it is under way.
+        int failures = 0; ///< In a row.
+        std::string loadedVersion; ///< That it was made to load, not to run, by this holder.
+        std::string lastCause; ///< Of the step that was withheld, so that it's logged once.
+    };
+
+    struct Group
+    {
+        std::unique_ptr<LeaseKeeper> lease;
+        std::vector<std::string> engines;
+    };
+
+    void addTarget(const Engine &engine, std::map<std::string, Target> &into);
+    LeaseKeeper &leaseOf(const Target &target) { return *m_groups.at(target.group).lease; }
+    std::vector<Target *> targetsHeld();
+    void checkMostOverdue();
+    void check(const std::string &name, Target &target);
+    void learned(const std::string &name, const EngineState &state);
+    void withhold(Target &target, const OrderStep &step);
+    bool mayLoad(const std::string &name, Target &target);
+    void askWeights(const std::string &name, const OrderStep &step);
+    void prepare(const std::string &name, const OrderStep &step);
+    void give(const std::string &name, const OrderStep &step);
+    void answered(const std::string &name, const EngineOrder &order,
+                  const Result<OrderAnswer> &answer);
+    void failed(Target &target, std::string_view what, const Error &error);
+    void checkAgainIn(Target &target, Duration delay);
+    void noLoad(const std::string &name);
+    void forgetLostLoads();
+
+    /// \returns \a then, called with the target if it is still there and this is too; whatever the
+    /// answer, the call to the engine is over.
+    template<typename T>
+    std::function<void(Result<T>)> receiver(const std::string &name,
+                                            std::function<void(Target &, Result<T>)> then);
+
+    Options m_options;
+    InventoryPtr m_inventory;
+    std::map<std::size_t, Group> m_groups;
+    std::map<std::string, Target> m_targets;
+    WeightBudget m_weights;
+    std::set<std::string> m_loads; ///< Engines that need the weight store.
+    std::string m_loading; ///< The one of them that uses this router's slot; empty: none.
+    TimePoint m_nextReading; ///< Not before this one, for the budget.
+    std::uint64_t m_orders = 0;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace catkinloft
