TLS for callers and upstreams, engine task in the router

Cause: API keys and chats cross the network in the clear, and nothing read the engines or repaired their drift. EngineTask reads the engines that this router owns and gives orders to the groups whose lease it holds.

--- a/src/Cli/CheckCommand.cpp
+++ b/src/Cli/CheckCommand.cpp
@@ -3,6 +3,7 @@
 #include "Cli/Command.h"
 #include "Cli/Commands.h"
 #include "Cli/internal/Tools.h"
+#include "Net/TlsContext.h"
 
 #include <fmt/format.h>
 
@@ -10,6 +11,17 @@
 
 namespace {
 
+void checkTls(const std::shared_ptr<const Settings> &settings, const std::string &path,
+              YamlProblems &problems)
+{
+    if (!settings)
+        return;
+    const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
+            std::chrono::system_clock::now());
+    for (std::string &it : tlsProblems(settings->tls, now))
+        problems.push_back({.file = path, .line = 0, .key = "tls", .message = std::move(it)});
+}
+
 /// A file with a peer address is a router's settings, any other an inventory.
 void checkFile(const std::string &path, YamlProblems &problems)
 {
@@ -22,7 +34,7 @@
     const auto root = parseYaml(*text, path, ignored);
     const bool isSettings = root && ((*root)["peer_address"] || (*root)["caller_address"]);
     if (isSettings)
-        Settings::parse(*text, path, problems);
+        checkTls(Settings::parse(*text, path, problems), path, problems);
     else
         Inventory::parse(*text, path, 1, problems);
 }
--- a/src/Cli/internal/Tools.cpp
+++ b/src/Cli/internal/Tools.cpp
@@ -1,6 +1,7 @@
 #include "Cli/internal/Tools.h"
 
 #include "Net/EventLoop.h"
+#include "Net/TlsContext.h"
 
 #include <cstdlib>
 #include <fstream>
@@ -9,6 +10,9 @@
 #include <fmt/format.h>
 #include <gflags/gflags.h>
 
+DEFINE_string(ca, "",
+              "PEM file of the authority that routers' certificates are checked against; "
+              "empty: plain HTTP");
 DEFINE_string(router, "127.0.0.1:8080", "address of any router, IP:PORT");
 
 namespace catkinloft::internal {
@@ -26,7 +30,11 @@
 Result<HttpAnswer> fetchNow(HttpCall call)
 {
     EventLoop loop;
-    HttpClient client(loop);
+    TlsContext tls({.certificateFile = {}, .keyFile = {}, .caFile = FLAGS_ca});
+    if (const Result<void> result = tls.load(loop.wallNow()); !result)
+        return result.error();
+    call.secure = tls.checksUpstreams();
+    HttpClient client(loop, &tls);
     std::optional<Result<HttpAnswer>> out;
     client.fetch(std::move(call), [&](Result<HttpAnswer> answer) {
         out = std::move(answer);
--- /dev/null
+++ b/src/Net/EngineHttp.cpp
@@ -0,0 +1,274 @@
+#include "Net/EngineHttp.h"
+
+#include "Net/EventLoop.h"
+#include "Net/HttpClient.h"
+#include "Net/internal/Json.h"
+
+#include <charconv>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace catkinloft {
+
+using internal::parseJsonObject;
+using internal::printJson;
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration ReadTimeout = 2s;
+
+/// An order to load weights is answered when they are there.
+constexpr Duration OrderTimeout = 120s;
+constexpr Duration KvTimeout = 30s;
+constexpr std::size_t MaxKvBytes = 64 * 1024 * 1024;
+
+/// More than the engine's stand-in or any batch would hold; longer feeds come in parts.
+constexpr std::size_t MaxReadBytes = 256 * 1024;
+
+/// Where the weight store refuses without saying for how long.
+constexpr Duration DefaultRetryAfter = 5s;
+
+HttpCall makeCall(std::string address, std::string target, Duration timeout)
+{
+    return {.address = std::move(address),
+            .target = std::move(target),
+            .timeout = timeout,
+            .maxBodyBytes = MaxReadBytes};
+}
+
+HttpCall makePost(std::string address, std::string target, Duration timeout,
+                  const Json::Value &body)
+{
+    HttpCall out = makeCall(std::move(address), std::move(target), timeout);
+    out.method = "POST";
+    out.headers = {{"Content-Type", "application/json"}};
+    out.body = printJson(body);
+    return out;
+}
+
+Error statusError(int status)
+{
+    return {.reason = Reason::UpstreamRefused,
+            .verdict = Verdict::MayHaveRun,
+            .detail = fmt::format("the engine answered {}", status)};
+}
+
+/// The object of a 200 answer, as \a convert reads it.
+template<typename T, typename Convert>
+std::function<void(Result<HttpAnswer>)> objectReceiver(EnginePort::Callback<T> done,
+                                                       Convert convert)
+{
+    return [done = std::move(done), convert](const Result<HttpAnswer> &answer) {
+        if (!answer) {
+            done(answer.error());
+            return;
+        }
+        if (answer.value().head.status != 200) {
+            done(statusError(answer.value().head.status));
+            return;
+        }
+        const Result<Json::Value> root = parseJsonObject(answer.value().body);
+        if (!root) {
+            done(root.error());
+            return;
+        }
+        try {
+            done(convert(root.value()));
+        } catch (const Json::Exception &) {
+            done(Error{.reason = Reason::UpstreamBroken,
+                       .verdict = Verdict::MayHaveRun,
+                       .detail = "the engine's answer has another form"});
+        }
+    };
+}
+
+EngineLoad loadOf(const Json::Value &it)
+{
+    return {.running = it["running"].asDouble(),
+            .waiting = it["waiting"].asDouble(),
+            .tokens = it["tokens"].asDouble(),
+            .asOf = WallTime(std::chrono::milliseconds(it["as_of_ms"].asInt64()))};
+}
+
+CacheFeed feedOf(const Json::Value &root)
+{
+    CacheFeed out;
+    out.next = root["next"].asUInt64();
+    for (const Json::Value &it : root["events"]) {
+        out.events.push_back({.seq = it["seq"].asUInt64(),
+                              .chat = it["chat"].asString(),
+                              .tokens = it["tokens"].asDouble(),
+                              .stored = it["op"].asString() == "stored"});
+    }
+    return out;
+}
+
+EngineState stateOf(const Json::Value &it)
+{
+    EngineState out{.model = it["model"].asString(),
+                    .version = it["version"].asString(),
+                    .adapters = {},
+                    .role = it["role"].asString(),
+                    .fence = it["fence"].asUInt64()};
+    for (const Json::Value &adapter : it["adapters"])
+        out.adapters.push_back(adapter.asString());
+    return out;
+}
+
+Json::Value toJson(const EngineOrder &order)
+{
+    Json::Value out;
+    out["order"] = std::string(toString(order.kind));
+    out["fence"] = static_cast<Json::UInt64>(order.fence);
+    out["order_id"] = order.id;
+    Json::Value args(Json::objectValue);
+    const auto add = [&](const char *name, const std::string &value) {
+        if (!value.empty())
+            args[name] = value;
+    };
+    add("model", order.model);
+    add("version", order.version);
+    add("adapter", order.adapter);
+    add("role", order.role);
+    out["args"] = args;
+    return out;
+}
+
+Duration retryAfterOf(const HttpHead &head)
+{
+    const std::string_view text = head.header("Retry-After");
+    int seconds = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), seconds);
+    const bool isNumber = ec == std::errc() && end == text.data() + text.size() && seconds >= 0;
+    return isNumber ? Duration(std::chrono::seconds(std::min(seconds, 3600))) : DefaultRetryAfter;
+}
+
+Result<void> weightAnswer(const HttpHead &head)
+{
+    if (head.status == 200)
+        return outcome::success();
+    Error out{.reason = Reason::UpstreamRefused,
+              .detail = fmt::format("the weight store answered {}", head.status)};
+    if (head.status == 429 || head.status == 503)
+        out.retryAfter = retryAfterOf(head);
+    return out;
+}
+
+} // namespace
+
+EngineHttp::EngineHttp(Options options) : m_options(std::move(options)) { }
+
+void EngineHttp::readLoad(std::string address, Callback<EngineLoad> done)
+{
+    HttpCall call = makeCall(std::move(address), "/v1/load", ReadTimeout);
+    call.secure = m_options.secure;
+    m_options.client.fetch(std::move(call), objectReceiver<EngineLoad>(std::move(done), &loadOf));
+}
+
+void EngineHttp::readCacheEvents(std::string address, std::uint64_t after, Callback<CacheFeed> done)
+{
+    HttpCall call = makeCall(std::move(address), fmt::format("/v1/cache-events?after={}", after),
+                             ReadTimeout);
+    call.secure = m_options.secure;
+    m_options.client.fetch(std::move(call), objectReceiver<CacheFeed>(std::move(done), &feedOf));
+}
+
+void EngineHttp::readState(std::string address, Callback<EngineState> done)
+{
+    HttpCall call = makeCall(std::move(address), "/v1/state", ReadTimeout);
+    call.secure = m_options.secure;
+    m_options.client.fetch(std::move(call), objectReceiver<EngineState>(std::move(done), &stateOf));
+}
+
+void EngineHttp::give(std::string address, EngineOrder order, Callback<OrderAnswer> done)
+{
+    HttpCall call = makePost(std::move(address), "/v1/orders", OrderTimeout, toJson(order));
+    call.secure = m_options.secure;
+    // A connection that has gone silent would leave the order in doubt for the whole timeout.
+    call.freshConnection = true;
+    m_options.client.fetch(
+            std::move(call), [done = std::move(done)](const Result<HttpAnswer> &answer) {
+                if (!answer) {
+                    done(answer.error());
+                    return;
+                }
+                const int status = answer.value().head.status;
+                const Result<Json::Value> root = parseJsonObject(answer.value().body);
+                if (status == 200 && root)
+                    done(OrderAnswer{.applied = true});
+                else if (status == 409 && root && root.value()["fence"].isUInt64())
+                    done(OrderAnswer{.applied = false, .fence = root.value()["fence"].asUInt64()});
+                else
+                    done(statusError(status));
+            });
+}
+
+void EngineHttp::exportKv(std::string address, std::string chat, Callback<std::string> done)
+{
+    Json::Value body;
+    body["chat"] = chat;
+    HttpCall call = makePost(std::move(address), "/v1/kv/export", KvTimeout, body);
+    call.maxBodyBytes = MaxKvBytes;
+    call.secure = m_options.secure;
+    m_options.client.fetch(std::move(call),
+                           objectReceiver<std::string>(std::move(done), [](const Json::Value &it) {
+                               return it["blob"].asString();
+                           }));
+}
+
+void EngineHttp::importKv(std::string address, std::string chat, std::string blob,
+                          Callback<void> done)
+{
+    Json::Value body;
+    body["chat"] = chat;
+    body["blob"] = blob;
+    HttpCall call = makePost(std::move(address), "/v1/kv/import", KvTimeout, body);
+    call.secure = m_options.secure;
+    m_options.client.fetch(std::move(call),
+                           [done = std::move(done)](const Result<HttpAnswer> &answer) {
+                               if (!answer)
+                                   done(answer.error());
+                               else if (answer.value().head.status != 200)
+                                   done(statusError(answer.value().head.status));
+                               else
+                                   done(outcome::success());
+                           });
+}
+
+void EngineHttp::askWeights(std::string model, std::string version, Callback<void> done)
+{
+    if (m_options.weightStore.empty()) {
+        done(outcome::success());
+        return;
+    }
+    struct Asking
+    {
+        HttpCallPtr call;
+        Callback<void> done;
+    };
+    auto state = std::make_shared<Asking>();
+    state->done = std::move(done);
+    // Only whether the store would give them is asked; the call is dropped before the weights come,
+    // outside of its own hooks.
+    const auto finish = [&loop = m_options.loop, state](const Result<void> &result) {
+        loop.post([state, result] {
+            state->call.reset();
+            if (const auto tell = std::exchange(state->done, nullptr))
+                tell(result);
+        });
+    };
+    state->call = m_options.client.send(
+            makeCall(m_options.weightStore, fmt::format("/v1/weights/{}/{}", model, version),
+                     ReadTimeout),
+            {.onHead = [finish](const HttpHead &head) { finish(weightAnswer(head)); },
+             .onEnd =
+                     [finish](const Result<void> &result) {
+                         if (!result)
+                             finish(result.error());
+                     }});
+}
+
+} // namespace catkinloft
--- /dev/null
+++ b/src/Net/EngineHttp.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "Control/EnginePort.h"
+
+#include <memory>
+#include <string>
+
+namespace catkinloft {
+
+class EventLoop;
+class HttpClient;
+
+/// \brief The engines' control interface and the weight store over HTTP; docs/INTERFACES.md has
+/// their format.
+class EngineHttp final : public EnginePort
+{
+public:
+    struct Options
+    {
+        EventLoop &loop;
+        HttpClient &client;
+        std::string weightStore; ///< `ip:port`; empty: there is none, and nothing to ask.
+        bool secure = false; ///< Whether engines are spoken to over TLS.
+    };
+
+    explicit EngineHttp(Options options);
+
+    void readLoad(std::string address, Callback<EngineLoad> done) override;
+    void readCacheEvents(std::string address, std::uint64_t after,
+                         Callback<CacheFeed> done) override;
+    void readState(std::string address, Callback<EngineState> done) override;
+    void give(std::string address, EngineOrder order, Callback<OrderAnswer> done) override;
+    void exportKv(std::string address, std::string chat, Callback<std::string> done) override;
+    void importKv(std::string address, std::string chat, std::string blob,
+                  Callback<void> done) override;
+    void askWeights(std::string model, std::string version, Callback<void> done) override;
+
+private:
+    Options m_options;
+};
+
+} // namespace catkinloft
--- /dev/null
+++ b/src/Net/EngineTask.cpp
@@ -0,0 +1,118 @@
+#include "Net/EngineTask.h"
+
+#include "Control/EngineKvMover.h"
+#include "Control/EngineOwners.h"
+#include "Control/EnginePoller.h"
+#include "Control/OrderController.h"
+#include "Net/EngineHttp.h"
+#include "Net/EventLoop.h"
+#include "Net/Timer.h"
+
+#include <algorithm>
+
+namespace catkinloft {
+
+namespace {
+
+/// How often the controllers look at their deadlines, the shortest of which is a second.
+constexpr Duration Tick = std::chrono::milliseconds(100);
+
+} // namespace
+
+struct EngineTask::Private
+{
+    explicit Private(Options o)
+        : options(std::move(o)), http({.loop = options.loop,
+                                       .client = options.client,
+                                       .weightStore = options.weightStore,
+                                       .secure = options.secure}),
+          knowledge({.clock = options.loop}), owners(options.directory.self().name),
+          poller({.clock = options.loop, .engines = http, .knowledge = knowledge}),
+          mover({.engines = http, .knowledge = knowledge, .metrics = options.metrics}),
+          orders({.clock = options.loop,
+                  .random = options.random,
+                  .table = options.table,
+                  .engines = http,
+                  .metrics = options.metrics,
+                  .self = options.directory.self().name,
+                  .isFirst = [this](std::uint64_t key) { return owners.isFirst(key); }}),
+          timer(options.loop, [this] { tick(); })
+    {
+        options.config.changed().connect(
+                [this](const InventoryPtr &inventory) { takeInventory(inventory); });
+        options.directory.changed().connect([this] { takeRouters(); });
+        options.metrics.addCollector([this](Metrics &metrics) { collect(metrics); });
+    }
+
+    void takeInventory(const InventoryPtr &inventory)
+    {
+        std::vector<std::string> names;
+        for (const Engine &it : inventory->engines)
+            names.push_back(it.name);
+        owners.setEngines(names);
+        takeOwned();
+        // What is known of an engine that leaves is needed before its owner may change.
+        mover.setInventory(inventory);
+        orders.setInventory(inventory);
+    }
+
+    void takeRouters()
+    {
+        owners.setRouters(options.directory.routers());
+        takeOwned();
+        orders.routersChanged();
+    }
+
+    void takeOwned()
+    {
+        knowledge.setOwned(owners.owned());
+        const InventoryPtr inventory = options.config.current();
+        std::vector<EnginePoller::Engine> engines;
+        for (const Engine &it : inventory ? inventory->engines : std::vector<Engine>()) {
+            if (std::find(owners.owned().begin(), owners.owned().end(), it.name)
+                != owners.owned().end())
+                engines.push_back({.name = it.name, .address = it.address});
+        }
+        poller.setEngines(std::move(engines));
+    }
+
+    void tick()
+    {
+        poller.poll();
+        orders.poll();
+    }
+
+    void collect(Metrics &metrics)
+    {
+        metrics.set("catkinloft_engines_owned", static_cast<double>(owners.owned().size()));
+        metrics.set("catkinloft_order_groups_held", static_cast<double>(orders.groupsHeld()));
+        metrics.set("catkinloft_cache_event_gaps", static_cast<double>(knowledge.gaps()));
+        metrics.set("catkinloft_kv_copies_waiting", static_cast<double>(mover.waiting()));
+    }
+
+    Options options;
+    EngineHttp http;
+    EngineKnowledge knowledge;
+    EngineOwners owners;
+    EnginePoller poller;
+    EngineKvMover mover;
+    OrderController orders;
+    Timer timer;
+};
+
+EngineTask::EngineTask(Options options) : m_d(std::make_unique<Private>(std::move(options))) { }
+
+EngineTask::~EngineTask() = default;
+
+void EngineTask::start()
+{
+    m_d->takeRouters();
+    m_d->timer.startRepeating(Tick);
+}
+
+EngineKnowledge &EngineTask::knowledge()
+{
+    return m_d->knowledge;
+}
+
+} // namespace catkinloft
--- /dev/null
+++ b/src/Net/EngineTask.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "Base/Metrics.h"
+#include "Base/Random.h"
+#include "Base/TableService.h"
+#include "Control/ConfigKeeper.h"
+#include "Control/EngineKnowledge.h"
+#include "Control/RouterDirectory.h"
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace catkinloft {
+
+class EventLoop;
+class HttpClient;
+
+/// \brief Everything that a router does about engines besides sending them requests: reads the
+/// engines that it owns, gives orders to the groups whose lease it holds, moves caches before a
+/// planned leave.
+class EngineTask
+{
+public:
+    struct Options
+    {
+        EventLoop &loop;
+        HttpClient &client;
+        Metrics &metrics;
+        TableService &table;
+        ConfigKeeper &config;
+        RouterDirectory &directory;
+        RandomSource random;
+        std::string weightStore; ///< `ip:port`; empty: none.
+        bool secure = false; ///< Whether engines are spoken to over TLS.
+    };
+
+    explicit EngineTask(Options options);
+    ~EngineTask();
+
+    /// \brief Starts to read and to order; until then nothing is sent.
+    void start();
+
+    /// \returns what is believed of the engines that this router owns.
+    EngineKnowledge &knowledge();
+
+private:
+    struct Private;
+    std::unique_ptr<Private> m_d;
+};
+
+} // namespace catkinloft
--- a/src/Net/Forwarder.cpp
+++ b/src/Net/Forwarder.cpp
@@ -218,6 +218,8 @@
     call.timeout = m_request->deadline - m_d.options.loop.now();
     if (m_request->streamed)
         call.progressTimeout = m_request->inventory->rules.progressTimeout;
+    const TlsSettings &tls = m_d.options.settings.tls;
+    call.secure = !(assignment.relayed ? tls.certificateFile : tls.caFile).empty();
     // A pooled connection may have gone silent, which would leave a call that can't be repeated
     // in doubt; a new one proves the path first.
     call.freshConnection = !m_request->idempotent;
--- a/src/Net/HttpClient.cpp
+++ b/src/Net/HttpClient.cpp
@@ -39,28 +39,36 @@
 
 struct HttpClient::Private
 {
-    explicit Private(EventLoop &eventLoop) : loop(eventLoop) { }
+    Private(EventLoop &eventLoop, const TlsContext *context) : loop(eventLoop), tls(context) { }
 
     EventLoop &loop;
+    const TlsContext *tls;
     std::map<std::string, std::deque<IdleConnection>> idle;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
-    std::unique_ptr<HttpConnection> take(const std::string &address, bool fresh)
+    /// Secure and plain connections to one address are never mixed up.
+    static std::string poolKey(const HttpCall &call)
     {
-        std::deque<IdleConnection> &list = idle[address];
-        while (!fresh && !list.empty()) {
+        return (call.secure ? "tls " : "") + call.address;
+    }
+
+    std::unique_ptr<HttpConnection> take(const HttpCall &call)
+    {
+        std::deque<IdleConnection> &list = idle[poolKey(call)];
+        while (!call.freshConnection && !list.empty()) {
             IdleConnection it = std::move(list.back());
             list.pop_back();
             if (it.connection->isReusable() && loop.now() - it.since < MaxIdleAge)
                 return std::move(it.connection);
             retire(std::move(it.connection));
         }
-        return HttpConnection::open(loop, address);
+        return call.secure ? HttpConnection::openSecure(loop, call.address, tls)
+                           : HttpConnection::open(loop, call.address);
     }
 
-    void give(const std::string &address, std::unique_ptr<HttpConnection> connection)
+    void give(const std::string &key, std::unique_ptr<HttpConnection> connection)
     {
-        std::deque<IdleConnection> &list = idle[address];
+        std::deque<IdleConnection> &list = idle[key];
         if (!connection->isReusable()) {
             retire(std::move(connection));
             return;
@@ -173,7 +181,9 @@
 
 } // namespace
 
-HttpClient::HttpClient(EventLoop &loop) : m_d(std::make_unique<Private>(loop)) { }
+HttpClient::HttpClient(EventLoop &loop, const TlsContext *tls)
+    : m_d(std::make_unique<Private>(loop, tls))
+{ }
 
 HttpClient::~HttpClient()
 {
@@ -182,11 +192,11 @@
 
 HttpCallPtr HttpClient::send(HttpCall call, HttpCallEvents events)
 {
-    auto connection = m_d->take(call.address, call.freshConnection);
+    auto connection = m_d->take(call);
     auto giveBack = [d = m_d.get(), alive = m_d->alive,
-                     address = call.address](std::unique_ptr<HttpConnection> it) {
+                     key = Private::poolKey(call)](std::unique_ptr<HttpConnection> it) {
         if (*alive)
-            d->give(address, std::move(it));
+            d->give(key, std::move(it));
     };
     return std::make_unique<Call>(m_d->loop, std::move(connection), std::move(call),
                                   std::move(events), std::move(giveBack));
--- a/src/Net/HttpClient.h
+++ b/src/Net/HttpClient.h
@@ -11,6 +11,7 @@
 namespace catkinloft {
 
 class EventLoop;
+class TlsContext;
 
 /// \brief A request to send.
 struct HttpCall
@@ -24,6 +25,7 @@
     Duration progressTimeout = Duration::zero(); ///< Longest silence; zero: only `timeout`.
     std::size_t maxBodyBytes = 16 * 1024 * 1024; ///< Longest answer taken.
     bool freshConnection = false; ///< Never reuses a connection, which may have gone silent.
+    bool secure = false; ///< Over TLS, to an upstream whose certificate names its address.
 };
 
 /// \brief Status and headers of an answer.
@@ -69,7 +71,8 @@
 class HttpClient
 {
 public:
-    explicit HttpClient(EventLoop &loop);
+    /// \param tls for secure calls; without it they fail as not run.
+    explicit HttpClient(EventLoop &loop, const TlsContext *tls = nullptr);
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
--- a/src/Net/HttpServer.cpp
+++ b/src/Net/HttpServer.cpp
@@ -2,7 +2,11 @@
 
 #include "Base/Log.h"
 #include "Net/EventLoop.h"
+#include "Net/TlsContext.h"
 #include "Net/internal/Timeval.h"
+#include "Net/internal/TlsStream.h"
+
+#include <cstdlib>
 
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -37,6 +41,16 @@
         auto *d = static_cast<Private *>(arg);
         d->handler(std::make_shared<HttpExchange>(request));
     }
+
+    static bufferevent *newTlsStream(event_base *base, void *arg)
+    {
+        bufferevent *out =
+                internal::newServerStream(base, *static_cast<Private *>(arg)->options.tls);
+        // evhttp would go on in the clear without a stream; that takes no memory left at all.
+        if (!out)
+            std::abort();
+        return out;
+    }
 };
 
 HttpServer::HttpServer(EventLoop &loop, Options options, Handler handler)
@@ -51,6 +65,8 @@
     evhttp_set_allowed_methods(m_d->http, AllowedMethods);
     evhttp_set_default_content_type(m_d->http, nullptr);
     evhttp_set_gencb(m_d->http, &Private::onRequest, m_d.get());
+    if (m_d->options.tls && m_d->options.tls->hasCertificate())
+        evhttp_set_bevcb(m_d->http, &Private::newTlsStream, m_d.get());
 }
 
 HttpServer::~HttpServer()
--- a/src/Net/HttpServer.h
+++ b/src/Net/HttpServer.h
@@ -11,6 +11,7 @@
 namespace catkinloft {
 
 class EventLoop;
+class TlsContext;
 
 /// \brief An HTTP listener over evhttp.
 class HttpServer
@@ -22,6 +23,7 @@
     {
         std::string address; ///< `ip:port`; port 0 is not allowed.
         ListenerLimits limits;
+        const TlsContext *tls = nullptr; ///< With a certificate: callers have to speak TLS.
     };
 
     /// \brief Does not listen yet.
--- a/src/Net/RouterProcess.cpp
+++ b/src/Net/RouterProcess.cpp
@@ -1,12 +1,14 @@
 #include "Net/RouterProcess.h"
 
 #include "Base/Log.h"
+#include "Net/EngineTask.h"
 #include "Net/EventLoop.h"
 #include "Net/Gateway.h"
 #include "Net/HttpClient.h"
 #include "Net/HttpServer.h"
 #include "Net/PlatformAdapters.h"
 #include "Net/Timer.h"
+#include "Net/TlsTask.h"
 
 #include <csignal>
 
@@ -25,7 +27,9 @@
 struct RouterProcess::Private
 {
     explicit Private(std::shared_ptr<const Settings> s)
-        : settings(std::move(s)), table(makeHttpTableService(client, settings->platform)),
+        : settings(std::move(s)),
+          tls({.loop = loop, .metrics = metrics, .settings = settings->tls}),
+          table(makeHttpTableService(client, settings->platform)),
           objects(makeHttpObjectStore(client, settings->platform)),
           vms(makeHttpVmList(client, settings->platform)),
           config({.table = *table, .objects = *objects}),
@@ -33,6 +37,15 @@
                      .callerAddress = settings->callerAddress,
                      .peerAddress = settings->peerAddress,
                      .failureDomain = settings->failureDomain}),
+          engines({.loop = loop,
+                   .client = client,
+                   .metrics = metrics,
+                   .table = *table,
+                   .config = config,
+                   .directory = directory,
+                   .random = systemRandom(),
+                   .weightStore = settings->platform.weightStore,
+                   .secure = tls.context().checksUpstreams()}),
           gateway({.loop = loop,
                    .client = client,
                    .metrics = metrics,
@@ -40,7 +53,10 @@
                    .config = config,
                    .directory = directory,
                    .random = systemRandom()}),
-          server(loop, {.address = settings->callerAddress, .limits = settings->limits},
+          server(loop,
+                 {.address = settings->callerAddress,
+                  .limits = settings->limits,
+                  .tls = &tls.context()},
                  [this](const HttpExchangePtr &it) { gateway.handle(it); }),
           poll(loop, [this] { readPlatform(); }), drainPoll(loop, [this] { checkDrained(); })
     { }
@@ -80,12 +96,14 @@
     std::shared_ptr<const Settings> settings;
     EventLoop loop;
     Metrics metrics;
-    HttpClient client{loop};
+    TlsTask tls;
+    HttpClient client{loop, &tls.context()};
     std::unique_ptr<TableService> table;
     std::unique_ptr<ObjectStore> objects;
     std::unique_ptr<VmList> vms;
     ConfigKeeper config;
     RouterDirectory directory;
+    EngineTask engines;
     Gateway gateway;
     HttpServer server;
     Timer poll;
@@ -103,12 +121,15 @@
 int RouterProcess::run()
 {
     std::signal(SIGPIPE, SIG_IGN);
+    if (!m_d->tls.start())
+        return 1;
     if (const Result<void> result = m_d->server.listen(); !result) {
         Log::error("listen_failed", {{"detail", result.error().detail}});
         return 1;
     }
     m_d->loop.onSignal(SIGTERM, [this] { m_d->drain(); });
     m_d->loop.onSignal(SIGINT, [this] { m_d->drain(); });
+    m_d->engines.start();
     m_d->readPlatform();
     m_d->poll.startRepeating(PlatformPoll);
     Log::info("started", {{"caller_address", m_d->settings->callerAddress}});
--- a/src/Net/internal/HttpConnection.cpp
+++ b/src/Net/internal/HttpConnection.cpp
@@ -2,6 +2,7 @@
 
 #include "Base/YamlSection.h"
 #include "Net/EventLoop.h"
+#include "Net/internal/TlsStream.h"
 
 #include <charconv>
 #include <optional>
@@ -65,15 +66,26 @@
 
 std::unique_ptr<HttpConnection> HttpConnection::open(EventLoop &loop, const std::string &address)
 {
-    const Endpoint endpoint = parseEndpoint(address).value_or(Endpoint{"0.0.0.0", 0});
-    evhttp_connection *con = evhttp_connection_base_bufferevent_new(
-            loop.base(), nullptr, nullptr, endpoint.host.c_str(), endpoint.port);
-    return std::unique_ptr<HttpConnection>(new HttpConnection(loop, con));
+    return std::unique_ptr<HttpConnection>(new HttpConnection(loop, address, nullptr));
+}
+
+std::unique_ptr<HttpConnection>
+HttpConnection::openSecure(EventLoop &loop, const std::string &address, const TlsContext *tls)
+{
+    const auto endpoint = parseEndpoint(address);
+    bufferevent *stream =
+            tls && endpoint ? newClientStream(loop.base(), *tls, endpoint->host) : nullptr;
+    std::unique_ptr<HttpConnection> out(new HttpConnection(loop, address, stream));
+    out->m_noSession = !stream;
+    return out;
 }
 
-HttpConnection::HttpConnection(EventLoop &loop, evhttp_connection *connection)
-    : m_loop(loop), m_connection(connection)
+HttpConnection::HttpConnection(EventLoop &loop, const std::string &address, bufferevent *stream)
+    : m_loop(loop)
 {
+    const Endpoint endpoint = parseEndpoint(address).value_or(Endpoint{"0.0.0.0", 0});
+    m_connection = evhttp_connection_base_bufferevent_new(loop.base(), nullptr, stream,
+                                                          endpoint.host.c_str(), endpoint.port);
     evhttp_connection_set_max_headers_size(m_connection, MaxAnswerHeaderBytes);
     // The time limits are the caller's; evhttp's own default would cut long streams.
     evhttp_connection_set_timeout(m_connection, 24 * 3600);
@@ -111,6 +123,12 @@
     m_headOnly = call.method == "HEAD";
     m_errorCode = -1;
     evhttp_connection_set_max_body_size(m_connection, static_cast<ev_ssize_t>(call.maxBodyBytes));
+    if (m_noSession) {
+        // Never in the clear instead.
+        m_reusable = false;
+        fail(Reason::UpstreamUnreachable, "no certificates to check the upstream against");
+        return;
+    }
     m_request = evhttp_request_new(&HttpConnection::onDone, this);
     evhttp_request_set_header_cb(m_request, [](evhttp_request *request, void *arg) {
         onHead(request, static_cast<HttpConnection *>(arg));
@@ -172,7 +190,10 @@
 {
     auto *self = static_cast<HttpConnection *>(arg);
     self->m_request = nullptr;
-    if (!request || self->m_errorCode >= 0) {
+    if (const std::string refusal = self->handshakeFailure(); !refusal.empty()) {
+        self->m_reusable = false;
+        self->fail(Reason::UpstreamUnreachable, refusal);
+    } else if (!request || self->m_errorCode >= 0) {
         self->m_reusable = false;
         const bool tooLong = self->m_errorCode == EVREQ_HTTP_DATA_TOO_LONG;
         self->fail(Reason::UpstreamBroken,
@@ -207,9 +228,15 @@
     }
 }
 
-void HttpConnection::fail(Reason reason, const char *detail)
+std::string HttpConnection::handshakeFailure() const
+{
+    return m_bytesSent == 0 ? tlsRefusal(evhttp_connection_get_bufferevent(m_connection)) : "";
+}
+
+void HttpConnection::fail(Reason reason, std::string detail)
 {
-    end(Error{.reason = reason, .verdict = verdict(), .detail = detail, .retryAfter = {}});
+    end(Error{
+            .reason = reason, .verdict = verdict(), .detail = std::move(detail), .retryAfter = {}});
 }
 
 void HttpConnection::end(Result<void> result)
--- a/src/Net/internal/HttpConnection.h
+++ b/src/Net/internal/HttpConnection.h
@@ -5,11 +5,16 @@
 #include <memory>
 #include <string>
 
+struct bufferevent;
 struct evbuffer;
 struct evbuffer_cb_info;
 struct evhttp_connection;
 struct evhttp_request;
 
+namespace catkinloft {
+class TlsContext;
+}
+
 namespace catkinloft::internal {
 
 /// \brief One client connection over evhttp, carrying one request at a time.
@@ -18,6 +23,10 @@
 public:
     static std::unique_ptr<HttpConnection> open(EventLoop &loop, const std::string &address);
 
+    /// \brief The same over TLS. Without a usable \a tls each call on it fails as not run.
+    static std::unique_ptr<HttpConnection> openSecure(EventLoop &loop, const std::string &address,
+                                                      const TlsContext *tls);
+
     ~HttpConnection();
     HttpConnection(const HttpConnection &) = delete;
     HttpConnection &operator=(const HttpConnection &) = delete;
@@ -37,12 +46,13 @@
     bool isReusable() const { return m_reusable && !m_request; }
 
 private:
-    HttpConnection(EventLoop &loop, evhttp_connection *connection);
+    HttpConnection(EventLoop &loop, const std::string &address, bufferevent *stream);
 
     static void onHead(evhttp_request *request, HttpConnection *self);
     static void onDone(evhttp_request *request, void *arg);
     void succeed(evhttp_request *request);
-    void fail(Reason reason, const char *detail);
+    void fail(Reason reason, std::string detail);
+    std::string handshakeFailure() const;
     void end(Result<void> result);
 
     EventLoop &m_loop;
@@ -55,6 +65,7 @@
     bool m_headOnly = false;
     int m_errorCode = -1;
     bool m_reusable = true;
+    bool m_noSession = false; ///< Meant to be secure, but no session could be made.
     std::shared_ptr<bool> m_listening; ///< Gone once nobody waits for the posted end.
 };
 
