--- a/src/Net/internal/HttpConnection.h
+++ b/src/Net/internal/HttpConnection.h
@@ -3,6 +3,7 @@
 #include "Net/HttpClient.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 
 struct bufferevent;
@@ -63,6 +64,7 @@
     std::size_t m_bytesReceived = 0;
     bool m_delimited = false; ///< The answer states its length or ends with a last chunk.
     bool m_headOnly = false;
+    std::optional<std::size_t> m_length; ///< Of the answer's body, where it states one.
     int m_errorCode = -1;
     bool m_reusable = true;
     bool m_noSession = false; ///< Meant to be secure, but no session could be made.
