--- a/src/Control/OrderPlan.cpp
+++ b/src/Control/OrderPlan.cpp
@@ -86,7 +86,7 @@
     if (wanted.model != state.model)
         return loadStep(wanted,
                         fmt::format("has model '{}', wanted '{}'", state.model, wanted.model));
-    const auto version = versionStep(wanted, state, loadedVersion);
+    auto version = versionStep(wanted, state, loadedVersion);
     if (version && !version->withheld)
         return version;
     if (auto adapter = adapterStep(wanted, state))
--- a/test/EngineKnowledgeTest.cpp
+++ b/test/EngineKnowledgeTest.cpp
@@ -48,6 +48,7 @@
 std::vector<std::string> engineNames(int n)
 {
     std::vector<std::string> out;
+    out.reserve(static_cast<std::size_t>(n));
     for (int i = 0; i < n; ++i)
         out.push_back(fmt::format("engine-{}", i));
     return out;
