--- /dev/null
+++ b/bench/hotpath/ClosedLoop.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "Net/EventLoop.h"
+#include "Net/HttpClient.h"
+
+#include <vector>
+
+namespace catkinloft::bench {
+
+/// \brief What a run of calls came to.
+struct RunResult
+{
+    std::size_t done = 0;
+    std::size_t failed = 0;
+    std::size_t bytes = 0;
+    Duration length = Duration::zero();
+    std::vector<double> latencies; ///< Seconds.
+
+    /// \returns the latency that a share \a q of the calls stayed under, in seconds.
+    double quantile(double q);
+};
+
+/// \brief Keeps a number of calls in progress until a time or a count is reached.
+class ClosedLoop
+{
+public:
+    struct Options
+    {
+        HttpCall call;
+        int inProgress = 64;
+        Duration length = std::chrono::hours(1);
+        std::size_t calls = static_cast<std::size_t>(-1); ///< Started at most.
+    };
+
+    explicit ClosedLoop(Options options);
+
+    RunResult run();
+
+private:
+    void start(std::size_t i);
+    void ended(std::size_t i, TimePoint begin, bool succeeded);
+
+    EventLoop m_loop;
+    HttpClient m_client{m_loop};
+    Options m_options;
+    TimePoint m_begin;
+    std::size_t m_started = 0;
+    std::size_t m_open = 0;
+    std::vector<HttpCallPtr> m_calls;
+    RunResult m_result;
+};
+
+} // namespace catkinloft::bench
--- a/bench/measure/Measure.cpp
+++ b/bench/measure/Measure.cpp
@@ -1,6 +1,11 @@
 #include "Measure.h"
 
+#include "Base/Log.h"
+
 #include <algorithm>
+#include <cstdio>
+
+#include <fmt/format.h>
 
 namespace catkinloft::measure {
 
@@ -28,4 +33,15 @@
     return out;
 }
 
+void printFigure(const Figure &it)
+{
+    fmt::print(R"({{"measure":{},"scenario":{},"deployment":{},"policy":{},"routers":{},)"
+               R"("engines":{},"value":{:.6g},"unit":{},"seed":{}}})"
+               "\n",
+               jsonQuoted(it.measure), jsonQuoted(it.scenario), jsonQuoted(it.deployment),
+               jsonQuoted(it.policy), it.routers, it.engines, it.value, jsonQuoted(it.unit),
+               it.seed);
+    std::fflush(stdout);
+}
+
 } // namespace catkinloft::measure
--- a/bench/measure/Measure.h
+++ b/bench/measure/Measure.h
@@ -22,6 +22,9 @@
     std::uint64_t seed = 0;
 };
 
+/// \brief Prints \a figure as one JSON line to standard output.
+void printFigure(const Figure &figure);
+
 using Report = std::function<void(const Figure &)>;
 
 /// \brief A group of measurements that belong together.
--- a/bench/measure/main.cpp
+++ b/bench/measure/main.cpp
@@ -1,8 +1,6 @@
 #include "Base/Log.h"
 #include "Measure.h"
 
-#include <cstdio>
-
 #include <fmt/format.h>
 #include <gflags/gflags.h>
 
@@ -14,17 +12,6 @@
 
 namespace {
 
-void print(const Figure &it)
-{
-    fmt::print(R"({{"measure":{},"scenario":{},"deployment":{},"policy":{},"routers":{},)"
-               R"("engines":{},"value":{:.6g},"unit":{},"seed":{}}})"
-               "\n",
-               jsonQuoted(it.measure), jsonQuoted(it.scenario), jsonQuoted(it.deployment),
-               jsonQuoted(it.policy), it.routers, it.engines, it.value, jsonQuoted(it.unit),
-               it.seed);
-    std::fflush(stdout);
-}
-
 int runSubjects()
 {
     bool found = false;
@@ -34,7 +21,7 @@
             found = true;
         } else if ((FLAGS_subject.empty() || FLAGS_subject == it.name)
                    && (!FLAGS_slopes || it.slopes)) {
-            it.run(FLAGS_seed, &print);
+            it.run(FLAGS_seed, &printFigure);
             found = true;
         }
     }
