--- a/bench/measure/FakePlatform.h
+++ b/bench/measure/FakePlatform.h
@@ -85,6 +85,8 @@
             else
                 m_rows.erase(it.key);
         }
+        for (const auto &it : transaction.expects)
+            out.current.push_back(rowsOf({it.key}).front());
         return out;
     }
 
--- a/src/Control/EngineKnowledge.h
+++ b/src/Control/EngineKnowledge.h
@@ -22,7 +22,7 @@
     double running = 0; ///< Requests in the batch.
     double waiting = 0; ///< Requests behind it.
     double tokens = 0; ///< Of the requests in the batch.
-    WallTime asOf; ///< By the engine's clock.
+    WallTime asOf = {}; ///< By the engine's clock.
 };
 
 /// \brief One entry of an engine's cache feed.
--- a/src/Control/EngineOwners.cpp
+++ b/src/Control/EngineOwners.cpp
@@ -47,7 +47,7 @@
     collect();
 }
 
-void EngineOwners::setRouters(std::span<const RouterView> routers)
+bool EngineOwners::setRouters(std::span<const RouterView> routers)
 {
     std::vector<std::uint64_t> next;
     for (const RouterView &it : routers) {
@@ -55,6 +55,8 @@
             next.push_back(hash64(it.name));
     }
     std::sort(next.begin(), next.end());
+    if (next == m_routers)
+        return false;
     std::vector<std::uint64_t> come;
     std::set_difference(next.begin(), next.end(), m_routers.begin(), m_routers.end(),
                         std::back_inserter(come));
@@ -71,6 +73,7 @@
         }
     }
     collect();
+    return true;
 }
 
 void EngineOwners::collect()
--- a/src/Control/EngineOwners.h
+++ b/src/Control/EngineOwners.h
@@ -24,7 +24,10 @@
     explicit EngineOwners(std::string self);
 
     void setEngines(std::span<const std::string> engines);
-    void setRouters(std::span<const RouterView> routers);
+
+    /// \returns whether there are others than before; lists are set far more often than they
+    /// change.
+    bool setRouters(std::span<const RouterView> routers);
 
     /// \returns names of the engines that this router owns.
     const std::vector<std::string> &owned() const { return m_owned; }
--- a/src/Control/LeaseKeeper.cpp
+++ b/src/Control/LeaseKeeper.cpp
@@ -15,6 +15,10 @@
 /// most one of them takes effect; older ones than this were decided long ago.
 constexpr std::size_t MaxOpenAttempts = 16;
 
+/// Largest step that an engine may ask for. A lease that changes hands every minute takes two years
+/// for as many numbers.
+constexpr std::uint64_t MaxRaise = 1'000'000;
+
 using Milliseconds = std::chrono::milliseconds;
 
 } // namespace
@@ -80,11 +84,14 @@
         scheduleAfter(wanted ? jittered(m_options.takeInterval) : Duration::zero());
 }
 
-void LeaseKeeper::raiseFence(std::uint64_t floor)
+bool LeaseKeeper::raiseFence(std::uint64_t floor)
 {
+    if (floor > m_row.fence && floor - m_row.fence > MaxRaise)
+        return false;
     m_fenceFloor = std::max(m_fenceFloor, floor + 1);
     if (m_held && m_row.fence < m_fenceFloor)
         scheduleAfter(Duration::zero());
+    return true;
 }
 
 void LeaseKeeper::poll()
--- a/src/Control/LeaseKeeper.h
+++ b/src/Control/LeaseKeeper.h
@@ -75,7 +75,9 @@
 
     /// \brief Raises the fencing number above \a floor, which an engine has seen; takes effect with
     /// the next renewal, made at once.
-    void raiseFence(std::uint64_t floor);
+    /// \returns false where \a floor can't be true, so that a lying engine does not bring the
+    /// number to its end.
+    bool raiseFence(std::uint64_t floor);
 
 private:
     struct Attempt
--- a/src/Control/OrderController.cpp
+++ b/src/Control/OrderController.cpp
@@ -40,16 +40,38 @@
 { }
 
 void OrderController::setInventory(InventoryPtr inventory)
+{
+    m_inventory = std::move(inventory);
+    for (std::size_t i = 0; i < OrderGroups; ++i)
+        m_wantedGroups[i] = m_options.isFirst(hash64("orders", i));
+    rebuild();
+}
+
+void OrderController::routersChanged()
+{
+    std::vector<bool> wanted(OrderGroups);
+    for (std::size_t i = 0; i < OrderGroups; ++i)
+        wanted[i] = m_options.isFirst(hash64("orders", i));
+    if (wanted == m_wantedGroups || !m_inventory)
+        return;
+    m_wantedGroups = std::move(wanted);
+    rebuild();
+}
+
+void OrderController::rebuild()
 {
     std::map<std::string, Target> next;
     for (auto &it : m_groups)
         it.second.engines.clear();
-    for (const Engine &it : inventory->engines)
-        addTarget(it, next);
+    // Of 10,000 engines a router orders some 11, so only those are copied with each revision.
+    for (const Engine &it : m_inventory->engines) {
+        if (m_wantedGroups[orderGroupOf(it.name)])
+            addTarget(it, next);
+    }
     m_targets = std::move(next);
-    m_inventory = std::move(inventory);
+    for (auto &it : m_groups)
+        it.second.lease->setWanted(!it.second.engines.empty());
     forgetLostLoads();
-    routersChanged();
 }
 
 void OrderController::addTarget(const Engine &engine, std::map<std::string, Target> &into)
@@ -77,12 +99,6 @@
     target.group = group;
 }
 
-void OrderController::routersChanged()
-{
-    for (auto &[group, it] : m_groups)
-        it.lease->setWanted(!it.engines.empty() && m_options.isFirst(hash64("orders", group)));
-}
-
 void OrderController::poll()
 {
     forgetLostLoads();
@@ -222,8 +238,12 @@
         return; // Whoever holds it now reads for itself.
     if (target.wanted.checksFencing && state.fence > *fence) {
         // Its row is younger than what the engine saw, as after a rename: raised before any order.
-        lease.raiseFence(state.fence);
-        checkAgainIn(target, ReadBackDelay);
+        if (lease.raiseFence(state.fence))
+            checkAgainIn(target, ReadBackDelay);
+        else
+            failed(target, "reading its state",
+                   {.reason = Reason::UpstreamBroken,
+                    .detail = "it says that it saw a fencing number that can't be"});
         return;
     }
     auto step = nextOrderStep(target.wanted, state, target.loadedVersion);
--- a/src/Control/OrderController.h
+++ b/src/Control/OrderController.h
@@ -80,6 +80,7 @@
         std::vector<std::string> engines;
     };
 
+    void rebuild();
     void addTarget(const Engine &engine, std::map<std::string, Target> &into);
     LeaseKeeper &leaseOf(const Target &target) { return *m_groups.at(target.group).lease; }
     std::vector<Target *> targetsHeld();
@@ -106,8 +107,9 @@
 
     Options m_options;
     InventoryPtr m_inventory;
+    std::vector<bool> m_wantedGroups = std::vector<bool>(OrderGroups);
     std::map<std::size_t, Group> m_groups;
-    std::map<std::string, Target> m_targets;
+    std::map<std::string, Target> m_targets; ///< Of the groups that are wanted here.
     WeightBudget m_weights;
     std::set<std::string> m_loads; ///< Engines that need the weight store.
     std::string m_loading; ///< The one of them that uses this router's slot; empty: none.
--- a/src/Net/EngineTask.cpp
+++ b/src/Net/EngineTask.cpp
@@ -8,7 +8,7 @@
 #include "Net/EventLoop.h"
 #include "Net/Timer.h"
 
-#include <algorithm>
+#include <set>
 
 namespace catkinloft {
 
@@ -58,7 +58,8 @@
 
     void takeRouters()
     {
-        owners.setRouters(options.directory.routers());
+        if (!owners.setRouters(options.directory.routers()))
+            return;
         takeOwned();
         orders.routersChanged();
     }
@@ -67,10 +68,12 @@
     {
         knowledge.setOwned(owners.owned());
         const InventoryPtr inventory = options.config.current();
+        if (!inventory)
+            return;
         std::vector<EnginePoller::Engine> engines;
-        for (const Engine &it : inventory ? inventory->engines : std::vector<Engine>()) {
-            if (std::find(owners.owned().begin(), owners.owned().end(), it.name)
-                != owners.owned().end())
+        const std::set<std::string_view> names(owners.owned().begin(), owners.owned().end());
+        for (const Engine &it : inventory->engines) {
+            if (names.contains(it.name))
                 engines.push_back({.name = it.name, .address = it.address});
         }
         poller.setEngines(std::move(engines));
@@ -106,7 +109,7 @@
 
 void EngineTask::start()
 {
-    m_d->takeRouters();
+    m_d->owners.setRouters(m_d->options.directory.routers());
     m_d->timer.startRepeating(Tick);
 }
 
--- a/src/Net/Forwarder.cpp
+++ b/src/Net/Forwarder.cpp
@@ -282,6 +282,8 @@
     const bool overloaded = m_head.status == 503 || m_head.status == 429;
     report(!overloaded, Verdict::Ran, Reason::UpstreamRefused);
     m_request->verdict = Verdict::Ran;
+    if (m_d.options.served && m_request->chatKey != 0 && !m_assignment.relayed && !overloaded)
+        m_d.options.served(*m_request, m_assignment.upstream);
     deliver();
     close();
 }
--- a/src/Net/Forwarder.h
+++ b/src/Net/Forwarder.h
@@ -31,6 +31,8 @@
         RandomSource random;
         /// Answers a request that ends without an upstream's answer.
         std::function<void(const RequestPtr &, const HttpExchangePtr &, const Error &)> refuse;
+        /// Told of each chat that an upstream answered to this router directly.
+        std::function<void(const RequestContext &, std::string_view upstream)> served = {};
     };
 
     explicit Forwarder(Options options);
--- a/src/Net/Gateway.h
+++ b/src/Net/Gateway.h
@@ -27,6 +27,8 @@
         PeerTask &peers;
         RouterDirectory &directory;
         RandomSource random;
+        /// \sa Forwarder::Options
+        std::function<void(const RequestContext &, std::string_view upstream)> served = {};
     };
 
     explicit Gateway(Options options);
--- a/src/Net/RouterProcess.cpp
+++ b/src/Net/RouterProcess.cpp
@@ -81,7 +81,12 @@
                    .config = config,
                    .peers = peers,
                    .directory = directory,
-                   .random = systemRandom()}),
+                   .random = systemRandom(),
+                   .served =
+                           [this](const RequestContext &request, std::string_view engine) {
+                               engines.knowledge().noteServed(engine, request.chat, request.chatKey,
+                                                              request.work);
+                           }}),
           server(loop,
                  {.address = settings->callerAddress,
                   .limits = settings->limits,
--- a/src/Request/IdentifyFilter.cpp
+++ b/src/Request/IdentifyFilter.cpp
@@ -73,6 +73,7 @@
     request.model = chat.value().model;
     request.streamed = chat.value().stream;
     request.chatKey = chat.value().chatKey(request.workspace->name);
+    request.chat = chat.value().chatId.empty() ? chat.value().opening : chat.value().chatId;
     request.work = chat.value().promptTokens + chat.value().outputTokens;
     request.idempotent = true;
     return outcome::success();
--- a/src/Request/RequestContext.h
+++ b/src/Request/RequestContext.h
@@ -35,6 +35,7 @@
     std::string model;
     bool streamed = false;
     std::uint64_t chatKey = 0;
+    std::string chat; ///< Name by which an engine keeps its context.
     double work = 1; ///< Estimate in tokens.
     std::string service;
     bool idempotent = true; ///< Whether it may be sent twice.
--- a/test/OrderControllerTest.cpp
+++ b/test/OrderControllerTest.cpp
@@ -196,6 +196,20 @@
     CHECK(state(1).fence > 70);
 }
 
+TEST_CASE_FIXTURE(OrdersFixture,
+                  "orders_engineLiesAboutItsNumber_theOthersOfItsGroupAreOrderedAllTheSame")
+{
+    Engine liar = engine(1, true);
+    Engine honest = engine(2, true);
+    for (int i = 3; orderGroupOf(honest.name) != orderGroupOf(liar.name); ++i)
+        honest = engine(i, true);
+    engines.machines.at(liar.address).state.fence = UINT64_MAX - 1;
+    addRouter().setInventory(inventoryOf(1, {liar, honest}));
+    pass(120s);
+    CHECK(engines.machines.at(honest.address).state.version == "v1");
+    CHECK(engines.machines.at(liar.address).state.version == "v0");
+}
+
 TEST_CASE_FIXTURE(OrdersFixture,
                   "orders_weightStoreRefuses_nobodyAsksBeforeRetryAfterAndFewLoadAtATime")
 {
