Listener: the connection limit holds, bad input in a table

limits.maxConnections was read and never enforced: evhttp 2.1 does not tell when it closes a connection. A census by descriptor and socket cookie counts them; one too many is told so with a reason code and closed, and counted under its reason. Tests: nine kinds of bad input, slow sender, truncated body, rubbish behind a request, limit.

--- a/src/Net/HttpServer.cpp
+++ b/src/Net/HttpServer.cpp
@@ -2,8 +2,11 @@
 
 #include "Base/Log.h"
 #include "Net/EventLoop.h"
+#include "Net/internal/ConnectionCensus.h"
 #include "Net/internal/Timeval.h"
 
+#include <sys/socket.h>
+
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
@@ -22,6 +25,12 @@
 constexpr evhttp_cmd_type AllowedMethods = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT
         | EVHTTP_REQ_DELETE | EVHTTP_REQ_HEAD | EVHTTP_REQ_PATCH | EVHTTP_REQ_OPTIONS;
 
+/// Sent to a connection over the limit before it is closed, as far as the socket takes it.
+constexpr std::string_view TooManyAnswer =
+        "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 1\r\n"
+        "Content-Type: application/problem+json\r\nContent-Length: 53\r\n\r\n"
+        R"({"reason":"too_many_connections","verdict":"not_run"})";
+
 } // namespace
 
 struct HttpServer::Private
@@ -31,16 +40,46 @@
     Handler handler;
     evhttp *http = nullptr;
     evhttp_bound_socket *bound = nullptr;
+    internal::ConnectionCensus census;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
     static void onRequest(evhttp_request *request, void *arg)
     {
         auto *d = static_cast<Private *>(arg);
         d->handler(std::make_shared<HttpExchange>(request));
     }
+
+    static bufferevent *makeBufferevent(event_base *base, void *arg)
+    {
+        auto *d = static_cast<Private *>(arg);
+        bufferevent *bev = bufferevent_socket_new(base, -1, 0);
+        // evhttp sets the descriptor right after this call and reads no earlier than in the next
+        // turn of the loop, so it can't have freed the connection before the post runs.
+        d->loop.post([d, bev, there = std::weak_ptr(d->alive)] {
+            if (!there.expired())
+                d->checkLimit(bufferevent_getfd(bev));
+        });
+        return bev;
+    }
+
+    void checkLimit(int fd)
+    {
+        if (census.admit(fd))
+            return;
+        send(fd, TooManyAnswer.data(), TooManyAnswer.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+        // evhttp sees the end and frees the connection by its own rules.
+        shutdown(fd, SHUT_RDWR);
+        if (options.onTooMany)
+            options.onTooMany();
+    }
 };
 
 HttpServer::HttpServer(EventLoop &loop, Options options, Handler handler)
-    : m_d(std::make_unique<Private>(Private{loop, std::move(options), std::move(handler)}))
+    : m_d(std::make_unique<Private>(
+            Private{.loop = loop,
+                    .options = options,
+                    .handler = std::move(handler),
+                    .census = internal::ConnectionCensus(loop, options.limits.maxConnections)}))
 {
     m_d->http = evhttp_new(loop.base());
     const ListenerLimits &limits = m_d->options.limits;
@@ -50,6 +89,7 @@
     evhttp_set_timeout_tv(m_d->http, &tv);
     evhttp_set_allowed_methods(m_d->http, AllowedMethods);
     evhttp_set_default_content_type(m_d->http, nullptr);
+    evhttp_set_bevcb(m_d->http, &Private::makeBufferevent, m_d.get());
     evhttp_set_gencb(m_d->http, &Private::onRequest, m_d.get());
 }
 
--- a/src/Net/HttpServer.h
+++ b/src/Net/HttpServer.h
@@ -22,6 +22,8 @@
     {
         std::string address; ///< `ip:port`; port 0 is not allowed.
         ListenerLimits limits;
+        /// Told of each connection that was closed because there were limits.maxConnections.
+        std::function<void()> onTooMany = {};
     };
 
     /// \brief Does not listen yet.
--- a/src/Net/RouterProcess.cpp
+++ b/src/Net/RouterProcess.cpp
@@ -40,7 +40,10 @@
                    .config = config,
                    .directory = directory,
                    .random = systemRandom()}),
-          server(loop, {.address = settings->callerAddress, .limits = settings->limits},
+          server(loop,
+                 {.address = settings->callerAddress,
+                  .limits = settings->limits,
+                  .onTooMany = [this] { metrics.refused(Reason::TooManyConnections); }},
                  [this](const HttpExchangePtr &it) { gateway.handle(it); }),
           poll(loop, [this] { readPlatform(); }), drainPoll(loop, [this] { checkDrained(); })
     { }
--- /dev/null
+++ b/src/Net/internal/ConnectionCensus.cpp
@@ -0,0 +1,52 @@
+#include "Net/internal/ConnectionCensus.h"
+
+#include <optional>
+
+#include <sys/socket.h>
+
+namespace catkinloft::internal {
+
+namespace {
+
+/// Shortest time between two looks at all sockets. 10,000 of them take about 2 ms, so a listener
+/// held at its limit spends at most 4% of a core on it.
+constexpr Duration LookInterval = std::chrono::milliseconds(50);
+
+/// Unique for each socket, so that a reused descriptor is not taken for the connection before.
+std::optional<std::uint64_t> cookieOf(int fd)
+{
+    std::uint64_t cookie = 0;
+    socklen_t length = sizeof cookie;
+    if (getsockopt(fd, SOL_SOCKET, SO_COOKIE, &cookie, &length) != 0)
+        return std::nullopt;
+    return cookie;
+}
+
+} // namespace
+
+ConnectionCensus::ConnectionCensus(const Clock &clock, int limit)
+    : m_clock(clock), m_limit(static_cast<std::size_t>(limit)),
+      m_lastLook(clock.now() - LookInterval)
+{ }
+
+bool ConnectionCensus::admit(int fd)
+{
+    const auto cookie = cookieOf(fd);
+    if (!cookie)
+        return true; // Closed again already.
+    m_cookies.erase(fd); // Its descriptor was free, so that connection is gone.
+    if (m_cookies.size() >= m_limit && m_clock.now() - m_lastLook >= LookInterval)
+        forgetClosed();
+    if (m_cookies.size() >= m_limit)
+        return false;
+    m_cookies.emplace(fd, *cookie);
+    return true;
+}
+
+void ConnectionCensus::forgetClosed()
+{
+    m_lastLook = m_clock.now();
+    std::erase_if(m_cookies, [](const auto &it) { return cookieOf(it.first) != it.second; });
+}
+
+} // namespace catkinloft::internal
--- /dev/null
+++ b/test/ListenerInputTest.cpp
@@ -0,0 +1,208 @@
+#include "Net/EventLoop.h"
+#include "Net/HttpServer.h"
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <cerrno>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace catkinloft;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t MaxHeader = 2048;
+constexpr std::size_t MaxBody = 4096;
+constexpr Duration IdleTimeout = 1500ms;
+constexpr int MaxConnections = 3;
+
+/// A plain socket of a caller that does not keep to the rules.
+class RawCaller
+{
+public:
+    explicit RawCaller(std::uint16_t port) : m_fd(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        REQUIRE(connect(m_fd, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0);
+    }
+    ~RawCaller() { close(m_fd); }
+    RawCaller(const RawCaller &) = delete;
+    RawCaller &operator=(const RawCaller &) = delete;
+
+    void send(const std::string &text) const
+    {
+        ::send(m_fd, text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    }
+
+    void finish() const { shutdown(m_fd, SHUT_WR); }
+
+    /// \returns whether the listener has closed the connection.
+    bool read()
+    {
+        std::array<char, 4096> buf{};
+        for (;;) {
+            const ssize_t n = recv(m_fd, buf.data(), buf.size(), MSG_DONTWAIT);
+            if (n <= 0)
+                return n == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+            received.append(buf.data(), static_cast<std::size_t>(n));
+        }
+    }
+
+    std::string received;
+
+private:
+    int m_fd;
+};
+
+struct ListenerFixture
+{
+    ListenerFixture()
+    {
+        for (port = 21'000; port < 21'400 && !server; ++port) {
+            auto it = std::make_unique<HttpServer>(
+                    loop,
+                    HttpServer::Options{.address = "127.0.0.1:" + std::to_string(port),
+                                        .limits = {.maxHeaderBytes = MaxHeader,
+                                                   .maxBodyBytes = MaxBody,
+                                                   .maxConnections = MaxConnections,
+                                                   .idleTimeout = IdleTimeout},
+                                        .onTooMany = [this] { ++tooMany; }},
+                    [this](const HttpExchangePtr &exchange) {
+                        ++handled;
+                        exchange->respond(200, {}, "fine");
+                    });
+            if (it->listen())
+                server = std::move(it);
+        }
+        --port;
+        REQUIRE(server);
+    }
+
+    /// Runs the loop until \a condition holds.
+    bool until(const std::function<bool()> &condition)
+    {
+        const TimePoint end = loop.now() + 20s;
+        while (!condition() && loop.now() < end) {
+            loop.runOnce();
+            usleep(1000);
+        }
+        return condition();
+    }
+
+    EventLoop loop;
+    std::unique_ptr<HttpServer> server;
+    std::uint16_t port = 0;
+    int handled = 0;
+    int tooMany = 0;
+};
+
+struct BadInput
+{
+    const char *name;
+    std::string text;
+    const char *answer; ///< Start of what comes back; empty: nothing but the end.
+};
+
+std::vector<BadInput> badInputs()
+{
+    const std::string host = "Host: x\r\n";
+    return {
+            {"header too long", "GET / HTTP/1.1\r\nX: " + std::string(2 * MaxHeader, 'a'),
+             "HTTP/1.1 400"},
+            {"request line too long", "GET /" + std::string(2 * MaxHeader, 'a') + " HTTP/1.1\r\n",
+             "HTTP/1.1 400"},
+            {"stated body too long",
+             "POST / HTTP/1.1\r\n" + host + "Content-Length: 999999\r\n\r\n", "HTTP/1.1 413"},
+            {"length is no number", "POST / HTTP/1.1\r\n" + host + "Content-Length: many\r\n\r\n",
+             "HTTP/1.1 400"},
+            {"length is negative", "POST / HTTP/1.1\r\n" + host + "Content-Length: -5\r\n\r\n",
+             "HTTP/1.1 400"},
+            {"chunk size is no number",
+             "POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", ""},
+            {"not HTTP", std::string("\x16\x03\x01\x02\x00\x01\r\n\r\n", 10), "HTTP/1.1 400"},
+            {"unknown version", "GET / HTTP/9.9\r\n\r\n", "HTTP/1.1 400"},
+            {"header without colon", "GET / HTTP/1.1\r\nnonsense\r\n\r\n", "HTTP/1.1 400"},
+    };
+}
+
+} // namespace
+
+TEST_CASE_FIXTURE(ListenerFixture, "listener_badInput_isRefusedAndTheNextCallerServed")
+{
+    for (const BadInput &it : badInputs()) {
+        CAPTURE(std::string(it.name));
+        handled = 0;
+        RawCaller bad(port);
+        bad.send(it.text);
+        CHECK(until([&] { return bad.read(); }));
+        CHECK(bad.received.starts_with(it.answer));
+        CHECK(handled == 0);
+        RawCaller good(port);
+        good.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+        CHECK(until([&] {
+            good.read();
+            return good.received.ends_with("fine");
+        }));
+    }
+}
+
+TEST_CASE_FIXTURE(ListenerFixture, "listener_slowSender_isClosedAfterTheIdleTime")
+{
+    RawCaller slow(port);
+    slow.send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nabc");
+    CHECK(until([&] { return slow.read(); }));
+    CHECK(handled == 0);
+}
+
+TEST_CASE_FIXTURE(ListenerFixture, "listener_truncatedBody_isNeverHandled")
+{
+    RawCaller cut(port);
+    cut.send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nabc");
+    cut.finish();
+    CHECK(until([&] { return cut.read(); }));
+    CHECK(handled == 0);
+}
+
+TEST_CASE_FIXTURE(ListenerFixture, "listener_rubbishBehindARequest_answersOnlyTheRequest")
+{
+    RawCaller caller(port);
+    caller.send("GET / HTTP/1.1\r\nHost: x\r\n\r\nrubbish\r\n\r\n");
+    CHECK(until([&] { return caller.read(); }));
+    CHECK(handled == 1);
+    CHECK(caller.received.find("fine") != std::string::npos);
+}
+
+TEST_CASE_FIXTURE(ListenerFixture,
+                  "listener_overItsConnectionLimit_refusesWithReasonUntilOneLeaves")
+{
+    std::vector<std::unique_ptr<RawCaller>> held;
+    for (int i = 0; i < MaxConnections; ++i) {
+        held.push_back(std::make_unique<RawCaller>(port));
+        held.back()->send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+        CHECK(until([&] { return handled == i + 1; }));
+    }
+    RawCaller extra(port);
+    CHECK(until([&] { return extra.read(); }));
+    CHECK(extra.received.starts_with("HTTP/1.1 503"));
+    CHECK(extra.received.find("too_many_connections") != std::string::npos);
+    CHECK(tooMany == 1);
+    held.pop_back();
+    CHECK(until([&] {
+        RawCaller next(port);
+        next.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+        until([&] { return next.read() || next.received.ends_with("fine"); });
+        return next.received.ends_with("fine");
+    }));
+}
