--- a/standin/fleet/Fleet.h
+++ b/standin/fleet/Fleet.h
@@ -25,6 +25,7 @@
         std::string binaries; ///< Folder of the built programs.
         std::vector<std::string> engineFlags = {}; ///< Further flags of each engine.
         std::vector<std::string> serviceFlags = {}; ///< Further flags of each replica.
+        std::string serviceTimeout = "10s"; ///< Of a call, in the inventory.
         std::string extraRules = {}; ///< Lines under `rules:` of the inventory.
         std::string extraSettings = {}; ///< Further lines of each router's settings.
         bool proxiedUpstreams = false; ///< Engines and replicas stand behind fault proxies.
