--- a/src/Net/HttpServer.cpp
+++ b/src/Net/HttpServer.cpp
@@ -2,8 +2,12 @@
 
 #include "Base/Log.h"
 #include "Net/EventLoop.h"
+#include "Net/TlsContext.h"
 #include "Net/internal/ConnectionCensus.h"
 #include "Net/internal/Timeval.h"
+#include "Net/internal/TlsStream.h"
+
+#include <cstdlib>
 
 #include <sys/socket.h>
 
@@ -25,7 +29,8 @@
 constexpr evhttp_cmd_type AllowedMethods = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT
         | EVHTTP_REQ_DELETE | EVHTTP_REQ_HEAD | EVHTTP_REQ_PATCH | EVHTTP_REQ_OPTIONS;
 
-/// Sent to a connection over the limit before it is closed, as far as the socket takes it.
+/// Sent in the clear to a connection over the limit before it is closed, as far as the socket takes
+/// it.
 constexpr std::string_view TooManyAnswer =
         "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 1\r\n"
         "Content-Type: application/problem+json\r\nContent-Length: 53\r\n\r\n"
@@ -49,24 +54,31 @@
         d->handler(std::make_shared<HttpExchange>(request));
     }
 
-    static bufferevent *makeBufferevent(event_base *base, void *arg)
+    bool usesTls() const { return options.tls && options.tls->hasCertificate(); }
+
+    static bufferevent *newStream(event_base *base, void *arg)
     {
         auto *d = static_cast<Private *>(arg);
-        bufferevent *bev = bufferevent_socket_new(base, -1, 0);
+        bufferevent *out = d->usesTls() ? internal::newServerStream(base, *d->options.tls)
+                                        : bufferevent_socket_new(base, -1, 0);
+        // evhttp would go on in the clear without a stream; that takes no memory left at all.
+        if (!out)
+            std::abort();
         // evhttp sets the descriptor right after this call and reads no earlier than in the next
         // turn of the loop, so it can't have freed the connection before the post runs.
-        d->loop.post([d, bev, there = std::weak_ptr(d->alive)] {
+        d->loop.post([d, out, there = std::weak_ptr(d->alive)] {
             if (!there.expired())
-                d->checkLimit(bufferevent_getfd(bev));
+                d->checkLimit(bufferevent_getfd(out));
         });
-        return bev;
+        return out;
     }
 
     void checkLimit(int fd)
     {
         if (census.admit(fd))
             return;
-        send(fd, TooManyAnswer.data(), TooManyAnswer.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+        if (!usesTls())
+            send(fd, TooManyAnswer.data(), TooManyAnswer.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
         // evhttp sees the end and frees the connection by its own rules.
         shutdown(fd, SHUT_RDWR);
         if (options.onTooMany)
@@ -89,7 +101,7 @@
     evhttp_set_timeout_tv(m_d->http, &tv);
     evhttp_set_allowed_methods(m_d->http, AllowedMethods);
     evhttp_set_default_content_type(m_d->http, nullptr);
-    evhttp_set_bevcb(m_d->http, &Private::makeBufferevent, m_d.get());
+    evhttp_set_bevcb(m_d->http, &Private::newStream, m_d.get());
     evhttp_set_gencb(m_d->http, &Private::onRequest, m_d.get());
 }
 
--- a/src/Net/HttpServer.h
+++ b/src/Net/HttpServer.h
@@ -11,6 +11,7 @@
 namespace catkinloft {
 
 class EventLoop;
+class TlsContext;
 
 /// \brief An HTTP listener over evhttp.
 class HttpServer
@@ -24,6 +25,7 @@
         ListenerLimits limits;
         /// Told of each connection that was closed because there were limits.maxConnections.
         std::function<void()> onTooMany = {};
+        const TlsContext *tls = nullptr; ///< With a certificate: callers have to speak TLS.
     };
 
     /// \brief Does not listen yet.
