--- a/src/Net/RouterProcess.cpp
+++ b/src/Net/RouterProcess.cpp
@@ -90,6 +90,7 @@
           server(loop,
                  {.address = settings->callerAddress,
                   .limits = settings->limits,
+                  .onTooMany = [this] { metrics.refused(Reason::TooManyConnections); },
                   .tls = &tls.context()},
                  [this](const HttpExchangePtr &it) { gateway.handle(it); }),
           poll(loop, [this] { readPlatform(); }), selfCheck(loop, [this] { checkSelf(); }),
