--- /dev/null
+++ b/bench/main.cpp
@@ -0,0 +1,3 @@
+#include <benchmark/benchmark.h>
+
+BENCHMARK_MAIN();
--- a/src/Decide/ChatOrder.cpp
+++ b/src/Decide/ChatOrder.cpp
@@ -15,6 +15,24 @@
 constexpr std::uint64_t TopSalt = 0x746f70;
 constexpr std::uint64_t MiddleSalt = 0x6d6964;
 
+constexpr double RoundingMargin = 1e-12;
+
+/// Mixes a chat's key with a group's id; both are hashes already, so two rounds are enough, and
+/// being inline it costs a third of hashCombine().
+inline std::uint64_t mix(std::uint64_t key, std::uint64_t id)
+{
+    std::uint64_t x = (key ^ id) * 0x9E3779B97F4A7C15ULL;
+    x = (x ^ (x >> 32)) * 0xD6E8FEB86659FD93ULL;
+    return x ^ (x >> 32);
+}
+
+/// The weighted rendezvous score, as rendezvousScore() has it.
+double score(double weight, std::uint64_t draw)
+{
+    const double u = (static_cast<double>(draw >> 11) + 0.5) * 0x1.0p-53;
+    return -weight / std::log(u);
+}
+
 std::uint64_t topOf(std::uint64_t id)
 {
     return id >> (64 - GroupBits);
@@ -33,7 +51,7 @@
     m_middle.clear();
     m_leaves.clear();
     for (std::size_t i = 0; i < nodes.size(); ++i)
-        m_leaves.push_back({.id = nodes[i].id, .weight = nodes[i].weight, .first = i, .count = 1});
+        m_leaves.push_back({.id = nodes[i].id, .weight = nodes[i].weight, .first = i});
     std::sort(m_leaves.begin(), m_leaves.end(),
               [](const Group &a, const Group &b) { return a.id < b.id; });
     for (std::size_t i = 0; i < m_leaves.size(); ++i) {
@@ -48,25 +66,43 @@
         }
         ++m_middle.back().count;
         m_middle.back().weight += it.weight;
+        m_middle.back().maxWeight = std::max(m_middle.back().maxWeight, it.weight);
         m_top.back().weight += it.weight;
     }
+    m_maxTop = 0;
+    for (Group &top : m_top) {
+        for (std::size_t i = 0; i < top.count; ++i)
+            top.maxWeight = std::max(top.maxWeight, m_middle[top.first + i].weight);
+        m_maxTop = std::max(m_maxTop, top.weight);
+    }
 }
 
-std::size_t ChatOrder::best(std::span<const Group> groups, std::uint64_t key)
+std::size_t ChatOrder::best(std::span<const Group> groups, double maxWeight, std::uint64_t key)
 {
+    if (groups.size() < 2)
+        return 0;
+    // The highest draw wins where no weight is higher. Elsewhere it gives a score to beat.
     std::size_t out = 0;
-    double bestScore = 0;
-    for (std::size_t i = 0; groups.size() > 1 && i < groups.size(); ++i) {
-        const Group &it = groups[i];
-        const double u = (static_cast<double>(hashCombine(key, it.id) >> 11) + 0.5) * 0x1.0p-53;
-        // -ln(u) >= 1 - u, so most scores are known to lose without a logarithm.
-        if (bestScore * (1 - u) >= it.weight)
+    std::uint64_t highest = 0;
+    for (std::size_t i = 0; i < groups.size(); ++i) {
+        const std::uint64_t draw = mix(key, groups[i].id);
+        out = draw > highest ? i : out;
+        highest = std::max(highest, draw);
+    }
+    if (groups[out].weight >= maxWeight)
+        return out;
+    double bestScore = score(groups[out].weight, highest);
+    // -ln(u) >= 1 - u, so a draw under this can't win with any weight here, which saves nearly all
+    // logarithms. The margin covers rounding.
+    const double limit = 1 - maxWeight / bestScore - RoundingMargin;
+    const std::uint64_t floor = limit <= 0 ? 0 : static_cast<std::uint64_t>(limit * 0x1.0p64);
+    for (std::size_t i = 0; i < groups.size(); ++i) {
+        const std::uint64_t draw = mix(key, groups[i].id);
+        if (draw < floor)
             continue;
-        const double score = -it.weight / std::log(u);
-        if (score > bestScore) {
-            bestScore = score;
-            out = i;
-        }
+        const double it = score(groups[i].weight, draw);
+        out = it > bestScore ? i : out;
+        bestScore = std::max(bestScore, it);
     }
     return out;
 }
@@ -76,11 +112,11 @@
     if (m_top.empty())
         return None;
     const std::uint64_t place = hashCombine(key, probe);
-    const Group &top = m_top[best(m_top, place)];
+    const Group &top = m_top[best(m_top, m_maxTop, place)];
     const std::span<const Group> middles(m_middle.data() + top.first, top.count);
-    const Group &middle = middles[best(middles, place)];
+    const Group &middle = middles[best(middles, top.maxWeight, place)];
     const std::span<const Group> leaves(m_leaves.data() + middle.first, middle.count);
-    return leaves[best(leaves, place)].first;
+    return leaves[best(leaves, middle.maxWeight, place)].first;
 }
 
 } // namespace catkinloft
--- a/src/Decide/ChatOrder.h
+++ b/src/Decide/ChatOrder.h
@@ -38,12 +38,14 @@
     {
         std::uint64_t id = 0;
         double weight = 0;
+        double maxWeight = 0; ///< Of its members.
         std::size_t first = 0; ///< Of its members on the level below.
         std::size_t count = 0;
     };
 
-    static std::size_t best(std::span<const Group> groups, std::uint64_t key);
+    static std::size_t best(std::span<const Group> groups, double maxWeight, std::uint64_t key);
 
+    double m_maxTop = 0;
     std::vector<Group> m_top;
     std::vector<Group> m_middle;
     std::vector<Group> m_leaves; ///< `first` is the position that was handed in.
