--- /dev/null
+++ b/bench/measure/PlacementScenario.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <string_view>
+
+namespace catkinloft::measure {
+
+/// \brief What happens during one measurement; data only.
+struct PlacementScenario
+{
+    std::string_view name;
+    double load = 0.6; ///< Arrivals as a share of the engines' capacity.
+    double surge = 1; ///< Factor on the arrivals of workspace 0 in the middle third.
+    int leavesPerMinute = 0; ///< Engines that leave for half a minute and return empty.
+    bool flapping = false; ///< Engine 0 leaves and returns every five seconds.
+    double slowness = 1; ///< Of engine 0, in the middle third.
+    double longShare = 0.1; ///< Chats over long finding aids.
+    double listLag = 0.05; ///< Seconds until the last router knows of a change.
+    double reportLoss = 0; ///< Share of reports that are lost.
+};
+
+/// Capacity share 0.6 leaves room for the loss of two engines of nine.
+inline constexpr PlacementScenario PlacementScenarios[] = {
+        {.name = "steady"},
+        {.name = "surge", .surge = 20},
+        {.name = "churn", .leavesPerMinute = 2},
+        {.name = "flapping", .flapping = true},
+        {.name = "slow_engine", .slowness = 5},
+        {.name = "long_short_mix", .longShare = 0.3},
+        {.name = "saturation", .load = 1.5},
+        {.name = "lists_disagree", .leavesPerMinute = 2, .listLag = 5, .reportLoss = 0.3},
+};
+
+} // namespace catkinloft::measure
