Placement: owners decide exactly, relays carry on in the chat's order; reports are taken over one by one

Cause: counting relayed jobs until the next report had routers pass over engines that had room, and overflow at an owner was placed on lagging reports. Change: Job::intended, Options::maxHops, no own count for what was relayed.

--- a/bench/measure/PlacementEngine.h
+++ b/bench/measure/PlacementEngine.h
@@ -5,8 +5,10 @@
 #include <cstdint>
 #include <deque>
 #include <list>
+#include <string>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace catkinloft::measure {
 
@@ -22,7 +24,8 @@
     TimePoint arrived;
     int engine = -1;
     int router = -1; ///< That sent it to the engine.
-    int relay = -1; ///< That the caller came to, where it was relayed.
+    std::string intended = {}; ///< Engine for which it was relayed.
+    std::vector<int> relays = {}; ///< Routers that passed it on before.
     double slotTime = 0; ///< Seconds it held a slot.
 
     double work() const { return prompt + output; }
--- a/bench/measure/PlacementPolicy.h
+++ b/bench/measure/PlacementPolicy.h
@@ -15,7 +15,7 @@
 class PlacementPolicy
 {
 public:
-    /// Called once a job: an engine, a router to relay to, or neither for a refusal.
+    /// Called once a job: an engine and, where it goes by its owner, that router; or a refusal.
     using Decided = std::function<void(int engine, int relayTo, bool refused)>;
 
     virtual ~PlacementPolicy() = default;
--- a/src/Decide/Dispatcher.cpp
+++ b/src/Decide/Dispatcher.cpp
@@ -28,7 +28,8 @@
 Dispatcher::Dispatcher(Options options)
     : m_options(std::move(options)), m_placement({.clock = m_options.clock,
                                                   .random = m_options.random,
-                                                  .failureDomain = m_options.failureDomain})
+                                                  .failureDomain = m_options.failureDomain,
+                                                  .maxHops = m_options.maxHops})
 { }
 
 void Dispatcher::setEngines(InventoryPtr inventory, std::string_view model)
@@ -69,6 +70,7 @@
     m_retries.setShare(inventory->rules.retryShare);
     m_queue.setInventory(inventory);
     m_inventory = std::move(inventory);
+    markOwned();
     drain(Placement::None);
     flush();
 }
@@ -81,6 +83,16 @@
     for (const RouterView &it : m_routers)
         nodes.push_back({.id = hash64(it.name), .weight = 1});
     m_routerOrder.assign(nodes);
+    markOwned();
+}
+
+void Dispatcher::markOwned()
+{
+    for (std::size_t i = 0; i < m_placement.size(); ++i) {
+        const std::size_t owner = m_routerOrder.at(m_placement.idOf(i));
+        m_placement.setOwned(i,
+                             owner == ChatOrder::None || m_routers[owner].name == m_options.self);
+    }
 }
 
 void Dispatcher::addLoadReports(std::span<const LoadReport> reports)
@@ -174,7 +186,7 @@
 {
     const Placement::Upstream &upstream = m_placement.upstream(i);
     const RouterView *owner = job.chatKey != 0 ? ownerOf(m_placement.idOf(i)) : nullptr;
-    const bool relayed = owner && job.hops == 0;
+    const bool relayed = owner && job.hops < m_options.maxHops;
     const bool first = job.chatKey == 0 || m_placement.firstOf(job) == i;
     ++m_counters.placed;
     m_counters.relayed += relayed ? 1 : 0;
--- a/src/Decide/Dispatcher.h
+++ b/src/Decide/Dispatcher.h
@@ -45,6 +45,11 @@
         RandomSource random;
         std::string self; ///< Name of this router.
         std::string failureDomain = {}; ///< Of this router.
+        /// Relays of one request. With more than one, an owner whose engine is full passes the
+        /// request to the owner of the next, at half a millisecond each; the caller of submit()
+        /// must then carry Job::hops and Job::intended. A request that used them up is served where
+        /// it is, on what reports say, so that no disagreement of lists sends it round for ever.
+        int maxHops = 1;
     };
 
     /// \brief What was decided so far; only ever rises.
@@ -109,6 +114,7 @@
     };
 
     void setPool(InventoryPtr inventory, std::vector<Placement::Upstream> upstreams);
+    void markOwned();
     const RouterView *ownerOf(std::uint64_t upstream) const;
     Result<void> admit(const Job &job);
     bool place(const Job &job, TimePoint since, const Decided &decided, std::size_t hint);
--- a/src/Decide/Placement.cpp
+++ b/src/Decide/Placement.cpp
@@ -25,6 +25,10 @@
 /// A report that was not renewed for so long comes from a router that is gone.
 constexpr Duration ReportLife = 10s;
 
+/// How far an engine's reported load may be over the bound before its owner is not even asked. Load
+/// changes by about half within the second between reports.
+constexpr double OwnerAllowance = 1.5;
+
 constexpr Duration BaselinePeriod = 1s;
 
 /// Room over the mean that is left to the pool while engines start slowly.
@@ -98,16 +102,13 @@
             heard = it.heard.insert(it.heard.end(), Heard{.router = router, .at = {}});
         else if (heard->at >= report.measuredAt)
             continue;
+        addToTotals(it, -1);
         heard->work = report.work;
         heard->inFlight = report.inFlight;
         heard->at = report.measuredAt;
-        // What was relayed in the period before the last may be missing from this report, since it
-        // lags; so it counts for one period more. Counting it twice errs to the careful side.
-        it.relayedWork = {0, it.relayedWork[0]};
-        it.relayedCount = {0, it.relayedCount[0]};
-        ++it.reportCount;
+        sumHeard(it);
+        addToTotals(it, 1);
     }
-    refresh();
 }
 
 void Placement::refresh()
@@ -137,12 +138,14 @@
 
 double Placement::seenWork(const State &it)
 {
-    return it.work + it.heardWork + it.relayedWork[0] + it.relayedWork[1];
+    // What this router relayed is not in it: the owner counts it exactly, and counting it here
+    // until the owner's next report had routers pass over engines that had room.
+    return it.work + it.heardWork;
 }
 
 int Placement::seenInFlight(const State &it)
 {
-    return it.inFlight + it.heardInFlight + it.relayedCount[0] + it.relayedCount[1];
+    return it.inFlight + it.heardInFlight;
 }
 
 void Placement::recount()
@@ -202,9 +205,13 @@
         return false;
     if (it.health.state != HealthTracker::State::Healthy && !m_health.admits(it.health, m_now))
         return false;
+    // Another router counts it exactly and will be asked, so only what is full beyond the lag of
+    // reports is passed over: judging by reports here would lose contexts for nothing.
+    const bool asksOwner = !it.owned && job.chatKey != 0 && job.hops < m_options.maxHops;
+    const double bound = boundOf(i, job.work) * (asksOwner ? OwnerAllowance : 1);
     // Load may reach the bound plus this one job: a rule that counted the job in would leave an
     // engine idle whenever one job is larger than the bound.
-    return seenWork(it) < boundOf(i, job.work) && (job.excluded.empty() || !isExcluded(it, job));
+    return seenWork(it) < bound && (job.excluded.empty() || !isExcluded(it, job));
 }
 
 std::size_t Placement::choose(const Job &job, std::size_t hint)
@@ -214,7 +221,14 @@
     m_now = m_options.clock.now();
     if (job.chatKey == 0)
         return chooseByLoad(job);
-    for (unsigned probe = 0; probe < MaxProbes; ++probe) {
+    // A relayed job goes on where the router before stopped; what that one passed over was full at
+    // its owner, and looking there again on lagging reports would send the job round in a circle.
+    const auto intended = job.intended.empty() ? m_byId.end() : m_byId.find(hash64(job.intended));
+    const bool isKnown = intended != m_byId.end();
+    if (isKnown && fits(intended->second, job))
+        return intended->second;
+    for (unsigned probe = isKnown ? placeOf(job, intended->second) : 0; probe < MaxProbes;
+         ++probe) {
         const std::size_t i = m_order.at(job.chatKey, probe);
         if (fits(i, job))
             return i;
@@ -224,6 +238,14 @@
     return scan(job, job.chatKey % m_states.size());
 }
 
+unsigned Placement::placeOf(const Job &job, std::size_t intended) const
+{
+    unsigned probe = 0;
+    while (probe < MaxProbes && m_order.at(job.chatKey, probe) != intended)
+        ++probe;
+    return probe;
+}
+
 std::size_t Placement::chooseByLoad(const Job &job)
 {
     const auto better = [&](std::size_t a, std::size_t b) {
@@ -277,17 +299,14 @@
 Placement::Running Placement::start(std::size_t i, const Job &job, bool relayed)
 {
     State &it = m_states[i];
-    addToTotals(it, -1);
-    if (relayed) {
-        it.relayedWork[0] += job.work;
-        ++it.relayedCount[0];
-    } else {
+    if (!relayed) {
+        addToTotals(it, -1);
         it.work += job.work;
         ++it.inFlight;
         it.health.probing = it.health.state == HealthTracker::State::HalfOpen;
+        addToTotals(it, 1);
     }
-    addToTotals(it, 1);
-    return {.upstream = it.id, .work = job.work, .relayed = relayed, .reportCount = it.reportCount};
+    return {.upstream = it.id, .work = job.work, .relayed = relayed};
 }
 
 std::size_t Placement::stop(const Running &running, const AttemptReport &report)
@@ -295,17 +314,14 @@
     const auto found = m_byId.find(running.upstream);
     if (found == m_byId.end())
         return None;
+    if (running.relayed)
+        return None;
     m_now = m_options.clock.now();
     State &it = m_states[found->second];
     addToTotals(it, -1);
-    if (!running.relayed) {
-        it.work = --it.inFlight == 0 ? 0 : it.work - running.work;
-        it.limit.record(report);
-        m_health.record(it.health, running.work, report, m_states.size(), m_now);
-    } else if (it.reportCount - running.reportCount < it.relayedWork.size()) {
-        const std::size_t age = it.reportCount - running.reportCount;
-        it.relayedWork[age] = --it.relayedCount[age] == 0 ? 0 : it.relayedWork[age] - running.work;
-    }
+    it.work = --it.inFlight == 0 ? 0 : it.work - running.work;
+    it.limit.record(report);
+    m_health.record(it.health, running.work, report, m_states.size(), m_now);
     it.lastBusy = m_now;
     it.counted = inUse(it);
     it.ramp = HealthTracker::ramp(it.health, m_now);
--- a/src/Decide/Placement.h
+++ b/src/Decide/Placement.h
@@ -8,7 +8,6 @@
 #include "Decide/Job.h"
 #include "Decide/LoadReport.h"
 
-#include <array>
 #include <map>
 #include <span>
 #include <string>
@@ -44,6 +43,7 @@
         const Clock &clock;
         RandomSource random;
         std::string failureDomain; ///< Of this router.
+        int maxHops = 1; ///< Relays of one job.
     };
 
     /// \brief What start() counted, so that stop() can take it back.
@@ -52,7 +52,6 @@
         std::uint64_t upstream = 0; ///< Id.
         double work = 0;
         bool relayed = false;
-        std::uint64_t reportCount = 0; ///< Of the upstream when it started.
     };
 
     static constexpr std::size_t None = ChatOrder::None;
@@ -72,6 +71,9 @@
     /// \param hint an upstream that was just freed; tried after the chat's own order.
     std::size_t choose(const Job &job, std::size_t hint = None);
 
+    /// \brief Says whether this router owns upstream \a i, so that its own count is exact.
+    void setOwned(std::size_t i, bool owned) { m_states[i].owned = owned; }
+
     /// \returns the first upstream in the order of \a job that is in use, full or not.
     std::size_t firstOf(const Job &job);
 
@@ -117,15 +119,12 @@
         std::uint64_t id = 0;
         double work = 0; ///< Sent by this router.
         int inFlight = 0;
-        /// Relayed since the last report and since the one before it.
-        std::array<double, 2> relayedWork = {};
-        std::array<int, 2> relayedCount = {};
-        std::uint64_t reportCount = 0;
         std::vector<Heard> heard;
         double heardWork = 0;
         int heardInFlight = 0;
         HealthTracker::Entry health;
         ConcurrencyLimit limit;
+        bool owned = true;
         bool counted = false; ///< Part of the mean.
         double ramp = 1; ///< Of slow start, as of the last refresh.
         TimePoint lastBusy;
@@ -136,6 +135,7 @@
     static int seenInFlight(const State &it);
     bool fits(std::size_t i, const Job &job);
     static bool isExcluded(const State &it, const Job &job);
+    unsigned placeOf(const Job &job, std::size_t intended) const;
     std::size_t chooseByLoad(const Job &job);
     std::size_t scan(const Job &job, std::size_t first);
     void addToTotals(State &it, double sign);
