Placement: one owner for a group of engines counts exactly and keeps the queue

Change: ownership by groups of about sixteen engines; overflow stays in the group in the chat's own order; relayed jobs are not counted by the router that relays. Multiple hops and Job::intended go.

--- a/bench/measure/PlacementEngine.h
+++ b/bench/measure/PlacementEngine.h
@@ -5,7 +5,6 @@
 #include <cstdint>
 #include <deque>
 #include <list>
-#include <string>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -24,7 +23,6 @@
     TimePoint arrived;
     int engine = -1;
     int router = -1; ///< That sent it to the engine.
-    std::string intended = {}; ///< Engine for which it was relayed.
     std::vector<int> relays = {}; ///< Routers that passed it on before.
     double slotTime = 0; ///< Seconds it held a slot.
 
--- a/bench/measure/PlacementMeasure.cpp
+++ b/bench/measure/PlacementMeasure.cpp
@@ -9,10 +9,11 @@
 
 namespace {
 
-constexpr std::string_view Policies[] = {"ours",           "one_hop",        "local_share",
+constexpr std::string_view Policies[] = {"ours",           "engine_owner",   "local_share",
                                          "lagged_reports", "round_robin",    "rendezvous",
                                          "two_choices",    "least_in_flight"};
-constexpr std::string_view OwnVariants[] = {"ours", "one_hop", "local_share", "lagged_reports"};
+constexpr std::string_view OwnVariants[] = {"ours", "engine_owner", "local_share",
+                                            "lagged_reports"};
 constexpr std::string_view Classes[] = {"large", "small", "protected"};
 
 struct Deployment
@@ -92,17 +93,15 @@
     PlacementSimulation::Options m_options;
 };
 
-double reuseOf(const PlacementSimulation::Results &r)
+/// One router that knows every load at once, under the same bound: what nobody can beat.
+double runOracle(PlacementSimulation::Options options, const std::string &deployment,
+                 const Report &report)
 {
-    return share(r.foundTokens, r.returningTokens);
-}
-
-/// The oracle: one router that knows every load at once, under the same bound.
-double oracleReuse(PlacementSimulation::Options options)
-{
-    options.policy = "ours";
+    options.policy = "oracle";
     options.routers = 1;
-    return reuseOf(PlacementSimulation(options).run());
+    const auto results = PlacementSimulation(options).run();
+    RunReport(report, deployment, options).print(results, 0);
+    return share(results.foundTokens, results.returningTokens);
 }
 
 void runScenarios(std::uint64_t seed, const Report &report)
@@ -113,7 +112,7 @@
                                                  .scenario = scenario,
                                                  .largeWorkspaces = deployment.largeWorkspaces,
                                                  .seed = seed};
-            const double oracle = oracleReuse(options);
+            const double oracle = runOracle(options, std::string(deployment.name), report);
             for (const std::string_view policy : Policies) {
                 options.policy = policy;
                 const auto results = PlacementSimulation(options).run();
@@ -135,7 +134,7 @@
                                              .routers = routers,
                                              .seconds = 25,
                                              .seed = seed};
-        const double oracle = oracleReuse(options);
+        const double oracle = runOracle(options, "large", report);
         for (const std::string_view policy : OwnVariants) {
             options.policy = policy;
             const auto results = PlacementSimulation(options).run();
--- a/bench/measure/PlacementPolicy.cpp
+++ b/bench/measure/PlacementPolicy.cpp
@@ -25,12 +25,13 @@
 {
 public:
     explicit DispatcherPolicy(const PlacementPolicyOptions &o)
-        : m_reports(o.name != "local_share"), m_dispatcher({.clock = o.clock,
-                                                            .random = seededRandom(o.seed),
-                                                            .self = fmt::format("r{}", o.router),
-                                                            .maxHops = o.name == "one_hop" ? 1 : 4})
+        : m_reports(o.name != "local_share"),
+          m_dispatcher({.clock = o.clock,
+                        .random = seededRandom(o.seed),
+                        .self = fmt::format("r{}", o.router),
+                        .ownerGroup = o.name == "engine_owner" ? 1 : 16})
     {
-        if (o.name != "ours" && o.name != "one_hop")
+        if (o.name != "ours" && o.name != "engine_owner")
             return;
         std::vector<RouterView> routers;
         for (int i = 0; i < o.routers; ++i)
@@ -46,8 +47,8 @@
                .chatKey = hashCombine(3, job.chat),
                .work = job.work(),
                .deadline = job.arrived + std::chrono::seconds(30),
-               .hops = hops,
-               .intended = job.intended};
+               .hops = hops};
+
         m_dispatcher.submit(std::move(it), [done = std::move(decided)](Result<Assignment> result) {
             if (!result)
                 done(-1, -1, true);
@@ -173,8 +174,9 @@
 
 std::unique_ptr<PlacementPolicy> makePlacementPolicy(const PlacementPolicyOptions &options)
 {
-    const bool own = options.name == "ours" || options.name == "one_hop"
-            || options.name == "local_share" || options.name == "lagged_reports";
+    const bool own = options.name == "ours" || options.name == "oracle"
+            || options.name == "engine_owner" || options.name == "local_share"
+            || options.name == "lagged_reports";
     if (own)
         return std::make_unique<DispatcherPolicy>(options);
     return std::make_unique<BaselinePolicy>(options);
--- a/bench/measure/PlacementSimulation.cpp
+++ b/bench/measure/PlacementSimulation.cpp
@@ -232,9 +232,8 @@
         return;
     }
     if (relayTo >= 0) {
-        ++m_results.relays;
+        m_results.relays += isMeasured() ? 1 : 0;
         job->relays.push_back(router);
-        job->intended = fmt::format("e{}", engine);
         const int hops = static_cast<int>(job->relays.size());
         after(MessageDelay, [this, job, relayTo, hops] { submit(job, relayTo, hops); });
         return;
--- a/src/Decide/Dispatcher.cpp
+++ b/src/Decide/Dispatcher.cpp
@@ -29,7 +29,7 @@
     : m_options(std::move(options)), m_placement({.clock = m_options.clock,
                                                   .random = m_options.random,
                                                   .failureDomain = m_options.failureDomain,
-                                                  .maxHops = m_options.maxHops})
+                                                  .ownerGroup = m_options.ownerGroup})
 { }
 
 void Dispatcher::setEngines(InventoryPtr inventory, std::string_view model)
@@ -46,7 +46,7 @@
                         .slots = it.slots,
                         .leaving = it.leaving});
     }
-    setPool(std::move(inventory), std::move(next));
+    setPool(std::move(inventory), std::move(next), model);
 }
 
 void Dispatcher::setReplicas(InventoryPtr inventory, std::string_view service)
@@ -61,12 +61,13 @@
                         .slots = found->concurrency,
                         .leaving = it.leaving});
     }
-    setPool(std::move(inventory), std::move(next));
+    setPool(std::move(inventory), std::move(next), service);
 }
 
-void Dispatcher::setPool(InventoryPtr inventory, std::vector<Placement::Upstream> upstreams)
+void Dispatcher::setPool(InventoryPtr inventory, std::vector<Placement::Upstream> upstreams,
+                         std::string_view name)
 {
-    m_placement.setUpstreams(std::move(upstreams), inventory->rules);
+    m_placement.setUpstreams(std::move(upstreams), inventory->rules, hash64(name));
     m_retries.setShare(inventory->rules.retryShare);
     m_queue.setInventory(inventory);
     m_inventory = std::move(inventory);
@@ -89,7 +90,7 @@
 void Dispatcher::markOwned()
 {
     for (std::size_t i = 0; i < m_placement.size(); ++i) {
-        const std::size_t owner = m_routerOrder.at(m_placement.idOf(i));
+        const std::size_t owner = m_routerOrder.at(m_placement.groupOf(i));
         m_placement.setOwned(i,
                              owner == ChatOrder::None || m_routers[owner].name == m_options.self);
     }
@@ -102,9 +103,9 @@
     flush();
 }
 
-const RouterView *Dispatcher::ownerOf(std::uint64_t upstream) const
+const RouterView *Dispatcher::ownerOf(std::size_t upstream) const
 {
-    const std::size_t i = m_routerOrder.at(upstream);
+    const std::size_t i = m_routerOrder.at(m_placement.groupOf(upstream));
     if (i == ChatOrder::None)
         return nullptr;
     const RouterView &it = m_routers[i];
@@ -176,7 +177,7 @@
     if (job.hops > 0 || job.chatKey == 0)
         return false;
     const std::size_t i = m_placement.firstOf(job);
-    if (i == Placement::None || !ownerOf(m_placement.idOf(i)))
+    if (i == Placement::None || !ownerOf(i))
         return false;
     assign(job, m_options.clock.now(), decided, i);
     return true;
@@ -185,8 +186,8 @@
 void Dispatcher::assign(const Job &job, TimePoint since, const Decided &decided, std::size_t i)
 {
     const Placement::Upstream &upstream = m_placement.upstream(i);
-    const RouterView *owner = job.chatKey != 0 ? ownerOf(m_placement.idOf(i)) : nullptr;
-    const bool relayed = owner && job.hops < m_options.maxHops;
+    const RouterView *owner = job.chatKey != 0 ? ownerOf(i) : nullptr;
+    const bool relayed = owner && job.hops == 0;
     const bool first = job.chatKey == 0 || m_placement.firstOf(job) == i;
     ++m_counters.placed;
     m_counters.relayed += relayed ? 1 : 0;
--- a/src/Decide/Dispatcher.h
+++ b/src/Decide/Dispatcher.h
@@ -45,11 +45,9 @@
         RandomSource random;
         std::string self; ///< Name of this router.
         std::string failureDomain = {}; ///< Of this router.
-        /// Relays of one request. With more than one, an owner whose engine is full passes the
-        /// request to the owner of the next, at half a millisecond each; the caller of submit()
-        /// must then carry Job::hops and Job::intended. A request that used them up is served where
-        /// it is, on what reports say, so that no disagreement of lists sends it round for ever.
-        int maxHops = 1;
+        /// Engines of which one router keeps the count, about. Sixteen make the count exact for the
+        /// whole of today's pools, and at full size leave each router one group of some eleven.
+        int ownerGroup = 16;
     };
 
     /// \brief What was decided so far; only ever rises.
@@ -113,9 +111,10 @@
         std::string owner; ///< Router that it was relayed to.
     };
 
-    void setPool(InventoryPtr inventory, std::vector<Placement::Upstream> upstreams);
+    void setPool(InventoryPtr inventory, std::vector<Placement::Upstream> upstreams,
+                 std::string_view name);
     void markOwned();
-    const RouterView *ownerOf(std::uint64_t upstream) const;
+    const RouterView *ownerOf(std::size_t upstream) const;
     Result<void> admit(const Job &job);
     bool place(const Job &job, TimePoint since, const Decided &decided, std::size_t hint);
     bool relayToFirst(const Job &job, const Decided &decided);
--- a/src/Decide/Job.h
+++ b/src/Decide/Job.h
@@ -21,7 +21,6 @@
     int priority = 0; ///< Higher goes first within a workspace.
     TimePoint deadline = {};
     int hops = 0; ///< Routers that it has already passed through before this one.
-    std::string intended = {}; ///< Upstream for which the router before sent it here, if told.
     std::vector<std::string> excluded = {}; ///< Upstreams that an earlier attempt failed on.
 };
 
--- a/src/Decide/Placement.cpp
+++ b/src/Decide/Placement.cpp
@@ -25,10 +25,6 @@
 /// A report that was not renewed for so long comes from a router that is gone.
 constexpr Duration ReportLife = 10s;
 
-/// How far an engine's reported load may be over the bound before its owner is not even asked. Load
-/// changes by about half within the second between reports.
-constexpr double OwnerAllowance = 1.5;
-
 constexpr Duration BaselinePeriod = 1s;
 
 /// Room over the mean that is left to the pool while engines start slowly.
@@ -38,7 +34,8 @@
 
 Placement::Placement(Options options) : m_options(std::move(options)) { }
 
-void Placement::setUpstreams(std::vector<Upstream> upstreams, const Rules &rules)
+void Placement::setUpstreams(std::vector<Upstream> upstreams, const Rules &rules,
+                             std::uint64_t pool)
 {
     m_now = m_options.clock.now();
     m_rules = rules;
@@ -69,6 +66,7 @@
     }
     // Those leaving stay in the order: when one comes back, its chats find it in the same place.
     m_order.assign(nodes);
+    buildGroups(pool);
     m_first = m_first && m_states.empty();
     recount();
 }
@@ -201,17 +199,19 @@
 bool Placement::fits(std::size_t i, const Job &job)
 {
     State &it = m_states[i];
-    if (it.upstream.leaving || !it.limit.allows(seenInFlight(it)))
+    if (it.upstream.leaving)
+        return false;
+    // Another router counts it exactly and will be asked; to judge it here by what was reported
+    // a second ago would lose the chat's context for nothing.
+    if (!it.owned && job.chatKey != 0 && job.hops == 0)
+        return inUse(it) && !isExcluded(it, job);
+    if (!it.limit.allows(seenInFlight(it)))
         return false;
     if (it.health.state != HealthTracker::State::Healthy && !m_health.admits(it.health, m_now))
         return false;
-    // Another router counts it exactly and will be asked, so only what is full beyond the lag of
-    // reports is passed over: judging by reports here would lose contexts for nothing.
-    const bool asksOwner = !it.owned && job.chatKey != 0 && job.hops < m_options.maxHops;
-    const double bound = boundOf(i, job.work) * (asksOwner ? OwnerAllowance : 1);
     // Load may reach the bound plus this one job: a rule that counted the job in would leave an
     // engine idle whenever one job is larger than the bound.
-    return seenWork(it) < bound && (job.excluded.empty() || !isExcluded(it, job));
+    return seenWork(it) < boundOf(i, job.work) && (job.excluded.empty() || !isExcluded(it, job));
 }
 
 std::size_t Placement::choose(const Job &job, std::size_t hint)
@@ -221,14 +221,13 @@
     m_now = m_options.clock.now();
     if (job.chatKey == 0)
         return chooseByLoad(job);
-    // A relayed job goes on where the router before stopped; what that one passed over was full at
-    // its owner, and looking there again on lagging reports would send the job round in a circle.
-    const auto intended = job.intended.empty() ? m_byId.end() : m_byId.find(hash64(job.intended));
-    const bool isKnown = intended != m_byId.end();
-    if (isKnown && fits(intended->second, job))
-        return intended->second;
-    for (unsigned probe = isKnown ? placeOf(job, intended->second) : 0; probe < MaxProbes;
-         ++probe) {
+    const std::size_t first = m_order.at(job.chatKey);
+    if (fits(first, job))
+        return first;
+    if (const std::size_t near = m_states[first].owned ? chooseInGroup(job, first) : None;
+        near != None)
+        return near;
+    for (unsigned probe = 1; probe < MaxProbes; ++probe) {
         const std::size_t i = m_order.at(job.chatKey, probe);
         if (fits(i, job))
             return i;
@@ -238,12 +237,38 @@
     return scan(job, job.chatKey % m_states.size());
 }
 
-unsigned Placement::placeOf(const Job &job, std::size_t intended) const
+/// What is over the bound stays with the engines whose count this router keeps, in the chat's own
+/// order among them: exact again, without another hop.
+std::size_t Placement::chooseInGroup(const Job &job, std::size_t first)
 {
-    unsigned probe = 0;
-    while (probe < MaxProbes && m_order.at(job.chatKey, probe) != intended)
-        ++probe;
-    return probe;
+    std::size_t best = None;
+    std::uint64_t bestDraw = 0;
+    for (const std::size_t i : m_groups[m_states[first].group]) {
+        const std::uint64_t draw = hashCombine(job.chatKey, m_states[i].id);
+        if ((best == None || draw > bestDraw) && i != first && fits(i, job)) {
+            best = i;
+            bestDraw = draw;
+        }
+    }
+    return best;
+}
+
+/// Load: a pool of any size before any number of routers. Harm prevented: with an owner an engine,
+/// what was over the bound went to an engine whose load the owner knew a second late only, and one
+/// placement in ten broke the bound. The group's number of bits follows the size of the pool in the
+/// inventory, not who is live; a change of it moves counts to other routers, never chats.
+void Placement::buildGroups(std::uint64_t pool)
+{
+    unsigned bits = 0;
+    while (m_states.size() >> bits > static_cast<std::size_t>(m_options.ownerGroup) && bits < 32)
+        ++bits;
+    m_groups.clear();
+    for (std::size_t i = 0; i < m_states.size(); ++i) {
+        State &it = m_states[i];
+        const std::uint64_t high = bits == 0 ? 0 : it.id >> (64 - bits);
+        it.group = m_options.ownerGroup == 1 ? it.id : hashCombine(pool, high);
+        m_groups[it.group].push_back(i);
+    }
 }
 
 std::size_t Placement::chooseByLoad(const Job &job)
--- a/src/Decide/Placement.h
+++ b/src/Decide/Placement.h
@@ -43,7 +43,7 @@
         const Clock &clock;
         RandomSource random;
         std::string failureDomain; ///< Of this router.
-        int maxHops = 1; ///< Relays of one job.
+        int ownerGroup = 16; ///< Upstreams of which one router keeps the count, about.
     };
 
     /// \brief What start() counted, so that stop() can take it back.
@@ -59,7 +59,8 @@
     explicit Placement(Options options);
 
     /// \brief Takes over the upstreams; those that stay keep their load and health.
-    void setUpstreams(std::vector<Upstream> upstreams, const Rules &rules);
+    /// \param pool hash of the pool's name, which gives pools of one group different owners.
+    void setUpstreams(std::vector<Upstream> upstreams, const Rules &rules, std::uint64_t pool = 0);
 
     /// \brief Takes over what the other routers have in progress, replacing what \a reports name.
     void addReports(std::span<const LoadReport> reports);
@@ -71,6 +72,9 @@
     /// \param hint an upstream that was just freed; tried after the chat's own order.
     std::size_t choose(const Job &job, std::size_t hint = None);
 
+    /// \returns the group of upstream \a i, whose load one router counts.
+    std::uint64_t groupOf(std::size_t i) const { return m_states[i].group; }
+
     /// \brief Says whether this router owns upstream \a i, so that its own count is exact.
     void setOwned(std::size_t i, bool owned) { m_states[i].owned = owned; }
 
@@ -86,7 +90,6 @@
     std::size_t stop(const Running &running, const AttemptReport &report);
 
     const Upstream &upstream(std::size_t i) const { return m_states[i].upstream; }
-    std::uint64_t idOf(std::size_t i) const { return m_states[i].id; }
     std::size_t size() const { return m_states.size(); }
 
     /// \returns work in progress on upstream \a i as far as known, in tokens.
@@ -117,6 +120,7 @@
     {
         Upstream upstream;
         std::uint64_t id = 0;
+        std::uint64_t group = 0;
         double work = 0; ///< Sent by this router.
         int inFlight = 0;
         std::vector<Heard> heard;
@@ -135,7 +139,8 @@
     static int seenInFlight(const State &it);
     bool fits(std::size_t i, const Job &job);
     static bool isExcluded(const State &it, const Job &job);
-    unsigned placeOf(const Job &job, std::size_t intended) const;
+    void buildGroups(std::uint64_t pool);
+    std::size_t chooseInGroup(const Job &job, std::size_t first);
     std::size_t chooseByLoad(const Job &job);
     std::size_t scan(const Job &job, std::size_t first);
     void addToTotals(State &it, double sign);
@@ -154,6 +159,7 @@
     };
     std::map<std::string, Setbacks> m_setbacks; ///< Of upstreams that joined, by name.
     ChatOrder m_order;
+    std::unordered_map<std::uint64_t, std::vector<std::size_t>> m_groups;
     HealthTracker m_health;
     TimePoint m_now; ///< Of the call in progress.
     TimePoint m_baselineAt;
--- a/test/DecideDispatcherTest.cpp
+++ b/test/DecideDispatcherTest.cpp
@@ -332,25 +332,31 @@
     }
 }
 
-TEST_CASE_FIXTURE(DispatcherFixture, "dispatcher_otherRouterOwnsEngine_relaysOnceOnly")
+TEST_CASE_FIXTURE(DispatcherFixture, "dispatcher_twoRouters_exactlyTheOtherRelaysOnceToTheOwner")
 {
-    dispatcher.setRouters({{.name = "r0", .callerAddress = "127.0.0.1:100"},
-                           {.name = "r1", .callerAddress = "127.0.0.1:101"}});
-    int relayed = 0;
+    const std::vector<RouterView> routers{{.name = "r0", .callerAddress = "127.0.0.1:100"},
+                                          {.name = "r1", .callerAddress = "127.0.0.1:101"}};
+    Dispatcher other({.clock = clock, .random = seededRandom(2), .self = "r1"});
+    other.setEngines(inventory, "m");
+    other.setRouters(routers);
+    dispatcher.setRouters(routers);
     for (std::uint64_t key = 1; key <= 100; ++key) {
         const JobId id = submitChat(key);
-        const Assignment it = *outcomes[id].assignment;
-        relayed += it.relayed ? 1 : 0;
-        CHECK((it.address == "127.0.0.1:101") == it.relayed);
+        const Assignment here = *outcomes[id].assignment;
         finish(id);
-        const JobId hopped = submit(
-                {.workspace = "small", .chatKey = key, .deadline = {}, .hops = 1, .excluded = {}});
+        std::optional<Assignment> there;
+        const Job job{.id = 1, .workspace = "small", .chatKey = key, .deadline = clock.now() + 1s};
+        other.submit(job, [&](Result<Assignment> it) { there = it.value(); });
+        other.finished(1, {.succeeded = true});
+        CHECK(here.relayed != there->relayed);
+        CHECK(here.upstream == there->upstream);
+        CHECK((here.address == "127.0.0.1:101") == here.relayed);
+        const JobId hopped =
+                submit({.workspace = "small", .chatKey = key, .deadline = {}, .hops = 1});
         CHECK_FALSE(outcomes[hopped].assignment->relayed);
-        CHECK(upstreamOf(hopped) == it.upstream);
+        CHECK(upstreamOf(hopped) == here.upstream);
         finish(hopped);
     }
-    CHECK(relayed > 0);
-    CHECK(relayed < 100);
 }
 
 TEST_CASE_FIXTURE(DispatcherFixture, "dispatcher_ownerDoesNotAnswer_isPassedOverForAWhile")
