--- a/src/Net/RouterProcess.cpp
+++ b/src/Net/RouterProcess.cpp
@@ -1,6 +1,7 @@
 #include "Net/RouterProcess.h"
 
 #include "Base/Log.h"
+#include "Net/EngineTask.h"
 #include "Net/EventLoop.h"
 #include "Net/Gateway.h"
 #include "Net/HttpClient.h"
@@ -8,6 +9,7 @@
 #include "Net/PeerTask.h"
 #include "Net/PlatformAdapters.h"
 #include "Net/Timer.h"
+#include "Net/TlsTask.h"
 
 #include <algorithm>
 #include <csignal>
@@ -42,7 +44,9 @@
 struct RouterProcess::Private
 {
     explicit Private(std::shared_ptr<const Settings> s)
-        : settings(std::move(s)), table(makeHttpTableService(client, settings->platform)),
+        : settings(std::move(s)),
+          tls({.loop = loop, .metrics = metrics, .settings = settings->tls}),
+          table(makeHttpTableService(client, settings->platform)),
           objects(makeHttpObjectStore(client, settings->platform)),
           vms(makeHttpVmList(client, settings->platform)),
           config({.table = *table,
@@ -61,6 +65,15 @@
                      .callerAddress = settings->callerAddress,
                      .peerAddress = settings->peerAddress,
                      .failureDomain = settings->failureDomain}),
+          engines({.loop = loop,
+                   .client = client,
+                   .metrics = metrics,
+                   .table = *table,
+                   .config = config,
+                   .directory = directory,
+                   .random = systemRandom(),
+                   .weightStore = settings->platform.weightStore,
+                   .secure = tls.context().checksUpstreams()}),
           gateway({.loop = loop,
                    .client = client,
                    .metrics = metrics,
@@ -69,7 +82,10 @@
                    .peers = peers,
                    .directory = directory,
                    .random = systemRandom()}),
-          server(loop, {.address = settings->callerAddress, .limits = settings->limits},
+          server(loop,
+                 {.address = settings->callerAddress,
+                  .limits = settings->limits,
+                  .tls = &tls.context()},
                  [this](const HttpExchangePtr &it) { gateway.handle(it); }),
           poll(loop, [this] { readPlatform(); }), selfCheck(loop, [this] { checkSelf(); }),
           drainPoll(loop, [this] { checkDrained(); })
@@ -151,13 +167,15 @@
     std::shared_ptr<const Settings> settings;
     EventLoop loop;
     Metrics metrics;
-    HttpClient client{loop};
+    TlsTask tls;
+    HttpClient client{loop, &tls.context()};
     std::unique_ptr<TableService> table;
     std::unique_ptr<ObjectStore> objects;
     std::unique_ptr<VmList> vms;
     ConfigKeeper config;
     PeerTask peers;
     RouterDirectory directory;
+    EngineTask engines;
     Gateway gateway;
     HttpServer server;
     RandomSource random = systemRandom();
@@ -178,6 +196,8 @@
 int RouterProcess::run()
 {
     std::signal(SIGPIPE, SIG_IGN);
+    if (!m_d->tls.start())
+        return 1;
     if (const Result<void> result = m_d->server.listen(); !result) {
         Log::error("listen_failed", {{"detail", result.error().detail}});
         return 1;
@@ -188,6 +208,7 @@
     }
     m_d->loop.onSignal(SIGTERM, [this] { m_d->drain(); });
     m_d->loop.onSignal(SIGINT, [this] { m_d->drain(); });
+    m_d->engines.start();
     m_d->readPlatform();
     m_d->selfCheck.startRepeating(SelfCheck);
     Log::info("started", {{"caller_address", m_d->settings->callerAddress}});
