--- a/src/Cli/ApplyCommand.cpp
+++ b/src/Cli/ApplyCommand.cpp
@@ -1,13 +1,20 @@
-#include "Base/Hash.h"
 #include "Base/Inventory.h"
 #include "Cli/Command.h"
 #include "Cli/Commands.h"
+#include "Cli/internal/ConfigRequest.h"
 #include "Cli/internal/Tools.h"
+#include "Control/TextDelta.h"
 
 #include <fmt/format.h>
 
 namespace catkinloft {
 
+namespace {
+
+constexpr std::size_t MaxDiffLines = 200;
+
+} // namespace
+
 int runApply(std::span<char *const> arguments)
 {
     if (arguments.size() != 1) {
@@ -25,26 +32,13 @@
         internal::complain(it.text());
     if (!problems.empty())
         return exit_code::Usage;
-    const Result<HttpAnswer> before = internal::fetchNow({.address = internal::routerAddress(),
-                                                          .target = "/v1/config",
-                                                          .headers = internal::authorization()});
-    if (!before || before.value().head.status != 200) {
-        internal::complain(before ? before.value().body : before.error().detail);
+    const Result<internal::CurrentConfig> before = internal::readConfig();
+    if (!before) {
+        internal::complain(before.error().detail);
         return exit_code::Failed;
     }
-    HttpHeaders headers = internal::authorization();
-    headers.emplace_back("If-Match", std::string(before.value().head.header("ETag")));
-    const Result<HttpAnswer> answer = internal::fetchNow({.address = internal::routerAddress(),
-                                                          .method = "PUT",
-                                                          .target = "/v1/config",
-                                                          .headers = std::move(headers),
-                                                          .body = *text});
-    if (!answer) {
-        internal::complain(answer.error().detail);
-        return answer.error().verdict == Verdict::NotRun ? exit_code::Failed : exit_code::Unknown;
-    }
-    fmt::print("{}", answer.value().body);
-    return answer.value().head.status == 200 ? exit_code::Ok : exit_code::Failed;
+    fmt::print("{}", describeDelta(before.value().text, *text, MaxDiffLines));
+    return internal::sendConfig("/v1/config", before.value().tag, *text);
 }
 
 } // namespace catkinloft
--- /dev/null
+++ b/src/Cli/HistoryCommand.cpp
@@ -0,0 +1,29 @@
+#include "Cli/Command.h"
+#include "Cli/Commands.h"
+#include "Cli/internal/Tools.h"
+
+#include <chrono>
+#include <ctime>
+
+#include <fmt/chrono.h>
+#include <fmt/format.h>
+#include <json/json.h>
+
+namespace catkinloft {
+
+int runHistory(std::span<char *const>)
+{
+    const Result<Json::Value> answer = internal::fetchJson("/v1/history");
+    if (!answer) {
+        internal::complain(answer.error().detail);
+        return exit_code::Failed;
+    }
+    for (const Json::Value &it : answer.value()["changes"]) {
+        const std::time_t at = static_cast<std::time_t>(it["accepted_at_ms"].asInt64() / 1000);
+        fmt::print("{:>8}  {:%Y-%m-%d %H:%M:%S} UTC  {:<20} {}\n", it["revision"].asUInt64(),
+                   fmt::gmtime(at), it["author"].asString(), it["change_id"].asString());
+    }
+    return exit_code::Ok;
+}
+
+} // namespace catkinloft
--- /dev/null
+++ b/src/Cli/internal/ConfigRequest.cpp
@@ -0,0 +1,70 @@
+#include "Cli/internal/ConfigRequest.h"
+
+#include "Base/Random.h"
+#include "Cli/Command.h"
+#include "Cli/internal/Tools.h"
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+DEFINE_string(change_id, "",
+              "apply, rollback: names the change, so that repeating it gets the "
+              "first result; empty: one is made up");
+
+namespace catkinloft::internal {
+
+namespace {
+
+/// Times that a change whose answer was lost is sent again.
+constexpr int MaxTries = 3;
+
+std::string changeId()
+{
+    if (!FLAGS_change_id.empty())
+        return FLAGS_change_id;
+    const RandomSource random = systemRandom();
+    return fmt::format("{:016x}{:016x}", random(), random());
+}
+
+} // namespace
+
+Result<CurrentConfig> readConfig()
+{
+    const Result<HttpAnswer> answer = fetchNow(
+            {.address = routerAddress(), .target = "/v1/config", .headers = authorization()});
+    if (!answer)
+        return answer.error();
+    if (answer.value().head.status != 200)
+        return Error{.reason = Reason::UpstreamRefused, .detail = answer.value().body};
+    return CurrentConfig{.text = answer.value().body,
+                         .tag = std::string(answer.value().head.header("ETag"))};
+}
+
+int sendConfig(const std::string &target, const std::string &tag, const std::string &body)
+{
+    HttpHeaders headers = authorization();
+    headers.emplace_back("If-Match", tag);
+    headers.emplace_back("Idempotency-Key", changeId());
+    Result<HttpAnswer> answer = Error{};
+    for (int i = 0; i < MaxTries; ++i) {
+        answer = fetchNow({.address = routerAddress(),
+                           .method = "PUT",
+                           .target = target,
+                           .headers = headers,
+                           .body = body});
+        if (answer || answer.error().verdict == Verdict::NotRun)
+            break;
+    }
+    if (!answer) {
+        complain(answer.error().detail);
+        if (answer.error().verdict == Verdict::NotRun)
+            return exit_code::Failed;
+        complain(fmt::format("not known whether it was accepted; repeat with --change_id={}",
+                             headers.back().second));
+        return exit_code::Unknown;
+    }
+    fmt::print("{}", answer.value().body);
+    return answer.value().head.status == 200 ? exit_code::Ok : exit_code::Failed;
+}
+
+} // namespace catkinloft::internal
--- a/src/Cli/internal/Tools.cpp
+++ b/src/Cli/internal/Tools.cpp
@@ -2,6 +2,7 @@
 
 #include "Net/EventLoop.h"
 #include "Net/TlsContext.h"
+#include "Net/internal/Json.h"
 
 #include <cstdlib>
 #include <fstream>
@@ -44,6 +45,17 @@
     return *out;
 }
 
+Result<Json::Value> fetchJson(const std::string &target)
+{
+    const Result<HttpAnswer> answer =
+            fetchNow({.address = routerAddress(), .target = target, .headers = authorization()});
+    if (!answer)
+        return answer.error();
+    if (answer.value().head.status != 200)
+        return Error{.reason = Reason::UpstreamRefused, .detail = answer.value().body};
+    return parseJsonObject(answer.value().body);
+}
+
 std::string routerAddress()
 {
     return FLAGS_router;
--- a/src/Cli/internal/Tools.h
+++ b/src/Cli/internal/Tools.h
@@ -5,6 +5,8 @@
 #include <optional>
 #include <string>
 
+#include <json/json.h>
+
 namespace catkinloft::internal {
 
 /// \returns the content of the file at \a path; nothing where it can not be read.
@@ -13,6 +15,9 @@
 /// \brief Sends \a call and waits for its answer.
 Result<HttpAnswer> fetchNow(HttpCall call);
 
+/// \brief Reads the JSON object at \a target of a router, as an operator.
+Result<Json::Value> fetchJson(const std::string &target);
+
 /// \returns the address of a router, from the flag `--router`.
 std::string routerAddress();
 
