Engine readings count as control traffic and wait while there is no room

Cause: the traffic governor counted only what goes between routers, so readings of engines came on top of the node's limit. Lease renewals and orders themselves do not wait.

--- a/src/Control/EnginePoller.cpp
+++ b/src/Control/EnginePoller.cpp
@@ -2,7 +2,7 @@
 
 namespace catkinloft {
 
-EnginePoller::EnginePoller(Options options) : m_options(options) { }
+EnginePoller::EnginePoller(Options options) : m_options(std::move(options)) { }
 
 void EnginePoller::setEngines(std::vector<Engine> engines)
 {
@@ -20,6 +20,8 @@
     if (now < nextDeadline())
         return;
     m_next = now + fromSeconds(1 / m_options.enginesPerSecond);
+    if (!m_options.mayDefer())
+        return;
     m_position = (m_position + 1) % m_engines.size();
     read(m_engines[m_position]);
 }
--- a/src/Control/EnginePoller.h
+++ b/src/Control/EnginePoller.h
@@ -4,6 +4,7 @@
 #include "Control/EnginePort.h"
 
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -33,6 +34,8 @@
         EnginePort &engines;
         EngineKnowledge &knowledge;
         double enginesPerSecond = 1;
+        /// Whether there is room for control traffic that can wait.
+        std::function<bool()> mayDefer = [] { return true; };
     };
 
     explicit EnginePoller(Options options);
--- a/src/Control/OrderController.cpp
+++ b/src/Control/OrderController.cpp
@@ -156,6 +156,8 @@
     if (!best)
         return;
     m_nextReading = now + fromSeconds(1 / m_options.checksPerSecond);
+    if (!m_options.mayDefer())
+        return;
     check(best->wanted.name, *best);
 }
 
--- a/src/Control/OrderController.h
+++ b/src/Control/OrderController.h
@@ -43,6 +43,8 @@
         /// A reading is about 450 bytes with headers, so this is 15% of 3 KB/s. A group of 39
         /// engines is gone through in 40 s.
         double checksPerSecond = 1;
+        /// Whether there is room for control traffic that can wait.
+        std::function<bool()> mayDefer = [] { return true; };
     };
 
     explicit OrderController(Options options);
--- a/src/Control/TrafficGovernor.h
+++ b/src/Control/TrafficGovernor.h
@@ -37,6 +37,9 @@
     /// \brief Counts a datagram of \a n bytes that has been sent.
     void countDatagram(std::size_t n) { count(n + DatagramHeaders); }
 
+    /// \brief Counts \a n bytes with their headers, as of a call on a connection that is kept.
+    void countBytes(std::size_t n) { count(n); }
+
     /// \brief Counts an exchange over TCP in which this router sent \a n bytes.
     void countConnection(std::size_t n) { count(n + ConnectionOverhead); }
 
--- a/src/Net/EngineHttp.cpp
+++ b/src/Net/EngineHttp.cpp
@@ -28,6 +28,11 @@
 /// More than the engine's stand-in or any batch would hold; longer feeds come in parts.
 constexpr std::size_t MaxReadBytes = 256 * 1024;
 
+/// What one call sends around its target and body: its line and Host header, and the TCP and IP
+/// headers of the call and of the acknowledgement of its answer.
+constexpr std::size_t RequestLine = 42;
+constexpr std::size_t PacketHeaders = 2 * 52;
+
 /// Where the weight store refuses without saying for how long.
 constexpr Duration DefaultRetryAfter = 5s;
 
@@ -161,49 +166,51 @@
 
 EngineHttp::EngineHttp(Options options) : m_options(std::move(options)) { }
 
+void EngineHttp::fetch(HttpCall call, Receiver done)
+{
+    call.secure = m_options.secure;
+    m_options.sent(PacketHeaders + RequestLine + call.target.size() + call.body.size());
+    m_options.client.fetch(std::move(call), std::move(done));
+}
+
 void EngineHttp::readLoad(std::string address, Callback<EngineLoad> done)
 {
     HttpCall call = makeCall(std::move(address), "/v1/load", ReadTimeout);
-    call.secure = m_options.secure;
-    m_options.client.fetch(std::move(call), objectReceiver<EngineLoad>(std::move(done), &loadOf));
+    fetch(std::move(call), objectReceiver<EngineLoad>(std::move(done), &loadOf));
 }
 
 void EngineHttp::readCacheEvents(std::string address, std::uint64_t after, Callback<CacheFeed> done)
 {
     HttpCall call = makeCall(std::move(address), fmt::format("/v1/cache-events?after={}", after),
                              ReadTimeout);
-    call.secure = m_options.secure;
-    m_options.client.fetch(std::move(call), objectReceiver<CacheFeed>(std::move(done), &feedOf));
+    fetch(std::move(call), objectReceiver<CacheFeed>(std::move(done), &feedOf));
 }
 
 void EngineHttp::readState(std::string address, Callback<EngineState> done)
 {
     HttpCall call = makeCall(std::move(address), "/v1/state", ReadTimeout);
-    call.secure = m_options.secure;
-    m_options.client.fetch(std::move(call), objectReceiver<EngineState>(std::move(done), &stateOf));
+    fetch(std::move(call), objectReceiver<EngineState>(std::move(done), &stateOf));
 }
 
 void EngineHttp::give(std::string address, EngineOrder order, Callback<OrderAnswer> done)
 {
     HttpCall call = makePost(std::move(address), "/v1/orders", OrderTimeout, toJson(order));
-    call.secure = m_options.secure;
     // A connection that has gone silent would leave the order in doubt for the whole timeout.
     call.freshConnection = true;
-    m_options.client.fetch(
-            std::move(call), [done = std::move(done)](const Result<HttpAnswer> &answer) {
-                if (!answer) {
-                    done(answer.error());
-                    return;
-                }
-                const int status = answer.value().head.status;
-                const Result<Json::Value> root = parseJsonObject(answer.value().body);
-                if (status == 200 && root)
-                    done(OrderAnswer{.applied = true});
-                else if (status == 409 && root && root.value()["fence"].isUInt64())
-                    done(OrderAnswer{.applied = false, .fence = root.value()["fence"].asUInt64()});
-                else
-                    done(statusError(status));
-            });
+    fetch(std::move(call), [done = std::move(done)](const Result<HttpAnswer> &answer) {
+        if (!answer) {
+            done(answer.error());
+            return;
+        }
+        const int status = answer.value().head.status;
+        const Result<Json::Value> root = parseJsonObject(answer.value().body);
+        if (status == 200 && root)
+            done(OrderAnswer{.applied = true});
+        else if (status == 409 && root && root.value()["fence"].isUInt64())
+            done(OrderAnswer{.applied = false, .fence = root.value()["fence"].asUInt64()});
+        else
+            done(statusError(status));
+    });
 }
 
 void EngineHttp::exportKv(std::string address, std::string chat, Callback<std::string> done)
--- a/src/Net/EngineHttp.h
+++ b/src/Net/EngineHttp.h
@@ -2,13 +2,16 @@
 
 #include "Control/EnginePort.h"
 
-#include <memory>
+#include <cstddef>
+#include <functional>
 #include <string>
 
 namespace catkinloft {
 
 class EventLoop;
 class HttpClient;
+struct HttpAnswer;
+struct HttpCall;
 
 /// \brief The engines' control interface and the weight store over HTTP; docs/INTERFACES.md has
 /// their format.
@@ -21,6 +24,8 @@
         HttpClient &client;
         std::string weightStore; ///< `ip:port`; empty: there is none, and nothing to ask.
         bool secure = false; ///< Whether engines are spoken to over TLS.
+        /// Told how many bytes each call of control sends, headers included.
+        std::function<void(std::size_t)> sent = [](std::size_t) {};
     };
 
     explicit EngineHttp(Options options);
@@ -36,6 +41,10 @@
     void askWeights(std::string model, std::string version, Callback<void> done) override;
 
 private:
+    using Receiver = std::function<void(Result<HttpAnswer>)>;
+
+    void fetch(HttpCall call, Receiver done);
+
     Options m_options;
 };
 
--- a/src/Net/EngineTask.cpp
+++ b/src/Net/EngineTask.cpp
@@ -22,12 +22,17 @@
 struct EngineTask::Private
 {
     explicit Private(Options o)
-        : options(std::move(o)), http({.loop = options.loop,
-                                       .client = options.client,
-                                       .weightStore = options.weightStore,
-                                       .secure = options.secure}),
+        : options(std::move(o)),
+          http({.loop = options.loop,
+                .client = options.client,
+                .weightStore = options.weightStore,
+                .secure = options.secure,
+                .sent = [this](std::size_t n) { options.governor.countBytes(n); }}),
           knowledge({.clock = options.loop}), owners(options.directory.self().name),
-          poller({.clock = options.loop, .engines = http, .knowledge = knowledge}),
+          poller({.clock = options.loop,
+                  .engines = http,
+                  .knowledge = knowledge,
+                  .mayDefer = [this] { return options.governor.allowsDeferrable(); }}),
           mover({.engines = http, .knowledge = knowledge, .metrics = options.metrics}),
           orders({.clock = options.loop,
                   .random = options.random,
@@ -35,7 +40,8 @@
                   .engines = http,
                   .metrics = options.metrics,
                   .self = options.directory.self().name,
-                  .isFirst = [this](std::uint64_t key) { return owners.isFirst(key); }}),
+                  .isFirst = [this](std::uint64_t key) { return owners.isFirst(key); },
+                  .mayDefer = [this] { return options.governor.allowsDeferrable(); }}),
           timer(options.loop, [this] { tick(); })
     {
         options.config.changed().connect(
--- a/src/Net/EngineTask.h
+++ b/src/Net/EngineTask.h
@@ -6,6 +6,7 @@
 #include "Control/ConfigKeeper.h"
 #include "Control/EngineKnowledge.h"
 #include "Control/RouterDirectory.h"
+#include "Control/TrafficGovernor.h"
 
 #include <memory>
 #include <string>
@@ -30,6 +31,7 @@
         TableService &table;
         ConfigKeeper &config;
         RouterDirectory &directory;
+        TrafficGovernor &governor;
         RandomSource random;
         std::string weightStore; ///< `ip:port`; empty: none.
         bool secure = false; ///< Whether engines are spoken to over TLS.
--- a/src/Net/PeerTask.cpp
+++ b/src/Net/PeerTask.cpp
@@ -213,6 +213,11 @@
     m_d->guard.setKeys(std::move(keys));
 }
 
+TrafficGovernor &PeerTask::governor()
+{
+    return m_d->governor;
+}
+
 Membership &PeerTask::membership()
 {
     return m_d->membership;
--- a/src/Net/PeerTask.h
+++ b/src/Net/PeerTask.h
@@ -12,6 +12,7 @@
 
 class EventLoop;
 class HttpClient;
+class TrafficGovernor;
 
 /// \brief The task that talks with the other routers: membership and the spread of configuration
 /// over authenticated datagrams, longer bodies over TCP at the same address.
@@ -43,6 +44,7 @@
     void setKeys(std::vector<SharedKey> keys);
 
     Membership &membership();
+    TrafficGovernor &governor();
     ConfigSpread &spread();
 
 private:
--- a/src/Net/RouterProcess.cpp
+++ b/src/Net/RouterProcess.cpp
@@ -71,6 +71,7 @@
                    .table = *table,
                    .config = config,
                    .directory = directory,
+                   .governor = peers.governor(),
                    .random = systemRandom(),
                    .weightStore = settings->platform.weightStore,
                    .secure = tls.context().checksUpstreams()}),
--- a/test/EngineKnowledgeTest.cpp
+++ b/test/EngineKnowledgeTest.cpp
@@ -116,13 +116,23 @@
     FakeEngines engines;
     engines.machines["a1"].load = load(4);
     engines.machines["a2"].isDown = true;
-    EnginePoller poller({.clock = clock, .engines = engines, .knowledge = knowledge});
+    bool hasRoom = false;
+    EnginePoller poller(
+            {.clock = clock, .engines = engines, .knowledge = knowledge, .mayDefer = [&] {
+                 return hasRoom;
+             }});
     poller.setEngines({{.name = "e1", .address = "a1"}, {.name = "e2", .address = "a2"}});
-    for (int i = 0; i < 20; ++i) {
-        poller.poll();
-        engines.deliver();
-        clock.advance(100ms);
-    }
+    const auto pass = [&] {
+        for (int i = 0; i < 20; ++i) {
+            poller.poll();
+            engines.deliver();
+            clock.advance(100ms);
+        }
+    };
+    pass();
+    CHECK_FALSE(knowledge.hint("e1")); // No room for control traffic.
+    hasRoom = true;
+    pass();
     REQUIRE(knowledge.hint("e1"));
     CHECK(knowledge.hint("e1")->load == 4);
     REQUIRE(knowledge.hint("e2"));
