--- a/bench/measure/PlacementPolicy.cpp
+++ b/bench/measure/PlacementPolicy.cpp
@@ -34,6 +34,7 @@
         if (o.name != "ours" && o.name != "engine_owner")
             return;
         std::vector<RouterView> routers;
+        routers.reserve(static_cast<std::size_t>(o.routers));
         for (int i = 0; i < o.routers; ++i)
             routers.push_back(
                     {.name = fmt::format("r{}", i), .callerAddress = fmt::format("r{}", i)});
