--- a/bench/measure/PlacementSimulation.cpp
+++ b/bench/measure/PlacementSimulation.cpp
@@ -29,6 +29,7 @@
 
 PlacementSimulation::PlacementSimulation(Options options)
     : m_options(options), m_begin(m_clock.now()), m_random(seededRandom(options.seed)),
+      m_lossRandom(seededRandom(hashCombine(options.seed, 1))),
       m_engines(static_cast<std::size_t>(options.engines), PlacementEngine(EngineOptions)),
       m_chats(Workspaces)
 {
@@ -139,7 +140,7 @@
 {
     const InventoryPtr inventory = makeInventory();
     for (const auto &router : m_routers) {
-        after(uniform(m_random) * m_options.scenario.listLag,
+        after(uniform(m_lossRandom) * m_options.scenario.listLag,
               [it = router.get(), inventory] { it->setInventory(inventory); });
     }
 }
@@ -307,7 +308,7 @@
     for (std::size_t to = 0; to < m_routers.size(); ++to) {
         std::vector<LoadReport> heard;
         for (std::size_t from = 0; from < reports.size(); ++from) {
-            if (from != to && uniform(m_random) >= m_options.scenario.reportLoss)
+            if (from != to && uniform(m_lossRandom) >= m_options.scenario.reportLoss)
                 heard.insert(heard.end(), reports[from].begin(), reports[from].end());
         }
         after(ReportDelay, [it = m_routers[to].get(), loads, heard = std::move(heard)] {
--- a/bench/measure/PlacementSimulation.h
+++ b/bench/measure/PlacementSimulation.h
@@ -102,7 +102,8 @@
     Options m_options;
     ManualClock m_clock;
     TimePoint m_begin;
-    RandomSource m_random;
+    RandomSource m_random; ///< Of the traffic, the same for every policy.
+    RandomSource m_lossRandom; ///< Of lags and losses.
     std::priority_queue<Event> m_events;
     std::uint64_t m_order = 0;
     std::uint64_t m_lastId = 0;
--- a/test/DecideDispatcherTest.cpp
+++ b/test/DecideDispatcherTest.cpp
@@ -8,6 +8,7 @@
 #include <cstdlib>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include <fmt/format.h>
@@ -115,6 +116,8 @@
         submitChat(2, 100, "large");
         REQUIRE(dispatcher.waiting() == 0);
     }
+
+    std::set<JobId> served;
 };
 
 } // namespace
@@ -390,3 +393,53 @@
     dispatcher.poll();
     CHECK(upstreamOf(submitChat(5, 1000)) == engine);
 }
+
+TEST_CASE_FIXTURE(DispatcherFixture, "dispatcher_oneSlowEngine_losesItsTrafficAndTheRestKeepTheirs")
+{
+    const std::string slow = upstreamOf(submitChat(1));
+    finish(lastId);
+    std::map<std::string, int> late;
+    for (int round = 0; round < 40; ++round) {
+        for (std::uint64_t key = 1; key <= 60; ++key) {
+            const JobId id = submitChat(key);
+            if (round >= 30)
+                ++late[upstreamOf(id)];
+            finish(id, upstreamOf(id) == slow ? 2s : 100ms);
+            clock.advance(2ms);
+        }
+    }
+    CHECK(late[slow] == 0);
+    CHECK(late.size() == 9); // The slow one, by the look-up above, with none.
+}
+
+TEST_CASE_FIXTURE(DispatcherFixture, "dispatcher_longBesideShortWork_sendsShortWorkElsewhere")
+{
+    const std::string busy = upstreamOf(submitChat(1, 20'000));
+    for (std::uint64_t key = 2; key <= 60; ++key)
+        CHECK(upstreamOf(submitChat(key, 100)) != busy);
+}
+
+TEST_CASE_FIXTURE(TwoSlotsFixture, "dispatcher_protectedSurge_othersAreServedOneTurnInFive")
+{
+    saturate();
+    std::vector<JobId> small;
+    for (std::uint64_t i = 0; i < 50; ++i) {
+        submitChat(100 + i, 100, "archive");
+        small.push_back(submitChat(200 + i));
+    }
+    std::vector<JobId> running{1, 2};
+    for (int i = 0; i < 25; ++i) {
+        finish(running.front());
+        running.erase(running.begin());
+        for (const auto &[id, outcome] : outcomes) {
+            const bool known = std::find(running.begin(), running.end(), id) != running.end();
+            if (outcome.assignment && id > 2 && !known && !served.contains(id))
+                running.push_back(id);
+        }
+        for (const JobId id : running)
+            served.insert(id);
+    }
+    const auto n = std::count_if(small.begin(), small.end(),
+                                 [&](JobId it) { return served.contains(it); });
+    CHECK(n == 5);
+}
