--- a/src/Net/RouterProcess.cpp
+++ b/src/Net/RouterProcess.cpp
@@ -81,10 +81,16 @@
                    .config = config,
                    .peers = peers,
                    .directory = directory,
-                   .random = systemRandom()}),
+                   .random = systemRandom(),
+                   .served =
+                           [this](const RequestContext &request, std::string_view engine) {
+                               engines.knowledge().noteServed(engine, request.chat, request.chatKey,
+                                                              request.work);
+                           }}),
           server(loop,
                  {.address = settings->callerAddress,
                   .limits = settings->limits,
+                  .onTooMany = [this] { metrics.refused(Reason::TooManyConnections); },
                   .tls = &tls.context()},
                  [this](const HttpExchangePtr &it) { gateway.handle(it); }),
           poll(loop, [this] { readPlatform(); }), selfCheck(loop, [this] { checkSelf(); }),
