--- a/src/Net/Forwarder.h
+++ b/src/Net/Forwarder.h
@@ -6,6 +6,7 @@
 #include "Control/RouterDirectory.h"
 #include "Decide/Dispatcher.h"
 #include "Net/HttpExchange.h"
+#include "Net/StatusPage.h"
 #include "Request/RequestContext.h"
 
 #include <functional>
@@ -31,6 +32,8 @@
         RandomSource random;
         /// Answers a request that ends without an upstream's answer.
         std::function<void(const RequestPtr &, const HttpExchangePtr &, const Error &)> refuse;
+        /// Told of each chat that an upstream answered to this router directly.
+        std::function<void(const RequestContext &, std::string_view upstream)> served = {};
     };
 
     explicit Forwarder(Options options);
@@ -44,6 +47,9 @@
     /// \returns requests that have not got their whole answer.
     std::size_t inProgress() const;
 
+    /// \brief Adds the load of upstreams and workspaces to \a report.
+    void describe(StatusReport &report) const;
+
 private:
     class Attempt;
     struct Private;
--- a/src/Net/internal/HttpConnection.h
+++ b/src/Net/internal/HttpConnection.h
@@ -6,11 +6,16 @@
 #include <optional>
 #include <string>
 
+struct bufferevent;
 struct evbuffer;
 struct evbuffer_cb_info;
 struct evhttp_connection;
 struct evhttp_request;
 
+namespace catkinloft {
+class TlsContext;
+}
+
 namespace catkinloft::internal {
 
 /// \brief One client connection over evhttp, carrying one request at a time.
@@ -19,6 +24,10 @@
 public:
     static std::unique_ptr<HttpConnection> open(EventLoop &loop, const std::string &address);
 
+    /// \brief The same over TLS. Without a usable \a tls each call on it fails as not run.
+    static std::unique_ptr<HttpConnection> openSecure(EventLoop &loop, const std::string &address,
+                                                      const TlsContext *tls);
+
     ~HttpConnection();
     HttpConnection(const HttpConnection &) = delete;
     HttpConnection &operator=(const HttpConnection &) = delete;
@@ -38,12 +47,13 @@
     bool isReusable() const { return m_reusable && !m_request; }
 
 private:
-    HttpConnection(EventLoop &loop, evhttp_connection *connection);
+    HttpConnection(EventLoop &loop, const std::string &address, bufferevent *stream);
 
     static void onHead(evhttp_request *request, HttpConnection *self);
     static void onDone(evhttp_request *request, void *arg);
     void succeed(evhttp_request *request);
-    void fail(Reason reason, const char *detail);
+    void fail(Reason reason, std::string detail);
+    std::string handshakeFailure() const;
     void end(Result<void> result);
 
     EventLoop &m_loop;
@@ -57,6 +67,7 @@
     std::optional<std::size_t> m_length; ///< Of the answer's body, where it states one.
     int m_errorCode = -1;
     bool m_reusable = true;
+    bool m_noSession = false; ///< Meant to be secure, but no session could be made.
     std::shared_ptr<bool> m_listening; ///< Gone once nobody waits for the posted end.
 };
 
