--- a/bench/demo/RawLoad.cpp
+++ b/bench/demo/RawLoad.cpp
@@ -58,7 +58,9 @@
     }
 
 private:
-    /// \param due when the request should have left: waiting to be sent counts as latency.
+    /// \param due when the request should have left. It lies in the past where the answer before
+    /// came late, which then counts as latency; a timer that fires late is the sender's own fault
+    /// and does not.
     void send(TimePoint due)
     {
         if (m_loop.now() >= m_end) {
@@ -73,7 +75,7 @@
                 ++m_failures;
             const TimePoint next = due + m_interval;
             if (m_interval > Duration::zero() && next > m_loop.now())
-                m_loop.after(next - m_loop.now(), [this, next] { send(next); });
+                m_loop.after(next - m_loop.now(), [this] { send(m_loop.now()); });
             else
                 send(m_interval > Duration::zero() ? next : m_loop.now());
         });
--- a/standin/UdpRelay.cpp
+++ b/standin/UdpRelay.cpp
@@ -3,6 +3,7 @@
 #include "SocketAddress.h"
 
 #include <array>
+#include <stdexcept>
 #include <utility>
 
 #include <fcntl.h>
@@ -30,7 +31,8 @@
       m_listening(makeSocket())
 {
     const sockaddr_in address = socketAddress(m_options.listen);
-    bind(m_listening->fd, reinterpret_cast<const sockaddr *>(&address), sizeof address);
+    if (bind(m_listening->fd, reinterpret_cast<const sockaddr *>(&address), sizeof address) != 0)
+        throw std::runtime_error("can not listen on " + m_options.listen);
 }
 
 UdpRelay::~UdpRelay() = default;
