--- a/src/Decide/Placement.cpp
+++ b/src/Decide/Placement.cpp
@@ -34,7 +34,8 @@
 
 Placement::Placement(Options options) : m_options(std::move(options)) { }
 
-void Placement::setUpstreams(std::vector<Upstream> upstreams, const Rules &rules)
+void Placement::setUpstreams(std::vector<Upstream> upstreams, const Rules &rules,
+                             std::uint64_t pool)
 {
     m_now = m_options.clock.now();
     m_rules = rules;
@@ -65,6 +66,7 @@
     }
     // Those leaving stay in the order: when one comes back, its chats find it in the same place.
     m_order.assign(nodes);
+    buildGroups(pool);
     m_first = m_first && m_states.empty();
     recount();
 }
@@ -98,16 +100,13 @@
             heard = it.heard.insert(it.heard.end(), Heard{.router = router, .at = {}});
         else if (heard->at >= report.measuredAt)
             continue;
+        addToTotals(it, -1);
         heard->work = report.work;
         heard->inFlight = report.inFlight;
         heard->at = report.measuredAt;
-        // What was relayed in the period before the last may be missing from this report, since it
-        // lags; so it counts for one period more. Counting it twice errs to the careful side.
-        it.relayedWork = {0, it.relayedWork[0]};
-        it.relayedCount = {0, it.relayedCount[0]};
-        ++it.reportCount;
+        sumHeard(it);
+        addToTotals(it, 1);
     }
-    refresh();
 }
 
 void Placement::refresh()
@@ -137,12 +136,14 @@
 
 double Placement::seenWork(const State &it)
 {
-    return it.work + it.heardWork + it.relayedWork[0] + it.relayedWork[1];
+    // What this router relayed is not in it: the owner counts it exactly, and counting it here
+    // until the owner's next report had routers pass over engines that had room.
+    return it.work + it.heardWork;
 }
 
 int Placement::seenInFlight(const State &it)
 {
-    return it.inFlight + it.heardInFlight + it.relayedCount[0] + it.relayedCount[1];
+    return it.inFlight + it.heardInFlight;
 }
 
 void Placement::recount()
@@ -198,7 +199,13 @@
 bool Placement::fits(std::size_t i, const Job &job)
 {
     State &it = m_states[i];
-    if (it.upstream.leaving || !it.limit.allows(seenInFlight(it)))
+    if (it.upstream.leaving)
+        return false;
+    // Another router counts it exactly and will be asked; to judge it here by what was reported
+    // a second ago would lose the chat's context for nothing.
+    if (!it.owned && job.chatKey != 0 && job.hops == 0)
+        return inUse(it) && !isExcluded(it, job);
+    if (!it.limit.allows(seenInFlight(it)))
         return false;
     if (it.health.state != HealthTracker::State::Healthy && !m_health.admits(it.health, m_now))
         return false;
@@ -214,7 +221,13 @@
     m_now = m_options.clock.now();
     if (job.chatKey == 0)
         return chooseByLoad(job);
-    for (unsigned probe = 0; probe < MaxProbes; ++probe) {
+    const std::size_t first = m_order.at(job.chatKey);
+    if (fits(first, job))
+        return first;
+    if (const std::size_t near = m_states[first].owned ? chooseInGroup(job, first) : None;
+        near != None)
+        return near;
+    for (unsigned probe = 1; probe < MaxProbes; ++probe) {
         const std::size_t i = m_order.at(job.chatKey, probe);
         if (fits(i, job))
             return i;
@@ -224,6 +237,40 @@
     return scan(job, job.chatKey % m_states.size());
 }
 
+/// What is over the bound stays with the engines whose count this router keeps, in the chat's own
+/// order among them: exact again, without another hop.
+std::size_t Placement::chooseInGroup(const Job &job, std::size_t first)
+{
+    std::size_t best = None;
+    std::uint64_t bestDraw = 0;
+    for (const std::size_t i : m_groups[m_states[first].group]) {
+        const std::uint64_t draw = hashCombine(job.chatKey, m_states[i].id);
+        if ((best == None || draw > bestDraw) && i != first && fits(i, job)) {
+            best = i;
+            bestDraw = draw;
+        }
+    }
+    return best;
+}
+
+/// Load: a pool of any size before any number of routers. Harm prevented: with an owner an engine,
+/// what was over the bound went to an engine whose load the owner knew a second late only, and one
+/// placement in ten broke the bound. The group's number of bits follows the size of the pool in the
+/// inventory, not who is live; a change of it moves counts to other routers, never chats.
+void Placement::buildGroups(std::uint64_t pool)
+{
+    unsigned bits = 0;
+    while (m_states.size() >> bits > static_cast<std::size_t>(m_options.ownerGroup) && bits < 32)
+        ++bits;
+    m_groups.clear();
+    for (std::size_t i = 0; i < m_states.size(); ++i) {
+        State &it = m_states[i];
+        const std::uint64_t high = bits == 0 ? 0 : it.id >> (64 - bits);
+        it.group = m_options.ownerGroup == 1 ? it.id : hashCombine(pool, high);
+        m_groups[it.group].push_back(i);
+    }
+}
+
 std::size_t Placement::chooseByLoad(const Job &job)
 {
     const auto better = [&](std::size_t a, std::size_t b) {
@@ -277,17 +324,14 @@
 Placement::Running Placement::start(std::size_t i, const Job &job, bool relayed)
 {
     State &it = m_states[i];
-    addToTotals(it, -1);
-    if (relayed) {
-        it.relayedWork[0] += job.work;
-        ++it.relayedCount[0];
-    } else {
+    if (!relayed) {
+        addToTotals(it, -1);
         it.work += job.work;
         ++it.inFlight;
         it.health.probing = it.health.state == HealthTracker::State::HalfOpen;
+        addToTotals(it, 1);
     }
-    addToTotals(it, 1);
-    return {.upstream = it.id, .work = job.work, .relayed = relayed, .reportCount = it.reportCount};
+    return {.upstream = it.id, .work = job.work, .relayed = relayed};
 }
 
 std::size_t Placement::stop(const Running &running, const AttemptReport &report)
@@ -295,17 +339,14 @@
     const auto found = m_byId.find(running.upstream);
     if (found == m_byId.end())
         return None;
+    if (running.relayed)
+        return None;
     m_now = m_options.clock.now();
     State &it = m_states[found->second];
     addToTotals(it, -1);
-    if (!running.relayed) {
-        it.work = --it.inFlight == 0 ? 0 : it.work - running.work;
-        it.limit.record(report);
-        m_health.record(it.health, running.work, report, m_states.size(), m_now);
-    } else if (it.reportCount - running.reportCount < it.relayedWork.size()) {
-        const std::size_t age = it.reportCount - running.reportCount;
-        it.relayedWork[age] = --it.relayedCount[age] == 0 ? 0 : it.relayedWork[age] - running.work;
-    }
+    it.work = --it.inFlight == 0 ? 0 : it.work - running.work;
+    it.limit.record(report);
+    m_health.record(it.health, running.work, report, m_states.size(), m_now);
     it.lastBusy = m_now;
     it.counted = inUse(it);
     it.ramp = HealthTracker::ramp(it.health, m_now);
