--- a/test/integration/CliTest.cpp
+++ b/test/integration/CliTest.cpp
@@ -43,7 +43,7 @@
 
     std::string write(const std::string &text) const
     {
-        const std::string path = fleet->folder() + "/changed.yaml";
+        std::string path = fleet->folder() + "/changed.yaml";
         std::ofstream(path) << text;
         return path;
     }
