--- a/src/Base/Inventory.h
+++ b/src/Base/Inventory.h
@@ -15,8 +15,8 @@
 /// \brief A failure domain and the region that it lies in.
 struct Place
 {
-    std::string name; ///< Name of the failure domain.
-    std::string region;
+    std::string name = {}; ///< Name of the failure domain.
+    std::string region = {};
 
     bool operator==(const Place &) const = default;
 };
@@ -24,16 +24,16 @@
 /// \brief A model engine, one replica of one model.
 struct Engine
 {
-    std::string name;
-    std::string model;
-    std::string address; ///< `ip:port`.
-    std::string failureDomain;
+    std::string name = {};
+    std::string model = {};
+    std::string address = {}; ///< `ip:port`.
+    std::string failureDomain = {};
     double weight = 1.0; ///< Capacity relative to the other engines of the model.
     int slots = 32; ///< Requests that it batches at a time.
     bool checksFencing = false; ///< Whether it refuses an order with an old fencing number.
     bool leaving = false; ///< A planned leave: it gets no new work.
-    std::vector<std::string> adapters; ///< Adapters that it is meant to have loaded.
-    std::string version; ///< Model version that it is meant to run; empty: any.
+    std::vector<std::string> adapters = {}; ///< Adapters that it is meant to have loaded.
+    std::string version = {}; ///< Model version that it is meant to run; empty: any.
     std::string role = "serve"; ///< `serve` or `standby`.
 
     bool operator==(const Engine &) const = default;
@@ -42,8 +42,8 @@
 /// \brief One replica of a plain service.
 struct ServiceReplica
 {
-    std::string address; ///< `ip:port`.
-    std::string failureDomain;
+    std::string address = {}; ///< `ip:port`.
+    std::string failureDomain = {};
     bool leaving = false;
 
     bool operator==(const ServiceReplica &) const = default;
@@ -52,10 +52,10 @@
 /// \brief A plain service and its contract.
 struct Service
 {
-    std::string name;
-    std::vector<ServiceReplica> replicas;
-    std::vector<std::string> idempotentMethods; ///< Methods that may be repeated.
-    std::vector<int> notRunStatuses; ///< Statuses by which it promises that it did nothing.
+    std::string name = {};
+    std::vector<ServiceReplica> replicas = {};
+    std::vector<std::string> idempotentMethods = {}; ///< Methods that may be repeated.
+    std::vector<int> notRunStatuses = {}; ///< Statuses by which it promises that it did nothing.
     Duration timeout = std::chrono::seconds(30); ///< Longest wait for a whole answer.
     int concurrency = 64; ///< Calls in progress that one replica takes.
 
@@ -65,8 +65,8 @@
 /// \brief A customer of the system.
 struct Workspace
 {
-    std::string name;
-    std::string keySha256; ///< SHA-256 of its API key, 64 hexadecimal digits.
+    std::string name = {};
+    std::string keySha256 = {}; ///< SHA-256 of its API key, 64 hexadecimal digits.
     double weight = 1.0; ///< Share of a saturated engine, relative to the others.
     bool isProtected = false; ///< Served before the rest when work has to be refused.
     int maxInFlight = 0; ///< Requests in progress on a router; 0: no limit of its own.
@@ -77,8 +77,8 @@
 /// \brief Who may change the configuration.
 struct Operator
 {
-    std::string name;
-    std::string keySha256;
+    std::string name = {};
+    std::string keySha256 = {};
 
     bool operator==(const Operator &) const = default;
 };
--- a/src/Control/RouterDirectory.cpp
+++ b/src/Control/RouterDirectory.cpp
@@ -1,6 +1,7 @@
 #include "Control/RouterDirectory.h"
 
 #include "Base/Hash.h"
+#include "Decide/OwnerGroups.h"
 
 #include <algorithm>
 
@@ -37,14 +38,17 @@
 void RouterDirectory::setEngines(const InventoryPtr &inventory)
 {
     m_pools.clear();
-    for (const Engine &it : inventory->engines)
-        m_pools[it.model].ids.push_back(hash64(it.name));
-    for (auto &[model, pool] : m_pools) {
-        std::vector<ChatOrder::Node> nodes;
-        for (const std::size_t i : inventory->enginesOf(model))
-            nodes.push_back({.id = hash64(inventory->engines[i].name),
-                             .weight = inventory->engines[i].weight});
-        pool.order.assign(nodes);
+    std::map<std::string, std::vector<ChatOrder::Node>, std::less<>> nodes;
+    for (const Engine &it : inventory->engines) {
+        if (it.role == "serve")
+            nodes[it.model].push_back({.id = hash64(it.name), .weight = it.weight});
+    }
+    for (const auto &[model, list] : nodes) {
+        const OwnerGroups groups(hash64(model), list.size());
+        Pool &pool = m_pools[model];
+        for (const ChatOrder::Node &it : list)
+            pool.groups.push_back(groups.of(it.id));
+        pool.order.assign(list);
     }
 }
 
@@ -94,7 +98,7 @@
     const std::size_t engine = pool->second.order.at(query.chatKey);
     if (engine == ChatOrder::None)
         return nullptr;
-    return &m_routers[m_usable[m_order.at(pool->second.ids[engine])]];
+    return &m_routers[m_usable[m_order.at(pool->second.groups[engine])]];
 }
 
 /// The less loaded of two random routers: with the least loaded of all, every caller who asks
--- a/src/Control/RouterDirectory.h
+++ b/src/Control/RouterDirectory.h
@@ -68,7 +68,7 @@
     /// The engines of one model in the order that placement uses.
     struct Pool
     {
-        std::vector<std::uint64_t> ids;
+        std::vector<std::uint64_t> groups; ///< By position of the engine.
         ChatOrder order;
     };
 
--- a/src/Decide/Decide.h
+++ b/src/Decide/Decide.h
@@ -10,6 +10,7 @@
 #include "Decide/HealthTracker.h" // IWYU pragma: export
 #include "Decide/Job.h" // IWYU pragma: export
 #include "Decide/LoadReport.h" // IWYU pragma: export
+#include "Decide/OwnerGroups.h" // IWYU pragma: export
 #include "Decide/Placement.h" // IWYU pragma: export
 #include "Decide/Refusal.h" // IWYU pragma: export
 #include "Decide/Rendezvous.h" // IWYU pragma: export
--- a/src/Decide/Dispatcher.h
+++ b/src/Decide/Dispatcher.h
@@ -6,6 +6,7 @@
 #include "Decide/AdmissionQueue.h"
 #include "Decide/Job.h"
 #include "Decide/LoadReport.h"
+#include "Decide/OwnerGroups.h"
 #include "Decide/Placement.h"
 #include "Decide/RetryBudget.h"
 #include "Decide/RouterView.h"
@@ -45,9 +46,7 @@
         RandomSource random;
         std::string self; ///< Name of this router.
         std::string failureDomain = {}; ///< Of this router.
-        /// Engines of which one router keeps the count, about. Sixteen make the count exact for the
-        /// whole of today's pools, and at full size leave each router one group of some eleven.
-        int ownerGroup = 16;
+        int ownerGroup = OwnerGroups::UsualSize; ///< Upstreams of which one router keeps the count.
     };
 
     /// \brief What was decided so far; only ever rises.
--- a/src/Decide/Placement.cpp
+++ b/src/Decide/Placement.cpp
@@ -1,6 +1,7 @@
 #include "Decide/Placement.h"
 
 #include "Base/Hash.h"
+#include "Decide/OwnerGroups.h"
 
 #include <algorithm>
 
@@ -253,20 +254,13 @@
     return best;
 }
 
-/// Load: a pool of any size before any number of routers. Harm prevented: with an owner an engine,
-/// what was over the bound went to an engine whose load the owner knew a second late only, and one
-/// placement in ten broke the bound. The group's number of bits follows the size of the pool in the
-/// inventory, not who is live; a change of it moves counts to other routers, never chats.
 void Placement::buildGroups(std::uint64_t pool)
 {
-    unsigned bits = 0;
-    while (m_states.size() >> bits > static_cast<std::size_t>(m_options.ownerGroup) && bits < 32)
-        ++bits;
+    const OwnerGroups groups(pool, m_states.size(), m_options.ownerGroup);
     m_groups.clear();
     for (std::size_t i = 0; i < m_states.size(); ++i) {
         State &it = m_states[i];
-        const std::uint64_t high = bits == 0 ? 0 : it.id >> (64 - bits);
-        it.group = m_options.ownerGroup == 1 ? it.id : hashCombine(pool, high);
+        it.group = groups.of(it.id);
         m_groups[it.group].push_back(i);
     }
 }
--- a/src/Decide/Placement.h
+++ b/src/Decide/Placement.h
@@ -7,6 +7,7 @@
 #include "Decide/HealthTracker.h"
 #include "Decide/Job.h"
 #include "Decide/LoadReport.h"
+#include "Decide/OwnerGroups.h"
 
 #include <map>
 #include <span>
@@ -43,7 +44,7 @@
         const Clock &clock;
         RandomSource random;
         std::string failureDomain; ///< Of this router.
-        int ownerGroup = 16; ///< Upstreams of which one router keeps the count, about.
+        int ownerGroup = OwnerGroups::UsualSize;
     };
 
     /// \brief What start() counted, so that stop() can take it back.
