--- a/src/Base/Settings.cpp
+++ b/src/Base/Settings.cpp
@@ -96,6 +96,7 @@
     readPlatform(root.section("platform"), out->platform);
     readLimits(root.section("limits"), out->limits);
     readTls(root.section("tls"), out->tls);
+    out->drainGrace = root.duration("drain_grace", 0ms, 60s, out->drainGrace);
     out->drainTimeout = root.duration("drain_timeout", 100ms, 1h, out->drainTimeout);
     readBuffers(root, *out);
     root.finish();
--- a/src/Base/Settings.h
+++ b/src/Base/Settings.h
@@ -59,6 +59,8 @@
     PlatformSettings platform;
     ListenerLimits limits;
     TlsSettings tls;
+    /// How long a stopping router still takes new work, from callers that have not heard of it.
+    Duration drainGrace = std::chrono::seconds(3);
     Duration drainTimeout = std::chrono::seconds(30); ///< Longest wait for requests in progress.
     std::size_t maxStreamBuffer = 256 * 1024; ///< Bytes held for one slow caller.
     std::size_t maxBuffered = 128 * 1024 * 1024; ///< Bytes held for all callers together.
--- /dev/null
+++ b/src/Net/ClaimPump.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "Net/Timer.h"
+#include "Request/ClaimKeeper.h"
+#include "Request/ClaimSweeper.h"
+
+#include <functional>
+
+namespace catkinloft {
+
+class EventLoop;
+
+/// \brief Drives ClaimKeeper and ClaimSweeper by the event loop.
+class ClaimPump
+{
+public:
+    struct Options
+    {
+        EventLoop &loop;
+        TableService &table;
+        ObjectStore &objects;
+        Metrics &metrics;
+        RandomSource random;
+        std::string router;
+        std::function<std::size_t()> routers; ///< How many share the sweeping.
+    };
+
+    explicit ClaimPump(Options options);
+
+    ClaimKeeper &keeper() { return m_keeper; }
+
+private:
+    void schedule();
+    void poll();
+
+    EventLoop &m_loop;
+    bool m_started = false;
+    Timer m_timer;
+    ClaimKeeper m_keeper;
+    ClaimSweeper m_sweeper;
+};
+
+} // namespace catkinloft
--- a/src/Net/Forwarder.h
+++ b/src/Net/Forwarder.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "Base/Metrics.h"
+#include "Base/ObjectStore.h"
 #include "Base/Random.h"
 #include "Base/Settings.h"
+#include "Base/TableService.h"
 #include "Control/RouterDirectory.h"
 #include "Decide/Dispatcher.h"
 #include "Net/HttpExchange.h"
@@ -11,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace catkinloft {
 
@@ -28,6 +31,8 @@
         Metrics &metrics;
         const Settings &settings;
         RouterDirectory &directory;
+        TableService &table;
+        ObjectStore &objects;
         RandomSource random;
         /// Answers a request that ends without an upstream's answer.
         std::function<void(const RequestPtr &, const HttpExchangePtr &, const Error &)> refuse;
@@ -44,8 +49,10 @@
     /// \returns requests that have not got their whole answer.
     std::size_t inProgress() const;
 
+    /// \returns the ids of these requests.
+    std::vector<std::string> unfinished() const;
+
 private:
-    class Attempt;
     struct Private;
     std::unique_ptr<Private> m_d;
 };
--- a/src/Net/Gateway.cpp
+++ b/src/Net/Gateway.cpp
@@ -49,6 +49,7 @@
     FilterChain chain;
     Forwarder forwarder;
     std::map<std::string, std::map<std::string, Route>> routes; ///< By path, then method.
+    bool leaving = false;
     bool draining = false;
 };
 
@@ -59,6 +60,8 @@
                  .metrics = options.metrics,
                  .settings = options.settings,
                  .directory = options.directory,
+                 .table = options.table,
+                 .objects = options.objects,
                  .random = options.random,
                  .refuse = [this](const RequestPtr &request, const HttpExchangePtr &exchange,
                                   const Error &error) { refuse(request, exchange, error); }})
@@ -82,7 +85,7 @@
 {
     routes["/healthz"]["GET"] = [](const HttpExchangePtr &it) { it->respond(200, {}, "ok\n"); };
     routes["/readyz"]["GET"] = [this](const HttpExchangePtr &it) {
-        const bool ready = options.config.current() && !draining;
+        const bool ready = options.config.current() && !leaving;
         it->respond(ready ? 200 : 503, {}, ready ? "ready\n" : "not ready\n");
     };
     routes["/metrics"]["GET"] = [this](const HttpExchangePtr &it) {
@@ -254,6 +257,8 @@
 
 void Gateway::handle(const HttpExchangePtr &exchange)
 {
+    if (m_d->leaving)
+        exchange->closeAfterAnswer();
     const auto byMethod = m_d->routes.find(exchange->path());
     if (byMethod == m_d->routes.end()) {
         m_d->request(exchange);
@@ -268,6 +273,16 @@
                    .detail = "this path is not for " + exchange->method()});
 }
 
+std::vector<std::string> Gateway::unfinished() const
+{
+    return m_d->forwarder.unfinished();
+}
+
+void Gateway::leave()
+{
+    m_d->leaving = true;
+}
+
 void Gateway::drain()
 {
     m_d->draining = true;
--- a/src/Net/Gateway.h
+++ b/src/Net/Gateway.h
@@ -23,6 +23,8 @@
         const Settings &settings;
         ConfigKeeper &config;
         RouterDirectory &directory;
+        TableService &table;
+        ObjectStore &objects;
         RandomSource random;
     };
 
@@ -31,12 +33,19 @@
 
     void handle(const HttpExchangePtr &exchange);
 
+    /// \brief Answers that this router is not ready and closes connections behind their answers;
+    /// still takes new work, from callers that hold an older address answer.
+    void leave();
+
     /// \brief Refuses new work from now on.
     void drain();
 
     /// \returns requests that have not got their whole answer.
     std::size_t inProgress() const;
 
+    /// \returns the ids of these requests.
+    std::vector<std::string> unfinished() const;
+
 private:
     struct Private;
     std::unique_ptr<Private> m_d;
--- a/src/Net/HttpClient.cpp
+++ b/src/Net/HttpClient.cpp
@@ -227,6 +227,16 @@
                           }});
 }
 
+void HttpClient::dropIdle(const std::string &address)
+{
+    const auto it = m_d->idle.find(address);
+    if (it == m_d->idle.end())
+        return;
+    for (IdleConnection &idle : it->second)
+        m_d->retire(std::move(idle.connection));
+    m_d->idle.erase(it);
+}
+
 std::size_t HttpClient::idleConnections() const
 {
     std::size_t n = 0;
--- a/src/Net/HttpClient.h
+++ b/src/Net/HttpClient.h
@@ -80,6 +80,10 @@
     /// \brief Sends \a call and collects the answer; nobody can cancel it.
     void fetch(HttpCall call, std::function<void(Result<HttpAnswer>)> done);
 
+    /// \brief Closes the idle connections to \a address, because one that came the same way went
+    /// silent. None is opened in their place: new ones come with the requests that need them.
+    void dropIdle(const std::string &address);
+
     /// \returns idle connections kept for reuse.
     std::size_t idleConnections() const;
 
--- a/src/Net/HttpExchange.cpp
+++ b/src/Net/HttpExchange.cpp
@@ -166,6 +166,8 @@
     evkeyvalq *out = evhttp_request_get_output_headers(m_request);
     for (const auto &[name, value] : headers)
         evhttp_add_header(out, name.c_str(), value.c_str());
+    if (m_closeAfter)
+        evhttp_add_header(out, "Connection", "close");
 }
 
 void HttpExchange::respond(int status, const HttpHeaders &headers, std::string_view body)
--- a/src/Net/HttpExchange.h
+++ b/src/Net/HttpExchange.h
@@ -61,6 +61,9 @@
     /// \returns bytes written but not yet taken by the caller.
     std::size_t backlog() const;
 
+    /// \brief Closes the connection behind the answer, so that the caller looks for another.
+    void closeAfterAnswer() { m_closeAfter = true; }
+
     bool isOpen() const { return m_request != nullptr; }
     bool isStreaming() const { return m_streaming; }
 
@@ -82,6 +85,7 @@
     std::string m_query;
     std::string_view m_body;
     bool m_streaming = false;
+    bool m_closeAfter = false;
     std::shared_ptr<HttpExchange> m_keepAlive; ///< While a stream is open.
     std::function<void()> m_onClosed;
     std::function<void()> m_onDrained;
--- a/src/Net/RouterProcess.cpp
+++ b/src/Net/RouterProcess.cpp
@@ -39,6 +39,8 @@
                    .settings = *settings,
                    .config = config,
                    .directory = directory,
+                   .table = *table,
+                   .objects = *objects,
                    .random = systemRandom()}),
           server(loop, {.address = settings->callerAddress, .limits = settings->limits},
                  [this](const HttpExchangePtr &it) { gateway.handle(it); }),
@@ -63,17 +65,23 @@
         draining = true;
         Log::info("draining", {{"in_progress", gateway.inProgress()}});
         directory.setLeaving();
-        gateway.drain();
-        drainDeadline = loop.now() + settings->drainTimeout;
+        gateway.leave();
+        refuseFrom = loop.now() + settings->drainGrace;
+        drainDeadline = refuseFrom + settings->drainTimeout;
         drainPoll.startRepeating(DrainPoll);
     }
 
     void checkDrained()
     {
-        const std::size_t left = gateway.inProgress();
-        if (left > 0 && loop.now() < drainDeadline)
+        if (loop.now() < refuseFrom)
+            return;
+        gateway.drain();
+        const std::vector<std::string> left = gateway.unfinished();
+        if (!left.empty() && loop.now() < drainDeadline)
             return;
-        Log::info("stopped", {{"cut_off", left}});
+        for (const std::string &it : left)
+            Log::warning("cut_off", {{"request_id", it}});
+        Log::info("stopped", {{"cut_off", left.size()}});
         loop.stop();
     }
 
@@ -90,6 +98,7 @@
     HttpServer server;
     Timer poll;
     Timer drainPoll;
+    TimePoint refuseFrom; ///< Callers may hold older address answers until then.
     TimePoint drainDeadline;
     bool draining = false;
 };
--- /dev/null
+++ b/src/Net/StreamRelay.cpp
@@ -0,0 +1,236 @@
+#include "Net/StreamRelay.h"
+
+#include "Net/EventLoop.h"
+#include "Request/IdentifyFilter.h"
+
+#include <fmt/format.h>
+
+namespace catkinloft {
+
+namespace {
+
+/// New connections that may fail in a row before the engine itself is blamed, a moment apart: a
+/// path that forgot one connection takes the next one.
+constexpr int MaxFailures = 3;
+constexpr Duration RetryDelay = std::chrono::milliseconds(100);
+
+/// Resumes without a token in between. Reading a long prompt takes most of a minute, in which the
+/// engine answers each resume but has no token yet.
+constexpr int MaxIdleResumes = 20;
+
+Error broken(std::string detail)
+{
+    return {.reason = Reason::UpstreamBroken,
+            .verdict = Verdict::MayHaveRun,
+            .detail = std::move(detail)};
+}
+
+} // namespace
+
+StreamRelay::StreamRelay(Options options)
+    : m_options(std::move(options)), m_cursor(m_options.lastEventId),
+      m_retry(m_options.loop, [this] { resume(); }),
+      m_slow(m_options.loop, [this] { checkCaller(); }), m_grace(m_options.loop, [this] {
+          cancelUpstream();
+          finish(Error{.reason = Reason::CallerGone, .verdict = Verdict::MayHaveRun});
+      })
+{ }
+
+StreamRelay::~StreamRelay()
+{
+    if (m_delivered)
+        m_options.exchange->onDrained(nullptr);
+    m_options.buffered -= m_counted;
+}
+
+void StreamRelay::data(std::string_view data)
+{
+    if (m_finished || m_callerLeft)
+        return;
+    std::string out;
+    const bool fits = m_reader.feed(data, [&](const SseEvent &it) {
+        const StreamCursor::Step step = m_gap ? StreamCursor::Step::Gap : m_cursor.take(it);
+        m_gap = step == StreamCursor::Step::Gap;
+        // Heartbeats of the router behind this one; its tokens may still have to come from another.
+        const bool heartbeat = it.text.starts_with(':');
+        if (step == StreamCursor::Step::Deliver && !heartbeat && !m_whole) {
+            out += it.text;
+            m_whole = it.isEnd;
+        }
+    });
+    if (!out.empty())
+        deliver(out);
+    if (!fits)
+        finish(broken("an event of the stream is longer than the limit"));
+    else if (m_gap)
+        ended(broken("tokens are missing in the stream"));
+}
+
+void StreamRelay::deliver(std::string_view text)
+{
+    m_idleResumes = 0;
+    HttpExchange &exchange = *m_options.exchange;
+    if (!exchange.isStreaming())
+        exchange.beginStream(200, m_options.head);
+    if (!std::exchange(m_delivered, true))
+        exchange.onDrained([this] { drained(); });
+    exchange.write(text);
+    limitBacklog();
+}
+
+void StreamRelay::limitBacklog()
+{
+    countBacklog();
+    const bool tooMuch = m_counted > m_options.settings.maxStreamBuffer
+            || m_options.buffered > m_options.settings.maxBuffered;
+    if (!tooMuch || !m_call)
+        return;
+    m_call->pause();
+    m_lastBacklog = m_counted;
+    m_slow.start(m_options.settings.limits.idleTimeout);
+}
+
+void StreamRelay::countBacklog()
+{
+    const std::size_t n = m_options.exchange->backlog();
+    m_options.buffered += n - m_counted;
+    m_counted = n;
+}
+
+void StreamRelay::drained()
+{
+    countBacklog();
+    m_slow.stop();
+    if (m_call)
+        m_call->resume();
+}
+
+/// A caller that reads slowly is waited for; one that reads nothing holds a place on an engine.
+void StreamRelay::checkCaller()
+{
+    countBacklog();
+    if (m_counted < m_lastBacklog) {
+        m_lastBacklog = m_counted;
+        m_slow.start(m_options.settings.limits.idleTimeout);
+        return;
+    }
+    cancelUpstream();
+    finish(Error{.reason = Reason::SlowCaller, .verdict = Verdict::MayHaveRun});
+}
+
+void StreamRelay::ended(const Result<void> &result)
+{
+    if (m_finished)
+        return;
+    const bool answered = !m_resuming;
+    m_call.reset();
+    m_reader.reset();
+    m_gap = false;
+    if (m_callerLeft) {
+        finish(Error{.reason = Reason::CallerGone, .verdict = Verdict::MayHaveRun});
+    } else if (m_whole) {
+        m_options.exchange->end();
+        finish(outcome::success());
+    } else if (answered) {
+        m_options.metrics.count("catkinloft_streams_interrupted_total");
+        resume();
+    } else {
+        resumeFailed(result ? broken("the stream ended without its end marker") : result.error());
+    }
+}
+
+void StreamRelay::resume()
+{
+    const Duration left = m_options.deadline - m_options.loop.now();
+    const bool numbered = m_cursor.last() >= 0 || !m_delivered;
+    if (!m_options.source || !numbered || left <= Duration::zero()
+        || ++m_idleResumes > MaxIdleResumes) {
+        finish(broken("the stream broke and can't be resumed"));
+        return;
+    }
+    m_resuming = true;
+    // Silence in the middle of a stream points at the path, and what is idle towards this address
+    // came the same way. Before the first token the engine may just be reading the prompt.
+    if (m_delivered)
+        m_options.client.dropIdle(m_options.source->address);
+    HttpCall call{.address = m_options.source->address,
+                  .target = "/v1/streams/" + m_options.source->upstreamId,
+                  .timeout = left,
+                  .progressTimeout = m_options.progressTimeout,
+                  .freshConnection = true};
+    call.headers.emplace_back(headers::RequestId, m_options.source->upstreamId);
+    if (m_cursor.last() >= 0)
+        call.headers.emplace_back(headers::LastEventId, fmt::format("{}", m_cursor.last()));
+    m_call = m_options.client.send(
+            std::move(call), {.onHead = [this](const HttpHead &head) { gotHead(head); },
+                              .onData = [this](std::string_view text) { data(text); },
+                              .onEnd = [this](const Result<void> &result) { ended(result); }});
+}
+
+void StreamRelay::gotHead(const HttpHead &head)
+{
+    if (head.status == 200 && head.header(headers::RequestId) == m_options.source->upstreamId) {
+        m_resuming = false;
+        m_failures = 0;
+        m_options.metrics.count("catkinloft_streams_resumed_total");
+        return;
+    }
+    finish(Error{.reason = head.status == 404 ? Reason::NotFound : Reason::AnswerMismatch,
+                 .verdict = Verdict::MayHaveRun,
+                 .detail = "the engine does not have this stream any more"});
+}
+
+void StreamRelay::resumeFailed(Error error)
+{
+    if (++m_failures < MaxFailures) {
+        m_retry.start(RetryDelay);
+        return;
+    }
+    // Whatever happened on this connection, the request itself was sent before.
+    error.verdict = Verdict::MayHaveRun;
+    finish(std::move(error));
+}
+
+void StreamRelay::callerLeft()
+{
+    if (m_finished)
+        return;
+    m_callerLeft = true;
+    m_slow.stop();
+    m_retry.stop();
+    if (!m_call) {
+        finish(Error{.reason = Reason::CallerGone, .verdict = Verdict::MayHaveRun});
+        return;
+    }
+    // The connection stays open: the engine closes it when another router takes the stream up, and
+    // then it must not be cancelled.
+    m_call->resume();
+    m_grace.start(m_options.progressTimeout);
+}
+
+void StreamRelay::cancelUpstream()
+{
+    m_call.reset();
+    if (!m_options.source || !m_options.source->cancellable)
+        return;
+    m_options.metrics.count("catkinloft_streams_cancelled_total");
+    m_options.client.fetch({.address = m_options.source->address,
+                            .method = "DELETE",
+                            .target = "/v1/streams/" + m_options.source->upstreamId,
+                            .timeout = m_options.progressTimeout},
+                           [](const Result<HttpAnswer> &) {});
+}
+
+void StreamRelay::finish(Result<void> result)
+{
+    if (std::exchange(m_finished, true))
+        return;
+    m_call.reset();
+    m_slow.stop();
+    m_retry.stop();
+    m_grace.stop();
+    const auto done = std::exchange(m_options.done, nullptr);
+    done(std::move(result)); // May destroy this relay.
+}
+
+} // namespace catkinloft
--- /dev/null
+++ b/src/Net/internal/ForwardHeaders.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "Net/HttpClient.h"
+
+namespace catkinloft::internal {
+
+/// \returns the caller's headers that an upstream gets.
+HttpHeaders requestHeaders(const HttpExchange &exchange);
+
+/// \returns the upstream's headers that a caller gets.
+HttpHeaders answerHeaders(const HttpHead &head);
+
+} // namespace catkinloft::internal
--- a/src/Request/IdentifyFilter.cpp
+++ b/src/Request/IdentifyFilter.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr std::string_view ChatPath = "/v1/chat/completions";
+constexpr std::string_view StreamPrefix = "/v1/streams/";
 constexpr std::string_view ServicePrefix = "/services/";
 constexpr std::size_t MaxIdLength = 128;
 constexpr std::int64_t MaxDeadlineMs = 3'600'000;
@@ -93,6 +94,23 @@
     return outcome::success();
 }
 
+Result<void> readResume(RequestContext &request)
+{
+    if (request.method != "GET")
+        return Error{.reason = Reason::MethodNotAllowed, .detail = "expected GET"};
+    request.kind = RequestKind::Resume;
+    request.id = request.path.substr(StreamPrefix.size());
+    request.streamed = true;
+    const std::string_view text = request.header(headers::LastEventId);
+    if (text.empty())
+        return outcome::success();
+    const auto [end, ec] =
+            std::from_chars(text.data(), text.data() + text.size(), request.lastEventId);
+    if (ec != std::errc() || end != text.data() + text.size() || request.lastEventId < -1)
+        return malformed("expected 'Last-Event-ID' as the number of a token");
+    return outcome::success();
+}
+
 } // namespace
 
 IdentifyFilter::IdentifyFilter(RandomSource random) : m_random(std::move(random)) { }
@@ -113,6 +131,8 @@
     request.hops = request.header(headers::Hops).empty() ? 0 : 1;
     if (request.path == ChatPath)
         return readChat(request);
+    if (request.path.starts_with(StreamPrefix))
+        return readResume(request);
     if (request.path.starts_with(ServicePrefix))
         return readCall(request);
     return Error{.reason = Reason::NotFound, .detail = "there is nothing at this path"};
--- a/src/Request/IdentifyFilter.h
+++ b/src/Request/IdentifyFilter.h
@@ -14,6 +14,11 @@
 inline constexpr const char *Hops = "X-Catkinloft-Hops";
 inline constexpr const char *Verdict = "X-Catkinloft-Verdict";
 inline constexpr const char *Refusal = "X-Catkinloft-Refusal";
+/// Comes with a stream and goes back with `GET /v1/streams/{request id}`.
+inline constexpr const char *Resume = "X-Catkinloft-Resume";
+inline constexpr const char *LastEventId = "Last-Event-ID";
+/// Set on an answer that an earlier attempt with the same key got.
+inline constexpr const char *Replayed = "X-Catkinloft-Replayed";
 inline constexpr const char *Upstream = "X-Catkinloft-Upstream";
 } // namespace headers
 
--- a/src/Request/RequestContext.h
+++ b/src/Request/RequestContext.h
@@ -15,6 +15,7 @@
 enum class RequestKind {
     Chat, ///< A completion by a model engine.
     Call, ///< A call of a plain service.
+    Resume, ///< The rest of a stream that the caller lost its connection to.
 };
 
 /// \brief One request on its way through the filter chain; each filter adds what it finds out.
@@ -39,6 +40,7 @@
     std::string service;
     bool idempotent = true; ///< Whether it may be sent twice.
     std::string idempotencyKey;
+    std::int64_t lastEventId = -1; ///< Last token that a resuming caller has.
     int hops = 0; ///< Routers that it has passed through.
 
     // From AuthenticateFilter.
