--- a/src/Net/ForwardTask.cpp
+++ b/src/Net/ForwardTask.cpp
@@ -73,8 +73,8 @@
     }
     m_placed = true;
     m_assignment = std::move(assignment.value());
-    m_freshConnection = !m_request.idempotent
-            || (m_request.kind == RequestKind::Chat && !m_request.streamed);
+    m_freshConnection =
+            !m_request.idempotent || (m_request.kind == RequestKind::Chat && !m_request.streamed);
     // Claimed only now: a call that the queues refuse costs the store nothing.
     if (repeatability() == Repeatability::Keyed && !m_claim)
         claim();
@@ -132,13 +132,14 @@
     m_answer.clear();
     m_head = {};
     m_call = m_options.router.client.send(
-            makeCall(), {.onHead = [this](const HttpHead &head) { gotHead(head); },
-                         .onData = [this](std::string_view data) { gotData(data); },
-                         .onEnd =
-                                 [this](const Result<void> &result) {
-                                     const auto self = shared_from_this();
-                                     ended(result);
-                                 }});
+            makeCall(),
+            {.onHead = [this](const HttpHead &head) { gotHead(head); },
+             .onData = [this](std::string_view data) { gotData(data); },
+             .onEnd =
+                     [this](const Result<void> &result) {
+                         const auto self = shared_from_this();
+                         ended(result);
+                     }});
 }
 
 HttpCall ForwardTask::makeCall() const
@@ -146,15 +147,15 @@
     const Duration left = m_request.deadline - now();
     HttpCall call{.address = m_assignment.address,
                   .method = m_request.method,
-                  .target = m_request.path
-                          + (m_request.query.empty() ? "" : "?" + m_request.query),
+                  .target = m_request.path + (m_request.query.empty() ? "" : "?" + m_request.query),
                   .headers = m_headers,
                   .body = std::string(m_request.body),
                   .timeout = left,
                   .freshConnection = m_freshConnection};
     call.headers.emplace_back(headers::RequestId, m_upstreamId);
-    call.headers.emplace_back(headers::Deadline,
-                              fmt::format("{}", std::max<std::int64_t>(1, left.count() / 1'000'000)));
+    call.headers.emplace_back(
+            headers::Deadline,
+            fmt::format("{}", std::max<std::int64_t>(1, left.count() / 1'000'000)));
     if (m_assignment.relayed)
         call.headers.emplace_back(headers::Hops, "1");
     // A pooled connection may have gone silent. What can be repeated finds that out by itself;
@@ -225,10 +226,10 @@
     report(!overloaded, Verdict::Ran, Reason::UpstreamRefused);
     m_request.verdict = Verdict::Ran;
     if (m_claim) {
-        m_options.claims.recordAnswer(m_claim, {.status = m_head.status,
-                                                .contentType = std::string(
-                                                        m_head.header("Content-Type")),
-                                                .body = m_answer});
+        m_options.claims.recordAnswer(m_claim,
+                                      {.status = m_head.status,
+                                       .contentType = std::string(m_head.header("Content-Type")),
+                                       .body = m_answer});
         m_claim.reset();
     }
     deliver(Verdict::Ran);
@@ -444,8 +445,7 @@
     HttpHeaders out = internal::answerHeaders(m_head);
     out.emplace_back(headers::RequestId, m_request.id);
     out.emplace_back(headers::Upstream, m_assignment.upstream);
-    out.emplace_back(headers::Verdict,
-                     relayedVerdict.empty() ? toString(verdict) : relayedVerdict);
+    out.emplace_back(headers::Verdict, relayedVerdict.empty() ? toString(verdict) : relayedVerdict);
     m_exchange.respond(m_head.status, out, m_answer);
     close();
 }
@@ -468,11 +468,12 @@
         return;
     const TimePoint end = now();
     const TimePoint first = m_firstByte == TimePoint() ? end : m_firstByte;
-    m_options.pool->finished(m_job.id, {.succeeded = succeeded,
-                                        .verdict = verdict,
-                                        .reason = reason,
-                                        .untilFirstByte = first - m_started,
-                                        .total = end - m_started});
+    m_options.pool->finished(m_job.id,
+                             {.succeeded = succeeded,
+                              .verdict = verdict,
+                              .reason = reason,
+                              .untilFirstByte = first - m_started,
+                              .total = end - m_started});
 }
 
 void ForwardTask::close()
--- a/src/Net/Forwarder.cpp
+++ b/src/Net/Forwarder.cpp
@@ -34,13 +34,14 @@
 };
 
 Forwarder::Private::Private(Options o)
-    : options(std::move(o)), claims({.loop = options.loop,
-                                     .table = options.table,
-                                     .objects = options.objects,
-                                     .metrics = options.metrics,
-                                     .random = options.random,
-                                     .router = options.settings.name,
-                                     .routers = [this] { return options.directory.routers().size(); }}),
+    : options(std::move(o)),
+      claims({.loop = options.loop,
+              .table = options.table,
+              .objects = options.objects,
+              .metrics = options.metrics,
+              .random = options.random,
+              .router = options.settings.name,
+              .routers = [this] { return options.directory.routers().size(); }}),
       pollTimer(options.loop, [this] {
           for (const auto &it : pools)
               it.second->poll();
@@ -93,9 +94,8 @@
         pollTimer.start(std::max(next - options.loop.now(), Duration::zero()));
 }
 
-std::shared_ptr<ForwardTask> Forwarder::Private::makeTask(RequestPtr request,
-                                                          HttpExchangePtr exchange,
-                                                          Dispatcher *pool)
+std::shared_ptr<ForwardTask>
+Forwarder::Private::makeTask(RequestPtr request, HttpExchangePtr exchange, Dispatcher *pool)
 {
     auto task = std::make_shared<ForwardTask>(
             ForwardTask::Options{.router = options,
@@ -118,8 +118,8 @@
 Result<std::pair<ResumeToken, std::string>>
 Forwarder::Private::findStream(const RequestContext &request) const
 {
-    Result<ResumeToken> token = ResumeToken::decode(request.header(headers::Resume),
-                                                    options.settings.refusalKeys);
+    Result<ResumeToken> token =
+            ResumeToken::decode(request.header(headers::Resume), options.settings.refusalKeys);
     if (!token)
         return token.error();
     const bool own = token.value().workspace == request.workspace->name
--- a/src/Net/StreamRelay.cpp
+++ b/src/Net/StreamRelay.cpp
@@ -161,10 +161,11 @@
     call.headers.emplace_back(headers::RequestId, m_options.source->upstreamId);
     if (m_cursor.last() >= 0)
         call.headers.emplace_back(headers::LastEventId, fmt::format("{}", m_cursor.last()));
-    m_call = m_options.client.send(
-            std::move(call), {.onHead = [this](const HttpHead &head) { gotHead(head); },
-                              .onData = [this](std::string_view text) { data(text); },
-                              .onEnd = [this](const Result<void> &result) { ended(result); }});
+    m_call =
+            m_options.client.send(std::move(call),
+                                  {.onHead = [this](const HttpHead &head) { gotHead(head); },
+                                   .onData = [this](std::string_view text) { data(text); },
+                                   .onEnd = [this](const Result<void> &result) { ended(result); }});
 }
 
 void StreamRelay::gotHead(const HttpHead &head)
--- a/src/Request/SseReader.h
+++ b/src/Request/SseReader.h
@@ -13,7 +13,7 @@
 struct SseEvent
 {
     std::string_view text; ///< As received, with the empty line that ends it.
-    std::optional<std::int64_t> id; ///< Number of the token; missing for heartbeats.
+    std::optional<std::int64_t> id = {}; ///< Number of the token; missing for heartbeats.
     bool isEnd = false; ///< The marker after the last token.
 };
 
