--- a/src/Net/ForwardTask.cpp
+++ b/src/Net/ForwardTask.cpp
@@ -158,6 +158,8 @@
             fmt::format("{}", std::max<std::int64_t>(1, left.count() / 1'000'000)));
     if (m_assignment.relayed)
         call.headers.emplace_back(headers::Hops, "1");
+    const TlsSettings &tls = m_options.router.settings.tls;
+    call.secure = !(m_assignment.relayed ? tls.certificateFile : tls.caFile).empty();
     // A pooled connection may have gone silent. What can be repeated finds that out by itself;
     // everything else is sent on a new connection, which proves the path before any byte of the
     // request leaves.
--- a/src/Net/StreamRelay.cpp
+++ b/src/Net/StreamRelay.cpp
@@ -158,6 +158,7 @@
                   .timeout = left,
                   .progressTimeout = m_options.progressTimeout,
                   .freshConnection = true};
+    call.secure = !m_options.settings.tls.caFile.empty();
     call.headers.emplace_back(headers::RequestId, m_options.source->upstreamId);
     if (m_cursor.last() >= 0)
         call.headers.emplace_back(headers::LastEventId, fmt::format("{}", m_cursor.last()));
@@ -215,11 +216,12 @@
     if (!m_options.source || !m_options.source->cancellable)
         return;
     m_options.metrics.count("catkinloft_streams_cancelled_total");
-    m_options.client.fetch({.address = m_options.source->address,
-                            .method = "DELETE",
-                            .target = "/v1/streams/" + m_options.source->upstreamId,
-                            .timeout = m_options.progressTimeout},
-                           [](const Result<HttpAnswer> &) {});
+    HttpCall call{.address = m_options.source->address,
+                  .method = "DELETE",
+                  .target = "/v1/streams/" + m_options.source->upstreamId,
+                  .timeout = m_options.progressTimeout};
+    call.secure = !m_options.settings.tls.caFile.empty();
+    m_options.client.fetch(std::move(call), [](const Result<HttpAnswer> &) {});
 }
 
 void StreamRelay::finish(Result<void> result)
--- a/test/integration/RequestLifeTest.cpp
+++ b/test/integration/RequestLifeTest.cpp
@@ -308,6 +308,11 @@
 {
     const Part part = follow(chat(true, 1), [&] {
         fleet->router(1).signal(SIGTERM);
+        Fleet::waitFor([&] {
+            const auto ready =
+                    Fleet::fetch({.address = fleet->routerAddress(1), .target = "/readyz"});
+            return ready && ready.value().head.status == 503;
+        });
         // For a while it still serves callers that hold an older address answer.
         const auto late = Fleet::fetch(dispatch("", 1));
         REQUIRE(late);
