--- a/test/integration/RequestLifeTest.cpp
+++ b/test/integration/RequestLifeTest.cpp
@@ -207,6 +207,8 @@
 {
     const Part first = follow(chat(true), [] { return false; });
     const std::string token(first.head.header("X-Catkinloft-Resume"));
+    CAPTURE(first.head.status);
+    CAPTURE(first.body);
     REQUIRE(!token.empty());
     const auto rest = [&](int workspace) {
         return Fleet::fetch(
