--- a/test/integration/RequestLifeTest.cpp
+++ b/test/integration/RequestLifeTest.cpp
@@ -59,6 +59,8 @@
         fleet->start();
         const std::string inventory =
                 fleet->inventory([this](const std::string &it) { return proxyFor(it); });
+        for (const auto &it : control)
+            REQUIRE(Fleet::waitFor([&] { return isListening(it.second); }));
         REQUIRE(fleet->apply(inventory) == 200);
         REQUIRE(Fleet::waitFor([&] { return hasRevision(2); }));
     }
@@ -68,16 +70,21 @@
     std::string proxyFor(const std::string &target)
     {
         const auto ports = standin::freePorts(2);
-        const std::string listen = fmt::format("127.0.0.1:{}", ports[0]);
+        const std::string binary = std::string(CATKINLOFT_BINARIES) + "/catkinloft-standin";
+        std::string listen = fmt::format("127.0.0.1:{}", ports[0]);
         control[target] = fmt::format("127.0.0.1:{}", ports[1]);
         proxies.push_back(std::make_unique<ChildProcess>(
-                std::vector<std::string>{CATKINLOFT_BINARIES "/catkinloft-standin",
-                                         "--listen=" + listen, "--target=" + target,
+                std::vector<std::string>{binary, "--listen=" + listen, "--target=" + target,
                                          "--control=" + control[target], "--name=proxy", "proxy"},
                 fleet->folder() + "/proxy.log"));
         return listen;
     }
 
+    static bool isListening(const std::string &address)
+    {
+        return Fleet::fetch({.address = address, .target = "/v1/faults"}).has_value();
+    }
+
     bool hasRevision(int n) const
     {
         for (std::size_t i = 0; i < 3; ++i) {
@@ -322,8 +329,8 @@
         CHECK(late.value().head.header("Connection") == "close");
         return true;
     });
-    CHECK(part.whole);
-    CHECK(textOf(part.body) == tokens(Tokens));
+    REQUIRE(part.whole);
+    REQUIRE(textOf(part.body) == tokens(Tokens));
     CHECK(fleet->router(1).wait() == 0);
     CHECK(fleet->routerLog(1).find("\"cut_off\":0") != std::string::npos);
 }
