--- a/src/Net/ForwardTask.cpp
+++ b/src/Net/ForwardTask.cpp
@@ -227,6 +227,8 @@
     const bool overloaded = m_head.status == 503 || m_head.status == 429;
     report(!overloaded, Verdict::Ran, Reason::UpstreamRefused);
     m_request.verdict = Verdict::Ran;
+    if (!overloaded)
+        noteServed();
     if (m_claim) {
         m_options.claims.recordAnswer(m_claim,
                                       {.status = m_head.status,
@@ -250,6 +252,13 @@
     m_exchange.write(": waiting\n\n");
 }
 
+/// The engine now holds the chat's context.
+void ForwardTask::noteServed() const
+{
+    if (m_options.router.served && m_request.chatKey != 0 && !m_assignment.relayed)
+        m_options.router.served(m_request, m_assignment.upstream);
+}
+
 void ForwardTask::callerLeft()
 {
     m_callerLeft = true;
@@ -344,6 +353,7 @@
     if (result) {
         report(true, Verdict::Ran, Reason::Internal);
         m_request.verdict = Verdict::Ran;
+        noteServed();
         close();
         return;
     }
--- a/src/Net/ForwardTask.h
+++ b/src/Net/ForwardTask.h
@@ -49,6 +49,7 @@
     void gotData(std::string_view data);
     void ended(const Result<void> &result);
     Result<void> checkAnswer() const;
+    void noteServed() const;
     void callerLeft();
     void heartbeat();
 
--- a/src/Net/Forwarder.h
+++ b/src/Net/Forwarder.h
@@ -8,6 +8,7 @@
 #include "Control/RouterDirectory.h"
 #include "Decide/Dispatcher.h"
 #include "Net/HttpExchange.h"
+#include "Net/StatusPage.h"
 #include "Request/RequestContext.h"
 
 #include <functional>
@@ -36,6 +37,8 @@
         RandomSource random;
         /// Answers a request that ends without an upstream's answer.
         std::function<void(const RequestPtr &, const HttpExchangePtr &, const Error &)> refuse;
+        /// Told of each chat that an upstream answered to this router directly.
+        std::function<void(const RequestContext &, std::string_view upstream)> served = {};
     };
 
     explicit Forwarder(Options options);
@@ -52,6 +55,9 @@
     /// \returns the ids of these requests.
     std::vector<std::string> unfinished() const;
 
+    /// \brief Adds the load of upstreams and workspaces to \a report.
+    void describe(StatusReport &report) const;
+
 private:
     struct Private;
     std::unique_ptr<Private> m_d;
--- a/src/Net/Gateway.h
+++ b/src/Net/Gateway.h
@@ -29,6 +29,8 @@
         TableService &table;
         ObjectStore &objects;
         RandomSource random;
+        /// \sa Forwarder::Options
+        std::function<void(const RequestContext &, std::string_view upstream)> served = {};
     };
 
     explicit Gateway(Options options);
