--- a/src/Net/Forwarder.h
+++ b/src/Net/Forwarder.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "Base/Metrics.h"
+#include "Base/ObjectStore.h"
 #include "Base/Random.h"
 #include "Base/Settings.h"
+#include "Base/TableService.h"
 #include "Control/RouterDirectory.h"
 #include "Decide/Dispatcher.h"
 #include "Net/HttpExchange.h"
@@ -12,6 +14,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace catkinloft {
 
@@ -29,6 +32,8 @@
         Metrics &metrics;
         const Settings &settings;
         RouterDirectory &directory;
+        TableService &table;
+        ObjectStore &objects;
         RandomSource random;
         /// Answers a request that ends without an upstream's answer.
         std::function<void(const RequestPtr &, const HttpExchangePtr &, const Error &)> refuse;
@@ -47,11 +52,13 @@
     /// \returns requests that have not got their whole answer.
     std::size_t inProgress() const;
 
+    /// \returns the ids of these requests.
+    std::vector<std::string> unfinished() const;
+
     /// \brief Adds the load of upstreams and workspaces to \a report.
     void describe(StatusReport &report) const;
 
 private:
-    class Attempt;
     struct Private;
     std::unique_ptr<Private> m_d;
 };
--- a/src/Net/Gateway.cpp
+++ b/src/Net/Gateway.cpp
@@ -34,6 +34,7 @@
     Forwarder forwarder;
     OperatorPages pages;
     std::map<std::string, std::map<std::string, Route>> routes; ///< By path, then method.
+    bool leaving = false;
     bool draining = false;
 };
 
@@ -44,6 +45,8 @@
                  .metrics = options.metrics,
                  .settings = options.settings,
                  .directory = options.directory,
+                 .table = options.table,
+                 .objects = options.objects,
                  .random = options.random,
                  .refuse = [this](const RequestPtr &request, const HttpExchangePtr &exchange,
                                   const Error &error) { refuse(request, exchange, error); },
@@ -80,7 +83,7 @@
 {
     routes["/healthz"]["GET"] = [](const HttpExchangePtr &it) { it->respond(200, {}, "ok\n"); };
     routes["/readyz"]["GET"] = [this](const HttpExchangePtr &it) {
-        const bool ready = options.config.current() && !draining && !options.directory.isIsolated();
+        const bool ready = options.config.current() && !leaving && !options.directory.isIsolated();
         it->respond(ready ? 200 : 503, {}, ready ? "ready\n" : "not ready\n");
     };
     routes["/metrics"]["GET"] = [this](const HttpExchangePtr &it) {
@@ -166,6 +169,8 @@
 
 void Gateway::handle(const HttpExchangePtr &exchange)
 {
+    if (m_d->leaving)
+        exchange->closeAfterAnswer();
     const auto byMethod = m_d->routes.find(exchange->path());
     if (byMethod == m_d->routes.end()) {
         m_d->request(exchange);
@@ -180,6 +185,16 @@
                    .detail = "this path is not for " + exchange->method()});
 }
 
+std::vector<std::string> Gateway::unfinished() const
+{
+    return m_d->forwarder.unfinished();
+}
+
+void Gateway::leave()
+{
+    m_d->leaving = true;
+}
+
 void Gateway::drain()
 {
     m_d->draining = true;
