Load driver: finds an attempt whose id a router extended, and counts what matches none

A router that adds something to the caller's id would have hidden untrue not_run: the ids were compared whole, and what matched nothing was only looked at by its start.

--- a/standin/fleet/Caller.cpp
+++ b/standin/fleet/Caller.cpp
@@ -108,6 +108,7 @@
 HttpCall Caller::makeCall()
 {
     m_requestId = fmt::format("{}-try-{}", m_operation, m_attempt++);
+    m_context.sent.insert(m_requestId);
     const auto deadline =
             std::chrono::duration_cast<std::chrono::milliseconds>(m_context.answerTimeout).count();
     HttpCall call{
--- a/standin/fleet/Caller.h
+++ b/standin/fleet/Caller.h
@@ -24,6 +24,7 @@
     Duration patience = std::chrono::seconds(25); ///< Of one request with all its attempts.
     Duration maxPause = std::chrono::milliseconds(200); ///< Between two requests of a caller.
     int maxTokens = 20;
+    std::set<std::string> sent = {}; ///< Request ids of all attempts.
     std::set<std::string> toldNotRun = {}; ///< Request ids of attempts.
     std::set<std::string> answeredOperations = {};
     std::set<std::string> onceOnly = {}; ///< Operations that must not be executed twice.
--- a/standin/fleet/LoadDriver.cpp
+++ b/standin/fleet/LoadDriver.cpp
@@ -1,5 +1,7 @@
 #include "fleet/LoadDriver.h"
 
+#include <algorithm>
+
 #include <fmt/format.h>
 
 namespace catkinloft::standin {
@@ -88,13 +90,13 @@
         if (it.isMember("echo"))
             m_report.workByEngine[it["by"].asString()] += it["work"].asDouble();
         ++byOperation[operation];
-        // A router may put something before the caller's own id.
+        // A router may add something of its own behind a dot.
         const std::string id = it["request_id"].asString();
-        const std::size_t start = id.find(prefix);
-        if (start == std::string::npos)
+        const std::size_t start = std::min(id.find(prefix), id.size());
+        const std::string attempt = id.substr(start, id.find('.', start) - start);
+        if (!m_context.sent.contains(attempt))
             ++m_report.unmatched;
-        else
-            byRequest.insert(id.substr(start));
+        byRequest.insert(attempt);
     }
     for (const std::string &it : m_context.onceOnly) {
         if (byOperation[it] > 1) {
