--- a/bench/measure/PeerGroup.h
+++ b/bench/measure/PeerGroup.h
@@ -92,7 +92,7 @@
                 .table = m_table,
                 .objects = m_objects,
                 .clock = m_clock,
-                .random = m_random,
+                .random = seededRandom(m_options.seed * 100'000 + 50'000 + m_started),
                 .after = [this](Duration d, std::function<void()> f) { later(d, std::move(f)); }});
         it.config->changed().connect([&it](const InventoryPtr &inventory) {
             it.applied.push_back(inventory->revision);
@@ -106,6 +106,7 @@
                                   PeerMessage message) { send(i, to, std::move(message)); },
                 .fetchLarge = [this, i](const std::string &to,
                                         const ConfigDigest &) { fetchLarge(i, to); }});
+        it.config->changed().connect([this, i](const InventoryPtr &) { schedule(i); });
         schedule(i);
     }
 
@@ -255,7 +256,6 @@
         const auto shape = std::make_pair(kind, message.news.size());
         Shape &known = m_shapes[shape];
         if (known.seen++ % static_cast<std::uint64_t>(m_options.encodeEvery) == 0) {
-            message.started = 1'790'000'000'000;
             message.sequence = 100'000;
             message.sentAt = 1'790'000'000;
             known.size = PeerCodec::encode(message).size() + EnvelopeBytes;
--- a/src/Net/RouterProcess.cpp
+++ b/src/Net/RouterProcess.cpp
@@ -71,6 +71,7 @@
                    .table = *table,
                    .config = config,
                    .directory = directory,
+                   .governor = peers.governor(),
                    .random = systemRandom(),
                    .weightStore = settings->platform.weightStore,
                    .secure = tls.context().checksUpstreams()}),
@@ -81,6 +82,8 @@
                    .config = config,
                    .peers = peers,
                    .directory = directory,
+                   .table = *table,
+                   .objects = *objects,
                    .random = systemRandom(),
                    .served =
                            [this](const RequestContext &request, std::string_view engine) {
@@ -113,7 +116,8 @@
 
     void updateDirectory()
     {
-        std::vector<RouterView> routers;
+        std::vector<RouterView> routers{directory.self()};
+        routers.front().load = static_cast<double>(gateway.inProgress());
         for (const auto &[name, it] : peers.membership().members()) {
             // A suspect gets no callers and owns nothing until it has refuted the suspicion.
             if (it.state != MemberState::Alive && it.state != MemberState::Leaving)
@@ -156,17 +160,23 @@
         Log::info("draining", {{"in_progress", gateway.inProgress()}});
         directory.setLeaving();
         peers.leave();
-        gateway.drain();
-        drainDeadline = loop.now() + settings->drainTimeout;
+        gateway.leave();
+        refuseFrom = loop.now() + settings->drainGrace;
+        drainDeadline = refuseFrom + settings->drainTimeout;
         drainPoll.startRepeating(DrainPoll);
     }
 
     void checkDrained()
     {
-        const std::size_t left = gateway.inProgress();
-        if (left > 0 && loop.now() < drainDeadline)
+        if (loop.now() < refuseFrom)
+            return;
+        gateway.drain();
+        const std::vector<std::string> left = gateway.unfinished();
+        if (!left.empty() && loop.now() < drainDeadline)
             return;
-        Log::info("stopped", {{"cut_off", left}});
+        for (const std::string &it : left)
+            Log::warning("cut_off", {{"request_id", it}});
+        Log::info("stopped", {{"cut_off", left.size()}});
         loop.stop();
     }
 
@@ -189,6 +199,7 @@
     Timer poll;
     Timer selfCheck;
     Timer drainPoll;
+    TimePoint refuseFrom; ///< Callers may hold older address answers until then.
     TimePoint drainDeadline;
     bool draining = false;
 };
