--- a/bench/measure/ControlMeasure.cpp
+++ b/bench/measure/ControlMeasure.cpp
@@ -50,7 +50,8 @@
     if (values.empty())
         return 0;
     std::sort(values.begin(), values.end());
-    const auto at = static_cast<std::size_t>(q * static_cast<double>(values.size() - 1) + 0.5);
+    const auto at =
+            static_cast<std::size_t>(std::lround(q * static_cast<double>(values.size() - 1)));
     return values[at];
 }
 
--- a/src/Cli/ApplyCommand.cpp
+++ b/src/Cli/ApplyCommand.cpp
@@ -1,17 +1,24 @@
-#include "Base/Hash.h"
 #include "Base/Inventory.h"
 #include "Cli/Command.h"
 #include "Cli/Commands.h"
+#include "Cli/internal/ConfigRequest.h"
 #include "Cli/internal/Tools.h"
+#include "Control/TextDelta.h"
 
 #include <fmt/format.h>
 
 namespace catkinloft {
 
+namespace {
+
+constexpr std::size_t MaxDiffLines = 200;
+
+} // namespace
+
 int runApply(std::span<char *const> arguments)
 {
-    if (arguments.size() != 1) {
-        internal::complain("usage: catkinloft apply INVENTORY");
+    if (arguments.empty() || arguments.size() > 2) {
+        internal::complain("usage: catkinloft apply INVENTORY [BASE]");
         return exit_code::Usage;
     }
     const auto text = internal::readFile(arguments[0]);
@@ -25,26 +32,13 @@
         internal::complain(it.text());
     if (!problems.empty())
         return exit_code::Usage;
-    const Result<HttpAnswer> before = internal::fetchNow({.address = internal::routerAddress(),
-                                                          .target = "/v1/config",
-                                                          .headers = internal::authorization()});
-    if (!before || before.value().head.status != 200) {
-        internal::complain(before ? before.value().body : before.error().detail);
-        return exit_code::Failed;
-    }
-    HttpHeaders headers = internal::authorization();
-    headers.emplace_back("If-Match", std::string(before.value().head.header("ETag")));
-    const Result<HttpAnswer> answer = internal::fetchNow({.address = internal::routerAddress(),
-                                                          .method = "PUT",
-                                                          .target = "/v1/config",
-                                                          .headers = std::move(headers),
-                                                          .body = *text});
-    if (!answer) {
-        internal::complain(answer.error().detail);
-        return answer.error().verdict == Verdict::NotRun ? exit_code::Failed : exit_code::Unknown;
-    }
-    fmt::print("{}", answer.value().body);
-    return answer.value().head.status == 200 ? exit_code::Ok : exit_code::Failed;
+    const internal::CurrentConfig before = internal::fetchConfig();
+    if (before.exitCode != exit_code::Ok)
+        return before.exitCode;
+    fmt::print(stderr, "{}", describeDelta(before.text, *text, MaxDiffLines));
+    // Without BASE the change is against what is in force now, difference and all; with it, a
+    // change that came in between is not overwritten.
+    return internal::putConfig({}, *text, arguments.size() > 1 ? arguments[1] : before.revision);
 }
 
 } // namespace catkinloft
--- a/src/Cli/Command.cpp
+++ b/src/Cli/Command.cpp
@@ -39,7 +39,10 @@
     static const std::array commands = {
             Command{"router", "SETTINGS", "Runs the router of one entry VM.", &runRouter},
             Command{"check", "FILE...", "Checks settings and inventory files.", &runCheck},
-            Command{"apply", "INVENTORY", "Puts a changed inventory in force.", &runApply},
+            Command{"apply", "INVENTORY [BASE]", "Puts a changed inventory in force.", &runApply},
+            Command{"history", "", "Lists the accepted changes, newest first.", &runHistory},
+            Command{"rollback", "REVISION", "Puts an earlier inventory in force again.",
+                    &runRollback},
             Command{"status", "", "Shows the routers and what they hold.", &runStatus},
             Command{"explain", "TOKEN [SETTINGS]", "Says in plain words why work was refused.",
                     &runExplain},
--- a/test/integration/ControlTest.cpp
+++ b/test/integration/ControlTest.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <array>
 #include <csignal>
+#include <cstdlib>
+#include <fstream>
 #include <sstream>
 #include <thread>
 
@@ -224,3 +226,25 @@
     CHECK(Fleet::waitFor([&] { return everyoneHolds(2); }, 4s));
     CHECK(get(3, "/v1/history")["changes"].size() == 2);
 }
+
+TEST_CASE_FIXTURE(NineRouterProcessesFixture, "control_commands_refuseAStaleBaseAndRollBack")
+{
+    setenv("CATKINLOFT_KEY", Fleet::operatorKey().c_str(), 1);
+    const auto run = [&](std::vector<std::string> arguments) {
+        std::vector<std::string> command{std::string(CATKINLOFT_BINARIES) + "/catkinloft",
+                                         "--router=" + fleet->routerAddress(4)};
+        command.insert(command.end(), arguments.begin(), arguments.end());
+        return standin::ChildProcess(command, {}).wait();
+    };
+    const std::string file = fleet->folder() + "/changed.yaml";
+    std::ofstream(file) << fleet->inventory() + "rules: {queue_length: 9}\n";
+    const std::string first = get(4, "/v1/status")["revision"].asString();
+    REQUIRE(first == "1");
+    CHECK(run({"apply", file, "1"}) == 0);
+    CHECK(run({"apply", file, "1"}) == 1);
+    CHECK(run({"rollback", "1"}) == 0);
+    CHECK(run({"rollback", "77"}) == 1);
+    CHECK(Fleet::waitFor([&] { return everyoneHolds(3); }, 4s));
+    CHECK(run({"history"}) == 0);
+    CHECK(get(0, "/v1/history")["changes"].size() == 3);
+}
