--- a/src/Cli/ApplyCommand.cpp
+++ b/src/Cli/ApplyCommand.cpp
@@ -32,13 +32,17 @@
         internal::complain(it.text());
     if (!problems.empty())
         return exit_code::Usage;
-    const internal::CurrentConfig before = internal::fetchConfig();
-    if (before.exitCode != exit_code::Ok)
-        return before.exitCode;
-    fmt::print(stderr, "{}", describeDelta(before.text, *text, MaxDiffLines));
+    const Result<internal::CurrentConfig> before = internal::readConfig();
+    if (!before) {
+        internal::complain(before.error().detail);
+        return exit_code::Failed;
+    }
+    fmt::print("{}", describeDelta(before.value().text, *text, MaxDiffLines));
     // Without BASE the change is against what is in force now, difference and all; with it, a
     // change that came in between is not overwritten.
-    return internal::putConfig({}, *text, arguments.size() > 1 ? arguments[1] : before.revision);
+    const std::string tag =
+            arguments.size() > 1 ? fmt::format("\"{}\"", arguments[1]) : before.value().tag;
+    return internal::sendConfig("/v1/config", tag, *text);
 }
 
 } // namespace catkinloft
--- a/src/Cli/RollbackCommand.cpp
+++ b/src/Cli/RollbackCommand.cpp
@@ -9,14 +9,17 @@
 
 int runRollback(std::span<char *const> arguments)
 {
-    if (arguments.size() != 1) {
+    const std::string revision = arguments.size() == 1 ? arguments[0] : "";
+    if (revision.empty() || revision.find_first_not_of("0123456789") != std::string::npos) {
         internal::complain("usage: catkinloft rollback REVISION");
         return exit_code::Usage;
     }
-    const internal::CurrentConfig before = internal::fetchConfig();
-    if (before.exitCode != exit_code::Ok)
-        return before.exitCode;
-    return internal::putConfig(std::string("?rollback=") + arguments[0], {}, before.revision);
+    const Result<internal::CurrentConfig> before = internal::readConfig();
+    if (!before) {
+        internal::complain(before.error().detail);
+        return exit_code::Failed;
+    }
+    return internal::sendConfig("/v1/config?rollback=" + revision, before.value().tag, {});
 }
 
 } // namespace catkinloft
--- a/src/Cli/internal/ConfigRequest.cpp
+++ b/src/Cli/internal/ConfigRequest.cpp
@@ -5,63 +5,74 @@
 #include "Cli/internal/Tools.h"
 
 #include <fmt/format.h>
+#include <gflags/gflags.h>
+
+DEFINE_string(change_id, "",
+              "apply, rollback: names the change, so that repeating it gets the "
+              "first result; empty: one is made up");
 
 namespace catkinloft::internal {
 
 namespace {
 
-/// With the router's own 6 s of reading back, about half a minute in all.
-constexpr int MaxSends = 4;
+/// Times that a change whose answer was lost is sent again.
+constexpr int MaxTries = 3;
 
-constexpr std::string_view ConfigPath = "/v1/config";
+std::string changeId()
+{
+    if (!FLAGS_change_id.empty())
+        return FLAGS_change_id;
+    const RandomSource random = systemRandom();
+    return fmt::format("{:016x}{:016x}", random(), random());
+}
 
-bool isUnknown(const Result<HttpAnswer> &answer)
+/// \returns whether the router itself could not find out if the change was accepted.
+bool isUnsettled(const HttpAnswer &answer)
 {
-    if (!answer)
-        return answer.error().verdict != Verdict::NotRun;
-    return answer.value().head.status == 503
-            && answer.value().body.find("\"may_have_run\"") != std::string::npos;
+    return answer.head.status == 503 && answer.body.find("\"may_have_run\"") != std::string::npos;
 }
 
 } // namespace
 
-CurrentConfig fetchConfig()
+Result<CurrentConfig> readConfig()
 {
-    const Result<HttpAnswer> answer = fetchNow({.address = routerAddress(),
-                                                .target = std::string(ConfigPath),
-                                                .headers = authorization()});
-    if (!answer || answer.value().head.status != 200) {
-        complain(answer ? answer.value().body : answer.error().detail);
-        return {.exitCode = exit_code::Failed};
-    }
-    std::string revision(answer.value().head.header("ETag"));
-    std::erase(revision, '"');
-    return {.text = answer.value().body, .revision = revision};
+    const Result<HttpAnswer> answer = fetchNow(
+            {.address = routerAddress(), .target = "/v1/config", .headers = authorization()});
+    if (!answer)
+        return answer.error();
+    if (answer.value().head.status != 200)
+        return Error{.reason = Reason::UpstreamRefused, .detail = answer.value().body};
+    return CurrentConfig{.text = answer.value().body,
+                         .tag = std::string(answer.value().head.header("ETag"))};
 }
 
-int putConfig(std::string_view query, const std::string &text, const std::string &base)
+int sendConfig(const std::string &target, const std::string &tag, const std::string &body)
 {
-    const RandomSource random = systemRandom();
     HttpHeaders headers = authorization();
-    headers.emplace_back("If-Match", "\"" + base + "\"");
-    headers.emplace_back("Idempotency-Key", fmt::format("{:016x}{:016x}", random(), random()));
-    for (int i = 1;; ++i) {
-        const Result<HttpAnswer> answer =
-                fetchNow({.address = routerAddress(),
-                          .method = "PUT",
-                          .target = fmt::format("{}{}", ConfigPath, query),
-                          .headers = headers,
-                          .body = text});
-        if (isUnknown(answer) && i < MaxSends)
-            continue;
-        if (!answer)
-            complain(answer.error().detail);
-        else
-            fmt::print("{}", answer.value().body);
-        if (isUnknown(answer))
-            return exit_code::Unknown;
-        return answer && answer.value().head.status == 200 ? exit_code::Ok : exit_code::Failed;
+    headers.emplace_back("If-Match", tag);
+    headers.emplace_back("Idempotency-Key", changeId());
+    Result<HttpAnswer> answer = Error{};
+    for (int i = 0; i < MaxTries; ++i) {
+        answer = fetchNow({.address = routerAddress(),
+                           .method = "PUT",
+                           .target = target,
+                           .headers = headers,
+                           .body = body});
+        if (answer ? !isUnsettled(answer.value()) : answer.error().verdict == Verdict::NotRun)
+            break;
+    }
+    if (!answer) {
+        complain(answer.error().detail);
+        if (answer.error().verdict == Verdict::NotRun)
+            return exit_code::Failed;
+        complain(fmt::format("not known whether it was accepted; repeat with --change_id={}",
+                             headers.back().second));
+        return exit_code::Unknown;
     }
+    fmt::print("{}", answer.value().body);
+    if (isUnsettled(answer.value()))
+        return exit_code::Unknown;
+    return answer.value().head.status == 200 ? exit_code::Ok : exit_code::Failed;
 }
 
 } // namespace catkinloft::internal
--- a/src/Cli/internal/ConfigRequest.h
+++ b/src/Cli/internal/ConfigRequest.h
@@ -1,25 +1,26 @@
 #pragma once
 
-#include <cstdint>
+#include "Net/HttpClient.h"
+
 #include <string>
-#include <string_view>
 
 namespace catkinloft::internal {
 
 /// \brief The configuration in force, as a router gave it.
 struct CurrentConfig
 {
-    int exitCode = 0; ///< Other than 0: it could not be read, and that has been said.
-    std::string text = {};
-    std::string revision = {};
+    std::string text;
+    std::string tag; ///< For If-Match.
 };
 
-CurrentConfig fetchConfig();
+/// \brief Reads the configuration in force. \returns an error with the router's own words where it
+/// declines.
+Result<CurrentConfig> readConfig();
 
-/// \brief Puts a configuration and prints the answer. Where it is not known whether the change was
-/// accepted, sends it again under the same change id, which never makes a second revision.
-/// \param query appended to the path, as `?rollback=3`.
-/// \returns the exit code.
-int putConfig(std::string_view query, const std::string &text, const std::string &base);
+/// \brief Sends a change and prints what became of it.
+///
+/// An answer that was lost is asked for again with the same change id, which settles whether the
+/// change was accepted. \param target path and query. \returns an exit code.
+int sendConfig(const std::string &target, const std::string &tag, const std::string &body);
 
 } // namespace catkinloft::internal
--- a/src/Control/RpcClient.h
+++ b/src/Control/RpcClient.h
@@ -2,7 +2,7 @@
 
 #include <string>
 
-namespace Json {
+namespace Json { // NOLINT(readability-identifier-naming): name of the library
 class Value;
 }
 
--- a/test/DecideDispatcherTest.cpp
+++ b/test/DecideDispatcherTest.cpp
@@ -8,6 +8,7 @@
 #include <cstdlib>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include <fmt/format.h>
@@ -115,6 +116,8 @@
         submitChat(2, 100, "large");
         REQUIRE(dispatcher.waiting() == 0);
     }
+
+    std::set<JobId> served;
 };
 
 } // namespace
@@ -332,25 +335,31 @@
     }
 }
 
-TEST_CASE_FIXTURE(DispatcherFixture, "dispatcher_otherRouterOwnsEngine_relaysOnceOnly")
+TEST_CASE_FIXTURE(DispatcherFixture, "dispatcher_twoRouters_exactlyTheOtherRelaysOnceToTheOwner")
 {
-    dispatcher.setRouters({{.name = "r0", .callerAddress = "127.0.0.1:100"},
-                           {.name = "r1", .callerAddress = "127.0.0.1:101"}});
-    int relayed = 0;
+    const std::vector<RouterView> routers{{.name = "r0", .callerAddress = "127.0.0.1:100"},
+                                          {.name = "r1", .callerAddress = "127.0.0.1:101"}};
+    Dispatcher other({.clock = clock, .random = seededRandom(2), .self = "r1"});
+    other.setEngines(inventory, "m");
+    other.setRouters(routers);
+    dispatcher.setRouters(routers);
     for (std::uint64_t key = 1; key <= 100; ++key) {
         const JobId id = submitChat(key);
-        const Assignment it = *outcomes[id].assignment;
-        relayed += it.relayed ? 1 : 0;
-        CHECK((it.address == "127.0.0.1:101") == it.relayed);
+        const Assignment here = *outcomes[id].assignment;
         finish(id);
-        const JobId hopped = submit(
-                {.workspace = "small", .chatKey = key, .deadline = {}, .hops = 1, .excluded = {}});
+        std::optional<Assignment> there;
+        const Job job{.id = 1, .workspace = "small", .chatKey = key, .deadline = clock.now() + 1s};
+        other.submit(job, [&](Result<Assignment> it) { there = it.value(); });
+        other.finished(1, {.succeeded = true});
+        CHECK(here.relayed != there->relayed);
+        CHECK(here.upstream == there->upstream);
+        CHECK((here.address == "127.0.0.1:101") == here.relayed);
+        const JobId hopped =
+                submit({.workspace = "small", .chatKey = key, .deadline = {}, .hops = 1});
         CHECK_FALSE(outcomes[hopped].assignment->relayed);
-        CHECK(upstreamOf(hopped) == it.upstream);
+        CHECK(upstreamOf(hopped) == here.upstream);
         finish(hopped);
     }
-    CHECK(relayed > 0);
-    CHECK(relayed < 100);
 }
 
 TEST_CASE_FIXTURE(DispatcherFixture, "dispatcher_ownerDoesNotAnswer_isPassedOverForAWhile")
@@ -384,3 +393,53 @@
     dispatcher.poll();
     CHECK(upstreamOf(submitChat(5, 1000)) == engine);
 }
+
+TEST_CASE_FIXTURE(DispatcherFixture, "dispatcher_oneSlowEngine_losesItsTrafficAndTheRestKeepTheirs")
+{
+    const std::string slow = upstreamOf(submitChat(1));
+    finish(lastId);
+    std::map<std::string, int> late;
+    for (int round = 0; round < 40; ++round) {
+        for (std::uint64_t key = 1; key <= 60; ++key) {
+            const JobId id = submitChat(key);
+            if (round >= 30)
+                ++late[upstreamOf(id)];
+            finish(id, upstreamOf(id) == slow ? 2s : 100ms);
+            clock.advance(2ms);
+        }
+    }
+    CHECK(late[slow] == 0);
+    CHECK(late.size() == 9); // The slow one, by the look-up above, with none.
+}
+
+TEST_CASE_FIXTURE(DispatcherFixture, "dispatcher_longBesideShortWork_sendsShortWorkElsewhere")
+{
+    const std::string busy = upstreamOf(submitChat(1, 20'000));
+    for (std::uint64_t key = 2; key <= 60; ++key)
+        CHECK(upstreamOf(submitChat(key, 100)) != busy);
+}
+
+TEST_CASE_FIXTURE(TwoSlotsFixture, "dispatcher_protectedSurge_othersAreServedOneTurnInFive")
+{
+    saturate();
+    std::vector<JobId> small;
+    for (std::uint64_t i = 0; i < 50; ++i) {
+        submitChat(100 + i, 100, "archive");
+        small.push_back(submitChat(200 + i));
+    }
+    std::vector<JobId> running{1, 2};
+    for (int i = 0; i < 25; ++i) {
+        finish(running.front());
+        running.erase(running.begin());
+        for (const auto &[id, outcome] : outcomes) {
+            const bool known = std::find(running.begin(), running.end(), id) != running.end();
+            if (outcome.assignment && id > 2 && !known && !served.contains(id))
+                running.push_back(id);
+        }
+        for (const JobId id : running)
+            served.insert(id);
+    }
+    const auto n = std::count_if(small.begin(), small.end(),
+                                 [&](JobId it) { return served.contains(it); });
+    CHECK(n == 5);
+}
