--- a/src/Net/RouterProcess.cpp
+++ b/src/Net/RouterProcess.cpp
@@ -82,6 +82,8 @@
                    .config = config,
                    .peers = peers,
                    .directory = directory,
+                   .table = *table,
+                   .objects = *objects,
                    .random = systemRandom(),
                    .served =
                            [this](const RequestContext &request, std::string_view engine) {
@@ -158,17 +160,23 @@
         Log::info("draining", {{"in_progress", gateway.inProgress()}});
         directory.setLeaving();
         peers.leave();
-        gateway.drain();
-        drainDeadline = loop.now() + settings->drainTimeout;
+        gateway.leave();
+        refuseFrom = loop.now() + settings->drainGrace;
+        drainDeadline = refuseFrom + settings->drainTimeout;
         drainPoll.startRepeating(DrainPoll);
     }
 
     void checkDrained()
     {
-        const std::size_t left = gateway.inProgress();
-        if (left > 0 && loop.now() < drainDeadline)
+        if (loop.now() < refuseFrom)
+            return;
+        gateway.drain();
+        const std::vector<std::string> left = gateway.unfinished();
+        if (!left.empty() && loop.now() < drainDeadline)
             return;
-        Log::info("stopped", {{"cut_off", left}});
+        for (const std::string &it : left)
+            Log::warning("cut_off", {{"request_id", it}});
+        Log::info("stopped", {{"cut_off", left.size()}});
         loop.stop();
     }
 
@@ -191,6 +199,7 @@
     Timer poll;
     Timer selfCheck;
     Timer drainPoll;
+    TimePoint refuseFrom; ///< Callers may hold older address answers until then.
     TimePoint drainDeadline;
     bool draining = false;
 };
