--- a/src/Cli/Commands.h
+++ b/src/Cli/Commands.h
@@ -11,8 +11,6 @@
 int runRollback(std::span<char *const> arguments);
 int runHistory(std::span<char *const> arguments);
 int runStatus(std::span<char *const> arguments);
-int runHistory(std::span<char *const> arguments);
-int runRollback(std::span<char *const> arguments);
 int runExplain(std::span<char *const> arguments);
 int runWhere(std::span<char *const> arguments);
 
