--- a/src/Cli/ApplyCommand.cpp
+++ b/src/Cli/ApplyCommand.cpp
@@ -17,8 +17,8 @@
 
 int runApply(std::span<char *const> arguments)
 {
-    if (arguments.size() != 1) {
-        internal::complain("usage: catkinloft apply INVENTORY");
+    if (arguments.empty() || arguments.size() > 2) {
+        internal::complain("usage: catkinloft apply INVENTORY [BASE]");
         return exit_code::Usage;
     }
     const auto text = internal::readFile(arguments[0]);
@@ -38,7 +38,11 @@
         return exit_code::Failed;
     }
     fmt::print("{}", describeDelta(before.value().text, *text, MaxDiffLines));
-    return internal::sendConfig("/v1/config", before.value().tag, *text);
+    // Without BASE the change is against what is in force now, difference and all; with it, a
+    // change that came in between is not overwritten.
+    const std::string tag =
+            arguments.size() > 1 ? fmt::format("\"{}\"", arguments[1]) : before.value().tag;
+    return internal::sendConfig("/v1/config", tag, *text);
 }
 
 } // namespace catkinloft
--- a/src/Cli/Command.cpp
+++ b/src/Cli/Command.cpp
@@ -39,7 +39,7 @@
     static const std::array commands = {
             Command{"router", "SETTINGS", "Runs the router of one entry VM.", &runRouter},
             Command{"check", "FILE...", "Checks settings and inventory files.", &runCheck},
-            Command{"apply", "INVENTORY", "Puts a changed inventory in force.", &runApply},
+            Command{"apply", "INVENTORY [BASE]", "Puts a changed inventory in force.", &runApply},
             Command{"rollback", "REVISION", "Puts an earlier revision in force, as a new one.",
                     &runRollback},
             Command{"history", "", "Lists the accepted changes, newest first.", &runHistory},
--- a/src/Cli/internal/ConfigRequest.cpp
+++ b/src/Cli/internal/ConfigRequest.cpp
@@ -26,6 +26,12 @@
     return fmt::format("{:016x}{:016x}", random(), random());
 }
 
+/// \returns whether the router itself could not find out if the change was accepted.
+bool isUnsettled(const HttpAnswer &answer)
+{
+    return answer.head.status == 503 && answer.body.find("\"may_have_run\"") != std::string::npos;
+}
+
 } // namespace
 
 Result<CurrentConfig> readConfig()
@@ -52,7 +58,7 @@
                            .target = target,
                            .headers = headers,
                            .body = body});
-        if (answer || answer.error().verdict == Verdict::NotRun)
+        if (answer ? !isUnsettled(answer.value()) : answer.error().verdict == Verdict::NotRun)
             break;
     }
     if (!answer) {
@@ -64,6 +70,8 @@
         return exit_code::Unknown;
     }
     fmt::print("{}", answer.value().body);
+    if (isUnsettled(answer.value()))
+        return exit_code::Unknown;
     return answer.value().head.status == 200 ? exit_code::Ok : exit_code::Failed;
 }
 
