Upstreams never see a caller's API key

Cause: the Authorization header was passed on, so an engine or service could act as the workspace. Change: it goes to another router only, which authenticates the caller by itself. Result: the service stand-in records what it got; PathTest looks for the key.

--- a/src/Net/ForwardTask.cpp
+++ b/src/Net/ForwardTask.cpp
@@ -156,8 +156,12 @@
     call.headers.emplace_back(
             headers::Deadline,
             fmt::format("{}", std::max<std::int64_t>(1, left.count() / 1'000'000)));
-    if (m_assignment.relayed)
+    if (m_assignment.relayed) {
         call.headers.emplace_back(headers::Hops, "1");
+        // The next router authenticates the caller by itself.
+        call.headers.emplace_back(headers::Authorization,
+                                  std::string(m_request.header(headers::Authorization)));
+    }
     const TlsSettings &tls = m_options.router.settings.tls;
     call.secure = !(m_assignment.relayed ? tls.certificateFile : tls.caFile).empty();
     // A pooled connection may have gone silent. What can be repeated finds that out by itself;
--- a/src/Net/internal/ForwardHeaders.cpp
+++ b/src/Net/internal/ForwardHeaders.cpp
@@ -37,7 +37,8 @@
     HttpHeaders all = exchange.headers();
     for (HttpHeader &it : all) {
         if (!isConnectionHeader(it.first) && !equal(it.first, headers::RequestId)
-            && !equal(it.first, headers::Deadline) && !equal(it.first, headers::Hops))
+            && !equal(it.first, headers::Authorization) && !equal(it.first, headers::Deadline)
+            && !equal(it.first, headers::Hops))
             out.push_back(std::move(it));
     }
     return out;
--- a/src/Request/IdentifyFilter.h
+++ b/src/Request/IdentifyFilter.h
@@ -7,6 +7,7 @@
 
 /// \brief Names of the headers that the system reads and writes.
 namespace headers {
+inline constexpr const char *Authorization = "Authorization";
 inline constexpr const char *RequestId = "X-Request-Id";
 inline constexpr const char *IdempotencyKey = "Idempotency-Key";
 inline constexpr const char *Deadline = "X-Request-Timeout-Ms"; ///< Milliseconds from now.
--- a/standin/ServiceStandin.cpp
+++ b/standin/ServiceStandin.cpp
@@ -35,6 +35,7 @@
 {
     Json::Value record;
     record["request_id"] = std::string(exchange->header("X-Request-Id"));
+    record["authorization"] = std::string(exchange->header("Authorization"));
     record["idempotency_key"] = std::string(exchange->header("Idempotency-Key"));
     record["method"] = exchange->method();
     record["path"] = exchange->path();
--- a/test/integration/PathTest.cpp
+++ b/test/integration/PathTest.cpp
@@ -71,6 +71,19 @@
     CHECK(answer.value().head.status == 200);
 }
 
+TEST_CASE_FIXTURE(RunningFleetFixture, "fleet_plainCall_neverShowsTheServiceTheKey")
+{
+    const Result<HttpAnswer> answer =
+            Fleet::fetch({.address = fleet->routerAddress(1),
+                          .method = "PUT",
+                          .target = "/services/dispatch/orders",
+                          .headers = {{"Authorization", "Bearer " + Fleet::workspaceKey(0)}},
+                          .body = "{}"});
+    REQUIRE(answer);
+    CHECK(answer.value().body.find("\"authorization\"") != std::string::npos);
+    CHECK(answer.value().body.find(Fleet::workspaceKey(0)) == std::string::npos);
+}
+
 TEST_CASE_FIXTURE(RunningFleetFixture, "fleet_wrongKey_answers401WithReason")
 {
     HttpCall call = chat(false);
