A router that gets no answer from an owner keeps the count itself meanwhile

Cause: engines of an owner that was passed over were placed on without any bound for five seconds. Change: they count as owned until the owner is asked again.

--- a/src/Decide/Dispatcher.cpp
+++ b/src/Decide/Dispatcher.cpp
@@ -89,11 +89,8 @@
 
 void Dispatcher::markOwned()
 {
-    for (std::size_t i = 0; i < m_placement.size(); ++i) {
-        const std::size_t owner = m_routerOrder.at(m_placement.groupOf(i));
-        m_placement.setOwned(i,
-                             owner == ChatOrder::None || m_routers[owner].name == m_options.self);
-    }
+    for (std::size_t i = 0; i < m_placement.size(); ++i)
+        m_placement.setOwned(i, !ownerOf(i));
 }
 
 void Dispatcher::addLoadReports(std::span<const LoadReport> reports)
@@ -281,13 +278,22 @@
     const bool lost = report.reason == Reason::UpstreamUnreachable
             || report.reason == Reason::UpstreamBroken || report.reason == Reason::UpstreamTimeout;
     if (!it.owner.empty() && !report.succeeded && lost)
-        m_suspects[it.owner] = now + SuspectTime;
+        suspect(it.owner, now);
     const std::size_t freed = m_placement.stop(it.placed, report);
     m_queue.recordCompletion(now);
     drain(freed);
     flush();
 }
 
+/// While an owner doesn't answer this router keeps its count, so that the bound goes on to hold for
+/// what is sent from here.
+void Dispatcher::suspect(const std::string &owner, TimePoint now)
+{
+    const bool added = m_suspects.insert_or_assign(owner, now + SuspectTime).second;
+    if (added)
+        markOwned();
+}
+
 Error Dispatcher::expiredError(const AdmissionQueue::Entry &entry) const
 {
     const TimePoint now = m_options.clock.now();
@@ -309,7 +315,8 @@
         return;
     m_refreshAt = now;
     m_placement.refresh();
-    std::erase_if(m_suspects, [&](const auto &it) { return it.second <= now; });
+    if (std::erase_if(m_suspects, [&](const auto &it) { return it.second <= now; }) > 0)
+        markOwned();
 }
 
 void Dispatcher::poll()
--- a/src/Decide/Dispatcher.h
+++ b/src/Decide/Dispatcher.h
@@ -117,6 +117,7 @@
     void setPool(InventoryPtr inventory, std::vector<Placement::Upstream> upstreams,
                  std::string_view name);
     void markOwned();
+    void suspect(const std::string &owner, TimePoint now);
     const RouterView *ownerOf(std::size_t upstream) const;
     Result<void> admit(const Job &job);
     bool place(const Job &job, TimePoint since, const Decided &decided, std::size_t hint);
--- a/test/DecideDispatcherTest.cpp
+++ b/test/DecideDispatcherTest.cpp
@@ -35,7 +35,7 @@
                             "max_in_flight: {}}}\n",
                             names[i], i + 1, i == 2, i == 3 ? 2 : 0);
     YamlProblems problems;
-    const InventoryPtr out = Inventory::parse(text, "test", revision, problems);
+    InventoryPtr out = Inventory::parse(text, "test", revision, problems);
     REQUIRE(out);
     return out;
 }
@@ -370,8 +370,16 @@
     while (!outcomes[submitChat(key)].assignment->relayed)
         ++key;
     finish(lastId, 1ms, false, Reason::UpstreamUnreachable);
-    CHECK_FALSE(outcomes[submitChat(key)].assignment->relayed);
-    finish(lastId);
+    std::set<std::string> used;
+    for (int i = 0; i < 3; ++i) {
+        const Assignment it = *outcomes[submitChat(key)].assignment;
+        CHECK_FALSE(it.relayed);
+        used.insert(it.upstream);
+    }
+    // Meanwhile the bound is this router's to keep.
+    CHECK(used.size() == 3);
+    for (int i = 0; i < 3; ++i)
+        finish(lastId - static_cast<JobId>(i));
     clock.advance(6s);
     CHECK(outcomes[submitChat(key)].assignment->relayed);
 }
