--- a/test/integration/ControlTest.cpp
+++ b/test/integration/ControlTest.cpp
@@ -172,6 +172,9 @@
         }
         for (std::thread &it : operators)
             it.join();
+        CAPTURE(base);
+        const std::string told = fmt::format("{} {} {}", bodies[0], bodies[1], bodies[2]);
+        CAPTURE(told);
         CHECK(std::count(statuses.begin(), statuses.end(), 200) == 1);
         CHECK(std::count(statuses.begin(), statuses.end(), 409) == 2);
         for (std::size_t i = 0; i < statuses.size(); ++i) {
