A load that was never heard is not fresh

Cause: the sanitizer build stopped routers with a signed overflow: now minus TimePoint::min(). In the other build the age wrapped to a negative one, so address answers took 0 requests of a router never heard for a fresh load. Ruled out: the other sentinels are compared, not subtracted. Change: Member::heardWithin compares without subtracting the sentinel; a unit case.

--- a/src/Net/RouterProcess.cpp
+++ b/src/Net/RouterProcess.cpp
@@ -122,7 +122,7 @@
             // A suspect gets no callers and owns nothing until it has refuted the suspicion.
             if (it.state != MemberState::Alive && it.state != MemberState::Leaving)
                 continue;
-            const bool isFresh = loop.now() - it.heardAt < LoadLife;
+            const bool isFresh = it.heardWithin(LoadLife, loop.now());
             routers.push_back({.name = it.name,
                                .callerAddress = it.callerAddress,
                                .peerAddress = it.peerAddress,
--- a/test/MembershipTest.cpp
+++ b/test/MembershipTest.cpp
@@ -170,3 +170,14 @@
     CHECK(governor.total() <= 1000 * 1000 + 10'000);
     CHECK(governor.total() >= 990 * 1000);
 }
+
+TEST_CASE("member_loadNeverHeard_isNotFresh")
+{
+    const ManualClock clock;
+    Member it;
+    CHECK_FALSE(it.heardWithin(std::chrono::seconds(5), clock.now()));
+    it.heardAt = clock.now() - std::chrono::seconds(4);
+    CHECK(it.heardWithin(std::chrono::seconds(5), clock.now()));
+    it.heardAt = clock.now() - std::chrono::seconds(5);
+    CHECK_FALSE(it.heardWithin(std::chrono::seconds(5), clock.now()));
+}
