One reader of process usage, one outline of an inventory's text

Change: both benches call ProcessUsage; the parser outlines the copy that it keeps. Behaviour and tests are unchanged.

--- a/bench/demo/RawLoad.cpp
+++ b/bench/demo/RawLoad.cpp
@@ -1,38 +1,15 @@
 #include "RawLoad.h"
 
 #include "Net/EventLoop.h"
+#include "fleet/ProcessUsage.h"
 
 #include <algorithm>
-#include <fstream>
-#include <sstream>
 #include <thread>
 
-#include <fmt/format.h>
-#include <unistd.h>
-
 namespace catkinloft::demo {
 
 namespace {
 
-/// \returns processor time of \a pid so far, in seconds.
-double processorTime(pid_t pid)
-{
-    std::ifstream in(fmt::format("/proc/{}/stat", pid));
-    std::string text((std::istreambuf_iterator<char>(in)), {});
-    // The name in parentheses may hold blanks; user and system time are fields 14 and 15.
-    const std::size_t end = text.rfind(')');
-    if (end == std::string::npos)
-        return 0;
-    std::istringstream rest(text.substr(end + 1));
-    std::string skipped;
-    for (int i = 0; i < 11; ++i)
-        rest >> skipped;
-    double user = 0;
-    double system = 0;
-    rest >> user >> system;
-    return (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
-}
-
 /// The share of one thread, with its own loop and connections.
 class Sender
 {
@@ -107,7 +84,7 @@
     std::vector<std::vector<Duration>> latencies(n);
     std::vector<int> failures(n);
     const auto start = std::chrono::steady_clock::now();
-    const double before = processorTime(options.server);
+    const Duration before = standin::processorTime(options.server);
     std::vector<std::thread> threads;
     threads.reserve(n);
     for (std::size_t i = 0; i < n; ++i)
@@ -123,7 +100,7 @@
     }
     std::sort(all.begin(), all.end());
     out.rate = static_cast<double>(all.size()) / seconds;
-    out.coreShare = (processorTime(options.server) - before) / seconds;
+    out.coreShare = toSeconds(standin::processorTime(options.server) - before) / seconds;
     out.p50 = quantile(all, 0.5);
     out.p99 = quantile(all, 0.99);
     return out;
--- a/bench/measure/InventoryMeasure.cpp
+++ b/bench/measure/InventoryMeasure.cpp
@@ -1,9 +1,9 @@
 #include "Base/Hash.h"
 #include "Base/InventoryParser.h"
 #include "Slope.h"
+#include "fleet/ProcessUsage.h"
 
 #include <array>
-#include <fstream>
 #include <stdexcept>
 #include <string>
 
@@ -38,15 +38,6 @@
     return out;
 }
 
-double residentBytes()
-{
-    std::ifstream in("/proc/self/statm");
-    double total = 0;
-    double resident = 0;
-    in >> total >> resident;
-    return resident * static_cast<double>(sysconf(_SC_PAGESIZE));
-}
-
 /// Mean over some revisions that each change the weight of one engine.
 double secondsOfOneChange(InventoryParser &parser, const std::string &text)
 {
@@ -82,7 +73,7 @@
         change.push_back({.size = double(engines), .cost = secondsOfOneChange(parser, text)});
         bytes.push_back({.size = double(engines), .cost = double(text.size())});
         seconds.push_back({.size = double(engines), .cost = spent});
-        memory.push_back({.size = double(engines), .cost = residentBytes()});
+        memory.push_back({.size = double(engines), .cost = standin::residentBytes(getpid())});
     }
     reportSlope(report, "inventory_text", bytes, "B", "engine", seed);
     reportSlope(report, "inventory_parse_cpu", seconds, "s", "engine", seed);
--- a/src/Base/InventoryParser.cpp
+++ b/src/Base/InventoryParser.cpp
@@ -3,6 +3,7 @@
 #include "Base/internal/InventoryOutline.h"
 #include "Base/internal/InventoryReader.h"
 
+#include <optional>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -81,7 +82,7 @@
 
 struct InventoryParser::Private
 {
-    std::string text; ///< Of `last`; the outline looks into it.
+    std::unique_ptr<const std::string> text; ///< Of `last`; the outline looks into it.
     InventoryOutline outline;
     Positions engines;
     Positions workspaces;
@@ -90,7 +91,8 @@
 
     InventoryPtr parseChanges(const InventoryOutline &next, const std::string &file,
                               std::uint64_t revision);
-    void remember(const std::string &newText, InventoryPtr inventory);
+    void remember(std::unique_ptr<const std::string> newText, std::optional<InventoryOutline> next,
+                  InventoryPtr inventory);
 };
 
 InventoryPtr InventoryParser::Private::parseChanges(const InventoryOutline &next,
@@ -124,21 +126,17 @@
     return out;
 }
 
-void InventoryParser::Private::remember(const std::string &newText, InventoryPtr inventory)
+void InventoryParser::Private::remember(std::unique_ptr<const std::string> newText,
+                                        std::optional<InventoryOutline> next,
+                                        InventoryPtr inventory)
 {
-    text = newText;
-    last = nullptr;
-    outline = {};
-    engines.clear();
-    workspaces.clear();
-    const auto next = InventoryOutline::of(text);
-    if (!next || next->engines.size() != inventory->engines.size()
-        || next->workspaces.size() != inventory->workspaces.size())
-        return;
-    outline = *next;
+    const bool isUsable = next && next->engines.size() == inventory->engines.size()
+            && next->workspaces.size() == inventory->workspaces.size();
+    outline = isUsable ? std::move(*next) : InventoryOutline();
     engines = positionsOf(outline.engines);
     workspaces = positionsOf(outline.workspaces);
-    last = std::move(inventory);
+    last = isUsable ? std::move(inventory) : nullptr;
+    text = std::move(newText);
 }
 
 InventoryParser::InventoryParser() : m_d(std::make_unique<Private>()) { }
@@ -148,16 +146,17 @@
 InventoryPtr InventoryParser::parse(const std::string &text, const std::string &file,
                                     std::uint64_t revision, YamlProblems &problems)
 {
-    InventoryPtr out;
-    if (const auto next = InventoryOutline::of(text))
-        out = m_d->parseChanges(*next, file, revision);
+    // Outlined in the copy that is kept, so that it is done once.
+    auto kept = std::make_unique<const std::string>(text);
+    std::optional<InventoryOutline> next = InventoryOutline::of(*kept);
+    InventoryPtr out = next ? m_d->parseChanges(*next, file, revision) : nullptr;
     if (!out) {
         out = Inventory::parse(text, file, revision, problems);
         if (!out)
             return nullptr;
         m_d->entriesRead = out->engines.size() + out->workspaces.size();
     }
-    m_d->remember(text, out);
+    m_d->remember(std::move(kept), std::move(next), out);
     return out;
 }
 
