--- a/src/Cli/ApplyCommand.cpp
+++ b/src/Cli/ApplyCommand.cpp
@@ -21,11 +21,9 @@
         internal::complain("usage: catkinloft apply INVENTORY [BASE]");
         return exit_code::Usage;
     }
-    const auto text = internal::readFile(arguments[0]);
-    if (!text) {
-        internal::complain(std::string("can not read ") + arguments[0]);
+    const auto text = internal::readArgument(arguments[0]);
+    if (!text)
         return exit_code::Usage;
-    }
     YamlProblems problems;
     Inventory::parse(*text, arguments[0], 1, problems);
     for (const YamlProblem &it : problems)
--- a/src/Cli/RouterCommand.cpp
+++ b/src/Cli/RouterCommand.cpp
@@ -12,11 +12,9 @@
         internal::complain("usage: catkinloft router SETTINGS");
         return exit_code::Usage;
     }
-    const auto text = internal::readFile(arguments[0]);
-    if (!text) {
-        internal::complain(std::string("can not read ") + arguments[0]);
+    const auto text = internal::readArgument(arguments[0]);
+    if (!text)
         return exit_code::Usage;
-    }
     YamlProblems problems;
     const auto settings = Settings::parse(*text, arguments[0], problems);
     for (const YamlProblem &it : problems)
--- a/src/Cli/internal/Tools.cpp
+++ b/src/Cli/internal/Tools.cpp
@@ -28,6 +28,14 @@
     return out.str();
 }
 
+std::optional<std::string> readArgument(const char *path)
+{
+    auto text = readFile(path);
+    if (!text)
+        complain(fmt::format("can not read {}", path));
+    return text;
+}
+
 Result<HttpAnswer> fetchNow(HttpCall call)
 {
     EventLoop loop;
--- a/src/Cli/internal/Tools.h
+++ b/src/Cli/internal/Tools.h
@@ -12,6 +12,9 @@
 /// \returns the content of the file at \a path; nothing where it can not be read.
 std::optional<std::string> readFile(const std::string &path);
 
+/// \brief The same for a file named on the command line: complains where it can not be read.
+std::optional<std::string> readArgument(const char *path);
+
 /// \brief Sends \a call and waits for its answer.
 Result<HttpAnswer> fetchNow(HttpCall call);
 
