--- a/src/Base/Clock.h
+++ b/src/Base/Clock.h
@@ -16,7 +16,8 @@
 public:
     virtual ~Clock() = default;
 
-    /// \returns monotonic time; differences are nanoseconds.
+    /// \returns monotonic time, which also counts while the VM is suspended; differences are
+    /// nanoseconds.
     virtual TimePoint now() const = 0;
 
     /// \returns calendar time in milliseconds; for people and for the platform only, since it may
--- /dev/null
+++ b/src/Base/EntrySettings.cpp
@@ -0,0 +1,77 @@
+#include "Base/EntrySettings.h"
+
+namespace catkinloft {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::int64_t MebiByte = 1024 * 1024;
+
+void readAddresses(YamlSection &root, EntrySettings &out)
+{
+    out.callerAddress = root.address("caller_address");
+    out.readinessAddress = root.address("readiness_address", "");
+    out.directoryAddress = root.address("directory_address", "");
+    out.peerAddress = root.address("peer_address");
+    out.metricsAddress = root.address("metrics_address", "");
+    out.storeAddress = root.address("store_address");
+}
+
+void readKeyProof(YamlSection it, EntrySettings &out)
+{
+    out.keyProofLimit = it.duration("limit", 100ms, 1h, out.keyProofLimit);
+    out.requiresKeyProof = it.flag("required", out.requiresKeyProof);
+    it.finish();
+}
+
+void readRepeats(YamlSection it, EntrySettings &out)
+{
+    out.repeatShare = it.number("share", 0, 10, "repeats a request", out.repeatShare);
+    out.repeatSlack = it.number("slack", 0, 1e6, "repeats a window", out.repeatSlack);
+    out.repeatWindow = it.duration("window", 100ms, 1h, out.repeatWindow);
+    it.finish();
+}
+
+std::size_t bytes(YamlSection &it, std::string_view key, std::int64_t max, std::size_t fallback)
+{
+    return static_cast<std::size_t>(
+            it.integer(key, 1024, max, "bytes", static_cast<std::int64_t>(fallback)));
+}
+
+void readLimits(YamlSection it, EntrySettings &out)
+{
+    out.maxHeaderBytes = bytes(it, "max_header_bytes", MebiByte, out.maxHeaderBytes);
+    out.maxBodyBytes = bytes(it, "max_body_bytes", 64 * MebiByte, out.maxBodyBytes);
+    out.maxStreamBuffer = bytes(it, "max_stream_buffer", 64 * MebiByte, out.maxStreamBuffer);
+    out.maxConnections = static_cast<int>(
+            it.integer("max_connections", 1, 1'000'000, "connections", out.maxConnections));
+    it.finish();
+}
+
+} // namespace
+
+std::shared_ptr<const EntrySettings>
+EntrySettings::parse(const std::string &text, const std::string &file, YamlProblems &problems)
+{
+    const std::size_t before = problems.size();
+    const auto node = parseYaml(text, file, problems);
+    if (!node)
+        return nullptr;
+    YamlSection root(*node, file, {}, problems);
+    auto out = std::make_shared<EntrySettings>();
+    out->name = root.text("name");
+    out->failureDomain = root.text("failure_domain");
+    readAddresses(root, *out);
+    readKeyProof(root.section("key_proof"), *out);
+    readRepeats(root.section("repeats"), *out);
+    readLimits(root.section("limits"), *out);
+    out->configApplyLimit = root.duration("config_apply_limit", 100ms, 1h, out->configApplyLimit);
+    out->addressLifetime = root.duration("address_lifetime", 100ms, 1h, out->addressLifetime);
+    out->stopLimit = root.duration("stop_limit", 100ms, 1h, out->stopLimit);
+    out->replicaReturnTime = root.duration("replica_return_time", 0ms, 1h, out->replicaReturnTime);
+    root.finish();
+    return problems.size() == before ? out : nullptr;
+}
+
+} // namespace catkinloft
--- a/src/Net/internal/Json.cpp
+++ b/src/Base/Json.cpp
@@ -1,8 +1,8 @@
-#include "Net/internal/Json.h"
+#include "Base/Json.h"
 
 #include <memory>
 
-namespace catkinloft::internal {
+namespace catkinloft {
 
 std::string printJson(const Json::Value &value)
 {
@@ -27,4 +27,4 @@
                  .detail = "the answer is not a JSON object"};
 }
 
-} // namespace catkinloft::internal
+} // namespace catkinloft
--- a/src/Net/internal/Json.h
+++ b/src/Base/Json.h
@@ -7,7 +7,7 @@
 
 #include <json/json.h>
 
-namespace catkinloft::internal {
+namespace catkinloft {
 
 /// \returns \a value on one line.
 std::string printJson(const Json::Value &value);
@@ -15,4 +15,4 @@
 /// \returns the object in \a text; UpstreamBroken where it is none.
 Result<Json::Value> parseJsonObject(std::string_view text);
 
-} // namespace catkinloft::internal
+} // namespace catkinloft
--- a/src/Cli/Command.cpp
+++ b/src/Cli/Command.cpp
@@ -38,6 +38,8 @@
 {
     static const std::array commands = {
             Command{"router", "SETTINGS", "Runs the router of one entry VM.", &runRouter},
+            Command{"entry", "[SETTINGS]", "Runs the router of an entry VM on the users' platform.",
+                    &runEntry},
             Command{"check", "FILE...", "Checks settings and inventory files.", &runCheck},
             Command{"apply", "INVENTORY [BASE]", "Puts a changed inventory in force.", &runApply},
             Command{"rollback", "REVISION", "Puts an earlier revision in force, as a new one.",
--- a/src/Cli/Commands.h
+++ b/src/Cli/Commands.h
@@ -6,6 +6,7 @@
 
 // One function a subcommand, each in a file named after it; all return an exit code.
 int runRouter(std::span<char *const> arguments);
+int runEntry(std::span<char *const> arguments);
 int runCheck(std::span<char *const> arguments);
 int runApply(std::span<char *const> arguments);
 int runRollback(std::span<char *const> arguments);
--- a/src/Cli/internal/Tools.cpp
+++ b/src/Cli/internal/Tools.cpp
@@ -1,8 +1,8 @@
 #include "Cli/internal/Tools.h"
 
+#include "Base/Json.h"
 #include "Net/EventLoop.h"
 #include "Net/TlsContext.h"
-#include "Net/internal/Json.h"
 
 #include <cstdlib>
 #include <fstream>
--- /dev/null
+++ b/src/Control/ConfigInForce.cpp
@@ -0,0 +1,43 @@
+#include "Control/ConfigInForce.h"
+
+#include "Base/Log.h"
+
+#include <algorithm>
+
+namespace catkinloft {
+
+bool ConfigInForce::accept(RouteConfigPtr config, TimePoint readBegan)
+{
+    if (m_config && config->revision < m_config->revision) {
+        Log::warning("older_config_ignored",
+                     {{"revision", config->revision}, {"in_force", m_config->revision}});
+        return false;
+    }
+    if (!m_config || config->revision > m_config->revision) {
+        m_config = std::move(config);
+        m_provenAt = readBegan;
+        Log::info("config_in_force",
+                  {{"revision", m_config->revision},
+                   {"routes", m_config->routes.size()},
+                   {"workspaces", m_config->workspaces.size()},
+                   {"proof_age_ms", proofAge() / std::chrono::milliseconds(1)}});
+        m_changed.emit(m_config);
+        return true;
+    }
+    confirm(config->revision, readBegan);
+    return true;
+}
+
+void ConfigInForce::confirm(std::uint64_t revision, TimePoint readBegan)
+{
+    if (m_config && m_config->revision == revision)
+        m_provenAt = std::max(m_provenAt, readBegan);
+}
+
+Duration ConfigInForce::proofAge() const
+{
+    // "Never" is the least TimePoint: its age would overflow.
+    return m_provenAt == TimePoint::min() ? Duration::max() : m_clock.now() - m_provenAt;
+}
+
+} // namespace catkinloft
--- /dev/null
+++ b/src/Control/EntryDirectory.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "Base/EntrySettings.h"
+#include "Control/FleetView.h"
+
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace catkinloft {
+
+/// \brief Which addresses callers are told to use.
+///
+/// Load: callers that ask one router and keep the answer for seconds, some three times as long.
+/// Harm prevented: callers that are sent to a router that stops, or that can't prove its
+/// configuration, lose their time on refusals. The answer is a hint: a router that is not named
+/// still serves.
+class EntryDirectory
+{
+public:
+    struct Options
+    {
+        const EntrySettings &settings;
+        const FleetView &fleet;
+        std::function<bool()> isReady; ///< Whether this router serves, stopping aside.
+        std::function<bool()> isLeaving;
+    };
+
+    explicit EntryDirectory(Options options) : m_options(std::move(options)) { }
+
+    /// \returns caller addresses of all routers that serve. Where none is known to, of those that
+    /// run: some requests need no proof, and a refusal tells the others when to come back. Empty
+    /// where this router stops and knows no other.
+    std::vector<std::string> addresses() const;
+
+    Duration lifetime() const { return m_options.settings.addressLifetime; }
+
+private:
+    Options m_options;
+};
+
+} // namespace catkinloft
--- a/src/Control/PeerCodec.cpp
+++ b/src/Control/PeerCodec.cpp
@@ -1,11 +1,11 @@
 #include "Control/PeerCodec.h"
 
 #include "Control/RpcClient.h"
+#include "Control/internal/NotificationReader.h"
 
 #include <optional>
 
 #include <json/json.h>
-#include <jsonrpccpp/server.h>
 
 namespace catkinloft {
 
@@ -122,42 +122,11 @@
     return out;
 }
 
-/// Hands texts to the dispatcher of the library; notifications have no response.
-class TextConnector final : public jsonrpc::AbstractServerConnector
-{
-public:
-    bool StartListening() override { return true; }
-    bool StopListening() override { return true; }
-    bool SendResponse(const std::string &, void *) override { return true; }
-};
-
-class Receiver final : public jsonrpc::AbstractServer<Receiver>
-{
-public:
-    explicit Receiver(TextConnector &connector) : AbstractServer(connector)
-    {
-        bindAndAddNotification(jsonrpc::Procedure(Method, jsonrpc::PARAMS_BY_NAME, nullptr),
-                               &Receiver::take);
-    }
-
-    void take(const Json::Value &params)
-    {
-        try {
-            message = messageOf(params);
-        } catch (const Json::Exception &) {
-            // Left empty: the decoder says so.
-        }
-    }
-
-    std::optional<PeerMessage> message;
-};
-
 } // namespace
 
 struct PeerCodec::Private
 {
-    TextConnector connector;
-    Receiver receiver{connector};
+    internal::NotificationReader reader{Method};
 };
 
 PeerCodec::PeerCodec() : m_d(std::make_unique<Private>()) { }
@@ -187,15 +156,14 @@
 
 Result<PeerMessage> PeerCodec::decode(const std::string &text)
 {
-    m_d->receiver.message.reset();
+    const std::optional<Json::Value> params = m_d->reader.read(text);
     try {
-        m_d->connector.OnRequest(text);
+        if (params)
+            return messageOf(*params);
     } catch (const Json::Exception &) {
-        // Nested too deeply: rubbish like any other.
+        // A field of another type: rubbish like any other.
     }
-    if (!m_d->receiver.message)
-        return Error{.reason = Reason::MalformedRequest, .detail = "not a message of a router"};
-    return std::move(*m_d->receiver.message);
+    return Error{.reason = Reason::MalformedRequest, .detail = "not a message of a router"};
 }
 
 } // namespace catkinloft
--- /dev/null
+++ b/src/Control/ReplicaRegistry.cpp
@@ -0,0 +1,93 @@
+#include "Control/ReplicaRegistry.h"
+
+#include "Base/Log.h"
+
+#include <algorithm>
+
+namespace catkinloft {
+
+namespace {
+
+const ReplicaRecord *findRecord(const std::vector<ReplicaRecord> &list, const std::string &id)
+{
+    const auto it = std::find_if(list.begin(), list.end(),
+                                 [&](const ReplicaRecord &record) { return record.id == id; });
+    return it == list.end() ? nullptr : &*it;
+}
+
+} // namespace
+
+void ReplicaRegistry::apply(const ReplicaSnapshot &snapshot, TimePoint readBegan)
+{
+    // Snapshots may come from the store and from other routers, and overtake each other.
+    if (snapshot.storeVersion < m_storeVersion)
+        return;
+    noteOutage(readBegan);
+    std::vector<ReplicaRecord> next = snapshot.replicas;
+    for (ReplicaRecord &it : next) {
+        if (it.draining)
+            m_drained.insert(it.id);
+        else if (m_drained.contains(it.id))
+            it.draining = true;
+    }
+    if (m_options.clock.now() < m_keepMissingUntil) {
+        for (const ReplicaRecord &it : m_replicas) {
+            if (!findRecord(next, it.id))
+                next.push_back(it);
+        }
+    }
+    m_storeVersion = snapshot.storeVersion;
+    m_sourceText = snapshot.sourceText;
+    m_readAt = std::max(m_readAt, readBegan);
+    if (!differ(m_replicas, next))
+        return;
+    logChanges(next);
+    m_replicas = std::move(next);
+    std::erase_if(m_drained, [this](const std::string &id) { return !findRecord(m_replicas, id); });
+    m_changed.emit();
+}
+
+void ReplicaRegistry::noteOutage(TimePoint readBegan)
+{
+    if (m_readAt == TimePoint::min() || readBegan - m_readAt <= m_options.outageAfter)
+        return;
+    m_keepMissingUntil = m_options.clock.now() + m_options.returnTime;
+    Log::warning("replica_list_regained",
+                 {{"missed_ms", (readBegan - m_readAt) / std::chrono::milliseconds(1)}});
+}
+
+bool ReplicaRegistry::differ(const std::vector<ReplicaRecord> &a,
+                             const std::vector<ReplicaRecord> &b)
+{
+    return !std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                       [](const ReplicaRecord &x, const ReplicaRecord &y) {
+                           return x.id == y.id && x.address == y.address && x.service == y.service
+                                   && x.draining == y.draining && x.slots == y.slots;
+                       });
+}
+
+void ReplicaRegistry::logChanges(const std::vector<ReplicaRecord> &next) const
+{
+    for (const ReplicaRecord &it : next) {
+        const ReplicaRecord *before = findRecord(m_replicas, it.id);
+        if (!before)
+            Log::info("replica_joined",
+                      {{"replica", it.id},
+                       {"service", it.service},
+                       {"address", it.address},
+                       {"draining", it.draining}});
+        else if (it.draining && !before->draining)
+            Log::info("replica_draining", {{"replica", it.id}, {"service", it.service}});
+    }
+    for (const ReplicaRecord &it : m_replicas) {
+        if (!findRecord(next, it.id))
+            Log::info("replica_gone", {{"replica", it.id}, {"service", it.service}});
+    }
+}
+
+Duration ReplicaRegistry::age() const
+{
+    return m_readAt == TimePoint::min() ? Duration::max() : m_options.clock.now() - m_readAt;
+}
+
+} // namespace catkinloft
--- /dev/null
+++ b/src/Control/RouterBeat.cpp
@@ -0,0 +1,88 @@
+#include "Control/RouterBeat.h"
+
+#include "Control/RpcClient.h"
+#include "Control/internal/NotificationReader.h"
+
+#include <json/json.h>
+
+namespace catkinloft {
+
+namespace {
+
+constexpr const char *Method = "b";
+
+/// Ages on the wire are rounded up, so that a proof never looks younger than it is.
+Json::Value ageToJson(Duration age)
+{
+    if (age == Duration::max())
+        return {};
+    return {static_cast<Json::Int64>(std::chrono::ceil<std::chrono::milliseconds>(age).count())};
+}
+
+Duration ageOf(const Json::Value &it)
+{
+    return it.isNull() ? Duration::max() : Duration(std::chrono::milliseconds(it.asInt64()));
+}
+
+RouterBeat beatOf(const Json::Value &root)
+{
+    RouterBeat out{.name = root["n"].asString(),
+                   .incarnation = root["b"].asUInt64(),
+                   .sequence = root["q"].asUInt64(),
+                   .callerAddress = root["c"].asString(),
+                   .peerAddress = root["p"].asString(),
+                   .failureDomain = root["d"].asString(),
+                   .ready = root["r"].asBool(),
+                   .leaving = root["l"].asBool(),
+                   .revision = root["v"].asUInt64(),
+                   .proofAge = ageOf(root["a"]),
+                   .replicasAge = ageOf(root["s"])};
+    const Json::Value &counts = root["i"];
+    for (auto it = counts.begin(); it != counts.end(); ++it)
+        out.counts.emplace(it.name(), it->asInt());
+    return out;
+}
+
+} // namespace
+
+struct BeatCodec::Private
+{
+    internal::NotificationReader reader{Method};
+};
+
+BeatCodec::BeatCodec() : m_d(std::make_unique<Private>()) { }
+
+BeatCodec::~BeatCodec() = default;
+
+std::string BeatCodec::encode(const RouterBeat &beat)
+{
+    Json::Value root(Json::objectValue);
+    root["n"] = beat.name;
+    root["b"] = static_cast<Json::UInt64>(beat.incarnation);
+    root["q"] = static_cast<Json::UInt64>(beat.sequence);
+    root["c"] = beat.callerAddress;
+    root["p"] = beat.peerAddress;
+    root["d"] = beat.failureDomain;
+    root["r"] = beat.ready;
+    root["l"] = beat.leaving;
+    root["v"] = static_cast<Json::UInt64>(beat.revision);
+    root["a"] = ageToJson(beat.proofAge);
+    root["s"] = ageToJson(beat.replicasAge);
+    for (const auto &[id, n] : beat.counts)
+        root["i"][id] = n;
+    return internal::encodeNotification(Method, root);
+}
+
+Result<RouterBeat> BeatCodec::decode(const std::string &text)
+{
+    const std::optional<Json::Value> params = m_d->reader.read(text);
+    try {
+        if (params)
+            return beatOf(*params);
+    } catch (const Json::Exception &) {
+        // A field of another type: rubbish like any other.
+    }
+    return Error{.reason = Reason::MalformedRequest, .detail = "not a beat of a router"};
+}
+
+} // namespace catkinloft
--- /dev/null
+++ b/src/Control/RouterBeat.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "Base/Clock.h"
+#include "Base/Error.h"
+#include "Decide/ReplicaPool.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace catkinloft {
+
+/// \brief What a router tells the others a few times a second.
+struct RouterBeat
+{
+    std::string name = {}; ///< Of the sender.
+    std::uint64_t incarnation = 0; ///< Start of the process in milliseconds; never falls.
+    std::uint64_t sequence = 0; ///< Rises with each message of the process.
+    std::string callerAddress = {}; ///< `ip:port` that callers connect to.
+    std::string peerAddress = {}; ///< `ip:port` for routers, TCP and UDP.
+    std::string failureDomain = {};
+    bool ready = false; ///< May be named to callers.
+    bool leaving = false; ///< Stops soon.
+    std::uint64_t revision = 0; ///< Of the configuration in force.
+    Duration proofAge = Duration::max(); ///< Since it was certain that this is the newest.
+    Duration replicasAge = Duration::max(); ///< Since the replicas were read from the store.
+    ReplicaCounts counts = {}; ///< Requests of the sender in progress.
+};
+
+/// \brief Turns beats into JSON-RPC notifications and back. Names on the wire have one or two
+/// letters: at nine routers and four beats a second full names would double the bytes.
+class BeatCodec
+{
+public:
+    BeatCodec();
+    ~BeatCodec();
+    BeatCodec(const BeatCodec &) = delete;
+    BeatCodec &operator=(const BeatCodec &) = delete;
+
+    static std::string encode(const RouterBeat &beat);
+
+    /// \returns the beat; MalformedRequest for anything else.
+    Result<RouterBeat> decode(const std::string &text);
+
+private:
+    struct Private;
+    std::unique_ptr<Private> m_d;
+};
+
+} // namespace catkinloft
--- /dev/null
+++ b/src/Decide/ReplicaPool.cpp
@@ -0,0 +1,229 @@
+#include "Decide/ReplicaPool.h"
+
+#include "Base/Hash.h"
+#include "Decide/Rendezvous.h"
+
+#include <algorithm>
+
+namespace catkinloft {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A prompt leaves its first replica only above this multiple of the mean. Half of what is allowed
+/// beyond the mean is left for counts that are not known yet.
+constexpr double MaxLoadRatio = 1.4;
+
+/// Requests above the mean that are always allowed: with a mean of one, a ratio alone would move
+/// every second prompt.
+constexpr double LoadSlack = 2.0;
+
+/// Counts of a router that was not heard for so long say nothing about now; twice the slowest
+/// pause between two of its messages.
+constexpr Duration CountsLife = 3s;
+
+/// How often the usual cost of a call is worked out anew.
+constexpr Duration BaselineInterval = 1s;
+
+/// A call stays in its failure domain unless another domain's replica has this much less in
+/// progress: leaving costs a millisecond, waiting behind another request costs its service time.
+constexpr double DomainBonus = 0.9;
+
+bool isExcluded(std::span<const std::string> excluded, const std::string &id)
+{
+    return std::find(excluded.begin(), excluded.end(), id) != excluded.end();
+}
+
+} // namespace
+
+ReplicaPool::ReplicaPool(Options options) : m_options(std::move(options)) { }
+
+void ReplicaPool::setReplicas(std::span<const ReplicaRecord> replicas)
+{
+    std::vector<State> next;
+    next.reserve(replicas.size());
+    for (const ReplicaRecord &it : replicas) {
+        if (State *known = find(it.id)) {
+            known->record = it;
+            next.push_back(std::move(*known));
+            known->record.id.clear();
+        } else {
+            next.push_back({.record = it, .hash = hash64(it.id)});
+        }
+    }
+    for (const State &it : m_states) {
+        if (!it.record.id.empty())
+            m_health.removed(it.health);
+    }
+    m_states = std::move(next);
+    sumOthers();
+}
+
+void ReplicaPool::setCounts(const std::string &router, ReplicaCounts counts, TimePoint heard)
+{
+    m_heard[router] = {std::move(counts), heard};
+    sumOthers();
+}
+
+void ReplicaPool::sumOthers()
+{
+    const TimePoint now = m_options.clock.now();
+    std::erase_if(m_heard, [now](const auto &it) { return now - it.second.at > CountsLife; });
+    for (State &it : m_states)
+        it.others = 0;
+    for (const auto &[router, heard] : m_heard) {
+        for (const auto &[id, n] : heard.counts) {
+            if (State *state = find(id))
+                state->others += n;
+        }
+    }
+}
+
+const ReplicaRecord *ReplicaPool::choose(const Query &query)
+{
+    updateBaseline();
+    std::vector<Candidate> list = candidates(query, true);
+    // Where all look bad, one that looks bad is better than none.
+    if (list.empty())
+        list = candidates(query, false);
+    if (list.empty())
+        return nullptr;
+    const bool sticky = m_options.isEngine && query.promptKey != 0;
+    return &(sticky ? byPrompt(list, query.promptKey) : byLoad(list))->record;
+}
+
+std::vector<ReplicaPool::Candidate> ReplicaPool::candidates(const Query &query, bool regardHealth)
+{
+    const TimePoint now = m_options.clock.now();
+    std::vector<Candidate> out;
+    out.reserve(m_states.size());
+    for (State &it : m_states) {
+        if (it.record.draining || isExcluded(query.excluded, it.record.id) || now < it.leftOutUntil)
+            continue;
+        if (regardHealth && !m_health.admits(it.health, now))
+            continue;
+        out.push_back({&it, static_cast<double>(it.own + it.others), 0});
+    }
+    return out;
+}
+
+ReplicaPool::State *ReplicaPool::byPrompt(std::vector<Candidate> &list,
+                                          std::uint64_t promptKey) const
+{
+    double total = 0;
+    for (Candidate &it : list) {
+        it.score = rendezvousScore(promptKey, it.state->hash, it.state->record.slots);
+        total += it.load;
+    }
+    std::sort(list.begin(), list.end(),
+              [](const Candidate &a, const Candidate &b) { return a.score > b.score; });
+    const double mean = total / static_cast<double>(list.size());
+    const double bound = std::max(mean * MaxLoadRatio, mean + LoadSlack);
+    for (const Candidate &it : list) {
+        if (it.load + 1 <= bound)
+            return it.state;
+    }
+    return byLoad(list);
+}
+
+ReplicaPool::State *ReplicaPool::byLoad(const std::vector<Candidate> &list) const
+{
+    State *best = nullptr;
+    double bestCost = 0;
+    for (const Candidate &it : list) {
+        const bool near = it.state->record.failureDomain == m_options.failureDomain;
+        const double share = (it.load + 1) / std::max(1, it.state->record.slots);
+        // Routers that all hear the same counts would otherwise all take the same replica.
+        const double cost =
+                share * (near ? DomainBonus : 1) * (1 + 0.05 * uniform(m_options.random));
+        if (!best || cost < bestCost) {
+            best = it.state;
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
+void ReplicaPool::updateBaseline()
+{
+    const TimePoint now = m_options.clock.now();
+    // Prompts differ by more than a slow engine does, so engines are judged by failures only.
+    if (m_options.isEngine || now - m_baselineAt < BaselineInterval)
+        return;
+    m_baselineAt = now;
+    std::vector<double> costs;
+    for (const State &it : m_states) {
+        if (it.health.samples > 0)
+            costs.push_back(it.health.cost);
+    }
+    m_health.updateBaseline(std::move(costs));
+}
+
+void ReplicaPool::started(std::string_view id)
+{
+    if (State *it = find(id)) {
+        ++it->own;
+        it->health.probing = it->health.state == HealthTracker::State::HalfOpen;
+    }
+}
+
+void ReplicaPool::finished(std::string_view id, const AttemptReport &report)
+{
+    State *it = find(id);
+    if (!it)
+        return;
+    it->own = std::max(0, it->own - 1);
+    if (report.reason == Reason::CallerGone && !report.succeeded) {
+        it->health.probing = false;
+        return;
+    }
+    m_health.record(it->health, 1, report, m_states.size(), m_options.clock.now());
+}
+
+void ReplicaPool::leaveOut(std::string_view id, Duration pause)
+{
+    if (State *it = find(id))
+        it->leftOutUntil = m_options.clock.now() + pause;
+}
+
+ReplicaCounts ReplicaPool::ownCounts() const
+{
+    ReplicaCounts out;
+    for (const State &it : m_states) {
+        if (it.own > 0)
+            out.emplace(it.record.id, it.own);
+    }
+    return out;
+}
+
+int ReplicaPool::inProgress(std::string_view id) const
+{
+    const State *it = find(id);
+    return it ? it->own + it->others : 0;
+}
+
+std::size_t ReplicaPool::usableCount() const
+{
+    const TimePoint now = m_options.clock.now();
+    return static_cast<std::size_t>(
+            std::count_if(m_states.begin(), m_states.end(), [now](const State &it) {
+                return !it.record.draining && now >= it.leftOutUntil;
+            }));
+}
+
+ReplicaPool::State *ReplicaPool::find(std::string_view id)
+{
+    for (State &it : m_states) {
+        if (it.record.id == id)
+            return &it;
+    }
+    return nullptr;
+}
+
+const ReplicaPool::State *ReplicaPool::find(std::string_view id) const
+{
+    return const_cast<ReplicaPool *>(this)->find(id);
+}
+
+} // namespace catkinloft
--- /dev/null
+++ b/src/Decide/ReplicaPool.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "Base/Clock.h"
+#include "Base/Random.h"
+#include "Base/ReplicaRecord.h"
+#include "Decide/HealthTracker.h"
+
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace catkinloft {
+
+/// \brief Requests in progress by replica id.
+using ReplicaCounts = std::map<std::string, int, std::less<>>;
+
+/// \brief Which replica of one service gets a request.
+///
+/// Load: returning chats whose prompts share long parts, and short calls, on routers that each see
+/// a share of both. Harm prevented: a replica with more than twice the mean delays every token of
+/// the requests that run on it, while a chat that moves has its whole prompt read again (130 ms of
+/// a replica for 10,500 tokens at 81.9 tokens a millisecond). So a prompt goes to the first replica
+/// of its own rendezvous order that stays near the mean; a call goes where least is in progress.
+///
+/// Counts of the other routers are some hundred milliseconds old. They are hints: a wrong one makes
+/// a request slower and breaks no promise.
+class ReplicaPool
+{
+public:
+    struct Options
+    {
+        const Clock &clock;
+        RandomSource random;
+        std::string failureDomain = {}; ///< Of this router.
+        bool isEngine = false; ///< Replicas keep prompts in memory.
+    };
+
+    /// \brief What matters about a request.
+    struct Query
+    {
+        std::uint64_t promptKey = 0; ///< Same for requests that share their prompt; 0: none.
+        std::span<const std::string> excluded = {}; ///< Ids on which an attempt failed.
+    };
+
+    explicit ReplicaPool(Options options);
+
+    /// \brief Takes over the registered replicas; those that stay keep counts and health.
+    void setReplicas(std::span<const ReplicaRecord> replicas);
+
+    /// \brief Takes over what \a router has in progress, as heard at \a heard.
+    void setCounts(const std::string &router, ReplicaCounts counts, TimePoint heard);
+
+    /// \returns the replica for \a query, or null where none can take it.
+    const ReplicaRecord *choose(const Query &query);
+
+    /// \brief Counts a request that is being sent to replica \a id.
+    void started(std::string_view id);
+
+    /// \brief Takes the count back and judges the replica by \a report.
+    void finished(std::string_view id, const AttemptReport &report);
+
+    /// \brief Leaves \a id out for \a pause, because it refused a connection or is another replica.
+    void leaveOut(std::string_view id, Duration pause);
+
+    /// \returns what this router has in progress, without replicas that have nothing.
+    ReplicaCounts ownCounts() const;
+
+    /// \returns requests in progress on replica \a id over all routers, as far as known.
+    int inProgress(std::string_view id) const;
+
+    std::size_t size() const { return m_states.size(); }
+
+    /// \returns replicas that are registered, not draining and not known to be unreachable.
+    std::size_t usableCount() const;
+
+    const HealthTracker &health() const { return m_health; }
+
+private:
+    struct State
+    {
+        ReplicaRecord record;
+        std::uint64_t hash = 0;
+        int own = 0; ///< Requests in progress from this router.
+        int others = 0; ///< The same from the others, as last heard.
+        TimePoint leftOutUntil = {};
+        HealthTracker::Entry health = {};
+    };
+    struct Heard
+    {
+        ReplicaCounts counts;
+        TimePoint at;
+    };
+    struct Candidate
+    {
+        State *state = nullptr;
+        double load = 0; ///< Requests in progress, all routers.
+        double score = 0; ///< Rendezvous score of the prompt, or a random tie breaker.
+    };
+
+    State *find(std::string_view id);
+    const State *find(std::string_view id) const;
+    std::vector<Candidate> candidates(const Query &query, bool regardHealth);
+    State *byPrompt(std::vector<Candidate> &list, std::uint64_t promptKey) const;
+    State *byLoad(const std::vector<Candidate> &list) const;
+    void sumOthers();
+    void updateBaseline();
+
+    Options m_options;
+    std::vector<State> m_states;
+    std::map<std::string, Heard> m_heard; ///< By router.
+    HealthTracker m_health;
+    TimePoint m_baselineAt;
+};
+
+} // namespace catkinloft
--- a/src/Net/EngineHttp.cpp
+++ b/src/Net/EngineHttp.cpp
@@ -1,8 +1,8 @@
 #include "Net/EngineHttp.h"
 
+#include "Base/Json.h"
 #include "Net/EventLoop.h"
 #include "Net/HttpClient.h"
-#include "Net/internal/Json.h"
 
 #include <charconv>
 #include <utility>
@@ -11,9 +11,6 @@
 
 namespace catkinloft {
 
-using internal::parseJsonObject;
-using internal::printJson;
-
 namespace {
 
 using namespace std::chrono_literals;
--- /dev/null
+++ b/src/Net/EntryCall.cpp
@@ -0,0 +1,487 @@
+#include "Net/EntryCall.h"
+
+#include "Base/Log.h"
+#include "Net/EventLoop.h"
+#include "Request/Problem.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace catkinloft {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A new connection takes a round trip and a millisecond; a replica that needs this long is not
+/// reached. Short, since a call of 150 ms has to be placed elsewhere and still be on time.
+constexpr Duration ConnectTimeout = 150ms;
+
+/// Replicas that are tried one after the other while no connection can be made.
+constexpr int MaxUnreached = 4;
+
+/// How long a replica is left out after it refused a connection. Restarts take seconds.
+constexpr Duration UnreachablePause = 1s;
+
+/// How long a replica is left out after it was too full for a request. It frees a place in tens of
+/// milliseconds, and other routers send to it too.
+constexpr Duration FullPause = 100ms;
+
+/// How long an address is left out at which another replica answered; by then the list is new.
+constexpr Duration MisdirectedPause = 3s;
+
+/// Longest pause of a resumable stream, as a multiple of the pause that is still on time, and at
+/// least. Callers give up after eight times that pause and two seconds; half of it leaves time for
+/// the replica that goes on.
+constexpr int StallFactor = 3;
+constexpr Duration MinStall = 1200ms;
+
+/// Part of an idempotent call's time after which another replica is asked.
+constexpr int SilenceParts = 2;
+
+/// Least time for which sending again makes sense.
+constexpr Duration MinRepeatTime = 20ms;
+
+/// What is taken off the caller's time for the way back.
+constexpr Duration ReturnTime = 5ms;
+
+/// Oldest idle connection for a request that may not be repeated: one that the replica closes while
+/// the request is on its way would leave it uncertain. Idle connections are refilled every few
+/// hundred milliseconds at the load of a normal day.
+constexpr Duration MaxIdleUnrepeatable = 2s;
+
+/// Longest answer that is held, as opposed to relayed.
+constexpr std::size_t MaxHeldAnswer = 16 * 1024 * 1024;
+
+/// When a caller whose request nobody could take may come back, and how far callers are spread so
+/// that they do not return together.
+constexpr Duration RetryBase = 200ms;
+constexpr Duration RetrySpread = 300ms;
+
+bool isSuccess(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+/// These promise that the request did not run; without the replica's word they can't be passed on.
+bool promisesNotRun(int status)
+{
+    return status == 503 || status == 429 || status == 408 || status == 421;
+}
+
+int statusOf(const Error &error)
+{
+    const int status = reasonInfo(error.reason).status;
+    if (error.verdict == Verdict::NotRun)
+        return status < 500 ? status : 503;
+    return error.reason == Reason::UpstreamTimeout || error.reason == Reason::DeadlineExpired ? 504
+                                                                                              : 502;
+}
+
+/// Fractions of a second: callers honour them, and a whole second is a third of a call's time.
+std::string retryAfterText(Duration d)
+{
+    return fmt::format("{:.3f}", toSeconds(d));
+}
+
+} // namespace
+
+EntryCall::EntryCall(EntryContext &context, HttpExchangePtr exchange, std::function<void()> done)
+    : m_context(context), m_exchange(std::move(exchange)), m_done(std::move(done)),
+      m_deadlineTimer(context.loop, [this] { deadlineExpired(); })
+{ }
+
+EntryCall::~EntryCall() = default;
+
+void EntryCall::start()
+{
+    readRequest();
+    m_exchange->onClosed([weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->callerGone();
+    });
+    if (const Result<void> passed = m_context.filters.run(m_request); !passed) {
+        if (passed.error().reason == Reason::MalformedRequest)
+            m_exchange->closeAfterAnswer();
+        return refuse(passed.error());
+    }
+    if (m_context.refusesNew()) {
+        m_exchange->closeAfterAnswer();
+        return refuse({.reason = Reason::Draining,
+                       .detail = "this router is shutting down",
+                       .retryAfter = 10ms});
+    }
+    m_deadline = m_request.deadline();
+    m_deadlineTimer.start(std::max<Duration>(1ms, m_deadline - m_context.loop.now()));
+    pickService();
+    m_service->repeats.countRequest();
+    attempt();
+}
+
+void EntryCall::readRequest()
+{
+    m_request.arrivedAt = m_context.loop.now();
+    m_request.method = m_exchange->method();
+    m_request.path = m_exchange->path();
+    m_request.target = m_exchange->path();
+    if (!m_exchange->query().empty())
+        m_request.target += "?" + m_exchange->query();
+    m_request.headers = m_exchange->headers();
+    m_request.host = m_exchange->header("Host");
+    m_request.facts = m_context.codec.decodeRequest(m_request.headers);
+}
+
+void EntryCall::pickService()
+{
+    const std::vector<RouteTarget> &targets = m_request.route->targets;
+    double total = 0;
+    for (const RouteTarget &it : targets)
+        total += it.weight;
+    double point = uniform(m_context.random) * total;
+    m_serviceName = targets.back().service;
+    for (const RouteTarget &it : targets) {
+        if (point < it.weight) {
+            m_serviceName = it.service;
+            break;
+        }
+        point -= it.weight;
+    }
+    m_service = &m_context.pools.of(m_serviceName);
+}
+
+Duration EntryCall::remaining() const
+{
+    return m_deadline - m_context.loop.now() - ReturnTime;
+}
+
+void EntryCall::attempt()
+{
+    if (remaining() <= Duration::zero())
+        return deadlineExpired();
+    if (const Result<void> proven = m_context.filters.checkProof(m_request); !proven)
+        return m_begun ? breakOff(proven.error()) : refuse(proven.error());
+    const ReplicaRecord *replica = m_service->replicas.choose(
+            {.promptKey = m_request.promptKey(), .excluded = m_excluded});
+    if (replica)
+        return send(*replica);
+    const Error error{.reason = Reason::NoLiveEngine,
+                      .verdict = m_verdict,
+                      .detail = fmt::format("no replica of {} can take it", m_serviceName),
+                      .retryAfter = RetryBase,
+                      .figures = {{"usable_replicas",
+                                   static_cast<double>(m_service->replicas.usableCount())}}};
+    m_begun ? breakOff(error) : refuse(error);
+}
+
+void EntryCall::send(const ReplicaRecord &replica)
+{
+    m_replica = replica;
+    m_attemptBegan = m_context.loop.now();
+    m_firstByte.reset();
+    m_head = {};
+    m_answer = {};
+    m_body.clear();
+    m_reader.reset();
+    m_relaying = false;
+    m_attempting = true;
+    ++m_attempt;
+    ++m_sent;
+    m_service->replicas.started(m_replica.id);
+    m_call = m_context.client.send(composeCall(m_replica), attemptEvents());
+}
+
+HttpCall EntryCall::composeCall(const ReplicaRecord &replica) const
+{
+    const Route &route = *m_request.route;
+    HttpCall out{.address = replica.address,
+                 .method = m_request.method,
+                 .target = m_request.target,
+                 .headers = m_context.codec.encodeRequest({.request = m_request,
+                                                           .replica = replica,
+                                                           .remaining = remaining(),
+                                                           .lastEventId = m_lastEvent}),
+                 .body = std::string(m_exchange->body()),
+                 .timeout =
+                         m_deadline - m_context.loop.now() + 1s, // The call's own timer is first.
+                 .maxBodyBytes = MaxHeldAnswer,
+                 .connectTimeout = ConnectTimeout,
+                 .takesUnframed = true};
+    if (!route.isIdempotent())
+        out.maxIdleAge = MaxIdleUnrepeatable;
+    const bool another = m_sent < route.maxAttempts;
+    if (another && route.kind == CallKind::Idempotent)
+        out.progressTimeout = route.timeout / SilenceParts;
+    else if (another && route.isIdempotent())
+        out.progressTimeout =
+                std::max(MinStall, route.maxEventGap.value_or(Duration::zero()) * StallFactor);
+    return out;
+}
+
+HttpCallEvents EntryCall::attemptEvents()
+{
+    const auto guard = [weak = weak_from_this(), number = m_attempt](auto &&action) {
+        const auto self = weak.lock();
+        if (self && self->m_attempting && self->m_attempt == number)
+            action(*self);
+    };
+    return {.onHead =
+                    [guard](const HttpHead &head) {
+                        guard([&](EntryCall &it) { it.onHead(head); });
+                    },
+            .onData =
+                    [guard](std::string_view data) {
+                        guard([&](EntryCall &it) { it.onData(data); });
+                    },
+            .onEnd =
+                    [guard](Result<void> result) {
+                        guard([&](EntryCall &it) { it.onEnd(std::move(result)); });
+                    }};
+}
+
+void EntryCall::onHead(const HttpHead &head)
+{
+    m_firstByte = m_context.loop.now() - m_attemptBegan;
+    m_head = head;
+    m_answer = m_context.codec.decodeAnswer(head);
+    if (!m_answer.requestId.empty() && m_answer.requestId != m_request.facts.id)
+        return failLater(Reason::AnswerMismatch, "the answer names another request");
+    if (!isSuccess(head.status))
+        return;
+    if (!m_answer.isSigned)
+        return failLater(Reason::AnswerMismatch, "the answer is not signed by its replica");
+    if (!head.header("Content-Encoding").empty())
+        return failLater(Reason::AnswerMismatch, "the answer is encoded though nobody asked");
+    if (m_request.route->kind == CallKind::Streaming)
+        beginRelay();
+}
+
+void EntryCall::failLater(Reason reason, std::string detail)
+{
+    // The connection may not be freed from within its own callback.
+    m_context.loop.post([weak = weak_from_this(), number = m_attempt, reason,
+                         detail = std::move(detail)] {
+        const auto self = weak.lock();
+        if (!self || !self->m_attempting || self->m_attempt != number)
+            return;
+        self->onEnd(Error{.reason = reason, .verdict = Verdict::MayHaveRun, .detail = detail});
+    });
+    m_relaying = false;
+    m_head.status = 0;
+}
+
+void EntryCall::onData(std::string_view data)
+{
+    if (m_relaying) {
+        if (!m_reader.feed(data, [this](const SseEvent &event) { relay(event); }))
+            failLater(Reason::UpstreamBroken, "an event is longer than any can be");
+    } else if (m_head.status != 0) {
+        m_body += data;
+    }
+}
+
+void EntryCall::beginRelay()
+{
+    m_relaying = true;
+    if (m_begun)
+        return;
+    m_begun = true;
+    m_exchange->onDrained([weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self && self->m_call)
+            self->m_call->resume();
+    });
+    m_exchange->beginStream(m_head.status, m_context.codec.passedAnswerHeaders(m_head));
+}
+
+void EntryCall::relay(const SseEvent &event)
+{
+    if (event.id) {
+        // A resumed stream may begin with events that the caller has.
+        if (m_lastEvent && *event.id <= *m_lastEvent)
+            return;
+        m_lastEvent = event.id;
+    }
+    m_exchange->write(event.text);
+    if (m_call && m_exchange->backlog() > m_context.settings.maxStreamBuffer)
+        m_call->pause();
+}
+
+void EntryCall::endRelay()
+{
+    m_exchange->end();
+    finish("answered", m_head.status, nullptr);
+}
+
+void EntryCall::endAttempt(bool succeeded, Reason reason)
+{
+    if (!std::exchange(m_attempting, false))
+        return;
+    m_call.reset();
+    const Duration total = m_context.loop.now() - m_attemptBegan;
+    m_service->replicas.finished(m_replica.id,
+                                 {.succeeded = succeeded,
+                                  .reason = reason,
+                                  .untilFirstByte = m_firstByte.value_or(total),
+                                  .total = total});
+}
+
+void EntryCall::onEnd(Result<void> result)
+{
+    if (result && m_relaying && m_reader.hasPartialEvent())
+        result = Error{.reason = Reason::UpstreamBroken,
+                       .verdict = Verdict::MayHaveRun,
+                       .detail = "the stream ended within an event"};
+    if (!result) {
+        Error error = std::move(result.error());
+        endAttempt(false, error.reason);
+        return attemptFailed(error);
+    }
+    const bool failed = m_head.status >= 500 && !m_answer.notExecuted;
+    endAttempt(!failed, failed ? Reason::UpstreamBroken : Reason::Internal);
+    m_relaying ? endRelay() : takeAnswer();
+}
+
+void EntryCall::takeAnswer()
+{
+    const bool misdirected = m_head.status == 421;
+    if (m_answer.notExecuted || misdirected) {
+        m_context.pools.of(m_serviceName)
+                .replicas.leaveOut(m_replica.id, misdirected ? MisdirectedPause : FullPause);
+        if (misdirected)
+            --m_sent; // The replica that was meant never got it.
+        return attemptFailed({.reason = Reason::UpstreamRefused,
+                              .verdict = Verdict::NotRun,
+                              .detail = fmt::format("replica {} did not run it: {}", m_replica.id,
+                                                    m_head.status)});
+    }
+    if (promisesNotRun(m_head.status))
+        return attemptFailed({.reason = Reason::UpstreamRefused,
+                              .verdict = Verdict::MayHaveRun,
+                              .detail = "the replica refused without saying that it did not run"});
+    m_verdict = Verdict::Ran;
+    if (m_head.status >= 500 && m_request.route->isIdempotent() && mayRepeat()) {
+        m_excluded.push_back(m_replica.id);
+        return attempt();
+    }
+    deliver();
+}
+
+void EntryCall::deliver()
+{
+    m_exchange->respond(m_head.status, m_context.codec.passedAnswerHeaders(m_head), m_body);
+    finish("answered", m_head.status, nullptr);
+}
+
+bool EntryCall::mayRepeat()
+{
+    if (m_sent >= m_request.route->maxAttempts || remaining() < MinRepeatTime)
+        return false;
+    if (!m_service->repeats.tryRepeat(m_context.sharers())) {
+        m_context.metrics.count("catkinloft_repeats_denied_total");
+        return false;
+    }
+    return true;
+}
+
+void EntryCall::attemptFailed(const Error &error)
+{
+    Log::info("attempt_failed",
+              {{"request_id", id()},
+               {"replica", m_replica.id},
+               {"address", m_replica.address},
+               {"reason", reasonInfo(error.reason).code},
+               {"verdict", toString(error.verdict)},
+               {"detail", error.detail}});
+    m_context.metrics.retried(error.reason);
+    m_verdict = combine(m_verdict, error.verdict);
+    m_excluded.push_back(m_replica.id);
+    const bool unreached =
+            error.reason == Reason::UpstreamUnreachable && error.verdict == Verdict::NotRun;
+    if (unreached) {
+        --m_sent;
+        m_service->replicas.leaveOut(m_replica.id, UnreachablePause);
+        m_context.client.dropIdle(m_replica.address);
+        if (++m_unreached <= MaxUnreached)
+            return attempt();
+    }
+    const bool safe = error.verdict == Verdict::NotRun || m_request.route->isIdempotent();
+    if (!unreached && safe && mayRepeat())
+        return attempt();
+    Error last = error;
+    last.verdict = m_verdict;
+    if (last.verdict == Verdict::NotRun)
+        last.retryAfter = RetryBase;
+    m_begun ? breakOff(last) : refuse(last);
+}
+
+void EntryCall::deadlineExpired()
+{
+    if (m_finished)
+        return;
+    // What was sent and not answered may be running.
+    const Verdict verdict = m_attempting ? Verdict::MayHaveRun : m_verdict;
+    endAttempt(false, Reason::UpstreamTimeout);
+    const Error error{.reason = Reason::DeadlineExpired,
+                      .verdict = verdict,
+                      .detail = "no whole answer by the deadline",
+                      .retryAfter = RetryBase};
+    m_begun ? breakOff(error) : refuse(error);
+}
+
+void EntryCall::callerGone()
+{
+    if (m_finished)
+        return;
+    endAttempt(false, Reason::CallerGone);
+    finish("caller_gone", 0, nullptr);
+}
+
+void EntryCall::refuse(const Error &error)
+{
+    const int status = statusOf(error);
+    HttpHeaders headers = m_context.codec.ownAnswerHeaders(m_request);
+    headers.emplace_back("Content-Type", "application/problem+json");
+    if (status == 503 && error.retryAfter) {
+        const Duration spread = fromSeconds(toSeconds(RetrySpread) * uniform(m_context.random));
+        headers.emplace_back("Retry-After", retryAfterText(*error.retryAfter + spread));
+    }
+    m_context.metrics.refused(error.reason);
+    m_exchange->respond(status, headers, Problem::body(error, id(), {}));
+    finish("refused", status, &error);
+}
+
+void EntryCall::breakOff(const Error &error)
+{
+    m_context.metrics.refused(error.reason);
+    m_exchange->abort();
+    finish("broken_off", 0, &error);
+}
+
+void EntryCall::finish(std::string_view outcome, int status, const Error *error)
+{
+    if (std::exchange(m_finished, true))
+        return;
+    m_deadlineTimer.stop();
+    const Duration took = m_context.loop.now() - m_request.arrivedAt;
+    const std::string_view route = m_request.route ? m_request.route->name : std::string_view();
+    m_context.metrics.count("catkinloft_requests_total", Metrics::label("outcome", outcome));
+    m_context.metrics.observe("catkinloft_request_seconds", toSeconds(took));
+    Log::info("request",
+              {{"request_id", id()},
+               {"route", route},
+               {"service", m_serviceName},
+               {"workspace", m_request.workspace ? m_request.workspace->name : std::string()},
+               {"replica", m_replica.id},
+               {"sent", m_sent},
+               {"unreached", m_unreached},
+               {"outcome", outcome},
+               {"status", status},
+               {"reason", error ? reasonInfo(error->reason).code : std::string_view()},
+               {"verdict", toString(error ? error->verdict : Verdict::Ran)},
+               {"detail", error ? error->detail : std::string()},
+               {"took_ms", took / std::chrono::milliseconds(1)}});
+    m_context.loop.post([self = shared_from_this()] { self->m_done(); });
+}
+
+} // namespace catkinloft
--- /dev/null
+++ b/src/Net/EntryCall.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include "Base/EntrySettings.h"
+#include "Base/Metrics.h"
+#include "Base/Random.h"
+#include "Net/HttpClient.h"
+#include "Net/HttpExchange.h"
+#include "Net/ServicePools.h"
+#include "Net/Timer.h"
+#include "Net/WireCodec.h"
+#include "Request/EntryFilters.h"
+#include "Request/SseReader.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace catkinloft {
+
+class EventLoop;
+
+/// \brief What all calls of a gateway share.
+struct EntryContext
+{
+    EventLoop &loop;
+    HttpClient &client;
+    Metrics &metrics;
+    const EntrySettings &settings;
+    const WireCodec &codec;
+    const EntryFilters &filters;
+    ServicePools &pools;
+    RandomSource random;
+    std::function<int()> sharers; ///< Routers that share the repeat budget.
+    std::function<bool()> refusesNew; ///< The process is about to stop.
+};
+
+/// \brief One request from its arrival to its last byte: filtered, placed, sent, sent again where
+/// that is allowed, and answered.
+///
+/// A request that may have run is never sent again unless it is idempotent, and is never answered
+/// with a status that says that it has not run. An answer is only passed on if it names this
+/// request and bears the replica's signature.
+class EntryCall : public std::enable_shared_from_this<EntryCall>
+{
+public:
+    /// \param done runs once, when nothing more will happen.
+    EntryCall(EntryContext &context, HttpExchangePtr exchange, std::function<void()> done);
+    ~EntryCall();
+    EntryCall(const EntryCall &) = delete;
+    EntryCall &operator=(const EntryCall &) = delete;
+
+    void start();
+
+    const std::string &id() const { return m_request.facts.id; }
+
+private:
+    void readRequest();
+    void pickService();
+
+    void attempt();
+    void send(const ReplicaRecord &replica);
+    HttpCall composeCall(const ReplicaRecord &replica) const;
+    HttpCallEvents attemptEvents();
+
+    void onHead(const HttpHead &head);
+    void onData(std::string_view data);
+    void onEnd(Result<void> result);
+    void failLater(Reason reason, std::string detail);
+
+    void beginRelay();
+    void relay(const SseEvent &event);
+    void endRelay();
+
+    void takeAnswer();
+    void deliver();
+    void attemptFailed(const Error &error);
+    bool mayRepeat();
+    void endAttempt(bool succeeded, Reason reason);
+
+    void deadlineExpired();
+    void callerGone();
+    void refuse(const Error &error);
+    void breakOff(const Error &error);
+    void finish(std::string_view outcome, int status, const Error *error);
+
+    Duration remaining() const;
+
+    EntryContext &m_context;
+    HttpExchangePtr m_exchange;
+    std::function<void()> m_done;
+    EntryRequest m_request;
+    TimePoint m_deadline;
+    Timer m_deadlineTimer;
+    ServicePool *m_service = nullptr;
+    std::string m_serviceName;
+
+    HttpCallPtr m_call;
+    unsigned m_attempt = 0; ///< Number of the attempt in progress; events of others are late.
+    bool m_attempting = false;
+    ReplicaRecord m_replica;
+    TimePoint m_attemptBegan;
+    std::optional<Duration> m_firstByte; ///< Of this attempt.
+    std::vector<std::string> m_excluded;
+    int m_sent = 0; ///< Replicas that have or may have got the request.
+    int m_unreached = 0; ///< Replicas to which no connection could be made.
+    Verdict m_verdict = Verdict::NotRun; ///< Over all ended attempts.
+
+    HttpHead m_head;
+    AnswerFacts m_answer;
+    std::string m_body;
+    SseReader m_reader;
+    std::optional<std::int64_t> m_lastEvent;
+    bool m_relaying = false; ///< This attempt's events go to the caller.
+    bool m_begun = false; ///< The caller has got the head of the answer.
+    bool m_finished = false;
+};
+
+} // namespace catkinloft
--- /dev/null
+++ b/src/Net/EntryGateway.cpp
@@ -0,0 +1,37 @@
+#include "Net/EntryGateway.h"
+
+namespace catkinloft {
+
+EntryGateway::EntryGateway(EntryContext context) : m_context(std::move(context))
+{
+    m_context.metrics.addCollector([this](Metrics &metrics) {
+        metrics.set("catkinloft_requests_in_progress", static_cast<double>(inProgress()));
+    });
+}
+
+EntryGateway::~EntryGateway() = default;
+
+void EntryGateway::handle(const HttpExchangePtr &exchange)
+{
+    if (m_leaving)
+        exchange->closeAfterAnswer();
+    // The call is found again by a pointer that does not keep it alive.
+    auto key = std::make_shared<std::weak_ptr<EntryCall>>();
+    const auto call = std::make_shared<EntryCall>(m_context, exchange, [this, key] {
+        if (const auto it = key->lock())
+            m_calls.erase(it);
+    });
+    *key = call;
+    m_calls.insert(call);
+    call->start();
+}
+
+std::vector<std::string> EntryGateway::unfinished() const
+{
+    std::vector<std::string> out;
+    for (const auto &it : m_calls)
+        out.push_back(it->id());
+    return out;
+}
+
+} // namespace catkinloft
--- /dev/null
+++ b/src/Net/EntryGateway.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "Net/EntryCall.h"
+
+#include <memory>
+#include <string>
+#include <unordered_set>
+#include <vector>
+
+namespace catkinloft {
+
+/// \brief Takes requests from the listener and keeps their calls until they end.
+class EntryGateway
+{
+public:
+    explicit EntryGateway(EntryContext context);
+    ~EntryGateway();
+    EntryGateway(const EntryGateway &) = delete;
+    EntryGateway &operator=(const EntryGateway &) = delete;
+
+    void handle(const HttpExchangePtr &exchange);
+
+    /// \brief From now on callers are told to close their connections.
+    void leave() { m_leaving = true; }
+
+    std::size_t inProgress() const { return m_calls.size(); }
+
+    /// \returns ids of the requests in progress.
+    std::vector<std::string> unfinished() const;
+
+private:
+    EntryContext m_context;
+    std::unordered_set<std::shared_ptr<EntryCall>> m_calls;
+    bool m_leaving = false;
+};
+
+} // namespace catkinloft
--- /dev/null
+++ b/src/Net/EntryProcess.cpp
@@ -0,0 +1,275 @@
+#include "Net/EntryProcess.h"
+
+#include "Base/Log.h"
+#include "Control/ConfigInForce.h"
+#include "Control/FleetRegistration.h"
+#include "Control/ReplicaRegistry.h"
+#include "Net/EntryGateway.h"
+#include "Net/EventLoop.h"
+#include "Net/FleetTask.h"
+#include "Net/HttpServer.h"
+#include "Net/LogWriter.h"
+#include "Net/StoreWatch.h"
+
+#include <algorithm>
+#include <csignal>
+
+namespace catkinloft {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Between tries to register, and between readings of who else is registered. The list only finds
+/// routers that nobody has heard, so it is read seldom: a call costs as much as a small request.
+constexpr Duration RegistrationRetry = 400ms;
+constexpr Duration RegistrationInterval = 10s;
+
+/// New work is still taken for this part of the time until the kill, from callers that keep an
+/// older address; long streams need the rest to end.
+constexpr double AcceptPart = 0.35;
+
+/// Kept of the time until the kill for the end of the process itself.
+constexpr Duration StopMargin = 300ms;
+
+constexpr Duration DrainPoll = 50ms;
+
+/// A caller's connection is kept for longer than the configuration allows it to be idle, so that a
+/// request never crosses its close.
+constexpr Duration MinIdleTimeout = 120s;
+
+} // namespace
+
+struct EntryProcess::Private
+{
+    Private(std::shared_ptr<const EntrySettings> s, EntryAdapter a);
+
+    void listenAll();
+    void connectSignals();
+    void register_();
+    void applyConfig(const RouteConfigPtr &config);
+    bool isReady() const;
+    void answerMetrics(const HttpExchangePtr &exchange);
+    void drain();
+    void checkDrained();
+    std::unique_ptr<HttpServer> makeServer(const std::string &address, HttpServer::Handler handler);
+
+    std::shared_ptr<const EntrySettings> settings;
+    EntryAdapter adapter;
+    EventLoop loop;
+    LogWriter log{{.loop = loop}};
+    Metrics metrics;
+    HttpClient client{loop};
+    RandomSource random = systemRandom();
+    std::unique_ptr<FleetStore> store;
+    std::unique_ptr<TableService> table;
+    ConfigInForce config{loop};
+    ReplicaRegistry replicas;
+    std::shared_ptr<const RouteTable> routes;
+    ServicePools pools;
+    EntryFilters filters;
+    FleetTask fleet;
+    StoreWatch watch;
+    FleetRegistration registration;
+    EntryDirectory directory;
+    EntryGateway gateway;
+    std::vector<std::unique_ptr<HttpServer>> servers;
+    HttpServer *callers = nullptr;
+    Timer registrationTimer;
+    Timer drainTimer;
+    TimePoint refuseFrom = TimePoint::max();
+    TimePoint stopAt = TimePoint::max();
+    bool draining = false;
+};
+
+EntryProcess::Private::Private(std::shared_ptr<const EntrySettings> s, EntryAdapter a)
+    : settings(std::move(s)), adapter(std::move(a)),
+      store(adapter.makeStore(client, settings->storeAddress)),
+      table(adapter.makeTable(client, settings->storeAddress)),
+      replicas({.clock = loop, .returnTime = settings->replicaReturnTime}),
+      pools(loop, random, *settings), filters({.routes = [this] { return routes; },
+                                               .proofAge = [this] { return config.proofAge(); },
+                                               .proofLimit = settings->keyProofLimit,
+                                               .requiresProof = settings->requiresKeyProof}),
+      fleet({.loop = loop,
+             .client = client,
+             .metrics = metrics,
+             .settings = *settings,
+             .config = config,
+             .replicas = replicas,
+             .isReady = [this] { return isReady(); },
+             .ownCounts = [this] { return pools.ownCounts(); },
+             .onBeat =
+                     [this](const RouterBeat &it) {
+                         pools.setCounts(it.name, it.counts, loop.now());
+                         if (it.revision > config.revision())
+                             fleet.fetchFromPeer();
+                     },
+             .onConfigText = [this](const std::string &text,
+                                    TimePoint began) { watch.takeConfigText(text, began); },
+             .onReplicasText = [this](const std::string &text,
+                                      TimePoint began) { watch.takeReplicasText(text, began); }}),
+      watch({.loop = loop,
+             .store = *store,
+             .config = config,
+             .replicas = replicas,
+             .metrics = metrics,
+             .random = random,
+             .askPeer = [this] { fleet.fetchFromPeer(); }}),
+      registration({.table = *table,
+                    .random = random,
+                    .name = settings->name,
+                    .peerAddress = settings->peerAddress,
+                    .onKey = [this](const SharedKey &key) { fleet.setKey(key); },
+                    .onAddresses =
+                            [this](const std::vector<std::string> &it) {
+                                fleet.view().setRegistered(it);
+                            }}),
+      directory({.settings = *settings,
+                 .fleet = fleet.view(),
+                 .isReady = [this] { return isReady(); },
+                 .isLeaving = [this] { return draining; }}),
+      gateway({.loop = loop,
+               .client = client,
+               .metrics = metrics,
+               .settings = *settings,
+               .codec = adapter.codec,
+               .filters = filters,
+               .pools = pools,
+               .random = random,
+               .sharers = [this] { return fleet.view().sharers(); },
+               .refusesNew = [this] { return loop.now() >= refuseFrom; }}),
+      registrationTimer(loop, [this] { register_(); }), drainTimer(loop, [this] { checkDrained(); })
+{
+    config.changed().connect([this](const RouteConfigPtr &it) { applyConfig(it); });
+    replicas.changed().connect([this] { pools.setReplicas(replicas.replicas()); });
+}
+
+void EntryProcess::Private::applyConfig(const RouteConfigPtr &it)
+{
+    routes = std::make_shared<RouteTable>(it);
+    pools.setServices(*it);
+    callers->setIdleTimeout(std::max(MinIdleTimeout, 2 * it->idleTimeout));
+}
+
+bool EntryProcess::Private::isReady() const
+{
+    const bool proven = !settings->requiresKeyProof || config.proofAge() < settings->keyProofLimit;
+    return !draining && routes && proven && replicas.age() != Duration::max();
+}
+
+void EntryProcess::Private::register_()
+{
+    registration.refresh();
+    registrationTimer.start(registration.isComplete() ? RegistrationInterval : RegistrationRetry);
+}
+
+std::unique_ptr<HttpServer> EntryProcess::Private::makeServer(const std::string &address,
+                                                              HttpServer::Handler handler)
+{
+    return std::make_unique<HttpServer>(
+            loop,
+            HttpServer::Options{
+                    .address = address,
+                    .limits = {.maxHeaderBytes = settings->maxHeaderBytes,
+                               .maxBodyBytes = settings->maxBodyBytes,
+                               .maxConnections = settings->maxConnections,
+                               .idleTimeout = MinIdleTimeout},
+                    .onTooMany = [this] { metrics.refused(Reason::TooManyConnections); }},
+            std::move(handler));
+}
+
+void EntryProcess::Private::listenAll()
+{
+    servers.push_back(makeServer(settings->callerAddress,
+                                 [this](const HttpExchangePtr &it) { gateway.handle(it); }));
+    callers = servers.front().get();
+    if (!settings->readinessAddress.empty())
+        servers.push_back(makeServer(settings->readinessAddress, [this](const HttpExchangePtr &it) {
+            adapter.answerReadiness(it, isReady());
+        }));
+    if (!settings->directoryAddress.empty())
+        servers.push_back(makeServer(settings->directoryAddress, [this](const HttpExchangePtr &it) {
+            adapter.answerDirectory(it, directory);
+        }));
+    if (!settings->metricsAddress.empty())
+        servers.push_back(makeServer(settings->metricsAddress,
+                                     [this](const HttpExchangePtr &it) { answerMetrics(it); }));
+}
+
+void EntryProcess::Private::answerMetrics(const HttpExchangePtr &exchange)
+{
+    exchange->respond(200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics.print());
+}
+
+void EntryProcess::Private::connectSignals()
+{
+    loop.onSignal(SIGTERM, [this] { drain(); });
+    loop.onSignal(SIGINT, [this] { drain(); });
+    // The settings of a process do not change while it runs, but the signal must not end it.
+    loop.onSignal(SIGHUP, [] { Log::info("reload_ignored", {}); });
+}
+
+void EntryProcess::Private::drain()
+{
+    if (draining)
+        return;
+    draining = true;
+    Log::info("draining", {{"in_progress", gateway.inProgress()}});
+    fleet.leave();
+    registration.leave();
+    gateway.leave();
+    refuseFrom = loop.now() + fromSeconds(toSeconds(settings->stopLimit) * AcceptPart);
+    stopAt = loop.now() + settings->stopLimit - StopMargin;
+    drainTimer.startRepeating(DrainPoll);
+}
+
+void EntryProcess::Private::checkDrained()
+{
+    if (loop.now() < refuseFrom)
+        return;
+    const std::vector<std::string> left = gateway.unfinished();
+    if (!left.empty() && loop.now() < stopAt)
+        return;
+    for (const std::string &it : left)
+        Log::warning("cut_off", {{"request_id", it}});
+    Log::info("stopped", {{"cut_off", left.size()}});
+    loop.stop();
+}
+
+EntryProcess::EntryProcess(std::shared_ptr<const EntrySettings> settings, EntryAdapter adapter)
+    : m_d(std::make_unique<Private>(std::move(settings), std::move(adapter)))
+{ }
+
+EntryProcess::~EntryProcess() = default;
+
+int EntryProcess::run()
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    Log::setSource(m_d->settings->name);
+    Log::setSink([this](std::string_view line) { m_d->log.write(line); });
+    m_d->listenAll();
+    for (const auto &it : m_d->servers) {
+        if (const Result<void> result = it->listen(); !result) {
+            Log::error("listen_failed", {{"detail", result.error().detail}});
+            Log::setSink({});
+            return 1;
+        }
+    }
+    if (const Result<void> result = m_d->fleet.start(); !result) {
+        Log::error("listen_failed", {{"detail", result.error().detail}});
+        Log::setSink({});
+        return 1;
+    }
+    m_d->connectSignals();
+    m_d->watch.start();
+    m_d->register_();
+    Log::info("started",
+              {{"caller_address", m_d->settings->callerAddress},
+               {"store", m_d->settings->storeAddress}});
+    m_d->loop.run();
+    Log::setSink({});
+    return 0;
+}
+
+} // namespace catkinloft
--- a/src/Net/EventLoop.cpp
+++ b/src/Net/EventLoop.cpp
@@ -2,6 +2,7 @@
 
 #include "Net/internal/Timeval.h"
 
+#include <ctime>
 #include <map>
 #include <utility>
 #include <vector>
@@ -62,7 +63,11 @@
 
 TimePoint EventLoop::now() const
 {
-    return std::chrono::steady_clock::now();
+    // CLOCK_MONOTONIC stands still while a VM is suspended. Ages that protect something, as of the
+    // proof that a key still holds, have to count that time.
+    timespec ts{};
+    clock_gettime(CLOCK_BOOTTIME, &ts);
+    return TimePoint(std::chrono::seconds(ts.tv_sec) + Duration(ts.tv_nsec));
 }
 
 WallTime EventLoop::wallNow() const
--- /dev/null
+++ b/src/Net/FleetTask.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "Base/EntrySettings.h"
+#include "Base/Error.h"
+#include "Base/Metrics.h"
+#include "Base/Settings.h"
+#include "Control/FleetView.h"
+
+#include <functional>
+#include <memory>
+
+namespace catkinloft {
+
+class ConfigInForce;
+class EventLoop;
+class HttpClient;
+class ReplicaRegistry;
+
+/// \brief The task that talks with the other routers: beats over signed datagrams, and what was
+/// read from the store over TCP at the same address, for routers that can't reach the store.
+class FleetTask
+{
+public:
+    struct Options
+    {
+        EventLoop &loop;
+        HttpClient &client;
+        Metrics &metrics;
+        const EntrySettings &settings;
+        ConfigInForce &config;
+        ReplicaRegistry &replicas;
+        std::function<bool()> isReady;
+        std::function<ReplicaCounts()> ownCounts;
+        std::function<void(const RouterBeat &)> onBeat;
+        /// Takes what a peer read: its texts, with the moments at which the reads began.
+        std::function<void(const std::string &text, TimePoint readBegan)> onConfigText;
+        std::function<void(const std::string &text, TimePoint readBegan)> onReplicasText;
+    };
+
+    explicit FleetTask(Options options);
+    ~FleetTask();
+    FleetTask(const FleetTask &) = delete;
+    FleetTask &operator=(const FleetTask &) = delete;
+
+    /// \returns an error where the peer address can not be bound.
+    Result<void> start();
+
+    /// \brief Sets the key that beats are signed with; none are sent before.
+    void setKey(const SharedKey &key);
+
+    /// \brief Tells the others that this router leaves.
+    void leave();
+
+    /// \brief Asks the peer that read the store last for what it read, if that is newer.
+    void fetchFromPeer();
+
+    FleetView &view();
+
+private:
+    struct Private;
+    std::unique_ptr<Private> m_d;
+};
+
+} // namespace catkinloft
--- a/src/Net/HttpClient.cpp
+++ b/src/Net/HttpClient.cpp
@@ -4,6 +4,7 @@
 #include "Net/Timer.h"
 #include "Net/internal/HttpConnection.h"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <strings.h>
@@ -20,6 +21,10 @@
 /// Idle connections older than this are not trusted: upstreams and middleboxes drop them silently.
 constexpr Duration MaxIdleAge = std::chrono::seconds(20);
 
+/// Part of the time granted by Keep-Alive after which a connection is not used any more. A request
+/// that crosses the upstream's close may not be sent again if it is not idempotent.
+constexpr int KeepAlivePart = 2;
+
 struct IdleConnection
 {
     std::unique_ptr<HttpConnection> connection;
@@ -52,13 +57,19 @@
         return (call.secure ? "tls " : "") + call.address;
     }
 
+    static Duration longestIdle(const HttpCall &call, const IdleConnection &it)
+    {
+        const Duration granted = it.connection->keepAlive() / KeepAlivePart;
+        return std::min({MaxIdleAge, call.maxIdleAge, granted});
+    }
+
     std::unique_ptr<HttpConnection> take(const HttpCall &call)
     {
         std::deque<IdleConnection> &list = idle[poolKey(call)];
         while (!call.freshConnection && !list.empty()) {
             IdleConnection it = std::move(list.back());
             list.pop_back();
-            if (it.connection->isReusable() && loop.now() - it.since < MaxIdleAge)
+            if (it.connection->isReusable() && loop.now() - it.since < longestIdle(call, it))
                 return std::move(it.connection);
             retire(std::move(it.connection));
         }
@@ -99,9 +110,12 @@
          HttpCallEvents events, GiveBack giveBack)
         : m_connection(std::move(connection)), m_events(std::move(events)),
           m_giveBack(std::move(giveBack)), m_progressTimeout(call.progressTimeout), m_loop(loop),
-          m_deadline(loop, [this] { timedOut(); }), m_progress(loop, [this] { checkProgress(); })
+          m_deadline(loop, [this] { timedOut(); }), m_progress(loop, [this] { checkProgress(); }),
+          m_connect(loop, [this] { checkConnected(); })
     {
         m_deadline.start(call.timeout);
+        if (call.connectTimeout > Duration::zero())
+            m_connect.start(call.connectTimeout);
         noteProgress();
         if (m_progressTimeout > Duration::zero())
             m_progress.start(m_progressTimeout);
@@ -158,6 +172,17 @@
             m_progress.start(m_progressTimeout - silence);
     }
 
+    void checkConnected()
+    {
+        if (m_connection->verdict() != Verdict::NotRun)
+            return;
+        m_connection->mute();
+        finish(Error{.reason = Reason::UpstreamUnreachable,
+                     .verdict = Verdict::NotRun,
+                     .detail = "no connection in time",
+                     .retryAfter = {}});
+    }
+
     void timedOut()
     {
         const Verdict verdict = m_connection->verdict();
@@ -172,6 +197,7 @@
     {
         m_deadline.stop();
         m_progress.stop();
+        m_connect.stop();
         m_giveBack(std::move(m_connection));
         const auto onEnd = std::exchange(m_events.onEnd, nullptr);
         if (onEnd)
@@ -187,6 +213,7 @@
     EventLoop &m_loop;
     Timer m_deadline;
     Timer m_progress;
+    Timer m_connect;
 };
 
 } // namespace
--- a/src/Net/HttpClient.h
+++ b/src/Net/HttpClient.h
@@ -24,7 +24,12 @@
     Duration timeout = std::chrono::seconds(30); ///< From now to the last byte of the answer.
     Duration progressTimeout = Duration::zero(); ///< Longest silence; zero: only `timeout`.
     std::size_t maxBodyBytes = 16 * 1024 * 1024; ///< Longest answer taken.
+    Duration connectTimeout = Duration::zero(); ///< Until the first byte leaves; zero: `timeout`.
     bool freshConnection = false; ///< Never reuses a connection, which may have gone silent.
+    /// Oldest idle connection that is reused; besides, half of what the upstream's Keep-Alive
+    /// grants is the limit.
+    Duration maxIdleAge = std::chrono::seconds(20);
+    bool takesUnframed = false; ///< An answer may state no length and end with its connection.
     bool secure = false; ///< Over TLS, to an upstream whose certificate names its address.
 };
 
--- a/src/Net/HttpServer.cpp
+++ b/src/Net/HttpServer.cpp
@@ -122,6 +122,12 @@
     return Error{.detail = fmt::format("can not listen on '{}'", m_d->options.address)};
 }
 
+void HttpServer::setIdleTimeout(Duration timeout)
+{
+    const timeval tv = internal::toTimeval(timeout);
+    evhttp_set_timeout_tv(m_d->http, &tv);
+}
+
 void HttpServer::stopAccepting()
 {
     if (m_d->bound)
--- a/src/Net/HttpServer.h
+++ b/src/Net/HttpServer.h
@@ -37,6 +37,9 @@
     /// \returns an error where the address can not be bound.
     Result<void> listen();
 
+    /// \brief Changes the longest silence on connections that are accepted from now on.
+    void setIdleTimeout(Duration timeout);
+
     /// \brief Accepts no more connections; open ones go on.
     void stopAccepting();
 
--- /dev/null
+++ b/src/Net/LogWriter.cpp
@@ -0,0 +1,66 @@
+#include "Net/LogWriter.h"
+
+#include "Net/EventLoop.h"
+
+#include <algorithm>
+#include <climits>
+#include <utility>
+
+#include <fmt/format.h>
+#include <poll.h>
+#include <unistd.h>
+
+namespace catkinloft {
+
+LogWriter::LogWriter(Options options)
+    : m_options(std::move(options)), m_timer(m_options.loop, [this] {
+          m_scheduled = false;
+          flush();
+      })
+{ }
+
+LogWriter::~LogWriter()
+{
+    flush();
+}
+
+void LogWriter::write(std::string_view line)
+{
+    if (m_buffer.size() + line.size() > m_options.capacity) {
+        ++m_dropped;
+    } else {
+        m_buffer += line;
+    }
+    if (!std::exchange(m_scheduled, true))
+        m_timer.start(m_options.interval);
+}
+
+bool LogWriter::hasRoomBelow() const
+{
+    pollfd it{.fd = m_options.fd, .events = POLLOUT, .revents = 0};
+    return poll(&it, 1, 0) == 1 && (it.revents & POLLOUT) != 0;
+}
+
+void LogWriter::flush()
+{
+    std::size_t done = 0;
+    // A pipe that is writable takes PIPE_BUF bytes without blocking.
+    while (done < m_buffer.size() && hasRoomBelow()) {
+        const std::size_t n = std::min<std::size_t>(PIPE_BUF, m_buffer.size() - done);
+        const ssize_t written = ::write(m_options.fd, m_buffer.data() + done, n);
+        if (written <= 0)
+            break;
+        done += static_cast<std::size_t>(written);
+    }
+    m_buffer.erase(0, done);
+    if (m_buffer.empty() && m_dropped > m_reported) {
+        m_buffer = fmt::format(R"({{"level":"warning","event":"log_lines_dropped","total":{}}})"
+                               "\n",
+                               m_dropped);
+        m_reported = m_dropped;
+    }
+    if (!m_buffer.empty() && !std::exchange(m_scheduled, true))
+        m_timer.start(m_options.interval);
+}
+
+} // namespace catkinloft
--- /dev/null
+++ b/src/Net/ServicePools.cpp
@@ -0,0 +1,71 @@
+#include "Net/ServicePools.h"
+
+namespace catkinloft {
+
+namespace {
+
+std::vector<ReplicaRecord> ofService(std::span<const ReplicaRecord> all, const std::string &service)
+{
+    std::vector<ReplicaRecord> out;
+    for (const ReplicaRecord &it : all) {
+        if (it.service == service)
+            out.push_back(it);
+    }
+    return out;
+}
+
+} // namespace
+
+ServicePools::ServicePools(const Clock &clock, RandomSource random, const EntrySettings &settings)
+    : m_clock(clock), m_random(std::move(random)), m_settings(settings)
+{ }
+
+void ServicePools::setServices(const RouteConfig &config)
+{
+    for (const ServiceConfig &it : config.services) {
+        m_isEngine[it.name] = it.isEngine;
+        of(it.name);
+    }
+}
+
+void ServicePools::setReplicas(std::span<const ReplicaRecord> replicas)
+{
+    m_replicas.assign(replicas.begin(), replicas.end());
+    for (const auto &[service, pool] : m_pools)
+        pool->replicas.setReplicas(ofService(m_replicas, service));
+}
+
+void ServicePools::setCounts(const std::string &router, const ReplicaCounts &counts,
+                             TimePoint heard)
+{
+    for (const auto &[service, pool] : m_pools)
+        pool->replicas.setCounts(router, counts, heard);
+}
+
+ServicePool &ServicePools::of(const std::string &service)
+{
+    std::unique_ptr<ServicePool> &pool = m_pools[service];
+    if (!pool) {
+        pool = std::make_unique<ServicePool>(
+                ServicePool{.replicas = ReplicaPool({.clock = m_clock,
+                                                     .random = m_random,
+                                                     .failureDomain = m_settings.failureDomain,
+                                                     .isEngine = m_isEngine[service]}),
+                            .repeats = RepeatBudget({.clock = m_clock,
+                                                     .share = m_settings.repeatShare,
+                                                     .slack = m_settings.repeatSlack,
+                                                     .window = m_settings.repeatWindow})});
+        pool->replicas.setReplicas(ofService(m_replicas, service));
+    }
+    return *pool;
+}
+
+ReplicaCounts ServicePools::ownCounts() const
+{
+    ReplicaCounts out;
+    for (const auto &[service, pool] : m_pools)
+        out.merge(pool->replicas.ownCounts());
+    return out;
+}
+
+} // namespace catkinloft
--- /dev/null
+++ b/src/Net/ServicePools.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "Base/EntrySettings.h"
+#include "Base/Random.h"
+#include "Base/RouteConfig.h"
+#include "Decide/RepeatBudget.h"
+#include "Decide/ReplicaPool.h"
+
+#include <map>
+#include <memory>
+#include <span>
+#include <string>
+
+namespace catkinloft {
+
+/// \brief Placement and repeat budget of one service.
+struct ServicePool
+{
+    ReplicaPool replicas;
+    RepeatBudget repeats;
+};
+
+/// \brief The pools of all services; one that is named once stays, so that calls may point at it.
+class ServicePools
+{
+public:
+    ServicePools(const Clock &clock, RandomSource random, const EntrySettings &settings);
+
+    /// \brief Takes over which services run models.
+    void setServices(const RouteConfig &config);
+
+    void setReplicas(std::span<const ReplicaRecord> replicas);
+    void setCounts(const std::string &router, const ReplicaCounts &counts, TimePoint heard);
+
+    ServicePool &of(const std::string &service);
+
+    /// \returns what this router has in progress on all replicas.
+    ReplicaCounts ownCounts() const;
+
+private:
+    const Clock &m_clock;
+    RandomSource m_random;
+    const EntrySettings &m_settings;
+    std::map<std::string, bool> m_isEngine;
+    std::vector<ReplicaRecord> m_replicas;
+    std::map<std::string, std::unique_ptr<ServicePool>> m_pools;
+};
+
+} // namespace catkinloft
--- /dev/null
+++ b/src/Net/StoreWatch.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "Base/FleetStore.h"
+#include "Base/Metrics.h"
+#include "Base/Random.h"
+#include "Control/ConfigInForce.h"
+#include "Control/ReplicaRegistry.h"
+#include "Net/Timer.h"
+
+#include <functional>
+
+namespace catkinloft {
+
+class EventLoop;
+
+/// \brief The task that keeps configuration and replicas up to date from the store, and asks a peer
+/// while the store can't be reached.
+class StoreWatch
+{
+public:
+    struct Options
+    {
+        EventLoop &loop;
+        FleetStore &store;
+        ConfigInForce &config;
+        ReplicaRegistry &replicas;
+        Metrics &metrics;
+        RandomSource random;
+        std::function<void()> askPeer; ///< Own reads are overdue.
+    };
+
+    explicit StoreWatch(Options options);
+
+    void start();
+
+    /// \brief Takes over what a peer read.
+    void takeConfigText(const std::string &text, TimePoint readBegan);
+    void takeReplicasText(const std::string &text, TimePoint readBegan);
+
+private:
+    void watchConfig();
+    void configRead(const Result<ConfigRead> &read, TimePoint began);
+    void readReplicas();
+    void replicasRead(const Result<ReplicaSnapshot> &read, TimePoint began);
+    void checkOverdue();
+    void noteResult(bool &failing, const char *what, const Error *error);
+
+    Options m_options;
+    std::uint64_t m_storeVersion = 0; ///< Of the last read of the configuration; 0: none.
+    bool m_configFailing = false;
+    bool m_replicasFailing = false;
+    Timer m_configTimer;
+    Timer m_replicasTimer;
+    Timer m_overdueTimer;
+};
+
+} // namespace catkinloft
--- a/src/Net/internal/HttpConnection.cpp
+++ b/src/Net/internal/HttpConnection.cpp
@@ -57,6 +57,22 @@
     return n;
 }
 
+/// \returns the `timeout` of a Keep-Alive header, if it states one.
+std::optional<Duration> keepAliveOf(const HttpHead &head)
+{
+    constexpr std::string_view Parameter = "timeout=";
+    std::string_view text = head.header("Keep-Alive");
+    const std::size_t at = text.find(Parameter);
+    if (at == std::string_view::npos)
+        return std::nullopt;
+    text.remove_prefix(at + Parameter.size());
+    int seconds = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), seconds);
+    if (ec != std::errc() || seconds < 0)
+        return std::nullopt;
+    return std::chrono::seconds(seconds);
+}
+
 bool hasNoBody(int status)
 {
     return status == 204 || status == 304 || (status >= 100 && status < 200);
@@ -121,6 +137,7 @@
     m_bytesReceived = 0;
     m_delimited = false;
     m_headOnly = call.method == "HEAD";
+    m_takesUnframed = call.takesUnframed;
     m_length.reset();
     m_errorCode = -1;
     evhttp_connection_set_max_body_size(m_connection, static_cast<ev_ssize_t>(call.maxBodyBytes));
@@ -147,9 +164,10 @@
         static_cast<HttpConnection *>(arg)->m_errorCode = error;
     });
     evkeyvalq *out = evhttp_request_get_output_headers(m_request);
-    evhttp_add_header(out, "Host", call.address.c_str());
     for (const auto &[name, value] : call.headers)
         evhttp_add_header(out, name.c_str(), value.c_str());
+    if (!evhttp_find_header(out, "Host"))
+        evhttp_add_header(out, "Host", call.address.c_str());
     evbuffer_add(evhttp_request_get_output_buffer(m_request), call.body.data(), call.body.size());
     if (evhttp_make_request(m_connection, m_request, commandOf(call.method), call.target.c_str())
         != 0) {
@@ -160,6 +178,12 @@
     }
 }
 
+bool HttpConnection::isReusable() const
+{
+    bufferevent *bev = evhttp_connection_get_bufferevent(m_connection);
+    return m_reusable && !m_request && evbuffer_get_length(bufferevent_get_input(bev)) == 0;
+}
+
 void HttpConnection::mute()
 {
     m_events = {};
@@ -184,6 +208,7 @@
     if (!head.header("Connection").empty()
         && strcasecmp(std::string(head.header("Connection")).c_str(), "close") == 0)
         self->m_reusable = false;
+    self->m_keepAlive = keepAliveOf(head).value_or(self->m_keepAlive);
     if (self->m_events.onHead)
         self->m_events.onHead(head);
 }
@@ -217,8 +242,9 @@
         if (m_events.onData)
             m_events.onData({reinterpret_cast<const char *>(evbuffer_pullup(rest, -1)), n});
     }
-    if (!m_delimited) {
-        m_reusable = false;
+    if (!m_delimited)
+        m_reusable = false; // It ended with its connection.
+    if (!m_delimited && !m_takesUnframed) {
         fail(Reason::UpstreamBroken, "the answer does not say where it ends");
     } else if (m_length && !m_headOnly && m_bytesReceived != *m_length) {
         m_reusable = false;
--- a/src/Net/internal/HttpConnection.h
+++ b/src/Net/internal/HttpConnection.h
@@ -44,7 +44,13 @@
     /// \returns what is known of the request in progress: NotRun until its first byte has left.
     Verdict verdict() const { return m_bytesSent == 0 ? Verdict::NotRun : Verdict::MayHaveRun; }
 
-    bool isReusable() const { return m_reusable && !m_request; }
+    /// \returns whether another request may be sent on it. Bytes that nobody asked for make an
+    /// idle connection unusable: they would be taken for the next answer.
+    bool isReusable() const;
+
+    /// \returns how long the upstream keeps the connection open while it is idle, as its last
+    /// answer stated; a long time where it did not say.
+    Duration keepAlive() const { return m_keepAlive; }
 
 private:
     HttpConnection(EventLoop &loop, const std::string &address, bufferevent *stream);
@@ -64,6 +70,8 @@
     std::size_t m_bytesReceived = 0;
     bool m_delimited = false; ///< The answer states its length or ends with a last chunk.
     bool m_headOnly = false;
+    bool m_takesUnframed = false;
+    Duration m_keepAlive = std::chrono::hours(1);
     std::optional<std::size_t> m_length; ///< Of the answer's body, where it states one.
     int m_errorCode = -1;
     bool m_reusable = true;
--- a/src/Net/internal/HttpTableService.cpp
+++ b/src/Net/internal/HttpTableService.cpp
@@ -1,14 +1,11 @@
+#include "Base/Json.h"
 #include "Net/HttpClient.h"
 #include "Net/PlatformAdapters.h"
-#include "Net/internal/Json.h"
 
 #include <fmt/format.h>
 
 namespace catkinloft {
 
-using internal::parseJsonObject;
-using internal::printJson;
-
 namespace {
 
 Error storeError(int status, Verdict verdict)
--- a/src/Net/internal/HttpVmList.cpp
+++ b/src/Net/internal/HttpVmList.cpp
@@ -1,6 +1,6 @@
+#include "Base/Json.h"
 #include "Net/HttpClient.h"
 #include "Net/PlatformAdapters.h"
-#include "Net/internal/Json.h"
 
 #include <fmt/format.h>
 
@@ -45,7 +45,7 @@
         if (answer.head.status != 200)
             return Error{.reason = Reason::StoreDown,
                          .detail = fmt::format("the VM list answered {}", answer.head.status)};
-        const Result<Json::Value> root = internal::parseJsonObject(answer.body);
+        const Result<Json::Value> root = parseJsonObject(answer.body);
         if (!root)
             return root.error();
         std::vector<VmEntry> out;
--- /dev/null
+++ b/src/Request/EntryRequest.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "Base/RouteConfig.h"
+#include "Request/RouteTable.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace catkinloft {
+
+/// \brief One part of a prompt that requests may share.
+struct PromptPart
+{
+    std::uint64_t id = 0;
+    double tokens = 0;
+};
+
+/// \brief What a caller says about its request, decoded from the headers.
+struct CallFacts
+{
+    std::string id = {}; ///< Of this attempt of the caller.
+    std::string key = {}; ///< API key of a workspace; empty: none shown.
+    std::optional<Duration> patience = {}; ///< How long the caller waits, from when it sent it.
+    std::optional<std::int64_t> lastEventId = {}; ///< The stream goes on behind this event.
+    std::vector<PromptPart> prompt = {}; ///< In order; the last part is the request's own.
+    double promptTokens = 0;
+    double maxOutputTokens = 0;
+};
+
+/// \brief A request on its way through the filters of an entry VM.
+struct EntryRequest
+{
+    std::string method = {};
+    std::string target = {}; ///< Path and query as received.
+    std::string path = {};
+    std::string host = {}; ///< Host header as received.
+    std::vector<std::pair<std::string, std::string>> headers = {};
+    CallFacts facts = {};
+    TimePoint arrivedAt = {};
+    std::shared_ptr<const RouteTable> routes = {}; ///< Keeps route and workspace alive.
+    const Route *route = nullptr;
+    const WorkspaceConfig *workspace = nullptr; ///< Null for a route that needs no key.
+
+    /// \returns when the caller or the operator no longer wants an answer.
+    TimePoint deadline() const
+    {
+        const Duration limit = route->timeout;
+        return arrivedAt + (facts.patience ? std::min(*facts.patience, limit) : limit);
+    }
+
+    /// \returns the key by which requests that share their prompt meet at one replica: the last
+    /// part but the request's own; 0 where nothing is shared.
+    std::uint64_t promptKey() const
+    {
+        if (!route->usesPromptCache || facts.prompt.empty())
+            return 0;
+        const std::size_t n = facts.prompt.size();
+        return facts.prompt[n > 1 ? n - 2 : 0].id;
+    }
+};
+
+} // namespace catkinloft
--- /dev/null
+++ b/src/Request/RequestFraming.cpp
@@ -0,0 +1,92 @@
+#include "Request/RequestFraming.h"
+
+#include <algorithm>
+#include <cctype>
+#include <strings.h>
+
+namespace catkinloft {
+
+namespace {
+
+bool isNamed(const std::string &header, const char *name)
+{
+    return strcasecmp(header.c_str(), name) == 0;
+}
+
+bool isDecimal(std::string_view text)
+{
+    return !text.empty() && text.size() <= 18
+            && std::all_of(text.begin(), text.end(),
+                           [](unsigned char c) { return std::isdigit(c) != 0; });
+}
+
+/// evhttp reads no body of these; what follows the headers would be taken for the next request.
+bool hasUnreadBody(std::string_view method)
+{
+    return method != "POST" && method != "PUT" && method != "PATCH";
+}
+
+bool isPath(std::string_view target)
+{
+    return target.starts_with('/')
+            && std::none_of(target.begin(), target.end(),
+                            [](unsigned char c) { return c <= 0x20 || c == 0x7f; });
+}
+
+} // namespace
+
+std::string_view framingFaultName(FramingFault fault)
+{
+    switch (fault) {
+    case FramingFault::None:
+        return "none";
+    case FramingFault::LengthAndChunked:
+        return "length_and_chunked";
+    case FramingFault::RepeatedLength:
+        return "repeated_length";
+    case FramingFault::BadLength:
+        return "bad_length";
+    case FramingFault::UnknownCoding:
+        return "unknown_coding";
+    case FramingFault::UnreadBody:
+        return "unread_body";
+    case FramingFault::BadTarget:
+        return "bad_target";
+    }
+    return "none";
+}
+
+FramingFault framingFault(std::string_view method, std::string_view target,
+                          std::span<const std::pair<std::string, std::string>> headers)
+{
+    if (!isPath(target))
+        return FramingFault::BadTarget;
+    int lengths = 0;
+    int codings = 0;
+    std::string_view length;
+    for (const auto &[name, value] : headers) {
+        if (isNamed(name, "Content-Length")) {
+            ++lengths;
+            length = value;
+        } else if (isNamed(name, "Transfer-Encoding")) {
+            ++codings;
+            if (strcasecmp(value.c_str(), "chunked") != 0)
+                return FramingFault::UnknownCoding;
+        }
+    }
+    if (lengths > 0 && codings > 0)
+        return FramingFault::LengthAndChunked;
+    if (lengths > 1)
+        return FramingFault::RepeatedLength;
+    if (codings > 1)
+        return FramingFault::UnknownCoding;
+    if (lengths == 1 && !isDecimal(length))
+        return FramingFault::BadLength;
+    const bool hasBody =
+            codings > 0 || (lengths == 1 && length.find_first_not_of('0') != length.npos);
+    if (hasBody && hasUnreadBody(method))
+        return FramingFault::UnreadBody;
+    return FramingFault::None;
+}
+
+} // namespace catkinloft
--- a/src/Request/SseReader.h
+++ b/src/Request/SseReader.h
@@ -28,6 +28,9 @@
     /// \returns false where an event is longer than any token can be.
     bool feed(std::string_view data, const Receiver &receive);
 
+    /// \returns whether part of an event is waiting for its rest.
+    bool hasPartialEvent() const { return !m_rest.empty(); }
+
     /// \brief Drops the part of an event that a broken connection left.
     void reset() { m_rest.clear(); }
 
--- a/standin/ExecutionRecord.cpp
+++ b/standin/ExecutionRecord.cpp
@@ -1,6 +1,6 @@
 #include "ExecutionRecord.h"
 
-#include "Net/internal/Json.h"
+#include "Base/Json.h"
 
 namespace catkinloft::standin {
 
@@ -14,7 +14,7 @@
 {
     // Flushed each time, since the process may be killed at any moment.
     if (m_out.is_open())
-        m_out << internal::printJson(execution) + "\n" << std::flush;
+        m_out << printJson(execution) + "\n" << std::flush;
 }
 
 } // namespace catkinloft::standin
--- a/standin/PlatformStandin.cpp
+++ b/standin/PlatformStandin.cpp
@@ -1,6 +1,6 @@
 #include "PlatformStandin.h"
 
-#include "Net/internal/Json.h"
+#include "Base/Json.h"
 
 namespace catkinloft::standin {
 
@@ -13,7 +13,7 @@
 {
     return {.status = status,
             .headers = {{"Content-Type", "application/json"}},
-            .body = internal::printJson(value) + "\n"};
+            .body = printJson(value) + "\n"};
 }
 
 void PlatformStandin::handle(const HttpExchangePtr &exchange)
--- a/standin/ServiceStandin.cpp
+++ b/standin/ServiceStandin.cpp
@@ -1,6 +1,6 @@
 #include "ServiceStandin.h"
 
-#include "Net/internal/Json.h"
+#include "Base/Json.h"
 
 namespace catkinloft::standin {
 
@@ -49,11 +49,11 @@
     const HttpHeaders headers{{"Content-Type", "application/json"},
                               {"X-Request-Id", std::string(exchange->header("X-Request-Id"))}};
     if (m_options.serviceTime <= Duration::zero()) {
-        exchange->respond(200, headers, internal::printJson(record));
+        exchange->respond(200, headers, printJson(record));
         return;
     }
     m_options.loop.after(m_options.serviceTime, [exchange, headers, record] {
-        exchange->respond(200, headers, internal::printJson(record));
+        exchange->respond(200, headers, printJson(record));
     });
 }
 
--- a/standin/Standin.cpp
+++ b/standin/Standin.cpp
@@ -1,19 +1,18 @@
 #include "Standin.h"
 
-#include "Net/internal/Json.h"
+#include "Base/Json.h"
 
 namespace catkinloft::standin {
 
 Json::Value bodyObject(const HttpExchange &exchange)
 {
-    const Result<Json::Value> parsed = internal::parseJsonObject(exchange.body());
+    const Result<Json::Value> parsed = parseJsonObject(exchange.body());
     return parsed ? parsed.value() : Json::Value(Json::objectValue);
 }
 
 void respondJson(HttpExchange &exchange, int status, const Json::Value &value)
 {
-    exchange.respond(status, {{"Content-Type", "application/json"}},
-                     internal::printJson(value) + "\n");
+    exchange.respond(status, {{"Content-Type", "application/json"}}, printJson(value) + "\n");
 }
 
 void respondNotFound(HttpExchange &exchange)
