Three routers read the store for the others; addresses by the strength of VMs

Change: the strongest three that reach the store read it; the others ask one of them every 600 ms and take over its proof only from an answer to their own ask, since a datagram may have waited while the VM was suspended. What changed is fetched over TCP. A router that hears nothing reads the store itself. An address answer names a VM with the chance that its processor share is of the largest.

--- a/src/Base/EntrySettings.cpp
+++ b/src/Base/EntrySettings.cpp
@@ -63,6 +63,7 @@
     out->name = root.text("name");
     out->failureDomain = root.text("failure_domain");
     readAddresses(root, *out);
+    out->processorShare = root.number("processor_share", 0.01, 1024, "cores", out->processorShare);
     readKeyProof(root.section("key_proof"), *out);
     readRepeats(root.section("repeats"), *out);
     readLimits(root.section("limits"), *out);
--- a/src/Base/EntrySettings.h
+++ b/src/Base/EntrySettings.h
@@ -16,12 +16,15 @@
     std::string name = {}; ///< Unique among the routers alive at one time.
     std::string failureDomain = {};
     std::string callerAddress = {}; ///< `ip:port` that callers connect to.
-    std::string readinessAddress = {}; ///< `ip:port` at which the platform asks whether it is ready.
+    std::string readinessAddress =
+            {}; ///< `ip:port` at which the platform asks whether it is ready.
     std::string directoryAddress = {}; ///< `ip:port` at which callers ask for addresses.
     std::string peerAddress = {}; ///< `ip:port` for routers, TCP and UDP.
     std::string metricsAddress = {}; ///< `ip:port` of counters and histograms; empty: not served.
     std::string storeAddress = {}; ///< `ip:port` of the platform's store.
 
+    double processorShare = 1; ///< Cores that this VM has; callers are shared out by it.
+
     /// Without a proof this young that no newer configuration exists, no key is honoured: one that
     /// was taken away may be used no longer than that.
     Duration keyProofLimit = std::chrono::seconds(5);
--- a/src/Control/EntryDirectory.cpp
+++ b/src/Control/EntryDirectory.cpp
@@ -1,24 +1,53 @@
 #include "Control/EntryDirectory.h"
 
+#include <algorithm>
+
 namespace catkinloft {
 
-std::vector<std::string> EntryDirectory::addresses() const
+namespace {
+
+/// Fewer addresses leave a caller without a choice when one has just stopped.
+constexpr std::size_t MinAddresses = 3;
+
+} // namespace
+
+std::vector<std::string> EntryDirectory::addresses(std::size_t most) const
 {
-    std::vector<std::string> ready;
-    std::vector<std::string> running;
+    std::vector<Entry> ready;
+    std::vector<Entry> running;
     if (!m_options.isLeaving()) {
-        running.push_back(m_options.settings.callerAddress);
+        const EntrySettings &self = m_options.settings;
+        running.push_back({self.callerAddress, self.processorShare});
         if (m_options.isReady())
-            ready.push_back(m_options.settings.callerAddress);
+            ready.push_back(running.back());
     }
     for (const FleetView::Peer *it : m_options.fleet.live()) {
         if (it->beat.leaving)
             continue;
-        running.push_back(it->beat.callerAddress);
+        running.push_back({it->beat.callerAddress, it->beat.processorShare});
         if (it->beat.ready)
-            ready.push_back(it->beat.callerAddress);
+            ready.push_back(running.back());
+    }
+    return sample(ready.empty() ? std::move(running) : std::move(ready), most);
+}
+
+std::vector<std::string> EntryDirectory::sample(std::vector<Entry> all, std::size_t most) const
+{
+    double largest = 0;
+    for (const Entry &it : all)
+        largest = std::max(largest, it.processorShare);
+    for (std::size_t i = all.size(); i > 1; --i)
+        std::swap(all[i - 1], all[below(m_options.random, i)]);
+    std::vector<std::string> out;
+    std::vector<std::string> rest;
+    for (const Entry &it : all) {
+        const bool named = uniform(m_options.random) * largest < it.processorShare;
+        (named ? out : rest).push_back(it.address);
     }
-    return ready.empty() ? running : ready;
+    for (std::size_t i = 0; i < rest.size() && out.size() < MinAddresses; ++i)
+        out.push_back(rest[i]);
+    out.resize(std::min(out.size(), most));
+    return out;
 }
 
 } // namespace catkinloft
--- a/src/Control/FleetView.cpp
+++ b/src/Control/FleetView.cpp
@@ -1,11 +1,21 @@
 #include "Control/FleetView.h"
 
+#include "Base/Hash.h"
 #include "Base/Log.h"
 
 #include <algorithm>
 
 namespace catkinloft {
 
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A reader's own proof is up to a second old; one that is older has missed several reads.
+constexpr Duration MaxReaderProofAge = 2500ms;
+
+} // namespace
+
 bool FleetView::receive(const RouterBeat &beat)
 {
     if (beat.name == m_options.self)
@@ -86,6 +96,34 @@
             std::max<std::size_t>(static_cast<std::size_t>(heard), m_addresses.size()) + 1);
 }
 
+std::vector<std::string> FleetView::readers(const RouterBeat &self) const
+{
+    std::vector<const RouterBeat *> able;
+    const auto add = [&](const RouterBeat &it) {
+        if (!it.leaving && it.proofAge <= MaxReaderProofAge)
+            able.push_back(&it);
+    };
+    add(self);
+    for (const Peer *it : live())
+        add(it->beat);
+    const auto rank = [](const RouterBeat *it) {
+        return std::pair(-it->processorShare, hash64(it->name));
+    };
+    std::sort(able.begin(), able.end(),
+              [&](const RouterBeat *a, const RouterBeat *b) { return rank(a) < rank(b); });
+    able.resize(std::min(able.size(), ReaderCount));
+    std::vector<std::string> out;
+    for (const RouterBeat *it : able)
+        out.push_back(it->name);
+    return out;
+}
+
+const FleetView::Peer *FleetView::find(const std::string &name) const
+{
+    const auto it = m_peers.find(name);
+    return it != m_peers.end() && isLive(it->second) ? &it->second : nullptr;
+}
+
 const FleetView::Peer *FleetView::freshest(Duration maxAge) const
 {
     const Peer *best = nullptr;
--- a/src/Control/FleetView.h
+++ b/src/Control/FleetView.h
@@ -35,6 +35,8 @@
         TimePoint heardAt;
     };
 
+    static constexpr std::size_t ReaderCount = 3;
+
     explicit FleetView(Options options) : m_options(std::move(options)) { }
 
     /// \brief Takes over \a beat.
@@ -57,6 +59,19 @@
     /// silent count for a while, since they may be cut off and serving.
     int sharers() const;
 
+    /// \brief Decides which routers read the store for the others.
+    ///
+    /// Load: 73 routers and 144 replicas. Harm prevented: reads of the store cost as much as a
+    /// small request each, and one a second from every router is a twentieth of all that is earned.
+    /// Three read, so that one may stop and another be cut off; they are the same for all who hear
+    /// the same routers, and the strongest VMs. Disagreement costs some reads more. \param self
+    /// what this router tells of itself. \returns names, at most ReaderCount; a router that can't
+    /// reach the store is not among them.
+    std::vector<std::string> readers(const RouterBeat &self) const;
+
+    /// \returns the peer named \a name if it is live.
+    const Peer *find(const std::string &name) const;
+
     /// \returns a live router whose view of the store is younger than \a maxAge, the youngest first
     /// by revision, then by age; null where there is none.
     const Peer *freshest(Duration maxAge) const;
--- a/src/Control/ReplicaRegistry.cpp
+++ b/src/Control/ReplicaRegistry.cpp
@@ -1,5 +1,6 @@
 #include "Control/ReplicaRegistry.h"
 
+#include "Base/Hash.h"
 #include "Base/Log.h"
 
 #include <algorithm>
@@ -15,6 +16,17 @@
     return it == list.end() ? nullptr : &*it;
 }
 
+std::uint64_t hashOf(const std::vector<ReplicaRecord> &list)
+{
+    std::uint64_t out = 1;
+    for (const ReplicaRecord &it : list) {
+        out = hashCombine(out, hash64(it.id));
+        out = hashCombine(out, hash64(it.address));
+        out = hashCombine(out, it.draining ? 1 : 0);
+    }
+    return out;
+}
+
 } // namespace
 
 void ReplicaRegistry::apply(const ReplicaSnapshot &snapshot, TimePoint readBegan)
@@ -23,7 +35,17 @@
     if (snapshot.storeVersion < m_storeVersion)
         return;
     noteOutage(readBegan);
-    std::vector<ReplicaRecord> next = snapshot.replicas;
+    m_registered = snapshot.replicas;
+    m_storeVersion = snapshot.storeVersion;
+    m_hash = hashOf(snapshot.replicas);
+    m_sourceText = snapshot.sourceText;
+    m_readAt = std::max(m_readAt, readBegan);
+    update();
+}
+
+void ReplicaRegistry::update()
+{
+    std::vector<ReplicaRecord> next = m_registered;
     for (ReplicaRecord &it : next) {
         if (it.draining)
             m_drained.insert(it.id);
@@ -36,17 +58,26 @@
                 next.push_back(it);
         }
     }
-    m_storeVersion = snapshot.storeVersion;
-    m_sourceText = snapshot.sourceText;
-    m_readAt = std::max(m_readAt, readBegan);
     if (!differ(m_replicas, next))
         return;
     logChanges(next);
     m_replicas = std::move(next);
-    std::erase_if(m_drained, [this](const std::string &id) { return !findRecord(m_replicas, id); });
+    std::erase_if(m_drained,
+                  [this](const std::string &id) { return !findRecord(m_replicas, id); });
     m_changed.emit();
 }
 
+bool ReplicaRegistry::confirm(std::uint64_t hash, std::uint64_t storeVersion, TimePoint readBegan)
+{
+    if (hash != m_hash || hash == 0)
+        return false;
+    noteOutage(readBegan);
+    m_storeVersion = std::max(m_storeVersion, storeVersion);
+    m_readAt = std::max(m_readAt, readBegan);
+    update(); // The time for which missing ones are kept may be over.
+    return true;
+}
+
 void ReplicaRegistry::noteOutage(TimePoint readBegan)
 {
     if (m_readAt == TimePoint::min() || readBegan - m_readAt <= m_options.outageAfter)
--- a/src/Control/ReplicaRegistry.h
+++ b/src/Control/ReplicaRegistry.h
@@ -33,6 +33,13 @@
     /// \brief Takes over \a snapshot, read by a call that began at \a readBegan.
     void apply(const ReplicaSnapshot &snapshot, TimePoint readBegan);
 
+    /// \brief Notes that at \a readBegan the store held the replicas with hash() \a hash, when it
+    /// had version \a storeVersion. \returns false where this registry has others.
+    bool confirm(std::uint64_t hash, std::uint64_t storeVersion, TimePoint readBegan);
+
+    /// \returns a hash of the last snapshot, the same on all routers; 0 before the first.
+    std::uint64_t hash() const { return m_hash; }
+
     /// \returns the replicas of all services, draining ones included.
     const std::vector<ReplicaRecord> &replicas() const { return m_replicas; }
 
@@ -47,13 +54,16 @@
 
 private:
     void noteOutage(TimePoint readBegan);
+    void update();
     static bool differ(const std::vector<ReplicaRecord> &a, const std::vector<ReplicaRecord> &b);
     void logChanges(const std::vector<ReplicaRecord> &next) const;
 
     Options m_options;
-    std::vector<ReplicaRecord> m_replicas;
+    std::vector<ReplicaRecord> m_registered; ///< As in the newest snapshot.
+    std::vector<ReplicaRecord> m_replicas; ///< With those that an outage may have cost their lease.
     std::set<std::string> m_drained; ///< Ids that said that they leave; they never take it back.
     std::uint64_t m_storeVersion = 0;
+    std::uint64_t m_hash = 0;
     std::string m_sourceText;
     TimePoint m_readAt = TimePoint::min();
     TimePoint m_keepMissingUntil = TimePoint::min();
--- a/src/Control/RouterBeat.cpp
+++ b/src/Control/RouterBeat.cpp
@@ -32,11 +32,16 @@
                    .callerAddress = root["c"].asString(),
                    .peerAddress = root["p"].asString(),
                    .failureDomain = root["d"].asString(),
+                   .processorShare = root["w"].asDouble(),
                    .ready = root["r"].asBool(),
                    .leaving = root["l"].asBool(),
                    .revision = root["v"].asUInt64(),
                    .proofAge = ageOf(root["a"]),
-                   .replicasAge = ageOf(root["s"])};
+                   .replicasAge = ageOf(root["s"]),
+                   .replicasHash = root["h"].asUInt64(),
+                   .replicasVersion = root["hv"].asUInt64(),
+                   .ask = root["k"].asUInt64(),
+                   .echo = root["e"].asUInt64()};
     const Json::Value &counts = root["i"];
     for (auto it = counts.begin(); it != counts.end(); ++it)
         out.counts.emplace(it.name(), it->asInt());
@@ -73,6 +78,13 @@
     root["v"] = static_cast<Json::UInt64>(beat.revision);
     root["a"] = ageToJson(beat.proofAge);
     root["s"] = ageToJson(beat.replicasAge);
+    root["w"] = beat.processorShare;
+    root["h"] = static_cast<Json::UInt64>(beat.replicasHash);
+    root["hv"] = static_cast<Json::UInt64>(beat.replicasVersion);
+    if (beat.ask != 0)
+        root["k"] = static_cast<Json::UInt64>(beat.ask);
+    if (beat.echo != 0)
+        root["e"] = static_cast<Json::UInt64>(beat.echo);
     for (const auto &[id, n] : beat.counts)
         root["i"][id] = n;
     for (const auto &[id, parts] : beat.prompts) {
--- a/src/Control/RouterBeat.h
+++ b/src/Control/RouterBeat.h
@@ -21,11 +21,16 @@
     std::string callerAddress = {}; ///< `ip:port` that callers connect to.
     std::string peerAddress = {}; ///< `ip:port` for routers, TCP and UDP.
     std::string failureDomain = {};
+    double processorShare = 1; ///< Cores of the sender's VM.
     bool ready = false; ///< May be named to callers.
     bool leaving = false; ///< Stops soon.
     std::uint64_t revision = 0; ///< Of the configuration in force.
     Duration proofAge = Duration::max(); ///< Since it was certain that this is the newest.
     Duration replicasAge = Duration::max(); ///< Since the replicas were read from the store.
+    std::uint64_t replicasHash = 0; ///< Of the replicas that the sender knows; 0: none.
+    std::uint64_t replicasVersion = 0; ///< Of the store when they were read.
+    std::uint64_t ask = 0; ///< Other than 0: the receiver answers at once with this as `echo`.
+    std::uint64_t echo = 0; ///< Of the ask that this answers: it was sent after that came in.
     ReplicaCounts counts = {}; ///< Requests of the sender in progress.
     /// Parts of prompts that the sender has sent to replicas since its last beat, by replica id.
     std::map<std::string, std::vector<std::uint64_t>, std::less<>> prompts = {};
--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -48,6 +48,7 @@
     void connectSignals();
     void register_();
     void applyConfig(const RouteConfigPtr &config);
+    void tellNews();
     bool isReady() const;
     void answerMetrics(const HttpExchangePtr &exchange);
     void drain();
@@ -104,8 +105,6 @@
                          pools.setCounts(it.name, it.counts, loop.now());
                          for (const auto &[replica, parts] : it.prompts)
                              pools.notePrompts(replica, parts);
-                         if (it.revision > config.revision())
-                             fleet.fetchFromPeer();
                      },
              .onConfigText = [this](const std::string &text,
                                     TimePoint began) { watch.takeConfigText(text, began); },
@@ -117,7 +116,8 @@
              .replicas = replicas,
              .metrics = metrics,
              .random = random,
-             .askPeer = [this] { fleet.fetchFromPeer(); }}),
+             .askPeer = [this] { fleet.fetchFromPeer(); },
+             .isReader = [this] { return fleet.isReader(); }}),
       registration({.table = *table,
                     .random = random,
                     .name = settings->name,
@@ -130,7 +130,8 @@
       directory({.settings = *settings,
                  .fleet = fleet.view(),
                  .isReady = [this] { return isReady(); },
-                 .isLeaving = [this] { return draining; }}),
+                 .isLeaving = [this] { return draining; },
+                 .random = random}),
       gateway({.loop = loop,
                .client = client,
                .metrics = metrics,
@@ -148,16 +149,27 @@
       registrationTimer(loop, [this] { register_(); }), drainTimer(loop, [this] { checkDrained(); })
 {
     config.changed().connect([this](const RouteConfigPtr &it) { applyConfig(it); });
-    replicas.changed().connect([this] { pools.setReplicas(replicas.replicas()); });
+    replicas.changed().connect([this] {
+        pools.setReplicas(replicas.replicas());
+        tellNews();
+    });
 }
 
 void EntryProcess::Private::applyConfig(const RouteConfigPtr &it)
 {
     routes = std::make_shared<RouteTable>(it);
     pools.setServices(*it);
+    tellNews();
     callers->setIdleTimeout(std::max(MinIdleTimeout, 2 * it->idleTimeout));
 }
 
+void EntryProcess::Private::tellNews()
+{
+    // Those that heard it from a reader need not repeat it.
+    if (fleet.isReader())
+        fleet.tellAll();
+}
+
 bool EntryProcess::Private::isReady() const
 {
     const bool proven = !settings->requiresKeyProof || config.proofAge() < settings->keyProofLimit;
--- a/src/Net/FleetTask.cpp
+++ b/src/Net/FleetTask.cpp
@@ -13,6 +13,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <deque>
 
 #include <fmt/format.h>
 
@@ -26,10 +27,21 @@
 /// stopped is missed after six.
 constexpr Duration BeatInterval = 250ms;
 
+/// How often a router that does not read the store asks one that does. Its proof of the
+/// configuration is then at most this and a reader's own second old, of five that are allowed, and
+/// the reader's beat at each change comes sooner. An ask costs two datagrams.
+constexpr Duration AskInterval = 600ms;
+
+/// Asks that are remembered: an answer that takes longer proves little.
+constexpr std::size_t MaxAsks = 4;
+
 /// Routers that one beat goes to. Nine routers hear each other at each beat; in a larger fleet the
 /// cost of a router stays the same and news takes longer.
 constexpr std::size_t BeatFanout = 16;
 
+/// Routers that are told at once of a change; more than any fleet planned for this way has.
+constexpr std::size_t MaxTold = 200;
+
 /// Parts of prompts that one beat tells of: it has to fit one datagram of 1,200 bytes with the
 /// counts. More are only told at over 100 prompts a second and router, and are hints.
 constexpr std::size_t MaxPromptParts = 40;
@@ -45,6 +57,14 @@
 /// A peer whose proof is older can't help.
 constexpr Duration MaxPeerProofAge = 2s;
 
+std::uint64_t numberIn(const HttpExchange &exchange, const char *parameter)
+{
+    const std::string text = exchange.queryValue(parameter);
+    std::uint64_t out = 0;
+    std::from_chars(text.data(), text.data() + text.size(), out);
+    return out;
+}
+
 std::int64_t toMilliseconds(Duration d)
 {
     return std::chrono::ceil<std::chrono::milliseconds>(d).count();
@@ -56,10 +76,17 @@
 {
     explicit Private(Options o);
 
+    RouterBeat compose();
+    void send(const std::string &address, const RouterBeat &beat);
     void beat();
+    void ask();
     void received(std::string_view datagram);
+    void takeEcho(const RouterBeat &beat);
+    void noticeNews(const RouterBeat &beat);
+    void fetchFrom(const FleetView::Peer &peer);
     void answerState(const HttpExchangePtr &exchange);
-    Json::Value stateSince(std::uint64_t revision) const;
+    Json::Value stateSince(std::uint64_t revision, std::uint64_t replicasHash) const;
+    void takeAnswer(const std::string &name, const Result<HttpAnswer> &answer, TimePoint asked);
     void takeState(const Json::Value &state, TimePoint asked);
     std::string signedText(const std::string &text) const { return guard.sign(text) + "\n" + text; }
 
@@ -70,6 +97,9 @@
     PeerTransport transport;
     HttpServer server;
     Timer timer;
+    Timer askTimer;
+    std::deque<TimePoint> asks; ///< When the last asks were sent; the time is their number.
+    std::size_t nextReader = 0;
     std::uint64_t incarnation;
     std::uint64_t sequence = 0;
     std::map<std::string, std::vector<std::uint64_t>, std::less<>> prompts; ///< Not told yet.
@@ -86,7 +116,7 @@
       transport(options.loop, [this](const std::string &, std::string_view it) { received(it); }),
       server(options.loop, {.address = options.settings.peerAddress, .limits = {}},
              [this](const HttpExchangePtr &it) { answerState(it); }),
-      timer(options.loop, [this] { beat(); }),
+      timer(options.loop, [this] { beat(); }), askTimer(options.loop, [this] { ask(); }),
       incarnation(static_cast<std::uint64_t>(options.loop.wallNow().time_since_epoch().count()))
 {
     options.metrics.addCollector([this](Metrics &metrics) {
@@ -95,29 +125,59 @@
     });
 }
 
+RouterBeat FleetTask::Private::compose()
+{
+    return {.name = options.settings.name,
+            .incarnation = incarnation,
+            .sequence = ++sequence,
+            .callerAddress = options.settings.callerAddress,
+            .peerAddress = options.settings.peerAddress,
+            .failureDomain = options.settings.failureDomain,
+            .processorShare = options.settings.processorShare,
+            .ready = options.isReady() && !leaving,
+            .leaving = leaving,
+            .revision = options.config.revision(),
+            .proofAge = options.config.proofAge(),
+            .replicasAge = options.replicas.age(),
+            .replicasHash = options.replicas.hash(),
+            .replicasVersion = options.replicas.storeVersion(),
+            .counts = options.ownCounts()};
+}
+
+void FleetTask::Private::send(const std::string &address, const RouterBeat &beat)
+{
+    if (hasKey)
+        transport.send(address, signedText(BeatCodec::encode(beat)));
+}
+
 void FleetTask::Private::beat()
 {
     if (!hasKey)
         return;
-    RouterBeat beat{.name = options.settings.name,
-                    .incarnation = incarnation,
-                    .sequence = ++sequence,
-                    .callerAddress = options.settings.callerAddress,
-                    .peerAddress = options.settings.peerAddress,
-                    .failureDomain = options.settings.failureDomain,
-                    .ready = options.isReady() && !leaving,
-                    .leaving = leaving,
-                    .revision = options.config.revision(),
-                    .proofAge = options.config.proofAge(),
-                    .replicasAge = options.replicas.age(),
-                    .counts = options.ownCounts(),
-                    .prompts = std::exchange(prompts, {})};
+    RouterBeat out = compose();
+    out.prompts = std::exchange(prompts, {});
     promptCount = 0;
-    const std::string datagram = signedText(BeatCodec::encode(beat));
+    const std::string datagram = signedText(BeatCodec::encode(out));
     for (const std::string &it : view.nextTargets(BeatFanout))
         transport.send(it, datagram);
 }
 
+void FleetTask::Private::ask()
+{
+    RouterBeat out = compose();
+    const std::vector<std::string> readers = view.readers(out);
+    if (readers.empty() || std::find(readers.begin(), readers.end(), out.name) != readers.end())
+        return;
+    const FleetView::Peer *reader = view.find(readers[nextReader++ % readers.size()]);
+    if (!reader)
+        return;
+    asks.push_back(options.loop.now());
+    if (asks.size() > MaxAsks)
+        asks.pop_front();
+    out.ask = static_cast<std::uint64_t>(asks.back().time_since_epoch().count());
+    send(reader->beat.peerAddress, out);
+}
+
 void FleetTask::Private::received(std::string_view datagram)
 {
     const std::size_t end = datagram.find('\n');
@@ -129,17 +189,51 @@
                               Metrics::label("fault", peerFaultName(PeerFault::Forged)));
         return;
     }
-    Result<RouterBeat> beat = codec.decode(text);
-    if (!beat) {
+    const Result<RouterBeat> read = codec.decode(text);
+    if (!read) {
         options.metrics.count("catkinloft_peer_refused_total",
                               Metrics::label("fault", peerFaultName(PeerFault::Malformed)));
         return;
     }
-    if (!view.receive(beat.value()))
+    const RouterBeat &beat = read.value();
+    if (!view.receive(beat))
+        return;
+    if (beat.ask != 0) {
+        RouterBeat answer = compose();
+        answer.echo = beat.ask;
+        send(beat.peerAddress, answer);
+    }
+    if (beat.echo != 0)
+        takeEcho(beat);
+    noticeNews(beat);
+    options.onBeat(beat);
+}
+
+void FleetTask::Private::takeEcho(const RouterBeat &beat)
+{
+    // Only an answer proves anything: a datagram may have waited here for as long as this VM was
+    // suspended, but an answer was sent after its ask.
+    const auto asked = std::find_if(asks.begin(), asks.end(), [&](TimePoint it) {
+        return static_cast<std::uint64_t>(it.time_since_epoch().count()) == beat.echo;
+    });
+    if (asked == asks.end())
+        return;
+    if (beat.proofAge != Duration::max())
+        options.config.confirm(beat.revision, *asked - beat.proofAge);
+    if (beat.replicasAge != Duration::max())
+        options.replicas.confirm(beat.replicasHash, beat.replicasVersion,
+                                 *asked - beat.replicasAge);
+}
+
+void FleetTask::Private::noticeNews(const RouterBeat &beat)
+{
+    const bool config = beat.revision > options.config.revision();
+    const bool replicas = beat.replicasHash != options.replicas.hash()
+            && beat.replicasVersion > options.replicas.storeVersion();
+    if (!config && !replicas)
         return;
-    // Its proof of the configuration is not taken over: a datagram may have waited here for as long
-    // as this VM was suspended. What a peer answers to a question is at least as new as that.
-    options.onBeat(beat.value());
+    if (const FleetView::Peer *peer = view.find(beat.name))
+        fetchFrom(*peer);
 }
 
 void FleetTask::Private::answerState(const HttpExchangePtr &exchange)
@@ -153,14 +247,12 @@
         exchange->respond(403, {}, {});
         return;
     }
-    const std::string text = exchange->queryValue("revision");
-    std::uint64_t revision = 0;
-    std::from_chars(text.data(), text.data() + text.size(), revision);
     exchange->respond(200, {{"Content-Type", "application/octet-stream"}},
-                      signedText(printJson(stateSince(revision))));
+                      signedText(printJson(stateSince(numberIn(*exchange, "revision"),
+                                                      numberIn(*exchange, "replicas")))));
 }
 
-Json::Value FleetTask::Private::stateSince(std::uint64_t revision) const
+Json::Value FleetTask::Private::stateSince(std::uint64_t revision, std::uint64_t replicasHash) const
 {
     Json::Value out(Json::objectValue);
     const ConfigInForce &config = options.config;
@@ -171,7 +263,10 @@
             out["config"] = config.config()->sourceText;
     }
     if (options.replicas.age() != Duration::max()) {
-        out["replicas"] = options.replicas.sourceText();
+        if (options.replicas.hash() != replicasHash)
+            out["replicas"] = options.replicas.sourceText();
+        out["replicas_version"] = static_cast<Json::UInt64>(options.replicas.storeVersion());
+        out["replicas_hash"] = static_cast<Json::UInt64>(options.replicas.hash());
         out["replicas_age_ms"] = static_cast<Json::Int64>(toMilliseconds(options.replicas.age()));
     }
     return out;
@@ -189,6 +284,10 @@
             options.config.confirm(state["revision"].asUInt64(), began("proof_age_ms"));
         if (state.isMember("replicas"))
             options.onReplicasText(state["replicas"].asString(), began("replicas_age_ms"));
+        else if (state.isMember("replicas_hash"))
+            options.replicas.confirm(state["replicas_hash"].asUInt64(),
+                                     state["replicas_version"].asUInt64(),
+                                     began("replicas_age_ms"));
     } catch (const Json::Exception &e) {
         Log::warning("peer_state_malformed", {{"detail", e.what()}});
     }
@@ -205,6 +304,7 @@
     if (Result<void> listening = m_d->server.listen(); !listening)
         return listening;
     m_d->timer.startRepeating(BeatInterval);
+    m_d->askTimer.startRepeating(AskInterval);
     return outcome::success();
 }
 
@@ -236,38 +336,63 @@
 
 void FleetTask::fetchFromPeer()
 {
-    const FleetView::Peer *peer = m_d->view.freshest(MaxPeerProofAge);
-    if (!peer || m_d->fetching || !m_d->hasKey)
+    if (const FleetView::Peer *peer = m_d->view.freshest(MaxPeerProofAge))
+        m_d->fetchFrom(*peer);
+}
+
+void FleetTask::tellAll()
+{
+    const RouterBeat out = m_d->compose();
+    for (const std::string &it : m_d->view.nextTargets(MaxTold))
+        m_d->send(it, out);
+}
+
+bool FleetTask::isReader() const
+{
+    const RouterBeat self = m_d->compose();
+    const std::vector<std::string> readers = m_d->view.readers(self);
+    return std::find(readers.begin(), readers.end(), self.name) != readers.end();
+}
+
+void FleetTask::Private::fetchFrom(const FleetView::Peer &peer)
+{
+    if (fetching || !hasKey)
         return;
-    m_d->fetching = true;
-    const TimePoint asked = m_d->options.loop.now();
-    std::string target = fmt::format("{}?revision={}", StatePath, m_d->options.config.revision());
-    std::string signature = m_d->guard.sign(target);
-    m_d->options.client.fetch(
-            {.address = peer->beat.peerAddress,
-             .target = std::move(target),
-             .headers = {{SignatureHeader, std::move(signature)}},
-             .timeout = StateTimeout,
-             .maxBodyBytes = MaxStateBody},
-            [d = m_d.get(), asked, name = peer->beat.name](const Result<HttpAnswer> &answer) {
-                d->fetching = false;
-                if (!answer || answer.value().head.status != 200) {
-                    Log::info("peer_state_missed",
-                              {{"router", name},
-                               {"detail", answer ? "refused" : answer.error().detail}});
-                    return;
-                }
-                const std::string &body = answer.value().body;
-                const std::size_t end = body.find('\n');
-                if (end == std::string::npos
-                    || !d->guard.verify(std::string_view(body).substr(0, end),
-                                        std::string_view(body).substr(end + 1))) {
-                    Log::warning("peer_state_forged", {{"router", name}});
-                    return;
-                }
-                if (const Result<Json::Value> state = parseJsonObject(body.substr(end + 1)); state)
-                    d->takeState(state.value(), asked);
-            });
+    fetching = true;
+    const TimePoint asked = options.loop.now();
+    std::string target = fmt::format("{}?revision={}&replicas={}", StatePath,
+                                     options.config.revision(), options.replicas.hash());
+    std::string signature = guard.sign(target);
+    options.client.fetch({.address = peer.beat.peerAddress,
+                          .target = std::move(target),
+                          .headers = {{SignatureHeader, std::move(signature)}},
+                          .timeout = StateTimeout,
+                          .maxBodyBytes = MaxStateBody},
+                         [this, asked, name = peer.beat.name](const Result<HttpAnswer> &answer) {
+                             fetching = false;
+                             takeAnswer(name, answer, asked);
+                         });
+}
+
+void FleetTask::Private::takeAnswer(const std::string &name, const Result<HttpAnswer> &answer,
+                                    TimePoint asked)
+{
+    if (!answer || answer.value().head.status != 200) {
+        Log::info("peer_state_missed",
+                  {{"router", name}, {"detail", answer ? "refused" : answer.error().detail}});
+        return;
+    }
+    const std::string_view body = answer.value().body;
+    const std::size_t end = body.find('\n');
+    if (end == std::string_view::npos || !guard.verify(body.substr(0, end), body.substr(end + 1))) {
+        Log::warning("peer_state_forged", {{"router", name}});
+        return;
+    }
+    const Result<Json::Value> state = parseJsonObject(body.substr(end + 1));
+    if (state)
+        takeState(state.value(), asked);
+    else
+        Log::warning("peer_state_malformed", {{"router", name}});
 }
 
 FleetView &FleetTask::view()
--- a/src/Net/FleetTask.h
+++ b/src/Net/FleetTask.h
@@ -56,9 +56,15 @@
     /// \brief Tells the others that this router leaves.
     void leave();
 
-    /// \brief Asks the peer that read the store last for what it read, if that is newer.
+    /// \brief Asks a peer that has read the store for what it read, if that is newer.
     void fetchFromPeer();
 
+    /// \brief Tells all routers at once, because something has changed here.
+    void tellAll();
+
+    /// \returns whether this router reads the store for the others.
+    bool isReader() const;
+
     FleetView &view();
 
 private:
--- a/src/Net/StoreWatch.cpp
+++ b/src/Net/StoreWatch.cpp
@@ -9,53 +9,75 @@
 
 using namespace std::chrono_literals;
 
-/// How long one call waits for a change of the configuration. Its proof is as old as the call when
-/// it returns, and nearly twice that before the next one does; keys need one within seconds. A call
-/// a second and router costs 0.4% of a day's credit at nine routers.
-constexpr Duration ConfigWait = 1s;
+/// How long one call waits for a change of the configuration. A proof is as old as the call when it
+/// returns and twice that before the next one does; keys need one of less than five seconds.
+constexpr Duration ConfigWait = 700ms;
 
 /// Between two reads of the replicas: a draining replica must get nothing after two seconds, of
-/// which the slowest answer of a store in order takes a few milliseconds.
-constexpr Duration ReplicasInterval = 800ms;
+/// which the others' asking takes another 600 ms.
+constexpr Duration ReplicasInterval = 500ms;
 
-/// Pause after a failed call. The store answers other routers meanwhile; its rates are shared.
-constexpr Duration FailurePause = 300ms;
+/// Pause after a failed call. Routers that do not read for others wait longer: they are told when
+/// one of the readers reaches the store, and calls that are refused cost like others.
+constexpr Duration ReaderFailurePause = 300ms;
+constexpr Duration OtherFailurePause = 1200ms;
 
-/// Reads that are older have failed at least once, and a peer may know more.
-constexpr Duration ConfigOverdue = 2500ms;
-constexpr Duration ReplicasOverdue = 1800ms;
-constexpr Duration OverdueCheck = 400ms;
+/// Something that is older has missed several answers of readers, and is read from the store.
+constexpr Duration ConfigOverdue = 2300ms;
+constexpr Duration ReplicasOverdue = 1600ms;
+constexpr Duration CheckInterval = 200ms;
 
 } // namespace
 
 StoreWatch::StoreWatch(Options options)
     : m_options(std::move(options)), m_configTimer(m_options.loop, [this] { watchConfig(); }),
       m_replicasTimer(m_options.loop, [this] { readReplicas(); }),
-      m_overdueTimer(m_options.loop, [this] { checkOverdue(); })
+      m_checkTimer(m_options.loop, [this] { check(); })
 { }
 
 void StoreWatch::start()
 {
     watchConfig();
     readReplicas();
-    m_overdueTimer.startRepeating(OverdueCheck);
+    m_checkTimer.startRepeating(CheckInterval);
+}
+
+void StoreWatch::check()
+{
+    const bool configOverdue = m_options.config.proofAge() > ConfigOverdue;
+    const bool replicasOverdue = m_options.replicas.age() > ReplicasOverdue;
+    const bool reader = m_options.isReader();
+    if (!m_readingConfig && (reader || configOverdue))
+        watchConfig();
+    if (!m_readingReplicas && (reader || replicasOverdue))
+        readReplicas();
+    if (configOverdue || replicasOverdue)
+        m_options.askPeer();
+}
+
+Duration StoreWatch::failurePause() const
+{
+    const Duration pause = m_options.isReader() ? ReaderFailurePause : OtherFailurePause;
+    return fromSeconds(toSeconds(pause) * (0.75 + 0.5 * uniform(m_options.random)));
 }
 
 void StoreWatch::watchConfig()
 {
+    m_readingConfig = true;
     const TimePoint began = m_options.loop.now();
     const auto done = [this, began](const Result<ConfigRead> &read) { configRead(read, began); };
     if (m_storeVersion == 0)
         m_options.store.readConfig(done);
     else
-        m_options.store.watchConfig(m_storeVersion, ConfigWait, done);
+        m_options.store.watchConfig(m_storeVersion,
+                                    m_options.isReader() ? ConfigWait : Duration::zero(), done);
 }
 
 void StoreWatch::configRead(const Result<ConfigRead> &read, TimePoint began)
 {
     noteResult(m_configFailing, "config", read ? nullptr : &read.error());
     if (!read) {
-        m_configTimer.start(FailurePause);
+        m_configTimer.start(failurePause());
         return;
     }
     const ConfigRead &it = read.value();
@@ -69,15 +91,19 @@
     else
         m_options.config.confirm(m_options.config.revision(), began);
     m_storeVersion = it.storeVersion;
-    // Without a configuration there is nothing to watch yet but the table itself.
-    if (m_options.config.config())
+    m_readingConfig = false;
+    if (!m_options.config.config()) {
+        // Nothing has been written yet, so there is nothing to watch.
+        m_readingConfig = true;
+        m_configTimer.start(failurePause());
+    } else if (m_options.isReader()) {
         watchConfig();
-    else
-        m_configTimer.start(FailurePause);
+    }
 }
 
 void StoreWatch::readReplicas()
 {
+    m_readingReplicas = true;
     const TimePoint began = m_options.loop.now();
     m_options.store.readReplicas(
             [this, began](const Result<ReplicaSnapshot> &read) { replicasRead(read, began); });
@@ -86,17 +112,17 @@
 void StoreWatch::replicasRead(const Result<ReplicaSnapshot> &read, TimePoint began)
 {
     noteResult(m_replicasFailing, "replicas", read ? nullptr : &read.error());
-    if (read)
-        m_options.replicas.apply(read.value(), began);
+    if (!read) {
+        m_replicasTimer.start(failurePause());
+        return;
+    }
+    m_options.replicas.apply(read.value(), began);
+    m_readingReplicas = m_options.isReader();
+    if (!m_readingReplicas)
+        return;
     // Spread, so that routers that started together do not read together.
     const double spread = 0.9 + 0.2 * uniform(m_options.random);
-    m_replicasTimer.start(read ? fromSeconds(toSeconds(ReplicasInterval) * spread) : FailurePause);
-}
-
-void StoreWatch::checkOverdue()
-{
-    if (m_options.config.proofAge() > ConfigOverdue || m_options.replicas.age() > ReplicasOverdue)
-        m_options.askPeer();
+    m_replicasTimer.start(fromSeconds(toSeconds(ReplicasInterval) * spread));
 }
 
 void StoreWatch::noteResult(bool &failing, const char *what, const Error *error)
--- a/src/Net/StoreWatch.h
+++ b/src/Net/StoreWatch.h
@@ -13,8 +13,8 @@
 
 class EventLoop;
 
-/// \brief The task that keeps configuration and replicas up to date from the store, and asks a peer
-/// while the store can't be reached.
+/// \brief The task that keeps configuration and replicas up to date. A few routers read the store
+/// all the time; the others ask them, and read the store themselves only when that does not help.
 class StoreWatch
 {
 public:
@@ -26,7 +26,8 @@
         ReplicaRegistry &replicas;
         Metrics &metrics;
         RandomSource random;
-        std::function<void()> askPeer; ///< Own reads are overdue.
+        std::function<void()> askPeer; ///< Nothing was heard of the store for too long.
+        std::function<bool()> isReader; ///< This router reads for the others.
     };
 
     explicit StoreWatch(Options options);
@@ -42,16 +43,19 @@
     void configRead(const Result<ConfigRead> &read, TimePoint began);
     void readReplicas();
     void replicasRead(const Result<ReplicaSnapshot> &read, TimePoint began);
-    void checkOverdue();
+    void check();
+    Duration failurePause() const;
     void noteResult(bool &failing, const char *what, const Error *error);
 
     Options m_options;
     std::uint64_t m_storeVersion = 0; ///< Of the last read of the configuration; 0: none.
     bool m_configFailing = false;
     bool m_replicasFailing = false;
+    bool m_readingConfig = false; ///< A call or the pause after one is in progress.
+    bool m_readingReplicas = false;
     Timer m_configTimer;
     Timer m_replicasTimer;
-    Timer m_overdueTimer;
+    Timer m_checkTimer;
 };
 
 } // namespace catkinloft
--- a/test/ReplicaRegistryTest.cpp
+++ b/test/ReplicaRegistryTest.cpp
@@ -90,3 +90,28 @@
     CHECK(changes == 1);
     CHECK(registry.age() == 0s);
 }
+
+TEST_CASE_FIXTURE(ReplicaRegistryFixture, "replicaRegistry_confirmation_renewsOnlyTheSameList")
+{
+    read({a, b});
+    const std::uint64_t hash = registry.hash();
+    clock.advance(2s);
+    CHECK_FALSE(registry.confirm(hash + 1, version, clock.now()));
+    CHECK(registry.age() == 2s);
+    CHECK(registry.confirm(hash, version + 3, clock.now()));
+    CHECK(registry.age() == 0s);
+    CHECK(registry.storeVersion() == version + 3);
+    read({leaving, b});
+    CHECK(registry.hash() == hash); // An older snapshot than the one that was confirmed.
+}
+
+TEST_CASE_FIXTURE(ReplicaRegistryFixture, "replicaRegistry_confirmedAfterReturnTime_dropsTheMissing")
+{
+    read({a, b});
+    clock.advance(9s);
+    read({b});
+    CHECK(names() == "b a ");
+    clock.advance(2300ms);
+    registry.confirm(registry.hash(), version, clock.now());
+    CHECK(names() == "b ");
+}
