Typed events of each request decision, a log that never blocks, 'catkinloft trace'; prompt news reach all

Cause: lines held no inputs of the placement, and a flood of lines of what went well could push out refusals.

--- a/completion/catkinloft.bash
+++ b/completion/catkinloft.bash
@@ -2,7 +2,7 @@
 _catkinloft()
 {
     local word=${COMP_WORDS[COMP_CWORD]}
-    local commands="router entry check apply rollback history status explain where help version"
+    local commands="router entry check apply rollback history status explain where trace help version"
     local flags="--router= --json --watch --change_id="
     case $word in
     -*) COMPREPLY=($(compgen -W "$flags" -- "$word")) ;;
--- a/src/Base/Log.cpp
+++ b/src/Base/Log.cpp
@@ -89,7 +89,7 @@
         line += fmt::format(",{}:{}", jsonQuoted(it.name), valueText(it.value));
     line += "}\n";
     if (state().sink)
-        state().sink(line);
+        state().sink(level, line);
     else
         fmt::print(stderr, "{}", line);
 }
--- a/src/Base/Log.h
+++ b/src/Base/Log.h
@@ -44,7 +44,7 @@
 class Log
 {
 public:
-    using Sink = std::function<void(std::string_view line)>;
+    using Sink = std::function<void(LogLevel level, std::string_view line)>;
 
     /// \param source name of this process, written as `source`.
     static void setSource(std::string source);
--- a/src/Cli/Command.cpp
+++ b/src/Cli/Command.cpp
@@ -50,6 +50,8 @@
                     &runExplain},
             Command{"where", "[WORKSPACE [CHAT]]", "Asks which address a caller should use.",
                     &runWhere},
+            Command{"trace", "REQUEST_ID LOG...", "Tells from logs what happened to a request.",
+                    &runTrace},
             Command{"help", "", "Shows this page.", &runHelp},
             Command{"version", "", "Prints the version.", &runVersion},
     };
--- a/src/Cli/Commands.h
+++ b/src/Cli/Commands.h
@@ -14,5 +14,6 @@
 int runStatus(std::span<char *const> arguments);
 int runExplain(std::span<char *const> arguments);
 int runWhere(std::span<char *const> arguments);
+int runTrace(std::span<char *const> arguments);
 
 } // namespace catkinloft
--- a/src/Control/FleetView.h
+++ b/src/Control/FleetView.h
@@ -52,6 +52,9 @@
     /// \returns up to \a n addresses to beat to, all in turn.
     std::vector<std::string> nextTargets(std::size_t n);
 
+    /// \returns how many addresses there are to beat to.
+    std::size_t addressCount() const { return m_addresses.size(); }
+
     /// \returns the other routers that were heard lately, leaving ones included.
     std::vector<const Peer *> live() const;
 
--- /dev/null
+++ b/src/Control/PromptNews.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "Base/Clock.h"
+#include "Decide/PromptIndex.h"
+
+#include <deque>
+#include <map>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace catkinloft {
+
+/// \brief Which prompt parts this router has sent to which replicas, until all routers were told.
+///
+/// Load: 73 routers of which each beat reaches 16. Harm prevented: a router that does not hear that
+/// a replica keeps a prompt has it read again elsewhere. So news rides on as many beats as it takes
+/// to reach every router once, and what was told lately is not told again.
+class PromptNews
+{
+public:
+    using ByReplica = std::map<std::string, std::vector<std::uint64_t>, std::less<>>;
+
+    explicit PromptNews(const Clock &clock) : m_clock(clock) { }
+
+    void note(const std::string &replica, std::span<const PromptPart> prompt);
+
+    /// \returns what the next beat has to tell.
+    /// \param rounds beats that it takes to reach every router. \param most parts in one beat.
+    ByReplica take(std::size_t rounds, std::size_t most);
+
+private:
+    struct Item
+    {
+        std::string replica;
+        std::uint64_t part = 0;
+        std::size_t told = 0; ///< Beats that carried it.
+    };
+
+    const Clock &m_clock;
+    std::deque<Item> m_items;
+    std::unordered_map<std::uint64_t, TimePoint> m_noted; ///< By hash of replica and part.
+};
+
+} // namespace catkinloft
--- a/src/Control/ReplicaRegistry.cpp
+++ b/src/Control/ReplicaRegistry.cpp
@@ -62,8 +62,7 @@
         return;
     logChanges(next);
     m_replicas = std::move(next);
-    std::erase_if(m_drained,
-                  [this](const std::string &id) { return !findRecord(m_replicas, id); });
+    std::erase_if(m_drained, [this](const std::string &id) { return !findRecord(m_replicas, id); });
     m_changed.emit();
 }
 
--- a/src/Decide/ReplicaPool.cpp
+++ b/src/Decide/ReplicaPool.cpp
@@ -114,10 +114,24 @@
         list = candidates(query, false);
     if (list.empty())
         return {};
+    double total = 0;
+    for (const Candidate &it : list)
+        total += it.load;
+    const std::size_t n = list.size();
     if (!m_options.isEngine || query.prompt.empty())
-        return {.replica = &byLoad(list)->record};
-    const State *it = byPrompt(list, query.prompt);
-    return {.replica = &it->record, .copyFrom = copySource(*it, query.prompt)};
+        return describe(*byLoad(list), {}, total, n);
+    return describe(*byPrompt(list, query.prompt), query.prompt, total, n);
+}
+
+ReplicaPool::Choice ReplicaPool::describe(const State &it, std::span<const PromptPart> prompt,
+                                          double total, std::size_t n) const
+{
+    return {.replica = &it.record,
+            .copyFrom = prompt.empty() ? nullptr : copySource(it, prompt),
+            .load = it.own + it.others,
+            .meanLoad = total / static_cast<double>(n),
+            .candidates = static_cast<int>(n),
+            .keptTokens = m_prompts.cachedTokens(it.hash, prompt)};
 }
 
 std::vector<ReplicaPool::Candidate> ReplicaPool::candidates(const Query &query, bool regardHealth)
--- a/src/Decide/ReplicaPool.h
+++ b/src/Decide/ReplicaPool.h
@@ -54,6 +54,10 @@
     {
         const ReplicaRecord *replica = nullptr; ///< Null: none can take it.
         const ReplicaRecord *copyFrom = nullptr; ///< Keeps more of the prompt; null: none does.
+        int load = 0; ///< Requests in progress on the replica, as far as known.
+        double meanLoad = 0; ///< Over the replicas that it was chosen from.
+        int candidates = 0; ///< How many those were.
+        double keptTokens = 0; ///< Of the prompt, that the replica is believed to keep.
     };
 
     explicit ReplicaPool(Options options);
@@ -116,6 +120,8 @@
 
     State *find(std::string_view id);
     const State *find(std::string_view id) const;
+    Choice describe(const State &it, std::span<const PromptPart> prompt, double total,
+                    std::size_t n) const;
     std::vector<Candidate> candidates(const Query &query, bool regardHealth);
     State *byPrompt(std::vector<Candidate> &list, std::span<const PromptPart> prompt) const;
     static State *firstOrSecond(const std::vector<Candidate> &list, std::uint64_t key);
--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -1,6 +1,5 @@
 #include "Net/EntryCall.h"
 
-#include "Base/Log.h"
 #include "Net/EventLoop.h"
 #include "Request/Problem.h"
 
@@ -188,12 +187,27 @@
     ++m_attempt;
     ++m_sent;
     const std::string copyFrom = choice.copyFrom ? choice.copyFrom->address : std::string();
+    reportSent(choice);
     m_service->replicas.started(m_replica.id, m_request.sharedPrompt());
     if (m_context.promptSent)
         m_context.promptSent(m_replica.id, m_request.sharedPrompt());
     m_call = m_context.client.send(composeCall(copyFrom), attemptEvents());
 }
 
+void EntryCall::reportSent(const ReplicaPool::Choice &choice) const
+{
+    RequestEvent event = describe(RequestEvent::Kind::Sent);
+    event.load = choice.load;
+    event.meanLoad = choice.meanLoad;
+    event.candidates = choice.candidates;
+    event.keptTokens = choice.keptTokens;
+    for (const PromptPart &it : m_request.sharedPrompt())
+        event.promptTokens += it.tokens;
+    if (choice.copyFrom)
+        event.copiedFrom = choice.copyFrom->address;
+    m_context.report(event);
+}
+
 HttpCall EntryCall::composeCall(const std::string &copyFrom) const
 {
     const Route &route = *m_request.route;
@@ -314,7 +328,7 @@
 void EntryCall::endRelay()
 {
     m_exchange->end();
-    finish("answered", m_head.status, nullptr);
+    finish(RequestEvent::Kind::Answered, m_head.status, nullptr);
 }
 
 void EntryCall::endAttempt(bool succeeded, Reason reason)
@@ -374,7 +388,7 @@
 void EntryCall::deliver()
 {
     m_exchange->respond(m_head.status, m_context.codec.passedAnswerHeaders(m_head), m_body);
-    finish("answered", m_head.status, nullptr);
+    finish(RequestEvent::Kind::Answered, m_head.status, nullptr);
 }
 
 bool EntryCall::mayRepeat()
@@ -390,13 +404,7 @@
 
 void EntryCall::attemptFailed(const Error &error)
 {
-    Log::info("attempt_failed",
-              {{"request_id", id()},
-               {"replica", m_replica.id},
-               {"address", m_replica.address},
-               {"reason", reasonInfo(error.reason).code},
-               {"verdict", toString(error.verdict)},
-               {"detail", error.detail}});
+    m_context.report(describe(RequestEvent::Kind::AttemptFailed, error));
     m_context.metrics.retried(error.reason);
     m_verdict = combine(m_verdict, error.verdict);
     m_excluded.push_back(m_replica.id);
@@ -438,7 +446,7 @@
     if (m_finished)
         return;
     endAttempt(false, Reason::CallerGone);
-    finish("caller_gone", 0, nullptr);
+    finish(RequestEvent::Kind::CallerGone, 0, nullptr);
 }
 
 void EntryCall::refuse(const Error &error)
@@ -452,39 +460,63 @@
     }
     m_context.metrics.refused(error.reason);
     m_exchange->respond(status, headers, Problem::body(error, id(), {}));
-    finish("refused", status, &error);
+    finish(RequestEvent::Kind::Refused, status, &error);
 }
 
 void EntryCall::breakOff(const Error &error)
 {
     m_context.metrics.refused(error.reason);
     m_exchange->abort();
-    finish("broken_off", 0, &error);
+    finish(RequestEvent::Kind::BrokenOff, 0, &error);
+}
+
+RequestEvent EntryCall::describe(RequestEvent::Kind kind) const
+{
+    const TimePoint now = m_context.loop.now();
+    RequestEvent out{.kind = kind,
+                     .requestId = id(),
+                     .service = m_serviceName,
+                     .elapsed = now - m_request.arrivedAt,
+                     .attempt = m_sent,
+                     .replica = m_replica.id,
+                     .address = m_replica.address};
+    if (m_request.route) {
+        out.route = m_request.route->name;
+        out.revision = m_request.routes->config().revision;
+        out.remaining = m_deadline - now;
+    }
+    if (m_request.workspace)
+        out.workspace = m_request.workspace->name;
+    if (m_context.proofAge)
+        out.proofAge = m_context.proofAge();
+    return out;
+}
+
+RequestEvent EntryCall::describe(RequestEvent::Kind kind, const Error &error) const
+{
+    RequestEvent out = describe(kind);
+    out.reason = error.reason;
+    out.verdict = error.verdict;
+    out.retryAfter = error.retryAfter;
+    out.detail = error.detail;
+    for (const Figure &it : error.figures)
+        out.detail += fmt::format("; {} {}", it.name, it.value);
+    return out;
 }
 
-void EntryCall::finish(std::string_view outcome, int status, const Error *error)
+void EntryCall::finish(RequestEvent::Kind outcome, int status, const Error *error)
 {
     if (std::exchange(m_finished, true))
         return;
     m_deadlineTimer.stop();
-    const Duration took = m_context.loop.now() - m_request.arrivedAt;
-    const std::string_view route = m_request.route ? m_request.route->name : std::string_view();
-    m_context.metrics.count("catkinloft_requests_total", Metrics::label("outcome", outcome));
-    m_context.metrics.observe("catkinloft_request_seconds", toSeconds(took));
-    Log::info("request",
-              {{"request_id", id()},
-               {"route", route},
-               {"service", m_serviceName},
-               {"workspace", m_request.workspace ? m_request.workspace->name : std::string()},
-               {"replica", m_replica.id},
-               {"sent", m_sent},
-               {"unreached", m_unreached},
-               {"outcome", outcome},
-               {"status", status},
-               {"reason", error ? reasonInfo(error->reason).code : std::string_view()},
-               {"verdict", toString(error ? error->verdict : Verdict::Ran)},
-               {"detail", error ? error->detail : std::string()},
-               {"took_ms", took / std::chrono::milliseconds(1)}});
+    RequestEvent event = error ? describe(outcome, *error) : describe(outcome);
+    event.status = status;
+    if (!error)
+        event.verdict = outcome == RequestEvent::Kind::Answered ? Verdict::Ran : m_verdict;
+    m_context.metrics.count("catkinloft_requests_total",
+                            Metrics::label("outcome", requestEventName(outcome)));
+    m_context.metrics.observe("catkinloft_request_seconds", toSeconds(event.elapsed));
+    m_context.report(event);
     m_context.loop.post([self = shared_from_this()] { self->m_done(); });
 }
 
--- a/src/Net/EntryCall.h
+++ b/src/Net/EntryCall.h
@@ -5,6 +5,7 @@
 #include "Base/Random.h"
 #include "Net/HttpClient.h"
 #include "Net/HttpExchange.h"
+#include "Net/RequestEvent.h"
 #include "Net/ServicePools.h"
 #include "Net/Timer.h"
 #include "Net/WireCodec.h"
@@ -36,6 +37,8 @@
     std::function<bool()> refusesNew; ///< The process is about to stop.
     /// Told of each prompt that is sent to a replica, which keeps it from then on.
     std::function<void(const std::string &replica, std::span<const PromptPart>)> promptSent = {};
+    std::function<Duration()> proofAge = {}; ///< Of the configuration, for the log.
+    std::function<void(const RequestEvent &)> report = logRequestEvent;
 };
 
 /// \brief One request from its arrival to its last byte: filtered, placed, sent, sent again where
@@ -63,6 +66,7 @@
 
     void attempt();
     void send(const ReplicaPool::Choice &choice);
+    void reportSent(const ReplicaPool::Choice &choice) const;
     HttpCall composeCall(const std::string &copyFrom) const;
     HttpCallEvents attemptEvents();
 
@@ -85,7 +89,9 @@
     void callerGone();
     void refuse(const Error &error);
     void breakOff(const Error &error);
-    void finish(std::string_view outcome, int status, const Error *error);
+    void finish(RequestEvent::Kind outcome, int status, const Error *error);
+    RequestEvent describe(RequestEvent::Kind kind) const;
+    RequestEvent describe(RequestEvent::Kind kind, const Error &error) const;
 
     Duration remaining() const;
 
--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -145,7 +145,8 @@
                .promptSent =
                        [this](const std::string &replica, std::span<const PromptPart> prompt) {
                            fleet.notePrompt(replica, prompt);
-                       }}),
+                       },
+               .proofAge = [this] { return config.proofAge(); }}),
       registrationTimer(loop, [this] { register_(); }), drainTimer(loop, [this] { checkDrained(); })
 {
     config.changed().connect([this](const RouteConfigPtr &it) { applyConfig(it); });
@@ -265,7 +266,7 @@
 {
     std::signal(SIGPIPE, SIG_IGN);
     Log::setSource(m_d->settings->name);
-    Log::setSink([this](std::string_view line) { m_d->log.write(line); });
+    Log::setSink([this](LogLevel level, std::string_view line) { m_d->log.write(level, line); });
     m_d->listenAll();
     for (const auto &it : m_d->servers) {
         if (const Result<void> result = it->listen(); !result) {
--- a/src/Net/FleetTask.cpp
+++ b/src/Net/FleetTask.cpp
@@ -4,6 +4,7 @@
 #include "Base/Log.h"
 #include "Control/ConfigInForce.h"
 #include "Control/PeerGuard.h"
+#include "Control/PromptNews.h"
 #include "Control/ReplicaRegistry.h"
 #include "Net/EventLoop.h"
 #include "Net/HttpClient.h"
@@ -102,8 +103,7 @@
     std::size_t nextReader = 0;
     std::uint64_t incarnation;
     std::uint64_t sequence = 0;
-    std::map<std::string, std::vector<std::uint64_t>, std::less<>> prompts; ///< Not told yet.
-    std::size_t promptCount = 0;
+    PromptNews prompts{options.loop};
     bool hasKey = false;
     bool leaving = false;
     bool fetching = false;
@@ -155,8 +155,7 @@
     if (!hasKey)
         return;
     RouterBeat out = compose();
-    out.prompts = std::exchange(prompts, {});
-    promptCount = 0;
+    out.prompts = prompts.take((view.addressCount() + BeatFanout - 1) / BeatFanout, MaxPromptParts);
     const std::string datagram = signedText(BeatCodec::encode(out));
     for (const std::string &it : view.nextTargets(BeatFanout))
         transport.send(it, datagram);
@@ -317,15 +316,7 @@
 
 void FleetTask::notePrompt(const std::string &replica, std::span<const PromptPart> prompt)
 {
-    std::vector<std::uint64_t> &parts = m_d->prompts[replica];
-    for (const PromptPart &it : prompt) {
-        if (m_d->promptCount >= MaxPromptParts)
-            return;
-        if (std::find(parts.begin(), parts.end(), it.id) == parts.end()) {
-            parts.push_back(it.id);
-            ++m_d->promptCount;
-        }
-    }
+    m_d->prompts.note(replica, prompt);
 }
 
 void FleetTask::leave()
--- a/src/Net/LogWriter.cpp
+++ b/src/Net/LogWriter.cpp
@@ -24,9 +24,10 @@
     flush();
 }
 
-void LogWriter::write(std::string_view line)
+void LogWriter::write(LogLevel level, std::string_view line)
 {
-    if (m_buffer.size() + line.size() > m_options.capacity) {
+    const std::size_t limit = m_options.capacity / (level < LogLevel::Warning ? 2 : 1);
+    if (m_buffer.size() + line.size() > limit) {
         ++m_dropped;
     } else {
         m_buffer += line;
--- a/src/Net/LogWriter.h
+++ b/src/Net/LogWriter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Base/Log.h"
 #include "Net/Timer.h"
 
 #include <cstdint>
@@ -13,8 +14,10 @@
 /// \brief Writes log lines to a descriptor in batches, without ever waiting for its reader.
 ///
 /// Load: a burst of refusals while nobody reads the pipe. Harm prevented: a blocked write would
-/// stop the whole process, and an unbounded buffer would fill its memory. What does not fit is
-/// dropped and counted, and the count is logged once there is room again.
+/// stop the whole process, and an unbounded buffer would fill its memory. While more than half of
+/// the buffer is taken, lines of what went well are dropped; the rest is for failures and refusals,
+/// which are dropped only when it is full. Dropped lines are counted, and the count is logged once
+/// there is room again.
 class LogWriter
 {
 public:
@@ -31,7 +34,7 @@
     LogWriter(const LogWriter &) = delete;
     LogWriter &operator=(const LogWriter &) = delete;
 
-    void write(std::string_view line);
+    void write(LogLevel level, std::string_view line);
 
     /// \brief Writes as much as the descriptor takes at once.
     void flush();
--- a/test/EntryRequestTest.cpp
+++ b/test/EntryRequestTest.cpp
@@ -1,6 +1,7 @@
 #include "Net/EntryGateway.h"
 #include "Net/EventLoop.h"
 #include "Net/HttpServer.h"
+#include "Net/RequestEvent.h"
 #include "RawCaller.h"
 #include "ScriptedReplica.h"
 #include "platform/RequestCodec.h"
@@ -133,15 +134,25 @@
                           .pools = pools,
                           .random = seededRandom(2),
                           .sharers = [] { return 1; },
-                          .refusesNew = [this] { return refusesNew; }}};
+                          .refusesNew = [this] { return refusesNew; },
+                          .report = [this](const RequestEvent &it) { events.push_back(it); }}};
     HttpServer server{loop,
                       {.address = fmt::format("127.0.0.1:{}", Port)},
                       [this](const HttpExchangePtr &it) { gateway.handle(it); }};
     std::vector<std::unique_ptr<ScriptedReplica>> replicas;
     std::vector<ReplicaRecord> records;
+    std::vector<RequestEvent> events;
     bool closed = false;
 };
 
+std::string kinds(const std::vector<RequestEvent> &events)
+{
+    std::string out;
+    for (const RequestEvent &it : events)
+        out += std::string(requestEventName(it.kind)) + " ";
+    return out;
+}
+
 Reply ok(const std::string &request, std::size_t)
 {
     return {.bytes = ScriptedReplica::answer(request, 200, "fine")};
@@ -495,3 +506,60 @@
     call(caller, request("POST", "/once/", {}, "x"), "fine");
     CHECK(replicas[0]->connections() == 1);
 }
+
+TEST_CASE_FIXTURE(EntryGatewayFixture, "requestEvents_eachWayARequestEnds_isReportedWithItsInputs")
+{
+    addReplica(ok);
+    RawCaller caller(Port);
+    call(caller, get("/safe/"), "fine");
+    CHECK(kinds(events) == "request_sent request_answered ");
+    CHECK(events[0].candidates == 1);
+    CHECK(events[0].revision == 1);
+    CHECK(events[0].workspace == "archive");
+    CHECK(events[1].status == 200);
+    events.clear();
+    call(caller, get("/nowhere/"), "not_run");
+    CHECK(kinds(events) == "request_refused ");
+    CHECK(events[0].reason == Reason::NotFound);
+    CHECK(events[0].status == 404);
+    events.clear();
+    proofAge = 9s;
+    call(caller, get("/safe/"), "not_run");
+    CHECK(kinds(events) == "request_refused ");
+    CHECK(events[0].detail.find("proof_age_ms 9000") != std::string::npos);
+}
+
+TEST_CASE_FIXTURE(EntryGatewayFixture, "requestEvents_brokenAndRepeated_areReportedInOrder")
+{
+    const auto broken = [](const std::string &, std::size_t) -> Reply {
+        return {.end = End::Reset};
+    };
+    addReplica(broken);
+    addReplica(broken);
+    RawCaller caller(Port);
+    call(caller, get("/safe/"), "may_have_run");
+    CHECK(kinds(events)
+          == "request_sent attempt_failed request_sent attempt_failed request_refused ");
+    CHECK(events[0].replica != events[2].replica);
+    CHECK(events[2].attempt == 2);
+}
+
+TEST_CASE_FIXTURE(EntryGatewayFixture, "requestEvents_streamCutOrCallerGone_isReported")
+{
+    End end = End::Reset;
+    addReplica([&end](const std::string &request, std::size_t) -> Reply {
+        return {.bytes = ScriptedReplica::streamHead(request) + ScriptedReplica::events(1, 1),
+                .end = end};
+    });
+    {
+        RawCaller caller(Port);
+        call(caller, get("/whole/"), "nothing ever");
+        CHECK(kinds(events) == "request_sent attempt_failed request_broken_off ");
+        events.clear();
+        end = End::Keep;
+        RawCaller leaving(Port);
+        call(leaving, get("/whole/"), "e1");
+    }
+    CHECK(until([&] { return gateway.inProgress() == 0; }));
+    CHECK(kinds(events) == "request_sent caller_gone ");
+}
--- a/test/LogTest.cpp
+++ b/test/LogTest.cpp
@@ -12,7 +12,7 @@
 {
     CapturedLogFixture()
     {
-        Log::setSink([this](std::string_view it) { line = it; });
+        Log::setSink([this](LogLevel, std::string_view it) { line = it; });
     }
     ~CapturedLogFixture() { Log::setSink({}); }
 
--- a/test/ReplicaRegistryTest.cpp
+++ b/test/ReplicaRegistryTest.cpp
@@ -105,7 +105,8 @@
     CHECK(registry.hash() == hash); // An older snapshot than the one that was confirmed.
 }
 
-TEST_CASE_FIXTURE(ReplicaRegistryFixture, "replicaRegistry_confirmedAfterReturnTime_dropsTheMissing")
+TEST_CASE_FIXTURE(ReplicaRegistryFixture,
+                  "replicaRegistry_confirmedAfterReturnTime_dropsTheMissing")
 {
     read({a, b});
     clock.advance(9s);
--- /dev/null
+++ b/test/RequestTraceTest.cpp
@@ -0,0 +1,130 @@
+#include "Base/RequestTrace.h"
+#include "Base/Log.h"
+#include "Net/EventLoop.h"
+#include "Net/LogWriter.h"
+#include "Net/RequestEvent.h"
+
+#include <doctest/doctest.h>
+
+#include <array>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+using namespace catkinloft;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct RequestTraceFixture
+{
+    RequestTraceFixture()
+    {
+        Log::setSink([this](LogLevel, std::string_view it) { log += it; });
+    }
+    ~RequestTraceFixture()
+    {
+        Log::setSink([](LogLevel, std::string_view) {});
+    }
+
+    static RequestEvent event(RequestEvent::Kind kind, const std::string &id)
+    {
+        return {.kind = kind,
+                .requestId = id,
+                .service = "svc",
+                .revision = 7,
+                .proofAge = 300ms,
+                .elapsed = 12ms,
+                .attempt = 1,
+                .replica = "i-1"};
+    }
+
+    std::string log;
+};
+
+/// A log on a pipe that nobody reads.
+struct BlockedLogFixture
+{
+    BlockedLogFixture()
+    {
+        REQUIRE(pipe(ends.data()) == 0);
+        REQUIRE(fcntl(ends[1], F_SETPIPE_SZ, 4096) >= 0);
+    }
+    ~BlockedLogFixture()
+    {
+        close(ends[0]);
+        close(ends[1]);
+    }
+
+    std::string readAll()
+    {
+        std::string out;
+        std::array<char, 65536> buf{};
+        fcntl(ends[0], F_SETFL, O_NONBLOCK);
+        for (ssize_t n = 0; (n = read(ends[0], buf.data(), buf.size())) > 0;)
+            out.append(buf.data(), static_cast<std::size_t>(n));
+        return out;
+    }
+
+    std::array<int, 2> ends{};
+    EventLoop loop;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(RequestTraceFixture, "requestTrace_refusedAfterFailedAttempt_namesTheCause")
+{
+    logRequestEvent(event(RequestEvent::Kind::Sent, "r1"));
+    logRequestEvent(event(RequestEvent::Kind::Sent, "r2"));
+    RequestEvent failed = event(RequestEvent::Kind::AttemptFailed, "r1");
+    failed.reason = Reason::UpstreamBroken;
+    failed.verdict = Verdict::MayHaveRun;
+    failed.detail = "the connection broke";
+    logRequestEvent(failed);
+    Log::info("replica_gone", {{"replica", "i-1"}});
+    failed.kind = RequestEvent::Kind::Refused;
+    failed.status = 502;
+    logRequestEvent(failed);
+    RequestTrace trace("r1");
+    trace.addLog("  12.5 front-1 " + log + "no log line\n");
+    const std::string account = trace.account();
+    CHECK(trace.isKnown());
+    CHECK(trace.skippedLines() == 1);
+    CHECK(account.find("sent to replica i-1 of svc (attempt 1)") != account.npos);
+    CHECK(account.find("meanwhile") != account.npos);
+    CHECK(account.find("r2") == account.npos);
+    CHECK(account.ends_with("cause: upstream_broken: the connection broke\n"));
+}
+
+TEST_CASE_FIXTURE(RequestTraceFixture, "requestTrace_noEndLogged_saysSo")
+{
+    logRequestEvent(event(RequestEvent::Kind::Sent, "r1"));
+    RequestTrace trace("r1");
+    trace.addLog(log);
+    CHECK(trace.account().find("cause: no router logged its end") != std::string::npos);
+    RequestTrace other("r9");
+    other.addLog(log);
+    CHECK_FALSE(other.isKnown());
+}
+
+TEST_CASE_FIXTURE(BlockedLogFixture, "logWriter_nobodyReads_neitherBlocksNorGrows")
+{
+    LogWriter writer({.loop = loop, .fd = ends[1], .capacity = 10'000});
+    const std::string line(99, 'x');
+    for (int i = 0; i < 1000; ++i) {
+        writer.write(LogLevel::Info, line + "\n");
+        writer.flush();
+    }
+    const std::uint64_t dropped = writer.dropped();
+    CHECK(dropped > 800);
+    writer.write(LogLevel::Warning, "a failure is kept\n");
+    CHECK(writer.dropped() == dropped);
+    std::string read = readAll();
+    for (int i = 0; i < 10; ++i) {
+        writer.flush();
+        read += readAll();
+    }
+    CHECK(read.find("a failure is kept") != read.npos);
+    CHECK(read.find("log_lines_dropped") != read.npos);
+    CHECK(read.size() < 20'000);
+}
--- a/test/main.cpp
+++ b/test/main.cpp
@@ -6,6 +6,6 @@
 int main(int argc, char **argv)
 {
     // Log lines of the code under test would bury what failed.
-    catkinloft::Log::setSink([](std::string_view) {});
+    catkinloft::Log::setSink([](catkinloft::LogLevel, std::string_view) {});
     return doctest::Context(argc, argv).run();
 }
