--- a/src/Control/FleetRegistration.cpp
+++ b/src/Control/FleetRegistration.cpp
@@ -66,7 +66,9 @@
                                    return logFailure("create key", commit.error());
                                if (commit.value().committed)
                                    return takeKey(text);
-                               refresh(); // Another router was first: its key is read.
+                               // Another router was first.
+                               if (!commit.value().current.empty())
+                                   takeKey(commit.value().current.front().value);
                            });
 }
 
--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -48,7 +48,7 @@
 /// Oldest idle connection for a request that may not be repeated: one that the replica closes while
 /// the request is on its way would leave it uncertain. Idle connections are refilled every few
 /// hundred milliseconds at the load of a normal day.
-constexpr Duration MaxIdleUnrepeatable = 2s;
+constexpr Duration MaxIdleUnrepeatable = 6s;
 
 /// Longest answer that is held, as opposed to relayed.
 constexpr std::size_t MaxHeldAnswer = 16 * 1024 * 1024;
--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -173,8 +173,7 @@
 
 bool EntryProcess::Private::isReady() const
 {
-    const bool proven = !settings->requiresKeyProof || config.proofAge() < settings->keyProofLimit;
-    return !draining && routes && proven && replicas.age() != Duration::max();
+    return !draining && routes && filters.isProven() && replicas.age() != Duration::max();
 }
 
 void EntryProcess::Private::register_()
--- a/src/Request/EntryFilters.h
+++ b/src/Request/EntryFilters.h
@@ -27,6 +27,9 @@
     /// \brief Runs all filters and fills in route and workspace.
     Result<void> run(EntryRequest &request) const;
 
+    /// \returns whether keys are honoured now.
+    bool isProven() const;
+
     /// \returns an error where the proof that the request's key still holds is too old. Asked again
     /// before each sending: the process may have been suspended in between.
     Result<void> checkProof(const EntryRequest &request) const;
@@ -35,7 +38,6 @@
     static Result<void> checkFraming(const EntryRequest &request);
     Result<void> findRoute(EntryRequest &request) const;
     Result<void> findWorkspace(EntryRequest &request) const;
-    bool isProven() const;
 
     Options m_options;
 };
--- /dev/null
+++ b/standin/ReplicaStandin.cpp
@@ -0,0 +1,140 @@
+#include "ReplicaStandin.h"
+
+#include "Base/Hash.h"
+
+#include <cstdlib>
+
+#include <fmt/format.h>
+
+namespace catkinloft::standin {
+
+namespace {
+
+std::string textOf(std::string_view view)
+{
+    return std::string(view);
+}
+
+} // namespace
+
+ReplicaStandin::ReplicaStandin(Options options)
+    : m_options(std::move(options)), m_record(m_options.recordFile),
+      m_random(seededRandom(hash64(m_options.id)))
+{ }
+
+std::string ReplicaStandin::signatureOf(const std::string &id, const std::string &body)
+{
+    return fmt::format("{:x}", hash64(id + body));
+}
+
+bool ReplicaStandin::happens(const char *fault)
+{
+    const auto it = m_faults.find(fault);
+    return it != m_faults.end() && uniform(m_random) < it->second;
+}
+
+void ReplicaStandin::handle(const HttpExchangePtr &exchange)
+{
+    if (exchange->path() == "/v1/control")
+        return control(exchange);
+    const std::string meant = textOf(exchange->header("X-Target-Instance"));
+    if (!meant.empty() && meant != m_options.id)
+        return exchange->respond(421, {{"X-Instance-Id", m_options.id}}, {});
+    if (happens("refuse"))
+        return exchange->respond(503,
+                                 {{"X-Request-Id", textOf(exchange->header("X-Request-Id"))},
+                                  {"X-Not-Executed", "1"}},
+                                 {});
+    record(*exchange);
+    if (happens("hang")) {
+        // The caller's end ends the wait.
+        exchange->onClosed([held = exchange] {});
+        return;
+    }
+    if (happens("lose"))
+        return exchange->abort();
+    if (!exchange->queryValue("events").empty())
+        startStream(exchange);
+    else
+        answerCall(exchange);
+}
+
+void ReplicaStandin::control(const HttpExchangePtr &exchange)
+{
+    m_faults.clear();
+    const Json::Value request = bodyObject(*exchange);
+    for (const std::string &name : request.getMemberNames())
+        m_faults[name] = request[name].asDouble();
+    exchange->respond(204, {}, {});
+}
+
+void ReplicaStandin::record(const HttpExchange &exchange)
+{
+    Json::Value out(Json::objectValue);
+    out["id"] = textOf(exchange.header("X-Request-Id"));
+    out["replica"] = m_options.id;
+    out["method"] = exchange.method();
+    out["path"] = exchange.path();
+    out["body"] = textOf(exchange.body());
+    out["workspace"] = textOf(exchange.header("X-Tenant"));
+    out["key_seen"] = !exchange.header("Authorization").empty();
+    out["resumed"] = !exchange.header("Last-Event-Id").empty();
+    out["at_ms"] = static_cast<Json::Int64>(m_options.loop.wallNow().time_since_epoch().count());
+    m_record.add(out);
+}
+
+HttpHeaders ReplicaStandin::headersOf(const HttpExchange &exchange, const std::string &body) const
+{
+    const std::string id = textOf(exchange.header("X-Request-Id"));
+    return {{"X-Request-Id", id},
+            {"X-Response-Signature", signatureOf(id, body)},
+            {"X-Server-Load", "1,0,8"},
+            {"Keep-Alive", "timeout=5"}};
+}
+
+void ReplicaStandin::answerCall(const HttpExchangePtr &exchange)
+{
+    const std::string body =
+            fmt::format("{} answered by {}", exchange->header("X-Request-Id"), m_options.id);
+    const int status = happens("fail") ? 500 : 200;
+    m_options.loop.after(m_options.serviceTime,
+                         [exchange, status, body, headers = headersOf(*exchange, body)] {
+                             exchange->respond(status, headers, body);
+                         });
+}
+
+void ReplicaStandin::startStream(const HttpExchangePtr &exchange)
+{
+    const std::string last = textOf(exchange->header("Last-Event-Id"));
+    auto stream = std::make_shared<Stream>();
+    stream->exchange = exchange;
+    stream->last = std::atoi(exchange->queryValue("events").c_str());
+    stream->next = last.empty() ? 1 : std::atoi(last.c_str()) + 1;
+    if (happens("cut"))
+        stream->cutAt = stream->next + 1;
+    HttpHeaders headers = headersOf(*exchange, {});
+    headers.emplace_back("Content-Type", "text/event-stream");
+    exchange->beginStream(200, headers);
+    continueStream(stream);
+}
+
+void ReplicaStandin::continueStream(const std::shared_ptr<Stream> &stream)
+{
+    if (!stream->exchange->isOpen())
+        return;
+    if (stream->next > stream->last) {
+        stream->exchange->end();
+        return;
+    }
+    const std::string event = fmt::format("id: {}\ndata: piece {}\n\n", stream->next, stream->next);
+    if (stream->next == stream->cutAt) {
+        stream->exchange->write(event.substr(0, event.size() / 2));
+        m_options.loop.after(m_options.eventInterval, [stream] { stream->exchange->abort(); });
+        return;
+    }
+    stream->exchange->write(event);
+    ++stream->next;
+    m_options.loop.after(m_options.eventInterval, [this, stream] { continueStream(stream); });
+}
+
+} // namespace catkinloft::standin
--- /dev/null
+++ b/standin/RowStoreStandin.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "Net/Timer.h"
+#include "PlatformStandin.h"
+
+#include <deque>
+#include <list>
+#include <optional>
+
+namespace catkinloft::standin {
+
+/// \brief Plays the users' store: rows in tables, transactions under conditions, feeds of changes.
+///
+/// Beyond PlatformStandin's faults, `POST /v1/control` with `forget_history` makes every feed from
+/// before answer 410, and `POST /v1/operator` writes rows that routers may not write.
+class RowStoreStandin final : public PlatformStandin
+{
+public:
+    explicit RowStoreStandin(Options options);
+
+protected:
+    bool isWrite(const HttpExchange &exchange) const override;
+    bool hold(const HttpExchangePtr &exchange) override;
+    Answer answer(const HttpExchange &exchange) override;
+
+private:
+    struct Row
+    {
+        std::string value; ///< Base64, as it travels.
+        std::uint64_t version = 0;
+    };
+    struct Change
+    {
+        std::string table;
+        std::string key;
+        std::uint64_t version = 0;
+    };
+    struct Waiting
+    {
+        HttpExchangePtr exchange;
+        std::string table;
+        std::uint64_t after = 0;
+        TimePoint until;
+    };
+
+    Answer get(const HttpExchange &exchange) const;
+    std::optional<Answer> feed(const std::string &table, std::uint64_t after,
+                               bool answerEmpty) const;
+    Answer commit(const HttpExchange &exchange);
+    Answer writeAsOperator(const HttpExchange &exchange);
+    void set(const std::string &table, const std::string &key, std::optional<std::string> value);
+    Json::Value rowJson(const std::string &table, const std::string &key) const;
+    void answerWaiting();
+
+    std::map<std::string, std::map<std::string, Row>> m_tables;
+    std::deque<Change> m_history;
+    std::uint64_t m_version = 100;
+    std::uint64_t m_oldest = 0; ///< Feeds from before it answer 410.
+    std::list<Waiting> m_waiting;
+    Timer m_timer;
+};
+
+} // namespace catkinloft::standin
--- /dev/null
+++ b/standin/fleet/EntryFleet.cpp
@@ -0,0 +1,279 @@
+#include "fleet/EntryFleet.h"
+
+#include "Base/Json.h"
+#include "fleet/Fleet.h"
+#include "fleet/Ports.h"
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+
+#include <fmt/format.h>
+
+namespace catkinloft::standin {
+
+namespace {
+
+std::string localAddress()
+{
+    return fmt::format("127.0.0.1:{}", freePorts(1).front());
+}
+
+std::string contentOf(const std::string &path)
+{
+    const std::ifstream in(path);
+    std::ostringstream out;
+    out << in.rdbuf();
+    return out.str();
+}
+
+Json::Value routeJson(const std::string &name, const std::string &kind, const std::string &service,
+                      bool resumable, int attempts)
+{
+    Json::Value out(Json::objectValue);
+    out["name"] = name;
+    out["host"] = EntryFleet::Host;
+    out["prefix"] = "/" + name + "/";
+    out["kind"] = kind;
+    out["service"] = service;
+    out["timeout-ms"] = 4000;
+    out["target-latency-ms"] = 500;
+    out["priority"] = 1;
+    out["max-attempts"] = attempts;
+    out["no-auth"] = false;
+    out["stream-resume"] = resumable;
+    out["gap-aim-ms"] = 400;
+    return out;
+}
+
+} // namespace
+
+EntryFleet::EntryFleet(Options options)
+    : m_options(std::move(options)),
+      m_folder((std::filesystem::temp_directory_path() / "catkinloft-XXXXXX").string())
+{
+    if (!mkdtemp(m_folder.data()))
+        throw std::runtime_error("no temporary folder");
+    m_routers.resize(m_options.routers);
+    m_replicas.resize(2 * m_options.replicas);
+}
+
+EntryFleet::~EntryFleet()
+{
+    m_routers.clear();
+    m_replicas.clear();
+    m_storeProcess.reset();
+    std::error_code ec;
+    std::filesystem::remove_all(m_folder, ec);
+}
+
+std::unique_ptr<ChildProcess> EntryFleet::spawn(std::vector<std::string> command,
+                                                const std::string &name)
+{
+    command.front() = m_options.binaries + "/" + command.front();
+    return std::make_unique<ChildProcess>(command, m_folder + "/" + name + ".log");
+}
+
+void EntryFleet::post(const std::string &address, const std::string &target,
+                      const std::string &body)
+{
+    const auto accepted = [&] {
+        const Result<HttpAnswer> answer = Fleet::fetch(
+                {.address = address, .method = "POST", .target = target, .body = body});
+        return answer && answer.value().head.status < 300;
+    };
+    if (!Fleet::waitFor(accepted))
+        throw std::runtime_error("a stand-in does not take " + target);
+}
+
+void EntryFleet::startStore()
+{
+    m_store = localAddress();
+    m_storeProcess = spawn({"catkinloft-standin", "--listen=" + m_store, "--name=store",
+                            "--writes_per_second=400", "--reads_per_second=2000", "rowstore"},
+                           "store");
+}
+
+void EntryFleet::startProxy(Proxy &proxy, const std::string &target, const std::string &name)
+{
+    proxy.listen = localAddress();
+    proxy.control = localAddress();
+    proxy.process = spawn({"catkinloft-standin", "--listen=" + proxy.listen,
+                           "--control=" + proxy.control, "--target=" + target, "proxy"},
+                          name);
+}
+
+void EntryFleet::startReplica(std::size_t i)
+{
+    Replica &it = m_replicas[i];
+    it.service = i < m_options.replicas ? "calls" : "streams";
+    it.id = fmt::format("i-{}-{}", i, ++it.starts);
+    it.process = spawn({"catkinloft-standin", "--listen=" + it.address, "--name=" + it.id,
+                        "--service_ms=5", "--record_file=" + m_folder + "/" + it.id + ".executions",
+                        "replica"},
+                       it.id);
+}
+
+void EntryFleet::restartReplica(std::size_t i)
+{
+    m_replicas[i].process.reset();
+    removeReplica(i);
+    startReplica(i);
+    registerReplica(i, "ready");
+}
+
+void EntryFleet::writeRow(const std::string &table, const std::string &key,
+                          const Json::Value &value)
+{
+    Json::Value root(Json::objectValue);
+    root["table"] = table;
+    root["key"] = key;
+    if (!value.isNull())
+        root["value"] = printJson(value);
+    post(m_store, "/v1/operator", printJson(root));
+}
+
+void EntryFleet::registerReplica(std::size_t i, const std::string &state)
+{
+    const Replica &it = m_replicas.at(i);
+    Json::Value entry(Json::objectValue);
+    entry["service"] = it.service;
+    entry["address"] = it.proxy.listen;
+    entry["zone"] = "hall";
+    entry["slots"] = 8;
+    entry["state"] = state;
+    writeRow("servers", it.id, entry);
+}
+
+void EntryFleet::removeReplica(std::size_t i)
+{
+    writeRow("servers", m_replicas.at(i).id, Json::Value());
+}
+
+std::uint64_t EntryFleet::writeConfig(const std::vector<std::string> &keys, bool withExtraRoute)
+{
+    m_version += 3;
+    Json::Value root(Json::objectValue);
+    root["version"] = static_cast<Json::UInt64>(m_version);
+    root["routes"].append(routeJson("safe", "idempotent", "calls", false, 2));
+    root["routes"].append(routeJson("once", "non_idempotent", "calls", false, 1));
+    root["routes"].append(routeJson("stream", "streaming", "streams", true, 2));
+    root["routes"].append(routeJson("whole", "streaming", "streams", false, 1));
+    if (withExtraRoute)
+        root["routes"].append(routeJson("extra", "idempotent", "calls", false, 2));
+    for (const char *it : {"calls", "streams"}) {
+        Json::Value service(Json::objectValue);
+        service["name"] = it;
+        service["max-connections"] = 300;
+        root["services"].append(service);
+    }
+    root["limits"]["idle-timeout-ms"] = 15000;
+    Json::Value workspace(Json::objectValue);
+    workspace["name"] = "archive";
+    workspace["api-keys"] = Json::Value(Json::arrayValue);
+    for (const std::string &it : keys)
+        workspace["api-keys"].append(it);
+    root["tenants"].append(workspace);
+    writeRow("op", "config", root);
+    return m_version;
+}
+
+void EntryFleet::writeSettings(std::size_t i)
+{
+    const Router &it = m_routers[i];
+    std::ofstream out(fmt::format("{}/router-{}.yaml", m_folder, i));
+    out << fmt::format("name: \"router-{}\"\nfailure_domain: \"hall\"\ncaller_address: \"{}\"\n"
+                       "readiness_address: \"{}\"\ndirectory_address: \"{}\"\n"
+                       "peer_address: \"{}\"\nstore_address: \"{}\"\n"
+                       "repeats:\n  share: 0.2\n  slack: 60\n  window: 10s\n{}",
+                       i, it.caller, it.readiness, it.directory, it.peer, it.store.listen,
+                       m_options.extraSettings);
+}
+
+void EntryFleet::startRouter(std::size_t i)
+{
+    m_routers[i].process =
+            spawn({"catkinloft", "entry", fmt::format("{}/router-{}.yaml", m_folder, i)},
+                  fmt::format("router-{}", i));
+}
+
+bool EntryFleet::isReady(std::size_t i) const
+{
+    const Result<HttpAnswer> answer =
+            Fleet::fetch({.address = m_routers.at(i).readiness, .target = "/v1/readiness"});
+    return answer && answer.value().head.status == 200;
+}
+
+void EntryFleet::start()
+{
+    startStore();
+    for (std::size_t i = 0; i < m_replicas.size(); ++i) {
+        m_replicas[i].address = localAddress();
+        startProxy(m_replicas[i].proxy, m_replicas[i].address, fmt::format("proxy-{}", i));
+        startReplica(i);
+        registerReplica(i, "ready");
+    }
+    writeConfig({Key});
+    for (std::size_t i = 0; i < m_routers.size(); ++i) {
+        Router &it = m_routers[i];
+        it.caller = localAddress();
+        it.directory = localAddress();
+        it.readiness = localAddress();
+        it.peer = localAddress();
+        startProxy(it.store, m_store, fmt::format("store-path-{}", i));
+        writeSettings(i);
+        startRouter(i);
+    }
+    for (std::size_t i = 0; i < m_routers.size(); ++i) {
+        if (!Fleet::waitFor([&] { return isReady(i); }))
+            throw std::runtime_error("a router does not become ready");
+    }
+}
+
+void EntryFleet::strikeReplica(std::size_t i, const std::string &faults)
+{
+    post(m_replicas.at(i).proxy.control, "/v1/faults", faults);
+}
+
+void EntryFleet::strikeStorePath(std::size_t i, const std::string &faults)
+{
+    post(m_routers.at(i).store.control, "/v1/faults", faults);
+}
+
+void EntryFleet::setReplicaFaults(std::size_t i, const std::string &shares)
+{
+    post(m_replicas.at(i).address, "/v1/control", shares);
+}
+
+void EntryFleet::setStoreMode(const std::string &mode, int delayMs)
+{
+    post(m_store, "/v1/control", fmt::format(R"({{"mode":"{}","delay_ms":{}}})", mode, delayMs));
+}
+
+void EntryFleet::forgetHistory()
+{
+    post(m_store, "/v1/operator", R"({"forget_history":true})");
+}
+
+std::vector<Json::Value> EntryFleet::executions() const
+{
+    std::vector<Json::Value> out;
+    for (const auto &entry : std::filesystem::directory_iterator(m_folder)) {
+        if (entry.path().extension() != ".executions")
+            continue;
+        std::istringstream lines(contentOf(entry.path().string()));
+        for (std::string line; std::getline(lines, line);) {
+            if (const Result<Json::Value> it = parseJsonObject(line); it)
+                out.push_back(it.value());
+        }
+    }
+    return out;
+}
+
+std::string EntryFleet::routerLog(std::size_t i) const
+{
+    return contentOf(fmt::format("{}/router-{}.log", m_folder, i));
+}
+
+} // namespace catkinloft::standin
--- /dev/null
+++ b/standin/fleet/EntryFleet.h
@@ -0,0 +1,129 @@
+#pragma once
+
+#include "Net/HttpClient.h"
+#include "fleet/ChildProcess.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <json/json.h>
+
+namespace catkinloft::standin {
+
+/// \brief Real processes on loopback as the users' platform starts them: its store, replicas of two
+/// services and entry routers. Replicas, and each router's way to the store, stand behind fault
+/// proxies.
+class EntryFleet
+{
+public:
+    struct Options
+    {
+        std::string binaries; ///< Folder of the built programs.
+        std::size_t routers = 3;
+        std::size_t replicas = 3; ///< Of each of the services `calls` and `streams`.
+        std::string extraSettings = {}; ///< Further lines of each router's settings.
+    };
+
+    explicit EntryFleet(Options options);
+    ~EntryFleet();
+
+    /// \brief Starts everything and waits until every router is ready. Throws std::runtime_error
+    /// where that does not happen in time.
+    void start();
+
+    /// \brief Starts router \a i, again after it was stopped.
+    void startRouter(std::size_t i);
+    ChildProcess &router(std::size_t i) { return *m_routers.at(i).process; }
+    std::size_t routerCount() const { return m_routers.size(); }
+    const std::string &callerAddress(std::size_t i) const { return m_routers.at(i).caller; }
+    const std::string &directoryAddress(std::size_t i) const { return m_routers.at(i).directory; }
+    bool isReady(std::size_t i) const;
+
+    ChildProcess &replica(std::size_t i) { return *m_replicas.at(i).process; }
+    std::size_t replicaCount() const { return m_replicas.size(); }
+    const std::string &replicaId(std::size_t i) const { return m_replicas.at(i).id; }
+
+    /// \brief Starts replica \a i anew, with a new id, and registers it.
+    void restartReplica(std::size_t i);
+
+    /// \brief Writes the entry of replica \a i, or removes it.
+    void registerReplica(std::size_t i, const std::string &state);
+    void removeReplica(std::size_t i);
+
+    /// \brief Puts a configuration in force. \param keys API keys of the only workspace.
+    /// \returns its version.
+    std::uint64_t writeConfig(const std::vector<std::string> &keys, bool withExtraRoute = false);
+
+    /// \brief Sets faults, a JSON object, at the proxy before replica \a i, or at the proxy between
+    /// router \a i and the store.
+    void strikeReplica(std::size_t i, const std::string &faults);
+    void strikeStorePath(std::size_t i, const std::string &faults);
+
+    /// \brief Sets shares of failing requests at replica \a i.
+    void setReplicaFaults(std::size_t i, const std::string &shares);
+
+    /// \brief Sets the mode of the store for all; \sa PlatformStandin
+    void setStoreMode(const std::string &mode, int delayMs = 0);
+
+    /// \brief Makes the store forget the changes so far.
+    void forgetHistory();
+
+    /// \returns what all replicas executed since the start, killed ones included.
+    std::vector<Json::Value> executions() const;
+
+    /// \returns the log lines of router \a i so far.
+    std::string routerLog(std::size_t i) const;
+
+    const std::string &folder() const { return m_folder; }
+
+    static constexpr const char *Host = "entry.example";
+    static constexpr const char *Key = "first-key";
+
+private:
+    struct Proxy
+    {
+        std::string listen;
+        std::string control;
+        std::unique_ptr<ChildProcess> process;
+    };
+    struct Router
+    {
+        std::string caller;
+        std::string directory;
+        std::string readiness;
+        std::string peer;
+        Proxy store;
+        std::unique_ptr<ChildProcess> process;
+    };
+    struct Replica
+    {
+        std::string service;
+        std::string id;
+        std::string address;
+        int starts = 0;
+        Proxy proxy;
+        std::unique_ptr<ChildProcess> process;
+    };
+
+    void startStore();
+    void startProxy(Proxy &proxy, const std::string &target, const std::string &name);
+    void startReplica(std::size_t i);
+    void writeSettings(std::size_t i);
+    void writeRow(const std::string &table, const std::string &key, const Json::Value &value);
+    static void post(const std::string &address, const std::string &target,
+                     const std::string &body);
+    std::unique_ptr<ChildProcess> spawn(std::vector<std::string> command, const std::string &name);
+
+    Options m_options;
+    std::string m_folder;
+    std::string m_store;
+    std::unique_ptr<ChildProcess> m_storeProcess;
+    std::vector<Router> m_routers;
+    std::vector<Replica> m_replicas;
+    std::uint64_t m_version = 0;
+};
+
+} // namespace catkinloft::standin
--- a/standin/main.cpp
+++ b/standin/main.cpp
@@ -2,6 +2,8 @@
 #include "EngineStandin.h"
 #include "FaultProxy.h"
 #include "ObjectStandin.h"
+#include "ReplicaStandin.h"
+#include "RowStoreStandin.h"
 #include "ServiceStandin.h"
 #include "TableStandin.h"
 #include "VmListStandin.h"
@@ -76,6 +78,15 @@
                                                         .readsPerSecond = FLAGS_reads_per_second});
 }
 
+std::unique_ptr<Standin> makeReplica(EventLoop &loop)
+{
+    return std::make_unique<ReplicaStandin>(
+            ReplicaStandin::Options{.loop = loop,
+                                    .id = FLAGS_name,
+                                    .serviceTime = fromSeconds(FLAGS_service_ms / 1000),
+                                    .recordFile = FLAGS_record_file});
+}
+
 std::unique_ptr<Standin> makeVmList(EventLoop &loop)
 {
     return std::make_unique<VmListStandin>(loop, fromSeconds(FLAGS_lag_ms / 1000));
@@ -95,6 +106,8 @@
             {"table", &makePlatform<TableStandin>},
             {"objects", &makePlatform<ObjectStandin>},
             {"weights", &makePlatform<WeightStandin>},
+            {"rowstore", &makePlatform<RowStoreStandin>},
+            {"replica", &makeReplica},
             {"vms", &makeVmList},
             {"proxy", &makeProxy},
     };
@@ -131,12 +144,12 @@
 
 int main(int argc, char **argv)
 {
-    gflags::SetUsageMessage("engine|service|table|objects|weights|vms|proxy");
+    gflags::SetUsageMessage("engine|service|table|objects|weights|vms|rowstore|replica|proxy");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     if (argc != 2) {
         fmt::print(stderr,
                    "usage: catkinloft-standin [flags] "
-                   "engine|service|table|objects|weights|vms|proxy\n");
+                   "engine|service|table|objects|weights|vms|rowstore|replica|proxy\n");
         return 2;
     }
     return catkinloft::standin::runStandin(argv[1]);
--- /dev/null
+++ b/test/integration/EntryTest.cpp
@@ -0,0 +1,249 @@
+#include "Base/RequestTrace.h"
+#include "fleet/EntryFleet.h"
+#include "fleet/Fleet.h"
+
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <csignal>
+#include <set>
+#include <thread>
+
+#include <fmt/format.h>
+
+using namespace catkinloft;
+using namespace std::chrono_literals;
+using standin::EntryFleet;
+using standin::Fleet;
+
+namespace {
+
+struct EntryFleetFixture
+{
+    EntryFleetFixture() { fleet.start(); }
+
+    Result<HttpAnswer> send(std::size_t router, const std::string &path,
+                            const std::string &key = EntryFleet::Key,
+                            const std::string &method = "GET")
+    {
+        lastId = fmt::format("q{}", ++requests);
+        return Fleet::fetch({.address = fleet.callerAddress(router),
+                             .method = method,
+                             .target = path,
+                             .headers = {{"Host", EntryFleet::Host},
+                                         {"X-Request-Id", lastId},
+                                         {"X-Request-Deadline", "3000"},
+                                         {"Authorization", "Bearer " + key}},
+                             .body = method == "POST" ? "body" : "",
+                             .timeout = 6s,
+                             .freshConnection = true});
+    }
+
+    int status(std::size_t router, const std::string &path,
+               const std::string &key = EntryFleet::Key, const std::string &method = "GET")
+    {
+        const Result<HttpAnswer> answer = send(router, path, key, method);
+        return answer ? answer.value().head.status : 0;
+    }
+
+    std::size_t executionsOf(const std::string &id) const
+    {
+        std::size_t n = 0;
+        for (const Json::Value &it : fleet.executions())
+            n += it["id"].asString() == id ? 1 : 0;
+        return n;
+    }
+
+    EntryFleet fleet{{.binaries = CATKINLOFT_BINARIES}};
+    int requests = 0;
+    std::string lastId;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(EntryFleetFixture, "entry_everyRouter_servesEveryKindOfRoute")
+{
+    for (std::size_t i = 0; i < fleet.routerCount(); ++i) {
+        CHECK(status(i, "/safe/a?b=c") == 200);
+        CHECK(status(i, "/once/a", EntryFleet::Key, "POST") == 200);
+        CHECK(executionsOf(lastId) == 1);
+        const Result<HttpAnswer> stream = send(i, "/stream/a?events=4");
+        REQUIRE(stream);
+        CHECK(stream.value().body.find("id: 4\n") != std::string::npos);
+        CHECK(status(i, "/nowhere/") == 404);
+        CHECK(status(i, "/safe/a", "unknown") == 401);
+    }
+    for (const Json::Value &it : fleet.executions()) {
+        CHECK(it["workspace"].asString() == "archive");
+        CHECK_FALSE(it["key_seen"].asBool());
+    }
+}
+
+TEST_CASE_FIXTURE(EntryFleetFixture, "entry_directory_namesAllRoutersUntilOneStops")
+{
+    const auto named = [&] {
+        const Result<HttpAnswer> answer = Fleet::fetch(
+                {.address = fleet.directoryAddress(0), .target = "/v1/resolve?name=x&zone=hall"});
+        std::size_t n = 0;
+        for (std::size_t i = 0; answer && i < fleet.routerCount(); ++i)
+            n += answer.value().body.find(fleet.callerAddress(i)) != std::string::npos ? 1 : 0;
+        return n;
+    };
+    CHECK(Fleet::waitFor([&] { return named() == 3; }));
+    fleet.router(2).signal(SIGTERM);
+    CHECK(Fleet::waitFor([&] { return named() == 2; }));
+    CHECK(fleet.router(2).wait() == 0);
+}
+
+TEST_CASE_FIXTURE(EntryFleetFixture, "entry_keyTakenAway_isRefusedOnEveryRouter")
+{
+    fleet.writeConfig({"second-key"});
+    for (std::size_t i = 0; i < fleet.routerCount(); ++i) {
+        CHECK(Fleet::waitFor([&] { return status(i, "/safe/a") == 401; }));
+        CHECK(status(i, "/safe/a", "second-key") == 200);
+    }
+}
+
+TEST_CASE_FIXTURE(EntryFleetFixture, "entry_configurationAfterForgottenHistory_isInForce")
+{
+    fleet.forgetHistory();
+    fleet.writeConfig({EntryFleet::Key}, true);
+    for (std::size_t i = 0; i < fleet.routerCount(); ++i)
+        CHECK(Fleet::waitFor([&] { return status(i, "/extra/a") == 200; }));
+}
+
+TEST_CASE_FIXTURE(EntryFleetFixture, "entry_storeIsDown_refusesKeysAsNotRunAndServesAgainAfter")
+{
+    fleet.setStoreMode("down");
+    CHECK(Fleet::waitFor([&] { return status(0, "/safe/a") == 503; }));
+    CHECK(executionsOf(lastId) == 0);
+    CHECK_FALSE(fleet.isReady(0));
+    fleet.setStoreMode("up");
+    CHECK(Fleet::waitFor([&] { return status(0, "/safe/a") == 200; }));
+    CHECK(Fleet::waitFor([&] { return fleet.isReady(0); }));
+}
+
+TEST_CASE_FIXTURE(EntryFleetFixture, "entry_oneRouterCutFromStore_learnsOfChangesFromItsPeers")
+{
+    // All three read the store in a fleet this small; the one that is cut off asks the others.
+    fleet.strikeStorePath(1, R"({"refuse":true,"cut":true})");
+    fleet.writeConfig({"second-key"});
+    CHECK(Fleet::waitFor([&] { return status(1, "/safe/a", "second-key") == 200; }));
+    CHECK(status(1, "/safe/a") == 401);
+    // Longer than an own proof would last: it is renewed by the peers.
+    const auto until = std::chrono::steady_clock::now() + 6s;
+    bool always = true;
+    while (std::chrono::steady_clock::now() < until)
+        always = always && status(1, "/safe/a", "second-key") == 200;
+    CHECK(always);
+}
+
+TEST_CASE_FIXTURE(EntryFleetFixture, "entry_suspendedRouter_servesNoKeyThatWasTakenAwayMeanwhile")
+{
+    fleet.router(0).signal(SIGSTOP);
+    fleet.writeConfig({"second-key"});
+    std::this_thread::sleep_for(6s);
+    fleet.router(0).signal(SIGCONT);
+    CHECK(status(0, "/safe/a") != 200);
+    CHECK(executionsOf(lastId) == 0);
+    CHECK(Fleet::waitFor([&] { return status(0, "/safe/a", "second-key") == 200; }));
+}
+
+TEST_CASE_FIXTURE(EntryFleetFixture, "entry_drainingReplica_getsNothingNew")
+{
+    const std::string id = fleet.replicaId(0);
+    fleet.registerReplica(0, "draining");
+    std::this_thread::sleep_for(2s);
+    std::set<std::string> sent;
+    for (int i = 0; i < 30; ++i) {
+        CHECK(status(static_cast<std::size_t>(i) % 3, "/safe/a") == 200);
+        sent.insert(lastId);
+    }
+    for (const Json::Value &it : fleet.executions()) {
+        if (sent.contains(it["id"].asString()))
+            CHECK(it["replica"].asString() != id);
+    }
+}
+
+TEST_CASE_FIXTURE(EntryFleetFixture,
+                  "entry_answersLost_onceOnlyCallsRunOnceAndIdempotentAreAnswered")
+{
+    for (std::size_t i = 0; i < 3; ++i)
+        fleet.setReplicaFaults(i, R"({"lose":0.4})");
+    int answered = 0;
+    for (int i = 0; i < 20; ++i)
+        answered += status(0, "/safe/a") == 200 ? 1 : 0;
+    CHECK(answered >= 12); // Alone, 8 of 20 would fail.
+    for (int i = 0; i < 20; ++i) {
+        const int got = status(1, "/once/a", EntryFleet::Key, "POST");
+        CHECK((got == 200 || got == 502));
+        CHECK(executionsOf(lastId) == 1);
+    }
+}
+
+TEST_CASE_FIXTURE(EntryFleetFixture, "entry_streamsCutWithinEvents_areResumedWhole")
+{
+    for (std::size_t i = 3; i < 6; ++i)
+        fleet.setReplicaFaults(i, R"({"cut":0.3})");
+    for (int i = 0; i < 15; ++i) {
+        const Result<HttpAnswer> answer = send(0, "/stream/a?events=6");
+        if (!answer)
+            continue; // Both replicas cut it: the caller sees that.
+        std::string expected;
+        for (int k = 1; k <= 6; ++k)
+            expected += fmt::format("id: {}\ndata: piece {}\n\n", k, k);
+        CHECK(answer.value().body == expected);
+    }
+}
+
+TEST_CASE_FIXTURE(EntryFleetFixture, "entry_plannedStop_endsRunningStreamsWhole")
+{
+    std::vector<std::thread> callers;
+    std::atomic<int> whole = 0;
+    for (int i = 0; i < 8; ++i) {
+        callers.emplace_back([&, i] {
+            const Result<HttpAnswer> answer = Fleet::fetch(
+                    {.address = fleet.callerAddress(0),
+                     .target = "/whole/a?events=150",
+                     .headers = {{"Host", EntryFleet::Host},
+                                 {"X-Request-Id", fmt::format("w{}", i)},
+                                 {"Authorization", std::string("Bearer ") + EntryFleet::Key}},
+                     .timeout = 8s});
+            if (answer && answer.value().body.find("id: 150\n") != std::string::npos)
+                ++whole;
+        });
+    }
+    std::this_thread::sleep_for(300ms);
+    fleet.router(0).signal(SIGTERM);
+    for (std::thread &it : callers)
+        it.join();
+    CHECK(whole.load() == 8);
+    CHECK(fleet.router(0).wait() == 0);
+}
+
+TEST_CASE_FIXTURE(EntryFleetFixture, "entry_allRoutersKilled_serveAgainAfterTheirRestart")
+{
+    for (std::size_t i = 0; i < fleet.routerCount(); ++i)
+        fleet.router(i).signal(SIGKILL);
+    for (std::size_t i = 0; i < fleet.routerCount(); ++i) {
+        fleet.router(i).wait();
+        fleet.startRouter(i);
+    }
+    for (std::size_t i = 0; i < fleet.routerCount(); ++i)
+        CHECK(Fleet::waitFor([&] { return status(i, "/safe/a") == 200; }));
+}
+
+TEST_CASE_FIXTURE(EntryFleetFixture, "entry_failedRequest_isExplainedByItsLogLines")
+{
+    for (std::size_t i = 0; i < 3; ++i)
+        fleet.setReplicaFaults(i, R"({"lose":1})");
+    CHECK(status(0, "/once/a", EntryFleet::Key, "POST") == 502);
+    const auto explained = [&] {
+        RequestTrace trace(lastId);
+        for (std::size_t i = 0; i < fleet.routerCount(); ++i)
+            trace.addLog(fleet.routerLog(i));
+        return trace.account().find("cause: upstream_broken: the connection broke")
+                != std::string::npos;
+    };
+    CHECK(Fleet::waitFor(explained));
+}
