--- /dev/null
+++ b/soak/SoakCheck.cpp
@@ -0,0 +1,106 @@
+#include "SoakCheck.h"
+
+#include "ReplicaStandin.h"
+
+#include <set>
+
+#include <fmt/format.h>
+
+namespace catkinloft::soak {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A key that was taken away runs nothing that was sent later than this.
+constexpr Duration KeyLimit = 5s;
+
+/// A draining replica gets nothing later than this, with a margin for the stand-in's own clock.
+constexpr Duration DrainLimit = 2s + 200ms;
+
+constexpr std::size_t MaxLines = 20;
+
+bool isOnce(const std::string &route)
+{
+    return route == "once" || route == "whole";
+}
+
+bool isStream(const std::string &route)
+{
+    return route == "stream" || route == "whole";
+}
+
+bool promisesNotRun(int status)
+{
+    return status == 503 || status == 429 || status == 408 || status == 421;
+}
+
+std::string wholeStream()
+{
+    std::string out;
+    for (int i = 1; i <= 6; ++i)
+        out += fmt::format("id: {}\ndata: piece {}\n\n", i, i);
+    return out;
+}
+
+bool isRightAnswer(const std::string &id, const Attempt &it)
+{
+    if (isStream(it.route))
+        return it.body == wholeStream()
+                && it.signature == standin::ReplicaStandin::signatureOf(id, {});
+    return it.body.starts_with(id + " answered by ")
+            && it.signature == standin::ReplicaStandin::signatureOf(id, it.body);
+}
+
+} // namespace
+
+std::vector<std::string> brokenPromises(const std::map<std::string, Attempt> &attempts,
+                                        const std::vector<Json::Value> &executions,
+                                        const std::vector<OperatorAct> &acts)
+{
+    std::vector<std::string> out;
+    const auto broken = [&](std::string line) {
+        if (out.size() < MaxLines)
+            out.push_back(std::move(line));
+    };
+    std::map<std::string, std::set<std::string>> ranAt;
+    std::map<std::string, int> runs;
+    for (const Json::Value &it : executions) {
+        const std::string id = it["id"].asString();
+        const auto attempt = attempts.find(id);
+        ++runs[id];
+        ranAt[id].insert(it["replica"].asString());
+        if (attempt == attempts.end()) {
+            broken(fmt::format("{} ran though nobody sent it", id));
+            continue;
+        }
+        if (it["key_seen"].asBool() || it["workspace"].asString() != "archive")
+            broken(fmt::format("{} reached a replica with its key or without its workspace", id));
+        const WallTime at{std::chrono::milliseconds(it["at_ms"].asInt64())};
+        for (const OperatorAct &act : acts) {
+            if (!act.key.empty() && attempt->second.key == act.key
+                && attempt->second.sentAt > act.acknowledgedAt + KeyLimit)
+                broken(fmt::format("{} ran with a key that was taken away", id));
+            if (act.calm && !act.replica.empty() && it["replica"].asString() == act.replica
+                && at > act.acknowledgedAt + DrainLimit)
+                broken(fmt::format("{} reached draining replica {} {} ms after the word", id,
+                                   act.replica, (at - act.acknowledgedAt) / 1ms));
+        }
+    }
+    for (const auto &[id, it] : attempts) {
+        const int n = runs.contains(id) ? runs.at(id) : 0;
+        if (isOnce(it.route) && n > 1)
+            broken(fmt::format("{} ({}) ran {} times", id, it.route, n));
+        if (n > 0 && ranAt.at(id).size() > 2)
+            broken(fmt::format("{} ran on {} replicas", id, ranAt.at(id).size()));
+        if (isOnce(it.route) && promisesNotRun(it.status) && n > 0)
+            broken(fmt::format("{} was answered {} and ran", id, it.status));
+        if (it.status == 200 && !isRightAnswer(id, it))
+            broken(fmt::format("{} got another answer than its own, or part of it", id));
+        if (it.status == 200 && n == 0)
+            broken(fmt::format("{} was answered and did not run", id));
+    }
+    return out;
+}
+
+} // namespace catkinloft::soak
--- /dev/null
+++ b/soak/SoakCheck.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "SoakLoad.h"
+
+#include <string>
+#include <vector>
+
+#include <json/json.h>
+
+namespace catkinloft::soak {
+
+/// \brief What the operator did that limits what may run.
+struct OperatorAct
+{
+    WallTime acknowledgedAt = {};
+    std::string key = {}; ///< Taken away; empty: the act concerns a replica.
+    std::string replica = {}; ///< Told that it drains.
+    bool calm = true; ///< Nothing disturbed routers or store around the act.
+};
+
+/// \brief Checks the promises of the pages against what callers saw and replicas ran.
+/// \returns a line for each broken promise, the first few of a kind.
+std::vector<std::string> brokenPromises(const std::map<std::string, Attempt> &attempts,
+                                        const std::vector<Json::Value> &executions,
+                                        const std::vector<OperatorAct> &acts);
+
+} // namespace catkinloft::soak
--- /dev/null
+++ b/soak/SoakLoad.cpp
@@ -0,0 +1,89 @@
+#include "SoakLoad.h"
+
+#include "Base/Json.h"
+
+#include <array>
+
+#include <fmt/format.h>
+
+namespace catkinloft::soak {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+struct Shape
+{
+    const char *route;
+    const char *method;
+    const char *target;
+};
+
+constexpr std::array Shapes = {
+        Shape{"safe", "GET", "/safe/a"},
+        Shape{"once", "POST", "/once/a"},
+        Shape{"stream", "GET", "/stream/a?events=6"},
+        Shape{"whole", "GET", "/whole/a?events=6"},
+};
+
+/// Requests between two questions to the directory.
+constexpr std::size_t AskEvery = 60;
+
+} // namespace
+
+SoakLoad::SoakLoad(Options options)
+    : m_options(std::move(options)), m_client(m_options.loop),
+      m_timer(m_options.loop, [this] { send(); })
+{
+    for (std::size_t i = 0; i < m_options.fleet.routerCount(); ++i)
+        m_addresses.push_back(m_options.fleet.callerAddress(i));
+}
+
+void SoakLoad::askDirectory()
+{
+    const std::size_t i = below(m_options.random, m_options.fleet.routerCount());
+    m_client.fetch({.address = m_options.fleet.directoryAddress(i),
+                    .target = "/v1/resolve?name=entry.example&zone=hall",
+                    .timeout = 1s},
+                   [this](const Result<HttpAnswer> &answer) {
+                       if (!answer || answer.value().head.status != 200)
+                           return; // Callers keep the answer that they have.
+                       const Result<Json::Value> root = parseJsonObject(answer.value().body);
+                       if (!root || root.value()["addresses"].empty())
+                           return;
+                       m_addresses.clear();
+                       for (const Json::Value &it : root.value()["addresses"])
+                           m_addresses.push_back(it.asString());
+                   });
+}
+
+void SoakLoad::send()
+{
+    if (++m_number % AskEvery == 0)
+        askDirectory();
+    const Shape &shape = Shapes[below(m_options.random, Shapes.size())];
+    const std::string id = fmt::format("s{}", m_number);
+    Attempt &attempt = m_attempts[id];
+    attempt = {.route = shape.route, .key = m_key, .sentAt = m_options.loop.wallNow()};
+    ++m_open;
+    m_client.fetch({.address = m_addresses[below(m_options.random, m_addresses.size())],
+                    .method = shape.method,
+                    .target = shape.target,
+                    .headers = {{"Host", standin::EntryFleet::Host},
+                                {"X-Request-Id", id},
+                                {"X-Request-Deadline", "3000"},
+                                {"Authorization", "Bearer " + m_key}},
+                    .body = std::string(shape.method) == "POST" ? "body" : "",
+                    .timeout = 3500ms},
+                   [this, id](const Result<HttpAnswer> &answer) {
+                       --m_open;
+                       if (!answer)
+                           return;
+                       Attempt &it = m_attempts[id];
+                       it.status = answer.value().head.status;
+                       it.body = answer.value().body;
+                       it.signature = answer.value().head.header("X-Response-Signature");
+                   });
+}
+
+} // namespace catkinloft::soak
--- /dev/null
+++ b/soak/SoakPlan.cpp
@@ -0,0 +1,78 @@
+#include "SoakPlan.h"
+
+#include <algorithm>
+#include <array>
+
+namespace catkinloft::soak {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+struct KindInfo
+{
+    FaultKind kind;
+    std::string_view name;
+    bool onRouter;
+    Duration shortest;
+    Duration longest;
+};
+
+constexpr std::array Kinds = {
+        KindInfo{FaultKind::RouterKill, "router_kill", true, 100ms, 2s},
+        KindInfo{FaultKind::RouterTerm, "router_term", true, 100ms, 1s},
+        KindInfo{FaultKind::RouterPause, "router_pause", true, 300ms, 7s},
+        KindInfo{FaultKind::StoreDown, "store_down", true, 300ms, 8s},
+        KindInfo{FaultKind::StoreSlow, "store_slow", true, 1s, 4s},
+        KindInfo{FaultKind::StoreLosesAnswers, "store_loses_answers", true, 300ms, 3s},
+        KindInfo{FaultKind::StoreForgets, "store_forgets", true, 0ms, 0ms},
+        KindInfo{FaultKind::StorePathCut, "store_path_cut", true, 1s, 8s},
+        KindInfo{FaultKind::StorePathSilent, "store_path_silent", true, 0ms, 0ms},
+        KindInfo{FaultKind::ReplicaKill, "replica_kill", false, 100ms, 3s},
+        KindInfo{FaultKind::ReplicaPause, "replica_pause", false, 200ms, 3s},
+        KindInfo{FaultKind::ReplicaFails, "replica_fails", false, 1s, 5s},
+        KindInfo{FaultKind::ReplicaPathSilent, "replica_path_silent", false, 0ms, 0ms},
+        KindInfo{FaultKind::ReplicaPathDelay, "replica_path_delay", false, 500ms, 3s},
+        KindInfo{FaultKind::ReplicaDrain, "replica_drain", false, 3s, 4s},
+        KindInfo{FaultKind::KeyTaken, "key_taken", true, 0ms, 0ms},
+        KindInfo{FaultKind::ConfigChange, "config_change", true, 0ms, 0ms},
+};
+
+Duration between(const RandomSource &random, Duration a, Duration b)
+{
+    return a + fromSeconds(toSeconds(b - a) * uniform(random));
+}
+
+} // namespace
+
+std::string_view faultName(FaultKind kind)
+{
+    for (const KindInfo &it : Kinds) {
+        if (it.kind == kind)
+            return it.name;
+    }
+    return "unknown";
+}
+
+std::vector<Fault> drawFaults(const RandomSource &random, Duration length, std::size_t routers,
+                              std::size_t replicas)
+{
+    std::vector<Fault> out;
+    const std::size_t groups = 3 + below(random, 5);
+    for (std::size_t i = 0; i < groups; ++i) {
+        const KindInfo &info = Kinds[below(random, Kinds.size())];
+        const bool series = below(random, 3) == 0;
+        Duration at = between(random, 500ms, length);
+        for (std::size_t k = 0; k < (series ? 3U : 1U); ++k) {
+            out.push_back({.kind = info.kind,
+                           .at = at,
+                           .length = between(random, info.shortest, info.longest),
+                           .target = below(random, info.onRouter ? routers : replicas)});
+            at += between(random, 200ms, 1500ms);
+        }
+    }
+    std::sort(out.begin(), out.end(), [](const Fault &a, const Fault &b) { return a.at < b.at; });
+    return out;
+}
+
+} // namespace catkinloft::soak
--- /dev/null
+++ b/soak/SoakRun.cpp
@@ -0,0 +1,240 @@
+#include "SoakRun.h"
+
+#include "fleet/Fleet.h"
+
+#include <csignal>
+#include <filesystem>
+
+#include <fmt/format.h>
+
+namespace catkinloft::soak {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// After the last fault: what is left to serve normally again, and then to end.
+constexpr Duration SettleTime = 6s;
+
+/// Promises with a time bound hold for what was calm for so long before.
+constexpr Duration CalmTime = 3s;
+
+constexpr int Probes = 12; ///< Requests to each router at the end, of which most must be served.
+
+bool disturbsControl(FaultKind kind)
+{
+    return kind <= FaultKind::StorePathSilent;
+}
+
+} // namespace
+
+SoakRun::SoakRun(Options options)
+    : m_options(std::move(options)), m_fleet({.binaries = m_options.binaries,
+                                              .routers = m_options.routers,
+                                              .replicas = m_options.replicas}),
+      m_random(seededRandom(m_options.seed))
+{ }
+
+SoakRun::Outcome SoakRun::run()
+{
+    Outcome out;
+    out.faults = drawFaults(m_random, m_options.length, m_options.routers, 2 * m_options.replicas);
+    m_fleet.start();
+    m_load.emplace(SoakLoad::Options{.loop = m_loop, .fleet = m_fleet, .random = m_random});
+    m_load->start();
+    Duration last = m_options.length;
+    for (const Fault &it : out.faults) {
+        m_loop.after(it.at, [this, it] { begin(it); });
+        m_loop.after(it.at + it.length, [this, it] { end(it); });
+        last = std::max(last, it.at + it.length);
+    }
+    m_loop.after(last + SettleTime, [this] { finish(); });
+    m_loop.run();
+    out.broken = brokenPromises(m_load->attempts(), m_fleet.executions(), m_acts);
+    for (std::string &it : probe())
+        out.broken.push_back(std::move(it));
+    out.requests = m_load->attempts().size();
+    for (const auto &[id, it] : m_load->attempts())
+        out.answered += it.status == 200 ? 1 : 0;
+    if (!out.broken.empty())
+        keepLogs();
+    return out;
+}
+
+void SoakRun::finish()
+{
+    m_load->stop();
+    // What is still open ends by its own time limit.
+    m_loop.after(4s, [this] { m_loop.stop(); });
+}
+
+bool SoakRun::isCalm() const
+{
+    return m_loop.now() > m_disturbedUntil + CalmTime;
+}
+
+void SoakRun::begin(const Fault &fault)
+{
+    if (disturbsControl(fault.kind)) {
+        m_disturbedUntil = std::max(m_disturbedUntil, m_loop.now() + fault.length);
+        for (OperatorAct &it : m_acts) // Their bounds may not have run out yet.
+            it.calm = it.calm && m_loop.wallNow() > it.acknowledgedAt + CalmTime;
+    }
+    switch (fault.kind) {
+    case FaultKind::RouterKill:
+        m_fleet.router(fault.target).signal(SIGKILL);
+        break;
+    case FaultKind::RouterTerm:
+        m_fleet.router(fault.target).signal(SIGTERM);
+        break;
+    case FaultKind::RouterPause:
+        m_fleet.router(fault.target).signal(SIGSTOP);
+        break;
+    case FaultKind::StoreDown:
+        m_fleet.setStoreMode("down");
+        break;
+    case FaultKind::StoreSlow:
+        m_fleet.setStoreMode("slow", 300);
+        break;
+    case FaultKind::StoreLosesAnswers:
+        m_fleet.setStoreMode("lose_answers");
+        break;
+    case FaultKind::StoreForgets:
+        m_fleet.forgetHistory();
+        break;
+    case FaultKind::StorePathCut:
+        m_fleet.strikeStorePath(fault.target, R"({"refuse":true,"cut":true})");
+        break;
+    case FaultKind::StorePathSilent:
+        m_fleet.strikeStorePath(fault.target, R"({"silent":true})");
+        break;
+    case FaultKind::ReplicaKill:
+        m_fleet.replica(fault.target).signal(SIGKILL);
+        break;
+    case FaultKind::ReplicaPause:
+        m_fleet.replica(fault.target).signal(SIGSTOP);
+        break;
+    case FaultKind::ReplicaFails:
+        m_fleet.setReplicaFaults(
+                fault.target, R"({"fail":0.15,"refuse":0.15,"lose":0.15,"hang":0.05,"cut":0.15})");
+        break;
+    case FaultKind::ReplicaPathSilent:
+        m_fleet.strikeReplica(fault.target, R"({"silent":true})");
+        break;
+    case FaultKind::ReplicaPathDelay:
+        m_fleet.strikeReplica(fault.target, R"({"delay_ms":120})");
+        break;
+    case FaultKind::ReplicaDrain:
+        m_fleet.registerReplica(fault.target, "draining");
+        m_acts.push_back({.acknowledgedAt = m_loop.wallNow(),
+                          .replica = m_fleet.replicaId(fault.target),
+                          .calm = isCalm()});
+        break;
+    case FaultKind::KeyTaken:
+        takeKey();
+        break;
+    case FaultKind::ConfigChange:
+        m_extraRoute = !m_extraRoute;
+        m_fleet.writeConfig({m_key}, m_extraRoute);
+        break;
+    }
+}
+
+void SoakRun::takeKey()
+{
+    const std::string old = std::exchange(m_key, fmt::format("key-{}", ++m_keys));
+    m_fleet.writeConfig({m_key}, m_extraRoute);
+    m_acts.push_back({.acknowledgedAt = m_loop.wallNow(), .key = old});
+    // Callers go on with the old key for longer than it may still run.
+    m_loop.after(7s, [this, key = m_key] { m_load->setKey(key); });
+}
+
+void SoakRun::startRouterAgain(std::size_t i)
+{
+    if (m_fleet.router(i).isRunning()) {
+        m_loop.after(200ms, [this, i] { startRouterAgain(i); });
+        return;
+    }
+    m_fleet.startRouter(i);
+}
+
+void SoakRun::end(const Fault &fault)
+{
+    switch (fault.kind) {
+    case FaultKind::RouterKill:
+    case FaultKind::RouterTerm:
+        m_fleet.router(fault.target).signal(SIGCONT);
+        startRouterAgain(fault.target);
+        break;
+    case FaultKind::RouterPause:
+        m_fleet.router(fault.target).signal(SIGCONT);
+        break;
+    case FaultKind::StoreDown:
+    case FaultKind::StoreSlow:
+    case FaultKind::StoreLosesAnswers:
+        m_fleet.setStoreMode("up");
+        break;
+    case FaultKind::StorePathCut:
+        m_fleet.strikeStorePath(fault.target, R"({"clear":true})");
+        break;
+    case FaultKind::ReplicaKill:
+    case FaultKind::ReplicaDrain:
+        m_fleet.restartReplica(fault.target);
+        break;
+    case FaultKind::ReplicaPause:
+        m_fleet.replica(fault.target).signal(SIGCONT);
+        break;
+    case FaultKind::ReplicaFails:
+        m_fleet.setReplicaFaults(fault.target, "{}");
+        break;
+    case FaultKind::ReplicaPathDelay:
+        m_fleet.strikeReplica(fault.target, R"({"clear":true})");
+        break;
+    case FaultKind::StoreForgets:
+    case FaultKind::StorePathSilent:
+    case FaultKind::ReplicaPathSilent:
+    case FaultKind::KeyTaken:
+    case FaultKind::ConfigChange:
+        break;
+    }
+}
+
+std::vector<std::string> SoakRun::probe()
+{
+    std::vector<std::string> out;
+    for (std::size_t i = 0; i < m_options.routers; ++i) {
+        int served = 0;
+        for (int k = 0; k < Probes; ++k) {
+            const Result<HttpAnswer> answer = standin::Fleet::fetch(
+                    {.address = m_fleet.callerAddress(i),
+                     .target = "/safe/a",
+                     .headers = {{"Host", standin::EntryFleet::Host},
+                                 {"X-Request-Id", fmt::format("probe-{}-{}", i, k)},
+                                 {"Authorization", "Bearer " + m_key}},
+                     .timeout = 3s});
+            served += answer && answer.value().head.status == 200 ? 1 : 0;
+        }
+        if (served < Probes * 3 / 4)
+            out.push_back(fmt::format("router {} serves {} of {} after all faults have ended", i,
+                                      served, Probes));
+    }
+    return out;
+}
+
+void SoakRun::keepLogs() const
+{
+    if (m_options.keepFolder.empty())
+        return;
+    const std::filesystem::path to =
+            std::filesystem::path(m_options.keepFolder) / fmt::format("seed-{}", m_options.seed);
+    std::error_code ec;
+    std::filesystem::create_directories(to, ec);
+    std::filesystem::copy(m_fleet.folder(), to,
+                          std::filesystem::copy_options::recursive
+                                  | std::filesystem::copy_options::overwrite_existing,
+                          ec);
+    if (ec)
+        fmt::print(stderr, "logs of seed {} were not kept: {}\n", m_options.seed, ec.message());
+}
+
+} // namespace catkinloft::soak
--- a/standin/PlatformStandin.cpp
+++ b/standin/PlatformStandin.cpp
@@ -29,6 +29,11 @@
         respondJson(*exchange, 200, out);
         return;
     }
+    if (isExempt(*exchange)) {
+        const Answer it = answer(*exchange);
+        exchange->respond(it.status, it.headers, it.body);
+        return;
+    }
     if (m_mode == Mode::Down) {
         ++m_counters["cut"];
         exchange->abort();
--- a/standin/PlatformStandin.h
+++ b/standin/PlatformStandin.h
@@ -39,6 +39,9 @@
     /// \brief Takes effect at once; whether the caller gets to see the answer is another matter.
     virtual Answer answer(const HttpExchange &exchange) = 0;
 
+    /// \returns whether \a exchange comes from somebody whom no fault concerns.
+    virtual bool isExempt(const HttpExchange &) const { return false; }
+
     /// \brief Takes an exchange that is to wait, and deliver()s its answer later.
     /// \returns false for one that is answered at once.
     virtual bool hold(const HttpExchangePtr &) { return false; }
--- a/standin/RowStoreStandin.cpp
+++ b/standin/RowStoreStandin.cpp
@@ -48,6 +48,11 @@
     return exchange.method() == "POST";
 }
 
+bool RowStoreStandin::isExempt(const HttpExchange &exchange) const
+{
+    return exchange.path() == "/v1/operator"; // Operators go on writing in most outages.
+}
+
 bool RowStoreStandin::hold(const HttpExchangePtr &exchange)
 {
     if (exchange->path() != "/v1/rows-feed")
--- a/standin/RowStoreStandin.h
+++ b/standin/RowStoreStandin.h
@@ -20,6 +20,7 @@
 
 protected:
     bool isWrite(const HttpExchange &exchange) const override;
+    bool isExempt(const HttpExchange &exchange) const override;
     bool hold(const HttpExchangePtr &exchange) override;
     Answer answer(const HttpExchange &exchange) override;
 
