--- a/src/Control/FleetView.cpp
+++ b/src/Control/FleetView.cpp
@@ -115,6 +115,7 @@
               [&](const RouterBeat *a, const RouterBeat *b) { return rank(a) < rank(b); });
     able.resize(std::min(able.size(), ReaderCount));
     std::vector<std::string> out;
+    out.reserve(able.size());
     for (const RouterBeat *it : able)
         out.push_back(it->name);
     return out;
--- a/src/Net/EntryGateway.cpp
+++ b/src/Net/EntryGateway.cpp
@@ -29,6 +29,7 @@
 std::vector<std::string> EntryGateway::unfinished() const
 {
     std::vector<std::string> out;
+    out.reserve(m_calls.size());
     for (const auto &it : m_calls)
         out.push_back(it->id());
     return out;
--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -55,7 +55,7 @@
 
     void listenAll();
     void connectSignals();
-    void register_();
+    void keepRegistered();
     void applyConfig(const RouteConfigPtr &config);
     void tellNews();
     void notePrompts(const PromptsByReplica &prompts);
@@ -164,7 +164,8 @@
                            fleet.notePrompt(replica, prompt);
                        },
                .proofAge = [this] { return config.proofAge(); }}),
-      registrationTimer(loop, [this] { register_(); }), drainTimer(loop, [this] { checkDrained(); })
+      registrationTimer(loop, [this] { keepRegistered(); }),
+      drainTimer(loop, [this] { checkDrained(); })
 {
     config.changed().connect([this](const RouteConfigPtr &it) { applyConfig(it); });
     replicas.changed().connect([this] {
@@ -206,6 +207,7 @@
                         return Log::info("prompts_not_listed",
                                          {{"replica", it.id}, {"detail", r.error().detail}});
                     std::vector<std::uint64_t> parts;
+                    parts.reserve(r.value().size());
                     for (const PromptPart &part : r.value())
                         parts.push_back(part.id);
                     pools.notePrompts(it.id, parts);
@@ -220,7 +222,7 @@
     return !draining && routes && filters.isProven() && replicas.age() != Duration::max();
 }
 
-void EntryProcess::Private::register_()
+void EntryProcess::Private::keepRegistered()
 {
     registration.refresh();
     const Duration interval =
@@ -327,7 +329,8 @@
     }
     m_d->connectSignals();
     m_d->watch.start();
-    m_d->register_();
+    m_d->loop.after(LearnPromptsAfter, [this] { m_d->learnPrompts(); });
+    m_d->keepRegistered();
     Log::info("started",
               {{"caller_address", m_d->settings->callerAddress},
                {"store", m_d->settings->storeAddress}});
--- a/src/Net/LogWriter.cpp
+++ b/src/Net/LogWriter.cpp
@@ -13,7 +13,7 @@
 namespace catkinloft {
 
 LogWriter::LogWriter(Options options)
-    : m_options(std::move(options)), m_timer(m_options.loop, [this] {
+    : m_options(options), m_timer(m_options.loop, [this] {
           m_scheduled = false;
           flush();
       })
--- a/test/ReplicaPoolTest.cpp
+++ b/test/ReplicaPoolTest.cpp
@@ -27,6 +27,7 @@
 std::vector<ReplicaRecord> replicas(int n)
 {
     std::vector<ReplicaRecord> out;
+    out.reserve(static_cast<std::size_t>(n));
     for (int i = 0; i < n; ++i)
         out.push_back(replica(i));
     return out;
@@ -80,7 +81,7 @@
         const ReplicaPool::Choice choice = pools[router]->choose({.prompt = prompt});
         if (!choice.replica)
             return {};
-        const std::string id = choice.replica->id;
+        std::string id = choice.replica->id;
         pools[router]->started(id, prompt);
         told[router][id].push_back(1000U);
         told[router][id].push_back(static_cast<std::uint64_t>(chat));
--- a/test/integration/EntryTest.cpp
+++ b/test/integration/EntryTest.cpp
@@ -199,6 +199,7 @@
 TEST_CASE_FIXTURE(EntryFleetFixture, "entry_plannedStop_endsRunningStreamsWhole")
 {
     std::vector<std::thread> callers;
+    callers.reserve(8);
     std::atomic<int> whole = 0;
     for (int i = 0; i < 8; ++i) {
         callers.emplace_back([&, i] {
--- /dev/null
+++ b/test/integration/SoakCheckTest.cpp
@@ -0,0 +1,109 @@
+#include "../../soak/SoakCheck.h"
+#include "ReplicaStandin.h"
+
+#include <doctest/doctest.h>
+
+using namespace catkinloft;
+using namespace catkinloft::soak;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// What callers saw and replicas ran in a run in which nothing went wrong; each case spoils one
+/// thing.
+struct SoakCheckFixture
+{
+    SoakCheckFixture()
+    {
+        answer("s1", "once", "s1 answered by i-1");
+        answer("s2", "safe", "s2 answered by i-1");
+        ran("s1", "i-1");
+        ran("s2", "i-1");
+    }
+
+    void answer(const std::string &id, const std::string &route, const std::string &body)
+    {
+        attempts[id] = {.route = route,
+                        .key = "k",
+                        .sentAt = start,
+                        .status = 200,
+                        .body = body,
+                        .signature = standin::ReplicaStandin::signatureOf(id, body)};
+    }
+
+    void ran(const std::string &id, const std::string &replica, Duration after = 0s)
+    {
+        Json::Value it(Json::objectValue);
+        it["id"] = id;
+        it["replica"] = replica;
+        it["workspace"] = "archive";
+        it["key_seen"] = false;
+        it["at_ms"] = static_cast<Json::Int64>((start.time_since_epoch() + after)
+                                               / std::chrono::milliseconds(1));
+        executions.push_back(it);
+    }
+
+    std::size_t broken() const { return brokenPromises(attempts, executions, acts).size(); }
+
+    WallTime start{1000s};
+    std::map<std::string, Attempt> attempts;
+    std::vector<Json::Value> executions;
+    std::vector<OperatorAct> acts;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(SoakCheckFixture, "soakCheck_nothingWrong_findsNothing")
+{
+    CHECK(broken() == 0);
+}
+
+TEST_CASE_FIXTURE(SoakCheckFixture, "soakCheck_eachBrokenPromise_isFound")
+{
+    SUBCASE("a call that may run once ran twice")
+    {
+        ran("s1", "i-2");
+    }
+    SUBCASE("it was said not to have run, and did")
+    {
+        attempts["s1"].status = 503;
+    }
+    SUBCASE("the answer of another")
+    {
+        attempts["s2"].body = "s1 answered by i-1";
+    }
+    SUBCASE("a part of the answer")
+    {
+        attempts["s2"].body.pop_back();
+    }
+    SUBCASE("nobody sent it")
+    {
+        ran("s9", "i-1");
+    }
+    SUBCASE("the key reached a replica")
+    {
+        executions[0]["key_seen"] = true;
+    }
+    SUBCASE("a key that was taken away")
+    {
+        acts.push_back({.acknowledgedAt = start - 6s, .key = "k"});
+        attempts.erase("s2");
+        executions.pop_back();
+    }
+    SUBCASE("a replica that drains")
+    {
+        acts.push_back({.acknowledgedAt = start - 3s, .replica = "i-1"});
+        attempts.erase("s2");
+        executions.pop_back();
+    }
+    SUBCASE("more replicas than the route allows")
+    {
+        ran("s2", "i-2");
+        ran("s2", "i-3");
+    }
+    SUBCASE("answered without having run")
+    {
+        executions.pop_back();
+    }
+    CHECK(broken() == 1);
+}
