Peers are asked for kept prompts a bounded number of times; readers are found without composing beats

Cause: a router asked each peer with a fresh proof for its whole state until one told of a kept prompt, so on a site of plain services it asked without end. isReader() composed a whole beat, five times a second and at each call to the store. Pauses of the replica list and of old proofs were fixed figures beside bounds of the settings. Between a replica's 500 and the next sending stood no line. Ruled out: taking one empty answer for final, since the peer asked may have just started as well. Change: PeerCatchUp decides when a peer is asked (test failed first: 100 of 100 beats asked, now 3); FleetView::readers takes what it needs; the pauses are parts of the settings' bounds; attempt_failed before each repeat (test failed first). One scaled(), one queryNumber(), one list of common log fields.

--- a/bench/measure/PeerGroup.h
+++ b/bench/measure/PeerGroup.h
@@ -271,8 +271,7 @@
             || (m_blocked && m_blocked(from, target->second)))
             return;
         const Duration delay = m_options.minDelay
-                + fromSeconds(toSeconds(m_options.maxDelay - m_options.minDelay)
-                              * uniform(m_random));
+                + scaled(m_options.maxDelay - m_options.minDelay, uniform(m_random));
         later(delay, [this, from, i = target->second, message = std::move(message)] {
             Node &it = *m_nodes[i];
             if (!it.up)
--- a/soak/SoakPlan.cpp
+++ b/soak/SoakPlan.cpp
@@ -40,7 +40,7 @@
 
 Duration between(const RandomSource &random, Duration a, Duration b)
 {
-    return a + fromSeconds(toSeconds(b - a) * uniform(random));
+    return a + scaled(b - a, uniform(random));
 }
 
 } // namespace
--- a/src/Base/Clock.h
+++ b/src/Base/Clock.h
@@ -37,4 +37,10 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
 
+/// \returns \a factor times \a d.
+constexpr Duration scaled(Duration d, double factor)
+{
+    return fromSeconds(toSeconds(d) * factor);
+}
+
 } // namespace catkinloft
--- a/src/Base/Log.cpp
+++ b/src/Base/Log.cpp
@@ -78,7 +78,7 @@
     state().sink = std::move(sink);
 }
 
-void Log::write(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
+void Log::write(LogLevel level, std::string_view event, std::span<const LogField> fields)
 {
     if (level < state().level)
         return;
--- a/src/Base/Log.h
+++ b/src/Base/Log.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 #include <type_traits>
@@ -56,20 +57,19 @@
     static void setSink(Sink sink);
 
     /// \param event short stable name of what happened, in snake_case.
-    static void write(LogLevel level, std::string_view event,
-                      std::initializer_list<LogField> fields = {});
+    static void write(LogLevel level, std::string_view event, std::span<const LogField> fields);
 
     static void info(std::string_view event, std::initializer_list<LogField> fields = {})
     {
-        write(LogLevel::Info, event, fields);
+        write(LogLevel::Info, event, std::span(fields.begin(), fields.size()));
     }
     static void warning(std::string_view event, std::initializer_list<LogField> fields = {})
     {
-        write(LogLevel::Warning, event, fields);
+        write(LogLevel::Warning, event, std::span(fields.begin(), fields.size()));
     }
     static void error(std::string_view event, std::initializer_list<LogField> fields = {})
     {
-        write(LogLevel::Error, event, fields);
+        write(LogLevel::Error, event, std::span(fields.begin(), fields.size()));
     }
 };
 
--- a/src/Control/FleetView.cpp
+++ b/src/Control/FleetView.cpp
@@ -96,28 +96,32 @@
             std::max<std::size_t>(static_cast<std::size_t>(heard), m_addresses.size()) + 1);
 }
 
-std::vector<std::string> FleetView::readers(const RouterBeat &self) const
+std::vector<std::string> FleetView::readers(const Reader &self) const
 {
-    const Duration longest = fromSeconds(toSeconds(m_options.configLimit) * MaxSilencePart);
-    std::vector<const RouterBeat *> able;
-    const auto add = [&](const RouterBeat &it) {
+    const Duration longest = scaled(m_options.configLimit, MaxSilencePart);
+    std::vector<Reader> able;
+    const auto add = [&](const Reader &it) {
         // Its proof says nothing: another router may have renewed it.
         if (!it.leaving && !it.storeFailing && it.storeSilence <= longest)
-            able.push_back(&it);
+            able.push_back(it);
     };
     add(self);
     for (const Peer *it : live())
-        add(it->beat);
-    const auto rank = [](const RouterBeat *it) {
-        return std::pair(-it->processorShare, hash64(it->name));
+        add({.name = it->beat.name,
+             .processorShare = it->beat.processorShare,
+             .leaving = it->beat.leaving,
+             .storeFailing = it->beat.storeFailing,
+             .storeSilence = it->beat.storeSilence});
+    const auto rank = [](const Reader &it) {
+        return std::pair(-it.processorShare, hash64(it.name));
     };
     std::sort(able.begin(), able.end(),
-              [&](const RouterBeat *a, const RouterBeat *b) { return rank(a) < rank(b); });
+              [&](const Reader &a, const Reader &b) { return rank(a) < rank(b); });
     able.resize(std::min(able.size(), ReaderCount));
     std::vector<std::string> out;
     out.reserve(able.size());
-    for (const RouterBeat *it : able)
-        out.push_back(it->name);
+    for (const Reader &it : able)
+        out.emplace_back(it.name);
     return out;
 }
 
--- a/src/Control/FleetView.h
+++ b/src/Control/FleetView.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace catkinloft {
@@ -36,6 +37,16 @@
         TimePoint heardAt;
     };
 
+    /// \brief What decides whether a router reads the store for the others.
+    struct Reader
+    {
+        std::string_view name;
+        double processorShare = 1; ///< \sa RouterBeat::processorShare
+        bool leaving = false;
+        bool storeFailing = false; ///< \sa RouterBeat::storeFailing
+        Duration storeSilence = Duration::zero(); ///< \sa RouterBeat::storeSilence
+    };
+
     static constexpr std::size_t ReaderCount = 3;
 
     explicit FleetView(Options options) : m_options(std::move(options)) { }
@@ -69,9 +80,9 @@
     /// small request each, and one a second from every router is a twentieth of all that is earned.
     /// Three read, so that one may stop and another be cut off; they are the same for all who hear
     /// the same routers, and the strongest VMs. Disagreement costs some reads more. \param self
-    /// what this router tells of itself. \returns names, at most ReaderCount; a router that can't
+    /// this router. \returns names, at most ReaderCount; a router that can't
     /// reach the store is not among them.
-    std::vector<std::string> readers(const RouterBeat &self) const;
+    std::vector<std::string> readers(const Reader &self) const;
 
     /// \returns the peer named \a name if it is live.
     const Peer *find(const std::string &name) const;
--- a/src/Control/LeaseKeeper.cpp
+++ b/src/Control/LeaseKeeper.cpp
@@ -53,7 +53,7 @@
 
 Duration LeaseKeeper::jittered(Duration d) const
 {
-    return fromSeconds(toSeconds(d) * (0.5 + uniform(m_options.random)));
+    return scaled(d, 0.5 + uniform(m_options.random));
 }
 
 void LeaseKeeper::scheduleAfter(Duration delay)
--- a/src/Control/Membership.cpp
+++ b/src/Control/Membership.cpp
@@ -96,8 +96,7 @@
     // A refutation has to travel to all: the time grows with the logarithm of the members, as
     // spreading does. At 890 it is 6 s, at 9 it is 2.6 s.
     const double decades = std::log10(static_cast<double>(m_members.size()) + 10);
-    return fromSeconds(toSeconds(m_options.timing.period) * m_options.timing.suspicionPeriods
-                       * decades);
+    return scaled(m_options.timing.period, m_options.timing.suspicionPeriods * decades);
 }
 
 void Membership::receive(const std::string &address, const PeerMessage &message)
@@ -259,7 +258,7 @@
             requestPage();
         // A random part keeps routers that started together from probing together.
         const double jitter = 0.9 + 0.2 * uniform(m_options.random);
-        m_nextPeriod = now + fromSeconds(toSeconds(m_options.timing.period) * jitter);
+        m_nextPeriod = now + scaled(m_options.timing.period, jitter);
     }
     if (now >= m_nextSync)
         startSync();
@@ -416,8 +415,7 @@
 void Membership::startSync()
 {
     const double jitter = 0.5 + uniform(m_options.random);
-    m_nextSync =
-            m_options.clock.now() + fromSeconds(toSeconds(m_options.timing.syncInterval) * jitter);
+    m_nextSync = m_options.clock.now() + scaled(m_options.timing.syncInterval, jitter);
     m_syncAfter = "";
     requestPage();
 }
--- a/src/Control/OrderController.cpp
+++ b/src/Control/OrderController.cpp
@@ -199,7 +199,7 @@
 {
     const int doublings = std::min(++target.failures, 10);
     const Duration delay = std::min(ReadBackDelay * (1 << doublings), MaxBackOff);
-    checkAgainIn(target, fromSeconds(toSeconds(delay) * (0.5 + uniform(m_options.random))));
+    checkAgainIn(target, scaled(delay, 0.5 + uniform(m_options.random)));
     noLoad(target.wanted.name);
     m_options.metrics.count("catkinloft_engine_control_failures_total",
                             Metrics::label("reason", error.reason));
--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -399,6 +399,11 @@
                               .detail = "the replica refused without saying that it did not run"});
     m_verdict = Verdict::Ran;
     if (m_head.status >= 500 && m_request.route->isIdempotent() && mayRepeat()) {
+        m_context.report(describe(
+                RequestEvent::Kind::AttemptFailed,
+                {.reason = Reason::UpstreamBroken,
+                 .verdict = Verdict::Ran,
+                 .detail = fmt::format("replica {} answered {}", m_replica.id, m_head.status)}));
         m_excluded.push_back(m_replica.id);
         return attempt();
     }
@@ -488,7 +493,7 @@
     HttpHeaders headers = m_context.codec.ownAnswerHeaders(m_request);
     headers.emplace_back("Content-Type", "application/problem+json");
     if (status == 503 && error.retryAfter) {
-        const Duration spread = fromSeconds(toSeconds(RetrySpread) * uniform(m_context.random));
+        const Duration spread = scaled(RetrySpread, uniform(m_context.random));
         headers.emplace_back("Retry-After", retryAfterText(*error.retryAfter + spread));
     }
     m_context.metrics.refused(error.reason);
--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -285,7 +285,7 @@
     fleet.leave();
     registration.leave();
     gateway.leave();
-    refuseFrom = loop.now() + fromSeconds(toSeconds(settings->stopLimit) * AcceptPart);
+    refuseFrom = loop.now() + scaled(settings->stopLimit, AcceptPart);
     stopAt = loop.now() + settings->stopLimit - StopMargin;
     drainTimer.startRepeating(DrainPoll);
 }
--- a/src/Net/FleetTask.cpp
+++ b/src/Net/FleetTask.cpp
@@ -3,6 +3,7 @@
 #include "Base/Json.h"
 #include "Base/Log.h"
 #include "Control/ConfigInForce.h"
+#include "Control/PeerCatchUp.h"
 #include "Control/PeerGuard.h"
 #include "Control/PromptNews.h"
 #include "Control/ReplicaRegistry.h"
@@ -13,7 +14,6 @@
 #include "Net/Timer.h"
 
 #include <algorithm>
-#include <charconv>
 #include <deque>
 
 #include <fmt/format.h>
@@ -33,14 +33,6 @@
 /// of the reader, and the reader's beat at each change comes sooner. An ask costs two datagrams.
 constexpr double AskPart = 0.2;
 
-/// A router whose proof is so old has missed its reader for several asks; one that shows a fresh
-/// proof with its beat has just reached the store, and is asked at once.
-constexpr Duration OldProofAge = 2500ms;
-constexpr Duration FreshProofAge = 1s;
-
-/// Parts of prompts told for each replica to a router that knows none: the chats of a minute.
-constexpr std::size_t MaxToldPrompts = 300;
-
 /// Asks that are remembered: an answer that takes longer proves little.
 constexpr std::size_t MaxAsks = 4;
 
@@ -63,17 +55,6 @@
 
 constexpr std::size_t MaxStateBody = 32 * 1024 * 1024;
 
-/// A peer whose proof is older can't help.
-constexpr Duration MaxPeerProofAge = 2s;
-
-std::uint64_t numberIn(const HttpExchange &exchange, const char *parameter)
-{
-    const std::string text = exchange.queryValue(parameter);
-    std::uint64_t out = 0;
-    std::from_chars(text.data(), text.data() + text.size(), out);
-    return out;
-}
-
 std::int64_t toMilliseconds(Duration d)
 {
     return std::chrono::ceil<std::chrono::milliseconds>(d).count();
@@ -86,6 +67,8 @@
     explicit Private(Options o);
 
     RouterBeat compose();
+    std::vector<std::string> readers() const;
+    bool isReader(std::span<const std::string> all) const;
     void send(const std::string &address, const RouterBeat &beat);
     void beat();
     void ask();
@@ -108,6 +91,7 @@
     HttpServer server;
     Timer timer;
     Timer askTimer;
+    PeerCatchUp catchUp;
     std::deque<TimePoint> asks; ///< When the last asks were sent; the time is their number.
     std::size_t nextReader = 0;
     std::uint64_t incarnation;
@@ -116,7 +100,6 @@
     bool hasKey = false;
     bool leaving = false;
     bool fetching = false;
-    bool hasPrompts = false; ///< A peer has told what replicas keep, or nobody knows it.
 };
 
 FleetTask::Private::Private(Options o)
@@ -129,6 +112,7 @@
       server(options.loop, {.address = options.settings.peerAddress, .limits = {}},
              [this](const HttpExchangePtr &it) { answerState(it); }),
       timer(options.loop, [this] { beat(); }), askTimer(options.loop, [this] { ask(); }),
+      catchUp({.configLimit = options.settings.configApplyLimit}),
       incarnation(static_cast<std::uint64_t>(options.loop.wallNow().time_since_epoch().count()))
 {
     options.metrics.addCollector([this](Metrics &metrics) {
@@ -158,6 +142,20 @@
             .counts = options.ownCounts()};
 }
 
+std::vector<std::string> FleetTask::Private::readers() const
+{
+    return view.readers({.name = options.settings.name,
+                         .processorShare = options.settings.processorShare,
+                         .leaving = leaving,
+                         .storeFailing = options.storeFailing(),
+                         .storeSilence = options.storeSilence()});
+}
+
+bool FleetTask::Private::isReader(std::span<const std::string> all) const
+{
+    return std::find(all.begin(), all.end(), options.settings.name) != all.end();
+}
+
 void FleetTask::Private::send(const std::string &address, const RouterBeat &beat)
 {
     if (hasKey)
@@ -177,16 +175,16 @@
 
 void FleetTask::Private::ask()
 {
-    RouterBeat out = compose();
-    const std::vector<std::string> readers = view.readers(out);
-    if (readers.empty() || std::find(readers.begin(), readers.end(), out.name) != readers.end())
+    const std::vector<std::string> all = readers();
+    if (all.empty() || isReader(all))
         return;
-    const FleetView::Peer *reader = view.find(readers[nextReader++ % readers.size()]);
+    const FleetView::Peer *reader = view.find(all[nextReader++ % all.size()]);
     if (!reader)
         return;
     asks.push_back(options.loop.now());
     if (asks.size() > MaxAsks)
         asks.pop_front();
+    RouterBeat out = compose();
     out.ask = static_cast<std::uint64_t>(asks.back().time_since_epoch().count());
     send(reader->beat.peerAddress, out);
 }
@@ -240,13 +238,11 @@
 
 void FleetTask::Private::noticeNews(const RouterBeat &beat)
 {
-    const bool proof = options.config.proofAge() > OldProofAge && beat.proofAge < FreshProofAge;
-    const bool config = beat.revision > options.config.revision();
-    const bool replicas = beat.replicasHash != options.replicas.hash()
-            && beat.replicasVersion > options.replicas.storeVersion();
-    // A router that has just started does not know which prompts are kept where.
-    const bool lacksPrompts = !hasPrompts && beat.proofAge < FreshProofAge;
-    if (!config && !replicas && !proof && !lacksPrompts)
+    const PeerCatchUp::Known own{.revision = options.config.revision(),
+                                 .proofAge = options.config.proofAge(),
+                                 .replicasHash = options.replicas.hash(),
+                                 .replicasVersion = options.replicas.storeVersion()};
+    if (!catchUp.isWorthAsking(beat, own))
         return;
     if (const FleetView::Peer *peer = view.find(beat.name))
         fetchFrom(*peer);
@@ -264,9 +260,9 @@
         return;
     }
     exchange->respond(200, {{"Content-Type", "application/octet-stream"}},
-                      signedText(printJson(stateSince(numberIn(*exchange, "revision"),
-                                                      numberIn(*exchange, "replicas"),
-                                                      numberIn(*exchange, "prompts") != 0))));
+                      signedText(printJson(stateSince(exchange->queryNumber("revision"),
+                                                      exchange->queryNumber("replicas"),
+                                                      exchange->queryNumber("prompts") != 0))));
 }
 
 Json::Value FleetTask::Private::stateSince(std::uint64_t revision, std::uint64_t replicasHash,
@@ -282,8 +278,8 @@
     }
     if (withPrompts) {
         for (const auto &[replica, parts] : options.prompts()) {
-            for (std::size_t i = 0; i < std::min(parts.size(), MaxToldPrompts); ++i)
-                out["prompts"][replica].append(static_cast<Json::UInt64>(parts[i]));
+            for (const std::uint64_t part : parts)
+                out["prompts"][replica].append(static_cast<Json::UInt64>(part));
         }
     }
     if (options.replicas.age() != Duration::max()) {
@@ -318,7 +314,7 @@
             for (const Json::Value &part : *it)
                 kept[it.name()].push_back(part.asUInt64());
         }
-        hasPrompts = hasPrompts || !kept.empty();
+        catchUp.promptsTold(!kept.empty());
         options.onPrompts(kept);
     } catch (const Json::Exception &e) {
         Log::warning("peer_state_malformed", {{"detail", e.what()}});
@@ -336,8 +332,7 @@
     if (Result<void> listening = m_d->server.listen(); !listening)
         return listening;
     m_d->timer.startRepeating(BeatInterval);
-    m_d->askTimer.startRepeating(
-            fromSeconds(toSeconds(m_d->options.settings.configApplyLimit) * AskPart));
+    m_d->askTimer.startRepeating(scaled(m_d->options.settings.configApplyLimit, AskPart));
     return outcome::success();
 }
 
@@ -361,7 +356,7 @@
 
 void FleetTask::fetchFromPeer()
 {
-    if (const FleetView::Peer *peer = m_d->view.freshest(MaxPeerProofAge))
+    if (const FleetView::Peer *peer = m_d->view.freshest(m_d->catchUp.maxPeerProofAge()))
         m_d->fetchFrom(*peer);
 }
 
@@ -374,16 +369,13 @@
 
 bool FleetTask::isFirstReader() const
 {
-    const RouterBeat self = m_d->compose();
-    const std::vector<std::string> readers = m_d->view.readers(self);
-    return !readers.empty() && readers.front() == self.name;
+    const std::vector<std::string> readers = m_d->readers();
+    return !readers.empty() && readers.front() == m_d->options.settings.name;
 }
 
 bool FleetTask::isReader() const
 {
-    const RouterBeat self = m_d->compose();
-    const std::vector<std::string> readers = m_d->view.readers(self);
-    return std::find(readers.begin(), readers.end(), self.name) != readers.end();
+    return m_d->isReader(m_d->readers());
 }
 
 void FleetTask::Private::fetchFrom(const FleetView::Peer &peer)
@@ -392,9 +384,9 @@
         return;
     fetching = true;
     const TimePoint asked = options.loop.now();
-    std::string target =
-            fmt::format("{}?revision={}&replicas={}&prompts={}", StatePath,
-                        options.config.revision(), options.replicas.hash(), hasPrompts ? 0 : 1);
+    std::string target = fmt::format("{}?revision={}&replicas={}&prompts={}", StatePath,
+                                     options.config.revision(), options.replicas.hash(),
+                                     catchUp.wantsPrompts() ? 1 : 0);
     std::string signature = guard.sign(target);
     options.client.fetch({.address = peer.beat.peerAddress,
                           .target = std::move(target),
--- a/src/Net/HttpExchange.cpp
+++ b/src/Net/HttpExchange.cpp
@@ -1,5 +1,6 @@
 #include "Net/HttpExchange.h"
 
+#include <charconv>
 #include <sys/socket.h>
 
 #include <event2/buffer.h>
@@ -151,6 +152,14 @@
     return out;
 }
 
+std::uint64_t HttpExchange::queryNumber(const char *name) const
+{
+    const std::string text = queryValue(name);
+    std::uint64_t out = 0;
+    std::from_chars(text.data(), text.data() + text.size(), out);
+    return out;
+}
+
 std::string HttpExchange::peer() const
 {
     if (!isOpen())
--- a/src/Net/HttpExchange.h
+++ b/src/Net/HttpExchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <initializer_list>
 #include <memory>
@@ -44,6 +45,9 @@
     /// \returns the decoded value of query parameter \a name, empty where it is missing.
     std::string queryValue(const char *name) const;
 
+    /// \returns query parameter \a name as a number, 0 where it is missing or none.
+    std::uint64_t queryNumber(const char *name) const;
+
     /// \returns the caller's `ip:port`.
     std::string peer() const;
 
--- a/src/Net/RequestEvent.cpp
+++ b/src/Net/RequestEvent.cpp
@@ -2,6 +2,9 @@
 
 #include "Base/Log.h"
 
+#include <initializer_list>
+#include <vector>
+
 namespace catkinloft {
 
 namespace {
@@ -11,51 +14,23 @@
     return d / std::chrono::milliseconds(1);
 }
 
-void logSent(const RequestEvent &it)
-{
-    Log::info("request_sent",
-              {{"request_id", it.requestId},
-               {"route", it.route},
-               {"service", it.service},
-               {"workspace", it.workspace},
-               {"revision", it.revision},
-               {"proof_age_ms", milliseconds(it.proofAge)},
-               {"elapsed_ms", milliseconds(it.elapsed)},
-               {"remaining_ms", milliseconds(it.remaining)},
-               {"attempt", it.attempt},
-               {"replica", it.replica},
-               {"address", it.address},
-               {"load", it.load},
-               {"mean_load", it.meanLoad},
-               {"candidates", it.candidates},
-               {"kept_tokens", it.keptTokens},
-               {"prompt_tokens", it.promptTokens},
-               {"copied_from", it.copiedFrom}});
-}
-
-void logOutcome(const RequestEvent &it)
+/// \returns what stands in every line about a request, followed by \a more.
+std::vector<LogField> withCommon(const RequestEvent &it, std::initializer_list<LogField> more)
 {
-    const bool well =
-            it.kind == RequestEvent::Kind::Answered || it.kind == RequestEvent::Kind::CallerGone;
-    Log::write(well ? LogLevel::Info : LogLevel::Warning, requestEventName(it.kind),
-               {{"request_id", it.requestId},
-                {"route", it.route},
-                {"service", it.service},
-                {"workspace", it.workspace},
-                {"revision", it.revision},
-                {"proof_age_ms", milliseconds(it.proofAge)},
-                {"elapsed_ms", milliseconds(it.elapsed)},
-                {"remaining_ms", milliseconds(it.remaining)},
-                {"attempt", it.attempt},
-                {"replica", it.replica},
-                {"address", it.address},
-                {"status", it.status},
-                {"reason", it.reason ? reasonInfo(*it.reason).code : std::string_view()},
-                {"verdict", toString(it.verdict)},
-                {"retry_after_ms", it.retryAfter ? milliseconds(*it.retryAfter) : 0},
-                {"detail", it.detail}});
+    std::vector<LogField> out{{"request_id", it.requestId},
+                              {"route", it.route},
+                              {"service", it.service},
+                              {"workspace", it.workspace},
+                              {"revision", it.revision},
+                              {"proof_age_ms", milliseconds(it.proofAge)},
+                              {"elapsed_ms", milliseconds(it.elapsed)},
+                              {"remaining_ms", milliseconds(it.remaining)},
+                              {"attempt", it.attempt},
+                              {"replica", it.replica},
+                              {"address", it.address}};
+    out.insert(out.end(), more);
+    return out;
 }
-
 } // namespace
 
 std::string_view requestEventName(RequestEvent::Kind kind)
@@ -77,12 +52,28 @@
     return "request_sent";
 }
 
-void logRequestEvent(const RequestEvent &event)
+void logRequestEvent(const RequestEvent &it)
 {
-    if (event.kind == RequestEvent::Kind::Sent)
-        logSent(event);
-    else
-        logOutcome(event);
+    if (it.kind == RequestEvent::Kind::Sent) {
+        Log::write(LogLevel::Info, requestEventName(it.kind),
+                   withCommon(it,
+                              {{"load", it.load},
+                               {"mean_load", it.meanLoad},
+                               {"candidates", it.candidates},
+                               {"kept_tokens", it.keptTokens},
+                               {"prompt_tokens", it.promptTokens},
+                               {"copied_from", it.copiedFrom}}));
+        return;
+    }
+    const bool well =
+            it.kind == RequestEvent::Kind::Answered || it.kind == RequestEvent::Kind::CallerGone;
+    Log::write(well ? LogLevel::Info : LogLevel::Warning, requestEventName(it.kind),
+               withCommon(it,
+                          {{"status", it.status},
+                           {"reason", it.reason ? reasonInfo(*it.reason).code : std::string_view()},
+                           {"verdict", toString(it.verdict)},
+                           {"retry_after_ms", it.retryAfter ? milliseconds(*it.retryAfter) : 0},
+                           {"detail", it.detail}}));
 }
 
 } // namespace catkinloft
--- a/src/Net/RouterProcess.cpp
+++ b/src/Net/RouterProcess.cpp
@@ -111,7 +111,7 @@
         });
         const double n = static_cast<double>(peers.membership().liveCount() + 1);
         const Duration pause = std::max(PlatformPoll, fromSeconds(n / FleetPolls));
-        poll.start(fromSeconds(toSeconds(pause) * (0.5 + uniform(random))));
+        poll.start(scaled(pause, 0.5 + uniform(random)));
     }
 
     void updateDirectory()
--- a/src/Net/StoreWatch.cpp
+++ b/src/Net/StoreWatch.cpp
@@ -21,9 +21,9 @@
 /// from the store: the rest is for the reading. It holds whatever the readers do.
 constexpr double ConfigOverduePart = 0.8;
 
-/// Between two reads of the replicas: a draining replica must get nothing after two seconds, of
-/// which the others' asking takes another 600 ms.
-constexpr Duration ReplicasInterval = 500ms;
+/// Between two reads of the replicas, as a part of the time in which a draining replica must be
+/// known: the others' asking takes another three tenths of it.
+constexpr double ReplicasPart = 0.25;
 
 /// Pause after a failed call. All routers together try at most so often while the store is away,
 /// since calls that are refused cost like others; those that read for others try more often.
@@ -35,11 +35,6 @@
 constexpr double ReplicasOverduePart = 0.85;
 constexpr Duration CheckInterval = 200ms;
 
-Duration part(Duration whole, double share)
-{
-    return fromSeconds(toSeconds(whole) * share);
-}
-
 } // namespace
 
 StoreWatch::StoreWatch(Options options)
@@ -58,9 +53,9 @@
 void StoreWatch::check()
 {
     const bool configOverdue =
-            m_options.config.proofAge() > part(m_options.configLimit, ConfigOverduePart);
+            m_options.config.proofAge() > scaled(m_options.configLimit, ConfigOverduePart);
     const bool replicasOverdue =
-            m_options.replicas.age() > part(m_options.drainLimit, ReplicasOverduePart);
+            m_options.replicas.age() > scaled(m_options.drainLimit, ReplicasOverduePart);
     const bool reader = m_options.isReader();
     if (!m_readingConfig && (reader || configOverdue))
         watchConfig();
@@ -80,7 +75,7 @@
     const Duration shared = FleetFailurePause * m_options.routers();
     const Duration pause =
             m_options.isReader() ? MinFailurePause : std::max(MinFailurePause, shared);
-    return fromSeconds(toSeconds(pause) * (0.75 + 0.5 * uniform(m_options.random)));
+    return scaled(pause, 0.75 + 0.5 * uniform(m_options.random));
 }
 
 void StoreWatch::watchConfig()
@@ -93,7 +88,7 @@
         m_options.store.readConfig(done);
     else
         m_options.store.watchConfig(m_storeVersion,
-                                    m_options.isReader() ? part(m_options.configLimit, WaitPart)
+                                    m_options.isReader() ? scaled(m_options.configLimit, WaitPart)
                                                          : Duration::zero(),
                                     done);
 }
@@ -148,7 +143,7 @@
         return;
     // Spread, so that routers that started together do not read together.
     const double spread = 0.9 + 0.2 * uniform(m_options.random);
-    m_replicasTimer.start(fromSeconds(toSeconds(ReplicasInterval) * spread));
+    m_replicasTimer.start(scaled(m_options.drainLimit, ReplicasPart * spread));
 }
 
 void StoreWatch::noteResult(bool &failing, const char *what, const Error *error)
--- a/src/Request/ClaimSweeper.cpp
+++ b/src/Request/ClaimSweeper.cpp
@@ -30,7 +30,7 @@
     // Spread from half to one and a half times the mean, so that routers do not march in step.
     const auto n = static_cast<double>(std::max<std::size_t>(m_options.routers(), 1));
     const double spread = 0.5 + uniform(m_options.random);
-    m_next = m_options.clock.now() + fromSeconds(toSeconds(FleetInterval) * n * spread);
+    m_next = m_options.clock.now() + scaled(FleetInterval, n * spread);
 }
 
 void ClaimSweeper::poll()
--- a/standin/EngineStandin.cpp
+++ b/standin/EngineStandin.cpp
@@ -155,7 +155,7 @@
 Duration EngineStandin::tokenTime() const
 {
     const double share = static_cast<double>(m_running) / m_options.slots;
-    return fromSeconds(toSeconds(m_options.tokenTime) * (1 + m_options.batchSlowdown * share));
+    return scaled(m_options.tokenTime, 1 + m_options.batchSlowdown * share);
 }
 
 void EngineStandin::nextToken(const GenerationPtr &it)
--- a/standin/RowStoreStandin.cpp
+++ b/standin/RowStoreStandin.cpp
@@ -20,12 +20,6 @@
     return all;
 }
 
-std::uint64_t numberIn(const HttpExchange &exchange, const char *parameter)
-{
-    const std::string text = exchange.queryValue(parameter);
-    return text.empty() ? 0 : std::strtoull(text.c_str(), nullptr, 10);
-}
-
 std::string base64(const std::string &text)
 {
     std::string out = base64UrlEncode(text);
@@ -58,8 +52,8 @@
     if (exchange->path() != "/v1/rows-feed")
         return false;
     const std::string table = exchange->queryValue("table");
-    const std::uint64_t after = numberIn(*exchange, "after");
-    const Duration wait = std::chrono::milliseconds(numberIn(*exchange, "wait-ms"));
+    const std::uint64_t after = exchange->queryNumber("after");
+    const Duration wait = std::chrono::milliseconds(exchange->queryNumber("wait-ms"));
     if (wait == Duration::zero() || feed(table, after, false))
         return false;
     m_waiting.push_back({exchange, table, after, loop().now() + wait});
@@ -84,7 +78,7 @@
     if (exchange.path() == "/v1/rows-get")
         return get(exchange);
     if (exchange.path() == "/v1/rows-feed")
-        return *feed(exchange.queryValue("table"), numberIn(exchange, "after"), true);
+        return *feed(exchange.queryValue("table"), exchange.queryNumber("after"), true);
     if (exchange.path() == "/v1/rows-tx")
         return commit(exchange);
     if (exchange.path() == "/v1/operator")
@@ -116,7 +110,7 @@
     const std::string table = exchange.queryValue("table");
     const std::string from = exchange.queryValue("from");
     const std::string to = exchange.queryValue("to");
-    const std::uint64_t limit = std::max<std::uint64_t>(1, numberIn(exchange, "limit"));
+    const std::uint64_t limit = std::max<std::uint64_t>(1, exchange.queryNumber("limit"));
     Json::Value root(Json::objectValue);
     root["rows"] = Json::Value(Json::arrayValue);
     root["truncated"] = false;
--- a/standin/fleet/Caller.cpp
+++ b/standin/fleet/Caller.cpp
@@ -39,7 +39,7 @@
 void Caller::start()
 {
     const double share = uniform(m_context.random);
-    m_context.loop.after(fromSeconds(toSeconds(m_context.maxPause) * share),
+    m_context.loop.after(scaled(m_context.maxPause, share),
                          [self = shared_from_this()] { self->next(); });
 }
 
@@ -211,7 +211,7 @@
 void Caller::finishRequest()
 {
     const double share = uniform(m_context.random);
-    m_context.loop.after(fromSeconds(toSeconds(m_context.maxPause) * share),
+    m_context.loop.after(scaled(m_context.maxPause, share),
                          [self = shared_from_this()] { self->next(); });
 }
 
--- a/test/EntryRequestTest.cpp
+++ b/test/EntryRequestTest.cpp
@@ -571,6 +571,19 @@
     CHECK(events[6].attempt == 4);
 }
 
+TEST_CASE_FIXTURE(EntryGatewayFixture, "requestEvents_replicaFailsAndIsAskedAgain_saysWhy")
+{
+    addReplica([](const std::string &request, std::size_t n) -> Reply {
+        return {.bytes = ScriptedReplica::answer(request, n == 0 ? 500 : 200, "body")};
+    });
+    RawCaller caller(Port);
+    call(caller, get("/safe/"), "body");
+    REQUIRE(kinds(events) == "request_sent attempt_failed request_sent request_answered ");
+    CHECK(events[1].reason == Reason::UpstreamBroken);
+    CHECK((events[1].verdict == Verdict::Ran));
+    CHECK(events[1].detail == "replica i-1 answered 500");
+}
+
 TEST_CASE_FIXTURE(EntryGatewayFixture, "requestEvents_streamCutOrCallerGone_isReported")
 {
     End end = End::Reset;
--- a/test/FleetViewTest.cpp
+++ b/test/FleetViewTest.cpp
@@ -115,7 +115,7 @@
 
 TEST_CASE_FIXTURE(FleetViewFixture, "fleetView_readers_areTheStrongestThatReachTheStore")
 {
-    RouterBeat self = beat("me");
+    FleetView::Reader self{.name = "me"};
     CHECK(view.readers(self) == std::vector<std::string>{"me"});
     for (const char *it : {"a", "b", "c", "d"})
         view.receive(beat(it));
