Routers tell each other which replicas they have ejected; settings change while a process runs

The lines replica_ejected (new) show why: each of 73 routers needs three failures of its own at one call a second, and calls that fail wherever they are sent (one meter call in fourteen) ejected sound replicas, which took the one place that may be ejected. Change: beats carry ejected replicas, told at once; three ejectors count unless the replica has just answered here; a repeated call's failure is not held against the replica; half-open replicas are tried by calls that may be repeated; counts of others are kept as sums instead of being added up at each beat. SIGHUP and silent changes of the settings file are taken over (SettingsWatch), what needs a restart is named in the log.

--- a/src/Base/EntrySettings.cpp
+++ b/src/Base/EntrySettings.cpp
@@ -51,6 +51,45 @@
 
 } // namespace
 
+EntrySettings::Adjusted EntrySettings::adjust(const EntrySettings &next)
+{
+    Adjusted out;
+    const auto take = [&](const char *key, auto EntrySettings::*field) {
+        if (this->*field == next.*field)
+            return;
+        this->*field = next.*field;
+        out.changed.emplace_back(key);
+    };
+    const auto keep = [&](const char *key, auto EntrySettings::*field) {
+        if (this->*field != next.*field)
+            out.needsRestart.emplace_back(key);
+    };
+    take("processor_share", &EntrySettings::processorShare);
+    take("key_proof.limit", &EntrySettings::keyProofLimit);
+    take("key_proof.required", &EntrySettings::requiresKeyProof);
+    take("repeats.share", &EntrySettings::repeatShare);
+    take("repeats.slack", &EntrySettings::repeatSlack);
+    take("config_apply_limit", &EntrySettings::configApplyLimit);
+    take("address_lifetime", &EntrySettings::addressLifetime);
+    take("stop_limit", &EntrySettings::stopLimit);
+    take("replica_drain_limit", &EntrySettings::replicaDrainLimit);
+    take("limits.max_stream_buffer", &EntrySettings::maxStreamBuffer);
+    keep("name", &EntrySettings::name);
+    keep("failure_domain", &EntrySettings::failureDomain);
+    keep("caller_address", &EntrySettings::callerAddress);
+    keep("readiness_address", &EntrySettings::readinessAddress);
+    keep("directory_address", &EntrySettings::directoryAddress);
+    keep("peer_address", &EntrySettings::peerAddress);
+    keep("metrics_address", &EntrySettings::metricsAddress);
+    keep("store_address", &EntrySettings::storeAddress);
+    keep("repeats.window", &EntrySettings::repeatWindow);
+    keep("replica_return_time", &EntrySettings::replicaReturnTime);
+    keep("limits.max_header_bytes", &EntrySettings::maxHeaderBytes);
+    keep("limits.max_body_bytes", &EntrySettings::maxBodyBytes);
+    keep("limits.max_connections", &EntrySettings::maxConnections);
+    return out;
+}
+
 std::shared_ptr<const EntrySettings>
 EntrySettings::parse(const std::string &text, const std::string &file, YamlProblems &problems)
 {
--- a/src/Base/EntrySettings.h
+++ b/src/Base/EntrySettings.h
@@ -46,6 +46,16 @@
     std::size_t maxStreamBuffer = 256 * 1024; ///< Bytes held for one slow caller.
     int maxConnections = 3000; ///< Of callers; the rest of the descriptors are for replicas.
 
+    /// \brief Which settings a new file changes, by their names there.
+    struct Adjusted
+    {
+        std::vector<std::string> changed = {}; ///< In force now.
+        std::vector<std::string> needsRestart = {}; ///< Not taken over.
+    };
+
+    /// \brief Takes over from \a next what can change while a process runs.
+    Adjusted adjust(const EntrySettings &next);
+
     /// \brief Parses and checks \a text, reporting every mistake.
     /// \returns nothing where there was any problem.
     static std::shared_ptr<const EntrySettings>
--- a/src/Cli/EntryCommand.cpp
+++ b/src/Cli/EntryCommand.cpp
@@ -38,7 +38,7 @@
         internal::complain(it.text());
     if (!settings)
         return exit_code::Usage;
-    EntryProcess process(settings, platform::makeAdapter());
+    EntryProcess process(*settings, path, platform::makeAdapter());
     return process.run() == 0 ? exit_code::Ok : exit_code::Failed;
 }
 
--- a/src/Control/FleetView.h
+++ b/src/Control/FleetView.h
@@ -51,6 +51,9 @@
 
     explicit FleetView(Options options) : m_options(std::move(options)) { }
 
+    /// \brief Changes the time in which changes have to be in force.
+    void setConfigLimit(Duration limit) { m_options.configLimit = limit; }
+
     /// \brief Takes over \a beat.
     /// \returns false where it is this router's own, or older than what is known.
     bool receive(const RouterBeat &beat);
--- a/src/Control/PeerCatchUp.h
+++ b/src/Control/PeerCatchUp.h
@@ -21,6 +21,9 @@
         Duration configLimit = std::chrono::seconds(2); ///< In which changes have to be in force.
     };
 
+    /// \brief Changes the time in which changes have to be in force.
+    void setConfigLimit(Duration limit) { m_options.configLimit = limit; }
+
     /// \brief What this router knows itself.
     struct Known
     {
--- a/src/Control/RouterBeat.cpp
+++ b/src/Control/RouterBeat.cpp
@@ -46,7 +46,9 @@
                    .echo = root["e"].asUInt64()};
     const Json::Value &counts = root["i"];
     for (auto it = counts.begin(); it != counts.end(); ++it)
-        out.counts.emplace(it.name(), it->asInt());
+        out.replicas.counts.emplace(it.name(), it->asInt());
+    for (const Json::Value &it : root["j"])
+        out.replicas.ejected.push_back(it.asString());
     const Json::Value &prompts = root["u"];
     for (auto it = prompts.begin(); it != prompts.end(); ++it) {
         for (const Json::Value &part : *it)
@@ -90,8 +92,10 @@
         root["k"] = static_cast<Json::UInt64>(beat.ask);
     if (beat.echo != 0)
         root["e"] = static_cast<Json::UInt64>(beat.echo);
-    for (const auto &[id, n] : beat.counts)
+    for (const auto &[id, n] : beat.replicas.counts)
         root["i"][id] = n;
+    for (const std::string &id : beat.replicas.ejected)
+        root["j"].append(id);
     for (const auto &[id, parts] : beat.prompts) {
         for (const std::uint64_t part : parts)
             root["u"][id].append(static_cast<Json::UInt64>(part));
--- a/src/Control/RouterBeat.h
+++ b/src/Control/RouterBeat.h
@@ -33,7 +33,7 @@
     std::uint64_t replicasVersion = 0; ///< Of the store when they were read.
     std::uint64_t ask = 0; ///< Other than 0: the receiver answers at once with this as `echo`.
     std::uint64_t echo = 0; ///< Of the ask that this answers: it was sent after that came in.
-    ReplicaCounts counts = {}; ///< Requests of the sender in progress.
+    ReplicaNews replicas = {}; ///< Of the sender.
     /// Parts of prompts that the sender has sent to replicas since its last beat, by replica id.
     PromptsByReplica prompts = {};
 };
--- a/src/Decide/HealthTracker.h
+++ b/src/Decide/HealthTracker.h
@@ -66,6 +66,7 @@
     void removed(const Entry &it);
 
     int ejectedCount() const { return m_ejected; }
+    double maxEjectedShare() const { return m_maxEjectedShare; }
     std::uint64_t ejections() const { return m_ejections; }
 
 private:
--- a/src/Decide/Job.h
+++ b/src/Decide/Job.h
@@ -42,6 +42,8 @@
     Reason reason = Reason::Internal; ///< Where it did not succeed.
     Duration untilFirstByte = Duration::zero();
     Duration total = Duration::zero();
+    /// The request had failed elsewhere before, so that its failure says nothing of this upstream.
+    bool failedElsewhere = false;
 };
 
 } // namespace catkinloft
--- a/src/Decide/ReplicaPool.cpp
+++ b/src/Decide/ReplicaPool.cpp
@@ -1,9 +1,11 @@
 #include "Decide/ReplicaPool.h"
 
 #include "Base/Hash.h"
+#include "Base/Log.h"
 #include "Decide/Rendezvous.h"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 #include <utility>
 
@@ -44,6 +46,24 @@
 /// pause between two of its messages.
 constexpr Duration CountsLife = 3s;
 
+/// How often routers that fell silent are looked for.
+constexpr Duration ForgetInterval = 500ms;
+
+/// Other routers that have to have ejected a replica before it gets nothing here. One may be cut
+/// off from it alone, and where one call in seven fails by itself a router ejects a sound replica
+/// every fifty seconds; three at once are a fault of the replica.
+constexpr int MinEjectors = 3;
+
+/// A good answer in so short a time goes before what the others say.
+constexpr Duration OwnEvidenceLife = 2s;
+
+/// How long an ejected replica waits for a call that may be repeated to try it. Where there is none
+/// by then, one that may not be is sent: the loss of one call, instead of a replica for good.
+constexpr Duration ProbeGrace = 5s;
+
+/// Ejected replicas that one beat tells of: 15 bytes each, and more are no fault of the replicas.
+constexpr std::size_t MaxToldEjected = 8;
+
 /// How often the usual cost of a call is worked out anew.
 constexpr Duration BaselineInterval = 1s;
 
@@ -87,26 +107,53 @@
         m_prompts.remove(it.hash);
     }
     m_states = std::move(next);
-    sumOthers();
+    rebuildIndex();
+}
+
+void ReplicaPool::rebuildIndex()
+{
+    m_index.clear();
+    for (std::size_t i = 0; i < m_states.size(); ++i) {
+        m_index.emplace(m_states[i].record.id, i);
+        m_states[i].others = 0;
+        m_states[i].ejectedBy = 0;
+    }
+    for (const auto &[router, heard] : m_heard)
+        add(heard.news, 1);
 }
 
-void ReplicaPool::setCounts(const std::string &router, ReplicaCounts counts, TimePoint heard)
+void ReplicaPool::setNews(const std::string &router, ReplicaNews news, TimePoint heard)
 {
-    m_heard[router] = {std::move(counts), heard};
-    sumOthers();
+    forgetSilent();
+    Heard &known = m_heard[router];
+    add(known.news, -1);
+    known = {std::move(news), heard};
+    add(known.news, 1);
 }
 
-void ReplicaPool::sumOthers()
+void ReplicaPool::forgetSilent()
 {
     const TimePoint now = m_options.clock.now();
-    std::erase_if(m_heard, [now](const auto &it) { return now - it.second.at > CountsLife; });
-    for (State &it : m_states)
-        it.others = 0;
-    for (const auto &[router, heard] : m_heard) {
-        for (const auto &[id, n] : heard.counts) {
-            if (State *state = find(id))
-                state->others += n;
-        }
+    if (now - m_forgotAt < ForgetInterval)
+        return;
+    m_forgotAt = now;
+    for (auto it = m_heard.begin(); it != m_heard.end();) {
+        const bool silent = now - it->second.at > CountsLife;
+        if (silent)
+            add(it->second.news, -1);
+        it = silent ? m_heard.erase(it) : std::next(it);
+    }
+}
+
+void ReplicaPool::add(const ReplicaNews &news, int sign)
+{
+    for (const auto &[id, n] : news.counts) {
+        if (State *it = find(id))
+            it->others += sign * n;
+    }
+    for (const std::string &id : news.ejected) {
+        if (State *it = find(id))
+            it->ejectedBy += sign;
     }
 }
 
@@ -142,18 +189,43 @@
 std::vector<ReplicaPool::Candidate> ReplicaPool::candidates(const Query &query, bool regardHealth)
 {
     const TimePoint now = m_options.clock.now();
+    const bool regardNews = mayAvoid();
     std::vector<Candidate> out;
     out.reserve(m_states.size());
     for (State &it : m_states) {
         if (it.record.draining || now < it.leftOutUntil || !mayTake(query, it.record.id))
             continue;
-        if (regardHealth && !m_health.admits(it.health, now))
+        if (regardHealth && !isAdmitted(it, query, regardNews))
             continue;
         out.push_back({&it, static_cast<double>(it.own + it.others), 0});
     }
     return out;
 }
 
+bool ReplicaPool::isAdmitted(State &it, const Query &query, bool regardNews)
+{
+    const TimePoint now = m_options.clock.now();
+    if (!m_health.admits(it.health, now) || (regardNews && isAvoided(it)))
+        return false;
+    const bool probe = it.health.state == HealthTracker::State::HalfOpen;
+    return !probe || query.repeatable || now - it.health.ejectedUntil > ProbeGrace;
+}
+
+bool ReplicaPool::isAvoided(const State &it) const
+{
+    return it.ejectedBy >= MinEjectors && it.health.state == HealthTracker::State::Healthy
+            && m_options.clock.now() - it.answeredAt > OwnEvidenceLife;
+}
+
+bool ReplicaPool::mayAvoid() const
+{
+    const auto avoided = std::count_if(m_states.begin(), m_states.end(),
+                                       [this](const State &it) { return isAvoided(it); });
+    const double share = m_health.maxEjectedShare();
+    return static_cast<double>(avoided + m_health.ejectedCount())
+            <= share * static_cast<double>(m_states.size());
+}
+
 ReplicaPool::State *ReplicaPool::byPrompt(std::vector<Candidate> &list,
                                           std::span<const PromptPart> prompt) const
 {
@@ -282,17 +354,30 @@
     return out;
 }
 
-void ReplicaPool::finished(std::string_view id, const AttemptReport &report)
+bool ReplicaPool::finished(std::string_view id, const AttemptReport &report)
 {
     State *it = find(id);
     if (!it)
-        return;
+        return false;
     it->own = std::max(0, it->own - 1);
-    if (report.reason == Reason::CallerGone && !report.succeeded) {
+    if (!report.succeeded && (report.reason == Reason::CallerGone || report.failedElsewhere)) {
         it->health.probing = false;
-        return;
+        return false;
     }
-    m_health.record(it->health, 1, report, m_states.size(), m_options.clock.now());
+    const TimePoint now = m_options.clock.now();
+    if (report.succeeded)
+        it->answeredAt = now;
+    if (!m_health.record(it->health, 1, report, m_states.size(), now))
+        return false;
+    const bool ejected = it->health.state == HealthTracker::State::Ejected;
+    Log::info(ejected ? "replica_ejected" : "replica_recovered",
+              {{"replica", it->record.id},
+               {"service", it->record.service},
+               {"failures_in_row", it->health.failuresInRow},
+               {"error_rate", it->health.errorRate},
+               {"ejected_by_others", it->ejectedBy},
+               {"for_ms", ejected ? (it->health.ejectedUntil - now) / 1ms : 0}});
+    return ejected;
 }
 
 void ReplicaPool::leaveOut(std::string_view id, Duration pause)
@@ -301,12 +386,16 @@
         it->leftOutUntil = m_options.clock.now() + pause;
 }
 
-ReplicaCounts ReplicaPool::ownCounts() const
+ReplicaNews ReplicaPool::ownNews() const
 {
-    ReplicaCounts out;
+    const TimePoint now = m_options.clock.now();
+    ReplicaNews out;
     for (const State &it : m_states) {
         if (it.own > 0)
-            out.emplace(it.record.id, it.own);
+            out.counts.emplace(it.record.id, it.own);
+        if (it.health.state == HealthTracker::State::Ejected && now < it.health.ejectedUntil
+            && out.ejected.size() < MaxToldEjected)
+            out.ejected.push_back(it.record.id);
     }
     return out;
 }
@@ -328,11 +417,8 @@
 
 ReplicaPool::State *ReplicaPool::find(std::string_view id)
 {
-    for (State &it : m_states) {
-        if (it.record.id == id)
-            return &it;
-    }
-    return nullptr;
+    const auto it = m_index.find(id);
+    return it == m_index.end() ? nullptr : &m_states[it->second];
 }
 
 const ReplicaPool::State *ReplicaPool::find(std::string_view id) const
--- a/src/Decide/ReplicaPool.h
+++ b/src/Decide/ReplicaPool.h
@@ -21,6 +21,13 @@
 /// \brief Requests in progress by replica id.
 using ReplicaCounts = std::map<std::string, int, std::less<>>;
 
+/// \brief What one router tells the others of replicas.
+struct ReplicaNews
+{
+    ReplicaCounts counts = {}; ///< Its requests in progress, without replicas that have none.
+    std::vector<std::string> ejected = {}; ///< Ids that it sends nothing to, since they fail.
+};
+
 /// \brief Which replica of one service gets a request.
 ///
 /// Load: returning chats whose prompts share long parts, and short calls, on routers that each see
@@ -34,6 +41,11 @@
 ///
 /// Counts of the other routers are some hundred milliseconds old. They are hints: a wrong one makes
 /// a request slower and breaks no promise.
+///
+/// A replica that fails is found by each router after three failures in a row. Where each router
+/// sends it one call a second, that costs 73 routers some 220 calls, so they tell each other: what
+/// three others have ejected gets nothing here either, unless it has just answered well here, since
+/// it may fail for some callers only. Calls that may be repeated find out whether it is well again.
 class ReplicaPool
 {
 public:
@@ -51,6 +63,7 @@
         std::span<const PromptPart> prompt = {}; ///< Parts that other requests may share.
         std::span<const std::string> excluded = {}; ///< Ids on which an attempt failed.
         std::span<const std::string> only = {}; ///< If not empty: no other ids may be chosen.
+        bool repeatable = true; ///< It may be sent once more where a replica fails it.
     };
 
     /// \brief Where a request goes.
@@ -69,8 +82,8 @@
     /// \brief Takes over the registered replicas; those that stay keep counts and health.
     void setReplicas(std::span<const ReplicaRecord> replicas);
 
-    /// \brief Takes over what \a router has in progress, as heard at \a heard.
-    void setCounts(const std::string &router, ReplicaCounts counts, TimePoint heard);
+    /// \brief Takes over what \a router told at \a heard.
+    void setNews(const std::string &router, ReplicaNews news, TimePoint heard);
 
     /// \returns the replica for \a query.
     Choice choose(const Query &query);
@@ -89,13 +102,14 @@
     bool knowsNoPrompts() const { return m_prompts.isEmpty(); }
 
     /// \brief Takes the count back and judges the replica by \a report.
-    void finished(std::string_view id, const AttemptReport &report);
+    /// \returns whether the replica was ejected by it, which the other routers should hear.
+    bool finished(std::string_view id, const AttemptReport &report);
 
     /// \brief Leaves \a id out for \a pause, because it refused a connection or is another replica.
     void leaveOut(std::string_view id, Duration pause);
 
-    /// \returns what this router has in progress, without replicas that have nothing.
-    ReplicaCounts ownCounts() const;
+    /// \returns what the other routers should know.
+    ReplicaNews ownNews() const;
 
     /// \returns requests in progress on replica \a id over all routers, as far as known.
     int inProgress(std::string_view id) const;
@@ -114,12 +128,14 @@
         std::uint64_t hash = 0;
         int own = 0; ///< Requests in progress from this router.
         int others = 0; ///< The same from the others, as last heard.
+        int ejectedBy = 0; ///< Other routers that have ejected it, as last heard.
+        TimePoint answeredAt = {}; ///< Its last good answer to this router.
         TimePoint leftOutUntil = {};
         HealthTracker::Entry health = {};
     };
     struct Heard
     {
-        ReplicaCounts counts;
+        ReplicaNews news;
         TimePoint at;
     };
     struct Candidate
@@ -134,16 +150,23 @@
     Choice describe(const State &it, std::span<const PromptPart> prompt, double total,
                     std::size_t n) const;
     std::vector<Candidate> candidates(const Query &query, bool regardHealth);
+    bool isAdmitted(State &it, const Query &query, bool regardNews);
+    bool isAvoided(const State &it) const;
+    bool mayAvoid() const;
     State *byPrompt(std::vector<Candidate> &list, std::span<const PromptPart> prompt) const;
     static State *firstOrSecond(const std::vector<Candidate> &list, std::uint64_t key);
     State *byLoad(const std::vector<Candidate> &list) const;
     const ReplicaRecord *copySource(const State &target, std::span<const PromptPart> prompt) const;
-    void sumOthers();
+    void rebuildIndex();
+    void forgetSilent();
+    void add(const ReplicaNews &news, int sign);
     void updateBaseline();
 
     Options m_options;
     std::vector<State> m_states;
+    std::map<std::string, std::size_t, std::less<>> m_index; ///< Into m_states, by id.
     std::map<std::string, Heard> m_heard; ///< By router.
+    TimePoint m_forgotAt;
     HealthTracker m_health;
     PromptIndex m_prompts;
     TimePoint m_baselineAt;
--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -175,10 +175,12 @@
 
 ReplicaPool::Choice EntryCall::chooseReplica()
 {
-    ReplicaPool::Query query{.prompt = m_request.sharedPrompt(), .excluded = m_excluded};
+    ReplicaPool::Query query{.prompt = m_request.sharedPrompt(),
+                             .excluded = m_excluded,
+                             .repeatable = m_request.route->isIdempotent()};
     // The route bounds how many replicas may get it, not how often one does.
     if (static_cast<int>(m_reached.size()) >= m_request.route->maxAttempts)
-        query = {.prompt = query.prompt, .only = m_reached};
+        query = {.prompt = query.prompt, .only = m_reached, .repeatable = query.repeatable};
     const ReplicaPool::Choice choice = m_service->replicas.choose(query);
     if (choice.replica || m_excluded.empty())
         return choice;
@@ -352,11 +354,15 @@
         return;
     m_call.reset();
     const Duration total = m_context.loop.now() - m_attemptBegan;
-    m_service->replicas.finished(m_replica.id,
-                                 {.succeeded = succeeded,
-                                  .reason = reason,
-                                  .untilFirstByte = m_firstByte.value_or(total),
-                                  .total = total});
+    const bool ejected =
+            m_service->replicas.finished(m_replica.id,
+                                         {.succeeded = succeeded,
+                                          .reason = reason,
+                                          .untilFirstByte = m_firstByte.value_or(total),
+                                          .total = total,
+                                          .failedElsewhere = m_sent > 1 && m_head.status >= 500});
+    if (ejected && m_context.replicaEjected)
+        m_context.replicaEjected();
 }
 
 void EntryCall::onEnd(Result<void> result)
--- a/src/Net/EntryCall.h
+++ b/src/Net/EntryCall.h
@@ -37,6 +37,7 @@
     std::function<bool()> refusesNew; ///< The process is about to stop.
     /// Told of each prompt that is sent to a replica, which keeps it from then on.
     std::function<void(const std::string &replica, std::span<const PromptPart>)> promptSent = {};
+    std::function<void()> replicaEjected = {}; ///< The other routers should hear of it at once.
     std::function<Duration()> proofAge = {}; ///< Of the configuration, for the log.
     std::function<void(const RequestEvent &)> report = logRequestEvent;
 };
--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -9,11 +9,14 @@
 #include "Net/FleetTask.h"
 #include "Net/HttpServer.h"
 #include "Net/LogWriter.h"
+#include "Net/SettingsWatch.h"
 #include "Net/StoreWatch.h"
 
 #include <algorithm>
 #include <csignal>
 
+#include <fmt/format.h>
+
 namespace catkinloft {
 
 namespace {
@@ -52,12 +55,13 @@
 
 struct EntryProcess::Private
 {
-    Private(std::shared_ptr<const EntrySettings> s, EntryAdapter a);
+    Private(const EntrySettings &s, std::string settingsFile, EntryAdapter a);
 
     void listenAll();
     void connectSignals();
     void keepRegistered();
     void applyConfig(const RouteConfigPtr &config);
+    void applySettings(const EntrySettings &next);
     void tellNews();
     void notePrompts(const PromptsByReplica &prompts);
     void learnPrompts();
@@ -67,7 +71,7 @@
     void checkDrained();
     std::unique_ptr<HttpServer> makeServer(const std::string &address, HttpServer::Handler handler);
 
-    std::shared_ptr<const EntrySettings> settings;
+    EntrySettings settings;
     EntryAdapter adapter;
     EventLoop loop;
     LogWriter log{{.loop = loop}};
@@ -86,6 +90,7 @@
     FleetRegistration registration;
     EntryDirectory directory;
     EntryGateway gateway;
+    SettingsWatch settingsWatch;
     std::vector<std::unique_ptr<HttpServer>> servers;
     HttpServer *callers = nullptr;
     Timer registrationTimer;
@@ -95,28 +100,27 @@
     bool draining = false;
 };
 
-EntryProcess::Private::Private(std::shared_ptr<const EntrySettings> s, EntryAdapter a)
-    : settings(std::move(s)), adapter(std::move(a)),
-      store(adapter.makeStore(client, settings->storeAddress)),
-      table(adapter.makeTable(client, settings->storeAddress)),
-      replicas({.clock = loop, .returnTime = settings->replicaReturnTime}),
-      pools(loop, random, *settings), filters({.routes = [this] { return routes; },
-                                               .proofAge = [this] { return config.proofAge(); },
-                                               .proofLimit = settings->keyProofLimit,
-                                               .requiresProof = settings->requiresKeyProof}),
+EntryProcess::Private::Private(const EntrySettings &s, std::string settingsFile, EntryAdapter a)
+    : settings(s), adapter(std::move(a)), store(adapter.makeStore(client, settings.storeAddress)),
+      table(adapter.makeTable(client, settings.storeAddress)),
+      replicas({.clock = loop, .returnTime = settings.replicaReturnTime}),
+      pools(loop, random, settings), filters({.routes = [this] { return routes; },
+                                              .proofAge = [this] { return config.proofAge(); },
+                                              .proofLimit = settings.keyProofLimit,
+                                              .requiresProof = settings.requiresKeyProof}),
       fleet({.loop = loop,
              .client = client,
              .metrics = metrics,
-             .settings = *settings,
+             .settings = settings,
              .config = config,
              .replicas = replicas,
              .isReady = [this] { return isReady(); },
              .storeFailing = [this] { return watch.isFailing(); },
              .storeSilence = [this] { return watch.silence(); },
-             .ownCounts = [this] { return pools.ownCounts(); },
+             .ownNews = [this] { return pools.ownNews(); },
              .onBeat =
                      [this](const RouterBeat &it) {
-                         pools.setCounts(it.name, it.counts, loop.now());
+                         pools.setNews(it.name, it.replicas, loop.now());
                          notePrompts(it.prompts);
                      },
              .onConfigText = [this](const std::string &text,
@@ -134,18 +138,17 @@
              .askPeer = [this] { fleet.fetchFromPeer(); },
              .isReader = [this] { return fleet.isReader(); },
              .routers = [this] { return fleet.view().sharers(); },
-             .configLimit = settings->configApplyLimit,
-             .drainLimit = settings->replicaDrainLimit}),
+             .settings = settings}),
       registration({.table = *table,
                     .random = random,
-                    .name = settings->name,
-                    .peerAddress = settings->peerAddress,
+                    .name = settings.name,
+                    .peerAddress = settings.peerAddress,
                     .onKey = [this](const SharedKey &key) { fleet.setKey(key); },
                     .onAddresses =
                             [this](const std::vector<std::string> &it) {
                                 fleet.view().setRegistered(it);
                             }}),
-      directory({.settings = *settings,
+      directory({.settings = settings,
                  .fleet = fleet.view(),
                  .isReady = [this] { return isReady(); },
                  .isLeaving = [this] { return draining; },
@@ -153,7 +156,7 @@
       gateway({.loop = loop,
                .client = client,
                .metrics = metrics,
-               .settings = *settings,
+               .settings = settings,
                .codec = adapter.codec,
                .filters = filters,
                .pools = pools,
@@ -164,7 +167,11 @@
                        [this](const std::string &replica, std::span<const PromptPart> prompt) {
                            fleet.notePrompt(replica, prompt);
                        },
+               .replicaEjected = [this] { fleet.tellAll(); },
                .proofAge = [this] { return config.proofAge(); }}),
+      settingsWatch({.loop = loop,
+                     .file = std::move(settingsFile),
+                     .onChange = [this](const EntrySettings &it) { applySettings(it); }}),
       registrationTimer(loop, [this] { keepRegistered(); }),
       drainTimer(loop, [this] { checkDrained(); })
 {
@@ -183,6 +190,17 @@
     callers->setIdleTimeout(std::max(MinIdleTimeout, 2 * it->idleTimeout));
 }
 
+void EntryProcess::Private::applySettings(const EntrySettings &next)
+{
+    const EntrySettings::Adjusted adjusted = settings.adjust(next);
+    filters.setProofRules(settings.keyProofLimit, settings.requiresKeyProof);
+    pools.applySettings();
+    fleet.applySettings();
+    Log::info("settings_reloaded",
+              {{"changed", fmt::format("{}", fmt::join(adjusted.changed, " "))},
+               {"needs_restart", fmt::format("{}", fmt::join(adjusted.needsRestart, " "))}});
+}
+
 void EntryProcess::Private::tellNews()
 {
     // Those that heard it from a reader need not repeat it.
@@ -238,9 +256,9 @@
             loop,
             HttpServer::Options{
                     .address = address,
-                    .limits = {.maxHeaderBytes = settings->maxHeaderBytes,
-                               .maxBodyBytes = settings->maxBodyBytes,
-                               .maxConnections = settings->maxConnections,
+                    .limits = {.maxHeaderBytes = settings.maxHeaderBytes,
+                               .maxBodyBytes = settings.maxBodyBytes,
+                               .maxConnections = settings.maxConnections,
                                .idleTimeout = MinIdleTimeout},
                     .onTooMany = [this] { metrics.refused(Reason::TooManyConnections); }},
             std::move(handler));
@@ -248,19 +266,19 @@
 
 void EntryProcess::Private::listenAll()
 {
-    servers.push_back(makeServer(settings->callerAddress,
+    servers.push_back(makeServer(settings.callerAddress,
                                  [this](const HttpExchangePtr &it) { gateway.handle(it); }));
     callers = servers.front().get();
-    if (!settings->readinessAddress.empty())
-        servers.push_back(makeServer(settings->readinessAddress, [this](const HttpExchangePtr &it) {
+    if (!settings.readinessAddress.empty())
+        servers.push_back(makeServer(settings.readinessAddress, [this](const HttpExchangePtr &it) {
             adapter.answerReadiness(it, isReady());
         }));
-    if (!settings->directoryAddress.empty())
-        servers.push_back(makeServer(settings->directoryAddress, [this](const HttpExchangePtr &it) {
+    if (!settings.directoryAddress.empty())
+        servers.push_back(makeServer(settings.directoryAddress, [this](const HttpExchangePtr &it) {
             adapter.answerDirectory(it, directory);
         }));
-    if (!settings->metricsAddress.empty())
-        servers.push_back(makeServer(settings->metricsAddress,
+    if (!settings.metricsAddress.empty())
+        servers.push_back(makeServer(settings.metricsAddress,
                                      [this](const HttpExchangePtr &it) { answerMetrics(it); }));
 }
 
@@ -273,8 +291,7 @@
 {
     loop.onSignal(SIGTERM, [this] { drain(); });
     loop.onSignal(SIGINT, [this] { drain(); });
-    // The settings of a process do not change while it runs, but the signal must not end it.
-    loop.onSignal(SIGHUP, [] { Log::info("reload_ignored", {}); });
+    loop.onSignal(SIGHUP, [this] { settingsWatch.check(); });
 }
 
 void EntryProcess::Private::drain()
@@ -286,8 +303,8 @@
     fleet.leave();
     registration.leave();
     gateway.leave();
-    refuseFrom = loop.now() + scaled(settings->stopLimit, AcceptPart);
-    stopAt = loop.now() + settings->stopLimit - StopMargin;
+    refuseFrom = loop.now() + scaled(settings.stopLimit, AcceptPart);
+    stopAt = loop.now() + settings.stopLimit - StopMargin;
     drainTimer.startRepeating(DrainPoll);
 }
 
@@ -304,8 +321,9 @@
     loop.stop();
 }
 
-EntryProcess::EntryProcess(std::shared_ptr<const EntrySettings> settings, EntryAdapter adapter)
-    : m_d(std::make_unique<Private>(std::move(settings), std::move(adapter)))
+EntryProcess::EntryProcess(const EntrySettings &settings, std::string settingsFile,
+                           EntryAdapter adapter)
+    : m_d(std::make_unique<Private>(settings, std::move(settingsFile), std::move(adapter)))
 { }
 
 EntryProcess::~EntryProcess() = default;
@@ -313,7 +331,7 @@
 int EntryProcess::run()
 {
     std::signal(SIGPIPE, SIG_IGN);
-    Log::setSource(m_d->settings->name);
+    Log::setSource(m_d->settings.name);
     Log::setSink([this](LogLevel level, std::string_view line) { m_d->log.write(level, line); });
     m_d->listenAll();
     for (const auto &it : m_d->servers) {
@@ -330,11 +348,12 @@
     }
     m_d->connectSignals();
     m_d->watch.start();
+    m_d->settingsWatch.start();
     m_d->loop.after(LearnPromptsAfter, [this] { m_d->learnPrompts(); });
     m_d->keepRegistered();
     Log::info("started",
-              {{"caller_address", m_d->settings->callerAddress},
-               {"store", m_d->settings->storeAddress}});
+              {{"caller_address", m_d->settings.callerAddress},
+               {"store", m_d->settings.storeAddress}});
     m_d->loop.run();
     Log::setSink({});
     return 0;
--- a/src/Net/EntryProcess.h
+++ b/src/Net/EntryProcess.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace catkinloft {
 
@@ -31,7 +32,8 @@
 class EntryProcess
 {
 public:
-    EntryProcess(std::shared_ptr<const EntrySettings> settings, EntryAdapter adapter);
+    /// \param settingsFile from which \a settings were read; it is read again when it changes.
+    EntryProcess(const EntrySettings &settings, std::string settingsFile, EntryAdapter adapter);
     ~EntryProcess();
 
     /// \brief Serves until SIGTERM or SIGINT and then drains.
--- a/src/Net/FleetTask.cpp
+++ b/src/Net/FleetTask.cpp
@@ -141,7 +141,7 @@
             .replicasAge = options.replicas.age(),
             .replicasHash = options.replicas.hash(),
             .replicasVersion = options.replicas.storeVersion(),
-            .counts = options.ownCounts()};
+            .replicas = options.ownNews()};
 }
 
 std::vector<std::string> FleetTask::Private::readers() const
@@ -320,10 +320,18 @@
     if (Result<void> listening = m_d->server.listen(); !listening)
         return listening;
     m_d->timer.startRepeating(BeatInterval);
-    m_d->askTimer.startRepeating(scaled(m_d->options.settings.configApplyLimit, AskPart));
+    applySettings();
     return outcome::success();
 }
 
+void FleetTask::applySettings()
+{
+    const Duration limit = m_d->options.settings.configApplyLimit;
+    m_d->view.setConfigLimit(limit);
+    m_d->catchUp.setConfigLimit(limit);
+    m_d->askTimer.startRepeating(scaled(limit, AskPart));
+}
+
 void FleetTask::setKey(const SharedKey &key)
 {
     m_d->guard.setKeys({key});
--- a/src/Net/FleetTask.h
+++ b/src/Net/FleetTask.h
@@ -34,7 +34,7 @@
         std::function<bool()> isReady;
         std::function<bool()> storeFailing; ///< \sa RouterBeat::storeFailing
         std::function<Duration()> storeSilence; ///< \sa RouterBeat::storeSilence
-        std::function<ReplicaCounts()> ownCounts;
+        std::function<ReplicaNews()> ownNews;
         std::function<void(const RouterBeat &)> onBeat;
         /// Takes what a peer read: its texts, with the moments at which the reads began.
         std::function<void(const std::string &text, TimePoint readBegan)> onConfigText;
@@ -54,6 +54,9 @@
     /// \brief Sets the key that beats are signed with; none are sent before.
     void setKey(const SharedKey &key);
 
+    /// \brief Takes over the limits of settings that have changed.
+    void applySettings();
+
     /// \brief Tells the others with the next beat that \a replica keeps \a prompt.
     void notePrompt(const std::string &replica, std::span<const PromptPart> prompt);
 
--- a/src/Net/ServicePools.cpp
+++ b/src/Net/ServicePools.cpp
@@ -35,11 +35,16 @@
         pool->replicas.setReplicas(ofService(m_replicas, service));
 }
 
-void ServicePools::setCounts(const std::string &router, const ReplicaCounts &counts,
-                             TimePoint heard)
+void ServicePools::applySettings()
 {
     for (const auto &[service, pool] : m_pools)
-        pool->replicas.setCounts(router, counts, heard);
+        pool->repeats.setOptions(m_settings.repeatShare, m_settings.repeatSlack);
+}
+
+void ServicePools::setNews(const std::string &router, const ReplicaNews &news, TimePoint heard)
+{
+    for (const auto &[service, pool] : m_pools)
+        pool->replicas.setNews(router, news, heard);
 }
 
 void ServicePools::notePrompts(const std::string &replica, std::span<const std::uint64_t> parts)
@@ -88,11 +93,14 @@
     return *pool;
 }
 
-ReplicaCounts ServicePools::ownCounts() const
+ReplicaNews ServicePools::ownNews() const
 {
-    ReplicaCounts out;
-    for (const auto &[service, pool] : m_pools)
-        out.merge(pool->replicas.ownCounts());
+    ReplicaNews out;
+    for (const auto &[service, pool] : m_pools) {
+        ReplicaNews news = pool->replicas.ownNews();
+        out.counts.merge(news.counts);
+        out.ejected.insert(out.ejected.end(), news.ejected.begin(), news.ejected.end());
+    }
     return out;
 }
 
--- a/src/Net/ServicePools.h
+++ b/src/Net/ServicePools.h
@@ -32,7 +32,10 @@
     void setServices(const RouteConfig &config);
 
     void setReplicas(std::span<const ReplicaRecord> replicas);
-    void setCounts(const std::string &router, const ReplicaCounts &counts, TimePoint heard);
+
+    /// \brief Takes over the repeat budget of settings that have changed.
+    void applySettings();
+    void setNews(const std::string &router, const ReplicaNews &news, TimePoint heard);
 
     /// \brief Takes over that another router sent parts of prompts to replicas.
     void notePrompts(const std::string &replica, std::span<const std::uint64_t> parts);
@@ -46,8 +49,8 @@
 
     ServicePool &of(const std::string &service);
 
-    /// \returns what this router has in progress on all replicas.
-    ReplicaCounts ownCounts() const;
+    /// \returns what this router has to tell of all replicas.
+    ReplicaNews ownNews() const;
 
 private:
     const Clock &m_clock;
--- a/src/Net/StoreWatch.cpp
+++ b/src/Net/StoreWatch.cpp
@@ -52,10 +52,10 @@
 
 void StoreWatch::check()
 {
-    const bool configOverdue =
-            m_options.config.proofAge() > scaled(m_options.configLimit, ConfigOverduePart);
-    const bool replicasOverdue =
-            m_options.replicas.age() > scaled(m_options.drainLimit, ReplicasOverduePart);
+    const bool configOverdue = m_options.config.proofAge()
+            > scaled(m_options.settings.configApplyLimit, ConfigOverduePart);
+    const bool replicasOverdue = m_options.replicas.age()
+            > scaled(m_options.settings.replicaDrainLimit, ReplicasOverduePart);
     const bool reader = m_options.isReader();
     if (!m_readingConfig && (reader || configOverdue))
         watchConfig();
@@ -88,8 +88,9 @@
         m_options.store.readConfig(done);
     else
         m_options.store.watchConfig(m_storeVersion,
-                                    m_options.isReader() ? scaled(m_options.configLimit, WaitPart)
-                                                         : Duration::zero(),
+                                    m_options.isReader()
+                                            ? scaled(m_options.settings.configApplyLimit, WaitPart)
+                                            : Duration::zero(),
                                     done);
 }
 
@@ -143,7 +144,7 @@
         return;
     // Spread, so that routers that started together do not read together.
     const double spread = 0.9 + 0.2 * uniform(m_options.random);
-    m_replicasTimer.start(scaled(m_options.drainLimit, ReplicasPart * spread));
+    m_replicasTimer.start(scaled(m_options.settings.replicaDrainLimit, ReplicasPart * spread));
 }
 
 void StoreWatch::noteResult(bool &failing, const char *what, const Error *error)
--- a/src/Net/StoreWatch.h
+++ b/src/Net/StoreWatch.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Base/EntrySettings.h"
 #include "Base/FleetStore.h"
 #include "Base/Metrics.h"
 #include "Base/Random.h"
@@ -29,8 +30,7 @@
         std::function<void()> askPeer; ///< Nothing was heard of the store for too long.
         std::function<bool()> isReader; ///< This router reads for the others.
         std::function<int()> routers; ///< How many there are.
-        Duration configLimit = std::chrono::seconds(2); ///< \sa EntrySettings::configApplyLimit
-        Duration drainLimit = std::chrono::seconds(2); ///< \sa EntrySettings::replicaDrainLimit
+        const EntrySettings &settings; ///< May change meanwhile.
     };
 
     explicit StoreWatch(Options options);
--- a/src/Request/EntryFilters.h
+++ b/src/Request/EntryFilters.h
@@ -24,6 +24,13 @@
 
     explicit EntryFilters(Options options) : m_options(std::move(options)) { }
 
+    /// \brief Changes how old a proof may be, and whether keys need one.
+    void setProofRules(Duration limit, bool required)
+    {
+        m_options.proofLimit = limit;
+        m_options.requiresProof = required;
+    }
+
     /// \brief Runs all filters and fills in route and workspace.
     Result<void> run(EntryRequest &request) const;
 
--- a/standin/fleet/EntryFleet.cpp
+++ b/standin/fleet/EntryFleet.cpp
@@ -179,7 +179,7 @@
     return m_version;
 }
 
-void EntryFleet::writeSettings(std::size_t i)
+void EntryFleet::writeSettings(std::size_t i, const std::string &extra)
 {
     const Router &it = m_routers[i];
     std::ofstream out(fmt::format("{}/router-{}.yaml", m_folder, i));
@@ -187,8 +187,7 @@
                        "readiness_address: \"{}\"\ndirectory_address: \"{}\"\n"
                        "peer_address: \"{}\"\nstore_address: \"{}\"\n"
                        "repeats:\n  share: 0.2\n  slack: 60\n  window: 10s\n{}",
-                       i, it.caller, it.readiness, it.directory, it.peer, it.store.listen,
-                       m_options.extraSettings);
+                       i, it.caller, it.readiness, it.directory, it.peer, it.store.listen, extra);
 }
 
 void EntryFleet::startRouter(std::size_t i)
@@ -222,7 +221,7 @@
         it.readiness = localAddress();
         it.peer = localAddress();
         startProxy(it.store, m_store, fmt::format("store-path-{}", i));
-        writeSettings(i);
+        writeSettings(i, m_options.extraSettings);
         startRouter(i);
     }
     for (std::size_t i = 0; i < m_routers.size(); ++i) {
--- a/standin/fleet/EntryFleet.h
+++ b/standin/fleet/EntryFleet.h
@@ -36,6 +36,9 @@
 
     /// \brief Starts router \a i, again after it was stopped.
     void startRouter(std::size_t i);
+
+    /// \brief Writes the settings file of router \a i anew, with \a extra lines.
+    void changeSettings(std::size_t i, const std::string &extra) { writeSettings(i, extra); }
     ChildProcess &router(std::size_t i) { return *m_routers.at(i).process; }
     std::size_t routerCount() const { return m_routers.size(); }
     const std::string &callerAddress(std::size_t i) const { return m_routers.at(i).caller; }
@@ -111,7 +114,7 @@
     void startStore();
     void startProxy(Proxy &proxy, const std::string &target, const std::string &name);
     void startReplica(std::size_t i);
-    void writeSettings(std::size_t i);
+    void writeSettings(std::size_t i, const std::string &extra);
     void writeRow(const std::string &table, const std::string &key, const Json::Value &value);
     static void post(const std::string &address, const std::string &target,
                      const std::string &body);
--- a/test/EntryRequestTest.cpp
+++ b/test/EntryRequestTest.cpp
@@ -302,6 +302,22 @@
     CHECK(replicas[0]->requests().size() == 2);
 }
 
+TEST_CASE_FIXTURE(EntryGatewayFixture, "entryRequest_callThatFailsEverywhere_ejectsNoReplica")
+{
+    // One call in seven of the users' meter service fails wherever it is sent.
+    const auto script = [](const std::string &request, std::size_t) -> Reply {
+        const bool bad = request.find("/safe/bad") != std::string::npos;
+        return {.bytes = ScriptedReplica::answer(request, bad ? 500 : 200, bad ? "bad" : "fine")};
+    };
+    for (int i = 0; i < 3; ++i)
+        addReplica(script);
+    RawCaller caller(Port);
+    call(caller, get("/safe/bad"), "bad");
+    call(caller, get("/safe/bad"), "bad");
+    CHECK(sent() == 8);
+    CHECK(pools.of("svc").replicas.health().ejections() == 0);
+}
+
 TEST_CASE_FIXTURE(EntryGatewayFixture, "entryRequest_onlyReplicaFailsOnce_isAskedAgain")
 {
     addReplica([](const std::string &request, std::size_t n) -> Reply {
--- a/test/FleetViewTest.cpp
+++ b/test/FleetViewTest.cpp
@@ -193,7 +193,7 @@
     it.leaving = true;
     it.replicasAge = Duration::max();
     it.proofAge = 1500us;
-    it.counts = {{"i-1", 3}};
+    it.replicas = {.counts = {{"i-1", 3}}, .ejected = {"i-2"}};
     it.prompts = {{"i-1", {5, 1ULL << 63}}};
     BeatCodec codec;
     const Result<RouterBeat> read = codec.decode(BeatCodec::encode(it));
@@ -203,7 +203,8 @@
     CHECK(read.value().leaving);
     CHECK(read.value().proofAge == 2ms); // Rounded up: a proof never looks younger.
     CHECK(read.value().replicasAge == Duration::max());
-    CHECK(read.value().counts.at("i-1") == 3);
+    CHECK(read.value().replicas.counts.at("i-1") == 3);
+    CHECK(read.value().replicas.ejected == std::vector<std::string>{"i-2"});
     CHECK(read.value().prompts.at("i-1") == std::vector<std::uint64_t>{5, 1ULL << 63});
     CHECK_FALSE(codec.decode("{}"));
     CHECK_FALSE(codec.decode("no json"));
--- a/test/ReplicaPoolTest.cpp
+++ b/test/ReplicaPoolTest.cpp
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <array>
 #include <deque>
 #include <map>
 #include <set>
@@ -63,7 +64,7 @@
             for (std::size_t j = 0; j < pools.size(); ++j) {
                 if (i == j)
                     continue;
-                pools[j]->setCounts(fmt::format("r{}", i), pools[i]->ownCounts(), clock.now());
+                pools[j]->setNews(fmt::format("r{}", i), pools[i]->ownNews(), clock.now());
                 for (const auto &[id, parts] : told[i])
                     pools[j]->notePrompt(id, parts);
             }
@@ -249,11 +250,11 @@
 
 TEST_CASE_FIXTURE(CallPoolFixture, "replicaPool_othersCounts_areRegardedUntilTheyAreOld")
 {
-    pool.setCounts("r2", {{"i-0", 5}, {"i-1", 5}, {"i-2", 5}}, clock.now());
+    pool.setNews("r2", {.counts = {{"i-0", 5}, {"i-1", 5}, {"i-2", 5}}}, clock.now());
     CHECK(choose() == "i-3");
     CHECK(pool.inProgress("i-0") == 5);
     clock.advance(4s);
-    pool.setCounts("r3", {}, clock.now());
+    pool.setNews("r3", {}, clock.now());
     CHECK(pool.inProgress("i-0") == 0);
 }
 
@@ -322,3 +323,145 @@
         CHECK(fresh.choose({.prompt = prompt}).keptTokens == 10'500);
     }
 }
+
+namespace {
+
+/// 73 routers of which each sends four replicas a call a second in all, as the users' dispatch desk
+/// does; replica i-0 fails every call.
+struct CallFleetFixture
+{
+    CallFleetFixture()
+    {
+        for (std::size_t i = 0; i < Routers; ++i) {
+            pools.push_back(std::make_unique<ReplicaPool>(
+                    ReplicaPool::Options{.clock = clock, .random = seededRandom(i)}));
+            pools.back()->setReplicas(replicas(4));
+        }
+    }
+
+    /// \returns how many calls fail in \a time. Each router tells \a fanout others at a time.
+    int failedCalls(Duration time, std::size_t fanout, bool repeatable)
+    {
+        int failed = 0;
+        const TimePoint end = clock.now() + time;
+        for (int step = 0; clock.now() < end; ++step, clock.advance(25ms)) {
+            for (std::size_t i = 0; i < Routers; ++i) {
+                if (uniform(random) < 0.1 && !call(*pools[i], repeatable))
+                    ++failed;
+                if ((static_cast<std::size_t>(step) + i) % 10 == 0)
+                    tell(i, fanout);
+            }
+        }
+        return failed;
+    }
+
+    bool call(ReplicaPool &pool, bool repeatable) const
+    {
+        const ReplicaPool::Choice choice = pool.choose({.repeatable = repeatable});
+        const std::string id = choice.replica->id;
+        const bool well = id != failing && uniform(random) >= failsAnywhere;
+        pool.started(id);
+        pool.finished(id, {.succeeded = well, .reason = Reason::UpstreamBroken, .total = 20ms});
+        return well;
+    }
+
+    void tell(std::size_t from, std::size_t fanout)
+    {
+        for (std::size_t n = 0; n < fanout; ++n) {
+            const std::size_t to = next[from]++ % Routers;
+            if (to != from)
+                pools[to]->setNews(fmt::format("r{}", from), pools[from]->ownNews(), clock.now());
+        }
+    }
+
+    static constexpr std::size_t Routers = 73;
+
+    ManualClock clock;
+    RandomSource random = seededRandom(99);
+    std::vector<std::unique_ptr<ReplicaPool>> pools;
+    std::array<std::size_t, Routers> next = {};
+    std::string failing = "i-0";
+    double failsAnywhere = 0; ///< Part of the calls that no replica answers well.
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(CallFleetFixture, "replicaPool_replicaFailsAllCalls_routersTellEachOther")
+{
+    // Each router alone needs three calls, one a second: some 220 are lost before all have found
+    // out, and more when each tries whether it is well again.
+    const int alone = CallFleetFixture().failedCalls(8s, 0, false);
+    CHECK(alone > 190);
+    const int together = failedCalls(8s, 16, false);
+    MESSAGE("calls failed: alone ", alone, ", together ", together);
+    CHECK(together < alone / 2);
+}
+
+TEST_CASE_FIXTURE(CallFleetFixture, "replicaPool_someCallsFailAnywhere_noReplicaIsAvoided")
+{
+    failing = "none";
+    failsAnywhere = 0.04;
+    failedCalls(20s, 16, false);
+    std::map<std::string, int> used;
+    for (int i = 0; i < 4000; ++i)
+        ++used[pools[static_cast<std::size_t>(i) % Routers]->choose({}).replica->id];
+    for (const ReplicaRecord &it : replicas(4))
+        CHECK(used[it.id] > 800);
+}
+
+TEST_CASE_FIXTURE(CallFleetFixture, "replicaPool_replicaIsWellAgain_allRoutersUseItAgain")
+{
+    failedCalls(8s, 16, false);
+    failing = "none";
+    CHECK(failedCalls(20s, 16, true) == 0);
+    int used = 0;
+    for (int i = 0; i < 400; ++i) {
+        const auto choice = pools[static_cast<std::size_t>(i) % Routers]->choose({});
+        used += choice.replica->id == "i-0" ? 1 : 0;
+    }
+    CHECK(used > 60);
+}
+
+TEST_CASE_FIXTURE(CallFleetFixture, "replicaPool_ejectedElsewhere_ownGoodAnswerGoesFirst")
+{
+    ReplicaPool &pool = *pools[0];
+    for (const char *router : {"r1", "r2", "r3"})
+        pool.setNews(router, {.ejected = {"i-0"}}, clock.now());
+    for (int i = 0; i < 50; ++i)
+        CHECK(pool.choose({}).replica->id != "i-0");
+    // It answers here: only some callers are failed.
+    const std::vector<std::string> only = {"i-0"};
+    pool.started("i-0");
+    pool.finished("i-0", {.succeeded = true, .total = 20ms});
+    CHECK(pool.choose({.only = only}).replica->id == "i-0");
+    int used = 0;
+    for (int i = 0; i < 200; ++i)
+        used += pool.choose({}).replica->id == "i-0" ? 1 : 0;
+    CHECK(used > 20);
+}
+
+TEST_CASE_FIXTURE(CallFleetFixture, "replicaPool_mostEjectedElsewhere_newsIsNotBelieved")
+{
+    ReplicaPool &pool = *pools[0];
+    for (const char *router : {"r1", "r2", "r3"})
+        pool.setNews(router, {.ejected = {"i-0", "i-1", "i-2"}}, clock.now());
+    std::set<std::string> used;
+    for (int i = 0; i < 200; ++i)
+        used.insert(pool.choose({}).replica->id);
+    CHECK(used.size() == 4);
+}
+
+TEST_CASE_FIXTURE(CallFleetFixture, "replicaPool_replicaHalfOpen_callsThatMayNotBeRepeatedWait")
+{
+    ReplicaPool &pool = *pools[0];
+    for (int i = 0; i < 3; ++i) {
+        pool.started("i-0");
+        pool.finished("i-0", {.succeeded = false, .reason = Reason::UpstreamBroken, .total = 20ms});
+    }
+    clock.advance(6s);
+    for (int i = 0; i < 50; ++i)
+        CHECK(pool.choose({.repeatable = false}).replica->id != "i-0");
+    clock.advance(6s);
+    const std::vector<std::string> others = {"i-1", "i-2", "i-3"};
+    CHECK(pool.choose({.excluded = others, .repeatable = false}).replica->id == "i-0");
+}
--- a/test/integration/EntryTest.cpp
+++ b/test/integration/EntryTest.cpp
@@ -95,6 +95,27 @@
     CHECK(fleet.router(2).wait() == 0);
 }
 
+TEST_CASE_FIXTURE(EntryFleetFixture, "entry_settingsChange_areInForceOnSighupUnlessTheyAreWrong")
+{
+    const auto lifetime = [&] {
+        const Result<HttpAnswer> answer = Fleet::fetch(
+                {.address = fleet.directoryAddress(0), .target = "/v1/resolve?name=x&zone=hall"});
+        Json::Value root;
+        return answer && Json::Reader().parse(answer.value().body, root) ? root["ttl-s"].asDouble()
+                                                                         : 0;
+    };
+    CHECK(lifetime() == 2);
+    fleet.changeSettings(0, "address_lifetime: 1s\n");
+    fleet.router(0).signal(SIGHUP);
+    CHECK(Fleet::waitFor([&] { return lifetime() == 1; }));
+    fleet.changeSettings(0, "address_lifetime: soon\n");
+    fleet.router(0).signal(SIGHUP);
+    CHECK(Fleet::waitFor(
+            [&] { return fleet.routerLog(0).find("settings_rejected") != std::string::npos; }));
+    CHECK(lifetime() == 1);
+    CHECK(status(0, "/safe/a") == 200);
+}
+
 TEST_CASE_FIXTURE(EntryFleetFixture, "entry_keyTakenAway_isRefusedOnEveryRouter")
 {
     fleet.writeConfig({"second-key"});
