Engines that fall silent are ejected at once; what a request was sent to is counted in a class of its own

Cause: a router sends each of 140 engines a request in twelve seconds, so three failures in a row take half a minute, while streams that may not be resumed wait there until their callers leave. Change: an overdue answer of an engine ejects it at this router at once, and the others hear of it; a caller that leaves a stalled stream counts as such an answer, a deadline that ends a stream which still comes does not. Ruled out: ejecting at one broken connection, since replicas lose answers now and then.

--- a/src/Decide/HealthTracker.cpp
+++ b/src/Decide/HealthTracker.cpp
@@ -54,6 +54,15 @@
     return it.state != before;
 }
 
+bool HealthTracker::ejectAtOnce(Entry &it, std::size_t poolSize, TimePoint now)
+{
+    if (it.state != State::Healthy || !mayEject(poolSize))
+        return false;
+    ++m_ejected;
+    eject(it, now);
+    return true;
+}
+
 bool HealthTracker::isOutlier(const Entry &it) const
 {
     if (it.failuresInRow >= MaxFailuresInRow)
--- a/src/Decide/HealthTracker.h
+++ b/src/Decide/HealthTracker.h
@@ -50,6 +50,10 @@
     bool record(Entry &it, double work, const AttemptReport &report, std::size_t poolSize,
                 TimePoint now);
 
+    /// \brief Ejects \a it after one attempt, for a failure that no sound upstream shows.
+    /// \returns whether it was healthy before and may be ejected.
+    bool ejectAtOnce(Entry &it, std::size_t poolSize, TimePoint now);
+
     /// \brief Compares with the median of \a entries; call about once a second.
     void updateBaseline(std::vector<double> costs);
 
--- a/src/Decide/Job.h
+++ b/src/Decide/Job.h
@@ -42,8 +42,9 @@
     Reason reason = Reason::Internal; ///< Where it did not succeed.
     Duration untilFirstByte = Duration::zero();
     Duration total = Duration::zero();
-    /// The request had failed elsewhere before, so that its failure says nothing of this upstream.
-    bool failedElsewhere = false;
+    /// A failure that says nothing of this upstream: the request had failed elsewhere before, or
+    /// its time ended while the answer was coming.
+    bool blameless = false;
 };
 
 } // namespace catkinloft
--- a/src/Decide/ReplicaPool.cpp
+++ b/src/Decide/ReplicaPool.cpp
@@ -61,8 +61,9 @@
 /// by then, one that may not be is sent: the loss of one call, instead of a replica for good.
 constexpr Duration ProbeGrace = 5s;
 
-/// Ejected replicas that one beat tells of: 15 bytes each, and more are no fault of the replicas.
-constexpr std::size_t MaxToldEjected = 8;
+/// Ejected replicas that one beat tells of, 15 bytes each. Of 28 silent engines a router ejects
+/// some six itself before it hears of the others.
+constexpr std::size_t MaxToldEjected = 16;
 
 /// How often the usual cost of a call is worked out anew.
 constexpr Duration BaselineInterval = 1s;
@@ -360,14 +361,20 @@
     if (!it)
         return false;
     it->own = std::max(0, it->own - 1);
-    if (!report.succeeded && (report.reason == Reason::CallerGone || report.failedElsewhere)) {
+    if (!report.succeeded && (report.reason == Reason::CallerGone || report.blameless)) {
         it->health.probing = false;
         return false;
     }
     const TimePoint now = m_options.clock.now();
     if (report.succeeded)
         it->answeredAt = now;
-    if (!m_health.record(it->health, 1, report, m_states.size(), now))
+    bool changed = m_health.record(it->health, 1, report, m_states.size(), now);
+    // A router sends each of 140 engines a request in twelve seconds; it can't wait for a third
+    // one.
+    const bool silent = !report.succeeded && report.reason == Reason::UpstreamTimeout;
+    if (m_options.isEngine && silent)
+        changed = m_health.ejectAtOnce(it->health, m_states.size(), now) || changed;
+    if (!changed)
         return false;
     const bool ejected = it->health.state == HealthTracker::State::Ejected;
     Log::info(ejected ? "replica_ejected" : "replica_recovered",
--- a/src/Decide/ReplicaPool.h
+++ b/src/Decide/ReplicaPool.h
@@ -46,6 +46,8 @@
 /// sends it one call a second, that costs 73 routers some 220 calls, so they tell each other: what
 /// three others have ejected gets nothing here either, unless it has just answered well here, since
 /// it may fail for some callers only. Calls that may be repeated find out whether it is well again.
+/// An engine that falls silent is ejected at its first overdue answer: of 28 silent ones among 140
+/// that halves the requests that are sent there in eight seconds.
 class ReplicaPool
 {
 public:
--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -18,9 +18,6 @@
 /// reached. Short, since a call of 150 ms has to be placed elsewhere and still be on time.
 constexpr Duration ConnectTimeout = 150ms;
 
-/// Replicas that are tried one after the other while no connection can be made.
-constexpr int MaxUnreached = 4;
-
 /// How long a replica is left out after it refused a connection. Restarts take seconds.
 constexpr Duration UnreachablePause = 1s;
 
@@ -40,11 +37,6 @@
 /// Part of an idempotent call's time after which another replica is asked.
 constexpr int SilenceParts = 2;
 
-/// Sendings of an idempotent call beyond one for each replica that its route allows, to replicas
-/// that had it before. Where a call fails one time in seven by itself, a third and a fourth lower
-/// the calls that fail from 2% to 0.04%; the repeat budget bounds them in sum.
-constexpr int MoreSendings = 2;
-
 /// Least time for which sending again makes sense.
 constexpr Duration MinRepeatTime = 20ms;
 
@@ -176,13 +168,15 @@
 ReplicaPool::Choice EntryCall::chooseReplica()
 {
     ReplicaPool::Query query{.prompt = m_request.sharedPrompt(),
-                             .excluded = m_excluded,
+                             .excluded = m_sendings.failed(),
                              .repeatable = m_request.route->isIdempotent()};
     // The route bounds how many replicas may get it, not how often one does.
-    if (static_cast<int>(m_reached.size()) >= m_request.route->maxAttempts)
-        query = {.prompt = query.prompt, .only = m_reached, .repeatable = query.repeatable};
+    if (m_sendings.isBoundToReached(*m_request.route)) {
+        query.excluded = {};
+        query.only = m_sendings.reached();
+    }
     const ReplicaPool::Choice choice = m_service->replicas.choose(query);
-    if (choice.replica || m_excluded.empty())
+    if (choice.replica || query.excluded.empty())
         return choice;
     // The only replica left may answer this time.
     query.excluded = {};
@@ -193,6 +187,7 @@
 {
     m_replica = *choice.replica;
     m_attemptBegan = m_context.loop.now();
+    m_heardAt = m_attemptBegan;
     m_firstByte.reset();
     m_head = {};
     m_answer = {};
@@ -201,9 +196,7 @@
     m_relaying = false;
     m_attempting = true;
     ++m_attempt;
-    ++m_sent;
-    if (std::find(m_reached.begin(), m_reached.end(), m_replica.id) == m_reached.end())
-        m_reached.push_back(m_replica.id);
+    m_sendings.sent(m_replica.id);
     const std::string copyFrom = choice.copyFrom ? choice.copyFrom->address : std::string();
     reportSent(choice);
     m_service->replicas.started(m_replica.id, m_request.sharedPrompt());
@@ -244,7 +237,7 @@
                  .connectTimeout = ConnectTimeout,
                  .takesUnframed = true};
     out.maxIdleAge = m_service->idle.limit(route.isIdempotent());
-    const bool another = m_sent < mostSendings();
+    const bool another = m_sendings.mayRepeat(route);
     if (another && route.kind == CallKind::Idempotent)
         out.progressTimeout = route.timeout / SilenceParts;
     else if (another && route.isIdempotent())
@@ -276,6 +269,7 @@
 
 void EntryCall::onHead(const HttpHead &head)
 {
+    m_heardAt = m_context.loop.now();
     m_firstByte = m_context.loop.now() - m_attemptBegan;
     m_head = head;
     m_answer = m_context.codec.decodeAnswer(head);
@@ -287,7 +281,7 @@
         return failLater(Reason::AnswerMismatch, "the answer is not signed by its replica");
     if (!head.header("Content-Encoding").empty())
         return failLater(Reason::AnswerMismatch, "the answer is encoded though nobody asked");
-    if (m_request.route->kind == CallKind::Streaming)
+    if (isStreaming())
         beginRelay();
 }
 
@@ -307,6 +301,7 @@
 
 void EntryCall::onData(std::string_view data)
 {
+    m_heardAt = m_context.loop.now();
     if (m_relaying) {
         if (!m_reader.feed(data, [this](const SseEvent &event) { relay(event); }))
             failLater(Reason::UpstreamBroken, "an event is longer than any can be");
@@ -348,7 +343,7 @@
     finish(RequestEvent::Kind::Answered, m_head.status, nullptr);
 }
 
-void EntryCall::endAttempt(bool succeeded, Reason reason)
+void EntryCall::endAttempt(bool succeeded, Reason reason, bool blameless)
 {
     if (!std::exchange(m_attempting, false))
         return;
@@ -360,7 +355,7 @@
                                           .reason = reason,
                                           .untilFirstByte = m_firstByte.value_or(total),
                                           .total = total,
-                                          .failedElsewhere = m_sent > 1 && m_head.status >= 500});
+                                          .blameless = blameless});
     if (ejected && m_context.replicaEjected)
         m_context.replicaEjected();
 }
@@ -378,7 +373,7 @@
         return attemptFailed(error);
     }
     const bool failed = m_head.status >= 500 && !m_answer.notExecuted;
-    endAttempt(!failed, failed ? Reason::UpstreamBroken : Reason::Internal);
+    endAttempt(!failed, failed ? Reason::UpstreamBroken : Reason::Internal, m_sendings.count() > 1);
     m_relaying ? endRelay() : takeAnswer();
 }
 
@@ -404,7 +399,7 @@
         m_context.pools.of(m_serviceName)
                 .replicas.leaveOut(m_replica.id, misdirected ? MisdirectedPause : FullPause);
         if (misdirected)
-            forgetSending(); // The replica that was meant never got it.
+            m_sendings.didNotArrive(m_replica.id);
         return attemptFailed({.reason = Reason::UpstreamRefused,
                               .verdict = Verdict::NotRun,
                               .detail = fmt::format("replica {} did not run it: {}", m_replica.id,
@@ -421,7 +416,7 @@
                 {.reason = Reason::UpstreamBroken,
                  .verdict = Verdict::Ran,
                  .detail = fmt::format("replica {} answered {}", m_replica.id, m_head.status)}));
-        m_excluded.push_back(m_replica.id);
+        m_sendings.failedOn(m_replica.id);
         return attempt();
     }
     deliver();
@@ -433,22 +428,9 @@
     finish(RequestEvent::Kind::Answered, m_head.status, nullptr);
 }
 
-void EntryCall::forgetSending()
-{
-    --m_sent;
-    std::erase(m_reached, m_replica.id);
-}
-
-int EntryCall::mostSendings() const
-{
-    const Route &route = *m_request.route;
-    const bool again = route.kind == CallKind::Idempotent && route.maxAttempts > 1;
-    return route.maxAttempts + (again ? MoreSendings : 0);
-}
-
 bool EntryCall::mayRepeat()
 {
-    if (m_sent >= mostSendings() || remaining() < MinRepeatTime)
+    if (!m_sendings.mayRepeat(*m_request.route) || remaining() < MinRepeatTime)
         return false;
     if (!m_service->repeats.tryRepeat(m_context.sharers())) {
         m_context.metrics.count("catkinloft_repeats_denied_total");
@@ -462,14 +444,13 @@
     m_context.report(describe(RequestEvent::Kind::AttemptFailed, error));
     m_context.metrics.retried(error.reason);
     m_verdict = combine(m_verdict, error.verdict);
-    m_excluded.push_back(m_replica.id);
+    m_sendings.failedOn(m_replica.id);
     const bool unreached =
             error.reason == Reason::UpstreamUnreachable && error.verdict == Verdict::NotRun;
     if (unreached) {
-        forgetSending();
         m_service->replicas.leaveOut(m_replica.id, UnreachablePause);
         m_context.client.dropIdle(m_replica.address);
-        if (++m_unreached <= MaxUnreached)
+        if (m_sendings.wasUnreachable(m_replica.id))
             return attempt();
     }
     const bool safe = error.verdict == Verdict::NotRun || m_request.route->isIdempotent();
@@ -488,7 +469,7 @@
         return;
     // What was sent and not answered may be running.
     const Verdict verdict = m_attempting ? Verdict::MayHaveRun : m_verdict;
-    endAttempt(false, Reason::UpstreamTimeout);
+    endAttempt(false, Reason::UpstreamTimeout, isStreaming() && !hasStalled());
     const Error error{.reason = Reason::DeadlineExpired,
                       .verdict = verdict,
                       .detail = "no whole answer by the deadline",
@@ -496,11 +477,22 @@
     m_begun ? breakOff(error) : refuse(error);
 }
 
+bool EntryCall::isStreaming() const
+{
+    return m_request.route && m_request.route->kind == CallKind::Streaming;
+}
+
+bool EntryCall::hasStalled() const
+{
+    return isStreaming() && m_context.loop.now() - m_heardAt >= MinStall;
+}
+
 void EntryCall::callerGone()
 {
     if (m_finished)
         return;
-    endAttempt(false, Reason::CallerGone);
+    // Callers leave a stream that pauses for two seconds or more: its replica is at fault then.
+    endAttempt(false, hasStalled() ? Reason::UpstreamTimeout : Reason::CallerGone);
     finish(RequestEvent::Kind::CallerGone, 0, nullptr);
 }
 
@@ -532,7 +524,7 @@
                      .requestId = id(),
                      .service = m_serviceName,
                      .elapsed = now - m_request.arrivedAt,
-                     .attempt = m_sent,
+                     .attempt = m_sendings.count(),
                      .replica = m_replica.id,
                      .address = m_replica.address};
     if (m_request.route) {
--- a/src/Net/EntryCall.h
+++ b/src/Net/EntryCall.h
@@ -10,6 +10,7 @@
 #include "Net/Timer.h"
 #include "Net/WireCodec.h"
 #include "Request/EntryFilters.h"
+#include "Request/Sendings.h"
 #include "Request/SseReader.h"
 
 #include <functional>
@@ -85,10 +86,9 @@
     void deliver();
     void attemptFailed(const Error &error);
     ReplicaPool::Choice chooseReplica();
-    int mostSendings() const;
-    void forgetSending();
     bool mayRepeat();
-    void endAttempt(bool succeeded, Reason reason);
+    /// \param blameless \sa AttemptReport::blameless
+    void endAttempt(bool succeeded, Reason reason, bool blameless = false);
 
     void deadlineExpired();
     void callerGone();
@@ -99,6 +99,8 @@
     RequestEvent describe(RequestEvent::Kind kind, const Error &error) const;
 
     Duration remaining() const;
+    bool isStreaming() const;
+    bool hasStalled() const;
 
     EntryContext &m_context;
     HttpExchangePtr m_exchange;
@@ -114,11 +116,9 @@
     bool m_attempting = false;
     ReplicaRecord m_replica;
     TimePoint m_attemptBegan;
+    TimePoint m_heardAt; ///< Last byte of this attempt's answer, or its beginning.
     std::optional<Duration> m_firstByte; ///< Of this attempt.
-    std::vector<std::string> m_excluded; ///< Replicas on which an attempt failed.
-    std::vector<std::string> m_reached; ///< Replicas that have or may have got the request.
-    int m_sent = 0; ///< Sendings that have or may have reached a replica.
-    int m_unreached = 0; ///< Replicas to which no connection could be made.
+    Sendings m_sendings;
     Verdict m_verdict = Verdict::NotRun; ///< Over all ended attempts.
 
     HttpHead m_head;
--- a/test/ReplicaPoolTest.cpp
+++ b/test/ReplicaPoolTest.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <deque>
+#include <functional>
 #include <map>
 #include <set>
 
@@ -465,3 +466,106 @@
     const std::vector<std::string> others = {"i-1", "i-2", "i-3"};
     CHECK(pool.choose({.excluded = others, .repeatable = false}).replica->id == "i-0");
 }
+
+namespace {
+
+/// 73 routers and 140 engines, of which every fifth takes requests and never answers: the users'
+/// language models when a rack's links fail. A router sends each engine a request in twelve
+/// seconds.
+struct SilentEnginesFixture
+{
+    SilentEnginesFixture()
+    {
+        for (std::size_t i = 0; i < Routers; ++i) {
+            pools.push_back(std::make_unique<ReplicaPool>(ReplicaPool::Options{
+                    .clock = clock, .random = seededRandom(i), .isEngine = true}));
+            pools.back()->setReplicas(replicas(Engines));
+        }
+    }
+
+    bool isSilent(const std::string &id) const
+    {
+        return silent && std::stoi(id.substr(2)) % 5 == 0;
+    }
+
+    /// \returns how many requests of \a time go to engines that do not answer.
+    int unanswered(Duration time)
+    {
+        int out = 0;
+        const TimePoint end = clock.now() + time;
+        for (int step = 0; clock.now() < end; ++step, clock.advance(25ms)) {
+            for (int i = 0; i < 22; ++i)
+                out += send(*pools[random() % Routers]) ? 0 : 1;
+            for (std::size_t i = 0; i < Routers; ++i) {
+                if ((static_cast<std::size_t>(step) + i) % 10 == 0)
+                    tell(i);
+            }
+            while (!running.empty() && running.begin()->first <= clock.now()) {
+                running.begin()->second();
+                running.erase(running.begin());
+            }
+        }
+        return out;
+    }
+
+    bool send(ReplicaPool &pool)
+    {
+        const std::vector<PromptPart> prompt = {{random() % 2000 + 1, 1000}};
+        const ReplicaPool::Choice choice = pool.choose({.prompt = prompt});
+        const std::string id = choice.replica->id;
+        const bool well = !isSilent(id);
+        pool.started(id, prompt);
+        running.emplace(clock.now() + (well ? 500ms : 1200ms), [&pool, id, well] {
+            pool.finished(id,
+                          {.succeeded = well,
+                           .reason = well ? Reason::Internal : Reason::UpstreamTimeout,
+                           .total = 1s});
+        });
+        return well;
+    }
+
+    void tell(std::size_t from)
+    {
+        for (int n = 0; n < 16; ++n) {
+            const std::size_t to = next[from]++ % Routers;
+            if (to != from)
+                pools[to]->setNews(fmt::format("r{}", from), pools[from]->ownNews(), clock.now());
+        }
+    }
+
+    static constexpr std::size_t Routers = 73;
+    static constexpr int Engines = 140;
+
+    ManualClock clock;
+    RandomSource random = seededRandom(5);
+    std::vector<std::unique_ptr<ReplicaPool>> pools;
+    std::array<std::size_t, Routers> next = {};
+    std::multimap<TimePoint, std::function<void()>> running;
+    bool silent = true;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(SilentEnginesFixture, "replicaPool_enginesFallSilent_fewRequestsAreSentThere")
+{
+    // 1,400 requests would be sent to them in 8 s; 210 before the first of them is overdue.
+    const int lost = unanswered(8s);
+    MESSAGE("requests to silent engines: ", lost);
+    CHECK(lost < 600);
+}
+
+TEST_CASE_FIXTURE(SilentEnginesFixture, "replicaPool_enginesAnswerAgain_areUsedAgain")
+{
+    unanswered(4s);
+    silent = false;
+    unanswered(25s);
+    std::map<std::string, int> used;
+    for (int i = 0; i < 20'000; ++i) {
+        const std::vector<PromptPart> prompt = {{random() % 2000 + 1, 1000}};
+        ++used[pools[random() % Routers]->choose({.prompt = prompt}).replica->id];
+    }
+    int well = 0;
+    for (int i = 0; i < Engines; i += 5)
+        well += used[fmt::format("i-{}", i)] > 20 ? 1 : 0;
+    CHECK(well >= 26);
+}
