--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -109,14 +109,16 @@
         m_fleet.strikeStorePath(fault.target, R"({"silent":true})");
         break;
     case FaultKind::ReplicaKill:
+        ++m_away[fault.target];
         m_fleet.replica(fault.target).signal(SIGKILL);
         break;
     case FaultKind::ReplicaPause:
+        ++m_away[fault.target];
         m_fleet.replica(fault.target).signal(SIGSTOP);
         break;
     case FaultKind::ReplicaFails:
-        m_fleet.setReplicaFaults(
-                fault.target, R"({"fail":0.15,"refuse":0.15,"lose":0.15,"hang":0.05,"cut":0.15})");
+        setReplicaFaults(fault.target,
+                         R"({"fail":0.15,"refuse":0.15,"lose":0.15,"hang":0.05,"cut":0.15})");
         break;
     case FaultKind::ReplicaPathSilent:
         m_fleet.strikeReplica(fault.target, R"({"silent":true})");
@@ -149,6 +151,23 @@
     m_loop.after(7s, [this, key = m_key] { m_load->setKey(key); });
 }
 
+void SoakRun::setReplicaFaults(std::size_t i, const std::string &faults)
+{
+    // One that is paused or killed takes no orders, and its return waits for this thread.
+    if (m_away[i] > 0)
+        m_faultsOnReturn[i] = faults;
+    else
+        m_fleet.setReplicaFaults(i, faults);
+}
+
+void SoakRun::replicaReturned(std::size_t i)
+{
+    if (--m_away[i] > 0)
+        return;
+    if (const auto it = m_faultsOnReturn.extract(i))
+        m_fleet.setReplicaFaults(i, it.mapped());
+}
+
 void SoakRun::startRouterAgain(std::size_t i)
 {
     if (m_fleet.router(i).isRunning()) {
@@ -178,14 +197,18 @@
         m_fleet.strikeStorePath(fault.target, R"({"clear":true})");
         break;
     case FaultKind::ReplicaKill:
+        m_fleet.restartReplica(fault.target);
+        replicaReturned(fault.target);
+        break;
     case FaultKind::ReplicaDrain:
         m_fleet.restartReplica(fault.target);
         break;
     case FaultKind::ReplicaPause:
         m_fleet.replica(fault.target).signal(SIGCONT);
+        replicaReturned(fault.target);
         break;
     case FaultKind::ReplicaFails:
-        m_fleet.setReplicaFaults(fault.target, "{}");
+        setReplicaFaults(fault.target, "{}");
         break;
     case FaultKind::ReplicaPathDelay:
         m_fleet.strikeReplica(fault.target, R"({"clear":true})");
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -3,7 +3,9 @@
 #include "SoakCheck.h"
 #include "SoakPlan.h"
 
+#include <map>
 #include <optional>
+#include <string>
 
 namespace catkinloft::soak {
 
@@ -37,6 +39,8 @@
     void begin(const Fault &fault);
     void end(const Fault &fault);
     void startRouterAgain(std::size_t i);
+    void setReplicaFaults(std::size_t i, const std::string &faults);
+    void replicaReturned(std::size_t i);
     void takeKey();
     bool isCalm() const;
     void finish();
@@ -51,6 +55,8 @@
     std::vector<OperatorAct> m_acts;
     std::string m_key = standin::EntryFleet::Key;
     int m_keys = 0;
+    std::map<std::size_t, int> m_away; ///< Pauses and kills in progress, by replica.
+    std::map<std::size_t, std::string> m_faultsOnReturn; ///< Ordered while it was away.
     bool m_extraRoute = false;
     TimePoint m_disturbedUntil; ///< Routers or store; promises with a time bound wait for calm.
 };
