--- a/src/Base/ReplicaRecord.h
+++ b/src/Base/ReplicaRecord.h
@@ -9,12 +9,24 @@
 /// \brief One running replica of a service, as it registered itself.
 struct ReplicaRecord
 {
-    std::string id = {}; ///< New with each start of the replica.
+    /// Ids travel with every beat: five digits of the start are enough, since two starts under one
+    /// id would have to lie a multiple of 100 seconds apart to the millisecond to be confused.
+    static constexpr std::int64_t IncarnationPeriod = 100'000;
+
+    std::string id = {}; ///< A replica that starts again may have it again.
     std::string service = {};
     std::string address = {}; ///< `ip:port`; another service may get it once the replica is gone.
     std::string failureDomain = {};
     int slots = 1; ///< Requests that it works on at once.
     bool draining = false; ///< Takes no new requests.
+    std::int64_t startedAt = 0; ///< Unix time of its start in milliseconds; 0: not told.
+
+    /// \returns what tells this start of the replica from others under the same id. Counts, health
+    /// and kept prompts belong to it; to the platform a replica is known by its id.
+    std::string incarnation() const
+    {
+        return startedAt == 0 ? id : id + '~' + std::to_string(startedAt % IncarnationPeriod);
+    }
 };
 
 /// \brief All replicas as of one moment of the store.
--- a/src/Control/ReplicaRegistry.cpp
+++ b/src/Control/ReplicaRegistry.cpp
@@ -20,7 +20,7 @@
 {
     std::uint64_t out = 1;
     for (const ReplicaRecord &it : list) {
-        out = hashCombine(out, hash64(it.id));
+        out = hashCombine(out, hash64(it.incarnation()));
         out = hashCombine(out, hash64(it.address));
         out = hashCombine(out, it.draining ? 1 : 0);
     }
@@ -48,8 +48,8 @@
     std::vector<ReplicaRecord> next = m_registered;
     for (ReplicaRecord &it : next) {
         if (it.draining)
-            m_drained.insert(it.id);
-        else if (m_drained.contains(it.id))
+            m_drained.insert(it.incarnation());
+        else if (m_drained.contains(it.incarnation()))
             it.draining = true;
     }
     if (m_options.clock.now() < m_keepMissingUntil) {
@@ -62,10 +62,18 @@
         return;
     logChanges(next);
     m_replicas = std::move(next);
-    std::erase_if(m_drained, [this](const std::string &id) { return !findRecord(m_replicas, id); });
+    forgetDrained();
     m_changed.emit();
 }
 
+void ReplicaRegistry::forgetDrained()
+{
+    std::set<std::string> present;
+    for (const ReplicaRecord &it : m_replicas)
+        present.insert(it.incarnation());
+    std::erase_if(m_drained, [&](const std::string &it) { return !present.contains(it); });
+}
+
 bool ReplicaRegistry::confirm(std::uint64_t hash, std::uint64_t storeVersion, TimePoint readBegan)
 {
     if (hash != m_hash || hash == 0)
@@ -92,7 +100,8 @@
     return !std::equal(a.begin(), a.end(), b.begin(), b.end(),
                        [](const ReplicaRecord &x, const ReplicaRecord &y) {
                            return x.id == y.id && x.address == y.address && x.service == y.service
-                                   && x.draining == y.draining && x.slots == y.slots;
+                                   && x.draining == y.draining && x.slots == y.slots
+                                   && x.startedAt == y.startedAt;
                        });
 }
 
@@ -106,6 +115,13 @@
                        {"service", it.service},
                        {"address", it.address},
                        {"draining", it.draining}});
+        else if (it.startedAt != before->startedAt)
+            Log::info("replica_restarted",
+                      {{"replica", it.id},
+                       {"service", it.service},
+                       {"address", it.address},
+                       {"started_ms", it.startedAt},
+                       {"started_before_ms", before->startedAt}});
         else if (it.draining && !before->draining)
             Log::info("replica_draining", {{"replica", it.id}, {"service", it.service}});
     }
--- a/src/Control/ReplicaRegistry.h
+++ b/src/Control/ReplicaRegistry.h
@@ -55,13 +55,14 @@
 private:
     void noteOutage(TimePoint readBegan);
     void update();
+    void forgetDrained();
     static bool differ(const std::vector<ReplicaRecord> &a, const std::vector<ReplicaRecord> &b);
     void logChanges(const std::vector<ReplicaRecord> &next) const;
 
     Options m_options;
     std::vector<ReplicaRecord> m_registered; ///< As in the newest snapshot.
     std::vector<ReplicaRecord> m_replicas; ///< With those that an outage may have cost their lease.
-    std::set<std::string> m_drained; ///< Ids that said that they leave; they never take it back.
+    std::set<std::string> m_drained; ///< Incarnations that said that they leave, for good.
     std::uint64_t m_storeVersion = 0;
     std::uint64_t m_hash = 0;
     std::string m_sourceText;
--- a/src/Decide/PromptIndex.cpp
+++ b/src/Decide/PromptIndex.cpp
@@ -21,6 +21,7 @@
 {
     for (auto &[part, list] : m_holders)
         std::erase_if(list, [=](const Holder &it) { return it.replica == replica; });
+    std::erase_if(m_holders, [](const auto &it) { return it.second.empty(); });
 }
 
 std::unordered_map<std::uint64_t, std::vector<std::uint64_t>>
--- a/src/Decide/ReplicaPool.cpp
+++ b/src/Decide/ReplicaPool.cpp
@@ -77,9 +77,10 @@
     return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
 
-bool mayTake(const ReplicaPool::Query &query, const std::string &id)
+bool mayTake(const ReplicaPool::Query &query, const std::string &incarnation)
 {
-    return !contains(query.excluded, id) && (query.only.empty() || contains(query.only, id));
+    return !contains(query.excluded, incarnation)
+            && (query.only.empty() || contains(query.only, incarnation));
 }
 
 } // namespace
@@ -93,16 +94,18 @@
     std::vector<State> next;
     next.reserve(replicas.size());
     for (const ReplicaRecord &it : replicas) {
-        if (State *known = find(it.id)) {
+        std::string incarnation = it.incarnation();
+        if (State *known = find(incarnation)) {
             known->record = it;
             next.push_back(std::move(*known));
-            known->record.id.clear();
+            known->incarnation.clear();
         } else {
-            next.push_back({.record = it, .hash = hash64(it.id)});
+            const std::uint64_t hash = hash64(incarnation);
+            next.push_back({.record = it, .incarnation = std::move(incarnation), .hash = hash});
         }
     }
     for (const State &it : m_states) {
-        if (it.record.id.empty())
+        if (it.incarnation.empty())
             continue;
         m_health.removed(it.health);
         m_prompts.remove(it.hash);
@@ -115,7 +118,7 @@
 {
     m_index.clear();
     for (std::size_t i = 0; i < m_states.size(); ++i) {
-        m_index.emplace(m_states[i].record.id, i);
+        m_index.emplace(m_states[i].incarnation, i);
         m_states[i].others = 0;
         m_states[i].ejectedBy = 0;
     }
@@ -194,7 +197,7 @@
     std::vector<Candidate> out;
     out.reserve(m_states.size());
     for (State &it : m_states) {
-        if (it.record.draining || now < it.leftOutUntil || !mayTake(query, it.record.id))
+        if (it.record.draining || now < it.leftOutUntil || !mayTake(query, it.incarnation))
             continue;
         if (regardHealth && !isAdmitted(it, query, regardNews))
             continue;
@@ -350,7 +353,7 @@
     for (const State &it : m_states) {
         const auto kept = parts.find(it.hash);
         if (kept != parts.end() && !kept->second.empty())
-            out.emplace(it.record.id, std::move(kept->second));
+            out.emplace(it.incarnation, std::move(kept->second));
     }
     return out;
 }
@@ -399,10 +402,10 @@
     ReplicaNews out;
     for (const State &it : m_states) {
         if (it.own > 0)
-            out.counts.emplace(it.record.id, it.own);
+            out.counts.emplace(it.incarnation, it.own);
         if (it.health.state == HealthTracker::State::Ejected && now < it.health.ejectedUntil
             && out.ejected.size() < MaxToldEjected)
-            out.ejected.push_back(it.record.id);
+            out.ejected.push_back(it.incarnation);
     }
     return out;
 }
--- a/src/Decide/ReplicaPool.h
+++ b/src/Decide/ReplicaPool.h
@@ -15,17 +15,17 @@
 
 namespace catkinloft {
 
-/// \brief Parts of prompts by replica id.
+/// \brief Parts of prompts by incarnation of a replica.
 using PromptsByReplica = std::map<std::string, std::vector<std::uint64_t>, std::less<>>;
 
-/// \brief Requests in progress by replica id.
+/// \brief Requests in progress by incarnation of a replica.
 using ReplicaCounts = std::map<std::string, int, std::less<>>;
 
 /// \brief What one router tells the others of replicas.
 struct ReplicaNews
 {
     ReplicaCounts counts = {}; ///< Its requests in progress, without replicas that have none.
-    std::vector<std::string> ejected = {}; ///< Ids that it sends nothing to, since they fail.
+    std::vector<std::string> ejected = {}; ///< Incarnations that it sends nothing to: they fail.
 };
 
 /// \brief Which replica of one service gets a request.
@@ -39,6 +39,9 @@
 /// the replica that keeps it: copying 10,500 tokens takes 3 ms of a link instead of reading them.
 /// A call goes where least is in progress.
 ///
+/// Replicas are told apart by incarnation(): one that starts again under its id holds nothing, and
+/// what was known of its health, load and prompts would mislead.
+///
 /// Counts of the other routers are some hundred milliseconds old. They are hints: a wrong one makes
 /// a request slower and breaks no promise.
 ///
@@ -63,8 +66,8 @@
     struct Query
     {
         std::span<const PromptPart> prompt = {}; ///< Parts that other requests may share.
-        std::span<const std::string> excluded = {}; ///< Ids on which an attempt failed.
-        std::span<const std::string> only = {}; ///< If not empty: no other ids may be chosen.
+        std::span<const std::string> excluded = {}; ///< Incarnations on which an attempt failed.
+        std::span<const std::string> only = {}; ///< If not empty: no others may be chosen.
         bool repeatable = true; ///< It may be sent once more where a replica fails it.
     };
 
@@ -127,6 +130,7 @@
     struct State
     {
         ReplicaRecord record;
+        std::string incarnation;
         std::uint64_t hash = 0;
         int own = 0; ///< Requests in progress from this router.
         int others = 0; ///< The same from the others, as last heard.
@@ -166,7 +170,7 @@
 
     Options m_options;
     std::vector<State> m_states;
-    std::map<std::string, std::size_t, std::less<>> m_index; ///< Into m_states, by id.
+    std::map<std::string, std::size_t, std::less<>> m_index; ///< Into m_states, by incarnation.
     std::map<std::string, Heard> m_heard; ///< By router.
     TimePoint m_forgotAt;
     HealthTracker m_health;
--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -186,6 +186,7 @@
 void EntryCall::send(const ReplicaPool::Choice &choice)
 {
     m_replica = *choice.replica;
+    m_incarnation = m_replica.incarnation();
     m_attemptBegan = m_context.loop.now();
     m_heardAt = m_attemptBegan;
     m_firstByte.reset();
@@ -196,12 +197,12 @@
     m_relaying = false;
     m_attempting = true;
     ++m_attempt;
-    m_sendings.sent(m_replica.id);
+    m_sendings.sent(m_incarnation);
     const std::string copyFrom = choice.copyFrom ? choice.copyFrom->address : std::string();
     reportSent(choice);
-    m_service->replicas.started(m_replica.id, m_request.sharedPrompt());
+    m_service->replicas.started(m_incarnation, m_request.sharedPrompt());
     if (m_context.promptSent)
-        m_context.promptSent(m_replica.id, m_request.sharedPrompt());
+        m_context.promptSent(m_incarnation, m_request.sharedPrompt());
     m_call = m_context.client.send(composeCall(copyFrom), attemptEvents());
 }
 
@@ -350,7 +351,7 @@
     m_call.reset();
     const Duration total = m_context.loop.now() - m_attemptBegan;
     const bool ejected =
-            m_service->replicas.finished(m_replica.id,
+            m_service->replicas.finished(m_incarnation,
                                          {.succeeded = succeeded,
                                           .reason = reason,
                                           .untilFirstByte = m_firstByte.value_or(total),
@@ -397,9 +398,9 @@
     const bool misdirected = m_head.status == 421;
     if (m_answer.notExecuted || misdirected) {
         m_context.pools.of(m_serviceName)
-                .replicas.leaveOut(m_replica.id, misdirected ? MisdirectedPause : FullPause);
+                .replicas.leaveOut(m_incarnation, misdirected ? MisdirectedPause : FullPause);
         if (misdirected)
-            m_sendings.didNotArrive(m_replica.id);
+            m_sendings.didNotArrive(m_incarnation);
         return attemptFailed({.reason = Reason::UpstreamRefused,
                               .verdict = Verdict::NotRun,
                               .detail = fmt::format("replica {} did not run it: {}", m_replica.id,
@@ -416,7 +417,7 @@
                 {.reason = Reason::UpstreamBroken,
                  .verdict = Verdict::Ran,
                  .detail = fmt::format("replica {} answered {}", m_replica.id, m_head.status)}));
-        m_sendings.failedOn(m_replica.id);
+        m_sendings.failedOn(m_incarnation);
         return attempt();
     }
     deliver();
@@ -444,13 +445,13 @@
     m_context.report(describe(RequestEvent::Kind::AttemptFailed, error));
     m_context.metrics.retried(error.reason);
     m_verdict = combine(m_verdict, error.verdict);
-    m_sendings.failedOn(m_replica.id);
+    m_sendings.failedOn(m_incarnation);
     const bool unreached =
             error.reason == Reason::UpstreamUnreachable && error.verdict == Verdict::NotRun;
     if (unreached) {
-        m_service->replicas.leaveOut(m_replica.id, UnreachablePause);
+        m_service->replicas.leaveOut(m_incarnation, UnreachablePause);
         m_context.client.dropIdle(m_replica.address);
-        if (m_sendings.wasUnreachable(m_replica.id))
+        if (m_sendings.wasUnreachable(m_incarnation))
             return attempt();
     }
     const bool safe = error.verdict == Verdict::NotRun || m_request.route->isIdempotent();
--- a/src/Net/EntryCall.h
+++ b/src/Net/EntryCall.h
@@ -115,6 +115,7 @@
     unsigned m_attempt = 0; ///< Number of the attempt in progress; events of others are late.
     bool m_attempting = false;
     ReplicaRecord m_replica;
+    std::string m_incarnation; ///< Of m_replica.
     TimePoint m_attemptBegan;
     TimePoint m_heardAt; ///< Last byte of this attempt's answer, or its beginning.
     std::optional<Duration> m_firstByte; ///< Of this attempt.
--- /dev/null
+++ b/test/ReplicaEntryTest.cpp
@@ -0,0 +1,122 @@
+#include "platform/ReplicaEntry.h"
+#include "Base/Json.h"
+
+#include <doctest/doctest.h>
+
+#include <functional>
+
+using namespace catkinloft;
+
+namespace {
+
+struct ReplicaEntryFixture
+{
+    ReplicaEntryFixture()
+    {
+        entry["service"] = "llm";
+        entry["address"] = "10.1.0.9:8080";
+        entry["zone"] = "d1";
+        entry["version"] = "v1";
+        entry["slots"] = 64;
+        entry["state"] = "ready";
+        entry["cold-remaining-ms"] = 0;
+        entry["sequence"] = 4;
+    }
+
+    Result<ReplicaRecord> decode(const std::string &id = "i-1") const
+    {
+        return platform::decodeReplicaEntry(id, printJson(entry));
+    }
+
+    /// \returns whether the entry still names a replica when \a field has \a value.
+    bool isUsable(const char *field, const Json::Value &value) const
+    {
+        Json::Value changed = entry;
+        changed[field] = value;
+        return platform::decodeReplicaEntry("i-1", printJson(changed)).has_value();
+    }
+
+    Json::Value entry{Json::objectValue};
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(ReplicaEntryFixture, "replicaEntry_ofAReplica_isDecodedWhole")
+{
+    entry["born"] = Json::Int64(1'700'000'001'234);
+    entry["state"] = "draining";
+    const Result<ReplicaRecord> it = decode();
+    REQUIRE(it);
+    CHECK(it.value().id == "i-1");
+    CHECK(it.value().service == "llm");
+    CHECK(it.value().address == "10.1.0.9:8080");
+    CHECK(it.value().failureDomain == "d1");
+    CHECK(it.value().slots == 64);
+    CHECK(it.value().draining);
+    CHECK(it.value().startedAt == 1'700'000'001'234);
+    CHECK(it.value().incarnation() == "i-1~1234");
+}
+
+TEST_CASE_FIXTURE(ReplicaEntryFixture, "replicaEntry_withoutAStart_isKnownByItsIdAlone")
+{
+    const Result<ReplicaRecord> it = decode();
+    REQUIRE(it);
+    CHECK_FALSE(it.value().draining);
+    CHECK(it.value().incarnation() == "i-1");
+}
+
+TEST_CASE_FIXTURE(ReplicaEntryFixture, "replicaEntry_fieldMissing_namesNoReplica")
+{
+    for (const std::string &field : entry.getMemberNames()) {
+        CAPTURE(field);
+        Json::Value less = entry;
+        less.removeMember(field);
+        CHECK_FALSE(platform::decodeReplicaEntry("i-1", printJson(less)));
+    }
+}
+
+TEST_CASE_FIXTURE(ReplicaEntryFixture, "replicaEntry_fieldOfAnotherType_namesNoReplica")
+{
+    for (const std::string &field : entry.getMemberNames()) {
+        CAPTURE(field);
+        CHECK_FALSE(isUsable(field.c_str(), Json::Value(Json::nullValue)));
+        CHECK_FALSE(isUsable(field.c_str(), Json::Value(Json::arrayValue)));
+        CHECK_FALSE(isUsable(field.c_str(),
+                             entry[field].isString() ? Json::Value(7) : Json::Value("seven")));
+    }
+    for (const Json::Value &it : {Json::Value("1700000001234"), Json::Value(1700000001234.5),
+                                  Json::Value(-1), Json::Value(true), Json::Value()})
+        CHECK_FALSE(isUsable("born", it));
+}
+
+TEST_CASE_FIXTURE(ReplicaEntryFixture, "replicaEntry_valueOutOfRange_namesNoReplica")
+{
+    CHECK_FALSE(isUsable("state", "resting"));
+    CHECK_FALSE(isUsable("state", ""));
+    CHECK_FALSE(isUsable("service", ""));
+    CHECK_FALSE(isUsable("address", "10.1.0.9"));
+    CHECK_FALSE(isUsable("address", "somewhere:80"));
+    CHECK_FALSE(isUsable("slots", 0));
+    CHECK_FALSE(decode(""));
+    CHECK_FALSE(decode("i-1\r\nX-Other: 1"));
+}
+
+TEST_CASE("replicaEntry_bytesThatAreNoJson_nameNoReplica")
+{
+    for (const char *it : {"", "{", "[]", "7", "\xff\xfe\x01", "null", "{\"service\":"})
+        CHECK_FALSE(platform::decodeReplicaEntry("i-1", it));
+    CHECK_FALSE(platform::decodeReplicaEntry("i-1", std::string(100'000, '[')));
+}
+
+TEST_CASE_FIXTURE(ReplicaEntryFixture, "replicaEntry_toldToARouter_comesBackTheSame")
+{
+    entry["born"] = Json::Int64(1'700'000'001'234);
+    const ReplicaRecord sent = decode().value();
+    const ReplicaRecord read = platform::replicaFromJson(platform::replicaToJson(sent));
+    CHECK(read.incarnation() == sent.incarnation());
+    CHECK(read.startedAt == sent.startedAt);
+    CHECK(read.address == sent.address);
+    CHECK(read.failureDomain == sent.failureDomain);
+    CHECK(read.slots == sent.slots);
+    CHECK(read.draining == sent.draining);
+}
--- a/test/ReplicaPoolTest.cpp
+++ b/test/ReplicaPoolTest.cpp
@@ -569,3 +569,34 @@
         well += used[fmt::format("i-{}", i)] > 20 ? 1 : 0;
     CHECK(well >= 26);
 }
+
+TEST_CASE("replicaPool_replicaRestartedUnderItsId_nothingKnownOfItRemains")
+{
+    ManualClock clock;
+    ReplicaPool pool({.clock = clock, .random = seededRandom(1), .isEngine = true});
+    ReplicaRecord first = replica(0);
+    first.startedAt = 1'700'000'001'000;
+    ReplicaRecord other = replica(1);
+    pool.setReplicas(std::vector{first, other});
+    const std::vector<PromptPart> prompt{{.id = 7, .tokens = 5000}};
+    pool.started(first.incarnation(), prompt);
+    for (int i = 0; i < 3; ++i)
+        pool.finished(first.incarnation(),
+                      {.succeeded = false, .reason = Reason::UpstreamTimeout, .total = 1s});
+    pool.started(first.incarnation(), prompt);
+    REQUIRE(pool.health().ejectedCount() == 0); // Of two, none may be ejected.
+    REQUIRE(pool.inProgress(first.incarnation()) == 1);
+
+    ReplicaRecord again = first;
+    again.startedAt += 4200;
+    pool.setReplicas(std::vector{again, other});
+    CHECK(pool.inProgress(again.incarnation()) == 0);
+    CHECK(pool.knowsNoPrompts());
+    pool.started(again.incarnation());
+    // An attempt at the former start ends late.
+    pool.finished(first.incarnation(), {.succeeded = false, .reason = Reason::UpstreamBroken});
+    CHECK(pool.inProgress(again.incarnation()) == 1);
+    const ReplicaPool::Choice choice = pool.choose({.prompt = prompt});
+    CHECK(choice.keptTokens == 0);
+    CHECK(choice.copyFrom == nullptr);
+}
--- a/test/ReplicaRegistryTest.cpp
+++ b/test/ReplicaRegistryTest.cpp
@@ -116,3 +116,40 @@
     registry.confirm(registry.hash(), version, clock.now());
     CHECK(names() == "b ");
 }
+
+TEST_CASE_FIXTURE(ReplicaRegistryFixture, "replicaRegistry_restartedUnderItsId_isUsedAgain")
+{
+    read({leaving, b});
+    ReplicaRecord again = a;
+    again.startedAt = 1'700'000'005'000;
+    const std::uint64_t before = registry.hash();
+    int changes = 0;
+    registry.changed().connect([&] { ++changes; });
+    read({again, b});
+    CHECK(names() == "a b ");
+    CHECK(changes == 1);
+    CHECK(registry.hash() != before);
+}
+
+TEST_CASE_FIXTURE(ReplicaRegistryFixture, "replicaRegistry_restartedWithTheSameState_isAChange")
+{
+    read({a, b});
+    ReplicaRecord again = a;
+    again.startedAt = 1'700'000'005'000;
+    int changes = 0;
+    registry.changed().connect([&] { ++changes; });
+    read({again, b});
+    CHECK(changes == 1);
+    CHECK(registry.replicas().front().startedAt == again.startedAt);
+}
+
+TEST_CASE_FIXTURE(ReplicaRegistryFixture,
+                  "replicaRegistry_restartedDuringAnOutage_replacesTheFormerStart")
+{
+    read({a, b});
+    clock.advance(9s);
+    ReplicaRecord again = a;
+    again.startedAt = 1'700'000'005'000;
+    read({again, b});
+    CHECK(names() == "a b ");
+}
