Engines are shared out and listed by all routers that start

Hypothesis: after all routers lose power the prompts that engines still keep are read again because nobody knows of them. One router was to list the engines 700 ms after its start, but only while it knew of no prompt at all; by then the first requests had taught it one, so no list was ever read, and lists were to be told at 160 parts a second where engines keep up to 400.

Change: PromptSurvey gives each engine to the first of its rendezvous order over the registered routers, asks at once, tells the whole list in datagrams to all, and passes to the next router each 250 ms if nobody told it.

Ruled out: the duration of a process start (10 ms of processor time of 250 ms until its first line).

--- /dev/null
+++ b/src/Control/PromptSurvey.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "Base/Clock.h"
+#include "Base/ReplicaRecord.h"
+
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace catkinloft {
+
+/// \brief Which engines this router asks for the prompts that they keep, after it has started.
+///
+/// Load: all routers lose power while engines keep hundreds of prompts, and callers return at once.
+/// Harm prevented: what nobody knows to be kept is read again wherever the first requests happen to
+/// go, some 260,000 tokens or four seconds of an engine on a fleet of eleven routers and twelve
+/// engines, and the callers behind those readings are late.
+///
+/// The engines are shared out by their rendezvous order over the registered routers, so that each
+/// is asked once and all lists are known a few milliseconds after the start: a list costs an engine
+/// as much as a small request. An engine of which nothing was told a round later is asked by the
+/// next router of its order, since the first may be gone for good.
+class PromptSurvey
+{
+public:
+    struct Options
+    {
+        const Clock &clock;
+        std::string self; ///< Peer address of this router.
+        /// Time for an answer and for telling it: both take milliseconds on a sound network.
+        Duration round = std::chrono::milliseconds(250);
+        int rounds = 3; ///< Two routers of three may be gone.
+    };
+
+    explicit PromptSurvey(Options options) : m_options(std::move(options)) { }
+
+    /// \brief Takes over the peer addresses of all registered routers.
+    void setRouters(std::span<const std::string> addresses);
+
+    /// \brief Notes that the list of \a incarnation is known.
+    void listed(const std::string &incarnation) { m_listed.insert(incarnation); }
+
+    /// \brief Notes that a router which runs for longer tells this one what it knows: engines that
+    /// were not asked by now need not be.
+    void peerKnows() { m_peerKnows = true; }
+
+    /// \returns which of \a engines this router has to ask now; each is named once.
+    std::vector<ReplicaRecord> due(std::span<const ReplicaRecord> engines);
+
+    /// \returns whether nothing will be due any more.
+    bool isOver() const;
+
+private:
+    int currentRound() const;
+    int rankFor(const std::string &incarnation) const;
+
+    Options m_options;
+    std::vector<std::string> m_routers;
+    std::optional<TimePoint> m_begin; ///< Engines were known for the first time.
+    std::set<std::string> m_listed;
+    std::set<std::string> m_asked;
+    bool m_peerKnows = false;
+};
+
+} // namespace catkinloft
--- a/src/Control/RouterBeat.cpp
+++ b/src/Control/RouterBeat.cpp
@@ -54,6 +54,8 @@
         for (const Json::Value &part : *it)
             out.prompts[it.name()].push_back(part.asUInt64());
     }
+    for (const Json::Value &it : root["z"])
+        out.listed.push_back(it.asString());
     return out;
 }
 
@@ -100,6 +102,8 @@
         for (const std::uint64_t part : parts)
             root["u"][id].append(static_cast<Json::UInt64>(part));
     }
+    for (const std::string &id : beat.listed)
+        root["z"].append(id);
     return internal::encodeNotification(Method, root);
 }
 
--- a/src/Control/RouterBeat.h
+++ b/src/Control/RouterBeat.h
@@ -36,6 +36,8 @@
     ReplicaNews replicas = {}; ///< Of the sender.
     /// Parts of prompts that the sender has sent to replicas since its last beat, by replica id.
     PromptsByReplica prompts = {};
+    /// Replicas of which the sender has now told all that they keep.
+    std::vector<std::string> listed = {};
 };
 
 /// \brief Turns beats into JSON-RPC notifications and back. Names on the wire have one or two
--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -3,6 +3,7 @@
 #include "Base/Log.h"
 #include "Control/ConfigInForce.h"
 #include "Control/FleetRegistration.h"
+#include "Control/PromptSurvey.h"
 #include "Control/ReplicaRegistry.h"
 #include "Net/EntryGateway.h"
 #include "Net/EventLoop.h"
@@ -38,10 +39,12 @@
 
 constexpr Duration DrainPoll = 50ms;
 
-/// A router that has started has heard of the others by then, if there are any that know which
-/// prompts are kept where. Where nobody does, all have started anew, and one asks the engines: a
-/// list costs as much as a small call, a long chat that is read again as much as thirty of them.
-constexpr Duration LearnPromptsAfter = 700ms;
+/// How often it is looked which engines are to be asked for the prompts that they keep, while the
+/// survey after a start lasts.
+constexpr Duration SurveyPoll = 50ms;
+
+/// A router that has run for so much longer than this one was not restarted with it.
+constexpr Duration OlderPeer = 5s;
 
 /// Parts of prompts of one service that are told to a router that has started: some 240 KB, a fifth
 /// of a second of a link of 10 Mbit/s. Nine replicas have fewer; with 140, 85 of each are told.
@@ -64,7 +67,9 @@
     void applySettings(const EntrySettings &next);
     void tellNews();
     void notePrompts(const PromptsByReplica &prompts);
+    void takeBeat(const RouterBeat &beat);
     void learnPrompts();
+    void takeList(const ReplicaRecord &engine, std::span<const PromptPart> prompts);
     bool isReady() const;
     void answerMetrics(const HttpExchangePtr &exchange);
     void drain();
@@ -93,6 +98,8 @@
     SettingsWatch settingsWatch;
     std::vector<std::unique_ptr<HttpServer>> servers;
     HttpServer *callers = nullptr;
+    PromptSurvey survey;
+    Timer surveyTimer;
     Timer registrationTimer;
     Timer drainTimer;
     TimePoint refuseFrom = TimePoint::max();
@@ -118,11 +125,7 @@
              .storeFailing = [this] { return watch.isFailing(); },
              .storeSilence = [this] { return watch.silence(); },
              .ownNews = [this] { return pools.ownNews(); },
-             .onBeat =
-                     [this](const RouterBeat &it) {
-                         pools.setNews(it.name, it.replicas, loop.now());
-                         notePrompts(it.prompts);
-                     },
+             .onBeat = [this](const RouterBeat &it) { takeBeat(it); },
              .onConfigText = [this](const std::string &text,
                                     TimePoint began) { watch.takeConfigText(text, began); },
              .onReplicasText = [this](const std::string &text,
@@ -147,6 +150,8 @@
                     .onAddresses =
                             [this](const std::vector<std::string> &it) {
                                 fleet.view().setRegistered(it);
+                                survey.setRouters(it);
+                                learnPrompts();
                             }}),
       directory({.settings = settings,
                  .fleet = fleet.view(),
@@ -172,6 +177,8 @@
       settingsWatch({.loop = loop,
                      .file = std::move(settingsFile),
                      .onChange = [this](const EntrySettings &it) { applySettings(it); }}),
+      survey({.clock = loop, .self = settings.peerAddress}),
+      surveyTimer(loop, [this] { learnPrompts(); }),
       registrationTimer(loop, [this] { keepRegistered(); }),
       drainTimer(loop, [this] { checkDrained(); })
 {
@@ -179,6 +186,7 @@
     replicas.changed().connect([this] {
         pools.setReplicas(replicas.replicas());
         tellNews();
+        learnPrompts();
     });
 }
 
@@ -187,6 +195,7 @@
     routes = std::make_shared<RouteTable>(it);
     pools.setServices(*it);
     tellNews();
+    learnPrompts();
     callers->setIdleTimeout(std::max(MinIdleTimeout, 2 * it->idleTimeout));
 }
 
@@ -214,26 +223,43 @@
         pools.notePrompts(replica, parts);
 }
 
+void EntryProcess::Private::takeBeat(const RouterBeat &beat)
+{
+    pools.setNews(beat.name, beat.replicas, loop.now());
+    notePrompts(beat.prompts);
+    for (const std::string &it : beat.listed)
+        survey.listed(it);
+    if (beat.incarnation + static_cast<std::uint64_t>(OlderPeer / 1ms) < fleet.incarnation())
+        survey.peerKnows();
+}
+
 void EntryProcess::Private::learnPrompts()
 {
-    // One router asks for all; the others hear of it with its beats and answers.
-    if (!fleet.isFirstReader())
-        return;
-    for (const ReplicaRecord &it : pools.enginesOfUnknownPrompts()) {
-        adapter.listPrompts(
-                client, it.address, [this, it](const Result<std::vector<PromptPart>> &r) {
-                    if (!r)
-                        return Log::info("prompts_not_listed",
-                                         {{"replica", it.id}, {"detail", r.error().detail}});
-                    std::vector<std::uint64_t> parts;
-                    parts.reserve(r.value().size());
-                    for (const PromptPart &part : r.value())
-                        parts.push_back(part.id);
-                    pools.notePrompts(it.id, parts);
-                    fleet.notePrompt(it.id, r.value());
-                    Log::info("prompts_listed", {{"replica", it.id}, {"parts", parts.size()}});
-                });
+    for (const ReplicaRecord &it : survey.due(pools.engines())) {
+        adapter.listPrompts(client, it.address,
+                            [this, it](const Result<std::vector<PromptPart>> &r) {
+                                if (r)
+                                    return takeList(it, r.value());
+                                Log::info("prompts_not_listed",
+                                          {{"replica", it.id}, {"detail", r.error().detail}});
+                            });
     }
+    if (survey.isOver())
+        surveyTimer.stop();
+}
+
+void EntryProcess::Private::takeList(const ReplicaRecord &engine,
+                                     std::span<const PromptPart> prompts)
+{
+    std::vector<std::uint64_t> parts;
+    parts.reserve(prompts.size());
+    for (const PromptPart &it : prompts)
+        parts.push_back(it.id);
+    const std::string incarnation = engine.incarnation();
+    survey.listed(incarnation);
+    pools.notePrompts(incarnation, parts);
+    fleet.tellListed(incarnation, parts);
+    Log::info("prompts_listed", {{"replica", engine.id}, {"parts", parts.size()}});
 }
 
 bool EntryProcess::Private::isReady() const
@@ -349,7 +375,7 @@
     m_d->connectSignals();
     m_d->watch.start();
     m_d->settingsWatch.start();
-    m_d->loop.after(LearnPromptsAfter, [this] { m_d->learnPrompts(); });
+    m_d->surveyTimer.startRepeating(SurveyPoll);
     m_d->keepRegistered();
     Log::info("started",
               {{"caller_address", m_d->settings.callerAddress},
--- a/src/Net/FleetTask.cpp
+++ b/src/Net/FleetTask.cpp
@@ -71,6 +71,7 @@
     std::vector<std::string> readers() const;
     bool isReader(std::span<const std::string> all) const;
     void send(const std::string &address, const RouterBeat &beat);
+    void sendToAll(const RouterBeat &beat);
     void beat();
     void ask();
     void received(std::string_view datagram);
@@ -164,6 +165,15 @@
         transport.send(address, signedText(BeatCodec::encode(beat)));
 }
 
+void FleetTask::Private::sendToAll(const RouterBeat &beat)
+{
+    if (!hasKey)
+        return;
+    const std::string datagram = signedText(BeatCodec::encode(beat));
+    for (const std::string &it : view.nextTargets(MaxTold))
+        transport.send(it, datagram);
+}
+
 void FleetTask::Private::beat()
 {
     if (!hasKey)
@@ -358,15 +368,25 @@
 
 void FleetTask::tellAll()
 {
-    const RouterBeat out = m_d->compose();
-    for (const std::string &it : m_d->view.nextTargets(MaxTold))
-        m_d->send(it, out);
+    m_d->sendToAll(m_d->compose());
+}
+
+void FleetTask::tellListed(const std::string &replica, std::span<const std::uint64_t> parts)
+{
+    do {
+        const std::size_t n = std::min(parts.size(), MaxPromptParts);
+        RouterBeat out = m_d->compose();
+        out.prompts[replica].assign(parts.begin(), parts.begin() + static_cast<std::ptrdiff_t>(n));
+        parts = parts.subspan(n);
+        if (parts.empty())
+            out.listed.push_back(replica);
+        m_d->sendToAll(out);
+    } while (!parts.empty());
 }
 
-bool FleetTask::isFirstReader() const
+std::uint64_t FleetTask::incarnation() const
 {
-    const std::vector<std::string> readers = m_d->readers();
-    return !readers.empty() && readers.front() == m_d->options.settings.name;
+    return m_d->incarnation;
 }
 
 bool FleetTask::isReader() const
--- a/src/Net/FleetTask.h
+++ b/src/Net/FleetTask.h
@@ -60,6 +60,12 @@
     /// \brief Tells the others with the next beat that \a replica keeps \a prompt.
     void notePrompt(const std::string &replica, std::span<const PromptPart> prompt);
 
+    /// \brief Tells all routers at once that \a replica keeps \a parts, and no others.
+    void tellListed(const std::string &replica, std::span<const std::uint64_t> parts);
+
+    /// \returns when this process started, as its beats tell it.
+    std::uint64_t incarnation() const;
+
     /// \brief Tells the others that this router leaves.
     void leave();
 
@@ -72,9 +78,6 @@
     /// \returns whether this router reads the store for the others.
     bool isReader() const;
 
-    /// \returns whether it is the first of those that do.
-    bool isFirstReader() const;
-
     FleetView &view();
 
 private:
--- a/src/Net/ServicePools.cpp
+++ b/src/Net/ServicePools.cpp
@@ -61,14 +61,12 @@
     return out;
 }
 
-std::vector<ReplicaRecord> ServicePools::enginesOfUnknownPrompts() const
+std::vector<ReplicaRecord> ServicePools::engines() const
 {
     std::vector<ReplicaRecord> out;
     for (const ReplicaRecord &it : m_replicas) {
         const auto engine = m_isEngine.find(it.service);
-        const auto pool = m_pools.find(it.service);
-        if (engine != m_isEngine.end() && engine->second && pool != m_pools.end()
-            && pool->second->replicas.knowsNoPrompts())
+        if (engine != m_isEngine.end() && engine->second)
             out.push_back(it);
     }
     return out;
--- a/src/Net/ServicePools.h
+++ b/src/Net/ServicePools.h
@@ -43,9 +43,8 @@
     /// \returns parts of prompts that replicas are believed to keep, at most \a most a service.
     PromptsByReplica prompts(std::size_t most) const;
 
-    /// \returns engines whose kept prompts are not known while no other's are either: after a
-    /// restart.
-    std::vector<ReplicaRecord> enginesOfUnknownPrompts() const;
+    /// \returns the replicas that keep prompts in memory.
+    std::vector<ReplicaRecord> engines() const;
 
     ServicePool &of(const std::string &service);
 
