An engine that reads a long prompt is not taken for a silent one

Cause: a prompt of 30,528 tokens takes an engine 0.5 to 1.1 s to read. The limit on silence was 1.2 s for all streams, so it was given up while it was read, begun anew elsewhere, and the engine ejected at once as silent.

Change: PromptPace learns the time a token takes from prompts of which nothing was kept; until the first byte three times that is allowed besides.

--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -195,8 +195,11 @@
     m_body.clear();
     m_reader.reset();
     m_relaying = false;
+    m_heardEvent = false;
     m_attempting = true;
     ++m_attempt;
+    m_stallLimit = stallLimit();
+    m_readsWholePrompt = choice.keptTokens == 0 && !choice.copyFrom;
     m_sendings.sent(m_incarnation);
     const std::string copyFrom = choice.copyFrom ? choice.copyFrom->address : std::string();
     reportSent(choice);
@@ -242,11 +245,26 @@
     if (another && route.kind == CallKind::Idempotent)
         out.progressTimeout = route.timeout / SilenceParts;
     else if (another && route.isIdempotent())
-        out.progressTimeout =
-                std::max(MinStall, route.maxEventGap.value_or(Duration::zero()) * StallFactor);
+        out.progressTimeout = m_stallLimit;
+    if (out.progressTimeout > Duration::zero() && isStreaming())
+        out.firstByteTimeout =
+                m_stallLimit + m_service->pace.allowance(m_request.facts.promptTokens);
     return out;
 }
 
+Duration EntryCall::stallLimit() const
+{
+    return std::max(MinStall,
+                    m_request.route->maxEventGap.value_or(Duration::zero()) * StallFactor);
+}
+
+void EntryCall::noteFirstEvent()
+{
+    if (std::exchange(m_heardEvent, true) || !m_readsWholePrompt)
+        return;
+    m_service->pace.observe(m_request.facts.promptTokens, m_context.loop.now() - m_attemptBegan);
+}
+
 HttpCallEvents EntryCall::attemptEvents()
 {
     const auto guard = [weak = weak_from_this(), number = m_attempt](auto &&action) {
@@ -304,6 +322,7 @@
 {
     m_heardAt = m_context.loop.now();
     if (m_relaying) {
+        noteFirstEvent();
         if (!m_reader.feed(data, [this](const SseEvent &event) { relay(event); }))
             failLater(Reason::UpstreamBroken, "an event is longer than any can be");
     } else if (m_head.status != 0) {
@@ -485,7 +504,11 @@
 
 bool EntryCall::hasStalled() const
 {
-    return isStreaming() && m_context.loop.now() - m_heardAt >= MinStall;
+    if (!isStreaming())
+        return false;
+    const Duration reading = m_heardEvent ? Duration::zero()
+                                          : m_service->pace.allowance(m_request.facts.promptTokens);
+    return m_context.loop.now() - m_heardAt >= m_stallLimit + reading;
 }
 
 void EntryCall::callerGone()
--- a/src/Net/EntryCall.h
+++ b/src/Net/EntryCall.h
@@ -70,7 +70,9 @@
     void send(const ReplicaPool::Choice &choice);
     void reportSent(const ReplicaPool::Choice &choice) const;
     HttpCall composeCall(const std::string &copyFrom) const;
+    Duration stallLimit() const;
     HttpCallEvents attemptEvents();
+    void noteFirstEvent();
 
     void onHead(const HttpHead &head);
     void onData(std::string_view data);
@@ -119,6 +121,9 @@
     TimePoint m_attemptBegan;
     TimePoint m_heardAt; ///< Last byte of this attempt's answer, or its beginning.
     std::optional<Duration> m_firstByte; ///< Of this attempt.
+    Duration m_stallLimit = Duration::zero(); ///< Silence after which its stream has stalled.
+    bool m_heardEvent = false; ///< Of this attempt's stream.
+    bool m_readsWholePrompt = false; ///< Nothing of the prompt is known to be kept there.
     Sendings m_sendings;
     Verdict m_verdict = Verdict::NotRun; ///< Over all ended attempts.
 
--- a/src/Net/HttpClient.cpp
+++ b/src/Net/HttpClient.cpp
@@ -118,7 +118,8 @@
          GiveBack giveBack)
         : m_connection(std::move(taken.connection)), m_rested(taken.rested),
           m_events(std::move(events)), m_giveBack(std::move(giveBack)),
-          m_progressTimeout(call.progressTimeout), m_loop(loop),
+          m_progressTimeout(call.progressTimeout),
+          m_silenceLimit(std::max(call.progressTimeout, call.firstByteTimeout)), m_loop(loop),
           m_deadline(loop, [this] { timedOut(); }), m_progress(loop, [this] { checkProgress(); }),
           m_connect(loop, [this] { checkConnected(); })
     {
@@ -127,7 +128,7 @@
             m_connect.start(call.connectTimeout);
         noteProgress();
         if (m_progressTimeout > Duration::zero())
-            m_progress.start(m_progressTimeout);
+            m_progress.start(m_silenceLimit);
         m_connection->start(call,
                             {.onHead =
                                      [this](const HttpHead &head) {
@@ -138,6 +139,7 @@
                              .onData =
                                      [this](std::string_view data) {
                                          noteProgress();
+                                         noteFirstByte();
                                          if (m_events.onData)
                                              m_events.onData(data);
                                      },
@@ -174,13 +176,21 @@
     /// relaying the token.
     void noteProgress() { m_lastProgress = m_loop.now(); }
 
+    void noteFirstByte()
+    {
+        if (m_silenceLimit == m_progressTimeout)
+            return;
+        m_silenceLimit = m_progressTimeout;
+        m_progress.start(m_silenceLimit);
+    }
+
     void checkProgress()
     {
         const Duration silence = m_paused ? Duration::zero() : m_loop.now() - m_lastProgress;
-        if (silence >= m_progressTimeout)
+        if (silence >= m_silenceLimit)
             timedOut();
         else
-            m_progress.start(m_progressTimeout - silence);
+            m_progress.start(m_silenceLimit - silence);
     }
 
     void checkConnected()
@@ -220,6 +230,7 @@
     HttpCallEvents m_events;
     GiveBack m_giveBack;
     Duration m_progressTimeout;
+    Duration m_silenceLimit; ///< Longer until the first byte of the body, where that was asked for.
     bool m_paused = false;
     TimePoint m_lastProgress;
     EventLoop &m_loop;
--- a/src/Net/HttpClient.h
+++ b/src/Net/HttpClient.h
@@ -23,6 +23,7 @@
     std::string body = {};
     Duration timeout = std::chrono::seconds(30); ///< From now to the last byte of the answer.
     Duration progressTimeout = Duration::zero(); ///< Longest silence; zero: only `timeout`.
+    Duration firstByteTimeout = Duration::zero(); ///< The same before the body; zero: no other.
     std::size_t maxBodyBytes = 16 * 1024 * 1024; ///< Longest answer taken.
     Duration connectTimeout = Duration::zero(); ///< Until the first byte leaves; zero: `timeout`.
     bool freshConnection = false; ///< Never reuses a connection, which may have gone silent.
--- a/src/Net/ServicePools.h
+++ b/src/Net/ServicePools.h
@@ -4,6 +4,7 @@
 #include "Base/Random.h"
 #include "Base/RouteConfig.h"
 #include "Decide/IdleTrust.h"
+#include "Decide/PromptPace.h"
 #include "Decide/RepeatBudget.h"
 #include "Decide/ReplicaPool.h"
 
@@ -20,6 +21,7 @@
     ReplicaPool replicas;
     RepeatBudget repeats;
     IdleTrust idle;
+    PromptPace pace = {};
 };
 
 /// \brief The pools of all services; one that is named once stays, so that calls may point at it.
--- /dev/null
+++ b/test/PromptPaceTest.cpp
@@ -0,0 +1,58 @@
+#include "Decide/PromptPace.h"
+
+#include <doctest/doctest.h>
+
+using namespace catkinloft;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// An engine that reads 64 tokens a millisecond when it has nothing else to do.
+struct PromptPaceFixture
+{
+    static Duration reading(double tokens, double slowdown = 1)
+    {
+        return std::chrono::duration_cast<Duration>(
+                std::chrono::duration<double, std::milli>(slowdown * tokens / 64));
+    }
+
+    void read(int prompts, double tokens, double slowdown = 1)
+    {
+        for (int i = 0; i < prompts; ++i)
+            pace.observe(tokens, reading(tokens, slowdown));
+    }
+
+    PromptPace pace;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(PromptPaceFixture, "promptPace_nothingRead_longPromptsHaveTime")
+{
+    CHECK(pace.allowance(30'000) > reading(30'000, 2));
+    CHECK(pace.allowance(0) == Duration::zero());
+    CHECK(pace.allowance(-5) == Duration::zero());
+}
+
+TEST_CASE_FIXTURE(PromptPaceFixture, "promptPace_enginesLearned_busyOneIsWaitedForAndSilentOneNot")
+{
+    read(50, 10'000, 1.2);
+    CHECK(pace.allowance(30'000) > reading(30'000, 2.4));
+    CHECK(pace.allowance(30'000) < reading(30'000, 5));
+    CHECK(pace.allowance(700) < 100ms);
+}
+
+TEST_CASE_FIXTURE(PromptPaceFixture, "promptPace_shortPrompts_teachNothing")
+{
+    const Duration before = pace.allowance(10'000);
+    for (int i = 0; i < 100; ++i)
+        pace.observe(100, 900ms);
+    CHECK(pace.allowance(10'000) == before);
+}
+
+TEST_CASE_FIXTURE(PromptPaceFixture, "promptPace_onePromptStuck_othersAreNotWaitedForMuchLonger")
+{
+    read(50, 10'000);
+    pace.observe(1000, 60s);
+    CHECK(pace.allowance(10'000) < 2s);
+}
