--- a/test/EntrySettingsTest.cpp
+++ b/test/EntrySettingsTest.cpp
@@ -51,3 +51,34 @@
     CHECK(settings.callerAddress == "127.0.0.1:80");
     CHECK(settings.maxConnections == 3000);
 }
+
+TEST_CASE_FIXTURE(EntrySettingsFixture, "entrySettings_mechanismSwitchedOff_othersStayOn")
+{
+    YamlProblems problems;
+    const auto read = EntrySettings::parse("name: a\n"
+                                           "failure_domain: d\n"
+                                           "caller_address: 127.0.0.1:80\n"
+                                           "peer_address: 127.0.0.1:81\n"
+                                           "store_address: 127.0.0.1:82\n"
+                                           "mechanisms:\n"
+                                           "  load_shedding: false\n",
+                                           "test.yaml", problems);
+    REQUIRE(problems.empty());
+    REQUIRE(read);
+    CHECK(read->mechanisms == Mechanisms{.loadShedding = false});
+    CHECK(settings.adjust(*read).needsRestart.size() > 1);
+}
+
+TEST_CASE_FIXTURE(EntrySettingsFixture, "entrySettings_unknownMechanism_isAProblem")
+{
+    YamlProblems problems;
+    CHECK_FALSE(EntrySettings::parse("name: a\n"
+                                     "failure_domain: d\n"
+                                     "caller_address: 127.0.0.1:80\n"
+                                     "peer_address: 127.0.0.1:81\n"
+                                     "store_address: 127.0.0.1:82\n"
+                                     "mechanisms:\n"
+                                     "  magic: true\n",
+                                     "test.yaml", problems));
+    CHECK(problems.size() == 1);
+}
