Ages told by peers are bounded; fuzz target of beats, peer states and entries

Cause: a fuzz target for what the entry process decodes of others was missing. Its first run found a signed overflow: an age of 4,444,444,444,444,446 ms in a beat does not fit a Duration (RouterBeat.cpp; PeerState.cpp had the same line). Beats are signed, so only a router with the key can send it.

Change: one reader of ages for both; what can't be an age, negative ones included, proves nothing.

--- /dev/null
+++ b/fuzz/FuzzEntry.cpp
@@ -0,0 +1,67 @@
+#include "Base/YamlSection.h"
+#include "Control/PeerState.h"
+#include "Control/RouterBeat.h"
+#include "platform/ReplicaEntry.h"
+
+#include <cstdint>
+#include <cstdlib>
+#include <string>
+
+using namespace catkinloft;
+
+namespace {
+
+/// What was decoded must survive its own encoding.
+void roundTripBeat(const std::string &text)
+{
+    static BeatCodec codec;
+    const Result<RouterBeat> first = codec.decode(text);
+    if (!first)
+        return;
+    const std::string again = BeatCodec::encode(first.value());
+    const Result<RouterBeat> second = codec.decode(again);
+    if (!second || BeatCodec::encode(second.value()) != again)
+        std::abort();
+}
+
+/// An entry of any writer names a replica that requests can be sent to, or none.
+void readReplicaEntry(const std::string &text)
+{
+    const Result<ReplicaRecord> it = platform::decodeReplicaEntry("i-1", text);
+    if (!it)
+        return;
+    const ReplicaRecord &record = it.value();
+    if (record.slots < 1 || record.startedAt < 0 || record.service.empty()
+        || !parseEndpoint(record.address))
+        std::abort();
+    const ReplicaRecord told = platform::replicaFromJson(platform::replicaToJson(record));
+    if (told.incarnation() != record.incarnation() || told.address != record.address)
+        std::abort();
+}
+
+void readPeerState(const std::string &text)
+{
+    const Result<PeerState> state = PeerState::decode(text);
+    if (!state)
+        return;
+    if (state.value().config)
+        (void)state.value().config->text();
+    if (state.value().replicas)
+        (void)state.value().replicas->text();
+}
+
+} // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
+{
+    if (size == 0)
+        return 0;
+    const std::string text(reinterpret_cast<const char *>(data) + 1, size - 1);
+    if (data[0] % 3 == 0)
+        roundTripBeat(text);
+    else if (data[0] % 3 == 1)
+        readReplicaEntry(text);
+    else
+        readPeerState(text);
+    return 0;
+}
--- a/src/Control/PeerState.cpp
+++ b/src/Control/PeerState.cpp
@@ -2,6 +2,7 @@
 
 #include "Base/Compression.h"
 #include "Base/Json.h"
+#include "Control/internal/Age.h"
 
 #include <utility>
 
@@ -19,7 +20,8 @@
 
 Duration ageIn(const Json::Value &head, const char *name)
 {
-    return head.isMember(name) ? std::chrono::milliseconds(head[name].asInt64()) : Duration::max();
+    return head.isMember(name) ? internal::ageFromMilliseconds(head[name].asInt64())
+                               : Duration::max();
 }
 
 /// \returns the first \a n bytes of \a rest, which are taken off it.
--- a/src/Control/RouterBeat.cpp
+++ b/src/Control/RouterBeat.cpp
@@ -1,6 +1,7 @@
 #include "Control/RouterBeat.h"
 
 #include "Control/RpcClient.h"
+#include "Control/internal/Age.h"
 #include "Control/internal/NotificationReader.h"
 
 #include <json/json.h>
@@ -21,7 +22,7 @@
 
 Duration ageOf(const Json::Value &it)
 {
-    return it.isNull() ? Duration::max() : Duration(std::chrono::milliseconds(it.asInt64()));
+    return it.isNull() ? Duration::max() : internal::ageFromMilliseconds(it.asInt64());
 }
 
 RouterBeat beatOf(const Json::Value &root)
--- a/test/FleetViewTest.cpp
+++ b/test/FleetViewTest.cpp
@@ -195,6 +195,7 @@
     it.proofAge = 1500us;
     it.replicas = {.counts = {{"i-1", 3}}, .ejected = {"i-2"}};
     it.prompts = {{"i-1", {5, 1ULL << 63}}};
+    it.listed = {"i-1~34"};
     BeatCodec codec;
     const Result<RouterBeat> read = codec.decode(BeatCodec::encode(it));
     REQUIRE(read);
@@ -206,7 +207,27 @@
     CHECK(read.value().replicas.counts.at("i-1") == 3);
     CHECK(read.value().replicas.ejected == std::vector<std::string>{"i-2"});
     CHECK(read.value().prompts.at("i-1") == std::vector<std::uint64_t>{5, 1ULL << 63});
+    CHECK(read.value().listed == std::vector<std::string>{"i-1~34"});
     CHECK_FALSE(codec.decode("{}"));
     CHECK_FALSE(codec.decode("no json"));
     CHECK_FALSE(codec.decode(R"({"jsonrpc":"2.0","method":"b","params":{"n":[1]}})"));
 }
+
+TEST_CASE("beatCodec_ageThatCannotBeOne_provesNothing")
+{
+    RouterBeat it{.name = "a", .proofAge = 5ms, .replicasAge = 6ms};
+    const std::string text = BeatCodec::encode(it);
+    const auto withAge = [&](const std::string &ms) {
+        std::string changed = text;
+        const std::size_t at = changed.find("\"a\":5");
+        REQUIRE(at != std::string::npos);
+        changed.replace(at, 5, "\"a\":" + ms);
+        BeatCodec codec;
+        const Result<RouterBeat> read = codec.decode(changed);
+        REQUIRE(read);
+        return read.value().proofAge;
+    };
+    CHECK(withAge("7") == Duration(7ms));
+    CHECK(withAge("4444444444444446") == Duration::max());
+    CHECK(withAge("-1") == Duration::max());
+}
