The reason of a full service names upstreams, not engines only

Cause: calls of a plain service that holds calls back are refused as engines_saturated, whose title spoke of engines of a model. No policy changes.

--- a/src/Base/Reason.cpp
+++ b/src/Base/Reason.cpp
@@ -27,7 +27,7 @@
         ReasonInfo{Reason::WorkspaceLimit, "workspace_limit", 429,
                    "The workspace has reached its limit."},
         ReasonInfo{Reason::EnginesSaturated, "engines_saturated", 503,
-                   "Every engine of the model is at its load bound."},
+                   "Every upstream for this request is at its load bound."},
         ReasonInfo{Reason::ShedByRule, "shed_by_rule", 503,
                    "Work was shed to protect workspaces that the rules name first."},
         ReasonInfo{Reason::NoLiveEngine, "no_live_engine", 503,
