--- a/standin/fleet/EntryFleet.cpp
+++ b/standin/fleet/EntryFleet.cpp
@@ -2,7 +2,7 @@
 
 #include "Base/Json.h"
 #include "fleet/Fleet.h"
-#include "fleet/Ports.h"
+#include "fleet/PortAllocator.h"
 
 #include <filesystem>
 #include <fstream>
--- a/standin/fleet/Fleet.cpp
+++ b/standin/fleet/Fleet.cpp
@@ -2,7 +2,7 @@
 
 #include "Base/Hash.h"
 #include "Net/EventLoop.h"
-#include "fleet/Ports.h"
+#include "fleet/PortAllocator.h"
 
 #include <algorithm>
 #include <array>
--- a/test/integration/RequestLifeTest.cpp
+++ b/test/integration/RequestLifeTest.cpp
@@ -2,7 +2,7 @@
 #include "Net/HttpClient.h"
 #include "Net/Timer.h"
 #include "fleet/Fleet.h"
-#include "fleet/Ports.h"
+#include "fleet/PortAllocator.h"
 
 #include <doctest/doctest.h>
 
--- a/test/integration/StandinTest.cpp
+++ b/test/integration/StandinTest.cpp
@@ -1,6 +1,6 @@
 #include "Net/EventLoop.h"
 #include "fleet/Fleet.h"
-#include "fleet/Ports.h"
+#include "fleet/PortAllocator.h"
 
 #include <doctest/doctest.h>
 
--- a/test/integration/TlsTest.cpp
+++ b/test/integration/TlsTest.cpp
@@ -2,7 +2,7 @@
 #include "Net/Net.h"
 #include "Net/TlsContext.h"
 #include "fleet/Fleet.h"
-#include "fleet/Ports.h"
+#include "fleet/PortAllocator.h"
 
 #include <doctest/doctest.h>
 
