Readers are chosen alike in a large fleet; a restart needs one call to register

Change: an engine is asked only by routers that know the others; the largest parts only are told. Readers are chosen among the rows of the store until all were heard, then among those heard in the last two rounds, less those that left a question unanswered. A router's row holds its address for callers and its processor share. One scan brings key and rows; a restarted router writes nothing. A router that ejects a replica tells 78 others at once, not 200.

--- a/src/Control/FleetRegistration.cpp
+++ b/src/Control/FleetRegistration.cpp
@@ -3,16 +3,19 @@
 #include "Base/Hash.h"
 #include "Base/Log.h"
 
+#include <string_view>
+
 namespace catkinloft {
 
 namespace {
 
-constexpr const char *KeyRow = "fleet/key";
-constexpr const char *RouterRows = "router/";
+constexpr std::string_view Rows = "fleet/";
+constexpr std::string_view KeyRow = "fleet/key";
+constexpr std::string_view RouterRows = "fleet/router/";
 constexpr const char *KeyId = "1";
 
-/// Routers listed at once; more than any fleet planned has.
-constexpr std::size_t MaxRouters = 500;
+/// Rows read at most; several times the largest fleet planned.
+constexpr std::size_t MaxRows = 5000;
 
 /// Bytes of a new key: what HMAC-SHA-256 uses at most without hashing it first.
 constexpr int KeyWords = 8;
@@ -24,29 +27,51 @@
 
 } // namespace
 
+std::string FleetRegistration::ownKey() const
+{
+    return std::string(RouterRows) + m_options.self.name;
+}
+
 void FleetRegistration::refresh()
 {
-    if (m_busy)
+    if (m_busy || m_left)
         return;
     m_busy = true;
-    if (!m_hasKey)
-        readKey();
-    else if (!m_registered)
-        writeOwnRow();
-    else
-        list();
+    m_options.table.scan(std::string(Rows), MaxRows,
+                         [this](const Result<std::vector<TableRow>> &rows) {
+                             m_busy = false;
+                             if (!rows)
+                                 return logFailure("read", rows.error());
+                             takeRows(rows.value());
+                         });
 }
 
-void FleetRegistration::readKey()
+void FleetRegistration::takeRows(const std::vector<TableRow> &rows)
 {
-    m_options.table.read({KeyRow}, [this](const Result<std::vector<TableRow>> &rows) {
-        m_busy = false;
-        if (!rows)
-            return logFailure("read key", rows.error());
-        if (rows.value().empty() || rows.value().front().version == 0)
-            return createKey();
-        takeKey(rows.value().front().value);
-    });
+    std::vector<RegisteredRouter> others;
+    std::string key;
+    bool isRegistered = false;
+    for (const TableRow &it : rows) {
+        if (it.key == KeyRow)
+            key = it.value;
+        if (!it.key.starts_with(RouterRows))
+            continue;
+        const auto router = RegisteredRouter::decode(it.key.substr(RouterRows.size()), it.value);
+        if (!router)
+            Log::warning("router_row_malformed", {{"row", it.key}});
+        else if (router.value() == m_options.self)
+            isRegistered = true;
+        else if (router.value().name != m_options.self.name)
+            others.push_back(router.value());
+    }
+    if (key.empty())
+        return createKey();
+    if (!m_hasKey)
+        takeKey(key);
+    if (!isRegistered)
+        return writeOwnRow();
+    m_complete = true;
+    m_options.onRouters(others);
 }
 
 void FleetRegistration::createKey()
@@ -57,18 +82,15 @@
         const std::uint64_t word = m_options.random();
         secret.append(reinterpret_cast<const char *>(&word), sizeof word);
     }
-    const std::string text = base64UrlEncode(secret);
-    m_options.table.commit({.expects = {{.key = KeyRow, .version = 0}},
-                            .writes = {{.key = KeyRow, .value = text}}},
-                           [this, text](const Result<TableCommit> &commit) {
+    const std::string row(KeyRow);
+    m_options.table.commit({.expects = {{.key = row, .version = 0}},
+                            .writes = {{.key = row, .value = base64UrlEncode(secret)}}},
+                           [this](const Result<TableCommit> &commit) {
                                m_busy = false;
                                if (!commit)
                                    return logFailure("create key", commit.error());
-                               if (commit.value().committed)
-                                   return takeKey(text);
-                               // Another router was first.
-                               if (!commit.value().current.empty())
-                                   takeKey(commit.value().current.front().value);
+                               // Where another router was first, its key is read now.
+                               refresh();
                            });
 }
 
@@ -76,64 +98,31 @@
 {
     m_hasKey = true;
     m_options.onKey({.id = KeyId, .secret = secret});
-    refresh();
 }
 
 void FleetRegistration::writeOwnRow()
 {
+    if (m_left)
+        return;
+    m_busy = true;
     m_options.table.commit(
-            {.expects = {},
-             .writes = {{.key = RouterRows + m_options.name, .value = m_options.peerAddress}}},
+            {.expects = {}, .writes = {{.key = ownKey(), .value = m_options.self.encode()}}},
             [this](const Result<TableCommit> &commit) {
                 m_busy = false;
                 if (!commit)
                     return logFailure("register", commit.error());
-                m_registered = true;
                 refresh();
             });
 }
 
-void FleetRegistration::list()
-{
-    m_options.table.scan(RouterRows, MaxRouters, [this](const Result<std::vector<TableRow>> &rows) {
-        m_busy = false;
-        if (!rows)
-            return logFailure("list", rows.error());
-        m_listed = true;
-        m_rowOf.clear();
-        std::vector<std::string> addresses;
-        for (const TableRow &it : rows.value()) {
-            if (it.value == m_options.peerAddress)
-                continue;
-            m_rowOf[it.value] = it.key;
-            addresses.push_back(it.value);
-        }
-        m_options.onAddresses(addresses);
-    });
-}
-
 void FleetRegistration::leave()
 {
-    m_options.table.commit(
-            {.expects = {},
-             .writes = {{.key = RouterRows + m_options.name, .value = std::nullopt}}},
-            [](const Result<TableCommit> &commit) {
-                if (!commit)
-                    logFailure("leave", commit.error());
-            });
-}
-
-void FleetRegistration::forget(const std::string &peerAddress)
-{
-    const auto it = m_rowOf.find(peerAddress);
-    if (it == m_rowOf.end())
-        return;
-    m_options.table.commit({.expects = {}, .writes = {{.key = it->second, .value = std::nullopt}}},
+    m_left = true;
+    m_options.table.commit({.expects = {}, .writes = {{.key = ownKey(), .value = std::nullopt}}},
                            [](const Result<TableCommit> &commit) {
                                if (!commit)
-                                   logFailure("forget", commit.error());
+                                   logFailure("leave", commit.error());
                            });
-    m_rowOf.erase(it);
 }
 
 } // namespace catkinloft
--- a/src/Control/FleetRegistration.h
+++ b/src/Control/FleetRegistration.h
@@ -3,9 +3,9 @@
 #include "Base/Random.h"
 #include "Base/Settings.h"
 #include "Base/TableService.h"
+#include "Control/RegisteredRouter.h"
 
 #include <functional>
-#include <map>
 #include <string>
 #include <vector>
 
@@ -14,6 +14,10 @@
 /// \brief How routers find each other: a row a router, and the key that signs what they tell each
 /// other, in the table service. Reading it again is the only way to learn of a router that nobody
 /// has heard.
+///
+/// Load: hundreds of routers that start at the same moment. Harm prevented: three calls from each
+/// are a queue of seconds at the one part of the table that takes their rows. So one reading brings
+/// the key, all rows and whether the own one still stands; after a restart nothing is written.
 class FleetRegistration
 {
 public:
@@ -21,40 +25,38 @@
     {
         TableService &table;
         RandomSource random;
-        std::string name; ///< Of this router.
-        std::string peerAddress; ///< `ip:port` for other routers.
+        RegisteredRouter self;
         std::function<void(const SharedKey &)> onKey; ///< The key is known.
-        std::function<void(const std::vector<std::string> &)> onAddresses; ///< Peer addresses.
+        /// All other routers, this one being registered as well: of any two that start, the one
+        /// that reads later finds the other.
+        std::function<void(const std::vector<RegisteredRouter> &)> onRouters;
     };
 
     explicit FleetRegistration(Options options) : m_options(std::move(options)) { }
 
-    /// \brief Does what is still missing: key, own row, list. Call again until isComplete(), and
-    /// then now and then.
+    /// \brief Reads all rows and writes what is missing: the key, the own row. Call again until
+    /// isComplete(), and then now and then.
     void refresh();
 
     /// \returns whether key, own row and list were had at least once.
-    bool isComplete() const { return m_hasKey && m_registered && m_listed; }
+    bool isComplete() const { return m_complete; }
 
-    /// \brief Removes the own row. Failing is harmless: a row whose router is silent is not used.
+    /// \brief Removes the own row for good. Failing is harmless: a row whose router is silent is
+    /// not used.
     void leave();
 
-    /// \brief Removes the row of a router that was replaced; its address names nobody.
-    void forget(const std::string &peerAddress);
-
 private:
-    void readKey();
+    void takeRows(const std::vector<TableRow> &rows);
     void createKey();
     void takeKey(const std::string &secret);
     void writeOwnRow();
-    void list();
+    std::string ownKey() const;
 
     Options m_options;
     bool m_busy = false;
     bool m_hasKey = false;
-    bool m_registered = false;
-    bool m_listed = false;
-    std::map<std::string, std::string> m_rowOf; ///< Row key by peer address.
+    bool m_complete = false;
+    bool m_left = false;
 };
 
 } // namespace catkinloft
--- a/src/Control/FleetView.cpp
+++ b/src/Control/FleetView.cpp
@@ -4,6 +4,7 @@
 #include "Base/Log.h"
 
 #include <algorithm>
+#include <set>
 
 namespace catkinloft {
 
@@ -14,6 +15,10 @@
 /// store.
 constexpr double MaxSilencePart = 0.65;
 
+/// Rounds of beats in which every router that runs was heard, one lost datagram included. What was
+/// not heard for longer does not read for the others, and is not named after a start.
+constexpr int HeardRounds = 2;
+
 } // namespace
 
 bool FleetView::receive(const RouterBeat &beat)
@@ -35,6 +40,7 @@
         Log::info("router_joined", {{"router", beat.name}, {"address", beat.callerAddress}});
     }
     m_peers[beat.name] = {beat, m_options.clock.now()};
+    m_suspects.erase(beat.name);
     addAddress(beat.peerAddress);
     return true;
 }
@@ -45,21 +51,74 @@
         m_addresses.push_back(peerAddress);
 }
 
-void FleetView::setRegistered(const std::vector<std::string> &peerAddresses)
+void FleetView::setRegistered(std::span<const RegisteredRouter> routers)
 {
     const TimePoint now = m_options.clock.now();
+    if (!m_registeredAt)
+        m_registeredAt = now;
+    m_registered.clear();
+    for (const RegisteredRouter &it : routers)
+        m_registered.emplace(it.name, it);
     std::erase_if(m_peers,
                   [&](const auto &it) { return now - it.second.heardAt > m_options.remembered; });
-    std::erase_if(m_addresses, [&](const std::string &address) {
-        const bool registered = std::find(peerAddresses.begin(), peerAddresses.end(), address)
-                != peerAddresses.end();
-        const bool heard = std::any_of(m_peers.begin(), m_peers.end(), [&](const auto &it) {
-            return it.second.beat.peerAddress == address;
-        });
-        return !registered && !heard;
-    });
-    for (const std::string &it : peerAddresses)
-        addAddress(it);
+    std::set<std::string> known;
+    for (const auto &[name, it] : m_registered)
+        known.insert(it.peerAddress);
+    for (const auto &[name, it] : m_peers)
+        known.insert(it.beat.peerAddress);
+    std::erase_if(m_addresses, [&](const std::string &it) { return !known.contains(it); });
+    for (const RegisteredRouter &it : routers)
+        addAddress(it.peerAddress);
+    // Routers that start together would otherwise all beat to the same ones at the same time.
+    if (m_next == 0 && !m_addresses.empty())
+        m_next = hash64(m_options.self) % m_addresses.size();
+}
+
+void FleetView::noteUnanswered(const std::string &name, TimePoint asked)
+{
+    const auto peer = m_peers.find(name);
+    if (peer != m_peers.end() && peer->second.heardAt >= asked)
+        return;
+    m_suspects[name] = m_options.clock.now();
+    Log::info("router_suspected", {{"router", name}});
+}
+
+bool FleetView::isSuspect(const std::string &name) const
+{
+    const auto it = m_suspects.find(name);
+    return it != m_suspects.end() && m_options.clock.now() - it->second <= m_options.suspicion;
+}
+
+std::size_t FleetView::beatsInRound() const
+{
+    return (m_addresses.size() + BeatFanout - 1) / BeatFanout;
+}
+
+Duration FleetView::roundTime() const
+{
+    return BeatInterval * static_cast<int>(beatsInRound());
+}
+
+std::vector<RegisteredRouter> FleetView::unheard() const
+{
+    std::vector<RegisteredRouter> out;
+    if (!m_registeredAt
+        || m_options.clock.now() - *m_registeredAt > HeardRounds * roundTime() + m_options.silence)
+        return out;
+    for (const auto &[name, it] : m_registered) {
+        if (!m_peers.contains(name) && !isSuspect(name))
+            out.push_back(it);
+    }
+    return out;
+}
+
+std::string FleetView::peerAddressOf(const std::string &name) const
+{
+    const auto peer = m_peers.find(name);
+    if (peer != m_peers.end())
+        return peer->second.beat.peerAddress;
+    const auto registered = m_registered.find(name);
+    return registered == m_registered.end() ? std::string() : registered->second.peerAddress;
 }
 
 std::vector<std::string> FleetView::nextTargets(std::size_t n)
@@ -96,22 +155,35 @@
             std::max<std::size_t>(static_cast<std::size_t>(heard), m_addresses.size()) + 1);
 }
 
+bool FleetView::mayRead(const Reader &it) const
+{
+    // Its proof says nothing: another router may have renewed it.
+    return !it.leaving && !it.storeFailing
+            && it.storeSilence <= scaled(m_options.configLimit, MaxSilencePart)
+            && !isSuspect(std::string(it.name));
+}
+
 std::vector<std::string> FleetView::readers(const Reader &self) const
 {
-    const Duration longest = scaled(m_options.configLimit, MaxSilencePart);
+    const Duration longest = HeardRounds * roundTime() + m_options.silence;
+    const std::vector<RegisteredRouter> unheardOnes = unheard();
     std::vector<Reader> able;
     const auto add = [&](const Reader &it) {
-        // Its proof says nothing: another router may have renewed it.
-        if (!it.leaving && !it.storeFailing && it.storeSilence <= longest)
+        if (mayRead(it))
             able.push_back(it);
     };
     add(self);
-    for (const Peer *it : live())
-        add({.name = it->beat.name,
-             .processorShare = it->beat.processorShare,
-             .leaving = it->beat.leaving,
-             .storeFailing = it->beat.storeFailing,
-             .storeSilence = it->beat.storeSilence});
+    for (const auto &[name, it] : m_peers) {
+        if (m_options.clock.now() - it.heardAt > longest)
+            continue;
+        add({.name = it.beat.name,
+             .processorShare = it.beat.processorShare,
+             .leaving = it.beat.leaving,
+             .storeFailing = it.beat.storeFailing,
+             .storeSilence = it.beat.storeSilence});
+    }
+    for (const RegisteredRouter &it : unheardOnes)
+        add({.name = it.name, .processorShare = it.processorShare});
     const auto rank = [](const Reader &it) {
         return std::pair(-it.processorShare, hash64(it.name));
     };
--- a/src/Control/FleetView.h
+++ b/src/Control/FleetView.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "Base/Clock.h"
+#include "Control/RegisteredRouter.h"
 #include "Control/RouterBeat.h"
 
-#include <functional>
 #include <map>
+#include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -13,9 +15,12 @@
 
 /// \brief Which routers there are, from the beats that they send to each other.
 ///
-/// Load: nine to some eighty routers of which any number may stop at any moment. What is told is a
-/// hint: callers who get the address of one that has just stopped take another. Each router beats
-/// to a bounded number of others at a time, so that its cost does not grow with the fleet.
+/// Load: nine to some hundred routers of which any number may stop at any moment, or start
+/// together. What is told is a hint: callers who get the address of one that has just stopped take
+/// another. Each router beats to a bounded number of others at a time, so that its cost does not
+/// grow with the fleet. In a large fleet a beat from a router then comes once in several intervals,
+/// and what all have to decide alike rests on rows in the store and on beats of the last two
+/// rounds.
 class FleetView
 {
 public:
@@ -23,13 +28,21 @@
     {
         const Clock &clock;
         std::string self; ///< Name of this router.
-        /// A router that was silent for so long is not named to callers: six beats.
+        /// A router that was silent for so long is not named to callers: some four beats.
         Duration silence = std::chrono::milliseconds(1500);
         Duration configLimit = std::chrono::seconds(2); ///< In which changes have to be in force.
         /// How long a silent router still counts among those that share limits.
         Duration remembered = std::chrono::seconds(30);
+        /// How long a router that did not answer is not asked again unless it is heard.
+        Duration suspicion = std::chrono::seconds(10);
     };
 
+    /// Pause between beats. Counts of requests in progress are at most this old in a small fleet.
+    static constexpr Duration BeatInterval = std::chrono::milliseconds(400);
+
+    /// Routers that one beat goes to.
+    static constexpr std::size_t BeatFanout = 26;
+
     /// \brief Another router, as last heard.
     struct Peer
     {
@@ -58,11 +71,13 @@
     /// \returns false where it is this router's own, or older than what is known.
     bool receive(const RouterBeat &beat);
 
-    /// \brief Adds a peer address to beat to, as found in the store or the settings.
-    void addAddress(const std::string &peerAddress);
+    /// \brief Takes over the routers that the store has, and forgets those that it lacks and that
+    /// were not heard for long.
+    void setRegistered(std::span<const RegisteredRouter> routers);
 
-    /// \brief Forgets addresses at which nobody was heard for long and that the store lacks.
-    void setRegistered(const std::vector<std::string> &peerAddresses);
+    /// \brief Notes that router \a name left something unanswered that was sent to it at \a asked.
+    /// It does not read for the others until it is heard again or the suspicion ends.
+    void noteUnanswered(const std::string &name, TimePoint asked);
 
     /// \returns up to \a n addresses to beat to, all in turn.
     std::vector<std::string> nextTargets(std::size_t n);
@@ -70,37 +85,56 @@
     /// \returns how many addresses there are to beat to.
     std::size_t addressCount() const { return m_addresses.size(); }
 
+    /// \returns how many beats it takes to reach every other router once.
+    std::size_t beatsInRound() const;
+
     /// \returns the other routers that were heard lately, leaving ones included.
     std::vector<const Peer *> live() const;
 
+    /// \returns registered routers that were not heard yet, in the first rounds after the start of
+    /// this one; none later.
+    ///
+    /// Load: all routers start at once, and callers with them. Harm prevented: the first ones heard
+    /// would be the only ones named to callers and would read the store for all.
+    std::vector<RegisteredRouter> unheard() const;
+
     /// \returns how many routers share the fleet's limits, this one included. Routers that fell
     /// silent count for a while, since they may be cut off and serving.
     int sharers() const;
 
     /// \brief Decides which routers read the store for the others.
     ///
-    /// Load: 73 routers and 144 replicas. Harm prevented: reads of the store cost as much as a
+    /// Load: hundreds of routers and replicas. Harm prevented: reads of the store cost as much as a
     /// small request each, and one a second from every router is a twentieth of all that is earned.
     /// Two read, so that one may stop; where both are lost, each router reads for itself until
-    /// others have taken over. A third one costs 0.4 to 0.8% of all that is earned. They are the
-    /// same for all who hear the same routers, and the strongest VMs. Disagreement costs some reads
-    /// more. \param self
-    /// this router. \returns names, at most ReaderCount; a router that can't
-    /// reach the store is not among them.
+    /// others have taken over. They are the strongest VMs, and the same for all who have heard
+    /// every router or the store's rows; disagreement costs some reads more. \param self this
+    /// router. \returns names, at most ReaderCount; a router that can't reach the store is not
+    /// among them.
     std::vector<std::string> readers(const Reader &self) const;
 
     /// \returns the peer named \a name if it is live.
     const Peer *find(const std::string &name) const;
 
+    /// \returns where router \a name is reached; empty if it was neither heard nor registered.
+    std::string peerAddressOf(const std::string &name) const;
+
     /// \returns a live router whose view of the store is younger than \a maxAge, the youngest first
     /// by revision, then by age; null where there is none.
     const Peer *freshest(Duration maxAge) const;
 
 private:
     bool isLive(const Peer &peer) const;
+    bool isSuspect(const std::string &name) const;
+    bool mayRead(const Reader &it) const;
+    Duration roundTime() const;
+    void addAddress(const std::string &peerAddress);
 
     Options m_options;
     std::map<std::string, Peer> m_peers; ///< By name.
+    std::map<std::string, RegisteredRouter> m_registered; ///< By name.
+    std::map<std::string, TimePoint> m_suspects; ///< Since when, by name.
+    std::optional<TimePoint> m_registeredAt; ///< When the store's rows were known first.
     std::vector<std::string> m_addresses;
     std::size_t m_next = 0;
 };
--- a/src/Control/PromptSurvey.cpp
+++ b/src/Control/PromptSurvey.cpp
@@ -7,20 +7,23 @@
 
 namespace catkinloft {
 
-void PromptSurvey::setRouters(std::span<const std::string> addresses)
+void PromptSurvey::setRouters(std::span<const RegisteredRouter> routers)
 {
-    m_routers.assign(addresses.begin(), addresses.end());
+    m_routers.emplace();
+    for (const RegisteredRouter &it : routers)
+        m_routers->push_back(it.peerAddress);
 }
 
 std::vector<ReplicaRecord> PromptSurvey::due(std::span<const ReplicaRecord> engines)
 {
-    if (!m_begin && !engines.empty())
-        m_begin = m_options.clock.now();
-    const int round = currentRound();
     std::vector<ReplicaRecord> out;
-    // Without the list of routers each would ask all engines; the list usually comes at once.
-    if (isOver() || (m_routers.empty() && round == 0))
+    if (!m_routers || engines.empty())
+        return out;
+    if (!m_begin)
+        m_begin = m_options.clock.now();
+    if (isOver())
         return out;
+    const int round = currentRound();
     for (const ReplicaRecord &it : engines) {
         const std::string incarnation = it.incarnation();
         if (m_listed.contains(incarnation) || rankFor(incarnation) > round)
@@ -31,6 +34,19 @@
     return out;
 }
 
+std::vector<std::uint64_t> PromptSurvey::toTell(std::span<const PromptPart> kept,
+                                                std::size_t engines) const
+{
+    std::vector<PromptPart> parts(kept.begin(), kept.end());
+    std::stable_sort(parts.begin(), parts.end(),
+                     [](const PromptPart &a, const PromptPart &b) { return a.tokens > b.tokens; });
+    const std::size_t n = m_options.maxTold / std::max<std::size_t>(1, engines);
+    std::vector<std::uint64_t> out;
+    for (std::size_t i = 0; i < std::min(n, parts.size()); ++i)
+        out.push_back(parts[i].id);
+    return out;
+}
+
 bool PromptSurvey::isOver() const
 {
     const int round = currentRound();
@@ -49,8 +65,8 @@
     const std::uint64_t key = hash64(incarnation);
     const double own = rendezvousScore(key, hash64(m_options.self), 1);
     const auto before =
-            std::count_if(m_routers.begin(), m_routers.end(), [&](const std::string &it) {
-                return it != m_options.self && rendezvousScore(key, hash64(it), 1) > own;
+            std::count_if(m_routers->begin(), m_routers->end(), [&](const std::string &it) {
+                return rendezvousScore(key, hash64(it), 1) > own;
             });
     return static_cast<int>(before);
 }
--- a/src/Control/PromptSurvey.h
+++ b/src/Control/PromptSurvey.h
@@ -2,6 +2,8 @@
 
 #include "Base/Clock.h"
 #include "Base/ReplicaRecord.h"
+#include "Control/RegisteredRouter.h"
+#include "Decide/PromptIndex.h"
 
 #include <optional>
 #include <set>
@@ -21,7 +23,8 @@
 /// The engines are shared out by their rendezvous order over the registered routers, so that each
 /// is asked once and all lists are known a few milliseconds after the start: a list costs an engine
 /// as much as a small request. An engine of which nothing was told a round later is asked by the
-/// next router of its order, since the first may be gone for good.
+/// next router of its order, since the first may be gone for good. A router that doesn't know the
+/// others asks nobody: hundreds that each ask every engine keep the engines from their work.
 class PromptSurvey
 {
 public:
@@ -32,12 +35,16 @@
         /// Time for an answer and for telling it: both take milliseconds on a sound network.
         Duration round = std::chrono::milliseconds(250);
         int rounds = 3; ///< Two routers of three may be gone.
+        /// Parts that a router is told of all engines together, some 25 bytes each. Hundreds of
+        /// engines keep ten times as many, which would cost the weakest VMs seconds of their
+        /// processor just as callers return.
+        std::size_t maxTold = 12'000;
     };
 
     explicit PromptSurvey(Options options) : m_options(std::move(options)) { }
 
-    /// \brief Takes over the peer addresses of all registered routers.
-    void setRouters(std::span<const std::string> addresses);
+    /// \brief Takes over the other registered routers.
+    void setRouters(std::span<const RegisteredRouter> routers);
 
     /// \brief Notes that the list of \a incarnation is known.
     void listed(const std::string &incarnation) { m_listed.insert(incarnation); }
@@ -49,6 +56,10 @@
     /// \returns which of \a engines this router has to ask now; each is named once.
     std::vector<ReplicaRecord> due(std::span<const ReplicaRecord> engines);
 
+    /// \returns which of the parts that one of \a engines keeps the other routers are told, the
+    /// largest first: what is not told may be read again.
+    std::vector<std::uint64_t> toTell(std::span<const PromptPart> kept, std::size_t engines) const;
+
     /// \returns whether nothing will be due any more.
     bool isOver() const;
 
@@ -57,8 +68,8 @@
     int rankFor(const std::string &incarnation) const;
 
     Options m_options;
-    std::vector<std::string> m_routers;
-    std::optional<TimePoint> m_begin; ///< Engines were known for the first time.
+    std::optional<std::vector<std::string>> m_routers; ///< Addresses of the others, once known.
+    std::optional<TimePoint> m_begin; ///< Engines and routers were known for the first time.
     std::set<std::string> m_listed;
     std::set<std::string> m_asked;
     bool m_peerKnows = false;
--- a/src/Control/RouterBeat.h
+++ b/src/Control/RouterBeat.h
@@ -36,7 +36,7 @@
     ReplicaNews replicas = {}; ///< Of the sender.
     /// Parts of prompts that the sender has sent to replicas since its last beat, by replica id.
     PromptsByReplica prompts = {};
-    /// Replicas of which the sender has now told all that they keep.
+    /// Replicas that need not be asked any more for what they keep.
     std::vector<std::string> listed = {};
 };
 
--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -144,11 +144,13 @@
              .settings = settings}),
       registration({.table = *table,
                     .random = random,
-                    .name = settings.name,
-                    .peerAddress = settings.peerAddress,
+                    .self = {.name = settings.name,
+                             .callerAddress = settings.callerAddress,
+                             .peerAddress = settings.peerAddress,
+                             .processorShare = settings.processorShare},
                     .onKey = [this](const SharedKey &key) { fleet.setKey(key); },
-                    .onAddresses =
-                            [this](const std::vector<std::string> &it) {
+                    .onRouters =
+                            [this](const std::vector<RegisteredRouter> &it) {
                                 fleet.view().setRegistered(it);
                                 survey.setRouters(it);
                                 learnPrompts();
@@ -173,12 +175,12 @@
                            if (settings.mechanisms.promptNews)
                                fleet.notePrompt(replica, prompt);
                        },
-               .replicaEjected = [this] { fleet.tellAll(); },
+               .replicaEjected = [this] { fleet.tellEjected(); },
                .proofAge = [this] { return config.proofAge(); }}),
       settingsWatch({.loop = loop,
                      .file = std::move(settingsFile),
                      .onChange = [this](const EntrySettings &it) { applySettings(it); }}),
-      survey({.clock = loop, .self = settings.peerAddress}),
+      survey({.clock = loop, .self = settings.peerAddress, .maxTold = MaxToldPrompts}),
       surveyTimer(loop, [this] { learnPrompts(); }),
       registrationTimer(loop, [this] { keepRegistered(); }),
       drainTimer(loop, [this] { checkDrained(); })
@@ -261,8 +263,10 @@
     const std::string incarnation = engine.incarnation();
     survey.listed(incarnation);
     pools.notePrompts(incarnation, parts);
-    fleet.tellListed(incarnation, parts);
-    Log::info("prompts_listed", {{"replica", engine.id}, {"parts", parts.size()}});
+    const std::vector<std::uint64_t> told = survey.toTell(prompts, pools.engines().size());
+    fleet.tellListed(incarnation, told);
+    Log::info("prompts_listed",
+              {{"replica", engine.id}, {"parts", parts.size()}, {"told", told.size()}});
 }
 
 bool EntryProcess::Private::isReady() const
--- a/src/Net/FleetTask.cpp
+++ b/src/Net/FleetTask.cpp
@@ -14,7 +14,7 @@
 #include "Net/Timer.h"
 
 #include <algorithm>
-#include <deque>
+#include <vector>
 
 #include <fmt/format.h>
 
@@ -24,25 +24,14 @@
 
 using namespace std::chrono_literals;
 
-/// Pause between beats. Counts of requests in progress are at most this old, and a router that
-/// stopped is missed after four. Beats every 250 ms cost an eighth of a small fleet's processor
-/// time more and placed no better.
-constexpr Duration BeatInterval = 400ms;
-
 /// How often a router that does not read the store asks one that does, as a part of the time in
 /// which changes have to be in force. Its proof is then at most three such parts old, with the two
 /// of the reader, and the reader's beat at each change comes sooner. An ask costs two datagrams.
 constexpr double AskPart = 0.2;
 
-/// Asks that are remembered: an answer that takes longer proves little.
-constexpr std::size_t MaxAsks = 4;
-
-/// Routers that one beat goes to. Nine routers hear each other at each beat; in a larger fleet the
-/// cost of a router stays the same and news takes longer: 1.2 s at 73.
-constexpr std::size_t BeatFanout = 26;
-
-/// Routers that are told at once of a change; more than any fleet planned for this way has.
-constexpr std::size_t MaxTold = 200;
+/// Routers that are told at once of an ejected replica. In a large fleet many routers eject a
+/// replica that fails, and a few of them tell each of the others.
+constexpr std::size_t EjectionFanout = 78;
 
 /// Parts of prompts that one beat tells of: it has to fit one datagram of 1,200 bytes with the
 /// counts. More are only told at over 100 prompts a second and router, and are hints.
@@ -54,7 +43,7 @@
 /// A peer on the same platform answers in milliseconds; another one is asked after this silence. A
 /// transfer that goes on is not given up for being long: over a link of 10 Mbit/s that also carries
 /// streams a large configuration takes a second, and what was sent of it would be lost.
-constexpr Duration StateSilence = 600ms;
+constexpr Duration PeerSilence = 600ms;
 
 /// Longest transfer, as a multiple of the time in which changes have to be in force. By then the
 /// store has been asked.
@@ -62,6 +51,19 @@
 
 constexpr std::size_t MaxStateBody = 32 * 1024 * 1024;
 
+/// A question to a router that reads the store, which has not been answered yet.
+struct Ask
+{
+    TimePoint at;
+    std::string reader;
+
+    /// \returns what the answer has to repeat.
+    std::uint64_t number() const
+    {
+        return static_cast<std::uint64_t>(at.time_since_epoch().count());
+    }
+};
+
 } // namespace
 
 struct FleetTask::Private
@@ -72,7 +74,9 @@
     std::vector<std::string> readers() const;
     bool isReader(std::span<const std::string> all) const;
     void send(const std::string &address, const RouterBeat &beat);
-    void sendToAll(const RouterBeat &beat);
+    void sendToNext(std::size_t n, const RouterBeat &beat);
+    void sendToAll(const RouterBeat &beat) { sendToNext(view.addressCount(), beat); }
+    void noteUnanswered();
     void beat();
     void ask();
     void received(std::string_view datagram);
@@ -96,7 +100,7 @@
     PeerCatchUp catchUp;
     PackedText packedConfig;
     PackedText packedReplicas;
-    std::deque<TimePoint> asks; ///< When the last asks were sent; the time is their number.
+    std::vector<Ask> asks;
     std::size_t nextReader = 0;
     std::uint64_t incarnation;
     std::uint64_t sequence = 0;
@@ -166,12 +170,12 @@
         transport.send(address, signedText(BeatCodec::encode(beat)));
 }
 
-void FleetTask::Private::sendToAll(const RouterBeat &beat)
+void FleetTask::Private::sendToNext(std::size_t n, const RouterBeat &beat)
 {
     if (!hasKey)
         return;
     const std::string datagram = signedText(BeatCodec::encode(beat));
-    for (const std::string &it : view.nextTargets(MaxTold))
+    for (const std::string &it : view.nextTargets(n))
         transport.send(it, datagram);
 }
 
@@ -180,26 +184,32 @@
     if (!hasKey)
         return;
     RouterBeat out = compose();
-    out.prompts = prompts.take((view.addressCount() + BeatFanout - 1) / BeatFanout, MaxPromptParts);
-    const std::string datagram = signedText(BeatCodec::encode(out));
-    for (const std::string &it : view.nextTargets(BeatFanout))
-        transport.send(it, datagram);
+    out.prompts = prompts.take(view.beatsInRound(), MaxPromptParts);
+    sendToNext(FleetView::BeatFanout, out);
+}
+
+void FleetTask::Private::noteUnanswered()
+{
+    const TimePoint now = options.loop.now();
+    std::erase_if(asks, [&](const Ask &it) {
+        const bool overdue = now - it.at > PeerSilence;
+        if (overdue)
+            view.noteUnanswered(it.reader, it.at);
+        return overdue;
+    });
 }
 
 void FleetTask::Private::ask()
 {
+    noteUnanswered();
     const std::vector<std::string> all = readers();
-    if (all.empty() || isReader(all))
+    if (!hasKey || all.empty() || isReader(all))
         return;
-    const FleetView::Peer *reader = view.find(all[nextReader++ % all.size()]);
-    if (!reader)
-        return;
-    asks.push_back(options.loop.now());
-    if (asks.size() > MaxAsks)
-        asks.pop_front();
+    const std::string &reader = all[nextReader++ % all.size()];
+    asks.push_back({.at = options.loop.now(), .reader = reader});
     RouterBeat out = compose();
-    out.ask = static_cast<std::uint64_t>(asks.back().time_since_epoch().count());
-    send(reader->beat.peerAddress, out);
+    out.ask = asks.back().number();
+    send(view.peerAddressOf(reader), out);
 }
 
 void FleetTask::Private::received(std::string_view datagram)
@@ -237,16 +247,16 @@
 {
     // Only an answer proves anything: a datagram may have waited here for as long as this VM was
     // suspended, but an answer was sent after its ask.
-    const auto asked = std::find_if(asks.begin(), asks.end(), [&](TimePoint it) {
-        return static_cast<std::uint64_t>(it.time_since_epoch().count()) == beat.echo;
-    });
-    if (asked == asks.end())
+    const auto found = std::find_if(asks.begin(), asks.end(),
+                                    [&](const Ask &it) { return it.number() == beat.echo; });
+    if (found == asks.end())
         return;
+    const TimePoint asked = found->at;
+    asks.erase(found);
     if (beat.proofAge != Duration::max())
-        options.config.confirm(beat.revision, *asked - beat.proofAge);
+        options.config.confirm(beat.revision, asked - beat.proofAge);
     if (beat.replicasAge != Duration::max())
-        options.replicas.confirm(beat.replicasHash, beat.replicasVersion,
-                                 *asked - beat.replicasAge);
+        options.replicas.confirm(beat.replicasHash, beat.replicasVersion, asked - beat.replicasAge);
 }
 
 void FleetTask::Private::noticeNews(const RouterBeat &beat)
@@ -330,7 +340,7 @@
         return bound;
     if (Result<void> listening = m_d->server.listen(); !listening)
         return listening;
-    m_d->timer.startRepeating(BeatInterval);
+    m_d->timer.startRepeating(FleetView::BeatInterval);
     applySettings();
     return outcome::success();
 }
@@ -358,7 +368,7 @@
 void FleetTask::leave()
 {
     m_d->leaving = true;
-    m_d->beat();
+    tellAll();
 }
 
 void FleetTask::fetchFromPeer()
@@ -372,6 +382,11 @@
     m_d->sendToAll(m_d->compose());
 }
 
+void FleetTask::tellEjected()
+{
+    m_d->sendToNext(EjectionFanout, m_d->compose());
+}
+
 void FleetTask::tellListed(const std::string &replica, std::span<const std::uint64_t> parts)
 {
     do {
@@ -409,7 +424,7 @@
                           .target = std::move(target),
                           .headers = {{SignatureHeader, std::move(signature)}},
                           .timeout = StateTimeoutFactor * options.settings.configApplyLimit,
-                          .progressTimeout = StateSilence,
+                          .progressTimeout = PeerSilence,
                           .maxBodyBytes = MaxStateBody},
                          [this, asked, name = peer.beat.name](const Result<HttpAnswer> &answer) {
                              fetching = false;
--- a/src/Net/FleetTask.h
+++ b/src/Net/FleetTask.h
@@ -60,7 +60,8 @@
     /// \brief Tells the others with the next beat that \a replica keeps \a prompt.
     void notePrompt(const std::string &replica, std::span<const PromptPart> prompt);
 
-    /// \brief Tells all routers at once that \a replica keeps \a parts, and no others.
+    /// \brief Tells all routers at once that \a replica was asked what it keeps, and that it keeps
+    /// \a parts.
     void tellListed(const std::string &replica, std::span<const std::uint64_t> parts);
 
     /// \returns when this process started, as its beats tell it.
@@ -75,6 +76,9 @@
     /// \brief Tells all routers at once, because something has changed here.
     void tellAll();
 
+    /// \brief Tells several routers at once that this one has ejected a replica.
+    void tellEjected();
+
     /// \returns whether this router reads the store for the others.
     bool isReader() const;
 
