--- a/src/Control/FleetView.h
+++ b/src/Control/FleetView.h
@@ -75,6 +75,9 @@
     /// were not heard for long.
     void setRegistered(std::span<const RegisteredRouter> routers);
 
+    /// \returns whether setRegistered() was called.
+    bool knowsRegistered() const { return m_registeredAt.has_value(); }
+
     /// \brief Notes that router \a name left something unanswered that was sent to it at \a asked.
     /// It does not read for the others until it is heard again or the suspicion ends.
     void noteUnanswered(const std::string &name, TimePoint asked);
--- a/src/Control/PromptSurvey.cpp
+++ b/src/Control/PromptSurvey.cpp
@@ -4,6 +4,7 @@
 #include "Decide/Rendezvous.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace catkinloft {
 
@@ -47,6 +48,21 @@
     return out;
 }
 
+std::vector<std::string> PromptSurvey::toBeTold(const std::string &incarnation) const
+{
+    const std::uint64_t key = hash64(incarnation);
+    std::vector<std::pair<double, std::string>> order;
+    for (const std::string &it : m_routers.value_or(std::vector<std::string>()))
+        order.emplace_back(-rendezvousScore(key, hash64(it), 1), it);
+    std::sort(order.begin(), order.end());
+    order.resize(std::min(order.size(), m_options.maxListeners));
+    std::vector<std::string> out;
+    out.reserve(order.size());
+    for (auto &[score, address] : order)
+        out.push_back(std::move(address));
+    return out;
+}
+
 bool PromptSurvey::isOver() const
 {
     const int round = currentRound();
--- a/src/Control/PromptSurvey.h
+++ b/src/Control/PromptSurvey.h
@@ -39,6 +39,9 @@
         /// engines keep ten times as many, which would cost the weakest VMs seconds of their
         /// processor just as callers return.
         std::size_t maxTold = 12'000;
+        /// Routers that are told of one engine, since hundreds of lists that each go to hundreds of
+        /// routers delay the first requests after the start.
+        std::size_t maxListeners = 78;
     };
 
     explicit PromptSurvey(Options options) : m_options(std::move(options)) { }
@@ -60,6 +63,10 @@
     /// largest first: what is not told may be read again.
     std::vector<std::uint64_t> toTell(std::span<const PromptPart> kept, std::size_t engines) const;
 
+    /// \returns the peer addresses of the routers that are told what \a incarnation keeps: those
+    /// that would ask it next come first.
+    std::vector<std::string> toBeTold(const std::string &incarnation) const;
+
     /// \returns whether nothing will be due any more.
     bool isOver() const;
 
--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -264,7 +264,7 @@
     survey.listed(incarnation);
     pools.notePrompts(incarnation, parts);
     const std::vector<std::uint64_t> told = survey.toTell(prompts, pools.engines().size());
-    fleet.tellListed(incarnation, told);
+    fleet.tellListed(incarnation, told, survey.toBeTold(incarnation));
     Log::info("prompts_listed",
               {{"replica", engine.id}, {"parts", parts.size()}, {"told", told.size()}});
 }
--- a/src/Net/FleetTask.cpp
+++ b/src/Net/FleetTask.cpp
@@ -74,6 +74,7 @@
     std::vector<std::string> readers() const;
     bool isReader(std::span<const std::string> all) const;
     void send(const std::string &address, const RouterBeat &beat);
+    void sendTo(std::span<const std::string> addresses, const RouterBeat &beat);
     void sendToNext(std::size_t n, const RouterBeat &beat);
     void sendToAll(const RouterBeat &beat) { sendToNext(view.addressCount(), beat); }
     void noteUnanswered();
@@ -166,19 +167,23 @@
 
 void FleetTask::Private::send(const std::string &address, const RouterBeat &beat)
 {
-    if (hasKey)
-        transport.send(address, signedText(BeatCodec::encode(beat)));
+    sendTo({&address, 1}, beat);
 }
 
-void FleetTask::Private::sendToNext(std::size_t n, const RouterBeat &beat)
+void FleetTask::Private::sendTo(std::span<const std::string> addresses, const RouterBeat &beat)
 {
     if (!hasKey)
         return;
     const std::string datagram = signedText(BeatCodec::encode(beat));
-    for (const std::string &it : view.nextTargets(n))
+    for (const std::string &it : addresses)
         transport.send(it, datagram);
 }
 
+void FleetTask::Private::sendToNext(std::size_t n, const RouterBeat &beat)
+{
+    sendTo(view.nextTargets(n), beat);
+}
+
 void FleetTask::Private::beat()
 {
     if (!hasKey)
@@ -387,7 +392,8 @@
     m_d->sendToNext(EjectionFanout, m_d->compose());
 }
 
-void FleetTask::tellListed(const std::string &replica, std::span<const std::uint64_t> parts)
+void FleetTask::tellListed(const std::string &replica, std::span<const std::uint64_t> parts,
+                           std::span<const std::string> addresses)
 {
     do {
         const std::size_t n = std::min(parts.size(), MaxPromptParts);
@@ -396,7 +402,7 @@
         parts = parts.subspan(n);
         if (parts.empty())
             out.listed.push_back(replica);
-        m_d->sendToAll(out);
+        m_d->sendTo(addresses, out);
     } while (!parts.empty());
 }
 
@@ -407,7 +413,8 @@
 
 bool FleetTask::isReader() const
 {
-    return m_d->isReader(m_d->readers());
+    // One that does not know the others yet would take itself for the only one.
+    return m_d->view.knowsRegistered() && m_d->isReader(m_d->readers());
 }
 
 void FleetTask::Private::fetchFrom(const FleetView::Peer &peer)
--- a/src/Net/FleetTask.h
+++ b/src/Net/FleetTask.h
@@ -60,9 +60,10 @@
     /// \brief Tells the others with the next beat that \a replica keeps \a prompt.
     void notePrompt(const std::string &replica, std::span<const PromptPart> prompt);
 
-    /// \brief Tells all routers at once that \a replica was asked what it keeps, and that it keeps
-    /// \a parts.
-    void tellListed(const std::string &replica, std::span<const std::uint64_t> parts);
+    /// \brief Tells the routers at \a addresses at once that \a replica was asked what it keeps,
+    /// and that it keeps \a parts.
+    void tellListed(const std::string &replica, std::span<const std::uint64_t> parts,
+                    std::span<const std::string> addresses);
 
     /// \returns when this process started, as its beats tell it.
     std::uint64_t incarnation() const;
--- a/src/Net/StoreWatch.cpp
+++ b/src/Net/StoreWatch.cpp
@@ -25,11 +25,6 @@
 /// known: the others' asking takes another three tenths of it.
 constexpr double ReplicasPart = 0.25;
 
-/// Pause after a failed call. All routers together try at most so often while the store is away,
-/// since calls that are refused cost like others; those that read for others try more often.
-constexpr Duration MinFailurePause = 300ms;
-constexpr Duration FleetFailurePause = 15ms; ///< Between tries of the whole fleet.
-
 /// Part of the time in which a draining replica must be known, after which the list is read from
 /// the store: the rest is for the reading.
 constexpr double ReplicasOverduePart = 0.85;
@@ -38,51 +33,53 @@
 } // namespace
 
 StoreWatch::StoreWatch(Options options)
-    : m_options(std::move(options)), m_configTimer(m_options.loop, [this] { watchConfig(); }),
+    : m_options(std::move(options)),
+      m_configPlan({.clock = m_options.loop, .random = m_options.random}),
+      m_replicasPlan({.clock = m_options.loop, .random = m_options.random}),
       m_replicasTimer(m_options.loop, [this] { readReplicas(); }),
       m_checkTimer(m_options.loop, [this] { check(); })
 { }
 
 void StoreWatch::start()
 {
-    watchConfig();
-    readReplicas();
+    check();
     m_checkTimer.startRepeating(CheckInterval);
 }
 
-void StoreWatch::check()
+StoreReadPlan::State StoreWatch::configState() const
 {
-    const bool configOverdue = m_options.config.proofAge()
-            > scaled(m_options.settings.configApplyLimit, ConfigOverduePart);
-    const bool replicasOverdue = m_options.replicas.age()
-            > scaled(m_options.settings.replicaDrainLimit, ReplicasOverduePart);
-    const bool reader = m_options.isReader();
-    if (!m_readingConfig && (reader || configOverdue))
-        watchConfig();
-    if (!m_readingReplicas && (reader || replicasOverdue))
-        readReplicas();
-    if (configOverdue || replicasOverdue)
-        m_options.askPeer();
+    return {.reader = m_options.isReader(),
+            .overdue = m_options.config.proofAge()
+                    > scaled(m_options.settings.configApplyLimit, ConfigOverduePart),
+            .routers = m_options.routers()};
 }
 
-Duration StoreWatch::silence() const
+StoreReadPlan::State StoreWatch::replicasState() const
 {
-    return m_readingConfig ? m_options.loop.now() - m_answeredAt : Duration::zero();
+    return {.reader = m_options.isReader(),
+            .overdue = m_options.replicas.age()
+                    > scaled(m_options.settings.replicaDrainLimit, ReplicasOverduePart),
+            .routers = m_options.routers()};
 }
 
-Duration StoreWatch::failurePause() const
+void StoreWatch::check()
 {
-    const Duration shared = FleetFailurePause * m_options.routers();
-    const Duration pause =
-            m_options.isReader() ? MinFailurePause : std::max(MinFailurePause, shared);
-    return scaled(pause, 0.75 + 0.5 * uniform(m_options.random));
+    const StoreReadPlan::State config = configState();
+    const StoreReadPlan::State replicas = replicasState();
+    if (m_configPlan.isDue(config))
+        watchConfig();
+    else if (!config.reader && !config.overdue && !m_configPlan.isCalling())
+        m_configPlan.rest();
+    if (m_replicasPlan.isDue(replicas) && !m_replicasTimer.isPending())
+        readReplicas();
+    if (config.overdue || replicas.overdue)
+        m_options.askPeer();
 }
 
 void StoreWatch::watchConfig()
 {
     const TimePoint began = m_options.loop.now();
-    if (!std::exchange(m_readingConfig, true))
-        m_answeredAt = began;
+    m_configPlan.began();
     const auto done = [this, began](const Result<ConfigRead> &read) { configRead(read, began); };
     if (m_storeVersion == 0)
         m_options.store.readConfig(done);
@@ -96,12 +93,9 @@
 
 void StoreWatch::configRead(const Result<ConfigRead> &read, TimePoint began)
 {
-    noteResult(m_configFailing, "config", read ? nullptr : &read.error());
-    if (!read) {
-        m_configTimer.start(failurePause());
+    noteResult(m_configPlan, "config", read ? nullptr : &read.error());
+    if (!read)
         return;
-    }
-    m_answeredAt = std::max(m_answeredAt, began);
     const ConfigRead &it = read.value();
     if (it.historyLost) {
         Log::warning("store_history_lost", {{"store_version", m_storeVersion}});
@@ -113,53 +107,49 @@
     else
         m_options.config.confirm(m_options.config.revision(), began);
     m_storeVersion = it.storeVersion;
-    m_readingConfig = false;
-    if (!m_options.config.config()) {
-        // Nothing has been written yet, so there is nothing to watch.
-        m_readingConfig = true;
-        m_configTimer.start(failurePause());
-    } else if (m_options.isReader()) {
+    if (!m_options.config.config())
+        m_configPlan.foundNothing(); // Nothing has been written yet, so there is nothing to watch.
+    else if (m_options.isReader())
         watchConfig();
-    }
 }
 
 void StoreWatch::readReplicas()
 {
-    m_readingReplicas = true;
     const TimePoint began = m_options.loop.now();
+    m_replicasPlan.began();
     m_options.store.readReplicas(
             [this, began](const Result<ReplicaSnapshot> &read) { replicasRead(read, began); });
 }
 
 void StoreWatch::replicasRead(const Result<ReplicaSnapshot> &read, TimePoint began)
 {
-    noteResult(m_replicasFailing, "replicas", read ? nullptr : &read.error());
-    if (!read) {
-        m_replicasTimer.start(failurePause());
+    noteResult(m_replicasPlan, "replicas", read ? nullptr : &read.error());
+    if (!read)
         return;
-    }
     m_options.replicas.apply(read.value(), began);
-    m_readingReplicas = m_options.isReader();
-    if (!m_readingReplicas)
+    if (!m_options.isReader())
         return;
     // Spread, so that routers that started together do not read together.
     const double spread = 0.9 + 0.2 * uniform(m_options.random);
     m_replicasTimer.start(scaled(m_options.settings.replicaDrainLimit, ReplicasPart * spread));
 }
 
-void StoreWatch::noteResult(bool &failing, const char *what, const Error *error)
+void StoreWatch::noteResult(StoreReadPlan &plan, const char *what, const Error *error)
 {
     m_options.metrics.count("catkinloft_store_calls_total",
                             Metrics::label("result", error ? "failed" : "ok"));
-    if (error) {
-        // An open connection may have gone silent while new ones work.
-        m_options.store.dropConnections();
-        if (!failing)
-            Log::warning("store_lost", {{"reading", what}, {"detail", error->detail}});
-    } else if (failing) {
-        Log::info("store_regained", {{"reading", what}});
+    const bool failing = plan.isFailing();
+    if (!error) {
+        plan.answered();
+        if (failing)
+            Log::info("store_regained", {{"reading", what}});
+        return;
     }
-    failing = error != nullptr;
+    plan.failed();
+    // An open connection may have gone silent while new ones work.
+    m_options.store.dropConnections();
+    if (!failing)
+        Log::warning("store_lost", {{"reading", what}, {"detail", error->detail}});
 }
 
 void StoreWatch::takeConfigText(const std::string &text, TimePoint readBegan)
--- a/src/Net/StoreWatch.h
+++ b/src/Net/StoreWatch.h
@@ -6,6 +6,7 @@
 #include "Base/Random.h"
 #include "Control/ConfigInForce.h"
 #include "Control/ReplicaRegistry.h"
+#include "Control/StoreReadPlan.h"
 #include "Net/Timer.h"
 
 #include <functional>
@@ -38,10 +39,10 @@
     void start();
 
     /// \returns whether the last call to the store failed.
-    bool isFailing() const { return m_configFailing || m_replicasFailing; }
+    bool isFailing() const { return m_configPlan.isFailing() || m_replicasPlan.isFailing(); }
 
     /// \returns how long a router that reads the store has got no answer; zero for others.
-    Duration silence() const;
+    Duration silence() const { return m_configPlan.silence(); }
 
     /// \brief Takes over what a peer read.
     void takeConfigText(const std::string &text, TimePoint readBegan);
@@ -53,18 +54,15 @@
     void readReplicas();
     void replicasRead(const Result<ReplicaSnapshot> &read, TimePoint began);
     void check();
-    Duration failurePause() const;
-    void noteResult(bool &failing, const char *what, const Error *error);
+    StoreReadPlan::State configState() const;
+    StoreReadPlan::State replicasState() const;
+    void noteResult(StoreReadPlan &plan, const char *what, const Error *error);
 
     Options m_options;
     std::uint64_t m_storeVersion = 0; ///< Of the last read of the configuration; 0: none.
-    bool m_configFailing = false;
-    bool m_replicasFailing = false;
-    bool m_readingConfig = false; ///< A call or the pause after one is in progress.
-    bool m_readingReplicas = false;
-    TimePoint m_answeredAt; ///< Beginning of the last call that was answered, or of the reading.
-    Timer m_configTimer;
-    Timer m_replicasTimer;
+    StoreReadPlan m_configPlan;
+    StoreReadPlan m_replicasPlan;
+    Timer m_replicasTimer; ///< Until the next read of a reader.
     Timer m_checkTimer;
 };
 
--- a/src/Net/Timer.cpp
+++ b/src/Net/Timer.cpp
@@ -57,4 +57,9 @@
     event_del(m_d->ev);
 }
 
+bool Timer::isPending() const
+{
+    return event_pending(m_d->ev, EV_TIMEOUT, nullptr) != 0;
+}
+
 } // namespace catkinloft
--- a/src/Net/Timer.h
+++ b/src/Net/Timer.h
@@ -26,6 +26,9 @@
 
     void stop();
 
+    /// \returns whether it will fire.
+    bool isPending() const;
+
 private:
     struct Private;
     std::unique_ptr<Private> m_d;
--- a/test/PromptSurveyTest.cpp
+++ b/test/PromptSurveyTest.cpp
@@ -30,12 +30,18 @@
     void start(std::size_t dead = 0)
     {
         for (std::size_t i = dead; i < registered.size(); ++i) {
-            routers.push_back(std::make_unique<PromptSurvey>(
-                    PromptSurvey::Options{.clock = clock, .self = registered[i].peerAddress}));
+            add(i);
             routers.back()->setRouters(others(i));
         }
     }
 
+    void add(std::size_t i)
+    {
+        routers.push_back(std::make_unique<PromptSurvey>(
+                PromptSurvey::Options{.clock = clock, .self = registered[i].peerAddress}));
+        byAddress[registered[i].peerAddress] = routers.back().get();
+    }
+
     std::vector<RegisteredRouter> others(std::size_t self) const
     {
         std::vector<RegisteredRouter> out = registered;
@@ -46,16 +52,19 @@
     /// Lets each router look once.
     void poll()
     {
-        std::vector<std::string> answered;
+        std::vector<std::pair<std::string, std::string>> told; // Engine and address of a router.
         for (const auto &it : routers) {
             for (const ReplicaRecord &engine : it->due(engines)) {
                 ++lists[engine.id];
-                answered.push_back(engine.incarnation());
+                it->listed(engine.incarnation());
+                for (const std::string &address : it->toBeTold(engine.incarnation()))
+                    told.emplace_back(engine.incarnation(), address);
             }
         }
-        for (const auto &it : routers) {
-            for (const std::string &engine : answered)
-                it->listed(engine);
+        for (const auto &[engine, address] : told) {
+            const auto router = byAddress.find(address);
+            if (router != byAddress.end())
+                router->second->listed(engine);
         }
     }
 
@@ -71,6 +80,7 @@
     std::vector<RegisteredRouter> registered;
     std::vector<ReplicaRecord> engines;
     std::vector<std::unique_ptr<PromptSurvey>> routers;
+    std::map<std::string, PromptSurvey *> byAddress;
     std::map<std::string, int> lists; ///< How often each engine was asked.
 };
 
@@ -139,10 +149,8 @@
 {
     PromptSurveyFixture it(295, 256);
     // The store answers one after the other, for longer than the rounds of those that begin first.
-    for (std::size_t i = 0; i < it.registered.size(); ++i) {
-        it.routers.push_back(std::make_unique<PromptSurvey>(
-                PromptSurvey::Options{.clock = it.clock, .self = it.registered[i].peerAddress}));
-    }
+    for (std::size_t i = 0; i < it.registered.size(); ++i)
+        it.add(i);
     for (std::size_t i = 0; i < it.registered.size(); ++i) {
         it.routers[i]->setRouters(it.others(i));
         if (i % 10 == 0)
@@ -153,6 +161,7 @@
         it.poll();
         it.clock.advance(50ms);
     }
+    CHECK(it.routers.front()->toBeTold("i-0").size() == 78);
     CHECK(it.lists.size() == it.engines.size());
     CHECK(it.listCount() <= 2 * static_cast<int>(it.engines.size()));
 }
--- /dev/null
+++ b/test/StoreReadPlanTest.cpp
@@ -0,0 +1,117 @@
+#include "Control/StoreReadPlan.h"
+#include "Base/ManualClock.h"
+
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <vector>
+
+using namespace catkinloft;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// The plans of a fleet's routers for one thing that they read.
+struct StoreReadPlanFixture
+{
+    void addRouters(int n)
+    {
+        for (int i = 0; i < n; ++i) {
+            plans.push_back(std::make_unique<StoreReadPlan>(
+                    StoreReadPlan::Options{.clock = clock, .random = seededRandom(i + 1)}));
+        }
+    }
+
+    /// Lets every router look each 200 ms while the store refuses all calls.
+    /// \returns how many calls were made.
+    int refuseFor(Duration length, bool reader, bool overdue)
+    {
+        int calls = 0;
+        for (Duration t = 0ms; t < length; t += 200ms) {
+            for (const auto &it : plans) {
+                if (!it->isDue(state(reader, overdue)))
+                    continue;
+                ++calls;
+                it->began();
+                it->failed();
+            }
+            clock.advance(200ms);
+        }
+        return calls;
+    }
+
+    StoreReadPlan::State state(bool reader, bool overdue) const
+    {
+        return {.reader = reader, .overdue = overdue, .routers = static_cast<int>(plans.size())};
+    }
+
+    ManualClock clock;
+    std::vector<std::unique_ptr<StoreReadPlan>> plans;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(StoreReadPlanFixture, "storeReadPlan_hundredsOfRoutersStoreAway_callsAreBounded")
+{
+    addRouters(295);
+    const int calls = refuseFor(8s, false, true);
+    CHECK(calls >= 295); // Each has tried.
+    CHECK(calls <= 295 + static_cast<int>(8s / 15ms) * 5 / 4);
+}
+
+TEST_CASE_FIXTURE(StoreReadPlanFixture, "storeReadPlan_turnedAwayButToldByPeers_callsNoMore")
+{
+    addRouters(100);
+    CHECK(refuseFor(200ms, false, true) == 100);
+    CHECK(refuseFor(9s, false, false) == 0);
+    CHECK(plans.front()->isDue(state(false, true)));
+}
+
+TEST_CASE_FIXTURE(StoreReadPlanFixture, "storeReadPlan_readerRefused_triesSeveralTimesASecond")
+{
+    addRouters(1);
+    const int calls = refuseFor(3s, true, true);
+    CHECK(calls >= 6);
+    CHECK(calls <= 15);
+}
+
+TEST_CASE_FIXTURE(StoreReadPlanFixture, "storeReadPlan_failureLongAgo_doesNotCountAsFailing")
+{
+    addRouters(1);
+    StoreReadPlan &plan = *plans.front();
+    plan.began();
+    clock.advance(400ms);
+    CHECK(plan.silence() == 400ms);
+    plan.failed();
+    CHECK(plan.isFailing());
+    CHECK(plan.silence() == 400ms);
+    plan.rest();
+    CHECK(plan.silence() == 0ms);
+    clock.advance(11s);
+    CHECK_FALSE(plan.isFailing());
+}
+
+TEST_CASE_FIXTURE(StoreReadPlanFixture,
+                  "storeReadPlan_nothingWrittenYet_isAskedAgainSoonAndIsNoFailure")
+{
+    addRouters(295);
+    StoreReadPlan &plan = *plans.front();
+    plan.began();
+    plan.foundNothing();
+    CHECK_FALSE(plan.isFailing());
+    CHECK_FALSE(plan.isDue(state(false, true)));
+    clock.advance(400ms);
+    CHECK(plan.isDue(state(false, true)));
+}
+
+TEST_CASE_FIXTURE(StoreReadPlanFixture, "storeReadPlan_callInProgress_noSecondOne")
+{
+    addRouters(1);
+    StoreReadPlan &plan = *plans.front();
+    CHECK(plan.isDue(state(true, false)));
+    CHECK_FALSE(plan.isDue(state(false, false)));
+    plan.began();
+    CHECK_FALSE(plan.isDue(state(true, true)));
+    plan.answered();
+    CHECK(plan.isDue(state(true, true)));
+}
