--- a/standin/RowStoreStandin.cpp
+++ b/standin/RowStoreStandin.cpp
@@ -11,6 +11,9 @@
 
 using namespace std::chrono_literals;
 
+/// Rows in one answer, whatever the caller asks for.
+constexpr std::uint64_t MaxRowsReturned = 500;
+
 constexpr Duration FeedTick = 10ms;
 
 /// Tables that only the operator and replicas write.
@@ -110,7 +113,8 @@
     const std::string table = exchange.queryValue("table");
     const std::string from = exchange.queryValue("from");
     const std::string to = exchange.queryValue("to");
-    const std::uint64_t limit = std::max<std::uint64_t>(1, exchange.queryNumber("limit"));
+    const std::uint64_t limit =
+            std::clamp<std::uint64_t>(exchange.queryNumber("limit"), 1, MaxRowsReturned);
     Json::Value root(Json::objectValue);
     root["rows"] = Json::Value(Json::arrayValue);
     root["truncated"] = false;
--- a/test/FleetViewTest.cpp
+++ b/test/FleetViewTest.cpp
@@ -35,12 +35,15 @@
                 .processorShare = processorShare};
     }
 
-    void setRegistered(const std::vector<std::string> &names)
+    void setRegistered(const std::vector<std::string> &names) { view.setRegistered(rowsOf(names)); }
+
+    static std::vector<RegisteredRouter> rowsOf(const std::vector<std::string> &names)
     {
-        std::vector<RegisteredRouter> rows;
+        std::vector<RegisteredRouter> out;
+        out.reserve(names.size());
         for (const std::string &it : names)
-            rows.push_back(row(it));
-        view.setRegistered(rows);
+            out.push_back(row(it));
+        return out;
     }
 
     std::string named() const
@@ -110,16 +113,13 @@
 
 TEST_CASE_FIXTURE(FleetViewFixture, "fleetView_routersThatStartTogether_beginWithDifferentTargets")
 {
-    std::vector<std::string> names;
-    for (int i = 0; i < 100; ++i)
-        names.push_back("r" + std::to_string(i));
+    std::vector<std::string> names(100);
+    for (std::size_t i = 0; i < names.size(); ++i)
+        names[i] = "r" + std::to_string(i);
     std::map<std::string, int> beats;
     for (const std::string &self : names) {
         FleetView own({.clock = clock, .self = self});
-        std::vector<RegisteredRouter> rows;
-        for (const std::string &it : names)
-            rows.push_back(row(it));
-        own.setRegistered(rows);
+        own.setRegistered(rowsOf(names));
         for (const std::string &it : own.nextTargets(FleetView::BeatFanout))
             ++beats[it];
     }
