--- a/fuzz/FuzzEntry.cpp
+++ b/fuzz/FuzzEntry.cpp
@@ -1,5 +1,6 @@
 #include "Base/YamlSection.h"
 #include "Control/PeerState.h"
+#include "Control/RegisteredRouter.h"
 #include "Control/RouterBeat.h"
 #include "platform/ReplicaEntry.h"
 
@@ -50,6 +51,16 @@
         (void)state.value().replicas->text();
 }
 
+void roundTripRouterRow(const std::string &text)
+{
+    const Result<RegisteredRouter> first = RegisteredRouter::decode("r1", text);
+    if (!first)
+        return;
+    const Result<RegisteredRouter> second = RegisteredRouter::decode("r1", first.value().encode());
+    if (!second || second.value() != first.value())
+        std::abort();
+}
+
 } // namespace
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
@@ -57,7 +68,9 @@
     if (size == 0)
         return 0;
     const std::string text(reinterpret_cast<const char *>(data) + 1, size - 1);
-    if (data[0] % 3 == 0)
+    if (data[0] == 'r')
+        roundTripRouterRow(text);
+    else if (data[0] % 3 == 0)
         roundTripBeat(text);
     else if (data[0] % 3 == 1)
         readReplicaEntry(text);
--- a/src/Base/YamlSection.cpp
+++ b/src/Base/YamlSection.cpp
@@ -280,7 +280,9 @@
     if (v6)
         host = host.substr(1, host.size() - 2);
     in6_addr parsed{};
-    if (!port || *port == 0 || inet_pton(v6 ? AF_INET6 : AF_INET, host.c_str(), &parsed) != 1)
+    // inet_pton() stops at the first NUL and would not see what follows it.
+    if (!port || *port == 0 || host.find('\0') != std::string::npos
+        || inet_pton(v6 ? AF_INET6 : AF_INET, host.c_str(), &parsed) != 1)
         return std::nullopt;
     return Endpoint{.host = std::move(host), .port = *port};
 }
--- a/src/Control/RegisteredRouter.cpp
+++ b/src/Control/RegisteredRouter.cpp
@@ -1,6 +1,9 @@
 #include "Control/RegisteredRouter.h"
 
 #include "Base/Json.h"
+#include "Base/YamlSection.h"
+
+#include <cmath>
 
 namespace catkinloft {
 
@@ -24,7 +27,9 @@
                              .callerAddress = root.value()["caller"].asString(),
                              .peerAddress = root.value()["peer"].asString(),
                              .processorShare = root.value()["processor"].asDouble()};
-        if (out.callerAddress.empty() || out.peerAddress.empty())
+        const bool valid = parseEndpoint(out.callerAddress) && parseEndpoint(out.peerAddress)
+                && std::isfinite(out.processorShare) && out.processorShare > 0;
+        if (!valid)
             return malformed;
         return out;
     } catch (const Json::Exception &) {
--- a/src/Control/RegisteredRouter.h
+++ b/src/Control/RegisteredRouter.h
@@ -21,7 +21,8 @@
     /// \returns the value of its row; the name is the row's key.
     std::string encode() const;
 
-    /// \returns the router \a name whose row holds \a text; MalformedRequest where that is none.
+    /// \returns the router \a name whose row holds \a text; MalformedRequest where that names no
+    /// addresses to connect to or no share of a processor.
     static Result<RegisteredRouter> decode(std::string_view name, std::string_view text);
 };
 
--- a/test/FleetRegistrationTest.cpp
+++ b/test/FleetRegistrationTest.cpp
@@ -16,8 +16,8 @@
                     {.table = table,
                      .random = seededRandom(name.size()),
                      .self = {.name = name,
-                              .callerAddress = name + ":1",
-                              .peerAddress = name + ":2",
+                              .callerAddress = "10.0.0." + std::to_string(name.size()) + ":1",
+                              .peerAddress = "10.0.0." + std::to_string(name.size()) + ":2",
                               .processorShare = 0.12},
                      .onKey = [this](const SharedKey &it) { key = it.secret; },
                      .onRouters = [this](const std::vector<RegisteredRouter> &it) { others = it; }})
@@ -53,8 +53,8 @@
     CHECK(a.key == bb.key);
     REQUIRE(a.others.size() == 1);
     CHECK(a.others.front().name == "bb");
-    CHECK(a.others.front().callerAddress == "bb:1");
-    CHECK(a.others.front().peerAddress == "bb:2");
+    CHECK(a.others.front().callerAddress == "10.0.0.2:1");
+    CHECK(a.others.front().peerAddress == "10.0.0.2:2");
     CHECK(a.others.front().processorShare == 0.12);
 }
 
@@ -121,7 +121,11 @@
 {
     refresh(a);
     refresh(bb);
-    for (const char *it : {"", "no json", "[]", R"({"peer":7})", R"({"peer":["x"]})", "{}"})
+    for (const char *it : {"", "no json", "[]", R"({"peer":7})", R"({"peer":["x"]})", "{}",
+                           R"({"caller":"10.0.0.9:1","peer":"10.0.0.9:x","processor":1})",
+                           R"({"caller":"nowhere","peer":"10.0.0.9:2","processor":1})",
+                           R"({"caller":"10.0.0.9:1","peer":"10.0.0.9:2","processor":0})",
+                           R"({"caller":"10.0.0.9:1","peer":"10.0.0.9:2","processor":1e999})"})
         table.rows[std::string("fleet/router/") + it] = {
                 .key = std::string("fleet/router/") + it, .value = it, .version = 1};
     refresh(a);
--- a/test/YamlSectionTest.cpp
+++ b/test/YamlSectionTest.cpp
@@ -62,4 +62,5 @@
     CHECK(parseEndpoint("[::1]:80")->host == "::1");
     for (const char *it : {"", "80", "host:80", "127.0.0.1:0", "127.0.0.1:99999", "::1:80"})
         CHECK_FALSE(parseEndpoint(it));
+    CHECK_FALSE(parseEndpoint(std::string_view("127.0.0.1\0x:80", 14)));
 }
