--- a/src/Control/FleetView.h
+++ b/src/Control/FleetView.h
@@ -111,9 +111,11 @@
     /// small request each, and one a second from every router is a twentieth of all that is earned.
     /// Two read, so that one may stop; where both are lost, each router reads for itself until
     /// others have taken over. They are the strongest VMs, and the same for all who have heard
-    /// every router or the store's rows; disagreement costs some reads more. \param self this
-    /// router. \returns names, at most ReaderCount; a router that can't reach the store is not
-    /// among them.
+    /// every router or the store's rows; disagreement costs some reads more.
+    ///
+    /// \param self this router.
+    ///
+    /// \returns names, at most ReaderCount; a router that can't reach the store is not among them.
     std::vector<std::string> readers(const Reader &self) const;
 
     /// \returns the peer named \a name if it is live.
--- a/src/Control/StoreReadPlan.h
+++ b/src/Control/StoreReadPlan.h
@@ -37,8 +37,13 @@
     /// \returns whether to call the store now.
     bool isDue(const State &state) const;
 
+    /// \brief Notes that the store is being called.
     void began();
+
+    /// \brief Notes that the call brought what was asked for.
     void answered();
+
+    /// \brief Notes that the call was refused or not answered.
     void failed();
 
     /// \brief Notes an answer that there is nothing yet: it is asked again after a reader's pause.
