A stream with a hole is never passed on as a whole answer

Cause: EntryCall::relay left out every event at or below the last delivered one, as if it were the known beginning of a resumed stream, and took any higher one. On a connection that brought 1, 5, 2, 3, 4, 6 it dropped 2, 3, 4 without a log line. What a resumed stream may repeat ends at the event that it was asked to go on from; an id that falls within one connection is never a repetition.

Fix: EventOrder (no sockets) knows connections. A falling id ends the attempt and the answer is cut; it is not resumed, since what the caller lacks can't be sent behind a later event. Streams may still number with steps.

StreamRelay is not concerned: its ids are consecutive and a gap is resumed. Not detected: events lost within one connection whose ids only jump, which the protocol allows.

--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -104,6 +104,8 @@
                        .detail = "this router is shutting down",
                        .retryAfter = 10ms});
     }
+    if (isStreaming() && m_request.route->resumable)
+        m_events = EventOrder(m_request.facts.lastEventId);
     m_deadline = m_request.deadline();
     m_deadlineTimer.start(std::max<Duration>(1ms, m_deadline - m_context.loop.now()));
     pickService();
@@ -201,6 +203,7 @@
     m_answer = {};
     m_body.clear();
     m_reader.reset();
+    m_events.connected();
     m_relaying = false;
     m_heardEvent = false;
     m_attempting = true;
@@ -240,7 +243,7 @@
                                                            .replica = m_replica,
                                                            .copyPromptFrom = copyFrom,
                                                            .remaining = remaining(),
-                                                           .lastEventId = m_lastEvent}),
+                                                           .lastEventId = m_events.last()}),
                  .body = std::string(m_exchange->body()),
                  .timeout =
                          m_deadline - m_context.loop.now() + 1s, // The call's own timer is first.
@@ -359,11 +362,22 @@
 
 void EntryCall::relay(const SseEvent &event)
 {
-    if (event.id) {
-        // A resumed stream may begin with events that the caller has.
-        if (m_lastEvent && *event.id <= *m_lastEvent)
-            return;
-        m_lastEvent = event.id;
+    if (!m_relaying)
+        return; // An event before it has ended the attempt.
+    const std::optional<std::int64_t> last = m_events.last();
+    switch (m_events.take(event.id)) {
+    case EventOrder::Step::Deliver:
+        break;
+    case EventOrder::Step::Skip:
+        return;
+    case EventOrder::Step::Gap:
+        return failLater(Reason::UpstreamBroken,
+                         fmt::format("the stream was to go on behind event {} and began with {}",
+                                     *last, *event.id));
+    case EventOrder::Step::Disorder:
+        return failLater(Reason::UpstreamBroken,
+                         fmt::format("event {} came after a later one; the last delivered is {}",
+                                     *event.id, *last));
     }
     m_exchange->write(event.text);
     if (m_call && m_exchange->backlog() > m_context.settings.maxStreamBuffer)
@@ -503,7 +517,9 @@
         if (m_sendings.wasUnreachable(m_incarnation))
             return attempt();
     }
-    const bool safe = error.verdict == Verdict::NotRun || m_request.route->isIdempotent();
+    // What the caller lacks can't be sent any more once it has a later event.
+    const bool safe = (error.verdict == Verdict::NotRun || m_request.route->isIdempotent())
+            && !m_events.isBroken();
     if (!unreached && safe && mayRepeat(error.verdict))
         return attempt();
     Error last = error;
--- a/src/Net/EntryCall.h
+++ b/src/Net/EntryCall.h
@@ -10,6 +10,7 @@
 #include "Net/Timer.h"
 #include "Net/WireCodec.h"
 #include "Request/EntryFilters.h"
+#include "Request/EventOrder.h"
 #include "Request/Sendings.h"
 #include "Request/SseReader.h"
 
@@ -134,7 +135,7 @@
     AnswerFacts m_answer;
     std::string m_body;
     SseReader m_reader;
-    std::optional<std::int64_t> m_lastEvent;
+    EventOrder m_events;
     bool m_relaying = false; ///< This attempt's events go to the caller.
     bool m_begun = false; ///< The caller has got the head of the answer.
     bool m_finished = false;
--- a/test/EntryRequestTest.cpp
+++ b/test/EntryRequestTest.cpp
@@ -468,6 +468,72 @@
     CHECK(sent() == 1);
 }
 
+// Guards against a stream whose hole is passed on as a whole answer.
+TEST_CASE_FIXTURE(EntryGatewayFixture, "entryRequest_eventsOfAStreamOutOfOrder_isVisiblyCut")
+{
+    addReplica([](const std::string &request, std::size_t) -> Reply {
+        return {.bytes = ScriptedReplica::streamHead(request) + ScriptedReplica::events(1, 1)
+                        + ScriptedReplica::events(5, 5) + ScriptedReplica::events(2, 4)
+                        + ScriptedReplica::events(6, 6) + ScriptedReplica::streamEnd()};
+    });
+    addReplica(ok);
+    records[1].draining = true;
+    pools.setReplicas(records);
+    for (const char *path : {"/whole/", "/stream/"}) {
+        CAPTURE(path);
+        events.clear();
+        const std::size_t before = sent();
+        RawCaller caller(Port);
+        const std::string answer = call(caller, get(path), "nothing ever");
+        CHECK(closed);
+        CHECK(answer.find("e6") == answer.npos);
+        CHECK_FALSE(answer.ends_with("0\r\n\r\n"));
+        CHECK(sent() == before + 1);
+        REQUIRE(kinds(events) == "request_sent attempt_failed request_broken_off ");
+        CHECK(events[1].detail == "event 2 came after a later one; the last delivered is 5");
+    }
+}
+
+// Guards against a hole between two connections: the replica goes on behind another event.
+TEST_CASE_FIXTURE(EntryGatewayFixture, "entryRequest_resumedBehindTheWrongEvent_isNeverWhole")
+{
+    int skipped = 1;
+    const auto script = [&skipped](const std::string &request, std::size_t) -> Reply {
+        const std::string last = ScriptedReplica::headerOf(request, "Last-Event-Id");
+        const std::string head = ScriptedReplica::streamHead(request);
+        if (last.empty())
+            return {.bytes = head + ScriptedReplica::events(1, 3), .end = End::Reset};
+        const int from = std::stoi(last) + 1 + skipped;
+        return {.bytes = head + ScriptedReplica::events(from, 6) + ScriptedReplica::streamEnd()};
+    };
+    addReplica(script);
+    addReplica(script);
+    RawCaller caller(Port);
+    const std::string answer = call(caller, get("/stream/"), "nothing ever");
+    CHECK(closed);
+    CHECK(answer.find("e3") != answer.npos);
+    CHECK(answer.find("e5") == answer.npos);
+    CHECK_FALSE(answer.ends_with("0\r\n\r\n"));
+    skipped = 0;
+    RawCaller again(Port);
+    CHECK(call(again, get("/stream/"), "0\r\n\r\n").find("e4") != answer.npos);
+}
+
+// Guards against events that come twice where the caller itself resumes its stream.
+TEST_CASE_FIXTURE(EntryGatewayFixture, "entryRequest_callerResumes_getsNoEventThatItHas")
+{
+    addReplica([](const std::string &request, std::size_t) -> Reply {
+        return {.bytes = ScriptedReplica::streamHead(request) + ScriptedReplica::events(2, 5)
+                        + ScriptedReplica::streamEnd()};
+    });
+    RawCaller caller(Port);
+    const std::string answer = call(caller, get("/stream/", "Last-Event-Id: 3\r\n"), "0\r\n\r\n");
+    CHECK(ScriptedReplica::headerOf(replicas[0]->requests()[0], "Last-Event-Id") == "3");
+    CHECK(answer.find("e3") == answer.npos);
+    CHECK(answer.find("e4") != answer.npos);
+    CHECK(answer.find("e5") != answer.npos);
+}
+
 TEST_CASE_FIXTURE(EntryGatewayFixture, "entryRequest_stalledResumableStream_goesOnElsewhere")
 {
     const auto script = [](const std::string &request, std::size_t) -> Reply {
--- a/test/StreamResumeTest.cpp
+++ b/test/StreamResumeTest.cpp
@@ -1,3 +1,4 @@
+#include "Request/EventOrder.h"
 #include "Request/ResumeToken.h"
 #include "Request/StreamCursor.h"
 
@@ -38,8 +39,89 @@
     bool ended = false;
 };
 
+using Step = EventOrder::Step;
+
+/// \returns what \a order says of events \a ids of the connection at hand.
+std::vector<Step> take(EventOrder &order, const std::vector<std::int64_t> &ids)
+{
+    std::vector<Step> out;
+    for (const std::int64_t it : ids)
+        out.push_back(order.take(it));
+    return out;
+}
+
 } // namespace
 
+TEST_CASE("eventOrder_idsIncreaseBySteps_areDelivered")
+{
+    EventOrder order;
+    CHECK(take(order, {1, 2, 5, 20}) == std::vector(4, Step::Deliver));
+    CHECK(order.last() == 20);
+    CHECK(order.take(std::nullopt) == Step::Deliver);
+    CHECK(!order.isBroken());
+}
+
+// Guards against a stream with a hole that ends as a complete one.
+TEST_CASE("eventOrder_idFallsWithinOneConnection_isDisorder")
+{
+    EventOrder order;
+    CHECK(take(order, {1, 5, 2}) == std::vector{Step::Deliver, Step::Deliver, Step::Disorder});
+    CHECK(order.isBroken());
+    EventOrder repeated;
+    CHECK(take(repeated, {1, 2, 2}) == std::vector{Step::Deliver, Step::Deliver, Step::Disorder});
+}
+
+TEST_CASE("eventOrder_resumedStreamRepeatsKnownEvents_skipsThem")
+{
+    EventOrder order;
+    take(order, {1, 2, 3});
+    order.connected();
+    CHECK(take(order, {2, 3, 4}) == std::vector{Step::Skip, Step::Skip, Step::Deliver});
+    CHECK(take(order, {3}) == std::vector{Step::Disorder});
+    CHECK(order.isBroken());
+}
+
+TEST_CASE("eventOrder_repeatedEventsOutOfOrder_leaveTheCallersPartWhole")
+{
+    EventOrder order;
+    take(order, {1, 2, 3});
+    order.connected();
+    CHECK(take(order, {3, 2}) == std::vector{Step::Skip, Step::Disorder});
+    CHECK(!order.isBroken());
+    CHECK(order.last() == 3);
+}
+
+TEST_CASE("eventOrder_resumedBehindTheWrongEvent_isAGap")
+{
+    EventOrder order;
+    take(order, {1, 2, 3});
+    order.connected();
+    CHECK(order.take(5) == Step::Gap);
+    CHECK(order.last() == 3);
+    order.connected();
+    CHECK(order.take(4) == Step::Deliver);
+}
+
+TEST_CASE("eventOrder_idsWithSteps_mayGoOnWithAnyLaterOne")
+{
+    EventOrder order;
+    take(order, {10, 20});
+    order.connected();
+    CHECK(order.take(35) == Step::Deliver);
+    EventOrder repeating;
+    take(repeating, {1, 2});
+    repeating.connected();
+    CHECK(take(repeating, {2, 4}) == std::vector{Step::Skip, Step::Deliver});
+}
+
+TEST_CASE("eventOrder_callerResumes_repeatedEventsAreSkipped")
+{
+    EventOrder order(12);
+    CHECK(take(order, {11, 12, 13}) == std::vector{Step::Skip, Step::Skip, Step::Deliver});
+    EventOrder later(12);
+    CHECK(later.take(15) == Step::Deliver); // Only the caller knows what it had before.
+}
+
 TEST_CASE("sseReader_everyCutOfAStream_bringsTheSameEvents")
 {
     const std::string whole = streamOf(0, 3) + "data: [DONE]\n\n";
