The fault proxy keeps the order of a connection's bytes

Cause: TcpLink::pass gave each held piece a timer of its own. Two that are read within the resolution of the loop's clock (CLOCK_MONOTONIC_COARSE, 4 ms) fire in either order, and what is read after a delay was lifted overtook what was held. The end of a connection had the same timer, with 50 ms on top, after which bytes that were not written yet were lost, and it was told even where the link had gone silent meanwhile.

Fix: a DelayLine for each way. A piece, or the end, is never due before the one in front of it; one timer releases what is due. The end is passed on once all bytes have been written. DelayLine knows no sockets and is tested under a paused clock.

--- a/standin/TcpLink.cpp
+++ b/standin/TcpLink.cpp
@@ -27,10 +27,18 @@
 TcpLink::TcpLink(Options options, int fd)
     : m_options(std::move(options)),
       m_client(bufferevent_socket_new(m_options.loop.base(), fd, BEV_OPT_CLOSE_ON_FREE)),
-      m_server(bufferevent_socket_new(m_options.loop.base(), -1, BEV_OPT_CLOSE_ON_FREE))
+      m_server(bufferevent_socket_new(m_options.loop.base(), -1, BEV_OPT_CLOSE_ON_FREE)),
+      m_toServer{.from = m_client,
+                 .to = m_server,
+                 .line = DelayLine(m_options.loop),
+                 .timer = Timer(m_options.loop, [this] { releaseDue(m_toServer); })},
+      m_toClient{.from = m_server,
+                 .to = m_client,
+                 .line = DelayLine(m_options.loop),
+                 .timer = Timer(m_options.loop, [this] { releaseDue(m_toClient); })}
 {
     for (bufferevent *it : {m_client, m_server}) {
-        bufferevent_setcb(it, &TcpLink::onRead, nullptr, &TcpLink::onEvent, this);
+        bufferevent_setcb(it, &TcpLink::onRead, &TcpLink::onWritten, &TcpLink::onEvent, this);
         bufferevent_enable(it, EV_READ | EV_WRITE);
         throttle(it, m_options.faults.throttle);
     }
@@ -65,55 +73,61 @@
 
 void TcpLink::onRead(bufferevent *from, void *arg)
 {
-    static_cast<TcpLink *>(arg)->pass(from);
+    auto *self = static_cast<TcpLink *>(arg);
+    self->pass(self->wayFrom(from));
+}
+
+void TcpLink::onWritten(bufferevent *to, void *arg)
+{
+    auto *self = static_cast<TcpLink *>(arg);
+    self->cutOnceWritten(self->wayTo(to));
 }
 
 void TcpLink::onEvent(bufferevent *from, short what, void *arg)
 {
     auto *self = static_cast<TcpLink *>(arg);
-    if ((what & BEV_EVENT_CONNECTED) == 0 && !self->m_silent)
-        self->ended(from);
+    if ((what & BEV_EVENT_CONNECTED) != 0 || self->m_silent)
+        return;
+    Way &way = self->wayFrom(from);
+    way.line.end(self->m_options.faults.delay);
+    self->releaseDue(way);
 }
 
-void TcpLink::pass(bufferevent *from)
+void TcpLink::pass(Way &way)
 {
-    evbuffer *in = bufferevent_get_input(from);
-    if (m_cut) {
-        evbuffer_drain(in, evbuffer_get_length(in));
+    evbuffer *in = bufferevent_get_input(way.from);
+    const std::size_t n = evbuffer_get_length(in);
+    std::string bytes(n, '\0');
+    evbuffer_remove(in, bytes.data(), n);
+    if (m_cut)
         return;
-    }
-    if (from == m_server && m_options.faults.loseAnswers > 0) {
+    if (way.from == m_server && m_options.faults.loseAnswers > 0) {
         --m_options.faults.loseAnswers;
         cut();
         return;
     }
-    if (m_options.faults.delay <= Duration::zero()) {
-        bufferevent_write_buffer(other(from), in);
-        return;
+    way.line.add(std::move(bytes), m_options.faults.delay);
+    releaseDue(way);
+}
+
+void TcpLink::releaseDue(Way &way)
+{
+    for (const DelayLine::Piece &it : way.line.takeDue()) {
+        if (m_silent || m_cut)
+            return;
+        bufferevent_write(way.to, it.bytes.data(), it.bytes.size());
+        way.ended = it.isEnd;
     }
-    const auto held = std::shared_ptr<evbuffer>(evbuffer_new(), &evbuffer_free);
-    evbuffer_add_buffer(held.get(), in);
-    m_options.loop.after(m_options.faults.delay,
-                         [this, held, from, alive = std::weak_ptr(m_alive)] {
-                             if (!alive.expired() && !m_silent)
-                                 bufferevent_write_buffer(other(from), held.get());
-                         });
+    cutOnceWritten(way);
+    if (const auto due = way.line.nextDue())
+        way.timer.start(*due - m_options.loop.now());
 }
 
-void TcpLink::ended(bufferevent *from)
+void TcpLink::cutOnceWritten(const Way &way)
 {
     // What was read before the end still has to reach the other side.
-    evbuffer *rest = bufferevent_get_output(other(from));
-    if (m_options.faults.delay > Duration::zero() || evbuffer_get_length(rest) > 0) {
-        constexpr Duration Flush = std::chrono::milliseconds(50);
-        m_options.loop.after(m_options.faults.delay + Flush,
-                             [this, alive = std::weak_ptr(m_alive)] {
-                                 if (!alive.expired())
-                                     cut();
-                             });
-        return;
-    }
-    cut();
+    if (way.ended && evbuffer_get_length(bufferevent_get_output(way.to)) == 0)
+        cut();
 }
 
 } // namespace catkinloft::standin
--- a/standin/TcpLink.h
+++ b/standin/TcpLink.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "DelayLine.h"
 #include "LinkFaults.h"
 #include "Net/EventLoop.h"
+#include "Net/Timer.h"
 
 #include <functional>
 #include <memory>
@@ -36,15 +38,30 @@
     void cut();
 
 private:
+    /// \brief One way through the link.
+    struct Way
+    {
+        bufferevent *from;
+        bufferevent *to;
+        DelayLine line;
+        Timer timer;
+        bool ended = false; ///< The sender closed, and all that it sent has been written.
+    };
+
     static void onRead(bufferevent *from, void *arg);
+    static void onWritten(bufferevent *to, void *arg);
     static void onEvent(bufferevent *from, short what, void *arg);
-    void pass(bufferevent *from);
-    void ended(bufferevent *from);
-    bufferevent *other(bufferevent *it) const { return it == m_client ? m_server : m_client; }
+    void pass(Way &way);
+    void releaseDue(Way &way);
+    void cutOnceWritten(const Way &way);
+    Way &wayFrom(bufferevent *it) { return it == m_client ? m_toServer : m_toClient; }
+    Way &wayTo(bufferevent *it) { return it == m_client ? m_toClient : m_toServer; }
 
     Options m_options;
     bufferevent *m_client;
     bufferevent *m_server;
+    Way m_toServer;
+    Way m_toClient;
     bool m_silent = false;
     bool m_cut = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/test/integration/StandinTest.cpp
+++ b/test/integration/StandinTest.cpp
@@ -1,9 +1,12 @@
+#include "Base/ManualClock.h"
+#include "DelayLine.h"
 #include "Net/EventLoop.h"
 #include "fleet/Fleet.h"
 #include "fleet/PortAllocator.h"
 
 #include <doctest/doctest.h>
 
+#include <thread>
 #include <utility>
 
 #include <fmt/format.h>
@@ -74,6 +77,22 @@
     std::unique_ptr<ChildProcess> proxy;
 };
 
+/// One way of a connection under a paused clock.
+struct DelayLineFixture
+{
+    /// \returns what leaves now, a bar behind each piece and "end" for the end.
+    std::string due()
+    {
+        std::string out;
+        for (const standin::DelayLine::Piece &it : line.takeDue())
+            out += it.isEnd ? "end" : it.bytes + "|";
+        return out;
+    }
+
+    ManualClock clock;
+    standin::DelayLine line{clock};
+};
+
 constexpr const char *Chat = R"({"model":"m","stream":true,"max_tokens":6,)"
                              R"("messages":[{"role":"user","content":"op-1"}]})";
 
@@ -251,3 +270,62 @@
     fault(R"({"clear":true})");
     CHECK(text("GET", "/x").starts_with("200"));
 }
+
+TEST_CASE_FIXTURE(DelayLineFixture, "delayLine_piecesOfOneMoment_leaveInTheirOrder")
+{
+    for (const char *it : {"a", "b", "c", "d"})
+        line.add(it, 120ms);
+    CHECK(due().empty());
+    clock.advance(120ms);
+    CHECK(due() == "a|b|c|d|");
+    CHECK(!line.nextDue());
+}
+
+TEST_CASE_FIXTURE(DelayLineFixture, "delayLine_delayLifted_laterBytesAndTheEndWaitBehindHeldOnes")
+{
+    line.add("a", 120ms);
+    clock.advance(50ms);
+    line.add("b", 0ms);
+    line.end(0ms);
+    CHECK(due().empty());
+    clock.advance(70ms);
+    CHECK(due() == "a|b|end");
+    line.add("c", 0ms);
+    CHECK(due() == "c|");
+}
+
+// Guards against a proxy that changes the order of a connection's bytes, which no network does.
+TEST_CASE_FIXTURE(StandinFixture, "proxy_delayComesAndGoes_keepsTheOrderOfBytes")
+{
+    constexpr int Tokens = 400;
+    start("engine", {"--token_ms=1"});
+    startProxy();
+    EventLoop loop;
+    HttpClient client(loop);
+    std::string body;
+    bool ended = false;
+    const HttpCallPtr call =
+            client.send({.address = address,
+                         .method = "POST",
+                         .target = "/v1/chat/completions",
+                         .headers = {{"X-Request-Id", "r1"}},
+                         .body = fmt::format(R"({{"model":"m","stream":true,"max_tokens":{},)"
+                                             R"("messages":[{{"role":"user","content":"op-1"}}]}})",
+                                             Tokens),
+                         .timeout = 20s},
+                        {.onHead = {},
+                         .onData = [&](std::string_view data) { body += data; },
+                         .onEnd = [&](const Result<void> &) { ended = true; }});
+    for (int turn = 0; turn < 15'000 && !ended; ++turn) {
+        if (turn % 100 == 50)
+            fault(turn % 200 == 50 ? R"({"delay_ms":40})" : R"({"delay_ms":0})");
+        loop.runOnce();
+        std::this_thread::sleep_for(1ms);
+    }
+    CHECK(ended);
+    CHECK(contains(body, "data: [DONE]"));
+    std::size_t at = 0;
+    for (int i = 0; i < Tokens && at != std::string::npos; ++i)
+        at = body.find(fmt::format("id: {}\n", i), at);
+    CHECK(at != std::string::npos);
+}
