Callbacks of the event loop run in the order in which they are due

What was seen: nothing by callers. Found while looking for the reordering of the fault proxy elsewhere: its cause, a timer each, is EventLoop::after itself.

Cause: event_base_once by CLOCK_MONOTONIC_COARSE, in a heap that is not stable: callbacks that are due within one tick run in any order. post() is not concerned; its order is now stated and tested, since EntryCall::failLater and the end of an HTTP call rely on it.

Users of after() in the product are the pauses of ConfigKeeper; in the rig the stand-ins' answers, UdpRelay and the faults of the soak, where the end of a fault could run before its beginning.

Fix: the callback that is due runs behind those that were due before it.

--- a/src/Net/EventLoop.cpp
+++ b/src/Net/EventLoop.cpp
@@ -2,6 +2,7 @@
 
 #include "Net/internal/Timeval.h"
 
+#include <cstdint>
 #include <ctime>
 #include <map>
 #include <utility>
@@ -20,17 +21,34 @@
     };
 
     event_base *base = event_base_new();
+    using ShotKey = std::pair<TimePoint, std::uint64_t>; ///< When it is due, and its number.
+
     struct OneShot
     {
         Private *owner;
-        Callback callback;
+        ShotKey key;
+        Callback callback; ///< Empty once it has run.
     };
 
     std::vector<std::unique_ptr<Signal>> signals;
-    std::map<OneShot *, std::unique_ptr<OneShot>> shots;
+    std::map<ShotKey, std::unique_ptr<OneShot>> shots;
+    std::uint64_t lastShot = 0;
     std::vector<Callback> posted;
     event *wake = nullptr;
 
+    /// Timers of libevent that are due within one tick of its clock fire in any order.
+    void runUpTo(const ShotKey &key)
+    {
+        std::vector<Callback> batch;
+        for (auto it = shots.begin(); it != shots.end() && it->first <= key; ++it) {
+            if (it->second->callback)
+                batch.push_back(std::exchange(it->second->callback, nullptr));
+        }
+        shots.erase(key);
+        for (const Callback &it : batch)
+            it();
+    }
+
     void runPosted()
     {
         // Callbacks may post more; those wait for the next turn so that sockets get theirs.
@@ -100,18 +118,18 @@
 void EventLoop::after(Duration delay, Callback callback)
 {
     const timeval tv = internal::toTimeval(delay);
-    auto shot =
-            std::make_unique<Private::OneShot>(Private::OneShot{m_d.get(), std::move(callback)});
-    Private::OneShot *key = shot.get();
+    const Private::ShotKey key{now() + delay, ++m_d->lastShot};
+    auto shot = std::make_unique<Private::OneShot>(
+            Private::OneShot{m_d.get(), key, std::move(callback)});
+    Private::OneShot *waiting = shot.get();
     m_d->shots.emplace(key, std::move(shot));
     event_base_once(
             m_d->base, -1, EV_TIMEOUT,
             [](evutil_socket_t, short, void *arg) {
-                auto *it = static_cast<Private::OneShot *>(arg);
-                const auto owned = std::move(it->owner->shots.extract(it).mapped());
-                owned->callback();
+                const auto *it = static_cast<Private::OneShot *>(arg);
+                it->owner->runUpTo(Private::ShotKey(it->key));
             },
-            key, &tv);
+            waiting, &tv);
 }
 
 void EventLoop::onSignal(int number, Callback callback)
--- a/src/Net/EventLoop.h
+++ b/src/Net/EventLoop.h
@@ -34,10 +34,11 @@
     void runOnce();
 
     /// \brief Queues \a callback behind the events at hand, so that it runs outside of the
-    /// caller's stack.
+    /// caller's stack. Callbacks run in the order in which they were queued.
     void post(Callback callback);
 
-    /// \brief Calls \a callback once after \a delay.
+    /// \brief Calls \a callback once after \a delay. Callbacks run in the order in which they are
+    /// due; of those with the same delay, the one that was given first runs first.
     void after(Duration delay, Callback callback);
 
     /// \brief Calls \a callback when the process receives signal \a number.
--- /dev/null
+++ b/test/EventLoopTest.cpp
@@ -0,0 +1,77 @@
+#include "Net/EventLoop.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <memory>
+#include <vector>
+
+#include <unistd.h>
+
+using namespace catkinloft;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A loop and what its callbacks noted, in the order in which they ran.
+struct EventLoopFixture
+{
+    void runUntil(std::size_t n)
+    {
+        for (int i = 0; i < 5000 && ran.size() < n; ++i) {
+            loop.runOnce();
+            usleep(500);
+        }
+        REQUIRE(ran.size() == n);
+    }
+
+    EventLoop loop;
+    std::vector<int> ran;
+};
+
+} // namespace
+
+// Guards against callbacks of one clock tick that run in any order.
+TEST_CASE_FIXTURE(EventLoopFixture, "eventLoop_callbacksOfOneDelay_runInTheirOrder")
+{
+    constexpr int N = 300;
+    for (int i = 0; i < N; ++i)
+        loop.after(2ms, [this, i] { ran.push_back(i); });
+    runUntil(N);
+    CHECK(std::is_sorted(ran.begin(), ran.end()));
+}
+
+TEST_CASE_FIXTURE(EventLoopFixture, "eventLoop_shorterDelayGivenLater_runsFirst")
+{
+    loop.after(30ms, [this] { ran.push_back(2); });
+    loop.after(1ms, [this] {
+        ran.push_back(1);
+        loop.after(60ms, [this] { ran.push_back(3); });
+    });
+    runUntil(3);
+    CHECK(ran == std::vector{1, 2, 3});
+}
+
+TEST_CASE_FIXTURE(EventLoopFixture, "eventLoop_postedCallbacks_runInTheirOrder")
+{
+    for (int i = 0; i < 3; ++i) {
+        loop.post([this, i] {
+            ran.push_back(i);
+            loop.post([this, i] { ran.push_back(i + 3); });
+        });
+    }
+    runUntil(6);
+    CHECK(std::is_sorted(ran.begin(), ran.end()));
+}
+
+TEST_CASE("eventLoop_destroyedWithCallbacksWaiting_dropsThem")
+{
+    const auto held = std::make_shared<int>(1);
+    {
+        EventLoop loop;
+        loop.after(1h, [held] {});
+        loop.post([held] {});
+        CHECK(held.use_count() == 3);
+    }
+    CHECK(held.use_count() == 1);
+}
