The soak says what a caller had, and keeps the logs of each play

Change: a broken promise of one request names its route, the time, status, signature and body that the caller had, and where it ran or was resumed. Logs go to a folder of their own for each play. The checks are as they were.

Test: soakCheck_wrongAnswer_lineSaysWhatTheCallerHadAndWhereItRan.

--- a/soak/SoakCheck.cpp
+++ b/soak/SoakCheck.cpp
@@ -1,5 +1,6 @@
 #include "SoakCheck.h"
 
+#include "Base/Log.h"
 #include "ReplicaStandin.h"
 
 #include <set>
@@ -19,6 +20,7 @@
 constexpr Duration DrainLimit = 2s + 200ms;
 
 constexpr std::size_t MaxLines = 20;
+constexpr std::size_t MaxBody = 400; ///< Bytes of an answer that are printed.
 
 bool isOnce(const std::string &route)
 {
@@ -52,6 +54,23 @@
             && it.signature == standin::ReplicaStandin::signatureOf(id, it.body);
 }
 
+/// \returns what the caller of \a id had and where it ran, for whoever looks for the cause.
+std::string describe(const std::string &id, const Attempt &attempt,
+                     const std::vector<Json::Value> &executions)
+{
+    const auto sentAt = attempt.sentAt.time_since_epoch() / 1ms;
+    std::string out =
+            fmt::format("route {}, sent at {} ms, status {}, signature {}, body {}", attempt.route,
+                        sentAt, attempt.status, jsonQuoted(attempt.signature),
+                        jsonQuoted(attempt.body.substr(0, MaxBody)));
+    for (const Json::Value &it : executions) {
+        if (it["id"].asString() == id)
+            out += fmt::format(", {} at {} {} ms later", it["resumed"].asBool() ? "resumed" : "ran",
+                               it["replica"].asString(), it["at_ms"].asInt64() - sentAt);
+    }
+    return out;
+}
+
 } // namespace
 
 std::vector<std::string> brokenPromises(const std::map<std::string, Attempt> &attempts,
@@ -90,15 +109,19 @@
     for (const auto &[id, it] : attempts) {
         const int n = runs.contains(id) ? runs.at(id) : 0;
         if (isOnce(it.route) && n > 1)
-            broken(fmt::format("{} ({}) ran {} times", id, it.route, n));
+            broken(fmt::format("{} ran {} times ({})", id, n, describe(id, it, executions)));
         if (n > 0 && ranAt.at(id).size() > 2)
-            broken(fmt::format("{} ran on {} replicas", id, ranAt.at(id).size()));
+            broken(fmt::format("{} ran on {} replicas ({})", id, ranAt.at(id).size(),
+                               describe(id, it, executions)));
         if (isOnce(it.route) && promisesNotRun(it.status) && n > 0)
-            broken(fmt::format("{} was answered {} and ran", id, it.status));
+            broken(fmt::format("{} was answered {} and ran ({})", id, it.status,
+                               describe(id, it, executions)));
         if (it.status == 200 && !isRightAnswer(id, it))
-            broken(fmt::format("{} got another answer than its own, or part of it", id));
+            broken(fmt::format("{} got another answer than its own, or part of it ({})", id,
+                               describe(id, it, executions)));
         if (it.status == 200 && n == 0)
-            broken(fmt::format("{} was answered and did not run", id));
+            broken(fmt::format("{} was answered and did not run ({})", id,
+                               describe(id, it, executions)));
     }
     return out;
 }
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -21,6 +21,15 @@
 
 constexpr int Probes = 12; ///< Requests to each router at the end, of which most must be served.
 
+/// \returns a folder in \a parent for the logs of \a seed, apart from those of its earlier plays.
+std::filesystem::path unusedFolder(const std::filesystem::path &parent, std::uint64_t seed)
+{
+    std::filesystem::path out = parent / fmt::format("seed-{}", seed);
+    for (int n = 2; std::filesystem::exists(out); ++n)
+        out = parent / fmt::format("seed-{}-{}", seed, n);
+    return out;
+}
+
 bool disturbsControl(FaultKind kind)
 {
     return kind <= FaultKind::StorePathSilent;
@@ -248,16 +257,14 @@
 {
     if (m_options.keepFolder.empty())
         return;
-    const std::filesystem::path to =
-            std::filesystem::path(m_options.keepFolder) / fmt::format("seed-{}", m_options.seed);
+    const std::filesystem::path to = unusedFolder(m_options.keepFolder, m_options.seed);
     std::error_code ec;
     std::filesystem::create_directories(to, ec);
-    std::filesystem::copy(m_fleet.folder(), to,
-                          std::filesystem::copy_options::recursive
-                                  | std::filesystem::copy_options::overwrite_existing,
-                          ec);
+    std::filesystem::copy(m_fleet.folder(), to, std::filesystem::copy_options::recursive, ec);
     if (ec)
         fmt::print(stderr, "logs of seed {} were not kept: {}\n", m_options.seed, ec.message());
+    else
+        fmt::print("  logs are in {}\n", to.string());
 }
 
 } // namespace catkinloft::soak
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -10,7 +10,8 @@
 
 DEFINE_uint64(seed, 1, "seed of the first run");
 DEFINE_uint64(runs, 1, "how many runs, each with the next seed");
-DEFINE_string(seeds, "", "file with a seed in front of each line, played before the others");
+DEFINE_string(seeds, "",
+              "file with SEED or SEED@SECONDS in front of each line, played before the others");
 DEFINE_double(seconds, 10, "while faults begin, in each run");
 DEFINE_uint64(routers, 4, "routers");
 DEFINE_uint64(replicas, 3, "replicas of each of the two services");
@@ -20,35 +21,45 @@
 
 namespace {
 
-std::vector<std::uint64_t> seedsToPlay()
+struct Play
 {
-    std::vector<std::uint64_t> out;
+    std::uint64_t seed = 1;
+    Duration length = {}; ///< While faults begin.
+};
+
+std::vector<Play> plays()
+{
+    std::vector<Play> out;
     std::ifstream file(FLAGS_seeds);
     for (std::string line; std::getline(file, line);) {
-        if (!line.empty() && line.front() != '#')
-            out.push_back(std::strtoull(line.c_str(), nullptr, 10));
+        if (line.empty() || line.front() == '#')
+            continue;
+        char *end = nullptr;
+        const std::uint64_t seed = std::strtoull(line.c_str(), &end, 10);
+        const double seconds = *end == '@' ? std::strtod(end + 1, nullptr) : FLAGS_seconds;
+        out.push_back({.seed = seed, .length = fromSeconds(seconds)});
     }
     for (std::uint64_t i = 0; i < FLAGS_runs; ++i)
-        out.push_back(FLAGS_seed + i);
+        out.push_back({.seed = FLAGS_seed + i, .length = fromSeconds(FLAGS_seconds)});
     return out;
 }
 
-bool play(std::uint64_t seed, const std::string &binaries)
+bool play(const Play &it, const std::string &binaries)
 {
     SoakRun run({.binaries = binaries,
-                 .seed = seed,
-                 .length = fromSeconds(FLAGS_seconds),
+                 .seed = it.seed,
+                 .length = it.length,
                  .routers = FLAGS_routers,
                  .replicas = FLAGS_replicas,
                  .keepFolder = FLAGS_keep});
     const SoakRun::Outcome outcome = run.run();
     std::string faults;
-    for (const Fault &it : outcome.faults)
-        faults += fmt::format(" {}@{:.1f}s", faultName(it.kind), toSeconds(it.at));
-    fmt::print("seed {}: {} requests, {} answered, {} broken;{}\n", seed, outcome.requests,
+    for (const Fault &fault : outcome.faults)
+        faults += fmt::format(" {}@{:.1f}s", faultName(fault.kind), toSeconds(fault.at));
+    fmt::print("seed {}: {} requests, {} answered, {} broken;{}\n", it.seed, outcome.requests,
                outcome.answered, outcome.broken.size(), faults);
-    for (const std::string &it : outcome.broken)
-        fmt::print("  broken: {}\n", it);
+    for (const std::string &line : outcome.broken)
+        fmt::print("  broken: {}\n", line);
     std::fflush(stdout);
     return outcome.broken.empty();
 }
@@ -67,8 +78,8 @@
             std::filesystem::canonical("/proc/self/exe").parent_path().string();
     std::size_t passed = 0;
     std::size_t failed = 0;
-    for (const std::uint64_t seed : catkinloft::soak::seedsToPlay())
-        ++(catkinloft::soak::play(seed, binaries) ? passed : failed);
+    for (const auto &it : catkinloft::soak::plays())
+        ++(catkinloft::soak::play(it, binaries) ? passed : failed);
     fmt::print("soak: {} passed, {} failed\n", passed, failed);
     return failed == 0 ? 0 : 1;
 }
--- a/test/integration/SoakCheckTest.cpp
+++ b/test/integration/SoakCheckTest.cpp
@@ -107,3 +107,14 @@
     }
     CHECK(broken() == 1);
 }
+
+TEST_CASE_FIXTURE(SoakCheckFixture, "soakCheck_wrongAnswer_lineSaysWhatTheCallerHadAndWhereItRan")
+{
+    attempts["s2"].body = "s2 answered";
+    executions[1]["resumed"] = true;
+    const std::vector<std::string> lines = brokenPromises(attempts, executions, acts);
+    REQUIRE(lines.size() == 1);
+    for (const char *it : {"s2 got another answer", "route safe", "status 200",
+                           R"(body "s2 answered")", "resumed at i-1 0 ms later"})
+        CHECK(lines[0].find(it) != std::string::npos);
+}
