A call that reached no upstream is refused as not run, with the time to come back

A 502 promises nothing, so a caller that goes by the status must not send a call again that never left the router.

Cause: Gateway::refuse took the status from the reason alone. EntryCall, the path of the entry VMs, already told 503 from 502 by the verdict, and its problem body named another status than the answer had.

Fix: Problem::status is the one place that maps a reason and a verdict to a status, for both paths and for the body: 429 and 503 only where nothing ran. An upstream that was not reached is 503 with Retry-After of a second.

Test: fleet_noReplicaListens_callIsRefusedAsNotRunWithTimeToComeBack failed before with 502, no Retry-After and "status":502.

--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -62,15 +62,6 @@
     return status == 503 || status == 429 || status == 408 || status == 421;
 }
 
-int statusOf(const Error &error)
-{
-    const int status = reasonInfo(error.reason).status;
-    if (error.verdict == Verdict::NotRun)
-        return status < 500 ? status : 503;
-    return error.reason == Reason::UpstreamTimeout || error.reason == Reason::DeadlineExpired ? 504
-                                                                                              : 502;
-}
-
 /// Fractions of a second: callers honour them, and a whole second is a third of a call's time.
 std::string retryAfterText(Duration d)
 {
@@ -567,7 +558,7 @@
 
 void EntryCall::refuse(const Error &error)
 {
-    const int status = statusOf(error);
+    const int status = Problem::status(error);
     HttpHeaders headers = m_context.codec.ownAnswerHeaders(m_request);
     headers.emplace_back("Content-Type", "application/problem+json");
     if (status == 503 && error.retryAfter) {
--- a/src/Net/ForwardTask.cpp
+++ b/src/Net/ForwardTask.cpp
@@ -18,6 +18,9 @@
 /// Leaves room for the suffix within the longest id that a router takes from another.
 constexpr std::size_t MaxIdPrefix = 96;
 
+/// When a caller whose request no upstream took may come back: one that starts needs seconds.
+constexpr Duration UnreachableRetry = std::chrono::seconds(1);
+
 bool refusedForDraining(const HttpHead &head, const std::string &body)
 {
     return head.status == 503 && body.find(R"("reason":"draining")") != std::string::npos;
@@ -435,6 +438,8 @@
 {
     // The attempts before count too; a claim's error speaks for other attempts with its key.
     error.verdict = combine(m_request.verdict, error.verdict);
+    if (error.reason == Reason::UpstreamUnreachable && error.verdict == Verdict::NotRun)
+        error.retryAfter = UnreachableRetry;
     settleClaim();
     if (m_exchange.isStreaming())
         m_exchange.abort();
--- a/src/Net/Gateway.cpp
+++ b/src/Net/Gateway.cpp
@@ -131,15 +131,14 @@
                     {headers::Verdict, std::string(toString(error.verdict))}};
     if (const std::string after = Problem::retryAfter(error); !after.empty())
         out.emplace_back("Retry-After", after);
-    exchange->respond(reasonInfo(error.reason).status, out,
-                      Problem::body(error, request->id, token));
+    exchange->respond(Problem::status(error), out, Problem::body(error, request->id, token));
 }
 
 void Gateway::Private::fail(const HttpExchangePtr &exchange, const Error &error)
 {
     options.metrics.refused(error.reason);
-    exchange->respond(reasonInfo(error.reason).status,
-                      {{"Content-Type", "application/problem+json"}}, Problem::body(error, {}, {}));
+    exchange->respond(Problem::status(error), {{"Content-Type", "application/problem+json"}},
+                      Problem::body(error, {}, {}));
 }
 
 void Gateway::Private::describe(StatusReport &report) const
--- a/src/Request/Problem.cpp
+++ b/src/Request/Problem.cpp
@@ -8,13 +8,31 @@
 
 namespace catkinloft {
 
+namespace {
+
+constexpr int TooManyRequests = 429;
+constexpr int BadGateway = 502;
+constexpr int Unavailable = 503;
+constexpr int GatewayTimeout = 504;
+
+} // namespace
+
+int Problem::status(const Error &error)
+{
+    const int status = reasonInfo(error.reason).status;
+    if (error.verdict == Verdict::NotRun)
+        return status == BadGateway || status == GatewayTimeout ? Unavailable : status;
+    const bool promisesNotRun = status == Unavailable || status == TooManyRequests;
+    return promisesNotRun ? BadGateway : status;
+}
+
 std::string Problem::body(const Error &error, std::string_view requestId, std::string_view token)
 {
     const ReasonInfo &info = reasonInfo(error.reason);
     std::string out = fmt::format(
             R"({{"type":"urn:catkinloft:{}","title":{},"status":{},"detail":{},"reason":"{}",)"
             R"("verdict":"{}","request_id":{})",
-            info.code, jsonQuoted(info.title), info.status, jsonQuoted(error.detail), info.code,
+            info.code, jsonQuoted(info.title), status(error), jsonQuoted(error.detail), info.code,
             toString(error.verdict), jsonQuoted(requestId));
     if (error.retryAfter)
         out += fmt::format(R"(,"retry_after_ms":{})", error.retryAfter->count() / 1'000'000);
--- a/test/integration/PathTest.cpp
+++ b/test/integration/PathTest.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <csignal>
+
 #include <json/json.h>
 
 using namespace catkinloft;
@@ -71,6 +73,30 @@
     CHECK(answer.value().head.status == 200);
 }
 
+// Guards against a bad gateway for a call that reached nobody: callers can't tell that it did not
+// run.
+TEST_CASE_FIXTURE(RunningFleetFixture,
+                  "fleet_noReplicaListens_callIsRefusedAsNotRunWithTimeToComeBack")
+{
+    for (std::size_t i = 0; i < 2; ++i) {
+        fleet->replica(i).signal(SIGKILL);
+        fleet->replica(i).wait();
+    }
+    for (const char *method : {"POST", "GET"}) {
+        CAPTURE(method);
+        const Result<HttpAnswer> answer =
+                Fleet::fetch({.address = fleet->routerAddress(1),
+                              .method = method,
+                              .target = "/services/dispatch/orders",
+                              .headers = {{"Authorization", "Bearer " + Fleet::workspaceKey(0)}}});
+        REQUIRE(answer);
+        CHECK(answer.value().head.status == 503);
+        CHECK(answer.value().head.header("X-Catkinloft-Verdict") == "not_run");
+        CHECK(answer.value().head.header("Retry-After") == "1");
+        CHECK(answer.value().body.find(R"("status":503)") != std::string::npos);
+    }
+}
+
 TEST_CASE_FIXTURE(RunningFleetFixture, "fleet_plainCall_neverShowsTheServiceTheKey")
 {
     const Result<HttpAnswer> answer =
