A test fleet counts as started once its upstreams listen

What was seen: fleet_plainCall_reachesTheService, 502 instead of 200, once of three whole runs while the build folder was rebuilt.

Cause: Fleet::start() waited for the platform and the routers. Routers start faster than a stand-in whose binary is read anew, or than one that waits for a processor, and the first call of the test met a refused connection.

Fix: start() waits until every engine, replica and proxy accepts connections. The probe sends nothing, since a stand-in counts and records every request. EntryFleet::start() had the same fault and waits likewise; there the proxies accept for replicas that do not listen yet, so calls looked as if they might have run. A restarted replica is not waited for: a replica that is listed and does not listen is a case that routers have to bear.

--- a/standin/fleet/EntryFleet.cpp
+++ b/standin/fleet/EntryFleet.cpp
@@ -216,6 +216,8 @@
         startReplica(i);
         registerReplica(i, "ready");
     }
+    for (const Replica &it : m_replicas)
+        Fleet::waitUntilListening({it.address, it.proxy.control});
     writeConfig({Key});
     for (std::size_t i = 0; i < m_routers.size(); ++i) {
         Router &it = m_routers[i];
--- a/standin/fleet/EntryFleet.h
+++ b/standin/fleet/EntryFleet.h
@@ -30,8 +30,8 @@
     explicit EntryFleet(Options options);
     ~EntryFleet();
 
-    /// \brief Starts everything and waits until every router is ready. Throws std::runtime_error
-    /// where that does not happen in time.
+    /// \brief Starts everything and waits until every replica listens and every router is ready.
+    /// Throws std::runtime_error where that does not happen in time.
     void start();
 
     /// \brief Starts router \a i, again after it was stopped.
--- a/standin/fleet/Fleet.cpp
+++ b/standin/fleet/Fleet.cpp
@@ -2,6 +2,7 @@
 
 #include "Base/Hash.h"
 #include "Net/EventLoop.h"
+#include "SocketAddress.h"
 #include "fleet/PortAllocator.h"
 
 #include <algorithm>
@@ -14,6 +15,8 @@
 
 #include <fmt/format.h>
 #include <stdlib.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 namespace catkinloft::standin {
 
@@ -225,6 +228,10 @@
     startProxies();
     for (std::size_t i = 0; i < m_routers.size(); ++i)
         startRouter(i);
+    waitUntilListening(m_engineAddresses);
+    waitUntilListening(m_replicaAddresses);
+    for (const auto &[target, proxy] : m_proxies)
+        waitUntilListening({proxy.control}); // It opens behind the proxy's own address.
     const auto answers = [](const std::string &address, const char *target) {
         const Result<HttpAnswer> answer = fetch({.address = address, .target = target});
         return answer && answer.value().head.status == 200;
@@ -330,6 +337,23 @@
     return *out;
 }
 
+bool Fleet::isListening(const std::string &address)
+{
+    const sockaddr_in to = socketAddress(address);
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const bool out = connect(fd, reinterpret_cast<const sockaddr *>(&to), sizeof to) == 0;
+    close(fd);
+    return out;
+}
+
+void Fleet::waitUntilListening(const std::vector<std::string> &addresses)
+{
+    for (const std::string &it : addresses) {
+        if (!waitFor([&] { return isListening(it); }))
+            throw std::runtime_error("nothing listens on " + it);
+    }
+}
+
 bool Fleet::waitFor(const std::function<bool()> &condition, Duration limit)
 {
     const auto end = std::chrono::steady_clock::now() + limit;
--- a/standin/fleet/Fleet.h
+++ b/standin/fleet/Fleet.h
@@ -35,8 +35,9 @@
     explicit Fleet(Options options);
     ~Fleet();
 
-    /// \brief Starts everything, applies the first configuration and waits until every router has
-    /// it. Throws std::runtime_error with the reason where that does not happen in time.
+    /// \brief Starts everything, applies the first configuration and waits until every upstream
+    /// listens and every router has the configuration. Throws std::runtime_error with the reason
+    /// where that does not happen in time.
     void start();
 
     /// \brief Starts router \a i, again after it was stopped.
@@ -92,6 +93,14 @@
     /// \brief Sends one request and waits for its answer.
     static Result<HttpAnswer> fetch(HttpCall call);
 
+    /// \returns whether \a address, IP:PORT, accepts connections. Sends nothing, so that what
+    /// listens there takes it for no request.
+    static bool isListening(const std::string &address);
+
+    /// \brief Waits until all \a addresses accept connections. Throws std::runtime_error with the
+    /// first that does not in time.
+    static void waitUntilListening(const std::vector<std::string> &addresses);
+
     /// \brief Tries \a condition until it holds.
     /// \returns false where it did not hold within \a limit.
     static bool waitFor(const std::function<bool()> &condition,
--- a/standin/main.cpp
+++ b/standin/main.cpp
@@ -34,6 +34,7 @@
 DEFINE_string(control, "", "proxy: address for its faults, IP:PORT");
 DEFINE_string(target, "", "proxy: address that it passes on to, IP:PORT");
 DEFINE_double(service_ms, 2, "service: milliseconds from a call to its answer");
+DEFINE_double(listen_after_ms, 0, "milliseconds from the start until it listens");
 DEFINE_double(lag_ms, 500, "vms: milliseconds until a change shows");
 
 namespace catkinloft::standin {
@@ -129,13 +130,18 @@
                       {.address = role == "proxy" ? FLAGS_control : FLAGS_listen,
                        .limits = {.maxBodyBytes = 64 * 1024 * 1024}},
                       [&](const HttpExchangePtr &exchange) { it->handle(exchange); });
-    if (const Result<void> result = server.listen(); !result) {
-        Log::error("listen_failed", {{"detail", result.error().detail}});
-        return 1;
-    }
+    int exitCode = 0;
+    const auto listen = [&] {
+        if (const Result<void> result = server.listen(); !result) {
+            Log::error("listen_failed", {{"detail", result.error().detail}});
+            exitCode = 1;
+            loop.stop();
+        }
+    };
+    loop.after(fromSeconds(FLAGS_listen_after_ms / 1000), listen);
     loop.onSignal(SIGTERM, [&] { loop.stop(); });
     loop.run();
-    return 0;
+    return exitCode;
 }
 
 } // namespace
--- a/test/integration/PathTest.cpp
+++ b/test/integration/PathTest.cpp
@@ -11,16 +11,21 @@
 
 namespace {
 
+standin::Deployment smallDeployment()
+{
+    standin::Deployment out = standin::deploymentNamed("sofiyska");
+    out.engines = 3;
+    out.replicas = 2;
+    out.routers = 3;
+    return out;
+}
+
 struct RunningFleetFixture
 {
     RunningFleetFixture()
+        : fleet(std::make_unique<Fleet>(
+                Fleet::Options{.deployment = smallDeployment(), .binaries = CATKINLOFT_BINARIES}))
     {
-        standin::Deployment small = standin::deploymentNamed("sofiyska");
-        small.engines = 3;
-        small.replicas = 2;
-        small.routers = 3;
-        fleet = std::make_unique<Fleet>(
-                Fleet::Options{.deployment = small, .binaries = CATKINLOFT_BINARIES});
         fleet->start();
     }
 
@@ -73,6 +78,20 @@
     CHECK(answer.value().head.status == 200);
 }
 
+// Guards against a test fleet that counts as started before its upstreams listen.
+TEST_CASE("fleet_upstreamsListenLate_startWaitsForThem")
+{
+    Fleet fleet({.deployment = smallDeployment(),
+                 .binaries = CATKINLOFT_BINARIES,
+                 .engineFlags = {"--listen_after_ms=1500"},
+                 .serviceFlags = {"--listen_after_ms=1500"}});
+    fleet.start();
+    for (std::size_t i = 0; i < 3; ++i)
+        CHECK(Fleet::isListening(fleet.engineAddress(i)));
+    for (std::size_t i = 0; i < 2; ++i)
+        CHECK(Fleet::isListening(fleet.replicaAddress(i)));
+}
+
 // Guards against a bad gateway for a call that reached nobody: callers can't tell that it did not
 // run.
 TEST_CASE_FIXTURE(RunningFleetFixture,
