--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -96,7 +96,7 @@
                        .retryAfter = 10ms});
     }
     if (isStreaming() && m_request.route->resumable)
-        m_events = EventOrder(m_request.facts.lastEventId);
+        m_order = EventOrder(m_request.facts.lastEventId);
     m_deadline = m_request.deadline();
     m_deadlineTimer.start(std::max<Duration>(1ms, m_deadline - m_context.loop.now()));
     pickService();
@@ -194,7 +194,7 @@
     m_answer = {};
     m_body.clear();
     m_reader.reset();
-    m_events.connected();
+    m_order.connected();
     m_relaying = false;
     m_heardEvent = false;
     m_attempting = true;
@@ -234,7 +234,7 @@
                                                            .replica = m_replica,
                                                            .copyPromptFrom = copyFrom,
                                                            .remaining = remaining(),
-                                                           .lastEventId = m_events.last()}),
+                                                           .lastEventId = m_order.last()}),
                  .body = std::string(m_exchange->body()),
                  .timeout =
                          m_deadline - m_context.loop.now() + 1s, // The call's own timer is first.
@@ -355,8 +355,8 @@
 {
     if (!m_relaying)
         return; // An event before it has ended the attempt.
-    const std::optional<std::int64_t> last = m_events.last();
-    switch (m_events.take(event.id)) {
+    const std::optional<std::int64_t> last = m_order.last();
+    switch (m_order.take(event.id)) {
     case EventOrder::Step::Deliver:
         break;
     case EventOrder::Step::Skip:
@@ -510,7 +510,7 @@
     }
     // What the caller lacks can't be sent any more once it has a later event.
     const bool safe = (error.verdict == Verdict::NotRun || m_request.route->isIdempotent())
-            && !m_events.isBroken();
+            && !m_order.isBroken();
     if (!unreached && safe && mayRepeat(error.verdict))
         return attempt();
     Error last = error;
--- a/src/Net/EntryCall.h
+++ b/src/Net/EntryCall.h
@@ -135,7 +135,7 @@
     AnswerFacts m_answer;
     std::string m_body;
     SseReader m_reader;
-    EventOrder m_events;
+    EventOrder m_order;
     bool m_relaying = false; ///< This attempt's events go to the caller.
     bool m_begun = false; ///< The caller has got the head of the answer.
     bool m_finished = false;
--- a/test/StreamResumeTest.cpp
+++ b/test/StreamResumeTest.cpp
@@ -45,6 +45,7 @@
 std::vector<Step> take(EventOrder &order, const std::vector<std::int64_t> &ids)
 {
     std::vector<Step> out;
+    out.reserve(ids.size());
     for (const std::int64_t it : ids)
         out.push_back(order.take(it));
     return out;
