A call that may have run is not refused as not run when the proof of its key grows old

What callers saw: 503, verdict not_run and Retry-After for an idempotent call whose first attempt had reached a replica and broken, where the proof of the key became too old before the second.

Cause: EntryCall::attempt answered with the error of checkProof as it is, and its verdict speaks for the attempt that was not made.

Fix: combined with the verdict over all ended attempts, as in the other paths.

Test: entryRequest_proofTooOldForTheNextAttempt_mayHaveRun; before: 503, not_run, a Retry-After.

--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -151,8 +151,11 @@
 {
     if (remaining() <= Duration::zero())
         return deadlineExpired();
-    if (const Result<void> proven = m_context.filters.checkProof(m_request); !proven)
-        return m_begun ? breakOff(proven.error()) : refuse(proven.error());
+    if (const Result<void> proven = m_context.filters.checkProof(m_request); !proven) {
+        Error error = proven.error();
+        error.verdict = combine(m_verdict, error.verdict);
+        return m_begun ? breakOff(error) : refuse(error);
+    }
     const ReplicaPool::Choice choice = chooseReplica();
     if (choice.replica)
         return send(choice);
--- a/test/EntryRequestTest.cpp
+++ b/test/EntryRequestTest.cpp
@@ -218,6 +218,22 @@
     CHECK(sent() == 0);
 }
 
+// Guards against a promise that nothing ran where an attempt before the refusal may have run.
+TEST_CASE_FIXTURE(EntryGatewayFixture, "entryRequest_proofTooOldForTheNextAttempt_mayHaveRun")
+{
+    const auto broken = [this](const std::string &, std::size_t) -> Reply {
+        proofAge = 5s;
+        return {.end = End::Reset};
+    };
+    addReplica(broken);
+    addReplica(broken);
+    RawCaller caller(Port);
+    CHECK(call(caller, get("/safe/"), "\"verdict\"").starts_with("HTTP/1.1 502"));
+    CHECK(caller.received.find("may_have_run") != std::string::npos);
+    CHECK(caller.received.find("Retry-After") == std::string::npos);
+    CHECK(sent() == 1);
+}
+
 TEST_CASE_FIXTURE(EntryGatewayFixture, "entryRequest_twoReadings_isRefusedAndItsConnectionClosed")
 {
     addReplica(ok);
