--- a/standin/DelayLine.h
+++ b/standin/DelayLine.h
@@ -9,8 +9,8 @@
 
 namespace catkinloft::standin {
 
-/// \brief One way of a connection with a delay: bytes and the end leave in the order in which they
-/// came, whatever the delay of each is. Knows no sockets.
+/// \brief One direction of a connection with a delay: bytes and the end leave in the order in which
+/// they came, whatever the delay of each is. Knows no sockets.
 class DelayLine
 {
 public:
--- a/standin/TcpLink.cpp
+++ b/standin/TcpLink.cpp
@@ -74,13 +74,13 @@
 void TcpLink::onRead(bufferevent *from, void *arg)
 {
     auto *self = static_cast<TcpLink *>(arg);
-    self->pass(self->wayFrom(from));
+    self->pass(self->directionFrom(from));
 }
 
 void TcpLink::onWritten(bufferevent *to, void *arg)
 {
     auto *self = static_cast<TcpLink *>(arg);
-    self->cutOnceWritten(self->wayTo(to));
+    self->cutOnceWritten(self->directionTo(to));
 }
 
 void TcpLink::onEvent(bufferevent *from, short what, void *arg)
@@ -88,45 +88,45 @@
     auto *self = static_cast<TcpLink *>(arg);
     if ((what & BEV_EVENT_CONNECTED) != 0 || self->m_silent)
         return;
-    Way &way = self->wayFrom(from);
-    way.line.end(self->m_options.faults.delay);
-    self->releaseDue(way);
+    Direction &direction = self->directionFrom(from);
+    direction.line.end(self->m_options.faults.delay);
+    self->releaseDue(direction);
 }
 
-void TcpLink::pass(Way &way)
+void TcpLink::pass(Direction &direction)
 {
-    evbuffer *in = bufferevent_get_input(way.from);
+    evbuffer *in = bufferevent_get_input(direction.from);
     const std::size_t n = evbuffer_get_length(in);
     std::string bytes(n, '\0');
     evbuffer_remove(in, bytes.data(), n);
     if (m_cut)
         return;
-    if (way.from == m_server && m_options.faults.loseAnswers > 0) {
+    if (direction.from == m_server && m_options.faults.loseAnswers > 0) {
         --m_options.faults.loseAnswers;
         cut();
         return;
     }
-    way.line.add(std::move(bytes), m_options.faults.delay);
-    releaseDue(way);
+    direction.line.add(std::move(bytes), m_options.faults.delay);
+    releaseDue(direction);
 }
 
-void TcpLink::releaseDue(Way &way)
+void TcpLink::releaseDue(Direction &direction)
 {
-    for (const DelayLine::Piece &it : way.line.takeDue()) {
+    for (const DelayLine::Piece &it : direction.line.takeDue()) {
         if (m_silent || m_cut)
             return;
-        bufferevent_write(way.to, it.bytes.data(), it.bytes.size());
-        way.ended = it.isEnd;
+        bufferevent_write(direction.to, it.bytes.data(), it.bytes.size());
+        direction.ended = it.isEnd;
     }
-    cutOnceWritten(way);
-    if (const auto due = way.line.nextDue())
-        way.timer.start(*due - m_options.loop.now());
+    cutOnceWritten(direction);
+    if (const auto due = direction.line.nextDue())
+        direction.timer.start(*due - m_options.loop.now());
 }
 
-void TcpLink::cutOnceWritten(const Way &way)
+void TcpLink::cutOnceWritten(const Direction &direction)
 {
     // What was read before the end still has to reach the other side.
-    if (way.ended && evbuffer_get_length(bufferevent_get_output(way.to)) == 0)
+    if (direction.ended && evbuffer_get_length(bufferevent_get_output(direction.to)) == 0)
         cut();
 }
 
--- a/standin/TcpLink.h
+++ b/standin/TcpLink.h
@@ -38,30 +38,30 @@
     void cut();
 
 private:
-    /// \brief One way through the link.
-    struct Way
+    /// \brief Bytes through the link from one end to the other.
+    struct Direction
     {
         bufferevent *from;
         bufferevent *to;
         DelayLine line;
         Timer timer;
-        bool ended = false; ///< The sender closed, and all that it sent has been written.
+        bool ended = false; ///< The sender closed; all that it sent has been released.
     };
 
     static void onRead(bufferevent *from, void *arg);
     static void onWritten(bufferevent *to, void *arg);
     static void onEvent(bufferevent *from, short what, void *arg);
-    void pass(Way &way);
-    void releaseDue(Way &way);
-    void cutOnceWritten(const Way &way);
-    Way &wayFrom(bufferevent *it) { return it == m_client ? m_toServer : m_toClient; }
-    Way &wayTo(bufferevent *it) { return it == m_client ? m_toClient : m_toServer; }
+    void pass(Direction &direction);
+    void releaseDue(Direction &direction);
+    void cutOnceWritten(const Direction &direction);
+    Direction &directionFrom(bufferevent *it) { return it == m_client ? m_toServer : m_toClient; }
+    Direction &directionTo(bufferevent *it) { return it == m_client ? m_toClient : m_toServer; }
 
     Options m_options;
     bufferevent *m_client;
     bufferevent *m_server;
-    Way m_toServer;
-    Way m_toClient;
+    Direction m_toServer;
+    Direction m_toClient;
     bool m_silent = false;
     bool m_cut = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/test/integration/StandinTest.cpp
+++ b/test/integration/StandinTest.cpp
@@ -77,7 +77,7 @@
     std::unique_ptr<ChildProcess> proxy;
 };
 
-/// One way of a connection under a paused clock.
+/// One direction of a connection under a paused clock.
 struct DelayLineFixture
 {
     /// \returns what leaves now, a bar behind each piece and "end" for the end.
