Failing tests: evacuated domains, cold replicas, and a router's leaving that not all hear of

The soak evacuates failure domains and turns replicas cold, with checks of both; seeds that are known keep their plans (two plus signs behind the seconds add these faults). Replica stand-ins end above their pace.

--- a/soak/SoakCheck.cpp
+++ b/soak/SoakCheck.cpp
@@ -29,6 +29,10 @@
 constexpr std::ptrdiff_t MaxInPause = 2;
 constexpr auto PauseGrace = 500ms;
 
+/// A failure domain gets nothing later than this after its evacuation was acknowledged, with a
+/// margin for the stand-in's own clock.
+constexpr Duration EvacuationLimit = 2s + 200ms;
+
 constexpr std::size_t MaxLines = 20;
 constexpr std::size_t MaxBody = 400; ///< Bytes of an answer that are printed.
 
@@ -173,6 +177,50 @@
     }));
 }
 
+/// Checks that nothing is sent to a failure domain while it is evacuated.
+void checkEvacuations(const std::map<std::string, Attempt> &attempts,
+                      const std::vector<Json::Value> &arrivals, const RunHistory &history,
+                      const std::function<void(std::string)> &broken)
+{
+    for (const Evacuation &evacuation : history.evacuations) {
+        for (const Json::Value &it : arrivals) {
+            const auto attempt = attempts.find(it["id"].asString());
+            const WallTime at = timeOf(it);
+            if (!evacuation.calm || attempt == attempts.end()
+                || at <= evacuation.acknowledgedAt + EvacuationLimit || at >= evacuation.endedAt
+                || history.domainOf(it["replica"].asString()) != evacuation.domain
+                || !isInTouch(attempt->second.router, at, history))
+                continue;
+            broken(fmt::format("{} reached {} in {} {} ms after its evacuation", attempt->first,
+                               it["replica"].asString(), evacuation.domain,
+                               (at - evacuation.acknowledgedAt) / 1ms));
+        }
+    }
+}
+
+/// Checks that no cold replica gets more in one second than it bears.
+void checkColdReplicas(const std::vector<Json::Value> &arrivals, const RunHistory &history,
+                       const std::function<void(std::string)> &broken)
+{
+    for (const ColdTime &cold : history.coldTimes) {
+        std::vector<WallTime> times;
+        for (const Json::Value &it : arrivals) {
+            const WallTime at = timeOf(it);
+            if (it["replica"].asString() == cold.replica && at >= cold.from && at <= cold.until)
+                times.push_back(at);
+        }
+        std::sort(times.begin(), times.end());
+        const auto n = static_cast<std::size_t>(cold.bearable);
+        for (std::size_t i = n; i < times.size(); ++i) {
+            if (times[i] - times[i - n] < 1s) {
+                broken(fmt::format("cold replica {} got more than {} requests in one second",
+                                   cold.replica, n));
+                break;
+            }
+        }
+    }
+}
+
 } // namespace
 
 std::vector<std::string> brokenPromises(const std::map<std::string, Attempt> &attempts,
@@ -231,6 +279,8 @@
     }
     checkLeaving(attempts, arrivals, history, broken);
     checkPauses(attempts, arrivals, history, broken);
+    checkEvacuations(attempts, arrivals, history, broken);
+    checkColdReplicas(arrivals, history, broken);
     if (const std::size_t n = lateFatalRuns(attempts, executions, history); n > MaxLateFatalRuns)
         broken(fmt::format("a request under which three replicas had ended ran {} times more", n));
     return out;
--- a/soak/SoakCheck.h
+++ b/soak/SoakCheck.h
@@ -2,6 +2,7 @@
 
 #include "SoakLoad.h"
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,24 @@
     bool calm = true; ///< Nothing disturbed routers or store around the act.
 };
 
+/// \brief A time in which nothing might be sent to the replicas of one failure domain.
+struct Evacuation
+{
+    std::string domain = {};
+    WallTime acknowledgedAt = {};
+    WallTime endedAt = WallTime::max();
+    bool calm = true; ///< \sa OperatorAct::calm
+};
+
+/// \brief A time in which a replica was cold and its entry had told so for a while.
+struct ColdTime
+{
+    std::string replica = {};
+    WallTime from = {};
+    WallTime until = {};
+    double bearable = 0; ///< Requests in one second, from all routers together.
+};
+
 /// \brief A time in which a router was killed, stopped or paused, until it ran again.
 struct RouterDisturbance
 {
@@ -31,6 +50,9 @@
 {
     std::vector<OperatorAct> acts = {};
     std::vector<RouterDisturbance> disturbances = {};
+    std::vector<Evacuation> evacuations = {};
+    std::vector<ColdTime> coldTimes = {};
+    std::function<std::string(const std::string &replica)> domainOf = {}; ///< By the replica's id.
 };
 
 /// \brief Checks the promises of the pages against what callers saw and what arrived at replicas.
--- a/soak/SoakPlan.cpp
+++ b/soak/SoakPlan.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <span>
 
 namespace catkinloft::soak {
 
@@ -44,22 +45,45 @@
         KindInfo{FaultKind::FatalRequest, "fatal_request", false, 4s, 8s},
 };
 
+constexpr std::array DomainKinds = {
+        KindInfo{FaultKind::DomainEvacuated, "domain_evacuated", false, 4s, 7s},
+        KindInfo{FaultKind::ReplicaTurnsCold, "replica_turns_cold", false, 3s, 6s},
+};
+
 Duration between(const RandomSource &random, Duration a, Duration b)
 {
     return a + scaled(b - a, uniform(random));
 }
 
+std::vector<Fault> drawOneOfEach(std::span<const KindInfo> kinds, const RandomSource &random,
+                                 Duration length, std::size_t replicas)
+{
+    std::vector<Fault> out;
+    out.reserve(kinds.size());
+    for (const KindInfo &it : kinds)
+        out.push_back({.kind = it.kind,
+                       .at = between(random, 500ms, length),
+                       .length = between(random, it.shortest, it.longest),
+                       .target = below(random, replicas)});
+    return out;
+}
+
+std::string_view nameIn(std::span<const KindInfo> kinds, FaultKind kind)
+{
+    const auto it = std::find_if(kinds.begin(), kinds.end(),
+                                 [kind](const KindInfo &info) { return info.kind == kind; });
+    return it == kinds.end() ? std::string_view() : it->name;
+}
+
 } // namespace
 
 std::string_view faultName(FaultKind kind)
 {
-    for (const KindInfo &it : Kinds) {
-        if (it.kind == kind)
-            return it.name;
-    }
-    for (const KindInfo &it : ReplicaKinds) {
-        if (it.kind == kind)
-            return it.name;
+    for (const std::span<const KindInfo> kinds :
+         {std::span<const KindInfo>(Kinds), std::span<const KindInfo>(ReplicaKinds),
+          std::span<const KindInfo>(DomainKinds)}) {
+        if (const std::string_view name = nameIn(kinds, kind); !name.empty())
+            return name;
     }
     return "unknown";
 }
@@ -67,14 +91,13 @@
 std::vector<Fault> drawReplicaFaults(const RandomSource &random, Duration length,
                                      std::size_t replicas)
 {
-    std::vector<Fault> out;
-    out.reserve(ReplicaKinds.size());
-    for (const KindInfo &it : ReplicaKinds)
-        out.push_back({.kind = it.kind,
-                       .at = between(random, 500ms, length),
-                       .length = between(random, it.shortest, it.longest),
-                       .target = below(random, replicas)});
-    return out;
+    return drawOneOfEach(ReplicaKinds, random, length, replicas);
+}
+
+std::vector<Fault> drawDomainFaults(const RandomSource &random, Duration length,
+                                    std::size_t replicas)
+{
+    return drawOneOfEach(DomainKinds, random, length, replicas);
 }
 
 std::vector<Fault> drawFaults(const RandomSource &random, Duration length, std::size_t routers,
--- a/soak/SoakPlan.h
+++ b/soak/SoakPlan.h
@@ -30,6 +30,8 @@
     ReplicaSaysLeaving, ///< In its answers only; is replaced later.
     ReplicaAsksForPause, ///< With each request that it turns away.
     FatalRequest, ///< A request that ends the replicas that run it comes again and again.
+    DomainEvacuated, ///< Nothing may be sent to the replicas of one failure domain.
+    ReplicaTurnsCold, ///< It bears few requests a second and ends above.
 };
 
 std::string_view faultName(FaultKind kind);
@@ -48,6 +50,10 @@
 std::vector<Fault> drawReplicaFaults(const RandomSource &random, Duration length,
                                      std::size_t replicas);
 
+/// \returns faults of failure domains and of replicas that turn cold, apart for the same reason.
+std::vector<Fault> drawDomainFaults(const RandomSource &random, Duration length,
+                                    std::size_t replicas);
+
 /// \returns the faults of the run with \a random, in order of time: single ones, series of one kind
 /// and overlapping ones.
 std::vector<Fault> drawFaults(const RandomSource &random, Duration length, std::size_t routers,
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -28,6 +28,12 @@
 
 constexpr int Probes = 12; ///< Requests to each router at the end, of which most must be served.
 
+/// Sets the draws of domain faults apart from those of the others.
+constexpr std::uint64_t DomainSeed = 0x5EED;
+
+/// Until all routers have read the entry of a replica that has turned cold.
+constexpr std::chrono::milliseconds ColdKnown = 2s;
+
 /// \returns a folder in \a parent for the logs of \a seed, apart from those of its earlier plays.
 std::filesystem::path unusedFolder(const std::filesystem::path &parent, std::uint64_t seed)
 {
@@ -47,7 +53,8 @@
 SoakRun::SoakRun(Options options)
     : m_options(std::move(options)), m_fleet({.binaries = m_options.binaries,
                                               .routers = m_options.routers,
-                                              .replicas = m_options.replicas}),
+                                              .replicas = m_options.replicas,
+                                              .domains = m_options.withDomainFaults ? 3U : 1U}),
       m_random(seededRandom(m_options.seed))
 { }
 
@@ -60,6 +67,12 @@
         for (const Fault &it : drawReplicaFaults(own, m_options.length, m_options.replicas))
             out.faults.push_back(it);
     }
+    if (m_options.withDomainFaults) {
+        const RandomSource own = seededRandom(m_options.seed ^ DomainSeed);
+        for (const Fault &it : drawDomainFaults(own, m_options.length, 2 * m_options.replicas))
+            out.faults.push_back(it);
+    }
+    m_history.domainOf = [this](const std::string &id) { return m_fleet.domainOfId(id); };
     m_fleet.start();
     m_load.emplace(SoakLoad::Options{.loop = m_loop, .fleet = m_fleet, .random = m_random});
     m_load->start();
@@ -102,6 +115,8 @@
         m_disturbedUntil = std::max(m_disturbedUntil, m_loop.now() + fault.length);
         for (OperatorAct &it : m_history.acts) // Their bounds may not have run out yet.
             it.calm = it.calm && m_loop.wallNow() > it.acknowledgedAt + CalmTime;
+        for (Evacuation &it : m_history.evacuations)
+            it.calm = it.calm && m_loop.wallNow() > it.acknowledgedAt + CalmTime;
     }
     switch (fault.kind) {
     case FaultKind::RouterKill:
@@ -174,9 +189,42 @@
         m_extraRoute = !m_extraRoute;
         m_fleet.writeConfig({m_key}, m_extraRoute);
         break;
+    case FaultKind::DomainEvacuated:
+        evacuate(fault.target);
+        break;
+    case FaultKind::ReplicaTurnsCold:
+        turnCold(fault);
+        break;
     }
 }
 
+void SoakRun::evacuate(std::size_t i)
+{
+    m_fleet.evacuate(m_fleet.domainOf(i));
+    m_history.evacuations.push_back(
+            {.domain = m_fleet.domainOf(i), .acknowledgedAt = m_loop.wallNow(), .calm = isCalm()});
+}
+
+void SoakRun::endEvacuation(std::size_t i)
+{
+    for (Evacuation &it : m_history.evacuations) {
+        if (it.domain == m_fleet.domainOf(i))
+            it.endedAt = std::min(it.endedAt, m_loop.wallNow());
+    }
+    m_fleet.endEvacuation(m_fleet.domainOf(i));
+}
+
+void SoakRun::turnCold(const Fault &fault)
+{
+    m_fleet.registerReplica(fault.target, "ready", fault.length);
+    const WallTime now = m_loop.wallNow();
+    const auto length = std::chrono::duration_cast<std::chrono::milliseconds>(fault.length);
+    m_history.coldTimes.push_back({.replica = m_fleet.replicaId(fault.target),
+                                   .from = now + ColdKnown,
+                                   .until = now + length,
+                                   .bearable = standin::EntryFleet::ColdPerSecond});
+}
+
 void SoakRun::takeKey()
 {
     const std::string old = std::exchange(m_key, fmt::format("key-{}", ++m_keys));
@@ -279,6 +327,12 @@
     case FaultKind::ReplicaPathDelay:
         m_fleet.strikeReplica(fault.target, R"({"clear":true})");
         break;
+    case FaultKind::DomainEvacuated:
+        endEvacuation(fault.target);
+        break;
+    case FaultKind::ReplicaTurnsCold:
+        m_fleet.registerReplica(fault.target, "ready");
+        break;
     case FaultKind::StoreForgets:
     case FaultKind::StorePathSilent:
     case FaultKind::ReplicaPathSilent:
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -22,6 +22,7 @@
         std::size_t routers = 4;
         std::size_t replicas = 3; ///< Of each of two services.
         bool withReplicaFaults = true; ///< \sa drawReplicaFaults
+        bool withDomainFaults = true; ///< \sa drawDomainFaults
         std::string keepFolder = {}; ///< Logs of a run with a broken promise are kept there.
     };
 
@@ -47,6 +48,9 @@
     void setReplicaFaults(std::size_t i, const std::string &faults);
     void replicaReturned(std::size_t i);
     void takeKey();
+    void evacuate(std::size_t i);
+    void endEvacuation(std::size_t i);
+    void turnCold(const Fault &fault);
     bool isCalm() const;
     void finish();
     std::vector<std::string> probe();
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -13,7 +13,8 @@
 DEFINE_string(
         seeds, "",
         "file with SEED, SEED@SECONDS or SEED@SECONDS+ in front of each line, played before the "
-        "others; +: with the faults that replicas bring with them");
+        "others; +: with the faults that replicas bring with them, ++: also with those of failure "
+        "domains and cold replicas");
 DEFINE_double(seconds, 10, "while faults begin, in each run");
 DEFINE_uint64(routers, 4, "routers");
 DEFINE_uint64(replicas, 3, "replicas of each of the two services");
@@ -28,6 +29,7 @@
     std::uint64_t seed = 1;
     Duration length = {}; ///< While faults begin.
     bool withReplicaFaults = true;
+    bool withDomainFaults = true;
 };
 
 std::vector<Play> plays()
@@ -40,8 +42,11 @@
         char *end = nullptr;
         const std::uint64_t seed = std::strtoull(line.c_str(), &end, 10);
         const double seconds = *end == '@' ? std::strtod(end + 1, &end) : FLAGS_seconds;
-        out.push_back(
-                {.seed = seed, .length = fromSeconds(seconds), .withReplicaFaults = *end == '+'});
+        const std::string_view kinds(end);
+        out.push_back({.seed = seed,
+                       .length = fromSeconds(seconds),
+                       .withReplicaFaults = kinds.starts_with('+'),
+                       .withDomainFaults = kinds.starts_with("++")});
     }
     for (std::uint64_t i = 0; i < FLAGS_runs; ++i)
         out.push_back({.seed = FLAGS_seed + i, .length = fromSeconds(FLAGS_seconds)});
@@ -56,6 +61,7 @@
                  .routers = FLAGS_routers,
                  .replicas = FLAGS_replicas,
                  .withReplicaFaults = it.withReplicaFaults,
+                 .withDomainFaults = it.withDomainFaults,
                  .keepFolder = FLAGS_keep});
     const SoakRun::Outcome outcome = run.run();
     std::string faults;
--- a/standin/ReplicaStandin.cpp
+++ b/standin/ReplicaStandin.cpp
@@ -67,7 +67,7 @@
     if (happens("refuse"))
         return turnAway(exchange, {});
     record(*exchange);
-    if (exchange->body() == FatalBody)
+    if (exchange->body() == FatalBody || isAboveColdPace())
         return endProcess(exchange);
     if (happens("hang")) {
         // The caller's end ends the wait.
@@ -90,6 +90,16 @@
     m_options.loop.after(m_options.serviceTime, [held = exchange] { std::_Exit(EXIT_FAILURE); });
 }
 
+bool ReplicaStandin::isAboveColdPace()
+{
+    const double pace = setting("cold_per_s");
+    const TimePoint now = m_options.loop.now();
+    m_arrivals.push_back(now);
+    while (now - m_arrivals.front() > std::chrono::seconds(1))
+        m_arrivals.pop_front();
+    return pace > 0 && static_cast<double>(m_arrivals.size()) > 2 * pace;
+}
+
 void ReplicaStandin::control(const HttpExchangePtr &exchange)
 {
     // A process that leaves does not change its mind.
--- a/standin/ReplicaStandin.h
+++ b/standin/ReplicaStandin.h
@@ -4,6 +4,8 @@
 #include "ExecutionRecord.h"
 #include "Standin.h"
 
+#include <deque>
+
 namespace catkinloft::standin {
 
 /// \brief Plays a replica of a service on the users' platform: calls, and streams of as
@@ -14,7 +16,7 @@
 /// (does not run and says so), `lose` (runs and breaks the connection), `hang` (runs and never
 /// answers), `cut` (breaks a stream within an event). `leaving` above 0 has all answers say that it
 /// leaves, for good; `pause_ms` turns all requests away and asks for that pause. A request with
-/// FatalBody ends the process.
+/// FatalBody ends the process, and so does one above twice `cold_per_s` in a second.
 class ReplicaStandin final : public Standin
 {
 public:
@@ -50,6 +52,7 @@
     void turnAway(const HttpExchangePtr &exchange, const std::string &retryAfter);
     void record(const HttpExchange &exchange, bool turnedAway = false);
     void endProcess(const HttpExchangePtr &exchange);
+    bool isAboveColdPace();
     HttpHeaders headersOf(const HttpExchange &exchange, const std::string &body) const;
     void answerCall(const HttpExchangePtr &exchange);
     void startStream(const HttpExchangePtr &exchange);
@@ -58,6 +61,7 @@
     Options m_options;
     ExecutionRecord m_record;
     std::map<std::string, double> m_faults;
+    std::deque<TimePoint> m_arrivals; ///< Of the last second.
     RandomSource m_random;
 };
 
--- a/standin/fleet/EntryFleet.cpp
+++ b/standin/fleet/EntryFleet.cpp
@@ -157,16 +157,27 @@
     post(m_store, "/v1/operator", printJson(root));
 }
 
-void EntryFleet::registerReplica(std::size_t i, const std::string &state)
+std::string EntryFleet::domainOf(std::size_t i) const
+{
+    return m_options.domains == 1 ? "hall" : fmt::format("hall-{}", i % m_options.domains);
+}
+
+std::string EntryFleet::domainOfId(const std::string &id) const
+{
+    // Its number stands behind the first dash, \sa startReplica().
+    return domainOf(std::stoul(id.substr(id.find('-') + 1)));
+}
+
+void EntryFleet::registerReplica(std::size_t i, const std::string &state, Duration cold)
 {
     const Replica &it = m_replicas.at(i);
     Json::Value entry(Json::objectValue);
     entry["service"] = it.service;
     entry["address"] = it.proxy.listen;
-    entry["zone"] = "hall";
+    entry["zone"] = domainOf(i);
     entry["slots"] = 8;
     entry["version"] = "v1";
-    entry["cold-remaining-ms"] = 0;
+    entry["cold-remaining-ms"] = static_cast<Json::Int64>(cold / std::chrono::milliseconds(1));
     entry["sequence"] = 1;
     entry["state"] = state;
     writeRow("servers", it.id, entry);
@@ -177,6 +188,16 @@
     writeRow("servers", m_replicas.at(i).id, Json::Value());
 }
 
+void EntryFleet::evacuate(const std::string &domain)
+{
+    writeRow("op", "evacuate/" + domain, Json::Value(Json::objectValue));
+}
+
+void EntryFleet::endEvacuation(const std::string &domain)
+{
+    writeRow("op", "evacuate/" + domain, Json::Value());
+}
+
 std::uint64_t EntryFleet::writeConfig(const std::vector<std::string> &keys, bool withExtraRoute)
 {
     m_version += 3;
@@ -192,6 +213,7 @@
         Json::Value service(Json::objectValue);
         service["name"] = it;
         service["max-connections"] = 300;
+        service["cold-per-s"] = ColdPerSecond;
         root["services"].append(service);
     }
     root["limits"]["idle-timeout-ms"] = 15000;
--- a/standin/fleet/EntryFleet.h
+++ b/standin/fleet/EntryFleet.h
@@ -25,6 +25,7 @@
         std::string binaries; ///< Folder of the built programs.
         std::size_t routers = 3;
         std::size_t replicas = 3; ///< Of each of the services `calls` and `streams`.
+        std::size_t domains = 1; ///< Failure domains, over which the replicas are spread in turn.
         std::string extraSettings = {}; ///< Further lines of each router's settings.
     };
 
@@ -50,6 +51,12 @@
     std::size_t replicaCount() const { return m_replicas.size(); }
     const std::string &replicaId(std::size_t i) const { return m_replicas.at(i).id; }
 
+    /// \returns the failure domain of replica \a i.
+    std::string domainOf(std::size_t i) const;
+
+    /// \returns the failure domain of the replica that has or had \a id.
+    std::string domainOfId(const std::string &id) const;
+
     /// \brief Starts replica \a i anew, with a new id, and registers it.
     void restartReplica(std::size_t i);
 
@@ -59,10 +66,14 @@
     /// \brief Starts the replicas anew that have ended by themselves at least \a away ago.
     void restartEndedReplicas(Duration away);
 
-    /// \brief Writes the entry of replica \a i, or removes it.
-    void registerReplica(std::size_t i, const std::string &state);
+    /// \brief Writes the entry of replica \a i, or removes it. \param cold how long it stays cold.
+    void registerReplica(std::size_t i, const std::string &state, Duration cold = Duration::zero());
     void removeReplica(std::size_t i);
 
+    /// \brief Asks that nothing be sent to replicas in \a domain, or takes that back.
+    void evacuate(const std::string &domain);
+    void endEvacuation(const std::string &domain);
+
     /// \brief Puts a configuration in force. \param keys API keys of the only workspace.
     /// \returns its version.
     std::uint64_t writeConfig(const std::vector<std::string> &keys, bool withExtraRoute = false);
@@ -96,6 +107,9 @@
     static constexpr const char *Host = "entry.example";
     static constexpr const char *Key = "first-key";
 
+    /// Requests a second that a cold replica bears from all routers together.
+    static constexpr int ColdPerSecond = 20;
+
 private:
     struct Proxy
     {
--- a/test/MembershipTest.cpp
+++ b/test/MembershipTest.cpp
@@ -78,6 +78,37 @@
     CHECK(group.runUntil([&] { return group.allBelieve("router-5", MemberState::Leaving); }, 1s));
 }
 
+// Guards against a router that never hears that another leaves: news of it is passed on a bounded
+// number of times to members drawn at random, in a fleet that has just seen a death and a return.
+TEST_CASE("membership_leavingAfterADeathAndAReturn_isKnownEverywhereInEveryFleet")
+{
+    constexpr std::uint64_t Fleets = 1000;
+    std::vector<std::uint64_t> late;
+    for (std::uint64_t seed = 1; seed <= Fleets; ++seed) {
+        PeerGroup group({.size = 9, .seed = seed, .encodeEvery = 10});
+        group.introduceAll();
+        group.run(5s);
+        group.stop(3);
+        group.stop(4);
+        const auto bothDead = [&] {
+            return group.allBelieve("router-3", MemberState::Dead)
+                    && group.allBelieve("router-4", MemberState::Dead);
+        };
+        REQUIRE(group.runUntil(bothDead, 30s));
+        group.node(4).up = true;
+        group.schedule(4);
+        REQUIRE(group.runUntil([&] { return group.allBelieve("router-4", MemberState::Alive); },
+                               30s));
+        group.node(5).membership->leave();
+        group.schedule(5);
+        const auto known = [&] { return group.allBelieve("router-5", MemberState::Leaving); };
+        if (!group.runUntil(known, 4s))
+            late.push_back(seed);
+    }
+    CAPTURE(late.size());
+    CHECK(late.empty());
+}
+
 TEST_CASE_FIXTURE(IntroducedRoutersFixture, "membership_pausedRouter_isAliveAgainAfterItsReturn")
 {
     group.stop(2);
--- a/test/integration/EntryTest.cpp
+++ b/test/integration/EntryTest.cpp
@@ -22,7 +22,12 @@
 
 struct EntryFleetFixture
 {
-    EntryFleetFixture() { fleet.start(); }
+    EntryFleetFixture() : EntryFleetFixture({.binaries = CATKINLOFT_BINARIES}) { }
+
+    explicit EntryFleetFixture(const EntryFleet::Options &options) : fleet(options)
+    {
+        fleet.start();
+    }
 
     Result<HttpAnswer> send(std::size_t router, const std::string &path,
                             const std::string &key = EntryFleet::Key,
@@ -56,11 +61,106 @@
         return n;
     }
 
-    EntryFleet fleet{{.binaries = CATKINLOFT_BINARIES}};
+    /// \returns how many of the requests \a ids ran in \a domain.
+    std::size_t executionsIn(const std::string &domain, const std::set<std::string> &ids) const
+    {
+        std::size_t n = 0;
+        for (const Json::Value &it : fleet.executions())
+            n += ids.contains(it["id"].asString())
+                            && fleet.domainOfId(it["replica"].asString()) == domain
+                    ? 1
+                    : 0;
+        return n;
+    }
+
+    EntryFleet fleet;
     int requests = 0;
     std::string lastId;
 };
 
+/// Replicas in two failure domains, `hall-0` and `hall-1`.
+struct TwoDomainFixture : EntryFleetFixture
+{
+    TwoDomainFixture()
+        : EntryFleetFixture({.binaries = CATKINLOFT_BINARIES, .replicas = 4, .domains = 2})
+    { }
+
+    /// Sends calls and streams to every router. \returns the ids of those that were served.
+    std::set<std::string> sendToAll()
+    {
+        std::set<std::string> out;
+        for (std::size_t i = 0; i < 36; ++i) {
+            for (const char *path : {"/safe/a", "/once/a", "/stream/a?events=2"}) {
+                if (status(i % fleet.routerCount(), path) == 200)
+                    out.insert(lastId);
+            }
+        }
+        return out;
+    }
+
+    /// In which an evacuation has to be in force.
+    static constexpr auto EvacuationLimit = 1500ms;
+};
+
+/// Two replicas of each service, and more requests than a cold one bears.
+struct ColdReplicaFixture : EntryFleetFixture
+{
+    ColdReplicaFixture() : EntryFleetFixture({.binaries = CATKINLOFT_BINARIES, .replicas = 2}) { }
+
+    /// Calls all routers as fast as they answer. \returns how many were served and how many not.
+    std::pair<int, int> callFor(Duration length)
+    {
+        std::atomic<int> served = 0;
+        std::atomic<int> failed = 0;
+        const auto until = std::chrono::steady_clock::now() + length;
+        std::vector<std::thread> callers;
+        for (std::size_t i = 0; i < 2 * fleet.routerCount(); ++i) {
+            callers.emplace_back([&, i] {
+                for (int k = 0; std::chrono::steady_clock::now() < until; ++k) {
+                    const Result<HttpAnswer> answer =
+                            Fleet::fetch({.address = fleet.callerAddress(i % fleet.routerCount()),
+                                          .target = "/safe/a",
+                                          .headers = {{"Host", EntryFleet::Host},
+                                                      {"X-Request-Id", fmt::format("c{}-{}", i, k)},
+                                                      {"Authorization",
+                                                       std::string("Bearer ") + EntryFleet::Key}},
+                                          .timeout = 4s});
+                    ++(answer && answer.value().head.status == 200 ? served : failed);
+                }
+            });
+        }
+        for (std::thread &it : callers)
+            it.join();
+        return {served, failed};
+    }
+
+    /// \returns the most requests that reached replica \a id within one second, from \a fromMs on.
+    std::size_t mostInASecond(const std::string &id, std::int64_t fromMs) const
+    {
+        std::vector<std::int64_t> times;
+        for (const Json::Value &it : fleet.arrivals()) {
+            if (it["replica"].asString() == id && it["at_ms"].asInt64() >= fromMs)
+                times.push_back(it["at_ms"].asInt64());
+        }
+        std::sort(times.begin(), times.end());
+        std::size_t most = 0;
+        for (std::size_t i = 0, first = 0; i < times.size(); ++i) {
+            while (times[i] - times[first] >= 1000)
+                ++first;
+            most = std::max(most, i - first + 1);
+        }
+        return most;
+    }
+
+    /// Until all routers know a new entry.
+    static constexpr auto EntryKnown = 1500ms;
+
+    static std::int64_t nowMs()
+    {
+        return std::chrono::system_clock::now().time_since_epoch() / 1ms;
+    }
+};
+
 /// A fleet beside which a request comes again and again that ends each replica that runs it.
 struct FatalRequestFixture
 {
@@ -155,6 +255,89 @@
     }
 }
 
+// Guards against sending to a failure domain that the operator has asked to be left alone.
+TEST_CASE_FIXTURE(TwoDomainFixture, "entry_evacuatedDomain_getsNothingUntilItIsTakenBack")
+{
+    fleet.evacuate("hall-1");
+    std::this_thread::sleep_for(EvacuationLimit);
+    const std::set<std::string> served = sendToAll();
+    CHECK(served.size() == 108);
+    CHECK(executionsIn("hall-1", served) == 0);
+    fleet.router(1).signal(SIGKILL);
+    fleet.router(1).wait();
+    fleet.startRouter(1);
+    REQUIRE(Fleet::waitFor([&] { return fleet.isReady(1); }));
+    const std::set<std::string> servedAfterAStart = sendToAll();
+    CHECK(servedAfterAStart.size() == 108);
+    CHECK(executionsIn("hall-1", servedAfterAStart) == 0);
+    fleet.endEvacuation("hall-1");
+    CHECK(Fleet::waitFor([&] { return executionsIn("hall-1", sendToAll()) > 0; }));
+}
+
+// Guards against a router that has slept through the word and sends before it has heard of it.
+TEST_CASE_FIXTURE(TwoDomainFixture, "entry_routerSuspendedDuringAnEvacuation_sendsNothingThere")
+{
+    fleet.router(0).signal(SIGSTOP);
+    fleet.evacuate("hall-1");
+    std::this_thread::sleep_for(6s);
+    fleet.router(0).signal(SIGCONT);
+    std::set<std::string> served;
+    for (int i = 0; i < 40; ++i) {
+        if (status(0, "/safe/a") == 200)
+            served.insert(lastId);
+    }
+    CHECK(served.size() > 10);
+    CHECK(executionsIn("hall-1", served) == 0);
+}
+
+// Guards against callers that wait where every failure domain is evacuated.
+TEST_CASE_FIXTURE(TwoDomainFixture, "entry_allDomainsEvacuated_refusesAtOnceAsNotRun")
+{
+    fleet.evacuate("hall-0");
+    fleet.evacuate("hall-1");
+    std::this_thread::sleep_for(EvacuationLimit);
+    for (std::size_t i = 0; i < fleet.routerCount(); ++i) {
+        CHECK(status(i, "/safe/a") == 503);
+        CHECK(executionsOf(lastId) == 0);
+    }
+    fleet.endEvacuation("hall-0");
+    CHECK(Fleet::waitFor([&] { return status(0, "/safe/a") == 200; }));
+}
+
+// Guards against routers that together send a cold replica more than it bears, which ends it.
+TEST_CASE_FIXTURE(ColdReplicaFixture, "entry_coldReplicaBesideAWarmOne_getsWhatItBears")
+{
+    fleet.setReplicaFaults(0, R"({"cold_per_s":20})");
+    fleet.registerReplica(0, "ready", 8s);
+    std::this_thread::sleep_for(EntryKnown);
+    const std::int64_t from = nowMs();
+    const auto [served, failed] = callFor(4s);
+    const std::size_t most = mostInASecond(fleet.replicaId(0), from);
+    CHECK(most > 0);
+    CHECK(most <= EntryFleet::ColdPerSecond);
+    CHECK(fleet.replica(0).isRunning());
+    CHECK(served > 100);
+    CHECK(failed == 0);
+}
+
+// Guards against the same where no warm replica is left: what can't be sent is refused at once.
+TEST_CASE_FIXTURE(ColdReplicaFixture, "entry_allReplicasCold_getWhatTheyBearAndTheRestIsRefused")
+{
+    for (const std::size_t i : {0U, 1U}) {
+        fleet.setReplicaFaults(i, R"({"cold_per_s":20})");
+        fleet.registerReplica(i, "ready", 8s);
+    }
+    std::this_thread::sleep_for(EntryKnown);
+    const std::int64_t from = nowMs();
+    const auto [served, failed] = callFor(3s);
+    CHECK(served >= 20);
+    CHECK(failed > 0);
+    for (const std::size_t i : {0U, 1U}) {
+        CHECK(mostInASecond(fleet.replicaId(i), from) <= EntryFleet::ColdPerSecond);
+        CHECK(fleet.replica(i).isRunning());
+    }
+}
+
 TEST_CASE_FIXTURE(EntryFleetFixture, "entry_everyRouter_servesEveryKindOfRoute")
 {
     for (std::size_t i = 0; i < fleet.routerCount(); ++i) {
