A router that knows nobody calls the store seldom, and whoever is answered wakes the others

Cause: the bound on calls divides a rate by the size of the fleet, and a router that starts while the store is away takes itself for the only one, since the key by which routers know each other is in the store. Registration was not bounded at all. The change: whoever knows nobody tries twice and then waits as one of 300 does. FleetRegistration tells how each refresh ended, for a plan of its own. Measured: storeReadPlan_hundredsStartKnowingNobody_callsAreBounded, unchanged, passes; nine routers that know nobody are all back within 2 s of the store's return.

--- a/src/Control/FleetRegistration.cpp
+++ b/src/Control/FleetRegistration.cpp
@@ -41,7 +41,7 @@
                          [this](const Result<std::vector<TableRow>> &rows) {
                              m_busy = false;
                              if (!rows)
-                                 return logFailure("read", rows.error());
+                                 return fail("read", rows.error());
                              takeRows(rows.value());
                          });
 }
@@ -72,6 +72,13 @@
         return writeOwnRow();
     m_complete = true;
     m_options.onRouters(others);
+    m_options.onEnd(true);
+}
+
+void FleetRegistration::fail(const char *what, const Error &error)
+{
+    logFailure(what, error);
+    m_options.onEnd(false);
 }
 
 void FleetRegistration::createKey()
@@ -88,7 +95,7 @@
                            [this](const Result<TableCommit> &commit) {
                                m_busy = false;
                                if (!commit)
-                                   return logFailure("create key", commit.error());
+                                   return fail("create key", commit.error());
                                // Where another router was first, its key is read now.
                                refresh();
                            });
@@ -103,14 +110,14 @@
 void FleetRegistration::writeOwnRow()
 {
     if (m_left)
-        return;
+        return m_options.onEnd(true);
     m_busy = true;
     m_options.table.commit(
             {.expects = {}, .writes = {{.key = ownKey(), .value = m_options.self.encode()}}},
             [this](const Result<TableCommit> &commit) {
                 m_busy = false;
                 if (!commit)
-                    return logFailure("register", commit.error());
+                    return fail("register", commit.error());
                 refresh();
             });
 }
--- a/src/Control/FleetRegistration.h
+++ b/src/Control/FleetRegistration.h
@@ -30,6 +30,8 @@
         /// All other routers, this one being registered as well: of any two that start, the one
         /// that reads later finds the other.
         std::function<void(const std::vector<RegisteredRouter> &)> onRouters;
+        /// Told how each refresh() has ended: whether all its calls were answered.
+        std::function<void(bool answered)> onEnd = [](bool) {};
     };
 
     explicit FleetRegistration(Options options) : m_options(std::move(options)) { }
@@ -46,6 +48,7 @@
     void leave();
 
 private:
+    void fail(const char *what, const Error &error);
     void takeRows(const std::vector<TableRow> &rows);
     void createKey();
     void takeKey(const std::string &secret);
--- a/src/Control/StoreReadPlan.cpp
+++ b/src/Control/StoreReadPlan.cpp
@@ -8,20 +8,40 @@
 {
     if (m_calling || !(state.reader || state.overdue))
         return false;
-    return !m_broughtNothing || m_options.clock.now() - m_endedAt >= pause(state);
+    const Duration waited = m_options.clock.now() - m_endedAt;
+    return !m_broughtNothing || waited >= pause(state)
+            || (isWoken(state) && waited >= scaled(m_options.readerPause, m_spread));
+}
+
+bool StoreReadPlan::isWoken(const State &state) const
+{
+    return m_answeredElsewhere > m_endedAt
+            && (m_wokenAt == TimePoint::min() || m_options.clock.now() - m_wokenAt >= pause(state));
+}
+
+void StoreReadPlan::answeredElsewhere(TimePoint at)
+{
+    m_answeredElsewhere = std::max(m_answeredElsewhere, at);
 }
 
 Duration StoreReadPlan::pause(const State &state) const
 {
-    const Duration shared = m_options.fleetPause * state.routers;
-    const Duration whole = state.reader || !m_failed ? m_options.readerPause
-                                                     : std::max(m_options.readerPause, shared);
+    const bool knowsNobody = state.routers <= 1;
+    const Duration shared =
+            m_options.fleetPause * (knowsNobody ? m_options.unknownFleet : state.routers);
+    // One failure may be a lost packet; whoever knows nobody can't tell and tries a second time.
+    const bool tryAgain = knowsNobody && m_failures < 2;
+    const Duration whole = state.reader || !m_failed || tryAgain
+            ? m_options.readerPause
+            : std::max(m_options.readerPause, shared);
     return scaled(whole, m_spread);
 }
 
 void StoreReadPlan::began()
 {
     m_calling = true;
+    if (m_answeredElsewhere > m_endedAt)
+        m_wokenAt = m_options.clock.now();
     m_silentSince = std::min(m_silentSince, m_options.clock.now());
 }
 
@@ -30,6 +50,8 @@
     m_calling = false;
     m_broughtNothing = false;
     m_failed = false;
+    m_failures = 0;
+    m_wokenAt = TimePoint::min();
     m_silentSince = TimePoint::max();
 }
 
@@ -38,6 +60,7 @@
     m_calling = false;
     m_broughtNothing = true;
     m_failed = failed;
+    m_failures = failed ? m_failures + 1 : 0;
     m_endedAt = m_options.clock.now();
     m_spread = 0.75 + 0.5 * uniform(m_options.random);
 }
--- a/src/Control/StoreReadPlan.h
+++ b/src/Control/StoreReadPlan.h
@@ -11,6 +11,10 @@
 /// prevented: calls that are refused cost like others, and a router whose peers still tell it what
 /// they read gains nothing by its own. So all routers together try at a bounded rate, and one that
 /// failed tries again only while it reads for the others or has nothing fresh enough.
+///
+/// A router that starts meanwhile knows nobody, since the key by which routers know each other is
+/// in the store too. It tries twice and then waits as one of a large fleet does. The first of all
+/// that is answered wakes the others.
 class StoreReadPlan
 {
 public:
@@ -20,6 +24,8 @@
         RandomSource random;
         Duration readerPause = std::chrono::milliseconds(300); ///< Between tries of a reader.
         Duration fleetPause = std::chrono::milliseconds(15); ///< Between tries of all others.
+        /// Size of the fleet that a router allows for which knows no other.
+        int unknownFleet = 300;
         /// A failure that is older does not keep a router from reading for the others.
         Duration failureLife = std::chrono::seconds(10);
     };
@@ -29,7 +35,7 @@
     {
         bool reader = false; ///< It reads for the others.
         bool overdue = false; ///< What it has is too old, or it has nothing.
-        int routers = 1; ///< How many there are.
+        int routers = 1; ///< How many are known, this one included.
     };
 
     explicit StoreReadPlan(Options options) : m_options(std::move(options)) { }
@@ -49,6 +55,12 @@
     /// \brief Notes an answer that there is nothing yet: it is asked again after a reader's pause.
     void foundNothing();
 
+    /// \brief Notes that the store answered another router, or another call of this one, at \a at.
+    ///
+    /// Whoever failed before that tries again soon, but only once in each pause: a store may refuse
+    /// some and answer others.
+    void answeredElsewhere(TimePoint at);
+
     /// \returns whether a call is in progress.
     bool isCalling() const { return m_calling; }
 
@@ -63,6 +75,7 @@
 
 private:
     Duration pause(const State &state) const;
+    bool isWoken(const State &state) const;
     void end(bool failed);
 
     Options m_options;
@@ -71,6 +84,9 @@
     double m_spread = 1; ///< Of the pause, so that routers that failed together differ.
     bool m_broughtNothing = false; ///< The last call failed or found nothing.
     bool m_failed = false; ///< The last call did.
+    int m_failures = 0; ///< In a row.
+    TimePoint m_answeredElsewhere = TimePoint::min();
+    TimePoint m_wokenAt = TimePoint::min(); ///< When a call began because of that.
     bool m_calling = false;
 };
 
--- a/test/StoreReadPlanTest.cpp
+++ b/test/StoreReadPlanTest.cpp
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <memory>
 #include <vector>
 
@@ -74,6 +75,43 @@
     CHECK(calls <= 295 + static_cast<int>(8s / 15ms) * 5 / 4);
 }
 
+// Guards against a small fleet that waits as a large one does: whoever is answered wakes the
+// others.
+TEST_CASE_FIXTURE(StoreReadPlanFixture,
+                  "storeReadPlan_nineStartKnowingNobody_allAreBackInTwoSeconds")
+{
+    addRouters(9);
+    const StoreReadPlan::State state{.reader = false, .overdue = true, .routers = 1};
+    refuseFor(8s, state);
+    std::vector<bool> served(plans.size());
+    for (Duration t = 0ms; t < 2s; t += 200ms) {
+        for (std::size_t i = 0; i < plans.size(); ++i) {
+            if (served[i] || !plans[i]->isDue(state))
+                continue;
+            served[i] = true;
+            plans[i]->began();
+            plans[i]->answered();
+            for (const auto &it : plans)
+                it->answeredElsewhere(clock.now());
+        }
+        clock.advance(200ms);
+    }
+    CHECK(std::count(served.begin(), served.end(), true) == 9);
+}
+
+// Guards against a router that the store refuses and that calls whenever another one is answered.
+TEST_CASE_FIXTURE(StoreReadPlanFixture, "storeReadPlan_othersAreAnswered_callsStayBounded")
+{
+    addRouters(295);
+    int calls = 0;
+    for (Duration t = 0ms; t < 8s; t += 200ms) {
+        for (const auto &it : plans)
+            it->answeredElsewhere(clock.now());
+        calls += refuseFor(200ms, false, true);
+    }
+    CHECK(calls <= 295 + 2 * static_cast<int>(8s / 15ms) * 5 / 4);
+}
+
 TEST_CASE_FIXTURE(StoreReadPlanFixture, "storeReadPlan_turnedAwayButToldByPeers_callsNoMore")
 {
     addRouters(100);
