Placement leaves out evacuated domains and other regions, and paces cold replicas

One choice stands for every way to a replica (first try, repeat, resumed stream, the case that all look bad), so the three bounds hold there: - ReplicaPool::setEvacuated: replicas of an evacuated failure domain are no candidates; prompts may still be copied from them. Runs in progress go on. Where every domain is evacuated calls are refused at once. - ColdPace: a cold replica gets requests from a few routers only, chosen by rendezvous over the registered and heard ones, each at its own distance; half of what it bears is shared out, so that two disjoint sets of senders stay within the bound. Warm replicas are taken before a request is refused. - allowed regions of routes and workspaces, both binding; `regions` of the settings names them by domain. Callers are told of routers that nobody has heard for 3 s after a start at most: rows of routers that are gone for good stay in the store. Measured in the model (ColdPaceTest): 295 routers, 2,000 requests/s, 4 cold of 40 replicas that bear 17/s: at most 17 in any second, none refused; the same with 70 routers that believe in three different fleets; 140 cold ones alone take 600/s with less than 1% refused.

--- a/src/Base/EntrySettings.cpp
+++ b/src/Base/EntrySettings.cpp
@@ -49,6 +49,23 @@
     it.finish();
 }
 
+void readColdReplicas(YamlSection it, EntrySettings &out)
+{
+    out.coldFactor = it.number("factor", 0.01, 100, "times the stated pace", out.coldFactor);
+    out.coldSlack = it.number("slack", 0, 1e6, "requests a second", out.coldSlack);
+    it.finish();
+}
+
+void readRegions(std::vector<YamlSection> list, EntrySettings &out)
+{
+    for (YamlSection &it : list) {
+        const std::string domain = it.text("domain");
+        if (!out.regions.emplace(domain, it.text("region")).second)
+            it.problem("domain", "is named twice");
+        it.finish();
+    }
+}
+
 void readMechanisms(YamlSection it, Mechanisms &out)
 {
     out.promptPlacement = it.flag("prompt_placement", out.promptPlacement);
@@ -64,6 +81,12 @@
 
 } // namespace
 
+std::string EntrySettings::regionOf(const std::string &domain) const
+{
+    const auto it = regions.find(domain);
+    return it == regions.end() ? std::string() : it->second;
+}
+
 EntrySettings::Adjusted EntrySettings::adjust(const EntrySettings &next)
 {
     Adjusted out;
@@ -95,6 +118,9 @@
     keep("peer_address", &EntrySettings::peerAddress);
     keep("metrics_address", &EntrySettings::metricsAddress);
     keep("store_address", &EntrySettings::storeAddress);
+    take("cold_replicas.factor", &EntrySettings::coldFactor);
+    take("cold_replicas.slack", &EntrySettings::coldSlack);
+    keep("regions", &EntrySettings::regions);
     keep("repeats.window", &EntrySettings::repeatWindow);
     keep("replica_return_time", &EntrySettings::replicaReturnTime);
     keep("mechanisms", &EntrySettings::mechanisms);
@@ -119,6 +145,8 @@
     out->processorShare = root.number("processor_share", 0.01, 1024, "cores", out->processorShare);
     readKeyProof(root.section("key_proof"), *out);
     readRepeats(root.section("repeats"), *out);
+    readColdReplicas(root.section("cold_replicas"), *out);
+    readRegions(root.sections("regions"), *out);
     readLimits(root.section("limits"), *out);
     readMechanisms(root.section("mechanisms"), out->mechanisms);
     out->configApplyLimit = root.duration("config_apply_limit", 100ms, 1h, out->configApplyLimit);
--- a/src/Base/EntrySettings.h
+++ b/src/Base/EntrySettings.h
@@ -4,6 +4,7 @@
 #include "Base/Mechanisms.h"
 #include "Base/YamlSection.h"
 
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -40,6 +41,11 @@
     Duration stopLimit = std::chrono::seconds(8); ///< From SIGTERM until the process is killed.
     /// Within it a replica that says that it leaves must get no request any more.
     Duration replicaDrainLimit = std::chrono::seconds(2);
+    /// Requests that a cold replica may get in one second from all routers together: this many
+    /// times what its service states, and the slack.
+    double coldFactor = 1;
+    double coldSlack = 0;
+    std::map<std::string, std::string> regions = {}; ///< By failure domain.
     Duration replicaReturnTime = std::chrono::milliseconds(2200); ///< \sa ReplicaRegistry
 
     Mechanisms mechanisms = {};
@@ -49,6 +55,9 @@
     std::size_t maxStreamBuffer = 256 * 1024; ///< Bytes held for one slow caller.
     int maxConnections = 3000; ///< Of callers; the rest of the descriptors are for replicas.
 
+    /// \returns the region of \a domain; empty where none is known.
+    std::string regionOf(const std::string &domain) const;
+
     /// \brief Which settings a new file changes, by their names there.
     struct Adjusted
     {
--- a/src/Base/ReplicaRecord.h
+++ b/src/Base/ReplicaRecord.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "Base/Clock.h"
+
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -22,6 +25,10 @@
     bool draining = false; ///< Takes no new requests.
     std::int64_t sequence = 0; ///< Rises while the process runs; 0: not told.
     std::int64_t startedAt = 0; ///< Unix time of its start in milliseconds; 0: not told.
+    /// How long it stays cold from when its entry was read: it bears few requests a second, and
+    /// ends above.
+    Duration coldFor = Duration::zero();
+    TimePoint coldUntil = {}; ///< The same by this process's clock, once the registry has it.
 
     /// \returns what tells this start of the replica from others under the same id. Counts, health
     /// and kept prompts belong to it; to the platform a replica is known by its id.
@@ -30,6 +37,13 @@
         return startedAt == 0 ? id : id + '~' + std::to_string(startedAt % IncarnationPeriod);
     }
 
+    /// \returns \a ms as the time for which a replica says that it stays cold, at most an hour.
+    static Duration coldTime(double ms)
+    {
+        constexpr double MaxMs = 3'600'000;
+        return fromSeconds(ms > 0 ? std::min(ms, MaxMs) / 1000 : 0);
+    }
+
     /// \returns what names the program that it runs: another version, or that of another service,
     /// may do better with the same request.
     std::string software() const { return service + ' ' + version; }
--- a/src/Base/RouteConfig.h
+++ b/src/Base/RouteConfig.h
@@ -40,6 +40,7 @@
     Duration targetLatency = std::chrono::seconds(1); ///< An answer within it is on time.
     std::optional<Duration> maxEventGap = {}; ///< Longest pause of a stream that is on time.
     std::vector<RouteTarget> targets = {};
+    std::vector<std::string> regions = {}; ///< Whose replicas may get them; empty: all.
 
     /// \returns whether executing a request twice does no harm.
     bool isIdempotent() const
@@ -54,6 +55,7 @@
     std::string name = {};
     int maxConnections = 0; ///< Accepted by one replica from all routers together; 0: not stated.
     bool isEngine = false; ///< Runs models; its replicas keep prompts in memory.
+    double coldRequestsPerSecond = 0; ///< That a cold replica bears; 0: replicas are never cold.
 };
 
 /// \brief A workspace and the keys by which its callers are known.
@@ -62,6 +64,7 @@
     std::string name = {};
     std::vector<std::string> apiKeys = {};
     std::optional<int> priority = {}; ///< Goes before the priority of the route.
+    std::vector<std::string> regions = {}; ///< \sa Route::regions; both bind.
 };
 
 /// \brief Routes, services and workspaces as one revision has them.
--- a/src/Control/EntryDirectory.cpp
+++ b/src/Control/EntryDirectory.cpp
@@ -29,7 +29,7 @@
             ready.push_back(running.back());
     }
     // They start together with this one, and most are ready by the time that a caller connects.
-    for (const RegisteredRouter &it : m_options.fleet.unheard())
+    for (const RegisteredRouter &it : m_options.fleet.unheardToName())
         ready.push_back({it.callerAddress, it.processorShare});
     return sample(ready.empty() ? std::move(running) : std::move(ready), most);
 }
--- a/src/Control/FleetView.cpp
+++ b/src/Control/FleetView.cpp
@@ -20,6 +20,10 @@
 /// not heard for longer does not read for the others, and is not named after a start.
 constexpr int HeardRounds = 2;
 
+/// How long after its start a router names others to callers that it has not heard: a part of them
+/// is heard by then in a fleet of any size.
+constexpr Duration UnheardNamed = std::chrono::seconds(3);
+
 } // namespace
 
 bool FleetView::receive(const RouterBeat &beat)
@@ -144,6 +148,25 @@
     return out;
 }
 
+bool FleetView::isChosenFor(std::string_view subject, std::size_t n) const
+{
+    if (!m_registeredAt)
+        return false;
+    const std::uint64_t key = hash64(subject);
+    const double own = rendezvousScore(key, hash64(m_options.selfAddress), 1);
+    const auto before =
+            std::count_if(m_addresses.begin(), m_addresses.end(), [&](const std::string &it) {
+                return it != m_options.selfAddress && rendezvousScore(key, hash64(it), 1) > own;
+            });
+    return static_cast<std::size_t>(before) < n;
+}
+
+std::vector<RegisteredRouter> FleetView::unheardToName() const
+{
+    const bool isEarly = m_registeredAt && m_options.clock.now() - *m_registeredAt <= UnheardNamed;
+    return isEarly ? unheard() : std::vector<RegisteredRouter>();
+}
+
 bool FleetView::isLive(const Peer &peer) const
 {
     return m_options.clock.now() - peer.heardAt <= m_options.silence;
--- a/src/Control/FleetView.h
+++ b/src/Control/FleetView.h
@@ -28,6 +28,7 @@
     {
         const Clock &clock;
         std::string self; ///< Name of this router.
+        std::string selfAddress = {}; ///< `ip:port` at which the others reach it.
         /// A router that was silent for so long is not named to callers: some four beats.
         Duration silence = std::chrono::milliseconds(1500);
         Duration configLimit = std::chrono::seconds(2); ///< In which changes have to be in force.
@@ -89,6 +90,10 @@
     /// all routers that know the same others. This one is not among them.
     std::vector<std::string> keepersOf(std::string_view subject, std::size_t n) const;
 
+    /// \returns whether this router is one of the \a n that are chosen for \a subject, the same on
+    /// all routers that know the same others; false before the store's rows are known.
+    bool isChosenFor(std::string_view subject, std::size_t n) const;
+
     /// \returns how many addresses there are to beat to.
     std::size_t addressCount() const { return m_addresses.size(); }
 
@@ -105,6 +110,10 @@
     /// would be the only ones named to callers and would read the store for all.
     std::vector<RegisteredRouter> unheard() const;
 
+    /// \returns those of unheard() that callers may be told of: rows of routers that are gone for
+    /// good stay, and are not named for longer than others need to be heard.
+    std::vector<RegisteredRouter> unheardToName() const;
+
     /// \returns how many routers share the fleet's limits, this one included. Routers that fell
     /// silent count for a while, since they may be cut off and serving.
     int sharers() const;
--- /dev/null
+++ b/src/Decide/ColdPace.cpp
@@ -0,0 +1,25 @@
+#include "Decide/ColdPace.h"
+
+#include <algorithm>
+
+namespace catkinloft {
+
+namespace {
+
+/// The second in which requests are counted, and what two of them may lose of their distance on the
+/// way: one that opens a connection arrives later than one that finds an open one.
+constexpr Duration Window = std::chrono::milliseconds(1100);
+
+} // namespace
+
+ColdPace ColdPace::shareOf(double bearable, int routers)
+{
+    const double half = bearable / 2;
+    if (half < 1)
+        return {.senders = 1, .spacing = scaled(Window, 1 / half)};
+    const auto whole = static_cast<std::size_t>(half);
+    const std::size_t senders = std::min(whole, static_cast<std::size_t>(std::max(1, routers)));
+    return {.senders = senders, .spacing = Window / static_cast<std::int64_t>(whole / senders)};
+}
+
+} // namespace catkinloft
--- a/src/Decide/Decide.h
+++ b/src/Decide/Decide.h
@@ -5,6 +5,7 @@
 
 #include "Decide/AdmissionQueue.h" // IWYU pragma: export
 #include "Decide/ChatOrder.h" // IWYU pragma: export
+#include "Decide/ColdPace.h" // IWYU pragma: export
 #include "Decide/ConcurrencyLimit.h" // IWYU pragma: export
 #include "Decide/Dispatcher.h" // IWYU pragma: export
 #include "Decide/HealthTracker.h" // IWYU pragma: export
--- a/src/Decide/ReplicaPool.cpp
+++ b/src/Decide/ReplicaPool.cpp
@@ -2,6 +2,7 @@
 
 #include "Base/Hash.h"
 #include "Base/Log.h"
+#include "Decide/ColdPace.h"
 #include "Decide/Rendezvous.h"
 
 #include <algorithm>
@@ -74,6 +75,10 @@
 /// progress: leaving costs a millisecond, waiting behind another request costs its service time.
 constexpr double DomainBonus = 0.9;
 
+/// How long it is kept whether this router may send to a cold replica: it takes a look at all
+/// routers.
+constexpr Duration SenderLife = 500ms;
+
 bool contains(std::span<const std::string> ids, const std::string &id)
 {
     return std::find(ids.begin(), ids.end(), id) != ids.end();
@@ -207,7 +212,7 @@
     std::vector<Candidate> out;
     out.reserve(m_states.size());
     for (State &it : m_states) {
-        if (it.record.draining || now < it.leftOutUntil || !mayTake(query, it.incarnation))
+        if (!isEligible(it, query, now))
             continue;
         if (regardHealth && !isAdmitted(it, query, regardNews))
             continue;
@@ -216,6 +221,38 @@
     return out;
 }
 
+bool ReplicaPool::isEligible(State &it, const Query &query, TimePoint now) const
+{
+    return !it.record.draining && now >= it.leftOutUntil && mayTake(query, it.incarnation)
+            && !isEvacuated(it) && isAllowed(it, query) && !bearsNone(it, now);
+}
+
+bool ReplicaPool::isEvacuated(const State &it) const
+{
+    return !m_evacuated.empty() && m_evacuated.contains(it.record.failureDomain);
+}
+
+bool ReplicaPool::isAllowed(const State &it, const Query &query) const
+{
+    if (query.regions.empty() && query.workspaceRegions.empty())
+        return true;
+    const std::string region = m_options.regionOf(it.record.failureDomain);
+    return (query.regions.empty() || contains(query.regions, region))
+            && (query.workspaceRegions.empty() || contains(query.workspaceRegions, region));
+}
+
+bool ReplicaPool::bearsNone(State &it, TimePoint now) const
+{
+    if (m_coldLimit <= 0 || now >= it.record.coldUntil)
+        return false;
+    const ColdPace pace = ColdPace::shareOf(m_coldLimit, m_options.routers());
+    if (it.senderCheckedAt == TimePoint::min() || now - it.senderCheckedAt >= SenderLife) {
+        it.senderCheckedAt = now;
+        it.isColdSender = m_options.isColdSender(it.incarnation, pace.senders);
+    }
+    return !it.isColdSender || (it.sentAt != TimePoint::min() && now - it.sentAt < pace.spacing);
+}
+
 bool ReplicaPool::isAdmitted(State &it, const Query &query, bool regardNews)
 {
     const TimePoint now = m_options.clock.now();
@@ -345,6 +382,7 @@
     if (!it)
         return;
     ++it->own;
+    it->sentAt = m_options.clock.now();
     it->health.probing = it->health.state == HealthTracker::State::HalfOpen;
     for (const PromptPart &part : prompt)
         m_prompts.note(it->hash, part.id);
@@ -414,7 +452,7 @@
     const TimePoint now = m_options.clock.now();
     std::optional<Duration> out;
     for (const State &it : m_states) {
-        if (!it.record.draining)
+        if (!it.record.draining && !isEvacuated(it))
             out = std::min(out.value_or(Duration::max()), it.leftOutUntil - now);
     }
     return std::max(Duration::zero(), out.value_or(Duration::zero()));
@@ -458,8 +496,8 @@
 {
     const TimePoint now = m_options.clock.now();
     return static_cast<std::size_t>(
-            std::count_if(m_states.begin(), m_states.end(), [now](const State &it) {
-                return !it.record.draining && now >= it.leftOutUntil;
+            std::count_if(m_states.begin(), m_states.end(), [this, now](const State &it) {
+                return !it.record.draining && now >= it.leftOutUntil && !isEvacuated(it);
             }));
 }
 
--- a/src/Decide/ReplicaPool.h
+++ b/src/Decide/ReplicaPool.h
@@ -8,7 +8,9 @@
 #include "Decide/PromptIndex.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -52,6 +54,9 @@
 /// sends it one call a second, that costs 73 routers some 220 calls, so they tell each other: what
 /// three others have ejected gets nothing here either, unless it has just answered well here, since
 /// it may fail for some callers only. Calls that may be repeated find out whether it is well again.
+/// A replica in an evacuated failure domain gets nothing on any way; a cold one no more than its
+/// share of what it bears, \sa ColdPace. Both hold where no other replica is left.
+///
 /// An engine that falls silent is ejected at its first overdue answer: of 28 silent ones among 140
 /// that halves the requests that are sent there in eight seconds.
 class ReplicaPool
@@ -64,6 +69,13 @@
         std::string failureDomain = {}; ///< Of this router.
         bool isEngine = false; ///< Replicas keep prompts in memory.
         Mechanisms mechanisms = {};
+        std::function<std::string(const std::string &domain)> regionOf = [](const std::string &) {
+            return std::string();
+        };
+        std::function<int()> routers = [] { return 1; }; ///< How many there are.
+        /// Whether this router is one of the \a n that may send to \a replica while it is cold.
+        std::function<bool(std::string_view replica, std::size_t n)> isColdSender =
+                [](std::string_view, std::size_t) { return true; };
     };
 
     /// \brief What matters about a request.
@@ -73,6 +85,9 @@
         std::span<const std::string> excluded = {}; ///< Incarnations on which an attempt failed.
         std::span<const std::string> only = {}; ///< If not empty: no others may be chosen.
         bool repeatable = true; ///< It may be sent once more where a replica fails it.
+        /// Regions of replicas that its route and its workspace allow; empty: all.
+        std::span<const std::string> regions = {};
+        std::span<const std::string> workspaceRegions = {};
     };
 
     /// \brief Where a request goes.
@@ -91,6 +106,13 @@
     /// \brief Takes over the registered replicas; those that stay keep counts and health.
     void setReplicas(std::span<const ReplicaRecord> replicas);
 
+    /// \brief Sends nothing more to replicas in \a domains.
+    void setEvacuated(std::set<std::string> domains) { m_evacuated = std::move(domains); }
+
+    /// \brief Sets the requests that a cold replica bears in one second from all routers together;
+    /// 0: replicas are never cold.
+    void setColdLimit(double requests) { m_coldLimit = requests; }
+
     /// \brief Takes over what \a router told at \a heard.
     void setNews(const std::string &router, ReplicaNews news, TimePoint heard);
 
@@ -152,6 +174,9 @@
         int ejectedBy = 0; ///< Other routers that have ejected it, as last heard.
         TimePoint answeredAt = {}; ///< Its last good answer to this router.
         TimePoint leftOutUntil = {};
+        TimePoint sentAt = TimePoint::min(); ///< The last request from this router.
+        bool isColdSender = false; ///< \sa Options::isColdSender, as of senderCheckedAt.
+        TimePoint senderCheckedAt = TimePoint::min();
         HealthTracker::Entry health = {};
     };
     struct Heard
@@ -172,6 +197,10 @@
                     std::size_t n) const;
     std::vector<Candidate> candidates(const Query &query, bool regardHealth);
     bool isAdmitted(State &it, const Query &query, bool regardNews);
+    bool isEligible(State &it, const Query &query, TimePoint now) const;
+    bool isAllowed(const State &it, const Query &query) const;
+    bool isEvacuated(const State &it) const;
+    bool bearsNone(State &it, TimePoint now) const;
     bool isAvoided(const State &it) const;
     bool mayAvoid() const;
     State *byPrompt(std::vector<Candidate> &list, std::span<const PromptPart> prompt) const;
@@ -188,6 +217,8 @@
     std::map<std::string, std::size_t, std::less<>> m_index; ///< Into m_states, by incarnation.
     std::map<std::string, TimePoint, std::less<>> m_pauses; ///< Of replicas without an entry.
     std::map<std::string, Heard> m_heard; ///< By router.
+    std::set<std::string> m_evacuated; ///< Failure domains.
+    double m_coldLimit = 0; ///< \sa setColdLimit()
     TimePoint m_forgotAt;
     HealthTracker m_health;
     PromptIndex m_prompts;
--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -184,7 +184,10 @@
 {
     ReplicaPool::Query query{.prompt = m_request.sharedPrompt(),
                              .excluded = m_sendings.failed(),
-                             .repeatable = m_request.route->isIdempotent()};
+                             .repeatable = m_request.route->isIdempotent(),
+                             .regions = m_request.route->regions};
+    if (m_request.workspace)
+        query.workspaceRegions = m_request.workspace->regions;
     // The route bounds how many replicas may get it, not how often one does.
     if (m_sendings.isBoundToReached(*m_request.route)) {
         query.excluded = {};
--- a/src/Net/ServicePools.cpp
+++ b/src/Net/ServicePools.cpp
@@ -16,15 +16,23 @@
 
 } // namespace
 
-ServicePools::ServicePools(const Clock &clock, RandomSource random, const EntrySettings &settings)
-    : m_clock(clock), m_random(std::move(random)), m_settings(settings)
+ServicePools::ServicePools(const Clock &clock, RandomSource random, const EntrySettings &settings,
+                           Fleet fleet)
+    : m_clock(clock), m_random(std::move(random)), m_settings(settings), m_fleet(std::move(fleet))
 { }
 
+double ServicePools::coldLimitOf(const std::string &service) const
+{
+    const auto it = m_services.find(service);
+    const double stated = it == m_services.end() ? 0 : it->second.coldRequestsPerSecond;
+    return stated > 0 ? stated * m_settings.coldFactor + m_settings.coldSlack : 0;
+}
+
 void ServicePools::setServices(const RouteConfig &config)
 {
     for (const ServiceConfig &it : config.services) {
-        m_isEngine[it.name] = it.isEngine;
-        of(it.name);
+        m_services[it.name] = it;
+        of(it.name).replicas.setColdLimit(coldLimitOf(it.name));
     }
 }
 
@@ -35,10 +43,19 @@
         pool->replicas.setReplicas(ofService(m_replicas, service));
 }
 
-void ServicePools::applySettings()
+void ServicePools::setEvacuated(const std::set<std::string> &domains)
 {
+    m_evacuated = domains;
     for (const auto &[service, pool] : m_pools)
+        pool->replicas.setEvacuated(domains);
+}
+
+void ServicePools::applySettings()
+{
+    for (const auto &[service, pool] : m_pools) {
         pool->repeats.setOptions(m_settings.repeatShare, m_settings.repeatSlack);
+        pool->replicas.setColdLimit(coldLimitOf(service));
+    }
 }
 
 void ServicePools::setNews(const std::string &router, const ReplicaNews &news, TimePoint heard)
@@ -71,8 +88,9 @@
 {
     std::vector<ReplicaRecord> out;
     for (const ReplicaRecord &it : m_replicas) {
-        const auto engine = m_isEngine.find(it.service);
-        if (engine != m_isEngine.end() && engine->second)
+        const auto service = m_services.find(it.service);
+        if (service != m_services.end() && service->second.isEngine
+            && !m_evacuated.contains(it.failureDomain))
             out.push_back(it);
     }
     return out;
@@ -82,18 +100,25 @@
 {
     std::unique_ptr<ServicePool> &pool = m_pools[service];
     if (!pool) {
-        pool = std::make_unique<ServicePool>(
-                ServicePool{.replicas = ReplicaPool({.clock = m_clock,
-                                                     .random = m_random,
-                                                     .failureDomain = m_settings.failureDomain,
-                                                     .isEngine = m_isEngine[service],
-                                                     .mechanisms = m_settings.mechanisms}),
-                            .repeats = RepeatBudget({.clock = m_clock,
-                                                     .share = m_settings.repeatShare,
-                                                     .slack = m_settings.repeatSlack,
-                                                     .window = m_settings.repeatWindow}),
-                            .idle = IdleTrust({.clock = m_clock}),
-                            .shedder = LoadShedder({.clock = m_clock, .random = m_random})});
+        pool = std::make_unique<ServicePool>(ServicePool{
+                .replicas = ReplicaPool(
+                        {.clock = m_clock,
+                         .random = m_random,
+                         .failureDomain = m_settings.failureDomain,
+                         .isEngine = m_services[service].isEngine,
+                         .mechanisms = m_settings.mechanisms,
+                         .regionOf =
+                                 [this](const std::string &it) { return m_settings.regionOf(it); },
+                         .routers = m_fleet.routers,
+                         .isColdSender = m_fleet.isColdSender}),
+                .repeats = RepeatBudget({.clock = m_clock,
+                                         .share = m_settings.repeatShare,
+                                         .slack = m_settings.repeatSlack,
+                                         .window = m_settings.repeatWindow}),
+                .idle = IdleTrust({.clock = m_clock}),
+                .shedder = LoadShedder({.clock = m_clock, .random = m_random})});
+        pool->replicas.setEvacuated(m_evacuated);
+        pool->replicas.setColdLimit(coldLimitOf(service));
         pool->replicas.setReplicas(ofService(m_replicas, service));
     }
     return *pool;
--- a/src/Net/ServicePools.h
+++ b/src/Net/ServicePools.h
@@ -9,10 +9,14 @@
 #include "Decide/RepeatBudget.h"
 #include "Decide/ReplicaPool.h"
 
+#include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <span>
 #include <string>
+#include <string_view>
+#include <utility>
 
 namespace catkinloft {
 
@@ -30,14 +34,31 @@
 class ServicePools
 {
 public:
-    ServicePools(const Clock &clock, RandomSource random, const EntrySettings &settings);
+    /// \brief What the pools ask about the other routers.
+    struct Fleet
+    {
+        std::function<int()> routers = [] { return 1; }; ///< \sa ReplicaPool::Options::routers
+        /// \sa ReplicaPool::Options::isColdSender
+        std::function<bool(std::string_view replica, std::size_t n)> isColdSender =
+                [](std::string_view, std::size_t) { return true; };
+    };
+
+    ServicePools(const Clock &clock, RandomSource random, const EntrySettings &settings)
+        : ServicePools(clock, std::move(random), settings, Fleet())
+    { }
+
+    ServicePools(const Clock &clock, RandomSource random, const EntrySettings &settings,
+                 Fleet fleet);
 
     /// \brief Takes over which services run models.
     void setServices(const RouteConfig &config);
 
     void setReplicas(std::span<const ReplicaRecord> replicas);
 
-    /// \brief Takes over the repeat budget of settings that have changed.
+    /// \brief Sends nothing more to replicas in \a domains.
+    void setEvacuated(const std::set<std::string> &domains);
+
+    /// \brief Takes over the repeat budget and the limits of settings that have changed.
     void applySettings();
     void setNews(const std::string &router, const ReplicaNews &news, TimePoint heard);
 
@@ -50,7 +71,7 @@
     /// \returns parts of prompts that replicas are believed to keep, at most \a most a service.
     PromptsByReplica prompts(std::size_t most) const;
 
-    /// \returns the replicas that keep prompts in memory.
+    /// \returns the replicas that keep prompts in memory and may get requests.
     std::vector<ReplicaRecord> engines() const;
 
     ServicePool &of(const std::string &service);
@@ -59,10 +80,14 @@
     ReplicaNews ownNews() const;
 
 private:
+    double coldLimitOf(const std::string &service) const;
+
     const Clock &m_clock;
     RandomSource m_random;
     const EntrySettings &m_settings;
-    std::map<std::string, bool> m_isEngine;
+    Fleet m_fleet;
+    std::map<std::string, ServiceConfig> m_services;
+    std::set<std::string> m_evacuated;
     std::vector<ReplicaRecord> m_replicas;
     std::map<std::string, std::unique_ptr<ServicePool>> m_pools;
 };
--- /dev/null
+++ b/test/ColdPaceTest.cpp
@@ -0,0 +1,207 @@
+#include "Decide/ColdPace.h"
+#include "Base/ManualClock.h"
+#include "Control/FleetView.h"
+#include "Decide/ReplicaPool.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <deque>
+#include <memory>
+
+#include <fmt/format.h>
+
+using namespace catkinloft;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Routers that share no counter, each with its own view of the fleet and its pool, before replicas
+/// of which some are cold.
+struct ColdReplicaFleetFixture
+{
+    struct Router
+    {
+        std::unique_ptr<FleetView> view;
+        std::unique_ptr<ReplicaPool> pool;
+    };
+
+    static std::string nameOf(std::size_t i) { return fmt::format("r{}", i); }
+
+    void addRouters(std::size_t n)
+    {
+        for (std::size_t i = 0; i < n; ++i) {
+            Router it;
+            it.view = std::make_unique<FleetView>(FleetView::Options{
+                    .clock = clock, .self = nameOf(i), .selfAddress = nameOf(i) + ":2"});
+            FleetView &view = *it.view;
+            it.pool = std::make_unique<ReplicaPool>(ReplicaPool::Options{
+                    .clock = clock,
+                    .random = seededRandom(i),
+                    .routers = [&view] { return view.sharers(); },
+                    .isColdSender =
+                            [&view](std::string_view replica, std::size_t senders) {
+                                return view.isChosenFor(replica, senders);
+                            }});
+            it.pool->setColdLimit(Bearable);
+            routers.push_back(std::move(it));
+        }
+    }
+
+    /// Lets router \a i know \a others of the fleet.
+    void introduce(std::size_t i, std::size_t others)
+    {
+        std::vector<RegisteredRouter> rows;
+        for (std::size_t k = 0; k < others; ++k) {
+            if (k != i)
+                rows.push_back({.name = nameOf(k),
+                                .callerAddress = nameOf(k) + ":1",
+                                .peerAddress = nameOf(k) + ":2"});
+        }
+        routers[i].view->setRegistered(rows);
+    }
+
+    void introduceAll()
+    {
+        for (std::size_t i = 0; i < routers.size(); ++i)
+            introduce(i, routers.size());
+    }
+
+    void setReplicas(std::size_t cold, std::size_t warm)
+    {
+        std::vector<ReplicaRecord> list;
+        for (std::size_t i = 0; i < cold + warm; ++i)
+            list.push_back({.id = fmt::format("{}-{}", i < cold ? "cold" : "warm", i),
+                            .service = "s",
+                            .slots = 12,
+                            .coldFor = i < cold ? ColdTime : Duration::zero(),
+                            .coldUntil = i < cold ? clock.now() + ColdTime : TimePoint()});
+        for (Router &it : routers)
+            it.pool->setReplicas(list);
+    }
+
+    /// Sends \a perSecond requests through routers in turn for \a length, each of which runs 20 ms.
+    void load(int perSecond, Duration length)
+    {
+        const Duration step = Duration(1s) / perSecond;
+        for (Duration t = 0s; t < length; t += step) {
+            Router &it = routers[sent++ % routers.size()];
+            const ReplicaPool::Choice choice = it.pool->choose({});
+            if (choice.replica) {
+                it.pool->started(choice.replica->id);
+                it.pool->finished(choice.replica->id, {.succeeded = true});
+                arrivals[choice.replica->id].push_back(clock.now());
+            } else {
+                ++refused;
+            }
+            clock.advance(step);
+        }
+    }
+
+    /// \returns the most requests that one replica whose name begins with \a prefix got in a
+    /// second.
+    std::size_t mostInASecond(const std::string &prefix) const
+    {
+        std::size_t most = 0;
+        for (const auto &[id, times] : arrivals) {
+            if (!id.starts_with(prefix))
+                continue;
+            for (std::size_t i = 0, first = 0; i < times.size(); ++i) {
+                while (times[i] - times[first] >= 1s)
+                    ++first;
+                most = std::max(most, i - first + 1);
+            }
+        }
+        return most;
+    }
+
+    std::size_t arrivedAt(const std::string &prefix) const
+    {
+        std::size_t n = 0;
+        for (const auto &[id, times] : arrivals)
+            n += id.starts_with(prefix) ? times.size() : 0;
+        return n;
+    }
+
+    static constexpr double Bearable = 17;
+    static constexpr Duration ColdTime = 30s;
+
+    ManualClock clock;
+    std::vector<Router> routers;
+    std::map<std::string, std::vector<TimePoint>> arrivals; ///< By replica.
+    std::size_t sent = 0;
+    int refused = 0;
+};
+
+} // namespace
+
+TEST_CASE("coldPace_anyFleet_twoSetsOfSendersStayWithinWhatIsBorne")
+{
+    for (const double bearable : {0.4, 1.0, 1.9, 2.0, 5.0, 17.4, 50.0, 1000.0}) {
+        for (const int routers : {1, 2, 9, 73, 295, 890}) {
+            const ColdPace pace = ColdPace::shareOf(bearable, routers);
+            const double perSender = std::floor(1s / pace.spacing) + 1;
+            CAPTURE(bearable);
+            CAPTURE(routers);
+            CHECK(pace.senders >= 1);
+            CHECK(pace.senders <= static_cast<std::size_t>(routers));
+            if (bearable >= 2)
+                CHECK(2 * perSender * static_cast<double>(pace.senders) <= bearable);
+            else
+                CHECK(toSeconds(pace.spacing) * bearable >= 2);
+        }
+    }
+}
+
+// Guards against hundreds of routers that each send a cold replica a little and end it together.
+TEST_CASE_FIXTURE(ColdReplicaFleetFixture, "coldReplica_hundredsOfRouters_sendWhatItBearsTogether")
+{
+    addRouters(295);
+    introduceAll();
+    setReplicas(4, 36);
+    load(2000, 8s);
+    CHECK(refused == 0);
+    CHECK(mostInASecond("cold") <= Bearable);
+    CHECK(arrivedAt("cold") > 0);
+}
+
+// Guards against routers that don't know each other yet: each takes itself for a sender.
+TEST_CASE_FIXTURE(ColdReplicaFleetFixture,
+                  "coldReplica_routersStartAndBelieveInDifferentFleets_staysWithinWhatItBears")
+{
+    addRouters(70);
+    for (std::size_t i = 0; i < routers.size(); ++i) {
+        // The last ones have not read the rows; others have read them before all were written.
+        if (i < 60)
+            introduce(i, i < 30 ? 70 : 40);
+    }
+    setReplicas(4, 30);
+    load(1500, 8s);
+    CHECK(refused == 0);
+    CHECK(mostInASecond("cold") <= Bearable);
+}
+
+// Guards against refusing while every replica is cold but all together bear the load.
+TEST_CASE_FIXTURE(ColdReplicaFleetFixture, "coldReplica_allAreCold_takeAThirdOfWhatTheyBear")
+{
+    addRouters(70);
+    introduceAll();
+    setReplicas(140, 0);
+    load(600, 5s);
+    CHECK(mostInASecond("cold") <= Bearable);
+    CHECK(refused < 30);
+}
+
+TEST_CASE_FIXTURE(ColdReplicaFleetFixture, "coldReplica_warmAgain_isLimitedNoMore")
+{
+    addRouters(2);
+    introduceAll();
+    setReplicas(1, 0);
+    load(100, 2s);
+    CHECK(mostInASecond("cold") <= Bearable);
+    CHECK(refused > 100);
+    clock.advance(ColdTime);
+    refused = 0;
+    load(100, 2s);
+    CHECK(refused == 0);
+}
--- a/test/ReplicaPoolTest.cpp
+++ b/test/ReplicaPoolTest.cpp
@@ -620,3 +620,91 @@
     REQUIRE(pool.choose({}).replica);
     CHECK(pool.choose({}).replica->id == "i-0");
 }
+
+namespace {
+
+/// One router before replicas in three failure domains, d0 to d2, and two regions.
+struct DomainPoolFixture
+{
+    DomainPoolFixture() { pool.setReplicas(replicas(6)); }
+
+    /// \returns the failure domains of what is chosen for \a query in a hundred choices.
+    std::set<std::string> chosen(ReplicaPool::Query query = {})
+    {
+        std::set<std::string> out;
+        for (std::uint64_t i = 0; i < 100; ++i) {
+            const std::vector<PromptPart> prompt = {{i, 1000}};
+            query.prompt = prompt;
+            if (const ReplicaRecord *it = pool.choose(query).replica)
+                out.insert(it->failureDomain);
+        }
+        return out;
+    }
+
+    using Domains = std::set<std::string>;
+
+    ManualClock clock;
+    ReplicaPool pool{
+            {.clock = clock,
+             .random = seededRandom(1),
+             .isEngine = true,
+             .regionOf = [](const std::string &it) { return it == "d2" ? "east" : "west"; }}};
+};
+
+} // namespace
+
+// Guards against a way around an evacuation: repeats, resumed streams and the case that all others
+// fail go through the same choice.
+TEST_CASE_FIXTURE(DomainPoolFixture, "replicaPool_evacuatedDomain_isChosenOnNoWay")
+{
+    pool.setEvacuated({"d1", "nobody-knows-it"});
+    CHECK(chosen() == Domains{"d0", "d2"});
+    const std::vector<std::string> others = {"i-0", "i-2", "i-3", "i-5"};
+    CHECK(chosen({.excluded = others}).empty());
+    const std::vector<std::string> reached = {"i-1"};
+    CHECK(chosen({.only = reached}).empty());
+    for (const std::string &it : others) {
+        for (int k = 0; k < 5; ++k) {
+            pool.started(it);
+            pool.finished(it, {.succeeded = false, .reason = Reason::UpstreamBroken});
+        }
+    }
+    CHECK_FALSE(chosen().contains("d1"));
+    CHECK(pool.usableCount() == 4);
+    pool.setEvacuated({});
+    CHECK(chosen().contains("d1"));
+}
+
+TEST_CASE_FIXTURE(DomainPoolFixture, "replicaPool_evacuatedDomain_isStillCopiedFrom")
+{
+    const std::vector<PromptPart> prompt = {{7, 10'000}};
+    pool.started("i-1", prompt);
+    pool.finished("i-1", {.succeeded = true});
+    pool.setEvacuated({"d1"});
+    const ReplicaPool::Choice choice = pool.choose({.prompt = prompt});
+    REQUIRE(choice.replica);
+    CHECK(choice.replica->failureDomain != "d1");
+    REQUIRE(choice.copyFrom);
+    CHECK(choice.copyFrom->id == "i-1");
+}
+
+TEST_CASE_FIXTURE(DomainPoolFixture, "replicaPool_allDomainsEvacuated_nothingIsChosen")
+{
+    pool.setEvacuated({"d0", "d1", "d2"});
+    CHECK(chosen().empty());
+    CHECK(pool.usableCount() == 0);
+}
+
+// Guards against sending requests out of the regions that their route or workspace is bound to.
+TEST_CASE_FIXTURE(DomainPoolFixture, "replicaPool_regionsOfRouteAndWorkspace_bothBind")
+{
+    const std::vector<std::string> east = {"east"};
+    const std::vector<std::string> west = {"west"};
+    const std::vector<std::string> both = {"east", "west"};
+    CHECK(chosen({.regions = east}) == Domains{"d2"});
+    CHECK(chosen({.workspaceRegions = west}) == Domains{"d0", "d1"});
+    CHECK(chosen({.regions = both, .workspaceRegions = east}) == Domains{"d2"});
+    CHECK(chosen({.regions = west, .workspaceRegions = east}).empty());
+    pool.setEvacuated({"d2"});
+    CHECK(chosen({.regions = east}).empty());
+}
