Evacuations are known to all routers as the configuration is; changes travel as differences

Beats, answers to asks and whole states carry it ahead of the proof that stands for it too, so that whoever has a proof knows the evacuations as of that proof: a router that starts, wakes or returns from a cut sends nothing before. - The time for which a replica stays cold comes with its entry and is told on with its age. - ReplicaUpdate and ConfigTexts tell another router what changed since the list or the revision that it has, the whole only where that is not known any more. - Registration keeps to a StoreReadPlan; beats that can't be verified yet count routers and wake the plan.

--- a/fuzz/FuzzEntry.cpp
+++ b/fuzz/FuzzEntry.cpp
@@ -1,6 +1,8 @@
 #include "Base/YamlSection.h"
+#include "Control/ConfigTexts.h"
 #include "Control/PeerState.h"
 #include "Control/RegisteredRouter.h"
+#include "Control/ReplicaUpdate.h"
 #include "Control/RouterBeat.h"
 #include "platform/ReplicaEntry.h"
 
@@ -35,8 +37,11 @@
     if (record.slots < 1 || record.startedAt < 0 || record.service.empty()
         || !parseEndpoint(record.address))
         std::abort();
-    const ReplicaRecord told = platform::replicaFromJson(platform::replicaToJson(record));
-    if (told.incarnation() != record.incarnation() || told.address != record.address)
+    const Result<ReplicaUpdate> told =
+            ReplicaUpdate::decode(ReplicaUpdate{.replicas = {record}}.encode());
+    if (!told || told.value().replicas.size() != 1
+        || told.value().replicas.front().incarnation() != record.incarnation()
+        || told.value().replicas.front().address != record.address)
         std::abort();
 }
 
@@ -46,9 +51,10 @@
     if (!state)
         return;
     if (state.value().config)
-        (void)state.value().config->text();
+        (void)ConfigTexts::textIn(state.value(), text);
     if (state.value().replicas)
         (void)state.value().replicas->text();
+    (void)ReplicaUpdate::decode(text);
 }
 
 void roundTripRouterRow(const std::string &text)
--- a/src/Base/FleetStore.h
+++ b/src/Base/FleetStore.h
@@ -6,16 +6,28 @@
 
 #include <cstdint>
 #include <functional>
+#include <string>
 #include <string_view>
+#include <vector>
 
 namespace catkinloft {
 
-/// \brief What one read of the configuration brought.
+/// \brief Whether the operator wants nothing sent to the replicas of a failure domain.
+struct DomainEvacuation
+{
+    std::string domain;
+    bool isEvacuated = true;
+};
+
+/// \brief What one read of what the operator wrote brought.
 struct ConfigRead
 {
     std::uint64_t storeVersion = 0; ///< To go on watching from.
     RouteConfigPtr config = {}; ///< Null where nothing changed.
     bool historyLost = false; ///< The changes since are not to be had: read anew.
+    std::vector<DomainEvacuation> evacuations =
+            {}; ///< All, or where \a isWhole is not set, changes.
+    bool isWhole = false; ///< Nothing that stands in the store is missing.
 };
 
 /// \brief The platform's store as far as it holds what operators and replicas wrote.
@@ -30,10 +42,11 @@
 
     virtual ~FleetStore() = default;
 
-    /// \brief Reads the newest configuration.
+    /// \brief Reads the newest configuration and all evacuations.
     virtual void readConfig(Callback<ConfigRead> done) = 0;
 
-    /// \brief Waits up to \a wait for a configuration written after \a storeVersion.
+    /// \brief Waits up to \a wait for a configuration or an evacuation written after
+    /// \a storeVersion.
     virtual void watchConfig(std::uint64_t storeVersion, Duration wait,
                              Callback<ConfigRead> done) = 0;
 
@@ -45,9 +58,6 @@
 
     /// \brief Decodes what another router read, as RouteConfig::sourceText.
     virtual Result<RouteConfigPtr> decodeConfig(std::string_view sourceText) const = 0;
-
-    /// \brief Decodes what another router read, as ReplicaSnapshot::sourceText.
-    virtual Result<ReplicaSnapshot> decodeReplicas(std::string_view sourceText) const = 0;
 };
 
 } // namespace catkinloft
--- a/src/Base/ReplicaRecord.h
+++ b/src/Base/ReplicaRecord.h
@@ -54,7 +54,6 @@
 {
     std::uint64_t storeVersion = 0; ///< Rises with every change of the store.
     std::vector<ReplicaRecord> replicas = {};
-    std::string sourceText = {}; ///< As read, so that another router can decode the same.
 };
 
 } // namespace catkinloft
--- /dev/null
+++ b/src/Control/ConfigTexts.cpp
@@ -0,0 +1,103 @@
+#include "Control/ConfigTexts.h"
+
+#include "Base/Json.h"
+#include "Control/TextDelta.h"
+
+#include <algorithm>
+
+namespace catkinloft {
+
+namespace {
+
+/// Texts that are kept: changes may come faster than routers ask.
+constexpr std::size_t MaxTexts = 16;
+
+/// Bytes of all texts that are kept besides the newest. The weakest VMs have 160 MB.
+constexpr std::size_t MaxKeptBytes = 2 * 1024 * 1024;
+
+/// The text is JSON without line feeds; this ends an object in it.
+constexpr char Separator = '}';
+
+std::string encodeDelta(const TextDelta &delta)
+{
+    Json::Value root(Json::objectValue);
+    root["hunks"] = Json::Value(Json::arrayValue);
+    for (const TextHunk &it : delta) {
+        Json::Value hunk(Json::arrayValue);
+        hunk.append(static_cast<Json::UInt64>(it.at));
+        hunk.append(static_cast<Json::UInt64>(it.removed));
+        hunk.append(it.inserted);
+        root["hunks"].append(hunk);
+    }
+    return printJson(root);
+}
+
+Result<TextDelta> decodeDelta(std::string_view text)
+{
+    const Result<Json::Value> root = parseJsonObject(text);
+    if (!root)
+        return root.error();
+    try {
+        TextDelta out;
+        for (const Json::Value &it : root.value()["hunks"])
+            out.push_back({.at = it[0U].asUInt64(),
+                           .removed = it[1U].asUInt64(),
+                           .inserted = it[2U].asString()});
+        return out;
+    } catch (const Json::Exception &e) {
+        return Error{.reason = Reason::MalformedRequest, .detail = e.what()};
+    }
+}
+
+} // namespace
+
+void ConfigTexts::add(std::uint64_t revision, const std::string &text)
+{
+    if (!m_entries.empty() && m_entries.back().revision >= revision)
+        return;
+    m_entries.push_back({revision, text});
+    m_packed.clear();
+    forgetOld();
+}
+
+void ConfigTexts::forgetOld()
+{
+    std::size_t bytes = 0;
+    for (std::size_t i = 0; i + 1 < m_entries.size(); ++i)
+        bytes += m_entries[i].text.size();
+    while (m_entries.size() > 1 && (m_entries.size() > MaxTexts || bytes > MaxKeptBytes)) {
+        bytes -= m_entries.front().text.size();
+        m_entries.pop_front();
+    }
+}
+
+void ConfigTexts::describe(std::uint64_t known, PeerState &out)
+{
+    if (m_entries.empty() || m_entries.back().revision <= known)
+        return;
+    const auto base = std::find_if(m_entries.begin(), m_entries.end(),
+                                   [known](const Entry &it) { return it.revision == known; });
+    out.configBase = base == m_entries.end() ? 0 : known;
+    const auto packed = m_packed.find(out.configBase);
+    if (packed != m_packed.end()) {
+        out.config = packed->second;
+        return;
+    }
+    const std::string &text = m_entries.back().text;
+    out.config = PeerState::Packed::of(
+            out.configBase == 0 ? text : encodeDelta(makeTextDelta(base->text, text, Separator)));
+    m_packed.emplace(out.configBase, *out.config);
+}
+
+Result<std::string> ConfigTexts::textIn(const PeerState &state, std::string_view known)
+{
+    Result<std::string> text = state.config->text();
+    if (!text || state.configBase == 0)
+        return text;
+    const Result<TextDelta> delta = decodeDelta(text.value());
+    if (!delta)
+        return delta.error();
+    return applyTextDelta(known, delta.value(), Separator);
+}
+
+} // namespace catkinloft
--- a/src/Control/PeerState.cpp
+++ b/src/Control/PeerState.cpp
@@ -46,6 +46,10 @@
                   .replicasAge = ageIn(head, "replicas_age_ms"),
                   .replicasHash = head["replicas_hash"].asUInt64(),
                   .replicasVersion = head["replicas_version"].asUInt64()};
+    out.configBase = head["config_base"].asUInt64();
+    out.evacuated.storeVersion = head["evacuated_version"].asUInt64();
+    for (const Json::Value &it : head["evacuated"])
+        out.evacuated.domains.insert(it.asString());
     const Json::Value &told = head["prompts"];
     for (auto it = told.begin(); it != told.end(); ++it) {
         for (const Json::Value &part : *it)
@@ -78,6 +82,11 @@
         head["replicas_hash"] = static_cast<Json::UInt64>(replicasHash);
         head["replicas_version"] = static_cast<Json::UInt64>(replicasVersion);
     }
+    head["evacuated_version"] = static_cast<Json::UInt64>(evacuated.storeVersion);
+    for (const std::string &it : evacuated.domains)
+        head["evacuated"].append(it);
+    if (configBase != 0)
+        head["config_base"] = static_cast<Json::UInt64>(configBase);
     for (const auto &[replica, parts] : prompts) {
         for (const std::uint64_t part : parts)
             head["prompts"][replica].append(static_cast<Json::UInt64>(part));
@@ -119,13 +128,4 @@
     }
 }
 
-const PeerState::Packed &PackedText::of(std::uint64_t version, std::string_view text)
-{
-    if (version != m_version) {
-        m_packed = PeerState::Packed::of(text);
-        m_version = version;
-    }
-    return m_packed;
-}
-
 } // namespace catkinloft
--- a/src/Control/PeerState.h
+++ b/src/Control/PeerState.h
@@ -2,6 +2,8 @@
 
 #include "Base/Clock.h"
 #include "Base/Error.h"
+#include "Control/EvacuatedDomains.h"
+#include "Control/ReplicaUpdate.h"
 #include "Decide/ReplicaPool.h"
 
 #include <cstdint>
@@ -29,11 +31,13 @@
     std::uint64_t revision = 0; ///< Of the configuration in force; 0: none is.
     Duration proofAge = Duration::max(); ///< \sa RouterBeat::proofAge
     std::optional<Packed> config = {}; ///< Only where the asker has an older one.
+    std::uint64_t configBase = 0; ///< Revision that \a config is a change of; 0: it is whole.
+    EvacuatedDomains::State evacuated = {};
 
     Duration replicasAge = Duration::max(); ///< Duration::max(): never read.
     std::uint64_t replicasHash = 0;
     std::uint64_t replicasVersion = 0; ///< Of the store when they were read.
-    std::optional<Packed> replicas = {}; ///< Only where the asker has others.
+    std::optional<Packed> replicas = {}; ///< ReplicaUpdate, only where the asker has others.
 
     PromptsByReplica prompts = {};
 
@@ -44,16 +48,4 @@
     static Result<PeerState> decode(std::string_view body);
 };
 
-/// \brief Keeps the packed form of the text that was asked for last.
-class PackedText
-{
-public:
-    /// \returns \a text packed; \a version tells it from others.
-    const PeerState::Packed &of(std::uint64_t version, std::string_view text);
-
-private:
-    std::uint64_t m_version = 0;
-    PeerState::Packed m_packed;
-};
-
 } // namespace catkinloft
--- a/src/Control/ReplicaRegistry.cpp
+++ b/src/Control/ReplicaRegistry.cpp
@@ -4,6 +4,7 @@
 #include "Base/Log.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace catkinloft {
@@ -14,6 +15,10 @@
 /// store is away, and those that come back may be older than the word.
 constexpr Duration DrainMemory = std::chrono::minutes(2);
 
+/// Lists that are remembered. A router asks for changes within a beat or two, in which a release
+/// changes the list a few times.
+constexpr std::size_t MaxEarlier = 8;
+
 const ReplicaRecord *findRecord(const std::vector<ReplicaRecord> &list, const std::string &id)
 {
     const auto it = std::find_if(list.begin(), list.end(),
@@ -21,13 +26,27 @@
     return it == list.end() ? nullptr : &*it;
 }
 
+/// Times that are read again differ by what the answer of the store took.
+bool isColdAlike(TimePoint a, TimePoint b)
+{
+    constexpr Duration Slack = std::chrono::milliseconds(200);
+    return a - b <= Slack && b - a <= Slack;
+}
+
+std::vector<ReplicaRecord> dated(std::vector<ReplicaRecord> list, TimePoint readBegan)
+{
+    for (ReplicaRecord &it : list)
+        it.coldUntil = it.coldFor > Duration::zero() ? readBegan + it.coldFor : TimePoint();
+    return list;
+}
+
 std::uint64_t hashOf(const std::vector<ReplicaRecord> &list)
 {
     std::uint64_t out = 1;
     for (const ReplicaRecord &it : list) {
         out = hashCombine(out, hash64(it.incarnation()));
         out = hashCombine(out, hash64(it.address));
-        out = hashCombine(out, it.draining ? 1 : 0);
+        out = hashCombine(out, (it.draining ? 1U : 0U) + (it.coldFor > Duration::zero() ? 2U : 0U));
     }
     return out;
 }
@@ -36,18 +55,76 @@
 
 void ReplicaRegistry::apply(const ReplicaSnapshot &snapshot, TimePoint readBegan)
 {
-    // Snapshots may come from the store and from other routers, and overtake each other.
-    if (snapshot.storeVersion < m_storeVersion)
+    take(dated(snapshot.replicas, readBegan), snapshot.storeVersion, readBegan);
+}
+
+void ReplicaRegistry::take(std::vector<ReplicaRecord> list, std::uint64_t storeVersion,
+                           TimePoint readBegan)
+{
+    // Lists may come from the store and from other routers, and overtake each other.
+    if (storeVersion < m_storeVersion)
         return;
     noteOutage(readBegan);
-    m_registered = snapshot.replicas;
-    m_storeVersion = snapshot.storeVersion;
-    m_hash = hashOf(snapshot.replicas);
-    m_sourceText = snapshot.sourceText;
+    m_storeVersion = storeVersion;
+    const std::uint64_t hash = hashOf(list);
+    if (hash != m_hash)
+        remember(hash);
+    m_registered = std::move(list);
     m_readAt = std::max(m_readAt, readBegan);
     update();
 }
 
+void ReplicaRegistry::remember(std::uint64_t hash)
+{
+    if (m_hash != 0)
+        m_earlier.push_back({.hash = m_hash, .replicas = std::move(m_registered)});
+    if (m_earlier.size() > MaxEarlier)
+        m_earlier.pop_front();
+    m_hash = hash;
+}
+
+bool ReplicaRegistry::applyUpdate(const ReplicaUpdate &update, TimePoint readBegan)
+{
+    if (update.base != 0 && update.base != m_hash)
+        return false;
+    std::vector<ReplicaRecord> next = dated(update.replicas, readBegan);
+    if (update.base != 0) {
+        const std::set<std::string> removed(update.removed.begin(), update.removed.end());
+        for (const ReplicaRecord &it : m_registered) {
+            if (!removed.contains(it.id) && !findRecord(update.replicas, it.id))
+                next.push_back(it);
+        }
+        // The store's order, in which all routers hash the list.
+        std::sort(next.begin(), next.end(),
+                  [](const ReplicaRecord &a, const ReplicaRecord &b) { return a.id < b.id; });
+    }
+    take(std::move(next), update.storeVersion, readBegan);
+    return true;
+}
+
+ReplicaUpdate ReplicaRegistry::updateSince(std::uint64_t hash) const
+{
+    ReplicaUpdate out{.storeVersion = m_storeVersion};
+    const auto base = std::find_if(m_earlier.rbegin(), m_earlier.rend(),
+                                   [hash](const Earlier &it) { return it.hash == hash; });
+    const bool isKnown = base != m_earlier.rend();
+    out.base = isKnown ? hash : 0;
+    for (const ReplicaRecord &it : m_registered) {
+        const ReplicaRecord *before = isKnown ? findRecord(base->replicas, it.id) : nullptr;
+        if (!before || hashOf({*before}) != hashOf({it}))
+            out.replicas.push_back(it);
+    }
+    for (ReplicaRecord &it : out.replicas) {
+        if (it.coldFor > Duration::zero())
+            it.coldFor = std::max<Duration>(std::chrono::milliseconds(1), it.coldUntil - m_readAt);
+    }
+    for (std::size_t i = 0; isKnown && i < base->replicas.size(); ++i) {
+        if (!findRecord(m_registered, base->replicas[i].id))
+            out.removed.push_back(base->replicas[i].id);
+    }
+    return out;
+}
+
 void ReplicaRegistry::update()
 {
     std::vector<ReplicaRecord> next = m_registered;
@@ -158,7 +235,8 @@
                        [](const ReplicaRecord &x, const ReplicaRecord &y) {
                            return x.id == y.id && x.address == y.address && x.service == y.service
                                    && x.draining == y.draining && x.slots == y.slots
-                                   && x.startedAt == y.startedAt;
+                                   && x.startedAt == y.startedAt
+                                   && isColdAlike(x.coldUntil, y.coldUntil);
                        });
 }
 
--- a/src/Control/ReplicaRegistry.h
+++ b/src/Control/ReplicaRegistry.h
@@ -2,10 +2,12 @@
 
 #include "Base/Clock.h"
 #include "Base/ReplicaRecord.h"
+#include "Control/ReplicaUpdate.h"
 
 #include <sigc++/signal.h>
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -34,6 +36,13 @@
     /// \brief Takes over \a snapshot, read by a call that began at \a readBegan.
     void apply(const ReplicaSnapshot &snapshot, TimePoint readBegan);
 
+    /// \brief Takes over \a update of a router that read the store at \a readBegan.
+    /// \returns false where it changes a list that this registry does not have.
+    bool applyUpdate(const ReplicaUpdate &update, TimePoint readBegan);
+
+    /// \returns what a router lacks whose list has \a hash, as of when the store was read last.
+    ReplicaUpdate updateSince(std::uint64_t hash) const;
+
     /// \brief Notes that at \a readBegan the store held the replicas with hash() \a hash, when it
     /// had version \a storeVersion. \returns false where this registry has others.
     bool confirm(std::uint64_t hash, std::uint64_t storeVersion, TimePoint readBegan);
@@ -64,13 +73,14 @@
     Duration age() const;
 
     std::uint64_t storeVersion() const { return m_storeVersion; }
-    const std::string &sourceText() const { return m_sourceText; }
 
     /// \brief Emitted when the list or the state of a replica changed.
     sigc::signal<void()> &changed() { return m_changed; }
 
 private:
     void noteOutage(TimePoint readBegan);
+    void take(std::vector<ReplicaRecord> list, std::uint64_t storeVersion, TimePoint readBegan);
+    void remember(std::uint64_t hash);
     void update();
     void applyDrained(ReplicaRecord &record);
     void forgetDrained();
@@ -78,7 +88,15 @@
     void logChanges(const std::vector<ReplicaRecord> &next) const;
 
     Options m_options;
+    /// \brief A list that was known, so that routers that still have it are told the changes.
+    struct Earlier
+    {
+        std::uint64_t hash = 0;
+        std::vector<ReplicaRecord> replicas;
+    };
+
     std::vector<ReplicaRecord> m_registered; ///< As in the newest snapshot.
+    std::deque<Earlier> m_earlier; ///< The newest last.
     std::vector<ReplicaRecord> m_replicas; ///< With those that an outage may have cost their lease.
     /// \brief A replica that has said that it leaves, for good.
     struct Drained
@@ -93,7 +111,6 @@
     std::map<std::string, Drained> m_drained; ///< By incarnation.
     std::uint64_t m_storeVersion = 0;
     std::uint64_t m_hash = 0;
-    std::string m_sourceText;
     TimePoint m_readAt = TimePoint::min();
     TimePoint m_keepMissingUntil = TimePoint::min();
     sigc::signal<void()> m_changed;
--- /dev/null
+++ b/src/Control/ReplicaUpdate.cpp
@@ -0,0 +1,78 @@
+#include "Control/ReplicaUpdate.h"
+
+#include "Base/Json.h"
+
+#include <algorithm>
+
+namespace catkinloft {
+
+namespace {
+
+Json::Value toJson(const ReplicaRecord &it)
+{
+    Json::Value out(Json::objectValue);
+    out["id"] = it.id;
+    out["service"] = it.service;
+    out["address"] = it.address;
+    out["domain"] = it.failureDomain;
+    out["version"] = it.version;
+    out["slots"] = it.slots;
+    if (it.draining)
+        out["draining"] = true;
+    out["sequence"] = static_cast<Json::Int64>(it.sequence);
+    if (it.startedAt != 0)
+        out["started"] = static_cast<Json::Int64>(it.startedAt);
+    if (it.coldFor > Duration::zero())
+        out["cold_ms"] = static_cast<Json::Int64>(
+                std::chrono::ceil<std::chrono::milliseconds>(it.coldFor).count());
+    return out;
+}
+
+ReplicaRecord fromJson(const Json::Value &it)
+{
+    return {.id = it["id"].asString(),
+            .service = it["service"].asString(),
+            .address = it["address"].asString(),
+            .failureDomain = it["domain"].asString(),
+            .version = it["version"].asString(),
+            .slots = std::max(1, it["slots"].asInt()),
+            .draining = it["draining"].asBool(),
+            .sequence = it["sequence"].asInt64(),
+            .startedAt = it["started"].asInt64(),
+            .coldFor = ReplicaRecord::coldTime(it["cold_ms"].asDouble())};
+}
+
+} // namespace
+
+std::string ReplicaUpdate::encode() const
+{
+    Json::Value root(Json::objectValue);
+    if (base != 0)
+        root["base"] = static_cast<Json::UInt64>(base);
+    root["ver"] = static_cast<Json::UInt64>(storeVersion);
+    for (const std::string &it : removed)
+        root["removed"].append(it);
+    for (const ReplicaRecord &it : replicas)
+        root["replicas"].append(toJson(it));
+    return printJson(root);
+}
+
+Result<ReplicaUpdate> ReplicaUpdate::decode(std::string_view text)
+{
+    const Result<Json::Value> root = parseJsonObject(text);
+    if (!root)
+        return root.error();
+    try {
+        ReplicaUpdate out{.base = root.value()["base"].asUInt64(),
+                          .storeVersion = root.value()["ver"].asUInt64()};
+        for (const Json::Value &it : root.value()["removed"])
+            out.removed.push_back(it.asString());
+        for (const Json::Value &it : root.value()["replicas"])
+            out.replicas.push_back(fromJson(it));
+        return out;
+    } catch (const Json::Exception &e) {
+        return Error{.reason = Reason::MalformedRequest, .detail = e.what()};
+    }
+}
+
+} // namespace catkinloft
--- a/src/Control/RouterBeat.cpp
+++ b/src/Control/RouterBeat.cpp
@@ -74,6 +74,9 @@
                    .replicasVersion = root["hv"].asUInt64(),
                    .ask = root["k"].asUInt64(),
                    .echo = root["e"].asUInt64()};
+    out.evacuated.storeVersion = root["ev"].asUInt64();
+    for (const Json::Value &it : root["ed"])
+        out.evacuated.domains.insert(it.asString());
     const Json::Value &counts = root["i"];
     for (auto it = counts.begin(); it != counts.end(); ++it)
         out.replicas.counts.emplace(it.name(), it->asInt());
@@ -124,6 +127,10 @@
     root["w"] = beat.processorShare;
     root["h"] = static_cast<Json::UInt64>(beat.replicasHash);
     root["hv"] = static_cast<Json::UInt64>(beat.replicasVersion);
+    if (beat.evacuated.storeVersion != 0)
+        root["ev"] = static_cast<Json::UInt64>(beat.evacuated.storeVersion);
+    for (const std::string &it : beat.evacuated.domains)
+        root["ed"].append(it);
     if (beat.ask != 0)
         root["k"] = static_cast<Json::UInt64>(beat.ask);
     if (beat.echo != 0)
--- a/src/Control/RouterBeat.h
+++ b/src/Control/RouterBeat.h
@@ -2,6 +2,7 @@
 
 #include "Base/Clock.h"
 #include "Base/Error.h"
+#include "Control/EvacuatedDomains.h"
 #include "Decide/ReplicaPool.h"
 #include "Decide/RequestQuarantine.h"
 
@@ -32,6 +33,7 @@
     Duration replicasAge = Duration::max(); ///< Since the replicas were read from the store.
     std::uint64_t replicasHash = 0; ///< Of the replicas that the sender knows; 0: none.
     std::uint64_t replicasVersion = 0; ///< Of the store when they were read.
+    EvacuatedDomains::State evacuated = {}; ///< Version 0: there is nothing to tell.
     std::uint64_t ask = 0; ///< Other than 0: the receiver answers at once with this as `echo`.
     std::uint64_t echo = 0; ///< Of the ask that this answers: it was sent after that came in.
     ReplicaNews replicas = {}; ///< Of the sender.
--- a/src/Control/TextDelta.cpp
+++ b/src/Control/TextDelta.cpp
@@ -11,12 +11,12 @@
 
 using Lines = std::vector<std::string_view>;
 
-/// \returns the lines of \a text, each with its line feed.
-Lines linesOf(std::string_view text)
+/// \returns the lines of \a text, each with its \a separator.
+Lines linesOf(std::string_view text, char separator = '\n')
 {
     Lines out;
     while (!text.empty()) {
-        const std::size_t n = std::min(text.find('\n'), text.size() - 1) + 1;
+        const std::size_t n = std::min(text.find(separator), text.size() - 1) + 1;
         out.push_back(text.substr(0, n));
         text.remove_prefix(n);
     }
@@ -53,10 +53,10 @@
 
 } // namespace
 
-TextDelta makeTextDelta(std::string_view from, std::string_view to)
+TextDelta makeTextDelta(std::string_view from, std::string_view to, char separator)
 {
-    const Lines a = linesOf(from);
-    const Lines b = linesOf(to);
+    const Lines a = linesOf(from, separator);
+    const Lines b = linesOf(to, separator);
     std::size_t tail = 0;
     while (tail < std::min(a.size(), b.size()) && a[a.size() - 1 - tail] == b[b.size() - 1 - tail])
         ++tail;
@@ -79,9 +79,10 @@
     return out;
 }
 
-Result<std::string> applyTextDelta(std::string_view from, std::span<const TextHunk> delta)
+Result<std::string> applyTextDelta(std::string_view from, std::span<const TextHunk> delta,
+                                   char separator)
 {
-    const Lines lines = linesOf(from);
+    const Lines lines = linesOf(from, separator);
     std::string out;
     std::size_t at = 0;
     for (const TextHunk &it : delta) {
--- a/src/Control/TextDelta.h
+++ b/src/Control/TextDelta.h
@@ -25,10 +25,13 @@
 /// Linear in the texts' length: an inventory of 10,000 engines is compared on an entry VM within
 /// the processor time that control has. A text moved by more than a few dozen lines costs a longer
 /// delta, never a wrong one.
-TextDelta makeTextDelta(std::string_view from, std::string_view to);
+/// \param separator ends a line; a JSON text without line feeds is compared by its objects.
+TextDelta makeTextDelta(std::string_view from, std::string_view to, char separator = '\n');
 
 /// \returns \a from with \a delta applied; an error where it was made for another text.
-Result<std::string> applyTextDelta(std::string_view from, std::span<const TextHunk> delta);
+/// \param separator \sa makeTextDelta()
+Result<std::string> applyTextDelta(std::string_view from, std::span<const TextHunk> delta,
+                                   char separator = '\n');
 
 /// \returns the differences for a person, `-` and `+` lines, at most \a maxLines of them.
 std::string describeDelta(std::string_view from, std::string_view to, std::size_t maxLines);
--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -2,9 +2,11 @@
 
 #include "Base/Log.h"
 #include "Control/ConfigInForce.h"
+#include "Control/EvacuatedDomains.h"
 #include "Control/FleetRegistration.h"
 #include "Control/PromptSurvey.h"
 #include "Control/ReplicaRegistry.h"
+#include "Control/StoreReadPlan.h"
 #include "Net/EntryGateway.h"
 #include "Net/EventLoop.h"
 #include "Net/FleetTask.h"
@@ -16,6 +18,8 @@
 
 #include <algorithm>
 #include <csignal>
+#include <set>
+#include <string_view>
 
 #include <fmt/format.h>
 
@@ -25,9 +29,10 @@
 
 using namespace std::chrono_literals;
 
-/// Between tries to register, and between readings of who else is registered. The list only finds
-/// routers that nobody has heard, so it is read seldom: a call costs as much as a small request.
-constexpr Duration RegistrationRetry = 400ms;
+/// How often it is looked whether to try to register, and the least time between readings of who
+/// else is registered. The list only finds routers that nobody has heard, so it is read seldom: a
+/// call costs as much as a small request.
+constexpr Duration RegistrationPoll = 200ms;
 constexpr Duration RegistrationInterval = 10s;
 constexpr Duration RegistrationPause = 500ms; ///< Least time between readings of the whole fleet.
 
@@ -63,6 +68,9 @@
 /// At the metrics address.
 constexpr std::string_view QuarantinePath = "/quarantine";
 
+/// Routers that are counted while none can be verified, which bounds what a stranger can feign.
+constexpr std::size_t MaxUnverified = 1000;
+
 /// A caller's connection is kept for longer than the configuration allows it to be idle, so that a
 /// request never crosses its close.
 constexpr Duration MinIdleTimeout = 120s;
@@ -82,6 +90,10 @@
     void tellNews();
     void notePrompts(const PromptsByReplica &prompts);
     void takeBeat(const RouterBeat &beat);
+    void takeUnverifiedBeat(const RouterBeat &beat);
+    int knownRouters();
+    void registrationEnded(bool answered);
+    void storeAnswered(TimePoint at);
     void learnPrompts();
     void takeList(const ReplicaRecord &engine, std::span<const PromptPart> prompts);
     bool isReady() const;
@@ -100,6 +112,7 @@
     std::unique_ptr<FleetStore> store;
     std::unique_ptr<TableService> table;
     ConfigInForce config{loop};
+    EvacuatedDomains evacuated;
     ReplicaRegistry replicas;
     std::shared_ptr<const RouteTable> routes;
     ServicePools pools;
@@ -109,6 +122,8 @@
     FleetTask fleet;
     StoreWatch watch;
     FleetRegistration registration;
+    StoreReadPlan registrationPlan;
+    std::set<std::string> unverified; ///< Names of routers that were heard before the key was had.
     EntryDirectory directory;
     EntryGateway gateway;
     SettingsWatch settingsWatch;
@@ -127,10 +142,16 @@
     : settings(s), adapter(std::move(a)), store(adapter.makeStore(client, settings.storeAddress)),
       table(adapter.makeTable(client, settings.storeAddress)),
       replicas({.clock = loop, .returnTime = settings.replicaReturnTime}),
-      pools(loop, random, settings), filters({.routes = [this] { return routes; },
-                                              .proofAge = [this] { return config.proofAge(); },
-                                              .proofLimit = settings.keyProofLimit,
-                                              .requiresProof = settings.requiresKeyProof}),
+      pools(loop, random, settings,
+            {.routers = [this] { return fleet.view().sharers(); },
+             .isColdSender =
+                     [this](std::string_view replica, std::size_t n) {
+                         return fleet.view().isChosenFor(replica, n);
+                     }}),
+      filters({.routes = [this] { return routes; },
+               .proofAge = [this] { return config.proofAge(); },
+               .proofLimit = settings.keyProofLimit,
+               .requiresProof = settings.requiresKeyProof}),
       quarantine({.clock = loop,
                   .random = random,
                   .routers = [this] { return fleet.view().sharers(); },
@@ -147,6 +168,7 @@
              .metrics = metrics,
              .settings = settings,
              .config = config,
+             .evacuated = evacuated,
              .replicas = replicas,
              .isReady = [this] { return isReady(); },
              .storeFailing = [this] { return watch.isFailing(); },
@@ -155,22 +177,23 @@
              .takeCrashNews = [this] { return quarantine.takeNews(); },
              .takeFirstEnds = [this] { return quarantine.takeFirstEnds(); },
              .onBeat = [this](const RouterBeat &it) { takeBeat(it); },
+             .onUnverifiedBeat = [this](const RouterBeat &it) { takeUnverifiedBeat(it); },
              .onConfigText = [this](const std::string &text,
                                     TimePoint began) { watch.takeConfigText(text, began); },
-             .onReplicasText = [this](const std::string &text,
-                                      TimePoint began) { watch.takeReplicasText(text, began); },
              .prompts = [this] { return pools.prompts(MaxToldPrompts); },
              .onPrompts = [this](const PromptsByReplica &it) { notePrompts(it); }}),
       watch({.loop = loop,
              .store = *store,
              .config = config,
+             .evacuated = evacuated,
              .replicas = replicas,
              .metrics = metrics,
              .random = random,
              .askPeer = [this] { fleet.fetchFromPeer(); },
              .isReader = [this] { return fleet.isReader(); },
-             .routers = [this] { return fleet.view().sharers(); },
-             .settings = settings}),
+             .routers = [this] { return knownRouters(); },
+             .settings = settings,
+             .answered = [this] { storeAnswered(loop.now()); }}),
       registration({.table = *table,
                     .random = random,
                     .self = {.name = settings.name,
@@ -183,7 +206,9 @@
                                 fleet.view().setRegistered(it);
                                 survey.setRouters(it);
                                 learnPrompts();
-                            }}),
+                            },
+                    .onEnd = [this](bool answered) { registrationEnded(answered); }}),
+      registrationPlan({.clock = loop, .random = random}),
       directory({.settings = settings,
                  .fleet = fleet.view(),
                  .isReady = [this] { return isReady(); },
@@ -229,6 +254,10 @@
         it.set("catkinloft_requests_quarantined", static_cast<double>(quarantine.held().size()));
     });
     config.changed().connect([this](const RouteConfigPtr &it) { applyConfig(it); });
+    evacuated.changed().connect([this] {
+        pools.setEvacuated(evacuated.state().domains);
+        tellNews();
+    });
     replicas.changed().connect([this] {
         pools.setReplicas(replicas.replicas());
         tellNews();
@@ -295,6 +324,25 @@
         survey.peerKnows();
 }
 
+void EntryProcess::Private::takeUnverifiedBeat(const RouterBeat &beat)
+{
+    if (unverified.size() < MaxUnverified)
+        unverified.insert(beat.name);
+    if (beat.proofAge != Duration::max())
+        storeAnswered(loop.now() - beat.proofAge);
+}
+
+int EntryProcess::Private::knownRouters()
+{
+    return std::max(fleet.view().sharers(), static_cast<int>(unverified.size()) + 1);
+}
+
+void EntryProcess::Private::storeAnswered(TimePoint at)
+{
+    watch.answeredElsewhere(at);
+    registrationPlan.answeredElsewhere(at);
+}
+
 void EntryProcess::Private::learnPrompts()
 {
     if (!settings.mechanisms.promptSurvey)
@@ -335,10 +383,22 @@
 
 void EntryProcess::Private::keepRegistered()
 {
-    registration.refresh();
+    if (registrationPlan.isDue({.overdue = true, .routers = knownRouters()})) {
+        registrationPlan.began();
+        registration.refresh();
+    }
     const Duration interval =
             std::max<Duration>(RegistrationInterval, RegistrationPause * fleet.view().sharers());
-    registrationTimer.start(registration.isComplete() ? interval : RegistrationRetry);
+    registrationTimer.start(registration.isComplete() ? interval : RegistrationPoll);
+}
+
+void EntryProcess::Private::registrationEnded(bool answered)
+{
+    if (!answered)
+        return registrationPlan.failed();
+    registrationPlan.answered();
+    unverified.clear();
+    storeAnswered(loop.now());
 }
 
 std::unique_ptr<HttpServer> EntryProcess::Private::makeServer(const std::string &address,
--- a/src/Net/FleetTask.cpp
+++ b/src/Net/FleetTask.cpp
@@ -2,6 +2,8 @@
 
 #include "Base/Log.h"
 #include "Control/ConfigInForce.h"
+#include "Control/ConfigTexts.h"
+#include "Control/EvacuatedDomains.h"
 #include "Control/PeerCatchUp.h"
 #include "Control/PeerGuard.h"
 #include "Control/PeerState.h"
@@ -15,6 +17,7 @@
 
 #include <algorithm>
 #include <map>
+#include <utility>
 #include <vector>
 
 #include <fmt/format.h>
@@ -98,6 +101,7 @@
     void tellFirstEnds();
     void ask();
     void received(std::string_view datagram);
+    void receivedUnverified(const std::string &text);
     void takeEcho(const RouterBeat &beat);
     void noticeNews(const RouterBeat &beat);
     void fetchFrom(const FleetView::Peer &peer);
@@ -105,6 +109,9 @@
     PeerState stateSince(std::uint64_t revision, std::uint64_t replicasHash, bool withPrompts);
     void takeAnswer(const std::string &name, const Result<HttpAnswer> &answer, TimePoint asked);
     void takeState(const PeerState &state, TimePoint asked);
+    void takeConfig(const PeerState &state, TimePoint asked);
+    void takeReplicas(const PeerState::Packed &packed, TimePoint readBegan);
+    const PeerState::Packed &replicasSince(std::uint64_t hash);
     std::string signedText(const std::string &text) const { return guard.sign(text) + "\n" + text; }
 
     Options options;
@@ -117,8 +124,9 @@
     Timer askTimer;
     Timer crashTimer;
     PeerCatchUp catchUp;
-    PackedText packedConfig;
-    PackedText packedReplicas;
+    ConfigTexts configTexts;
+    std::map<std::uint64_t, PeerState::Packed> packedReplicas; ///< By the hash that the asker has.
+    std::uint64_t packedHash = 0; ///< Of the list that they lead to.
     std::vector<Ask> asks;
     std::size_t nextReader = 0;
     std::uint64_t incarnation;
@@ -134,6 +142,7 @@
       guard({.clock = options.loop, .self = options.settings.name, .keys = {}}),
       view({.clock = options.loop,
             .self = options.settings.name,
+            .selfAddress = options.settings.peerAddress,
             .configLimit = options.settings.configApplyLimit}),
       transport(options.loop, [this](const std::string &, std::string_view it) { received(it); }),
       server(options.loop, {.address = options.settings.peerAddress, .limits = {}},
@@ -143,6 +152,8 @@
       catchUp({.configLimit = options.settings.configApplyLimit}),
       incarnation(static_cast<std::uint64_t>(options.loop.wallNow().time_since_epoch().count()))
 {
+    options.config.changed().connect(
+            [this](const RouteConfigPtr &it) { configTexts.add(it->revision, it->sourceText); });
     options.metrics.addCollector([this](Metrics &metrics) {
         metrics.set("catkinloft_live_routers", static_cast<double>(view.live().size() + 1));
         metrics.set("catkinloft_sharing_routers", view.sharers());
@@ -151,6 +162,7 @@
 
 RouterBeat FleetTask::Private::compose()
 {
+    const EvacuatedDomains &evacuated = options.evacuated;
     return {.name = options.settings.name,
             .incarnation = incarnation,
             .sequence = ++sequence,
@@ -167,6 +179,7 @@
             .replicasAge = options.replicas.age(),
             .replicasHash = options.replicas.hash(),
             .replicasVersion = options.replicas.storeVersion(),
+            .evacuated = evacuated.isWorthTelling() ? evacuated.state() : EvacuatedDomains::State(),
             .replicas = options.ownNews()};
 }
 
@@ -272,9 +285,11 @@
 void FleetTask::Private::received(std::string_view datagram)
 {
     const std::size_t end = datagram.find('\n');
-    if (!hasKey || end == std::string_view::npos)
+    if (end == std::string_view::npos)
         return;
     const std::string text(datagram.substr(end + 1));
+    if (!hasKey)
+        return receivedUnverified(text);
     if (!guard.verify(datagram.substr(0, end), text)) {
         options.metrics.count("catkinloft_peer_refused_total",
                               Metrics::label("fault", peerFaultName(PeerFault::Forged)));
@@ -294,12 +309,20 @@
         answer.echo = beat.ask;
         send(beat.peerAddress, answer);
     }
+    // Before the proof that stands for them too.
+    options.evacuated.accept(beat.evacuated);
     if (beat.echo != 0)
         takeEcho(beat);
     noticeNews(beat);
     options.onBeat(beat);
 }
 
+void FleetTask::Private::receivedUnverified(const std::string &text)
+{
+    if (const Result<RouterBeat> read = codec.decode(text))
+        options.onUnverifiedBeat(read.value());
+}
+
 void FleetTask::Private::takeEcho(const RouterBeat &beat)
 {
     // Only an answer proves anything: a datagram may have waited here for as long as this VM was
@@ -356,30 +379,61 @@
                   .replicasAge = replicas.age(),
                   .replicasHash = replicas.hash(),
                   .replicasVersion = replicas.storeVersion()};
-    if (config.revision() > revision)
-        out.config = packedConfig.of(config.revision(), config.config()->sourceText);
+    out.evacuated = options.evacuated.state();
+    configTexts.describe(revision, out);
     if (replicas.age() != Duration::max() && replicas.hash() != replicasHash)
-        out.replicas = packedReplicas.of(replicas.hash(), replicas.sourceText());
+        out.replicas = replicasSince(replicasHash);
     if (withPrompts)
         out.prompts = options.prompts();
     return out;
 }
 
+const PeerState::Packed &FleetTask::Private::replicasSince(std::uint64_t hash)
+{
+    if (std::exchange(packedHash, options.replicas.hash()) != packedHash)
+        packedReplicas.clear();
+    const auto known = packedReplicas.find(hash);
+    if (known != packedReplicas.end())
+        return known->second;
+    const ReplicaUpdate update = options.replicas.updateSince(hash);
+    return packedReplicas.emplace(hash, PeerState::Packed::of(update.encode())).first->second;
+}
+
+void FleetTask::Private::takeConfig(const PeerState &state, TimePoint asked)
+{
+    const RouteConfigPtr &own = options.config.config();
+    // The answer may be to an older question: a change of what was in force then is of no use now.
+    if (state.configBase != 0 && state.configBase != options.config.revision())
+        return;
+    const Result<std::string> text =
+            ConfigTexts::textIn(state, own ? std::string_view(own->sourceText) : "");
+    if (text)
+        options.onConfigText(text.value(), asked - state.proofAge);
+    else
+        Log::warning("peer_state_malformed", {{"detail", text.error().detail}});
+}
+
+void FleetTask::Private::takeReplicas(const PeerState::Packed &packed, TimePoint readBegan)
+{
+    const Result<std::string> text = packed.text();
+    const Result<ReplicaUpdate> update =
+            text ? ReplicaUpdate::decode(text.value()) : Result<ReplicaUpdate>(text.error());
+    if (!update)
+        return Log::warning("peer_replicas_malformed", {{"detail", update.error().detail}});
+    if (!options.replicas.applyUpdate(update.value(), readBegan))
+        Log::info("peer_replicas_unusable", {{"detail", "they change a list that is not known"}});
+}
+
 void FleetTask::Private::takeState(const PeerState &state, TimePoint asked)
 {
-    const auto takeText = [](const PeerState::Packed &packed, auto &&taker, TimePoint began) {
-        if (const Result<std::string> text = packed.text())
-            taker(text.value(), began);
-        else
-            Log::warning("peer_state_malformed", {{"detail", text.error().detail}});
-    };
+    options.evacuated.accept(state.evacuated);
     // An age of Duration::max() comes with nothing that it would date.
     if (state.config)
-        takeText(*state.config, options.onConfigText, asked - state.proofAge);
+        takeConfig(state, asked);
     else if (state.revision != 0)
         options.config.confirm(state.revision, asked - state.proofAge);
     if (state.replicas)
-        takeText(*state.replicas, options.onReplicasText, asked - state.replicasAge);
+        takeReplicas(*state.replicas, asked - state.replicasAge);
     else if (state.replicasAge != Duration::max())
         options.replicas.confirm(state.replicasHash, state.replicasVersion,
                                  asked - state.replicasAge);
--- a/src/Net/FleetTask.h
+++ b/src/Net/FleetTask.h
@@ -14,6 +14,7 @@
 namespace catkinloft {
 
 class ConfigInForce;
+class EvacuatedDomains;
 class EventLoop;
 class HttpClient;
 class ReplicaRegistry;
@@ -30,6 +31,7 @@
         Metrics &metrics;
         const EntrySettings &settings;
         ConfigInForce &config;
+        EvacuatedDomains &evacuated;
         ReplicaRegistry &replicas;
         std::function<bool()> isReady;
         std::function<bool()> storeFailing; ///< \sa RouterBeat::storeFailing
@@ -39,9 +41,10 @@
         /// \sa RequestQuarantine::takeFirstEnds
         std::function<std::vector<CrashNews>()> takeFirstEnds;
         std::function<void(const RouterBeat &)> onBeat;
-        /// Takes what a peer read: its texts, with the moments at which the reads began.
+        /// Told of each beat that can't be verified yet, for want of the key: a hint at most.
+        std::function<void(const RouterBeat &)> onUnverifiedBeat = [](const RouterBeat &) {};
+        /// Takes the configuration that a peer read, with the moment at which the read began.
         std::function<void(const std::string &text, TimePoint readBegan)> onConfigText;
-        std::function<void(const std::string &text, TimePoint readBegan)> onReplicasText;
         std::function<PromptsByReplica()> prompts; ///< That replicas are believed to keep.
         std::function<void(const PromptsByReplica &)> onPrompts; ///< What a peer believes.
     };
--- a/src/Net/StoreWatch.cpp
+++ b/src/Net/StoreWatch.cpp
@@ -102,6 +102,8 @@
         m_storeVersion = 0;
         return watchConfig();
     }
+    // First: the proof of the configuration stands for them too.
+    takeEvacuations(it);
     if (it.config)
         m_options.config.accept(it.config, began);
     else
@@ -113,6 +115,22 @@
         watchConfig();
 }
 
+void StoreWatch::takeEvacuations(const ConfigRead &read)
+{
+    if (!read.isWhole)
+        return m_options.evacuated.change(read.evacuations, read.storeVersion);
+    EvacuatedDomains::State state{.storeVersion = read.storeVersion};
+    for (const DomainEvacuation &it : read.evacuations)
+        state.domains.insert(it.domain);
+    m_options.evacuated.accept(state);
+}
+
+void StoreWatch::answeredElsewhere(TimePoint at)
+{
+    m_configPlan.answeredElsewhere(at);
+    m_replicasPlan.answeredElsewhere(at);
+}
+
 void StoreWatch::readReplicas()
 {
     const TimePoint began = m_options.loop.now();
@@ -141,6 +159,7 @@
     const bool failing = plan.isFailing();
     if (!error) {
         plan.answered();
+        m_options.answered();
         if (failing)
             Log::info("store_regained", {{"reading", what}});
         return;
@@ -161,13 +180,4 @@
         Log::warning("peer_config_malformed", {{"detail", config.error().detail}});
 }
 
-void StoreWatch::takeReplicasText(const std::string &text, TimePoint readBegan)
-{
-    const Result<ReplicaSnapshot> snapshot = m_options.store.decodeReplicas(text);
-    if (snapshot)
-        m_options.replicas.apply(snapshot.value(), readBegan);
-    else
-        Log::warning("peer_replicas_malformed", {{"detail", snapshot.error().detail}});
-}
-
 } // namespace catkinloft
--- a/src/Net/StoreWatch.h
+++ b/src/Net/StoreWatch.h
@@ -5,6 +5,7 @@
 #include "Base/Metrics.h"
 #include "Base/Random.h"
 #include "Control/ConfigInForce.h"
+#include "Control/EvacuatedDomains.h"
 #include "Control/ReplicaRegistry.h"
 #include "Control/StoreReadPlan.h"
 #include "Net/Timer.h"
@@ -25,6 +26,7 @@
         EventLoop &loop;
         FleetStore &store;
         ConfigInForce &config;
+        EvacuatedDomains &evacuated;
         ReplicaRegistry &replicas;
         Metrics &metrics;
         RandomSource random;
@@ -32,6 +34,7 @@
         std::function<bool()> isReader; ///< This router reads for the others.
         std::function<int()> routers; ///< How many there are.
         const EntrySettings &settings; ///< May change meanwhile.
+        std::function<void()> answered = [] {}; ///< The store has answered a call.
     };
 
     explicit StoreWatch(Options options);
@@ -46,11 +49,14 @@
 
     /// \brief Takes over what a peer read.
     void takeConfigText(const std::string &text, TimePoint readBegan);
-    void takeReplicasText(const std::string &text, TimePoint readBegan);
+
+    /// \brief Notes that the store answered another router, or another call of this one, at \a at.
+    void answeredElsewhere(TimePoint at);
 
 private:
     void watchConfig();
     void configRead(const Result<ConfigRead> &read, TimePoint began);
+    void takeEvacuations(const ConfigRead &read);
     void readReplicas();
     void replicasRead(const Result<ReplicaSnapshot> &read, TimePoint began);
     void check();
--- a/test/PeerStateTest.cpp
+++ b/test/PeerStateTest.cpp
@@ -1,5 +1,6 @@
 #include "Control/PeerState.h"
 #include "Base/Compression.h"
+#include "Control/ConfigTexts.h"
 
 #include <doctest/doctest.h>
 
@@ -85,13 +86,59 @@
     CHECK_FALSE(PeerState::Packed{.bytes = "rubbish"}.text());
 }
 
-TEST_CASE("packedText_sameVersion_isPackedOnce")
+TEST_CASE_FIXTURE(PeerStateFixture, "peerState_evacuatedDomains_areToldWithTheirVersion")
 {
-    PackedText packed;
-    const std::string *first = &packed.of(1, "one").bytes;
-    const std::string bytes = *first;
-    CHECK(packed.of(1, "not looked at").bytes == bytes);
-    CHECK(packed.of(2, "two").bytes != bytes);
+    state.evacuated = {.storeVersion = 40, .domains = {"d1", "d2"}};
+    const Result<PeerState> read = PeerState::decode(state.encode());
+    REQUIRE(read);
+    CHECK(read.value().evacuated.storeVersion == 40);
+    CHECK(read.value().evacuated.domains == std::set<std::string>{"d1", "d2"});
+}
+
+// Guards against the whole text for each of hundreds of routers at each small change.
+TEST_CASE_FIXTURE(PeerStateFixture,
+                  "configTexts_oneRouteOfManyChanged_aRouterThatHadItGetsTheChange")
+{
+    const std::string before = configText(1450);
+    std::string after = before;
+    after.replace(after.find("12000", after.size() / 2), 5, "9000");
+    ConfigTexts texts;
+    texts.add(7, before);
+    texts.add(9, after);
+    texts.describe(7, state);
+    CHECK(state.configBase == 7);
+    CHECK(state.encode().size() < 800);
+    const Result<PeerState> read = PeerState::decode(state.encode());
+    REQUIRE(read);
+    CHECK(ConfigTexts::textIn(read.value(), before).value() == after);
+    CHECK_FALSE(ConfigTexts::textIn(read.value(), "{}"));
+}
+
+TEST_CASE_FIXTURE(PeerStateFixture, "configTexts_routerWithAnUnknownRevision_getsTheWhole")
+{
+    ConfigTexts texts;
+    texts.describe(0, state);
+    CHECK_FALSE(state.config);
+    texts.add(7, "{\"a\":{}}");
+    texts.add(9, "{\"a\":{\"b\":{}}}");
+    texts.describe(3, state);
+    CHECK(state.configBase == 0);
+    CHECK(ConfigTexts::textIn(state, "").value() == "{\"a\":{\"b\":{}}}");
+    PeerState newest;
+    texts.describe(9, newest);
+    CHECK_FALSE(newest.config);
+}
+
+TEST_CASE("configTexts_manyLargeTexts_keepABoundedAmount")
+{
+    ConfigTexts texts;
+    for (std::uint64_t revision = 1; revision <= 40; ++revision)
+        texts.add(revision, std::string(600'000, static_cast<char>('a' + revision % 20)));
+    PeerState state;
+    texts.describe(1, state);
+    CHECK(state.configBase == 0);
+    texts.describe(39, state);
+    CHECK(state.configBase == 39);
 }
 
 TEST_CASE("decompress_moreThanAllowed_isRefused")
--- a/test/ReplicaEntryTest.cpp
+++ b/test/ReplicaEntryTest.cpp
@@ -1,11 +1,13 @@
 #include "platform/ReplicaEntry.h"
 #include "Base/Json.h"
+#include "Control/ReplicaUpdate.h"
 
 #include <doctest/doctest.h>
 
 #include <functional>
 
 using namespace catkinloft;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -111,8 +113,19 @@
 TEST_CASE_FIXTURE(ReplicaEntryFixture, "replicaEntry_toldToARouter_comesBackTheSame")
 {
     entry["born"] = Json::Int64(1'700'000'001'234);
+    entry["cold-remaining-ms"] = 2500.5;
     const ReplicaRecord sent = decode().value();
-    const ReplicaRecord read = platform::replicaFromJson(platform::replicaToJson(sent));
+    const Result<ReplicaUpdate> told = ReplicaUpdate::decode(
+            ReplicaUpdate{.base = 7, .storeVersion = 9, .removed = {"i-2"}, .replicas = {sent}}
+                    .encode());
+    REQUIRE(told);
+    CHECK(told.value().base == 7);
+    CHECK(told.value().storeVersion == 9);
+    CHECK(told.value().removed == std::vector<std::string>{"i-2"});
+    REQUIRE(told.value().replicas.size() == 1);
+    const ReplicaRecord &read = told.value().replicas.front();
+    CHECK(sent.coldFor == 2500500us);
+    CHECK(read.coldFor == 2501ms); // Rounded up: a replica never looks warm too early.
     CHECK(read.incarnation() == sent.incarnation());
     CHECK(read.startedAt == sent.startedAt);
     CHECK(read.address == sent.address);
--- a/test/ReplicaRegistryTest.cpp
+++ b/test/ReplicaRegistryTest.cpp
@@ -220,3 +220,63 @@
     read({again, b});
     CHECK(names() == "a b ");
 }
+
+// Guards against the whole list for each of hundreds of routers whenever one replica comes or goes.
+TEST_CASE_FIXTURE(ReplicaRegistryFixture,
+                  "replicaRegistry_routerThatHasAnEarlierList_isToldTheChanges")
+{
+    ReplicaRegistry other{{.clock = clock}};
+    ReplicaRecord cold{.id = "c", .service = "s", .coldFor = 3s};
+    read({a, b});
+    REQUIRE(other.applyUpdate(registry.updateSince(0), clock.now()));
+    CHECK(other.hash() == registry.hash());
+    read({a, cold});
+    const ReplicaUpdate update = registry.updateSince(other.hash());
+    CHECK(update.base == other.hash());
+    CHECK(update.replicas.size() == 1);
+    CHECK(update.removed == std::vector<std::string>{"b"});
+    clock.advance(100ms);
+    REQUIRE(other.applyUpdate(update, clock.now() - 100ms));
+    CHECK(other.hash() == registry.hash());
+    REQUIRE(other.replicas().size() == 2);
+    CHECK(other.replicas()[1].coldUntil == registry.replicas()[1].coldUntil);
+    CHECK(other.replicas()[0].coldUntil == TimePoint());
+    SUBCASE("a change of a list that it does not have is not taken")
+    {
+        read({leaving, cold});
+        ReplicaUpdate strange = registry.updateSince(other.hash());
+        strange.base ^= 1;
+        CHECK_FALSE(other.applyUpdate(strange, clock.now()));
+        CHECK(other.replicas().size() == 2);
+    }
+    SUBCASE("a list that is too old is told whole")
+    {
+        const std::uint64_t old = other.hash();
+        for (int i = 0; i < 20; ++i) {
+            cold.address = "10.0.0.1:" + std::to_string(i + 1);
+            read({a, cold});
+        }
+        CHECK(registry.updateSince(old).base == 0);
+        CHECK(registry.updateSince(old).replicas.size() == 2);
+    }
+}
+
+TEST_CASE_FIXTURE(ReplicaRegistryFixture, "replicaRegistry_replicaTurnsCold_isAChange")
+{
+    read({a, b});
+    const std::uint64_t before = registry.hash();
+    int changes = 0;
+    registry.changed().connect([&] { ++changes; });
+    a.coldFor = 2s;
+    read({a, b});
+    CHECK(changes == 1);
+    CHECK(registry.hash() != before);
+    CHECK(registry.replicas()[0].coldUntil == clock.now() + 2s);
+    clock.advance(500ms);
+    a.coldFor = 1500ms;
+    read({a, b});
+    CHECK(changes == 1);
+    a.coldFor = 0s;
+    read({a, b});
+    CHECK(registry.hash() == before);
+}
