Beats are packed with a preset dictionary

Hypothesis: what large fleets pay for bytes between failure domains is beats, 65 a second and router of 400 to 500 bytes of JSON, whose names and addresses are the same in each. Ways: plain JSON (as it stood), and raw deflate with a dictionary of a usual beat. A router of an older version does not read such beats, and the other way round: routers of both count each other's requests, prompts and changes only once all are new.

--- a/fuzz/FuzzEntry.cpp
+++ b/fuzz/FuzzEntry.cpp
@@ -22,7 +22,8 @@
     if (!first)
         return;
     const std::string again = BeatCodec::encode(first.value());
-    const Result<RouterBeat> second = codec.decode(again);
+    (void)codec.unpack(text);
+    const Result<RouterBeat> second = codec.unpack(BeatCodec::pack(first.value()));
     if (!second || BeatCodec::encode(second.value()) != again)
         std::abort();
 }
--- a/src/Base/Compression.cpp
+++ b/src/Base/Compression.cpp
@@ -13,6 +13,15 @@
 /// Output is taken in pieces of so many bytes, so that a short input can't claim much memory.
 constexpr std::size_t PieceSize = 64 * 1024;
 
+/// Of short texts: a raw stream, without head and checksum, with a window of 4 KB.
+constexpr int ShortWindowBits = -12;
+constexpr int ShortMemoryLevel = 5;
+
+const Bytef *bytesOf(std::string_view text)
+{
+    return reinterpret_cast<const Bytef *>(text.data());
+}
+
 Error malformed(std::string detail)
 {
     return {.reason = Reason::MalformedRequest, .detail = std::move(detail)};
@@ -21,7 +30,10 @@
 /// A stream of zlib that is closed with its scope.
 struct Inflater
 {
-    Inflater() { ready = inflateInit(&stream) == Z_OK; }
+    explicit Inflater(int windowBits = MAX_WBITS)
+    {
+        ready = inflateInit2(&stream, windowBits) == Z_OK;
+    }
     ~Inflater() { inflateEnd(&stream); }
     Inflater(const Inflater &) = delete;
     Inflater &operator=(const Inflater &) = delete;
@@ -43,13 +55,12 @@
     return out;
 }
 
-Result<std::string> decompress(std::string_view bytes, std::size_t maxSize)
+namespace {
+
+Result<std::string> inflateAll(Inflater &it, std::string_view bytes, std::size_t maxSize)
 {
-    Inflater it;
-    if (!it.ready)
-        return malformed("no memory for decompression");
     // zlib reads through a pointer to non-const and writes nothing there.
-    it.stream.next_in = reinterpret_cast<Bytef *>(const_cast<char *>(bytes.data()));
+    it.stream.next_in = const_cast<Bytef *>(bytesOf(bytes));
     it.stream.avail_in = static_cast<uInt>(bytes.size());
     std::string out;
     std::array<char, PieceSize> piece;
@@ -67,4 +78,45 @@
     return out;
 }
 
+} // namespace
+
+Result<std::string> decompress(std::string_view bytes, std::size_t maxSize)
+{
+    Inflater it;
+    if (!it.ready)
+        return malformed("no memory for decompression");
+    return inflateAll(it, bytes, maxSize);
+}
+
+std::string compressShort(std::string_view text, std::string_view dictionary)
+{
+    z_stream stream{};
+    if (deflateInit2(&stream, Z_DEFAULT_COMPRESSION, Z_DEFLATED, ShortWindowBits, ShortMemoryLevel,
+                     Z_DEFAULT_STRATEGY)
+        != Z_OK)
+        return {};
+    deflateSetDictionary(&stream, bytesOf(dictionary), static_cast<uInt>(dictionary.size()));
+    std::string out(deflateBound(&stream, static_cast<uLong>(text.size())), '\0');
+    stream.next_in = const_cast<Bytef *>(bytesOf(text));
+    stream.avail_in = static_cast<uInt>(text.size());
+    stream.next_out = reinterpret_cast<Bytef *>(out.data());
+    stream.avail_out = static_cast<uInt>(out.size());
+    deflate(&stream, Z_FINISH);
+    out.resize(stream.total_out);
+    deflateEnd(&stream);
+    return out;
+}
+
+Result<std::string> decompressShort(std::string_view bytes, std::string_view dictionary,
+                                    std::size_t maxSize)
+{
+    Inflater it(ShortWindowBits);
+    if (!it.ready
+        || inflateSetDictionary(&it.stream, bytesOf(dictionary),
+                                static_cast<uInt>(dictionary.size()))
+                != Z_OK)
+        return malformed("no memory for decompression");
+    return inflateAll(it, bytes, maxSize);
+}
+
 } // namespace catkinloft
--- a/src/Control/RouterBeat.cpp
+++ b/src/Control/RouterBeat.cpp
@@ -1,5 +1,6 @@
 #include "Control/RouterBeat.h"
 
+#include "Base/Compression.h"
 #include "Control/RpcClient.h"
 #include "Control/internal/Age.h"
 #include "Control/internal/NotificationReader.h"
@@ -98,6 +99,21 @@
 
 } // namespace
 
+namespace {
+
+/// What beats have in common, the names of fields in the order in which they are written.
+constexpr std::string_view BeatDictionary =
+        R"("},"j":["i-"],"z":["],"g":["],"x":[["],"ed":["],"ev":,"f":true,"l":true,)"
+        R"("r":false,"w":0.25,"w":0.5,"u":{"i-":[1,"}},"i":{"i-":2,"i-":1},"k":,"e":)"
+        R"({"jsonrpc":"2.0","method":"b","params":{"a":100,"b":1790000000000,"c":"10.",)"
+        R"("d":"","e":1,"h":1,"hv":1,"i":{"i-":1},"k":1,"l":false,"n":"front-","p":"10.",)"
+        R"("q":1,"r":true,"s":100,"u":{"i-":[]},"v":1,"w":0.12,"y":0}})";
+
+/// Longest beat, several times what a datagram of 1,200 bytes holds.
+constexpr std::size_t MaxBeat = 16 * 1024;
+
+} // namespace
+
 struct BeatCodec::Private
 {
     internal::NotificationReader reader{Method};
@@ -152,6 +168,19 @@
     return internal::encodeNotification(Method, root);
 }
 
+std::string BeatCodec::pack(const RouterBeat &beat)
+{
+    return compressShort(encode(beat), BeatDictionary);
+}
+
+Result<RouterBeat> BeatCodec::unpack(std::string_view bytes)
+{
+    const Result<std::string> text = decompressShort(bytes, BeatDictionary, MaxBeat);
+    if (!text)
+        return text.error();
+    return decode(text.value());
+}
+
 Result<RouterBeat> BeatCodec::decode(const std::string &text)
 {
     const std::optional<Json::Value> params = m_d->reader.read(text);
--- a/src/Control/RouterBeat.h
+++ b/src/Control/RouterBeat.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace catkinloft {
@@ -56,6 +57,13 @@
 
     static std::string encode(const RouterBeat &beat);
 
+    /// \returns encode() compressed: of 500 bytes some 200 are left, which is what a large fleet
+    /// spends most of its traffic between failure domains on.
+    static std::string pack(const RouterBeat &beat);
+
+    /// \returns the beat that pack() was given; MalformedRequest for anything else.
+    Result<RouterBeat> unpack(std::string_view bytes);
+
     /// \returns the beat; MalformedRequest for anything else.
     Result<RouterBeat> decode(const std::string &text);
 
--- a/src/Net/FleetTask.cpp
+++ b/src/Net/FleetTask.cpp
@@ -206,7 +206,7 @@
 {
     if (!hasKey)
         return;
-    const std::string datagram = signedText(BeatCodec::encode(beat));
+    const std::string datagram = signedText(BeatCodec::pack(beat));
     for (const std::string &it : addresses)
         transport.send(it, datagram);
 }
@@ -295,7 +295,7 @@
                               Metrics::label("fault", peerFaultName(PeerFault::Forged)));
         return;
     }
-    const Result<RouterBeat> read = codec.decode(text);
+    const Result<RouterBeat> read = codec.unpack(text);
     if (!read) {
         options.metrics.count("catkinloft_peer_refused_total",
                               Metrics::label("fault", peerFaultName(PeerFault::Malformed)));
@@ -319,7 +319,7 @@
 
 void FleetTask::Private::receivedUnverified(const std::string &text)
 {
-    if (const Result<RouterBeat> read = codec.decode(text))
+    if (const Result<RouterBeat> read = codec.unpack(text))
         options.onUnverifiedBeat(read.value());
 }
 
