Replicas of a domain that is taken back, and those that were away, count as cold until entries can tell

An entry is a heartbeat behind its replica: a domain is cold when it is taken back, and a replica that returns within its lease still has the entry of before. For 3 s after a domain was taken back, and 6 s after a replica was found unreachable or to have ended, its pace is that of a cold one. Ways: by the entry alone (as it stood), and this. By the entry alone the model's replicas get more than they bear (ColdPaceTest: 10 routers, 400/s, 4 replicas that bear 17); with it they don't.

--- a/src/Decide/ReplicaPool.cpp
+++ b/src/Decide/ReplicaPool.cpp
@@ -75,6 +75,13 @@
 /// progress: leaving costs a millisecond, waiting behind another request costs its service time.
 constexpr double DomainBonus = 0.9;
 
+/// How long an entry may be behind its replica: a heartbeat, a read of the store, and the telling.
+constexpr Duration EntryLag = 3s;
+
+/// How long a replica that was away counts as cold if it answers again: it is left out for some of
+/// that time, and its entry is behind for the rest.
+constexpr Duration AwayCold = 6s;
+
 /// How long it is kept whether this router may send to a cold replica: it takes a look at all
 /// routers.
 constexpr Duration SenderLife = 500ms;
@@ -227,6 +234,22 @@
             && !isEvacuated(it) && isAllowed(it, query) && !bearsNone(it, now);
 }
 
+void ReplicaPool::setEvacuated(std::set<std::string> domains)
+{
+    const TimePoint until = m_options.clock.now() + EntryLag;
+    for (State &it : m_states) {
+        if (isEvacuated(it) && !domains.contains(it.record.failureDomain))
+            it.maybeColdUntil = std::max(it.maybeColdUntil, until);
+    }
+    m_evacuated = std::move(domains);
+}
+
+void ReplicaPool::noteAway(std::string_view id)
+{
+    if (State *it = find(id))
+        it->maybeColdUntil = std::max(it->maybeColdUntil, m_options.clock.now() + AwayCold);
+}
+
 bool ReplicaPool::isEvacuated(const State &it) const
 {
     return !m_evacuated.empty() && m_evacuated.contains(it.record.failureDomain);
@@ -243,7 +266,7 @@
 
 bool ReplicaPool::bearsNone(State &it, TimePoint now) const
 {
-    if (m_coldLimit <= 0 || now >= it.record.coldUntil)
+    if (m_coldLimit <= 0 || now >= std::max(it.record.coldUntil, it.maybeColdUntil))
         return false;
     const ColdPace pace = ColdPace::shareOf(m_coldLimit, m_options.routers());
     if (it.senderCheckedAt == TimePoint::min() || now - it.senderCheckedAt >= SenderLife) {
--- a/src/Decide/ReplicaPool.h
+++ b/src/Decide/ReplicaPool.h
@@ -106,8 +106,13 @@
     /// \brief Takes over the registered replicas; those that stay keep counts and health.
     void setReplicas(std::span<const ReplicaRecord> replicas);
 
-    /// \brief Sends nothing more to replicas in \a domains.
-    void setEvacuated(std::set<std::string> domains) { m_evacuated = std::move(domains); }
+    /// \brief Sends nothing more to replicas in \a domains. Those of domains that are taken back
+    /// count as cold until their entries can have told whether they are.
+    void setEvacuated(std::set<std::string> domains);
+
+    /// \brief Notes that replica \a id could not be reached or has ended: if it comes back, it is
+    /// cold before its entry says so.
+    void noteAway(std::string_view id);
 
     /// \brief Sets the requests that a cold replica bears in one second from all routers together;
     /// 0: replicas are never cold.
@@ -174,6 +179,7 @@
         int ejectedBy = 0; ///< Other routers that have ejected it, as last heard.
         TimePoint answeredAt = {}; ///< Its last good answer to this router.
         TimePoint leftOutUntil = {};
+        TimePoint maybeColdUntil = {}; ///< Its entry may not tell yet that it is.
         TimePoint sentAt = TimePoint::min(); ///< The last request from this router.
         bool isColdSender = false; ///< \sa Options::isColdSender, as of senderCheckedAt.
         TimePoint senderCheckedAt = TimePoint::min();
--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -628,6 +628,7 @@
             error.reason == Reason::UpstreamUnreachable && error.verdict == Verdict::NotRun;
     if (unreached) {
         m_service->replicas.leaveOut(m_incarnation, UnreachablePause);
+        m_service->replicas.noteAway(m_incarnation);
         m_context.client.dropIdle(m_replica.address);
         if (m_sendings.wasUnreachable(m_incarnation))
             return attempt();
--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -162,7 +162,7 @@
                        [this](const CrashWatch::BrokenRun &it, TimePoint) {
                            quarantine.replicaEnded(it.fingerprint, it.replica, it.software);
                        },
-               .replicaEnded = [this](const std::string &it) { pools.leaveOut(it, EndedPause); }}),
+               .replicaEnded = [this](const std::string &it) { pools.noteEnded(it, EndedPause); }}),
       fleet({.loop = loop,
              .client = client,
              .metrics = metrics,
@@ -314,7 +314,7 @@
     for (const CrashNews &news : beat.crashes) {
         for (const CrashNews::End &it : news.ends) {
             if (it.age < EndedPause)
-                pools.leaveOut(it.replica, EndedPause - it.age);
+                pools.noteEnded(it.replica, EndedPause - it.age);
         }
     }
     notePrompts(beat.prompts);
--- a/src/Net/ServicePools.cpp
+++ b/src/Net/ServicePools.cpp
@@ -64,10 +64,12 @@
         pool->replicas.setNews(router, news, heard);
 }
 
-void ServicePools::leaveOut(const std::string &replica, Duration pause)
+void ServicePools::noteEnded(const std::string &replica, Duration pause)
 {
-    for (const auto &[service, pool] : m_pools)
+    for (const auto &[service, pool] : m_pools) {
         pool->replicas.leaveOut(replica, pause);
+        pool->replicas.noteAway(replica);
+    }
 }
 
 void ServicePools::notePrompts(const std::string &replica, std::span<const std::uint64_t> parts)
--- a/src/Net/ServicePools.h
+++ b/src/Net/ServicePools.h
@@ -62,8 +62,9 @@
     void applySettings();
     void setNews(const std::string &router, const ReplicaNews &news, TimePoint heard);
 
-    /// \brief Leaves \a replica out for \a pause; a longer pause stays.
-    void leaveOut(const std::string &replica, Duration pause);
+    /// \brief Leaves \a replica out for \a pause, because it has ended; \sa
+    /// ReplicaPool::noteAway().
+    void noteEnded(const std::string &replica, Duration pause);
 
     /// \brief Takes over that another router sent parts of prompts to replicas.
     void notePrompts(const std::string &replica, std::span<const std::uint64_t> parts);
--- a/test/ColdPaceTest.cpp
+++ b/test/ColdPaceTest.cpp
@@ -73,6 +73,7 @@
         for (std::size_t i = 0; i < cold + warm; ++i)
             list.push_back({.id = fmt::format("{}-{}", i < cold ? "cold" : "warm", i),
                             .service = "s",
+                            .failureDomain = "d0",
                             .slots = 12,
                             .coldFor = i < cold ? ColdTime : Duration::zero(),
                             .coldUntil = i < cold ? clock.now() + ColdTime : TimePoint()});
@@ -205,3 +206,41 @@
     load(100, 2s);
     CHECK(refused == 0);
 }
+
+// Guards against a domain that is taken back and gets its usual load before entries say that it is
+// cold.
+TEST_CASE_FIXTURE(ColdReplicaFleetFixture, "coldReplica_domainTakenBack_isPacedUntilEntriesTell")
+{
+    addRouters(10);
+    introduceAll();
+    setReplicas(0, 4);
+    for (Router &it : routers) {
+        it.pool->setEvacuated({"d0"});
+        it.pool->setEvacuated({});
+    }
+    load(400, 2s);
+    CHECK(mostInASecond("warm") <= Bearable);
+    CHECK(refused > 0);
+    clock.advance(2s);
+    refused = 0;
+    load(400, 1s);
+    CHECK(refused == 0);
+}
+
+// Guards against a replica that ends, comes back cold at once and still has its entry of before.
+TEST_CASE_FIXTURE(ColdReplicaFleetFixture,
+                  "coldReplica_backAfterItWasAway_isPacedUntilItsEntryTells")
+{
+    addRouters(10);
+    introduceAll();
+    setReplicas(0, 2);
+    for (Router &it : routers)
+        it.pool->noteAway("warm-0");
+    load(400, 2s);
+    CHECK(mostInASecond("warm-0") <= Bearable);
+    CHECK(refused == 0);
+    clock.advance(5s);
+    arrivals.clear();
+    load(400, 1s);
+    CHECK(mostInASecond("warm-0") > Bearable);
+}
--- a/test/EntryRequestTest.cpp
+++ b/test/EntryRequestTest.cpp
@@ -137,14 +137,14 @@
     ReplicaRegistry registry{{.clock = loop}};
     std::uint64_t version = 0;
     RequestQuarantine quarantine{{.clock = loop, .random = seededRandom(3)}};
-    CrashWatch crashes{{.loop = loop,
-                        .metrics = metrics,
-                        .runEnded =
-                                [this](const CrashWatch::BrokenRun &it, TimePoint) {
-                                    quarantine.replicaEnded(it.fingerprint, it.replica,
-                                                            it.software);
-                                },
-                        .replicaEnded = [this](const std::string &it) { pools.leaveOut(it, 3s); }}};
+    CrashWatch crashes{
+            {.loop = loop,
+             .metrics = metrics,
+             .runEnded =
+                     [this](const CrashWatch::BrokenRun &it, TimePoint) {
+                         quarantine.replicaEnded(it.fingerprint, it.replica, it.software);
+                     },
+             .replicaEnded = [this](const std::string &it) { pools.noteEnded(it, 3s); }}};
     bool refusesNew = false;
     std::vector<RequestEvent> events; ///< Calls in progress at the end of a test report here too.
     EntryGateway gateway{{.loop = loop,
