--- a/src/Control/StoreReadPlan.cpp
+++ b/src/Control/StoreReadPlan.cpp
@@ -8,8 +8,10 @@
 {
     if (m_calling || !(state.reader || state.overdue))
         return false;
+    if (!m_broughtNothing)
+        return true;
     const Duration waited = m_options.clock.now() - m_endedAt;
-    return !m_broughtNothing || waited >= pause(state)
+    return waited >= pause(state)
             || (isWoken(state) && waited >= scaled(m_options.readerPause, m_spread));
 }
 
