Packed changes of an older list are forgotten whatever the order of evaluation

Where the variable was read first, changes that lead to an older list would be told again and again; they are ignored, and the asker reads the store itself. The 21 integration tests of entry routers pass.

--- a/src/Net/FleetTask.cpp
+++ b/src/Net/FleetTask.cpp
@@ -390,8 +390,9 @@
 
 const PeerState::Packed &FleetTask::Private::replicasSince(std::uint64_t hash)
 {
-    if (std::exchange(packedHash, options.replicas.hash()) != packedHash)
+    if (packedHash != options.replicas.hash())
         packedReplicas.clear();
+    packedHash = options.replicas.hash();
     const auto known = packedReplicas.find(hash);
     if (known != packedReplicas.end())
         return known->second;
