--- a/src/Control/Membership.cpp
+++ b/src/Control/Membership.cpp
@@ -532,9 +532,8 @@
 }
 
 /// Load: a router that stops, in a fleet of any size. Harm prevented: news that others pass on a
-/// bounded number of times misses some member in one of some hundred fleets, which then names the
-/// stopped router to callers until probes fail. Whoever leaves tells members itself, as many as it
-/// has time for.
+/// bounded number of times may miss a member, which then names the stopped router to callers until
+/// probes fail. Whoever leaves tells members itself, as many as it has time for.
 void Membership::tellLeaving()
 {
     for (int i = 0; i < m_options.timing.gossipFanout && !m_untold.empty(); ++i) {
--- a/src/Control/RouterBeat.h
+++ b/src/Control/RouterBeat.h
@@ -57,8 +57,8 @@
 
     static std::string encode(const RouterBeat &beat);
 
-    /// \returns encode() compressed: of 500 bytes some 200 are left, which is what a large fleet
-    /// spends most of its traffic between failure domains on.
+    /// \returns encode() compressed. Beats are most of what a large fleet sends between failure
+    /// domains.
     static std::string pack(const RouterBeat &beat);
 
     /// \returns the beat that pack() was given; MalformedRequest for anything else.
