--- a/src/Control/ReplicaRegistry.cpp
+++ b/src/Control/ReplicaRegistry.cpp
@@ -67,7 +67,8 @@
 {
     // Lists are received from the store and from other routers and can overtake each other.
     if (storeVersion < m_storeVersion)
-        return;
+        return logOlderList(storeVersion);
+    m_isIgnoringLists = false;
     detectOutage(readStartedAt);
     m_storeVersion = storeVersion;
     const std::uint64_t hash = hashOf(list);
@@ -78,6 +79,17 @@
     update();
 }
 
+void ReplicaRegistry::logOlderList(std::uint64_t storeVersion)
+{
+    ++m_ignoredLists;
+    // One list that was overtaken is ordinary; a series is logged once.
+    if (!std::exchange(m_isIgnoringLists, true))
+        Log::warning("replica_list_ignored",
+                     {{"store_version", storeVersion},
+                      {"newer_version", m_storeVersion},
+                      {"age_ms", age() / std::chrono::milliseconds(1)}});
+}
+
 void ReplicaRegistry::storePreviousList(std::uint64_t hash)
 {
     if (m_hash != 0)
@@ -135,10 +147,12 @@
     std::vector<ReplicaRecord> next = m_registered;
     for (ReplicaRecord &it : next)
         applyLeaving(it);
-    if (m_options.clock.now() < m_keepMissingUntil) {
+    if (m_options.clock.now() >= m_keepMissingUntil) {
+        m_retained.clear();
+    } else {
         for (const ReplicaRecord &it : m_replicas) {
             if (!findRecord(next, it.id))
-                next.push_back(it);
+                retain(it, next);
         }
     }
     removeOldLeaving();
@@ -149,6 +163,14 @@
     m_changed.emit();
 }
 
+void ReplicaRegistry::retain(const ReplicaRecord &record, std::vector<ReplicaRecord> &list)
+{
+    list.push_back(record);
+    if (!m_retained.insert(record.incarnation()).second)
+        return;
+    Log::info("replica_retained", {{"replica", record.id}, {"service", record.service}});
+}
+
 void ReplicaRegistry::applyLeaving(ReplicaRecord &record)
 {
     const auto known = m_leaving.find(record.incarnation());
--- a/src/Control/ReplicaRegistry.h
+++ b/src/Control/ReplicaRegistry.h
@@ -10,6 +10,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -78,6 +79,9 @@
 
     std::uint64_t storeVersion() const { return m_storeVersion; }
 
+    /// \returns how many lists were ignored because they were older than the current one.
+    std::uint64_t ignoredLists() const { return m_ignoredLists; }
+
     /// \brief Emitted after the list or the state of a replica changed.
     sigc::signal<void()> &changed() { return m_changed; }
 
@@ -85,8 +89,10 @@
     void detectOutage(TimePoint readStartedAt);
     void replaceList(std::vector<ReplicaRecord> list, std::uint64_t storeVersion,
                      TimePoint readStartedAt);
+    void logOlderList(std::uint64_t storeVersion);
     void storePreviousList(std::uint64_t hash);
     void update();
+    void retain(const ReplicaRecord &record, std::vector<ReplicaRecord> &list);
     void applyLeaving(ReplicaRecord &record);
     void removeOldLeaving();
     static bool hasChanges(const std::vector<ReplicaRecord> &a,
@@ -104,6 +110,7 @@
     std::vector<ReplicaRecord> m_registered; ///< As in the newest snapshot.
     std::deque<PreviousList> m_previousLists; ///< The newest last.
     std::vector<ReplicaRecord> m_replicas; ///< Including those retained after an outage.
+    std::set<std::string> m_retained; ///< Incarnations that were logged as retained.
     /// \brief A replica that is leaving; this state is final.
     struct LeavingReplica
     {
@@ -117,6 +124,8 @@
     std::map<std::string, LeavingReplica> m_leaving; ///< By incarnation.
     std::uint64_t m_storeVersion = 0;
     std::uint64_t m_hash = 0;
+    std::uint64_t m_ignoredLists = 0;
+    bool m_isIgnoringLists = false; ///< The last list was ignored.
     TimePoint m_readAt = TimePoint::min();
     TimePoint m_keepMissingUntil = TimePoint::min();
     sigc::signal<void()> m_changed;
--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -262,6 +262,7 @@
 {
     metrics.addCollector([this](Metrics &it) {
         it.set("catkinloft_requests_suspected", static_cast<double>(quarantine.size()));
+        it.set("catkinloft_replica_lists_ignored", static_cast<double>(replicas.ignoredLists()));
         it.set("catkinloft_requests_quarantined", static_cast<double>(quarantine.held().size()));
     });
     config.changed().connect([this](const RouteConfigPtr &it) { applyConfig(it); });
