Positions in the store are ordered by era, so a restored store is read again

Callers saw nothing yet; a replica that had written that it leaves got requests for 2.4 to 2.6 s after the acknowledgement (bound 2.0 s), and up to 4 s in the logs.

Cause: after the store had returned from a copy with lower versions, every router dropped every replica list as older than its own, in silence, until the versions had passed the former ones (4.5 s). Then the list counted as regained after an outage of 7.3 s, and a replica without an entry was retained for 2.2 s more. The class: a bare version is taken for an order in time, although it orders only as long as nothing acknowledged is lost.

Evidence: 'replica_list_regained' with missed_ms 7,274 to 7,518 on all nine routers, 4.5 s after the first answered read; all nine read the store four to six times a second meanwhile.

The same cause is mended at the other readers: - a feed whose cursor is of another era starts anew, also where the version exists again; - evacuations: dropped in the same way, now ordered by position and kept while the operator writes them again; - the proof of the configuration: an empty feed confirmed the active revision, although the store may have an older one after a restore; it now confirms what the store has; - the key of the heartbeats is stored again if it was lost, and another one is adopted; - a packed update between routers carried the position of its first use. A leaving replica stays so although the copy has it as ready with a lower sequence, and a removed one is ignored until the store has removed its entry again.

--- a/src/Base/FleetStore.h
+++ b/src/Base/FleetStore.h
@@ -3,6 +3,7 @@
 #include "Base/Error.h"
 #include "Base/ReplicaRecord.h"
 #include "Base/RouteConfig.h"
+#include "Base/StorePosition.h"
 
 #include <cstdint>
 #include <functional>
@@ -22,9 +23,11 @@
 /// \brief Result of one read of the operators' data: the configuration and the evacuations.
 struct ConfigRead
 {
-    std::uint64_t storeVersion = 0; ///< Version from which to continue to watch.
+    StorePosition position = {}; ///< Position from which to continue to watch.
     RouteConfigPtr config = {}; ///< Null if it did not change.
-    bool historyLost = false; ///< The store dropped the changes since; a full read is needed.
+    /// The store has no changes since the requested position, because it dropped them or was
+    /// restored from a copy; a full read is needed.
+    bool historyLost = false;
     /// All evacuations if \a isComplete is set, else only the changed ones.
     std::vector<DomainEvacuation> evacuations = {};
     bool isComplete = false; ///< The result contains everything that is in the store.
@@ -33,8 +36,8 @@
 /// \brief The part of the platform's store that operators and replicas write to.
 ///
 /// Every call is asynchronous and invokes its callback exactly once, on the event loop's thread.
-/// Answers are linearizable: an answer contains every write that was acknowledged before its call
-/// began.
+/// Answers are linearizable within an era: an answer contains every write that was acknowledged in
+/// its era before its call began. \sa StorePosition
 class FleetStore
 {
 public:
@@ -47,8 +50,8 @@
     virtual void readConfig(Callback<ConfigRead> done) = 0;
 
     /// \brief Waits up to \a wait for a configuration or an evacuation that was written after
-    /// \a storeVersion.
-    virtual void watchConfig(std::uint64_t storeVersion, Duration wait,
+    /// \a position.
+    virtual void watchConfig(const StorePosition &position, Duration wait,
                              Callback<ConfigRead> done) = 0;
 
     /// \brief Reads all registered replicas.
--- a/src/Base/ReplicaRecord.h
+++ b/src/Base/ReplicaRecord.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Base/Clock.h"
+#include "Base/StorePosition.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -53,10 +54,10 @@
     std::string software() const { return service + ' ' + version; }
 };
 
-/// \brief All replicas at one version of the store.
+/// \brief All replicas at one position of the store.
 struct ReplicaSnapshot
 {
-    std::uint64_t storeVersion = 0; ///< Increases with every change of the store.
+    StorePosition position = {};
     std::vector<ReplicaRecord> replicas = {};
 };
 
--- /dev/null
+++ b/src/Base/StorePosition.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace catkinloft {
+
+/// \brief A position in the history of the platform's store.
+///
+/// The store may be restored from a copy that is some seconds old. It then loses what it
+/// acknowledged since, assigns the lost versions again and starts a new era. Versions of different
+/// eras cannot be compared, so positions are ordered by era first.
+struct StorePosition
+{
+    std::uint64_t era = 0; ///< Increases with each restore; 0: not reported.
+    std::uint64_t version = 0; ///< Increases with every change within an era; 0: not read yet.
+
+    /// \returns whether the store was restored between \a before and this position.
+    bool isRestoredSince(const StorePosition &before) const
+    {
+        return before.era != 0 && era > before.era;
+    }
+
+    friend auto operator<=>(const StorePosition &, const StorePosition &) = default;
+};
+
+} // namespace catkinloft
--- a/src/Control/FleetRegistration.cpp
+++ b/src/Control/FleetRegistration.cpp
@@ -67,7 +67,7 @@
     }
     if (key.empty())
         return createKey();
-    if (!m_hasKey)
+    if (key != m_key)
         takeKey(key);
     if (!isRegistered)
         return writeOwnRow();
@@ -82,17 +82,23 @@
     m_options.onEnd(false);
 }
 
-void FleetRegistration::createKey()
+std::string FleetRegistration::newKey()
 {
-    m_busy = true;
     std::string secret;
     for (int i = 0; i < KeyWords; ++i) {
         const std::uint64_t word = m_options.random();
         secret.append(reinterpret_cast<const char *>(&word), sizeof word);
     }
+    return base64UrlEncode(secret);
+}
+
+void FleetRegistration::createKey()
+{
+    m_busy = true;
     const std::string row(KeyRow);
+    // If the store lost the key that the routers use, the same one is stored again.
     m_options.table.commit({.expects = {{.key = row, .version = 0}},
-                            .writes = {{.key = row, .value = base64UrlEncode(secret)}}},
+                            .writes = {{.key = row, .value = m_key.empty() ? newKey() : m_key}}},
                            [this](const Result<TableCommit> &commit) {
                                m_busy = false;
                                if (!commit)
@@ -104,7 +110,7 @@
 
 void FleetRegistration::takeKey(const std::string &secret)
 {
-    m_hasKey = true;
+    m_key = secret;
     m_options.onKey({.id = KeyId, .secret = secret});
 }
 
--- a/src/Control/FleetRegistration.h
+++ b/src/Control/FleetRegistration.h
@@ -26,7 +26,8 @@
         TableService &table;
         RandomSource random;
         RegisteredRouter self;
-        std::function<void(const SharedKey &)> onKey; ///< Called when the key is known.
+        /// Called when the key is known, and when another one was stored.
+        std::function<void(const SharedKey &)> onKey;
         /// Called with all other routers once this one is registered as well. Of any two routers
         /// that start, the one that reads later finds the other.
         std::function<void(const std::vector<RegisteredRouter> &)> onRouters;
@@ -51,6 +52,7 @@
 private:
     void fail(const char *what, const Error &error);
     void takeRows(const std::vector<TableRow> &rows);
+    std::string newKey();
     void createKey();
     void takeKey(const std::string &secret);
     void writeOwnRow();
@@ -58,7 +60,7 @@
 
     Options m_options;
     bool m_busy = false;
-    bool m_hasKey = false;
+    std::string m_key; ///< Last key read; empty: none yet.
     bool m_complete = false;
     bool m_left = false;
 };
--- a/src/Control/PeerCatchUp.cpp
+++ b/src/Control/PeerCatchUp.cpp
@@ -22,7 +22,7 @@
             fresh && own.proofAge > scaled(m_options.configApplyTimeout, StaleProofFraction);
     const bool config = heartbeat.revision > own.revision;
     const bool replicas = heartbeat.replicasHash != own.replicasHash
-            && heartbeat.replicasVersion > own.replicasVersion;
+            && heartbeat.replicasPosition > own.replicasPosition;
     return config || replicas || proof || (fresh && needsPrompts());
 }
 
--- a/src/Control/PeerCatchUp.h
+++ b/src/Control/PeerCatchUp.h
@@ -31,7 +31,7 @@
         std::uint64_t revision = 0; ///< Of the active configuration.
         Duration proofAge = Duration::max(); ///< \sa RouterHeartbeat::proofAge
         std::uint64_t replicasHash = 0;
-        std::uint64_t replicasVersion = 0;
+        StorePosition replicasPosition = {};
     };
 
     explicit PeerCatchUp(Options options) : m_options(options) { }
--- a/src/Control/PeerState.cpp
+++ b/src/Control/PeerState.cpp
@@ -46,9 +46,11 @@
                   .proofAge = ageIn(head, "proof_age_ms"),
                   .replicasAge = ageIn(head, "replicas_age_ms"),
                   .replicasHash = head["replicas_hash"].asUInt64(),
-                  .replicasVersion = head["replicas_version"].asUInt64()};
+                  .replicasPosition = {.era = head["replicas_era"].asUInt64(),
+                                       .version = head["replicas_version"].asUInt64()}};
     out.configBase = head["config_base"].asUInt64();
-    out.evacuated.storeVersion = head["evacuated_version"].asUInt64();
+    out.evacuated.position = {.era = head["evacuated_era"].asUInt64(),
+                              .version = head["evacuated_version"].asUInt64()};
     for (const Json::Value &it : head["evacuated"])
         out.evacuated.domains.insert(it.asString());
     const Json::Value &promptLists = head["prompts"];
@@ -81,9 +83,11 @@
     if (replicasAge != Duration::max()) {
         head["replicas_age_ms"] = static_cast<Json::Int64>(milliseconds(replicasAge));
         head["replicas_hash"] = static_cast<Json::UInt64>(replicasHash);
-        head["replicas_version"] = static_cast<Json::UInt64>(replicasVersion);
+        head["replicas_version"] = static_cast<Json::UInt64>(replicasPosition.version);
+        head["replicas_era"] = static_cast<Json::UInt64>(replicasPosition.era);
     }
-    head["evacuated_version"] = static_cast<Json::UInt64>(evacuated.storeVersion);
+    head["evacuated_version"] = static_cast<Json::UInt64>(evacuated.position.version);
+    head["evacuated_era"] = static_cast<Json::UInt64>(evacuated.position.era);
     for (const std::string &it : evacuated.domains)
         head["evacuated"].append(it);
     if (configBase != 0)
--- a/src/Control/PeerState.h
+++ b/src/Control/PeerState.h
@@ -37,7 +37,7 @@
 
     Duration replicasAge = Duration::max(); ///< Duration::max(): never read.
     std::uint64_t replicasHash = 0;
-    std::uint64_t replicasVersion = 0; ///< Version of the store at that read.
+    StorePosition replicasPosition = {}; ///< Position of the store at that read.
     /// A ReplicaUpdate; set if the requester has other replicas.
     std::optional<Packed> replicas = {};
 
--- a/src/Control/ReplicaRegistry.cpp
+++ b/src/Control/ReplicaRegistry.cpp
@@ -15,6 +15,10 @@
 /// unavailable, and those that are restored may be older than the replica's answer.
 constexpr Duration LeavingRetention = std::chrono::minutes(2);
 
+/// How long a removed replica is remembered. The copy from which a store is restored is seconds
+/// old.
+constexpr Duration RemovedRetention = std::chrono::minutes(1);
+
 /// Number of former lists stored. A router requests changes within one or two heartbeats; during a
 /// release the list changes a few times in that period.
 constexpr std::size_t MaxPreviousLists = 8;
@@ -58,19 +62,19 @@
 
 void ReplicaRegistry::apply(const ReplicaSnapshot &snapshot, TimePoint readStartedAt)
 {
-    replaceList(withColdDeadlines(snapshot.replicas, readStartedAt), snapshot.storeVersion,
+    replaceList(withColdDeadlines(snapshot.replicas, readStartedAt), snapshot.position,
                 readStartedAt);
 }
 
-void ReplicaRegistry::replaceList(std::vector<ReplicaRecord> list, std::uint64_t storeVersion,
+void ReplicaRegistry::replaceList(std::vector<ReplicaRecord> list, const StorePosition &position,
                                   TimePoint readStartedAt)
 {
     // Lists are received from the store and from other routers and can overtake each other.
-    if (storeVersion < m_storeVersion)
-        return logOlderList(storeVersion);
+    if (position < m_position)
+        return logOlderList(position);
     m_isIgnoringLists = false;
     detectOutage(readStartedAt);
-    m_storeVersion = storeVersion;
+    advanceTo(position);
     const std::uint64_t hash = hashOf(list);
     if (hash != m_hash)
         storePreviousList(hash);
@@ -79,17 +83,46 @@
     update();
 }
 
-void ReplicaRegistry::logOlderList(std::uint64_t storeVersion)
+void ReplicaRegistry::logOlderList(const StorePosition &position)
 {
     ++m_ignoredLists;
     // One list that was overtaken is ordinary; a series is logged once.
     if (!std::exchange(m_isIgnoringLists, true))
         Log::warning("replica_list_ignored",
-                     {{"store_version", storeVersion},
-                      {"newer_version", m_storeVersion},
+                     {{"era", position.era},
+                      {"store_version", position.version},
+                      {"newer_era", m_position.era},
+                      {"newer_version", m_position.version},
                       {"age_ms", age() / std::chrono::milliseconds(1)}});
 }
 
+void ReplicaRegistry::advanceTo(const StorePosition &position)
+{
+    if (position.isRestoredSince(m_position))
+        storeRestored(position);
+    m_position = std::max(m_position, position);
+}
+
+/// The copy lacks replicas that registered after it was taken, and has those that left since, in
+/// the state and with the sequence of that time.
+void ReplicaRegistry::storeRestored(const StorePosition &position)
+{
+    const TimePoint now = m_options.clock.now();
+    m_keepMissingUntil = now + m_options.reregistrationTime;
+    m_restoredAt = now;
+    for (auto &[incarnation, it] : m_leaving) {
+        it.address.clear();
+        it.sequence = 0;
+    }
+    Log::warning("store_restored",
+                 {{"era", position.era},
+                  {"store_version", position.version},
+                  {"era_before", m_position.era},
+                  {"version_before", m_position.version},
+                  {"removed_replicas", m_removed.size()}});
+    m_restored.emit();
+}
+
 void ReplicaRegistry::storePreviousList(std::uint64_t hash)
 {
     if (m_hash != 0)
@@ -114,13 +147,13 @@
         std::sort(next.begin(), next.end(),
                   [](const ReplicaRecord &a, const ReplicaRecord &b) { return a.id < b.id; });
     }
-    replaceList(std::move(next), update.storeVersion, readStartedAt);
+    replaceList(std::move(next), update.position, readStartedAt);
     return true;
 }
 
 ReplicaUpdate ReplicaRegistry::updateSince(std::uint64_t hash) const
 {
-    ReplicaUpdate out{.storeVersion = m_storeVersion};
+    ReplicaUpdate out{.position = m_position};
     const auto base = std::find_if(m_previousLists.rbegin(), m_previousLists.rend(),
                                    [hash](const PreviousList &it) { return it.hash == hash; });
     const bool isKnown = base != m_previousLists.rend();
@@ -145,6 +178,7 @@
 void ReplicaRegistry::update()
 {
     std::vector<ReplicaRecord> next = m_registered;
+    std::erase_if(next, [&](const ReplicaRecord &it) { return isRestoredEntry(it); });
     for (ReplicaRecord &it : next)
         applyLeaving(it);
     if (m_options.clock.now() >= m_keepMissingUntil) {
@@ -159,10 +193,32 @@
     if (!hasChanges(m_replicas, next))
         return;
     logChanges(next);
+    noteRemoved(next);
     m_replicas = std::move(next);
     m_changed.emit();
 }
 
+bool ReplicaRegistry::isRestoredEntry(const ReplicaRecord &record) const
+{
+    if (!m_restoredAt || m_options.clock.now() - *m_restoredAt >= m_options.restoredEntryTimeout)
+        return false;
+    const auto removed = m_removed.find(record.incarnation());
+    return removed != m_removed.end() && removed->second <= *m_restoredAt;
+}
+
+void ReplicaRegistry::noteRemoved(const std::vector<ReplicaRecord> &next)
+{
+    const TimePoint now = m_options.clock.now();
+    std::erase_if(m_removed, [&](const auto &it) { return now - it.second > RemovedRetention; });
+    for (const ReplicaRecord &it : m_replicas) {
+        const ReplicaRecord *successor = findRecord(next, it.id);
+        if (!successor || successor->incarnation() != it.incarnation())
+            m_removed[it.incarnation()] = now;
+    }
+    for (const ReplicaRecord &it : next)
+        m_removed.erase(it.incarnation());
+}
+
 void ReplicaRegistry::retain(const ReplicaRecord &record, std::vector<ReplicaRecord> &list)
 {
     list.push_back(record);
@@ -236,13 +292,13 @@
                   [&](const auto &it) { return now - it.second.seenAt > LeavingRetention; });
 }
 
-bool ReplicaRegistry::confirm(std::uint64_t hash, std::uint64_t storeVersion,
+bool ReplicaRegistry::confirm(std::uint64_t hash, const StorePosition &position,
                               TimePoint readStartedAt)
 {
     if (hash != m_hash || hash == 0)
         return false;
     detectOutage(readStartedAt);
-    m_storeVersion = std::max(m_storeVersion, storeVersion);
+    advanceTo(position);
     m_readAt = std::max(m_readAt, readStartedAt);
     update(); // The time for which missing replicas are retained may be over.
     return true;
--- a/src/Control/ReplicaRegistry.h
+++ b/src/Control/ReplicaRegistry.h
@@ -2,6 +2,7 @@
 
 #include "Base/Clock.h"
 #include "Base/ReplicaRecord.h"
+#include "Base/StorePosition.h"
 #include "Control/ReplicaUpdate.h"
 
 #include <sigc++/signal.h>
@@ -22,6 +23,11 @@
 /// Replicas register with a lease that also expires while the store is unavailable. A replica that
 /// is missing after an outage may only have failed to renew its lease, so it is retained for a
 /// short time. At any other time a missing replica is removed at once.
+///
+/// The store may also be restored from a copy that is some seconds old. \sa StorePosition Replicas
+/// that the copy lacks are retained in the same way. What was known before remains in effect: a
+/// leaving replica stays draining, and a removed one gets no requests until the store has had time
+/// to remove its entry again.
 class ReplicaRegistry
 {
 public:
@@ -32,6 +38,9 @@
         Duration outageThreshold = std::chrono::seconds(3);
         /// Time for replicas to register again whose lease expired during an outage.
         Duration reregistrationTime = std::chrono::milliseconds(2200);
+        /// Time after which a restored store has removed the entries of replicas that are gone:
+        /// three heartbeat intervals of a replica.
+        Duration restoredEntryTimeout = std::chrono::seconds(5);
     };
 
     explicit ReplicaRegistry(Options options) : m_options(options) { }
@@ -47,10 +56,10 @@
     /// whole list if that one is no longer stored.
     ReplicaUpdate updateSince(std::uint64_t hash) const;
 
-    /// \brief Records that at \a readStartedAt the store had version \a storeVersion and the
-    /// replicas whose hash() is \a hash.
+    /// \brief Records that at \a readStartedAt the store was at \a position and had the replicas
+    /// whose hash() is \a hash.
     /// \returns false if the list of this registry has another hash.
-    bool confirm(std::uint64_t hash, std::uint64_t storeVersion, TimePoint readStartedAt);
+    bool confirm(std::uint64_t hash, const StorePosition &position, TimePoint readStartedAt);
 
     /// \brief Source of the information that a replica is leaving.
     enum class LeavingSource : std::uint8_t {
@@ -77,22 +86,30 @@
     /// \returns the age of the newest snapshot; Duration::max() if there is none.
     Duration age() const;
 
-    std::uint64_t storeVersion() const { return m_storeVersion; }
+    /// \returns the newest position of the store at which the list was read or confirmed.
+    const StorePosition &position() const { return m_position; }
 
     /// \returns how many lists were ignored because they were older than the current one.
     std::uint64_t ignoredLists() const { return m_ignoredLists; }
 
+    /// \brief Emitted after it became known that the store was restored from a copy.
+    sigc::signal<void()> &restored() { return m_restored; }
+
     /// \brief Emitted after the list or the state of a replica changed.
     sigc::signal<void()> &changed() { return m_changed; }
 
 private:
     void detectOutage(TimePoint readStartedAt);
-    void replaceList(std::vector<ReplicaRecord> list, std::uint64_t storeVersion,
+    void replaceList(std::vector<ReplicaRecord> list, const StorePosition &position,
                      TimePoint readStartedAt);
-    void logOlderList(std::uint64_t storeVersion);
+    void logOlderList(const StorePosition &position);
+    void advanceTo(const StorePosition &position);
+    void storeRestored(const StorePosition &position);
     void storePreviousList(std::uint64_t hash);
     void update();
     void retain(const ReplicaRecord &record, std::vector<ReplicaRecord> &list);
+    bool isRestoredEntry(const ReplicaRecord &record) const;
+    void noteRemoved(const std::vector<ReplicaRecord> &next);
     void applyLeaving(ReplicaRecord &record);
     void removeOldLeaving();
     static bool hasChanges(const std::vector<ReplicaRecord> &a,
@@ -110,6 +127,7 @@
     std::vector<ReplicaRecord> m_registered; ///< As in the newest snapshot.
     std::deque<PreviousList> m_previousLists; ///< The newest last.
     std::vector<ReplicaRecord> m_replicas; ///< Including those retained after an outage.
+    std::map<std::string, TimePoint> m_removed; ///< Time of the removal, by incarnation.
     std::set<std::string> m_retained; ///< Incarnations that were logged as retained.
     /// \brief A replica that is leaving; this state is final.
     struct LeavingReplica
@@ -122,12 +140,14 @@
     };
 
     std::map<std::string, LeavingReplica> m_leaving; ///< By incarnation.
-    std::uint64_t m_storeVersion = 0;
+    StorePosition m_position; ///< \sa position()
     std::uint64_t m_hash = 0;
     std::uint64_t m_ignoredLists = 0;
     bool m_isIgnoringLists = false; ///< The last list was ignored.
     TimePoint m_readAt = TimePoint::min();
     TimePoint m_keepMissingUntil = TimePoint::min();
+    std::optional<TimePoint> m_restoredAt; ///< Of the last restore of the store.
+    sigc::signal<void()> m_restored;
     sigc::signal<void()> m_changed;
 };
 
--- a/src/Control/ReplicaUpdate.cpp
+++ b/src/Control/ReplicaUpdate.cpp
@@ -49,7 +49,8 @@
     Json::Value root(Json::objectValue);
     if (base != 0)
         root["base"] = static_cast<Json::UInt64>(base);
-    root["ver"] = static_cast<Json::UInt64>(storeVersion);
+    root["ver"] = static_cast<Json::UInt64>(position.version);
+    root["era"] = static_cast<Json::UInt64>(position.era);
     for (const std::string &it : removed)
         root["removed"].append(it);
     for (const ReplicaRecord &it : replicas)
@@ -64,7 +65,8 @@
         return root.error();
     try {
         ReplicaUpdate out{.base = root.value()["base"].asUInt64(),
-                          .storeVersion = root.value()["ver"].asUInt64()};
+                          .position = {.era = root.value()["era"].asUInt64(),
+                                       .version = root.value()["ver"].asUInt64()}};
         for (const Json::Value &it : root.value()["removed"])
             out.removed.push_back(it.asString());
         for (const Json::Value &it : root.value()["replicas"])
--- a/src/Control/ReplicaUpdate.h
+++ b/src/Control/ReplicaUpdate.h
@@ -19,7 +19,7 @@
 struct ReplicaUpdate
 {
     std::uint64_t base = 0; ///< ReplicaRegistry::hash() of the base list; 0: the list is whole.
-    std::uint64_t storeVersion = 0; ///< Version of the store when it was read.
+    StorePosition position = {}; ///< Position of the store when it was read.
     std::vector<std::string> removed = {}; ///< Ids in the base list that are not in the new one.
     std::vector<ReplicaRecord> replicas = {}; ///< New or changed replicas, or all.
 
--- a/src/Control/RouterHeartbeat.cpp
+++ b/src/Control/RouterHeartbeat.cpp
@@ -58,25 +58,26 @@
 
 RouterHeartbeat heartbeatOf(const Json::Value &root)
 {
-    RouterHeartbeat out{.name = root["n"].asString(),
-                        .incarnation = root["b"].asUInt64(),
-                        .sequence = root["q"].asUInt64(),
-                        .callerAddress = root["c"].asString(),
-                        .peerAddress = root["p"].asString(),
-                        .failureDomain = root["d"].asString(),
-                        .processorShare = root["w"].asDouble(),
-                        .ready = root["r"].asBool(),
-                        .leaving = root["l"].asBool(),
-                        .revision = root["v"].asUInt64(),
-                        .proofAge = ageOf(root["a"]),
-                        .storeFailing = root["f"].asBool(),
-                        .storeUnansweredFor = ageOf(root["y"]),
-                        .replicasAge = ageOf(root["s"]),
-                        .replicasHash = root["h"].asUInt64(),
-                        .replicasVersion = root["hv"].asUInt64(),
-                        .ask = root["k"].asUInt64(),
-                        .echo = root["e"].asUInt64()};
-    out.evacuated.storeVersion = root["ev"].asUInt64();
+    RouterHeartbeat out{
+            .name = root["n"].asString(),
+            .incarnation = root["b"].asUInt64(),
+            .sequence = root["q"].asUInt64(),
+            .callerAddress = root["c"].asString(),
+            .peerAddress = root["p"].asString(),
+            .failureDomain = root["d"].asString(),
+            .processorShare = root["w"].asDouble(),
+            .ready = root["r"].asBool(),
+            .leaving = root["l"].asBool(),
+            .revision = root["v"].asUInt64(),
+            .proofAge = ageOf(root["a"]),
+            .storeFailing = root["f"].asBool(),
+            .storeUnansweredFor = ageOf(root["y"]),
+            .replicasAge = ageOf(root["s"]),
+            .replicasHash = root["h"].asUInt64(),
+            .replicasPosition = {.era = root["he"].asUInt64(), .version = root["hv"].asUInt64()},
+            .ask = root["k"].asUInt64(),
+            .echo = root["e"].asUInt64()};
+    out.evacuated.position = {.era = root["ee"].asUInt64(), .version = root["ev"].asUInt64()};
     for (const Json::Value &it : root["ed"])
         out.evacuated.domains.insert(it.asString());
     const Json::Value &counts = root["i"];
@@ -144,9 +145,14 @@
     root["y"] = ageToJson(heartbeat.storeUnansweredFor);
     root["w"] = heartbeat.processorShare;
     root["h"] = static_cast<Json::UInt64>(heartbeat.replicasHash);
-    root["hv"] = static_cast<Json::UInt64>(heartbeat.replicasVersion);
-    if (heartbeat.evacuated.storeVersion != 0)
-        root["ev"] = static_cast<Json::UInt64>(heartbeat.evacuated.storeVersion);
+    root["hv"] = static_cast<Json::UInt64>(heartbeat.replicasPosition.version);
+    if (heartbeat.replicasPosition.era != 0)
+        root["he"] = static_cast<Json::UInt64>(heartbeat.replicasPosition.era);
+    const StorePosition &evacuated = heartbeat.evacuated.position;
+    if (evacuated.version != 0)
+        root["ev"] = static_cast<Json::UInt64>(evacuated.version);
+    if (evacuated.era != 0)
+        root["ee"] = static_cast<Json::UInt64>(evacuated.era);
     for (const std::string &it : heartbeat.evacuated.domains)
         root["ed"].append(it);
     if (heartbeat.ask != 0)
--- a/src/Control/RouterHeartbeat.h
+++ b/src/Control/RouterHeartbeat.h
@@ -36,7 +36,7 @@
     /// Time since the replicas were read from the store.
     Duration replicasAge = Duration::max();
     std::uint64_t replicasHash = 0; ///< Of the replicas known to the sender; 0: none.
-    std::uint64_t replicasVersion = 0; ///< Version of the store at that read.
+    StorePosition replicasPosition = {}; ///< Position of the store at that read.
     EvacuatedDomains::State evacuated = {}; ///< Version 0: not known.
     std::uint64_t ask = 0; ///< If not 0, the receiver answers at once with this number as `echo`.
     /// `ask` of the message that this one answers; this one was sent after the ask was received.
--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -40,6 +40,10 @@
 /// times the number of routers.
 constexpr Duration RegistrationIntervalPerRouter = 500ms;
 
+/// After a restore of the store, each router checks its registration at a random time within this
+/// times the number of routers, so that the calls stay well below the limits of the store.
+constexpr Duration RestoreSpreadPerRouter = 100ms;
+
 /// Fraction of the stop timeout in which a draining process still accepts requests, from callers
 /// that use an outdated address. Long streams need the rest of the time to finish.
 constexpr double AcceptFraction = 0.35;
@@ -89,6 +93,7 @@
     void listenAll();
     void connectSignals();
     void keepRegistered();
+    void refreshRegistration();
     void applyConfig(const RouteConfigPtr &config);
     void applySettings(const EntrySettings &next);
     ReplicaStatusUpdate ownStatusUpdate() const;
@@ -117,7 +122,7 @@
     std::unique_ptr<FleetStore> store;
     std::unique_ptr<TableService> table;
     ActiveConfig config{loop};
-    EvacuatedDomains evacuated;
+    EvacuatedDomains evacuated{{.clock = loop, .rewriteTime = settings.replicaReregistrationTime}};
     ReplicaRegistry replicas;
     std::shared_ptr<const RouteTable> routes;
     ServicePools pools;
@@ -267,9 +272,10 @@
     });
     config.changed().connect([this](const RouteConfigPtr &it) { applyConfig(it); });
     evacuated.changed().connect([this] {
-        pools.setEvacuated(evacuated.state().domains);
+        pools.setEvacuated(evacuated.domains());
         announceIfReader();
     });
+    replicas.restored().connect([this] { refreshRegistration(); });
     replicas.changed().connect([this] {
         pools.setReplicas(replicas.replicas());
         announceIfReader();
@@ -406,6 +412,14 @@
     registrationTimer.start(registration.isComplete() ? interval : RegistrationPoll);
 }
 
+/// A restored store may lack the row of this router and the key of the heartbeats.
+void EntryProcess::Private::refreshRegistration()
+{
+    metrics.count("catkinloft_store_restores_total");
+    const Duration spread = RestoreSpreadPerRouter * knownRouters();
+    registrationTimer.start(scaled(spread, uniform(random)));
+}
+
 void EntryProcess::Private::registrationEnded(bool answered)
 {
     if (!answered)
--- a/src/Net/FleetTask.cpp
+++ b/src/Net/FleetTask.cpp
@@ -114,7 +114,7 @@
                            TimePoint asked);
     void applyState(const PeerState &state, TimePoint asked);
     void applyConfig(const PeerState &state, TimePoint asked);
-    void applyReplicas(const PeerState::Packed &packed, TimePoint readStartedAt);
+    void applyReplicas(const PeerState &state, TimePoint readStartedAt);
     const PeerState::Packed &replicasSince(std::uint64_t hash);
     std::string signedText(const std::string &text) const { return guard.sign(text) + "\n" + text; }
 
@@ -137,6 +137,7 @@
     std::uint64_t incarnation;
     std::uint64_t sequence = 0;
     PromptUpdates prompts{options.loop};
+    SharedKey key; ///< Signs heartbeats; valid if hasKey is set.
     bool hasKey = false;
     bool leaving = false;
     bool fetching = false;
@@ -183,7 +184,7 @@
             .storeUnansweredFor = options.storeUnansweredFor(),
             .replicasAge = options.replicas.age(),
             .replicasHash = options.replicas.hash(),
-            .replicasVersion = options.replicas.storeVersion(),
+            .replicasPosition = options.replicas.position(),
             .evacuated = evacuated.shouldAnnounce() ? evacuated.state() : EvacuatedDomains::State(),
             .replicas = options.ownStatusUpdate()};
 }
@@ -342,7 +343,7 @@
     if (heartbeat.proofAge != Duration::max())
         options.config.confirm(heartbeat.revision, asked - heartbeat.proofAge);
     if (heartbeat.replicasAge != Duration::max())
-        options.replicas.confirm(heartbeat.replicasHash, heartbeat.replicasVersion,
+        options.replicas.confirm(heartbeat.replicasHash, heartbeat.replicasPosition,
                                  asked - heartbeat.replicasAge);
 }
 
@@ -351,7 +352,7 @@
     const PeerCatchUp::Known own{.revision = options.config.revision(),
                                  .proofAge = options.config.proofAge(),
                                  .replicasHash = options.replicas.hash(),
-                                 .replicasVersion = options.replicas.storeVersion()};
+                                 .replicasPosition = options.replicas.position()};
     if (!catchUp.shouldFetchFrom(heartbeat, own))
         return;
     if (const FleetView::Peer *peer = view.find(heartbeat.name))
@@ -385,7 +386,7 @@
                   .proofAge = config.proofAge(),
                   .replicasAge = replicas.age(),
                   .replicasHash = replicas.hash(),
-                  .replicasVersion = replicas.storeVersion()};
+                  .replicasPosition = replicas.position()};
     out.evacuated = options.evacuated.state();
     configTexts.describe(revision, out);
     if (replicas.age() != Duration::max() && replicas.hash() != replicasHash)
@@ -422,13 +423,15 @@
         Log::warning("peer_state_malformed", {{"detail", text.error().detail}});
 }
 
-void FleetTask::Private::applyReplicas(const PeerState::Packed &packed, TimePoint readStartedAt)
+void FleetTask::Private::applyReplicas(const PeerState &state, TimePoint readStartedAt)
 {
-    const Result<std::string> text = packed.text();
-    const Result<ReplicaUpdate> update =
+    const Result<std::string> text = state.replicas->text();
+    Result<ReplicaUpdate> update =
             text ? ReplicaUpdate::decode(text.value()) : Result<ReplicaUpdate>(text.error());
     if (!update)
         return Log::warning("peer_replicas_malformed", {{"detail", update.error().detail}});
+    // A packed update is reused while the list stays the same; its position is of the first use.
+    update.value().position = state.replicasPosition;
     if (!options.replicas.applyUpdate(update.value(), readStartedAt))
         Log::info("peer_replicas_unusable",
                   {{"detail", "the update is based on an unknown replica list"}});
@@ -443,9 +446,9 @@
     else if (state.revision != 0)
         options.config.confirm(state.revision, asked - state.proofAge);
     if (state.replicas)
-        applyReplicas(*state.replicas, asked - state.replicasAge);
+        applyReplicas(state, asked - state.replicasAge);
     else if (state.replicasAge != Duration::max())
-        options.replicas.confirm(state.replicasHash, state.replicasVersion,
+        options.replicas.confirm(state.replicasHash, state.replicasPosition,
                                  asked - state.replicasAge);
     catchUp.promptsReceived(!state.prompts.empty());
     options.onPrompts(state.prompts);
@@ -476,7 +479,12 @@
 
 void FleetTask::setKey(const SharedKey &key)
 {
-    m_d->guard.setKeys({key});
+    // Routers adopt another key one after the other; the former one remains valid for verification.
+    std::vector<SharedKey> keys = {key};
+    if (m_d->hasKey)
+        keys.push_back(m_d->key);
+    m_d->guard.setKeys(std::move(keys));
+    m_d->key = key;
     m_d->hasKey = true;
     m_d->heartbeat();
 }
--- a/src/Net/StoreWatch.cpp
+++ b/src/Net/StoreWatch.cpp
@@ -65,6 +65,7 @@
 
 void StoreWatch::check()
 {
+    m_options.evacuated.expire();
     const StoreReadPlan::State config = configState();
     const StoreReadPlan::State replicas = replicasState();
     if (m_configPlan.isDue(config))
@@ -82,11 +83,11 @@
     const TimePoint began = m_options.loop.now();
     m_configPlan.began();
     const auto done = [this, began](const Result<ConfigRead> &read) { configRead(read, began); };
-    if (m_storeVersion == 0)
+    if (!m_watchedFrom)
         m_options.store.readConfig(done);
     else
         m_options.store.watchConfig(
-                m_storeVersion,
+                *m_watchedFrom,
                 m_options.isReader()
                         ? scaled(m_options.settings.configApplyTimeout, WatchTimeoutFraction)
                         : Duration::zero(),
@@ -100,17 +101,21 @@
         return;
     const ConfigRead &it = read.value();
     if (it.historyLost) {
-        Log::warning("store_history_lost", {{"store_version", m_storeVersion}});
-        m_storeVersion = 0;
+        Log::warning("store_history_lost",
+                     {{"era", m_watchedFrom->era}, {"store_version", m_watchedFrom->version}});
+        m_watchedFrom.reset();
         return watchConfig();
     }
     // Evacuations first, because the freshness proof of the configuration covers them too.
     applyEvacuations(it);
+    if (it.config || it.isComplete)
+        m_storedRevision = it.config ? it.config->revision : 0;
     if (it.config)
         m_options.config.accept(it.config, began);
     else
-        m_options.config.confirm(m_options.config.revision(), began);
-    m_storeVersion = it.storeVersion;
+        // A restored store may hold an older revision, which proves nothing about the active one.
+        m_options.config.confirm(m_storedRevision, began);
+    m_watchedFrom = it.position;
     if (!m_options.config.config())
         m_configPlan.answeredEmpty(); // No configuration has been written yet that can be watched.
     else if (m_options.isReader())
@@ -120,8 +125,8 @@
 void StoreWatch::applyEvacuations(const ConfigRead &read)
 {
     if (!read.isComplete)
-        return m_options.evacuated.change(read.evacuations, read.storeVersion);
-    EvacuatedDomains::State state{.storeVersion = read.storeVersion};
+        return m_options.evacuated.change(read.evacuations, read.position);
+    EvacuatedDomains::State state{.position = read.position};
     for (const DomainEvacuation &it : read.evacuations)
         state.domains.insert(it.domain);
     m_options.evacuated.accept(state);
--- a/src/Net/StoreWatch.h
+++ b/src/Net/StoreWatch.h
@@ -11,6 +11,7 @@
 #include "Net/Timer.h"
 
 #include <functional>
+#include <optional>
 
 namespace catkinloft {
 
@@ -67,7 +68,9 @@
     void noteResult(StoreReadPlan &plan, const char *what, const Error *error);
 
     Options m_options;
-    std::uint64_t m_storeVersion = 0; ///< At the last read of the configuration; 0: not read yet.
+    /// Of the last read of the configuration; empty: a full read is needed.
+    std::optional<StorePosition> m_watchedFrom;
+    std::uint64_t m_storedRevision = 0; ///< Of the configuration in the store at the last read.
     StoreReadPlan m_configPlan;
     StoreReadPlan m_replicasPlan;
     Timer m_replicasTimer; ///< Runs until the next read of a reader.
--- a/test/EntryRequestTest.cpp
+++ b/test/EntryRequestTest.cpp
@@ -63,7 +63,7 @@
     /// Publishes the replicas from the store again, without the states that answers reported.
     void publishReplicas()
     {
-        registry.apply({.storeVersion = ++version, .replicas = records}, loop.now());
+        registry.apply({.position = {.version = ++version}, .replicas = records}, loop.now());
         pools.setReplicas(registry.replicas());
     }
 
--- a/test/FleetRegistrationTest.cpp
+++ b/test/FleetRegistrationTest.cpp
@@ -133,3 +133,33 @@
     REQUIRE(a.others.size() == 1);
     CHECK(a.others.front().name == "bb");
 }
+
+// Guards against routers that can no longer verify each other's heartbeats after the store was
+// restored from a copy that is older than their key.
+TEST_CASE_FIXTURE(FleetRegistrationFixture, "fleetRegistration_storeLostTheKey_itIsStoredAgain")
+{
+    refresh(a);
+    refresh(bb);
+    const std::string key = a.key;
+    table.rows.clear();
+    refresh(bb);
+    CHECK(bb.key == key);
+    Router started(table, "ccc");
+    refresh(started);
+    CHECK(started.key == key);
+    refresh(a);
+    CHECK(a.key == key);
+    CHECK(a.others.size() == 2);
+}
+
+TEST_CASE_FIXTURE(FleetRegistrationFixture, "fleetRegistration_anotherKeyWasStored_isAdopted")
+{
+    refresh(a);
+    const std::string key = a.key;
+    table.rows.clear();
+    Router started(table, "ccc");
+    refresh(started);
+    CHECK(started.key != key);
+    refresh(a);
+    CHECK(a.key == started.key);
+}
--- a/test/PeerCatchUpTest.cpp
+++ b/test/PeerCatchUpTest.cpp
@@ -9,10 +9,15 @@
 
 struct PeerCatchUpFixture
 {
-    RouterHeartbeat heartbeat{
-            .name = "a", .revision = 4, .proofAge = 100ms, .replicasHash = 7, .replicasVersion = 9};
-    PeerCatchUp::Known own{
-            .revision = 4, .proofAge = 100ms, .replicasHash = 7, .replicasVersion = 9};
+    RouterHeartbeat heartbeat{.name = "a",
+                              .revision = 4,
+                              .proofAge = 100ms,
+                              .replicasHash = 7,
+                              .replicasPosition = {.version = 9}};
+    PeerCatchUp::Known own{.revision = 4,
+                           .proofAge = 100ms,
+                           .replicasHash = 7,
+                           .replicasPosition = {.version = 9}};
     PeerCatchUp catchUp{{.configApplyTimeout = 2s}};
 };
 
@@ -45,7 +50,9 @@
     newer = heartbeat;
     newer.replicasHash = 8;
     CHECK_FALSE(catchUp.shouldFetchFrom(newer, own));
-    newer.replicasVersion = 10;
+    newer.replicasPosition = {.version = 10};
+    CHECK(catchUp.shouldFetchFrom(newer, own));
+    newer.replicasPosition = {.era = 1, .version = 2};
     CHECK(catchUp.shouldFetchFrom(newer, own));
 }
 
--- a/test/PeerStateTest.cpp
+++ b/test/PeerStateTest.cpp
@@ -31,7 +31,7 @@
                     .proofAge = 1500us,
                     .replicasAge = 40ms,
                     .replicasHash = 1ULL << 63,
-                    .replicasVersion = 12,
+                    .replicasPosition = {.era = 2, .version = 12},
                     .prompts = {{"i-1", {5, 1ULL << 63}}}};
 };
 
@@ -47,7 +47,7 @@
     CHECK(read.value().proofAge == 2ms); // Rounded up, so that a proof never appears younger.
     CHECK(read.value().replicasAge == 40ms);
     CHECK(read.value().replicasHash == 1ULL << 63);
-    CHECK(read.value().replicasVersion == 12);
+    CHECK(read.value().replicasPosition == StorePosition{.era = 2, .version = 12});
     CHECK(read.value().prompts.at("i-1") == std::vector<std::uint64_t>{5, 1ULL << 63});
     CHECK(read.value().config->text().value() == "config\nin lines");
     CHECK(read.value().replicas->text().value() == "replicas");
@@ -89,10 +89,10 @@
 
 TEST_CASE_FIXTURE(PeerStateFixture, "peerState_evacuatedDomains_areDecodedWithTheirVersion")
 {
-    state.evacuated = {.storeVersion = 40, .domains = {"d1", "d2"}};
+    state.evacuated = {.position = {.era = 2, .version = 40}, .domains = {"d1", "d2"}};
     const Result<PeerState> read = PeerState::decode(state.encode());
     REQUIRE(read);
-    CHECK(read.value().evacuated.storeVersion == 40);
+    CHECK(read.value().evacuated.position == StorePosition{.era = 2, .version = 40});
     CHECK(read.value().evacuated.domains == std::set<std::string>{"d1", "d2"});
 }
 
--- a/test/ReplicaEntryTest.cpp
+++ b/test/ReplicaEntryTest.cpp
@@ -115,12 +115,14 @@
     entry["born"] = Json::Int64(1'700'000'001'234);
     entry["cold-remaining-ms"] = 2500.5;
     const ReplicaRecord sent = decode().value();
-    const Result<ReplicaUpdate> decoded = ReplicaUpdate::decode(
-            ReplicaUpdate{.base = 7, .storeVersion = 9, .removed = {"i-2"}, .replicas = {sent}}
-                    .encode());
+    const Result<ReplicaUpdate> decoded = ReplicaUpdate::decode(ReplicaUpdate{
+            .base = 7,
+            .position = {.era = 2, .version = 9},
+            .removed = {"i-2"},
+            .replicas = {sent}}.encode());
     REQUIRE(decoded);
     CHECK(decoded.value().base == 7);
-    CHECK(decoded.value().storeVersion == 9);
+    CHECK(decoded.value().position == StorePosition{.era = 2, .version = 9});
     CHECK(decoded.value().removed == std::vector<std::string>{"i-2"});
     REQUIRE(decoded.value().replicas.size() == 1);
     const ReplicaRecord &read = decoded.value().replicas.front();
--- a/test/ReplicaRegistryTest.cpp
+++ b/test/ReplicaRegistryTest.cpp
@@ -13,7 +13,17 @@
 {
     void read(std::vector<ReplicaRecord> list)
     {
-        registry.apply({.storeVersion = ++version, .replicas = std::move(list)}, clock.now());
+        registry.apply(
+                {.position = {.era = era, .version = ++version}, .replicas = std::move(list)},
+                clock.now());
+    }
+
+    /// Reads \a list from a store that was restored from a copy with lower versions.
+    void readRestored(std::vector<ReplicaRecord> list)
+    {
+        ++era;
+        version = 1;
+        read(std::move(list));
     }
 
     std::string names() const
@@ -25,6 +35,7 @@
     }
 
     ManualClock clock;
+    std::uint64_t era = 1;
     std::uint64_t version = 10;
     ReplicaRegistry registry{{.clock = clock}};
     ReplicaRecord a{.id = "a", .service = "s"};
@@ -119,7 +130,8 @@
 TEST_CASE_FIXTURE(ReplicaRegistryFixture, "replicaRegistry_olderSnapshot_isIgnored")
 {
     read({leaving, b});
-    registry.apply({.storeVersion = version - 5, .replicas = {a, b}}, clock.now());
+    registry.apply({.position = {.era = era, .version = version - 5}, .replicas = {a, b}},
+                   clock.now());
     CHECK(names() == "a! b ");
 }
 
@@ -164,11 +176,11 @@
     read({a, b});
     const std::uint64_t hash = registry.hash();
     clock.advance(2s);
-    CHECK_FALSE(registry.confirm(hash + 1, version, clock.now()));
+    CHECK_FALSE(registry.confirm(hash + 1, {.era = era, .version = version}, clock.now()));
     CHECK(registry.age() == 2s);
-    CHECK(registry.confirm(hash, version + 3, clock.now()));
+    CHECK(registry.confirm(hash, {.era = era, .version = version + 3}, clock.now()));
     CHECK(registry.age() == 0s);
-    CHECK(registry.storeVersion() == version + 3);
+    CHECK(registry.position().version == version + 3);
     read({leaving, b});
     CHECK(registry.hash() == hash); // Ignored: older than the confirmed store version.
 }
@@ -181,7 +193,7 @@
     read({b});
     CHECK(names() == "b a ");
     clock.advance(2300ms);
-    registry.confirm(registry.hash(), version, clock.now());
+    registry.confirm(registry.hash(), {.era = era, .version = version}, clock.now());
     CHECK(names() == "b ");
 }
 
@@ -282,3 +294,133 @@
     read({a, b});
     CHECK(registry.hash() == before);
 }
+
+// Guards against ignoring all lists of a store that was restored from a copy, because its versions
+// are lower than before.
+TEST_CASE_FIXTURE(ReplicaRegistryFixture, "replicaRegistry_storeRestored_lowerVersionsAreApplied")
+{
+    read({a, b});
+    readRestored({a, b});
+    read({leaving, b});
+    CHECK(names() == "a! b ");
+    SUBCASE("a list from before the restore is ignored")
+    {
+        registry.apply({.position = {.era = era - 1, .version = 1000}, .replicas = {a, b}},
+                       clock.now());
+        CHECK(names() == "a! b ");
+        CHECK(registry.ignoredLists() == 1);
+    }
+    SUBCASE("another router receives the list and the new era")
+    {
+        ReplicaRegistry other{{.clock = clock}};
+        other.apply({.position = {.era = era - 1, .version = 1000}, .replicas = {a, b}},
+                    clock.now());
+        REQUIRE(other.applyUpdate(registry.updateSince(other.hash()), clock.now()));
+        CHECK(other.hash() == registry.hash());
+        CHECK(other.position() == registry.position());
+    }
+}
+
+TEST_CASE_FIXTURE(ReplicaRegistryFixture, "replicaRegistry_confirmedInANewEra_notesTheRestore")
+{
+    int restores = 0;
+    registry.restored().connect([&] { ++restores; });
+    read({a, b});
+    CHECK(restores == 0);
+    CHECK(registry.confirm(registry.hash(), {.era = era + 1, .version = 2}, clock.now()));
+    CHECK(restores == 1);
+    CHECK(registry.position() == StorePosition{.era = era + 1, .version = 2});
+    CHECK(registry.confirm(registry.hash(), {.era = era, .version = 1000}, clock.now()));
+    CHECK(registry.position() == StorePosition{.era = era + 1, .version = 2});
+}
+
+// Guards against taking the entry in the copy, which has a lower sequence, for another process
+// under the id of a leaving replica.
+TEST_CASE_FIXTURE(ReplicaRegistryFixture,
+                  "replicaRegistry_copyHasLeavingReplicaAsReady_staysLeaving")
+{
+    a.address = leaving.address = "10.0.0.1:80";
+    a.sequence = 9;
+    leaving.sequence = 12;
+    read({a, b});
+    SUBCASE("its entry reported it")
+    {
+        read({leaving, b});
+    }
+    SUBCASE("its answer reported it")
+    {
+        registry.markLeaving("a", Source::Answer);
+    }
+    a.sequence = 7;
+    readRestored({a, b});
+    CHECK(names() == "a! b ");
+    a.sequence = 13;
+    read({a, b});
+    CHECK(names() == "a! b ");
+    a.sequence = 1; // Another process.
+    read({a, b});
+    CHECK(names() == "a b ");
+}
+
+// Guards against sending to a replica that left, because the copy still has its entry.
+TEST_CASE_FIXTURE(ReplicaRegistryFixture, "replicaRegistry_copyHasRemovedReplica_isIgnored")
+{
+    read({a, b});
+    read({b});
+    clock.advance(1s);
+    readRestored({a, b});
+    CHECK(names() == "b ");
+    SUBCASE("the store removes the entry again")
+    {
+        clock.advance(4s);
+        read({b});
+        clock.advance(2s);
+        read({b});
+        CHECK(names() == "b ");
+    }
+    SUBCASE("a replica whose entry remains is used")
+    {
+        clock.advance(5s);
+        read({a, b});
+        CHECK(names() == "a b ");
+    }
+    SUBCASE("another process under its id is used at once")
+    {
+        a.startedAt = 1'700'000'000'000;
+        read({a, b});
+        CHECK(names() == "a b ");
+    }
+}
+
+TEST_CASE_FIXTURE(ReplicaRegistryFixture,
+                  "replicaRegistry_copyLacksReplica_isRetainedForAShortTime")
+{
+    read({a, b});
+    readRestored({b});
+    CHECK(names() == "b a ");
+    clock.advance(1s);
+    SUBCASE("it registers again")
+    {
+        read({a, b});
+        CHECK(names() == "a b ");
+        clock.advance(2s);
+        read({a, b});
+        CHECK(names() == "a b ");
+    }
+    SUBCASE("it does not")
+    {
+        clock.advance(1300ms);
+        read({b});
+        CHECK(names() == "b ");
+    }
+}
+
+TEST_CASE_FIXTURE(ReplicaRegistryFixture, "replicaRegistry_firstReportedEra_isNoRestore")
+{
+    int restores = 0;
+    registry.restored().connect([&] { ++restores; });
+    registry.apply({.position = {.version = 1000}, .replicas = {a, b}}, clock.now());
+    read({leaving, b});
+    CHECK(names() == "a! b ");
+    CHECK(restores == 0);
+}
--- a/test/RouterHeartbeatTest.cpp
+++ b/test/RouterHeartbeatTest.cpp
@@ -24,7 +24,7 @@
                         .proofAge = 812ms,
                         .replicasAge = 644ms,
                         .replicasHash = 0x9E3779B97F4A7C15,
-                        .replicasVersion = 190'211};
+                        .replicasPosition = {.era = 3, .version = 190'211}};
     for (int i = 0; i < 4; ++i)
         out.replicas.counts.emplace(fmt::format("i-7f3a91c{}~1234{}", i, i), 1);
     return out;
