--- a/soak/SoakPlan.cpp
+++ b/soak/SoakPlan.cpp
@@ -50,6 +50,10 @@
         KindInfo{FaultKind::ReplicaTurnsCold, "replica_turns_cold", false, 3s, 6s},
 };
 
+constexpr std::array StoreKinds = {
+        KindInfo{FaultKind::StoreRestored, "store_restored", true, 200ms, 3s},
+};
+
 Duration between(const RandomSource &random, Duration a, Duration b)
 {
     return a + scaled(b - a, uniform(random));
@@ -81,7 +85,7 @@
 {
     for (const std::span<const KindInfo> kinds :
          {std::span<const KindInfo>(Kinds), std::span<const KindInfo>(ReplicaKinds),
-          std::span<const KindInfo>(DomainKinds)}) {
+          std::span<const KindInfo>(DomainKinds), std::span<const KindInfo>(StoreKinds)}) {
         if (const std::string_view name = nameIn(kinds, kind); !name.empty())
             return name;
     }
@@ -100,6 +104,21 @@
     return drawOneOfEach(DomainKinds, random, length, replicas);
 }
 
+std::vector<Fault> drawStoreRestores(const RandomSource &random, Duration length)
+{
+    const KindInfo &info = StoreKinds.front();
+    const bool twice = below(random, 2) == 0;
+    Duration at = between(random, 2s, length);
+    std::vector<Fault> out;
+    for (int i = 0; i < (twice ? 2 : 1); ++i) {
+        out.push_back({.kind = info.kind,
+                       .at = at,
+                       .length = between(random, info.shortest, info.longest)});
+        at += out.back().length + between(random, 500ms, 4s);
+    }
+    return out;
+}
+
 std::vector<Fault> drawFaults(const RandomSource &random, Duration length, std::size_t routers,
                               std::size_t replicas)
 {
--- a/soak/SoakPlan.h
+++ b/soak/SoakPlan.h
@@ -32,6 +32,7 @@
     FatalRequest, ///< A request that crashes the replicas that run it is sent repeatedly.
     DomainEvacuated, ///< Nothing may be sent to the replicas of one failure domain.
     ReplicaTurnsCold, ///< Handles few requests per second and crashes above its limit.
+    StoreRestored, ///< The store is down and returns from a copy that is some seconds old.
 };
 
 std::string_view faultName(FaultKind kind);
@@ -55,6 +56,10 @@
 std::vector<Fault> drawDomainFaults(const RandomSource &random, Duration length,
                                     std::size_t replicas);
 
+/// \returns restores of the store from a copy, single or two in a row, drawn separately for the
+/// same reason.
+std::vector<Fault> drawStoreRestores(const RandomSource &random, Duration length);
+
 /// \returns the faults of a run, drawn from \a random and ordered by time: single faults, series of
 /// one kind, and overlapping faults.
 std::vector<Fault> drawFaults(const RandomSource &random, Duration length, std::size_t routers,
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -32,6 +32,14 @@
 /// Separates the random numbers of domain faults from those of the other faults.
 constexpr std::uint64_t DomainSeed = 0x5EED;
 
+/// Separates the random numbers of restores of the store from those of the other faults.
+constexpr std::uint64_t RestoreSeed = 0xC0B1;
+
+/// Interval between two copies of the store, and how long after a restore the operator and the
+/// replicas write again what was lost.
+constexpr Duration CopyInterval = 3s;
+constexpr Duration RewriteDelay = 1s;
+
 /// Time until all routers have read the entry of a replica that has become cold.
 constexpr std::chrono::milliseconds ColdPropagationTime = 2s;
 
@@ -47,7 +55,7 @@
 
 bool disturbsControl(FaultKind kind)
 {
-    return kind <= FaultKind::StorePathSilent;
+    return kind <= FaultKind::StorePathSilent || kind == FaultKind::StoreRestored;
 }
 
 } // namespace
@@ -75,10 +83,20 @@
              drawDomainFaults(faultRandom, m_options.length, 2 * m_options.replicas))
             out.faults.push_back(it);
     }
+    if (m_options.withStoreRestores) {
+        const RandomSource faultRandom = seededRandom(m_options.seed ^ RestoreSeed);
+        for (const Fault &it : drawStoreRestores(faultRandom, m_options.length))
+            out.faults.push_back(it);
+        m_copyTimer = std::make_unique<Timer>(m_loop, [this] { m_fleet.copyStore(); });
+    }
     m_history.domainOf = [this](const std::string &id) { return m_fleet.domainOfId(id); };
     m_fleet.start();
     m_load.emplace(SoakLoad::Options{.loop = m_loop, .fleet = m_fleet, .random = m_random});
     m_load->start();
+    if (m_copyTimer) {
+        m_fleet.copyStore();
+        m_copyTimer->startRepeating(CopyInterval);
+    }
     m_restartTimer = std::make_unique<Timer>(m_loop, [this] { restartExitedReplicas(); });
     m_restartTimer->startRepeating(RestartCheckInterval);
     Duration last = m_options.length;
@@ -115,7 +133,9 @@
 void SoakRun::begin(const Fault &fault)
 {
     if (disturbsControl(fault.kind)) {
-        m_disturbedUntil = std::max(m_disturbedUntil, m_loop.now() + fault.length);
+        const Duration rewrite =
+                fault.kind == FaultKind::StoreRestored ? RewriteDelay : Duration::zero();
+        m_disturbedUntil = std::max(m_disturbedUntil, m_loop.now() + fault.length + rewrite);
         for (OperatorAct &it : m_history.acts) // Their time bounds may not have expired yet.
             it.controlStable =
                     it.controlStable && m_loop.wallNow() > it.acknowledgedAt + ControlSettleTime;
@@ -148,6 +168,10 @@
     case FaultKind::StoreDown:
         m_fleet.setStoreMode("down");
         break;
+    case FaultKind::StoreRestored:
+        m_fleet.setStoreMode("down");
+        m_fleet.restoreStore();
+        break;
     case FaultKind::StoreSlow:
         m_fleet.setStoreMode("slow", 300);
         break;
@@ -308,6 +332,10 @@
     case FaultKind::ReplicaAsksForPause:
         setReplicaFaults(fault.target, "{}");
         break;
+    case FaultKind::StoreRestored:
+        m_fleet.setStoreMode("up");
+        m_loop.after(RewriteDelay, [this] { m_fleet.rewriteRows(); });
+        break;
     case FaultKind::StoreDown:
     case FaultKind::StoreSlow:
     case FaultKind::StoreLosesAnswers:
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -23,6 +23,7 @@
         std::size_t replicas = 3; ///< Of each of two services.
         bool withReplicaFaults = true; ///< \sa drawReplicaFaults
         bool withDomainFaults = true; ///< \sa drawDomainFaults
+        bool withStoreRestores = true; ///< \sa drawStoreRestores
         std::string keepFolder = {}; ///< Receives the logs of a run that violates a guarantee.
     };
 
@@ -62,6 +63,7 @@
     RandomSource m_random;
     std::optional<SoakLoad> m_load;
     RunHistory m_history;
+    std::unique_ptr<Timer> m_copyTimer; ///< Makes the store take a copy of itself.
     std::unique_ptr<Timer> m_restartTimer; ///< Restarts replicas that have exited on their own.
     std::string m_key = standin::EntryFleet::Key;
     int m_keys = 0;
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -14,7 +14,7 @@
         seeds, "",
         "file whose lines begin with SEED, SEED@SECONDS or SEED@SECONDS+, run before the others; "
         "+: with the faults that originate in replicas, ++: also with those of failure domains and "
-        "cold replicas");
+        "cold replicas, +++: also with restores of the store from a copy");
 DEFINE_double(seconds, 10, "period of each run in which faults begin, in seconds");
 DEFINE_uint64(routers, 4, "routers");
 DEFINE_uint64(replicas, 3, "number of replicas of each of the two services");
@@ -30,6 +30,7 @@
     Duration length = {}; ///< Period in which faults begin.
     bool withReplicaFaults = true;
     bool withDomainFaults = true;
+    bool withStoreRestores = true;
 };
 
 std::vector<RunPlan> runPlans()
@@ -46,7 +47,8 @@
         out.push_back({.seed = seed,
                        .length = fromSeconds(seconds),
                        .withReplicaFaults = kinds.starts_with('+'),
-                       .withDomainFaults = kinds.starts_with("++")});
+                       .withDomainFaults = kinds.starts_with("++"),
+                       .withStoreRestores = kinds.starts_with("+++")});
     }
     for (std::uint64_t i = 0; i < FLAGS_runs; ++i)
         out.push_back({.seed = FLAGS_seed + i, .length = fromSeconds(FLAGS_seconds)});
@@ -62,6 +64,7 @@
                  .replicas = FLAGS_replicas,
                  .withReplicaFaults = it.withReplicaFaults,
                  .withDomainFaults = it.withDomainFaults,
+                 .withStoreRestores = it.withStoreRestores,
                  .keepFolder = FLAGS_keep});
     const SoakRun::Outcome outcome = run.run();
     std::string faults;
--- a/standin/fleet/EntryFleet.cpp
+++ b/standin/fleet/EntryFleet.cpp
@@ -148,6 +148,18 @@
 
 void EntryFleet::writeRow(const std::string &table, const std::string &key,
                           const Json::Value &value)
+{
+    m_rows[{table, key}] = value;
+    postRow(table, key, value);
+}
+
+void EntryFleet::rewriteRows()
+{
+    for (const auto &[row, value] : m_rows)
+        postRow(row.first, row.second, value);
+}
+
+void EntryFleet::postRow(const std::string &table, const std::string &key, const Json::Value &value)
 {
     Json::Value root(Json::objectValue);
     root["table"] = table;
--- a/standin/fleet/EntryFleet.h
+++ b/standin/fleet/EntryFleet.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <json/json.h>
@@ -102,6 +103,9 @@
     void copyStore();
     void restoreStore();
 
+    /// \brief Writes all rows of the operator and the replicas again, as they were last written.
+    void rewriteRows();
+
     /// \returns the executions of all replicas since the start, including killed ones.
     std::vector<Json::Value> executions() const;
 
@@ -150,6 +154,7 @@
     void startProxy(Proxy &proxy, const std::string &target, const std::string &name);
     void startReplica(std::size_t i);
     void writeSettings(std::size_t i, const std::string &extra);
+    void postRow(const std::string &table, const std::string &key, const Json::Value &value);
     void writeRow(const std::string &table, const std::string &key, const Json::Value &value);
     static bool tryPost(const std::string &address, const std::string &target,
                         const std::string &body);
@@ -163,6 +168,7 @@
     std::unique_ptr<ChildProcess> m_storeProcess;
     std::vector<Router> m_routers;
     std::vector<Replica> m_replicas;
+    std::map<std::pair<std::string, std::string>, Json::Value> m_rows; ///< By table and key.
     std::uint64_t m_version = 0;
 };
 
