A restored store leaves a cold replica cold, and a first era counts as a restore

The copy was from before its entry had said that it is cold, so every router took it for warm until the entry was written again. What the entry said before the restore now holds until it has had time to register again, as for leaving and removed replicas.

A store that has reported no era and begins to was not taken for restored, so that a lower sequence in the copy could pass for another process under the id of a leaving replica.

--- a/src/Base/StorePosition.h
+++ b/src/Base/StorePosition.h
@@ -15,10 +15,11 @@
     std::uint64_t era = 0; ///< Increases with each restore; 0: not reported.
     std::uint64_t version = 0; ///< Increases with every change within an era; 0: not read yet.
 
-    /// \returns whether the store was restored between \a before and this position.
+    /// \returns whether the store was restored between \a before and this position. A store that
+    /// has begun to report its era may have been restored as well.
     bool isRestoredSince(const StorePosition &before) const
     {
-        return before.era != 0 && era > before.era;
+        return before.version != 0 && era > before.era;
     }
 
     friend auto operator<=>(const StorePosition &, const StorePosition &) = default;
--- a/src/Control/ReplicaRegistry.cpp
+++ b/src/Control/ReplicaRegistry.cpp
@@ -179,8 +179,11 @@
 {
     std::vector<ReplicaRecord> next = m_registered;
     std::erase_if(next, [&](const ReplicaRecord &it) { return isRestoredEntry(it); });
-    for (ReplicaRecord &it : next)
+    for (ReplicaRecord &it : next) {
         applyLeaving(it);
+        if (m_restoredAt && m_options.clock.now() - *m_restoredAt < m_options.reregistrationTime)
+            keepCold(it);
+    }
     if (m_options.clock.now() >= m_keepMissingUntil) {
         m_retained.clear();
     } else {
@@ -206,6 +209,13 @@
     return removed != m_removed.end() && removed->second <= *m_restoredAt;
 }
 
+void ReplicaRegistry::keepCold(ReplicaRecord &record) const
+{
+    const ReplicaRecord *before = findRecord(m_replicas, record.id);
+    if (before && before->incarnation() == record.incarnation())
+        record.coldUntil = std::max(record.coldUntil, before->coldUntil);
+}
+
 void ReplicaRegistry::noteRemoved(const std::vector<ReplicaRecord> &next)
 {
     const TimePoint now = m_options.clock.now();
--- a/src/Control/ReplicaRegistry.h
+++ b/src/Control/ReplicaRegistry.h
@@ -26,8 +26,8 @@
 ///
 /// The store may also be restored from a copy that is some seconds old. \sa StorePosition Replicas
 /// that the copy lacks are retained in the same way. What was known before remains in effect: a
-/// leaving replica stays draining, and a removed one gets no requests until the store has had time
-/// to remove its entry again.
+/// leaving replica stays draining, a cold one stays cold until it has had time to register again,
+/// and a removed one gets no requests until the store has had time to remove its entry again.
 class ReplicaRegistry
 {
 public:
@@ -109,6 +109,7 @@
     void update();
     void retain(const ReplicaRecord &record, std::vector<ReplicaRecord> &list);
     bool isRestoredEntry(const ReplicaRecord &record) const;
+    void keepCold(ReplicaRecord &record) const;
     void noteRemoved(const std::vector<ReplicaRecord> &next);
     void applyLeaving(ReplicaRecord &record);
     void removeOldLeaving();
