--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -35,6 +35,9 @@
 /// Separates the random numbers of restores of the store from those of the other faults.
 constexpr std::uint64_t RestoreSeed = 0xC0B1;
 
+/// Time in which a replica that resumes after a pause receives what was sent to it meanwhile.
+constexpr Duration BacklogTime = 1s;
+
 /// Interval between two copies of the store, and how long after a restore the operator and the
 /// replicas write again what was lost.
 constexpr Duration CopyInterval = 3s;
@@ -142,6 +145,7 @@
         for (Evacuation &it : m_history.evacuations)
             it.controlStable =
                     it.controlStable && m_loop.wallNow() > it.acknowledgedAt + ControlSettleTime;
+        postponeUnreadColdPeriods();
     }
     switch (fault.kind) {
     case FaultKind::RouterKill:
@@ -193,6 +197,7 @@
         break;
     case FaultKind::ReplicaPause:
         ++m_replicaOutages[fault.target];
+        interruptColdPeriods(fault.target, fault.length + BacklogTime);
         m_fleet.replica(fault.target).signal(SIGSTOP);
         break;
     case FaultKind::ReplicaFails:
@@ -244,15 +249,52 @@
     m_fleet.endEvacuation(m_fleet.domainOf(i));
 }
 
+WallTime SoakRun::whenEntriesAreRead() const
+{
+    const Duration disturbedFor = std::max(m_disturbedUntil - m_loop.now(), Duration::zero());
+    return m_loop.wallNow() + std::chrono::ceil<std::chrono::milliseconds>(disturbedFor)
+            + ColdPropagationTime;
+}
+
+/// An entry that the routers have not read yet cannot be read, or is lost, during a fault of the
+/// store.
+void SoakRun::postponeUnreadColdPeriods()
+{
+    for (ColdPeriod &it : m_history.coldPeriods) {
+        if (m_loop.wallNow() < it.from)
+            it.from = std::max(it.from, whenEntriesAreRead());
+    }
+}
+
+/// What was sent to a replica during a pause arrives all at once when it resumes.
+void SoakRun::interruptColdPeriods(std::size_t replica, Duration length)
+{
+    const WallTime now = m_loop.wallNow();
+    const WallTime resumed = now + std::chrono::ceil<std::chrono::milliseconds>(length);
+    m_replicaBacklogUntil[replica] = std::max(m_replicaBacklogUntil[replica], resumed);
+    std::vector<ColdPeriod> before;
+    for (ColdPeriod &it : m_history.coldPeriods) {
+        if (it.replica != m_fleet.replicaId(replica) || it.until <= now)
+            continue;
+        if (it.from < now) {
+            before.push_back(it);
+            before.back().until = now;
+        }
+        it.from = std::max(it.from, resumed);
+    }
+    m_history.coldPeriods.insert(m_history.coldPeriods.end(), before.begin(), before.end());
+}
+
 void SoakRun::makeCold(const Fault &fault)
 {
     m_fleet.registerReplica(fault.target, "ready", fault.length);
     const WallTime now = m_loop.wallNow();
     const auto length = std::chrono::duration_cast<std::chrono::milliseconds>(fault.length);
-    m_history.coldPeriods.push_back({.replica = m_fleet.replicaId(fault.target),
-                                     .from = now + ColdPropagationTime,
-                                     .until = now + length,
-                                     .maxPerSecond = standin::EntryFleet::ColdPerSecond});
+    m_history.coldPeriods.push_back(
+            {.replica = m_fleet.replicaId(fault.target),
+             .from = std::max(whenEntriesAreRead(), m_replicaBacklogUntil[fault.target]),
+             .until = now + length,
+             .maxPerSecond = standin::EntryFleet::ColdPerSecond});
 }
 
 void SoakRun::revokeKey()
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -52,6 +52,9 @@
     void evacuate(std::size_t i);
     void endEvacuation(std::size_t i);
     void makeCold(const Fault &fault);
+    void postponeUnreadColdPeriods();
+    void interruptColdPeriods(std::size_t replica, Duration length);
+    WallTime whenEntriesAreRead() const;
     bool isControlStable() const;
     void finish();
     std::vector<std::string> probe();
@@ -69,6 +72,8 @@
     int m_keys = 0;
     std::map<std::size_t, int> m_replicaOutages; ///< Pauses and kills in progress, by replica.
     std::map<std::size_t, std::string> m_pendingFaults; ///< Requested during an outage.
+    /// When a paused replica has received what was sent to it during its last pause.
+    std::map<std::size_t, WallTime> m_replicaBacklogUntil;
     bool m_extraRoute = false;
     TimePoint m_disturbedUntil; ///< End of the last fault of routers or store.
 };
