--- a/src/Control/EvacuatedDomains.h
+++ b/src/Control/EvacuatedDomains.h
@@ -13,7 +13,7 @@
 namespace catkinloft {
 
 /// \brief Failure domains whose replicas get no requests because the operator evacuated them, as of
-/// the newest store version that this process has received.
+/// the newest position of the store that this process has received.
 ///
 /// An older read or a router with an older state never reverts a newer state. Reads are
 /// linearizable, so of two states the one with the higher store position is the newer one.
--- a/src/Control/ReplicaRegistry.cpp
+++ b/src/Control/ReplicaRegistry.cpp
@@ -103,13 +103,13 @@
     m_position = std::max(m_position, position);
 }
 
-/// The copy lacks replicas that registered after it was taken, and has those that left since, in
-/// the state and with the sequence of that time.
+/// The copy lacks replicas that registered after it was taken, and still has those that left since.
 void ReplicaRegistry::storeRestored(const StorePosition &position)
 {
     const TimePoint now = m_options.clock.now();
     m_keepMissingUntil = now + m_options.reregistrationTime;
     m_restoredAt = now;
+    // Older values in the copy must not pass for another process under the same id.
     for (auto &[incarnation, it] : m_leaving) {
         it.address.clear();
         it.sequence = 0;
--- a/src/Control/ReplicaRegistry.h
+++ b/src/Control/ReplicaRegistry.h
@@ -24,10 +24,10 @@
 /// is missing after an outage may only have failed to renew its lease, so it is retained for a
 /// short time. At any other time a missing replica is removed at once.
 ///
-/// The store may also be restored from a copy that is some seconds old. \sa StorePosition Replicas
-/// that the copy lacks are retained in the same way. What was known before remains in effect: a
-/// leaving replica stays draining, a cold one stays cold until it has had time to register again,
-/// and a removed one gets no requests until the store has had time to remove its entry again.
+/// The store may also be restored from a copy that is some seconds old. Replicas that the copy
+/// lacks are retained in the same way. What was known before remains in effect: a leaving replica
+/// stays draining, a cold one stays cold until it has had time to register again, and a removed one
+/// gets no requests until the store has had time to remove its entry again. \sa StorePosition
 class ReplicaRegistry
 {
 public:
