--- a/src/Base/StorePosition.h
+++ b/src/Base/StorePosition.h
@@ -2,6 +2,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <tuple>
 
 namespace catkinloft {
 
@@ -22,7 +23,11 @@
         return before.version != 0 && era > before.era;
     }
 
-    friend auto operator<=>(const StorePosition &, const StorePosition &) = default;
+    friend bool operator==(const StorePosition &, const StorePosition &) = default;
+    friend auto operator<=>(const StorePosition &a, const StorePosition &b)
+    {
+        return std::tie(a.era, a.version) <=> std::tie(b.era, b.version);
+    }
 };
 
 } // namespace catkinloft
--- a/test/integration/PlatformStoreTest.cpp
+++ b/test/integration/PlatformStoreTest.cpp
@@ -64,7 +64,7 @@
     FleetStore::Callback<ConfigRead> keep()
     {
         return [this](const Result<ConfigRead> &it) {
-            answer = it;
+            m_answer = it;
             loop.stop();
         };
     }
@@ -72,12 +72,12 @@
     ConfigRead take()
     {
         loop.run();
-        REQUIRE(answer);
-        REQUIRE(*answer);
-        return answer->value();
+        REQUIRE(m_answer);
+        REQUIRE(*m_answer);
+        return m_answer->value();
     }
 
-    std::optional<Result<ConfigRead>> answer;
+    std::optional<Result<ConfigRead>> m_answer;
 };
 
 } // namespace
