A crash behind a slow proxy is detected after the request has gone on

Callers saw 503 and not_run for ten minutes for a harmless content: two of three crashes were recorded for the request that caused them, three for the harmless one that ran beside it.

Cause: CrashWatch waited 100 ms for a proxy to close a connection to a crashed replica. On a path with 120 ms of delay the close comes after 120 to 132 ms, so the router that had sent the fatal request recorded nothing.

RequestQuarantineTest passes the time of the crash, which it recorded implicitly before.

--- a/src/Decide/RequestQuarantine.cpp
+++ b/src/Decide/RequestQuarantine.cpp
@@ -17,10 +17,6 @@
 
 constexpr Duration MaxHoldTime = 2h;
 
-/// Connections to a replica break within milliseconds of its crash. The rest allows for the network
-/// delay, which makes the ages in updates inaccurate.
-constexpr Duration CrashDetectionSpread = 250ms;
-
 /// How long a request that is not held back stays suspected after its last crash.
 constexpr Duration SuspicionLifetime = 10min;
 
@@ -148,10 +144,10 @@
 }
 
 void RequestQuarantine::replicaCrashed(const std::string &fingerprint, const std::string &replica,
-                                       const std::string &software)
+                                       const std::string &software, TimePoint at)
 {
     Entry &entry = findOrInsert(fingerprint);
-    if (!entry.record.add({.replica = replica, .software = software, .at = m_options.clock.now()}))
+    if (!entry.record.add({.replica = replica, .software = software, .at = at}))
         return;
     entry.trialEndsAt = TimePoint::min();
     update(entry);
--- a/src/Decide/RequestQuarantine.h
+++ b/src/Decide/RequestQuarantine.h
@@ -63,6 +63,11 @@
     /// time doubles with each further incident.
     static constexpr Duration MinHoldTime = std::chrono::minutes(10);
 
+    /// Longest time between the first record of a crash and the records of the other requests that
+    /// it broke. Connections break within milliseconds; the rest allows for a proxy in front of the
+    /// replica and for the network delay, which makes the ages in updates inaccurate.
+    static constexpr Duration CrashDetectionSpread = std::chrono::milliseconds(250);
+
     struct Options
     {
         const Clock &clock;
@@ -103,10 +108,10 @@
     std::optional<Hold> admit(const std::string &fingerprint,
                               std::span<const std::string> software);
 
-    /// \brief Records that \a replica, which ran \a software, crashed while it worked on request
-    /// \a fingerprint.
+    /// \brief Records that \a replica, which ran \a software, crashed at \a at while it worked on
+    /// request \a fingerprint.
     void replicaCrashed(const std::string &fingerprint, const std::string &replica,
-                        const std::string &software);
+                        const std::string &software, TimePoint at);
 
     /// \brief Records that a run of request \a fingerprint completed, which clears the request.
     void completed(const std::string &fingerprint);
--- a/src/Net/CrashWatch.cpp
+++ b/src/Net/CrashWatch.cpp
@@ -2,12 +2,16 @@
 
 #include "Base/Log.h"
 #include "Base/Metrics.h"
+#include "Decide/RequestQuarantine.h"
 #include "Net/EventLoop.h"
 #include "Net/Timer.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <cstdint>
 #include <map>
+#include <set>
+#include <utility>
 #include <vector>
 
 #include <event2/event.h>
@@ -25,8 +29,17 @@
 /// it is sent to another replica.
 constexpr Duration ConnectTimeout = 150ms;
 
-/// Time in which a proxy finds that nothing listens behind it and closes the connection.
-constexpr Duration CloseTimeout = 100ms;
+/// Time after which an open connection counts as that of a running replica. The request waits for
+/// the result before it is sent to another replica.
+constexpr Duration DecisionTimeout = 100ms;
+
+/// Time in which a proxy finds that nothing listens behind it and closes the connection. This takes
+/// a round trip on its path to the replica. An attempt that broke for another reason must not be
+/// recorded so long before a crash that RequestQuarantine excludes those that broke with it.
+constexpr Duration CloseTimeout = 250ms;
+static_assert(CloseTimeout > DecisionTimeout, "a decision must not wait for the end of the check");
+static_assert(CloseTimeout <= RequestQuarantine::CrashDetectionSpread,
+              "a crash must not be detected after the attempts that it broke are excluded");
 
 /// Time for which a crash is remembered for the other requests that the replica was processing. It
 /// is short because a replica whose incarnation does not change with each start may be running
@@ -36,6 +49,7 @@
 enum class ProbeResult : std::uint8_t {
     Unknown,
     Connected, ///< A process accepted the connection.
+    StayedOpen, ///< The connection is open after DecisionTimeout.
     Crashed,
 };
 
@@ -51,7 +65,8 @@
 {
 public:
     Probe(EventLoop &loop, const std::string &address, std::function<void(ProbeResult)> found)
-        : m_found(std::move(found)), m_timeout(loop, [this] { m_found(m_resultAtTimeout); })
+        : m_found(std::move(found)), m_timeout(loop, [this] { m_found(m_resultAtTimeout); }),
+          m_closeTimeout(loop, [this] { readable(); })
     {
         const int error = connect(address);
         if (error != EINPROGRESS) {
@@ -106,46 +121,61 @@
                 [](evutil_socket_t, short, void *arg) { static_cast<Probe *>(arg)->readable(); },
                 this);
         event_add(m_ready, nullptr);
-        m_timeout.start(CloseTimeout);
+        m_resultAtTimeout = ProbeResult::StayedOpen;
+        m_timeout.start(DecisionTimeout);
+        m_closeTimeout.start(CloseTimeout);
         m_found(ProbeResult::Connected);
     }
 
-    /// Nothing was requested, so the only expected event is that the connection is closed.
+    /// Nothing was requested, so the only expected event is that the connection is closed. If the
+    /// loop is delayed, CloseTimeout may end before that event is processed.
     void readable()
     {
         char byte = 0;
-        m_found(recv(m_socket, &byte, 1, 0) == 1 ? ProbeResult::Unknown : ProbeResult::Crashed);
+        const ssize_t n = recv(m_socket, &byte, 1, 0);
+        const bool isOpen = n == 1 || (n < 0 && errno == EAGAIN);
+        m_found(isOpen ? ProbeResult::Unknown : ProbeResult::Crashed);
     }
 
     std::function<void(ProbeResult)> m_found;
     ProbeResult m_resultAtTimeout = ProbeResult::Unknown;
     Timer m_timeout;
+    Timer m_closeTimeout;
     evutil_socket_t m_socket = -1;
     event *m_ready = nullptr;
 };
 
+/// The attempts that wait for one probe of their replica.
 struct Check
 {
-    TimePoint brokeAt; ///< When the first of the waiting attempts broke.
+    std::string replica; ///< Incarnation of the replica.
+    TimePoint brokeAt; ///< When the first of the attempts broke.
     std::unique_ptr<Probe> probe;
     bool connected = false;
-    std::vector<PendingCheck> waiting;
+    std::vector<PendingCheck> attempts;
 };
 
+using CheckPtr = std::shared_ptr<Check>;
+
 } // namespace
 
 struct CrashWatch::Private
 {
     explicit Private(Options o) : options(std::move(o)) { }
 
-    void found(const std::string &replica, ProbeResult result);
+    CheckPtr start(const BrokenAttempt &attempt);
+    void found(const CheckPtr &check, ProbeResult result);
+    void crashed(const Check &check);
     void reportCrash(const BrokenAttempt &attempt, TimePoint crashedAt);
-    void finish(const std::string &replica);
+    void leave(const CheckPtr &check);
+    void finish(const CheckPtr &check);
     void forgetOld();
 
     Options options;
-    std::map<std::string, Check> checks; ///< By incarnation of the replica.
-    std::map<std::string, TimePoint> crashed; ///< Time of the crash by incarnation.
+    /// Undecided checks by incarnation. Further broken attempts join them.
+    std::map<std::string, CheckPtr> undecided;
+    std::set<CheckPtr> checks; ///< All, with those that only wait for a late close.
+    std::map<std::string, TimePoint> crashTimes; ///< By incarnation.
 };
 
 CrashWatch::CrashWatch(Options options) : m_d(std::make_unique<Private>(std::move(options))) { }
@@ -156,60 +186,86 @@
                               std::function<void(bool)> decided)
 {
     m_d->forgetOld();
-    const auto crashed = m_d->crashed.find(attempt.replica);
-    if (crashed != m_d->crashed.end()) {
+    const auto crashed = m_d->crashTimes.find(attempt.replica);
+    if (crashed != m_d->crashTimes.end()) {
         m_d->reportCrash(attempt, crashed->second);
         m_d->options.loop.post([decided = std::move(decided)] { decided(true); });
         return;
     }
-    const std::string replica = attempt.replica;
-    const std::string address = attempt.address;
-    Check &check = m_d->checks[replica];
-    check.waiting.push_back({std::move(attempt), criterion, std::move(decided)});
-    if (!check.probe) {
-        check.brokeAt = m_d->options.loop.now();
-        check.probe = std::make_unique<Probe>(
-                m_d->options.loop, address,
-                [d = m_d.get(), replica](ProbeResult it) { d->found(replica, it); });
-    } else if (check.connected && criterion == AliveCriterion::Accepts) {
-        const auto late = std::exchange(check.waiting.back().decided, nullptr);
-        m_d->options.loop.post([late] { late(false); });
-    }
+    const auto known = m_d->undecided.find(attempt.replica);
+    const CheckPtr check = known == m_d->undecided.end() ? m_d->start(attempt) : known->second;
+    if (check->connected && criterion == AliveCriterion::Accepts)
+        m_d->options.loop.post([late = std::exchange(decided, nullptr)] { late(false); });
+    check->attempts.push_back({std::move(attempt), criterion, std::move(decided)});
 }
 
-void CrashWatch::Private::found(const std::string &replica, ProbeResult result)
+CheckPtr CrashWatch::Private::start(const BrokenAttempt &attempt)
 {
-    Check &check = checks[replica];
-    if (result == ProbeResult::Crashed) {
-        crashed[replica] = check.brokeAt;
-        options.metrics.count("catkinloft_replica_ends_total");
-        Log::warning("replica_ended",
-                     {{"replica", replica},
-                      {"address", check.waiting.front().attempt.address},
-                      {"requests", check.waiting.size()}});
-        options.replicaCrashed(replica);
-        for (const PendingCheck &it : check.waiting)
-            reportCrash(it.attempt, check.brokeAt);
-    }
-    check.connected = result == ProbeResult::Connected;
+    auto check = std::make_shared<Check>();
+    check->replica = attempt.replica;
+    check->brokeAt = options.loop.now();
+    const std::weak_ptr<Check> weak = check;
+    check->probe =
+            std::make_unique<Probe>(options.loop, attempt.address, [this, weak](ProbeResult it) {
+                if (const CheckPtr held = weak.lock())
+                    found(held, it);
+            });
+    undecided[attempt.replica] = check;
+    checks.insert(check);
+    return check;
+}
+
+void CrashWatch::Private::found(const CheckPtr &check, ProbeResult result)
+{
+    if (result == ProbeResult::Crashed)
+        crashed(*check);
+    check->connected = result == ProbeResult::Connected;
     // The callbacks may start the next check, so they run after the state is updated.
     std::vector<std::function<void(bool)>> hooks;
-    for (PendingCheck &it : check.waiting) {
-        const bool isPending = check.connected && it.criterion == AliveCriterion::StaysOpen;
+    for (PendingCheck &it : check->attempts) {
+        const bool isPending = check->connected && it.criterion == AliveCriterion::StaysOpen;
         if (it.decided && !isPending)
             hooks.push_back(std::exchange(it.decided, nullptr));
     }
-    if (!check.connected)
-        finish(replica);
+    if (result == ProbeResult::StayedOpen)
+        leave(check);
+    else if (!check->connected)
+        finish(check);
     for (const auto &it : hooks)
         it(result == ProbeResult::Crashed);
 }
 
+void CrashWatch::Private::crashed(const Check &check)
+{
+    const auto [crash, isNew] = crashTimes.emplace(check.replica, check.brokeAt);
+    crash->second = std::min(crash->second, check.brokeAt);
+    if (isNew) {
+        options.metrics.count("catkinloft_replica_ends_total");
+        Log::warning("replica_ended",
+                     {{"replica", check.replica},
+                      {"address", check.attempts.front().attempt.address},
+                      {"requests", check.attempts.size()}});
+        options.replicaCrashed(check.replica);
+    }
+    for (const PendingCheck &it : check.attempts)
+        reportCrash(it.attempt, check.brokeAt);
+}
+
+/// An attempt that breaks later gets a probe of its own, because the replica may have crashed only
+/// after the probe of \a check had connected.
+void CrashWatch::Private::leave(const CheckPtr &check)
+{
+    const auto known = undecided.find(check->replica);
+    if (known != undecided.end() && known->second == check)
+        undecided.erase(known);
+}
+
 /// The probe must not be destroyed from within its own callback.
-void CrashWatch::Private::finish(const std::string &replica)
+void CrashWatch::Private::finish(const CheckPtr &check)
 {
-    auto node = checks.extract(replica);
-    options.loop.post([held = std::shared_ptr<Probe>(std::move(node.mapped().probe))] {});
+    leave(check);
+    checks.erase(check);
+    options.loop.post([held = check] {});
 }
 
 void CrashWatch::Private::reportCrash(const BrokenAttempt &attempt, TimePoint crashedAt)
@@ -228,7 +284,7 @@
 void CrashWatch::Private::forgetOld()
 {
     const TimePoint now = options.loop.now();
-    std::erase_if(crashed, [&](const auto &it) { return now - it.second > CrashMemory; });
+    std::erase_if(crashTimes, [&](const auto &it) { return now - it.second > CrashMemory; });
 }
 
 } // namespace catkinloft
--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -169,8 +169,9 @@
       crashes({.loop = loop,
                .metrics = metrics,
                .attemptCrashed =
-                       [this](const CrashWatch::BrokenAttempt &it, TimePoint) {
-                           quarantine.replicaCrashed(it.fingerprint, it.replica, it.software);
+                       [this](const CrashWatch::BrokenAttempt &it, TimePoint crashedAt) {
+                           quarantine.replicaCrashed(it.fingerprint, it.replica, it.software,
+                                                     crashedAt);
                        },
                .replicaCrashed =
                        [this](const std::string &it) {
--- a/src/Net/Forwarder.cpp
+++ b/src/Net/Forwarder.cpp
@@ -49,7 +49,7 @@
                                    crashedAt.time_since_epoch() / std::chrono::milliseconds(1);
                            quarantine.replicaCrashed(it.fingerprint,
                                                      fmt::format("{}~{}", it.replica, ms),
-                                                     it.software);
+                                                     it.software, crashedAt);
                        }}),
       claims({.loop = options.loop,
               .table = options.table,
--- /dev/null
+++ b/test/CrashWatchTest.cpp
@@ -0,0 +1,197 @@
+#include "Net/CrashWatch.h"
+#include "Base/Metrics.h"
+#include "Net/EventLoop.h"
+#include "Net/Timer.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <arpa/inet.h>
+#include <event2/listener.h>
+#include <event2/util.h>
+#include <fmt/format.h>
+#include <netinet/in.h>
+
+using namespace catkinloft;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A proxy in front of a replica. It accepts every connection, and closes it once it has learned
+/// that nothing listens behind it.
+class Proxy
+{
+public:
+    explicit Proxy(EventLoop &loop) : m_loop(loop)
+    {
+        sockaddr_in any{};
+        any.sin_family = AF_INET;
+        any.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        m_listener = evconnlistener_new_bind(
+                loop.base(),
+                [](evconnlistener *, evutil_socket_t fd, sockaddr *, int, void *self) {
+                    static_cast<Proxy *>(self)->accepted(fd);
+                },
+                this, LEV_OPT_CLOSE_ON_FREE, -1, reinterpret_cast<sockaddr *>(&any), sizeof any);
+        REQUIRE(m_listener);
+        sockaddr_in bound{};
+        socklen_t length = sizeof bound;
+        getsockname(evconnlistener_get_fd(m_listener), reinterpret_cast<sockaddr *>(&bound),
+                    &length);
+        m_address = fmt::format("127.0.0.1:{}", ntohs(bound.sin_port));
+    }
+
+    ~Proxy()
+    {
+        closeConnections();
+        stopListening();
+    }
+
+    Proxy(const Proxy &) = delete;
+    Proxy &operator=(const Proxy &) = delete;
+
+    const std::string &address() const { return m_address; }
+    int connections() const { return m_connections; }
+
+    /// Closes each connection this long after it was accepted.
+    void closeAfter(Duration delay) { m_closeAfter = delay; }
+
+    void closeConnections()
+    {
+        for (const evutil_socket_t it : m_open)
+            evutil_closesocket(it);
+        m_open.clear();
+    }
+
+    void stopListening()
+    {
+        if (m_listener)
+            evconnlistener_free(m_listener);
+        m_listener = nullptr;
+    }
+
+private:
+    void accepted(evutil_socket_t fd)
+    {
+        ++m_connections;
+        m_open.push_back(fd);
+        if (m_closeAfter == Duration::max())
+            return;
+        m_closing.push_back(std::make_unique<Timer>(m_loop, [this] { closeConnections(); }));
+        m_closing.back()->start(m_closeAfter);
+    }
+
+    EventLoop &m_loop;
+    evconnlistener *m_listener = nullptr;
+    std::string m_address;
+    Duration m_closeAfter = Duration::max();
+    std::vector<evutil_socket_t> m_open;
+    std::vector<std::unique_ptr<Timer>> m_closing;
+    int m_connections = 0;
+};
+
+struct CrashWatchFixture
+{
+    /// The connection of request \a id to the replica breaks now.
+    void breakAttempt(const std::string &id,
+                      CrashWatch::AliveCriterion criterion = CrashWatch::AliveCriterion::StaysOpen)
+    {
+        watch.checkReplica({.requestId = id,
+                            .replica = "i-1",
+                            .address = proxy.address(),
+                            .sentAt = loop.now() - 10ms},
+                           criterion, [this](bool crashed) { decisions.push_back(crashed); });
+    }
+
+    void runUntil(const std::function<bool()> &condition)
+    {
+        for (int i = 0; i < 4000 && !condition(); ++i)
+            runFor(1ms);
+        CHECK(condition());
+    }
+
+    void runFor(Duration time)
+    {
+        Timer timer(loop, [this] { loop.stop(); });
+        timer.start(time);
+        loop.run();
+    }
+
+    EventLoop loop;
+    Metrics metrics;
+    Proxy proxy{loop};
+    std::vector<bool> decisions;
+    std::vector<std::string> crashedRequests;
+    std::vector<TimePoint> crashTimes;
+    std::vector<std::string> crashedReplicas;
+    CrashWatch watch{
+            {.loop = loop,
+             .metrics = metrics,
+             .attemptCrashed =
+                     [this](const CrashWatch::BrokenAttempt &it, TimePoint at) {
+                         crashedRequests.push_back(it.requestId);
+                         crashTimes.push_back(at);
+                     },
+             .replicaCrashed = [this](const std::string &it) { crashedReplicas.push_back(it); }}};
+};
+
+} // namespace
+
+// Guards against overlooking a crash behind a proxy whose path to the replica is slow: the proxy
+// closes the connection only after a round trip. The request then crashes further replicas.
+TEST_CASE_FIXTURE(CrashWatchFixture, "crashWatch_proxyClosesAfterRoundTrip_crashIsReported")
+{
+    proxy.closeAfter(130ms);
+    breakAttempt("r1");
+    breakAttempt("r2", CrashWatch::AliveCriterion::Accepts);
+    const TimePoint after = loop.now();
+    runUntil([this] { return crashedRequests.size() == 2; });
+    CHECK(decisions.size() == 2);
+    CHECK(crashedRequests == std::vector<std::string>{"r1", "r2"});
+    CHECK(crashedReplicas == std::vector<std::string>{"i-1"});
+    // The crash is as old as the broken connection, not as its detection.
+    for (const TimePoint it : crashTimes)
+        CHECK(it <= after);
+}
+
+TEST_CASE_FIXTURE(CrashWatchFixture, "crashWatch_nothingListens_crashIsDecided")
+{
+    proxy.stopListening();
+    breakAttempt("r1");
+    runUntil([this] { return !decisions.empty(); });
+    CHECK(decisions == std::vector<bool>{true});
+    CHECK(crashedRequests == std::vector<std::string>{"r1"});
+}
+
+// Guards against blaming a request for a replica that only dropped its answer.
+TEST_CASE_FIXTURE(CrashWatchFixture, "crashWatch_connectionStaysOpen_replicaIsAlive")
+{
+    breakAttempt("r1");
+    runFor(1s);
+    CHECK(decisions == std::vector<bool>{false});
+    proxy.closeConnections();
+    runFor(50ms);
+    CHECK(crashedRequests.empty());
+    CHECK(crashedReplicas.empty());
+}
+
+// Guards against leaving out an attempt that was sent after an earlier one broke and that crashed
+// the replica: it must not be taken for one that was sent to a replica that had crashed already.
+TEST_CASE_FIXTURE(CrashWatchFixture, "crashWatch_replicaCrashesUnderLaterAttempt_bothAreChecked")
+{
+    breakAttempt("r1");
+    runUntil([this] { return !decisions.empty(); });
+    proxy.stopListening();
+    proxy.closeConnections();
+    breakAttempt("r2");
+    runUntil([this] { return decisions.size() == 2; });
+    CHECK(proxy.connections() == 1);
+    CHECK(decisions == std::vector<bool>{false, true});
+    CHECK(std::count(crashedRequests.begin(), crashedRequests.end(), "r2") == 1);
+    CHECK(crashedReplicas == std::vector<std::string>{"i-1"});
+}
--- a/test/EntryRequestTest.cpp
+++ b/test/EntryRequestTest.cpp
@@ -141,8 +141,9 @@
             {.loop = loop,
              .metrics = metrics,
              .attemptCrashed =
-                     [this](const CrashWatch::BrokenAttempt &it, TimePoint) {
-                         quarantine.replicaCrashed(it.fingerprint, it.replica, it.software);
+                     [this](const CrashWatch::BrokenAttempt &it, TimePoint crashedAt) {
+                         quarantine.replicaCrashed(it.fingerprint, it.replica, it.software,
+                                                   crashedAt);
                      },
              .replicaCrashed = [this](const std::string &it) { pools.noteCrashed(it, 3s); }}};
     bool isShuttingDown = false;
--- a/test/RequestQuarantineTest.cpp
+++ b/test/RequestQuarantineTest.cpp
@@ -66,7 +66,7 @@
     {
         const std::string replica = fmt::format("i-{}", ++crashedCount);
         for (const std::string &it : requests)
-            routers[i]->replicaCrashed(it, replica, software);
+            routers[i]->replicaCrashed(it, replica, software, clock.now());
     }
 
     std::size_t heldBy(const std::string &request, const std::vector<std::string> &software = Old)
