Leaving replicas are announced after a restore, to routers that have just started

A router that starts while the store's copy is in effect reads an entry from before the replica wrote that it leaves, and would send to it until the replica has written again. Routers that know better announced only replicas whose answers had told so. They now announce all that were leaving at the restore, for 10 s, up to eight, as they do for answers.

replicaRegistry_copyHasLeavingReplicaAsReady_isAnnouncedToOtherRouters fails before the change (nothing announced, the replica not draining on the router that starts) and passes after it.

--- a/src/Control/ReplicaRegistry.cpp
+++ b/src/Control/ReplicaRegistry.cpp
@@ -109,10 +109,13 @@
     const TimePoint now = m_options.clock.now();
     m_keepMissingUntil = now + m_options.reregistrationTime;
     m_restoredAt = now;
-    // Older values in the copy must not pass for another process under the same id.
     for (auto &[incarnation, it] : m_leaving) {
+        // Older values in the copy must not pass for another process under the same id.
         it.address.clear();
         it.sequence = 0;
+        // A router that has just started knows only the entry in the copy.
+        if (!it.hasSuccessor)
+            it.reportedAt = now;
     }
     Log::warning("store_restored",
                  {{"era", position.era},
--- a/src/Control/ReplicaRegistry.h
+++ b/src/Control/ReplicaRegistry.h
@@ -74,7 +74,8 @@
     /// \brief Marks the replicas at \a address, except \a id, as leaving.
     void markLeavingAt(const std::string &address, const std::string &id);
 
-    /// \returns the replicas marked by markLeaving() within the last \a time, at most \a most.
+    /// \returns the replicas marked by markLeaving() within the last \a time, at most \a most. If the
+    /// store was restored in that time, also those that were leaving before.
     std::vector<std::string> recentlyLeaving(Duration time, std::size_t most) const;
 
     /// \returns a hash of the last snapshot, identical on all routers; 0 before the first.
@@ -136,7 +137,8 @@
         std::string address = {}; ///< Address in its entry; empty: no entry was read.
         std::int64_t sequence = 0; ///< Highest sequence in its entry.
         TimePoint seenAt = {}; ///< When it was marked, or when its entry was last present.
-        std::optional<TimePoint> reportedAt = {}; ///< When it was marked by markLeaving() first.
+        /// When it was marked by markLeaving() first, or when the store was last restored.
+        std::optional<TimePoint> reportedAt = {};
         bool hasSuccessor = false; ///< Another process is registered under its id now.
     };
 
--- a/test/ReplicaRegistryTest.cpp
+++ b/test/ReplicaRegistryTest.cpp
@@ -362,6 +362,28 @@
     CHECK(names() == "a b ");
 }
 
+// Guards against a router that starts after a restore and sends to a replica whose entry in the copy
+// is older than its draining: the other routers announce it.
+TEST_CASE_FIXTURE(ReplicaRegistryFixture,
+                  "replicaRegistry_copyHasLeavingReplicaAsReady_isAnnouncedToOtherRouters")
+{
+    read({a, b});
+    read({leaving, b});
+    CHECK(registry.recentlyLeaving(10s, 8).empty());
+    clock.advance(20s);
+    readRestored({a, b});
+    CHECK(registry.recentlyLeaving(10s, 8) == std::vector<std::string>{"a"});
+    ReplicaRegistry started{{.clock = clock}};
+    REQUIRE(started.applyUpdate(registry.updateSince(started.hash()), clock.now()));
+    for (const std::string &it : registry.recentlyLeaving(10s, 8))
+        started.markLeaving(it, Source::Router);
+    REQUIRE(started.replicas().size() == 2);
+    CHECK(started.replicas()[0].draining);
+    CHECK_FALSE(started.replicas()[1].draining);
+    clock.advance(11s);
+    CHECK(registry.recentlyLeaving(10s, 8).empty());
+}
+
 // Guards against sending to a replica that left, because the copy still has its entry.
 TEST_CASE_FIXTURE(ReplicaRegistryFixture, "replicaRegistry_copyHasRemovedReplica_isIgnored")
 {
