--- a/src/Control/ReplicaRegistry.h
+++ b/src/Control/ReplicaRegistry.h
@@ -74,8 +74,8 @@
     /// \brief Marks the replicas at \a address, except \a id, as leaving.
     void markLeavingAt(const std::string &address, const std::string &id);
 
-    /// \returns the replicas marked by markLeaving() within the last \a time, at most \a most. If the
-    /// store was restored in that time, also those that were leaving before.
+    /// \returns the replicas marked by markLeaving() within the last \a time, at most \a most. If
+    /// the store was restored in that time, also those that were leaving before.
     std::vector<std::string> recentlyLeaving(Duration time, std::size_t most) const;
 
     /// \returns a hash of the last snapshot, identical on all routers; 0 before the first.
--- a/test/ReplicaRegistryTest.cpp
+++ b/test/ReplicaRegistryTest.cpp
@@ -362,8 +362,8 @@
     CHECK(names() == "a b ");
 }
 
-// Guards against a router that starts after a restore and sends to a replica whose entry in the copy
-// is older than its draining: the other routers announce it.
+// Guards against a router that starts after a restore and sends to a replica whose entry in the
+// copy is older than its draining: the other routers announce it.
 TEST_CASE_FIXTURE(ReplicaRegistryFixture,
                   "replicaRegistry_copyHasLeavingReplicaAsReady_isAnnouncedToOtherRouters")
 {
