--- a/test/ClaimInterleavingTest.cpp
+++ b/test/ClaimInterleavingTest.cpp
@@ -1,5 +1,6 @@
 #include "FakeObjectStore.h"
 #include "FakeTable.h"
+#include "SequenceExploration.h"
 
 #include "Base/ManualClock.h"
 #include "Request/ClaimManager.h"
@@ -257,66 +258,13 @@
     bool m_answerLost = false;
 };
 
-/// Explores every sequence of events up to a depth. Each sequence starts from the initial state.
-struct Exploration
-{
-    Protocol protocol = Protocol::Correct;
-    bool storeChecksVersions = true;
-    std::size_t depth = 0;
-    std::size_t states = 0;
-    std::size_t sequences = 0;
-    std::string violation = {};
-
-    void run()
-    {
-        struct Choice
-        {
-            std::size_t taken;
-            std::size_t of;
-        };
-        std::vector<Choice> choices;
-        do {
-            Simulation simulation(protocol, storeChecksVersions);
-            for (std::size_t i = 0; i < depth && violation.empty(); ++i) {
-                const auto events = simulation.enabled();
-                if (events.empty())
-                    break;
-                if (i == choices.size()) {
-                    choices.push_back({0, events.size()});
-                    ++states;
-                }
-                events[choices[i].taken]();
-                violation = simulation.violation();
-            }
-            if (violation.empty())
-                violation = simulation.finishAll();
-            ++sequences;
-            while (!choices.empty() && choices.back().taken + 1 == choices.back().of)
-                choices.pop_back();
-            if (!choices.empty()) {
-                ++choices.back().taken;
-                ++states;
-            }
-        } while (!choices.empty() && violation.empty());
-    }
+using Exploration = SequenceExploration<Simulation>;
 
-    /// Runs random sequences, for depths at which exploring all of them takes too long.
-    void sample(int n, std::uint64_t seed)
-    {
-        const RandomSource random = seededRandom(seed);
-        for (int k = 0; k < n && violation.empty(); ++k) {
-            Simulation simulation(protocol, storeChecksVersions);
-            for (std::size_t i = 0; i < depth && violation.empty(); ++i) {
-                const auto events = simulation.enabled();
-                if (!events.empty())
-                    events[below(random, events.size())]();
-                violation = simulation.violation();
-            }
-            if (violation.empty())
-                violation = simulation.finishAll();
-        }
-    }
-};
+Exploration explore(Protocol protocol, bool storeChecksVersions, std::size_t depth)
+{
+    return {.start = [=] { return std::make_unique<Simulation>(protocol, storeChecksVersions); },
+            .depth = depth};
+}
 
 } // namespace
 
@@ -324,7 +272,7 @@
 // late or refused store operations, lost answers, declined calls and a crashed router.
 TEST_CASE("claimManager_everySequenceOfFaults_runsAtMostOnceWithCorrectVerdict")
 {
-    Exploration all{.depth = 6};
+    Exploration all = explore(Protocol::Correct, true, 6);
     all.run();
     MESSAGE("claims: ", all.states, " states, ", all.sequences, " sequences to depth ", all.depth);
     CHECK(all.violation == "");
@@ -333,20 +281,20 @@
 
 TEST_CASE("claimManager_longSequencesOfFaults_runsAtMostOnceWithCorrectVerdict")
 {
-    Exploration longer{.depth = 24};
+    Exploration longer = explore(Protocol::Correct, true, 24);
     longer.sample(20'000, 1);
     CHECK(longer.violation == "");
 }
 
 TEST_CASE("claimManager_faultyProtocol_isDetectedByTheSameCheck")
 {
-    Exploration takeOver{.protocol = Protocol::TakeOver, .depth = 6};
+    Exploration takeOver = explore(Protocol::TakeOver, true, 6);
     takeOver.run();
     CHECK(takeOver.violation == "the call ran twice");
-    Exploration unclaimed{.protocol = Protocol::SendUnclaimed, .depth = 6};
+    Exploration unclaimed = explore(Protocol::SendUnclaimed, true, 6);
     unclaimed.run();
     CHECK(unclaimed.violation != "");
-    Exploration noCompareAndSet{.storeChecksVersions = false, .depth = 6};
+    Exploration noCompareAndSet = explore(Protocol::Correct, false, 6);
     noCompareAndSet.run();
     CHECK(noCompareAndSet.violation != "");
 }
