--- a/src/Net/CrashWatch.cpp
+++ b/src/Net/CrashWatch.cpp
@@ -33,9 +33,10 @@
 /// the result before it is sent to another replica.
 constexpr Duration DecisionTimeout = 100ms;
 
-/// Time in which a proxy finds that nothing listens behind it and closes the connection. This takes
-/// a round trip on its path to the replica. An attempt that broke for another reason must not be
-/// recorded so long before a crash that RequestQuarantine excludes those that broke with it.
+/// Time in which a proxy finds that nothing listens behind it and closes the connection: a round
+/// trip on its path to the replica. Bounded because an attempt that broke shortly before the crash
+/// is recorded with it, and RequestQuarantine excludes what is recorded later than
+/// CrashDetectionSpread after that.
 constexpr Duration CloseTimeout = 250ms;
 static_assert(CloseTimeout > DecisionTimeout, "a decision must not wait for the end of the check");
 static_assert(CloseTimeout <= RequestQuarantine::CrashDetectionSpread,
@@ -167,7 +168,7 @@
     void found(const CheckPtr &check, ProbeResult result);
     void crashed(const Check &check);
     void reportCrash(const BrokenAttempt &attempt, TimePoint crashedAt);
-    void leave(const CheckPtr &check);
+    void closeToAttempts(const CheckPtr &check);
     void finish(const CheckPtr &check);
     void forgetOld();
 
@@ -228,7 +229,7 @@
             hooks.push_back(std::exchange(it.decided, nullptr));
     }
     if (result == ProbeResult::StayedOpen)
-        leave(check);
+        closeToAttempts(check);
     else if (!check->connected)
         finish(check);
     for (const auto &it : hooks)
@@ -251,9 +252,9 @@
         reportCrash(it.attempt, check.brokeAt);
 }
 
-/// An attempt that breaks later gets a probe of its own, because the replica may have crashed only
-/// after the probe of \a check had connected.
-void CrashWatch::Private::leave(const CheckPtr &check)
+/// Ends the time in which broken attempts join \a check. Later ones get a probe of their own,
+/// because the replica may have crashed only after the probe of \a check had connected.
+void CrashWatch::Private::closeToAttempts(const CheckPtr &check)
 {
     const auto known = undecided.find(check->replica);
     if (known != undecided.end() && known->second == check)
@@ -263,7 +264,7 @@
 /// The probe must not be destroyed from within its own callback.
 void CrashWatch::Private::finish(const CheckPtr &check)
 {
-    leave(check);
+    closeToAttempts(check);
     checks.erase(check);
     options.loop.post([held = check] {});
 }
