A new process under the id of a replica that left is used after a restore

Callers saw nothing yet; the fleet would have lost the replica for as long as it runs. At a restore the registry forgot the address and sequence of leaving replicas, so that older values in the copy did not pass for another process. Where entries carry no start time, nothing was then left that tells a new process under the same id from the one that left: it stayed draining, and told that to routers that had just started.

They are kept now. Until the replica has written its entry again, or the list was read 5 s after the restore, a lower sequence or another address is no sign of another process. The time counts to the read of the list, since a list stays in use while the store is away.

--- a/src/Control/ReplicaRegistry.cpp
+++ b/src/Control/ReplicaRegistry.cpp
@@ -110,9 +110,7 @@
     m_keepMissingUntil = now + m_options.reregistrationTime;
     m_restoredAt = now;
     for (auto &[incarnation, it] : m_leaving) {
-        // Older values in the copy must not pass for another process under the same id.
-        it.address.clear();
-        it.sequence = 0;
+        it.mayBeCopied = true;
         // A router that has just started knows only the entry in the copy.
         if (!it.hasSuccessor)
             it.reportedAt = now;
@@ -204,9 +202,16 @@
     m_changed.emit();
 }
 
+/// \returns whether entries of the copy may be in the list. While the store is unavailable, a list
+/// that was read before stays in use.
+bool ReplicaRegistry::mayHaveCopiedEntries() const
+{
+    return m_restoredAt && m_readAt - *m_restoredAt < m_options.restoredEntryTimeout;
+}
+
 bool ReplicaRegistry::isRestoredEntry(const ReplicaRecord &record) const
 {
-    if (!m_restoredAt || m_options.clock.now() - *m_restoredAt >= m_options.restoredEntryTimeout)
+    if (!mayHaveCopiedEntries())
         return false;
     const auto removed = m_removed.find(record.incarnation());
     return removed != m_removed.end() && removed->second <= *m_restoredAt;
@@ -246,12 +251,20 @@
     if (known == m_leaving.end() && !record.draining)
         return;
     LeavingReplica &it = known == m_leaving.end() ? m_leaving[record.incarnation()] : known->second;
+    it.seenAt = m_options.clock.now();
+    // Older values in the copy must not pass for another process under the same id.
+    const bool isWrittenAgain = record.sequence > 0 && record.sequence >= it.sequence;
+    it.mayBeCopied = it.mayBeCopied && mayHaveCopiedEntries() && !isWrittenAgain;
+    if (it.mayBeCopied) {
+        it.hasSuccessor = it.hasSuccessor && !record.draining;
+        record.draining = !it.hasSuccessor;
+        return;
+    }
     const bool moved = !it.address.empty() && it.address != record.address;
     const bool startedAnew = record.sequence > 0 && record.sequence < it.sequence;
     it.hasSuccessor = !record.draining && (it.hasSuccessor || moved || startedAnew);
     it.address = record.address;
     it.sequence = record.sequence;
-    it.seenAt = m_options.clock.now();
     record.draining = !it.hasSuccessor;
 }
 
--- a/src/Control/ReplicaRegistry.h
+++ b/src/Control/ReplicaRegistry.h
@@ -109,6 +109,7 @@
     void storePreviousList(std::uint64_t hash);
     void update();
     void retain(const ReplicaRecord &record, std::vector<ReplicaRecord> &list);
+    bool mayHaveCopiedEntries() const;
     bool isRestoredEntry(const ReplicaRecord &record) const;
     void keepCold(ReplicaRecord &record) const;
     void noteRemoved(const std::vector<ReplicaRecord> &next);
@@ -140,6 +141,8 @@
         /// When it was marked by markLeaving() first, or when the store was last restored.
         std::optional<TimePoint> reportedAt = {};
         bool hasSuccessor = false; ///< Another process is registered under its id now.
+        /// Its next entries may be those of the copy from which the store was restored.
+        bool mayBeCopied = false;
     };
 
     std::map<std::string, LeavingReplica> m_leaving; ///< By incarnation.
--- a/test/ReplicaRegistryTest.cpp
+++ b/test/ReplicaRegistryTest.cpp
@@ -362,6 +362,61 @@
     CHECK(names() == "a b ");
 }
 
+// Guards against excluding a new process for good, because nothing was left after a restore that
+// tells it from the replica that left under its id.
+TEST_CASE_FIXTURE(ReplicaRegistryFixture,
+                  "replicaRegistry_anotherProcessUnderTheSameIdAfterARestore_isUsed")
+{
+    a.address = leaving.address = "10.0.0.1:80";
+    a.sequence = 9;
+    leaving.sequence = 12;
+    read({a, b});
+    read({leaving, b});
+    read({b});
+    SUBCASE("the copy lacks the replica that left")
+    {
+        readRestored({b});
+    }
+    SUBCASE("the copy has the replica that left")
+    {
+        readRestored({a, b});
+        CHECK(names().find("a ") == std::string::npos);
+        read({b});
+    }
+    SUBCASE("it registers before the routers have read the copy")
+    {
+        ++era;
+        version = 1;
+    }
+    SUBCASE("it is at another address")
+    {
+        a.address = "10.0.0.2:80";
+    }
+    a.sequence = 1;
+    read({a, b});
+    clock.advance(6s);
+    a.sequence = 3;
+    read({a, b});
+    CHECK(names() == "a b ");
+}
+
+// Guards against taking the entry in the copy for a new process when the store goes away again, so
+// that the replica cannot write its own.
+TEST_CASE_FIXTURE(ReplicaRegistryFixture,
+                  "replicaRegistry_storeGoesAwayAfterARestore_leavingReplicaStaysLeaving")
+{
+    a.address = leaving.address = "10.0.0.1:80";
+    a.sequence = 9;
+    leaving.sequence = 12;
+    read({a, b});
+    read({leaving, b});
+    a.sequence = 7;
+    readRestored({a, b});
+    clock.advance(20s);
+    registry.markLeaving("b", Source::Answer);
+    CHECK(names() == "a! b! ");
+}
+
 // Guards against a router that starts after a restore and sends to a replica whose entry in the
 // copy is older than its draining: the other routers announce it.
 TEST_CASE_FIXTURE(ReplicaRegistryFixture,
