Observability: lost paths to replicas, and crashes that other routers report

The lines could not tell a router that has lost its path from replicas that fail, nor show on a router why it avoids replicas that it reaches. PathMonitor records failed and new connections for each service and logs their changes; nothing is decided by it yet. The probe of CrashWatch moves to a class of its own. source_ip sets the address that a VM's connections are opened from.

--- a/src/Base/EntrySettings.cpp
+++ b/src/Base/EntrySettings.cpp
@@ -16,6 +16,7 @@
     out.peerAddress = root.address("peer_address");
     out.metricsAddress = root.address("metrics_address", "");
     out.storeAddress = root.address("store_address");
+    out.sourceIp = root.text("source_ip", "");
 }
 
 void readKeyProof(YamlSection it, EntrySettings &out)
@@ -119,6 +120,7 @@
     checkUnchanged("peer_address", &EntrySettings::peerAddress);
     checkUnchanged("metrics_address", &EntrySettings::metricsAddress);
     checkUnchanged("store_address", &EntrySettings::storeAddress);
+    checkUnchanged("source_ip", &EntrySettings::sourceIp);
     updateField("cold_replicas.factor", &EntrySettings::coldRateFactor);
     updateField("cold_replicas.slack", &EntrySettings::coldRateSlack);
     checkUnchanged("regions", &EntrySettings::regions);
--- a/src/Base/EntrySettings.h
+++ b/src/Base/EntrySettings.h
@@ -23,6 +23,9 @@
     std::string peerAddress = {}; ///< `ip:port` for other routers, TCP and UDP.
     std::string metricsAddress = {}; ///< `ip:port` of the metrics; empty: they are not served.
     std::string storeAddress = {}; ///< `ip:port` of the platform's store.
+    /// IP from which connections to replicas, routers and the store are opened; empty: the system
+    /// chooses it.
+    std::string sourceIp = {};
 
     double processorShare = 1; ///< Cores of this VM. Callers are distributed in proportion to it.
 
--- a/src/Decide/Decide.h
+++ b/src/Decide/Decide.h
@@ -14,6 +14,7 @@
 #include "Decide/Job.h" // IWYU pragma: export
 #include "Decide/LoadReport.h" // IWYU pragma: export
 #include "Decide/OwnerGroups.h" // IWYU pragma: export
+#include "Decide/PathMonitor.h" // IWYU pragma: export
 #include "Decide/Placement.h" // IWYU pragma: export
 #include "Decide/Refusal.h" // IWYU pragma: export
 #include "Decide/Rendezvous.h" // IWYU pragma: export
--- /dev/null
+++ b/src/Decide/PathMonitor.cpp
@@ -0,0 +1,134 @@
+#include "Decide/PathMonitor.h"
+
+#include "Base/Log.h"
+
+#include <algorithm>
+
+namespace catkinloft {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A path with evidence younger than this is not checked again.
+constexpr Duration EvidenceLifetime = 500ms;
+
+/// Other replicas that are checked after a path failed. If they fail too, each of them starts
+/// further checks, so that a partition is known after few rounds and a crashed replica costs few
+/// connections.
+constexpr std::size_t ChecksAfterFailure = 2;
+
+} // namespace
+
+void PathMonitor::setReplicas(std::span<const ReplicaRecord> replicas)
+{
+    const bool wasPartitioned = isPartitioned();
+    m_replicas.clear();
+    for (const ReplicaRecord &it : replicas) {
+        if (!it.draining)
+            m_replicas.push_back(it.incarnation());
+    }
+    std::sort(m_replicas.begin(), m_replicas.end());
+    const auto isGone = [this](const std::string &id) {
+        return !std::binary_search(m_replicas.begin(), m_replicas.end(), id);
+    };
+    std::erase_if(m_broken, isGone);
+    std::erase_if(m_suspects, isGone);
+    std::erase_if(m_checkedAt, [&](const auto &it) { return isGone(it.first); });
+    noteTransition(wasPartitioned);
+}
+
+bool PathMonitor::isPartitioned() const
+{
+    return !m_broken.empty() && m_broken.size() >= std::min(MinBroken, m_replicas.size());
+}
+
+bool PathMonitor::failed(const std::string &id)
+{
+    m_suspects.erase(id);
+    if (!std::binary_search(m_replicas.begin(), m_replicas.end(), id))
+        return false;
+    const bool wasPartitioned = isPartitioned();
+    m_checkedAt[id] = m_options.clock.now();
+    if (!m_broken.insert(id).second)
+        return false;
+    suspectOthers();
+    Log::info("replica_path_lost",
+              {{"service", m_options.service},
+               {"replica", id},
+               {"lost_paths", m_broken.size()},
+               {"replicas", m_replicas.size()}});
+    noteTransition(wasPartitioned);
+    m_options.checksDue();
+    return true;
+}
+
+bool PathMonitor::connected(const std::string &id)
+{
+    m_suspects.erase(id);
+    m_checkedAt[id] = m_options.clock.now();
+    const bool wasPartitioned = isPartitioned();
+    if (m_broken.erase(id) == 0)
+        return false;
+    // The next broken path is checked at once, since a partition usually ends for all of them.
+    m_brokenCheckedAt = TimePoint::min();
+    Log::info("replica_path_regained",
+              {{"service", m_options.service},
+               {"replica", id},
+               {"lost_paths", m_broken.size()},
+               {"replicas", m_replicas.size()}});
+    noteTransition(wasPartitioned);
+    return true;
+}
+
+void PathMonitor::noteTransition(bool wasPartitioned) const
+{
+    if (wasPartitioned == isPartitioned())
+        return;
+    Log::warning(wasPartitioned ? "service_partition_ended" : "service_partitioned",
+                 {{"service", m_options.service},
+                  {"lost_paths", m_broken.size()},
+                  {"replicas", m_replicas.size()}});
+}
+
+void PathMonitor::suspect(const std::string &id)
+{
+    const auto checked = m_checkedAt.find(id);
+    const bool isKnown = checked != m_checkedAt.end()
+            && m_options.clock.now() - checked->second < EvidenceLifetime;
+    if (isKnown || isBroken(id) || !std::binary_search(m_replicas.begin(), m_replicas.end(), id))
+        return;
+    m_suspects.insert(id);
+    m_options.checksDue();
+}
+
+void PathMonitor::suspectOthers()
+{
+    std::size_t n = 0;
+    for (const std::string &it : m_replicas) {
+        const std::size_t before = m_suspects.size();
+        suspect(it);
+        n += m_suspects.size() - before;
+        if (n >= ChecksAfterFailure)
+            return;
+    }
+}
+
+std::vector<std::string> PathMonitor::dueChecks()
+{
+    const TimePoint now = m_options.clock.now();
+    std::vector<std::string> out(m_suspects.begin(), m_suspects.end());
+    m_suspects.clear();
+    for (const std::string &it : out)
+        m_checkedAt[it] = now;
+    if (m_broken.empty()
+        || (m_brokenCheckedAt != TimePoint::min() && now - m_brokenCheckedAt < CheckInterval))
+        return out;
+    m_brokenCheckedAt = now;
+    const auto next = m_broken.upper_bound(m_lastChecked);
+    m_lastChecked = next == m_broken.end() ? *m_broken.begin() : *next;
+    out.push_back(m_lastChecked);
+    return out;
+}
+
+} // namespace catkinloft
--- /dev/null
+++ b/src/Decide/PathMonitor.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "Base/Clock.h"
+#include "Base/ReplicaRecord.h"
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace catkinloft {
+
+/// \brief Tracks to which replicas of one service this router has lost its network path.
+///
+/// Handles a router that is partitioned from some or all replicas of a service, while callers and
+/// the other routers still reach it. Prevents that its callers' requests wait for connections that
+/// can't be made, and that what fails on the path is taken for a fault of the replicas.
+///
+/// A failed connection alone doesn't show whether the path or the replica failed. A single replica
+/// without a path is therefore only avoided. From MinBroken replicas on, the service counts as
+/// partitioned: its requests can go through another router, which fails for replicas that are down.
+///
+/// Only new connections count as evidence of a working path, since open connections may outlive it.
+/// A failure starts checks of other replicas, so that a partition is found with few requests.
+/// Broken paths are checked one at a time until they work again.
+class PathMonitor
+{
+public:
+    struct Options
+    {
+        const Clock &clock;
+        std::string service = {};
+        std::function<void()> checksDue = [] {}; ///< Called when dueChecks() has to be called.
+    };
+
+    /// Broken paths from which on the service counts as partitioned. A service with fewer replicas
+    /// is partitioned when all of its paths are broken.
+    static constexpr std::size_t MinBroken = 2;
+
+    /// Pause between two checks of broken paths of the service.
+    static constexpr Duration CheckInterval = std::chrono::milliseconds(500);
+
+    explicit PathMonitor(Options options) : m_options(std::move(options)) { }
+
+    /// \brief Sets the registered replicas; forgets the paths to all others.
+    void setReplicas(std::span<const ReplicaRecord> replicas);
+
+    /// \brief Records that a new connection to replica \a id could not be established.
+    /// \returns whether its path was not known to be broken.
+    bool failed(const std::string &id);
+
+    /// \brief Records that a new connection to replica \a id was established.
+    /// \returns whether its path was broken until now.
+    bool connected(const std::string &id);
+
+    /// \brief Requests a check of the path to replica \a id, which has been silent for long.
+    void suspect(const std::string &id);
+
+    bool isBroken(const std::string &id) const { return m_broken.contains(id); }
+
+    /// \returns whether requests for the service should go through another router if their replica
+    /// is one with a broken path.
+    bool isPartitioned() const;
+
+    std::size_t brokenCount() const { return m_broken.size(); }
+
+    /// \returns whether paths are waiting for a check.
+    bool hasWork() const { return !m_broken.empty() || !m_suspects.empty(); }
+
+    /// \returns the replicas whose paths have to be checked now. Each check must be followed by a
+    /// call of failed() or connected().
+    std::vector<std::string> dueChecks();
+
+private:
+    void suspectOthers();
+    void noteTransition(bool wasPartitioned) const;
+
+    Options m_options;
+    std::vector<std::string> m_replicas; ///< Registered and not draining.
+    std::set<std::string> m_broken;
+    std::set<std::string> m_suspects;
+    std::map<std::string, TimePoint> m_checkedAt; ///< Last evidence about the path.
+    std::string m_lastChecked; ///< Broken paths are checked in the order of their ids.
+    TimePoint m_brokenCheckedAt = TimePoint::min();
+};
+
+} // namespace catkinloft
--- a/src/Net/CrashWatch.cpp
+++ b/src/Net/CrashWatch.cpp
@@ -4,42 +4,29 @@
 #include "Base/Metrics.h"
 #include "Decide/RequestQuarantine.h"
 #include "Net/EventLoop.h"
-#include "Net/Timer.h"
+#include "Net/internal/ConnectProbe.h"
 
 #include <algorithm>
-#include <cerrno>
 #include <cstdint>
 #include <map>
 #include <set>
 #include <utility>
 #include <vector>
 
-#include <event2/event.h>
-#include <event2/util.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-
 namespace catkinloft {
 
 namespace {
 
 using namespace std::chrono_literals;
 
-/// Opening a connection within a region takes milliseconds. The request waits for the result before
-/// it is sent to another replica.
-constexpr Duration ConnectTimeout = 150ms;
-
-/// Time after which an open connection counts as that of a running replica. The request waits for
-/// the result before it is sent to another replica.
-constexpr Duration DecisionTimeout = 100ms;
+using internal::ConnectProbe;
+using Outcome = ConnectProbe::Outcome;
 
-/// Time in which a proxy finds that nothing listens behind it and closes the connection: a round
-/// trip on its path to the replica. Bounded because an attempt that broke shortly before the crash
-/// is recorded with it, and RequestQuarantine excludes what is recorded later than
-/// CrashDetectionSpread after that.
-constexpr Duration CloseTimeout = 250ms;
-static_assert(CloseTimeout > DecisionTimeout, "a decision must not wait for the end of the check");
-static_assert(CloseTimeout <= RequestQuarantine::CrashDetectionSpread,
+static_assert(ConnectProbe::CloseTimeout > ConnectProbe::DecisionTimeout,
+              "a decision must not wait for the end of the check");
+// An attempt that broke shortly before the crash is recorded with it, and RequestQuarantine
+// excludes what is recorded later than CrashDetectionSpread after that.
+static_assert(ConnectProbe::CloseTimeout <= RequestQuarantine::CrashDetectionSpread,
               "a crash must not be detected after the attempts that it broke are excluded");
 
 /// Time for which a crash is remembered for the other requests that the replica was processing. It
@@ -47,13 +34,6 @@
 /// again later.
 constexpr Duration CrashMemory = 1s;
 
-enum class ProbeResult : std::uint8_t {
-    Unknown,
-    Connected, ///< A process accepted the connection.
-    StayedOpen, ///< The connection is open after DecisionTimeout.
-    Crashed,
-};
-
 struct PendingCheck
 {
     CrashWatch::BrokenAttempt attempt;
@@ -61,97 +41,12 @@
     std::function<void(bool)> decided; ///< Null after it was called.
 };
 
-/// A connection that is opened only to find out whether a process listens at the address.
-class Probe
-{
-public:
-    Probe(EventLoop &loop, const std::string &address, std::function<void(ProbeResult)> found)
-        : m_found(std::move(found)), m_timeout(loop, [this] { m_found(m_resultAtTimeout); }),
-          m_closeTimeout(loop, [this] { readable(); })
-    {
-        const int error = connect(address);
-        if (error != EINPROGRESS) {
-            m_resultAtTimeout = error == ECONNREFUSED ? ProbeResult::Crashed : ProbeResult::Unknown;
-            m_timeout.start(Duration::zero());
-            return;
-        }
-        m_timeout.start(ConnectTimeout);
-        m_ready = event_new(
-                loop.base(), m_socket, EV_WRITE,
-                [](evutil_socket_t, short, void *arg) { static_cast<Probe *>(arg)->connected(); },
-                this);
-        event_add(m_ready, nullptr);
-    }
-
-    ~Probe()
-    {
-        if (m_ready)
-            event_free(m_ready);
-        if (m_socket >= 0)
-            evutil_closesocket(m_socket);
-    }
-
-    Probe(const Probe &) = delete;
-    Probe &operator=(const Probe &) = delete;
-
-private:
-    /// \returns EINPROGRESS while the connection is pending, else the error.
-    int connect(const std::string &address)
-    {
-        sockaddr_storage to{};
-        int length = sizeof to;
-        auto *raw = reinterpret_cast<sockaddr *>(&to);
-        if (evutil_parse_sockaddr_port(address.c_str(), raw, &length) != 0)
-            return EINVAL;
-        m_socket = socket(to.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-        if (m_socket < 0)
-            return errno;
-        const bool atOnce = ::connect(m_socket, raw, static_cast<socklen_t>(length)) == 0;
-        return atOnce ? EINPROGRESS : errno;
-    }
-
-    void connected()
-    {
-        int error = 0;
-        socklen_t length = sizeof error;
-        getsockopt(m_socket, SOL_SOCKET, SO_ERROR, &error, &length);
-        if (error != 0)
-            return m_found(error == ECONNREFUSED ? ProbeResult::Crashed : ProbeResult::Unknown);
-        event_assign(
-                m_ready, event_get_base(m_ready), m_socket, EV_READ,
-                [](evutil_socket_t, short, void *arg) { static_cast<Probe *>(arg)->readable(); },
-                this);
-        event_add(m_ready, nullptr);
-        m_resultAtTimeout = ProbeResult::StayedOpen;
-        m_timeout.start(DecisionTimeout);
-        m_closeTimeout.start(CloseTimeout);
-        m_found(ProbeResult::Connected);
-    }
-
-    /// Nothing was requested, so the only expected event is that the connection is closed. If the
-    /// loop is delayed, CloseTimeout may end before that event is processed.
-    void readable()
-    {
-        char byte = 0;
-        const ssize_t n = recv(m_socket, &byte, 1, 0);
-        const bool isOpen = n == 1 || (n < 0 && errno == EAGAIN);
-        m_found(isOpen ? ProbeResult::Unknown : ProbeResult::Crashed);
-    }
-
-    std::function<void(ProbeResult)> m_found;
-    ProbeResult m_resultAtTimeout = ProbeResult::Unknown;
-    Timer m_timeout;
-    Timer m_closeTimeout;
-    evutil_socket_t m_socket = -1;
-    event *m_ready = nullptr;
-};
-
 /// The attempts that wait for one probe of their replica.
 struct Check
 {
     std::string replica; ///< Incarnation of the replica.
     TimePoint brokeAt; ///< When the first of the attempts broke.
-    std::unique_ptr<Probe> probe;
+    std::unique_ptr<ConnectProbe> probe;
     bool connected = false;
     std::vector<PendingCheck> attempts;
 };
@@ -165,7 +60,7 @@
     explicit Private(Options o) : options(std::move(o)) { }
 
     CheckPtr start(const BrokenAttempt &attempt);
-    void found(const CheckPtr &check, ProbeResult result);
+    void found(const CheckPtr &check, Outcome result);
     void crashed(const Check &check);
     void reportCrash(const BrokenAttempt &attempt, TimePoint crashedAt);
     void closeToAttempts(const CheckPtr &check);
@@ -206,21 +101,21 @@
     check->replica = attempt.replica;
     check->brokeAt = options.loop.now();
     const std::weak_ptr<Check> weak = check;
-    check->probe =
-            std::make_unique<Probe>(options.loop, attempt.address, [this, weak](ProbeResult it) {
-                if (const CheckPtr held = weak.lock())
-                    found(held, it);
-            });
+    check->probe = std::make_unique<ConnectProbe>(options.loop, attempt.address, options.sourceIp,
+                                                  [this, weak](Outcome it) {
+                                                      if (const CheckPtr held = weak.lock())
+                                                          found(held, it);
+                                                  });
     undecided[attempt.replica] = check;
     checks.insert(check);
     return check;
 }
 
-void CrashWatch::Private::found(const CheckPtr &check, ProbeResult result)
+void CrashWatch::Private::found(const CheckPtr &check, Outcome result)
 {
-    if (result == ProbeResult::Crashed)
+    if (result == Outcome::Closed)
         crashed(*check);
-    check->connected = result == ProbeResult::Connected;
+    check->connected = result == Outcome::Connected;
     // The callbacks may start the next check, so they run after the state is updated.
     std::vector<std::function<void(bool)>> hooks;
     for (PendingCheck &it : check->attempts) {
@@ -228,12 +123,12 @@
         if (it.decided && !isPending)
             hooks.push_back(std::exchange(it.decided, nullptr));
     }
-    if (result == ProbeResult::StayedOpen)
+    if (result == Outcome::StayedOpen)
         closeToAttempts(check);
     else if (!check->connected)
         finish(check);
     for (const auto &it : hooks)
-        it(result == ProbeResult::Crashed);
+        it(result == Outcome::Closed);
 }
 
 void CrashWatch::Private::crashed(const Check &check)
--- a/src/Net/CrashWatch.h
+++ b/src/Net/CrashWatch.h
@@ -42,6 +42,7 @@
     {
         EventLoop &loop;
         Metrics &metrics;
+        std::string sourceIp = {}; ///< IP that connections are opened from; empty: any.
         /// Called for each attempt that broke because its replica crashed, with the time of the
         /// crash.
         std::function<void(const BrokenAttempt &, TimePoint crashedAt)> attemptCrashed =
--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -390,6 +390,8 @@
     m_firstByte = m_context.loop.now() - m_attemptStartedAt;
     m_head = head;
     m_answer = m_context.codec.decodeAnswer(head);
+    if (m_call && m_call->idleTime() == Duration::zero())
+        m_service->paths.connected(m_incarnation);
     noteReplicaState();
     if (!m_answer.requestId.empty() && m_answer.requestId != m_request.facts.id)
         return failLater(Reason::AnswerMismatch, "the answer carries the id of another request");
@@ -636,6 +638,7 @@
     if (unreachable) {
         m_service->replicas.excludeFor(m_incarnation, UnreachablePause);
         m_service->replicas.noteUnreachable(m_incarnation);
+        m_service->paths.failed(m_incarnation);
         m_context.client.dropIdle(m_replica.address);
         if (m_history.wasUnreachable(m_incarnation))
             return attempt();
--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -117,7 +117,7 @@
     EventLoop loop;
     LogWriter log{{.loop = loop}};
     Metrics metrics;
-    HttpClient client{loop};
+    HttpClient client{loop, nullptr, settings.sourceIp};
     RandomSource random = systemRandom();
     std::unique_ptr<FleetStore> store;
     std::unique_ptr<TableService> table;
@@ -168,6 +168,7 @@
                   .announceNow = [this] { fleet.announceCrashes(); }}),
       crashes({.loop = loop,
                .metrics = metrics,
+               .sourceIp = settings.sourceIp,
                .attemptCrashed =
                        [this](const CrashWatch::BrokenAttempt &it, TimePoint crashedAt) {
                            quarantine.replicaCrashed(it.fingerprint, it.replica, it.software,
@@ -268,6 +269,7 @@
 {
     metrics.addCollector([this](Metrics &it) {
         it.set("catkinloft_requests_suspected", static_cast<double>(quarantine.size()));
+        it.set("catkinloft_replica_paths_lost", static_cast<double>(pools.lostPaths()));
         it.set("catkinloft_replica_lists_ignored", static_cast<double>(replicas.ignoredLists()));
         it.set("catkinloft_requests_quarantined", static_cast<double>(quarantine.held().size()));
     });
@@ -332,8 +334,13 @@
     quarantine.merge(heartbeat.crashes);
     for (const CrashUpdate &update : heartbeat.crashes) {
         for (const CrashUpdate::Crash &it : update.replicaCrashes) {
-            if (it.age < CrashExclusionTime)
-                pools.noteCrashed(it.replica, CrashExclusionTime - it.age);
+            if (it.age >= CrashExclusionTime)
+                continue;
+            Log::info("replica_crash_told",
+                      {{"replica", it.replica},
+                       {"router", heartbeat.name},
+                       {"age_ms", it.age / 1ms}});
+            pools.noteCrashed(it.replica, CrashExclusionTime - it.age);
         }
     }
     notePrompts(heartbeat.prompts);
--- a/src/Net/HttpClient.cpp
+++ b/src/Net/HttpClient.cpp
@@ -53,10 +53,13 @@
 
 struct HttpClient::Private
 {
-    Private(EventLoop &eventLoop, const TlsContext *context) : loop(eventLoop), tls(context) { }
+    Private(EventLoop &eventLoop, const TlsContext *context, std::string ip)
+        : loop(eventLoop), tls(context), sourceIp(std::move(ip))
+    { }
 
     EventLoop &loop;
     const TlsContext *tls;
+    std::string sourceIp;
     std::map<std::string, std::deque<IdleConnection>> idle;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
@@ -83,8 +86,11 @@
                 return {std::move(it.connection), idleTime};
             retire(std::move(it.connection));
         }
-        return {call.secure ? HttpConnection::openSecure(loop, call.address, tls)
-                            : HttpConnection::open(loop, call.address)};
+        TakenConnection out{call.secure ? HttpConnection::openSecure(loop, call.address, tls)
+                                        : HttpConnection::open(loop, call.address)};
+        if (!sourceIp.empty())
+            out.connection->setSourceIp(sourceIp);
+        return out;
     }
 
     void give(const std::string &key, std::unique_ptr<HttpConnection> connection)
@@ -243,8 +249,8 @@
 
 } // namespace
 
-HttpClient::HttpClient(EventLoop &loop, const TlsContext *tls)
-    : m_d(std::make_unique<Private>(loop, tls))
+HttpClient::HttpClient(EventLoop &loop, const TlsContext *tls, std::string sourceIp)
+    : m_d(std::make_unique<Private>(loop, tls, std::move(sourceIp)))
 { }
 
 HttpClient::~HttpClient()
--- a/src/Net/HttpClient.h
+++ b/src/Net/HttpClient.h
@@ -84,7 +84,9 @@
 {
 public:
     /// \param tls used for secure calls; without it they fail with Verdict::NotRun.
-    explicit HttpClient(EventLoop &loop, const TlsContext *tls = nullptr);
+    /// \param sourceIp IP that connections are opened from; empty: the system chooses it.
+    explicit HttpClient(EventLoop &loop, const TlsContext *tls = nullptr,
+                        std::string sourceIp = {});
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
--- a/src/Net/ServicePools.cpp
+++ b/src/Net/ServicePools.cpp
@@ -1,5 +1,7 @@
 #include "Net/ServicePools.h"
 
+#include <algorithm>
+
 namespace catkinloft {
 
 namespace {
@@ -39,8 +41,44 @@
 void ServicePools::setReplicas(std::span<const ReplicaRecord> replicas)
 {
     m_replicas.assign(replicas.begin(), replicas.end());
+    for (const auto &[service, pool] : m_pools) {
+        const std::vector<ReplicaRecord> own = ofService(m_replicas, service);
+        pool->replicas.setReplicas(own);
+        pool->paths.setReplicas(own);
+    }
+}
+
+void ServicePools::forEach(const std::function<void(ServicePool &)> &visit)
+{
+    for (const auto &[service, pool] : m_pools)
+        visit(*pool);
+}
+
+const ReplicaRecord *ServicePools::findReplica(std::string_view incarnation) const
+{
+    const auto it =
+            std::find_if(m_replicas.begin(), m_replicas.end(), [&](const ReplicaRecord &record) {
+                return record.incarnation() == incarnation;
+            });
+    return it == m_replicas.end() ? nullptr : &*it;
+}
+
+std::vector<std::string> ServicePools::partitionedServices() const
+{
+    std::vector<std::string> out;
+    for (const auto &[service, pool] : m_pools) {
+        if (pool->paths.isPartitioned())
+            out.push_back(service);
+    }
+    return out;
+}
+
+std::size_t ServicePools::lostPaths() const
+{
+    std::size_t n = 0;
     for (const auto &[service, pool] : m_pools)
-        pool->replicas.setReplicas(ofService(m_replicas, service));
+        n += pool->paths.brokenCount();
+    return n;
 }
 
 void ServicePools::setEvacuated(const std::set<std::string> &domains)
@@ -119,10 +157,15 @@
                                                  .slack = m_settings.fleetRetrySlack,
                                                  .window = m_settings.fleetRetryWindow}),
                 .connectionReuse = ConnectionReusePolicy({.clock = m_clock}),
-                .shedder = LoadShedder({.clock = m_clock, .random = m_random})});
+                .shedder = LoadShedder({.clock = m_clock, .random = m_random}),
+                .paths = PathMonitor({.clock = m_clock,
+                                      .service = service,
+                                      .checksDue = m_fleet.pathChecksDue})});
         pool->replicas.setEvacuated(m_evacuated);
         pool->replicas.setColdRateLimit(coldRateLimitOf(service));
-        pool->replicas.setReplicas(ofService(m_replicas, service));
+        const std::vector<ReplicaRecord> own = ofService(m_replicas, service);
+        pool->replicas.setReplicas(own);
+        pool->paths.setReplicas(own);
     }
     return *pool;
 }
--- a/src/Net/ServicePools.h
+++ b/src/Net/ServicePools.h
@@ -6,6 +6,7 @@
 #include "Decide/ConnectionReusePolicy.h"
 #include "Decide/FleetRetryBudget.h"
 #include "Decide/LoadShedder.h"
+#include "Decide/PathMonitor.h"
 #include "Decide/PrefillTimeout.h"
 #include "Decide/ReplicaPool.h"
 
@@ -17,16 +18,19 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace catkinloft {
 
-/// \brief Decision state of one service: placement, retries, connection reuse and load shedding.
+/// \brief Decision state of one service: placement, retries, connection reuse, load shedding and
+/// network paths.
 struct ServicePool
 {
     ReplicaPool replicas;
     FleetRetryBudget retryBudget;
     ConnectionReusePolicy connectionReuse;
     LoadShedder shedder;
+    PathMonitor paths;
     PrefillTimeout prefillEstimate = {};
 };
 
@@ -41,6 +45,7 @@
         /// \sa ReplicaPool::Options::isColdSender
         std::function<bool(std::string_view replica, std::size_t n)> isColdSender =
                 [](std::string_view, std::size_t) { return true; };
+        std::function<void()> pathChecksDue = [] {}; ///< \sa PathMonitor::Options::checksDue
     };
 
     ServicePools(const Clock &clock, RandomSource random, const EntrySettings &settings)
@@ -79,6 +84,18 @@
 
     ServicePool &of(const std::string &service);
 
+    /// \brief Calls \a visit for the pool of each service.
+    void forEach(const std::function<void(ServicePool &)> &visit);
+
+    /// \returns the registration of replica \a incarnation, or null.
+    const ReplicaRecord *findReplica(std::string_view incarnation) const;
+
+    /// \returns the services from which this router is partitioned. \sa PathMonitor
+    std::vector<std::string> partitionedServices() const;
+
+    /// \returns the number of replicas to which this router has no network path.
+    std::size_t lostPaths() const;
+
     /// \returns the status update about all replicas that this router announces.
     ReplicaStatusUpdate ownStatusUpdate() const;
 
--- a/src/Net/internal/HttpConnection.cpp
+++ b/src/Net/internal/HttpConnection.cpp
@@ -129,6 +129,11 @@
     evhttp_connection_free(m_connection);
 }
 
+void HttpConnection::setSourceIp(const std::string &ip)
+{
+    evhttp_connection_set_local_address(m_connection, ip.c_str());
+}
+
 void HttpConnection::start(const HttpCall &call, HttpCallEvents events)
 {
     m_events = std::move(events);
--- a/src/Net/internal/HttpConnection.h
+++ b/src/Net/internal/HttpConnection.h
@@ -32,6 +32,9 @@
     HttpConnection(const HttpConnection &) = delete;
     HttpConnection &operator=(const HttpConnection &) = delete;
 
+    /// \brief Sets the IP that the connection is opened from. Has no effect once it is open.
+    void setSourceIp(const std::string &ip);
+
     /// \brief Sends \a call. onEnd is called once, unless detach() is called before.
     void start(const HttpCall &call, HttpCallEvents events);
 
