--- a/standin/FaultProxy.cpp
+++ b/standin/FaultProxy.cpp
@@ -3,6 +3,12 @@
 #include "SocketAddress.h"
 
 #include <stdexcept>
+#include <string>
+#include <vector>
+
+#include <arpa/inet.h>
+#include <linux/filter.h>
+#include <sys/socket.h>
 
 #include <event2/event.h>
 #include <event2/listener.h>
@@ -19,8 +25,9 @@
     const sockaddr_in address = socketAddress(m_options.listen);
     m_listener = evconnlistener_new_bind(
             m_options.loop.base(),
-            [](evconnlistener *, int fd, sockaddr *, int, void *arg) {
-                static_cast<FaultProxy *>(arg)->accepted(fd);
+            [](evconnlistener *, int fd, sockaddr *from, int, void *arg) {
+                static_cast<FaultProxy *>(arg)->accepted(
+                        fd, reinterpret_cast<const sockaddr_in *>(from)->sin_addr.s_addr);
             },
             this, LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC, -1,
             reinterpret_cast<const sockaddr *>(&address), sizeof address);
@@ -34,23 +41,71 @@
     evconnlistener_free(m_listener);
 }
 
-void FaultProxy::accepted(int fd)
+void FaultProxy::accepted(int fd, std::uint32_t source)
 {
     ++m_accepted;
+    if (isPartitioned(source) && m_partition != PartitionKind::Drop) {
+        const linger reset{.l_onoff = 1, .l_linger = 0};
+        if (m_partition == PartitionKind::RefuseNew)
+            setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+        evutil_closesocket(fd);
+        return;
+    }
     if (m_faults.refuse) {
         evutil_closesocket(fd);
         return;
     }
-    m_links.push_back(std::make_unique<TcpLink>(
-            TcpLink::Options{.loop = m_options.loop,
-                             .faults = m_faults,
-                             .target = m_options.target,
-                             .closed =
-                                     [this](TcpLink *gone) {
-                                         m_links.remove_if(
-                                                 [&](const auto &it) { return it.get() == gone; });
-                                     }},
-            fd));
+    const auto closed = [this](TcpLink *gone) {
+        m_links.remove_if([gone](const Link &it) { return it.link.get() == gone; });
+    };
+    m_links.push_back(
+            {.source = source,
+             .link = std::make_unique<TcpLink>(TcpLink::Options{.loop = m_options.loop,
+                                                                .faults = m_faults,
+                                                                .target = m_options.target,
+                                                                .closed = closed},
+                                               fd)});
+}
+
+void FaultProxy::setPartition(const Json::Value &partition)
+{
+    m_partitioned.clear();
+    for (const Json::Value &it : partition["sources"])
+        m_partitioned.insert(inet_addr(it.asCString()));
+    const std::string how = partition["how"].asString();
+    m_partition = how == "drop" ? PartitionKind::Drop
+            : how == "reset"    ? PartitionKind::Reset
+                                : PartitionKind::RefuseNew;
+    filterSources();
+    for (const Link &it : m_links) {
+        if (isPartitioned(it.source) && m_partition == PartitionKind::Drop)
+            it.link->blackhole();
+        if (isPartitioned(it.source) && m_partition == PartitionKind::Reset)
+            it.link->cut();
+    }
+}
+
+/// The kernel drops packets for which the filter of the listening socket returns zero, so that
+/// connections from these sources are not established.
+void FaultProxy::filterSources()
+{
+    constexpr std::uint32_t SourceIpOffset = 12;
+    constexpr std::uint32_t WholePacket = 0xffffffff;
+    std::vector<sock_filter> code = {BPF_STMT(
+            BPF_LD | BPF_W | BPF_ABS, static_cast<std::uint32_t>(SKF_NET_OFF) + SourceIpOffset)};
+    if (m_partition == PartitionKind::Drop) {
+        for (const std::uint32_t it : m_partitioned) {
+            code.push_back(BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, ntohl(it), 0, 1));
+            code.push_back(BPF_STMT(BPF_RET | BPF_K, 0));
+        }
+    }
+    code.push_back(BPF_STMT(BPF_RET | BPF_K, WholePacket));
+    const sock_fprog program{.len = static_cast<unsigned short>(code.size()),
+                             .filter = code.data()};
+    if (setsockopt(evconnlistener_get_fd(m_listener), SOL_SOCKET, SO_ATTACH_FILTER, &program,
+                   sizeof program)
+        != 0)
+        throw std::runtime_error("cannot attach a packet filter to " + m_options.listen);
 }
 
 void FaultProxy::handle(const HttpExchangePtr &exchange)
@@ -62,6 +117,8 @@
     if (exchange->method() == "POST") {
         const Json::Value request = bodyObject(*exchange);
         set(request);
+        if (request["partition"].isObject())
+            setPartition(request["partition"]);
         applyToOpenLinks(request);
     }
     Json::Value out;
@@ -91,11 +148,11 @@
 {
     const bool silent = request["silent"].isBool() && request["silent"].asBool();
     const bool cut = request["cut"].isBool() && request["cut"].asBool();
-    for (const auto &it : m_links) {
+    for (const Link &it : m_links) {
         if (silent)
-            it->blackhole();
+            it.link->blackhole();
         if (cut)
-            it->cut();
+            it.link->cut();
     }
 }
 
--- a/standin/FaultProxy.h
+++ b/standin/FaultProxy.h
@@ -4,8 +4,10 @@
 #include "TcpLink.h"
 #include "UdpRelay.h"
 
+#include <cstdint>
 #include <list>
 #include <memory>
+#include <set>
 
 struct evconnlistener;
 
@@ -13,6 +15,11 @@
 
 /// \brief Forwards TCP connections and UDP datagrams to a target and injects network faults. It is
 /// controlled by HTTP requests at a separate address.
+///
+/// Clients at the IPs in `partition`.`sources` are partitioned from the target. With `how` = `drop`
+/// their packets are dropped: connections stall and new ones are not established. With `reset`
+/// connections are closed, and new ones are accepted and then closed. With `refuse_new` open
+/// connections live on and new ones are reset.
 class FaultProxy final : public Standin
 {
 public:
@@ -33,7 +40,17 @@
     void handle(const HttpExchangePtr &exchange) override;
 
 private:
-    void accepted(int fd);
+    enum class PartitionKind : std::uint8_t { None, Drop, Reset, RefuseNew };
+    struct Link
+    {
+        std::uint32_t source; ///< IP of the client, in network byte order.
+        std::unique_ptr<TcpLink> link;
+    };
+
+    void accepted(int fd, std::uint32_t source);
+    void setPartition(const Json::Value &partition);
+    void filterSources();
+    bool isPartitioned(std::uint32_t source) const { return m_partitioned.contains(source); }
     void set(const Json::Value &request);
     void applyToOpenLinks(const Json::Value &request);
 
@@ -41,7 +58,9 @@
     LinkFaults m_faults;
     evconnlistener *m_listener = nullptr;
     UdpRelay m_udp;
-    std::list<std::unique_ptr<TcpLink>> m_links;
+    std::list<Link> m_links;
+    PartitionKind m_partition = PartitionKind::None;
+    std::set<std::uint32_t> m_partitioned; ///< IPs in network byte order.
     int m_accepted = 0;
 };
 
--- a/standin/fleet/EntryFleet.cpp
+++ b/standin/fleet/EntryFleet.cpp
@@ -239,6 +239,25 @@
     return m_version;
 }
 
+/// Each router connects from an address of its own, so that a proxy can tell them apart.
+std::string EntryFleet::sourceIp(std::size_t router)
+{
+    constexpr std::size_t FirstHost = 10;
+    return fmt::format("127.0.1.{}", FirstHost + router);
+}
+
+void EntryFleet::partition(const std::set<std::size_t> &routers, const std::string &how,
+                           std::size_t first, std::size_t last)
+{
+    Json::Value root(Json::objectValue);
+    root["partition"]["how"] = how;
+    root["partition"]["sources"] = Json::Value(Json::arrayValue);
+    for (const std::size_t it : routers)
+        root["partition"]["sources"].append(sourceIp(it));
+    for (std::size_t i = first; i < last; ++i)
+        setReplicaProxyFaults(i, printJson(root));
+}
+
 void EntryFleet::writeSettings(std::size_t i, const std::string &extra)
 {
     const Router &it = m_routers[i];
@@ -246,8 +265,9 @@
     out << fmt::format("name: \"router-{}\"\nfailure_domain: \"hall\"\ncaller_address: \"{}\"\n"
                        "readiness_address: \"{}\"\ndirectory_address: \"{}\"\n"
                        "peer_address: \"{}\"\nstore_address: \"{}\"\n"
-                       "repeats:\n  share: 0.2\n  slack: 60\n  window: 10s\n{}",
-                       i, it.caller, it.readiness, it.directory, it.peer, it.store.listen, extra);
+                       "source_ip: \"{}\"\nrepeats:\n  share: 0.2\n  slack: 60\n  window: 10s\n{}",
+                       i, it.caller, it.readiness, it.directory, it.peer, it.store.listen,
+                       sourceIp(i), extra);
 }
 
 void EntryFleet::startRouter(std::size_t i)
--- a/standin/fleet/EntryFleet.h
+++ b/standin/fleet/EntryFleet.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -87,6 +88,12 @@
     void setReplicaProxyFaults(std::size_t i, const std::string &faults);
     void setStoreProxyFaults(std::size_t i, const std::string &faults);
 
+    /// \brief Partitions the routers with the indices \a routers from the replicas from \a first to
+    /// \a last, the second one excluded; no routers end the partition.
+    /// \param how \sa FaultProxy
+    void partition(const std::set<std::size_t> &routers, const std::string &how, std::size_t first,
+                   std::size_t last);
+
     /// \brief Sets the faults of ReplicaStandin at replica \a i.
     /// \param shares JSON object with the share of requests for each fault.
     /// \returns false if the replica exited before it accepted them.
@@ -153,6 +160,7 @@
     void startStore();
     void startProxy(Proxy &proxy, const std::string &target, const std::string &name);
     void startReplica(std::size_t i);
+    static std::string sourceIp(std::size_t router);
     void writeSettings(std::size_t i, const std::string &extra);
     void postRow(const std::string &table, const std::string &key, const Json::Value &value);
     void writeRow(const std::string &table, const std::string &key, const Json::Value &value);
