--- a/src/Base/RequestTrace.cpp
+++ b/src/Base/RequestTrace.cpp
@@ -31,6 +31,8 @@
     if (it["prompt_tokens"].asDouble() > 0)
         out += fmt::format("; {} of {} shared prompt tokens kept there", textOf(it, "kept_tokens"),
                            textOf(it, "prompt_tokens"));
+    if (!textOf(it, "relay").empty())
+        out += fmt::format(", through router {}", textOf(it, "relay"));
     if (!textOf(it, "copied_from").empty())
         out += fmt::format(", the rest copied from {}", textOf(it, "copied_from"));
     return out;
--- a/src/Control/RouterHeartbeat.cpp
+++ b/src/Control/RouterHeartbeat.cpp
@@ -94,6 +94,8 @@
         out.discovered.push_back(it.asString());
     for (const Json::Value &it : root["g"])
         out.replicas.leaving.push_back(it.asString());
+    for (const Json::Value &it : root["t"])
+        out.unreachableServices.push_back(it.asString());
     for (const Json::Value &it : root["x"])
         out.crashes.push_back(crashFromJson(it));
     return out;
@@ -171,6 +173,8 @@
         root["z"].append(id);
     for (const std::string &id : heartbeat.replicas.leaving)
         root["g"].append(id);
+    for (const std::string &service : heartbeat.unreachableServices)
+        root["t"].append(service);
     for (const CrashUpdate &it : heartbeat.crashes)
         root["x"].append(crashToJson(it));
     return internal::encodeNotification(Method, root);
--- a/src/Control/RouterHeartbeat.h
+++ b/src/Control/RouterHeartbeat.h
@@ -46,6 +46,8 @@
     PromptsByReplica prompts = {};
     /// Replicas whose cached prompts are known, so that they need not be asked for them.
     std::vector<std::string> discovered = {};
+    /// Services most of whose replicas the sender can't reach, so that it can't relay for them.
+    std::vector<std::string> unreachableServices = {};
     std::vector<CrashUpdate> crashes = {}; ///< Requests during which replicas crashed.
 };
 
--- a/src/Decide/PathMonitor.h
+++ b/src/Decide/PathMonitor.h
@@ -66,7 +66,11 @@
     /// is one with a broken path.
     bool isPartitioned() const;
 
-    std::size_t brokenCount() const { return m_broken.size(); }
+    /// \returns whether this router has lost its paths to most replicas, so that it shouldn't relay
+    /// requests for the service.
+    bool isMostlyLost() const { return 2 * m_broken.size() > m_replicas.size(); }
+
+    const std::set<std::string> &broken() const { return m_broken; }
 
     /// \returns whether paths are waiting for a check.
     bool hasWork() const { return !m_broken.empty() || !m_suspects.empty(); }
--- a/src/Decide/ReplicaPool.cpp
+++ b/src/Decide/ReplicaPool.cpp
@@ -237,7 +237,7 @@
 
 bool ReplicaPool::isEligible(State &it, const Query &query, TimePoint now) const
 {
-    return !it.record.draining && now >= it.excludedUntil && isSelectable(query, it.incarnation)
+    return !it.record.draining && now >= excludedUntil(it) && isSelectable(query, it.incarnation)
             && !isEvacuated(it) && isRegionAllowed(it, query) && !isColdRateLimited(it, now);
 }
 
@@ -251,11 +251,42 @@
     m_evacuated = std::move(domains);
 }
 
-void ReplicaPool::noteUnreachable(std::string_view id)
+void ReplicaPool::noteUnreachable(std::string_view id, Duration pause)
 {
-    if (State *it = find(id))
-        it->assumedColdUntil =
-                std::max(it->assumedColdUntil, m_options.clock.now() + UnreachableColdTime);
+    State *it = find(id);
+    if (!it)
+        return;
+    const TimePoint now = m_options.clock.now();
+    it->unreachableUntil = std::max(it->unreachableUntil, now + pause);
+    it->coldAfterReturnUntil = std::max(it->coldAfterReturnUntil, now + UnreachableColdTime);
+}
+
+void ReplicaPool::forgetFailures(std::string_view id)
+{
+    State *it = find(id);
+    if (!it)
+        return;
+    it->unreachableUntil = {};
+    it->coldAfterReturnUntil = {};
+    m_health.removed(it->health);
+    it->health = {};
+}
+
+bool ReplicaPool::hasAnsweredSince(std::string_view id, TimePoint time) const
+{
+    const State *it = find(id);
+    return it && it->lastSuccessAt > time;
+}
+
+TimePoint ReplicaPool::excludedUntil(const State &it) const
+{
+    return m_relaying ? it.excludedUntil : std::max(it.excludedUntil, it.unreachableUntil);
+}
+
+TimePoint ReplicaPool::coldUntil(const State &it) const
+{
+    const TimePoint known = std::max(it.record.coldUntil, it.assumedColdUntil);
+    return m_relaying ? known : std::max(known, it.coldAfterReturnUntil);
 }
 
 bool ReplicaPool::isEvacuated(const State &it) const
@@ -274,7 +305,7 @@
 
 bool ReplicaPool::isColdRateLimited(State &it, TimePoint now) const
 {
-    if (m_coldRateLimit <= 0 || now >= std::max(it.record.coldUntil, it.assumedColdUntil))
+    if (m_coldRateLimit <= 0 || now >= coldUntil(it))
         return false;
     const ColdRateLimit limit = ColdRateLimit::fromFleetLimit(m_coldRateLimit, m_options.routers());
     if (it.senderCheckedAt == TimePoint::min() || now - it.senderCheckedAt >= ColdSenderLifetime) {
@@ -364,7 +395,7 @@
     const ReplicaRecord *best = nullptr;
     double bestTokens = m_prompts.cachedTokens(target.hash, prompt) + MinCopiedTokens;
     for (const State &it : m_states) {
-        if (&it == &target || now < it.excludedUntil)
+        if (&it == &target || now < excludedUntil(it))
             continue;
         const double tokens = m_prompts.cachedTokens(it.hash, prompt);
         if (tokens > bestTokens) {
@@ -487,7 +518,7 @@
     std::optional<Duration> out;
     for (const State &it : m_states) {
         if (!it.record.draining && !isEvacuated(it))
-            out = std::min(out.value_or(Duration::max()), it.excludedUntil - now);
+            out = std::min(out.value_or(Duration::max()), excludedUntil(it) - now);
     }
     return std::max(Duration::zero(), out.value_or(Duration::zero()));
 }
@@ -531,7 +562,7 @@
     const TimePoint now = m_options.clock.now();
     return static_cast<std::size_t>(
             std::count_if(m_states.begin(), m_states.end(), [this, now](const State &it) {
-                return !it.record.draining && now >= it.excludedUntil && !isEvacuated(it);
+                return !it.record.draining && now >= excludedUntil(it) && !isEvacuated(it);
             }));
 }
 
--- a/src/Decide/ReplicaPool.h
+++ b/src/Decide/ReplicaPool.h
@@ -118,9 +118,20 @@
     /// are assumed to be cold until their registry entries are up to date.
     void setEvacuated(std::set<std::string> domains);
 
-    /// \brief Records that replica \a id was unreachable or has terminated: if it returns, it is
-    /// assumed to be cold until its registry entry is up to date.
-    void noteUnreachable(std::string_view id);
+    /// \brief Records that replica \a id was unreachable or has terminated. It is excluded for
+    /// \a pause; if it returns, it is assumed to be cold until its registry entry is up to date.
+    void noteUnreachable(std::string_view id, Duration pause);
+
+    /// \brief Revokes the effects of noteUnreachable() and of failed requests on replica \a id,
+    /// because the path to it failed and not the replica.
+    void forgetFailures(std::string_view id);
+
+    /// \brief Sets whether requests reach unreachable replicas through another router. Then
+    /// noteUnreachable() has no effect on the choice.
+    void setRelaying(bool relaying) { m_relaying = relaying; }
+
+    /// \returns whether replica \a id has answered this router successfully since \a time.
+    bool hasAnsweredSince(std::string_view id, TimePoint time) const;
 
     /// \brief Sets the rate limit of a cold replica, in requests per second from all routers
     /// together; 0: no limit.
@@ -190,6 +201,8 @@
         TimePoint lastSuccessAt = {}; ///< Last successful answer to this router.
         TimePoint excludedUntil = {};
         TimePoint assumedColdUntil = {}; ///< Its entry may not show it yet.
+        TimePoint unreachableUntil = {}; ///< \sa noteUnreachable()
+        TimePoint coldAfterReturnUntil = {}; ///< Assumed to be cold if it was down.
         TimePoint lastSentAt = TimePoint::min(); ///< Last request from this router.
         bool isColdSender = false; ///< \sa Options::isColdSender, as of senderCheckedAt.
         TimePoint senderCheckedAt = TimePoint::min();
@@ -217,6 +230,8 @@
     bool isRegionAllowed(const State &it, const Query &query) const;
     bool isEvacuated(const State &it) const;
     bool isColdRateLimited(State &it, TimePoint now) const;
+    TimePoint excludedUntil(const State &it) const;
+    TimePoint coldUntil(const State &it) const;
     bool isEjectedByPeers(const State &it) const;
     bool mayUsePeerEjections() const;
     State *chooseByPrompt(std::vector<Candidate> &list, std::span<const PromptPart> prompt) const;
@@ -235,6 +250,7 @@
     std::map<std::string, ReceivedUpdate> m_receivedUpdates; ///< Last update by router.
     std::set<std::string> m_evacuated; ///< Failure domains.
     double m_coldRateLimit = 0; ///< \sa setColdRateLimit()
+    bool m_relaying = false; ///< \sa setRelaying()
     TimePoint m_expiryCheckedAt;
     HealthTracker m_health;
     PromptIndex m_prompts;
--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -41,6 +41,16 @@
 /// An idempotent call is sent to another replica after its timeout divided by this number.
 constexpr int SilenceTimeoutDivisor = 2;
 
+/// Time without an answer to a call after which the network path is checked. Most calls are
+/// answered several times faster.
+constexpr Duration CallSilenceLimit = 300ms;
+
+/// The same for streams, as a fraction of their stall timeout.
+constexpr int StreamSilenceDivisor = 3;
+
+/// Connections to other routers that were idle for longer are not reused.
+constexpr Duration MaxRelayIdleAge = 5s;
+
 /// A retry needs at least this much time to be useful.
 constexpr Duration MinRetryTime = 20ms;
 
@@ -63,6 +73,11 @@
 constexpr Duration RetryBase = 200ms;
 constexpr Duration RetryJitter = 300ms;
 
+bool isUnreachable(const Error &error)
+{
+    return error.reason == Reason::UpstreamUnreachable && error.verdict == Verdict::NotRun;
+}
+
 bool isSuccess(int status)
 {
     return status >= 200 && status < 300;
@@ -171,6 +186,7 @@
     }
     if (const std::optional<Error> held = quarantineError())
         return m_headSent ? breakOff(*held) : refuse(*held);
+    m_service->replicas.setRelaying(isRelayAvailable());
     const ReplicaPool::Choice choice = chooseReplica();
     if (choice.replica)
         return send(choice);
@@ -239,7 +255,8 @@
 {
     // A replica that is leaving stops on purpose and breaks the requests still in progress.
     return m_context.settings.mechanisms.requestQuarantine && error.reason == Reason::UpstreamBroken
-            && error.verdict != Verdict::NotRun && m_service->replicas.isServing(m_incarnation);
+            && error.verdict != Verdict::NotRun && !m_relay
+            && m_service->replicas.isServing(m_incarnation);
 }
 
 int EntryCall::suspicion()
@@ -290,6 +307,10 @@
     m_attempting = true;
     ++m_attempt;
     m_stallTimeout = stallTimeout();
+    m_relay.reset();
+    m_relayFailure.reset();
+    if (isRelayAvailable() && m_service->paths.isBroken(m_incarnation))
+        m_relay = m_context.relay->choose(m_serviceName, m_replica.failureDomain);
     m_isPromptUncached = choice.cachedPromptTokens == 0 && !choice.copyFrom;
     m_history.sent(m_incarnation);
     const std::string copyFrom = choice.copyFrom ? choice.copyFrom->address : std::string();
@@ -297,13 +318,52 @@
     m_service->replicas.started(m_incarnation, m_request.sharedPrompt());
     if (m_context.promptSent)
         m_context.promptSent(m_incarnation, m_request.sharedPrompt());
-    m_call = m_context.client.send(composeCall(copyFrom), attemptEvents());
+    HttpCall call = composeCall(copyFrom);
+    if (m_relay) {
+        call.maxIdleAge = MaxRelayIdleAge;
+        call = m_context.relay->relayed(std::move(call), *m_relay,
+                                        {.replica = m_incarnation, .fingerprint = fingerprint()});
+    }
+    m_call = m_context.client.send(std::move(call), attemptEvents());
+}
+
+bool EntryCall::isRelayAvailable()
+{
+    return m_context.relay && m_service->paths.isPartitioned()
+            && m_context.relay->isAvailable(m_serviceName);
+}
+
+bool EntryCall::isOnLostPath() const
+{
+    return !m_relay && m_service->paths.isPartitioned() && m_service->paths.isBroken(m_incarnation);
+}
+
+void EntryCall::checkSilence()
+{
+    if (!m_attempting || m_relay || m_finished)
+        return;
+    const Duration prefill = m_receivedEvent ? Duration::zero() : prefillTimeout();
+    const Duration limit =
+            isStreaming() ? m_stallTimeout / StreamSilenceDivisor + prefill : CallSilenceLimit;
+    if (m_context.loop.now() - m_lastReceivedAt < limit)
+        return;
+    if (!isOnLostPath())
+        return m_service->paths.suspect(m_incarnation);
+    if (!m_request.route->isIdempotent())
+        return; // It may have run; the answer may still arrive.
+    const Error error{.reason = Reason::UpstreamTimeout,
+                      .verdict = Verdict::MayHaveRun,
+                      .detail = "no answer on a lost network path"};
+    endAttempt(false, error.reason, true);
+    attemptFailed(error);
 }
 
 void EntryCall::reportSent(const ReplicaPool::Choice &choice) const
 {
     RequestEvent event = describe(RequestEvent::Kind::Sent);
     event.load = choice.load;
+    if (m_relay)
+        event.relay = m_relay->name;
     event.meanLoad = choice.meanLoad;
     event.candidates = choice.candidates;
     event.cachedPromptTokens = choice.cachedPromptTokens;
@@ -387,11 +447,15 @@
 void EntryCall::onHead(const HttpHead &head)
 {
     m_lastReceivedAt = m_context.loop.now();
+    if (m_relay)
+        m_relayFailure = RelayCodec::decodeFailure(head);
+    if (m_relayFailure)
+        return;
     m_firstByte = m_context.loop.now() - m_attemptStartedAt;
     m_head = head;
     m_answer = m_context.codec.decodeAnswer(head);
-    if (m_call && m_call->idleTime() == Duration::zero())
-        m_service->paths.connected(m_incarnation);
+    if (!m_relay && m_call && m_call->idleTime() == Duration::zero())
+        m_service->pathRegained(m_incarnation);
     noteReplicaState();
     if (!m_answer.requestId.empty() && m_answer.requestId != m_request.facts.id)
         return failLater(Reason::AnswerMismatch, "the answer carries the id of another request");
@@ -520,16 +584,20 @@
 
 void EntryCall::onEnd(Result<void> result)
 {
+    if (m_relayFailure)
+        result = m_relayFailure->error;
     if (result && m_relaying && m_reader.hasPartialEvent())
         result = Error{.reason = Reason::UpstreamBroken,
                        .verdict = Verdict::MayHaveRun,
                        .detail = "the stream ended within an event"};
     if (!result) {
         Error error = std::move(result.error());
+        if (m_relay)
+            return relayFailed(error);
         noteStaleConnection(error);
         if (mayHaveCrashedReplica(error))
             return checkForCrash(error);
-        endAttempt(false, error.reason);
+        endAttempt(false, error.reason, isOnLostPath());
         return attemptFailed(error);
     }
     noteLoad();
@@ -632,14 +700,12 @@
     m_context.report(describe(RequestEvent::Kind::AttemptFailed, error));
     m_context.metrics.retried(error.reason);
     m_verdict = combine(m_verdict, error.verdict);
-    m_history.failedOn(m_incarnation);
     const bool unreachable =
-            error.reason == Reason::UpstreamUnreachable && error.verdict == Verdict::NotRun;
+            error.verdict == Verdict::NotRun && (hasRelayRefused() || isUnreachable(error));
+    if (!hasRelayRefused())
+        m_history.failedOn(m_incarnation);
     if (unreachable) {
-        m_service->replicas.excludeFor(m_incarnation, UnreachablePause);
-        m_service->replicas.noteUnreachable(m_incarnation);
-        m_service->paths.failed(m_incarnation);
-        m_context.client.dropIdle(m_replica.address);
+        noteUnreachable();
         if (m_history.wasUnreachable(m_incarnation))
             return attempt();
     }
@@ -659,13 +725,40 @@
     m_headSent ? breakOff(last) : refuse(last);
 }
 
+void EntryCall::noteUnreachable()
+{
+    if (hasRelayRefused())
+        return;
+    if (m_relay)
+        return m_service->replicas.excludeFor(m_incarnation, UnreachablePause);
+    m_service->replicas.noteUnreachable(m_incarnation, UnreachablePause);
+    m_service->pathLost(m_incarnation);
+    m_context.client.dropIdle(m_replica.address);
+}
+
+bool EntryCall::hasRelayRefused() const
+{
+    return m_relay && !(m_relayFailure && m_relayFailure->isReplicaAtFault);
+}
+
+void EntryCall::relayFailed(const Error &error)
+{
+    // A timeout doesn't show which of the two hops is silent.
+    if (hasRelayRefused() && error.reason != Reason::UpstreamTimeout)
+        m_context.relay->noteFailed(m_relay->name);
+    if (m_relayFailure && m_relayFailure->hasReplicaCrashed)
+        ++m_crashedReplicas;
+    endAttempt(false, error.reason, hasRelayRefused());
+    attemptFailed(error);
+}
+
 void EntryCall::deadlineExpired()
 {
     if (m_finished)
         return;
     // A request that was sent and not answered may be running.
     const Verdict verdict = m_attempting ? Verdict::MayHaveRun : m_verdict;
-    endAttempt(false, Reason::UpstreamTimeout, isStreaming() && !hasStalled());
+    endAttempt(false, Reason::UpstreamTimeout, (isStreaming() && !hasStalled()) || isOnLostPath());
     const Error error{.reason = Reason::DeadlineExpired,
                       .verdict = verdict,
                       .detail = "no complete answer by the deadline",
--- a/src/Net/EntryCall.h
+++ b/src/Net/EntryCall.h
@@ -7,6 +7,7 @@
 #include "Net/CrashWatch.h"
 #include "Net/HttpClient.h"
 #include "Net/HttpExchange.h"
+#include "Net/RelayClient.h"
 #include "Net/RequestEvent.h"
 #include "Net/ServicePools.h"
 #include "Net/Timer.h"
@@ -50,6 +51,7 @@
             [](const std::string &, const std::string &) {};
     /// Announces the ejection to the other routers at once.
     std::function<void()> replicaEjected = {};
+    RelayClient *relay = nullptr; ///< Null: requests are only sent directly.
     std::function<Duration()> proofAge = {}; ///< Proof age of the configuration, for the log.
     std::function<void(const RequestEvent &)> report = logRequestEvent;
 };
@@ -71,6 +73,10 @@
 
     void start();
 
+    /// \brief Requests a check of the network path if the replica is silent for long. If the path
+    /// is lost and the request may be repeated, sends it again.
+    void checkSilence();
+
     const std::string &id() const { return m_request.facts.id; }
 
 private:
@@ -102,6 +108,12 @@
     void handleAnswer();
     void deliver();
     void attemptFailed(const Error &error);
+    void noteUnreachable();
+    /// \returns whether the router that was to relay this attempt failed, or refused to.
+    bool hasRelayRefused() const;
+    void relayFailed(const Error &error);
+    bool isRelayAvailable();
+    bool isOnLostPath() const;
     ReplicaPool::Choice chooseReplica();
     const std::string &fingerprint();
     std::optional<Error> quarantineError();
@@ -139,6 +151,8 @@
     unsigned m_attempt = 0; ///< Number of the current attempt; events of earlier ones are ignored.
     bool m_attempting = false;
     ReplicaRecord m_replica;
+    std::optional<RelayPeer> m_relay; ///< Router that relays this attempt.
+    std::optional<RelayFailure> m_relayFailure; ///< Why the router did not relay it.
     std::string m_incarnation; ///< Incarnation of m_replica.
     TimePoint m_attemptStartedAt;
     /// When the last byte of the answer arrived, else when the attempt started.
--- a/src/Net/EntryGateway.cpp
+++ b/src/Net/EntryGateway.cpp
@@ -1,8 +1,20 @@
 #include "Net/EntryGateway.h"
 
+#include <utility>
+
 namespace catkinloft {
 
-EntryGateway::EntryGateway(EntryContext context) : m_context(std::move(context))
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Interval of checks for replicas that don't answer.
+constexpr Duration SilenceCheckInterval = 100ms;
+
+} // namespace
+
+EntryGateway::EntryGateway(EntryContext context)
+    : m_context(std::move(context)), m_silenceTimer(m_context.loop, [this] { checkSilence(); })
 {
     m_context.metrics.addCollector([this](Metrics &metrics) {
         metrics.set("catkinloft_requests_in_progress", static_cast<double>(inProgress()));
@@ -23,9 +35,21 @@
     });
     *key = call;
     m_calls.insert(call);
+    if (!m_silenceTimer.isPending())
+        m_silenceTimer.start(SilenceCheckInterval);
     call->start();
 }
 
+void EntryGateway::checkSilence()
+{
+    // A check may end calls.
+    const std::vector<std::shared_ptr<EntryCall>> calls(m_calls.begin(), m_calls.end());
+    for (const auto &it : calls)
+        it->checkSilence();
+    if (!m_calls.empty())
+        m_silenceTimer.start(SilenceCheckInterval);
+}
+
 std::vector<std::string> EntryGateway::unfinished() const
 {
     std::vector<std::string> out;
--- a/src/Net/EntryGateway.h
+++ b/src/Net/EntryGateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Net/EntryCall.h"
+#include "Net/Timer.h"
 
 #include <memory>
 #include <string>
@@ -29,7 +30,10 @@
     std::vector<std::string> unfinished() const;
 
 private:
+    void checkSilence();
+
     EntryContext m_context;
+    Timer m_silenceTimer;
     std::unordered_set<std::shared_ptr<EntryCall>> m_calls;
     bool m_leaving = false;
 };
--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -12,7 +12,10 @@
 #include "Net/FleetTask.h"
 #include "Net/HttpServer.h"
 #include "Net/LogWriter.h"
+#include "Net/PathProber.h"
 #include "Net/QuarantinePage.h"
+#include "Net/RelayClient.h"
+#include "Net/RelayServer.h"
 #include "Net/SettingsWatch.h"
 #include "Net/StoreWatch.h"
 
@@ -104,6 +107,9 @@
     int knownRouters();
     void registrationEnded(bool answered);
     void storeAnswered(TimePoint at);
+    std::vector<RelayPeer> relayPeers(const std::string &service);
+    const ReplicaRecord *findRelayTarget(std::string_view incarnation) const;
+    void noteToldCrash(const std::string &router, const CrashUpdate::Crash &crash);
     void discoverPrompts();
     void handlePromptList(const ReplicaRecord &engine, std::span<const PromptPart> prompts);
     bool isReady() const;
@@ -130,6 +136,9 @@
     RequestQuarantine quarantine;
     CrashWatch crashes;
     FleetTask fleet;
+    RelayClient relay;
+    RelayServer relayServer;
+    PathProber prober;
     StoreWatch watch;
     FleetRegistration registration;
     StoreReadPlan registrationPlan;
@@ -154,10 +163,9 @@
       replicas({.clock = loop, .reregistrationTime = settings.replicaReregistrationTime}),
       pools(loop, random, settings,
             {.routers = [this] { return fleet.view().sharingRouters(); },
-             .isColdSender =
-                     [this](std::string_view replica, std::size_t n) {
-                         return fleet.view().isChosenFor(replica, n);
-                     }}),
+             .isColdSender = [this](std::string_view replica,
+                                    std::size_t n) { return fleet.view().isChosenFor(replica, n); },
+             .pathChecksDue = [this] { prober.wake(); }}),
       filters({.routes = [this] { return routes; },
                .proofAge = [this] { return config.proofAge(); },
                .proofLimit = settings.maxKeyProofAge,
@@ -189,6 +197,7 @@
              .storeFailing = [this] { return watch.isFailing(); },
              .storeUnansweredFor = [this] { return watch.unansweredFor(); },
              .ownStatusUpdate = [this] { return ownStatusUpdate(); },
+             .unreachableServices = [this] { return pools.unreachableServices(); },
              .takeCrashUpdates = [this] { return quarantine.takeUpdates(); },
              .takeFirstCrashes = [this] { return quarantine.takeFirstCrashes(); },
              .onHeartbeat = [this](const RouterHeartbeat &it) { receiveHeartbeat(it); },
@@ -197,7 +206,35 @@
              .onConfigText = [this](const std::string &text,
                                     TimePoint began) { watch.applyConfigText(text, began); },
              .prompts = [this] { return pools.prompts(MaxAnnouncedPrompts); },
-             .onPrompts = [this](const PromptsByReplica &it) { notePrompts(it); }}),
+             .onPrompts = [this](const PromptsByReplica &it) { notePrompts(it); },
+             .onRelay = [this](const HttpExchangePtr &it) { relayServer.handle(it); }}),
+      relay({.loop = loop,
+             .client = client,
+             .random = random,
+             .failureDomain = settings.failureDomain,
+             .peers = [this](const std::string &it) { return relayPeers(it); },
+             .sign = [this](std::string_view it) { return fleet.sign(it); }}),
+      relayServer(
+              {.loop = loop,
+               .client = client,
+               .metrics = metrics,
+               .crashes = crashes,
+               .sourceIp = settings.sourceIp,
+               .maxBacklog = settings.maxStreamBuffer,
+               .verify = [this](std::string_view signature,
+                                std::string_view text) { return fleet.verify(signature, text); },
+               .findReplica = [this](std::string_view it) { return findRelayTarget(it); },
+               .isPathLost =
+                       [this](const ReplicaRecord &it) {
+                           return pools.of(it.service).paths.isBroken(it.incarnation());
+                       },
+               .pathFailed =
+                       [this](const ReplicaRecord &it) {
+                           pools.of(it.service).pathLost(it.incarnation());
+                       },
+               .isProofFresh = [this] { return filters.isProofFresh(); },
+               .isLeaving = [this] { return loop.now() >= refuseFrom; }}),
+      prober({.loop = loop, .client = client, .pools = pools, .sourceIp = settings.sourceIp}),
       watch({.loop = loop,
              .store = *store,
              .config = config,
@@ -256,6 +293,7 @@
                            replicas.markLeavingAt(address, id);
                        },
                .replicaEjected = [this] { fleet.announceEjection(); },
+               .relay = &relay,
                .proofAge = [this] { return config.proofAge(); }}),
       settingsWatch({.loop = loop,
                      .file = std::move(settingsFile),
@@ -334,13 +372,7 @@
     quarantine.merge(heartbeat.crashes);
     for (const CrashUpdate &update : heartbeat.crashes) {
         for (const CrashUpdate::Crash &it : update.replicaCrashes) {
-            if (it.age >= CrashExclusionTime)
-                continue;
-            Log::info("replica_crash_told",
-                      {{"replica", it.replica},
-                       {"router", heartbeat.name},
-                       {"age_ms", it.age / 1ms}});
-            pools.noteCrashed(it.replica, CrashExclusionTime - it.age);
+            noteToldCrash(heartbeat.name, it);
         }
     }
     notePrompts(heartbeat.prompts);
@@ -351,6 +383,40 @@
         discovery.peerStateReceived();
 }
 
+void EntryProcess::Private::noteToldCrash(const std::string &router,
+                                          const CrashUpdate::Crash &crash)
+{
+    if (crash.age >= CrashExclusionTime)
+        return;
+    Log::info("replica_crash_told",
+              {{"replica", crash.replica}, {"router", router}, {"age_ms", crash.age / 1ms}});
+    pools.noteCrashed(crash.replica, CrashExclusionTime - crash.age);
+}
+
+std::vector<RelayPeer> EntryProcess::Private::relayPeers(const std::string &service)
+{
+    std::vector<RelayPeer> out;
+    for (const FleetView::Peer *it : fleet.view().live()) {
+        const RouterHeartbeat &peer = it->heartbeat;
+        const std::vector<std::string> &lost = peer.unreachableServices;
+        if (peer.ready && !peer.leaving
+            && std::find(lost.begin(), lost.end(), service) == lost.end())
+            out.push_back({.name = peer.name,
+                           .address = peer.peerAddress,
+                           .failureDomain = peer.failureDomain,
+                           .processorShare = peer.processorShare});
+    }
+    return out;
+}
+
+const ReplicaRecord *EntryProcess::Private::findRelayTarget(std::string_view incarnation) const
+{
+    const ReplicaRecord *out = pools.findReplica(incarnation);
+    const bool isAllowed =
+            out && !out->draining && !evacuated.domains().contains(out->failureDomain);
+    return isAllowed ? out : nullptr;
+}
+
 void EntryProcess::Private::receiveUnverifiedHeartbeat(const RouterHeartbeat &heartbeat)
 {
     if (unverified.size() < MaxUnverifiedRouters)
--- a/src/Net/FleetTask.cpp
+++ b/src/Net/FleetTask.cpp
@@ -13,6 +13,7 @@
 #include "Net/HttpClient.h"
 #include "Net/HttpServer.h"
 #include "Net/PeerTransport.h"
+#include "Net/RelayServer.h"
 #include "Net/Timer.h"
 
 #include <algorithm>
@@ -72,6 +73,9 @@
 
 constexpr std::size_t MaxStateBody = 32 * 1024 * 1024;
 
+/// Space for the header that the sender of a relayed request adds.
+constexpr std::size_t MaxTicketBytes = 1024;
+
 /// An unanswered ask to a router that reads the store.
 struct Ask
 {
@@ -151,7 +155,10 @@
             .selfAddress = options.settings.peerAddress,
             .configApplyTimeout = options.settings.configApplyTimeout}),
       transport(options.loop, [this](const std::string &, std::string_view it) { received(it); }),
-      server(options.loop, {.address = options.settings.peerAddress, .limits = {}},
+      server(options.loop,
+             {.address = options.settings.peerAddress,
+              .limits = {.maxHeaderBytes = options.settings.maxHeaderBytes + MaxTicketBytes,
+                         .maxBodyBytes = options.settings.maxBodyBytes}},
              [this](const HttpExchangePtr &it) { answerState(it); }),
       timer(options.loop, [this] { heartbeat(); }), askTimer(options.loop, [this] { ask(); }),
       crashTimer(options.loop, [this] { announceCrashes(); }),
@@ -186,7 +193,8 @@
             .replicasHash = options.replicas.hash(),
             .replicasPosition = options.replicas.position(),
             .evacuated = evacuated.shouldAnnounce() ? evacuated.state() : EvacuatedDomains::State(),
-            .replicas = options.ownStatusUpdate()};
+            .replicas = options.ownStatusUpdate(),
+            .unreachableServices = options.unreachableServices()};
 }
 
 std::vector<std::string> FleetTask::Private::readers() const
@@ -362,6 +370,8 @@
 void FleetTask::Private::answerState(const HttpExchangePtr &exchange)
 {
     const std::string target = exchange->path() + "?" + exchange->query();
+    if (RelayServer::accepts(*exchange))
+        return options.onRelay(exchange);
     if (exchange->path() != StatePath) {
         exchange->respond(404, {}, {});
         return;
@@ -592,6 +602,16 @@
         Log::warning("peer_state_malformed", {{"router", name}, {"detail", state.error().detail}});
 }
 
+std::string FleetTask::sign(std::string_view text) const
+{
+    return m_d->hasKey ? m_d->guard.sign(text) : std::string();
+}
+
+bool FleetTask::verify(std::string_view signature, std::string_view text) const
+{
+    return m_d->hasKey && m_d->guard.verify(signature, text);
+}
+
 FleetView &FleetTask::view()
 {
     return m_d->view;
--- a/src/Net/FleetTask.h
+++ b/src/Net/FleetTask.h
@@ -5,11 +5,14 @@
 #include "Base/Metrics.h"
 #include "Base/Settings.h"
 #include "Control/FleetView.h"
+#include "Net/HttpExchange.h"
 
 #include <functional>
 #include <memory>
 #include <span>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace catkinloft {
 
@@ -39,6 +42,8 @@
         std::function<bool()> storeFailing; ///< \sa RouterHeartbeat::storeFailing
         std::function<Duration()> storeUnansweredFor; ///< \sa RouterHeartbeat::storeUnansweredFor
         std::function<ReplicaStatusUpdate()> ownStatusUpdate;
+        /// \sa RouterHeartbeat::unreachableServices
+        std::function<std::vector<std::string>()> unreachableServices;
         std::function<std::vector<CrashUpdate>()>
                 takeCrashUpdates; ///< \sa RequestQuarantine::takeUpdates
         /// \sa RequestQuarantine::takeFirstCrashes
@@ -54,6 +59,8 @@
         std::function<PromptsByReplica()>
                 prompts; ///< Prompts that replicas are estimated to cache.
         std::function<void(const PromptsByReplica &)> onPrompts; ///< Called with a peer's estimate.
+        /// Called for each request to be relayed, and each question about a path, of a router.
+        std::function<void(const HttpExchangePtr &)> onRelay;
     };
 
     explicit FleetTask(Options options);
@@ -100,6 +107,12 @@
     /// \returns whether this router is one of those that read the store on behalf of the fleet.
     bool isReader() const;
 
+    /// \returns the signature of \a text with the key of the fleet; empty before it is known.
+    std::string sign(std::string_view text) const;
+
+    /// \returns whether \a signature is valid for \a text.
+    bool verify(std::string_view signature, std::string_view text) const;
+
     FleetView &view();
 
 private:
--- /dev/null
+++ b/src/Net/PathProber.cpp
@@ -0,0 +1,73 @@
+#include "Net/PathProber.h"
+
+#include "Net/EventLoop.h"
+#include "Net/HttpClient.h"
+#include "Net/ServicePools.h"
+
+namespace catkinloft {
+
+namespace {
+
+using namespace std::chrono_literals;
+using Outcome = internal::ConnectProbe::Outcome;
+
+/// Interval at which the paths that are due are collected.
+constexpr Duration CheckPoll = 50ms;
+
+} // namespace
+
+PathProber::PathProber(Options options)
+    : m_options(std::move(options)), m_timer(m_options.loop, [this] { check(); })
+{ }
+
+void PathProber::wake()
+{
+    if (!m_timer.isPending())
+        m_timer.start(Duration::zero());
+}
+
+void PathProber::check()
+{
+    bool hasWork = false;
+    m_options.pools.forEach([&](ServicePool &pool) {
+        for (const std::string &it : pool.paths.dueChecks())
+            probe(it);
+        hasWork = hasWork || pool.paths.hasWork();
+    });
+    if (hasWork || !m_probes.empty())
+        m_timer.start(CheckPoll);
+}
+
+void PathProber::probe(const std::string &id)
+{
+    const ReplicaRecord *replica = m_options.pools.findReplica(id);
+    if (!replica || m_probes.contains(id))
+        return;
+    m_probes[id] = std::make_shared<internal::ConnectProbe>(
+            m_options.loop, replica->address, m_options.sourceIp,
+            [this, id](Outcome outcome) { found(id, outcome); });
+}
+
+void PathProber::found(const std::string &id, Outcome outcome)
+{
+    // An accepted connection may still be closed by a proxy that can't reach the replica.
+    if (outcome == Outcome::Connected)
+        return;
+    const auto it = m_probes.find(id);
+    if (it == m_probes.end())
+        return;
+    m_options.loop.post([held = it->second] {});
+    m_probes.erase(it);
+    const ReplicaRecord *replica = m_options.pools.findReplica(id);
+    if (!replica)
+        return;
+    ServicePool &pool = m_options.pools.of(replica->service);
+    if (outcome == Outcome::StayedOpen)
+        pool.pathRegained(id);
+    else if (outcome != Outcome::Inconclusive)
+        pool.pathLost(id);
+    if (outcome == Outcome::Unreachable)
+        m_options.client.dropIdle(replica->address);
+}
+
+} // namespace catkinloft
--- /dev/null
+++ b/src/Net/RelayClient.cpp
@@ -0,0 +1,132 @@
+#include "Net/RelayClient.h"
+
+#include "Net/EventLoop.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace catkinloft {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Time for which a router that did not relay a request is avoided.
+constexpr Duration AvoidTime = 1s;
+
+/// Factor on the chance of routers outside of the failure domains of this router and the replica.
+constexpr double FarFactor = 0.1;
+
+/// Routers that are asked whether they reach a replica. Some of them may be partitioned from it at
+/// the same time.
+constexpr std::size_t AskedRouters = 3;
+
+/// Time in which a router answers whether it reaches a replica; it waits until a connection has
+/// stayed open.
+constexpr Duration CheckTimeout = 200ms;
+
+constexpr int Success = 200;
+
+/// The answers to one question about a path.
+struct PathCheck
+{
+    std::function<void(RelayClient::PathState)> done; ///< Null after it was called.
+    std::size_t pending = 0;
+    bool refused = false;
+
+    void finish(RelayClient::PathState state)
+    {
+        if (const auto callback = std::exchange(done, nullptr))
+            callback(state);
+    }
+};
+
+} // namespace
+
+std::vector<RelayPeer> RelayClient::usable(const std::string &service)
+{
+    const TimePoint now = m_options.loop.now();
+    std::erase_if(m_avoidedUntil, [now](const auto &it) { return it.second <= now; });
+    std::vector<RelayPeer> out = m_options.peers(service);
+    std::erase_if(out, [this](const RelayPeer &it) { return m_avoidedUntil.contains(it.name); });
+    return out;
+}
+
+bool RelayClient::isAvailable(const std::string &service)
+{
+    return !usable(service).empty();
+}
+
+std::optional<RelayPeer> RelayClient::choose(const std::string &service,
+                                             const std::string &failureDomain)
+{
+    const std::vector<RelayPeer> all = usable(service);
+    std::vector<double> weights;
+    double total = 0;
+    for (const RelayPeer &it : all) {
+        const bool isNear =
+                it.failureDomain == m_options.failureDomain || it.failureDomain == failureDomain;
+        weights.push_back(it.processorShare * (isNear ? 1 : FarFactor));
+        total += weights.back();
+    }
+    double point = uniform(m_options.random) * total;
+    for (std::size_t i = 0; i < all.size(); ++i) {
+        point -= weights[i];
+        if (point < 0 || i + 1 == all.size())
+            return all[i];
+    }
+    return std::nullopt;
+}
+
+void RelayClient::noteFailed(const std::string &name)
+{
+    m_avoidedUntil[name] = m_options.loop.now() + AvoidTime;
+}
+
+HttpCall RelayClient::relayed(HttpCall call, const RelayPeer &peer, RelayTicket ticket) const
+{
+    call.address = peer.address;
+    call.headers = RelayCodec::endToEnd(call.headers);
+    ticket.sentAtMs = m_options.loop.wallNow().time_since_epoch() / 1ms;
+    ticket.signature = m_options.sign(
+            RelayCodec::signedText(ticket, call.method, call.target, call.headers, call.body));
+    call.headers.emplace_back(RelayCodec::TicketHeader, RelayCodec::encode(ticket));
+    return call;
+}
+
+void RelayClient::checkPath(const std::string &service, const std::string &id,
+                            std::function<void(PathState)> done)
+{
+    std::vector<RelayPeer> asked = usable(service);
+    for (std::size_t i = asked.size(); i > 1; --i)
+        std::swap(asked[i - 1], asked[below(m_options.random, i)]);
+    asked.resize(std::min(asked.size(), AskedRouters));
+    const auto check = std::make_shared<PathCheck>();
+    check->done = std::move(done);
+    check->pending = asked.size();
+    if (asked.empty())
+        return m_options.loop.post([check] { check->finish(PathState::Unknown); });
+    const std::string target = fmt::format("{}?replica={}", CheckPath, id);
+    for (const RelayPeer &it : asked) {
+        m_options.client.fetch(
+                {.address = it.address,
+                 .target = target,
+                 .headers = {{SignatureHeader, m_options.sign(target)}},
+                 .timeout = CheckTimeout},
+                [check](const Result<HttpAnswer> &answer) {
+                    --check->pending;
+                    const bool isKnown = answer && answer.value().head.status == Success;
+                    if (isKnown && answer.value().body == "reached")
+                        return check->finish(PathState::Reached);
+                    check->refused =
+                            check->refused || (isKnown && answer.value().body == "refused");
+                    if (check->pending == 0)
+                        check->finish(check->refused ? PathState::Refused : PathState::Unknown);
+                });
+    }
+}
+
+} // namespace catkinloft
--- /dev/null
+++ b/src/Net/RelayCodec.cpp
@@ -0,0 +1,121 @@
+#include "Net/RelayCodec.h"
+
+#include "Net/HopByHopHeaders.h"
+
+#include <array>
+#include <charconv>
+#include <vector>
+
+#include <fmt/format.h>
+
+namespace catkinloft {
+
+namespace {
+
+/// Stands for an empty fingerprint.
+constexpr std::string_view NoFingerprint = "-";
+
+/// Words of the failure header.
+constexpr std::string_view NotRun = "not_run";
+constexpr std::string_view MayHaveRun = "may_have_run";
+constexpr std::string_view AtReplica = "replica";
+constexpr std::string_view AtRouter = "router";
+constexpr std::string_view Crashed = "crashed";
+
+/// \returns the parts of \a text between single spaces.
+std::vector<std::string_view> words(std::string_view text)
+{
+    std::vector<std::string_view> out;
+    while (!text.empty()) {
+        const std::size_t end = text.find(' ');
+        out.push_back(text.substr(0, end));
+        text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
+    }
+    return out;
+}
+
+std::string_view fingerprintWord(const RelayTicket &ticket)
+{
+    return ticket.fingerprint.empty() ? NoFingerprint : std::string_view(ticket.fingerprint);
+}
+
+} // namespace
+
+std::string RelayCodec::encode(const RelayTicket &ticket)
+{
+    return fmt::format("{} {} {} {}", ticket.replica, fingerprintWord(ticket), ticket.sentAtMs,
+                       ticket.signature);
+}
+
+Result<RelayTicket> RelayCodec::decode(std::string_view text)
+{
+    constexpr std::size_t Words = 4;
+    const std::vector<std::string_view> all = words(text);
+    if (all.size() != Words)
+        return Error{.reason = Reason::MalformedRequest, .detail = "not a relay ticket"};
+    RelayTicket out{.replica = std::string(all[0]), .signature = std::string(all[3])};
+    if (all[1] != NoFingerprint)
+        out.fingerprint = all[1];
+    const char *last = all[2].data() + all[2].size();
+    const auto [end, ec] = std::from_chars(all[2].data(), last, out.sentAtMs);
+    if (ec != std::errc() || end != last)
+        return Error{.reason = Reason::MalformedRequest, .detail = "a relay ticket without a time"};
+    return out;
+}
+
+std::string RelayCodec::signedText(const RelayTicket &ticket, std::string_view method,
+                                   std::string_view target, const HttpHeaders &headers,
+                                   std::string_view body)
+{
+    std::string out = fmt::format("{} {} {}\n{} {}\n", ticket.replica, fingerprintWord(ticket),
+                                  ticket.sentAtMs, method, target);
+    for (const HttpHeader &it : headers)
+        out += fmt::format("{}:{}\n", it.first, it.second);
+    out += '\n';
+    out += body;
+    return out;
+}
+
+HttpHeaders RelayCodec::endToEnd(const HttpHeaders &headers)
+{
+    HttpHeaders out;
+    const HopByHopHeaders hopByHop(headers);
+    for (const HttpHeader &it : headers) {
+        if (!hopByHop.contains(it.first) && !sameHeader(it.first, TicketHeader)
+            && !sameHeader(it.first, FailureHeader))
+            out.push_back(it);
+    }
+    return out;
+}
+
+HttpHeader RelayCodec::encodeFailure(const RelayFailure &failure)
+{
+    return {FailureHeader,
+            fmt::format("{} {} {} {}", reasonInfo(failure.error.reason).code,
+                        failure.error.verdict == Verdict::NotRun ? NotRun : MayHaveRun,
+                        failure.isReplicaAtFault ? AtReplica : AtRouter,
+                        failure.hasReplicaCrashed ? Crashed : NoFingerprint)};
+}
+
+std::optional<RelayFailure> RelayCodec::decodeFailure(const HttpHead &head)
+{
+    constexpr std::size_t Words = 4;
+    const std::string_view text = head.header(FailureHeader);
+    if (text.empty())
+        return std::nullopt;
+    const std::vector<std::string_view> all = words(text);
+    RelayFailure out{.error = {.reason = Reason::UpstreamBroken,
+                               .verdict = Verdict::MayHaveRun,
+                               .detail = fmt::format("the relaying router answered {}", text)}};
+    if (all.size() != Words)
+        return out;
+    if (const std::optional<Reason> reason = reasonFromCode(all[0]))
+        out.error.reason = *reason;
+    if (all[1] == NotRun)
+        out.error.verdict = Verdict::NotRun;
+    out.isReplicaAtFault = all[2] == AtReplica;
+    out.hasReplicaCrashed = all[3] == Crashed;
+    return out;
+}
+
+} // namespace catkinloft
--- /dev/null
+++ b/src/Net/RelayServer.cpp
@@ -0,0 +1,316 @@
+#include "Net/RelayServer.h"
+
+#include "Base/Log.h"
+#include "Net/EventLoop.h"
+#include "Net/RelayClient.h"
+#include "Net/internal/ConnectProbe.h"
+
+#include <map>
+#include <set>
+#include <utility>
+
+namespace catkinloft {
+
+namespace {
+
+using namespace std::chrono_literals;
+using internal::ConnectProbe;
+
+/// Relayed requests in progress. Each occupies two connections and some kilobytes.
+constexpr std::size_t MaxRelayed = 400;
+
+/// Age at which a ticket expires. Clocks of VMs may differ by seconds.
+constexpr std::int64_t TicketLifetimeMs = 10'000;
+
+/// Expired tickets are forgotten at this interval.
+constexpr Duration ForgetInterval = 1s;
+
+/// Time until the first byte can be sent to the replica.
+constexpr Duration ConnectTimeout = 150ms;
+
+/// The sender closes its connection at the deadline of the request.
+constexpr Duration CallTimeout = 10min;
+
+constexpr std::size_t MaxBufferedAnswer = 16 * 1024 * 1024;
+
+constexpr int BadGateway = 502;
+
+} // namespace
+
+struct RelayServer::Private
+{
+    /// A request on its way to a replica.
+    struct Relay
+    {
+        HttpExchangePtr exchange;
+        RelayTicket ticket;
+        ReplicaRecord replica;
+        TimePoint sentAt;
+        HttpCallPtr call;
+        HttpHead head;
+        std::string body;
+        bool isStream = false;
+    };
+    using RelayPtr = std::shared_ptr<Relay>;
+
+    explicit Private(Options o) : options(std::move(o)) { }
+
+    void relay(const HttpExchangePtr &exchange);
+    Result<void> admit(const RelayTicket &ticket, const HttpExchange &exchange,
+                       const HttpHeaders &headers);
+    void send(const RelayPtr &it, HttpHeaders headers);
+    void onHead(Relay &it, const HttpHead &head) const;
+    void onData(Relay &it, std::string_view data) const;
+    void onEnd(const RelayPtr &it, const Result<void> &result);
+    void fail(const RelayPtr &it, const Error &error, bool hasReplicaCrashed);
+    static void refuse(HttpExchange &exchange, const Error &error);
+    void remove(const RelayPtr &it);
+    void checkPath(const HttpExchangePtr &exchange);
+    void answerCheck(const HttpExchangePtr &exchange, std::string_view text) const;
+    void forgetOld();
+
+    Options options;
+    std::set<RelayPtr> relays;
+    std::set<std::shared_ptr<ConnectProbe>> probes;
+    std::map<std::string, std::int64_t> seen; ///< Time of each recent ticket, by its signature.
+    TimePoint forgotAt;
+};
+
+RelayServer::RelayServer(Options options) : m_d(std::make_unique<Private>(std::move(options))) { }
+
+RelayServer::~RelayServer() = default;
+
+std::size_t RelayServer::inProgress() const
+{
+    return m_d->relays.size();
+}
+
+bool RelayServer::accepts(const HttpExchange &exchange)
+{
+    return exchange.path() == RelayClient::CheckPath
+            || !exchange.header(RelayCodec::TicketHeader).empty();
+}
+
+void RelayServer::handle(const HttpExchangePtr &exchange)
+{
+    if (exchange->header(RelayCodec::TicketHeader).empty())
+        m_d->checkPath(exchange);
+    else
+        m_d->relay(exchange);
+}
+
+void RelayServer::Private::relay(const HttpExchangePtr &exchange)
+{
+    forgetOld();
+    const HttpHeaders received = exchange->headers();
+    HttpHeaders headers = RelayCodec::endToEnd(received);
+    const Result<RelayTicket> ticket =
+            RelayCodec::decode(exchange->header(RelayCodec::TicketHeader));
+    if (!ticket)
+        return refuse(*exchange, ticket.error());
+    if (const Result<void> admitted = admit(ticket.value(), *exchange, headers); !admitted) {
+        options.metrics.count("catkinloft_relays_refused_total");
+        return refuse(*exchange, admitted.error());
+    }
+    auto it = std::make_shared<Relay>();
+    it->exchange = exchange;
+    it->ticket = ticket.value();
+    it->replica = *options.findReplica(it->ticket.replica);
+    it->sentAt = options.loop.now();
+    relays.insert(it);
+    options.metrics.count("catkinloft_relays_total");
+    send(it, std::move(headers));
+}
+
+Result<void> RelayServer::Private::admit(const RelayTicket &ticket, const HttpExchange &exchange,
+                                         const HttpHeaders &headers)
+{
+    const auto refusal = [](Reason reason, std::string detail) {
+        return Error{.reason = reason, .verdict = Verdict::NotRun, .detail = std::move(detail)};
+    };
+    const std::string target =
+            exchange.query().empty() ? exchange.path() : exchange.path() + "?" + exchange.query();
+    if (!options.verify(ticket.signature,
+                        RelayCodec::signedText(ticket, exchange.method(), target, headers,
+                                               exchange.body())))
+        return refusal(Reason::MalformedRequest, "the ticket is not signed by a router");
+    const std::int64_t now = options.loop.wallNow().time_since_epoch() / 1ms;
+    if (std::abs(now - ticket.sentAtMs) > TicketLifetimeMs
+        || !seen.emplace(ticket.signature, ticket.sentAtMs).second)
+        return refusal(Reason::MalformedRequest, "the ticket has expired or was used before");
+    if (options.isLeaving())
+        return refusal(Reason::Draining, "this router is shutting down");
+    if (!options.isProofFresh())
+        return refusal(Reason::NotReady, "the configuration is not known to be the newest");
+    if (relays.size() >= MaxRelayed)
+        return refusal(Reason::QueueFull, "too many relayed requests are in progress");
+    const ReplicaRecord *replica = options.findReplica(ticket.replica);
+    if (!replica)
+        return refusal(Reason::NoLiveEngine, "the replica is not registered here or is leaving");
+    if (options.isPathLost(*replica))
+        return refusal(Reason::UpstreamUnreachable, "this router doesn't reach the replica either");
+    return outcome::success();
+}
+
+void RelayServer::Private::send(const RelayPtr &it, HttpHeaders headers)
+{
+    HttpExchange &exchange = *it->exchange;
+    const std::weak_ptr<Relay> weak = it;
+    exchange.onClosed([this, weak] {
+        if (const RelayPtr held = weak.lock())
+            remove(held);
+    });
+    const std::string target =
+            exchange.query().empty() ? exchange.path() : exchange.path() + "?" + exchange.query();
+    it->call = options.client.send({.address = it->replica.address,
+                                    .method = exchange.method(),
+                                    .target = target,
+                                    .headers = std::move(headers),
+                                    .body = std::string(exchange.body()),
+                                    .timeout = CallTimeout,
+                                    .maxBodyBytes = MaxBufferedAnswer,
+                                    .connectTimeout = ConnectTimeout,
+                                    .maxIdleAge = 1s,
+                                    .acceptsUnframed = true},
+                                   {.onHead =
+                                            [this, weak](const HttpHead &head) {
+                                                if (const RelayPtr held = weak.lock())
+                                                    onHead(*held, head);
+                                            },
+                                    .onData =
+                                            [this, weak](std::string_view data) {
+                                                if (const RelayPtr held = weak.lock())
+                                                    onData(*held, data);
+                                            },
+                                    .onEnd =
+                                            [this, weak](const Result<void> &result) {
+                                                if (const RelayPtr held = weak.lock())
+                                                    onEnd(held, result);
+                                            }});
+}
+
+/// Answers without a length are streams, whose events are forwarded as they arrive.
+void RelayServer::Private::onHead(Relay &it, const HttpHead &head) const
+{
+    it.head = head;
+    it.isStream = head.header("Content-Length").empty();
+    if (!it.isStream)
+        return;
+    it.exchange->onDrained([weak = std::weak_ptr<HttpExchange>(it.exchange), call = it.call.get()] {
+        if (weak.lock())
+            call->resume();
+    });
+    it.exchange->beginStream(head.status, RelayCodec::endToEnd(head.headers));
+}
+
+void RelayServer::Private::onData(Relay &it, std::string_view data) const
+{
+    if (!it.isStream) {
+        it.body += data;
+        return;
+    }
+    it.exchange->write(data);
+    if (it.exchange->backlog() > options.maxBacklog)
+        it.call->pause();
+}
+
+void RelayServer::Private::onEnd(const RelayPtr &it, const Result<void> &result)
+{
+    if (result) {
+        if (it->isStream)
+            it->exchange->end();
+        else
+            it->exchange->respond(it->head.status, RelayCodec::endToEnd(it->head.headers),
+                                  it->body);
+        return remove(it);
+    }
+    const Error error = result.error();
+    if (error.reason == Reason::UpstreamUnreachable && error.verdict == Verdict::NotRun)
+        options.pathFailed(it->replica);
+    if (error.reason != Reason::UpstreamBroken || error.verdict == Verdict::NotRun
+        || it->ticket.fingerprint.empty())
+        return fail(it, error, false);
+    options.crashes.checkReplica({.requestId = {},
+                                  .fingerprint = it->ticket.fingerprint,
+                                  .replica = it->ticket.replica,
+                                  .software = it->replica.software(),
+                                  .address = it->replica.address,
+                                  .sentAt = it->sentAt},
+                                 CrashWatch::AliveCriterion::Accepts,
+                                 [this, weak = std::weak_ptr<Relay>(it), error](bool crashed) {
+                                     if (const RelayPtr held = weak.lock())
+                                         fail(held, error, crashed);
+                                 });
+}
+
+void RelayServer::Private::fail(const RelayPtr &it, const Error &error, bool hasReplicaCrashed)
+{
+    Log::info("relay_failed",
+              {{"replica", it->replica.id},
+               {"reason", reasonInfo(error.reason).code},
+               {"detail", error.detail}});
+    if (it->exchange->isStreaming())
+        it->exchange->abort();
+    else
+        it->exchange->respond(BadGateway,
+                              {RelayCodec::encodeFailure({.error = error,
+                                                          .isReplicaAtFault = true,
+                                                          .hasReplicaCrashed = hasReplicaCrashed})},
+                              {});
+    remove(it);
+}
+
+void RelayServer::Private::refuse(HttpExchange &exchange, const Error &error)
+{
+    exchange.respond(BadGateway, {RelayCodec::encodeFailure({.error = error})}, {});
+}
+
+void RelayServer::Private::remove(const RelayPtr &it)
+{
+    relays.erase(it);
+    // The call must not be destroyed from within its own callback.
+    options.loop.post([held = it] { held->call.reset(); });
+}
+
+void RelayServer::Private::checkPath(const HttpExchangePtr &exchange)
+{
+    const std::string target = exchange->path() + "?" + exchange->query();
+    if (!options.verify(exchange->header(RelayClient::SignatureHeader), target))
+        return exchange->respond(403, {}, {});
+    const ReplicaRecord *replica = options.findReplica(exchange->queryValue("replica"));
+    if (!replica || options.isPathLost(*replica))
+        return answerCheck(exchange, "unknown");
+    auto held = std::make_shared<std::shared_ptr<ConnectProbe>>();
+    const auto found = [this, exchange, held](ConnectProbe::Outcome outcome) {
+        if (outcome == ConnectProbe::Outcome::Connected)
+            return;
+        const std::shared_ptr<ConnectProbe> probe = std::exchange(*held, nullptr);
+        if (!probe)
+            return;
+        answerCheck(exchange,
+                    outcome == ConnectProbe::Outcome::Closed               ? "refused"
+                            : outcome == ConnectProbe::Outcome::StayedOpen ? "reached"
+                                                                           : "unknown");
+        probes.erase(probe);
+        options.loop.post([probe] {});
+    };
+    *held = std::make_shared<ConnectProbe>(options.loop, replica->address, options.sourceIp, found);
+    probes.insert(*held);
+}
+
+void RelayServer::Private::answerCheck(const HttpExchangePtr &exchange, std::string_view text) const
+{
+    exchange->respond(200, {{"Content-Type", "text/plain"}}, text);
+}
+
+void RelayServer::Private::forgetOld()
+{
+    const TimePoint now = options.loop.now();
+    if (now - forgotAt < ForgetInterval)
+        return;
+    forgotAt = now;
+    const std::int64_t oldest = options.loop.wallNow().time_since_epoch() / 1ms - TicketLifetimeMs;
+    std::erase_if(seen, [oldest](const auto &it) { return it.second < oldest; });
+}
+
+} // namespace catkinloft
--- a/src/Net/RequestEvent.cpp
+++ b/src/Net/RequestEvent.cpp
@@ -63,7 +63,8 @@
                                      {"candidates", it.candidates},
                                      {"kept_tokens", it.cachedPromptTokens},
                                      {"prompt_tokens", it.promptTokens},
-                                     {"copied_from", it.copiedFrom}}));
+                                     {"copied_from", it.copiedFrom},
+                                     {"relay", it.relay}}));
         return;
     }
     const bool succeeded =
--- a/src/Net/RequestEvent.h
+++ b/src/Net/RequestEvent.h
@@ -40,6 +40,7 @@
     int candidates = 0; ///< Number of replicas that it was chosen from.
     double cachedPromptTokens = 0; ///< Prompt tokens that the replica was estimated to cache.
     double promptTokens = 0; ///< Tokens of the prompt parts that requests may share.
+    std::string relay = {}; ///< Router that relays it; empty: sent directly.
     std::string copiedFrom = {}; ///< Address of a replica that caches more of it; empty: none.
 
     int status = 0; ///< Status sent to the caller; 0: none.
--- a/src/Net/ServicePools.cpp
+++ b/src/Net/ServicePools.cpp
@@ -18,6 +18,24 @@
 
 } // namespace
 
+void ServicePool::pathLost(const std::string &id)
+{
+    const bool wasPartitioned = paths.isPartitioned();
+    if (!paths.failed(id) || !paths.isPartitioned())
+        return;
+    if (wasPartitioned)
+        return replicas.forgetFailures(id);
+    for (const std::string &it : paths.broken())
+        replicas.forgetFailures(it);
+}
+
+void ServicePool::pathRegained(const std::string &id)
+{
+    const bool wasPartitioned = paths.isPartitioned();
+    if (paths.connected(id) && wasPartitioned)
+        replicas.forgetFailures(id);
+}
+
 ServicePools::ServicePools(const Clock &clock, RandomSource random, const EntrySettings &settings,
                            Fleet fleet)
     : m_clock(clock), m_random(std::move(random)), m_settings(settings), m_fleet(std::move(fleet))
@@ -63,11 +81,11 @@
     return it == m_replicas.end() ? nullptr : &*it;
 }
 
-std::vector<std::string> ServicePools::partitionedServices() const
+std::vector<std::string> ServicePools::unreachableServices() const
 {
     std::vector<std::string> out;
     for (const auto &[service, pool] : m_pools) {
-        if (pool->paths.isPartitioned())
+        if (pool->paths.isMostlyLost())
             out.push_back(service);
     }
     return out;
@@ -77,7 +95,7 @@
 {
     std::size_t n = 0;
     for (const auto &[service, pool] : m_pools)
-        n += pool->paths.brokenCount();
+        n += pool->paths.broken().size();
     return n;
 }
 
@@ -107,7 +125,7 @@
 {
     for (const auto &[service, pool] : m_pools) {
         pool->replicas.excludeFor(replica, pause);
-        pool->replicas.noteUnreachable(replica);
+        pool->replicas.noteUnreachable(replica, pause);
     }
 }
 
--- a/src/Net/ServicePools.h
+++ b/src/Net/ServicePools.h
@@ -31,6 +31,13 @@
     ConnectionReusePolicy connectionReuse;
     LoadShedder shedder;
     PathMonitor paths;
+
+    /// \brief Records that no connection to replica \a id could be established. While the service
+    /// is partitioned, what failed on lost paths doesn't count against the replicas.
+    void pathLost(const std::string &id);
+
+    /// \brief Records that a new connection to replica \a id was established.
+    void pathRegained(const std::string &id);
     PrefillTimeout prefillEstimate = {};
 };
 
@@ -90,8 +97,8 @@
     /// \returns the registration of replica \a incarnation, or null.
     const ReplicaRecord *findReplica(std::string_view incarnation) const;
 
-    /// \returns the services from which this router is partitioned. \sa PathMonitor
-    std::vector<std::string> partitionedServices() const;
+    /// \returns the services for which this router can't relay. \sa PathMonitor::isMostlyLost()
+    std::vector<std::string> unreachableServices() const;
 
     /// \returns the number of replicas to which this router has no network path.
     std::size_t lostPaths() const;
--- a/test/ColdRateLimitTest.cpp
+++ b/test/ColdRateLimitTest.cpp
@@ -241,7 +241,7 @@
     introduceAll();
     setReplicas(0, 2);
     for (Router &it : routers)
-        it.pool->noteUnreachable("warm-0");
+        it.pool->noteUnreachable("warm-0", 0s);
     load(400, 2s);
     CHECK(mostInASecond("warm-0") <= FleetLimit);
     CHECK(refused == 0);
--- /dev/null
+++ b/test/RelayTest.cpp
@@ -0,0 +1,319 @@
+#include "Control/PeerGuard.h"
+#include "Net/EventLoop.h"
+#include "Net/HttpServer.h"
+#include "Net/RelayClient.h"
+#include "Net/RelayServer.h"
+#include "ScriptedReplica.h"
+
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <optional>
+
+#include <fmt/format.h>
+#include <unistd.h>
+
+using namespace catkinloft;
+using namespace std::chrono_literals;
+using Reply = ScriptedReplica::Reply;
+using End = ScriptedReplica::End;
+
+namespace {
+
+/// A router that sends requests, and another one that relays them to a scripted replica.
+struct RelayFixture
+{
+    RelayFixture()
+    {
+        REQUIRE(server.listen());
+        script = [](const std::string &request, std::size_t) {
+            return Reply{.bytes = ScriptedReplica::answer(request, 200, "fine")};
+        };
+    }
+
+    HttpCall call() const
+    {
+        return {.address = {},
+                .method = "POST",
+                .target = "/svc/a?b=1",
+                .headers = {{"Host", "h.example"}, {"X-Request-Id", "r1"}},
+                .body = "text",
+                .timeout = 2s};
+    }
+
+    HttpCall relayedCall()
+    {
+        return relay.relayed(call(), peer, {.replica = "i-1", .fingerprint = "f1"});
+    }
+
+    /// Sends \a it and waits for the end.
+    void send(HttpCall it)
+    {
+        head.reset();
+        result.reset();
+        body.clear();
+        handle = client.send(std::move(it),
+                             {.onHead = [this](const HttpHead &received) { head = received; },
+                              .onData = [this](std::string_view data) { body += data; },
+                              .onEnd = [this](Result<void> ended) { result = std::move(ended); }});
+        until([this] { return result.has_value(); });
+        REQUIRE(result);
+    }
+
+    /// \returns the failure that the relaying router reported for the last call.
+    std::optional<RelayFailure> failure() const
+    {
+        return head ? RelayCodec::decodeFailure(*head) : std::nullopt;
+    }
+
+    bool until(const std::function<bool()> &condition, int turns = 4000)
+    {
+        for (int i = 0; i < turns; ++i) {
+            loop.runOnce();
+            if (condition())
+                return true;
+            usleep(1000);
+        }
+        return false;
+    }
+
+    static constexpr std::uint16_t Port = 18474;
+
+    EventLoop loop;
+    Metrics metrics;
+    HttpClient client{loop};
+    CrashWatch crashes{{.loop = loop,
+                        .metrics = metrics,
+                        .attemptCrashed = [this](const CrashWatch::BrokenAttempt &it, TimePoint) {
+                            crashedWith = it.fingerprint;
+                        }}};
+    PeerGuard guard{{.clock = loop, .self = "a", .keys = {{.id = "k", .secret = "secret"}}}};
+    ScriptedReplica::Script script;
+    ScriptedReplica replica{
+            loop, [this](const std::string &request, std::size_t n) { return script(request, n); }};
+    ReplicaRecord record{.id = "i-1", .service = "svc", .address = replica.address()};
+    bool isRegistered = true;
+    bool isPathLost = false;
+    bool isProofFresh = true;
+    bool isLeaving = false;
+    std::string crashedWith;
+    RelayServer relayServer{
+            {.loop = loop,
+             .client = client,
+             .metrics = metrics,
+             .crashes = crashes,
+             .verify = [this](std::string_view signature,
+                              std::string_view text) { return guard.verify(signature, text); },
+             .findReplica = [this](std::string_view id) -> const ReplicaRecord * {
+                 return isRegistered && id == record.id ? &record : nullptr;
+             },
+             .isPathLost = [this](const ReplicaRecord &) { return isPathLost; },
+             .isProofFresh = [this] { return isProofFresh; },
+             .isLeaving = [this] { return isLeaving; }}};
+    HttpServer server{loop,
+                      {.address = fmt::format("127.0.0.1:{}", Port)},
+                      [this](const HttpExchangePtr &it) { relayServer.handle(it); }};
+    RelayPeer peer{.name = "b", .address = fmt::format("127.0.0.1:{}", Port)};
+    std::vector<RelayPeer> peers{peer};
+    RelayClient relay{{.loop = loop,
+                       .client = client,
+                       .random = seededRandom(1),
+                       .failureDomain = "d0",
+                       .peers = [this](const std::string &) { return peers; },
+                       .sign = [this](std::string_view text) { return guard.sign(text); }}};
+    HttpCallPtr handle;
+    std::optional<HttpHead> head;
+    std::string body;
+    std::optional<Result<void>> result;
+};
+
+} // namespace
+
+// Guards against a relayed request that differs from the one that the sender would send itself.
+TEST_CASE_FIXTURE(RelayFixture, "relay_call_reachesReplicaUnchangedAndIsAnswered")
+{
+    send(relayedCall());
+    CHECK(*result);
+    CHECK(head->status == 200);
+    CHECK(body == "fine");
+    CHECK_FALSE(head->header("X-Response-Signature").empty());
+    REQUIRE(replica.requests().size() == 1);
+    const std::string &request = replica.requests().front();
+    CHECK(request.starts_with("POST /svc/a?b=1 HTTP/1.1\r\n"));
+    CHECK(request.ends_with("\r\n\r\ntext"));
+    CHECK(ScriptedReplica::headerOf(request, "X-Request-Id") == "r1");
+    CHECK(ScriptedReplica::headerOf(request, "Host") == "h.example");
+    CHECK(ScriptedReplica::headerOf(request, RelayCodec::TicketHeader).empty());
+}
+
+// Guards against events of a relayed stream that are held back until it ends.
+TEST_CASE_FIXTURE(RelayFixture, "relay_stream_eventsArriveBeforeItEnds")
+{
+    script = [](const std::string &request, std::size_t) {
+        return Reply{.bytes = ScriptedReplica::streamHead(request) + ScriptedReplica::events(1, 2)};
+    };
+    handle = client.send(relayedCall(),
+                         {.onHead = [this](const HttpHead &it) { head = it; },
+                          .onData = [this](std::string_view data) { body += data; }});
+    CHECK(until([this] {
+        return body.find("id: 2") != std::string::npos || body.find("id:2") != std::string::npos;
+    }));
+}
+
+// Guards against a replica that works on for a caller who has left.
+TEST_CASE_FIXTURE(RelayFixture, "relay_senderCloses_connectionToReplicaIsClosed")
+{
+    script = [](const std::string &request, std::size_t) {
+        return Reply{.bytes = ScriptedReplica::streamHead(request) + ScriptedReplica::events(1, 1)};
+    };
+    handle =
+            client.send(relayedCall(), {.onData = [this](std::string_view data) { body += data; }});
+    REQUIRE(until([this] { return !body.empty(); }));
+    handle.reset();
+    CHECK(until([this] { return replica.openConnections() == 0; }, 500));
+    CHECK(relayServer.inProgress() == 0);
+}
+
+// Guards against callers, or anyone who can reach the port, sending requests past the filters.
+TEST_CASE_FIXTURE(RelayFixture, "relay_requestIsForgedOrChanged_isNotForwarded")
+{
+    HttpCall changedBody = relayedCall();
+    changedBody.body = "other";
+    send(changedBody);
+    REQUIRE(failure());
+    CHECK((failure()->error.verdict == Verdict::NotRun));
+    HttpCall changedHeader = relayedCall();
+    changedHeader.headers.emplace_back("X-Tenant", "other");
+    send(changedHeader);
+    CHECK(failure());
+    HttpCall changedTarget = relayedCall();
+    changedTarget.target = "/svc/b";
+    send(changedTarget);
+    CHECK(failure());
+    HttpCall unsignedCall = relayedCall();
+    unsignedCall.headers.back().second = "i-1 f1 1 k.0";
+    send(unsignedCall);
+    CHECK(failure());
+    CHECK(replica.requests().empty());
+}
+
+// Guards against a request that runs twice because its bytes are sent to the relaying router again.
+TEST_CASE_FIXTURE(RelayFixture, "relay_ticketIsUsedAgain_secondRequestIsNotForwarded")
+{
+    const HttpCall once = relayedCall();
+    send(once);
+    CHECK_FALSE(failure());
+    send(once);
+    REQUIRE(failure());
+    CHECK((failure()->error.verdict == Verdict::NotRun));
+    CHECK(replica.requests().size() == 1);
+}
+
+// Guards against relayed requests that a leaving replica, a suspended or leaving router, or a
+// router without a path would take.
+TEST_CASE_FIXTURE(RelayFixture, "relay_routerMayNotForward_refusesWithoutRunning")
+{
+    for (bool *it : {&isRegistered, &isProofFresh}) {
+        *it = false;
+        send(relayedCall());
+        REQUIRE(failure());
+        CHECK((failure()->error.verdict == Verdict::NotRun));
+        CHECK_FALSE(failure()->isReplicaAtFault);
+        *it = true;
+    }
+    for (bool *it : {&isPathLost, &isLeaving}) {
+        *it = true;
+        send(relayedCall());
+        REQUIRE(failure());
+        CHECK((failure()->error.verdict == Verdict::NotRun));
+        CHECK_FALSE(failure()->isReplicaAtFault);
+        *it = false;
+    }
+    CHECK(replica.requests().empty());
+}
+
+// Guards against a request that is said not to have run after its bytes were sent, and against a
+// deadly request that isn't recognised because a router relays it.
+TEST_CASE_FIXTURE(RelayFixture, "relay_replicaCrashes_requestMayHaveRunAndCrashIsRecorded")
+{
+    script = [](const std::string &, std::size_t) { return Reply{.end = End::Crash}; };
+    send(relayedCall());
+    REQUIRE(failure());
+    CHECK((failure()->error.verdict == Verdict::MayHaveRun));
+    CHECK(failure()->isReplicaAtFault);
+    CHECK(failure()->hasReplicaCrashed);
+    CHECK(crashedWith == "f1");
+}
+
+// Guards against a request that can't be sent elsewhere although it was never sent.
+TEST_CASE_FIXTURE(RelayFixture, "relay_replicaRefusesConnection_requestHasNotRun")
+{
+    record.address = "127.0.0.1:1";
+    send(relayedCall());
+    REQUIRE(failure());
+    CHECK((failure()->error.verdict == Verdict::NotRun));
+    CHECK(failure()->isReplicaAtFault);
+}
+
+// Guards against a stream that looks complete because the replica broke off behind a relay.
+TEST_CASE_FIXTURE(RelayFixture, "relay_streamBreaks_endIsNotRegular")
+{
+    script = [](const std::string &request, std::size_t) {
+        return Reply{.bytes = ScriptedReplica::streamHead(request) + ScriptedReplica::events(1, 2),
+                     .end = End::Reset};
+    };
+    send(relayedCall());
+    CHECK_FALSE(*result);
+}
+
+// Guards against a replica whose answer makes the sender believe that its request did not run.
+TEST_CASE_FIXTURE(RelayFixture, "relay_replicaSendsFailureHeader_isNotPassedOn")
+{
+    script = [](const std::string &request, std::size_t) {
+        return Reply{.bytes = ScriptedReplica::answer(
+                             request, 200, "fine",
+                             "X-Catkinloft-Relay-Failure: internal not_run router -\r\n")};
+    };
+    send(relayedCall());
+    CHECK_FALSE(failure());
+    CHECK(body == "fine");
+}
+
+// Guards against relayed requests that all go through one router, and against a far one where a
+// near one would do.
+TEST_CASE_FIXTURE(RelayFixture, "relay_severalRouters_nearOnesShareTheRequests")
+{
+    peers.clear();
+    for (int i = 0; i < 6; ++i)
+        peers.push_back(
+                {.name = fmt::format("r{}", i), .failureDomain = fmt::format("d{}", i / 2)});
+    std::map<std::string, int> chosen;
+    for (int i = 0; i < 600; ++i)
+        ++chosen[relay.choose("svc", "d1")->name];
+    for (const char *it : {"r0", "r1", "r2", "r3"})
+        CHECK(chosen[it] > 75);
+    CHECK(chosen["r4"] + chosen["r5"] < 60);
+    relay.noteFailed("r0");
+    for (int i = 0; i < 100; ++i)
+        CHECK(relay.choose("svc", "d1")->name != "r0");
+}
+
+// Guards against a router that announces the crash of a replica that others reach.
+TEST_CASE_FIXTURE(RelayFixture, "relay_otherRouterReachesReplica_crashIsNotConfirmed")
+{
+    std::optional<RelayClient::PathState> state;
+    const auto ask = [&] {
+        state.reset();
+        relay.checkPath("svc", "i-1", [&](RelayClient::PathState it) { state = it; });
+        until([&] { return state.has_value(); });
+        REQUIRE(state);
+        return *state;
+    };
+    CHECK((ask() == RelayClient::PathState::Reached));
+    record.address = "127.0.0.1:1";
+    CHECK((ask() == RelayClient::PathState::Refused));
+    isPathLost = true;
+    CHECK((ask() == RelayClient::PathState::Unknown));
+    peers.clear();
+    CHECK((ask() == RelayClient::PathState::Unknown));
+}
