A crash is announced only if another router confirms it

What callers saw: while two routers were cut off by connections that are accepted and closed, the four others served 25 of 480 requests too, although all their paths worked.

Cause: a closed connection looks like a crashed replica. The cut routers concluded that every replica had crashed and announced it; the others excluded all of them for three seconds, again and again (replica_crash_told: 88 lines on one). Evidence about a router's own path was passed on as evidence about replicas. It also counted against the requests that were on their way, towards their quarantine.

Before a crash counts, up to three other routers are asked whether they reach the replica. If one does, or none knows, only the path is lost. Without other routers the own finding counts, as before.

--- a/src/Net/CrashWatch.cpp
+++ b/src/Net/CrashWatch.cpp
@@ -48,6 +48,7 @@
     TimePoint brokeAt; ///< When the first of the attempts broke.
     std::unique_ptr<ConnectProbe> probe;
     bool connected = false;
+    bool confirming = false; ///< Other routers are asked whether it crashed.
     std::vector<PendingCheck> attempts;
 };
 
@@ -61,6 +62,7 @@
 
     CheckPtr start(const BrokenAttempt &attempt);
     void found(const CheckPtr &check, Outcome result);
+    void conclude(const CheckPtr &check, Outcome result);
     void crashed(const Check &check);
     void reportCrash(const BrokenAttempt &attempt, TimePoint crashedAt);
     void closeToAttempts(const CheckPtr &check);
@@ -112,6 +114,19 @@
 }
 
 void CrashWatch::Private::found(const CheckPtr &check, Outcome result)
+{
+    if (check->confirming)
+        return;
+    if (result != Outcome::Closed)
+        return conclude(check, result);
+    check->confirming = true;
+    options.confirm(check->replica, [this, weak = std::weak_ptr<Check>(check)](bool crashed) {
+        if (const CheckPtr held = weak.lock())
+            conclude(held, crashed ? Outcome::Closed : Outcome::Unreachable);
+    });
+}
+
+void CrashWatch::Private::conclude(const CheckPtr &check, Outcome result)
 {
     if (result == Outcome::Closed)
         crashed(*check);
--- a/src/Net/CrashWatch.h
+++ b/src/Net/CrashWatch.h
@@ -43,6 +43,10 @@
         EventLoop &loop;
         Metrics &metrics;
         std::string sourceIp = {}; ///< IP that connections are opened from; empty: any.
+        /// Calls \a done with whether other routers found that replica \a id, which looks crashed
+        /// from here, doesn't run. Otherwise only the path from this router failed.
+        std::function<void(const std::string &id, std::function<void(bool)> done)> confirm =
+                [](const std::string &, const std::function<void(bool)> &done) { done(true); };
         /// Called for each attempt that broke because its replica crashed, with the time of the
         /// crash.
         std::function<void(const BrokenAttempt &, TimePoint crashedAt)> attemptCrashed =
--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -109,6 +109,7 @@
     void storeAnswered(TimePoint at);
     std::vector<RelayPeer> relayPeers(const std::string &service);
     const ReplicaRecord *findRelayTarget(std::string_view incarnation) const;
+    void confirmCrash(const std::string &id, std::function<void(bool)> done);
     void noteToldCrash(const std::string &router, const CrashUpdate::Crash &crash);
     void discoverPrompts();
     void handlePromptList(const ReplicaRecord &engine, std::span<const PromptPart> prompts);
@@ -177,6 +178,10 @@
       crashes({.loop = loop,
                .metrics = metrics,
                .sourceIp = settings.sourceIp,
+               .confirm =
+                       [this](const std::string &id, std::function<void(bool)> done) {
+                           confirmCrash(id, std::move(done));
+                       },
                .attemptCrashed =
                        [this](const CrashWatch::BrokenAttempt &it, TimePoint crashedAt) {
                            quarantine.replicaCrashed(it.fingerprint, it.replica, it.software,
@@ -417,6 +422,26 @@
     return isAllowed ? out : nullptr;
 }
 
+/// While this router is cut off from replicas, each of them looks crashed from here.
+void EntryProcess::Private::confirmCrash(const std::string &id, std::function<void(bool)> done)
+{
+    const ReplicaRecord *replica = pools.findReplica(id);
+    const std::string service = replica ? replica->service : std::string();
+    if (!replica || relayPeers(service).empty())
+        return done(true);
+    relay.checkPath(service, id,
+                    [this, id, service, done = std::move(done)](RelayClient::PathState state) {
+                        const bool crashed = state == RelayClient::PathState::Refused;
+                        if (!crashed) {
+                            Log::info("replica_crash_not_confirmed",
+                                      {{"replica", id},
+                                       {"reached", state == RelayClient::PathState::Reached}});
+                            pools.of(service).pathLost(id);
+                        }
+                        done(crashed);
+                    });
+}
+
 void EntryProcess::Private::receiveUnverifiedHeartbeat(const RouterHeartbeat &heartbeat)
 {
     if (unverified.size() < MaxUnverifiedRouters)
