--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -729,8 +729,11 @@
 {
     if (hasRelayRefused())
         return;
-    if (m_relay)
-        return m_service->replicas.excludeFor(m_incarnation, UnreachablePause);
+    if (m_relay) {
+        if (m_context.relay->isUnreachableToo(m_relay->name, m_incarnation))
+            m_service->replicas.excludeFor(m_incarnation, UnreachablePause);
+        return;
+    }
     m_service->replicas.noteUnreachable(m_incarnation, UnreachablePause);
     m_service->pathLost(m_incarnation);
     m_context.client.dropIdle(m_replica.address);
--- a/src/Net/RelayClient.cpp
+++ b/src/Net/RelayClient.cpp
@@ -17,6 +17,9 @@
 /// Time for which a router that did not relay a request is avoided.
 constexpr Duration AvoidTime = 1s;
 
+/// Time for which the finding of a router that it can't connect to a replica counts.
+constexpr Duration FindingLifetime = 2s;
+
 /// Factor on the chance of routers outside of the failure domains of this router and the replica.
 constexpr double FarFactor = 0.1;
 
@@ -86,6 +89,17 @@
     m_avoidedUntil[name] = m_options.loop.now() + AvoidTime;
 }
 
+bool RelayClient::isUnreachableToo(const std::string &name, const std::string &id)
+{
+    const TimePoint now = m_options.loop.now();
+    for (auto &[replica, routers] : m_unreachable)
+        std::erase_if(routers, [now](const auto &it) { return now - it.second > FindingLifetime; });
+    std::erase_if(m_unreachable, [](const auto &it) { return it.second.empty(); });
+    std::map<std::string, TimePoint> &routers = m_unreachable[id];
+    routers[name] = now;
+    return routers.size() > 1;
+}
+
 HttpCall RelayClient::relayed(HttpCall call, const RelayPeer &peer, RelayTicket ticket) const
 {
     call.address = peer.address;
--- a/src/Net/RelayClient.h
+++ b/src/Net/RelayClient.h
@@ -71,6 +71,11 @@
     /// \brief Avoids router \a name for a while, because it did not relay a request.
     void noteFailed(const std::string &name);
 
+    /// \brief Records that router \a name could not connect to replica \a id.
+    /// \returns whether two routers found so recently, so that the replica is probably down. One
+    /// alone may have lost its own path.
+    bool isUnreachableToo(const std::string &name, const std::string &id);
+
     /// \returns \a call, changed so that \a peer relays it to the replica of \a ticket.
     HttpCall relayed(HttpCall call, const RelayPeer &peer, RelayTicket ticket) const;
 
@@ -84,6 +89,8 @@
 
     Options m_options;
     std::map<std::string, TimePoint> m_avoidedUntil; ///< By name of the router.
+    /// When a router could not connect to a replica, by replica and name of the router.
+    std::map<std::string, std::map<std::string, TimePoint>> m_unreachable;
 };
 
 } // namespace catkinloft
--- a/test/RelayTest.cpp
+++ b/test/RelayTest.cpp
@@ -317,3 +317,13 @@
     peers.clear();
     CHECK((ask() == RelayClient::PathState::Unknown));
 }
+
+// Guards against a sound replica that is excluded because the relaying router has just lost its
+// path as well.
+TEST_CASE_FIXTURE(RelayFixture, "relay_oneRouterCannotConnect_replicaIsNotTakenForDown")
+{
+    CHECK_FALSE(relay.isUnreachableToo("r0", "i-1"));
+    CHECK_FALSE(relay.isUnreachableToo("r0", "i-1"));
+    CHECK_FALSE(relay.isUnreachableToo("r1", "i-2"));
+    CHECK(relay.isUnreachableToo("r1", "i-1"));
+}
