A third of the replicas must be out of reach before requests are relayed; partitions in the soak

Two crashed replicas of nine no longer count as a partition, which would send requests placed on them through other routers. Checks of silent replicas are limited to four a second and service, since an overloaded service is late on all paths. A relaying router that has lost the path too reports that the replica may be down, instead of being avoided. Tickets carry a number: two attempts in the same millisecond had the same ticket, and the second was refused as used.

Soak: single routers are partitioned from all replicas (dropped packets, resets, new connections refused) with ++++ and by default.

--- a/soak/SoakPlan.cpp
+++ b/soak/SoakPlan.cpp
@@ -54,6 +54,12 @@
         KindInfo{FaultKind::StoreRestored, "store_restored", true, 200ms, 3s},
 };
 
+constexpr std::array PartitionKinds = {
+        KindInfo{FaultKind::RouterPartitioned, "router_partitioned", true, 2s, 6s},
+        KindInfo{FaultKind::RouterReset, "router_reset", true, 2s, 6s},
+        KindInfo{FaultKind::RouterRefused, "router_refused", true, 2s, 6s},
+};
+
 Duration between(const RandomSource &random, Duration a, Duration b)
 {
     return a + scaled(b - a, uniform(random));
@@ -85,7 +91,8 @@
 {
     for (const std::span<const KindInfo> kinds :
          {std::span<const KindInfo>(Kinds), std::span<const KindInfo>(ReplicaKinds),
-          std::span<const KindInfo>(DomainKinds), std::span<const KindInfo>(StoreKinds)}) {
+          std::span<const KindInfo>(DomainKinds), std::span<const KindInfo>(StoreKinds),
+          std::span<const KindInfo>(PartitionKinds)}) {
         if (const std::string_view name = nameIn(kinds, kind); !name.empty())
             return name;
     }
@@ -104,6 +111,22 @@
     return drawOneOfEach(DomainKinds, random, length, replicas);
 }
 
+std::vector<Fault> drawPartitions(const RandomSource &random, Duration length, std::size_t routers)
+{
+    const KindInfo &info = PartitionKinds[below(random, PartitionKinds.size())];
+    const Duration at = between(random, 1s, length);
+    const Duration partition = between(random, info.shortest, info.longest);
+    const std::size_t first = below(random, routers);
+    const std::size_t n = 1 + below(random, routers - 1);
+    std::vector<Fault> out;
+    for (std::size_t i = 0; i < n; ++i)
+        out.push_back({.kind = info.kind,
+                       .at = at,
+                       .length = partition,
+                       .target = (first + i) % routers});
+    return out;
+}
+
 std::vector<Fault> drawStoreRestores(const RandomSource &random, Duration length)
 {
     const KindInfo &info = StoreKinds.front();
--- a/soak/SoakPlan.h
+++ b/soak/SoakPlan.h
@@ -32,6 +32,9 @@
     FatalRequest, ///< A request that crashes the replicas that run it is sent repeatedly.
     DomainEvacuated, ///< Nothing may be sent to the replicas of one failure domain.
     ReplicaTurnsCold, ///< Handles few requests per second and crashes above its limit.
+    RouterPartitioned, ///< Packets between one router and all replicas are dropped.
+    RouterReset, ///< One router's connections to all replicas are closed, also new ones.
+    RouterRefused, ///< One router's new connections to all replicas are reset.
     StoreRestored, ///< The store is down and returns from a copy that is some seconds old.
 };
 
@@ -60,6 +63,9 @@
 /// same reason.
 std::vector<Fault> drawStoreRestores(const RandomSource &random, Duration length);
 
+/// \returns partitions of single routers from all replicas, drawn separately for the same reason.
+std::vector<Fault> drawPartitions(const RandomSource &random, Duration length, std::size_t routers);
+
 /// \returns the faults of a run, drawn from \a random and ordered by time: single faults, series of
 /// one kind, and overlapping faults.
 std::vector<Fault> drawFaults(const RandomSource &random, Duration length, std::size_t routers,
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -35,6 +35,9 @@
 /// Separates the random numbers of restores of the store from those of the other faults.
 constexpr std::uint64_t RestoreSeed = 0xC0B1;
 
+/// Separates the random numbers of partitions from those of the other faults.
+constexpr std::uint64_t PartitionSeed = 0x9A27;
+
 /// Time in which a replica that resumes after a pause receives what was sent to it meanwhile.
 constexpr Duration BacklogTime = 1s;
 
@@ -56,6 +59,14 @@
     return out;
 }
 
+/// \returns the name of a partition for FaultProxy.
+std::string partitionName(FaultKind kind)
+{
+    if (kind == FaultKind::RouterPartitioned)
+        return "drop";
+    return kind == FaultKind::RouterReset ? "reset" : "refuse_new";
+}
+
 bool disturbsControl(FaultKind kind)
 {
     return kind <= FaultKind::StorePathSilent || kind == FaultKind::StoreRestored;
@@ -92,6 +103,11 @@
             out.faults.push_back(it);
         m_copyTimer = std::make_unique<Timer>(m_loop, [this] { m_fleet.copyStore(); });
     }
+    if (m_options.withPartitions) {
+        const RandomSource faultRandom = seededRandom(m_options.seed ^ PartitionSeed);
+        for (const Fault &it : drawPartitions(faultRandom, m_options.length, m_options.routers))
+            out.faults.push_back(it);
+    }
     m_history.domainOf = [this](const std::string &id) { return m_fleet.domainOfId(id); };
     m_fleet.start();
     m_load.emplace(SoakLoad::Options{.loop = m_loop, .fleet = m_fleet, .random = m_random});
@@ -148,6 +164,12 @@
         postponeUnreadColdPeriods();
     }
     switch (fault.kind) {
+    case FaultKind::RouterPartitioned:
+    case FaultKind::RouterReset:
+    case FaultKind::RouterRefused:
+        m_partitioned.insert(fault.target);
+        m_fleet.partition(m_partitioned, partitionName(fault.kind), 0, m_fleet.replicaCount());
+        break;
     case FaultKind::RouterKill:
         beginDisturbance(fault.target);
         m_fleet.router(fault.target).signal(SIGKILL);
@@ -359,6 +381,12 @@
 void SoakRun::end(const Fault &fault)
 {
     switch (fault.kind) {
+    case FaultKind::RouterPartitioned:
+    case FaultKind::RouterReset:
+    case FaultKind::RouterRefused:
+        m_partitioned.erase(fault.target);
+        m_fleet.partition(m_partitioned, partitionName(fault.kind), 0, m_fleet.replicaCount());
+        break;
     case FaultKind::RouterKill:
     case FaultKind::RouterTerm:
         m_fleet.router(fault.target).signal(SIGCONT);
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace catkinloft::soak {
@@ -24,6 +25,7 @@
         bool withReplicaFaults = true; ///< \sa drawReplicaFaults
         bool withDomainFaults = true; ///< \sa drawDomainFaults
         bool withStoreRestores = true; ///< \sa drawStoreRestores
+        bool withPartitions = true; ///< \sa drawPartitions
         std::string keepFolder = {}; ///< Receives the logs of a run that violates a guarantee.
     };
 
@@ -70,6 +72,7 @@
     std::unique_ptr<Timer> m_restartTimer; ///< Restarts replicas that have exited on their own.
     std::string m_key = standin::EntryFleet::Key;
     int m_keys = 0;
+    std::set<std::size_t> m_partitioned; ///< Routers that are partitioned from all replicas.
     std::map<std::size_t, int> m_replicaOutages; ///< Pauses and kills in progress, by replica.
     std::map<std::size_t, std::string> m_pendingFaults; ///< Requested during an outage.
     /// When a paused replica has received what was sent to it during its last pause.
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -14,7 +14,8 @@
         seeds, "",
         "file whose lines begin with SEED, SEED@SECONDS or SEED@SECONDS+, run before the others; "
         "+: with the faults that originate in replicas, ++: also with those of failure domains and "
-        "cold replicas, +++: also with restores of the store from a copy");
+        "cold replicas, +++: also with restores of the store from a copy, "
+        "++++: also with routers that are partitioned from all replicas");
 DEFINE_double(seconds, 10, "period of each run in which faults begin, in seconds");
 DEFINE_uint64(routers, 4, "routers");
 DEFINE_uint64(replicas, 3, "number of replicas of each of the two services");
@@ -31,6 +32,7 @@
     bool withReplicaFaults = true;
     bool withDomainFaults = true;
     bool withStoreRestores = true;
+    bool withPartitions = true;
 };
 
 std::vector<RunPlan> runPlans()
@@ -48,7 +50,8 @@
                        .length = fromSeconds(seconds),
                        .withReplicaFaults = kinds.starts_with('+'),
                        .withDomainFaults = kinds.starts_with("++"),
-                       .withStoreRestores = kinds.starts_with("+++")});
+                       .withStoreRestores = kinds.starts_with("+++"),
+                       .withPartitions = kinds.starts_with("++++")});
     }
     for (std::uint64_t i = 0; i < FLAGS_runs; ++i)
         out.push_back({.seed = FLAGS_seed + i, .length = fromSeconds(FLAGS_seconds)});
@@ -65,6 +68,7 @@
                  .withReplicaFaults = it.withReplicaFaults,
                  .withDomainFaults = it.withDomainFaults,
                  .withStoreRestores = it.withStoreRestores,
+                 .withPartitions = it.withPartitions,
                  .keepFolder = FLAGS_keep});
     const SoakRun::Outcome outcome = run.run();
     std::string faults;
--- a/src/Decide/PathMonitor.cpp
+++ b/src/Decide/PathMonitor.cpp
@@ -13,6 +13,10 @@
 /// A path with evidence younger than this is not checked again.
 constexpr Duration EvidenceLifetime = 500ms;
 
+/// Shortest interval between checks of silent replicas, since a service that is overloaded answers
+/// late on all paths.
+constexpr Duration SuspicionInterval = 250ms;
+
 /// Other replicas that are checked after a path failed. If they fail too, each of them starts
 /// further checks, so that a partition is known after few rounds and a crashed replica costs few
 /// connections.
@@ -40,7 +44,13 @@
 
 bool PathMonitor::isPartitioned() const
 {
-    return !m_broken.empty() && m_broken.size() >= std::min(MinBroken, m_replicas.size());
+    return !m_broken.empty() && m_broken.size() >= partitionSize();
+}
+
+std::size_t PathMonitor::partitionSize() const
+{
+    const std::size_t share = (m_replicas.size() + PartitionDivisor - 1) / PartitionDivisor;
+    return std::min(std::max(MinBroken, share), m_replicas.size());
 }
 
 bool PathMonitor::failed(const std::string &id)
@@ -92,23 +102,32 @@
 }
 
 void PathMonitor::suspect(const std::string &id)
+{
+    const TimePoint now = m_options.clock.now();
+    if (m_suspectedAt != TimePoint::min() && now - m_suspectedAt < SuspicionInterval)
+        return;
+    if (!addSuspect(id))
+        return;
+    m_suspectedAt = now;
+    m_options.checksDue();
+}
+
+/// \returns whether the path to \a id has to be checked and no check was requested before.
+bool PathMonitor::addSuspect(const std::string &id)
 {
     const auto checked = m_checkedAt.find(id);
     const bool isKnown = checked != m_checkedAt.end()
             && m_options.clock.now() - checked->second < EvidenceLifetime;
     if (isKnown || isBroken(id) || !std::binary_search(m_replicas.begin(), m_replicas.end(), id))
-        return;
-    m_suspects.insert(id);
-    m_options.checksDue();
+        return false;
+    return m_suspects.insert(id).second;
 }
 
 void PathMonitor::suspectOthers()
 {
     std::size_t n = 0;
     for (const std::string &it : m_replicas) {
-        const std::size_t before = m_suspects.size();
-        suspect(it);
-        n += m_suspects.size() - before;
+        n += addSuspect(it) ? 1 : 0;
         if (n >= ChecksAfterFailure)
             return;
     }
--- a/src/Decide/PathMonitor.h
+++ b/src/Decide/PathMonitor.h
@@ -20,9 +20,10 @@
 /// the other routers still reach it. Prevents that its callers' requests wait for connections that
 /// can't be made, and that what fails on the path is taken for a fault of the replicas.
 ///
-/// A failed connection alone doesn't show whether the path or the replica failed. A single replica
-/// without a path is therefore only avoided. From MinBroken replicas on, the service counts as
-/// partitioned: its requests can go through another router, which fails for replicas that are down.
+/// A failed connection alone doesn't show whether the path or the replica failed. Few replicas
+/// without a path are therefore only avoided. When the paths to a third of the replicas are broken,
+/// the service counts as partitioned: its requests can go through another router, which fails for
+/// replicas that are down.
 ///
 /// Only new connections count as evidence of a working path, since open connections may outlive it.
 /// A failure starts checks of other replicas, so that a partition is found with few requests.
@@ -37,8 +38,10 @@
         std::function<void()> checksDue = [] {}; ///< Called when dueChecks() has to be called.
     };
 
-    /// Broken paths from which on the service counts as partitioned. A service with fewer replicas
-    /// is partitioned when all of its paths are broken.
+    /// A service is partitioned when the paths to one in this many replicas are broken.
+    static constexpr std::size_t PartitionDivisor = 3;
+
+    /// A single broken path partitions a service only if it has no other replica.
     static constexpr std::size_t MinBroken = 2;
 
     /// Pause between two checks of broken paths of the service.
@@ -80,6 +83,8 @@
     std::vector<std::string> dueChecks();
 
 private:
+    std::size_t partitionSize() const; ///< Broken paths from which on it is partitioned.
+    bool addSuspect(const std::string &id);
     void suspectOthers();
     void noteTransition(bool wasPartitioned) const;
 
@@ -90,6 +95,7 @@
     std::map<std::string, TimePoint> m_checkedAt; ///< Last evidence about the path.
     std::string m_lastChecked; ///< Broken paths are checked in the order of their ids.
     TimePoint m_brokenCheckedAt = TimePoint::min();
+    TimePoint m_suspectedAt = TimePoint::min(); ///< Last check that suspect() requested.
 };
 
 } // namespace catkinloft
--- a/src/Net/RelayClient.cpp
+++ b/src/Net/RelayClient.cpp
@@ -100,11 +100,12 @@
     return routers.size() > 1;
 }
 
-HttpCall RelayClient::relayed(HttpCall call, const RelayPeer &peer, RelayTicket ticket) const
+HttpCall RelayClient::relayed(HttpCall call, const RelayPeer &peer, RelayTicket ticket)
 {
     call.address = peer.address;
     call.headers = RelayCodec::endToEnd(call.headers);
     ticket.sentAtMs = m_options.loop.wallNow().time_since_epoch() / 1ms;
+    ticket.number = ++m_tickets;
     ticket.signature = m_options.sign(
             RelayCodec::signedText(ticket, call.method, call.target, call.headers, call.body));
     call.headers.emplace_back(RelayCodec::TicketHeader, RelayCodec::encode(ticket));
--- a/src/Net/RelayClient.h
+++ b/src/Net/RelayClient.h
@@ -77,7 +77,7 @@
     bool isUnreachableToo(const std::string &name, const std::string &id);
 
     /// \returns \a call, changed so that \a peer relays it to the replica of \a ticket.
-    HttpCall relayed(HttpCall call, const RelayPeer &peer, RelayTicket ticket) const;
+    HttpCall relayed(HttpCall call, const RelayPeer &peer, RelayTicket ticket);
 
     /// \brief Asks several routers whether they reach replica \a id of \a service.
     /// \param done is called once, not from within this function.
@@ -88,6 +88,7 @@
     std::vector<RelayPeer> usable(const std::string &service);
 
     Options m_options;
+    std::int64_t m_tickets = 0; ///< Number of tickets so far.
     std::map<std::string, TimePoint> m_avoidedUntil; ///< By name of the router.
     /// When a router could not connect to a replica, by replica and name of the router.
     std::map<std::string, std::map<std::string, TimePoint>> m_unreachable;
--- a/src/Net/RelayCodec.cpp
+++ b/src/Net/RelayCodec.cpp
@@ -39,27 +39,34 @@
     return ticket.fingerprint.empty() ? NoFingerprint : std::string_view(ticket.fingerprint);
 }
 
+/// \returns whether all of \a text is a number, which \a out then contains.
+bool readNumber(std::string_view text, std::int64_t &out)
+{
+    const char *last = text.data() + text.size();
+    const auto [end, ec] = std::from_chars(text.data(), last, out);
+    return ec == std::errc() && end == last;
+}
+
 } // namespace
 
 std::string RelayCodec::encode(const RelayTicket &ticket)
 {
-    return fmt::format("{} {} {} {}", ticket.replica, fingerprintWord(ticket), ticket.sentAtMs,
-                       ticket.signature);
+    return fmt::format("{} {} {} {} {}", ticket.replica, fingerprintWord(ticket), ticket.sentAtMs,
+                       ticket.number, ticket.signature);
 }
 
 Result<RelayTicket> RelayCodec::decode(std::string_view text)
 {
-    constexpr std::size_t Words = 4;
+    constexpr std::size_t Words = 5;
     const std::vector<std::string_view> all = words(text);
+    const Error malformed{.reason = Reason::MalformedRequest, .detail = "not a relay ticket"};
     if (all.size() != Words)
-        return Error{.reason = Reason::MalformedRequest, .detail = "not a relay ticket"};
-    RelayTicket out{.replica = std::string(all[0]), .signature = std::string(all[3])};
+        return malformed;
+    RelayTicket out{.replica = std::string(all[0]), .signature = std::string(all[4])};
     if (all[1] != NoFingerprint)
         out.fingerprint = all[1];
-    const char *last = all[2].data() + all[2].size();
-    const auto [end, ec] = std::from_chars(all[2].data(), last, out.sentAtMs);
-    if (ec != std::errc() || end != last)
-        return Error{.reason = Reason::MalformedRequest, .detail = "a relay ticket without a time"};
+    if (!readNumber(all[2], out.sentAtMs) || !readNumber(all[3], out.number))
+        return malformed;
     return out;
 }
 
@@ -67,8 +74,8 @@
                                    std::string_view target, const HttpHeaders &headers,
                                    std::string_view body)
 {
-    std::string out = fmt::format("{} {} {}\n{} {}\n", ticket.replica, fingerprintWord(ticket),
-                                  ticket.sentAtMs, method, target);
+    std::string out = fmt::format("{} {} {} {}\n{} {}\n", ticket.replica, fingerprintWord(ticket),
+                                  ticket.sentAtMs, ticket.number, method, target);
     for (const HttpHeader &it : headers)
         out += fmt::format("{}:{}\n", it.first, it.second);
     out += '\n';
--- a/src/Net/RelayCodec.h
+++ b/src/Net/RelayCodec.h
@@ -16,6 +16,7 @@
     std::string replica = {}; ///< Incarnation of the only replica that may receive the request.
     std::string fingerprint = {}; ///< \sa requestFingerprint()
     std::int64_t sentAtMs = 0; ///< Unix time at the sender.
+    std::int64_t number = 0; ///< Distinguishes the tickets of one sender.
     std::string signature = {}; ///< Of RelayCodec::signedText().
 };
 
--- a/src/Net/RelayServer.cpp
+++ b/src/Net/RelayServer.cpp
@@ -224,7 +224,7 @@
                                   it->body);
         return remove(it);
     }
-    const Error error = result.error();
+    const Error &error = result.error();
     if (error.reason == Reason::UpstreamUnreachable && error.verdict == Verdict::NotRun)
         options.pathFailed(it->replica);
     if (error.reason != Reason::UpstreamBroken || error.verdict == Verdict::NotRun
@@ -262,7 +262,11 @@
 
 void RelayServer::Private::refuse(HttpExchange &exchange, const Error &error)
 {
-    exchange.respond(BadGateway, {RelayCodec::encodeFailure({.error = error})}, {});
+    exchange.respond(BadGateway,
+                     {RelayCodec::encodeFailure(
+                             {.error = error,
+                              .isReplicaAtFault = error.reason == Reason::UpstreamUnreachable})},
+                     {});
 }
 
 void RelayServer::Private::remove(const RelayPtr &it)
--- a/test/PathMonitorTest.cpp
+++ b/test/PathMonitorTest.cpp
@@ -20,6 +20,7 @@
     void setReplicas(int n)
     {
         std::vector<ReplicaRecord> records;
+        records.reserve(static_cast<std::size_t>(n));
         for (int i = 0; i < n; ++i)
             records.push_back({.id = fmt::format("i-{}", i), .service = "svc"});
         paths.setReplicas(records);
@@ -118,6 +119,20 @@
     CHECK(paths.broken().empty());
 }
 
+// Guards against requests that go through other routers because some replicas have crashed.
+TEST_CASE_FIXTURE(PathMonitorFixture, "pathMonitor_fewerThanAThirdAreDown_serviceIsNotPartitioned")
+{
+    setReplicas(9);
+    down = {"i-3", "i-4"};
+    paths.failed("i-3");
+    paths.failed("i-4");
+    runChecks(2s);
+    CHECK(paths.broken().size() == 2);
+    CHECK_FALSE(paths.isPartitioned());
+    paths.failed("i-5");
+    CHECK(paths.isPartitioned());
+}
+
 // Guards against repeated checks of a replica that is merely slow.
 TEST_CASE_FIXTURE(PathMonitorFixture, "pathMonitor_replicaIsSilentForLong_pathIsCheckedRarely")
 {
--- a/test/RouterHeartbeatTest.cpp
+++ b/test/RouterHeartbeatTest.cpp
@@ -53,3 +53,14 @@
     CHECK_FALSE(codec.unpack(packed.substr(0, packed.size() - 1)));
     CHECK_FALSE(codec.unpack(packed + "x"));
 }
+
+// Guards against relaying through a router that reports that it doesn't reach the service either.
+TEST_CASE("heartbeatCodec_unreachableServices_arePassedOn")
+{
+    RouterHeartbeat heartbeat = usualHeartbeat();
+    heartbeat.unreachableServices = {"calls", "streams"};
+    HeartbeatCodec codec;
+    const Result<RouterHeartbeat> read = codec.unpack(HeartbeatCodec::pack(heartbeat));
+    REQUIRE(read);
+    CHECK(read.value().unreachableServices == heartbeat.unreachableServices);
+}
