A relay that breaks in the middle of an answer is not avoided, and a draining router completes relayed requests

Read in the diff: a stream that its replica breaks off counted against the relaying router, and a router that drains waited only for requests of its own callers.

--- a/src/Decide/ReplicaPool.cpp
+++ b/src/Decide/ReplicaPool.cpp
@@ -272,12 +272,6 @@
     it->health = {};
 }
 
-bool ReplicaPool::hasAnsweredSince(std::string_view id, TimePoint time) const
-{
-    const State *it = find(id);
-    return it && it->lastSuccessAt > time;
-}
-
 TimePoint ReplicaPool::excludedUntil(const State &it) const
 {
     return m_relaying ? it.excludedUntil : std::max(it.excludedUntil, it.unreachableUntil);
--- a/src/Decide/ReplicaPool.h
+++ b/src/Decide/ReplicaPool.h
@@ -130,9 +130,6 @@
     /// noteUnreachable() has no effect on the choice.
     void setRelaying(bool relaying) { m_relaying = relaying; }
 
-    /// \returns whether replica \a id has answered this router successfully since \a time.
-    bool hasAnsweredSince(std::string_view id, TimePoint time) const;
-
     /// \brief Sets the rate limit of a cold replica, in requests per second from all routers
     /// together; 0: no limit.
     void setColdRateLimit(double requestsPerSecond) { m_coldRateLimit = requestsPerSecond; }
--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -741,7 +741,7 @@
 
 bool EntryCall::hasRelayRefused() const
 {
-    return m_relay && !(m_relayFailure && m_relayFailure->isReplicaAtFault);
+    return m_relay && !m_firstByte && !(m_relayFailure && m_relayFailure->isReplicaAtFault);
 }
 
 void EntryCall::relayFailed(const Error &error)
--- a/src/Net/EntryCall.h
+++ b/src/Net/EntryCall.h
@@ -109,7 +109,8 @@
     void deliver();
     void attemptFailed(const Error &error);
     void noteUnreachable();
-    /// \returns whether the router that was to relay this attempt failed, or refused to.
+    /// \returns whether the router that was to relay this attempt refused to, or failed before it
+    /// passed an answer on.
     bool hasRelayRefused() const;
     void relayFailed(const Error &error);
     bool isRelayAvailable();
--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -595,7 +595,7 @@
     if (loop.now() < refuseFrom)
         return;
     const std::vector<std::string> left = gateway.unfinished();
-    if (!left.empty() && loop.now() < stopAt)
+    if ((!left.empty() || relayServer.inProgress() > 0) && loop.now() < stopAt)
         return;
     for (const std::string &it : left)
         Log::warning("cut_off", {{"request_id", it}});
