Only routers that say so in their heartbeats are asked to relay

A router of an earlier release answers a relayed request with 404 of its own, which the caller would get. Heartbeats carry whether their sender relays; their compression dictionary stays the same, since releases must read each other.

--- a/src/Control/RouterHeartbeat.cpp
+++ b/src/Control/RouterHeartbeat.cpp
@@ -94,6 +94,7 @@
         out.discovered.push_back(it.asString());
     for (const Json::Value &it : root["g"])
         out.replicas.leaving.push_back(it.asString());
+    out.relays = root.isMember("t");
     for (const Json::Value &it : root["t"])
         out.unreachableServices.push_back(it.asString());
     for (const Json::Value &it : root["x"])
@@ -173,6 +174,8 @@
         root["z"].append(id);
     for (const std::string &id : heartbeat.replicas.leaving)
         root["g"].append(id);
+    if (heartbeat.relays)
+        root["t"] = Json::Value(Json::arrayValue);
     for (const std::string &service : heartbeat.unreachableServices)
         root["t"].append(service);
     for (const CrashUpdate &it : heartbeat.crashes)
--- a/src/Control/RouterHeartbeat.h
+++ b/src/Control/RouterHeartbeat.h
@@ -46,6 +46,7 @@
     PromptsByReplica prompts = {};
     /// Replicas whose cached prompts are known, so that they need not be asked for them.
     std::vector<std::string> discovered = {};
+    bool relays = false; ///< The sender relays requests of other routers; older programs don't.
     /// Services most of whose replicas the sender can't reach, so that it can't relay for them.
     std::vector<std::string> unreachableServices = {};
     std::vector<CrashUpdate> crashes = {}; ///< Requests during which replicas crashed.
--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -404,7 +404,7 @@
     for (const FleetView::Peer *it : fleet.view().live()) {
         const RouterHeartbeat &peer = it->heartbeat;
         const std::vector<std::string> &lost = peer.unreachableServices;
-        if (peer.ready && !peer.leaving
+        if (peer.relays && peer.ready && !peer.leaving
             && std::find(lost.begin(), lost.end(), service) == lost.end())
             out.push_back({.name = peer.name,
                            .address = peer.peerAddress,
--- a/src/Net/FleetTask.cpp
+++ b/src/Net/FleetTask.cpp
@@ -194,6 +194,7 @@
             .replicasPosition = options.replicas.position(),
             .evacuated = evacuated.shouldAnnounce() ? evacuated.state() : EvacuatedDomains::State(),
             .replicas = options.ownStatusUpdate(),
+            .relays = true,
             .unreachableServices = options.unreachableServices()};
 }
 
--- a/test/RouterHeartbeatTest.cpp
+++ b/test/RouterHeartbeatTest.cpp
@@ -54,6 +54,17 @@
     CHECK_FALSE(codec.unpack(packed + "x"));
 }
 
+// Guards against requests that are sent to a router of an earlier release, which would answer them
+// itself.
+TEST_CASE("heartbeatCodec_senderDoesNotRelay_isNotTakenForOneThatDoes")
+{
+    HeartbeatCodec codec;
+    RouterHeartbeat heartbeat = usualHeartbeat();
+    CHECK_FALSE(codec.decode(HeartbeatCodec::encode(heartbeat)).value().relays);
+    heartbeat.relays = true;
+    CHECK(codec.decode(HeartbeatCodec::encode(heartbeat)).value().relays);
+}
+
 // Guards against relaying through a router that reports that it doesn't reach the service either.
 TEST_CASE("heartbeatCodec_unreachableServices_arePassedOn")
 {
