Observability: the version of a replica, and the stream that a caller takes up

request_sent names the software version of the replica, the attempt that began the stream (Resumes) and the last event that the caller has, so that a stream which changes its version within one answer can be told from one that does so when its caller returns, and both from a replica list with a wrong version.

--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -362,6 +362,9 @@
 {
     RequestEvent event = describe(RequestEvent::Kind::Sent);
     event.load = choice.load;
+    event.version = m_replica.version;
+    event.resumes = m_request.facts.resumedId;
+    event.afterEvent = m_order.last();
     if (m_relay)
         event.relay = m_relay->name;
     event.meanLoad = choice.meanLoad;
--- a/src/Net/RequestEvent.cpp
+++ b/src/Net/RequestEvent.cpp
@@ -64,6 +64,9 @@
                                      {"kept_tokens", it.cachedPromptTokens},
                                      {"prompt_tokens", it.promptTokens},
                                      {"copied_from", it.copiedFrom},
+                                     {"version", it.version},
+                                     {"resumes", it.resumes},
+                                     {"after_event", it.afterEvent.value_or(-1)},
                                      {"relay", it.relay}}));
         return;
     }
--- a/src/Net/RequestEvent.h
+++ b/src/Net/RequestEvent.h
@@ -35,6 +35,10 @@
 
     std::string replica = {}; ///< Id of the replica.
     std::string address = {}; ///< Address of the replica.
+    std::string version = {}; ///< Software version of the replica.
+    std::string resumes =
+            {}; ///< Id of the attempt that began the stream, if the caller resumes it.
+    std::optional<std::int64_t> afterEvent = {}; ///< Last event that the caller has.
     int load = 0; ///< Known requests in progress at the replica when it was chosen.
     double meanLoad = 0; ///< Mean load of the candidates.
     int candidates = 0; ///< Number of replicas that it was chosen from.
--- a/src/Request/EntryRequest.h
+++ b/src/Request/EntryRequest.h
@@ -22,6 +22,8 @@
     std::string key = {}; ///< API key of a workspace; empty if there is none.
     std::optional<Duration> callerTimeout = {}; ///< Starts when the caller sends the request.
     std::optional<std::int64_t> lastEventId = {}; ///< The stream resumes after this event.
+    /// Id of the attempt that delivered the first event of the resumed stream; empty if missing.
+    std::string resumedId = {};
     std::vector<PromptPart> prompt = {}; ///< In order; only the last part is unique to the request.
     double promptTokens = 0;
     double maxOutputTokens = 0;
