--- a/standin/ReplicaStandin.cpp
+++ b/standin/ReplicaStandin.cpp
@@ -27,6 +27,11 @@
     return fmt::format("{:x}", hash64(id + body));
 }
 
+std::string ReplicaStandin::eventText(int n, const std::string &version)
+{
+    return fmt::format("id: {}\ndata: piece {}{}{}\n\n", n, n, version.empty() ? "" : " ", version);
+}
+
 double ReplicaStandin::faultValue(const char *name) const
 {
     const auto it = m_faults.find(name);
@@ -170,7 +175,7 @@
         stream->exchange->end();
         return;
     }
-    const std::string event = fmt::format("id: {}\ndata: piece {}\n\n", stream->next, stream->next);
+    const std::string event = eventText(stream->next, m_options.version);
     if (stream->next == stream->cutAt) {
         stream->exchange->write(event.substr(0, event.size() / 2));
         m_options.loop.after(m_options.eventInterval, [stream] { stream->exchange->abort(); });
--- a/standin/ReplicaStandin.h
+++ b/standin/ReplicaStandin.h
@@ -26,6 +26,7 @@
     {
         EventLoop &loop;
         std::string id;
+        std::string version = {}; ///< Software version, which each event names; empty: none does.
         Duration serviceTime = std::chrono::milliseconds(5);
         Duration eventInterval = std::chrono::milliseconds(10);
         std::string recordFile = {};
@@ -35,6 +36,9 @@
 
     void handle(const HttpExchangePtr &exchange) override;
 
+    /// \returns event \a n of a stream from a replica with software \a version.
+    static std::string eventText(int n, const std::string &version);
+
     /// \returns the signature of a complete answer to request \a id with \a body.
     static std::string signatureOf(const std::string &id, const std::string &body);
 
--- a/standin/fleet/EntryFleet.cpp
+++ b/standin/fleet/EntryFleet.cpp
@@ -57,6 +57,9 @@
         throw std::runtime_error("cannot create temporary directory " + m_folder);
     m_routers.resize(m_options.routers);
     m_replicas.resize(2 * m_options.replicas);
+    const std::vector<std::string> &versions = m_options.versions;
+    for (std::size_t i = 0; i < m_replicas.size() && !versions.empty(); ++i)
+        m_replicas[i].version = versions[i % versions.size()];
 }
 
 EntryFleet::~EntryFleet()
@@ -114,8 +117,8 @@
     it.id = fmt::format("i-{}-{}", i, ++it.starts);
     it.exitedAt.reset();
     it.process = spawn({"catkinloft-standin", "--listen=" + it.address, "--name=" + it.id,
-                        "--service_ms=5", "--record_file=" + m_folder + "/" + it.id + ".executions",
-                        "replica"},
+                        "--software_version=" + it.version, "--service_ms=5",
+                        "--record_file=" + m_folder + "/" + it.id + ".executions", "replica"},
                        it.id);
 }
 
@@ -169,6 +172,12 @@
     post(m_store, "/v1/operator", printJson(root));
 }
 
+std::string EntryFleet::versionOf(std::size_t i) const
+{
+    const std::string &version = m_replicas.at(i).version;
+    return version.empty() ? "v1" : version;
+}
+
 std::string EntryFleet::domainOf(std::size_t i) const
 {
     return m_options.domains == 1 ? "hall" : fmt::format("hall-{}", i % m_options.domains);
@@ -188,7 +197,7 @@
     entry["address"] = it.proxy.listen;
     entry["zone"] = domainOf(i);
     entry["slots"] = 8;
-    entry["version"] = "v1";
+    entry["version"] = versionOf(i);
     entry["cold-remaining-ms"] = static_cast<Json::Int64>(cold / std::chrono::milliseconds(1));
     entry["sequence"] = 1;
     entry["state"] = state;
--- a/standin/fleet/EntryFleet.h
+++ b/standin/fleet/EntryFleet.h
@@ -27,6 +27,8 @@
         std::string binaries; ///< Directory of the built programs.
         std::size_t routers = 3;
         std::size_t replicas = 3; ///< Of each of the services `calls` and `streams`.
+        /// Software versions; replicas get them in turn. Empty: all run `v1` and no event names it.
+        std::vector<std::string> versions = {};
         std::size_t domains = 1; ///< Failure domains; replicas are assigned to them in turn.
         std::string extraSettings = {}; ///< Additional lines of each router's settings.
     };
@@ -59,6 +61,15 @@
     /// \returns the failure domain of the replica with the current or former id \a id.
     std::string domainOfId(const std::string &id) const;
 
+    /// \returns the software version of replica \a i.
+    std::string versionOf(std::size_t i) const;
+
+    /// \brief Sets the software version with which replica \a i starts next.
+    void setVersion(std::size_t i, const std::string &version)
+    {
+        m_replicas.at(i).version = version;
+    }
+
     /// \brief Restarts replica \a i with a new id and registers it.
     void restartReplica(std::size_t i);
 
@@ -151,6 +162,7 @@
         std::string service;
         std::string id;
         std::string address;
+        std::string version; ///< Empty: \sa Options::versions
         int starts = 0;
         std::optional<TimePoint> exitedAt = {}; ///< When its exit was first noticed.
         Proxy proxy;
--- a/standin/main.cpp
+++ b/standin/main.cpp
@@ -31,6 +31,8 @@
 DEFINE_string(record_file, "", "engine, service, replica: executions are appended to this file");
 DEFINE_double(writes_per_second, 500, "table, objects, weights, rowstore: rate limit of writes");
 DEFINE_double(reads_per_second, 2000, "table, objects, weights, rowstore: rate limit of reads");
+DEFINE_string(software_version, "",
+              "replica: software version, which each event of a stream names");
 DEFINE_string(control, "", "proxy: address of its control interface, IP:PORT");
 DEFINE_string(target, "", "proxy: address that it forwards to, IP:PORT");
 DEFINE_double(service_ms, 2, "service, replica: milliseconds from a call to its answer");
@@ -84,6 +86,7 @@
     return std::make_unique<ReplicaStandin>(
             ReplicaStandin::Options{.loop = loop,
                                     .id = FLAGS_name,
+                                    .version = FLAGS_software_version,
                                     .serviceTime = fromSeconds(FLAGS_service_ms / 1000),
                                     .recordFile = FLAGS_record_file});
 }
--- a/test/EntryRequestTest.cpp
+++ b/test/EntryRequestTest.cpp
@@ -50,12 +50,13 @@
 {
     EntryGatewayFixture() { REQUIRE(server.listen()); }
 
-    void addReplica(ScriptedReplica::Script script)
+    void addReplica(ScriptedReplica::Script script, const std::string &softwareVersion = {})
     {
         replicas.push_back(std::make_unique<ScriptedReplica>(loop, std::move(script)));
         records.push_back({.id = fmt::format("i-{}", replicas.size()),
                            .service = "svc",
                            .address = replicas.back()->address(),
+                           .version = softwareVersion,
                            .slots = 4});
         publishReplicas();
     }
@@ -587,6 +588,64 @@
     CHECK(answer.find("e5") != answer.npos);
 }
 
+// Guards against a stream that breaks after an event and goes on at another software version.
+TEST_CASE_FIXTURE(EntryGatewayFixture, "entryRequest_streamBreaksAfterAnEvent_keepsItsVersion")
+{
+    const auto resumed = [](const std::string &request, std::size_t) -> Reply {
+        return {.bytes = ScriptedReplica::streamHead(request) + ScriptedReplica::events(3, 4)
+                        + ScriptedReplica::streamEnd()};
+    };
+    bool hasSameVersion = false;
+    addReplica(
+            [&](const std::string &request, std::size_t) -> Reply {
+                records[0].draining = true; // It can't be chosen a second time.
+                addReplica(resumed, "v2");
+                if (hasSameVersion)
+                    addReplica(resumed, "v1");
+                return {.bytes = ScriptedReplica::streamHead(request)
+                                + ScriptedReplica::events(1, 2),
+                        .end = End::Reset};
+            },
+            "v1");
+    RawCaller caller(Port);
+    SUBCASE("no replica of the version is left")
+    {
+        const std::string answer = call(caller, get("/stream/"), "nothing ever");
+        CHECK(closed);
+        CHECK(answer.find("e2") != answer.npos);
+        CHECK(answer.find("e3") == answer.npos);
+        CHECK(replicas[1]->requests().empty());
+    }
+    SUBCASE("a replica of the version is left")
+    {
+        hasSameVersion = true;
+        const std::string answer = call(caller, get("/stream/"), "0\r\n\r\n");
+        CHECK(answer.find("e4") != answer.npos);
+        CHECK(replicas[1]->requests().empty());
+        CHECK(replicas[2]->requests().size() == 1);
+    }
+}
+
+// Guards against binding a stream to the version of an attempt that delivered no event.
+TEST_CASE_FIXTURE(EntryGatewayFixture, "entryRequest_streamBreaksBeforeAnEvent_mayChangeVersion")
+{
+    addReplica(
+            [&](const std::string &request, std::size_t) -> Reply {
+                records[0].draining = true;
+                addReplica(
+                        [](const std::string &resumed, std::size_t) -> Reply {
+                            return {.bytes = ScriptedReplica::streamHead(resumed)
+                                            + ScriptedReplica::events(1, 2)
+                                            + ScriptedReplica::streamEnd()};
+                        },
+                        "v2");
+                return {.bytes = ScriptedReplica::streamHead(request), .end = End::Reset};
+            },
+            "v1");
+    RawCaller caller(Port);
+    CHECK(call(caller, get("/stream/"), "0\r\n\r\n").find("e2") != std::string::npos);
+}
+
 TEST_CASE_FIXTURE(EntryGatewayFixture, "entryRequest_stalledResumableStream_isResumedElsewhere")
 {
     const auto script = [](const std::string &request, std::size_t) -> Reply {
--- /dev/null
+++ b/test/integration/VersionTest.cpp
@@ -0,0 +1,210 @@
+#include "Net/EventLoop.h"
+#include "fleet/EntryFleet.h"
+#include "fleet/Fleet.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <atomic>
+#include <csignal>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <fmt/format.h>
+
+using namespace catkinloft;
+using namespace std::chrono_literals;
+using standin::EntryFleet;
+using standin::Fleet;
+
+namespace {
+
+constexpr int Events = 40;
+constexpr int EventsBeforeLeaving = 4;
+
+/// \brief Receives the events of one attempt of a stream.
+struct StreamAttempt
+{
+    std::vector<std::string> versions = {}; ///< Of the complete events.
+    bool isComplete = false;
+    int status = 0; ///< 0: no answer.
+};
+
+void readEvents(std::string &text, std::vector<std::string> &versions)
+{
+    for (std::size_t end = text.find("\n\n"); end != std::string::npos; end = text.find("\n\n")) {
+        const std::string event = text.substr(0, end);
+        versions.push_back(event.substr(event.rfind(' ') + 1));
+        text.erase(0, end + 2);
+    }
+}
+
+/// \param leaveAfter number of events after which the caller leaves; 0: it stays.
+StreamAttempt readStream(const std::string &address, HttpHeaders headers, std::size_t leaveAfter)
+{
+    StreamAttempt out;
+    EventLoop loop;
+    HttpClient client(loop);
+    std::string text;
+    bool finished = false;
+    headers.emplace_back("Host", EntryFleet::Host);
+    headers.emplace_back("X-Request-Deadline", "3000");
+    headers.emplace_back("Authorization", std::string("Bearer ") + EntryFleet::Key);
+    HttpCallPtr call = client.send({.address = address,
+                                    .target = fmt::format("/stream/a?events={}", Events),
+                                    .headers = std::move(headers),
+                                    .timeout = 3500ms,
+                                    .freshConnection = true},
+                                   {.onHead = [&](const HttpHead &it) { out.status = it.status; },
+                                    .onData =
+                                            [&](std::string_view data) {
+                                                text += data;
+                                                if (out.status == 200)
+                                                    readEvents(text, out.versions);
+                                                finished = finished
+                                                        || (leaveAfter > 0
+                                                            && out.versions.size() >= leaveAfter);
+                                            },
+                                    .onEnd =
+                                            [&](const Result<void> &result) {
+                                                out.isComplete = result && out.status == 200;
+                                                finished = true;
+                                            }});
+    while (!finished)
+        loop.runOnce();
+    call.reset();
+    return out;
+}
+
+/// Four routers, and two replicas of each of two software versions. Replicas crash in turn, and
+/// some callers leave their streams after a few events and resume them at another router.
+struct VersionFixture
+{
+    struct Count
+    {
+        int streams = 0;
+        int mixed = 0; ///< Streams with events of several versions.
+        int begun = 0; ///< First attempts that brought an event.
+        int resumptions = 0;
+        int resumed = 0; ///< Resumptions that brought an event.
+    };
+
+    VersionFixture() { fleet.start(); }
+
+    /// Plays one caller's stream, with up to \a Resumptions attempts to resume it.
+    void playStream(std::size_t n)
+    {
+        constexpr int Resumptions = 3;
+        constexpr std::size_t LeavingShare = 5;
+        const std::string first = fmt::format("v{}", n);
+        const bool leaves = n % LeavingShare < 2;
+        const std::size_t router = n % fleet.routerCount();
+        StreamAttempt attempt = readStream(fleet.callerAddress(router), {{"X-Request-Id", first}},
+                                           leaves ? EventsBeforeLeaving : 0);
+        std::vector<std::string> versions = attempt.versions;
+        const bool hasBegun = !versions.empty();
+        int resumptions = 0;
+        int resumed = 0;
+        while (hasBegun && !attempt.isComplete && resumptions < Resumptions) {
+            ++resumptions;
+            attempt =
+                    readStream(fleet.callerAddress((router + static_cast<std::size_t>(resumptions))
+                                                   % fleet.routerCount()),
+                               {{"X-Request-Id", fmt::format("{}-{}", first, resumptions)},
+                                {"Last-Event-Id", fmt::format("{}", versions.size())},
+                                {"Resumes", first}},
+                               0);
+            resumed += attempt.versions.empty() ? 0 : 1;
+            versions.insert(versions.end(), attempt.versions.begin(), attempt.versions.end());
+            if (attempt.versions.empty())
+                std::this_thread::sleep_for(200ms);
+        }
+        const std::lock_guard lock(mutex);
+        ++count.streams;
+        count.begun += hasBegun ? 1 : 0;
+        count.resumptions += resumptions;
+        count.resumed += resumed;
+        count.mixed += std::set(versions.begin(), versions.end()).size() > 1 ? 1 : 0;
+    }
+
+    /// Plays streams for \a length, and calls \a disturb each \a interval meanwhile.
+    void play(Duration length, Duration interval, const std::function<void(int n)> &disturb)
+    {
+        constexpr std::size_t Callers = 6;
+        std::atomic<std::size_t> n = 0;
+        const auto until = std::chrono::steady_clock::now() + length;
+        std::vector<std::thread> callers;
+        for (std::size_t i = 0; i < Callers; ++i) {
+            callers.emplace_back([&] {
+                while (std::chrono::steady_clock::now() < until)
+                    playStream(n++);
+            });
+        }
+        for (int i = 0; std::chrono::steady_clock::now() < until; ++i) {
+            std::this_thread::sleep_for(interval);
+            disturb(i);
+            fleet.restartExitedReplicas(200ms);
+        }
+        for (std::thread &it : callers)
+            it.join();
+        MESSAGE(fmt::format("{} streams, {} mixed, {} begun; {} resumptions, {} went on",
+                            count.streams, count.mixed, count.begun, count.resumptions,
+                            count.resumed));
+    }
+
+    /// Crashes one replica of streams; the replicas of calls come first.
+    void crashReplica(int n)
+    {
+        const std::size_t half = fleet.replicaCount() / 2;
+        fleet.replica(half + static_cast<std::size_t>(n) % half).signal(SIGKILL);
+    }
+
+    void restartRouter(std::size_t i)
+    {
+        fleet.router(i).signal(SIGKILL);
+        Fleet::waitFor([&] { return !fleet.router(i).isRunning(); });
+        fleet.startRouter(i);
+    }
+
+    void requireOneVersionEach() const
+    {
+        CHECK(count.mixed == 0);
+        REQUIRE(count.resumptions >= 12);
+        const double begunShare = static_cast<double>(count.begun) / count.streams;
+        const double resumedShare = static_cast<double>(count.resumed) / count.resumptions;
+        CHECK(resumedShare >= begunShare / 2);
+    }
+
+    EntryFleet fleet{{.binaries = CATKINLOFT_BINARIES,
+                      .routers = 4,
+                      .replicas = 4,
+                      .versions = {"v1", "v1.1"}}};
+    std::mutex mutex;
+    Count count;
+};
+
+} // namespace
+
+// Guards against streams that go on at another software version than the one that began them, when
+// their replica crashes or when their caller resumes them at another router.
+TEST_CASE_FIXTURE(VersionFixture, "fleet_streamsOfTwoVersions_goOnAtTheirOwn")
+{
+    play(6s, 600ms, [&](int n) { crashReplica(n); });
+    requireOneVersionEach();
+}
+
+// Guards against routers that forget at which version a stream began when another one is killed.
+TEST_CASE_FIXTURE(VersionFixture, "fleet_routersRestartWhileTwoVersionsServe_streamsKeepTheirs")
+{
+    play(8s, 600ms, [&](int n) {
+        crashReplica(n);
+        if (n % 4 == 2)
+            restartRouter(static_cast<std::size_t>(n / 4) % 3);
+    });
+    requireOneVersionEach();
+}
