A stream goes on only at the software version that began it

Cause: nothing in the product knew that a stream belongs to a version. A router chose the replica for a resumption like that for a first attempt, and a router that a caller came back to did not know who had begun the stream; nothing read Resumes.

The first event that is forwarded binds the stream to the software of its replica. The router tells three others, found by the key of the stream, while the list of replicas does not prove the version; a router that a caller resumes a stream at asks eight, or relies on a list that has named a single version for as long as the stream can have lived, and otherwise refuses at once, not run. A route with several services keeps the one that began the stream.

--- a/src/Base/EntrySettings.cpp
+++ b/src/Base/EntrySettings.cpp
@@ -77,6 +77,8 @@
     out.prefillTimeouts = it.flag("prompt_pace", out.prefillTimeouts);
     out.announcedEjections = it.flag("told_ejections", out.announcedEjections);
     out.loadShedding = it.flag("load_shedding", out.loadShedding);
+    out.streamOriginAnnouncements =
+            it.flag("stream_origin_announcements", out.streamOriginAnnouncements);
     out.requestQuarantine = it.flag("request_quarantine", out.requestQuarantine);
     it.finish();
 }
--- a/src/Base/Mechanisms.h
+++ b/src/Base/Mechanisms.h
@@ -15,6 +15,8 @@
     /// Sends nothing to replicas that several other routers ejected.
     bool announcedEjections = true;
     bool loadShedding = true; ///< Refuses a share of the calls of an overloaded service at once.
+    /// Tells other routers which software began a stream.
+    bool streamOriginAnnouncements = true;
     bool requestQuarantine = true; ///< Holds back requests that crash replicas.
 
     bool operator==(const Mechanisms &) const = default;
--- a/src/Base/Reason.cpp
+++ b/src/Base/Reason.cpp
@@ -34,6 +34,8 @@
                    "No upstream for this request is known to be live."},
         ReasonInfo{Reason::RetryBudgetSpent, "retry_budget_spent", 503,
                    "An attempt failed and the retry budget is spent."},
+        ReasonInfo{Reason::StreamOriginUnknown, "stream_origin_unknown", 503,
+                   "No router knows at which software version the stream began."},
         ReasonInfo{Reason::UpstreamUnreachable, "upstream_unreachable", 502,
                    "No connection to an upstream could be opened."},
         ReasonInfo{Reason::UpstreamRefused, "upstream_refused", 503,
--- a/src/Base/Reason.h
+++ b/src/Base/Reason.h
@@ -28,6 +28,7 @@
     ShedByRule,
     NoLiveEngine,
     RetryBudgetSpent,
+    StreamOriginUnknown,
     UpstreamUnreachable,
     UpstreamRefused,
     UpstreamTimeout,
--- a/src/Base/ReplicaRecord.h
+++ b/src/Base/ReplicaRecord.h
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace catkinloft {
@@ -52,6 +53,12 @@
     /// \returns an identifier of the program that it runs. A request that crashes one program may
     /// succeed on another version or another service.
     std::string software() const { return service + ' ' + version; }
+
+    /// \returns whether \a software is a version of \a service.
+    static bool isSoftwareOf(std::string_view software, const std::string &service)
+    {
+        return software.starts_with(service + ' ');
+    }
 };
 
 /// \brief All replicas at one position of the store.
--- a/src/Decide/Decide.h
+++ b/src/Decide/Decide.h
@@ -21,3 +21,5 @@
 #include "Decide/RequestQuarantine.h" // IWYU pragma: export
 #include "Decide/RetryBudget.h" // IWYU pragma: export
 #include "Decide/RouterView.h" // IWYU pragma: export
+#include "Decide/SoftwareHistory.h" // IWYU pragma: export
+#include "Decide/StreamOrigins.h" // IWYU pragma: export
--- a/src/Decide/ReplicaPool.cpp
+++ b/src/Decide/ReplicaPool.cpp
@@ -96,10 +96,12 @@
     return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
 
-bool isSelectable(const ReplicaPool::Query &query, const std::string &incarnation)
+bool isSelectable(const ReplicaPool::Query &query, const ReplicaRecord &record,
+                  const std::string &incarnation)
 {
     return !contains(query.excluded, incarnation)
-            && (query.only.empty() || contains(query.only, incarnation));
+            && (query.only.empty() || contains(query.only, incarnation))
+            && (!query.software || record.software() == *query.software);
 }
 
 } // namespace
@@ -237,8 +239,9 @@
 
 bool ReplicaPool::isEligible(State &it, const Query &query, TimePoint now) const
 {
-    return !it.record.draining && now >= excludedUntil(it) && isSelectable(query, it.incarnation)
-            && !isEvacuated(it) && isRegionAllowed(it, query) && !isColdRateLimited(it, now);
+    return !it.record.draining && now >= excludedUntil(it)
+            && isSelectable(query, it.record, it.incarnation) && !isEvacuated(it)
+            && isRegionAllowed(it, query) && !isColdRateLimited(it, now);
 }
 
 void ReplicaPool::setEvacuated(std::set<std::string> domains)
--- a/src/Decide/ReplicaPool.h
+++ b/src/Decide/ReplicaPool.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -91,6 +92,8 @@
         std::span<const PromptPart> prompt = {}; ///< Parts that other requests may have in common.
         std::span<const std::string> excluded = {}; ///< Incarnations on which an attempt failed.
         std::span<const std::string> only = {}; ///< If not empty: the only incarnations allowed.
+        /// If set: only replicas with this software. \sa ReplicaRecord::software
+        std::optional<std::string_view> software = {};
         bool retryable = true; ///< The request may be retried after a failed attempt.
         /// Regions of replicas that the route and the workspace allow; empty: all.
         std::span<const std::string> regions = {};
--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -128,6 +128,13 @@
     m_deadline = m_request.deadline();
     m_deadlineTimer.start(std::max<Duration>(1ms, m_deadline - m_context.loop.now()));
     pickService();
+    if (isStreaming() && m_request.route->resumable && m_request.facts.lastEventId)
+        return findOrigin();
+    admitAndAttempt();
+}
+
+void EntryCall::admitAndAttempt()
+{
     m_service->retryBudget.countRequest();
     if (!isStreaming() && m_context.settings.mechanisms.loadShedding
         && !m_service->shedder.admits())
@@ -170,6 +177,50 @@
     m_service = &m_context.pools.of(m_serviceName);
 }
 
+StreamOriginQuestion EntryCall::originQuestion() const
+{
+    const CallFacts &facts = m_request.facts;
+    const std::string &id = facts.lastEventId ? facts.resumedId : facts.id;
+    const std::string_view workspace =
+            m_request.workspace ? m_request.workspace->name : std::string_view();
+    StreamOriginQuestion out{.stream = id.empty() ? std::string()
+                                                  : StreamOrigins::keyOf(workspace, id),
+                             .window = m_request.route->timeout + StreamOrigins::ReturnTime};
+    for (const RouteTarget &it : m_request.route->targets)
+        out.services.push_back(it.service);
+    return out;
+}
+
+void EntryCall::findOrigin()
+{
+    m_context.findStreamOrigin(originQuestion(),
+                               [weak = weak_from_this()](const std::optional<std::string> &it) {
+                                   const auto self = weak.lock();
+                                   if (self && !self->m_finished)
+                                       self->originFound(it);
+                               });
+}
+
+void EntryCall::originFound(const std::optional<std::string> &software)
+{
+    if (!software)
+        return refuse({.reason = Reason::StreamOriginUnknown,
+                       .detail = fmt::format("no router knows which software began stream {}",
+                                             jsonQuoted(m_request.facts.resumedId)),
+                       .retryAfter = RetryBase});
+    m_streamSoftware = software;
+    // A route may have several services; the stream stays at the one that began it.
+    const std::vector<RouteTarget> &targets = m_request.route->targets;
+    const auto target = std::find_if(targets.begin(), targets.end(), [&](const RouteTarget &it) {
+        return ReplicaRecord::isSoftwareOf(*software, it.service);
+    });
+    if (target != targets.end()) {
+        m_serviceName = target->service;
+        m_service = &m_context.pools.of(m_serviceName);
+    }
+    admitAndAttempt();
+}
+
 Duration EntryCall::remaining() const
 {
     return m_deadline - m_context.loop.now() - AnswerReserve;
@@ -192,7 +243,8 @@
         return send(choice);
     const Error error{.reason = Reason::NoLiveEngine,
                       .verdict = m_verdict,
-                      .detail = fmt::format("no replica of {} can take the request", m_serviceName),
+                      .detail = fmt::format("no replica of {} can take the request",
+                                            m_streamSoftware ? *m_streamSoftware : m_serviceName),
                       .retryAfter = retryDelay(),
                       .figures = {{"usable_replicas",
                                    static_cast<double>(m_service->replicas.usableCount())}}};
@@ -207,6 +259,8 @@
                              .regions = m_request.route->regions};
     if (m_request.workspace)
         query.workspaceRegions = m_request.workspace->regions;
+    if (m_streamSoftware)
+        query.software = *m_streamSoftware;
     // The route limits how many replicas may get the request, not how often each one gets it.
     if (m_history.isLimitedToReached(*m_request.route)) {
         query.excluded = {};
@@ -557,11 +611,28 @@
                          fmt::format("event {} came after a later one; the last delivered is {}",
                                      *event.id, *last));
     }
+    bindToSoftware();
     m_exchange->write(event.text);
     if (m_call && m_exchange->backlog() > m_context.settings.maxStreamBuffer)
         m_call->pause();
 }
 
+/// The head of an answer binds nothing: the caller can't resume a stream without an event.
+void EntryCall::bindToSoftware()
+{
+    if (std::exchange(m_hasForwardedEvent, true) || !m_request.route->resumable)
+        return;
+    m_streamSoftware = m_replica.software();
+    const StreamOriginQuestion question = originQuestion();
+    if (question.stream.empty())
+        return;
+    const Duration left = m_deadline - m_context.loop.now();
+    m_context.streamBegan({.stream = question.stream,
+                           .software = *m_streamSoftware,
+                           .lifetime = left + StreamOrigins::ReturnTime},
+                          question);
+}
+
 void EntryCall::endRelay()
 {
     m_exchange->end();
--- a/src/Net/EntryCall.h
+++ b/src/Net/EntryCall.h
@@ -3,6 +3,7 @@
 #include "Base/EntrySettings.h"
 #include "Base/Metrics.h"
 #include "Base/Random.h"
+#include "Control/StreamOriginCodec.h"
 #include "Decide/RequestQuarantine.h"
 #include "Net/CrashWatch.h"
 #include "Net/HttpClient.h"
@@ -51,6 +52,14 @@
             [](const std::string &, const std::string &) {};
     /// Announces the ejection to the other routers at once.
     std::function<void()> replicaEjected = {};
+    /// Finds the software that began a stream which the caller resumes. \sa StreamOriginTask::find
+    std::function<void(const StreamOriginQuestion &,
+                       std::function<void(std::optional<std::string> software)> found)>
+            findStreamOrigin =
+                    [](const StreamOriginQuestion &, const auto &found) { found(std::nullopt); };
+    /// Called when the first event of a resumable stream is forwarded to its caller.
+    std::function<void(const StreamOrigin &, const StreamOriginQuestion &)> streamBegan =
+            [](const StreamOrigin &, const StreamOriginQuestion &) {};
     RelayClient *relay = nullptr; ///< Null: requests are only sent directly.
     std::function<Duration()> proofAge = {}; ///< Proof age of the configuration, for the log.
     std::function<void(const RequestEvent &)> report = logRequestEvent;
@@ -82,6 +91,10 @@
 private:
     void readRequest();
     void pickService();
+    StreamOriginQuestion originQuestion() const;
+    void findOrigin();
+    void originFound(const std::optional<std::string> &software);
+    void admitAndAttempt();
 
     void attempt();
     void send(const ReplicaPool::Choice &choice);
@@ -99,6 +112,7 @@
 
     void beginRelay();
     void relay(const SseEvent &event);
+    void bindToSoftware();
     void endRelay();
 
     void noteReplicaState();
@@ -173,6 +187,9 @@
     std::string m_body;
     SseReader m_reader;
     EventOrder m_order;
+    /// Software that delivered the first event of the stream; only it may continue the stream.
+    std::optional<std::string> m_streamSoftware;
+    bool m_hasForwardedEvent = false;
     bool m_relaying = false; ///< Events of this attempt are forwarded to the caller.
     bool m_headSent = false; ///< The head of the answer was sent to the caller.
     bool m_finished = false;
--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -7,6 +7,8 @@
 #include "Control/PromptDiscovery.h"
 #include "Control/ReplicaRegistry.h"
 #include "Control/StoreReadPlan.h"
+#include "Decide/SoftwareHistory.h"
+#include "Decide/StreamOrigins.h"
 #include "Net/EntryGateway.h"
 #include "Net/EventLoop.h"
 #include "Net/FleetTask.h"
@@ -18,6 +20,7 @@
 #include "Net/RelayServer.h"
 #include "Net/SettingsWatch.h"
 #include "Net/StoreWatch.h"
+#include "Net/StreamOriginTask.h"
 
 #include <algorithm>
 #include <csignal>
@@ -111,6 +114,9 @@
     const ReplicaRecord *findRelayTarget(std::string_view incarnation) const;
     void confirmCrash(const std::string &id, std::function<void(bool)> done);
     void noteToldCrash(const std::string &router, const CrashUpdate::Crash &crash);
+    StreamOriginReport streamOriginReport(const StreamOriginQuestion &question) const;
+    void streamBegan(const StreamOrigin &origin, const StreamOriginQuestion &question);
+    void updateSoftware();
     void discoverPrompts();
     void handlePromptList(const ReplicaRecord &engine, std::span<const PromptPart> prompts);
     bool isReady() const;
@@ -136,7 +142,11 @@
     EntryFilters filters;
     RequestQuarantine quarantine;
     CrashWatch crashes;
+    SoftwareHistory software{loop};
+    std::set<std::string> registeredSoftware; ///< Of the replicas of all services.
+    StreamOrigins streamOrigins;
     FleetTask fleet;
+    StreamOriginTask streamOriginTask;
     RelayClient relay;
     RelayServer relayServer;
     PathProber prober;
@@ -191,6 +201,7 @@
                        [this](const std::string &it) {
                            pools.noteCrashed(it, CrashExclusionTime);
                        }}),
+      streamOrigins({.clock = loop, .announceNow = [this] { fleet.announceStreamOrigins(); }}),
       fleet({.loop = loop,
              .client = client,
              .metrics = metrics,
@@ -205,6 +216,9 @@
              .unreachableServices = [this] { return pools.unreachableServices(); },
              .takeCrashUpdates = [this] { return quarantine.takeUpdates(); },
              .takeFirstCrashes = [this] { return quarantine.takeFirstCrashes(); },
+             .takeStreamOrigins = [this] { return streamOrigins.takeAnnouncements(); },
+             .onStreamOrigins =
+                     [this](std::span<const StreamOrigin> it) { streamOrigins.merge(it); },
              .onHeartbeat = [this](const RouterHeartbeat &it) { receiveHeartbeat(it); },
              .onUnverifiedHeartbeat =
                      [this](const RouterHeartbeat &it) { receiveUnverifiedHeartbeat(it); },
@@ -212,7 +226,19 @@
                                     TimePoint began) { watch.applyConfigText(text, began); },
              .prompts = [this] { return pools.prompts(MaxAnnouncedPrompts); },
              .onPrompts = [this](const PromptsByReplica &it) { notePrompts(it); },
-             .onRelay = [this](const HttpExchangePtr &it) { relayServer.handle(it); }}),
+             .onRelay = [this](const HttpExchangePtr &it) { relayServer.handle(it); },
+             .onStreamOriginQuestion =
+                     [this](const HttpExchangePtr &it) { streamOriginTask.handle(it); }}),
+      streamOriginTask(
+              {.client = client,
+               .metrics = metrics,
+               .ownReport =
+                       [this](const StreamOriginQuestion &it) { return streamOriginReport(it); },
+               .keepers = [this](std::string_view stream,
+                                 std::size_t n) { return fleet.view().holdersOf(stream, n); },
+               .sign = [this](std::string_view it) { return fleet.sign(it); },
+               .verify = [this](std::string_view signature,
+                                std::string_view text) { return fleet.verify(signature, text); }}),
       relay({.loop = loop,
              .client = client,
              .random = random,
@@ -298,6 +324,14 @@
                            replicas.markLeavingAt(address, id);
                        },
                .replicaEjected = [this] { fleet.announceEjection(); },
+               .findStreamOrigin =
+                       [this](const StreamOriginQuestion &question, StreamOriginTask::Found found) {
+                           streamOriginTask.find(question, std::move(found));
+                       },
+               .streamBegan =
+                       [this](const StreamOrigin &origin, const StreamOriginQuestion &question) {
+                           streamBegan(origin, question);
+                       },
                .relay = &relay,
                .proofAge = [this] { return config.proofAge(); }}),
       settingsWatch({.loop = loop,
@@ -312,6 +346,7 @@
 {
     metrics.addCollector([this](Metrics &it) {
         it.set("catkinloft_requests_suspected", static_cast<double>(quarantine.size()));
+        it.set("catkinloft_stream_origins", static_cast<double>(streamOrigins.size()));
         it.set("catkinloft_replica_paths_lost", static_cast<double>(pools.lostPaths()));
         it.set("catkinloft_replica_lists_ignored", static_cast<double>(replicas.ignoredLists()));
         it.set("catkinloft_requests_quarantined", static_cast<double>(quarantine.held().size()));
@@ -324,6 +359,7 @@
     replicas.restored().connect([this] { refreshRegistration(); });
     replicas.changed().connect([this] {
         pools.setReplicas(replicas.replicas());
+        updateSoftware();
         announceIfReader();
         discoverPrompts();
     });
@@ -442,6 +478,38 @@
                     });
 }
 
+StreamOriginReport
+EntryProcess::Private::streamOriginReport(const StreamOriginQuestion &question) const
+{
+    StreamOriginReport out{.observedFor = software.observedFor(), .listAge = replicas.age()};
+    if (!question.stream.empty())
+        out.software = streamOrigins.find(question.stream);
+    for (const std::string &it : question.services)
+        out.candidates.merge(software.seen(it, question.window));
+    return out;
+}
+
+void EntryProcess::Private::streamBegan(const StreamOrigin &origin,
+                                        const StreamOriginQuestion &question)
+{
+    StreamOriginReport own = streamOriginReport(question);
+    own.software.reset();
+    const bool isProvable = proveOrigin({&own, 1}, question.window).has_value();
+    streamOrigins.begin(origin, !isProvable && settings.mechanisms.streamOriginAnnouncements);
+}
+
+void EntryProcess::Private::updateSoftware()
+{
+    software.update(replicas.replicas());
+    std::set<std::string> names;
+    for (const ReplicaRecord &it : replicas.replicas())
+        names.insert(it.software());
+    const std::set<std::string> before = std::exchange(registeredSoftware, names);
+    const bool isNew = !std::includes(before.begin(), before.end(), names.begin(), names.end());
+    if (isNew && settings.mechanisms.streamOriginAnnouncements)
+        streamOrigins.announceAll();
+}
+
 void EntryProcess::Private::receiveUnverifiedHeartbeat(const RouterHeartbeat &heartbeat)
 {
     if (unverified.size() < MaxUnverifiedRouters)
--- a/src/Net/FleetTask.cpp
+++ b/src/Net/FleetTask.cpp
@@ -9,11 +9,13 @@
 #include "Control/PeerState.h"
 #include "Control/PromptUpdates.h"
 #include "Control/ReplicaRegistry.h"
+#include "Control/StreamOriginCodec.h"
 #include "Net/EventLoop.h"
 #include "Net/HttpClient.h"
 #include "Net/HttpServer.h"
 #include "Net/PeerTransport.h"
 #include "Net/RelayServer.h"
+#include "Net/StreamOriginTask.h"
 #include "Net/Timer.h"
 
 #include <algorithm>
@@ -43,6 +45,9 @@
 /// All requests on a replica break at the same time; the delay collects them in one datagram.
 constexpr Duration CrashAnnounceDelay = 20ms;
 
+/// Streams often begin together; the delay collects their origins in one datagram.
+constexpr Duration StreamOriginDelay = 20ms;
+
 /// Routers that hold the evidence against one request: enough that one of them is running and
 /// receives all of it while others start or are disconnected. In a small fleet all routers hold it.
 constexpr std::size_t EvidenceHolders = 8;
@@ -106,8 +111,10 @@
     void heartbeat();
     void announceCrashes();
     void announceFirstCrashes();
+    void announceStreamOrigins();
     void ask();
     void received(std::string_view datagram);
+    void receivedOrigins(std::string_view text);
     void receivedUnverified(const std::string &text);
     void applyEcho(const RouterHeartbeat &heartbeat);
     void fetchIfNewer(const RouterHeartbeat &heartbeat);
@@ -131,6 +138,7 @@
     Timer timer;
     Timer askTimer;
     Timer crashTimer;
+    Timer streamOriginTimer;
     PeerCatchUp catchUp;
     ConfigTextCache configTexts;
     /// Packed updates to the list with \a packedHash, by the hash of the list that they start from.
@@ -162,6 +170,7 @@
              [this](const HttpExchangePtr &it) { answerState(it); }),
       timer(options.loop, [this] { heartbeat(); }), askTimer(options.loop, [this] { ask(); }),
       crashTimer(options.loop, [this] { announceCrashes(); }),
+      streamOriginTimer(options.loop, [this] { announceStreamOrigins(); }),
       catchUp({.configApplyTimeout = options.settings.configApplyTimeout}),
       incarnation(static_cast<std::uint64_t>(options.loop.wallNow().time_since_epoch().count()))
 {
@@ -274,6 +283,25 @@
     }
 }
 
+void FleetTask::Private::announceStreamOrigins()
+{
+    if (!hasKey)
+        return;
+    std::map<std::string, std::vector<StreamOrigin>> byKeeper;
+    for (const StreamOrigin &it : options.takeStreamOrigins()) {
+        for (const std::string &address : view.holdersOf(it.stream, StreamOriginTask::Keepers))
+            byKeeper[address].push_back(it);
+    }
+    for (const auto &[address, origins] : byKeeper) {
+        for (std::size_t i = 0; i < origins.size(); i += StreamOriginCodec::MaxOrigins) {
+            const std::size_t n = std::min(StreamOriginCodec::MaxOrigins, origins.size() - i);
+            transport.send(
+                    address,
+                    signedText(StreamOriginCodec::encodeOrigins(std::span(origins).subspan(i, n))));
+        }
+    }
+}
+
 void FleetTask::Private::noteUnanswered()
 {
     const TimePoint now = options.loop.now();
@@ -311,6 +339,8 @@
                               Metrics::label("fault", peerFaultName(PeerFault::Forged)));
         return;
     }
+    if (StreamOriginCodec::isOrigins(text))
+        return receivedOrigins(text);
     const Result<RouterHeartbeat> read = codec.unpack(text);
     if (!read) {
         options.metrics.count("catkinloft_peer_refused_total",
@@ -333,6 +363,15 @@
     options.onHeartbeat(heartbeat);
 }
 
+void FleetTask::Private::receivedOrigins(std::string_view text)
+{
+    const Result<std::vector<StreamOrigin>> origins = StreamOriginCodec::decodeOrigins(text);
+    if (origins)
+        return options.onStreamOrigins(origins.value());
+    options.metrics.count("catkinloft_peer_refused_total",
+                          Metrics::label("fault", peerFaultName(PeerFault::Malformed)));
+}
+
 void FleetTask::Private::receivedUnverified(const std::string &text)
 {
     if (const Result<RouterHeartbeat> read = codec.unpack(text))
@@ -373,6 +412,8 @@
     const std::string target = exchange->path() + "?" + exchange->query();
     if (RelayServer::accepts(*exchange))
         return options.onRelay(exchange);
+    if (StreamOriginTask::accepts(*exchange))
+        return options.onStreamOriginQuestion(exchange);
     if (exchange->path() != StatePath) {
         exchange->respond(404, {}, {});
         return;
@@ -533,6 +574,12 @@
         m_d->crashTimer.start(CrashAnnounceDelay);
 }
 
+void FleetTask::announceStreamOrigins()
+{
+    if (!m_d->streamOriginTimer.isPending())
+        m_d->streamOriginTimer.start(StreamOriginDelay);
+}
+
 void FleetTask::announceDiscovered(const std::string &replica, std::span<const std::uint64_t> parts,
                                    std::span<const std::string> addresses)
 {
--- a/src/Net/FleetTask.h
+++ b/src/Net/FleetTask.h
@@ -5,6 +5,7 @@
 #include "Base/Metrics.h"
 #include "Base/Settings.h"
 #include "Control/FleetView.h"
+#include "Decide/StreamOrigins.h"
 #include "Net/HttpExchange.h"
 
 #include <functional>
@@ -48,6 +49,13 @@
                 takeCrashUpdates; ///< \sa RequestQuarantine::takeUpdates
         /// \sa RequestQuarantine::takeFirstCrashes
         std::function<std::vector<CrashUpdate>()> takeFirstCrashes;
+        /// \sa StreamOrigins::takeAnnouncements
+        std::function<std::vector<StreamOrigin>()> takeStreamOrigins = [] {
+            return std::vector<StreamOrigin>();
+        };
+        /// Called with the origins of streams that another router began.
+        std::function<void(std::span<const StreamOrigin>)> onStreamOrigins =
+                [](std::span<const StreamOrigin>) {};
         std::function<void(const RouterHeartbeat &)> onHeartbeat;
         /// Called for each heartbeat that is received before the key is known. It can't be
         /// verified, so it is only a hint.
@@ -61,6 +69,9 @@
         std::function<void(const PromptsByReplica &)> onPrompts; ///< Called with a peer's estimate.
         /// Called for each request to be relayed, and each question about a path, of a router.
         std::function<void(const HttpExchangePtr &)> onRelay;
+        /// Called for each question of a router about the origin of a stream.
+        std::function<void(const HttpExchangePtr &)> onStreamOriginQuestion =
+                [](const HttpExchangePtr &) {};
     };
 
     explicit FleetTask(Options options);
@@ -104,6 +115,9 @@
     /// crashed replicas.
     void announceCrashes();
 
+    /// \brief Announces to the routers that keep them, within milliseconds, the origins of streams.
+    void announceStreamOrigins();
+
     /// \returns whether this router is one of those that read the store on behalf of the fleet.
     bool isReader() const;
 
--- /dev/null
+++ b/src/Net/StreamOriginTask.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "Base/Metrics.h"
+#include "Control/StreamOriginCodec.h"
+#include "Net/HttpClient.h"
+#include "Net/HttpExchange.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace catkinloft {
+
+/// \brief Finds out which software began a stream that a caller resumes, by asking the routers that
+/// keep its origin, and answers such questions.
+///
+/// If no router knows the origin, their lists of replicas may still prove it. \sa proveOrigin()
+class StreamOriginTask
+{
+public:
+    /// Number of routers that keep the origin of one stream.
+    static constexpr std::size_t Keepers = 3;
+
+    struct Options
+    {
+        HttpClient &client;
+        Metrics &metrics;
+        /// Returns what this router knows.
+        std::function<StreamOriginReport(const StreamOriginQuestion &)> ownReport;
+        /// Returns the addresses of the \a n routers that keep the origin of \a stream first.
+        std::function<std::vector<std::string>(std::string_view stream, std::size_t n)> keepers;
+        /// Signs a text with the key of the fleet.
+        std::function<std::string(std::string_view text)> sign;
+        /// Whether a signature of the key of the fleet is valid for a text.
+        std::function<bool(std::string_view signature, std::string_view text)> verify;
+    };
+
+    /// Called with the software that began the stream, or with nothing if that can't be proven.
+    using Found = std::function<void(std::optional<std::string> software)>;
+
+    explicit StreamOriginTask(Options options) : m_options(std::move(options)) { }
+
+    /// \param found is called once, possibly from within this function.
+    void find(const StreamOriginQuestion &question, Found found);
+
+    /// \returns whether \a exchange is meant for handle().
+    static bool accepts(const HttpExchange &exchange);
+
+    /// \brief Answers the question of another router.
+    void handle(const HttpExchangePtr &exchange);
+
+private:
+    struct Inquiry;
+
+    void ask(const std::string &address, const std::string &text,
+             const std::shared_ptr<Inquiry> &inquiry);
+    void finish(Inquiry &inquiry, std::optional<std::string> software, const char *how);
+
+    Options m_options;
+};
+
+} // namespace catkinloft
--- a/test/EntryRequestTest.cpp
+++ b/test/EntryRequestTest.cpp
@@ -148,32 +148,43 @@
                      },
              .replicaCrashed = [this](const std::string &it) { pools.noteCrashed(it, 3s); }}};
     bool isShuttingDown = false;
+    /// Software that began the streams which callers resume; by default that of all replicas.
+    std::optional<std::string> origin = "svc ";
+    std::vector<StreamOriginQuestion> questions;
+    std::vector<StreamOrigin> begun;
     /// Declared before the gateway, whose calls report until it is destroyed.
     std::vector<RequestEvent> events;
-    EntryGateway gateway{{.loop = loop,
-                          .client = client,
-                          .metrics = metrics,
-                          .settings = settings,
-                          .codec = codec,
-                          .filters = filters,
-                          .pools = pools,
-                          .quarantine = quarantine,
-                          .crashes = crashes,
-                          .random = seededRandom(2),
-                          .sharingRouters = [] { return 1; },
-                          .isShuttingDown = [this] { return isShuttingDown; },
-                          .replicaLeaving =
-                                  [this](const std::string &it) {
-                                      registry.markLeaving(it,
-                                                           ReplicaRegistry::LeavingSource::Answer);
-                                      pools.setReplicas(registry.replicas());
-                                  },
-                          .replicaLeavingAt =
-                                  [this](const std::string &address, const std::string &id) {
-                                      registry.markLeavingAt(address, id);
-                                      pools.setReplicas(registry.replicas());
-                                  },
-                          .report = [this](const RequestEvent &it) { events.push_back(it); }}};
+    EntryGateway gateway{
+            {.loop = loop,
+             .client = client,
+             .metrics = metrics,
+             .settings = settings,
+             .codec = codec,
+             .filters = filters,
+             .pools = pools,
+             .quarantine = quarantine,
+             .crashes = crashes,
+             .random = seededRandom(2),
+             .sharingRouters = [] { return 1; },
+             .isShuttingDown = [this] { return isShuttingDown; },
+             .replicaLeaving =
+                     [this](const std::string &it) {
+                         registry.markLeaving(it, ReplicaRegistry::LeavingSource::Answer);
+                         pools.setReplicas(registry.replicas());
+                     },
+             .replicaLeavingAt =
+                     [this](const std::string &address, const std::string &id) {
+                         registry.markLeavingAt(address, id);
+                         pools.setReplicas(registry.replicas());
+                     },
+             .findStreamOrigin =
+                     [this](const StreamOriginQuestion &question, const auto &found) {
+                         questions.push_back(question);
+                         found(origin);
+                     },
+             .streamBegan = [this](const StreamOrigin &it,
+                                   const StreamOriginQuestion &) { begun.push_back(it); },
+             .report = [this](const RequestEvent &it) { events.push_back(it); }}};
     HttpServer server{loop,
                       {.address = fmt::format("127.0.0.1:{}", Port)},
                       [this](const HttpExchangePtr &it) { gateway.handle(it); }};
@@ -646,6 +657,101 @@
     CHECK(call(caller, get("/stream/"), "0\r\n\r\n").find("e2") != std::string::npos);
 }
 
+// Guards against a caller's resumed stream that continues at another version than it began at.
+TEST_CASE_FIXTURE(EntryGatewayFixture, "entryRequest_callerResumes_goesOnAtTheVersionThatBegan")
+{
+    const auto script = [](const std::string &request, std::size_t) -> Reply {
+        return {.bytes = ScriptedReplica::streamHead(request) + ScriptedReplica::events(4, 5)
+                        + ScriptedReplica::streamEnd()};
+    };
+    addReplica(script, "v1");
+    addReplica(script, "v2");
+    const std::string resumption = get("/stream/", "Last-Event-Id: 3\r\nResumes: r0\r\n");
+    RawCaller caller(Port);
+    SUBCASE("the origin is known")
+    {
+        origin = "svc v2";
+        CHECK(call(caller, resumption, "0\r\n\r\n").find("e5") != std::string::npos);
+        CHECK(replicas[0]->requests().empty());
+        CHECK(replicas[1]->requests().size() == 1);
+        REQUIRE(questions.size() == 1);
+        CHECK(questions[0].stream == StreamOrigins::keyOf("archive", "r0"));
+        CHECK(questions[0].services == std::vector<std::string>{"svc"});
+        REQUIRE(begun.size() == 1);
+        CHECK(begun[0].stream == questions[0].stream);
+        CHECK(begun[0].software == "svc v2");
+    }
+    SUBCASE("the origin is unknown")
+    {
+        origin.reset();
+        const std::string answer = call(caller, resumption, "not_run");
+        CHECK(answer.starts_with("HTTP/1.1 503"));
+        CHECK(answer.find("Retry-After: ") != std::string::npos);
+        CHECK(answer.find("stream_origin_unknown") != std::string::npos);
+        CHECK(sent() == 0);
+    }
+    SUBCASE("no replica of the version is left")
+    {
+        origin = "svc v0";
+        const std::string answer = call(caller, resumption, "not_run");
+        CHECK(answer.starts_with("HTTP/1.1 503"));
+        CHECK(answer.find("no replica of svc v0 can take the request") != std::string::npos);
+        CHECK(sent() == 0);
+    }
+    SUBCASE("the caller does not name the attempt that began it")
+    {
+        origin = "svc v1";
+        CHECK(call(caller, get("/stream/", "Last-Event-Id: 3\r\n"), "0\r\n\r\n").find("e5")
+              != std::string::npos);
+        CHECK(questions.front().stream.empty());
+        CHECK(begun.empty());
+    }
+}
+
+TEST_CASE_FIXTURE(EntryGatewayFixture, "entryRequest_streamBegins_isRecordedWithItsFirstEvent")
+{
+    addReplica(
+            [](const std::string &request, std::size_t n) -> Reply {
+                const std::string head = ScriptedReplica::streamHead(request);
+                if (n == 0)
+                    return {.bytes = head, .end = End::Reset};
+                return {.bytes = head + ScriptedReplica::events(1, 2)
+                                + ScriptedReplica::streamEnd()};
+            },
+            "v1");
+    RawCaller caller(Port);
+    call(caller, get("/stream/", "Resumes: other\r\n"), "0\r\n\r\n");
+    CHECK(questions.empty());
+    REQUIRE(begun.size() == 1);
+    CHECK(begun[0].stream == StreamOrigins::keyOf("archive", "r1"));
+    CHECK(begun[0].software == "svc v1");
+    CHECK(begun[0].lifetime > StreamOrigins::ReturnTime);
+}
+
+// Guards against resumed streams that go to another service of a route with several.
+TEST_CASE_FIXTURE(EntryGatewayFixture, "entryRequest_routeHasTwoServices_resumedStreamKeepsItsOwn")
+{
+    const auto script = [](const std::string &request, std::size_t) -> Reply {
+        return {.bytes = ScriptedReplica::streamHead(request) + ScriptedReplica::events(4, 4)
+                        + ScriptedReplica::streamEnd()};
+    };
+    addReplica(script, "v1");
+    addReplica(script, "v1");
+    records[1].service = "second";
+    publishReplicas();
+    auto config = std::make_shared<RouteConfig>(*makeConfig());
+    for (Route &it : config->routes)
+        it.targets = {{"svc"}, {"second"}};
+    routes = std::make_shared<RouteTable>(config);
+    origin = "second v1";
+    for (int i = 0; i < 8; ++i) {
+        RawCaller caller(Port);
+        call(caller, get("/stream/", "Last-Event-Id: 3\r\nResumes: r0\r\n"), "0\r\n\r\n");
+    }
+    CHECK(replicas[0]->requests().empty());
+    CHECK(replicas[1]->requests().size() == 8);
+}
+
 TEST_CASE_FIXTURE(EntryGatewayFixture, "entryRequest_stalledResumableStream_isResumedElsewhere")
 {
     const auto script = [](const std::string &request, std::size_t) -> Reply {
