--- a/soak/SoakCheck.cpp
+++ b/soak/SoakCheck.cpp
@@ -53,18 +53,52 @@
     return status == 503 || status == 429 || status == 408 || status == 421;
 }
 
-std::string completeStream()
+/// \returns the events of a whole stream after event \a last, from one software version.
+std::string completeStream(int last, const std::string &version)
 {
     std::string out;
-    for (int i = 1; i <= 6; ++i)
-        out += fmt::format("id: {}\ndata: piece {}\n\n", i, i);
+    for (int i = last + 1; i <= 6; ++i)
+        out += standin::ReplicaStandin::eventText(i, version);
     return out;
 }
 
+/// \returns the software versions that the events of \a body name.
+std::set<std::string> versionsOf(const std::string &body)
+{
+    std::set<std::string> out;
+    for (std::size_t at = 0, end = body.find("\n\n"); end != std::string::npos;
+         at = end + 2, end = body.find("\n\n", at)) {
+        const std::string event = body.substr(at, end - at);
+        const std::size_t space =
+                event.find(' ', event.find("piece ") + std::string("piece ").size());
+        out.insert(space == std::string::npos ? std::string() : event.substr(space + 1));
+    }
+    return out;
+}
+
+/// Checks that no stream has events of two software versions, over all tries of its caller.
+void checkVersions(const std::map<std::string, Attempt> &attempts,
+                   const std::function<void(std::string)> &broken)
+{
+    for (const auto &[id, it] : attempts) {
+        if (!isStream(it.route))
+            continue;
+        std::set<std::string> versions = versionsOf(it.body);
+        const auto first = attempts.find(it.resumes);
+        if (first != attempts.end())
+            versions.merge(versionsOf(first->second.body));
+        if (versions.size() > 1)
+            broken(fmt::format("{} has events of {} versions", id, versions.size()));
+    }
+}
+
 bool isExpectedAnswer(const std::string &id, const Attempt &it)
 {
     if (isStream(it.route))
-        return it.body == completeStream()
+        return (it.body.empty() || versionsOf(it.body).size() == 1)
+                && it.body
+                == completeStream(it.afterEvent,
+                                  it.body.empty() ? std::string() : *versionsOf(it.body).begin())
                 && it.signature == standin::ReplicaStandin::signatureOf(id, {});
     return it.body.starts_with(id + " answered by ")
             && it.signature == standin::ReplicaStandin::signatureOf(id, it.body);
@@ -285,6 +319,7 @@
             broken(fmt::format("{} was answered and did not run ({})", id,
                                describe(id, it, executions)));
     }
+    checkVersions(attempts, broken);
     checkLeaving(attempts, arrivals, history, broken);
     checkPauses(attempts, arrivals, history, broken);
     checkEvacuations(attempts, arrivals, history, broken);
--- a/soak/SoakLoad.h
+++ b/soak/SoakLoad.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -29,6 +30,8 @@
     std::string signature = {};
     bool saysLeaving = false; ///< The answer reports that its replica leaves.
     WallTime answeredAt = {};
+    std::string resumes = {}; ///< Attempt that began the stream, if the caller resumes it.
+    int afterEvent = 0; ///< Last event of the stream that the caller had before.
 };
 
 /// \brief Simulates callers that resolve router addresses through the directory, reuse open
@@ -42,6 +45,8 @@
         const standin::EntryFleet &fleet;
         RandomSource random;
         Duration interval = std::chrono::milliseconds(8); ///< Between two requests of all callers.
+        /// Seed for callers that leave streams and resume them at another router; empty: none do.
+        std::optional<std::uint64_t> leaverSeed = {};
     };
 
     explicit SoakLoad(Options options);
@@ -73,9 +78,23 @@
         const char *target;
         std::string_view body;
     };
+    static constexpr RequestTemplate StreamTemplate = {"stream", "GET", "/stream/a?events=6", ""};
+    /// A stream whose caller leaves after a few events.
+    struct LeftStream
+    {
+        HttpCallPtr call;
+        std::string received;
+        int events = 0;
+        int leaveAfter = 0;
+    };
 
     void send();
     void send(const RequestTemplate &request, const std::string &id, std::size_t router);
+    HttpCall composeCall(const RequestTemplate &request, const std::string &id, std::size_t router);
+    bool isLeaver(const RequestTemplate &request) const;
+    void sendAndLeave(const std::string &id, std::size_t router);
+    void receive(const std::string &id, std::size_t router, std::string_view data);
+    void resume(const std::string &first, std::size_t router);
     void resolveRouters();
     std::size_t routerIndexOf(const std::string &address) const;
 
@@ -86,6 +105,8 @@
     std::string m_key = standin::EntryFleet::Key;
     std::vector<std::string> m_addresses;
     std::map<std::string, Attempt> m_attempts;
+    std::map<std::string, LeftStream> m_leftStreams; ///< In progress, by id.
+    RandomSource m_leaverRandom; ///< Null: no caller leaves its stream.
     std::size_t m_inProgress = 0;
     std::size_t m_number = 0;
     std::size_t m_fatalNumber = 0;
--- a/soak/SoakPlan.cpp
+++ b/soak/SoakPlan.cpp
@@ -54,6 +54,10 @@
         KindInfo{FaultKind::StoreRestored, "store_restored", true, 200ms, 3s},
 };
 
+constexpr std::array VersionKinds = {
+        KindInfo{FaultKind::ReplicaChangesVersion, "replica_changes_version", false, 0ms, 0ms},
+};
+
 constexpr std::array PartitionKinds = {
         KindInfo{FaultKind::RouterPartitioned, "router_partitioned", true, 2s, 6s},
         KindInfo{FaultKind::RouterReset, "router_reset", true, 2s, 6s},
@@ -92,7 +96,7 @@
     for (const std::span<const KindInfo> kinds :
          {std::span<const KindInfo>(Kinds), std::span<const KindInfo>(ReplicaKinds),
           std::span<const KindInfo>(DomainKinds), std::span<const KindInfo>(StoreKinds),
-          std::span<const KindInfo>(PartitionKinds)}) {
+          std::span<const KindInfo>(PartitionKinds), std::span<const KindInfo>(VersionKinds)}) {
         if (const std::string_view name = nameIn(kinds, kind); !name.empty())
             return name;
     }
@@ -111,6 +115,18 @@
     return drawOneOfEach(DomainKinds, random, length, replicas);
 }
 
+std::vector<Fault> drawVersionChanges(const RandomSource &random, Duration length,
+                                      std::size_t replicas)
+{
+    constexpr std::size_t Changes = 3;
+    std::vector<Fault> out;
+    for (std::size_t i = 0; i < Changes; ++i) {
+        for (const Fault &it : drawOneOfEach(VersionKinds, random, length, replicas))
+            out.push_back(it);
+    }
+    return out;
+}
+
 std::vector<Fault> drawPartitions(const RandomSource &random, Duration length, std::size_t routers)
 {
     const KindInfo &info = PartitionKinds[below(random, PartitionKinds.size())];
--- a/soak/SoakPlan.h
+++ b/soak/SoakPlan.h
@@ -35,6 +35,7 @@
     RouterPartitioned, ///< Packets between one router and all replicas are dropped.
     RouterReset, ///< One router's connections to all replicas are closed, also new ones.
     RouterRefused, ///< One router's new connections to all replicas are reset.
+    ReplicaChangesVersion, ///< Restarts with the other software version.
     StoreRestored, ///< The store is down and returns from a copy that is some seconds old.
 };
 
@@ -66,6 +67,11 @@
 /// \returns partitions of single routers from all replicas, drawn separately for the same reason.
 std::vector<Fault> drawPartitions(const RandomSource &random, Duration length, std::size_t routers);
 
+/// \returns restarts of replicas with another software version, drawn separately for the same
+/// reason.
+std::vector<Fault> drawVersionChanges(const RandomSource &random, Duration length,
+                                      std::size_t replicas);
+
 /// \returns the faults of a run, drawn from \a random and ordered by time: single faults, series of
 /// one kind, and overlapping faults.
 std::vector<Fault> drawFaults(const RandomSource &random, Duration length, std::size_t routers,
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -38,6 +38,10 @@
 /// Separates the random numbers of partitions from those of the other faults.
 constexpr std::uint64_t PartitionSeed = 0x9A27;
 
+/// Separates the random numbers of version changes and of callers that leave their streams from
+/// those of the faults.
+constexpr std::uint64_t VersionSeed = 0x7E51;
+
 /// Time in which a replica that resumes after a pause receives what was sent to it meanwhile.
 constexpr Duration BacklogTime = 1s;
 
@@ -75,10 +79,13 @@
 } // namespace
 
 SoakRun::SoakRun(Options options)
-    : m_options(std::move(options)), m_fleet({.binaries = m_options.binaries,
-                                              .routers = m_options.routers,
-                                              .replicas = m_options.replicas,
-                                              .domains = m_options.withDomainFaults ? 3U : 1U}),
+    : m_options(std::move(options)),
+      m_fleet({.binaries = m_options.binaries,
+               .routers = m_options.routers,
+               .replicas = m_options.replicas,
+               .versions = m_options.withVersions ? std::vector<std::string>{"v1", "v2"}
+                                                  : std::vector<std::string>(),
+               .domains = m_options.withDomainFaults ? 3U : 1U}),
       m_random(seededRandom(m_options.seed))
 { }
 
@@ -108,9 +115,20 @@
         for (const Fault &it : drawPartitions(faultRandom, m_options.length, m_options.routers))
             out.faults.push_back(it);
     }
+    if (m_options.withVersions) {
+        const RandomSource faultRandom = seededRandom(m_options.seed ^ VersionSeed);
+        for (const Fault &it :
+             drawVersionChanges(faultRandom, m_options.length, 2 * m_options.replicas))
+            out.faults.push_back(it);
+    }
     m_history.domainOf = [this](const std::string &id) { return m_fleet.domainOfId(id); };
     m_fleet.start();
-    m_load.emplace(SoakLoad::Options{.loop = m_loop, .fleet = m_fleet, .random = m_random});
+    m_load.emplace(SoakLoad::Options{.loop = m_loop,
+                                     .fleet = m_fleet,
+                                     .random = m_random,
+                                     .leaverSeed = m_options.withVersions
+                                             ? std::optional(m_options.seed ^ VersionSeed)
+                                             : std::nullopt});
     m_load->start();
     if (m_copyTimer) {
         m_fleet.copyStore();
@@ -248,6 +266,11 @@
     case FaultKind::DomainEvacuated:
         evacuate(fault.target);
         break;
+    case FaultKind::ReplicaChangesVersion:
+        m_fleet.setVersion(fault.target, m_fleet.versionOf(fault.target) == "v1" ? "v2" : "v1");
+        if (m_replicaOutages[fault.target] == 0)
+            m_fleet.restartReplica(fault.target);
+        break;
     case FaultKind::ReplicaTurnsCold:
         makeCold(fault);
         break;
@@ -438,6 +461,7 @@
     case FaultKind::ReplicaTurnsCold:
         m_fleet.registerReplica(fault.target, "ready");
         break;
+    case FaultKind::ReplicaChangesVersion:
     case FaultKind::StoreForgets:
     case FaultKind::StorePathSilent:
     case FaultKind::ReplicaPathSilent:
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -26,6 +26,7 @@
         bool withDomainFaults = true; ///< \sa drawDomainFaults
         bool withStoreRestores = true; ///< \sa drawStoreRestores
         bool withPartitions = true; ///< \sa drawPartitions
+        bool withVersions = true; ///< Two software versions, and callers that resume their streams.
         std::string keepFolder = {}; ///< Receives the logs of a run that violates a guarantee.
     };
 
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -15,7 +15,8 @@
         "file whose lines begin with SEED, SEED@SECONDS or SEED@SECONDS+, run before the others; "
         "+: with the faults that originate in replicas, ++: also with those of failure domains and "
         "cold replicas, +++: also with restores of the store from a copy, "
-        "++++: also with routers that are partitioned from all replicas");
+        "++++: also with routers that are partitioned from all replicas, "
+        "+++++: also with two software versions and callers that resume their streams");
 DEFINE_double(seconds, 10, "period of each run in which faults begin, in seconds");
 DEFINE_uint64(routers, 4, "routers");
 DEFINE_uint64(replicas, 3, "number of replicas of each of the two services");
@@ -33,6 +34,7 @@
     bool withDomainFaults = true;
     bool withStoreRestores = true;
     bool withPartitions = true;
+    bool withVersions = true;
 };
 
 std::vector<RunPlan> runPlans()
@@ -51,7 +53,8 @@
                        .withReplicaFaults = kinds.starts_with('+'),
                        .withDomainFaults = kinds.starts_with("++"),
                        .withStoreRestores = kinds.starts_with("+++"),
-                       .withPartitions = kinds.starts_with("++++")});
+                       .withPartitions = kinds.starts_with("++++"),
+                       .withVersions = kinds.starts_with("+++++")});
     }
     for (std::uint64_t i = 0; i < FLAGS_runs; ++i)
         out.push_back({.seed = FLAGS_seed + i, .length = fromSeconds(FLAGS_seconds)});
@@ -69,6 +72,7 @@
                  .withDomainFaults = it.withDomainFaults,
                  .withStoreRestores = it.withStoreRestores,
                  .withPartitions = it.withPartitions,
+                 .withVersions = it.withVersions,
                  .keepFolder = FLAGS_keep});
     const SoakRun::Outcome outcome = run.run();
     std::string faults;
--- a/test/integration/SoakCheckTest.cpp
+++ b/test/integration/SoakCheckTest.cpp
@@ -183,3 +183,27 @@
                            R"(body "s2 answered")", "resumed at i-1 0 ms later"})
         CHECK(lines[0].find(it) != std::string::npos);
 }
+
+// Guards against a soak that passes although a stream has events of two software versions.
+TEST_CASE_FIXTURE(SoakCheckFixture, "soakCheck_resumedStreamOfAnotherVersion_isReported")
+{
+    const auto events = [](int from, int to, const std::string &version) {
+        std::string out;
+        for (int i = from; i <= to; ++i)
+            out += standin::ReplicaStandin::eventText(i, version);
+        return out;
+    };
+    attempts["s3"] = {.route = "stream", .sentAt = start, .body = events(1, 2, "v1")};
+    answer("s3-resumed", "stream", events(3, 6, "v1"));
+    Attempt &resumed = attempts["s3-resumed"];
+    resumed.signature = standin::ReplicaStandin::signatureOf("s3-resumed", {});
+    resumed.resumes = "s3";
+    resumed.afterEvent = 2;
+    addExecution("s3", "i-1");
+    addExecution("s3-resumed", "i-1");
+    CHECK(broken() == 0);
+    resumed.body = events(3, 6, "v2");
+    CHECK(broken() == 1);
+    resumed.body = events(3, 5, "v1");
+    CHECK(broken() == 1);
+}
