The store has which software served before, for routers that have just started

Cause: the proof by the list of replicas needs to know what served before, and a router knew only what it had watched itself. The rows that a router reads at its start now include one for each software, written by the two readers when a software is added or removed; a router that finds no key of the fleet is the first one ever.

--- a/src/Control/FleetRegistration.cpp
+++ b/src/Control/FleetRegistration.cpp
@@ -1,8 +1,10 @@
 #include "Control/FleetRegistration.h"
 
 #include "Base/Hash.h"
+#include "Base/Json.h"
 #include "Base/Log.h"
 
+#include <algorithm>
 #include <string_view>
 
 namespace catkinloft {
@@ -12,6 +14,7 @@
 constexpr std::string_view Rows = "fleet/";
 constexpr std::string_view KeyRow = "fleet/key";
 constexpr std::string_view RouterRows = "fleet/router/";
+constexpr std::string_view SoftwareRows = "fleet/software/";
 constexpr const char *KeyId = "1";
 
 /// Maximum number of rows read; several times the largest planned fleet.
@@ -21,6 +24,33 @@
 /// hashing it first.
 constexpr int KeyWords = 8;
 
+std::string softwareKey(const SoftwareHistory::Row &row)
+{
+    return std::string(SoftwareRows) + row.software;
+}
+
+std::string encodeSoftware(const SoftwareHistory::Row &row)
+{
+    Json::Value out(Json::objectValue);
+    out["service"] = row.service;
+    if (row.goneAt)
+        out["gone_ms"] = static_cast<Json::Int64>(row.goneAt->time_since_epoch()
+                                                  / std::chrono::milliseconds(1));
+    return printJson(out);
+}
+
+std::optional<SoftwareHistory::Row> decodeSoftware(const TableRow &row)
+{
+    const Result<Json::Value> value = parseJsonObject(row.value);
+    if (!value || !value.value()["service"].isString())
+        return std::nullopt;
+    SoftwareHistory::Row out{.service = value.value()["service"].asString(),
+                             .software = row.key.substr(SoftwareRows.size())};
+    if (const Json::Value &ms = value.value()["gone_ms"]; ms.isInt64())
+        out.goneAt = WallTime(std::chrono::milliseconds(ms.asInt64()));
+    return out;
+}
+
 void logFailure(const char *what, const Error &error)
 {
     Log::warning("registration_failed", {{"step", what}, {"detail", error.detail}});
@@ -50,11 +80,18 @@
 void FleetRegistration::takeRows(const std::vector<TableRow> &rows)
 {
     std::vector<RegisteredRouter> others;
+    std::vector<SoftwareHistory::Row> software;
     std::string key;
     bool isRegistered = false;
     for (const TableRow &it : rows) {
         if (it.key == KeyRow)
             key = it.value;
+        if (it.key.starts_with(SoftwareRows)) {
+            if (const auto row = decodeSoftware(it))
+                software.push_back(*row);
+            else
+                Log::warning("software_row_malformed", {{"row", it.key}});
+        }
         if (!it.key.starts_with(RouterRows))
             continue;
         const auto router = RegisteredRouter::decode(it.key.substr(RouterRows.size()), it.value);
@@ -65,6 +102,8 @@
         else if (router.value().name != m_options.self.name)
             others.push_back(router.value());
     }
+    m_software = software;
+    m_options.onSoftware(software, key.empty() && m_key.empty());
     if (key.empty())
         return createKey();
     if (key != m_key)
@@ -129,6 +168,33 @@
             });
 }
 
+void FleetRegistration::writeSoftware(const std::vector<SoftwareHistory::Row> &rows)
+{
+    using Row = SoftwareHistory::Row;
+    const auto contains = [](const std::vector<Row> &list, const Row &row, bool sameState) {
+        return std::any_of(list.begin(), list.end(), [&](const Row &it) {
+            return it.software == row.software
+                    && (!sameState || it.goneAt.has_value() == row.goneAt.has_value());
+        });
+    };
+    TableTransaction transaction;
+    for (const Row &it : rows) {
+        if (!contains(m_software, it, true))
+            transaction.writes.push_back({.key = softwareKey(it), .value = encodeSoftware(it)});
+    }
+    for (const Row &it : m_software) {
+        if (!contains(rows, it, false))
+            transaction.writes.push_back({.key = softwareKey(it), .value = std::nullopt});
+    }
+    if (transaction.writes.empty() || m_left)
+        return;
+    m_software = rows;
+    m_options.table.commit(transaction, [](const Result<TableCommit> &commit) {
+        if (!commit)
+            logFailure("write software", commit.error());
+    });
+}
+
 void FleetRegistration::leave()
 {
     m_left = true;
--- a/src/Control/FleetRegistration.h
+++ b/src/Control/FleetRegistration.h
@@ -4,6 +4,7 @@
 #include "Base/Settings.h"
 #include "Base/TableService.h"
 #include "Control/RegisteredRouter.h"
+#include "Decide/SoftwareHistory.h"
 
 #include <functional>
 #include <string>
@@ -31,6 +32,10 @@
         /// Called with all other routers once this one is registered as well. Of any two routers
         /// that start, the one that reads later finds the other.
         std::function<void(const std::vector<RegisteredRouter> &)> onRouters;
+        /// Called with the rows on software at each read, and whether the store had no key of the
+        /// fleet yet, so that no router has ever run.
+        std::function<void(const std::vector<SoftwareHistory::Row> &, bool isFirstStart)>
+                onSoftware = [](const std::vector<SoftwareHistory::Row> &, bool) {};
         /// Called at the end of each refresh() with whether all its calls were answered.
         std::function<void(bool answered)> onEnd = [](bool) {};
     };
@@ -41,6 +46,10 @@
     /// Must be called until isComplete(), and periodically afterwards.
     void refresh();
 
+    /// \brief Replaces the rows on software by \a rows, except where only the time of removal
+    /// differs.
+    void writeSoftware(const std::vector<SoftwareHistory::Row> &rows);
+
     /// \returns whether the key and the list of routers were read at least once while this router
     /// was registered.
     bool isComplete() const { return m_complete; }
@@ -63,6 +72,7 @@
     std::string m_key; ///< Last key read; empty: none yet.
     bool m_complete = false;
     bool m_left = false;
+    std::vector<SoftwareHistory::Row> m_software; ///< Rows in the store when last read or written.
 };
 
 } // namespace catkinloft
--- a/src/Decide/SoftwareHistory.cpp
+++ b/src/Decide/SoftwareHistory.cpp
@@ -1,5 +1,7 @@
 #include "Decide/SoftwareHistory.h"
 
+#include <algorithm>
+
 namespace catkinloft {
 
 namespace {
@@ -41,8 +43,45 @@
     return out;
 }
 
+bool SoftwareHistory::isComplete() const
+{
+    return m_isComplete || (m_startedAt && m_clock.now() - *m_startedAt >= Lifetime);
+}
+
+void SoftwareHistory::adopt(std::span<const Row> rows)
+{
+    const TimePoint now = m_clock.now();
+    const WallTime wallNow = m_clock.wallNow();
+    for (const Row &it : rows) {
+        // When a software was removed that the store has as registered is not known.
+        const Duration age = it.goneAt ? std::max(Duration::zero(), Duration(wallNow - *it.goneAt))
+                                       : Duration::zero();
+        if (age <= Lifetime)
+            m_services[it.service].try_emplace(it.software, Software{.lastSeenAt = now - age});
+    }
+    m_isComplete = true;
+}
+
+std::vector<SoftwareHistory::Row> SoftwareHistory::rows() const
+{
+    std::vector<Row> out;
+    for (const auto &[service, versions] : m_services) {
+        for (const auto &[name, it] : versions) {
+            Row row{.service = service, .software = name};
+            if (!it.isRegistered)
+                row.goneAt = m_clock.wallNow()
+                        - std::chrono::duration_cast<WallTime::duration>(m_clock.now()
+                                                                         - it.lastSeenAt);
+            out.push_back(std::move(row));
+        }
+    }
+    return out;
+}
+
 Duration SoftwareHistory::observedFor() const
 {
+    if (isComplete())
+        return Lifetime;
     return m_startedAt ? m_clock.now() - *m_startedAt : Duration::zero();
 }
 
--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -117,6 +117,8 @@
     StreamOriginReport streamOriginReport(const StreamOriginQuestion &question) const;
     void streamBegan(const StreamOrigin &origin, const StreamOriginQuestion &question);
     void updateSoftware();
+    void adoptSoftware(const std::vector<SoftwareHistory::Row> &rows, bool isFirstStart);
+    void storeSoftware();
     void discoverPrompts();
     void handlePromptList(const ReplicaRecord &engine, std::span<const PromptPart> prompts);
     bool isReady() const;
@@ -291,6 +293,8 @@
                                 discovery.setRouters(it);
                                 discoverPrompts();
                             },
+                    .onSoftware = [this](const std::vector<SoftwareHistory::Row> &rows,
+                                         bool isFirstStart) { adoptSoftware(rows, isFirstStart); },
                     .onEnd = [this](bool answered) { registrationEnded(answered); }}),
       registrationPlan({.clock = loop, .random = random}),
       directory({.settings = settings,
@@ -508,6 +512,23 @@
     const bool isNew = !std::includes(before.begin(), before.end(), names.begin(), names.end());
     if (isNew && settings.mechanisms.streamOriginAnnouncements)
         streamOrigins.announceAll();
+    storeSoftware();
+}
+
+void EntryProcess::Private::adoptSoftware(const std::vector<SoftwareHistory::Row> &rows,
+                                          bool isFirstStart)
+{
+    if (isFirstStart)
+        software.setComplete();
+    else if (!rows.empty())
+        software.adopt(rows);
+}
+
+/// The routers that read the store for the others write what they have seen.
+void EntryProcess::Private::storeSoftware()
+{
+    if (software.isComplete() && replicas.age() != Duration::max() && fleet.isReader())
+        registration.writeSoftware(software.rows());
 }
 
 void EntryProcess::Private::receiveUnverifiedHeartbeat(const RouterHeartbeat &heartbeat)
@@ -594,6 +615,7 @@
     registrationPlan.answered();
     unverified.clear();
     storeAnswered(loop.now());
+    storeSoftware();
 }
 
 std::unique_ptr<HttpServer> EntryProcess::Private::makeServer(const std::string &address,
--- a/test/FleetRegistrationTest.cpp
+++ b/test/FleetRegistrationTest.cpp
@@ -20,11 +20,18 @@
                               .peerAddress = "10.0.0." + std::to_string(name.size()) + ":2",
                               .processorShare = 0.12},
                      .onKey = [this](const SharedKey &it) { key = it.secret; },
-                     .onRouters = [this](const std::vector<RegisteredRouter> &it) { others = it; }})
+                     .onRouters = [this](const std::vector<RegisteredRouter> &it) { others = it; },
+                     .onSoftware =
+                             [this](const std::vector<SoftwareHistory::Row> &it, bool isFirst) {
+                                 software = it;
+                                 isFirstStart = isFirstStart || isFirst;
+                             }})
         { }
 
         std::string key;
         std::vector<RegisteredRouter> others;
+        std::vector<SoftwareHistory::Row> software;
+        bool isFirstStart = false;
         FleetRegistration registration;
     };
 
@@ -163,3 +170,29 @@
     refresh(a);
     CHECK(a.key == started.key);
 }
+
+// Guards against routers that all restart and do not know which software served before.
+TEST_CASE_FIXTURE(FleetRegistrationFixture, "fleetRegistration_softwareRows_areReadByLaterRouters")
+{
+    refresh(a);
+    CHECK(a.isFirstStart);
+    a.registration.writeSoftware(
+            {{.service = "svc", .software = "svc v1"}, {.service = "svc", .software = "svc v2"}});
+    table.endAll();
+    refresh(bb);
+    CHECK_FALSE(bb.isFirstStart);
+    REQUIRE(bb.software.size() == 2);
+    CHECK(bb.software[0].service == "svc");
+    CHECK(bb.software[0].software == "svc v1");
+    CHECK_FALSE(bb.software[0].goneAt);
+    const WallTime goneAt{std::chrono::seconds(1000)};
+    bb.registration.writeSoftware({{.service = "svc", .software = "svc v2", .goneAt = goneAt}});
+    table.endAll();
+    refresh(a);
+    REQUIRE(a.software.size() == 1);
+    CHECK(a.software[0].software == "svc v2");
+    CHECK(a.software[0].goneAt == goneAt);
+    // Nothing is written if only the time of removal differs.
+    a.registration.writeSoftware({{.service = "svc", .software = "svc v2", .goneAt = WallTime()}});
+    CHECK(table.pending.empty());
+}
--- a/test/StreamOriginsTest.cpp
+++ b/test/StreamOriginsTest.cpp
@@ -153,6 +153,27 @@
     CHECK(history.seen("other", Window).empty());
 }
 
+TEST_CASE("softwareHistory_rowsOfTheStore_completeTheHistory")
+{
+    ManualClock clock;
+    SoftwareHistory before(clock);
+    before.update(std::vector{replica("a", "v1"), replica("b", "v2")});
+    CHECK_FALSE(before.isComplete());
+    before.update(std::vector{replica("b", "v2")});
+    clock.advance(20s);
+    SoftwareHistory restarted(clock);
+    restarted.adopt(before.rows());
+    restarted.update(std::vector{replica("c", "v3")});
+    CHECK(restarted.isComplete());
+    CHECK(restarted.observedFor() >= Window);
+    // When v2 was removed is not known.
+    CHECK(restarted.seen("svc", Window) == std::set<std::string>{"svc v1", "svc v2", "svc v3"});
+    clock.advance(Window - 20s + 1ms);
+    CHECK(restarted.seen("svc", Window) == std::set<std::string>{"svc v2", "svc v3"});
+    clock.advance(20s);
+    CHECK(restarted.seen("svc", Window) == std::set<std::string>{"svc v3"});
+}
+
 TEST_CASE("streamOriginCodec_messages_areReadBack")
 {
     const std::vector<StreamOrigin> origins = {
--- a/test/integration/VersionTest.cpp
+++ b/test/integration/VersionTest.cpp
@@ -81,8 +81,9 @@
     return out;
 }
 
-/// Four routers, and two replicas of each of two software versions. Replicas crash in turn, and
-/// some callers leave their streams after a few events and resume them at another router.
+/// Four routers, and three replicas of each of two software versions, of which two serve at any
+/// time. Replicas crash in turn, and some callers leave their streams after a few events and resume
+/// them at another router.
 struct VersionFixture
 {
     struct Count
@@ -182,7 +183,7 @@
 
     EntryFleet fleet{{.binaries = CATKINLOFT_BINARIES,
                       .routers = 4,
-                      .replicas = 4,
+                      .replicas = 6,
                       .versions = {"v1", "v1.1"}}};
     std::mutex mutex;
     Count count;
@@ -208,3 +209,32 @@
     });
     requireOneVersionEach();
 }
+
+// Guards against refused resumptions after all routers have restarted while a single version
+// serves.
+TEST_CASE("fleet_allRoutersRestartWithOneVersion_streamsAreResumed")
+{
+    EntryFleet fleet({.binaries = CATKINLOFT_BINARIES, .versions = {"v1"}});
+    fleet.start();
+    // The routers that read the store have written which software serves.
+    std::this_thread::sleep_for(2s);
+    const StreamAttempt first =
+            readStream(fleet.callerAddress(0), {{"X-Request-Id", "a"}}, EventsBeforeLeaving);
+    REQUIRE(first.versions.size() >= EventsBeforeLeaving);
+    for (std::size_t i = 0; i < fleet.routerCount(); ++i)
+        fleet.router(i).signal(SIGKILL);
+    for (std::size_t i = 0; i < fleet.routerCount(); ++i) {
+        Fleet::waitFor([&] { return !fleet.router(i).isRunning(); });
+        fleet.startRouter(i);
+    }
+    for (std::size_t i = 0; i < fleet.routerCount(); ++i)
+        REQUIRE(Fleet::waitFor([&] { return fleet.isReady(i); }));
+    const StreamAttempt resumed =
+            readStream(fleet.callerAddress(1),
+                       {{"X-Request-Id", "b"},
+                        {"Last-Event-Id", fmt::format("{}", first.versions.size())},
+                        {"Resumes", "a"}},
+                       0);
+    CHECK(resumed.isComplete);
+    CHECK(resumed.versions.size() == Events - first.versions.size());
+}
