Observability: the parts of a prompt under which a replica crashed, and answers without framing

run_ended_with_replica names the ids of the parts of the prompt that requests share, and the line at the end of a request says if the replica's answer had neither a length nor chunks, so that a cause narrower than the content and a crash that is taken for the end of an answer can be told apart.

--- a/src/Net/CrashWatch.cpp
+++ b/src/Net/CrashWatch.cpp
@@ -187,6 +187,7 @@
     Log::info("run_ended_with_replica",
               {{"request_id", attempt.requestId},
                {"fingerprint", attempt.fingerprint},
+               {"prompt_parts", attempt.promptParts},
                {"replica", attempt.replica},
                {"software", attempt.software}});
     options.attemptCrashed(attempt, crashedAt);
--- a/src/Net/CrashWatch.h
+++ b/src/Net/CrashWatch.h
@@ -26,6 +26,7 @@
     {
         std::string requestId = {};
         std::string fingerprint = {}; ///< \sa requestFingerprint()
+        std::string promptParts = {}; ///< Ids of the prompt parts that requests share, for the log.
         std::string replica = {}; ///< Incarnation of the replica.
         std::string software = {}; ///< \sa ReplicaRecord::software
         std::string address = {}; ///< Address of the replica, `ip:port`.
--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -321,8 +321,12 @@
 void EntryCall::checkForCrash(const Error &error)
 {
     m_call.reset();
+    std::vector<std::uint64_t> ids;
+    for (const PromptPart &it : m_request.sharedParts())
+        ids.push_back(it.id);
     const CrashWatch::BrokenAttempt broken{.requestId = id(),
                                            .fingerprint = fingerprint(),
+                                           .promptParts = fmt::format("{:x}", fmt::join(ids, " ")),
                                            .replica = m_incarnation,
                                            .software = m_replica.software(),
                                            .address = m_replica.address,
@@ -931,6 +935,7 @@
     m_deadlineTimer.stop();
     RequestEvent event = error ? describe(outcome, *error) : describe(outcome);
     event.status = status;
+    event.isUnframed = m_head.isUnframed;
     if (!error)
         event.verdict = outcome == RequestEvent::Kind::Answered ? Verdict::Ran : m_verdict;
     m_context.metrics.count("catkinloft_requests_total",
--- a/src/Net/HttpClient.h
+++ b/src/Net/HttpClient.h
@@ -41,7 +41,9 @@
 struct HttpHead
 {
     int status = 0;
-    HttpHeaders headers;
+    HttpHeaders headers = {};
+    /// Neither a length nor chunks: the answer ends with its connection. Set by HttpClient.
+    bool isUnframed = false;
 
     /// \returns the value of the header \a name, compared without case; empty if it is missing.
     std::string_view header(std::string_view name) const;
--- a/src/Net/RequestEvent.cpp
+++ b/src/Net/RequestEvent.cpp
@@ -79,6 +79,8 @@
              {"verdict", toString(it.verdict)},
              {"retry_after_ms", it.retryAfter ? milliseconds(*it.retryAfter) : 0},
              {"detail", it.detail}});
+    if (it.isUnframed)
+        fields.emplace_back("unframed", true);
     if (!it.fingerprint.empty())
         fields.emplace_back("fingerprint", it.fingerprint);
     Log::write(succeeded ? LogLevel::Info : LogLevel::Warning, requestEventName(it.kind), fields);
--- a/src/Net/RequestEvent.h
+++ b/src/Net/RequestEvent.h
@@ -47,6 +47,7 @@
     std::string relay = {}; ///< Router that relays it; empty: sent directly.
     std::string copiedFrom = {}; ///< Address of a replica that caches more of it; empty: none.
 
+    bool isUnframed = false; ///< The replica's answer has neither a length nor chunks.
     int status = 0; ///< Status sent to the caller; 0: none.
     std::optional<Reason> reason = {}; ///< Why the attempt failed or the request was refused.
     Verdict verdict = Verdict::NotRun; ///< Whether the request may have run.
--- a/src/Net/internal/HttpConnection.cpp
+++ b/src/Net/internal/HttpConnection.cpp
@@ -40,7 +40,7 @@
 
 HttpHead headOf(evhttp_request *request)
 {
-    HttpHead head{.status = evhttp_request_get_response_code(request), .headers = {}};
+    HttpHead head{.status = evhttp_request_get_response_code(request)};
     const evkeyvalq *all = evhttp_request_get_input_headers(request);
     for (const evkeyval *it = all->tqh_first; it; it = it->next.tqe_next)
         head.headers.emplace_back(it->key, it->value);
@@ -206,10 +206,11 @@
 
 void HttpConnection::onHead(evhttp_request *request, HttpConnection *self)
 {
-    const HttpHead head = headOf(request);
+    HttpHead head = headOf(request);
     self->m_length = contentLength(head);
     self->m_delimited = self->m_headOnly || hasNoBody(head.status) || self->m_length
             || !head.header("Transfer-Encoding").empty();
+    head.isUnframed = !self->m_delimited;
     if (!head.header("Connection").empty()
         && strcasecmp(std::string(head.header("Connection")).c_str(), "close") == 0)
         self->m_reusable = false;
--- a/src/Request/EntryRequest.h
+++ b/src/Request/EntryRequest.h
@@ -52,8 +52,14 @@
                                        : routeTimeout);
     }
 
-    /// \returns the parts of the prompt that other requests may share: all but the last one. A
-    /// single part is returned as well.
+    /// \returns the parts of the prompt that other requests may share: all but the last one.
+    std::span<const PromptPart> sharedParts() const
+    {
+        const std::span<const PromptPart> all = facts.prompt;
+        return all.first(all.empty() ? 0 : all.size() - 1);
+    }
+
+    /// \returns sharedParts(), or a single part, if replicas cache the prompts of the route.
     std::span<const PromptPart> sharedPrompt() const
     {
         if (!route->usesPromptCache || facts.prompt.empty())
