A part of prompts that crashes replicas is held back, whatever else its requests hold

Cause: the quarantine's unit was the whole content of a request, narrower than what crashed the replicas, so no request ever had a second crash. Evidence: 121 fingerprints in the collected lines, 88 of them with one replica; the failing test, in which requests share nothing but their first and second part.

Each shared part of a prompt is now a suspect beside the content, with the same records, announcements, hold and trials. Two rules keep a system prompt, which is in nearly every request, from being held: parts that were in all crashed runs together are held as a combination only, and a single part only if another suspect was cleared after its first crash. Records take turns in messages: a part that many share had the most incidents and filled each message alone.

Weighed: exempting the first part by its position (a deadly one in that place would never be held; it says nothing of other popular parts); holding the part with the most incidents (with two deadly parts that is the system prompt, see requestQuarantine_twoDeadlyParts_sharedFirstPartIsNotHeld).

--- a/src/Decide/RequestQuarantine.cpp
+++ b/src/Decide/RequestQuarantine.cpp
@@ -65,6 +65,14 @@
 /// When there are too many records, one in this many is dropped.
 constexpr std::size_t EvictionDivisor = 4;
 
+/// Distinguishes the key of a prompt part from the fingerprint of a request.
+constexpr std::string_view PartPrefix = "part:";
+
+bool isPart(std::string_view suspect)
+{
+    return suspect.starts_with(PartPrefix);
+}
+
 void logRelease(std::string_view fingerprint, std::string_view cause)
 {
     Log::info("request_released", {{"fingerprint", fingerprint}, {"cause", cause}});
@@ -77,19 +85,45 @@
 
 } // namespace
 
-bool RequestQuarantine::isHeld(const std::string &fingerprint) const
+std::string RequestQuarantine::partKey(std::string_view service, std::uint64_t id)
 {
-    const auto found = m_records.find(fingerprint);
-    return found != m_records.end() && found->second.isHeld;
+    return fmt::format("{}{}:{:x}", PartPrefix, service, id);
+}
+
+bool RequestQuarantine::applies(const Entry &entry, Suspects suspects) const
+{
+    return entry.isHeld
+            && std::all_of(
+                    entry.tiedParts.begin(), entry.tiedParts.end(), [&](const std::string &it) {
+                        return std::find(suspects.begin(), suspects.end(), it) != suspects.end();
+                    });
+}
+
+bool RequestQuarantine::isHeld(Suspects suspects) const
+{
+    return std::any_of(suspects.begin(), suspects.end(), [&](const std::string &it) {
+        const auto found = m_records.find(it);
+        return found != m_records.end() && applies(found->second, suspects);
+    });
 }
 
 std::optional<RequestQuarantine::Hold>
-RequestQuarantine::admit(const std::string &fingerprint, std::span<const std::string> software)
+RequestQuarantine::admit(Suspects suspects, std::span<const std::string> software)
+{
+    for (const std::string &it : suspects) {
+        const auto found = m_records.find(it);
+        if (found == m_records.end() || !applies(found->second, suspects))
+            continue;
+        if (std::optional<Hold> hold = admitOne(it, found->second, software))
+            return hold;
+    }
+    return std::nullopt;
+}
+
+std::optional<RequestQuarantine::Hold>
+RequestQuarantine::admitOne(const std::string &fingerprint, Entry &entry,
+                            std::span<const std::string> software)
 {
-    const auto found = m_records.find(fingerprint);
-    if (found == m_records.end() || !found->second.isHeld)
-        return std::nullopt;
-    Entry &entry = found->second;
     const TimePoint now = m_options.clock.now();
     const bool runsSuspectSoftware =
             std::any_of(software.begin(), software.end(),
@@ -143,8 +177,15 @@
     return entry.isHeld ? 2 * holdTime(entry) : SuspicionLifetime;
 }
 
-void RequestQuarantine::replicaCrashed(const std::string &fingerprint, const std::string &replica,
+void RequestQuarantine::replicaCrashed(Suspects suspects, const std::string &replica,
                                        const std::string &software, TimePoint at)
+{
+    for (const std::string &it : suspects)
+        recordCrash(it, replica, software, at);
+}
+
+void RequestQuarantine::recordCrash(const std::string &fingerprint, const std::string &replica,
+                                    const std::string &software, TimePoint at)
 {
     Entry &entry = findOrInsert(fingerprint);
     if (!entry.record.add({.replica = replica, .software = software, .at = at}))
@@ -156,7 +197,13 @@
         m_options.announceNow();
 }
 
-void RequestQuarantine::completed(const std::string &fingerprint)
+void RequestQuarantine::completed(Suspects suspects)
+{
+    for (const std::string &it : suspects)
+        recordCompletion(it);
+}
+
+void RequestQuarantine::recordCompletion(const std::string &fingerprint)
 {
     const auto found = m_records.find(fingerprint);
     if (found == m_records.end())
@@ -184,13 +231,18 @@
         entry.remainingSends = SendsToHolders;
 }
 
-int RequestQuarantine::suspicion(const std::string &fingerprint) const
+int RequestQuarantine::suspicion(Suspects suspects) const
 {
-    const auto found = m_records.find(fingerprint);
-    if (found == m_records.end())
-        return 0;
-    const Entry &entry = found->second;
-    return entry.isHeld ? entry.incidents : entry.unexplainedIncidents;
+    int out = 0;
+    for (const std::string &it : suspects) {
+        const auto found = m_records.find(it);
+        if (found == m_records.end())
+            continue;
+        const Entry &entry = found->second;
+        out = std::max(out,
+                       applies(entry, suspects) ? entry.incidents : entry.unexplainedIncidents);
+    }
+    return out;
 }
 
 void RequestQuarantine::updateCrashTimes(const CrashRecord &record)
@@ -240,19 +292,80 @@
                 < std::tuple(-b->second.incidents, b->first);
     });
     m_explained.clear();
+    decideRequests(suspects);
+    decideParts(suspects);
+    for (auto &[fingerprint, entry] : m_records)
+        countIncidents(entry);
+}
+
+void RequestQuarantine::decideRequests(std::span<Records::value_type *const> suspects)
+{
     for (Records::value_type *it : suspects) {
+        if (isPart(it->first))
+            continue;
         Entry &entry = it->second;
         countIncidents(entry);
-        const bool held = entry.unexplainedIncidents >= MinIncidents && !isTied(entry, suspects);
-        if (held != entry.isHeld)
-            setHeld(it->first, entry, held);
-        for (const ReplicaCrash &crash : entry.record.replicaCrashes()) {
-            if (held)
-                m_explained.insert(crash.replica);
-        }
+        setState(*it, entry.unexplainedIncidents >= MinIncidents && !isTied(entry, suspects));
     }
-    for (auto &[fingerprint, entry] : m_records)
+}
+
+/// Combinations of several parts come first: what they explain says nothing about a single part
+/// that they have in common.
+void RequestQuarantine::decideParts(std::span<Records::value_type *const> suspects)
+{
+    std::vector<Records::value_type *> parts;
+    for (Records::value_type *it : suspects) {
+        if (!isPart(it->first))
+            continue;
+        it->second.tiedParts = partsTiedWith(*it, suspects);
+        parts.push_back(it);
+    }
+    std::stable_sort(parts.begin(), parts.end(), [](const auto *a, const auto *b) {
+        return a->second.tiedParts.size() > b->second.tiedParts.size();
+    });
+    for (Records::value_type *it : parts) {
+        Entry &entry = it->second;
         countIncidents(entry);
+        const bool isDistinct = entry.isHeld || !entry.tiedParts.empty() || hasClearedOther(*it);
+        setState(*it, entry.unexplainedIncidents >= MinIncidents && isDistinct);
+    }
+}
+
+void RequestQuarantine::setState(Records::value_type &suspect, bool held)
+{
+    if (held != suspect.second.isHeld)
+        setHeld(suspect.first, suspect.second, held);
+    if (!held)
+        return;
+    for (const ReplicaCrash &it : suspect.second.record.replicaCrashes())
+        m_explained.insert(it.replica);
+}
+
+/// \returns the other parts whose records have all crashes of \a suspect.
+std::vector<std::string>
+RequestQuarantine::partsTiedWith(const Records::value_type &suspect,
+                                 std::span<Records::value_type *const> suspects) const
+{
+    std::vector<std::string> out;
+    const std::span<const ReplicaCrash> crashes = suspect.second.record.replicaCrashes();
+    for (const Records::value_type *it : suspects) {
+        const CrashRecord &other = it->second.record;
+        if (it != &suspect && isPart(it->first)
+            && std::all_of(crashes.begin(), crashes.end(), [&](const ReplicaCrash &crash) {
+                   return !wasRunning(crash) || other.has(crash.replica);
+               }))
+            out.push_back(it->first);
+    }
+    return out;
+}
+
+/// \returns whether another suspect was cleared after the first crash of \a suspect.
+bool RequestQuarantine::hasClearedOther(const Records::value_type &suspect) const
+{
+    const std::span<const ReplicaCrash> crashes = suspect.second.record.replicaCrashes();
+    return !crashes.empty() && std::any_of(m_records.begin(), m_records.end(), [&](const auto &it) {
+        return &it != &suspect && it.second.record.clearedAt() > crashes.front().at;
+    });
 }
 
 /// \returns whether another request shares crashes with \a entry and has at least as many
@@ -267,7 +380,7 @@
     return std::any_of(suspects.begin(), suspects.end(), [&](const Records::value_type *it) {
         const Entry &other = it->second;
         const std::span<const ReplicaCrash> otherCrashes = other.record.replicaCrashes();
-        return &other != &entry && other.incidents >= entry.incidents
+        return &other != &entry && !isPart(it->first) && other.incidents >= entry.incidents
                 && std::any_of(otherCrashes.begin(), otherCrashes.end(), shares);
     });
 }
@@ -284,6 +397,7 @@
     if (held)
         Log::warning("request_quarantined",
                      {{"fingerprint", fingerprint},
+                      {"with", fmt::format("{}", fmt::join(hold.tiedParts, " "))},
                       {"replicas", fmt::format("{}", fmt::join(hold.replicas, " "))},
                       {"software", fmt::format("{}", fmt::join(hold.software, " "))},
                       {"for_ms", hold.remaining / 1ms}});
@@ -397,11 +511,13 @@
         if (it.second.announceToAll && it.second.remainingSends > 0)
             due.push_back(&it);
     }
+    // A part that many requests share has the most incidents and fills a message alone, so the
+    // other records take turns with it.
     std::sort(due.begin(), due.end(), [](const auto *a, const auto *b) {
         const Entry &x = a->second;
         const Entry &y = b->second;
-        return std::tuple(-x.incidents, -x.remainingSends, x.lastSentAt)
-                < std::tuple(-y.incidents, -y.remainingSends, y.lastSentAt);
+        return std::tuple(-x.remainingSends, -x.incidents, x.lastSentAt)
+                < std::tuple(-y.remainingSends, -y.incidents, y.lastSentAt);
     });
     std::vector<CrashUpdate> out;
     std::size_t crashCount = 0;
@@ -446,7 +562,7 @@
 RequestQuarantine::Hold RequestQuarantine::describe(const std::string &fingerprint,
                                                     const Entry &entry) const
 {
-    Hold out{.fingerprint = fingerprint};
+    Hold out{.fingerprint = fingerprint, .tiedParts = entry.tiedParts};
     std::set<std::string> software;
     for (const ReplicaCrash &it : entry.record.replicaCrashes()) {
         out.replicas.push_back(it.replica);
--- a/src/Decide/RequestQuarantine.h
+++ b/src/Decide/RequestQuarantine.h
@@ -5,6 +5,7 @@
 #include "Decide/CrashRecord.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <set>
@@ -27,7 +28,7 @@
         Duration age = Duration::zero();
     };
 
-    std::string fingerprint = {}; ///< Of the request.
+    std::string fingerprint = {}; ///< Of the request, or RequestQuarantine::partKey().
     std::optional<Duration> clearedAge = {}; ///< Time after the last completed run, if any.
     std::vector<Crash> replicaCrashes = {};
 };
@@ -47,6 +48,15 @@
 ///   the updates of other routers had time to arrive. A request that was wrongly held back is
 ///   released when another request has more incidents.
 ///
+/// The cause may also be one part of a prompt that requests share, in requests of which no two are
+/// alike. Each shared part of a prompt is therefore a suspect of its own, with the same rules and
+/// two more, because a part like a system prompt is in nearly every request:
+/// - Parts that were in all crashed runs together can't be told apart, so they are held back as a
+///   combination: only requests that contain all of them.
+/// - A single part is held back only if another suspect was cleared after its first crash. Without
+///   any completed run, it may be what all requests have in common.
+/// A request that is held back explains its crashes, so that its parts are not held back for them.
+///
 /// Routers announce evidence to each other and merge it; each router decides independently. The
 /// evidence of a first incident goes only to the few routers that hold the evidence of the request,
 /// because the loss of a rack makes tens of thousands of requests suspected. After a second
@@ -83,10 +93,19 @@
     /// \brief The evidence and the remaining time of a request that is held back.
     struct Hold
     {
-        std::string fingerprint = {};
+        std::string fingerprint = {}; ///< Of a request, or partKey().
+        std::vector<std::string> tiedParts = {}; ///< Only requests with these parts as well.
         std::vector<std::string> replicas = {}; ///< Incarnations that crashed while running it.
         std::vector<std::string> software = {}; ///< Software of these replicas.
         Duration remaining = Duration::zero(); ///< Time until the next trial is allowed.
+
+        /// \returns the fingerprint and the tied parts.
+        std::vector<std::string> suspects() const
+        {
+            std::vector<std::string> out = {fingerprint};
+            out.insert(out.end(), tiedParts.begin(), tiedParts.end());
+            return out;
+        }
     };
 
     explicit RequestQuarantine(Options options) : m_options(std::move(options)) { }
@@ -94,31 +113,49 @@
     /// \returns whether no request is stored, in which case no fingerprint has to be computed.
     bool isEmpty() const { return m_records.empty(); }
 
-    /// \returns whether request \a fingerprint is held back, in which case admit() must be called
-    /// before the request is sent.
-    bool isHeld(const std::string &fingerprint) const;
+    /// What may have crashed a replica: the fingerprint of a request, and the keys of the prompt
+    /// parts that it shares with others.
+    using Suspects = std::span<const std::string>;
+
+    /// \returns the key of the prompt part \a id in requests to \a service.
+    static std::string partKey(std::string_view service, std::uint64_t id);
+
+    /// \returns whether a request with \a suspects is held back, in which case admit() must be
+    /// called before the request is sent.
+    bool isHeld(Suspects suspects) const;
+    bool isHeld(const std::string &suspect) const { return isHeld({&suspect, 1}); }
 
-    /// \brief Checks whether request \a fingerprint may be sent to a replica now.
+    /// \brief Checks whether a request with \a suspects may be sent to a replica now.
     ///
     /// After the hold time, or when no replica runs the software that crashed, the router admits
     /// one run at a time as a trial that shows whether the request still crashes replicas.
     ///
     /// \param software that is run by the replicas which could receive the request.
     /// \returns std::nullopt if the request may be sent, otherwise why and how long it is held.
-    std::optional<Hold> admit(const std::string &fingerprint,
-                              std::span<const std::string> software);
-
-    /// \brief Records that \a replica, which ran \a software, crashed at \a at while it worked on
-    /// request \a fingerprint.
-    void replicaCrashed(const std::string &fingerprint, const std::string &replica,
-                        const std::string &software, TimePoint at);
+    std::optional<Hold> admit(Suspects suspects, std::span<const std::string> software);
+    std::optional<Hold> admit(const std::string &suspect, std::span<const std::string> software)
+    {
+        return admit({&suspect, 1}, software);
+    }
+
+    /// \brief Records that \a replica, which ran \a software, crashed at \a at while it worked on a
+    /// request with \a suspects.
+    void replicaCrashed(Suspects suspects, const std::string &replica, const std::string &software,
+                        TimePoint at);
+    void replicaCrashed(const std::string &suspect, const std::string &replica,
+                        const std::string &software, TimePoint at)
+    {
+        replicaCrashed({&suspect, 1}, replica, software, at);
+    }
 
-    /// \brief Records that a run of request \a fingerprint completed, which clears the request.
-    void completed(const std::string &fingerprint);
+    /// \brief Records that a run of a request with \a suspects completed, which clears them.
+    void completed(Suspects suspects);
+    void completed(const std::string &suspect) { completed({&suspect, 1}); }
 
-    /// \returns the number of incidents of request \a fingerprint. If the request is not held back,
-    /// incidents that another held request explains are not included.
-    int suspicion(const std::string &fingerprint) const;
+    /// \returns the highest number of incidents of any of \a suspects. If a suspect is not held
+    /// back, incidents that another held one explains are not included.
+    int suspicion(Suspects suspects) const;
+    int suspicion(const std::string &suspect) const { return suspicion({&suspect, 1}); }
 
     /// \brief Merges the updates that another router sent.
     void merge(std::span<const CrashUpdate> updates);
@@ -144,6 +181,8 @@
         int incidents = 0; ///< Number of incidents.
         int unexplainedIncidents = 0; ///< Incidents that no held request explains.
         bool isHeld = false;
+        /// Parts that were in all of its crashed runs: only requests with all of them are held.
+        std::vector<std::string> tiedParts = {};
         TimePoint heldAt = {}; ///< When it was last put on hold.
         bool announceToAll = false; ///< Has had at least two incidents.
         int remainingSends = 0; ///< Number of messages that still have to carry it.
@@ -160,7 +199,19 @@
     bool wasRunning(const ReplicaCrash &crash) const;
     void countIncidents(Entry &entry) const;
     void update(Entry &entry);
+    bool applies(const Entry &entry, Suspects suspects) const;
+    std::optional<Hold> admitOne(const std::string &suspect, Entry &entry,
+                                 std::span<const std::string> software);
+    void recordCrash(const std::string &suspect, const std::string &replica,
+                     const std::string &software, TimePoint at);
+    void recordCompletion(const std::string &suspect);
     void decide();
+    void decideRequests(std::span<Records::value_type *const> suspects);
+    void decideParts(std::span<Records::value_type *const> suspects);
+    void setState(Records::value_type &suspect, bool held);
+    std::vector<std::string> partsTiedWith(const Records::value_type &suspect,
+                                           std::span<Records::value_type *const> suspects) const;
+    bool hasClearedOther(const Records::value_type &suspect) const;
     bool isTied(const Entry &entry, std::span<Records::value_type *const> suspects) const;
     void setHeld(const std::string &fingerprint, Entry &entry, bool held);
     Entry &findOrInsert(const std::string &fingerprint);
--- a/src/Net/CrashWatch.cpp
+++ b/src/Net/CrashWatch.cpp
@@ -10,9 +10,12 @@
 #include <cstdint>
 #include <map>
 #include <set>
+#include <span>
 #include <utility>
 #include <vector>
 
+#include <fmt/ranges.h>
+
 namespace catkinloft {
 
 namespace {
@@ -184,10 +187,12 @@
     // Requests sent after the crash only reached the proxy in front of the replica.
     if (attempt.sentAt > crashedAt)
         return;
+    const std::span<const std::string> suspects = attempt.suspects;
+    const std::size_t requests = std::min<std::size_t>(1, suspects.size());
     Log::info("run_ended_with_replica",
               {{"request_id", attempt.requestId},
-               {"fingerprint", attempt.fingerprint},
-               {"prompt_parts", attempt.promptParts},
+               {"fingerprint", fmt::format("{}", fmt::join(suspects.first(requests), " "))},
+               {"prompt_parts", fmt::format("{}", fmt::join(suspects.subspan(requests), " "))},
                {"replica", attempt.replica},
                {"software", attempt.software}});
     options.attemptCrashed(attempt, crashedAt);
--- a/src/Net/CrashWatch.h
+++ b/src/Net/CrashWatch.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace catkinloft {
 
@@ -25,8 +26,9 @@
     struct BrokenAttempt
     {
         std::string requestId = {};
-        std::string fingerprint = {}; ///< \sa requestFingerprint()
-        std::string promptParts = {}; ///< Ids of the prompt parts that requests share, for the log.
+        /// Fingerprint of the request, and the keys of its prompt parts. Empty if the
+        /// replica was leaving and stops on purpose. \sa RequestQuarantine::Suspects
+        std::vector<std::string> suspects = {};
         std::string replica = {}; ///< Incarnation of the replica.
         std::string software = {}; ///< \sa ReplicaRecord::software
         std::string address = {}; ///< Address of the replica, `ip:port`.
--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -59,6 +59,10 @@
 /// the service more than the request is worth.
 constexpr int MaxCrashedReplicas = 2;
 
+/// Prompt parts of one request that are suspected. Prompts have a few; the limit bounds the records
+/// that one request causes.
+constexpr std::size_t MaxSuspectParts = 32;
+
 /// Part of the caller's time that is reserved for returning the answer.
 constexpr Duration AnswerReserve = 5ms;
 
@@ -274,33 +278,39 @@
     return m_service->replicas.choose(query);
 }
 
-const std::string &EntryCall::fingerprint()
+const std::vector<std::string> &EntryCall::suspects()
 {
-    if (m_fingerprint.empty())
-        m_fingerprint = requestFingerprint(
-                {.workspace = m_request.workspace ? m_request.workspace->name : std::string_view(),
-                 .host = m_request.host,
-                 .method = m_request.method,
-                 .target = m_request.target,
-                 .body = m_exchange->body()});
-    return m_fingerprint;
+    if (!m_suspects.empty())
+        return m_suspects;
+    m_suspects.push_back(requestFingerprint(
+            {.workspace = m_request.workspace ? m_request.workspace->name : std::string_view(),
+             .host = m_request.host,
+             .method = m_request.method,
+             .target = m_request.target,
+             .body = m_exchange->body()}));
+    for (const PromptPart &it : m_request.sharedParts()) {
+        if (m_suspects.size() <= MaxSuspectParts)
+            m_suspects.push_back(RequestQuarantine::partKey(m_serviceName, it.id));
+    }
+    return m_suspects;
 }
 
 std::optional<Error> EntryCall::quarantineError()
 {
     // The quarantine is usually empty; hashing the body is avoided then.
     if (!m_context.settings.mechanisms.requestQuarantine || m_context.quarantine.isEmpty()
-        || !m_context.quarantine.isHeld(fingerprint()))
+        || !m_context.quarantine.isHeld(suspects()))
         return std::nullopt;
     const std::optional<RequestQuarantine::Hold> held =
-            m_context.quarantine.admit(fingerprint(), m_service->replicas.software());
+            m_context.quarantine.admit(suspects(), m_service->replicas.software());
     if (!held)
         return std::nullopt;
     return Error{.reason = Reason::RequestQuarantined,
                  .verdict = m_verdict,
                  .detail = fmt::format(
-                         "request {} is quarantined: replicas {} crashed while they processed it",
-                         held->fingerprint, fmt::join(held->replicas, " ")),
+                         "{} is quarantined: replicas {} crashed while they processed "
+                         "requests with it",
+                         fmt::join(held->suspects(), " with "), fmt::join(held->replicas, " ")),
                  .retryAfter = held->remaining,
                  .figures = {{"ended_replicas", static_cast<double>(held->replicas.size())}}};
 }
@@ -315,21 +325,19 @@
 
 int EntryCall::suspicion()
 {
-    return m_context.quarantine.isEmpty() ? 0 : m_context.quarantine.suspicion(fingerprint());
+    return m_context.quarantine.isEmpty() ? 0 : m_context.quarantine.suspicion(suspects());
 }
 
 CrashWatch::BrokenAttempt EntryCall::describeAttempt()
 {
-    std::vector<std::uint64_t> ids;
-    for (const PromptPart &it : m_request.sharedParts())
-        ids.push_back(it.id);
-    return {.requestId = id(),
-            .fingerprint = fingerprint(),
-            .promptParts = fmt::format("{:x}", fmt::join(ids, " ")),
-            .replica = m_incarnation,
-            .software = m_replica.software(),
-            .address = m_replica.address,
-            .sentAt = m_attemptStartedAt};
+    CrashWatch::BrokenAttempt out{.requestId = id(),
+                                  .replica = m_incarnation,
+                                  .software = m_replica.software(),
+                                  .address = m_replica.address,
+                                  .sentAt = m_attemptStartedAt};
+    if (m_service->replicas.isServing(m_incarnation))
+        out.suspects = suspects();
+    return out;
 }
 
 void EntryCall::checkForCrash(const Error &error)
@@ -409,7 +417,7 @@
     if (m_relay) {
         call.maxIdleAge = MaxRelayIdleAge;
         call = m_context.relay->relayed(std::move(call), *m_relay,
-                                        {.replica = m_incarnation, .fingerprint = fingerprint()});
+                                        {.replica = m_incarnation, .suspects = suspects()});
     }
     m_call = m_context.client.send(std::move(call), attemptEvents());
 }
@@ -707,14 +715,14 @@
         endAttempt(false, error.reason, isOnLostPath());
         return attemptFailed(error);
     }
-    m_head.isUnframed && isSuccess(m_head.status) ? verifyEnd() : succeed();
+    m_head.isUnframed &&isSuccess(m_head.status) ? verifyEnd() : succeed();
 }
 
 void EntryCall::succeed()
 {
     noteLoad();
     if (isSuccess(m_head.status) && !m_context.quarantine.isEmpty())
-        m_context.quarantine.completed(fingerprint());
+        m_context.quarantine.completed(suspects());
     const bool failed = m_head.status >= 500 && !m_answer.notExecuted;
     endAttempt(!failed, failed ? Reason::UpstreamBroken : Reason::Internal, m_history.count() > 1);
     m_relaying ? endRelay() : handleAnswer();
@@ -955,8 +963,8 @@
     out.verdict = error.verdict;
     out.retryAfter = error.retryAfter;
     out.detail = error.detail;
-    if (error.reason == Reason::RequestQuarantined)
-        out.fingerprint = m_fingerprint;
+    if (error.reason == Reason::RequestQuarantined && !m_suspects.empty())
+        out.fingerprint = m_suspects.front();
     for (const Figure &it : error.figures)
         out.detail += fmt::format("; {} {}", it.name, it.value);
     return out;
--- a/src/Net/EntryCall.h
+++ b/src/Net/EntryCall.h
@@ -130,7 +130,7 @@
     bool isRelayAvailable();
     bool isOnLostPath() const;
     ReplicaPool::Choice chooseReplica();
-    const std::string &fingerprint();
+    const std::vector<std::string> &suspects();
     std::optional<Error> quarantineError();
     bool mayHaveCrashedReplica(const Error &error) const;
     int suspicion(); ///< \sa RequestQuarantine::suspicion
@@ -183,7 +183,8 @@
     bool m_isPromptUncached = false; ///< The replica is not known to cache any part of the prompt.
     AttemptHistory m_history;
     int m_crashedReplicas = 0; ///< Replicas that crashed during attempts of this request.
-    std::string m_fingerprint; ///< Computed on first use.
+    /// \sa RequestQuarantine::Suspects. Computed on first use.
+    std::vector<std::string> m_suspects;
     Verdict m_verdict = Verdict::NotRun; ///< Combined verdict of all finished attempts.
 
     HttpHead m_head;
--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -196,7 +196,7 @@
                        },
                .attemptCrashed =
                        [this](const CrashWatch::BrokenAttempt &it, TimePoint crashedAt) {
-                           quarantine.replicaCrashed(it.fingerprint, it.replica, it.software,
+                           quarantine.replicaCrashed(it.suspects, it.replica, it.software,
                                                      crashedAt);
                        },
                .replicaCrashed =
--- a/src/Net/ForwardTask.cpp
+++ b/src/Net/ForwardTask.cpp
@@ -442,7 +442,7 @@
 void ForwardTask::checkForCrash(const Error &error)
 {
     const CrashWatch::BrokenAttempt attempt{.requestId = m_request.id,
-                                            .fingerprint = fingerprint(),
+                                            .suspects = {fingerprint()},
                                             .replica = m_assignment.upstream,
                                             .software = software(),
                                             .address = m_assignment.address,
--- a/src/Net/Forwarder.cpp
+++ b/src/Net/Forwarder.cpp
@@ -47,7 +47,7 @@
                            // of the crash tells several crashes apart.
                            const auto ms =
                                    crashedAt.time_since_epoch() / std::chrono::milliseconds(1);
-                           quarantine.replicaCrashed(it.fingerprint,
+                           quarantine.replicaCrashed(it.suspects,
                                                      fmt::format("{}~{}", it.replica, ms),
                                                      it.software, crashedAt);
                        }}),
--- a/src/Net/QuarantinePage.cpp
+++ b/src/Net/QuarantinePage.cpp
@@ -13,6 +13,8 @@
         item["fingerprint"] = it.fingerprint;
         item["remaining_ms"] =
                 static_cast<Json::Int64>(it.remaining / std::chrono::milliseconds(1));
+        for (const std::string &part : it.tiedParts)
+            item["with"].append(part);
         for (const std::string &replica : it.replicas)
             item["replicas"].append(replica);
         for (const std::string &software : it.software)
--- a/src/Net/RelayCodec.cpp
+++ b/src/Net/RelayCodec.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 
-/// Stands for an empty fingerprint.
-constexpr std::string_view NoFingerprint = "-";
+/// Stands for no suspects.
+constexpr std::string_view NoSuspects = "-";
 
 /// Words of the failure header.
 constexpr std::string_view NotRun = "not_run";
@@ -22,21 +22,22 @@
 constexpr std::string_view AtRouter = "router";
 constexpr std::string_view Crashed = "crashed";
 
-/// \returns the parts of \a text between single spaces.
-std::vector<std::string_view> words(std::string_view text)
+/// \returns the parts of \a text between single separators.
+std::vector<std::string_view> split(std::string_view text, char separator)
 {
     std::vector<std::string_view> out;
     while (!text.empty()) {
-        const std::size_t end = text.find(' ');
+        const std::size_t end = text.find(separator);
         out.push_back(text.substr(0, end));
         text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
     }
     return out;
 }
 
-std::string_view fingerprintWord(const RelayTicket &ticket)
+std::string suspectsWord(const RelayTicket &ticket)
 {
-    return ticket.fingerprint.empty() ? NoFingerprint : std::string_view(ticket.fingerprint);
+    return ticket.suspects.empty() ? std::string(NoSuspects)
+                                   : fmt::format("{}", fmt::join(ticket.suspects, ","));
 }
 
 /// \returns whether all of \a text is a number, which \a out then contains.
@@ -51,20 +52,22 @@
 
 std::string RelayCodec::encode(const RelayTicket &ticket)
 {
-    return fmt::format("{} {} {} {} {}", ticket.replica, fingerprintWord(ticket), ticket.sentAtMs,
+    return fmt::format("{} {} {} {} {}", ticket.replica, suspectsWord(ticket), ticket.sentAtMs,
                        ticket.number, ticket.signature);
 }
 
 Result<RelayTicket> RelayCodec::decode(std::string_view text)
 {
     constexpr std::size_t Words = 5;
-    const std::vector<std::string_view> all = words(text);
+    const std::vector<std::string_view> all = split(text, ' ');
     const Error malformed{.reason = Reason::MalformedRequest, .detail = "not a relay ticket"};
     if (all.size() != Words)
         return malformed;
     RelayTicket out{.replica = std::string(all[0]), .signature = std::string(all[4])};
-    if (all[1] != NoFingerprint)
-        out.fingerprint = all[1];
+    if (all[1] != NoSuspects) {
+        for (const std::string_view it : split(all[1], ','))
+            out.suspects.emplace_back(it);
+    }
     if (!readNumber(all[2], out.sentAtMs) || !readNumber(all[3], out.number))
         return malformed;
     return out;
@@ -74,7 +77,7 @@
                                    std::string_view target, const HttpHeaders &headers,
                                    std::string_view body)
 {
-    std::string out = fmt::format("{} {} {} {}\n{} {}\n", ticket.replica, fingerprintWord(ticket),
+    std::string out = fmt::format("{} {} {} {}\n{} {}\n", ticket.replica, suspectsWord(ticket),
                                   ticket.sentAtMs, ticket.number, method, target);
     for (const HttpHeader &it : headers)
         out += fmt::format("{}:{}\n", it.first, it.second);
@@ -101,7 +104,7 @@
             fmt::format("{} {} {} {}", reasonInfo(failure.error.reason).code,
                         failure.error.verdict == Verdict::NotRun ? NotRun : MayHaveRun,
                         failure.isReplicaAtFault ? AtReplica : AtRouter,
-                        failure.hasReplicaCrashed ? Crashed : NoFingerprint)};
+                        failure.hasReplicaCrashed ? Crashed : NoSuspects)};
 }
 
 std::optional<RelayFailure> RelayCodec::decodeFailure(const HttpHead &head)
@@ -110,7 +113,7 @@
     const std::string_view text = head.header(FailureHeader);
     if (text.empty())
         return std::nullopt;
-    const std::vector<std::string_view> all = words(text);
+    const std::vector<std::string_view> all = split(text, ' ');
     RelayFailure out{.error = {.reason = Reason::UpstreamBroken,
                                .verdict = Verdict::MayHaveRun,
                                .detail = fmt::format("the relaying router answered {}", text)}};
--- a/src/Net/RelayCodec.h
+++ b/src/Net/RelayCodec.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace catkinloft {
 
@@ -14,7 +15,7 @@
 struct RelayTicket
 {
     std::string replica = {}; ///< Incarnation of the only replica that may receive the request.
-    std::string fingerprint = {}; ///< \sa requestFingerprint()
+    std::vector<std::string> suspects = {}; ///< \sa RequestQuarantine::Suspects
     std::int64_t sentAtMs = 0; ///< Unix time at the sender.
     std::int64_t number = 0; ///< Distinguishes the tickets of one sender.
     std::string signature = {}; ///< Of RelayCodec::signedText().
--- a/src/Net/RelayServer.cpp
+++ b/src/Net/RelayServer.cpp
@@ -238,7 +238,7 @@
     if (error.reason == Reason::UpstreamUnreachable && error.verdict == Verdict::NotRun)
         options.pathFailed(it->replica);
     if (error.reason != Reason::UpstreamBroken || error.verdict == Verdict::NotRun
-        || it->ticket.fingerprint.empty())
+        || it->ticket.suspects.empty())
         return fail(it, error, false);
     checkForCrash(
             it, CrashWatch::AliveCriterion::Accepts,
@@ -251,7 +251,7 @@
 {
     options.crashes.checkReplica(
             {.requestId = {},
-             .fingerprint = it->ticket.fingerprint,
+             .suspects = it->ticket.suspects,
              .replica = it->ticket.replica,
              .software = it->replica.software(),
              .address = it->replica.address,
--- a/test/EntryRequestTest.cpp
+++ b/test/EntryRequestTest.cpp
@@ -143,8 +143,7 @@
              .metrics = metrics,
              .attemptCrashed =
                      [this](const CrashWatch::BrokenAttempt &it, TimePoint crashedAt) {
-                         quarantine.replicaCrashed(it.fingerprint, it.replica, it.software,
-                                                   crashedAt);
+                         quarantine.replicaCrashed(it.suspects, it.replica, it.software, crashedAt);
                      },
              .replicaCrashed = [this](const std::string &it) { pools.noteCrashed(it, 3s); }}};
     bool isShuttingDown = false;
--- a/test/RelayTest.cpp
+++ b/test/RelayTest.cpp
@@ -43,7 +43,7 @@
 
     HttpCall relayedCall()
     {
-        return relay.relayed(call(), peer, {.replica = "i-1", .fingerprint = "f1"});
+        return relay.relayed(call(), peer, {.replica = "i-1", .suspects = {"f1"}});
     }
 
     /// Sends \a it and waits for the end.
@@ -85,7 +85,7 @@
     CrashWatch crashes{{.loop = loop,
                         .metrics = metrics,
                         .attemptCrashed = [this](const CrashWatch::BrokenAttempt &it, TimePoint) {
-                            crashedWith = it.fingerprint;
+                            crashedWith = it.suspects.front();
                         }}};
     PeerGuard guard{{.clock = loop, .self = "a", .keys = {{.id = "k", .secret = "secret"}}}};
     ScriptedReplica::Script script;
--- a/test/RequestQuarantineTest.cpp
+++ b/test/RequestQuarantineTest.cpp
@@ -242,6 +242,137 @@
 
 // Guards against memory use and messages that grow with the number of requests in progress on a
 // lost rack.
+namespace {
+
+const std::string System = RequestQuarantine::partKey("svc", 1); ///< First part of all prompts.
+const std::string Deadly = RequestQuarantine::partKey("svc", 2);
+const std::string Other = RequestQuarantine::partKey("svc", 3);
+
+/// Requests of which no two have the same content.
+struct PromptPartFixture : QuarantineFleetFixture
+{
+    std::vector<std::string> request(std::initializer_list<std::string> parts)
+    {
+        std::vector<std::string> out = {fmt::format("content-{}", ++contents)};
+        out.insert(out.end(), parts.begin(), parts.end());
+        return out;
+    }
+
+    /// Router \a i observes that a replica crashes while it runs each of \a requests.
+    void crashUnder(std::size_t i, const std::vector<std::vector<std::string>> &requests)
+    {
+        const std::string replica = fmt::format("i-{}", ++crashedCount);
+        for (const auto &it : requests)
+            routers[i]->replicaCrashed(it, replica, Old.front(), clock.now());
+        exchangeUpdates();
+        exchangeUpdates();
+        clock.advance(400ms);
+    }
+
+    void complete(std::size_t i, std::initializer_list<std::string> parts)
+    {
+        routers[i]->completed(request(parts));
+        exchangeUpdates();
+        clock.advance(10ms);
+    }
+
+    /// \returns how many routers hold back a request with \a parts and a new content.
+    std::size_t heldWith(std::initializer_list<std::string> parts)
+    {
+        const std::vector<std::string> suspects = request(parts);
+        return static_cast<std::size_t>(
+                std::count_if(routers.begin(), routers.end(), [&](const auto &it) {
+                    return it->admit(suspects, Old).has_value();
+                }));
+    }
+
+    int contents = 0;
+};
+
+} // namespace
+
+// Guards against a prompt part that crashes one replica after the other in requests of which no two
+// have the same content.
+TEST_CASE_FIXTURE(PromptPartFixture, "requestQuarantine_promptPartCrashesReplicas_isHeldInAny")
+{
+    for (std::size_t i = 0; i < 3; ++i) {
+        crashUnder(i, {request({System, Deadly}), request({System, Other})});
+        complete(3, {System, Other});
+    }
+    CHECK(heldWith({System, Deadly}) == 4);
+    CHECK(heldWith({Deadly}) == 4);
+    CHECK(heldWith({System, Other}) == 0);
+    CHECK(heldWith({}) == 0);
+    CHECK(routers[0]->suspicion(request({System, Other})) == 0);
+}
+
+// Guards against refusing all requests of a service that has completed none since the first crash.
+TEST_CASE_FIXTURE(PromptPartFixture, "requestQuarantine_nothingCompletes_firstPartIsNotHeldAlone")
+{
+    for (std::size_t i = 0; i < 5; ++i)
+        crashUnder(i % 4, {request({System, Deadly})});
+    CHECK(heldWith({System, Deadly}) == 4);
+    CHECK(heldWith({System}) == 0);
+    CHECK(heldWith({System, Other}) == 0);
+    CHECK(routers[0]->suspicion(request({System, Other})) == 0);
+    // The first completed run tells the two apart.
+    complete(0, {System, Other});
+    exchangeUpdates();
+    clock.advance(300ms);
+    CHECK(heldWith({Deadly}) == 4);
+    CHECK(heldWith({System, Other}) == 0);
+}
+
+// Guards against blaming the part that the requests with two deadly parts have in common.
+TEST_CASE_FIXTURE(PromptPartFixture, "requestQuarantine_twoDeadlyParts_sharedFirstPartIsNotHeld")
+{
+    for (std::size_t i = 0; i < 6; ++i)
+        crashUnder(i % 4, {request({System, i % 2 == 0 ? Deadly : Other})});
+    CHECK(heldWith({System, Deadly}) == 4);
+    CHECK(heldWith({System, Other}) == 4);
+    CHECK(heldWith({System}) == 0);
+}
+
+TEST_CASE_FIXTURE(PromptPartFixture, "requestQuarantine_nothingCompletes_singlePartIsNotHeld")
+{
+    for (std::size_t i = 0; i < 4; ++i)
+        crashUnder(i, {request({System})});
+    CHECK(heldWith({System}) == 0);
+}
+
+// Guards against a caller that gets a popular part held back by sending it with deadly ones.
+TEST_CASE_FIXTURE(PromptPartFixture, "requestQuarantine_popularPartSentWithDeadlyOne_isServed")
+{
+    for (std::size_t i = 0; i < 8; ++i) {
+        crashUnder(i % 4, {request({System, Other, Deadly})});
+        complete((i + 1) % 4, {System, Other});
+    }
+    CHECK(heldWith({System, Other, Deadly}) == 4);
+    CHECK(heldWith({System, Other}) == 0);
+    CHECK(heldWith({Other}) == 0);
+}
+
+// Guards against holding back the parts of a request whose content alone crashes replicas.
+TEST_CASE_FIXTURE(PromptPartFixture, "requestQuarantine_sameContentCrashes_partsAreNotHeld")
+{
+    const std::vector<std::string> same = request({System, Other});
+    for (std::size_t i = 0; i < 4; ++i)
+        crashUnder(i, {same});
+    CHECK(routers[0]->admit(same, Old));
+    CHECK(heldWith({System, Other}) == 0);
+}
+
+TEST_CASE_FIXTURE(PromptPartFixture, "requestQuarantine_heldPartCompletes_isReleased")
+{
+    for (std::size_t i = 0; i < 3; ++i) {
+        crashUnder(i, {request({System, Deadly})});
+        complete(3, {System});
+    }
+    REQUIRE(heldWith({Deadly}) == 4);
+    complete(0, {System, Deadly});
+    CHECK(heldWith({Deadly}) == 0);
+}
+
 TEST_CASE("requestQuarantine_manySuspects_areBoundedAndTheWorstIsKept")
 {
     QuarantineFleetFixture fleet(2);
