A single prompt part is held back only by what its own service completes

A part that all requests of a service have in common is held alone only if another suspect was cleared after its first crash, which shows that runs without it complete. Any cleared suspect counted, also one of another service, so that a service in which nothing completes was judged by its neighbours. The test with one part and no completed run has such a neighbour now.

--- a/src/Decide/RequestQuarantine.cpp
+++ b/src/Decide/RequestQuarantine.cpp
@@ -359,12 +359,16 @@
     return out;
 }
 
-/// \returns whether another suspect was cleared after the first crash of \a suspect.
+/// \returns whether another part in requests to the same service was cleared after the first crash
+/// of \a suspect.
 bool RequestQuarantine::hasClearedOther(const Records::value_type &suspect) const
 {
     const std::span<const ReplicaCrash> crashes = suspect.second.record.replicaCrashes();
+    const std::string_view service =
+            std::string_view(suspect.first).substr(0, suspect.first.rfind(':') + 1);
     return !crashes.empty() && std::any_of(m_records.begin(), m_records.end(), [&](const auto &it) {
-        return &it != &suspect && it.second.record.clearedAt() > crashes.front().at;
+        return &it != &suspect && it.first.starts_with(service)
+                && it.second.record.clearedAt() > crashes.front().at;
     });
 }
 
--- a/src/Decide/RequestQuarantine.h
+++ b/src/Decide/RequestQuarantine.h
@@ -53,8 +53,8 @@
 /// two more, because a part like a system prompt is in nearly every request:
 /// - Parts that were in all crashed runs together can't be told apart, so they are held back as a
 ///   combination: only requests that contain all of them.
-/// - A single part is held back only if another suspect was cleared after its first crash. Without
-///   any completed run, it may be what all requests have in common.
+/// - A single part is held back only if another part in requests to its service was cleared after
+///   its first crash. Without any completed run, it may be what all requests have in common.
 /// A request that is held back explains its crashes, so that its parts are not held back for them.
 ///
 /// Routers announce evidence to each other and merge it; each router decides independently. The
--- a/src/Net/StreamOriginTask.h
+++ b/src/Net/StreamOriginTask.h
@@ -6,6 +6,7 @@
 #include "Net/HttpExchange.h"
 
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
--- a/test/RequestQuarantineTest.cpp
+++ b/test/RequestQuarantineTest.cpp
@@ -338,6 +338,11 @@
     for (std::size_t i = 0; i < 4; ++i)
         crashUnder(i, {request({System})});
     CHECK(heldWith({System}) == 0);
+    // What another service completes says nothing about this one.
+    const std::string foreign = RequestQuarantine::partKey("svc2", 1);
+    crashUnder(0, {request({foreign})});
+    complete(0, {foreign});
+    CHECK(heldWith({System}) == 0);
 }
 
 // Guards against a caller that gets a popular part held back by sending it with deadly ones.
