--- a/src/Decide/Decide.h
+++ b/src/Decide/Decide.h
@@ -16,10 +16,14 @@
 #include "Decide/OwnerGroups.h" // IWYU pragma: export
 #include "Decide/PathMonitor.h" // IWYU pragma: export
 #include "Decide/Placement.h" // IWYU pragma: export
+#include "Decide/PromptAdmission.h" // IWYU pragma: export
 #include "Decide/Refusal.h" // IWYU pragma: export
+#include "Decide/ReplicaLoad.h" // IWYU pragma: export
 #include "Decide/Rendezvous.h" // IWYU pragma: export
 #include "Decide/RequestQuarantine.h" // IWYU pragma: export
+#include "Decide/RequestRank.h" // IWYU pragma: export
 #include "Decide/RetryBudget.h" // IWYU pragma: export
 #include "Decide/RouterView.h" // IWYU pragma: export
 #include "Decide/SoftwareHistory.h" // IWYU pragma: export
 #include "Decide/StreamOrigins.h" // IWYU pragma: export
+#include "Decide/WorkspaceShares.h" // IWYU pragma: export
--- a/src/Decide/LoadShedder.h
+++ b/src/Decide/LoadShedder.h
@@ -2,6 +2,7 @@
 
 #include "Base/Clock.h"
 #include "Base/Random.h"
+#include "Decide/ReplicaLoad.h"
 
 #include <map>
 #include <optional>
@@ -9,14 +10,6 @@
 
 namespace catkinloft {
 
-/// \brief Load of a replica as reported with an answer.
-struct ReplicaLoad
-{
-    int running = 0;
-    int waiting = 0;
-    int slots = 1;
-};
-
 /// \brief Determines the share of calls to a plain service that is sent while it is overloaded.
 ///
 /// Handles a service that has lost replicas or gets more calls than usual, with many routers that
--- /dev/null
+++ b/src/Decide/PromptAdmission.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "Base/Clock.h"
+#include "Base/Random.h"
+#include "Decide/ReplicaLoad.h"
+#include "Decide/RequestRank.h"
+
+#include <cstdint>
+
+namespace catkinloft {
+
+/// \brief Limits the prompts that one router has in progress at an overloaded model service.
+///
+/// Handles more prompts than the engines can process in time, for example because many of them are
+/// lost during a surge. Engines process prompts between the decoding steps of running requests, so
+/// without a limit all streams become slow, prompts wait in the queues of the engines until they
+/// are late, and the engines complete a fraction of what they could.
+///
+/// The limit is a window of prompts in progress, as in congestion control: it is set when first
+/// events become late while the engines report that they are busy, shrinks while that persists and
+/// grows otherwise. Routers exchange no messages for this; their windows agree because they use the
+/// same engines. Room in the window goes to the most urgent prompts first.
+class PromptAdmission
+{
+public:
+    struct Options
+    {
+        const Clock &clock;
+        RandomSource random;
+    };
+
+    /// \brief Identifies one prompt in progress.
+    using Id = std::uint64_t;
+
+    explicit PromptAdmission(Options options);
+
+    /// \returns whether a prompt of \a rank may be sent; if not, it is refused.
+    bool admits(const RequestRank &rank);
+
+    /// \brief Counts an admitted prompt until ended() is called.
+    /// \param target latency up to which its first event is on time.
+    Id started(Duration target);
+
+    /// \brief Records that the first event of \a id arrived. Later calls for \a id have no effect.
+    void firstEvent(Id id);
+
+    /// \brief Ends prompt \a id. A prompt without an event that ends because its replica is
+    /// unreachable or failed says nothing about the load.
+    void ended(Id id);
+
+    /// \brief Records the load that an engine reported with an answer.
+    void loadReported(const ReplicaLoad &load);
+
+    /// \returns whether prompts are limited at present.
+    bool isLimiting() const;
+
+    /// \returns the largest number of prompts in progress; 0: no limit.
+    double limit() const;
+
+    /// \returns the number of prompts in progress.
+    int inProgress() const;
+
+    /// \returns the share of recent first events that were late, 0 to 1, and the mean occupancy
+    /// that engines reported, for logs and refusals.
+    double lateShare() const;
+    double occupancy() const;
+
+    /// \returns when a refused caller should retry: a random time that spreads the callers, longer
+    /// the larger the share of refused prompts is, and at most a third of \a remaining.
+    Duration retryAfter(Duration remaining);
+};
+
+} // namespace catkinloft
