--- /dev/null
+++ b/src/Decide/PromptAdmission.cpp
@@ -0,0 +1,309 @@
+#include "Decide/PromptAdmission.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace catkinloft {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Part of the target after which a prompt without an event counts as late. The rest is the time
+/// that the window needs to take effect; with the whole target the prompts that are already in
+/// progress would all be late.
+constexpr double DueShare = 0.6;
+
+/// Share of late prompts that is overload, and the number of observations from which it counts. A
+/// router sees about six prompts a second.
+constexpr double LateShare = 0.15;
+constexpr int MinObservations = 5;
+
+/// Share of late prompts for a limit to begin while no requests wait at the engines. A fifth of the
+/// engines may be silent while the others use more than half of their slots.
+constexpr double LateShareWithoutWaiting = 0.3;
+
+/// Engines are busy above this share of slots in use, or of reports with waiting requests. Uneven
+/// placement lets a few requests wait at the usual load.
+constexpr double BusyRunning = 0.5;
+constexpr double BusyWaiting = 0.25;
+
+/// Occupancy of the engines at which the window aims when it is reduced. Engines that have waiting
+/// requests report the excess directly, so that one reduction is enough.
+constexpr double AimedOccupancy = 0.8;
+constexpr double MinDecrease = 0.85;
+constexpr double MaxDecrease = 0.4;
+
+/// Time from a change of the window until first events show its effect.
+constexpr Duration FeedbackDelay = 300ms;
+
+constexpr double Increase = 0.1;
+/// Increase while the engines are not busy, to recover within two seconds.
+constexpr double IdleIncrease = 0.5;
+
+/// Smallest window. A part of the prompts below one is admitted by randomised rounding.
+constexpr double MinWindow = 0.5;
+
+/// Threshold of a rank relative to that of the next more urgent one.
+constexpr double RankFactor = 0.75;
+
+/// Probability that a prompt above the threshold of its rank is admitted below the full window.
+constexpr double MinAdmission = 0.06;
+
+constexpr Duration RankLifetime = 10s;
+constexpr std::size_t MaxRanks = 32;
+
+/// Age at which the weight of a report has fallen to 1/e.
+constexpr Duration ReportDecay = 500ms;
+/// Time after which the last report says nothing about the present load.
+constexpr Duration ReportLifetime = 2s;
+
+/// Time without refusals, or with engines that are not busy, after which the limit is removed.
+constexpr Duration UnrefusedLifetime = 2s;
+constexpr Duration IdleLifetime = 1s;
+
+/// Longest time until callers retry if few, and added to it if all prompts are refused.
+constexpr Duration RetryBase = 500ms;
+constexpr Duration RetryRange = 4s;
+
+constexpr Duration BucketLength = 100ms;
+
+} // namespace
+
+void PromptAdmission::RecentShare::add(TimePoint now, bool counted)
+{
+    const std::int64_t period = now.time_since_epoch() / BucketLength;
+    Bucket &it = m_buckets[static_cast<std::size_t>(period) % m_buckets.size()];
+    if (it.period != period)
+        it = {.period = period};
+    ++it.total;
+    it.counted += counted ? 1 : 0;
+}
+
+int PromptAdmission::RecentShare::total(TimePoint now) const
+{
+    const std::int64_t first =
+            now.time_since_epoch() / BucketLength - static_cast<std::int64_t>(m_buckets.size());
+    int total = 0;
+    for (const Bucket &it : m_buckets)
+        total += it.period > first ? it.total : 0;
+    return total;
+}
+
+double PromptAdmission::RecentShare::share(TimePoint now) const
+{
+    const std::int64_t first =
+            now.time_since_epoch() / BucketLength - static_cast<std::int64_t>(m_buckets.size());
+    int counted = 0;
+    for (const Bucket &it : m_buckets)
+        counted += it.period > first ? it.counted : 0;
+    return static_cast<double>(counted) / std::max(1, total(now));
+}
+
+PromptAdmission::PromptAdmission(Options options) : m_options(std::move(options)) { }
+
+bool PromptAdmission::admits(const RequestRank &rank)
+{
+    update();
+    const TimePoint now = m_options.clock.now();
+    const double allowed = threshold(rank);
+    bool admitted = true;
+    if (m_window > 0) {
+        // Compares with the randomly rounded threshold, so that ranks differ in a small window.
+        const double chance = allowed - inProgress();
+        const double fullChance = std::clamp(m_window - inProgress(), 0.0, 1.0);
+        admitted = uniform(m_options.random) < std::max(chance, MinAdmission * fullChance);
+    }
+    m_refused.add(now, !admitted);
+    if (!admitted)
+        m_refusedAt = now;
+    return admitted;
+}
+
+PromptAdmission::Id PromptAdmission::started(Duration target)
+{
+    update();
+    const TimePoint now = m_options.clock.now();
+    const Id id = ++m_lastId;
+    const TimePoint due = now + scaled(target, DueShare);
+    m_prompts[id] = {.startedAt = now, .dueAt = due};
+    m_awaited.emplace(due, id);
+    return id;
+}
+
+void PromptAdmission::firstEvent(Id id)
+{
+    markOverdue();
+    const auto it = m_prompts.find(id);
+    if (it != m_prompts.end() && it->second.awaited) {
+        m_awaited.erase({it->second.dueAt, id});
+        it->second.awaited = false;
+        observe(it->second, false);
+    }
+    update();
+}
+
+void PromptAdmission::ended(Id id)
+{
+    update();
+    const auto it = m_prompts.find(id);
+    if (it == m_prompts.end())
+        return;
+    if (it->second.awaited)
+        m_awaited.erase({it->second.dueAt, id});
+    m_prompts.erase(it);
+}
+
+void PromptAdmission::loadReported(const ReplicaLoad &load)
+{
+    const TimePoint now = m_options.clock.now();
+    if (!hasReports())
+        m_reports = {};
+    Reports &it = m_reports;
+    const double slots = std::max(1, load.slots);
+    const double kept = it.weight * std::exp(-toSeconds(now - it.receivedAt) / toSeconds(ReportDecay));
+    it.weight = kept + 1;
+    const double part = 1 / it.weight;
+    it.running += part * (load.running / slots - it.running);
+    it.waiting += part * ((load.waiting > 0 ? 1 : 0) - it.waiting);
+    it.occupancy += part * ((load.running + load.waiting) / slots - it.occupancy);
+    it.receivedAt = now;
+    if (isBusy())
+        m_busyAt = now;
+    update();
+}
+
+bool PromptAdmission::isLimiting() const
+{
+    return m_window > 0 && !isLimitOutdated();
+}
+
+double PromptAdmission::limit() const
+{
+    return isLimiting() ? m_window : 0;
+}
+
+int PromptAdmission::inProgress() const
+{
+    return static_cast<int>(m_prompts.size());
+}
+
+double PromptAdmission::lateShare() const
+{
+    return m_late.share(m_options.clock.now());
+}
+
+double PromptAdmission::occupancy() const
+{
+    return hasReports() ? m_reports.occupancy : 0;
+}
+
+Duration PromptAdmission::retryAfter(Duration remaining)
+{
+    const double refused = m_refused.share(m_options.clock.now());
+    const Duration longest =
+            std::clamp(RetryBase + scaled(RetryRange, refused), Duration(0),
+                       std::max(Duration(0), remaining / 3));
+    // Only a part of the range is random, so that no caller retries at once.
+    return scaled(longest, 0.25 + 0.75 * uniform(m_options.random));
+}
+
+void PromptAdmission::observe(const Prompt &prompt, bool late)
+{
+    if (m_window == 0 || prompt.startedAt >= m_shrunkAt)
+        m_late.add(m_options.clock.now(), late);
+}
+
+void PromptAdmission::update()
+{
+    markOverdue();
+    if (m_window > 0 && isLimitOutdated())
+        removeLimit();
+    if (m_window > 0)
+        adjustWindow();
+    else
+        limitOnset();
+}
+
+void PromptAdmission::markOverdue()
+{
+    const TimePoint now = m_options.clock.now();
+    while (!m_awaited.empty() && m_awaited.begin()->first <= now) {
+        Prompt &it = m_prompts.at(m_awaited.begin()->second);
+        it.awaited = false;
+        m_awaited.erase(m_awaited.begin());
+        observe(it, true);
+    }
+}
+
+void PromptAdmission::limitOnset()
+{
+    const TimePoint now = m_options.clock.now();
+    const double needed = m_reports.waiting > BusyWaiting ? LateShare : LateShareWithoutWaiting;
+    if (!isBusy() || m_late.total(now) < MinObservations || m_late.share(now) < needed)
+        return;
+    m_window = std::max(MinWindow, windowFactor() * inProgress());
+    m_onsetWindow = m_window;
+    m_changedAt = m_shrunkAt = m_refusedAt = m_busyAt = now;
+    m_late.clear();
+}
+
+void PromptAdmission::adjustWindow()
+{
+    const TimePoint now = m_options.clock.now();
+    if (now - m_changedAt < FeedbackDelay)
+        return;
+    const bool manyLate = m_late.total(now) >= MinObservations && m_late.share(now) >= LateShare;
+    if (manyLate && isBusy()) {
+        m_window = std::max(MinWindow, m_window * windowFactor());
+        m_changedAt = m_shrunkAt = now;
+        m_late.clear();
+    } else if (m_refusedAt > m_changedAt && inProgress() <= m_window + 1) {
+        // An addend in proportion to the router's traffic lets the windows of routers converge.
+        m_window += (isBusy() ? Increase : IdleIncrease) * std::max(m_window, m_onsetWindow);
+        m_changedAt = now;
+    }
+}
+
+void PromptAdmission::removeLimit()
+{
+    m_window = 0;
+    m_late.clear();
+}
+
+double PromptAdmission::threshold(const RequestRank &rank)
+{
+    const TimePoint now = m_options.clock.now();
+    std::erase_if(m_ranks, [=](const RankInUse &it) { return now - it.seenAt > RankLifetime; });
+    auto it = std::find_if(m_ranks.begin(), m_ranks.end(),
+                           [&](const RankInUse &used) { return !used.rank.isBefore(rank); });
+    const auto index = it - m_ranks.begin();
+    if (it != m_ranks.end() && !rank.isBefore(it->rank))
+        it->seenAt = now;
+    else if (m_ranks.size() < MaxRanks)
+        m_ranks.insert(it, {rank, now});
+    return m_window * std::pow(RankFactor, index);
+}
+
+double PromptAdmission::windowFactor() const
+{
+    return std::clamp(AimedOccupancy / std::max(0.01, m_reports.occupancy), MaxDecrease, MinDecrease);
+}
+
+bool PromptAdmission::isBusy() const
+{
+    return hasReports() && (m_reports.running > BusyRunning || m_reports.waiting > BusyWaiting);
+}
+
+bool PromptAdmission::hasReports() const
+{
+    return m_reports.weight > 0 && m_options.clock.now() - m_reports.receivedAt <= ReportLifetime;
+}
+
+bool PromptAdmission::isLimitOutdated() const
+{
+    const TimePoint now = m_options.clock.now();
+    return now - m_refusedAt > UnrefusedLifetime || (!isBusy() && now - m_busyAt > IdleLifetime);
+}
+
+} // namespace catkinloft
--- a/src/Decide/PromptAdmission.h
+++ b/src/Decide/PromptAdmission.h
@@ -5,7 +5,12 @@
 #include "Decide/ReplicaLoad.h"
 #include "Decide/RequestRank.h"
 
+#include <array>
 #include <cstdint>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
 
 namespace catkinloft {
 
@@ -68,6 +73,77 @@
     /// \returns when a refused caller should retry: a random time that spreads the callers, longer
     /// the larger the share of refused prompts is, and at most a third of \a remaining.
     Duration retryAfter(Duration remaining);
+
+private:
+    /// Counts events of the last second, and how many of them have a property.
+    class RecentShare
+    {
+    public:
+        void add(TimePoint now, bool counted);
+        void clear() { m_buckets = {}; }
+        int total(TimePoint now) const;
+        double share(TimePoint now) const;
+
+    private:
+        struct Bucket
+        {
+            std::int64_t period = -1; ///< Number of the bucket's period since the clock's origin.
+            int total = 0;
+            int counted = 0;
+        };
+
+        std::array<Bucket, 10> m_buckets = {};
+    };
+
+    struct Prompt
+    {
+        TimePoint startedAt;
+        TimePoint dueAt; ///< Without a first event by then the prompt is late.
+        bool awaited = true; ///< Neither a first event nor lateness was observed.
+    };
+
+    struct RankInUse
+    {
+        RequestRank rank;
+        TimePoint seenAt;
+    };
+
+    /// Averages over the load reports, weighted by their age.
+    struct Reports
+    {
+        TimePoint receivedAt = {}; ///< Of the last one.
+        double weight = 0; ///< 0: none received.
+        double running = 0; ///< Share of the slots in use.
+        double waiting = 0; ///< Share of the reports with waiting requests.
+        double occupancy = 0;
+    };
+
+    void observe(const Prompt &prompt, bool late);
+    void update();
+    void markOverdue();
+    void limitOnset();
+    void adjustWindow();
+    void removeLimit();
+    double threshold(const RequestRank &rank);
+    double windowFactor() const;
+    bool isBusy() const;
+    bool hasReports() const;
+    bool isLimitOutdated() const;
+
+    Options m_options;
+    Id m_lastId = 0;
+    std::unordered_map<Id, Prompt> m_prompts; ///< In progress.
+    std::set<std::pair<TimePoint, Id>> m_awaited; ///< By the time at which they are late.
+    std::vector<RankInUse> m_ranks; ///< The most urgent first.
+    RecentShare m_late;
+    RecentShare m_refused;
+    Reports m_reports;
+    double m_window = 0; ///< 0: no limit.
+    double m_onsetWindow = 0;
+    TimePoint m_changedAt = {}; ///< Last change of the window.
+    TimePoint m_shrunkAt = {}; ///< Prompts started before say nothing about the present window.
+    TimePoint m_refusedAt = {};
+    TimePoint m_busyAt = {}; ///< Last report while the engines were busy.
 };
 
 } // namespace catkinloft
