--- a/src/Decide/PromptAdmission.cpp
+++ b/src/Decide/PromptAdmission.cpp
@@ -45,7 +45,7 @@
 constexpr double MinWindow = 0.5;
 
 /// Threshold of a rank relative to that of the next more urgent one.
-constexpr double RankFactor = 0.75;
+constexpr double RankFactor = 0.65;
 
 /// Probability that a prompt above the threshold of its rank is admitted below the full window.
 constexpr double MinAdmission = 0.06;
@@ -54,19 +54,21 @@
 constexpr std::size_t MaxRanks = 32;
 
 /// Age at which the weight of a report has fallen to 1/e.
-constexpr Duration ReportDecay = 500ms;
+constexpr Duration ReportDecay = 300ms;
 /// Time after which the last report says nothing about the present load.
-constexpr Duration ReportLifetime = 2s;
+constexpr Duration ReportLifetime = 1500ms;
 
 /// Time without refusals, or with engines that are not busy, after which the limit is removed.
 constexpr Duration UnrefusedLifetime = 2s;
-constexpr Duration IdleLifetime = 1s;
+constexpr Duration IdleLifetime = 500ms;
 
 /// Longest time until callers retry if few, and added to it if all prompts are refused.
 constexpr Duration RetryBase = 500ms;
 constexpr Duration RetryRange = 4s;
 
 constexpr Duration BucketLength = 100ms;
+/// The last second.
+constexpr int ObservedBuckets = 5;
 
 } // namespace
 
@@ -75,29 +77,26 @@
     const std::int64_t period = now.time_since_epoch() / BucketLength;
     Bucket &it = m_buckets[static_cast<std::size_t>(period) % m_buckets.size()];
     if (it.period != period)
-        it = {.period = period};
-    ++it.total;
-    it.counted += counted ? 1 : 0;
+        it = {.period = period, .counts = {}};
+    ++it.counts.total;
+    it.counts.counted += counted ? 1 : 0;
 }
 
-int PromptAdmission::RecentShare::total(TimePoint now) const
+PromptAdmission::RecentShare::Counts PromptAdmission::RecentShare::counts(TimePoint now) const
 {
-    const std::int64_t first =
-            now.time_since_epoch() / BucketLength - static_cast<std::int64_t>(m_buckets.size());
-    int total = 0;
-    for (const Bucket &it : m_buckets)
-        total += it.period > first ? it.total : 0;
-    return total;
-}
-
-double PromptAdmission::RecentShare::share(TimePoint now) const
-{
-    const std::int64_t first =
-            now.time_since_epoch() / BucketLength - static_cast<std::int64_t>(m_buckets.size());
-    int counted = 0;
-    for (const Bucket &it : m_buckets)
-        counted += it.period > first ? it.counted : 0;
-    return static_cast<double>(counted) / std::max(1, total(now));
+    const std::int64_t last = now.time_since_epoch() / BucketLength;
+    const auto size = static_cast<std::int64_t>(m_buckets.size());
+    Counts sum;
+    for (std::int64_t age = 0; age < size; ++age) {
+        if (age >= ObservedBuckets && sum.total >= MinObservations)
+            break;
+        const Bucket &it = m_buckets[static_cast<std::size_t>(last - age) % m_buckets.size()];
+        if (it.period == last - age) {
+            sum.total += it.counts.total;
+            sum.counted += it.counts.counted;
+        }
+    }
+    return sum;
 }
 
 PromptAdmission::PromptAdmission(Options options) : m_options(std::move(options)) { }
@@ -161,7 +160,8 @@
         m_reports = {};
     Reports &it = m_reports;
     const double slots = std::max(1, load.slots);
-    const double kept = it.weight * std::exp(-toSeconds(now - it.receivedAt) / toSeconds(ReportDecay));
+    const double kept =
+            it.weight * std::exp(-toSeconds(now - it.receivedAt) / toSeconds(ReportDecay));
     it.weight = kept + 1;
     const double part = 1 / it.weight;
     it.running += part * (load.running / slots - it.running);
@@ -190,7 +190,7 @@
 
 double PromptAdmission::lateShare() const
 {
-    return m_late.share(m_options.clock.now());
+    return m_late.counts(m_options.clock.now()).share();
 }
 
 double PromptAdmission::occupancy() const
@@ -200,18 +200,20 @@
 
 Duration PromptAdmission::retryAfter(Duration remaining)
 {
-    const double refused = m_refused.share(m_options.clock.now());
-    const Duration longest =
-            std::clamp(RetryBase + scaled(RetryRange, refused), Duration(0),
-                       std::max(Duration(0), remaining / 3));
+    const double refused = m_refused.counts(m_options.clock.now()).share();
+    const Duration longest = std::clamp(RetryBase + scaled(RetryRange, refused), Duration(0),
+                                        std::max(Duration(0), remaining / 3));
     // Only a part of the range is random, so that no caller retries at once.
     return scaled(longest, 0.25 + 0.75 * uniform(m_options.random));
 }
 
 void PromptAdmission::observe(const Prompt &prompt, bool late)
 {
-    if (m_window == 0 || prompt.startedAt >= m_shrunkAt)
-        m_late.add(m_options.clock.now(), late);
+    const TimePoint now = m_options.clock.now();
+    m_late.add(now, late);
+    // Earlier prompts say nothing about the present window.
+    if (prompt.startedAt >= m_shrunkAt)
+        m_lateSinceShrink.add(now, late);
 }
 
 void PromptAdmission::update()
@@ -240,12 +242,12 @@
 {
     const TimePoint now = m_options.clock.now();
     const double needed = m_reports.waiting > BusyWaiting ? LateShare : LateShareWithoutWaiting;
-    if (!isBusy() || m_late.total(now) < MinObservations || m_late.share(now) < needed)
+    if (!isBusy() || !isLate(m_late, needed))
         return;
     m_window = std::max(MinWindow, windowFactor() * inProgress());
     m_onsetWindow = m_window;
     m_changedAt = m_shrunkAt = m_refusedAt = m_busyAt = now;
-    m_late.clear();
+    m_lateSinceShrink.clear();
 }
 
 void PromptAdmission::adjustWindow()
@@ -253,14 +255,16 @@
     const TimePoint now = m_options.clock.now();
     if (now - m_changedAt < FeedbackDelay)
         return;
-    const bool manyLate = m_late.total(now) >= MinObservations && m_late.share(now) >= LateShare;
-    if (manyLate && isBusy()) {
+    if (isBusy() && isLate(m_lateSinceShrink, LateShare)) {
         m_window = std::max(MinWindow, m_window * windowFactor());
         m_changedAt = m_shrunkAt = now;
-        m_late.clear();
+        m_lateSinceShrink.clear();
     } else if (m_refusedAt > m_changedAt && inProgress() <= m_window + 1) {
         // An addend in proportion to the router's traffic lets the windows of routers converge.
-        m_window += (isBusy() ? Increase : IdleIncrease) * std::max(m_window, m_onsetWindow);
+        const double late = m_lateSinceShrink.counts(now).share();
+        const double rate =
+                isBusy() ? Increase * std::max(0.0, 1 - late / LateShare) : IdleIncrease;
+        m_window += rate * std::max(m_window, m_onsetWindow);
         m_changedAt = now;
     }
 }
@@ -268,7 +272,7 @@
 void PromptAdmission::removeLimit()
 {
     m_window = 0;
-    m_late.clear();
+    m_lateSinceShrink.clear();
 }
 
 double PromptAdmission::threshold(const RequestRank &rank)
@@ -287,7 +291,14 @@
 
 double PromptAdmission::windowFactor() const
 {
-    return std::clamp(AimedOccupancy / std::max(0.01, m_reports.occupancy), MaxDecrease, MinDecrease);
+    return std::clamp(AimedOccupancy / std::max(0.01, m_reports.occupancy), MaxDecrease,
+                      MinDecrease);
+}
+
+bool PromptAdmission::isLate(const RecentShare &observed, double share) const
+{
+    const RecentShare::Counts counts = observed.counts(m_options.clock.now());
+    return counts.total >= MinObservations && counts.share() >= share;
 }
 
 bool PromptAdmission::isBusy() const
--- a/src/Decide/PromptAdmission.h
+++ b/src/Decide/PromptAdmission.h
@@ -75,24 +75,33 @@
     Duration retryAfter(Duration remaining);
 
 private:
-    /// Counts events of the last second, and how many of them have a property.
+    /// Counts recent events, and how many of them have a property.
     class RecentShare
     {
     public:
+        struct Counts
+        {
+            int total = 0;
+            int counted = 0;
+
+            double share() const { return total > 0 ? static_cast<double>(counted) / total : 0; }
+        };
+
         void add(TimePoint now, bool counted);
         void clear() { m_buckets = {}; }
-        int total(TimePoint now) const;
-        double share(TimePoint now) const;
+
+        /// \returns the counts of the last second; if these are too few to decide, of the shortest
+        /// longer time that has enough.
+        Counts counts(TimePoint now) const;
 
     private:
         struct Bucket
         {
             std::int64_t period = -1; ///< Number of the bucket's period since the clock's origin.
-            int total = 0;
-            int counted = 0;
+            Counts counts;
         };
 
-        std::array<Bucket, 10> m_buckets = {};
+        std::array<Bucket, 30> m_buckets = {};
     };
 
     struct Prompt
@@ -126,6 +135,7 @@
     void removeLimit();
     double threshold(const RequestRank &rank);
     double windowFactor() const;
+    bool isLate(const RecentShare &observed, double share) const;
     bool isBusy() const;
     bool hasReports() const;
     bool isLimitOutdated() const;
@@ -136,12 +146,13 @@
     std::set<std::pair<TimePoint, Id>> m_awaited; ///< By the time at which they are late.
     std::vector<RankInUse> m_ranks; ///< The most urgent first.
     RecentShare m_late;
+    RecentShare m_lateSinceShrink; ///< Of the prompts started after the window shrank.
     RecentShare m_refused;
     Reports m_reports;
     double m_window = 0; ///< 0: no limit.
     double m_onsetWindow = 0;
     TimePoint m_changedAt = {}; ///< Last change of the window.
-    TimePoint m_shrunkAt = {}; ///< Prompts started before say nothing about the present window.
+    TimePoint m_shrunkAt = {};
     TimePoint m_refusedAt = {};
     TimePoint m_busyAt = {}; ///< Last report while the engines were busy.
 };
