Admission of prompts: silent engines are not taken for overload

Prompts without an event count only while requests wait at the engines; otherwise the lateness of first events decides. A limit begins with two or three late prompts at least, since one of five is late by chance.

--- a/src/Decide/PromptAdmission.cpp
+++ b/src/Decide/PromptAdmission.cpp
@@ -19,14 +19,16 @@
 constexpr double LateShare = 0.15;
 constexpr int MinObservations = 5;
 
-/// Share of late prompts for a limit to begin while no requests wait at the engines. A fifth of the
-/// engines may be silent while the others use more than half of their slots.
-constexpr double LateShareWithoutWaiting = 0.3;
+/// Number of late prompts for a limit to begin. One of five is often late by chance at twice the
+/// usual load; waiting requests are evidence of their own.
+constexpr int MinLate = 3;
+constexpr int MinLateQueueing = 2;
 
-/// Engines are busy above this share of slots in use, or of reports with waiting requests. Uneven
-/// placement lets a few requests wait at the usual load.
+/// Engines are busy above this share of slots in use, or if requests wait. Requests that arrive
+/// during a step wait for its end at any load, so a single one is of no importance.
 constexpr double BusyRunning = 0.5;
 constexpr double BusyWaiting = 0.25;
+constexpr double WaitingShareOfSlots = 0.25;
 
 /// Occupancy of the engines at which the window aims when it is reduced. Engines that have waiting
 /// requests report the excess directly, so that one reduction is enough.
@@ -139,6 +141,12 @@
         it->second.awaited = false;
         observe(it->second, false);
     }
+    if (it != m_prompts.end() && !it->second.answered) {
+        it->second.answered = true;
+        const TimePoint now = m_options.clock.now();
+        if (it->second.startedAt >= m_shrunkAt)
+            m_lateEvents.add(now, now >= it->second.dueAt);
+    }
     update();
 }
 
@@ -165,7 +173,7 @@
     it.weight = kept + 1;
     const double part = 1 / it.weight;
     it.running += part * (load.running / slots - it.running);
-    it.waiting += part * ((load.waiting > 0 ? 1 : 0) - it.waiting);
+    it.waiting += part * (std::min(1.0, load.waiting / (WaitingShareOfSlots * slots)) - it.waiting);
     it.occupancy += part * ((load.running + load.waiting) / slots - it.occupancy);
     it.receivedAt = now;
     if (isBusy())
@@ -241,13 +249,13 @@
 void PromptAdmission::limitOnset()
 {
     const TimePoint now = m_options.clock.now();
-    const double needed = m_reports.waiting > BusyWaiting ? LateShare : LateShareWithoutWaiting;
-    if (!isBusy() || !isLate(m_late, needed))
+    if (!isOverloaded())
         return;
     m_window = std::max(MinWindow, windowFactor() * inProgress());
     m_onsetWindow = m_window;
     m_changedAt = m_shrunkAt = m_refusedAt = m_busyAt = now;
     m_lateSinceShrink.clear();
+    m_lateEvents.clear();
 }
 
 void PromptAdmission::adjustWindow()
@@ -255,15 +263,15 @@
     const TimePoint now = m_options.clock.now();
     if (now - m_changedAt < FeedbackDelay)
         return;
-    if (isBusy() && isLate(m_lateSinceShrink, LateShare)) {
+    if (isOverloaded()) {
         m_window = std::max(MinWindow, m_window * windowFactor());
         m_changedAt = m_shrunkAt = now;
         m_lateSinceShrink.clear();
+        m_lateEvents.clear();
     } else if (m_refusedAt > m_changedAt && inProgress() <= m_window + 1) {
         // An addend in proportion to the router's traffic lets the windows of routers converge.
-        const double late = m_lateSinceShrink.counts(now).share();
         const double rate =
-                isBusy() ? Increase * std::max(0.0, 1 - late / LateShare) : IdleIncrease;
+                isBusy() ? Increase * std::max(0.0, 1 - late().share() / LateShare) : IdleIncrease;
         m_window += rate * std::max(m_window, m_onsetWindow);
         m_changedAt = now;
     }
@@ -273,6 +281,7 @@
 {
     m_window = 0;
     m_lateSinceShrink.clear();
+    m_lateEvents.clear();
 }
 
 double PromptAdmission::threshold(const RequestRank &rank)
@@ -295,15 +304,28 @@
                       MinDecrease);
 }
 
-bool PromptAdmission::isLate(const RecentShare &observed, double share) const
+PromptAdmission::RecentShare::Counts PromptAdmission::late() const
+{
+    // Without waiting requests, prompts that have no event may have been sent to silent engines.
+    return (isQueueing() ? m_lateSinceShrink : m_lateEvents).counts(m_options.clock.now());
+}
+
+bool PromptAdmission::isOverloaded() const
+{
+    const RecentShare::Counts counts = late();
+    const int needed = m_window > 0 ? 1 : isQueueing() ? MinLateQueueing : MinLate;
+    return isBusy() && counts.total >= MinObservations && counts.share() >= LateShare
+            && counts.counted >= needed;
+}
+
+bool PromptAdmission::isQueueing() const
 {
-    const RecentShare::Counts counts = observed.counts(m_options.clock.now());
-    return counts.total >= MinObservations && counts.share() >= share;
+    return hasReports() && m_reports.waiting > BusyWaiting;
 }
 
 bool PromptAdmission::isBusy() const
 {
-    return hasReports() && (m_reports.running > BusyRunning || m_reports.waiting > BusyWaiting);
+    return isQueueing() || (hasReports() && m_reports.running > BusyRunning);
 }
 
 bool PromptAdmission::hasReports() const
--- a/src/Decide/PromptAdmission.h
+++ b/src/Decide/PromptAdmission.h
@@ -109,6 +109,7 @@
         TimePoint startedAt;
         TimePoint dueAt; ///< Without a first event by then the prompt is late.
         bool awaited = true; ///< Neither a first event nor lateness was observed.
+        bool answered = false;
     };
 
     struct RankInUse
@@ -123,7 +124,7 @@
         TimePoint receivedAt = {}; ///< Of the last one.
         double weight = 0; ///< 0: none received.
         double running = 0; ///< Share of the slots in use.
-        double waiting = 0; ///< Share of the reports with waiting requests.
+        double waiting = 0; ///< Waiting requests relative to a quarter of the slots, at most 1.
         double occupancy = 0;
     };
 
@@ -135,7 +136,9 @@
     void removeLimit();
     double threshold(const RequestRank &rank);
     double windowFactor() const;
-    bool isLate(const RecentShare &observed, double share) const;
+    RecentShare::Counts late() const;
+    bool isOverloaded() const;
+    bool isQueueing() const;
     bool isBusy() const;
     bool hasReports() const;
     bool isLimitOutdated() const;
@@ -147,6 +150,7 @@
     std::vector<RankInUse> m_ranks; ///< The most urgent first.
     RecentShare m_late;
     RecentShare m_lateSinceShrink; ///< Of the prompts started after the window shrank.
+    RecentShare m_lateEvents; ///< As m_lateSinceShrink, of prompts with a first event.
     RecentShare m_refused;
     Reports m_reports;
     double m_window = 0; ///< 0: no limit.
