--- a/src/Base/EntrySettings.cpp
+++ b/src/Base/EntrySettings.cpp
@@ -80,6 +80,7 @@
     out.streamOriginAnnouncements =
             it.flag("stream_origin_announcements", out.streamOriginAnnouncements);
     out.requestQuarantine = it.flag("request_quarantine", out.requestQuarantine);
+    out.expectedTimePlacement = it.flag("expected_time_placement", out.expectedTimePlacement);
     it.finish();
 }
 
--- a/src/Base/Mechanisms.h
+++ b/src/Base/Mechanisms.h
@@ -18,6 +18,8 @@
     /// Tells other routers which software began a stream.
     bool streamOriginAnnouncements = true;
     bool requestQuarantine = true; ///< Holds back requests that crash replicas.
+    /// Places requests by the time they are expected to take: speed, load and slots of replicas.
+    bool expectedTimePlacement = true;
 
     bool operator==(const Mechanisms &) const = default;
 };
--- a/src/Decide/ReplicaPool.cpp
+++ b/src/Decide/ReplicaPool.cpp
@@ -6,6 +6,8 @@
 #include "Decide/Rendezvous.h"
 
 #include <algorithm>
+#include <cmath>
+#include <functional>
 #include <iterator>
 #include <limits>
 #include <optional>
@@ -32,6 +34,11 @@
 /// 150 tokens are processed.
 constexpr double TokensPerRequest = 150;
 
+/// Cost of a whole turn of an engine's slots, in tokens to process: a prompt that waits behind as
+/// many requests as the engine has slots waits for the second that a request takes, in which 60,000
+/// tokens are processed.
+constexpr double TokensPerSlotTurn = 60'000;
+
 /// Costs that differ by less than this share of the prompt, or by less than EqualCostTokens, count
 /// as equal; then the rendezvous order decides.
 constexpr double EqualCostShare = 0.1;
@@ -80,6 +87,18 @@
 /// its service time.
 constexpr double LocalDomainFactor = 0.9;
 
+/// Time after which a reported load no longer counts: calls of 15 to 30 ms have ended by then. The
+/// counts of the other routers are 0.6 s old on average, so a recent report replaces them.
+constexpr Duration LoadReportLifetime = 300ms;
+
+/// Limits the sum of a report with wrong figures.
+constexpr int MaxReportedRequests = 10'000;
+
+/// Exponent of the expected time when calls are distributed at random among replicas of different
+/// speed or with reported loads. A replica that is 2.5 times slower gets a seventh of the calls of
+/// an idle usual one; much larger values make all routers choose the same replica.
+constexpr double ExpectedTimeExponent = 2;
+
 /// Maximum delay of a registry entry behind its replica: a heartbeat, a read of the store, and the
 /// propagation to the routers.
 constexpr Duration MaxEntryDelay = 3s;
@@ -232,11 +251,29 @@
             continue;
         if (checkHealth && !isHealthy(it, query, usePeerEjections))
             continue;
-        out.push_back({&it, static_cast<double>(it.ownInProgress + it.peersInProgress), 0});
+        out.push_back({&it, static_cast<double>(it.ownInProgress + it.peersInProgress)});
+        setExpectedTime(out.back(), now);
     }
     return out;
 }
 
+double ReplicaPool::loadReportWeight(const State &it, TimePoint now) const
+{
+    if (it.loadReportedAt == TimePoint::min())
+        return 0;
+    return std::max(0.0, 1 - toSeconds(now - it.loadReportedAt) / toSeconds(LoadReportLifetime));
+}
+
+void ReplicaPool::setExpectedTime(Candidate &it, TimePoint now) const
+{
+    it.expectedLoad = it.load;
+    if (!m_options.mechanisms.expectedTimePlacement)
+        return;
+    it.slowness = it.state->speed.factor(now);
+    const double reported = std::max(it.state->reportedLoad, it.state->ownInProgress);
+    it.expectedLoad += loadReportWeight(*it.state, now) * (reported - it.load);
+}
+
 bool ReplicaPool::isEligible(State &it, const Query &query, TimePoint now) const
 {
     return !it.record.draining && now >= excludedUntil(it)
@@ -351,10 +388,14 @@
     std::erase_if(list, [=](const Candidate &it) {
         return it.load + 1 > mean * MaxLoadRatio + LoadSlack;
     });
+    if (m_options.mechanisms.expectedTimePlacement)
+        removeFull(list);
     double minCost = std::numeric_limits<double>::max();
     for (Candidate &it : list) {
-        it.cost = tokens - m_prompts.cachedTokens(it.state->hash, prompt)
-                + TokensPerRequest * std::max(0.0, it.load - mean);
+        // What an engine reads also delays the requests that run on it, so the tokens count in
+        // proportion to the time that they take there, as do the requests above the mean.
+        it.cost = it.slowness * (tokens - m_prompts.cachedTokens(it.state->hash, prompt))
+                + TokensPerRequest * std::max(0.0, it.slowness * it.load - mean) + waitCost(it);
         minCost = std::min(minCost, it.cost);
     }
     const double maxCost = minCost + std::max(EqualCostTokens, EqualCostShare * tokens);
@@ -362,6 +403,24 @@
     return chooseByRendezvous(list, prompt.back().id);
 }
 
+void ReplicaPool::removeFull(std::vector<Candidate> &list)
+{
+    const auto hasFreeSlot = [](const Candidate &it) {
+        return std::max(it.load, it.expectedLoad) < it.state->record.slots;
+    };
+    if (std::any_of(list.begin(), list.end(), hasFreeSlot))
+        std::erase_if(list, std::not_fn(hasFreeSlot));
+}
+
+double ReplicaPool::waitCost(const Candidate &it) const
+{
+    if (!m_options.mechanisms.expectedTimePlacement)
+        return 0;
+    const double slots = std::max(1, it.state->record.slots);
+    const double waiting = std::max(0.0, std::max(it.load, it.expectedLoad) + 1 - slots);
+    return it.slowness * TokensPerSlotTurn * waiting / slots;
+}
+
 ReplicaPool::State *ReplicaPool::chooseByRendezvous(const std::vector<Candidate> &list,
                                                     std::uint64_t key)
 {
@@ -405,15 +464,18 @@
 
 ReplicaPool::State *ReplicaPool::chooseByLoad(const std::vector<Candidate> &list) const
 {
+    const bool differ = std::any_of(list.begin(), list.end(), [](const Candidate &it) {
+        return it.slowness != 1 || it.expectedLoad != it.load;
+    });
     State *best = nullptr;
     double bestCost = 0;
     for (const Candidate &it : list) {
         const bool isLocal = it.state->record.failureDomain == m_options.failureDomain;
-        const double share = (it.load + 1) / std::max(1, it.state->record.slots);
-        // The random factor prevents all routers with the same counts from choosing the same
+        const double share = (it.expectedLoad + 1) / std::max(1, it.state->record.slots);
+        // The random factor prevents all routers with the same figures from choosing the same
         // replica.
-        const double cost =
-                share * (isLocal ? LocalDomainFactor : 1) * (1 + 0.05 * uniform(m_options.random));
+        const double cost = share * it.slowness * (isLocal ? LocalDomainFactor : 1)
+                * (differ ? expectedTimeFactor() : 1 + 0.05 * uniform(m_options.random));
         if (!best || cost < bestCost) {
             best = it.state;
             bestCost = cost;
@@ -422,6 +484,13 @@
     return best;
 }
 
+double ReplicaPool::expectedTimeFactor() const
+{
+    // The smallest of several costs, each multiplied by such a number, is a given one with a
+    // probability proportional to cost^-ExpectedTimeExponent.
+    return std::pow(-std::log(1 - uniform(m_options.random)), 1 / ExpectedTimeExponent);
+}
+
 void ReplicaPool::updateBaseline()
 {
     const TimePoint now = m_options.clock.now();
@@ -482,8 +551,12 @@
         return false;
     }
     const TimePoint now = m_options.clock.now();
-    if (report.succeeded)
+    if (report.succeeded) {
         it->lastSuccessAt = now;
+        // The time of a call that waited for a slot depends on the load of the replica.
+        if (!m_options.isEngine && !(it->reportedWaiting > 0 && loadReportWeight(*it, now) > 0))
+            it->speed.observe(m_usualTime.observe(report.total), now);
+    }
     bool changed = m_health.record(it->health, 1, report, m_states.size(), now);
     // With 140 engines a router sends each of them only one request in twelve seconds, so waiting
     // for a third timeout would take too long.
@@ -503,6 +576,27 @@
     return ejected;
 }
 
+void ReplicaPool::loadReported(std::string_view id, const ReplicaLoad &load)
+{
+    State *it = find(id);
+    if (!it)
+        return;
+    const TimePoint now = m_options.clock.now();
+    it->speed.paceReported(load.pace, now);
+    it->reportedLoad = std::clamp(load.running, 0, MaxReportedRequests)
+            + std::clamp(load.waiting, 0, MaxReportedRequests);
+    it->reportedWaiting = load.waiting;
+    it->loadReportedAt = now;
+}
+
+void ReplicaPool::eventTimeObserved(std::string_view id, Duration perEvent)
+{
+    State *it = find(id);
+    if (!it || !m_options.isEngine || perEvent <= Duration::zero())
+        return;
+    it->speed.observe(m_usualTime.observe(perEvent), m_options.clock.now());
+}
+
 void ReplicaPool::excludeFor(std::string_view id, Duration duration)
 {
     if (State *it = find(id))
--- a/src/Decide/ReplicaPool.h
+++ b/src/Decide/ReplicaPool.h
@@ -6,6 +6,8 @@
 #include "Base/ReplicaRecord.h"
 #include "Decide/HealthTracker.h"
 #include "Decide/PromptIndex.h"
+#include "Decide/ReplicaLoad.h"
+#include "Decide/ReplicaSpeed.h"
 
 #include <cstdint>
 #include <functional>
@@ -49,6 +51,13 @@
 /// much less than processing them again takes. A call is sent to the replica with the fewest
 /// requests in progress.
 ///
+/// Replicas work at different speeds: some are always slower, others run on shared machines that
+/// are slow for half a second. The time that a replica takes is a factor on the load and on the
+/// tokens that it would have to process, \sa ReplicaSpeed. A prompt never waits for a slot while
+/// another engine has a free one, because processing it again takes less time than another request
+/// that must end first. Calls prefer replicas by expected time, but at random, since the routers
+/// that received the same reports would otherwise all choose the same replica.
+///
 /// Replicas are identified by incarnation(): a replica that restarts under the same id has an empty
 /// cache, and the former health, load and prompts do not apply to it.
 ///
@@ -161,6 +170,13 @@
     /// \returns whether this ejected the replica; the ejection should then be announced.
     bool finished(std::string_view id, const AttemptReport &report);
 
+    /// \brief Records the \a load that replica \a id reported with an answer that has just arrived.
+    void loadReported(std::string_view id, const ReplicaLoad &load);
+
+    /// \brief Records that the events of a finished stream from engine \a id had a mean distance of
+    /// \a perEvent.
+    void eventTimeObserved(std::string_view id, Duration perEvent);
+
     /// \brief Excludes replica \a id for \a duration, because it requested a pause, refused a
     /// connection, or its address belongs to another replica. A longer exclusion remains in effect,
     /// also if the replica's entry is removed and added again.
@@ -207,6 +223,10 @@
         bool isColdSender = false; ///< \sa Options::isColdSender, as of senderCheckedAt.
         TimePoint senderCheckedAt = TimePoint::min();
         HealthTracker::Entry health = {};
+        ReplicaSpeed speed = {};
+        int reportedLoad = 0; ///< Running and waiting requests by the last report.
+        int reportedWaiting = 0;
+        TimePoint loadReportedAt = TimePoint::min();
     };
     struct ReceivedUpdate
     {
@@ -218,6 +238,8 @@
         State *state = nullptr;
         double load = 0; ///< Requests in progress from all routers.
         double cost = 0; ///< Cost of placing the prompt here, in tokens to process.
+        double expectedLoad = 0; ///< The load, or a recent report of it.
+        double slowness = 1; ///< \sa ReplicaSpeed::factor()
     };
 
     State *find(std::string_view id);
@@ -242,6 +264,11 @@
     void removeExpiredUpdates();
     void add(const ReplicaStatusUpdate &update, int sign);
     void updateBaseline();
+    double loadReportWeight(const State &it, TimePoint now) const;
+    void setExpectedTime(Candidate &it, TimePoint now) const;
+    static void removeFull(std::vector<Candidate> &list);
+    double waitCost(const Candidate &it) const;
+    double expectedTimeFactor() const;
 
     Options m_options;
     std::vector<State> m_states;
@@ -255,6 +282,7 @@
     HealthTracker m_health;
     PromptIndex m_prompts;
     TimePoint m_baselineAt;
+    ReplicaSpeed::Baseline m_usualTime; ///< Of an event (engines) or a call.
 };
 
 } // namespace catkinloft
--- a/test/EntrySettingsTest.cpp
+++ b/test/EntrySettingsTest.cpp
@@ -69,6 +69,23 @@
     CHECK(settings.updateFrom(*read).needsRestart.size() > 1);
 }
 
+TEST_CASE_FIXTURE(EntrySettingsFixture, "entrySettings_expectedTimePlacementDisabled_isRead")
+{
+    YamlProblems problems;
+    const auto read = EntrySettings::parse("name: a\n"
+                                           "failure_domain: d\n"
+                                           "caller_address: 127.0.0.1:80\n"
+                                           "peer_address: 127.0.0.1:81\n"
+                                           "store_address: 127.0.0.1:82\n"
+                                           "mechanisms:\n"
+                                           "  expected_time_placement: false\n",
+                                           "test.yaml", problems);
+    REQUIRE(problems.empty());
+    REQUIRE(read);
+    CHECK(read->mechanisms == Mechanisms{.expectedTimePlacement = false});
+    CHECK(settings.mechanisms.expectedTimePlacement);
+}
+
 TEST_CASE_FIXTURE(EntrySettingsFixture, "entrySettings_unknownMechanism_reportsProblem")
 {
     YamlProblems problems;
