Placement by expected time: speed of replicas, recent load reports and free slots

ReplicaSpeed learns a slow average of the relative time of events or calls and takes the reported pace, which decays within 600 ms. For engines it is a factor on the tokens to read and on the load, and a prompt goes to an engine with a free slot if there is one. Calls of plain services are distributed at random by the cube of the expected time if the replicas differ. Equal replicas are placed as before. Switch: expected_time_placement.

--- a/src/Decide/ReplicaPool.cpp
+++ b/src/Decide/ReplicaPool.cpp
@@ -87,17 +87,18 @@
 /// its service time.
 constexpr double LocalDomainFactor = 0.9;
 
-/// Time after which a reported load no longer counts: calls of 15 to 30 ms have ended by then. The
-/// counts of the other routers are 0.6 s old on average, so a recent report replaces them.
-constexpr Duration LoadReportLifetime = 300ms;
+/// Time after which a reported load no longer counts. The counts of the other routers are as old on
+/// average, so a more recent report replaces them in proportion to its age.
+constexpr Duration LoadReportLifetime = 600ms;
 
 /// Limits the sum of a report with wrong figures.
 constexpr int MaxReportedRequests = 10'000;
 
 /// Exponent of the expected time when calls are distributed at random among replicas of different
-/// speed or with reported loads. A replica that is 2.5 times slower gets a seventh of the calls of
-/// an idle usual one; much larger values make all routers choose the same replica.
-constexpr double ExpectedTimeExponent = 2;
+/// speed or with reported loads. A replica that is 2.5 times slower gets a sixteenth of the calls
+/// of an equally loaded usual one. With much larger values the routers that received the same
+/// reports all choose the same replica, with smaller ones a slow replica's queue grows.
+constexpr double ExpectedTimeExponent = 3;
 
 /// Maximum delay of a registry entry behind its replica: a heartbeat, a read of the store, and the
 /// propagation to the routers.
@@ -269,6 +270,7 @@
     it.expectedLoad = it.load;
     if (!m_options.mechanisms.expectedTimePlacement)
         return;
+    it.pace = it.state->speed.pace(now);
     it.slowness = it.state->speed.factor(now);
     const double reported = std::max(it.state->reportedLoad, it.state->ownInProgress);
     it.expectedLoad += loadReportWeight(*it.state, now) * (reported - it.load);
@@ -393,8 +395,12 @@
     double minCost = std::numeric_limits<double>::max();
     for (Candidate &it : list) {
         // What an engine reads also delays the requests that run on it, so the tokens count in
-        // proportion to the time that they take there, as do the requests above the mean.
-        it.cost = it.slowness * (tokens - m_prompts.cachedTokens(it.state->hash, prompt))
+        // proportion to the time that they take there, as do the requests above the mean. An engine
+        // that is always slower still gets its share of the load, or the others would have to carry
+        // it: the longer reading counts only above that share.
+        const bool aboveShare = it.slowness * (it.load + 1) > mean + 1;
+        const double uncached = tokens - m_prompts.cachedTokens(it.state->hash, prompt);
+        it.cost = (aboveShare ? it.slowness : it.pace) * uncached
                 + TokensPerRequest * std::max(0.0, it.slowness * it.load - mean) + waitCost(it);
         minCost = std::min(minCost, it.cost);
     }
--- a/src/Decide/ReplicaPool.h
+++ b/src/Decide/ReplicaPool.h
@@ -239,6 +239,7 @@
         double load = 0; ///< Requests in progress from all routers.
         double cost = 0; ///< Cost of placing the prompt here, in tokens to process.
         double expectedLoad = 0; ///< The load, or a recent report of it.
+        double pace = 1; ///< \sa ReplicaSpeed::pace()
         double slowness = 1; ///< \sa ReplicaSpeed::factor()
     };
 
--- a/src/Decide/ReplicaSpeed.cpp
+++ b/src/Decide/ReplicaSpeed.cpp
@@ -21,9 +21,9 @@
 /// Weight of the usual time in the average, in samples: one slow stream is no evidence.
 constexpr int PriorSamples = 3;
 
-/// A sample counts at most as this multiple of the estimate, and at least as the reciprocal. Of the
-/// streams on shared machines one in four runs partly during a slow phase; without the limit their
-/// number would decide which of the equal replicas look slow.
+/// A sample counts at most as this multiple of the estimate. Of the streams on shared machines one
+/// in four runs partly during a slow phase; without the limit their number would decide which of
+/// the equal replicas look slow.
 constexpr double MaxSampleRatio = 1.5;
 
 /// A learned time below this value counts as usual: averages of 16 samples differ by a tenth among
@@ -62,8 +62,7 @@
     if (!std::isfinite(ratio) || ratio <= 0)
         return;
     m_samples = std::min(m_samples + 1, MaxSamples);
-    const double limited =
-            std::clamp(ratio, m_relativeTime / MaxSampleRatio, m_relativeTime * MaxSampleRatio);
+    const double limited = std::min(ratio, m_relativeTime * MaxSampleRatio);
     m_relativeTime += (limited - m_relativeTime) / (m_samples + PriorSamples);
     m_relativeTime = std::clamp(m_relativeTime, 1 / MaxFactor, MaxFactor);
     m_sampledAt = now;
@@ -76,11 +75,15 @@
     m_reportedAt = now;
 }
 
-double ReplicaSpeed::factor(TimePoint now) const
+double ReplicaSpeed::learnedTime(TimePoint now) const
 {
-    const double learned = 1 + (m_relativeTime - 1) * remaining(now - m_sampledAt, SampleLifetime);
-    const double pace = 1 + (m_pace - 1) * remaining(now - m_reportedAt, PaceLifetime);
-    return std::max(learned < MinRelativeTime ? 1 : learned, pace);
+    const double time = 1 + (m_relativeTime - 1) * remaining(now - m_sampledAt, SampleLifetime);
+    return time < MinRelativeTime ? 1 : time;
+}
+
+double ReplicaSpeed::pace(TimePoint now) const
+{
+    return 1 + (m_pace - 1) * remaining(now - m_reportedAt, PaceLifetime);
 }
 
 } // namespace catkinloft
--- a/src/Decide/ReplicaSpeed.h
+++ b/src/Decide/ReplicaSpeed.h
@@ -2,6 +2,8 @@
 
 #include "Base/Clock.h"
 
+#include <algorithm>
+
 namespace catkinloft {
 
 /// \brief Estimates how much longer than usual one replica takes for its work.
@@ -51,10 +53,16 @@
     /// limited.
     void paceReported(double pace, TimePoint now);
 
-    /// \returns how many times longer than usual work takes at \a now: the larger of the learned
-    /// time and the reported pace, since a replica that is always slow may report that too. At
-    /// least 1, at most MaxFactor.
-    double factor(TimePoint now) const;
+    /// \returns how many times longer than usual work takes on this replica in general, as learned
+    /// from samples. At least 1, at most MaxFactor.
+    double learnedTime(TimePoint now) const;
+
+    /// \returns how many times longer than usual work takes at \a now by the last report, which
+    /// decays to 1 within PaceLifetime.
+    double pace(TimePoint now) const;
+
+    /// \returns the larger of both, since a replica that is always slow may report that too.
+    double factor(TimePoint now) const { return std::max(learnedTime(now), pace(now)); }
 
 private:
     double m_relativeTime = 1; ///< Learned; 1: usual.
--- a/test/ReplicaPoolTest.cpp
+++ b/test/ReplicaPoolTest.cpp
@@ -5,8 +5,10 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <set>
 
@@ -614,6 +616,145 @@
     CHECK(choice.copyFrom == nullptr);
 }
 
+// Guards against applying the speed of a replica to one that restarted under the same id.
+TEST_CASE("replicaPool_slowReplicaRestartsUnderSameId_startsAsUsual")
+{
+    ManualClock clock;
+    ReplicaPool pool({.clock = clock, .random = seededRandom(1)});
+    std::vector<ReplicaRecord> list = {replica(0, 6), replica(1, 6), replica(2, 6)};
+    list[0].startedAt = 1'700'000'001'000;
+    pool.setReplicas(list);
+    const auto share = [&](const std::string &id) {
+        int n = 0;
+        for (int i = 0; i < 300; ++i)
+            n += pool.choose({}).replica->incarnation() == id ? 1 : 0;
+        return n / 300.0;
+    };
+    const std::string first = list[0].incarnation();
+    for (int i = 0; i < 60; ++i) {
+        for (const ReplicaRecord &it : list) {
+            pool.started(it.incarnation());
+            pool.finished(it.incarnation(),
+                          {.succeeded = true, .total = it.id == "i-0" ? 50ms : 20ms});
+        }
+    }
+    pool.loadReported(first, {.running = 6, .waiting = 20, .slots = 6, .pace = 4});
+    REQUIRE(share(first) < 0.1);
+    list[0].startedAt += 4200;
+    pool.setReplicas(list);
+    CHECK(share(list[0].incarnation()) > 0.2);
+    // The answer of the former incarnation arrives late.
+    pool.loadReported(first, {.running = 6, .waiting = 20, .slots = 6, .pace = 4});
+    CHECK(share(list[0].incarnation()) > 0.2);
+}
+
+// Guards against a replica that attracts all calls, or gets none any more, because of a wrong
+// report.
+TEST_CASE_FIXTURE(PlainServicePoolFixture, "replicaPool_unusableReport_hasLimitedEffect")
+{
+    ReplicaPool pool({.clock = clock, .random = seededRandom(1)});
+    pool.setReplicas(list);
+    const auto count = [&pool] {
+        int n = 0;
+        for (int i = 0; i < 1000; ++i)
+            n += pool.choose({}).replica->id == "i-1" ? 1 : 0;
+        return n;
+    };
+    for (const double pace : {0.0, -1.0, 1e-9, std::nan("")}) {
+        pool.loadReported("i-1", {.running = 0, .waiting = 0, .slots = 1, .pace = pace});
+        CHECK(count() < 400);
+    }
+    pool.loadReported("i-1", {.running = 0, .waiting = 0, .slots = 1, .pace = 1e300});
+    CHECK(count() > 0);
+    constexpr int Max = std::numeric_limits<int>::max();
+    pool.loadReported("i-1", {.running = Max, .waiting = Max, .slots = Max, .pace = 1e300});
+    CHECK(count() == 0);
+    clock.advance(600ms);
+    CHECK(count() > 150);
+    pool.loadReported("i-1", {.running = -Max, .waiting = -Max, .slots = 0, .pace = 1});
+    CHECK(count() < 400);
+    pool.loadReported("unknown", {.running = 1});
+    pool.eventTimeObserved("unknown", 1ms);
+}
+
+TEST_CASE("replicaPool_expectedTimePlacementDisabled_reportsAndTimesAreIgnored")
+{
+    ManualClock clock;
+    std::vector<std::string> chosen[2];
+    for (const bool observed : {false, true}) {
+        ReplicaPool pool({.clock = clock,
+                          .random = seededRandom(1),
+                          .mechanisms = {.expectedTimePlacement = false}});
+        pool.setReplicas(replicas(3));
+        for (int i = 0; i < 200; ++i) {
+            chosen[observed ? 1 : 0].push_back(pool.choose({}).replica->id);
+            pool.started("i-0");
+            pool.finished("i-0", {.succeeded = true, .total = observed ? 50ms : 20ms});
+            pool.started("i-1");
+            pool.finished("i-1", {.succeeded = true, .total = 20ms});
+            if (observed)
+                pool.loadReported("i-0", {.running = 9, .waiting = 9, .slots = 6, .pace = 3});
+        }
+    }
+    CHECK(chosen[0] == chosen[1]);
+}
+
+namespace {
+
+/// One router and four engines with four slots; another router has requests in progress on them.
+struct FullEnginesFixture
+{
+    FullEnginesFixture()
+    {
+        std::vector<ReplicaRecord> list;
+        for (int i = 0; i < 4; ++i)
+            list.push_back(replica(i, 4));
+        pool.setReplicas(list);
+        pool.notePrompt("i-0", std::vector<std::uint64_t>{7});
+    }
+
+    /// \returns the engine chosen for a prompt that i-0 has cached, with \a counts in progress.
+    std::string choose(ReplicaCounts counts)
+    {
+        pool.applyStatusUpdate("r2", {.counts = std::move(counts)}, clock.now());
+        const std::vector<PromptPart> prompt = {{7, 10'512}, {8, 1300}};
+        return pool.choose({.prompt = prompt}).replica->id;
+    }
+
+    ManualClock clock;
+    ReplicaPool pool{{.clock = clock, .random = seededRandom(1), .isEngine = true}};
+};
+
+} // namespace
+
+// Guards against waiting for a slot of the engine that has cached the prompt although another
+// engine could read it again in less time.
+TEST_CASE_FIXTURE(FullEnginesFixture, "replicaPool_engineWithCachedPromptIsFull_anotherReadsIt")
+{
+    CHECK(choose({{"i-0", 3}, {"i-1", 3}, {"i-2", 3}, {"i-3", 3}}) == "i-0");
+    CHECK(choose({{"i-0", 4}, {"i-1", 4}, {"i-2", 3}, {"i-3", 4}}) == "i-2");
+    CHECK(choose({{"i-0", 4}, {"i-1", 4}, {"i-2", 4}, {"i-3", 4}}) == "i-0");
+    CHECK(choose({{"i-0", 8}, {"i-1", 5}, {"i-2", 9}, {"i-3", 9}}) == "i-1");
+}
+
+TEST_CASE_FIXTURE(FullEnginesFixture, "replicaPool_engineReportsThatItIsFull_anotherIsChosen")
+{
+    REQUIRE(choose({}) == "i-0");
+    pool.loadReported("i-0", {.running = 4, .waiting = 2, .slots = 4});
+    CHECK(choose({}) != "i-0");
+    clock.advance(600ms);
+    CHECK(choose({}) == "i-0");
+}
+
+// Guards against the load bound being exceeded to avoid a slow engine.
+TEST_CASE_FIXTURE(FullEnginesFixture, "replicaPool_othersAreSlow_loadBoundHolds")
+{
+    for (const char *id : {"i-1", "i-2", "i-3"})
+        pool.loadReported(id, {.running = 0, .waiting = 0, .slots = 4, .pace = 4});
+    CHECK(choose({{"i-0", 2}}) != "i-0");
+    CHECK(choose({}) == "i-0");
+}
+
 // Guards against sending requests to a replica that requested a pause, after its registry entry
 // expired and was added again during the pause.
 TEST_CASE("replicaPool_excludedReplicaLosesItsEntry_staysExcluded")
