Crashes count only with evidence from routers whose paths work

A refused connection now counts only together with connections to up to three other replicas that are opened at the same moment and stay open, at the router that reports and at each one that confirms, and not while the paths to most other replicas are known to be lost. A router that knows of an earlier crash says so, so that a restarted router doesn't blame the requests that it sent to the dead replica. The end of an unframed answer is not taken for regular if the paths are lost.

--- a/src/Decide/PathMonitor.cpp
+++ b/src/Decide/PathMonitor.cpp
@@ -3,6 +3,7 @@
 #include "Base/Log.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace catkinloft {
 
@@ -37,6 +38,7 @@
         return !std::binary_search(m_replicas.begin(), m_replicas.end(), id);
     };
     std::erase_if(m_broken, isGone);
+    std::erase_if(m_crashed, isGone);
     std::erase_if(m_suspects, isGone);
     std::erase_if(m_checkedAt, [&](const auto &it) { return isGone(it.first); });
     noteTransition(wasPartitioned);
@@ -76,6 +78,7 @@
 bool PathMonitor::connected(const std::string &id)
 {
     m_suspects.erase(id);
+    m_crashed.erase(id);
     m_checkedAt[id] = m_options.clock.now();
     const bool wasPartitioned = isPartitioned();
     if (m_broken.erase(id) == 0)
@@ -91,6 +94,35 @@
     return true;
 }
 
+void PathMonitor::crashed(const std::string &id)
+{
+    if (std::binary_search(m_replicas.begin(), m_replicas.end(), id))
+        m_crashed.insert(id);
+}
+
+bool PathMonitor::isMostlyLostBeside(const std::string &id) const
+{
+    std::size_t lost = 0;
+    std::size_t total = 0;
+    for (const std::string &it : m_replicas) {
+        if (it == id || m_crashed.contains(it))
+            continue;
+        ++total;
+        lost += m_broken.contains(it) ? 1 : 0;
+    }
+    return 2 * lost > total;
+}
+
+std::vector<std::string> PathMonitor::controls(const std::string &id) const
+{
+    std::vector<std::string> out;
+    std::copy_if(m_replicas.begin(), m_replicas.end(), std::back_inserter(out),
+                 [&](const std::string &it) {
+                     return it != id && !m_crashed.contains(it) && !m_broken.contains(it);
+                 });
+    return out;
+}
+
 void PathMonitor::noteTransition(bool wasPartitioned) const
 {
     if (wasPartitioned == isPartitioned())
--- a/src/Decide/PathMonitor.h
+++ b/src/Decide/PathMonitor.h
@@ -60,6 +60,10 @@
     /// \returns whether its path was broken until now.
     bool connected(const std::string &id);
 
+    /// \brief Records that replica \a id has crashed, so that its path doesn't count as lost by
+    /// isMostlyLostBeside() until a new connection to it is established.
+    void crashed(const std::string &id);
+
     /// \brief Requests a check of the path to replica \a id, which has been silent for long.
     void suspect(const std::string &id);
 
@@ -73,6 +77,16 @@
     /// requests for the service.
     bool isMostlyLost() const { return 2 * m_broken.size() > m_replicas.size(); }
 
+    /// \returns whether this router has lost its paths to most replicas other than \a id, so that a
+    /// refused connection to it is no evidence of a crash. Crashed replicas are not counted.
+    bool isMostlyLostBeside(const std::string &id) const;
+
+    /// \returns the replicas other than \a id to which connections should succeed: not crashed and
+    /// without a broken path.
+    std::vector<std::string> controls(const std::string &id) const;
+
+    const std::string &service() const { return m_options.service; }
+
     const std::set<std::string> &broken() const { return m_broken; }
 
     /// \returns whether paths are waiting for a check.
@@ -91,6 +105,7 @@
     Options m_options;
     std::vector<std::string> m_replicas; ///< Registered and not draining.
     std::set<std::string> m_broken;
+    std::set<std::string> m_crashed; ///< Until a new connection is established.
     std::set<std::string> m_suspects;
     std::map<std::string, TimePoint> m_checkedAt; ///< Last evidence about the path.
     std::string m_lastChecked; ///< Broken paths are checked in the order of their ids.
--- a/src/Decide/RequestQuarantine.cpp
+++ b/src/Decide/RequestQuarantine.cpp
@@ -262,6 +262,12 @@
     return first == m_crashTimes.end() || crash.at - first->second <= CrashDetectionSpread;
 }
 
+std::optional<TimePoint> RequestQuarantine::crashedAt(const std::string &replica) const
+{
+    const auto known = m_crashTimes.find(replica);
+    return known == m_crashTimes.end() ? std::nullopt : std::optional(known->second);
+}
+
 void RequestQuarantine::countIncidents(Entry &entry) const
 {
     entry.incidents =
--- a/src/Decide/RequestQuarantine.h
+++ b/src/Decide/RequestQuarantine.h
@@ -157,6 +157,9 @@
     int suspicion(Suspects suspects) const;
     int suspicion(const std::string &suspect) const { return suspicion({&suspect, 1}); }
 
+    /// \returns when \a replica crashed, if requests that it was running are stored.
+    std::optional<TimePoint> crashedAt(const std::string &replica) const;
+
     /// \brief Merges the updates that another router sent.
     void merge(std::span<const CrashUpdate> updates);
 
--- /dev/null
+++ b/src/Net/CrashEvidence.cpp
@@ -0,0 +1,151 @@
+#include "Net/CrashEvidence.h"
+
+#include "Base/Log.h"
+#include "Net/ServicePools.h"
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <string_view>
+#include <utility>
+
+namespace catkinloft {
+
+namespace {
+
+using PathState = RelayClient::PathState;
+
+std::string_view textOf(std::optional<bool> arePathsWorking)
+{
+    if (!arePathsWorking)
+        return "pending";
+    return *arePathsWorking ? "working" : "lost";
+}
+
+std::string_view textOf(std::optional<PathState> state)
+{
+    if (!state)
+        return "pending";
+    switch (*state) {
+    case PathState::Reached:
+        return "reached";
+    case PathState::Refused:
+        return "refused";
+    case PathState::CrashedBefore:
+        return "crashed_before";
+    case PathState::Unknown:
+        return "unknown";
+    }
+    return {};
+}
+
+} // namespace
+
+/// The controls of one check.
+struct CrashEvidence::PathCheck
+{
+    std::function<void(bool)> done; ///< Null after it was called.
+    std::size_t total = 0;
+    std::size_t open = 0;
+    std::size_t failed = 0;
+
+    void add(bool stayedOpen)
+    {
+        ++(stayedOpen ? open : failed);
+        const bool isWorking = 2 * open >= total;
+        if ((isWorking || 2 * failed > total) && done)
+            std::exchange(done, nullptr)(isWorking);
+    }
+};
+
+/// The findings about one replica that looks crashed.
+struct CrashEvidence::Confirmation
+{
+    std::string id;
+    std::string service;
+    std::function<void(CrashWatch::Finding)> done; ///< Null after it was called.
+    std::optional<bool> arePathsWorking;
+    bool hasAskedRouters = false;
+    std::optional<PathState> routers;
+};
+
+std::vector<std::string> CrashEvidence::controls(const std::string &id, const std::string &service)
+{
+    std::vector<std::string> out;
+    m_options.pools.forEach([&](const ServicePool &pool) {
+        if (service.empty() || pool.paths.service() == service) {
+            const std::vector<std::string> own = pool.paths.controls(id);
+            out.insert(out.end(), own.begin(), own.end());
+        }
+    });
+    if (out.empty() && !service.empty())
+        return controls(id, {});
+    for (std::size_t i = 0; i < out.size() && i < MaxControls; ++i)
+        std::swap(out[i], out[i + below(m_options.random, out.size() - i)]);
+    out.resize(std::min(out.size(), MaxControls));
+    return out;
+}
+
+void CrashEvidence::checkPaths(const std::string &id, std::function<void(bool working)> done)
+{
+    const ReplicaRecord *replica = m_options.pools.findReplica(id);
+    const std::string service = replica ? replica->service : std::string();
+    if (replica && m_options.pools.of(service).paths.isMostlyLostBeside(id))
+        return done(false);
+    std::vector<ReplicaRecord> records;
+    for (const std::string &it : controls(id, service)) {
+        if (const ReplicaRecord *record = m_options.pools.findReplica(it))
+            records.push_back(*record);
+    }
+    if (records.empty())
+        return done(true);
+    const auto check = std::make_shared<PathCheck>();
+    check->done = std::move(done);
+    check->total = records.size();
+    for (const ReplicaRecord &it : records)
+        m_options.connect(it, [check](bool stayedOpen) { check->add(stayedOpen); });
+}
+
+void CrashEvidence::confirm(const std::string &id, std::function<void(CrashWatch::Finding)> done)
+{
+    const auto it = std::make_shared<Confirmation>();
+    const ReplicaRecord *replica = m_options.pools.findReplica(id);
+    it->id = id;
+    it->service = replica ? replica->service : std::string();
+    it->done = std::move(done);
+    it->hasAskedRouters = replica && m_options.hasRouters(it->service);
+    if (it->hasAskedRouters)
+        m_options.askRouters(it->service, id, [this, it](PathState state) {
+            it->routers = state;
+            decide(*it);
+        });
+    checkPaths(id, [this, it](bool working) {
+        it->arePathsWorking = working;
+        decide(*it);
+    });
+}
+
+void CrashEvidence::decide(Confirmation &it)
+{
+    const bool isReached = it.routers == PathState::Reached;
+    const bool isComplete = it.arePathsWorking && (!it.hasAskedRouters || it.routers);
+    if (!it.done || (!isReached && !isComplete))
+        return;
+    using Finding = CrashWatch::Finding;
+    Finding finding = Finding::NotCrashed;
+    if (!isReached && !it.arePathsWorking.value_or(true))
+        finding = Finding::PathLost;
+    else if (!isReached && it.routers.value_or(PathState::Refused) == PathState::Refused)
+        finding = Finding::Crashed;
+    if (finding != Finding::Crashed) {
+        Log::info("replica_crash_not_confirmed",
+                  {{"replica", it.id},
+                   {"own_paths", textOf(it.arePathsWorking)},
+                   {"routers", it.hasAskedRouters ? textOf(it.routers) : "none"}});
+        if (!it.service.empty())
+            m_options.pools.of(it.service).pathLost(it.id);
+    }
+    std::exchange(it.done, nullptr)(finding);
+}
+
+} // namespace catkinloft
--- a/src/Net/CrashWatch.cpp
+++ b/src/Net/CrashWatch.cpp
@@ -52,6 +52,7 @@
     std::unique_ptr<ConnectProbe> probe;
     bool connected = false;
     bool confirming = false; ///< Other routers are asked whether it crashed.
+    bool isPathLost = false; ///< The result is Finding::PathLost.
     std::vector<PendingCheck> attempts;
 };
 
@@ -123,9 +124,12 @@
     if (result != Outcome::Closed)
         return conclude(check, result);
     check->confirming = true;
-    options.confirm(check->replica, [this, weak = std::weak_ptr<Check>(check)](bool crashed) {
-        if (const CheckPtr held = weak.lock())
-            conclude(held, crashed ? Outcome::Closed : Outcome::Unreachable);
+    options.confirm(check->replica, [this, weak = std::weak_ptr<Check>(check)](Finding it) {
+        const CheckPtr held = weak.lock();
+        if (!held)
+            return;
+        held->isPathLost = it == Finding::PathLost;
+        conclude(held, it == Finding::Crashed ? Outcome::Closed : Outcome::Unreachable);
     });
 }
 
@@ -135,18 +139,20 @@
         crashed(*check);
     check->connected = result == Outcome::Connected;
     // The callbacks may start the next check, so they run after the state is updated.
-    std::vector<std::function<void(bool)>> hooks;
+    std::vector<std::pair<std::function<void(bool)>, bool>> hooks;
     for (PendingCheck &it : check->attempts) {
-        const bool isPending = check->connected && it.criterion == AliveCriterion::StaysOpen;
+        const bool isPending = check->connected && it.criterion != AliveCriterion::Accepts;
+        const bool isUnproven = check->isPathLost && it.criterion == AliveCriterion::Proven;
         if (it.decided && !isPending)
-            hooks.push_back(std::exchange(it.decided, nullptr));
+            hooks.emplace_back(std::exchange(it.decided, nullptr),
+                               result == Outcome::Closed || isUnproven);
     }
     if (result == Outcome::StayedOpen)
         closeToAttempts(check);
     else if (!check->connected)
         finish(check);
-    for (const auto &it : hooks)
-        it(result == Outcome::Closed);
+    for (const auto &[decided, value] : hooks)
+        decided(value);
 }
 
 void CrashWatch::Private::crashed(const Check &check)
--- a/src/Net/CrashWatch.h
+++ b/src/Net/CrashWatch.h
@@ -39,6 +39,16 @@
     enum class AliveCriterion : std::uint8_t {
         Accepts, ///< Accept a connection; a proxy in front of a crashed replica does so too.
         StaysOpen, ///< Accept a connection and not close it within the time that a proxy needs.
+        /// As StaysOpen, or be reached by another router if the paths of this router are lost. A
+        /// path that is lost may have cut an answer off.
+        Proven,
+    };
+
+    /// \brief What is known of a replica that refuses connections.
+    enum class Finding : std::uint8_t {
+        Crashed,
+        NotCrashed,
+        PathLost, ///< The paths of this router are lost and no router reaches the replica.
     };
 
     struct Options
@@ -46,10 +56,12 @@
         EventLoop &loop;
         Metrics &metrics;
         std::string sourceIp = {}; ///< IP that connections are opened from; empty: any.
-        /// Calls \a done with whether other routers found that replica \a id, which looks crashed
-        /// from here, doesn't run. Otherwise only the path from this router failed.
-        std::function<void(const std::string &id, std::function<void(bool)> done)> confirm =
-                [](const std::string &, const std::function<void(bool)> &done) { done(true); };
+        /// Determines whether replica \a id, which looks crashed from here, has crashed or only
+        /// the path to it failed. \sa CrashEvidence::confirm()
+        std::function<void(const std::string &id, std::function<void(Finding)> done)> confirm =
+                [](const std::string &, const std::function<void(Finding)> &done) {
+                    done(Finding::Crashed);
+                };
         /// Called for each attempt that broke because its replica crashed, with the time of the
         /// crash.
         std::function<void(const BrokenAttempt &, TimePoint crashedAt)> attemptCrashed =
@@ -65,8 +77,9 @@
 
     /// \brief Checks whether the replica of \a attempt has crashed.
     /// \param decided is called once, after this function has returned: with true if the replica
-    /// certainly crashed. A crash behind a proxy may be detected only after that;
-    /// Options::attemptCrashed is called in this case too.
+    /// certainly crashed, or was not proven to be alive if \a criterion requires that. A crash
+    /// behind a proxy may be detected only after that; Options::attemptCrashed is called in this
+    /// case too.
     void checkReplica(BrokenAttempt attempt, AliveCriterion criterion,
                       std::function<void(bool crashed)> decided);
 
--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -367,7 +367,7 @@
 {
     m_call.reset();
     m_context.metrics.count("catkinloft_unframed_answers_total");
-    m_context.crashes.checkReplica(describeAttempt(), CrashWatch::AliveCriterion::StaysOpen,
+    m_context.crashes.checkReplica(describeAttempt(), CrashWatch::AliveCriterion::Proven,
                                    [weak = weak_from_this(), number = m_attempt](bool crashed) {
                                        const auto self = weak.lock();
                                        if (self && self->m_attempting && self->m_attempt == number)
--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -9,6 +9,7 @@
 #include "Control/StoreReadPlan.h"
 #include "Decide/SoftwareHistory.h"
 #include "Decide/StreamOrigins.h"
+#include "Net/CrashEvidence.h"
 #include "Net/EntryGateway.h"
 #include "Net/EventLoop.h"
 #include "Net/FleetTask.h"
@@ -24,6 +25,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <optional>
 #include <set>
 #include <string_view>
 
@@ -79,6 +81,11 @@
 /// doesn't prove that it runs again, because a proxy may be listening at its address.
 constexpr Duration CrashExclusionTime = 3s;
 
+/// Time within which all routers report a crash that broke their requests: proxies in front of
+/// replicas close connections up to 250 ms later, and the reports are checked for up to 250 ms.
+/// What is reported later was sent after the crash, by a router that didn't know of it.
+constexpr Duration CrashReportTime = 1s;
+
 /// Path of the quarantine page at the metrics address.
 constexpr std::string_view QuarantinePath = "/quarantine";
 
@@ -112,7 +119,6 @@
     void storeAnswered(TimePoint at);
     std::vector<RelayPeer> relayPeers(const std::string &service);
     const ReplicaRecord *findRelayTarget(std::string_view incarnation) const;
-    void confirmCrash(const std::string &id, std::function<void(bool)> done);
     void noteToldCrash(const std::string &router, const CrashUpdate::Crash &crash);
     StreamOriginReport streamOriginReport(const StreamOriginQuestion &question) const;
     void streamBegan(const StreamOrigin &origin, const StreamOriginQuestion &question);
@@ -152,6 +158,7 @@
     RelayClient relay;
     RelayServer relayServer;
     PathProber prober;
+    CrashEvidence evidence;
     StoreWatch watch;
     FleetRegistration registration;
     StoreReadPlan registrationPlan;
@@ -191,8 +198,9 @@
                .metrics = metrics,
                .sourceIp = settings.sourceIp,
                .confirm =
-                       [this](const std::string &id, std::function<void(bool)> done) {
-                           confirmCrash(id, std::move(done));
+                       [this](const std::string &id,
+                              std::function<void(CrashWatch::Finding)> done) {
+                           evidence.confirm(id, std::move(done));
                        },
                .attemptCrashed =
                        [this](const CrashWatch::BrokenAttempt &it, TimePoint crashedAt) {
@@ -261,6 +269,16 @@
                        [this](const ReplicaRecord &it) {
                            return pools.of(it.service).paths.isBroken(it.incarnation());
                        },
+               .checkPaths =
+                       [this](const ReplicaRecord &it, std::function<void(bool)> done) {
+                           evidence.checkPaths(it.incarnation(), std::move(done));
+                       },
+               .hasCrashedBefore =
+                       [this](const ReplicaRecord &it) {
+                           const std::optional<TimePoint> at =
+                                   quarantine.crashedAt(it.incarnation());
+                           return at && loop.now() - *at > CrashReportTime;
+                       },
                .pathFailed =
                        [this](const ReplicaRecord &it) {
                            pools.of(it.service).pathLost(it.incarnation());
@@ -268,6 +286,18 @@
                .isProofFresh = [this] { return filters.isProofFresh(); },
                .isLeaving = [this] { return loop.now() >= refuseFrom; }}),
       prober({.loop = loop, .client = client, .pools = pools, .sourceIp = settings.sourceIp}),
+      evidence({.pools = pools,
+                .random = random,
+                .connect =
+                        [this](const ReplicaRecord &it, std::function<void(bool)> done) {
+                            prober.connect(it, std::move(done));
+                        },
+                .hasRouters = [this](const std::string &it) { return !relayPeers(it).empty(); },
+                .askRouters =
+                        [this](const std::string &service, const std::string &id,
+                               std::function<void(RelayClient::PathState)> done) {
+                            relay.checkPath(service, id, std::move(done));
+                        }}),
       watch({.loop = loop,
              .store = *store,
              .config = config,
@@ -462,26 +492,6 @@
     return isAllowed ? out : nullptr;
 }
 
-/// While this router is cut off from replicas, each of them looks crashed from here.
-void EntryProcess::Private::confirmCrash(const std::string &id, std::function<void(bool)> done)
-{
-    const ReplicaRecord *replica = pools.findReplica(id);
-    const std::string service = replica ? replica->service : std::string();
-    if (!replica || relayPeers(service).empty())
-        return done(true);
-    relay.checkPath(service, id,
-                    [this, id, service, done = std::move(done)](RelayClient::PathState state) {
-                        const bool crashed = state == RelayClient::PathState::Refused;
-                        if (!crashed) {
-                            Log::info("replica_crash_not_confirmed",
-                                      {{"replica", id},
-                                       {"reached", state == RelayClient::PathState::Reached}});
-                            pools.of(service).pathLost(id);
-                        }
-                        done(crashed);
-                    });
-}
-
 StreamOriginReport
 EntryProcess::Private::streamOriginReport(const StreamOriginQuestion &question) const
 {
--- a/src/Net/PathProber.cpp
+++ b/src/Net/PathProber.cpp
@@ -4,6 +4,8 @@
 #include "Net/HttpClient.h"
 #include "Net/ServicePools.h"
 
+#include <utility>
+
 namespace catkinloft {
 
 namespace {
@@ -70,4 +72,26 @@
         m_options.client.dropIdle(replica->address);
 }
 
+/// A probe of check() that is in progress is not joined, because the path may have been lost after
+/// its connection was established. A failure is not recorded as a lost path: the replica may have
+/// crashed together with the one that is checked, and RelayServer confirms no crash of a replica
+/// without a path.
+void PathProber::connect(const ReplicaRecord &replica, std::function<void(bool stayedOpen)> done)
+{
+    const auto held = std::make_shared<std::shared_ptr<internal::ConnectProbe>>();
+    *held = std::make_shared<internal::ConnectProbe>(
+            m_options.loop, replica.address, m_options.sourceIp,
+            [this, held, done = std::move(done)](Outcome outcome) {
+                if (outcome == Outcome::Connected)
+                    return;
+                const std::shared_ptr<internal::ConnectProbe> probe = std::exchange(*held, nullptr);
+                if (!probe)
+                    return;
+                m_connects.erase(probe);
+                m_options.loop.post([probe] {});
+                done(outcome == Outcome::StayedOpen);
+            });
+    m_connects.insert(*held);
+}
+
 } // namespace catkinloft
--- a/src/Net/PathProber.h
+++ b/src/Net/PathProber.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "Base/ReplicaRecord.h"
 #include "Net/Timer.h"
 #include "Net/internal/ConnectProbe.h"
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace catkinloft {
@@ -31,6 +33,10 @@
     /// \brief Starts the checks that are due soon.
     void wake();
 
+    /// \brief Opens a new connection to \a replica at once.
+    /// \param done is called once, not from within this function, with whether it stayed open.
+    void connect(const ReplicaRecord &replica, std::function<void(bool stayedOpen)> done);
+
 private:
     void check();
     void probe(const std::string &id);
@@ -39,6 +45,7 @@
     Options m_options;
     Timer m_timer;
     std::map<std::string, std::shared_ptr<internal::ConnectProbe>> m_probes; ///< By incarnation.
+    std::set<std::shared_ptr<internal::ConnectProbe>> m_connects; ///< Those of connect().
 };
 
 } // namespace catkinloft
--- a/src/Net/RelayClient.cpp
+++ b/src/Net/RelayClient.cpp
@@ -27,9 +27,9 @@
 /// the same time.
 constexpr std::size_t AskedRouters = 3;
 
-/// Time in which a router answers whether it reaches a replica; it waits until a connection has
-/// stayed open.
-constexpr Duration CheckTimeout = 200ms;
+/// Time in which a router answers whether it reaches a replica; it waits until a connection to it,
+/// or to other replicas, has stayed open for 100 ms.
+constexpr Duration CheckTimeout = 250ms;
 
 constexpr int Success = 200;
 
@@ -39,6 +39,22 @@
     std::function<void(RelayClient::PathState)> done; ///< Null after it was called.
     std::size_t pending = 0;
     bool refused = false;
+    bool crashedBefore = false;
+
+    /// Adds the answer of one router; empty if there is none.
+    void add(std::string_view answer)
+    {
+        --pending;
+        refused = refused || answer == "refused";
+        crashedBefore = crashedBefore || answer == "crashed_before";
+        if (answer == "reached")
+            return finish(RelayClient::PathState::Reached);
+        if (pending > 0)
+            return;
+        if (crashedBefore)
+            return finish(RelayClient::PathState::CrashedBefore);
+        finish(refused ? RelayClient::PathState::Refused : RelayClient::PathState::Unknown);
+    }
 
     void finish(RelayClient::PathState state)
     {
@@ -126,21 +142,15 @@
         return m_options.loop.post([check] { check->finish(PathState::Unknown); });
     const std::string target = fmt::format("{}?replica={}", CheckPath, id);
     for (const RelayPeer &it : asked) {
-        m_options.client.fetch(
-                {.address = it.address,
-                 .target = target,
-                 .headers = {{SignatureHeader, m_options.sign(target)}},
-                 .timeout = CheckTimeout},
-                [check](const Result<HttpAnswer> &answer) {
-                    --check->pending;
-                    const bool isKnown = answer && answer.value().head.status == Success;
-                    if (isKnown && answer.value().body == "reached")
-                        return check->finish(PathState::Reached);
-                    check->refused =
-                            check->refused || (isKnown && answer.value().body == "refused");
-                    if (check->pending == 0)
-                        check->finish(check->refused ? PathState::Refused : PathState::Unknown);
-                });
+        m_options.client.fetch({.address = it.address,
+                                .target = target,
+                                .headers = {{SignatureHeader, m_options.sign(target)}},
+                                .timeout = CheckTimeout},
+                               [check](const Result<HttpAnswer> &answer) {
+                                   const bool isKnown =
+                                           answer && answer.value().head.status == Success;
+                                   check->add(isKnown ? answer.value().body : std::string_view());
+                               });
     }
 }
 
--- a/src/Net/RelayClient.h
+++ b/src/Net/RelayClient.h
@@ -50,7 +50,8 @@
     /// \brief Answer to checkPath().
     enum class PathState : std::uint8_t {
         Reached, ///< At least one router reaches the replica.
-        Refused, ///< Nothing listens at the address, and no router reaches it.
+        Refused, ///< A router that reaches other replicas is refused, and no router reaches it.
+        CrashedBefore, ///< As Refused, and a router knows of an earlier crash of the replica.
         Unknown, ///< No router has an answer.
     };
 
--- a/src/Net/RelayServer.cpp
+++ b/src/Net/RelayServer.cpp
@@ -6,6 +6,7 @@
 #include "Net/internal/ConnectProbe.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <utility>
 
@@ -53,6 +54,16 @@
     };
     using RelayPtr = std::shared_ptr<Relay>;
 
+    /// A question whether this router reaches a replica.
+    struct Check
+    {
+        HttpExchangePtr exchange; ///< Null after it was answered.
+        std::shared_ptr<ConnectProbe> probe; ///< Null after it ended.
+        std::optional<ConnectProbe::Outcome> outcome;
+        std::optional<bool> arePathsWorking;
+        bool hasCrashedBefore = false;
+    };
+
     explicit Private(Options o) : options(std::move(o)) { }
 
     void relay(const HttpExchangePtr &exchange);
@@ -69,6 +80,7 @@
     static void refuse(HttpExchange &exchange, const Error &error);
     void remove(const RelayPtr &it);
     void checkPath(const HttpExchangePtr &exchange);
+    void answerWhenKnown(Check &check) const;
     void answerCheck(const HttpExchangePtr &exchange, std::string_view text) const;
     void forgetOld();
 
@@ -221,7 +233,7 @@
 {
     // The sender gets the answer in chunks, so the end of one without framing is verified here.
     if (result && it->head.isUnframed && it->head.status / 100 == 2)
-        return checkForCrash(it, CrashWatch::AliveCriterion::StaysOpen,
+        return checkForCrash(it, CrashWatch::AliveCriterion::Proven,
                              [this](const RelayPtr &held, bool crashed) {
                                  if (!crashed)
                                      return complete(held);
@@ -311,24 +323,43 @@
     if (!options.verify(exchange->header(RelayClient::SignatureHeader), target))
         return exchange->respond(403, {}, {});
     const ReplicaRecord *replica = options.findReplica(exchange->queryValue("replica"));
+    const bool hasCrashedBefore = replica && options.hasCrashedBefore(*replica);
     if (!replica || options.isPathLost(*replica))
-        return answerCheck(exchange, "unknown");
-    auto held = std::make_shared<std::shared_ptr<ConnectProbe>>();
-    const auto found = [this, exchange, held](ConnectProbe::Outcome outcome) {
-        if (outcome == ConnectProbe::Outcome::Connected)
+        return answerCheck(exchange, hasCrashedBefore ? "crashed_before" : "unknown");
+    const auto check = std::make_shared<Check>();
+    check->exchange = exchange;
+    check->hasCrashedBefore = hasCrashedBefore;
+    const auto found = [this, check](ConnectProbe::Outcome outcome) {
+        if (outcome == ConnectProbe::Outcome::Connected || !check->probe)
             return;
-        const std::shared_ptr<ConnectProbe> probe = std::exchange(*held, nullptr);
-        if (!probe)
-            return;
-        answerCheck(exchange,
-                    outcome == ConnectProbe::Outcome::Closed               ? "refused"
-                            : outcome == ConnectProbe::Outcome::StayedOpen ? "reached"
-                                                                           : "unknown");
+        const std::shared_ptr<ConnectProbe> probe = std::exchange(check->probe, nullptr);
+        check->outcome = outcome;
+        answerWhenKnown(*check);
         probes.erase(probe);
         options.loop.post([probe] {});
     };
-    *held = std::make_shared<ConnectProbe>(options.loop, replica->address, options.sourceIp, found);
-    probes.insert(*held);
+    // Both start at the same moment, so that a path that was lost or returned meanwhile is not
+    // taken for the end of the replica.
+    check->probe =
+            std::make_shared<ConnectProbe>(options.loop, replica->address, options.sourceIp, found);
+    probes.insert(check->probe);
+    options.checkPaths(*replica, [this, check](bool working) {
+        check->arePathsWorking = working;
+        answerWhenKnown(*check);
+    });
+}
+
+void RelayServer::Private::answerWhenKnown(Check &check) const
+{
+    const bool isClosed = check.outcome == ConnectProbe::Outcome::Closed;
+    if (!check.exchange || !check.outcome || (isClosed && !check.arePathsWorking))
+        return;
+    std::string_view text = "unknown";
+    if (check.outcome == ConnectProbe::Outcome::StayedOpen)
+        text = "reached";
+    else if (isClosed && *check.arePathsWorking)
+        text = check.hasCrashedBefore ? "crashed_before" : "refused";
+    answerCheck(std::exchange(check.exchange, nullptr), text);
 }
 
 void RelayServer::Private::answerCheck(const HttpExchangePtr &exchange, std::string_view text) const
--- a/src/Net/RelayServer.h
+++ b/src/Net/RelayServer.h
@@ -39,6 +39,17 @@
         std::function<const ReplicaRecord *(std::string_view incarnation)> findReplica;
         /// Whether this router has lost its path to a replica.
         std::function<bool(const ReplicaRecord &)> isPathLost;
+        /// Checks whether the paths of this router work while it is refused by a replica.
+        /// \sa CrashEvidence::checkPaths()
+        std::function<void(const ReplicaRecord &, std::function<void(bool working)> done)>
+                checkPaths = [](const ReplicaRecord &, const std::function<void(bool)> &done) {
+                    done(true);
+                };
+        /// Whether a replica is known to have crashed so long ago that the attempts which break now
+        /// were sent after it.
+        std::function<bool(const ReplicaRecord &)> hasCrashedBefore = [](const ReplicaRecord &) {
+            return false;
+        };
         /// Called when this router could not connect to a replica.
         std::function<void(const ReplicaRecord &)> pathFailed = [](const ReplicaRecord &) {};
         /// Whether the proof that API keys are valid is fresh enough. A router that was suspended
--- a/src/Net/ServicePools.cpp
+++ b/src/Net/ServicePools.cpp
@@ -126,6 +126,7 @@
     for (const auto &[service, pool] : m_pools) {
         pool->replicas.excludeFor(replica, pause);
         pool->replicas.noteUnreachable(replica, pause);
+        pool->paths.crashed(replica);
     }
 }
 
