Plain calls are shed by urgency, and refused callers get a time to retry

All plain calls were refused with the same probability while a service was overloaded. The share that is sent now goes to the most urgent rank first, by the mix of ranks of the last ten seconds; each rank keeps one call in twenty. The total share is controlled as before. Because it varies, a rank whose calls fit into its mean is not refused while it is low, and for 200 ms after a report of a full queue the less urgent ranks get only the smallest share.

retryAfter() spreads retries over at most a third of the remaining time and five seconds.

--- a/src/Decide/LoadShedder.cpp
+++ b/src/Decide/LoadShedder.cpp
@@ -1,6 +1,7 @@
 #include "Decide/LoadShedder.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace catkinloft {
 
@@ -31,13 +32,88 @@
 
 constexpr double Smoothing = 0.1;
 
+/// Share of every rank that is sent while more urgent calls are enough to fill the service, so that
+/// no caller is refused forever.
+constexpr double MinRankShare = 0.05;
+
+/// Time constant of the mix of ranks in seconds. A router gets about three calls per second, and
+/// with much fewer than 30 calls the shares of the ranks would follow chance.
+constexpr double MixSeconds = 10;
+
+/// Time constant of the mean share in seconds: several periods of its variation.
+constexpr double MeanSeconds = 2;
+
+/// Part of a rank's calls that must fit into the mean share. The mean varies as well, and with 1
+/// one in ten calls of a rank that needs half of the capacity is refused.
+constexpr double MeanMargin = 0.7;
+
+/// Time after a report of a full queue in which only the smallest share is sent to the less urgent
+/// ranks. Lowering the share takes several answers, in which the queue would grow and make the
+/// urgent calls late.
+constexpr Duration FullReportLifetime = 200ms;
+
+/// Ranks with a smaller decayed number of calls are no longer in use.
+constexpr double MinCalls = 0.1;
+
+/// Longest time after which a refused caller should retry. Longer times would only delay the
+/// callers' return after the overload.
+constexpr Duration MaxRetryAfter = 5s;
+
 } // namespace
 
-bool LoadShedder::admits()
+bool LoadShedder::admits(const RequestRank &rank)
 {
-    if (m_share < 1 && m_options.clock.now() - m_lastFullAt > FullLifetime)
+    const TimePoint now = m_options.clock.now();
+    const double passed = toSeconds(now - m_lastCallAt);
+    m_meanShare += (m_share - m_meanShare) * (1 - std::exp(-passed / MeanSeconds));
+    countCall(rank, now);
+    if (m_share < 1 && now - m_lastFullAt > FullLifetime)
         m_share = 1;
-    return m_share >= 1 || uniform(m_options.random) < m_share;
+    if (m_share >= 1)
+        return true;
+    return uniform(m_options.random) < shareOf(rank);
+}
+
+Duration LoadShedder::retryAfter(Duration remaining)
+{
+    const Duration longest = std::clamp<Duration>(remaining / 3, 0s, MaxRetryAfter);
+    // Half of the longest time if nearly all calls are sent, nearly all of it if few are.
+    const double top = 1 - 0.5 * m_share;
+    return scaled(longest, top * (0.25 + 0.75 * uniform(m_options.random)));
+}
+
+void LoadShedder::countCall(const RequestRank &rank, TimePoint now)
+{
+    const double decay = std::exp(-toSeconds(now - m_lastCallAt) / MixSeconds);
+    m_lastCallAt = now;
+    for (auto &it : m_calls)
+        it.second *= decay;
+    std::erase_if(m_calls, [](const auto &it) { return it.second < MinCalls; });
+    m_calls[rank] += 1;
+}
+
+/// \returns the share of the calls of \a rank that is sent.
+double LoadShedder::shareOf(const RequestRank &rank) const
+{
+    if (m_calls.size() == 1)
+        return m_share;
+    double total = 0;
+    for (const auto &it : m_calls)
+        total += it.second;
+    const bool isFull = m_options.clock.now() - m_lastFullReportAt < FullReportLifetime;
+    double room = ((isFull ? MinShare : m_share) - MinRankShare) * total;
+    double meanRoom = (m_meanShare - MinRankShare) * total;
+    for (const auto &[other, calls] : m_calls) {
+        const double all = (1 - MinRankShare) * calls;
+        // The share varies by several times its mean. A rank whose calls can all be sent at the
+        // mean is not refused while the share is low; the less urgent ones are.
+        const double sent = meanRoom >= MeanMargin * all ? all : std::clamp(room, 0.0, all);
+        if (!other.isBefore(rank))
+            return MinRankShare + sent / calls;
+        room -= sent;
+        meanRoom -= all;
+    }
+    return MinRankShare;
 }
 
 void LoadShedder::answered(const std::string &replica, const ReplicaLoad &load, Duration latency,
@@ -67,6 +143,8 @@
     std::erase_if(m_reports,
                   [=](const auto &it) { return now - it.second.receivedAt > ReportLifetime; });
     m_reports[replica] = {now, full};
+    if (full)
+        m_lastFullReportAt = now;
     if (!full) {
         m_share = std::min(1.0, m_share + Increase);
     } else if (allReplicasFull(usable)) {
--- a/src/Decide/LoadShedder.h
+++ b/src/Decide/LoadShedder.h
@@ -3,6 +3,7 @@
 #include "Base/Clock.h"
 #include "Base/Random.h"
 #include "Decide/ReplicaLoad.h"
+#include "Decide/RequestRank.h"
 
 #include <map>
 #include <optional>
@@ -22,6 +23,9 @@
 /// multiplicative decrease. This converges, without messages between routers, to queues as long as
 /// a call may wait. A service with one idle replica is not full, so uneven placement causes no
 /// shedding.
+///
+/// The calls that are sent are the most urgent ones. The share of each rank follows from the total
+/// share and the recent mix of ranks at this router; a small share of every rank is always sent.
 class LoadShedder
 {
 public:
@@ -33,8 +37,8 @@
 
     explicit LoadShedder(Options options) : m_options(std::move(options)) { }
 
-    /// \returns whether the next call should be sent; if not, it is refused.
-    bool admits();
+    /// \returns whether the next call, which has \a rank, should be sent; if not, it is refused.
+    bool admits(const RequestRank &rank);
 
     /// \returns whether calls are being shed; then no call that has run should be retried.
     bool isShedding() const { return m_share < 1; }
@@ -52,7 +56,15 @@
     /// \returns the share of calls that is sent, above 0 and at most 1.
     double share() const { return m_share; }
 
+    /// \returns when a refused caller should retry: a random time that spreads the callers, longer
+    /// the smaller the share of calls that is sent, and at most a third of \a remaining.
+    Duration retryAfter(Duration remaining);
+
 private:
+    struct Before
+    {
+        bool operator()(const RequestRank &a, const RequestRank &b) const { return a.isBefore(b); }
+    };
     struct ReplicaReport
     {
         TimePoint receivedAt;
@@ -61,12 +73,18 @@
 
     void update(const std::string &replica, bool full, std::size_t usable);
     bool allReplicasFull(std::size_t usable) const;
+    void countCall(const RequestRank &rank, TimePoint now);
+    double shareOf(const RequestRank &rank) const;
 
     Options m_options;
     double m_share = 1;
+    double m_meanShare = 1; ///< Moving average of m_share.
     double m_serviceSeconds = 0; ///< Moving average of calls that did not wait; 0: unknown.
     std::map<std::string, ReplicaReport> m_reports; ///< By replica.
-    TimePoint m_lastFullAt = {};
+    TimePoint m_lastFullAt = {}; ///< All replicas were full.
+    TimePoint m_lastFullReportAt = {}; ///< Any replica was full.
+    std::map<RequestRank, double, Before> m_calls; ///< Decayed number of calls by rank.
+    TimePoint m_lastCallAt = {};
 };
 
 } // namespace catkinloft
--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -141,7 +141,10 @@
 {
     m_service->retryBudget.countRequest();
     if (!isStreaming() && m_context.settings.mechanisms.loadShedding
-        && !m_service->shedder.admits())
+        && !m_service->shedder.admits(
+                {.priority = m_request.workspace
+                         ? m_request.workspace->priority.value_or(m_request.route->priority)
+                         : m_request.route->priority}))
         return refuse({.reason = Reason::EnginesSaturated,
                        .detail = fmt::format("{} receives more calls than it can complete in time",
                                              m_serviceName),
