--- a/src/Decide/PromptAdmission.cpp
+++ b/src/Decide/PromptAdmission.cpp
@@ -15,43 +15,51 @@
 constexpr double DueShare = 0.6;
 
 /// Share of late prompts that is overload, and the number of observations from which it counts. A
-/// router sees about six prompts a second.
+/// router of a large fleet sees about six prompts a second.
 constexpr double LateShare = 0.15;
 constexpr int MinObservations = 5;
 
-/// Number of late prompts for a limit to begin. One of five is often late by chance at twice the
-/// usual load; waiting requests are evidence of their own.
+/// Number of late prompts for a limit to begin. With one, some of 76 routers refuse prompts at
+/// twice the usual load, when one prompt of five is late by chance. Waiting requests are evidence
+/// of their own.
 constexpr int MinLate = 3;
 constexpr int MinLateQueueing = 2;
 
 /// Engines are busy above this share of slots in use, or if requests wait. Requests that arrive
-/// during a step wait for its end at any load, so a single one is of no importance.
+/// during a step wait for its end at any load, so waiting requests count relative to a quarter of
+/// the slots.
 constexpr double BusyRunning = 0.5;
 constexpr double BusyWaiting = 0.25;
 constexpr double WaitingShareOfSlots = 0.25;
 
-/// Occupancy of the engines at which the window aims when it is reduced. Engines that have waiting
-/// requests report the excess directly, so that one reduction is enough.
+/// Occupancy of the engines at which a reduction of the window aims, and the range of its factor.
+/// The reports tell how far the engines are above it. With a fixed factor per feedback delay the
+/// window would be too large for a second or more after a sudden onset.
 constexpr double AimedOccupancy = 0.8;
-constexpr double MinDecrease = 0.85;
-constexpr double MaxDecrease = 0.4;
+constexpr double LargestFactor = 0.85;
+constexpr double SmallestFactor = 0.4;
 
 /// Time from a change of the window until first events show its effect.
 constexpr Duration FeedbackDelay = 300ms;
 
+/// Increase of the window per feedback delay while prompts are refused, and while the engines are
+/// not busy. The latter lets refusals end within two seconds of the overload.
 constexpr double Increase = 0.1;
-/// Increase while the engines are not busy, to recover within two seconds.
 constexpr double IdleIncrease = 0.5;
 
 /// Smallest window. A part of the prompts below one is admitted by randomised rounding.
 constexpr double MinWindow = 0.5;
 
-/// Threshold of a rank relative to that of the next more urgent one.
+/// Threshold of a rank relative to that of the next more urgent one. A router has few prompts in
+/// progress, so their number fluctuates by a third; the most urgent need a reserve of that size.
 constexpr double RankFactor = 0.65;
 
-/// Probability that a prompt above the threshold of its rank is admitted below the full window.
+/// Probability that a prompt above the threshold of its rank is admitted below the full window. One
+/// in twenty has to be served, also if the window is full for a part of the time.
 constexpr double MinAdmission = 0.06;
 
+/// Time after which an unused rank no longer lowers the thresholds of others, and the number of
+/// ranks that are remembered; ten priorities have twenty.
 constexpr Duration RankLifetime = 10s;
 constexpr std::size_t MaxRanks = 32;
 
@@ -60,16 +68,20 @@
 /// Time after which the last report says nothing about the present load.
 constexpr Duration ReportLifetime = 1500ms;
 
-/// Time without refusals, or with engines that are not busy, after which the limit is removed.
+/// Time without refusals, or with engines that are not busy, after which the limit is removed. With
+/// a second of the latter some prompts are refused for more than two seconds after the overload.
 constexpr Duration UnrefusedLifetime = 2s;
 constexpr Duration IdleLifetime = 500ms;
 
-/// Longest time until callers retry if few, and added to it if all prompts are refused.
+/// Longest time until callers retry if few prompts are refused, and what is added if all are.
 constexpr Duration RetryBase = 500ms;
 constexpr Duration RetryRange = 4s;
+/// Part of the longest time before which no caller retries.
+constexpr double RetryMinimum = 0.25;
 
+/// Resolution and number of periods of which the observations decide if they are enough. With a
+/// second, observations from before a sudden onset hide it from the routers for longer.
 constexpr Duration BucketLength = 100ms;
-/// The last second.
 constexpr int ObservedBuckets = 5;
 
 } // namespace
@@ -136,17 +148,18 @@
 {
     markOverdue();
     const auto it = m_prompts.find(id);
-    if (it != m_prompts.end() && it->second.awaited) {
-        m_awaited.erase({it->second.dueAt, id});
-        it->second.awaited = false;
-        observe(it->second, false);
-    }
-    if (it != m_prompts.end() && !it->second.answered) {
-        it->second.answered = true;
-        const TimePoint now = m_options.clock.now();
-        if (it->second.startedAt >= m_shrunkAt)
-            m_lateEvents.add(now, now >= it->second.dueAt);
+    if (it == m_prompts.end() || it->second.hasEvent)
+        return;
+    Prompt &prompt = it->second;
+    prompt.hasEvent = true;
+    const bool late = !prompt.awaited;
+    if (!late) {
+        m_awaited.erase({prompt.dueAt, id});
+        prompt.awaited = false;
+        observe(prompt, false);
     }
+    if (prompt.startedAt >= m_shrunkAt)
+        m_lateEvents.add(m_options.clock.now(), late);
     update();
 }
 
@@ -211,19 +224,23 @@
     const double refused = m_refused.counts(m_options.clock.now()).share();
     const Duration longest = std::clamp(RetryBase + scaled(RetryRange, refused), Duration(0),
                                         std::max(Duration(0), remaining / 3));
-    // Only a part of the range is random, so that no caller retries at once.
-    return scaled(longest, 0.25 + 0.75 * uniform(m_options.random));
+    return scaled(longest, RetryMinimum + (1 - RetryMinimum) * uniform(m_options.random));
 }
 
 void PromptAdmission::observe(const Prompt &prompt, bool late)
 {
     const TimePoint now = m_options.clock.now();
     m_late.add(now, late);
-    // Earlier prompts say nothing about the present window.
     if (prompt.startedAt >= m_shrunkAt)
         m_lateSinceShrink.add(now, late);
 }
 
+void PromptAdmission::clearObservations()
+{
+    m_lateSinceShrink.clear();
+    m_lateEvents.clear();
+}
+
 void PromptAdmission::update()
 {
     markOverdue();
@@ -251,11 +268,12 @@
     const TimePoint now = m_options.clock.now();
     if (!isOverloaded())
         return;
+    // The prompts in progress are this router's part of those at the engines, so the windows of all
+    // routers together are the part of them that the engines can process.
     m_window = std::max(MinWindow, windowFactor() * inProgress());
     m_onsetWindow = m_window;
     m_changedAt = m_shrunkAt = m_refusedAt = m_busyAt = now;
-    m_lateSinceShrink.clear();
-    m_lateEvents.clear();
+    clearObservations();
 }
 
 void PromptAdmission::adjustWindow()
@@ -266,9 +284,9 @@
     if (isOverloaded()) {
         m_window = std::max(MinWindow, m_window * windowFactor());
         m_changedAt = m_shrunkAt = now;
-        m_lateSinceShrink.clear();
-        m_lateEvents.clear();
+        clearObservations();
     } else if (m_refusedAt > m_changedAt && inProgress() <= m_window + 1) {
+        // Until the excess after a reduction has ended, refusals do not mean that it was too large.
         // An addend in proportion to the router's traffic lets the windows of routers converge.
         const double rate =
                 isBusy() ? Increase * std::max(0.0, 1 - late().share() / LateShare) : IdleIncrease;
@@ -280,8 +298,7 @@
 void PromptAdmission::removeLimit()
 {
     m_window = 0;
-    m_lateSinceShrink.clear();
-    m_lateEvents.clear();
+    clearObservations();
 }
 
 double PromptAdmission::threshold(const RequestRank &rank)
@@ -300,8 +317,8 @@
 
 double PromptAdmission::windowFactor() const
 {
-    return std::clamp(AimedOccupancy / std::max(0.01, m_reports.occupancy), MaxDecrease,
-                      MinDecrease);
+    return std::clamp(AimedOccupancy / std::max(0.01, m_reports.occupancy), SmallestFactor,
+                      LargestFactor);
 }
 
 PromptAdmission::RecentShare::Counts PromptAdmission::late() const
--- a/src/Decide/PromptAdmission.h
+++ b/src/Decide/PromptAdmission.h
@@ -90,8 +90,8 @@
         void add(TimePoint now, bool counted);
         void clear() { m_buckets = {}; }
 
-        /// \returns the counts of the last second; if these are too few to decide, of the shortest
-        /// longer time that has enough.
+        /// \returns the counts of the last half second; if these are too few to decide, of the
+        /// shortest longer time up to three seconds that has enough.
         Counts counts(TimePoint now) const;
 
     private:
@@ -109,7 +109,7 @@
         TimePoint startedAt;
         TimePoint dueAt; ///< Without a first event by then the prompt is late.
         bool awaited = true; ///< Neither a first event nor lateness was observed.
-        bool answered = false;
+        bool hasEvent = false;
     };
 
     struct RankInUse
@@ -129,12 +129,13 @@
     };
 
     void observe(const Prompt &prompt, bool late);
+    void clearObservations();
     void update();
     void markOverdue();
     void limitOnset();
     void adjustWindow();
     void removeLimit();
-    double threshold(const RequestRank &rank);
+    double threshold(const RequestRank &rank); ///< Records that \a rank is in use.
     double windowFactor() const;
     RecentShare::Counts late() const;
     bool isOverloaded() const;
@@ -148,15 +149,16 @@
     std::unordered_map<Id, Prompt> m_prompts; ///< In progress.
     std::set<std::pair<TimePoint, Id>> m_awaited; ///< By the time at which they are late.
     std::vector<RankInUse> m_ranks; ///< The most urgent first.
-    RecentShare m_late;
-    RecentShare m_lateSinceShrink; ///< Of the prompts started after the window shrank.
-    RecentShare m_lateEvents; ///< As m_lateSinceShrink, of prompts with a first event.
+    RecentShare m_late; ///< Of all prompts, for logs and refusals.
+    /// Of the prompts started after the window shrank; earlier ones say nothing about its size.
+    RecentShare m_lateSinceShrink;
+    RecentShare m_lateEvents; ///< As m_lateSinceShrink, but only of prompts with a first event.
     RecentShare m_refused;
     Reports m_reports;
     double m_window = 0; ///< 0: no limit.
-    double m_onsetWindow = 0;
+    double m_onsetWindow = 0; ///< In proportion to this router's part of the traffic.
     TimePoint m_changedAt = {}; ///< Last change of the window.
-    TimePoint m_shrunkAt = {};
+    TimePoint m_shrunkAt = {}; ///< Last time it was reduced or set.
     TimePoint m_refusedAt = {};
     TimePoint m_busyAt = {}; ///< Last report while the engines were busy.
 };
