Full engines are avoided only while many slots are free, or by an own report

The counts of the other routers are 0.6 s old. A full engine is now avoided while at least three tenths of the slots are free, or if a recent report to this router says so; the additional cost of waiting is dropped.

--- a/src/Decide/ReplicaPool.cpp
+++ b/src/Decide/ReplicaPool.cpp
@@ -34,10 +34,10 @@
 /// 150 tokens are processed.
 constexpr double TokensPerRequest = 150;
 
-/// Cost of a whole turn of an engine's slots, in tokens to process: a prompt that waits behind as
-/// many requests as the engine has slots waits for the second that a request takes, in which 60,000
-/// tokens are processed.
-constexpr double TokensPerSlotTurn = 60'000;
+/// Share of free slots from which no prompt is sent to an engine whose slots are all taken. The
+/// counts of the other routers are 0.6 s old: if fewer slots are free, all routers would choose the
+/// same few engines, whose queues then take longer than the wait for a slot that was avoided.
+constexpr double MinFreeSlotShare = 0.3;
 
 /// Costs that differ by less than this share of the prompt, or by less than EqualCostTokens, count
 /// as equal; then the rendezvous order decides.
@@ -391,7 +391,7 @@
         return it.load + 1 > mean * MaxLoadRatio + LoadSlack;
     });
     if (m_options.mechanisms.expectedTimePlacement)
-        removeFull(list);
+        removeFull(list, m_options.clock.now());
     double minCost = std::numeric_limits<double>::max();
     for (Candidate &it : list) {
         // What an engine reads also delays the requests that run on it, so the tokens count in
@@ -401,7 +401,7 @@
         const bool aboveShare = it.slowness * (it.load + 1) > mean + 1;
         const double uncached = tokens - m_prompts.cachedTokens(it.state->hash, prompt);
         it.cost = (aboveShare ? it.slowness : it.pace) * uncached
-                + TokensPerRequest * std::max(0.0, it.slowness * it.load - mean) + waitCost(it);
+                + TokensPerRequest * std::max(0.0, it.slowness * it.load - mean);
         minCost = std::min(minCost, it.cost);
     }
     const double maxCost = minCost + std::max(EqualCostTokens, EqualCostShare * tokens);
@@ -409,22 +409,24 @@
     return chooseByRendezvous(list, prompt.back().id);
 }
 
-void ReplicaPool::removeFull(std::vector<Candidate> &list)
+void ReplicaPool::removeFull(std::vector<Candidate> &list, TimePoint now) const
 {
-    const auto hasFreeSlot = [](const Candidate &it) {
-        return std::max(it.load, it.expectedLoad) < it.state->record.slots;
+    double slots = 0;
+    double taken = 0;
+    for (const Candidate &it : list) {
+        slots += it.state->record.slots;
+        taken += std::min<double>(it.load, it.state->record.slots);
+    }
+    const bool manyFree = slots - taken >= MinFreeSlotShare * slots;
+    const auto isFull = [=, this](const Candidate &it) {
+        const int limit = it.state->record.slots;
+        // Only this router has received the report, so the others do not avoid the engine as well.
+        const bool reported =
+                it.state->reportedLoad >= limit && loadReportWeight(*it.state, now) > 0;
+        return reported || (manyFree && it.load >= limit);
     };
-    if (std::any_of(list.begin(), list.end(), hasFreeSlot))
-        std::erase_if(list, std::not_fn(hasFreeSlot));
-}
-
-double ReplicaPool::waitCost(const Candidate &it) const
-{
-    if (!m_options.mechanisms.expectedTimePlacement)
-        return 0;
-    const double slots = std::max(1, it.state->record.slots);
-    const double waiting = std::max(0.0, std::max(it.load, it.expectedLoad) + 1 - slots);
-    return it.slowness * TokensPerSlotTurn * waiting / slots;
+    if (!std::all_of(list.begin(), list.end(), isFull))
+        std::erase_if(list, isFull);
 }
 
 ReplicaPool::State *ReplicaPool::chooseByRendezvous(const std::vector<Candidate> &list,
--- a/src/Decide/ReplicaPool.h
+++ b/src/Decide/ReplicaPool.h
@@ -53,8 +53,8 @@
 ///
 /// Replicas work at different speeds: some are always slower, others run on shared machines that
 /// are slow for half a second. The time that a replica takes is a factor on the load and on the
-/// tokens that it would have to process, \sa ReplicaSpeed. A prompt never waits for a slot while
-/// another engine has a free one, because processing it again takes less time than another request
+/// tokens that it would have to process, \sa ReplicaSpeed. A prompt does not wait for a slot while
+/// other engines have free ones, because processing it again takes less time than another request
 /// that must end first. Calls prefer replicas by expected time, but at random, since the routers
 /// that received the same reports would otherwise all choose the same replica.
 ///
@@ -267,8 +267,7 @@
     void updateBaseline();
     double loadReportWeight(const State &it, TimePoint now) const;
     void setExpectedTime(Candidate &it, TimePoint now) const;
-    static void removeFull(std::vector<Candidate> &list);
-    double waitCost(const Candidate &it) const;
+    void removeFull(std::vector<Candidate> &list, TimePoint now) const;
     double expectedTimeFactor() const;
 
     Options m_options;
