--- a/src/Decide/Decide.h
+++ b/src/Decide/Decide.h
@@ -18,9 +18,9 @@
 #include "Decide/Placement.h" // IWYU pragma: export
 #include "Decide/PromptAdmission.h" // IWYU pragma: export
 #include "Decide/Refusal.h" // IWYU pragma: export
+#include "Decide/Rendezvous.h" // IWYU pragma: export
 #include "Decide/ReplicaLoad.h" // IWYU pragma: export
 #include "Decide/ReplicaSpeed.h" // IWYU pragma: export
-#include "Decide/Rendezvous.h" // IWYU pragma: export
 #include "Decide/RequestQuarantine.h" // IWYU pragma: export
 #include "Decide/RequestRank.h" // IWYU pragma: export
 #include "Decide/RetryBudget.h" // IWYU pragma: export
--- a/test/ReplicaPoolLoadTest.cpp
+++ b/test/ReplicaPoolLoadTest.cpp
@@ -34,13 +34,13 @@
 /// others.
 struct RouterFleet
 {
-    RouterFleet(const Clock &clock, std::size_t n, const std::vector<ReplicaRecord> &list,
+    RouterFleet(const Clock &time, std::size_t n, const std::vector<ReplicaRecord> &list,
                 bool isEngine, bool byTime)
-        : clock(clock), next(n)
+        : clock(time), next(n)
     {
         for (std::size_t i = 0; i < n; ++i) {
             pools.push_back(std::make_unique<ReplicaPool>(
-                    ReplicaPool::Options{.clock = clock,
+                    ReplicaPool::Options{.clock = time,
                                          .random = seededRandom(i + 1),
                                          .failureDomain = fmt::format("d{}", i % 3),
                                          .isEngine = isEngine,
@@ -194,8 +194,9 @@
         std::size_t engine = 0;
     };
 
-    explicit SlowEnginesFixture(bool byTime = true, int slots = 16)
-        : fleet(clock, Routers, replicas(Engines, slots), true, byTime), slots(slots)
+    explicit SlowEnginesFixture(bool byTime = true, int slotsPerEngine = 16)
+        : fleet(clock, Routers, replicas(Engines, slotsPerEngine), true, byTime),
+          slots(slotsPerEngine)
     { }
 
     bool isSlow(std::size_t engine) const { return engine % 3 == 0; }
@@ -239,7 +240,7 @@
         }
         fleet.pools[router]->started(id, prompt);
         const double speed = isSlow(engine) ? slowness : 1;
-        running.emplace(clock.now() + scaled(length, speed * (0.7 + 0.6 * uniform(random))),
+        running.emplace(clock.now() + scaled(streamLength, speed * (0.7 + 0.6 * uniform(random))),
                         Run{router, engine});
     }
 
@@ -251,7 +252,7 @@
         const double speed = isSlow(it.engine) ? slowness : 1;
         pool.eventTimeObserved(id,
                                scaled(33ms, speed * (1 + noise * (2 * uniform(timeRandom) - 1))));
-        pool.finished(id, {.succeeded = true, .total = length});
+        pool.finished(id, {.succeeded = true, .total = streamLength});
     }
 
     /// \returns the mean number of prompts sent to each slow engine, or to each usual one.
@@ -274,7 +275,7 @@
     std::uint64_t workspaces = 24;
     double slowness = 1.3;
     double noise = 0.2; ///< Relative variation of the time of an event.
-    Duration length = 1s;
+    Duration streamLength = 1s;
     std::int64_t ms = 0;
     std::multimap<TimePoint, Run> running;
     std::array<int, Engines> load = {};
--- a/test/ReplicaPoolTest.cpp
+++ b/test/ReplicaPoolTest.cpp
@@ -652,29 +652,29 @@
 // report.
 TEST_CASE_FIXTURE(PlainServicePoolFixture, "replicaPool_unusableReport_hasLimitedEffect")
 {
-    ReplicaPool pool({.clock = clock, .random = seededRandom(1)});
-    pool.setReplicas(list);
-    const auto count = [&pool] {
+    ReplicaPool anyDomain({.clock = clock, .random = seededRandom(1)});
+    anyDomain.setReplicas(list);
+    const auto count = [&anyDomain] {
         int n = 0;
         for (int i = 0; i < 1000; ++i)
-            n += pool.choose({}).replica->id == "i-1" ? 1 : 0;
+            n += anyDomain.choose({}).replica->id == "i-1" ? 1 : 0;
         return n;
     };
     for (const double pace : {0.0, -1.0, 1e-9, std::nan("")}) {
-        pool.loadReported("i-1", {.running = 0, .waiting = 0, .slots = 1, .pace = pace});
+        anyDomain.loadReported("i-1", {.running = 0, .waiting = 0, .slots = 1, .pace = pace});
         CHECK(count() < 400);
     }
-    pool.loadReported("i-1", {.running = 0, .waiting = 0, .slots = 1, .pace = 1e300});
+    anyDomain.loadReported("i-1", {.running = 0, .waiting = 0, .slots = 1, .pace = 1e300});
     CHECK(count() > 0);
     constexpr int Max = std::numeric_limits<int>::max();
-    pool.loadReported("i-1", {.running = Max, .waiting = Max, .slots = Max, .pace = 1e300});
+    anyDomain.loadReported("i-1", {.running = Max, .waiting = Max, .slots = Max, .pace = 1e300});
     CHECK(count() == 0);
     clock.advance(600ms);
     CHECK(count() > 150);
-    pool.loadReported("i-1", {.running = -Max, .waiting = -Max, .slots = 0, .pace = 1});
+    anyDomain.loadReported("i-1", {.running = -Max, .waiting = -Max, .slots = 0, .pace = 1});
     CHECK(count() < 400);
-    pool.loadReported("unknown", {.running = 1});
-    pool.eventTimeObserved("unknown", 1ms);
+    anyDomain.loadReported("unknown", {.running = 1});
+    anyDomain.eventTimeObserved("unknown", 1ms);
 }
 
 TEST_CASE("replicaPool_expectedTimePlacementDisabled_reportsAndTimesAreIgnored")
