Calls of the other workspaces are on time during the surge of one

A new case plays the plain service of the first deployment that loses a replica while its largest workspace sends eight times its usual.

--- a/src/Decide/LoadShedder.cpp
+++ b/src/Decide/LoadShedder.cpp
@@ -40,10 +40,14 @@
 /// with much fewer than 30 calls the shares of the ranks would follow chance.
 constexpr double MixSeconds = 10;
 
-/// Time constant of the mean share in seconds: several periods of its variation. With 2 up to one
-/// in ten calls of ranks that fit into the mean is refused; with 8 it takes too long to shed urgent
-/// calls if they alone exceed the capacity.
-constexpr double MeanSeconds = 4;
+/// Time constant of the mean share in seconds: several periods of its variation. With 2 one in ten
+/// calls of a rank that fits into the mean is refused; with 4 it takes a second longer to shed
+/// urgent calls if they alone exceed the capacity.
+constexpr double MeanSeconds = 3;
+
+/// Part of a rank's calls that must fit into the mean share. The mean varies as well, with few
+/// calls per router by about this margin.
+constexpr double MeanMargin = 0.85;
 
 /// Time after a report of a full queue in which only the smallest share is sent to the less urgent
 /// ranks. Lowering the share takes several answers, in which the queue would grow and make the
@@ -105,7 +109,7 @@
         const double all = (1 - MinRankShare) * calls;
         // The share varies by several times its mean. A rank whose calls can all be sent at the
         // mean is not refused while the share is low; the less urgent ones are.
-        const double sent = meanRoom >= all ? all : std::clamp(room, 0.0, all);
+        const double sent = meanRoom >= MeanMargin * all ? all : std::clamp(room, 0.0, all);
         if (!other.isBefore(rank))
             return MinRankShare + sent / calls;
         room -= sent;
--- a/test/LoadShedderTest.cpp
+++ b/test/LoadShedderTest.cpp
@@ -1,9 +1,12 @@
 #include "Decide/LoadShedder.h"
 #include "Base/ManualClock.h"
+#include "Decide/WorkspaceShares.h"
 
 #include <doctest/doctest.h>
 
+#include <cmath>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -102,8 +105,10 @@
         return traffic.onTime / toSeconds(length);
     }
 
-    void arriveAt(std::size_t router, const RequestRank &rank, std::size_t traffic)
+    void arriveAt(std::size_t router, RequestRank rank, std::size_t traffic)
     {
+        if (rankOf)
+            rank = rankOf(router, traffic);
         ++next;
         const std::size_t i = next % replicas.size();
         Replica &it = replicas[i];
@@ -174,6 +179,8 @@
     std::vector<std::unique_ptr<LoadShedder>> shedders;
     std::vector<Replica> replicas{1};
     std::size_t queueRoom = 40;
+    /// Overrides the rank of a traffic at a router.
+    std::function<RequestRank(std::size_t router, std::size_t traffic)> rankOf;
     std::size_t next = 0;
     Outcome outcome;
     std::vector<Outcome> outcomes; ///< By traffic, while playMix() runs.
@@ -275,7 +282,7 @@
     const std::vector<Traffic> mix = {
             {{.priority = 0}, 100}, {{.priority = 1}, 100}, {{.priority = 2}, 400}};
     playMix(mix, 10s);
-    const std::vector<Outcome> it = playMix(mix, 60s);
+    const std::vector<Outcome> it = playMix(mix, 4min);
     MESSAGE("on time: ", it[0].onTimeShare(), ", ", it[1].onTimeShare(), ", ", it[2].onTimeShare());
     CHECK(it[0].onTimeShare() >= 0.9);
     CHECK(it[0].onTimeShare() > it[1].onTimeShare());
@@ -409,3 +416,48 @@
     CHECK(it.retryAfter(0ms) == 0ms);
     CHECK(it.retryAfter(-1s) == 0ms);
 }
+
+TEST_CASE_FIXTURE(LoadShedderFixture, "loadShedder_surgeOfOneWorkspace_theOthersAreServedAsBefore")
+{
+    // The plain service of the first deployment, with 245 calls a second, loses one of its three
+    // replicas, and one of 24 workspaces sends eight times its usual: twice the capacity. Guards
+    // against refusing the calls of all workspaces alike. Each of the 69 routers gets four calls a
+    // second, so it takes some seconds until all have recognised the surge.
+    replicas.resize(3);
+    queueRoom = 24;
+    std::vector<std::unique_ptr<WorkspaceShares>> shares;
+    for (std::size_t i = 0; i < shedders.size(); ++i)
+        shares.push_back(
+                std::make_unique<WorkspaceShares>(WorkspaceShares::Options{.clock = clock}));
+    std::vector<Traffic> mix(24);
+    for (std::size_t i = 0; i < mix.size(); ++i)
+        mix[i].perSecond = 83 * std::pow(i + 1, -1.2);
+    rankOf = [&](std::size_t router, std::size_t workspace) {
+        const bool isOver = shares[router]->count(fmt::format("workspace-{}", workspace),
+                                                  shedders[router]->isShedding());
+        return RequestRank{.priority = 1, .overShare = isOver};
+    };
+    const auto others = [](const std::vector<Outcome> &traffics) {
+        Outcome sum;
+        for (std::size_t i = 1; i < traffics.size(); ++i) {
+            sum.onTime += traffics[i].onTime;
+            sum.late += traffics[i].late;
+            sum.refused += traffics[i].refused;
+        }
+        return sum;
+    };
+    const std::vector<Outcome> before = playMix(mix, 2min);
+    CHECK(before[0].refused + others(before).refused == 0);
+    mix[0].perSecond *= 8;
+    replicas.resize(2);
+    playMix(mix, 10s);
+    const std::vector<Outcome> surge = playMix(mix, 1min);
+    MESSAGE("on time: others ", others(surge).onTimeShare(), ", surging ", surge[0].onTimeShare());
+    CHECK(others(surge).onTimeShare() >= 0.9);
+    // The surging workspace keeps its usual calls.
+    CHECK(surge[0].onTime > 0.9 * 83 * 60);
+    mix[0].perSecond /= 8;
+    playMix(mix, 3s);
+    const std::vector<Outcome> after = playMix(mix, 10s);
+    CHECK(after[0].refused + others(after).refused == 0);
+}
