--- a/test/integration/PartitionTest.cpp
+++ b/test/integration/PartitionTest.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <atomic>
 #include <set>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -105,6 +106,20 @@
         return n;
     }
 
+    /// \returns the log lines of \a router with one of \a events, to explain a failed check.
+    std::string lines(std::size_t router, const std::vector<std::string> &events) const
+    {
+        std::istringstream log(fleet.routerLog(router));
+        std::string out;
+        for (std::string line; std::getline(log, line);) {
+            if (std::any_of(events.begin(), events.end(), [&](const std::string &it) {
+                    return line.find(it) != std::string::npos;
+                }))
+                out += line + "\n";
+        }
+        return out;
+    }
+
     /// Partitions some routers and requires that all routers serve almost everything from
     /// StableWindow after that, and that the others serve during StableWindow too.
     void requireAllServed(const std::string &how, std::size_t first, std::size_t last)
@@ -130,8 +145,10 @@
         CHECK(sum(after, partitioned).share() >= MinShare);
         CHECK(sum(after, others).share() >= MinShare);
         MESSAGE("crashes told to others: ", logged(2, "\"replica_crash_told\""));
-        for (const std::size_t it : others)
+        for (const std::size_t it : others) {
+            INFO(lines(it, {"\"replica_ejected\"", "\"attempt_failed\""}));
             CHECK(logged(it, "\"replica_ejected\"") == 0);
+        }
     }
 
     EntryFleet fleet{{.binaries = CATKINLOFT_BINARIES, .routers = 6, .replicas = 4}};
