--- a/test/ReplicaPoolLoadTest.cpp
+++ b/test/ReplicaPoolLoadTest.cpp
@@ -261,7 +261,7 @@
         double out = 0;
         for (std::size_t i = 0; i < Engines; ++i)
             out += isSlow(i) == slow ? received[i] : 0;
-        return out / (slow ? Engines / 3 : Engines - Engines / 3);
+        return out / static_cast<double>(slow ? Engines / 3 : Engines - Engines / 3);
     }
 
     static constexpr std::size_t Routers = 24;
