Stand-in replicas report the pace of their machine; the soak checks that callers can't choose priorities

Replicas of the soak report four figures, the last of which changes several times a second. Callers of the soak state a priority of their own, and a request that reaches a replica with it breaks a promise.

--- a/soak/SoakCheck.cpp
+++ b/soak/SoakCheck.cpp
@@ -287,6 +287,8 @@
         }
         if (it["key_seen"].asBool() || it["workspace"].asString() != "archive")
             broken(fmt::format("{} reached a replica with its key or without its workspace", id));
+        if (!it["priority"].asString().empty())
+            broken(fmt::format("{} reached a replica with the priority that its caller chose", id));
         const WallTime at = timeOf(it);
         for (const OperatorAct &action : history.acts) {
             if (!action.key.empty() && attempt->second.key == action.key
--- a/soak/SoakLoad.cpp
+++ b/soak/SoakLoad.cpp
@@ -104,7 +104,8 @@
                  .headers = {{"Host", standin::EntryFleet::Host},
                              {"X-Request-Id", id},
                              {"X-Request-Deadline", "3000"},
-                             {"Authorization", "Bearer " + m_key}},
+                             {"Authorization", "Bearer " + m_key},
+                             {"X-Request-Priority", "0"}},
                  .body = std::string(request.body),
                  .timeout = 3500ms};
     if (!attempt.resumes.empty()) {
--- a/standin/ReplicaStandin.cpp
+++ b/standin/ReplicaStandin.cpp
@@ -8,6 +8,8 @@
 
 namespace catkinloft::standin {
 
+using namespace std::chrono_literals;
+
 namespace {
 
 std::string toString(std::string_view view)
@@ -133,6 +135,7 @@
     out["path"] = exchange.path();
     out["body"] = toString(exchange.body());
     out["workspace"] = toString(exchange.header("X-Tenant"));
+    out["priority"] = toString(exchange.header("X-Request-Priority"));
     out["key_seen"] = !exchange.header("Authorization").empty();
     out["resumed"] = !exchange.header("Last-Event-Id").empty();
     out["at_ms"] = static_cast<Json::Int64>(m_options.loop.wallNow().time_since_epoch().count());
@@ -144,10 +147,19 @@
     const std::string id = toString(exchange.header("X-Request-Id"));
     return withLeavingHeader({{"X-Request-Id", id},
                               {"X-Response-Signature", signatureOf(id, body)},
-                              {"X-Server-Load", "1,0,8"},
+                              {"X-Server-Load", fmt::format("1,0,8,{}", pacePercent())},
                               {"Keep-Alive", "timeout=5"}});
 }
 
+/// The machine of a replica is shared and changes its pace several times a second.
+int ReplicaStandin::pacePercent() const
+{
+    constexpr int Usual = 100;
+    constexpr int Slow = 250;
+    const auto period = m_options.loop.wallNow().time_since_epoch() / 600ms;
+    return hash64(fmt::format("{} {}", m_options.id, period)) % 6 == 0 ? Slow : Usual;
+}
+
 void ReplicaStandin::answerCall(const HttpExchangePtr &exchange)
 {
     const std::string body =
--- a/standin/ReplicaStandin.h
+++ b/standin/ReplicaStandin.h
@@ -55,6 +55,7 @@
     bool shouldInject(const char *fault);
     double faultValue(const char *name) const;
     HttpHeaders withLeavingHeader(HttpHeaders headers) const;
+    int pacePercent() const; ///< How long work takes at this moment; 100 is usual.
     void refuse(const HttpExchangePtr &exchange, const std::string &retryAfter);
     void record(const HttpExchange &exchange, bool refused = false);
     void crash(const HttpExchangePtr &exchange);
--- a/test/integration/SoakCheckTest.cpp
+++ b/test/integration/SoakCheckTest.cpp
@@ -96,6 +96,10 @@
     {
         executions[0]["key_seen"] = true;
     }
+    SUBCASE("the caller's priority reached a replica")
+    {
+        executions[0]["priority"] = "0";
+    }
     SUBCASE("a revoked key is served")
     {
         acts.push_back({.acknowledgedAt = start - 6s, .key = "k"});
