--- a/test/PlatformCodecTest.cpp
+++ b/test/PlatformCodecTest.cpp
@@ -181,11 +181,11 @@
     const auto priorityIn = [&](std::optional<int> priority) {
         std::vector<std::string> out;
         for (const HttpHeader &it : platform::encodeRequest({.request = request,
-                                                             .replica = replica,
-                                                             .copyPromptFrom = {},
-                                                             .remaining = 1s,
-                                                             .lastEventId = {},
-                                                             .priority = priority})) {
+                                    .replica = replica,
+                                    .copyPromptFrom = {},
+                                    .remaining = 1s,
+                                    .lastEventId = {},
+                                    .priority = priority})) {
             if (it.first == "X-Request-Priority")
                 out.push_back(it.second);
         }
