A finished call ends its admission before the service's state is destroyed

Callers saw nothing; the sanitizers found a use after free when a test shuts down (the process does the same): a finished call lives until its last callback has run, and its admission ended the prompt only in its destructor, after the pools were gone. The prompt now ends with the call, which also frees its place in the window at once.

All 52 cases of entryAdmission and entryRequest pass with sanitizers now.

--- a/src/Net/EntryAdmission.cpp
+++ b/src/Net/EntryAdmission.cpp
@@ -19,10 +19,11 @@
 
 } // namespace
 
-EntryAdmission::~EntryAdmission()
+void EntryAdmission::end()
 {
     if (m_prompt)
         m_service->prompts().ended(*m_prompt);
+    m_prompt.reset();
 }
 
 std::optional<Error> EntryAdmission::admit(ServiceAdmission &service, const EntryRequest &request,
--- a/src/Net/EntryAdmission.h
+++ b/src/Net/EntryAdmission.h
@@ -16,7 +16,7 @@
 {
 public:
     explicit EntryAdmission(Metrics &metrics) : m_metrics(metrics) { }
-    ~EntryAdmission();
+    ~EntryAdmission() { end(); }
     EntryAdmission(const EntryAdmission &) = delete;
     EntryAdmission &operator=(const EntryAdmission &) = delete;
 
@@ -25,6 +25,10 @@
     std::optional<Error> admit(ServiceAdmission &service, const EntryRequest &request,
                                Duration remaining);
 
+    /// \brief Ends the request for its service. Must be called before the service is destroyed,
+    /// which a finished call may outlive.
+    void end();
+
     /// \brief Records that the first event of a stream arrived.
     void firstEvent();
 
--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -971,6 +971,7 @@
     if (std::exchange(m_finished, true))
         return;
     m_deadlineTimer.stop();
+    m_admission.end();
     RequestEvent event = error ? describe(outcome, *error) : describe(outcome);
     event.status = status;
     event.isUnframed = m_head.isUnframed;
--- a/test/EntryAdmissionTest.cpp
+++ b/test/EntryAdmissionTest.cpp
@@ -195,6 +195,18 @@
     CHECK(bulk.mayRetry(Verdict::MayHaveRun, true));
 }
 
+// Guards against the use of a service that was destroyed before the last finished call.
+TEST_CASE_FIXTURE(EntryAdmissionFixture, "entryAdmission_endedRequest_mayOutliveItsService")
+{
+    const EntryRequest it = request(Chat);
+    EntryAdmission admission(metrics);
+    CHECK_FALSE(admit(admission, it));
+    CHECK(service->prompts().inProgress() == 1);
+    admission.end();
+    CHECK(service->prompts().inProgress() == 0);
+    service.reset();
+}
+
 // Guards against a switch that doesn't switch the limit off.
 TEST_CASE_FIXTURE(EntryAdmissionFixture, "entryAdmission_switchedOff_refusesNothing")
 {
