--- a/test/ReplicaPoolTest.cpp
+++ b/test/ReplicaPoolTest.cpp
@@ -706,10 +706,7 @@
 {
     FullEnginesFixture()
     {
-        std::vector<ReplicaRecord> list;
-        for (int i = 0; i < 4; ++i)
-            list.push_back(replica(i, 4));
-        pool.setReplicas(list);
+        pool.setReplicas({replica(0, 4), replica(1, 4), replica(2, 4), replica(3, 4)});
         pool.notePrompt("i-0", std::vector<std::uint64_t>{7});
     }
 
