A single stalled attempt doesn't eject an upstream

An attempt that takes a hundred times the usual duration raised the moving average of the cost above three times the median alone, so one lost packet or suspended process ejected a healthy replica with failures_in_row 0 and error_rate 0, as seen in PartitionTest. One attempt now counts at most six times the median. replica_ejected has cost_ratio.

Both new cases of DecideHealthTrackerTest fail before and pass now.

--- a/src/Decide/HealthTracker.cpp
+++ b/src/Decide/HealthTracker.cpp
@@ -15,6 +15,12 @@
 constexpr int MaxFailuresInRow = 3; ///< A crashed engine is ejected after three requests.
 constexpr double MaxErrorRate = 0.5;
 constexpr double MaxCostRatio = 3; ///< Mixed prompt lengths alone stay below twice the median.
+
+/// Largest cost that one attempt adds to the average, as a multiple of the median. A lost packet or
+/// a suspended VM delays a short call by a hundred times its usual duration, which would eject a
+/// healthy upstream alone. With this value it takes five such attempts in a row.
+constexpr double MaxSampleRatio = 2 * MaxCostRatio;
+
 constexpr Duration FirstEjection = 5s;
 constexpr Duration FirstRamp = 10s;
 constexpr int MaxSetbacks = 4; ///< Limits an ejection to 80 s and a slow start to 160 s.
@@ -32,14 +38,17 @@
 bool HealthTracker::record(Entry &it, double work, const AttemptReport &report,
                            std::size_t poolSize, TimePoint now)
 {
-    const State before = it.state;
+    const State stateBefore = it.state;
     const bool failed = countsAgainstUpstream(report);
     it.probing = false;
     it.errorRate += Smoothing * ((failed ? 1 : 0) - it.errorRate);
     it.failuresInRow = failed ? it.failuresInRow + 1 : 0;
     if (report.succeeded) {
-        const double cost = toSeconds(report.total) / std::max(1.0, work);
-        it.cost = it.samples == 0 ? cost : it.cost + Smoothing * (cost - it.cost);
+        const double cost = limited(toSeconds(report.total) / std::max(1.0, work), MaxSampleRatio);
+        // A stall that was averaged before the median was known must not eject the upstream without
+        // another slow attempt.
+        const double before = limited(it.cost, MaxCostRatio);
+        it.cost = it.samples == 0 ? cost : before + Smoothing * (cost - before);
     }
     ++it.samples;
     if (it.state == State::HalfOpen) {
@@ -53,7 +62,7 @@
         ++m_ejected;
         eject(it, now);
     }
-    return it.state != before;
+    return it.state != stateBefore;
 }
 
 bool HealthTracker::ejectImmediately(Entry &it, std::size_t poolSize, TimePoint now)
@@ -75,6 +84,12 @@
             || (m_medianCost > 0 && it.cost > MaxCostRatio * m_medianCost);
 }
 
+/// \returns \a cost, at most \a maxRatio times the median if that is known.
+double HealthTracker::limited(double cost, double maxRatio) const
+{
+    return m_medianCost > 0 ? std::min(cost, maxRatio * m_medianCost) : cost;
+}
+
 bool HealthTracker::mayEject(std::size_t poolSize) const
 {
     // If many upstreams look bad at once, the cause is elsewhere, and ejecting them would overload
@@ -131,6 +146,11 @@
     addSetback(it, now);
 }
 
+double HealthTracker::costRatio(const Entry &it) const
+{
+    return m_medianCost > 0 ? it.cost / m_medianCost : 0;
+}
+
 double HealthTracker::ramp(const Entry &it, TimePoint now)
 {
     if (it.rampTime == Duration::zero() || now - it.rampStart >= it.rampTime)
--- a/src/Decide/HealthTracker.h
+++ b/src/Decide/HealthTracker.h
@@ -69,6 +69,9 @@
     /// \returns the share of its usual load that \a it may get, above 0 and at most 1.
     static double ramp(const Entry &it, TimePoint now);
 
+    /// \returns the average cost of \a it as a multiple of the median; 0 if none is known.
+    double costRatio(const Entry &it) const;
+
     /// \brief Removes \a it, which left the pool, from the count of ejected upstreams.
     void removed(const Entry &it);
 
@@ -78,6 +81,7 @@
 
 private:
     bool isOutlier(const Entry &it) const;
+    double limited(double cost, double maxRatio) const;
     bool mayEject(std::size_t poolSize) const;
     void eject(Entry &it, TimePoint now);
     void recover(Entry &it, TimePoint now);
--- a/src/Decide/ReplicaPool.cpp
+++ b/src/Decide/ReplicaPool.cpp
@@ -579,6 +579,7 @@
                {"service", it->record.service},
                {"failures_in_row", it->health.failuresInRow},
                {"error_rate", it->health.errorRate},
+               {"cost_ratio", m_health.costRatio(it->health)},
                {"ejected_by_others", it->ejectedByPeers},
                {"for_ms", ejected ? (it->health.ejectedUntil - now) / 1ms : 0}});
     return ejected;
--- a/test/DecideHealthTrackerTest.cpp
+++ b/test/DecideHealthTrackerTest.cpp
@@ -60,6 +60,29 @@
     CHECK(tracker.ejectedCount() == 1);
 }
 
+// Guards against the ejection of a healthy upstream because of a single answer that a lost packet or
+// a suspended VM delayed.
+TEST_CASE_FIXTURE(HealthTrackerFixture, "healthTracker_singleStall_ejectsNothing")
+{
+    warmUp();
+    answer(4, 10s);
+    CHECK(entries[4].state == State::Healthy);
+    for (int i = 0; i < 10; ++i)
+        answer(4, 100ms);
+    answer(4, 10s);
+    CHECK(entries[4].state == State::Healthy);
+}
+
+// Guards against the same for an answer that was delayed before the usual cost was known.
+TEST_CASE_FIXTURE(HealthTrackerFixture, "healthTracker_stallBeforeBaseline_ejectsNothing")
+{
+    answer(4, 10s);
+    warmUp();
+    for (int i = 0; i < 3; ++i)
+        answer(4, 100ms);
+    CHECK(entries[4].state == State::Healthy);
+}
+
 TEST_CASE_FIXTURE(HealthTrackerFixture, "healthTracker_allFail_ejectsAtMostTheMaxShare")
 {
     for (int round = 0; round < 20; ++round) {
