--- a/test/integration/CliTest.cpp
+++ b/test/integration/CliTest.cpp
@@ -93,3 +93,18 @@
     CHECK(run({"status"}) == 1);
     CHECK(printed("operator_only"));
 }
+
+// Guards against --help that shows the flags library's own page, which names source files and no
+// command.
+TEST_CASE_FIXTURE(CommandLineFixture, "cli_help_listsCommandsAndFlagsOfTheProgram")
+{
+    REQUIRE(run({"--help"}) == 0);
+    CHECK(printed("usage: catkinloft"));
+    CHECK(printed("rollback REVISION"));
+    CHECK(printed("--change_id"));
+    CHECK_FALSE(printed(".cpp"));
+    CHECK_FALSE(printed("--tryfromenv"));
+    REQUIRE(run({"apply", "--help"}) == 0);
+    CHECK(printed("usage: catkinloft [flags] apply INVENTORY"));
+    CHECK_FALSE(printed("rollback"));
+}
