A crash that is confirmed late is dated to when it was first seen

If most replicas of a service crash together, the connections to them look like a lost path, and the crash of one is confirmed only by a later check, up to 0.8 s after the first. The watch now remembers for a second when a replica first refused a connection, unless one has stayed open since.

crashWatch_crashIsConfirmedLate_laterAttemptIsNotBlamed fails before and passes now.

--- a/src/Net/CrashWatch.cpp
+++ b/src/Net/CrashWatch.cpp
@@ -33,9 +33,9 @@
 static_assert(ConnectProbe::CloseTimeout <= RequestQuarantine::CrashDetectionSpread,
               "a crash must not be detected after the attempts that it broke are excluded");
 
-/// Time for which a crash is remembered for the other requests that the replica was processing. It
-/// is short because a replica whose incarnation does not change with each start may be running
-/// again later.
+/// Time for which a crash, or a refused connection that was not confirmed to be one, is remembered
+/// for the other requests that the replica was processing. It is short because a replica whose
+/// incarnation does not change with each start may be running again later.
 constexpr Duration CrashMemory = 1s;
 
 /// Time after which a request continues as after a crash although the evidence is not complete. A
@@ -66,6 +66,13 @@
 
 using CheckPtr = std::shared_ptr<Check>;
 
+/// A replica that has crashed, or has refused a connection without a confirmation of its crash.
+struct Refusal
+{
+    TimePoint since; ///< When the first attempt broke.
+    TimePoint foundAt; ///< When the last check ended.
+};
+
 } // namespace
 
 struct CrashWatch::Private
@@ -76,7 +83,8 @@
     void found(const CheckPtr &check, Outcome result);
     void conclude(const CheckPtr &check, Outcome result);
     void presume(Check &check);
-    void crashed(const Check &check);
+    void notConfirmed(const Check &check);
+    void crashed(Check &check);
     void reportCrash(const BrokenAttempt &attempt, TimePoint crashedAt);
     void closeToAttempts(const CheckPtr &check);
     void finish(const CheckPtr &check);
@@ -86,7 +94,11 @@
     /// Undecided checks by incarnation. Further broken attempts join them.
     std::map<std::string, CheckPtr> undecided;
     std::set<CheckPtr> checks; ///< All, with those that only wait for a late close.
-    std::map<std::string, TimePoint> crashTimes; ///< By incarnation.
+    std::map<std::string, Refusal> crashes; ///< By incarnation.
+    /// The same for replicas whose crash was not confirmed. If most replicas of a service crash at
+    /// once, it looks like a lost path first, and the crash is confirmed only by a later check. The
+    /// requests that were sent in the meantime must not be blamed.
+    std::map<std::string, Refusal> unconfirmed;
 };
 
 CrashWatch::CrashWatch(Options options) : m_d(std::make_unique<Private>(std::move(options))) { }
@@ -97,9 +109,9 @@
                               std::function<void(bool)> decided)
 {
     m_d->forgetOld();
-    const auto crashed = m_d->crashTimes.find(attempt.replica);
-    if (crashed != m_d->crashTimes.end()) {
-        m_d->reportCrash(attempt, crashed->second);
+    const auto crashed = m_d->crashes.find(attempt.replica);
+    if (crashed != m_d->crashes.end()) {
+        m_d->reportCrash(attempt, crashed->second.since);
         m_d->options.loop.post([decided = std::move(decided)] { decided(true); });
         return;
     }
@@ -132,6 +144,8 @@
 {
     if (check->confirming)
         return;
+    if (result == Outcome::Connected || result == Outcome::StayedOpen)
+        unconfirmed.erase(check->replica);
     if (result != Outcome::Closed)
         return conclude(check, result);
     check->confirming = true;
@@ -145,6 +159,8 @@
         if (!held)
             return;
         held->isPathLost = it == Finding::PathLost;
+        if (it != Finding::Crashed)
+            notConfirmed(*held);
         conclude(held, it == Finding::Crashed ? Outcome::Closed : Outcome::Unreachable);
     });
 }
@@ -185,10 +201,22 @@
         decided(value);
 }
 
-void CrashWatch::Private::crashed(const Check &check)
+void CrashWatch::Private::notConfirmed(const Check &check)
+{
+    const TimePoint now = options.loop.now();
+    unconfirmed.try_emplace(check.replica, Refusal{check.brokeAt, now}).first->second.foundAt = now;
+}
+
+void CrashWatch::Private::crashed(Check &check)
 {
-    const auto [crash, isNew] = crashTimes.emplace(check.replica, check.brokeAt);
-    crash->second = std::min(crash->second, check.brokeAt);
+    const auto earlier = unconfirmed.find(check.replica);
+    if (earlier != unconfirmed.end()) {
+        check.brokeAt = std::min(check.brokeAt, earlier->second.since);
+        unconfirmed.erase(earlier);
+    }
+    const auto [crash, isNew] =
+            crashes.try_emplace(check.replica, Refusal{check.brokeAt, options.loop.now()});
+    crash->second.since = std::min(crash->second.since, check.brokeAt);
     if (isNew) {
         options.metrics.count("catkinloft_replica_ends_total");
         Log::warning("replica_ended",
@@ -237,7 +265,9 @@
 void CrashWatch::Private::forgetOld()
 {
     const TimePoint now = options.loop.now();
-    std::erase_if(crashTimes, [&](const auto &it) { return now - it.second > CrashMemory; });
+    const auto isOld = [&](const auto &it) { return now - it.second.foundAt > CrashMemory; };
+    std::erase_if(crashes, isOld);
+    std::erase_if(unconfirmed, isOld);
 }
 
 } // namespace catkinloft
--- a/test/CrashWatchTest.cpp
+++ b/test/CrashWatchTest.cpp
@@ -129,9 +129,15 @@
     std::vector<std::string> crashedRequests;
     std::vector<TimePoint> crashTimes;
     std::vector<std::string> crashedReplicas;
+    CrashWatch::Finding finding = CrashWatch::Finding::Crashed;
     CrashWatch watch{
             {.loop = loop,
              .metrics = metrics,
+             .confirm =
+                     [this](const std::string &,
+                            const std::function<void(CrashWatch::Finding)> &done) {
+                         done(finding);
+                     },
              .attemptCrashed =
                      [this](const CrashWatch::BrokenAttempt &it, TimePoint at) {
                          crashedRequests.push_back(it.requestId);
@@ -195,3 +201,49 @@
     CHECK(std::count(crashedRequests.begin(), crashedRequests.end(), "r2") == 1);
     CHECK(crashedReplicas == std::vector<std::string>{"i-1"});
 }
+
+// Guards against blaming a request that was sent to a replica after it had crashed. If most
+// replicas of a service crash together, it looks like a lost path at first.
+TEST_CASE_FIXTURE(CrashWatchFixture, "crashWatch_crashIsConfirmedLate_laterAttemptIsNotBlamed")
+{
+    proxy.stopListening();
+    finding = CrashWatch::Finding::PathLost;
+    breakAttempt("r1");
+    runUntil([this] { return !decisions.empty(); });
+    const TimePoint firstSeen = loop.now();
+    CHECK(crashedRequests.empty());
+    runFor(600ms);
+    finding = CrashWatch::Finding::Crashed;
+    breakAttempt("r2");
+    runUntil([this] { return decisions.size() == 2; });
+    CHECK(crashedReplicas == std::vector<std::string>{"i-1"});
+    CHECK(crashedRequests.empty());
+    // A request that was already in progress at the crash is still suspected.
+    watch.checkReplica({.requestId = "r0",
+                        .replica = "i-1",
+                        .address = proxy.address(),
+                        .sentAt = firstSeen - 300ms},
+                       CrashWatch::AliveCriterion::StaysOpen,
+                       [this](bool crashed) { decisions.push_back(crashed); });
+    runUntil([this] { return decisions.size() == 3; });
+    REQUIRE(crashedRequests == std::vector<std::string>{"r0"});
+    CHECK(crashTimes.front() <= firstSeen);
+}
+
+// Guards against dating a crash back to a lost path that worked again in between.
+TEST_CASE_FIXTURE(CrashWatchFixture, "crashWatch_pathWorkedBeforeCrash_attemptIsBlamed")
+{
+    proxy.closeAfter(0ms);
+    finding = CrashWatch::Finding::PathLost;
+    breakAttempt("r1");
+    runUntil([this] { return !decisions.empty(); });
+    proxy.closeAfter(Duration::max());
+    breakAttempt("r2");
+    runUntil([this] { return decisions.size() == 2; });
+    runFor(200ms);
+    proxy.stopListening();
+    finding = CrashWatch::Finding::Crashed;
+    breakAttempt("r3");
+    runUntil([this] { return decisions.size() == 3; });
+    CHECK(crashedRequests == std::vector<std::string>{"r3"});
+}
