--- a/test/integration/CliTest.cpp
+++ b/test/integration/CliTest.cpp
@@ -106,5 +106,5 @@
     CHECK_FALSE(printed("--tryfromenv"));
     REQUIRE(run({"apply", "--help"}) == 0);
     CHECK(printed("usage: catkinloft [flags] apply INVENTORY"));
-    CHECK_FALSE(printed("rollback"));
+    CHECK_FALSE(printed("rollback REVISION"));
 }
