Last-Event-ID exempts from admission only on resumable routes

A caller of a route whose streams cannot be resumed was never refused if it sent the header, since admission took every request with it for a resumed stream. The header has no other effect there.

--- a/src/Net/EntryAdmission.cpp
+++ b/src/Net/EntryAdmission.cpp
@@ -34,7 +34,8 @@
     m_isPrompt = request.route->kind == CallKind::Streaming;
     m_rank = service.rankOf(request);
     // The caller has a part of a stream that it resumes; refusing the rest would waste that part.
-    const bool isResumed = m_isPrompt && request.facts.lastEventId.has_value();
+    const bool isResumed =
+            m_isPrompt && request.route->resumable && request.facts.lastEventId.has_value();
     const bool isRefused = !isResumed && !isAdmitted();
     if (m_isPrompt)
         service.logChanges();
--- a/test/EntryAdmissionTest.cpp
+++ b/test/EntryAdmissionTest.cpp
@@ -47,6 +47,10 @@
         call.kind = CallKind::NonIdempotent;
         call.usesPromptCache = false;
         out->routes.push_back(call);
+        Route whole = out->routes[Bulk];
+        whole.name = whole.pathPrefix = "/whole/";
+        whole.resumable = false;
+        out->routes.push_back(whole);
         return std::make_shared<RouteTable>(out);
     }
 
@@ -94,6 +98,7 @@
     static constexpr std::size_t Chat = 0;
     static constexpr std::size_t Bulk = 1;
     static constexpr std::size_t Call = 2;
+    static constexpr std::size_t Whole = 3; ///< As Bulk, but not resumable.
 
     ManualClock clock;
     Metrics metrics;
@@ -180,6 +185,20 @@
     }
 }
 
+// Guards against callers that evade the limit with a header that means nothing on their route.
+TEST_CASE_FIXTURE(EntryAdmissionFixture, "entryAdmission_eventIdOnRouteWithoutResumption_isIgnored")
+{
+    overload();
+    EntryRequest it = request(Whole);
+    it.facts.lastEventId = 7;
+    int refused = 0;
+    for (int i = 0; i < 200; ++i) {
+        EntryAdmission admission(metrics);
+        refused += admit(admission, it) ? 1 : 0;
+    }
+    CHECK(refused > 0);
+}
+
 // Guards against retries that multiply the load of an overloaded service.
 TEST_CASE_FIXTURE(EntryAdmissionFixture, "entryAdmission_overload_retriesOnlyTheMostUrgent")
 {
