A resumed stream is retried under overload before its first event too

Streams that the caller has a part of are exempt from the limit of retries. Only events forwarded by this request counted, so a resumed stream was given up if its first attempt here failed at once.

--- a/src/Net/EntryAdmission.cpp
+++ b/src/Net/EntryAdmission.cpp
@@ -34,9 +34,8 @@
     m_isPrompt = request.route->kind == CallKind::Streaming;
     m_rank = service.rankOf(request);
     // The caller has a part of a stream that it resumes; refusing the rest would waste that part.
-    const bool isResumed =
-            m_isPrompt && request.route->resumable && request.facts.lastEventId.has_value();
-    const bool isRefused = !isResumed && !isAdmitted();
+    m_isResumed = m_isPrompt && request.route->resumable && request.facts.lastEventId.has_value();
+    const bool isRefused = !m_isResumed && !isAdmitted();
     if (m_isPrompt)
         service.logChanges();
     if (isRefused) {
@@ -114,7 +113,7 @@
         return true;
     if (!m_isPrompt)
         return verdict == Verdict::NotRun;
-    if (!m_service->options().mechanisms.urgentRetries || hasForwardedEvent
+    if (!m_service->options().mechanisms.urgentRetries || hasForwardedEvent || m_isResumed
         || m_service->prompts().isMostUrgent(m_rank))
         return true;
     return verdict == Verdict::NotRun && m_service->prompts().admits(m_rank);
--- a/src/Net/EntryAdmission.h
+++ b/src/Net/EntryAdmission.h
@@ -56,7 +56,7 @@
     /// lost.
     ///
     /// \param verdict of the attempt that failed.
-    /// \param hasForwardedEvent whether the caller has received a part of the stream.
+    /// \param hasForwardedEvent whether this request has delivered a part of the stream.
     bool mayRetry(Verdict verdict, bool hasForwardedEvent);
 
     /// \returns the priority that is stated to an engine; std::nullopt if none is.
@@ -71,6 +71,7 @@
     const EntryRequest *m_request = nullptr;
     RequestRank m_rank;
     bool m_isPrompt = false;
+    bool m_isResumed = false; ///< The caller has a part of the stream from before.
     std::optional<PromptAdmission::Id> m_prompt; ///< Set while a prompt is in progress.
 };
 
--- a/test/EntryAdmissionTest.cpp
+++ b/test/EntryAdmissionTest.cpp
@@ -199,6 +199,18 @@
     CHECK(refused > 0);
 }
 
+// Guards against the loss of a resumed stream whose first attempt at this router fails before an
+// event: the caller has a part of it from before.
+TEST_CASE_FIXTURE(EntryAdmissionFixture, "entryAdmission_resumedStreamFailsUnderOverload_isRetried")
+{
+    overload();
+    EntryRequest it = request(Bulk);
+    it.facts.lastEventId = 7;
+    EntryAdmission admission(metrics);
+    REQUIRE_FALSE(admit(admission, it));
+    CHECK(admission.mayRetry(Verdict::MayHaveRun, false));
+}
+
 // Guards against retries that multiply the load of an overloaded service.
 TEST_CASE_FIXTURE(EntryAdmissionFixture, "entryAdmission_overload_retriesOnlyTheMostUrgent")
 {
