Timeouts of first attempts are not learned shortly after an overload

Limits end and begin again during one overload. In between, and after it, refused callers return; five of their timeouts among the last 64 made the learned range so wide that repeats were no longer recognised.

--- a/src/Decide/RepeatDetector.h
+++ b/src/Decide/RepeatDetector.h
@@ -32,7 +32,7 @@
     explicit RepeatDetector(Options options) : m_options(options) { }
 
     /// \brief Records a request to \a route whose caller waits for \a timeout.
-    /// \param overloaded whether the service is overloaded; then nothing is learned.
+    /// \param overloaded whether the service is or was just overloaded; then nothing is learned.
     /// \returns whether the caller has tried before.
     bool isRepeat(std::string_view route, Duration timeout, bool overloaded);
 
--- a/src/Net/ServiceAdmission.cpp
+++ b/src/Net/ServiceAdmission.cpp
@@ -10,6 +10,10 @@
 
 constexpr Duration LogInterval = 1s;
 
+/// Time without overload before timeouts of first attempts are learned again. Limits end and begin
+/// again during one overload, and refused callers return shortly after it.
+constexpr Duration LearningDelay = 5s;
+
 } // namespace
 
 ServiceAdmission::ServiceAdmission(Options options)
@@ -23,11 +27,16 @@
 {
     RequestRank out{.priority = request.priority(), .routePriority = request.route->priority};
     const bool overloaded = m_prompts.isLimiting() || m_calls.isShedding();
+    const TimePoint now = m_options.clock.now();
+    if (overloaded)
+        m_overloadedAt = now;
     if (m_options.mechanisms.workspaceShares && request.workspace)
         out.overShare = m_workspaces.count(request.workspace->name, overloaded);
+    const bool mayHaveRepeats =
+            m_overloadedAt != TimePoint::min() && now - m_overloadedAt < LearningDelay;
     if (m_options.mechanisms.firstAttemptsFirst && request.facts.callerTimeout)
-        out.repeated =
-                m_repeats.isRepeat(request.route->name, *request.facts.callerTimeout, overloaded);
+        out.repeated = m_repeats.isRepeat(request.route->name, *request.facts.callerTimeout,
+                                          mayHaveRepeats);
     return out;
 }
 
--- a/src/Net/ServiceAdmission.h
+++ b/src/Net/ServiceAdmission.h
@@ -56,6 +56,7 @@
     LoadShedder m_calls;
     WorkspaceShares m_workspaces;
     RepeatDetector m_repeats;
+    TimePoint m_overloadedAt = TimePoint::min(); ///< Last request while it was overloaded.
     bool m_wasLimiting = false; ///< As logged last.
     TimePoint m_loggedAt = TimePoint::min();
 };
--- a/test/EntryAdmissionTest.cpp
+++ b/test/EntryAdmissionTest.cpp
@@ -211,6 +211,28 @@
     CHECK(admission.mayRetry(Verdict::MayHaveRun, false));
 }
 
+// Guards against repeated attempts that are learned as first ones when a limit ends and begins
+// again during one overload.
+TEST_CASE_FIXTURE(EntryAdmissionFixture, "entryAdmission_repeatsAfterALimit_areNotLearned")
+{
+    EntryRequest it = request(Chat);
+    it.facts.callerTimeout = 8s;
+    for (int i = 0; i < 64; ++i)
+        service->rankOf(it);
+    overload();
+    held.clear();
+    it.facts.callerTimeout = 5s;
+    service->rankOf(it);
+    clock.advance(2500ms);
+    REQUIRE_FALSE(service->isOverloaded(true));
+    for (int i = 0; i < 20; ++i) {
+        service->rankOf(it);
+        clock.advance(100ms);
+    }
+    overload();
+    CHECK(service->rankOf(it).repeated);
+}
+
 // Guards against retries that multiply the load of an overloaded service.
 TEST_CASE_FIXTURE(EntryAdmissionFixture, "entryAdmission_overload_retriesOnlyTheMostUrgent")
 {
