--- a/src/Net/ServiceAdmission.cpp
+++ b/src/Net/ServiceAdmission.cpp
@@ -2,6 +2,8 @@
 
 #include "Base/Log.h"
 
+#include <algorithm>
+
 namespace catkinloft {
 
 namespace {
@@ -34,9 +36,11 @@
         out.overShare = m_workspaces.count(request.workspace->name, overloaded);
     const bool mayHaveRepeats =
             m_overloadedAt != TimePoint::min() && now - m_overloadedAt < LearningDelay;
-    if (m_options.mechanisms.firstAttemptsFirst && request.facts.callerTimeout)
-        out.repeated = m_repeats.isRepeat(request.route->name, *request.facts.callerTimeout,
-                                          mayHaveRepeats);
+    if (m_options.mechanisms.firstAttemptsFirst && request.facts.callerTimeout) {
+        // Longer timeouts have no effect, and would make the range of the route useless.
+        const Duration timeout = std::min(*request.facts.callerTimeout, request.route->timeout);
+        out.repeated = m_repeats.isRepeat(request.route->name, timeout, mayHaveRepeats);
+    }
     return out;
 }
 
--- a/test/EntryAdmissionTest.cpp
+++ b/test/EntryAdmissionTest.cpp
@@ -34,6 +34,7 @@
                          .kind = CallKind::Streaming,
                          .resumable = true,
                          .usesPromptCache = true,
+                         .timeout = 8s,
                          .targetLatency = 500ms,
                          .targets = {{"model"}}};
         for (const auto &[prefix, priority] : {std::pair("/chat/", 0), std::pair("/bulk/", 2)}) {
@@ -211,6 +212,22 @@
     CHECK(admission.mayRetry(Verdict::MayHaveRun, false));
 }
 
+// Guards against repeated attempts that pass as first ones because a few callers state a timeout
+// beyond that of the route, which the router doesn't grant.
+TEST_CASE_FIXTURE(EntryAdmissionFixture, "entryAdmission_timeoutsBeyondTheRoutes_countAsTheRoutes")
+{
+    EntryRequest it = request(Chat);
+    for (int i = 0; i < 64; ++i) {
+        it.facts.callerTimeout = i % 8 == 0 ? Duration(10min) : Duration(8s);
+        service->rankOf(it);
+    }
+    overload();
+    it.facts.callerTimeout = 8s;
+    CHECK_FALSE(service->rankOf(it).repeated);
+    it.facts.callerTimeout = 5s;
+    CHECK(service->rankOf(it).repeated);
+}
+
 // Guards against repeated attempts that are learned as first ones when a limit ends and begins
 // again during one overload.
 TEST_CASE_FIXTURE(EntryAdmissionFixture, "entryAdmission_repeatsAfterALimit_areNotLearned")
