First attempts near a constant timeout do not count as repeated

The margin below the learned range was a part of its width, hence zero where all callers state the same timeout: one millisecond less made a first attempt a repeated one.

--- a/src/Decide/RepeatDetector.cpp
+++ b/src/Decide/RepeatDetector.cpp
@@ -19,6 +19,10 @@
 /// The range is extended by this part, since the shortest timeout may not have been seen yet.
 constexpr double Margin = 0.1;
 
+/// Least extension, as a part of the longest timeout. Where all callers state the same timeout,
+/// requests that are sent some milliseconds later than usual would count as repeated.
+constexpr double MinMargin = 0.01;
+
 /// Ranges in which the shortest timeout is less than this part of the longest say nothing.
 constexpr double MinUniformity = 0.5;
 
@@ -54,9 +58,9 @@
     std::nth_element(sorted.begin(), low, sorted.end());
     const Duration shortest = *low;
     const Duration longest = *std::max_element(low, sorted.end());
-    it.shortest = shortest < scaled(longest, MinUniformity)
-            ? Duration::zero()
-            : shortest - scaled(longest - shortest, Margin);
+    const Duration margin =
+            std::max(scaled(longest - shortest, Margin), scaled(longest, MinMargin));
+    it.shortest = shortest < scaled(longest, MinUniformity) ? Duration::zero() : shortest - margin;
 }
 
 } // namespace catkinloft
--- a/test/RepeatDetectorTest.cpp
+++ b/test/RepeatDetectorTest.cpp
@@ -52,6 +52,16 @@
     CHECK(repeats < 500);
 }
 
+// Guards against first attempts that count as repeated because they took some milliseconds longer
+// to arrive than those of callers that all state the same timeout.
+TEST_CASE_FIXTURE(RepeatDetectorFixture, "repeatDetector_sameTimeouts_slightlyLessIsNoRepeat")
+{
+    for (int i = 0; i < 64; ++i)
+        detector.isRepeat("chat", 8s, false);
+    CHECK_FALSE(detector.isRepeat("chat", 7950ms, true));
+    CHECK(detector.isRepeat("chat", 7800ms, true));
+}
+
 // Guards against a range that widens because most requests of a long overload are repeats.
 TEST_CASE_FIXTURE(RepeatDetectorFixture, "repeatDetector_overloadOfRepeats_keepsTheRange")
 {
