A service that gets no more calls stops counting as overloaded

The share of calls that is sent was raised again only by the next call. Until then the service counted as overloaded: usual rates of workspaces and timeouts were not learned from its prompts, and the gauge kept the last share.

--- a/src/Decide/LoadShedder.cpp
+++ b/src/Decide/LoadShedder.cpp
@@ -69,13 +69,18 @@
     const double passed = toSeconds(now - m_lastCallAt);
     m_meanShare += (m_share - m_meanShare) * (1 - std::exp(-passed / MeanSeconds));
     countCall(rank, now);
-    if (m_share < 1 && now - m_lastFullAt > FullLifetime)
+    if (!isShedding()) {
         m_share = 1;
-    if (m_share >= 1)
         return true;
+    }
     return uniform(m_options.random) < shareOf(rank);
 }
 
+bool LoadShedder::isShedding() const
+{
+    return m_share < 1 && m_options.clock.now() - m_lastFullAt <= FullLifetime;
+}
+
 Duration LoadShedder::retryAfter(Duration remaining)
 {
     const Duration longest = std::clamp<Duration>(remaining / 3, 0s, MaxRetryAfter);
--- a/src/Decide/LoadShedder.h
+++ b/src/Decide/LoadShedder.h
@@ -41,7 +41,7 @@
     bool admits(const RequestRank &rank);
 
     /// \returns whether calls are being shed; then no call that has run should be retried.
-    bool isShedding() const { return m_share < 1; }
+    bool isShedding() const;
 
     /// \brief Updates the share after an answer.
     /// \param latency time from sending the call to the end of the answer.
@@ -54,7 +54,7 @@
     void refused(const std::string &replica, std::size_t usable);
 
     /// \returns the share of calls that is sent, above 0 and at most 1.
-    double share() const { return m_share; }
+    double share() const { return isShedding() ? m_share : 1; }
 
     /// \returns when a refused caller should retry: a random time that spreads the callers, longer
     /// the smaller the share of calls that is sent, and at most a third of \a remaining.
--- a/test/LoadShedderTest.cpp
+++ b/test/LoadShedderTest.cpp
@@ -461,3 +461,17 @@
     const std::vector<Outcome> after = playMix(mix, 10s);
     CHECK(after[0].refused + others(after).refused == 0);
 }
+
+// Guards against a service that counts as overloaded for as long as it gets no more calls, although
+// prompts to it may go on.
+TEST_CASE("loadShedder_callsStopDuringOverload_isNoLongerShedding")
+{
+    ManualClock clock;
+    LoadShedder shedder({.clock = clock, .random = seededRandom(1)});
+    shedder.refused("r", 1);
+    CHECK(shedder.isShedding());
+    CHECK(shedder.share() < 1);
+    clock.advance(3s);
+    CHECK_FALSE(shedder.isShedding());
+    CHECK(shedder.share() == 1);
+}
