A very large priority does not overflow to the most urgent one

The priority stated to engines is three times that of the workspace plus the route's. Operators may configure any integer; from 715,827,883 on the product overflowed and was stated as 0.

--- a/src/Net/EntryAdmission.cpp
+++ b/src/Net/EntryAdmission.cpp
@@ -1,6 +1,7 @@
 #include "Net/EntryAdmission.h"
 
 #include <algorithm>
+#include <cstdint>
 
 #include <fmt/format.h>
 
@@ -15,7 +16,7 @@
 constexpr int MaxStatedPriority = 9;
 
 /// Weight of the workspace's priority against the route's in the one number that engines accept.
-constexpr int WorkspacePriorityStep = 3;
+constexpr std::int64_t WorkspacePriorityStep = 3;
 
 } // namespace
 
@@ -124,8 +125,10 @@
     if (!m_service || !m_service->options().mechanisms.requestPriorities
         || !m_request->route->usesPromptCache)
         return std::nullopt;
-    const int combined = m_rank.priority * WorkspacePriorityStep + m_rank.routePriority;
-    return m_rank.overShare ? MaxStatedPriority : std::clamp(combined, 0, MaxStatedPriority - 1);
+    if (m_rank.overShare)
+        return MaxStatedPriority;
+    const std::int64_t combined = m_rank.priority * WorkspacePriorityStep + m_rank.routePriority;
+    return static_cast<int>(std::clamp<std::int64_t>(combined, 0, MaxStatedPriority - 1));
 }
 
 } // namespace catkinloft
--- a/test/EntryAdmissionTest.cpp
+++ b/test/EntryAdmissionTest.cpp
@@ -212,6 +212,17 @@
     CHECK(admission.mayRetry(Verdict::MayHaveRun, false));
 }
 
+// Guards against an overflow that states the least urgent requests as the most urgent ones.
+TEST_CASE_FIXTURE(EntryAdmissionFixture, "entryAdmission_priorityOutOfRange_isStatedAsTheLast")
+{
+    const WorkspaceConfig workspace{.name = "branch", .priority = 1'000'000'000};
+    EntryRequest it = request(Bulk);
+    it.workspace = &workspace;
+    EntryAdmission admission(metrics);
+    CHECK_FALSE(admit(admission, it));
+    CHECK(admission.statedPriority() == 8);
+}
+
 // Guards against repeated attempts that pass as first ones because a few callers state a timeout
 // beyond that of the route, which the router doesn't grant.
 TEST_CASE_FIXTURE(EntryAdmissionFixture, "entryAdmission_timeoutsBeyondTheRoutes_countAsTheRoutes")
