Retry-After of a refusal is never zero

A request that was refused with no time left, or less than two milliseconds, carried Retry-After: 0.000.

--- a/src/Net/EntryAdmission.cpp
+++ b/src/Net/EntryAdmission.cpp
@@ -9,8 +9,14 @@
 
 namespace {
 
+using namespace std::chrono_literals;
+
 constexpr int Unavailable = 503;
 
+/// Least time after which a refused caller should retry. Retry-After is stated in milliseconds, and
+/// with 0 a caller would return at once.
+constexpr Duration MinRetryAfter = 1ms;
+
 /// Priorities that can be stated to an engine. What is over the share of its workspace is stated
 /// as the least urgent.
 constexpr int MaxStatedPriority = 9;
@@ -70,7 +76,7 @@
     if (m_isPrompt) {
         PromptAdmission &prompts = m_service->prompts();
         out.detail = fmt::format("{} receives more prompts than it can process in time", service);
-        out.retryAfter = prompts.retryAfter(remaining);
+        out.retryAfter = std::max(MinRetryAfter, prompts.retryAfter(remaining));
         out.figures.push_back({"limit", prompts.limit()});
         out.figures.push_back({"in_progress", static_cast<double>(prompts.inProgress())});
         out.figures.push_back({"late_share", prompts.lateShare()});
@@ -78,7 +84,7 @@
     } else {
         LoadShedder &calls = m_service->calls();
         out.detail = fmt::format("{} receives more calls than it can complete in time", service);
-        out.retryAfter = calls.retryAfter(remaining);
+        out.retryAfter = std::max(MinRetryAfter, calls.retryAfter(remaining));
         out.figures.push_back({"admitted_share", calls.share()});
     }
     return out;
--- a/test/EntryAdmissionTest.cpp
+++ b/test/EntryAdmissionTest.cpp
@@ -212,6 +212,26 @@
     CHECK(admission.mayRetry(Verdict::MayHaveRun, false));
 }
 
+// Guards against a caller that retries at once because it was told to wait for no time.
+TEST_CASE_FIXTURE(EntryAdmissionFixture, "entryAdmission_refusedWithNoTimeLeft_retryAfterIsNotZero")
+{
+    overload();
+    const EntryRequest it = request(Bulk);
+    for (const Duration remaining : {Duration(-5ms), Duration(0), Duration(1ms)}) {
+        int refused = 0;
+        for (int i = 0; i < 200; ++i) {
+            EntryAdmission admission(metrics);
+            const std::optional<Error> error = admission.admit(*service, it, remaining);
+            if (!error)
+                continue;
+            ++refused;
+            REQUIRE(error->retryAfter);
+            CHECK(*error->retryAfter >= 1ms);
+        }
+        CHECK(refused > 0);
+    }
+}
+
 // Guards against an overflow that states the least urgent requests as the most urgent ones.
 TEST_CASE_FIXTURE(EntryAdmissionFixture, "entryAdmission_priorityOutOfRange_isStatedAsTheLast")
 {
