--- a/src/Net/ServiceAdmission.cpp
+++ b/src/Net/ServiceAdmission.cpp
@@ -46,14 +46,14 @@
 
 void ServiceAdmission::logChanges()
 {
-    const bool isLimiting = m_prompts.isLimiting();
+    const bool limiting = isLimiting();
     const TimePoint now = m_options.clock.now();
-    if (isLimiting == m_wasLimiting
+    if (limiting == m_wasLimiting
         || (m_loggedAt != TimePoint::min() && now - m_loggedAt < LogInterval))
         return;
-    m_wasLimiting = isLimiting;
+    m_wasLimiting = limiting;
     m_loggedAt = now;
-    Log::info(isLimiting ? "admission_limited" : "admission_unlimited",
+    Log::info(limiting ? "admission_limited" : "admission_unlimited",
               {{"service", m_options.service},
                {"limit", m_prompts.limit()},
                {"in_progress", m_prompts.inProgress()},
@@ -65,7 +65,7 @@
 void ServiceAdmission::collect(Metrics &metrics) const
 {
     const std::string label = Metrics::label("service", m_options.service);
-    metrics.set("catkinloft_admission_limit", m_prompts.limit(), label);
+    metrics.set("catkinloft_admission_limit", isLimiting() ? m_prompts.limit() : 0, label);
     metrics.set("catkinloft_calls_admitted_share", m_calls.share(), label);
     metrics.set("catkinloft_workspaces_over_share", static_cast<double>(m_workspaces.overShare()),
                 label);
--- a/src/Net/ServiceAdmission.h
+++ b/src/Net/ServiceAdmission.h
@@ -37,7 +37,7 @@
     /// \returns whether prompts, or calls, are being refused for lack of capacity.
     bool isOverloaded(bool isPrompt) const
     {
-        return isPrompt ? m_prompts.isLimiting() : m_calls.isShedding();
+        return isPrompt ? isLimiting() : m_calls.isShedding();
     }
 
     PromptAdmission &prompts() { return m_prompts; }
@@ -51,6 +51,12 @@
     void collect(Metrics &metrics) const;
 
 private:
+    /// \returns whether a limit is applied to prompts.
+    bool isLimiting() const
+    {
+        return m_options.mechanisms.promptAdmission && m_prompts.isLimiting();
+    }
+
     Options m_options;
     PromptAdmission m_prompts;
     LoadShedder m_calls;
--- a/test/EntryAdmissionTest.cpp
+++ b/test/EntryAdmissionTest.cpp
@@ -324,3 +324,25 @@
         clock.advance(10ms);
     }
 }
+
+// Guards against logs and gauges of a limit that is not applied.
+TEST_CASE_FIXTURE(EntryAdmissionFixture, "entryAdmission_switchedOff_reportsNoLimit")
+{
+    const std::string noLimit = "catkinloft_admission_limit{service=\"model\"} 0\n";
+    overload();
+    service->collect(metrics);
+    CHECK(metrics.print().find(noLimit) == std::string::npos);
+    Mechanisms mechanisms;
+    mechanisms.promptAdmission = false;
+    create(mechanisms);
+    for (int i = 0; i < 200; ++i) {
+        requests.push_back(std::make_unique<EntryRequest>(request(Bulk)));
+        held.push_back(std::make_unique<EntryAdmission>(metrics));
+        CHECK_FALSE(admit(*held.back(), *requests.back()));
+        held.front()->headReceived({.load = ReplicaLoad{.running = 16, .waiting = 9, .slots = 16}});
+        clock.advance(10ms);
+        CHECK_FALSE(service->isOverloaded(true));
+        service->collect(metrics);
+        CHECK(metrics.print().find(noLimit) != std::string::npos);
+    }
+}
