The load in a misdirected answer is not taken for that of the replica asked for

An answer with status 421 comes from another process at the same address. Its load went into the placement and the admission of the service; its leaving state and pause were already ignored.

--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -551,6 +551,8 @@
     m_firstByte = m_context.loop.now() - m_attemptStartedAt;
     m_head = head;
     m_answer = m_context.codec.decodeAnswer(head);
+    if (head.status == Misdirected)
+        m_answer.load.reset(); // Another replica answered, which may be of another service.
     m_admission.headReceived(m_answer);
     if (m_answer.load)
         m_service->replicas.loadReported(m_incarnation, *m_answer.load);
--- a/test/EntryRequestTest.cpp
+++ b/test/EntryRequestTest.cpp
@@ -1000,6 +1000,29 @@
     CHECK(loop.now() - askedAt >= 800ms);
 }
 
+// Guards against a load report that is taken for that of the replica which was asked for.
+TEST_CASE_FIXTURE(EntryGatewayFixture, "entryRequest_misdirected_loadOfTheOtherReplicaIsIgnored")
+{
+    int status = 421;
+    addReplica([&](const std::string &request, std::size_t) -> Reply {
+        return {.bytes = ScriptedReplica::answer(request, status, "",
+                                                 "X-Not-Executed: 1\r\nX-Server-Load: 4,4,4\r\n")};
+    });
+    PromptAdmission &prompts = pools.of("svc").admission.prompts();
+    RawCaller caller(Port);
+    CHECK(call(caller, get("/stream/"), "\"verdict\"").starts_with("HTTP/1.1 503"));
+    CHECK(sent() > 0);
+    CHECK(prompts.occupancy() == 0);
+    status = 503;
+    addReplica([&](const std::string &request, std::size_t) -> Reply {
+        return {.bytes = ScriptedReplica::answer(request, status, "",
+                                                 "X-Not-Executed: 1\r\nX-Server-Load: 4,4,4\r\n")};
+    });
+    RawCaller second(Port);
+    CHECK(call(second, get("/stream/"), "\"verdict\"").starts_with("HTTP/1.1 503"));
+    CHECK(prompts.occupancy() == 2);
+}
+
 // Guards against a Retry-After that ends while all replicas still pause.
 TEST_CASE_FIXTURE(EntryGatewayFixture, "entryRequest_allReplicasPause_retryAfterIsTheShortestPause")
 {
