--- a/src/Decide/PromptAdmission.cpp
+++ b/src/Decide/PromptAdmission.cpp
@@ -201,7 +201,8 @@
     const double part = 1 / it.weight;
     it.running += part * (load.running / slots - it.running);
     it.waiting += part * (std::min(1.0, load.waiting / (WaitingShareOfSlots * slots)) - it.waiting);
-    it.occupancy += part * ((load.running + load.waiting) / slots - it.occupancy);
+    const double requests = static_cast<double>(load.running) + load.waiting;
+    it.occupancy += part * (requests / slots - it.occupancy);
     it.receivedAt = now;
     if (isBusy())
         m_busyAt = now;
--- a/src/Decide/ReplicaLoad.h
+++ b/src/Decide/ReplicaLoad.h
@@ -13,7 +13,7 @@
     double pace = 1;
 
     /// \returns the requests that run or wait for each slot; above 1 if some must wait.
-    double occupancy() const { return static_cast<double>(running + waiting) / slots; }
+    double occupancy() const { return (static_cast<double>(running) + waiting) / slots; }
 };
 
 } // namespace catkinloft
--- a/test/PlatformCodecTest.cpp
+++ b/test/PlatformCodecTest.cpp
@@ -1,4 +1,6 @@
 #include "Base/EntrySettings.h"
+#include "Base/ManualClock.h"
+#include "Decide/PromptAdmission.h"
 #include "platform/ConfigDecoder.h"
 #include "platform/EnginePrompts.h"
 #include "platform/RequestCodec.h"
@@ -219,6 +221,21 @@
         CHECK(loadIn(it)->pace == 1);
 }
 
+// Guards against a report of very large figures that overflows and makes a replica seem idle.
+TEST_CASE("requestCodec_loadOfAReplicaWithLargeFigures_isAHighLoad")
+{
+    const auto load =
+            platform::decodeAnswer(
+                    {.status = 200, .headers = {{"X-Server-Load", "2147483647,2147483647,1"}}})
+                    .load;
+    REQUIRE(load);
+    CHECK(load->occupancy() > 1);
+    ManualClock clock;
+    PromptAdmission prompts({.clock = clock, .random = seededRandom(1)});
+    prompts.loadReported(*load);
+    CHECK(prompts.occupancy() > 1);
+}
+
 TEST_CASE("platformCodec_answerOfAReplica_showsLeavingAndPause")
 {
     const auto pause = [](int status, const std::string &text) {
