A route without a target latency keeps the default of one second

It was decoded as zero. With that every prompt counts as late as soon as it is sent, so that prompts were refused once half of the slots were in use, and a single waiting call counted as a full queue.

--- a/test/PlatformCodecTest.cpp
+++ b/test/PlatformCodecTest.cpp
@@ -57,6 +57,16 @@
     CHECK(it.sourceText == ConfigText);
 }
 
+// Guards against a target of zero, with which every answer of the route is late.
+TEST_CASE("configDecoder_routeWithoutTargetLatency_keepsTheDefault")
+{
+    const Result<RouteConfigPtr> read = platform::decodeConfig(ConfigText);
+    REQUIRE(read);
+    CHECK(read.value()->routes[0].targetLatency == 800ms);
+    CHECK(read.value()->routes[1].targetLatency == Route().targetLatency);
+    CHECK(Route().targetLatency > 0s);
+}
+
 TEST_CASE("configDecoder_wrongTypesOrInvalidJson_isAnError")
 {
     CHECK_FALSE(platform::decodeConfig("nothing"));
