Callers without a workspace have one share together

WorkspaceShares counts them as one workspace, but their requests were not passed to it. They were never over a share, however many they sent, and were missing from the total that shares are compared with.

--- a/src/Net/ServiceAdmission.cpp
+++ b/src/Net/ServiceAdmission.cpp
@@ -3,6 +3,7 @@
 #include "Base/Log.h"
 
 #include <algorithm>
+#include <string_view>
 
 namespace catkinloft {
 
@@ -32,8 +33,9 @@
     const TimePoint now = m_options.clock.now();
     if (overloaded)
         m_overloadedAt = now;
-    if (m_options.mechanisms.workspaceShares && request.workspace)
-        out.overShare = m_workspaces.count(request.workspace->name, overloaded);
+    if (m_options.mechanisms.workspaceShares)
+        out.overShare = m_workspaces.count(
+                request.workspace ? request.workspace->name : std::string_view(), overloaded);
     const bool mayHaveRepeats =
             m_overloadedAt != TimePoint::min() && now - m_overloadedAt < LearningDelay;
     if (m_options.mechanisms.firstAttemptsFirst && request.facts.callerTimeout) {
--- a/test/EntryAdmissionTest.cpp
+++ b/test/EntryAdmissionTest.cpp
@@ -7,6 +7,8 @@
 #include <memory>
 #include <vector>
 
+#include <fmt/format.h>
+
 using namespace catkinloft;
 using namespace std::chrono_literals;
 
@@ -281,6 +283,27 @@
     CHECK(service->rankOf(it).repeated);
 }
 
+// Guards against callers without a workspace whose surge takes capacity from all workspaces.
+TEST_CASE_FIXTURE(EntryAdmissionFixture, "entryAdmission_callersWithoutWorkspace_haveOneShare")
+{
+    std::vector<WorkspaceConfig> workspaces(10);
+    for (std::size_t i = 0; i < workspaces.size(); ++i)
+        workspaces[i].name = fmt::format("w{}", i);
+    EntryRequest it = request(Chat);
+    for (std::size_t i = 0; i < 1800; ++i) {
+        it.workspace = &workspaces[i % workspaces.size()];
+        CHECK_FALSE(service->rankOf(it).overShare);
+        clock.advance(100ms);
+    }
+    it.workspace = nullptr;
+    int over = 0;
+    for (int i = 0; i < 1000; ++i) {
+        over += service->rankOf(it).overShare ? 1 : 0;
+        clock.advance(25ms);
+    }
+    CHECK(over > 500);
+}
+
 // Guards against retries that multiply the load of an overloaded service.
 TEST_CASE_FIXTURE(EntryAdmissionFixture, "entryAdmission_overload_retriesOnlyTheMostUrgent")
 {
