--- a/src/Net/EntryAdmission.cpp
+++ b/src/Net/EntryAdmission.cpp
@@ -1,6 +1,7 @@
 #include "Net/EntryAdmission.h"
 
 #include <algorithm>
+#include <cstdint>
 
 #include <fmt/format.h>
 
@@ -8,14 +9,20 @@
 
 namespace {
 
+using namespace std::chrono_literals;
+
 constexpr int Unavailable = 503;
 
+/// Least time after which a refused caller should retry. Retry-After is stated in milliseconds, and
+/// with 0 a caller would return at once.
+constexpr Duration MinRetryAfter = 1ms;
+
 /// Priorities that can be stated to an engine. What is over the share of its workspace is stated
 /// as the least urgent.
 constexpr int MaxStatedPriority = 9;
 
 /// Weight of the workspace's priority against the route's in the one number that engines accept.
-constexpr int WorkspacePriorityStep = 3;
+constexpr std::int64_t WorkspacePriorityStep = 3;
 
 } // namespace
 
@@ -34,8 +41,8 @@
     m_isPrompt = request.route->kind == CallKind::Streaming;
     m_rank = service.rankOf(request);
     // The caller has a part of a stream that it resumes; refusing the rest would waste that part.
-    const bool isResumed = m_isPrompt && request.facts.lastEventId.has_value();
-    const bool isRefused = !isResumed && !isAdmitted();
+    m_isResumed = m_isPrompt && request.route->resumable && request.facts.lastEventId.has_value();
+    const bool isRefused = !m_isResumed && !isAdmitted();
     if (m_isPrompt)
         service.logChanges();
     if (isRefused) {
@@ -69,7 +76,7 @@
     if (m_isPrompt) {
         PromptAdmission &prompts = m_service->prompts();
         out.detail = fmt::format("{} receives more prompts than it can process in time", service);
-        out.retryAfter = prompts.retryAfter(remaining);
+        out.retryAfter = std::max(MinRetryAfter, prompts.retryAfter(remaining));
         out.figures.push_back({"limit", prompts.limit()});
         out.figures.push_back({"in_progress", static_cast<double>(prompts.inProgress())});
         out.figures.push_back({"late_share", prompts.lateShare()});
@@ -77,7 +84,7 @@
     } else {
         LoadShedder &calls = m_service->calls();
         out.detail = fmt::format("{} receives more calls than it can complete in time", service);
-        out.retryAfter = calls.retryAfter(remaining);
+        out.retryAfter = std::max(MinRetryAfter, calls.retryAfter(remaining));
         out.figures.push_back({"admitted_share", calls.share()});
     }
     return out;
@@ -113,7 +120,7 @@
         return true;
     if (!m_isPrompt)
         return verdict == Verdict::NotRun;
-    if (!m_service->options().mechanisms.urgentRetries || hasForwardedEvent
+    if (!m_service->options().mechanisms.urgentRetries || hasForwardedEvent || m_isResumed
         || m_service->prompts().isMostUrgent(m_rank))
         return true;
     return verdict == Verdict::NotRun && m_service->prompts().admits(m_rank);
@@ -124,8 +131,10 @@
     if (!m_service || !m_service->options().mechanisms.requestPriorities
         || !m_request->route->usesPromptCache)
         return std::nullopt;
-    const int combined = m_rank.priority * WorkspacePriorityStep + m_rank.routePriority;
-    return m_rank.overShare ? MaxStatedPriority : std::clamp(combined, 0, MaxStatedPriority - 1);
+    if (m_rank.overShare)
+        return MaxStatedPriority;
+    const std::int64_t combined = m_rank.priority * WorkspacePriorityStep + m_rank.routePriority;
+    return static_cast<int>(std::clamp<std::int64_t>(combined, 0, MaxStatedPriority - 1));
 }
 
 } // namespace catkinloft
--- a/src/Net/ServiceAdmission.cpp
+++ b/src/Net/ServiceAdmission.cpp
@@ -2,6 +2,9 @@
 
 #include "Base/Log.h"
 
+#include <algorithm>
+#include <string_view>
+
 namespace catkinloft {
 
 namespace {
@@ -10,6 +13,10 @@
 
 constexpr Duration LogInterval = 1s;
 
+/// Time without overload before timeouts of first attempts are learned again. Limits end and begin
+/// again during one overload, and refused callers return shortly after it.
+constexpr Duration LearningDelay = 5s;
+
 } // namespace
 
 ServiceAdmission::ServiceAdmission(Options options)
@@ -23,24 +30,32 @@
 {
     RequestRank out{.priority = request.priority(), .routePriority = request.route->priority};
     const bool overloaded = m_prompts.isLimiting() || m_calls.isShedding();
-    if (m_options.mechanisms.workspaceShares && request.workspace)
-        out.overShare = m_workspaces.count(request.workspace->name, overloaded);
-    if (m_options.mechanisms.firstAttemptsFirst && request.facts.callerTimeout)
-        out.repeated =
-                m_repeats.isRepeat(request.route->name, *request.facts.callerTimeout, overloaded);
+    const TimePoint now = m_options.clock.now();
+    if (overloaded)
+        m_overloadedAt = now;
+    if (m_options.mechanisms.workspaceShares)
+        out.overShare = m_workspaces.count(
+                request.workspace ? request.workspace->name : std::string_view(), overloaded);
+    const bool mayHaveRepeats =
+            m_overloadedAt != TimePoint::min() && now - m_overloadedAt < LearningDelay;
+    if (m_options.mechanisms.firstAttemptsFirst && request.facts.callerTimeout) {
+        // Longer timeouts have no effect, and would make the range of the route useless.
+        const Duration timeout = std::min(*request.facts.callerTimeout, request.route->timeout);
+        out.repeated = m_repeats.isRepeat(request.route->name, timeout, mayHaveRepeats);
+    }
     return out;
 }
 
 void ServiceAdmission::logChanges()
 {
-    const bool isLimiting = m_prompts.isLimiting();
+    const bool limiting = isLimiting();
     const TimePoint now = m_options.clock.now();
-    if (isLimiting == m_wasLimiting
+    if (limiting == m_wasLimiting
         || (m_loggedAt != TimePoint::min() && now - m_loggedAt < LogInterval))
         return;
-    m_wasLimiting = isLimiting;
+    m_wasLimiting = limiting;
     m_loggedAt = now;
-    Log::info(isLimiting ? "admission_limited" : "admission_unlimited",
+    Log::info(limiting ? "admission_limited" : "admission_unlimited",
               {{"service", m_options.service},
                {"limit", m_prompts.limit()},
                {"in_progress", m_prompts.inProgress()},
@@ -52,7 +67,7 @@
 void ServiceAdmission::collect(Metrics &metrics) const
 {
     const std::string label = Metrics::label("service", m_options.service);
-    metrics.set("catkinloft_admission_limit", m_prompts.limit(), label);
+    metrics.set("catkinloft_admission_limit", isLimiting() ? m_prompts.limit() : 0, label);
     metrics.set("catkinloft_calls_admitted_share", m_calls.share(), label);
     metrics.set("catkinloft_workspaces_over_share", static_cast<double>(m_workspaces.overShare()),
                 label);
--- a/test/EntryAdmissionTest.cpp
+++ b/test/EntryAdmissionTest.cpp
@@ -7,6 +7,8 @@
 #include <memory>
 #include <vector>
 
+#include <fmt/format.h>
+
 using namespace catkinloft;
 using namespace std::chrono_literals;
 
@@ -34,6 +36,7 @@
                          .kind = CallKind::Streaming,
                          .resumable = true,
                          .usesPromptCache = true,
+                         .timeout = 8s,
                          .targetLatency = 500ms,
                          .targets = {{"model"}}};
         for (const auto &[prefix, priority] : {std::pair("/chat/", 0), std::pair("/bulk/", 2)}) {
@@ -47,6 +50,10 @@
         call.kind = CallKind::NonIdempotent;
         call.usesPromptCache = false;
         out->routes.push_back(call);
+        Route whole = out->routes[Bulk];
+        whole.name = whole.pathPrefix = "/whole/";
+        whole.resumable = false;
+        out->routes.push_back(whole);
         return std::make_shared<RouteTable>(out);
     }
 
@@ -94,6 +101,7 @@
     static constexpr std::size_t Chat = 0;
     static constexpr std::size_t Bulk = 1;
     static constexpr std::size_t Call = 2;
+    static constexpr std::size_t Whole = 3; ///< As Bulk, but not resumable.
 
     ManualClock clock;
     Metrics metrics;
@@ -180,6 +188,122 @@
     }
 }
 
+// Guards against callers that evade the limit with a header that means nothing on their route.
+TEST_CASE_FIXTURE(EntryAdmissionFixture, "entryAdmission_eventIdOnRouteWithoutResumption_isIgnored")
+{
+    overload();
+    EntryRequest it = request(Whole);
+    it.facts.lastEventId = 7;
+    int refused = 0;
+    for (int i = 0; i < 200; ++i) {
+        EntryAdmission admission(metrics);
+        refused += admit(admission, it) ? 1 : 0;
+    }
+    CHECK(refused > 0);
+}
+
+// Guards against the loss of a resumed stream whose first attempt at this router fails before an
+// event: the caller has a part of it from before.
+TEST_CASE_FIXTURE(EntryAdmissionFixture, "entryAdmission_resumedStreamFailsUnderOverload_isRetried")
+{
+    overload();
+    EntryRequest it = request(Bulk);
+    it.facts.lastEventId = 7;
+    EntryAdmission admission(metrics);
+    REQUIRE_FALSE(admit(admission, it));
+    CHECK(admission.mayRetry(Verdict::MayHaveRun, false));
+}
+
+// Guards against a caller that retries at once because it was told to wait for no time.
+TEST_CASE_FIXTURE(EntryAdmissionFixture, "entryAdmission_refusedWithNoTimeLeft_retryAfterIsNotZero")
+{
+    overload();
+    const EntryRequest it = request(Bulk);
+    for (const Duration remaining : {Duration(-5ms), Duration(0), Duration(1ms)}) {
+        int refused = 0;
+        for (int i = 0; i < 200; ++i) {
+            EntryAdmission admission(metrics);
+            const std::optional<Error> error = admission.admit(*service, it, remaining);
+            if (!error)
+                continue;
+            ++refused;
+            REQUIRE(error->retryAfter);
+            CHECK(*error->retryAfter >= 1ms);
+        }
+        CHECK(refused > 0);
+    }
+}
+
+// Guards against an overflow that states the least urgent requests as the most urgent ones.
+TEST_CASE_FIXTURE(EntryAdmissionFixture, "entryAdmission_priorityOutOfRange_isStatedAsTheLast")
+{
+    const WorkspaceConfig workspace{.name = "branch", .priority = 1'000'000'000};
+    EntryRequest it = request(Bulk);
+    it.workspace = &workspace;
+    EntryAdmission admission(metrics);
+    CHECK_FALSE(admit(admission, it));
+    CHECK(admission.statedPriority() == 8);
+}
+
+// Guards against repeated attempts that pass as first ones because a few callers state a timeout
+// beyond that of the route, which the router doesn't grant.
+TEST_CASE_FIXTURE(EntryAdmissionFixture, "entryAdmission_timeoutsBeyondTheRoutes_countAsTheRoutes")
+{
+    EntryRequest it = request(Chat);
+    for (int i = 0; i < 64; ++i) {
+        it.facts.callerTimeout = i % 8 == 0 ? Duration(10min) : Duration(8s);
+        service->rankOf(it);
+    }
+    overload();
+    it.facts.callerTimeout = 8s;
+    CHECK_FALSE(service->rankOf(it).repeated);
+    it.facts.callerTimeout = 5s;
+    CHECK(service->rankOf(it).repeated);
+}
+
+// Guards against repeated attempts that are learned as first ones when a limit ends and begins
+// again during one overload.
+TEST_CASE_FIXTURE(EntryAdmissionFixture, "entryAdmission_repeatsAfterALimit_areNotLearned")
+{
+    EntryRequest it = request(Chat);
+    it.facts.callerTimeout = 8s;
+    for (int i = 0; i < 64; ++i)
+        service->rankOf(it);
+    overload();
+    held.clear();
+    it.facts.callerTimeout = 5s;
+    service->rankOf(it);
+    clock.advance(2500ms);
+    REQUIRE_FALSE(service->isOverloaded(true));
+    for (int i = 0; i < 20; ++i) {
+        service->rankOf(it);
+        clock.advance(100ms);
+    }
+    overload();
+    CHECK(service->rankOf(it).repeated);
+}
+
+// Guards against callers without a workspace whose surge takes capacity from all workspaces.
+TEST_CASE_FIXTURE(EntryAdmissionFixture, "entryAdmission_callersWithoutWorkspace_haveOneShare")
+{
+    std::vector<WorkspaceConfig> workspaces(10);
+    for (std::size_t i = 0; i < workspaces.size(); ++i)
+        workspaces[i].name = fmt::format("w{}", i);
+    EntryRequest it = request(Chat);
+    for (std::size_t i = 0; i < 1800; ++i) {
+        it.workspace = &workspaces[i % workspaces.size()];
+        CHECK_FALSE(service->rankOf(it).overShare);
+        clock.advance(100ms);
+    }
+    it.workspace = nullptr;
+    int over = 0;
+    for (int i = 0; i < 1000; ++i) {
+        over += service->rankOf(it).overShare ? 1 : 0;
+        clock.advance(25ms);
+    }
+    CHECK(over > 500);
+}
+
 // Guards against retries that multiply the load of an overloaded service.
 TEST_CASE_FIXTURE(EntryAdmissionFixture, "entryAdmission_overload_retriesOnlyTheMostUrgent")
 {
@@ -223,3 +347,25 @@
         clock.advance(10ms);
     }
 }
+
+// Guards against logs and gauges of a limit that is not applied.
+TEST_CASE_FIXTURE(EntryAdmissionFixture, "entryAdmission_switchedOff_reportsNoLimit")
+{
+    const std::string noLimit = "catkinloft_admission_limit{service=\"model\"} 0\n";
+    overload();
+    service->collect(metrics);
+    CHECK(metrics.print().find(noLimit) == std::string::npos);
+    Mechanisms mechanisms;
+    mechanisms.promptAdmission = false;
+    create(mechanisms);
+    for (int i = 0; i < 200; ++i) {
+        requests.push_back(std::make_unique<EntryRequest>(request(Bulk)));
+        held.push_back(std::make_unique<EntryAdmission>(metrics));
+        CHECK_FALSE(admit(*held.back(), *requests.back()));
+        held.front()->headReceived({.load = ReplicaLoad{.running = 16, .waiting = 9, .slots = 16}});
+        clock.advance(10ms);
+        CHECK_FALSE(service->isOverloaded(true));
+        service->collect(metrics);
+        CHECK(metrics.print().find(noLimit) != std::string::npos);
+    }
+}
--- a/test/PlatformCodecTest.cpp
+++ b/test/PlatformCodecTest.cpp
@@ -1,4 +1,6 @@
 #include "Base/EntrySettings.h"
+#include "Base/ManualClock.h"
+#include "Decide/PromptAdmission.h"
 #include "platform/ConfigDecoder.h"
 #include "platform/EnginePrompts.h"
 #include "platform/RequestCodec.h"
@@ -55,6 +57,16 @@
     CHECK(it.sourceText == ConfigText);
 }
 
+// Guards against a target of zero, with which every answer of the route is late.
+TEST_CASE("configDecoder_routeWithoutTargetLatency_keepsTheDefault")
+{
+    const Result<RouteConfigPtr> read = platform::decodeConfig(ConfigText);
+    REQUIRE(read);
+    CHECK(read.value()->routes[0].targetLatency == 800ms);
+    CHECK(read.value()->routes[1].targetLatency == Route().targetLatency);
+    CHECK(Route().targetLatency > 0s);
+}
+
 TEST_CASE("configDecoder_wrongTypesOrInvalidJson_isAnError")
 {
     CHECK_FALSE(platform::decodeConfig("nothing"));
@@ -219,6 +231,21 @@
         CHECK(loadIn(it)->pace == 1);
 }
 
+// Guards against a report of very large figures that overflows and makes a replica seem idle.
+TEST_CASE("requestCodec_loadOfAReplicaWithLargeFigures_isAHighLoad")
+{
+    const auto load =
+            platform::decodeAnswer(
+                    {.status = 200, .headers = {{"X-Server-Load", "2147483647,2147483647,1"}}})
+                    .load;
+    REQUIRE(load);
+    CHECK(load->occupancy() > 1);
+    ManualClock clock;
+    PromptAdmission prompts({.clock = clock, .random = seededRandom(1)});
+    prompts.loadReported(*load);
+    CHECK(prompts.occupancy() > 1);
+}
+
 TEST_CASE("platformCodec_answerOfAReplica_showsLeavingAndPause")
 {
     const auto pause = [](int status, const std::string &text) {
