A retry of a prompt that did not run needs no second place in the window

mayRetry() asked admits(), which compared the threshold with a count that included the request itself, added its demand a second time and recorded a denial as a refusal, which prolongs the limit. Found by review; promptAdmission_retryOfPromptInProgress_usesItsOwnPlace covers all three.

--- a/src/Decide/PromptAdmission.cpp
+++ b/src/Decide/PromptAdmission.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <numeric>
 
 namespace catkinloft {
 
@@ -125,6 +124,7 @@
 {
     update();
     const TimePoint now = m_options.clock.now();
+    countDemand(rank);
     const double allowed = threshold(rank);
     bool admitted = true;
     if (m_window > 0) {
@@ -139,6 +139,12 @@
     return admitted;
 }
 
+bool PromptAdmission::admitsRetry(const RequestRank &rank)
+{
+    update();
+    return m_window <= 0 || uniform(m_options.random) < threshold(rank) - (inProgress() - 1);
+}
+
 bool PromptAdmission::isMostUrgent(const RequestRank &rank) const
 {
     RequestRank first = rank;
@@ -316,7 +322,7 @@
     clearObservations();
 }
 
-double PromptAdmission::threshold(const RequestRank &rank)
+void PromptAdmission::countDemand(const RequestRank &rank)
 {
     const TimePoint now = m_options.clock.now();
     const double decay = std::exp(-toSeconds(now - m_demandAt) / DemandSeconds);
@@ -331,9 +337,16 @@
         it = m_ranks.insert(it, {.rank = rank});
     if (it != m_ranks.end())
         it->demand += 1;
-    const auto sum = [](double n, const RankInUse &used) { return n + used.demand; };
-    const double moreUrgent = std::accumulate(m_ranks.begin(), it, 0.0, sum);
-    const double total = std::accumulate(it, m_ranks.end(), moreUrgent, sum);
+}
+
+double PromptAdmission::threshold(const RequestRank &rank) const
+{
+    double moreUrgent = 0;
+    double total = 0;
+    for (const RankInUse &it : m_ranks) {
+        total += it.demand;
+        moreUrgent += it.rank.isBefore(rank) ? it.demand : 0;
+    }
     const double remaining = 1 - moreUrgent / std::max(1.0, total);
     return m_window * std::max(MinThreshold, std::pow(remaining, ReserveExponent));
 }
--- a/src/Decide/PromptAdmission.h
+++ b/src/Decide/PromptAdmission.h
@@ -42,6 +42,11 @@
     /// \returns whether a prompt of \a rank may be sent; if not, it is refused.
     bool admits(const RequestRank &rank);
 
+    /// \returns whether a prompt of \a rank that is in progress and did not run fits below its
+    /// threshold, so that it may be sent again. It was counted when it was admitted, and a denial
+    /// is no refusal that would prolong the limit.
+    bool admitsRetry(const RequestRank &rank);
+
     /// \returns whether no more urgent prompts than those of \a rank were seen recently.
     bool isMostUrgent(const RequestRank &rank) const;
 
@@ -138,7 +143,8 @@
     void limitOnset();
     void adjustWindow();
     void removeLimit();
-    double threshold(const RequestRank &rank); ///< Records that \a rank is in use.
+    void countDemand(const RequestRank &rank);
+    double threshold(const RequestRank &rank) const; ///< Largest number of prompts in progress.
     double windowFactor() const;
     RecentShare::Counts late() const;
     bool isOverloaded() const;
--- a/src/Net/EntryAdmission.cpp
+++ b/src/Net/EntryAdmission.cpp
@@ -123,7 +123,7 @@
     if (!m_service->options().mechanisms.urgentRetries || hasForwardedEvent || m_isResumed
         || m_service->prompts().isMostUrgent(m_rank))
         return true;
-    return verdict == Verdict::NotRun && m_service->prompts().admits(m_rank);
+    return verdict == Verdict::NotRun && m_service->prompts().admitsRetry(m_rank);
 }
 
 std::optional<int> EntryAdmission::statedPriority() const
--- a/test/PlatformCodecTest.cpp
+++ b/test/PlatformCodecTest.cpp
@@ -179,6 +179,8 @@
     REQUIRE(loadIn("3,7,8"));
     CHECK(loadIn("3,7,8")->running == 3);
     CHECK(loadIn("3, 7, 8")->waiting == 7);
+    REQUIRE(loadIn("3 ,7 , 8 ,250"));
+    CHECK(loadIn("3 ,7 , 8 ,250")->pace == 2.5);
     CHECK(loadIn("3,7,8")->slots == 8);
     for (const char *it : {"", "3", "3,7", "3,7,0", "-1,0,8", "3,x,8", "99999999999,0,1"})
         CHECK_FALSE(loadIn(it));
--- a/test/PromptAdmissionTest.cpp
+++ b/test/PromptAdmissionTest.cpp
@@ -843,6 +843,28 @@
     }
 }
 
+// Guards against a retry that needs a second place beside its own request's, and against denied
+// retries that prolong the limit as refusals do.
+TEST_CASE_FIXTURE(SingleRouterFixture, "promptAdmission_retryOfPromptInProgress_usesItsOwnPlace")
+{
+    overload(20);
+    const RequestRank rank = {.priority = 1};
+    router.admits(rank);
+    endPrompts(20 - static_cast<int>(router.limit()));
+    CHECK(admittedShare(rank) < 0.95);
+    int allowed = 0;
+    for (int i = 0; i < 100; ++i)
+        allowed += router.admitsRetry(rank) ? 1 : 0;
+    CHECK(allowed == 100);
+    startPrompts(5);
+    CHECK_FALSE(router.admitsRetry(rank));
+    for (int i = 0; i < 21; ++i) {
+        clock.advance(100ms);
+        router.admitsRetry(rank);
+    }
+    CHECK_FALSE(router.isLimiting());
+}
+
 // Guards against a reserve for more urgent prompts where there are none.
 TEST_CASE_FIXTURE(SingleRouterFixture, "promptAdmission_singleRank_usesTheWholeWindow")
 {
