--- a/test/PlatformCodecTest.cpp
+++ b/test/PlatformCodecTest.cpp
@@ -209,6 +209,17 @@
     CHECK(priorityIn(2) == std::vector<std::string>{"2"});
 }
 
+// Guards against a timeout that overflows and counts as expired.
+TEST_CASE("requestCodec_hugeTimeoutOfACaller_isLimited")
+{
+    const auto timeoutIn = [](const char *text) {
+        return platform::decodeRequest({{"X-Request-Deadline", text}}).callerTimeout;
+    };
+    REQUIRE(timeoutIn("9223372036854775807"));
+    CHECK(*timeoutIn("9223372036854775807") >= 1h);
+    CHECK(timeoutIn("2500") == 2500ms);
+}
+
 // Guards against the loss of a whole load report because of figures that follow the first three.
 TEST_CASE("requestCodec_loadOfAReplicaWithFurtherFigures_keepsTheFirstThree")
 {
