--- a/test/PlatformCodecTest.cpp
+++ b/test/PlatformCodecTest.cpp
@@ -179,6 +179,8 @@
     REQUIRE(loadIn("3,7,8"));
     CHECK(loadIn("3,7,8")->running == 3);
     CHECK(loadIn("3, 7, 8")->waiting == 7);
+    REQUIRE(loadIn("3 ,7 , 8 ,250"));
+    CHECK(loadIn("3 ,7 , 8 ,250")->pace == 2.5);
     CHECK(loadIn("3,7,8")->slots == 8);
     for (const char *it : {"", "3", "3,7", "3,7,0", "-1,0,8", "3,x,8", "99999999999,0,1"})
         CHECK_FALSE(loadIn(it));
@@ -207,6 +209,17 @@
     CHECK(priorityIn(2) == std::vector<std::string>{"2"});
 }
 
+// Guards against a timeout that overflows and counts as expired.
+TEST_CASE("requestCodec_hugeTimeoutOfACaller_isLimited")
+{
+    const auto timeoutIn = [](const char *text) {
+        return platform::decodeRequest({{"X-Request-Deadline", text}}).callerTimeout;
+    };
+    REQUIRE(timeoutIn("9223372036854775807"));
+    CHECK(*timeoutIn("9223372036854775807") >= 1h);
+    CHECK(timeoutIn("2500") == 2500ms);
+}
+
 // Guards against the loss of a whole load report because of figures that follow the first three.
 TEST_CASE("requestCodec_loadOfAReplicaWithFurtherFigures_keepsTheFirstThree")
 {
