Replica stand-in with a limited number of slots and a queue

The soak is to overload the fleet (docs/design/brittle-services.md, part 3), but the replica stand-in ran any number of requests at once and always reported a load of 1 of 8 slots, so it could never get full.

Without the flag nothing changes. EntryFleet can set both, and then also configures four more workspaces and routes of three priorities for each kind of request.

Test: replica_moreRequestsThanSlotsAndQueue_refusesAndReportsLoad passes.

--- a/standin/ReplicaStandin.cpp
+++ b/standin/ReplicaStandin.cpp
@@ -66,6 +66,8 @@
                         {"X-Not-Executed", "1"}};
     if (!retryAfter.empty())
         headers.emplace_back("Retry-After", retryAfter);
+    if (m_options.slots > 0)
+        headers.emplace_back("X-Server-Load", loadReport());
     exchange->respond(503, withLeavingHeader(headers), {});
 }
 
@@ -78,7 +80,7 @@
         return exchange->respond(421, withLeavingHeader({{"X-Instance-Id", m_options.id}}), {});
     if (const double ms = faultValue("pause_ms"); ms > 0)
         return refuse(exchange, fmt::format("{:.3f}", ms / 1000));
-    if (shouldInject("refuse"))
+    if (shouldInject("refuse") || !hasRoom())
         return refuse(exchange, {});
     record(*exchange);
     if (exchange->body() == FatalBody || hasFatalPart(*exchange) || exceedsColdRateLimit())
@@ -90,12 +92,45 @@
     }
     if (shouldInject("lose"))
         return exchange->abort();
+    if (m_options.slots > 0 && m_running >= m_options.slots)
+        m_waiting.push_back(exchange);
+    else
+        execute(exchange);
+}
+
+bool ReplicaStandin::hasRoom() const
+{
+    return m_options.slots <= 0 || m_running < m_options.slots
+            || static_cast<int>(m_waiting.size()) < m_options.queue;
+}
+
+std::string ReplicaStandin::loadReport() const
+{
+    if (m_options.slots <= 0)
+        return fmt::format("1,0,8,{}", pacePercent());
+    return fmt::format("{},{},{},{}", m_running, m_waiting.size(), m_options.slots, pacePercent());
+}
+
+void ReplicaStandin::execute(const HttpExchangePtr &exchange)
+{
+    ++m_running;
     if (!exchange->queryValue("events").empty())
         startStream(exchange);
     else
         answerCall(exchange);
 }
 
+void ReplicaStandin::releaseSlot()
+{
+    --m_running;
+    while (!m_waiting.empty()) {
+        const HttpExchangePtr next = m_waiting.front();
+        m_waiting.pop_front();
+        if (next->isOpen())
+            return execute(next);
+    }
+}
+
 void ReplicaStandin::crash(const HttpExchangePtr &exchange)
 {
     if (!exchange->queryValue("events").empty())
@@ -147,7 +182,7 @@
     const std::string id = toString(exchange.header("X-Request-Id"));
     return withLeavingHeader({{"X-Request-Id", id},
                               {"X-Response-Signature", signatureOf(id, body)},
-                              {"X-Server-Load", fmt::format("1,0,8,{}", pacePercent())},
+                              {"X-Server-Load", loadReport()},
                               {"Keep-Alive", "timeout=5"}});
 }
 
@@ -166,8 +201,9 @@
             fmt::format("{} answered by {}", exchange->header("X-Request-Id"), m_options.id);
     const int status = shouldInject("fail") ? 500 : 200;
     m_options.loop.after(m_options.serviceTime,
-                         [exchange, status, body, headers = headersOf(*exchange, body)] {
+                         [this, exchange, status, body, headers = headersOf(*exchange, body)] {
                              exchange->respond(status, headers, body);
+                             releaseSlot();
                          });
 }
 
@@ -189,15 +225,18 @@
 void ReplicaStandin::continueStream(const std::shared_ptr<Stream> &stream)
 {
     if (!stream->exchange->isOpen())
-        return;
+        return releaseSlot();
     if (stream->next > stream->last) {
         stream->exchange->end();
-        return;
+        return releaseSlot();
     }
     const std::string event = eventText(stream->next, m_options.version);
     if (stream->next == stream->cutAt) {
         stream->exchange->write(event.substr(0, event.size() / 2));
-        m_options.loop.after(m_options.eventInterval, [stream] { stream->exchange->abort(); });
+        m_options.loop.after(m_options.eventInterval, [this, stream] {
+            stream->exchange->abort();
+            releaseSlot();
+        });
         return;
     }
     stream->exchange->write(event);
--- a/standin/ReplicaStandin.h
+++ b/standin/ReplicaStandin.h
@@ -19,6 +19,9 @@
 /// is leaving. If `pause_ms` is above 0, all requests are refused with this time in `Retry-After`.
 /// The process crashes on a request with FatalBody or with FatalPart among the parts of its prompt,
 /// except the last, and when it receives more than twice `cold_per_s` requests within a second.
+///
+/// With a number of slots, requests beyond them wait, and those beyond the queue are refused as not
+/// executed. Its load reports then state the requests that run and wait.
 class ReplicaStandin final : public Standin
 {
 public:
@@ -29,6 +32,8 @@
         std::string version = {}; ///< Software version, which each event names; empty: none does.
         Duration serviceTime = std::chrono::milliseconds(5);
         Duration eventInterval = std::chrono::milliseconds(10);
+        int slots = 0; ///< Requests that run at the same time; 0: no limit.
+        int queue = 0; ///< Requests that wait for a slot.
         std::string recordFile = {};
     };
 
@@ -61,6 +66,10 @@
     void crash(const HttpExchangePtr &exchange);
     bool exceedsColdRateLimit();
     HttpHeaders headersOf(const HttpExchange &exchange, const std::string &body) const;
+    bool hasRoom() const;
+    std::string loadReport() const;
+    void execute(const HttpExchangePtr &exchange);
+    void releaseSlot();
     void answerCall(const HttpExchangePtr &exchange);
     void startStream(const HttpExchangePtr &exchange);
     void continueStream(const std::shared_ptr<Stream> &stream);
@@ -70,6 +79,8 @@
     std::map<std::string, double> m_faults;
     std::deque<TimePoint> m_arrivals; ///< Times of the requests of the last second.
     RandomSource m_random;
+    int m_running = 0;
+    std::deque<HttpExchangePtr> m_waiting; ///< Requests without a slot, in order of arrival.
 };
 
 } // namespace catkinloft::standin
--- a/standin/fleet/EntryFleet.cpp
+++ b/standin/fleet/EntryFleet.cpp
@@ -29,7 +29,7 @@
 }
 
 Json::Value routeJson(const std::string &name, const std::string &kind, const std::string &service,
-                      bool resumable, int attempts)
+                      bool resumable, int attempts, int priority = 1)
 {
     Json::Value out(Json::objectValue);
     out["name"] = name;
@@ -39,7 +39,7 @@
     out["service"] = service;
     out["timeout-ms"] = 4000;
     out["target-latency-ms"] = 500;
-    out["priority"] = 1;
+    out["priority"] = priority;
     out["max-attempts"] = attempts;
     out["no-auth"] = false;
     out["stream-resume"] = resumable;
@@ -116,10 +116,18 @@
     it.service = i < m_options.replicas ? "calls" : "streams";
     it.id = fmt::format("i-{}-{}", i, ++it.starts);
     it.exitedAt.reset();
-    it.process = spawn({"catkinloft-standin", "--listen=" + it.address, "--name=" + it.id,
-                        "--software_version=" + it.version, "--service_ms=5",
-                        "--record_file=" + m_folder + "/" + it.id + ".executions", "replica"},
-                       it.id);
+    std::vector<std::string> command{"catkinloft-standin", "--listen=" + it.address,
+                                     "--name=" + it.id, "--software_version=" + it.version,
+                                     "--record_file=" + m_folder + "/" + it.id + ".executions"};
+    if (const std::optional<Capacity> &capacity = m_options.capacity) {
+        command.push_back(fmt::format("--service_ms={}", toSeconds(capacity->serviceTime) * 1000));
+        command.push_back(fmt::format("--replica_slots={}", capacity->slots));
+        command.push_back(fmt::format("--replica_queue={}", capacity->queue));
+    } else {
+        command.emplace_back("--service_ms=5");
+    }
+    command.emplace_back("replica");
+    it.process = spawn(std::move(command), it.id);
 }
 
 void EntryFleet::restartReplica(std::size_t i)
@@ -196,7 +204,7 @@
     entry["service"] = it.service;
     entry["address"] = it.proxy.listen;
     entry["zone"] = domainOf(i);
-    entry["slots"] = 8;
+    entry["slots"] = m_options.capacity ? m_options.capacity->slots : 8;
     entry["version"] = versionOf(i);
     entry["cold-remaining-ms"] = static_cast<Json::Int64>(cold / std::chrono::milliseconds(1));
     entry["sequence"] = 1;
@@ -219,6 +227,21 @@
     writeRow("op", "evacuate/" + domain, Json::Value());
 }
 
+std::string EntryFleet::priorityRoute(const std::string &route, int priority)
+{
+    return fmt::format("{}-{}", route, priority);
+}
+
+std::string EntryFleet::workspaceName(std::size_t i)
+{
+    return fmt::format("workspace-{}", i);
+}
+
+std::string EntryFleet::workspaceKey(std::size_t i)
+{
+    return fmt::format("workspace-key-{}", i);
+}
+
 std::uint64_t EntryFleet::writeConfig(const std::vector<std::string> &keys, bool withExtraRoute)
 {
     m_version += 3;
@@ -230,6 +253,16 @@
     root["routes"].append(routeJson("whole", "streaming", "streams", false, 1));
     if (withExtraRoute)
         root["routes"].append(routeJson("extra", "idempotent", "calls", false, 2));
+    for (int i = 0; m_options.capacity && i < Priorities; ++i) {
+        root["routes"].append(
+                routeJson(priorityRoute("safe", i), "idempotent", "calls", false, 2, i));
+        root["routes"].append(
+                routeJson(priorityRoute("once", i), "non_idempotent", "calls", false, 1, i));
+        root["routes"].append(
+                routeJson(priorityRoute("stream", i), "streaming", "streams", true, 2, i));
+        root["routes"].append(
+                routeJson(priorityRoute("whole", i), "streaming", "streams", false, 1, i));
+    }
     for (const char *it : {"calls", "streams"}) {
         Json::Value service(Json::objectValue);
         service["name"] = it;
@@ -244,6 +277,12 @@
     for (const std::string &it : keys)
         workspace["api-keys"].append(it);
     root["tenants"].append(workspace);
+    for (std::size_t i = 0; m_options.capacity && i < Workspaces; ++i) {
+        Json::Value other(Json::objectValue);
+        other["name"] = workspaceName(i);
+        other["api-keys"].append(workspaceKey(i));
+        root["tenants"].append(other);
+    }
     writeRow("op", "config", root);
     return m_version;
 }
--- a/standin/fleet/EntryFleet.h
+++ b/standin/fleet/EntryFleet.h
@@ -22,6 +22,16 @@
 class EntryFleet
 {
 public:
+    /// \brief Limits of a replica. A fleet with limits also has workspaces besides the first one,
+    /// and routes of several priorities (\sa priorityRoute).
+    struct Capacity
+    {
+        int slots = 4;
+        int queue = 24;
+        /// Time of a call in its slot; equals that of a stream with six events.
+        Duration serviceTime = std::chrono::milliseconds(60);
+    };
+
     struct Options
     {
         std::string binaries; ///< Directory of the built programs.
@@ -31,6 +41,7 @@
         std::vector<std::string> versions = {};
         std::size_t domains = 1; ///< Failure domains; replicas are assigned to them in turn.
         std::string extraSettings = {}; ///< Additional lines of each router's settings.
+        std::optional<Capacity> capacity = {}; ///< Of each replica; none: not limited.
     };
 
     explicit EntryFleet(Options options);
@@ -55,6 +66,9 @@
     std::size_t replicaCount() const { return m_replicas.size(); }
     const std::string &replicaId(std::size_t i) const { return m_replicas.at(i).id; }
 
+    /// \returns the address of the proxy in front of replica \a i, where the routers reach it.
+    const std::string &replicaAddress(std::size_t i) const { return m_replicas.at(i).proxy.listen; }
+
     /// \returns the failure domain of replica \a i.
     std::string domainOf(std::size_t i) const;
 
@@ -141,6 +155,19 @@
     /// Requests per second that a cold replica can take from all routers together.
     static constexpr int ColdPerSecond = 20;
 
+    /// Of a fleet with limited capacity: priorities of its routes, 0 to Priorities - 1, and number
+    /// of additional workspaces.
+    static constexpr int Priorities = 3;
+    static constexpr std::size_t Workspaces = 4;
+
+    /// \returns the name of the route like \a route (`safe`, `once`, `stream` or `whole`) with
+    /// \a priority.
+    static std::string priorityRoute(const std::string &route, int priority);
+
+    /// \returns the name and the key of the additional workspace \a i.
+    static std::string workspaceName(std::size_t i);
+    static std::string workspaceKey(std::size_t i);
+
 private:
     struct Proxy
     {
--- a/standin/main.cpp
+++ b/standin/main.cpp
@@ -33,6 +33,8 @@
 DEFINE_double(reads_per_second, 2000, "table, objects, weights, rowstore: rate limit of reads");
 DEFINE_string(software_version, "",
               "replica: software version, which each event of a stream names");
+DEFINE_int32(replica_slots, 0, "replica: requests that run at the same time; 0: no limit");
+DEFINE_int32(replica_queue, 0, "replica: requests that wait for a slot");
 DEFINE_string(control, "", "proxy: address of its control interface, IP:PORT");
 DEFINE_string(target, "", "proxy: address that it forwards to, IP:PORT");
 DEFINE_double(service_ms, 2, "service, replica: milliseconds from a call to its answer");
@@ -88,6 +90,8 @@
                                     .id = FLAGS_name,
                                     .version = FLAGS_software_version,
                                     .serviceTime = fromSeconds(FLAGS_service_ms / 1000),
+                                    .slots = FLAGS_replica_slots,
+                                    .queue = FLAGS_replica_queue,
                                     .recordFile = FLAGS_record_file});
 }
 
--- a/test/integration/StandinTest.cpp
+++ b/test/integration/StandinTest.cpp
@@ -6,6 +6,7 @@
 
 #include <doctest/doctest.h>
 
+#include <map>
 #include <thread>
 #include <utility>
 
@@ -332,3 +333,42 @@
         at = body.find(fmt::format("id: {}\n", i), at);
     CHECK(at != std::string::npos);
 }
+
+// Guards against an overload in the soak that checks nothing because replicas never get full or do
+// not report it.
+TEST_CASE_FIXTURE(StandinFixture, "replica_moreRequestsThanSlotsAndQueue_refusesAndReportsLoad")
+{
+    start("replica", {"--service_ms=400", "--replica_slots=1", "--replica_queue=1"});
+    EventLoop loop;
+    HttpClient client(loop);
+    std::map<int, std::string> loadByStatus;
+    int answered = 0;
+    const auto sendNext = [&](const std::string &target) {
+        client.fetch({.address = address, .target = target, .timeout = 20s},
+                     [&](const Result<HttpAnswer> &answer) {
+                         REQUIRE(answer);
+                         const HttpHead &head = answer.value().head;
+                         loadByStatus[head.status] = head.header("X-Server-Load");
+                         CHECK(head.header("X-Not-Executed") == (head.status == 503 ? "1" : ""));
+                         ++answered;
+                     });
+    };
+    const auto runUntilAnswered = [&](int n) {
+        for (int turn = 0; turn < 20'000 && answered < n; ++turn) {
+            loop.runOnce();
+            std::this_thread::sleep_for(1ms);
+        }
+        REQUIRE(answered == n);
+    };
+    for (const char *it : {"/a", "/a?events=6", "/a"})
+        sendNext(it);
+    runUntilAnswered(3);
+    REQUIRE(loadByStatus.contains(503));
+    CHECK(loadByStatus[503].starts_with("1,1,1,"));
+    REQUIRE(loadByStatus.contains(200));
+    // The slots are free again.
+    loadByStatus.clear();
+    sendNext("/a");
+    runUntilAnswered(4);
+    CHECK(loadByStatus[200].starts_with("1,0,1,"));
+}
