Soak: overload as a level of faults of its own, with checks O1 to O4

The soak had no overload, so refusals, priorities and the return to usual service were checked in models only (docs/design/brittle-services.md, part 3).

A line with ++++++ plays two phases of one to three seconds in which callers of four more workspaces send two to three times the capacity, repeat what is refused at once, and one workspace sends more than half: one among the other faults, one alone after them. All draws come from generators of their own; soakPlan_levelsBeforeOverload_ planIsUnchanged compares a plan of the earlier levels with that of the previous release. OverloadCheck states the bounds and their reasons.

--- a/soak/SoakCheck.cpp
+++ b/soak/SoakCheck.cpp
@@ -1,6 +1,7 @@
 #include "SoakCheck.h"
 
 #include "Base/Log.h"
+#include "OverloadCheck.h"
 #include "ReplicaStandin.h"
 
 #include <algorithm>
@@ -285,7 +286,7 @@
             broken(fmt::format("{} ran although no caller sent it", id));
             continue;
         }
-        if (it["key_seen"].asBool() || it["workspace"].asString() != "archive")
+        if (it["key_seen"].asBool() || it["workspace"].asString() != attempt->second.workspace)
             broken(fmt::format("{} reached a replica with its key or without its workspace", id));
         if (!it["priority"].asString().empty())
             broken(fmt::format("{} reached a replica with the priority that its caller chose", id));
@@ -326,6 +327,7 @@
     checkPauses(attempts, arrivals, history, broken);
     checkEvacuations(attempts, arrivals, history, broken);
     checkColdReplicas(arrivals, history, broken);
+    checkOverloads(attempts, runs, history, broken);
     if (const std::size_t n = lateFatalRuns(attempts, executions, history); n > MaxLateFatalRuns)
         broken(fmt::format("a request that had crashed three replicas ran {} more times", n));
     return out;
--- a/soak/SoakCheck.h
+++ b/soak/SoakCheck.h
@@ -45,6 +45,14 @@
     WallTime until = WallTime::max();
 };
 
+/// \brief A period in which callers sent several times the capacity of the replicas.
+struct OverloadPhase
+{
+    WallTime from = {};
+    WallTime until = WallTime::max();
+    bool isAlone = false; ///< No other fault near the phase. \sa OverloadCheck.h
+};
+
 /// \brief The actions and faults of a run that decide which guarantees apply.
 struct RunHistory
 {
@@ -52,6 +60,8 @@
     std::vector<RouterDisturbance> disturbances = {};
     std::vector<Evacuation> evacuations = {};
     std::vector<ColdPeriod> coldPeriods = {};
+    std::vector<OverloadPhase> overloads = {};
+    std::vector<Canary> canaries = {}; ///< In order of sending.
     std::function<std::string(const std::string &replica)> domainOf = {}; ///< By the replica's id.
 };
 
--- a/soak/SoakLoad.cpp
+++ b/soak/SoakLoad.cpp
@@ -16,23 +16,76 @@
 /// Number of requests between two queries to the directory.
 constexpr std::size_t RequestsPerResolve = 60;
 
+/// Time that callers give a request, and how much longer they wait for an answer.
+constexpr auto CallerTimeout = 3000ms;
+constexpr auto CallerGrace = 500ms;
+
+/// Requests per second of all additional workspaces without overload.
+constexpr double UsualWorkspaceRate = 20;
+
+/// Share of the surging workspace in an overload. Usually each has a quarter of UsualWorkspaceRate,
+/// so this is 50 times its usual rate or more.
+constexpr double SurgingShare = 0.5;
+
+/// Interval in which due requests of the workspaces are sent, and the longest time that counts. The
+/// limit prevents a burst of all that was due while this process did not run.
+constexpr Duration WorkspaceInterval = 5ms;
+constexpr Duration MaxWorkspaceDelay = 50ms;
+
+/// Tries of one request. Each failure is followed by the next try at once.
+constexpr int MaxTries = 3;
+
+/// Tries in progress at one router, above which callers of the workspaces send nothing there. The
+/// callers of a service are limited in number as well; without a limit a paused router would hold
+/// thousands of connections.
+constexpr std::size_t MaxTriesPerRouter = 200;
+
+constexpr int Unavailable = 503;
+
+bool isRepeatable(std::string_view route)
+{
+    return route == "safe" || route == "stream";
+}
+
 } // namespace
 
 SoakLoad::SoakLoad(Options options)
     : m_options(std::move(options)), m_client(m_options.loop),
       m_timer(m_options.loop, [this] { send(); }),
       // Takes no random numbers, so that the other requests are the same with and without it.
-      m_fatalTimer(m_options.loop, [this] {
-          send({"safe", "POST", "/safe/a", standin::FatalBody},
-               fmt::format("{}{}", FatalIdPrefix, m_fatalNumber),
-               m_fatalNumber % m_options.fleet.routerCount());
-          ++m_fatalNumber;
-      })
+      m_fatalTimer(m_options.loop,
+                   [this] {
+                       send({"safe", "POST", "/safe/a", standin::FatalBody},
+                            fmt::format("{}{}", FatalIdPrefix, m_fatalNumber),
+                            m_fatalNumber % m_options.fleet.routerCount());
+                       ++m_fatalNumber;
+                   }),
+      m_workspaceTimer(m_options.loop, [this] { sendForWorkspaces(); }),
+      m_canaryTimer(m_options.loop, [this] { sendCanaries(); }),
+      m_workspaceRate(UsualWorkspaceRate), m_triesInProgress(m_options.fleet.routerCount())
 {
     for (std::size_t i = 0; i < m_options.fleet.routerCount(); ++i)
         m_addresses.push_back(m_options.fleet.callerAddress(i));
     if (m_options.leaverSeed)
         m_leaverRandom = seededRandom(*m_options.leaverSeed);
+    if (m_options.workspaceSeed)
+        m_workspaceRandom = seededRandom(*m_options.workspaceSeed);
+}
+
+void SoakLoad::start()
+{
+    m_timer.startRepeating(m_options.interval);
+    m_workspaceSentAt = m_options.loop.now();
+    if (m_workspaceRandom)
+        m_workspaceTimer.startRepeating(WorkspaceInterval);
+}
+
+void SoakLoad::stop()
+{
+    m_timer.stop();
+    m_fatalTimer.stop();
+    m_workspaceTimer.stop();
+    m_canaryTimer.stop();
 }
 
 void SoakLoad::resolveRouters()
@@ -70,18 +123,22 @@
     return 0;
 }
 
-void SoakLoad::send()
+const SoakLoad::RequestTemplate &SoakLoad::templateAt(std::size_t i)
 {
-    static constexpr std::array RequestTemplates = {
+    static constexpr std::array<RequestTemplate, TemplateCount> RequestTemplates = {
             RequestTemplate{"safe", "GET", "/safe/a", ""},
             RequestTemplate{"once", "POST", "/once/a", "body"},
             StreamTemplate,
             RequestTemplate{"whole", "GET", "/whole/a?events=6", ""},
     };
+    return RequestTemplates[i];
+}
+
+void SoakLoad::send()
+{
     if (++m_number % RequestsPerResolve == 0)
         resolveRouters();
-    const RequestTemplate &request =
-            RequestTemplates[below(m_options.random, RequestTemplates.size())];
+    const RequestTemplate &request = templateAt(below(m_options.random, TemplateCount));
     const std::string &address = m_addresses[below(m_options.random, m_addresses.size())];
     const std::string id = fmt::format("s{}", m_number);
     if (isLeaver(request))
@@ -103,11 +160,11 @@
                  .target = request.target,
                  .headers = {{"Host", standin::EntryFleet::Host},
                              {"X-Request-Id", id},
-                             {"X-Request-Deadline", "3000"},
+                             {"X-Request-Deadline", fmt::format("{}", CallerTimeout / 1ms)},
                              {"Authorization", "Bearer " + m_key},
                              {"X-Request-Priority", "0"}},
                  .body = std::string(request.body),
-                 .timeout = 3500ms};
+                 .timeout = CallerTimeout + CallerGrace};
     if (!attempt.resumes.empty()) {
         out.headers.emplace_back("Resumes", attempt.resumes);
         out.headers.emplace_back("Last-Event-Id", fmt::format("{}", attempt.afterEvent));
@@ -120,17 +177,127 @@
     ++m_inProgress;
     m_client.fetch(composeCall(request, id, router), [this, id](const Result<HttpAnswer> &answer) {
         --m_inProgress;
-        if (!answer)
-            return;
-        Attempt &it = m_attempts[id];
-        it.status = answer.value().head.status;
-        it.body = answer.value().body;
-        it.signature = answer.value().head.header("X-Response-Signature");
-        it.saysLeaving = answer.value().head.header("Server-Leaving") == "1";
-        it.answeredAt = m_options.loop.wallNow();
+        record(id, answer);
+    });
+}
+
+void SoakLoad::record(const std::string &id, const Result<HttpAnswer> &answer)
+{
+    if (!answer)
+        return;
+    Attempt &it = m_attempts[id];
+    it.status = answer.value().head.status;
+    it.body = answer.value().body;
+    it.signature = answer.value().head.header("X-Response-Signature");
+    it.saysLeaving = answer.value().head.header("Server-Leaving") == "1";
+    it.retryAfter = answer.value().head.header("Retry-After");
+    it.answeredAt = m_options.loop.wallNow();
+}
+
+void SoakLoad::setOverload(double perSecond, std::size_t surging)
+{
+    m_workspaceRate = perSecond;
+    m_surging = surging;
+    m_canaryTimer.startRepeating(CanaryInterval);
+}
+
+void SoakLoad::endOverload()
+{
+    m_workspaceRate = UsualWorkspaceRate;
+    m_surging.reset();
+    m_canaryTimer.stop();
+}
+
+void SoakLoad::sendForWorkspaces()
+{
+    const TimePoint now = m_options.loop.now();
+    m_workspaceDue += m_workspaceRate
+            * toSeconds(std::min<Duration>(now - m_workspaceSentAt, MaxWorkspaceDelay));
+    m_workspaceSentAt = now;
+    for (; m_workspaceDue >= 1; m_workspaceDue -= 1) {
+        const bool isSurge = m_surging && uniform(m_workspaceRandom) < SurgingShare;
+        const std::size_t any = below(m_workspaceRandom, standin::EntryFleet::Workspaces);
+        sendTry({.request = &templateAt(below(m_workspaceRandom, TemplateCount)),
+                 .priority = static_cast<int>(
+                         below(m_workspaceRandom, standin::EntryFleet::Priorities)),
+                 .workspace = isSurge ? *m_surging : any,
+                 .deadline = now + CallerTimeout,
+                 .first = fmt::format("w{}", ++m_workspaceNumber)});
+    }
+}
+
+void SoakLoad::sendTry(const WorkspaceTry &it)
+{
+    const std::size_t router =
+            routerIndexOf(m_addresses[below(m_workspaceRandom, m_addresses.size())]);
+    if (m_triesInProgress[router] >= MaxTriesPerRouter)
+        return;
+    ++m_triesInProgress[router];
+    const std::string id =
+            it.number == 1 ? it.first : fmt::format("{}-try-{}", it.first, it.number);
+    const Duration left = it.deadline - m_options.loop.now();
+    HttpCall call = composeCall(*it.request, id, router);
+    const std::string_view route = it.request->route;
+    call.target.replace(1, route.size(),
+                        standin::EntryFleet::priorityRoute(std::string(route), it.priority));
+    Attempt &attempt = m_attempts[id];
+    attempt.key = standin::EntryFleet::workspaceKey(it.workspace);
+    attempt.workspace = standin::EntryFleet::workspaceName(it.workspace);
+    attempt.priority = it.priority;
+    attempt.firstTry = it.number == 1 ? std::string() : it.first;
+    for (HttpHeader &header : call.headers) {
+        if (header.first == "Authorization")
+            header.second = "Bearer " + attempt.key;
+        else if (header.first == "X-Request-Deadline")
+            header.second = fmt::format("{}", left / 1ms);
+    }
+    call.timeout = left + CallerGrace;
+    ++m_inProgress;
+    m_client.fetch(std::move(call), [this, it, id, router](const Result<HttpAnswer> &answer) {
+        --m_inProgress;
+        --m_triesInProgress[router];
+        record(id, answer);
+        retry(it, m_attempts[id]);
     });
 }
 
+/// Like real callers, repeats a refused request whatever its route is, and one with an unknown
+/// outcome only if it may run twice.
+void SoakLoad::retry(WorkspaceTry it, const Attempt &failed)
+{
+    const bool mayRepeat = failed.status == Unavailable
+            || ((failed.status == 0 || failed.status >= 500) && isRepeatable(it.request->route));
+    if (!mayRepeat || it.number >= MaxTries || !m_workspaceTimer.isPending()
+        || it.deadline <= m_options.loop.now())
+        return;
+    ++it.number;
+    sendTry(it);
+}
+
+void SoakLoad::sendCanaries()
+{
+    // No route has the path of a canary, and no replica is its target.
+    for (std::size_t i = 0; i < m_options.fleet.routerCount(); ++i)
+        sendCanary(m_options.fleet.callerAddress(i), {"Host", standin::EntryFleet::Host});
+    for (std::size_t i = 0; i < m_options.fleet.replicaCount(); ++i)
+        sendCanary(m_options.fleet.replicaAddress(i), {"X-Target-Instance", "none"});
+}
+
+void SoakLoad::sendCanary(const std::string &address, const HttpHeader &header)
+{
+    const std::size_t index = m_canaries.size();
+    m_canaries.push_back({.sentAt = m_options.loop.wallNow()});
+    m_client.fetch({.address = address,
+                    .target = "/canary",
+                    .headers = {{"X-Request-Id", fmt::format("canary-{}", index)}, header},
+                    .timeout = CallerTimeout},
+                   [this, index](const Result<HttpAnswer> &answer) {
+                       Canary &it = m_canaries[index];
+                       if (answer)
+                           it.delay = m_options.loop.wallNow() - it.sentAt;
+                   });
+}
+
 bool SoakLoad::isLeaver(const RequestTemplate &request) const
 {
     constexpr double LeavingShare = 0.4;
@@ -147,8 +314,12 @@
             composeCall(StreamTemplate, id, router),
             {.onHead =
                      [this, id](const HttpHead &head) {
-                         if (head.status != 200)
-                             m_attempts[id].status = head.status;
+                         if (head.status == 200)
+                             return;
+                         Attempt &it = m_attempts[id];
+                         it.status = head.status;
+                         it.retryAfter = head.header("Retry-After");
+                         it.answeredAt = m_options.loop.wallNow();
                      },
              .onData = [this, id, router](std::string_view it) { receive(id, router, it); },
              .onEnd =
@@ -184,6 +355,7 @@
     const int events = stream.mapped().events;
     if (events == 0)
         return;
+    m_attempts[first].hasLeft = true;
     constexpr auto MaxPause = 400ms;
     const Duration pause = scaled(MaxPause, uniform(m_leaverRandom));
     const std::size_t step = 1 + below(m_leaverRandom, m_options.fleet.routerCount() - 1);
--- a/soak/SoakLoad.h
+++ b/soak/SoakLoad.h
@@ -32,6 +32,19 @@
     WallTime answeredAt = {};
     std::string resumes = {}; ///< Attempt that began the stream, if the caller resumes it.
     int afterEvent = 0; ///< Last event of the stream that the caller had before.
+    bool hasLeft = false; ///< The caller left the stream after some events.
+    std::string retryAfter = {}; ///< As stated by the answer.
+    std::string workspace = "archive";
+    std::optional<int> priority = {}; ///< Of the route; none: a route of the only priority.
+    std::string firstTry = {}; ///< First attempt of the request, if this one repeats it.
+};
+
+/// \brief A request that a router or a replica answers at once, whatever its load. Its duration
+/// shows how long messages and processes are delayed at that moment.
+struct Canary
+{
+    WallTime sentAt = {};
+    Duration delay = Duration::max(); ///< Until the answer; max(): none.
 };
 
 /// \brief Simulates callers that resolve router addresses through the directory, reuse open
@@ -47,16 +60,15 @@
         Duration interval = std::chrono::milliseconds(8); ///< Between two requests of all callers.
         /// Seed for callers that leave streams and resume them at another router; empty: none do.
         std::optional<std::uint64_t> leaverSeed = {};
+        /// Seed for callers of the additional workspaces, who can overload the fleet; empty: there
+        /// are none. \sa setOverload()
+        std::optional<std::uint64_t> workspaceSeed = {};
     };
 
     explicit SoakLoad(Options options);
 
-    void start() { m_timer.startRepeating(m_options.interval); }
-    void stop()
-    {
-        m_timer.stop();
-        m_fatalTimer.stop();
-    }
+    void start();
+    void stop();
 
     /// \brief Sends a request that crashes the replica which runs it, once every \a interval from
     /// now on; zero stops sending them.
@@ -65,6 +77,17 @@
     /// \brief Sets the key that callers send from now on.
     void setKey(const std::string &key) { m_key = key; }
 
+    /// Time between two canaries to the same router or replica during an overload.
+    static constexpr Duration CanaryInterval = std::chrono::milliseconds(20);
+
+    /// \brief Callers of the additional workspaces send \a perSecond requests, half of them from
+    /// the workspace \a surging, and canaries are sent until endOverload().
+    void setOverload(double perSecond, std::size_t surging);
+    void endOverload();
+
+    /// \returns all canaries in order of sending.
+    const std::vector<Canary> &canaries() const { return m_canaries; }
+
     std::size_t inProgress() const { return m_inProgress; }
 
     /// \returns all attempts by id.
@@ -88,9 +111,28 @@
         int leaveAfter = 0;
     };
 
+    /// One try of a request from an additional workspace.
+    struct WorkspaceTry
+    {
+        const RequestTemplate *request = nullptr;
+        int priority = 0;
+        std::size_t workspace = 0;
+        TimePoint deadline = {};
+        std::string first = {}; ///< Id of the first try.
+        int number = 1;
+    };
+    static constexpr std::size_t TemplateCount = 4;
+    static const RequestTemplate &templateAt(std::size_t i);
+
     void send();
     void send(const RequestTemplate &request, const std::string &id, std::size_t router);
     HttpCall composeCall(const RequestTemplate &request, const std::string &id, std::size_t router);
+    void record(const std::string &id, const Result<HttpAnswer> &answer);
+    void sendForWorkspaces();
+    void sendTry(const WorkspaceTry &it);
+    void retry(WorkspaceTry it, const Attempt &failed);
+    void sendCanaries();
+    void sendCanary(const std::string &address, const HttpHeader &header);
     bool isLeaver(const RequestTemplate &request) const;
     void sendAndLeave(const std::string &id, std::size_t router);
     void receive(const std::string &id, std::size_t router, std::string_view data);
@@ -110,6 +152,16 @@
     std::size_t m_inProgress = 0;
     std::size_t m_number = 0;
     std::size_t m_fatalNumber = 0;
+    Timer m_workspaceTimer;
+    Timer m_canaryTimer;
+    RandomSource m_workspaceRandom; ///< Null: there are no additional workspaces.
+    double m_workspaceRate; ///< Requests per second.
+    std::optional<std::size_t> m_surging; ///< Workspace that sends more than usual.
+    TimePoint m_workspaceSentAt;
+    double m_workspaceDue = 0; ///< Requests that are due, with fractions.
+    std::size_t m_workspaceNumber = 0;
+    std::vector<std::size_t> m_triesInProgress; ///< By router.
+    std::vector<Canary> m_canaries;
 };
 
 } // namespace catkinloft::soak
--- a/soak/SoakPlan.cpp
+++ b/soak/SoakPlan.cpp
@@ -64,6 +64,14 @@
         KindInfo{FaultKind::RouterRefused, "router_refused", true, 2s, 6s},
 };
 
+constexpr std::array OverloadKinds = {
+        KindInfo{FaultKind::Overload, "overload", false, 1s, 3s},
+};
+
+/// Range of the load of an overload without the callers' retries, which triple it at most.
+constexpr double MinLoad = 2;
+constexpr double MaxLoad = 3;
+
 Duration between(const RandomSource &random, Duration a, Duration b)
 {
     return a + scaled(b - a, uniform(random));
@@ -96,7 +104,8 @@
     for (const std::span<const KindInfo> kinds :
          {std::span<const KindInfo>(Kinds), std::span<const KindInfo>(ReplicaKinds),
           std::span<const KindInfo>(DomainKinds), std::span<const KindInfo>(StoreKinds),
-          std::span<const KindInfo>(PartitionKinds), std::span<const KindInfo>(VersionKinds)}) {
+          std::span<const KindInfo>(PartitionKinds), std::span<const KindInfo>(VersionKinds),
+          std::span<const KindInfo>(OverloadKinds)}) {
         if (const std::string_view name = nameIn(kinds, kind); !name.empty())
             return name;
     }
@@ -158,6 +167,30 @@
     return out;
 }
 
+std::vector<Fault> drawOverloads(const RandomSource &random, Duration length, Duration aloneAt,
+                                 std::size_t workspaces)
+{
+    const KindInfo &info = OverloadKinds.front();
+    std::vector<Fault> out;
+    for (const Duration at : {between(random, 1s, length), aloneAt})
+        out.push_back({.kind = info.kind,
+                       .at = at,
+                       .length = between(random, info.shortest, info.longest),
+                       .target = below(random, workspaces),
+                       .load = MinLoad + (MaxLoad - MinLoad) * uniform(random)});
+    return out;
+}
+
+bool isAlone(const Fault &overload, const std::vector<Fault> &plan, Duration before, Duration after)
+{
+    const Duration from = overload.at - before;
+    const Duration until = overload.at + overload.length + after;
+    return std::none_of(plan.begin(), plan.end(), [&](const Fault &it) {
+        const bool isItself = it.kind == overload.kind && it.at == overload.at;
+        return !isItself && it.at < until && it.at + it.length > from;
+    });
+}
+
 std::vector<Fault> drawFaults(const RandomSource &random, Duration length, std::size_t routers,
                               std::size_t replicas)
 {
--- a/soak/SoakPlan.h
+++ b/soak/SoakPlan.h
@@ -37,6 +37,7 @@
     RouterRefused, ///< One router's new connections to all replicas are reset.
     ReplicaChangesVersion, ///< Restarts with the other software version.
     StoreRestored, ///< The store is down and returns from a copy that is some seconds old.
+    Overload, ///< Callers send several times the capacity of the replicas.
 };
 
 std::string_view faultName(FaultKind kind);
@@ -47,7 +48,8 @@
     FaultKind kind = FaultKind::RouterKill;
     Duration at = {}; ///< From the start of the load.
     Duration length = {}; ///< Until it is reverted.
-    std::size_t target = 0; ///< Index of the router or replica.
+    std::size_t target = 0; ///< Index of the router, replica, or workspace that sends most.
+    double load = 0; ///< Overload: requests sent, as a multiple of the replicas' capacity.
 };
 
 /// \returns faults that originate in replicas. They are drawn separately from drawFaults() so that
@@ -72,6 +74,16 @@
 std::vector<Fault> drawVersionChanges(const RandomSource &random, Duration length,
                                       std::size_t replicas);
 
+/// \returns two overloads, drawn separately for the same reason: one among the other faults, and
+/// one that begins \a aloneAt, when they have ended.
+std::vector<Fault> drawOverloads(const RandomSource &random, Duration length, Duration aloneAt,
+                                 std::size_t workspaces);
+
+/// \returns whether no fault of \a plan other than \a overload is active between \a before its
+/// begin and \a after its end.
+bool isAlone(const Fault &overload, const std::vector<Fault> &plan, Duration before,
+             Duration after);
+
 /// \returns the faults of a run, drawn from \a random and ordered by time: single faults, series of
 /// one kind, and overlapping faults.
 std::vector<Fault> drawFaults(const RandomSource &random, Duration length, std::size_t routers,
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -1,5 +1,6 @@
 #include "SoakRun.h"
 
+#include "OverloadCheck.h"
 #include "fleet/Fleet.h"
 
 #include <csignal>
@@ -42,6 +43,15 @@
 /// those of the faults.
 constexpr std::uint64_t VersionSeed = 0x7E51;
 
+/// Separates the random numbers of overloads and of the callers of further workspaces from those of
+/// the faults.
+constexpr std::uint64_t OverloadSeed = 0x0F11;
+
+/// Time between two requests of the first workspace in runs with overloads. With those of the other
+/// workspaces about a quarter of the capacity is used, as little as in docs/design/overload.md: at
+/// half of it the engines already count as busy, and there would be no usual load to return to.
+constexpr Duration OverloadRunInterval = 12ms;
+
 /// Time in which a replica that resumes after a pause receives what was sent to it meanwhile.
 constexpr Duration BacklogTime = 1s;
 
@@ -85,50 +95,70 @@
                .replicas = m_options.replicas,
                .versions = m_options.withVersions ? std::vector<std::string>{"v1", "v2"}
                                                   : std::vector<std::string>(),
-               .domains = m_options.withDomainFaults ? 3U : 1U}),
+               .domains = m_options.withDomainFaults ? 3U : 1U,
+               .capacity = m_options.withOverloads ? std::optional(standin::EntryFleet::Capacity())
+                                                   : std::nullopt}),
       m_random(seededRandom(m_options.seed))
 { }
 
-SoakRun::Outcome SoakRun::run()
+void SoakRun::drawPlan()
 {
-    Outcome out;
-    out.faults = drawFaults(m_random, m_options.length, m_options.routers, 2 * m_options.replicas);
+    m_plan = drawFaults(m_random, m_options.length, m_options.routers, 2 * m_options.replicas);
     if (m_options.withReplicaFaults) {
         const RandomSource faultRandom = seededRandom(~m_options.seed);
         for (const Fault &it : drawReplicaFaults(faultRandom, m_options.length, m_options.replicas))
-            out.faults.push_back(it);
+            m_plan.push_back(it);
     }
     if (m_options.withDomainFaults) {
         const RandomSource faultRandom = seededRandom(m_options.seed ^ DomainSeed);
         for (const Fault &it :
              drawDomainFaults(faultRandom, m_options.length, 2 * m_options.replicas))
-            out.faults.push_back(it);
+            m_plan.push_back(it);
     }
     if (m_options.withStoreRestores) {
         const RandomSource faultRandom = seededRandom(m_options.seed ^ RestoreSeed);
         for (const Fault &it : drawStoreRestores(faultRandom, m_options.length))
-            out.faults.push_back(it);
+            m_plan.push_back(it);
         m_copyTimer = std::make_unique<Timer>(m_loop, [this] { m_fleet.copyStore(); });
     }
     if (m_options.withPartitions) {
         const RandomSource faultRandom = seededRandom(m_options.seed ^ PartitionSeed);
         for (const Fault &it : drawPartitions(faultRandom, m_options.length, m_options.routers))
-            out.faults.push_back(it);
+            m_plan.push_back(it);
     }
     if (m_options.withVersions) {
         const RandomSource faultRandom = seededRandom(m_options.seed ^ VersionSeed);
         for (const Fault &it :
              drawVersionChanges(faultRandom, m_options.length, 2 * m_options.replicas))
-            out.faults.push_back(it);
+            m_plan.push_back(it);
+    }
+    if (m_options.withOverloads) {
+        const RandomSource faultRandom = seededRandom(m_options.seed ^ OverloadSeed);
+        Duration last = m_options.length;
+        for (const Fault &it : m_plan)
+            last = std::max(last, it.at + it.length);
+        for (const Fault &it :
+             drawOverloads(faultRandom, m_options.length, last + OverloadQuietTime,
+                           standin::EntryFleet::Workspaces))
+            m_plan.push_back(it);
     }
+}
+
+SoakRun::Outcome SoakRun::run()
+{
+    Outcome out;
+    drawPlan();
+    out.faults = m_plan;
     m_history.domainOf = [this](const std::string &id) { return m_fleet.domainOfId(id); };
     m_fleet.start();
-    m_load.emplace(SoakLoad::Options{.loop = m_loop,
-                                     .fleet = m_fleet,
-                                     .random = m_random,
-                                     .leaverSeed = m_options.withVersions
-                                             ? std::optional(m_options.seed ^ VersionSeed)
-                                             : std::nullopt});
+    SoakLoad::Options load{.loop = m_loop, .fleet = m_fleet, .random = m_random};
+    if (m_options.withVersions)
+        load.leaverSeed = m_options.seed ^ VersionSeed;
+    if (m_options.withOverloads) {
+        load.workspaceSeed = m_options.seed ^ ~OverloadSeed;
+        load.interval = OverloadRunInterval;
+    }
+    m_load.emplace(std::move(load));
     m_load->start();
     if (m_copyTimer) {
         m_fleet.copyStore();
@@ -137,13 +167,14 @@
     m_restartTimer = std::make_unique<Timer>(m_loop, [this] { restartExitedReplicas(); });
     m_restartTimer->startRepeating(RestartCheckInterval);
     Duration last = m_options.length;
-    for (const Fault &it : out.faults) {
+    for (const Fault &it : m_plan) {
         m_loop.after(it.at, [this, it] { begin(it); });
         m_loop.after(it.at + it.length, [this, it] { end(it); });
         last = std::max(last, it.at + it.length);
     }
     m_loop.after(last + SettleTime, [this] { finish(); });
     m_loop.run();
+    m_history.canaries = m_load->canaries();
     out.broken = brokenPromises(m_load->attempts(), m_fleet.arrivals(), m_history);
     for (std::string &it : probe())
         out.broken.push_back(std::move(it));
@@ -274,6 +305,9 @@
     case FaultKind::ReplicaTurnsCold:
         makeCold(fault);
         break;
+    case FaultKind::Overload:
+        beginOverload(fault);
+        break;
     }
 }
 
@@ -342,6 +376,22 @@
              .maxPerSecond = standin::EntryFleet::ColdPerSecond});
 }
 
+void SoakRun::beginOverload(const Fault &fault)
+{
+    const standin::EntryFleet::Capacity capacity;
+    const double slots = static_cast<double>(m_fleet.replicaCount()) * capacity.slots;
+    m_load->setOverload(fault.load * slots / toSeconds(capacity.serviceTime), fault.target);
+    const Duration after = OverloadRecovery + OverloadComparison;
+    m_history.overloads.push_back({.from = m_loop.wallNow(),
+                                   .isAlone = isAlone(fault, m_plan, OverloadQuietTime, after)});
+}
+
+void SoakRun::endOverload()
+{
+    m_load->endOverload();
+    m_history.overloads.back().until = m_loop.wallNow();
+}
+
 void SoakRun::revokeKey()
 {
     const std::string old = std::exchange(m_key, fmt::format("key-{}", ++m_keys));
@@ -461,6 +511,9 @@
     case FaultKind::ReplicaTurnsCold:
         m_fleet.registerReplica(fault.target, "ready");
         break;
+    case FaultKind::Overload:
+        endOverload();
+        break;
     case FaultKind::ReplicaChangesVersion:
     case FaultKind::StoreForgets:
     case FaultKind::StorePathSilent:
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -27,6 +27,7 @@
         bool withStoreRestores = true; ///< \sa drawStoreRestores
         bool withPartitions = true; ///< \sa drawPartitions
         bool withVersions = true; ///< Two software versions, and callers that resume their streams.
+        bool withOverloads = true; ///< Replicas of limited capacity, and \sa drawOverloads
         std::string keepFolder = {}; ///< Receives the logs of a run that violates a guarantee.
     };
 
@@ -43,6 +44,7 @@
     Outcome run();
 
 private:
+    void drawPlan();
     void begin(const Fault &fault);
     void end(const Fault &fault);
     void restartRouter(std::size_t i);
@@ -51,6 +53,8 @@
     void restartExitedReplicas();
     void setReplicaFaults(std::size_t i, const std::string &faults);
     void endReplicaOutage(std::size_t i);
+    void beginOverload(const Fault &fault);
+    void endOverload();
     void revokeKey();
     void evacuate(std::size_t i);
     void endEvacuation(std::size_t i);
@@ -68,6 +72,7 @@
     EventLoop m_loop;
     RandomSource m_random;
     std::optional<SoakLoad> m_load;
+    std::vector<Fault> m_plan;
     RunHistory m_history;
     std::unique_ptr<Timer> m_copyTimer; ///< Makes the store take a copy of itself.
     std::unique_ptr<Timer> m_restartTimer; ///< Restarts replicas that have exited on their own.
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -16,7 +16,8 @@
         "+: with the faults that originate in replicas, ++: also with those of failure domains and "
         "cold replicas, +++: also with restores of the store from a copy, "
         "++++: also with routers that are partitioned from all replicas, "
-        "+++++: also with two software versions and callers that resume their streams");
+        "+++++: also with two software versions and callers that resume their streams, "
+        "++++++: also with replicas of limited capacity and periods of overload");
 DEFINE_double(seconds, 10, "period of each run in which faults begin, in seconds");
 DEFINE_uint64(routers, 4, "routers");
 DEFINE_uint64(replicas, 3, "number of replicas of each of the two services");
@@ -35,6 +36,7 @@
     bool withStoreRestores = true;
     bool withPartitions = true;
     bool withVersions = true;
+    bool withOverloads = true;
 };
 
 std::vector<RunPlan> runPlans()
@@ -54,7 +56,8 @@
                        .withDomainFaults = kinds.starts_with("++"),
                        .withStoreRestores = kinds.starts_with("+++"),
                        .withPartitions = kinds.starts_with("++++"),
-                       .withVersions = kinds.starts_with("+++++")});
+                       .withVersions = kinds.starts_with("+++++"),
+                       .withOverloads = kinds.starts_with("++++++")});
     }
     for (std::uint64_t i = 0; i < FLAGS_runs; ++i)
         out.push_back({.seed = FLAGS_seed + i, .length = fromSeconds(FLAGS_seconds)});
@@ -73,6 +76,7 @@
                  .withStoreRestores = it.withStoreRestores,
                  .withPartitions = it.withPartitions,
                  .withVersions = it.withVersions,
+                 .withOverloads = it.withOverloads,
                  .keepFolder = FLAGS_keep});
     const SoakRun::Outcome outcome = run.run();
     std::string faults;
--- /dev/null
+++ b/test/integration/SoakPlanTest.cpp
@@ -0,0 +1,82 @@
+#include "../../soak/SoakPlan.h"
+
+#include "Base/Hash.h"
+
+#include <doctest/doctest.h>
+
+#include <fmt/format.h>
+
+using namespace catkinloft;
+using namespace catkinloft::soak;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration Length = 10s;
+
+std::string describe(const std::vector<Fault> &plan)
+{
+    std::string out;
+    for (const Fault &it : plan)
+        out += fmt::format("{} {} {} {}\n", faultName(it.kind), it.at / 1ms, it.length / 1ms,
+                           it.target);
+    return out;
+}
+
+} // namespace
+
+// Guards against a change that makes recorded seeds replay other faults. The expected value is that
+// of the release before overloads were added.
+TEST_CASE("soakPlan_levelsBeforeOverload_planIsUnchanged")
+{
+    constexpr std::uint64_t Seed = 404;
+    const std::string all = describe(drawFaults(seededRandom(Seed), Length, 4, 6))
+            + describe(drawReplicaFaults(seededRandom(Seed), Length, 3))
+            + describe(drawDomainFaults(seededRandom(Seed), Length, 6))
+            + describe(drawStoreRestores(seededRandom(Seed), Length))
+            + describe(drawPartitions(seededRandom(Seed), Length, 4))
+            + describe(drawVersionChanges(seededRandom(Seed), Length, 6));
+    INFO(all);
+    CHECK(hash64(all) == 0xd7e7352fdfe6c4b3);
+}
+
+// Guards against a plan whose overloads are too short or too weak to fill the replicas.
+TEST_CASE("soakPlan_overloads_oneAmongTheFaultsAndOneAfterThem")
+{
+    constexpr Duration AloneAt = 30s;
+    for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+        const std::vector<Fault> plan = drawOverloads(seededRandom(seed), Length, AloneAt, 4);
+        REQUIRE(plan.size() == 2);
+        CHECK(plan[0].at >= 1s);
+        CHECK(plan[0].at < Length);
+        CHECK(plan[1].at == AloneAt);
+        for (const Fault &it : plan) {
+            CHECK(faultName(it.kind) == "overload");
+            CHECK(it.length >= 1s);
+            CHECK(it.length <= 3s);
+            CHECK(it.load >= 2);
+            CHECK(it.target < 4);
+        }
+    }
+}
+
+// Guards against checks for an overload without other faults that are applied beside other faults,
+// and against a phase that counts itself as another fault, so that they would never be applied.
+TEST_CASE("soakPlan_overloadBesideOtherFaults_isAloneOnlyIfTheyAreFarAway")
+{
+    const Fault overload{.kind = FaultKind::Overload, .at = 20s, .length = 2s};
+    const auto isAloneBeside = [&](Duration at, Duration length) {
+        const Fault other{.kind = FaultKind::StoreDown, .at = at, .length = length};
+        return isAlone(overload, {other, overload}, 10s, 5s);
+    };
+    CHECK(isAlone(overload, {overload}, 10s, 5s));
+    CHECK(isAloneBeside(5s, 4s));
+    CHECK(isAloneBeside(28s, 1s));
+    CHECK_FALSE(isAloneBeside(5s, 6s));
+    CHECK_FALSE(isAloneBeside(12s, 0s));
+    CHECK_FALSE(isAloneBeside(21s, 0s));
+    CHECK_FALSE(isAloneBeside(5s, 30s));
+    CHECK_FALSE(isAloneBeside(26s, 1s));
+    const Fault another{.kind = FaultKind::Overload, .at = 25s, .length = 1s};
+    CHECK_FALSE(isAlone(overload, {overload, another}, 10s, 5s));
+}
