Soak: starvation is judged by what the service served beside other faults

The check reported (10 s, all levels): none of 4,328 attempts of calls in the overload beside other faults was served. The fatal request had crashed four processes of the three replicas of calls within 1.6 s, and the store was down, so their successors were unknown to the routers until it was back 5 s later. No priority was starved in favour of another (O3); the service was down through the faults that were injected.

Beside other faults a priority is now starved if it gets nothing although at the share of its service, or one in twenty if that is lower, 6.9 attempts would be served. Alone the rule stays: at one in twenty.

--- a/soak/OverloadCheck.cpp
+++ b/soak/OverloadCheck.cpp
@@ -36,9 +36,9 @@
 /// beyond three of them it is not chance.
 constexpr double Deviations = 3;
 
-/// Number of attempts of which at least one is served with a probability of 0.999 if one in twenty
-/// is.
-constexpr std::size_t MinAttemptsForStarvation = 135;
+/// Expected number of served attempts from which none is starvation: by chance that happens once in
+/// a thousand times (exp(-6.9)). At one in twenty these are 138 attempts.
+constexpr double MinExpectedServed = 6.9;
 
 /// Number of requests of each of two priorities from which their shares are compared. With fewer
 /// the permitted difference is above a third.
@@ -152,26 +152,46 @@
     }
 }
 
+using PriorityKey = std::pair<std::string, int>; ///< Service and priority.
+
+/// \returns the share of the attempts of all priorities of \a service that was served.
+double shareOfService(const std::map<PriorityKey, Count> &tries, const std::string &service)
+{
+    Count out;
+    for (const auto &[key, it] : tries) {
+        if (key.first != service)
+            continue;
+        out.all += it.all;
+        out.served += it.served;
+    }
+    return out.share();
+}
+
 void checkPriorities(const Attempts &attempts, const OverloadPhase &phase,
                      const std::function<void(std::string)> &broken)
 {
-    using Key = std::pair<std::string, int>; // Service and priority.
-    std::map<Key, Count> tries;
-    std::map<std::string, std::pair<Key, bool>> requests; // By first try; whether it was served.
+    std::map<PriorityKey, Count> tries;
+    std::map<std::string, std::pair<PriorityKey, bool>>
+            requests; // By first try; whether it was served.
     for (const auto &[id, it] : attempts) {
         if (!it.priority || !isSentIn(it, phase.from, phase.until))
             continue;
-        const Key key{serviceOf(it), *it.priority};
+        const PriorityKey key{serviceOf(it), *it.priority};
         tries[key].add(isServed(it));
         auto &request = requests[it.firstTry.empty() ? id : it.firstTry];
         request.first = key;
         request.second = request.second || isServed(it);
     }
-    std::map<Key, Count> counts;
+    std::map<PriorityKey, Count> counts;
     for (const auto &[id, it] : requests)
         counts[it.first].add(it.second);
     for (const auto &[key, it] : tries) {
-        if (it.served == 0 && it.all >= MinAttemptsForStarvation)
+        // Other faults can take a service so much of its capacity that less than one in twenty of
+        // all its requests are served, or none. Then each priority has to get a part of what is.
+        const double share = phase.isAlone
+                ? GuaranteedShare
+                : std::min(GuaranteedShare, shareOfService(tries, key.first));
+        if (it.served == 0 && double(it.all) * share >= MinExpectedServed)
             broken(fmt::format("none of {} attempts of priority {} of {} was served in an overload",
                                it.all, key.second, key.first));
     }
--- a/test/integration/OverloadCheckTest.cpp
+++ b/test/integration/OverloadCheckTest.cpp
@@ -175,6 +175,24 @@
     CHECK(broken().size() == 1);
 }
 
+// Guards against a report of starvation where other faults have stopped all replicas of a service,
+// and against one priority that gets nothing of the little that is left.
+TEST_CASE_FIXTURE(OverloadFixture,
+                  "overloadCheck_serviceIsDownBesideOtherFaults_noPriorityIsStarved")
+{
+    for (int i = 0; i < 3; ++i)
+        serve(i, 0);
+    CHECK(broken().size() == 3);
+    history.overloads[0].isAlone = false;
+    CHECK(broken().empty());
+    serve(0, 8);
+    serve(1, 8);
+    CHECK(broken().empty()); // 16 of 600: 5 of 200 are expected, too few to tell.
+    serve(0, 12);
+    serve(1, 12);
+    CHECK(broken().size() == 1); // 24 of 600: 8 of 200 are expected.
+}
+
 // Guards against a soak that passes although requests are still refused later than two seconds
 // after the overload (O4).
 TEST_CASE_FIXTURE(OverloadFixture, "overloadCheck_refusalsAfterTheOverload_areReported")
