Limit of the rejections at replicas that rejections may crash

Replicas that announce Server-Brittle crash if they reject more than N requests within a second, and no router knows what the others send. RejectionLimit gives each router a part of the requests in progress and of the rejections at each replica, drawn at random if it is below one, and ReplicaPool consults it for each candidate. While no service is brittle it admits everything and draws no random number.

--- a/src/Decide/ReplicaPool.cpp
+++ b/src/Decide/ReplicaPool.cpp
@@ -162,6 +162,12 @@
     }
     m_states = std::move(next);
     rebuildIndex();
+    if (!m_options.rejections)
+        return;
+    std::vector<RejectionLimit::Replica> limited;
+    for (const State &it : m_states)
+        limited.push_back({.id = it.incarnation, .slots = it.record.slots});
+    m_options.rejections->setReplicas(std::move(limited));
 }
 
 void ReplicaPool::rebuildIndex()
@@ -280,7 +286,9 @@
 {
     return !it.record.draining && now >= excludedUntil(it)
             && isSelectable(query, it.record, it.incarnation) && !isEvacuated(it)
-            && isRegionAllowed(it, query) && !isColdRateLimited(it, now);
+            && isRegionAllowed(it, query) && !isColdRateLimited(it, now)
+            && (!m_options.rejections
+                || m_options.rejections->admits(it.incarnation, it.ownInProgress));
 }
 
 void ReplicaPool::setEvacuated(std::set<std::string> domains)
@@ -522,6 +530,8 @@
         return;
     ++it->ownInProgress;
     it->lastSentAt = m_options.clock.now();
+    if (m_options.rejections)
+        m_options.rejections->sent(it->incarnation);
     it->health.probing = it->health.state == HealthTracker::State::HalfOpen;
     for (const PromptPart &part : prompt)
         m_prompts.note(it->hash, part.id);
@@ -665,6 +675,17 @@
             }));
 }
 
+std::size_t ReplicaPool::heldBackCount() const
+{
+    const TimePoint now = m_options.clock.now();
+    return static_cast<std::size_t>(
+            std::count_if(m_states.begin(), m_states.end(), [this, now](const State &it) {
+                return m_options.rejections && !it.record.draining && now >= excludedUntil(it)
+                        && !isEvacuated(it)
+                        && !m_options.rejections->admits(it.incarnation, it.ownInProgress);
+            }));
+}
+
 ReplicaPool::State *ReplicaPool::find(std::string_view id)
 {
     const auto it = m_index.find(id);
--- a/src/Decide/ReplicaPool.h
+++ b/src/Decide/ReplicaPool.h
@@ -6,12 +6,14 @@
 #include "Base/ReplicaRecord.h"
 #include "Decide/HealthTracker.h"
 #include "Decide/PromptIndex.h"
+#include "Decide/RejectionLimit.h"
 #include "Decide/ReplicaLoad.h"
 #include "Decide/ReplicaSpeed.h"
 
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <span>
@@ -72,7 +74,7 @@
 ///
 /// A replica in an evacuated failure domain gets no requests at all; a cold one at most this
 /// router's part of its rate limit, \sa ColdRateLimit. Both rules apply also if no other replica is
-/// left.
+/// left. While a service is brittle, a replica gets no more than RejectionLimit admits.
 ///
 /// An engine is ejected at its first timeout. A router sends each engine so few requests that
 /// waiting for a third timeout would about double the requests lost to unresponsive engines.
@@ -93,6 +95,7 @@
         /// Whether this router is one of \a n routers that may send to \a replica while it is cold.
         std::function<bool(std::string_view replica, std::size_t n)> isColdSender =
                 [](std::string_view, std::size_t) { return true; };
+        std::shared_ptr<RejectionLimit> rejections = {}; ///< Null: rejections are not limited.
     };
 
     /// \brief Properties of a request that the choice depends on.
@@ -203,6 +206,9 @@
     /// \returns the number of replicas that are not draining, excluded or evacuated.
     std::size_t usableCount() const;
 
+    /// \returns the number of usable replicas that get no request now so that they don't reject it.
+    std::size_t heldBackCount() const;
+
     const HealthTracker &health() const { return m_health; }
 
 private:
