Routers know which services are brittle and limit their rejections

The codec decodes Server-Brittle into AnswerFacts; EntryAdmission reports the head of every answer to the limit of its service. Heartbeats carry brittle services with N, the age of the evidence and the number of routers, and no byte while there are none. A refusal caused by the limit has the reason engines_saturated, its figures and a random Retry-After.

--- a/src/Base/EntrySettings.cpp
+++ b/src/Base/EntrySettings.cpp
@@ -86,6 +86,7 @@
     out.firstAttemptsFirst = it.flag("first_attempts_first", out.firstAttemptsFirst);
     out.requestPriorities = it.flag("request_priorities", out.requestPriorities);
     out.urgentRetries = it.flag("urgent_retries", out.urgentRetries);
+    out.brittleServices = it.flag("brittle_services", out.brittleServices);
     it.finish();
 }
 
--- a/src/Base/Mechanisms.h
+++ b/src/Base/Mechanisms.h
@@ -29,6 +29,8 @@
     bool requestPriorities = true; ///< States the priority of a request to engines.
     /// Retries only the most urgent prompts at an overloaded service.
     bool urgentRetries = true;
+    /// Limits the rejections by replicas that announce that rejections may crash them.
+    bool brittleServices = true;
 
     bool operator==(const Mechanisms &) const = default;
 };
--- a/src/Control/RouterHeartbeat.cpp
+++ b/src/Control/RouterHeartbeat.cpp
@@ -56,6 +56,25 @@
     return out;
 }
 
+Json::Value brittleToJson(const BrittleService &it)
+{
+    Json::Value out(Json::arrayValue);
+    out.append(it.service);
+    out.append(it.maxRejections);
+    out.append(ageToJson(it.age));
+    out.append(it.routers);
+    return out;
+}
+
+BrittleService brittleFromJson(const Json::Value &it)
+{
+    constexpr Json::ArrayIndex Routers = 3;
+    return {.service = it[0U].asString(),
+            .maxRejections = it[1U].asInt(),
+            .age = internal::ageFromMilliseconds(it[2U].asInt64()),
+            .routers = it[Routers].asInt()};
+}
+
 RouterHeartbeat heartbeatOf(const Json::Value &root)
 {
     RouterHeartbeat out{
@@ -99,6 +118,8 @@
         out.unreachableServices.push_back(it.asString());
     for (const Json::Value &it : root["x"])
         out.crashes.push_back(crashFromJson(it));
+    for (const Json::Value &it : root["br"])
+        out.brittle.push_back(brittleFromJson(it));
     return out;
 }
 
@@ -180,6 +201,8 @@
         root["t"].append(service);
     for (const CrashUpdate &it : heartbeat.crashes)
         root["x"].append(crashToJson(it));
+    for (const BrittleService &it : heartbeat.brittle)
+        root["br"].append(brittleToJson(it));
     return internal::encodeNotification(Method, root);
 }
 
--- a/src/Control/RouterHeartbeat.h
+++ b/src/Control/RouterHeartbeat.h
@@ -3,6 +3,7 @@
 #include "Base/Clock.h"
 #include "Base/Error.h"
 #include "Control/EvacuatedDomains.h"
+#include "Decide/RejectionLimit.h"
 #include "Decide/ReplicaPool.h"
 #include "Decide/RequestQuarantine.h"
 
@@ -50,6 +51,8 @@
     /// Services most of whose replicas the sender can't reach, so that it can't relay for them.
     std::vector<std::string> unreachableServices = {};
     std::vector<CrashUpdate> crashes = {}; ///< Requests during which replicas crashed.
+    /// Services whose replicas crash if they reject too much. Older programs ignore them.
+    std::vector<BrittleService> brittle = {};
 };
 
 /// \brief Encodes heartbeats as JSON-RPC notifications and decodes them. Field names on the wire
--- a/src/Net/EntryAdmission.cpp
+++ b/src/Net/EntryAdmission.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr int Unavailable = 503;
+constexpr int Misdirected = 421;
 
 /// Priorities that can be stated to an engine. What is over the share of its workspace is stated
 /// as the least urgent.
@@ -89,8 +90,16 @@
         m_service->prompts().firstEvent(*m_prompt);
 }
 
-void EntryAdmission::headReceived(const AnswerFacts &answer)
+void EntryAdmission::headReceived(const std::string &replica, const AnswerFacts &answer, int status)
 {
+    // An answer of another replica at the same address says nothing about this one.
+    if (const auto &rejections = m_service->options().rejections;
+        rejections && status != Misdirected)
+        rejections->answered(replica,
+                             {.maxRejections = answer.maxRejections,
+                              .isMalformed = answer.isMaxRejectionsMalformed,
+                              .isRejection = answer.notExecuted,
+                              .load = answer.load});
     if (m_isPrompt && answer.load)
         m_service->prompts().loadReported(*answer.load);
 }
--- a/src/Net/EntryAdmission.h
+++ b/src/Net/EntryAdmission.h
@@ -32,8 +32,8 @@
     /// \brief Records that the first event of a stream arrived.
     void firstEvent();
 
-    /// \brief Records the load in the head of a stream's answer.
-    void headReceived(const AnswerFacts &answer);
+    /// \brief Records what the head of an answer from \a replica states about its load.
+    void headReceived(const std::string &replica, const AnswerFacts &answer, int status);
 
     /// \brief Result of one attempt of a plain call.
     struct CallAnswer
--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -241,13 +241,8 @@
     const ReplicaPool::Choice choice = chooseReplica();
     if (choice.replica)
         return send(choice);
-    const Error error{.reason = Reason::NoLiveEngine,
-                      .verdict = m_verdict,
-                      .detail = fmt::format("no replica of {} can take the request",
-                                            m_streamSoftware ? *m_streamSoftware : m_serviceName),
-                      .retryAfter = retryDelay(),
-                      .figures = {{"usable_replicas",
-                                   static_cast<double>(m_service->replicas.usableCount())}}};
+    const Error error = m_service->refusal(m_streamSoftware ? *m_streamSoftware : m_serviceName,
+                                           m_verdict, retryDelay());
     m_headSent ? breakOff(error) : refuse(error);
 }
 
@@ -551,7 +546,7 @@
     m_firstByte = m_context.loop.now() - m_attemptStartedAt;
     m_head = head;
     m_answer = m_context.codec.decodeAnswer(head);
-    m_admission.headReceived(m_answer);
+    m_admission.headReceived(m_incarnation, m_answer, head.status);
     if (m_answer.load)
         m_service->replicas.loadReported(m_incarnation, *m_answer.load);
     if (!m_relay && m_call && m_call->idleTime() == Duration::zero())
--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -9,6 +9,7 @@
 #include "Control/StoreReadPlan.h"
 #include "Decide/SoftwareHistory.h"
 #include "Decide/StreamOrigins.h"
+#include "Net/BrittlePage.h"
 #include "Net/CrashEvidence.h"
 #include "Net/EntryGateway.h"
 #include "Net/EventLoop.h"
@@ -89,6 +90,9 @@
 /// Path of the quarantine page at the metrics address.
 constexpr std::string_view QuarantinePath = "/quarantine";
 
+/// Path of the page about brittle services at the metrics address.
+constexpr std::string_view StatusPath = "/status";
+
 /// Most routers that are counted while heartbeats can't be verified. Limits the effect of forged
 /// heartbeats.
 constexpr std::size_t MaxUnverifiedRouters = 1000;
@@ -224,6 +228,7 @@
              .storeUnansweredFor = [this] { return watch.unansweredFor(); },
              .ownStatusUpdate = [this] { return ownStatusUpdate(); },
              .unreachableServices = [this] { return pools.unreachableServices(); },
+             .brittleServices = [this] { return pools.brittleServices(); },
              .takeCrashUpdates = [this] { return quarantine.takeUpdates(); },
              .takeFirstCrashes = [this] { return quarantine.takeFirstCrashes(); },
              .takeStreamOrigins = [this] { return streamOrigins.takeAnnouncements(); },
@@ -443,6 +448,7 @@
 void EntryProcess::Private::receiveHeartbeat(const RouterHeartbeat &heartbeat)
 {
     pools.applyStatusUpdate(heartbeat.name, heartbeat.replicas, loop.now());
+    pools.noteBrittle(heartbeat.name, heartbeat.brittle);
     for (const std::string &it : heartbeat.replicas.leaving)
         replicas.markLeaving(it, ReplicaRegistry::LeavingSource::Router);
     quarantine.merge(heartbeat.crashes);
@@ -667,6 +673,12 @@
     if (exchange->path() == QuarantinePath)
         return exchange->respond(200, {{"Content-Type", "application/json"}},
                                  quarantinePage(quarantine.held()));
+    if (exchange->path() == StatusPath) {
+        std::vector<std::shared_ptr<RejectionLimit>> limits;
+        pools.forEach([&limits](ServicePool &it) { limits.push_back(it.rejections); });
+        return exchange->respond(200, {{"Content-Type", "application/json"}},
+                                 brittlePage(settings.name, limits));
+    }
     exchange->respond(200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics.print());
 }
 
--- a/src/Net/FleetTask.cpp
+++ b/src/Net/FleetTask.cpp
@@ -204,7 +204,8 @@
             .evacuated = evacuated.shouldAnnounce() ? evacuated.state() : EvacuatedDomains::State(),
             .replicas = options.ownStatusUpdate(),
             .relays = true,
-            .unreachableServices = options.unreachableServices()};
+            .unreachableServices = options.unreachableServices(),
+            .brittle = options.brittleServices()};
 }
 
 std::vector<std::string> FleetTask::Private::readers() const
--- a/src/Net/FleetTask.h
+++ b/src/Net/FleetTask.h
@@ -45,6 +45,10 @@
         std::function<ReplicaStatusUpdate()> ownStatusUpdate;
         /// \sa RouterHeartbeat::unreachableServices
         std::function<std::vector<std::string>()> unreachableServices;
+        /// \sa RouterHeartbeat::brittle
+        std::function<std::vector<BrittleService>()> brittleServices = [] {
+            return std::vector<BrittleService>();
+        };
         std::function<std::vector<CrashUpdate>()>
                 takeCrashUpdates; ///< \sa RequestQuarantine::takeUpdates
         /// \sa RequestQuarantine::takeFirstCrashes
--- a/src/Net/ServiceAdmission.cpp
+++ b/src/Net/ServiceAdmission.cpp
@@ -2,6 +2,8 @@
 
 #include "Base/Log.h"
 
+#include <utility>
+
 namespace catkinloft {
 
 namespace {
@@ -49,13 +51,34 @@
                {"workspaces_over_share", m_workspaces.overShare()}});
 }
 
-void ServiceAdmission::collect(Metrics &metrics) const
+void ServiceAdmission::collect(Metrics &metrics)
 {
     const std::string label = Metrics::label("service", m_options.service);
     metrics.set("catkinloft_admission_limit", m_prompts.limit(), label);
     metrics.set("catkinloft_calls_admitted_share", m_calls.share(), label);
     metrics.set("catkinloft_workspaces_over_share", static_cast<double>(m_workspaces.overShare()),
                 label);
+    if (m_options.rejections)
+        collectRejections(metrics, label);
+}
+
+void ServiceAdmission::collectRejections(Metrics &metrics, const std::string &label)
+{
+    RejectionLimit &limit = *m_options.rejections;
+    const bool isBrittle = limit.isBrittle();
+    const RejectionLimit::Totals before = std::exchange(m_counted, limit.totals());
+    const auto count = [&](const char *name, std::uint64_t n) {
+        if (n > 0)
+            metrics.count(name, label, n);
+    };
+    count("catkinloft_brittle_begins_total", m_counted.begins - before.begins);
+    count("catkinloft_brittle_ends_total", m_counted.ends - before.ends);
+    count("catkinloft_brittle_rejections_total", m_counted.rejections - before.rejections);
+    count("catkinloft_brittle_headers_malformed_total", m_counted.malformed - before.malformed);
+    if (m_counted.begins == 0)
+        return;
+    metrics.set("catkinloft_brittle_max_rejections", isBrittle ? limit.maxRejections() : 0, label);
+    metrics.set("catkinloft_replica_rejections_per_second", limit.worstRejections(), label);
 }
 
 } // namespace catkinloft
--- a/src/Net/ServiceAdmission.h
+++ b/src/Net/ServiceAdmission.h
@@ -6,11 +6,13 @@
 #include "Base/Random.h"
 #include "Decide/LoadShedder.h"
 #include "Decide/PromptAdmission.h"
+#include "Decide/RejectionLimit.h"
 #include "Decide/RepeatDetector.h"
 #include "Decide/RequestRank.h"
 #include "Decide/WorkspaceShares.h"
 #include "Request/EntryRequest.h"
 
+#include <memory>
 #include <string>
 
 namespace catkinloft {
@@ -26,6 +28,7 @@
         RandomSource random;
         std::string service = {};
         Mechanisms mechanisms = {};
+        std::shared_ptr<RejectionLimit> rejections = {}; ///< Null: rejections are not limited.
     };
 
     explicit ServiceAdmission(Options options);
@@ -47,10 +50,12 @@
     /// \brief Logs the begin and the end of a limit, at most once a second.
     void logChanges();
 
-    /// \brief Updates the gauges of this service.
-    void collect(Metrics &metrics) const;
+    /// \brief Updates the gauges of this service, and its counters of rejections.
+    void collect(Metrics &metrics);
 
 private:
+    void collectRejections(Metrics &metrics, const std::string &label);
+
     Options m_options;
     PromptAdmission m_prompts;
     LoadShedder m_calls;
@@ -58,6 +63,7 @@
     RepeatDetector m_repeats;
     bool m_wasLimiting = false; ///< As logged last.
     TimePoint m_loggedAt = TimePoint::min();
+    RejectionLimit::Totals m_counted; ///< As counted last by collect().
 };
 
 } // namespace catkinloft
--- a/src/Net/ServicePools.cpp
+++ b/src/Net/ServicePools.cpp
@@ -2,10 +2,15 @@
 
 #include <algorithm>
 
+#include <fmt/format.h>
+
 namespace catkinloft {
 
 namespace {
 
+/// Brittle services in one heartbeat, at about 30 bytes each.
+constexpr std::size_t MaxBrittleServices = 8;
+
 std::vector<ReplicaRecord> ofService(std::span<const ReplicaRecord> all, const std::string &service)
 {
     std::vector<ReplicaRecord> out;
@@ -18,6 +23,27 @@
 
 } // namespace
 
+Error ServicePool::refusal(const std::string &target, Verdict verdict, Duration retryAfter) const
+{
+    Error out{.reason = Reason::NoLiveEngine,
+              .verdict = verdict,
+              .detail = fmt::format("no replica of {} can take the request", target),
+              .retryAfter = retryAfter,
+              .figures = {{"usable_replicas", static_cast<double>(replicas.usableCount())}}};
+    const std::size_t heldBack = rejections->isBrittle() ? replicas.heldBackCount() : 0;
+    if (heldBack == 0)
+        return out;
+    out.reason = Reason::EnginesSaturated;
+    out.detail = fmt::format("no replica of {} may get a request that it could reject, because "
+                             "rejections may crash it",
+                             target);
+    out.retryAfter = rejections->retryAfter();
+    out.figures.push_back({"held_back_replicas", static_cast<double>(heldBack)});
+    out.figures.push_back({"max_rejections", static_cast<double>(rejections->maxRejections())});
+    out.figures.push_back({"routers", static_cast<double>(rejections->routers())});
+    return out;
+}
+
 void ServicePool::pathLost(const std::string &id)
 {
     const bool wasPartitioned = paths.isPartitioned();
@@ -160,6 +186,12 @@
 {
     std::unique_ptr<ServicePool> &pool = m_pools[service];
     if (!pool) {
+        auto rejections = std::make_shared<RejectionLimit>(
+                RejectionLimit::Options{.clock = m_clock,
+                                        .random = m_random,
+                                        .service = service,
+                                        .routers = m_fleet.routers,
+                                        .isEnabled = m_settings.mechanisms.brittleServices});
         pool = std::make_unique<ServicePool>(ServicePool{
                 .replicas = ReplicaPool(
                         {.clock = m_clock,
@@ -170,7 +202,8 @@
                          .regionOf =
                                  [this](const std::string &it) { return m_settings.regionOf(it); },
                          .routers = m_fleet.routers,
-                         .isColdSender = m_fleet.isColdSender}),
+                         .isColdSender = m_fleet.isColdSender,
+                         .rejections = rejections}),
                 .retryBudget = FleetRetryBudget({.clock = m_clock,
                                                  .share = m_settings.fleetRetryShare,
                                                  .slack = m_settings.fleetRetrySlack,
@@ -179,10 +212,11 @@
                 .admission = ServiceAdmission({.clock = m_clock,
                                                .random = m_random,
                                                .service = service,
-                                               .mechanisms = m_settings.mechanisms}),
-                .paths = PathMonitor({.clock = m_clock,
-                                      .service = service,
-                                      .checksDue = m_fleet.pathChecksDue})});
+                                               .mechanisms = m_settings.mechanisms,
+                                               .rejections = rejections}),
+                .paths = PathMonitor(
+                        {.clock = m_clock, .service = service, .checksDue = m_fleet.pathChecksDue}),
+                .rejections = rejections});
         pool->replicas.setEvacuated(m_evacuated);
         pool->replicas.setColdRateLimit(coldRateLimitOf(service));
         const std::vector<ReplicaRecord> own = ofService(m_replicas, service);
@@ -192,6 +226,26 @@
     return *pool;
 }
 
+std::vector<BrittleService> ServicePools::brittleServices() const
+{
+    std::vector<BrittleService> out;
+    for (const auto &[service, pool] : m_pools) {
+        const std::optional<BrittleService> own = pool->rejections->ownAnnouncement();
+        if (own && out.size() < MaxBrittleServices)
+            out.push_back(*own);
+    }
+    return out;
+}
+
+void ServicePools::noteBrittle(const std::string &router, std::span<const BrittleService> services)
+{
+    // A service that this router doesn't know gets no requests from it.
+    for (const BrittleService &it : services) {
+        if (const auto pool = m_pools.find(it.service); pool != m_pools.end())
+            pool->second->rejections->announced(router, it);
+    }
+}
+
 ReplicaStatusUpdate ServicePools::ownStatusUpdate() const
 {
     ReplicaStatusUpdate out;
--- a/src/Net/ServicePools.h
+++ b/src/Net/ServicePools.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Base/EntrySettings.h"
+#include "Base/Error.h"
 #include "Base/Random.h"
 #include "Base/RouteConfig.h"
 #include "Decide/ConnectionReusePolicy.h"
@@ -31,6 +32,12 @@
     ConnectionReusePolicy connectionReuse;
     ServiceAdmission admission;
     PathMonitor paths;
+    std::shared_ptr<RejectionLimit> rejections; ///< Also used by replicas and admission.
+
+    /// \returns why no replica of \a target, a service or its software, was chosen for a request.
+    /// \param verdict of its attempts.
+    /// \param retryAfter delay for the caller, unless the limit on rejections is the cause.
+    Error refusal(const std::string &target, Verdict verdict, Duration retryAfter) const;
 
     /// \brief Records that no connection to replica \a id could be established. While the service
     /// is partitioned, what failed on lost paths doesn't count against the replicas.
@@ -103,6 +110,12 @@
     /// \returns the number of replicas to which this router has no network path.
     std::size_t lostPaths() const;
 
+    /// \returns the brittle services that this router announces.
+    std::vector<BrittleService> brittleServices() const;
+
+    /// \brief Applies what \a router announced about brittle services.
+    void noteBrittle(const std::string &router, std::span<const BrittleService> services);
+
     /// \returns the status update about all replicas that this router announces.
     ReplicaStatusUpdate ownStatusUpdate() const;
 
--- a/src/Net/WireCodec.h
+++ b/src/Net/WireCodec.h
@@ -23,6 +23,9 @@
     std::optional<Duration> pause = {};
     /// Load of the replica when it answered, if it reports one.
     std::optional<ReplicaLoad> load = {};
+    /// Rejections in one second that the replica survives, if it announces such a limit.
+    std::optional<int> maxRejections = {};
+    bool isMaxRejectionsMalformed = false; ///< The announced limit is unusable.
 };
 
 /// \brief One attempt of a request.
--- a/test/EntryAdmissionTest.cpp
+++ b/test/EntryAdmissionTest.cpp
@@ -73,7 +73,7 @@
             if (!admit(*admission, *requests.back()))
                 held.push_back(std::move(admission));
             held.front()->headReceived(
-                    {.load = ReplicaLoad{.running = 16, .waiting = 9, .slots = 16}});
+                    "i-0", {.load = ReplicaLoad{.running = 16, .waiting = 9, .slots = 16}}, 200);
             clock.advance(10ms);
         }
         REQUIRE(service->isOverloaded(true));
@@ -219,7 +219,8 @@
         held.push_back(std::make_unique<EntryAdmission>(metrics));
         CHECK_FALSE(admit(*held.back(), *requests.back()));
         CHECK_FALSE(held.back()->statedPriority());
-        held.back()->headReceived({.load = ReplicaLoad{.running = 16, .waiting = 9, .slots = 16}});
+        held.back()->headReceived(
+                "i-0", {.load = ReplicaLoad{.running = 16, .waiting = 9, .slots = 16}}, 200);
         clock.advance(10ms);
     }
 }
--- a/test/PlatformCodecTest.cpp
+++ b/test/PlatformCodecTest.cpp
@@ -239,3 +239,32 @@
     CHECK_FALSE(leaving("0"));
     CHECK_FALSE(platform::decodeAnswer({.status = 200, .headers = {}}).isLeaving);
 }
+
+TEST_CASE("requestCodec_brittleHeader_isDecodedInEveryAnswer")
+{
+    for (const int status : {200, 500, 503, 404}) {
+        const auto it =
+                platform::decodeAnswer({.status = status, .headers = {{"server-brittle", "20"}}});
+        CHECK(it.maxRejections == 20);
+        CHECK_FALSE(it.isMaxRejectionsMalformed);
+    }
+    const auto without = platform::decodeAnswer({.status = 200});
+    CHECK_FALSE(without.maxRejections);
+    CHECK_FALSE(without.isMaxRejectionsMalformed);
+}
+
+// Guards against a limit that is taken from an unusable header.
+TEST_CASE("requestCodec_unusableBrittleHeader_isReportedAndHasNoValue")
+{
+    for (const char *text : {"", "0", "-1", "x", "20x", "1.5", " 20 7", "1000001", "99999999999"}) {
+        CAPTURE(text);
+        const auto it =
+                platform::decodeAnswer({.status = 200, .headers = {{"Server-Brittle", text}}});
+        CHECK_FALSE(it.maxRejections);
+        CHECK(it.isMaxRejectionsMalformed);
+    }
+    const auto twice = platform::decodeAnswer(
+            {.status = 200, .headers = {{"Server-Brittle", "20"}, {"Server-Brittle", "20"}}});
+    CHECK_FALSE(twice.maxRejections);
+    CHECK(twice.isMaxRejectionsMalformed);
+}
--- a/test/RouterHeartbeatTest.cpp
+++ b/test/RouterHeartbeatTest.cpp
@@ -75,3 +75,23 @@
     REQUIRE(read);
     CHECK(read.value().unreachableServices == heartbeat.unreachableServices);
 }
+
+// Guards against a byte more in heartbeats while no service is brittle.
+TEST_CASE("heartbeatCodec_noBrittleService_fieldIsAbsent")
+{
+    CHECK(HeartbeatCodec::encode(usualHeartbeat()).find("\"br\"") == std::string::npos);
+}
+
+TEST_CASE("heartbeatCodec_brittleServices_arePassedOn")
+{
+    RouterHeartbeat heartbeat = usualHeartbeat();
+    heartbeat.brittle = {{.service = "billing", .maxRejections = 20, .age = 1234ms, .routers = 73}};
+    HeartbeatCodec codec;
+    const Result<RouterHeartbeat> read = codec.unpack(HeartbeatCodec::pack(heartbeat));
+    REQUIRE(read);
+    REQUIRE(read.value().brittle.size() == 1);
+    CHECK(read.value().brittle[0].service == "billing");
+    CHECK(read.value().brittle[0].maxRejections == 20);
+    CHECK(read.value().brittle[0].age == 1234ms);
+    CHECK(read.value().brittle[0].routers == 73);
+}
