--- a/standin/ReplicaStandin.cpp
+++ b/standin/ReplicaStandin.cpp
@@ -52,10 +52,12 @@
     return m_faults.contains(fault) && uniform(m_random) < faultValue(fault);
 }
 
-HttpHeaders ReplicaStandin::withLeavingHeader(HttpHeaders headers) const
+HttpHeaders ReplicaStandin::withStateHeaders(HttpHeaders headers) const
 {
     if (faultValue("leaving") > 0)
         headers.emplace_back("Server-Leaving", "1");
+    if (const double n = faultValue("brittle"); n > 0)
+        headers.emplace_back("Server-Brittle", fmt::format("{:.0f}", n));
     return headers;
 }
 
@@ -66,7 +68,7 @@
                         {"X-Not-Executed", "1"}};
     if (!retryAfter.empty())
         headers.emplace_back("Retry-After", retryAfter);
-    exchange->respond(503, withLeavingHeader(headers), {});
+    exchange->respond(503, withStateHeaders(headers), {});
 }
 
 void ReplicaStandin::handle(const HttpExchangePtr &exchange)
@@ -75,11 +77,14 @@
         return control(exchange);
     const std::string targetId = toString(exchange->header("X-Target-Instance"));
     if (!targetId.empty() && targetId != m_options.id)
-        return exchange->respond(421, withLeavingHeader({{"X-Instance-Id", m_options.id}}), {});
+        return exchange->respond(421, withStateHeaders({{"X-Instance-Id", m_options.id}}), {});
     if (const double ms = faultValue("pause_ms"); ms > 0)
         return refuse(exchange, fmt::format("{:.3f}", ms / 1000));
     if (shouldInject("refuse"))
         return refuse(exchange, {});
+    const bool hasSlot = faultValue("slots") > 0 && exchange->queryValue("events").empty();
+    if (hasSlot && !takesSlot(exchange))
+        return;
     record(*exchange);
     if (exchange->body() == FatalBody || hasFatalPart(*exchange) || exceedsColdRateLimit())
         return crash(exchange);
@@ -88,12 +93,66 @@
         exchange->onClosed([held = exchange] {});
         return;
     }
-    if (shouldInject("lose"))
+    if (shouldInject("lose")) {
+        if (hasSlot)
+            slotFreed();
         return exchange->abort();
+    }
     if (!exchange->queryValue("events").empty())
         startStream(exchange);
     else
-        answerCall(exchange);
+        answerCall(exchange, hasSlot);
+}
+
+bool ReplicaStandin::takesSlot(const HttpExchangePtr &exchange)
+{
+    if (m_running < static_cast<int>(faultValue("slots"))) {
+        ++m_running;
+        return true;
+    }
+    const bool isShort = faultValue("brittle") > 0
+            && m_options.loop.now() - m_brittleSince
+                    >= fromSeconds(faultValue("brittle_after_ms") / 1000);
+    std::erase_if(m_waiting, [](const HttpExchangePtr &it) { return !it->isOpen(); });
+    const double queue = faultValue(isShort ? "brittle_queue" : "queue");
+    if (static_cast<double>(m_waiting.size()) < queue)
+        m_waiting.push_back(exchange);
+    else
+        rejectForLackOfRoom(exchange);
+    return false;
+}
+
+void ReplicaStandin::slotFreed()
+{
+    std::erase_if(m_waiting, [](const HttpExchangePtr &it) { return !it->isOpen(); });
+    if (m_waiting.empty()) {
+        --m_running;
+        return;
+    }
+    const HttpExchangePtr next = m_waiting.front();
+    m_waiting.pop_front();
+    record(*next);
+    answerCall(next, true);
+}
+
+void ReplicaStandin::rejectForLackOfRoom(const HttpExchangePtr &exchange)
+{
+    refuse(exchange, {});
+    const TimePoint now = m_options.loop.now();
+    m_rejections.push_back(now);
+    while (now - m_rejections.front() >= 1s)
+        m_rejections.pop_front();
+    const double limit = faultValue("brittle");
+    if (limit > 0 && static_cast<double>(m_rejections.size()) > limit)
+        std::_Exit(EXIT_FAILURE);
+}
+
+std::string ReplicaStandin::loadText() const
+{
+    const int slots = static_cast<int>(faultValue("slots"));
+    if (slots == 0)
+        return fmt::format("1,0,8,{}", pacePercent());
+    return fmt::format("{},{},{},{}", m_running, m_waiting.size(), slots, pacePercent());
 }
 
 void ReplicaStandin::crash(const HttpExchangePtr &exchange)
@@ -116,6 +175,8 @@
 
 void ReplicaStandin::control(const HttpExchangePtr &exchange)
 {
+    if (faultValue("brittle") <= 0)
+        m_brittleSince = m_options.loop.now();
     // A replica that is leaving stays so.
     std::erase_if(m_faults, [](const auto &it) { return it.first != "leaving"; });
     const Json::Value request = bodyObject(*exchange);
@@ -145,10 +206,10 @@
 HttpHeaders ReplicaStandin::headersOf(const HttpExchange &exchange, const std::string &body) const
 {
     const std::string id = toString(exchange.header("X-Request-Id"));
-    return withLeavingHeader({{"X-Request-Id", id},
-                              {"X-Response-Signature", signatureOf(id, body)},
-                              {"X-Server-Load", fmt::format("1,0,8,{}", pacePercent())},
-                              {"Keep-Alive", "timeout=5"}});
+    return withStateHeaders({{"X-Request-Id", id},
+                             {"X-Response-Signature", signatureOf(id, body)},
+                             {"X-Server-Load", loadText()},
+                             {"Keep-Alive", "timeout=5"}});
 }
 
 /// The machine of a replica is shared and changes its pace several times a second.
@@ -160,15 +221,18 @@
     return hash64(fmt::format("{} {}", m_options.id, period)) % 6 == 0 ? Slow : Usual;
 }
 
-void ReplicaStandin::answerCall(const HttpExchangePtr &exchange)
+void ReplicaStandin::answerCall(const HttpExchangePtr &exchange, bool hasSlot)
 {
     const std::string body =
             fmt::format("{} answered by {}", exchange->header("X-Request-Id"), m_options.id);
     const int status = shouldInject("fail") ? 500 : 200;
-    m_options.loop.after(m_options.serviceTime,
-                         [exchange, status, body, headers = headersOf(*exchange, body)] {
-                             exchange->respond(status, headers, body);
-                         });
+    const double ms = faultValue("call_ms");
+    const Duration time = ms > 0 ? fromSeconds(ms / 1000) : m_options.serviceTime;
+    m_options.loop.after(time, [this, exchange, status, body, hasSlot] {
+        if (hasSlot)
+            slotFreed();
+        exchange->respond(status, headersOf(*exchange, body), body);
+    });
 }
 
 void ReplicaStandin::startStream(const HttpExchangePtr &exchange)
--- a/standin/ReplicaStandin.h
+++ b/standin/ReplicaStandin.h
@@ -19,6 +19,12 @@
 /// is leaving. If `pause_ms` is above 0, all requests are refused with this time in `Retry-After`.
 /// The process crashes on a request with FatalBody or with FatalPart among the parts of its prompt,
 /// except the last, and when it receives more than twice `cold_per_s` requests within a second.
+///
+/// With `slots` above 0 it runs that many calls at once, queues `queue` more, and rejects the
+/// others with `X-Not-Executed`; `call_ms` replaces the time that a call takes. With `brittle`
+/// above 0 all answers to requests carry `Server-Brittle`; `brittle_after_ms` later the queue is
+/// `brittle_queue`, and the process exits if it has to reject more than `brittle` calls for lack of
+/// room within one second.
 class ReplicaStandin final : public Standin
 {
 public:
@@ -54,14 +60,18 @@
     void control(const HttpExchangePtr &exchange);
     bool shouldInject(const char *fault);
     double faultValue(const char *name) const;
-    HttpHeaders withLeavingHeader(HttpHeaders headers) const;
+    HttpHeaders withStateHeaders(HttpHeaders headers) const;
+    bool takesSlot(const HttpExchangePtr &exchange);
+    void slotFreed();
+    void rejectForLackOfRoom(const HttpExchangePtr &exchange);
+    std::string loadText() const;
     int pacePercent() const; ///< How long work takes at this moment; 100 is usual.
     void refuse(const HttpExchangePtr &exchange, const std::string &retryAfter);
     void record(const HttpExchange &exchange, bool refused = false);
     void crash(const HttpExchangePtr &exchange);
     bool exceedsColdRateLimit();
     HttpHeaders headersOf(const HttpExchange &exchange, const std::string &body) const;
-    void answerCall(const HttpExchangePtr &exchange);
+    void answerCall(const HttpExchangePtr &exchange, bool hasSlot);
     void startStream(const HttpExchangePtr &exchange);
     void continueStream(const std::shared_ptr<Stream> &stream);
 
@@ -69,6 +79,10 @@
     ExecutionRecord m_record;
     std::map<std::string, double> m_faults;
     std::deque<TimePoint> m_arrivals; ///< Times of the requests of the last second.
+    std::deque<TimePoint> m_rejections; ///< For lack of room, in the last second.
+    TimePoint m_brittleSince; ///< Valid while `brittle` is above 0.
+    int m_running = 0; ///< Calls that have a slot.
+    std::deque<HttpExchangePtr> m_waiting; ///< Calls that wait for a slot.
     RandomSource m_random;
 };
 
