Tests of what is reported to the limit on rejections, and of its switch

EntryAdmission reports the header and rejections but not answers of another replica (421); counters and the status page show them; brittle_services is read.

--- a/test/EntryAdmissionTest.cpp
+++ b/test/EntryAdmissionTest.cpp
@@ -1,5 +1,6 @@
 #include "Net/EntryAdmission.h"
 #include "Base/ManualClock.h"
+#include "Net/BrittlePage.h"
 
 #include <doctest/doctest.h>
 
@@ -224,3 +225,31 @@
         clock.advance(10ms);
     }
 }
+
+// Guards against rejections, or a header, that don't reach the limit of the service.
+TEST_CASE_FIXTURE(EntryAdmissionFixture, "entryAdmission_answers_areReportedToTheRejectionLimit")
+{
+    const auto limit = std::make_shared<RejectionLimit>(
+            RejectionLimit::Options{.clock = clock, .random = seededRandom(1), .service = "model"});
+    ServiceAdmission limited(
+            {.clock = clock, .random = seededRandom(1), .service = "model", .rejections = limit});
+    const EntryRequest call = request(2);
+    EntryAdmission admission(metrics);
+    CHECK_FALSE(admission.admit(limited, call, 2s));
+    admission.headReceived("i-0", {.notExecuted = true, .maxRejections = 20}, 421);
+    CHECK_FALSE(limit->isBrittle());
+    admission.headReceived("i-0", {.notExecuted = true, .maxRejections = 20}, 503);
+    CHECK(limit->maxRejections() == 20);
+    CHECK(limit->worstRejections() == 1);
+    admission.headReceived("i-0", {.isMaxRejectionsMalformed = true}, 200);
+    limited.collect(metrics);
+    const std::string label = Metrics::label("service", "model");
+    CHECK(metrics.counter("catkinloft_brittle_begins_total", label) == 1);
+    CHECK(metrics.counter("catkinloft_brittle_rejections_total", label) == 1);
+    CHECK(metrics.counter("catkinloft_brittle_headers_malformed_total", label) == 1);
+    CHECK(metrics.counter("catkinloft_brittle_ends_total", label) == 0);
+    const std::vector<std::shared_ptr<RejectionLimit>> limits = {limit};
+    const std::string page = brittlePage("front-1", limits);
+    CHECK(page.find(R"("service":"model")") != std::string::npos);
+    CHECK(page.find(R"("reported_by":"i-0")") != std::string::npos);
+}
--- a/test/EntrySettingsTest.cpp
+++ b/test/EntrySettingsTest.cpp
@@ -86,6 +86,22 @@
     CHECK(settings.mechanisms.expectedTimePlacement);
 }
 
+TEST_CASE_FIXTURE(EntrySettingsFixture, "entrySettings_brittleServicesDisabled_isRead")
+{
+    YamlProblems problems;
+    const auto read = EntrySettings::parse("name: a\n"
+                                           "failure_domain: d\n"
+                                           "caller_address: 127.0.0.1:80\n"
+                                           "peer_address: 127.0.0.1:81\n"
+                                           "store_address: 127.0.0.1:82\n"
+                                           "mechanisms:\n"
+                                           "  brittle_services: false\n",
+                                           "test.yaml", problems);
+    REQUIRE(problems.empty());
+    REQUIRE(read);
+    CHECK(read->mechanisms == Mechanisms{.brittleServices = false});
+}
+
 TEST_CASE_FIXTURE(EntrySettingsFixture, "entrySettings_unknownMechanism_reportsProblem")
 {
     YamlProblems problems;
