--- a/test/integration/BrittleTest.cpp
+++ b/test/integration/BrittleTest.cpp
@@ -22,7 +22,14 @@
 /// Four routers and three replicas of eight slots whose calls take 40 ms.
 struct BrittleFleetFixture
 {
-    BrittleFleetFixture() { fleet.start(); }
+    explicit BrittleFleetFixture(const std::string &settings = {})
+        : fleet({.binaries = CATKINLOFT_BINARIES,
+                 .routers = 4,
+                 .replicas = Replicas,
+                 .extraSettings = settings})
+    {
+        fleet.start();
+    }
 
     void setFaults(const std::string &more)
     {
@@ -106,7 +113,7 @@
 
     static constexpr std::size_t Replicas = 3;
 
-    EntryFleet fleet{{.binaries = CATKINLOFT_BINARIES, .routers = 4, .replicas = Replicas}};
+    EntryFleet fleet;
     int round = 0;
 };
 
@@ -152,3 +159,24 @@
     CHECK(answer.value().head.status == 200);
     CHECK(Fleet::waitFor([&] { return routersWith("service_brittle") == fleet.routerCount(); }));
 }
+
+namespace {
+
+struct UnlimitedFleetFixture : BrittleFleetFixture
+{
+    UnlimitedFleetFixture()
+        : BrittleFleetFixture("mechanisms:\n"
+                              "  brittle_services: false\n")
+    { }
+};
+
+} // namespace
+
+// Shows that the overload is hard enough: without the limit replicas crash.
+TEST_CASE_FIXTURE(UnlimitedFleetFixture, "brittle_switchedOff_replicasCrash")
+{
+    setFaults(R"(,"brittle":20,"brittle_queue":0,"brittle_after_ms":0)");
+    callFor(2s, 96);
+    CHECK(Fleet::waitFor([&] { return !fleet.replica(0).isRunning(); }));
+    CHECK(routersWith("service_brittle") == 0);
+}
