--- a/src/Net/EntryAdmission.cpp
+++ b/src/Net/EntryAdmission.cpp
@@ -12,6 +12,7 @@
 using namespace std::chrono_literals;
 
 constexpr int Unavailable = 503;
+constexpr int Misdirected = 421;
 
 /// Least time after which a refused caller should retry. Retry-After is stated in milliseconds, and
 /// with 0 a caller would return at once.
@@ -96,8 +97,16 @@
         m_service->prompts().firstEvent(*m_prompt);
 }
 
-void EntryAdmission::headReceived(const AnswerFacts &answer)
+void EntryAdmission::headReceived(const std::string &replica, const AnswerFacts &answer, int status)
 {
+    // An answer of another replica at the same address says nothing about this one.
+    if (const auto &rejections = m_service->options().rejections;
+        rejections && status != Misdirected)
+        rejections->answered(replica,
+                             {.maxRejections = answer.maxRejections,
+                              .isMalformed = answer.isMaxRejectionsMalformed,
+                              .isRejection = answer.notExecuted,
+                              .load = answer.load});
     if (m_isPrompt && answer.load)
         m_service->prompts().loadReported(*answer.load);
 }
--- a/src/Net/ServiceAdmission.h
+++ b/src/Net/ServiceAdmission.h
@@ -6,11 +6,13 @@
 #include "Base/Random.h"
 #include "Decide/LoadShedder.h"
 #include "Decide/PromptAdmission.h"
+#include "Decide/RejectionLimit.h"
 #include "Decide/RepeatDetector.h"
 #include "Decide/RequestRank.h"
 #include "Decide/WorkspaceShares.h"
 #include "Request/EntryRequest.h"
 
+#include <memory>
 #include <string>
 
 namespace catkinloft {
@@ -26,6 +28,7 @@
         RandomSource random;
         std::string service = {};
         Mechanisms mechanisms = {};
+        std::shared_ptr<RejectionLimit> rejections = {}; ///< Null: rejections are not limited.
     };
 
     explicit ServiceAdmission(Options options);
@@ -47,8 +50,8 @@
     /// \brief Logs the begin and the end of a limit, at most once a second.
     void logChanges();
 
-    /// \brief Updates the gauges of this service.
-    void collect(Metrics &metrics) const;
+    /// \brief Updates the gauges of this service, and its counters of rejections.
+    void collect(Metrics &metrics);
 
 private:
     /// \returns whether a limit is applied to prompts.
@@ -56,6 +59,7 @@
     {
         return m_options.mechanisms.promptAdmission && m_prompts.isLimiting();
     }
+    void collectRejections(Metrics &metrics, const std::string &label);
 
     Options m_options;
     PromptAdmission m_prompts;
@@ -65,6 +69,7 @@
     TimePoint m_overloadedAt = TimePoint::min(); ///< Last request while it was overloaded.
     bool m_wasLimiting = false; ///< As logged last.
     TimePoint m_loggedAt = TimePoint::min();
+    RejectionLimit::Totals m_counted; ///< As counted last by collect().
 };
 
 } // namespace catkinloft
--- a/standin/ReplicaStandin.cpp
+++ b/standin/ReplicaStandin.cpp
@@ -52,10 +52,12 @@
     return m_faults.contains(fault) && uniform(m_random) < faultValue(fault);
 }
 
-HttpHeaders ReplicaStandin::withLeavingHeader(HttpHeaders headers) const
+HttpHeaders ReplicaStandin::withStateHeaders(HttpHeaders headers) const
 {
     if (faultValue("leaving") > 0)
         headers.emplace_back("Server-Leaving", "1");
+    if (const double n = faultValue("brittle"); n > 0)
+        headers.emplace_back("Server-Brittle", fmt::format("{:.0f}", n));
     return headers;
 }
 
@@ -66,9 +68,9 @@
                         {"X-Not-Executed", "1"}};
     if (!retryAfter.empty())
         headers.emplace_back("Retry-After", retryAfter);
-    if (m_options.slots > 0)
+    if (slots() > 0)
         headers.emplace_back("X-Server-Load", loadReport());
-    exchange->respond(503, withLeavingHeader(headers), {});
+    exchange->respond(503, withStateHeaders(headers), {});
 }
 
 void ReplicaStandin::handle(const HttpExchangePtr &exchange)
@@ -77,11 +79,13 @@
         return control(exchange);
     const std::string targetId = toString(exchange->header("X-Target-Instance"));
     if (!targetId.empty() && targetId != m_options.id)
-        return exchange->respond(421, withLeavingHeader({{"X-Instance-Id", m_options.id}}), {});
+        return exchange->respond(421, withStateHeaders({{"X-Instance-Id", m_options.id}}), {});
     if (const double ms = faultValue("pause_ms"); ms > 0)
         return refuse(exchange, fmt::format("{:.3f}", ms / 1000));
-    if (shouldInject("refuse") || !hasRoom())
+    if (shouldInject("refuse"))
         return refuse(exchange, {});
+    if (!hasRoom())
+        return rejectForLackOfRoom(exchange);
     record(*exchange);
     if (exchange->body() == FatalBody || hasFatalPart(*exchange) || exceedsColdRateLimit())
         return crash(exchange);
@@ -92,23 +96,51 @@
     }
     if (shouldInject("lose"))
         return exchange->abort();
-    if (m_options.slots > 0 && m_running >= m_options.slots)
+    if (slots() > 0 && m_running >= slots())
         m_waiting.push_back(exchange);
     else
         execute(exchange);
 }
 
-bool ReplicaStandin::hasRoom() const
+int ReplicaStandin::slots() const
 {
-    return m_options.slots <= 0 || m_running < m_options.slots
-            || static_cast<int>(m_waiting.size()) < m_options.queue;
+    const int set = static_cast<int>(faultValue("slots"));
+    return set > 0 ? set : m_options.slots;
+}
+
+int ReplicaStandin::queueLength() const
+{
+    const bool isShort = faultValue("brittle") > 0
+            && m_options.loop.now() - m_brittleSince
+                    >= fromSeconds(faultValue("brittle_after_ms") / 1000);
+    const char *name = isShort ? "brittle_queue" : "queue";
+    return m_faults.contains(name) ? static_cast<int>(faultValue(name)) : m_options.queue;
+}
+
+bool ReplicaStandin::hasRoom()
+{
+    std::erase_if(m_waiting, [](const HttpExchangePtr &it) { return !it->isOpen(); });
+    return slots() <= 0 || m_running < slots()
+            || static_cast<int>(m_waiting.size()) < queueLength();
+}
+
+void ReplicaStandin::rejectForLackOfRoom(const HttpExchangePtr &exchange)
+{
+    refuse(exchange, {});
+    const TimePoint now = m_options.loop.now();
+    m_rejections.push_back(now);
+    while (now - m_rejections.front() >= 1s)
+        m_rejections.pop_front();
+    const double limit = faultValue("brittle");
+    if (limit > 0 && static_cast<double>(m_rejections.size()) > limit)
+        std::_Exit(EXIT_FAILURE);
 }
 
 std::string ReplicaStandin::loadReport() const
 {
-    if (m_options.slots <= 0)
+    if (slots() <= 0)
         return fmt::format("1,0,8,{}", pacePercent());
-    return fmt::format("{},{},{},{}", m_running, m_waiting.size(), m_options.slots, pacePercent());
+    return fmt::format("{},{},{},{}", m_running, m_waiting.size(), slots(), pacePercent());
 }
 
 void ReplicaStandin::execute(const HttpExchangePtr &exchange)
@@ -151,6 +183,8 @@
 
 void ReplicaStandin::control(const HttpExchangePtr &exchange)
 {
+    if (faultValue("brittle") <= 0)
+        m_brittleSince = m_options.loop.now();
     // A replica that is leaving stays so.
     std::erase_if(m_faults, [](const auto &it) { return it.first != "leaving"; });
     const Json::Value request = bodyObject(*exchange);
@@ -180,10 +214,10 @@
 HttpHeaders ReplicaStandin::headersOf(const HttpExchange &exchange, const std::string &body) const
 {
     const std::string id = toString(exchange.header("X-Request-Id"));
-    return withLeavingHeader({{"X-Request-Id", id},
-                              {"X-Response-Signature", signatureOf(id, body)},
-                              {"X-Server-Load", loadReport()},
-                              {"Keep-Alive", "timeout=5"}});
+    return withStateHeaders({{"X-Request-Id", id},
+                             {"X-Response-Signature", signatureOf(id, body)},
+                             {"X-Server-Load", loadReport()},
+                             {"Keep-Alive", "timeout=5"}});
 }
 
 /// The machine of a replica is shared and changes its pace several times a second.
@@ -200,11 +234,12 @@
     const std::string body =
             fmt::format("{} answered by {}", exchange->header("X-Request-Id"), m_options.id);
     const int status = shouldInject("fail") ? 500 : 200;
-    m_options.loop.after(m_options.serviceTime,
-                         [this, exchange, status, body, headers = headersOf(*exchange, body)] {
-                             exchange->respond(status, headers, body);
-                             releaseSlot();
-                         });
+    const double ms = faultValue("call_ms");
+    const Duration time = ms > 0 ? fromSeconds(ms / 1000) : m_options.serviceTime;
+    m_options.loop.after(time, [this, exchange, status, body] {
+        releaseSlot();
+        exchange->respond(status, headersOf(*exchange, body), body);
+    });
 }
 
 void ReplicaStandin::startStream(const HttpExchangePtr &exchange)
--- a/standin/ReplicaStandin.h
+++ b/standin/ReplicaStandin.h
@@ -21,7 +21,12 @@
 /// except the last, and when it receives more than twice `cold_per_s` requests within a second.
 ///
 /// With a number of slots, requests beyond them wait, and those beyond the queue are refused as not
-/// executed. Its load reports then state the requests that run and wait.
+/// executed. Its load reports then state the requests that run and wait. `slots` and `queue` set
+/// both at run time, `call_ms` the time that a call takes.
+///
+/// With `brittle` above 0 all answers to requests carry `Server-Brittle`; `brittle_after_ms` later
+/// the queue is `brittle_queue`, and the process exits if it has to reject more than `brittle`
+/// requests for lack of room within one second.
 class ReplicaStandin final : public Standin
 {
 public:
@@ -59,14 +64,17 @@
     void control(const HttpExchangePtr &exchange);
     bool shouldInject(const char *fault);
     double faultValue(const char *name) const;
-    HttpHeaders withLeavingHeader(HttpHeaders headers) const;
+    HttpHeaders withStateHeaders(HttpHeaders headers) const;
     int pacePercent() const; ///< How long work takes at this moment; 100 is usual.
     void refuse(const HttpExchangePtr &exchange, const std::string &retryAfter);
     void record(const HttpExchange &exchange, bool refused = false);
     void crash(const HttpExchangePtr &exchange);
     bool exceedsColdRateLimit();
     HttpHeaders headersOf(const HttpExchange &exchange, const std::string &body) const;
-    bool hasRoom() const;
+    int slots() const; ///< 0: no limit.
+    int queueLength() const; ///< Requests that may wait for a slot.
+    bool hasRoom();
+    void rejectForLackOfRoom(const HttpExchangePtr &exchange);
     std::string loadReport() const;
     void execute(const HttpExchangePtr &exchange);
     void releaseSlot();
@@ -78,6 +86,8 @@
     ExecutionRecord m_record;
     std::map<std::string, double> m_faults;
     std::deque<TimePoint> m_arrivals; ///< Times of the requests of the last second.
+    std::deque<TimePoint> m_rejections; ///< For lack of room, in the last second.
+    TimePoint m_brittleSince; ///< Valid while `brittle` is above 0.
     RandomSource m_random;
     int m_running = 0;
     std::deque<HttpExchangePtr> m_waiting; ///< Requests without a slot, in order of arrival.
