A pause of a replica doesn't eject it for its mean duration

Cause: one answer that is late by a second raises the moving average of a replica with answers of some milliseconds above three times the median, and all requests that wait for it do so at once. Answers later than 11 medians now count as 11 medians, and those that were in progress at the same time count once: a single pause can't eject, three answers in a row that are that late do.

--- a/src/Decide/HealthTracker.cpp
+++ b/src/Decide/HealthTracker.cpp
@@ -16,10 +16,10 @@
 constexpr double MaxErrorRate = 0.5;
 constexpr double MaxCostRatio = 3; ///< Mixed prompt lengths alone stay below twice the median.
 
-/// Largest cost that one attempt adds to the average, as a multiple of the median. A lost packet or
-/// a suspended VM delays a short call by a hundred times its usual duration, which would eject a
-/// healthy upstream alone. With this value it takes five such attempts in a row.
-constexpr double MaxSampleRatio = 2 * MaxCostRatio;
+/// An answer that takes longer than this many medians was delayed by a pause, such as a lost packet
+/// or a suspended VM, and counts as one that took so long. A single one raises the average to less
+/// than MaxCostRatio; three in a row eject.
+constexpr double PauseCostRatio = 11;
 
 constexpr Duration FirstEjection = 5s;
 constexpr Duration FirstRamp = 10s;
@@ -43,13 +43,8 @@
     it.probing = false;
     it.errorRate += Smoothing * ((failed ? 1 : 0) - it.errorRate);
     it.failuresInRow = failed ? it.failuresInRow + 1 : 0;
-    if (report.succeeded) {
-        const double cost = limited(toSeconds(report.total) / std::max(1.0, work), MaxSampleRatio);
-        // A stall that was averaged before the median was known must not eject the upstream without
-        // another slow attempt.
-        const double before = limited(it.cost, MaxCostRatio);
-        it.cost = it.samples == 0 ? cost : before + Smoothing * (cost - before);
-    }
+    if (report.succeeded)
+        addCost(it, toSeconds(report.total) / std::max(1.0, work), report.total, now);
     ++it.samples;
     if (it.state == State::HalfOpen) {
         const double cost = toSeconds(report.total) / std::max(1.0, work);
@@ -65,6 +60,23 @@
     return it.state != stateBefore;
 }
 
+/// All requests that an upstream has in progress are late after one pause of it, such as a
+/// suspended VM, and count once.
+void HealthTracker::addCost(Entry &it, double cost, Duration total, TimePoint now) const
+{
+    if (m_medianCost > 0 && cost > PauseCostRatio * m_medianCost) {
+        if (now - total < it.pausedUntil)
+            return;
+        it.pausedUntil = now;
+        cost = PauseCostRatio * m_medianCost;
+    }
+    // A pause that was averaged before the median was known must not eject the upstream without
+    // another slow attempt.
+    const double average =
+            m_medianCost > 0 ? std::min(it.cost, MaxCostRatio * m_medianCost) : it.cost;
+    it.cost = it.samples == 0 ? cost : average + Smoothing * (cost - average);
+}
+
 bool HealthTracker::ejectImmediately(Entry &it, std::size_t poolSize, TimePoint now)
 {
     if (it.state != State::Healthy || !mayEject(poolSize))
@@ -84,12 +96,6 @@
             || (m_medianCost > 0 && it.cost > MaxCostRatio * m_medianCost);
 }
 
-/// \returns \a cost, at most \a maxRatio times the median if that is known.
-double HealthTracker::limited(double cost, double maxRatio) const
-{
-    return m_medianCost > 0 ? std::min(cost, maxRatio * m_medianCost) : cost;
-}
-
 bool HealthTracker::mayEject(std::size_t poolSize) const
 {
     // If many upstreams look bad at once, the cause is elsewhere, and ejecting them would overload
--- a/src/Decide/HealthTracker.h
+++ b/src/Decide/HealthTracker.h
@@ -38,6 +38,7 @@
         int setbacks = 0; ///< Ejections and returns, halved after SetbackLifetime.
         bool probing = false; ///< A half-open probe is in progress.
         TimePoint ejectedUntil;
+        TimePoint pausedUntil = TimePoint::min(); ///< When the last answer after a pause arrived.
         TimePoint rampStart; ///< Begin of the slow start; in the past if there is none.
         Duration rampTime = Duration::zero();
         TimePoint setbackAt;
@@ -80,8 +81,8 @@
     std::uint64_t ejections() const { return m_ejections; }
 
 private:
+    void addCost(Entry &it, double cost, Duration total, TimePoint now) const;
     bool isOutlier(const Entry &it) const;
-    double limited(double cost, double maxRatio) const;
     bool mayEject(std::size_t poolSize) const;
     void eject(Entry &it, TimePoint now);
     void recover(Entry &it, TimePoint now);
--- a/standin/ReplicaStandin.cpp
+++ b/standin/ReplicaStandin.cpp
@@ -237,8 +237,8 @@
     const double ms = faultValue("call_ms");
     const Duration time = ms > 0 ? fromSeconds(ms / 1000) : m_options.serviceTime;
     m_options.loop.after(time, [this, exchange, status, body] {
-        releaseSlot();
         exchange->respond(status, headersOf(*exchange, body), body);
+        releaseSlot();
     });
 }
 
--- a/test/DecideHealthTrackerTest.cpp
+++ b/test/DecideHealthTrackerTest.cpp
@@ -123,3 +123,34 @@
     clock.advance(1s);
     CHECK(tracker.admits(entries[0], clock.now()));
 }
+
+// Guards against ejecting a healthy upstream that was suspended for a moment, after which all
+// requests that it had in progress are answered late.
+TEST_CASE_FIXTURE(HealthTrackerFixture, "healthTracker_onePauseDelaysManyAnswers_isNotEjected")
+{
+    warmUp();
+    clock.advance(2s);
+    for (int i = 0; i < 10; ++i) {
+        answer(3, 1500ms);
+        clock.advance(1ms);
+    }
+    CHECK(entries[3].state == State::Healthy);
+    for (int i = 0; i < 20; ++i) {
+        clock.advance(100ms);
+        answer(3, 100ms);
+        CHECK(entries[3].state == State::Healthy);
+    }
+}
+
+// Guards against an upstream that takes much too long for each answer and is taken for one that
+// pauses.
+TEST_CASE_FIXTURE(HealthTrackerFixture, "healthTracker_threeAnswersInARowAreVeryLate_isEjected")
+{
+    warmUp();
+    for (int i = 0; i < 3; ++i) {
+        CHECK(entries[3].state == State::Healthy);
+        clock.advance(2s);
+        answer(3, 2s);
+    }
+    CHECK(entries[3].state == State::Ejected);
+}
