--- a/test/DecideHealthTrackerTest.cpp
+++ b/test/DecideHealthTrackerTest.cpp
@@ -60,8 +60,8 @@
     CHECK(tracker.ejectedCount() == 1);
 }
 
-// Guards against the ejection of a healthy upstream because of a single answer that a lost packet or
-// a suspended VM delayed.
+// Guards against the ejection of a healthy upstream because of a single answer that a lost packet
+// or a suspended VM delayed.
 TEST_CASE_FIXTURE(HealthTrackerFixture, "healthTracker_singleStall_ejectsNothing")
 {
     warmUp();
