--- a/src/Decide/RejectionLimit.cpp
+++ b/src/Decide/RejectionLimit.cpp
@@ -204,7 +204,8 @@
 {
     const int known = std::max(1, m_options.routers());
     // A router that hears no other one may be cut off; the others still send.
-    const bool isHeld = known == 1 || now - m_routersAt < RoutersHoldTime;
+    const bool isHeld =
+            known == 1 || (m_routersAt != TimePoint::min() && now - m_routersAt < RoutersHoldTime);
     if (known < m_routers && isHeld)
         return;
     m_routersAt = now;
