Routers report what they have used of the retry budget

No log line or gauge told how much of its part a router had used, how large the part was or with how many it was shared, so that a budget that is counted anew could not be told from retries that aren't counted or from a wrong number of routers. Line retry_budget_exhausted, at most once a second and service, and three gauges per service that can be added up over the fleet.

Checked: fleetRetryBudget_* on the paused clock; syntax of the other files.

--- a/src/Decide/FleetRetryBudget.cpp
+++ b/src/Decide/FleetRetryBudget.cpp
@@ -1,6 +1,9 @@
 #include "Decide/FleetRetryBudget.h"
 
+#include "Base/Log.h"
+
 #include <algorithm>
+#include <utility>
 
 namespace catkinloft {
 
@@ -12,8 +15,15 @@
 
 constexpr std::int64_t SlotsPerWindow = 10;
 
+/// Shortest time between two log lines about a budget that is used up.
+constexpr Duration LogInterval = std::chrono::seconds(1);
+
 } // namespace
 
+FleetRetryBudget::FleetRetryBudget(Options options)
+    : m_options(std::move(options)), m_startedAt(m_options.clock.now())
+{ }
+
 std::int64_t FleetRetryBudget::slotNumber() const
 {
     return m_options.clock.now().time_since_epoch() / (m_options.window / SlotsPerWindow);
@@ -33,27 +43,49 @@
     ++currentSlot().requests;
 }
 
-bool FleetRetryBudget::tryRetry(int routers)
+FleetRetryBudget::Usage FleetRetryBudget::usage(int routers) const
 {
-    const std::int64_t now = currentSlot().number;
-    int requests = 0;
-    int retries = 0;
+    const std::int64_t now = slotNumber();
+    Usage out;
     for (const Slot &it : m_slots) {
         if (it.number < 0 || now - it.number > SlotsPerWindow)
             continue;
-        retries += it.retries;
+        out.retries += it.retries;
         // One slot fewer than for retries, since a window may begin anywhere within a slot.
         if (now - it.number < SlotsPerWindow)
-            requests += it.requests;
+            out.requests += it.requests;
     }
-    const double allowed =
-            UsedShare * (m_options.share * requests + m_options.slack / std::max(1, routers));
-    if (retries + 1 > allowed)
+    out.limit =
+            UsedShare * (m_options.share * out.requests + m_options.slack / std::max(1, routers));
+    return out;
+}
+
+bool FleetRetryBudget::tryRetry(int routers)
+{
+    const Usage used = usage(routers);
+    if (used.retries + 1 > used.limit) {
+        logExhausted(used, routers);
         return false;
+    }
     ++currentSlot().retries;
     return true;
 }
 
+void FleetRetryBudget::logExhausted(const Usage &usage, int routers)
+{
+    const TimePoint now = m_options.clock.now();
+    if (m_exhaustedLoggedAt != TimePoint::min() && now - m_exhaustedLoggedAt < LogInterval)
+        return;
+    m_exhaustedLoggedAt = now;
+    Log::info("retry_budget_exhausted",
+              {{"service", m_options.service},
+               {"requests", usage.requests},
+               {"retries", usage.retries},
+               {"limit", usage.limit},
+               {"routers", routers},
+               {"counted_for_ms", (now - m_startedAt) / std::chrono::milliseconds(1)}});
+}
+
 void FleetRetryBudget::setOptions(double share, double slack)
 {
     m_options.share = share;
--- a/src/Decide/FleetRetryBudget.h
+++ b/src/Decide/FleetRetryBudget.h
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <cstdint>
+#include <string>
 
 namespace catkinloft {
 
@@ -21,13 +22,23 @@
     struct Options
     {
         const Clock &clock;
+        std::string service = {}; ///< For log lines.
         double share = 0.2; ///< Retries allowed per request, over all routers.
         double slack = 0; ///< Additional retries allowed per window, over all routers.
         Duration window =
                 std::chrono::seconds(10); ///< The limit holds in any interval of this length.
     };
 
-    explicit FleetRetryBudget(Options options) : m_options(options) { }
+    /// \brief What this router has used of the budget in the last window. Summed over all routers,
+    /// \a retries must not exceed the share of \a requests plus the slack.
+    struct Usage
+    {
+        int requests = 0;
+        int retries = 0;
+        double limit = 0; ///< Retries that this router may make in a window.
+    };
+
+    explicit FleetRetryBudget(Options options);
 
     /// \brief Counts the first attempt of a request.
     void countRequest();
@@ -37,6 +48,9 @@
     /// \returns whether the retry is allowed.
     bool tryRetry(int routers);
 
+    /// \param routers \sa tryRetry
+    Usage usage(int routers) const;
+
     /// \brief Changes the limits and keeps the counts.
     void setOptions(double share, double slack);
 
@@ -52,9 +66,12 @@
 
     std::int64_t slotNumber() const;
     Slot &currentSlot();
+    void logExhausted(const Usage &usage, int routers);
 
     Options m_options;
     std::array<Slot, Slots> m_slots;
+    TimePoint m_startedAt;
+    TimePoint m_exhaustedLoggedAt = TimePoint::min();
 };
 
 } // namespace catkinloft
--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -132,6 +132,7 @@
     void discoverPrompts();
     void handlePromptList(const ReplicaRecord &engine, std::span<const PromptPart> prompts);
     bool isReady() const;
+    void collectRetryBudget(const ServicePool &pool, Metrics &to);
     void answerMetrics(const HttpExchangePtr &exchange);
     void drain();
     void checkDrained();
@@ -389,7 +390,10 @@
         it.set("catkinloft_replica_paths_lost", static_cast<double>(pools.lostPaths()));
         it.set("catkinloft_replica_lists_ignored", static_cast<double>(replicas.ignoredLists()));
         it.set("catkinloft_requests_quarantined", static_cast<double>(quarantine.held().size()));
-        pools.forEach([&it](ServicePool &pool) { pool.admission.collect(it); });
+        pools.forEach([&](ServicePool &pool) {
+            pool.admission.collect(it);
+            collectRetryBudget(pool, it);
+        });
     });
     config.changed().connect([this](const RouteConfigPtr &it) { applyConfig(it); });
     evacuated.changed().connect([this] {
@@ -668,6 +672,15 @@
                                      [this](const HttpExchangePtr &it) { answerMetrics(it); }));
 }
 
+void EntryProcess::Private::collectRetryBudget(const ServicePool &pool, Metrics &to)
+{
+    const FleetRetryBudget::Usage usage = pool.retryBudget.usage(fleet.view().sharingRouters());
+    const std::string label = Metrics::label("service", pool.admission.options().service);
+    to.set("catkinloft_retry_budget_requests", usage.requests, label);
+    to.set("catkinloft_retry_budget_retries", usage.retries, label);
+    to.set("catkinloft_retry_budget_limit", usage.limit, label);
+}
+
 void EntryProcess::Private::answerMetrics(const HttpExchangePtr &exchange)
 {
     if (exchange->path() == QuarantinePath)
--- a/src/Net/ServicePools.cpp
+++ b/src/Net/ServicePools.cpp
@@ -205,6 +205,7 @@
                          .isColdSender = m_fleet.isColdSender,
                          .rejections = rejections}),
                 .retryBudget = FleetRetryBudget({.clock = m_clock,
+                                                 .service = service,
                                                  .share = m_settings.fleetRetryShare,
                                                  .slack = m_settings.fleetRetrySlack,
                                                  .window = m_settings.fleetRetryWindow}),
