--- /dev/null
+++ b/test/integration/RetryBudgetTest.cpp
@@ -0,0 +1,149 @@
+#include "fleet/EntryFleet.h"
+#include "fleet/Fleet.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <csignal>
+#include <functional>
+#include <map>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <fmt/format.h>
+
+using namespace catkinloft;
+using namespace std::chrono_literals;
+using standin::EntryFleet;
+using standin::Fleet;
+
+namespace {
+
+/// Four routers with a retry budget of 0.2 a request and 60 in ten seconds, and twelve replicas.
+struct RetryBudgetFixture
+{
+    static constexpr double Share = 0.2;
+    static constexpr double Slack = 60;
+    static constexpr std::int64_t WindowMs = 10'000;
+    static constexpr std::size_t Callers = 12;
+
+    RetryBudgetFixture() { fleet.start(); }
+
+    void setFaults(const std::string &faults)
+    {
+        for (std::size_t i = 0; i < Replicas; ++i)
+            REQUIRE(fleet.setReplicaFaults(i, faults));
+    }
+
+    /// Sends idempotent calls, each caller every 110 ms, while \a disturb runs.
+    void callWhile(const std::function<void()> &disturb)
+    {
+        std::atomic<bool> done = false;
+        std::vector<std::thread> threads;
+        threads.reserve(Callers);
+        for (std::size_t i = 0; i < Callers; ++i) {
+            threads.emplace_back([&, i] {
+                for (std::size_t k = 0; !done; ++k) {
+                    const std::string id = fmt::format("r{}-{}", i, k);
+                    sentAt[i].push_back(wallMs());
+                    const auto answer = Fleet::fetch(
+                            {.address = fleet.callerAddress((i + k) % fleet.routerCount()),
+                             .target = "/safe/a",
+                             .headers = {{"Host", EntryFleet::Host},
+                                         {"X-Request-Id", id},
+                                         {"Authorization",
+                                          std::string("Bearer ") + EntryFleet::Key}},
+                             .timeout = 2s});
+                    served += answer && answer.value().head.status == 200 ? 1 : 0;
+                    std::this_thread::sleep_for(110ms);
+                }
+            });
+        }
+        disturb();
+        done = true;
+        for (std::thread &it : threads)
+            it.join();
+    }
+
+    static std::int64_t wallMs()
+    {
+        return std::chrono::system_clock::now().time_since_epoch() / 1ms;
+    }
+
+    /// \returns the times of the arrivals of each request beyond its first, in ascending order.
+    std::vector<std::int64_t> repeatedArrivals() const
+    {
+        std::map<std::string, std::vector<std::int64_t>> byId;
+        for (const Json::Value &it : fleet.arrivals())
+            byId[it["id"].asString()].push_back(it["at_ms"].asInt64());
+        std::vector<std::int64_t> out;
+        for (auto &[id, times] : byId) {
+            std::sort(times.begin(), times.end());
+            out.insert(out.end(), times.begin() + 1, times.end());
+        }
+        std::sort(out.begin(), out.end());
+        return out;
+    }
+
+    void requireWithinBudget() const
+    {
+        std::vector<std::int64_t> requests;
+        for (const std::vector<std::int64_t> &it : sentAt)
+            requests.insert(requests.end(), it.begin(), it.end());
+        const std::vector<std::int64_t> repeated = repeatedArrivals();
+        const auto within = [](const std::vector<std::int64_t> &times, std::int64_t from) {
+            return std::count_if(times.begin(), times.end(), [&](std::int64_t it) {
+                return it >= from && it < from + WindowMs;
+            });
+        };
+        double worstExcess = -Slack;
+        std::string worst;
+        for (const std::int64_t from : repeated) {
+            const auto sent = std::max({within(requests, from), within(requests, from - WindowMs),
+                                        within(requests, from - WindowMs / 2)});
+            const double limit = Share * static_cast<double>(sent) + Slack;
+            const auto n = static_cast<double>(within(repeated, from));
+            if (n - limit <= worstExcess)
+                continue;
+            worstExcess = n - limit;
+            worst = fmt::format("{} arrivals beyond the first, {} requests, {} allowed", n, sent,
+                                limit);
+        }
+        MESSAGE(fmt::format("{}; {} of {} served", worst, served.load(), requests.size()));
+        CHECK(worstExcess <= 0);
+        CHECK(repeated.size() >= MinRepeated);
+    }
+
+    static constexpr std::size_t Replicas = 12;
+    static constexpr std::size_t MinRepeated = 100; ///< Otherwise nothing was shown.
+
+    EntryFleet fleet{{.binaries = CATKINLOFT_BINARIES, .routers = 4, .replicas = Replicas}};
+    std::vector<std::vector<std::int64_t>> sentAt{Callers}; ///< By caller, wall time.
+    std::atomic<int> served = 0;
+};
+
+} // namespace
+
+// Guards against a retry budget that routers start anew: those that were killed had used their
+// part, and use it again in the same window.
+TEST_CASE_FIXTURE(RetryBudgetFixture, "retryBudget_routersAreKilledWhileCallsFail_isKept")
+{
+    callWhile([&] {
+        std::this_thread::sleep_for(3s);
+        setFaults(R"({"lose":0.9})");
+        for (std::size_t round = 0; round < 5; ++round) {
+            std::this_thread::sleep_for(3s);
+            for (std::size_t i = round % 2; i < fleet.routerCount(); i += 2) {
+                fleet.router(i).signal(SIGKILL);
+                fleet.router(i).wait();
+                fleet.startRouter(i);
+            }
+        }
+        std::this_thread::sleep_for(2s);
+        setFaults("{}");
+    });
+    requireWithinBudget();
+}
