The retry budget is a token bucket that starts empty

Cause: each process allowed itself what its requests and slack of the last window are worth. All of it could be spent at the begin of a window, a process that replaced a killed one had its part once more, and the callers of the killed router brought their share of the limit to the others.

Why it works: tokens are earned by requests and by the time that passes, and a bucket holds 0.35 of a window's limit. Of the processes that succeed each other at one router only the first can have saved anything, so that all of them together spend less than the limit in any window.

Also: the number of routers includes those whose heartbeats can't be verified yet, so that a router that starts doesn't take the whole slack.

--- a/src/Decide/FleetRetryBudget.cpp
+++ b/src/Decide/FleetRetryBudget.cpp
@@ -9,19 +9,30 @@
 
 namespace {
 
-/// Share of the limit that is used. The rest covers retries that are counted one slot before they
-/// arrive at the service, and routers that joined but are not known to this router yet.
-constexpr double UsedShare = 0.85;
+/// Size of the bucket, and what it earns within a window, as fractions of the limit of a window.
+/// The first bounds what is spent beyond the earnings when many requests break at the same moment.
+/// The rest of the limit covers retries that arrive in a later window than they were counted in,
+/// and routers that joined but are not known to this router yet.
+constexpr double SavedFraction = 0.35;
+constexpr double EarnedFraction = 0.6;
 
 constexpr std::int64_t SlotsPerWindow = 10;
 
 /// Shortest time between two log lines about a budget that is used up.
 constexpr Duration LogInterval = std::chrono::seconds(1);
 
+/// In a large fleet the part of a router is less than one retry. With a random threshold above 0
+/// and up to 1, it is used with the probability that corresponds to the part.
+double drawThreshold(const RandomSource &random)
+{
+    return 1 - uniform(random);
+}
+
 } // namespace
 
 FleetRetryBudget::FleetRetryBudget(Options options)
-    : m_options(std::move(options)), m_startedAt(m_options.clock.now())
+    : m_options(std::move(options)), m_threshold(drawThreshold(m_options.random)),
+      m_startedAt(m_options.clock.now()), m_refilledAt(m_startedAt)
 { }
 
 std::int64_t FleetRetryBudget::slotNumber() const
@@ -38,11 +49,6 @@
     return out;
 }
 
-void FleetRetryBudget::countRequest()
-{
-    ++currentSlot().requests;
-}
-
 FleetRetryBudget::Usage FleetRetryBudget::usage(int routers) const
 {
     const std::int64_t now = slotNumber();
@@ -55,18 +61,32 @@
         if (now - it.number < SlotsPerWindow)
             out.requests += it.requests;
     }
-    out.limit =
-            UsedShare * (m_options.share * out.requests + m_options.slack / std::max(1, routers));
+    const double slack = m_options.slack / std::max(1, routers);
+    const double windows =
+            toSeconds(m_options.clock.now() - m_refilledAt) / toSeconds(m_options.window);
+    out.limit = m_options.share * out.requests + slack;
+    out.available =
+            std::min(m_tokens + EarnedFraction * slack * windows, SavedFraction * out.limit);
     return out;
 }
 
+void FleetRetryBudget::countRequest()
+{
+    ++currentSlot().requests;
+    m_tokens += EarnedFraction * m_options.share;
+}
+
 bool FleetRetryBudget::tryRetry(int routers)
 {
     const Usage used = usage(routers);
-    if (used.retries + 1 > used.limit) {
+    m_tokens = used.available;
+    m_refilledAt = m_options.clock.now();
+    if (m_tokens < m_threshold) {
         logExhausted(used, routers);
         return false;
     }
+    m_tokens -= 1;
+    m_threshold = drawThreshold(m_options.random);
     ++currentSlot().retries;
     return true;
 }
@@ -82,6 +102,7 @@
                {"requests", usage.requests},
                {"retries", usage.retries},
                {"limit", usage.limit},
+               {"available", usage.available},
                {"routers", routers},
                {"counted_for_ms", (now - m_startedAt) / std::chrono::milliseconds(1)}});
 }
--- a/src/Decide/FleetRetryBudget.h
+++ b/src/Decide/FleetRetryBudget.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Base/Clock.h"
+#include "Base/Random.h"
 
 #include <array>
 #include <cstdint>
@@ -16,12 +17,19 @@
 /// of the requests plus a fixed slack in any window. Each router limits itself to that share of its
 /// own requests and to its part of the slack, so the fleet stays within the limit also while
 /// routers receive no messages from each other.
+///
+/// Routers may be killed and replaced at any time, and their counts are lost with them. Therefore
+/// the budget is a token bucket that starts empty. In any interval the processes that succeed each
+/// other at one router spend at most what the first of them had saved and what all of them earned
+/// by the requests that they received. A full bucket and the earnings of a window together are less
+/// than the limit.
 class FleetRetryBudget
 {
 public:
     struct Options
     {
         const Clock &clock;
+        RandomSource random;
         std::string service = {}; ///< For log lines.
         double share = 0.2; ///< Retries allowed per request, over all routers.
         double slack = 0; ///< Additional retries allowed per window, over all routers.
@@ -35,7 +43,8 @@
     {
         int requests = 0;
         int retries = 0;
-        double limit = 0; ///< Retries that this router may make in a window.
+        double limit = 0; ///< This router's part of the limit.
+        double available = 0; ///< Retries that it may make now.
     };
 
     explicit FleetRetryBudget(Options options);
@@ -55,7 +64,7 @@
     void setOptions(double share, double slack);
 
 private:
-    static constexpr std::size_t Slots = 12; ///< Tenths of a window, plus one on each side.
+    static constexpr std::size_t Slots = 11; ///< Tenths of a window, plus the current one.
 
     struct Slot
     {
@@ -70,7 +79,12 @@
 
     Options m_options;
     std::array<Slot, Slots> m_slots;
+    /// Earned by requests up to now and by the slack up to m_refilledAt. Limited to the size of the
+    /// bucket when a retry is requested.
+    double m_tokens = 0;
+    double m_threshold; ///< Tokens that the next retry needs.
     TimePoint m_startedAt;
+    TimePoint m_refilledAt;
     TimePoint m_exhaustedLoggedAt = TimePoint::min();
 };
 
--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -348,7 +348,7 @@
                .quarantine = quarantine,
                .crashes = crashes,
                .random = random,
-               .sharingRouters = [this] { return fleet.view().sharingRouters(); },
+               .sharingRouters = [this] { return knownRouters(); },
                .isShuttingDown = [this] { return loop.now() >= refuseFrom; },
                .promptSent =
                        [this](const std::string &replica, std::span<const PromptPart> prompt) {
@@ -674,11 +674,12 @@
 
 void EntryProcess::Private::collectRetryBudget(const ServicePool &pool, Metrics &to)
 {
-    const FleetRetryBudget::Usage usage = pool.retryBudget.usage(fleet.view().sharingRouters());
+    const FleetRetryBudget::Usage usage = pool.retryBudget.usage(knownRouters());
     const std::string label = Metrics::label("service", pool.admission.options().service);
     to.set("catkinloft_retry_budget_requests", usage.requests, label);
     to.set("catkinloft_retry_budget_retries", usage.retries, label);
     to.set("catkinloft_retry_budget_limit", usage.limit, label);
+    to.set("catkinloft_retry_budget_available", std::max(0.0, usage.available), label);
 }
 
 void EntryProcess::Private::answerMetrics(const HttpExchangePtr &exchange)
--- a/src/Net/ServicePools.cpp
+++ b/src/Net/ServicePools.cpp
@@ -205,6 +205,7 @@
                          .isColdSender = m_fleet.isColdSender,
                          .rejections = rejections}),
                 .retryBudget = FleetRetryBudget({.clock = m_clock,
+                                                 .random = m_random,
                                                  .service = service,
                                                  .share = m_settings.fleetRetryShare,
                                                  .slack = m_settings.fleetRetrySlack,
