What is held back outlives a restart of all routers

What callers saw: requests that crash replicas were sent again after all routers had been killed, until they had crashed three or four replicas more (BUDGET, the rule about a request that crashed three).

Cause: evidence and holds were in the memory of the routers only. A single router that restarts learned the crashes of a held prompt part from the others, but not that it is held, and lacked the completed runs that prove it.

Why it works: the routers that read the store for the others write what is held to rows that each router reads at its start anyway, and heartbeats say which records are held.

--- a/src/Control/FleetRegistration.cpp
+++ b/src/Control/FleetRegistration.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <string_view>
+#include <utility>
 
 namespace catkinloft {
 
@@ -15,6 +16,7 @@
 constexpr std::string_view KeyRow = "fleet/key";
 constexpr std::string_view RouterRows = "fleet/router/";
 constexpr std::string_view SoftwareRows = "fleet/software/";
+constexpr std::string_view QuarantineRows = "fleet/quarantine/";
 constexpr const char *KeyId = "1";
 
 /// Maximum number of rows read; several times the largest planned fleet.
@@ -81,6 +83,7 @@
 {
     std::vector<RegisteredRouter> others;
     std::vector<SoftwareHistory::Row> software;
+    std::vector<QuarantineRow> quarantine;
     std::string key;
     bool isRegistered = false;
     for (const TableRow &it : rows) {
@@ -92,6 +95,13 @@
             else
                 Log::warning("software_row_malformed", {{"row", it.key}});
         }
+        if (it.key.starts_with(QuarantineRows)) {
+            if (const auto row =
+                        QuarantineRow::decode(it.key.substr(QuarantineRows.size()), it.value))
+                quarantine.push_back(*row);
+            else
+                Log::warning("quarantine_row_malformed", {{"row", it.key}});
+        }
         if (!it.key.starts_with(RouterRows))
             continue;
         const auto router = RegisteredRouter::decode(it.key.substr(RouterRows.size()), it.value);
@@ -102,6 +112,7 @@
         else if (router.value().name != m_options.self.name)
             others.push_back(router.value());
     }
+    takeQuarantine(std::move(quarantine));
     m_software = software;
     m_options.onSoftware(software, key.empty() && m_key.empty());
     if (key.empty())
@@ -115,6 +126,13 @@
     m_options.onEnd(true);
 }
 
+void FleetRegistration::takeQuarantine(std::vector<QuarantineRow> rows)
+{
+    m_quarantine = std::move(rows);
+    if (!std::exchange(m_hasReadQuarantine, true))
+        m_options.onQuarantine(m_quarantine);
+}
+
 void FleetRegistration::fail(const char *what, const Error &error)
 {
     logFailure(what, error);
@@ -195,6 +213,32 @@
     });
 }
 
+void FleetRegistration::writeQuarantine(const std::vector<QuarantineRow> &rows)
+{
+    TableTransaction transaction;
+    const auto keyOf = [](const QuarantineRow &it) {
+        return std::string(QuarantineRows) + it.fingerprint;
+    };
+    for (const QuarantineRow &it : rows) {
+        if (std::none_of(m_quarantine.begin(), m_quarantine.end(),
+                         [&](const QuarantineRow &old) { return old.hasSameEvidence(it); }))
+            transaction.writes.push_back({.key = keyOf(it), .value = it.encode()});
+    }
+    for (const QuarantineRow &old : m_quarantine) {
+        if (std::none_of(rows.begin(), rows.end(), [&](const QuarantineRow &it) {
+                return it.fingerprint == old.fingerprint;
+            }))
+            transaction.writes.push_back({.key = keyOf(old), .value = std::nullopt});
+    }
+    if (transaction.writes.empty() || m_left || !m_hasReadQuarantine)
+        return;
+    m_quarantine = rows;
+    m_options.table.commit(transaction, [](const Result<TableCommit> &commit) {
+        if (!commit)
+            logFailure("write quarantine", commit.error());
+    });
+}
+
 void FleetRegistration::leave()
 {
     m_left = true;
--- a/src/Control/FleetRegistration.h
+++ b/src/Control/FleetRegistration.h
@@ -3,6 +3,7 @@
 #include "Base/Random.h"
 #include "Base/Settings.h"
 #include "Base/TableService.h"
+#include "Control/QuarantineRow.h"
 #include "Control/RegisteredRouter.h"
 #include "Decide/SoftwareHistory.h"
 
@@ -36,6 +37,10 @@
         /// fleet yet, so that no router has ever run.
         std::function<void(const std::vector<SoftwareHistory::Row> &, bool isFirstStart)>
                 onSoftware = [](const std::vector<SoftwareHistory::Row> &, bool) {};
+        /// Called with the requests that are held back, at the first read only: later on the other
+        /// routers are more up to date.
+        std::function<void(const std::vector<QuarantineRow> &)> onQuarantine =
+                [](const std::vector<QuarantineRow> &) {};
         /// Called at the end of each refresh() with whether all its calls were answered.
         std::function<void(bool answered)> onEnd = [](bool) {};
     };
@@ -50,6 +55,10 @@
     /// differs.
     void writeSoftware(const std::vector<SoftwareHistory::Row> &rows);
 
+    /// \brief Replaces the rows on requests that are held back by \a rows, except where only the
+    /// times of the crashes differ.
+    void writeQuarantine(const std::vector<QuarantineRow> &rows);
+
     /// \returns whether the key and the list of routers were read at least once while this router
     /// was registered.
     bool isComplete() const { return m_complete; }
@@ -60,6 +69,7 @@
 
 private:
     void fail(const char *what, const Error &error);
+    void takeQuarantine(std::vector<QuarantineRow> rows);
     void takeRows(const std::vector<TableRow> &rows);
     std::string newKey();
     void createKey();
@@ -73,6 +83,8 @@
     bool m_complete = false;
     bool m_left = false;
     std::vector<SoftwareHistory::Row> m_software; ///< Rows in the store when last read or written.
+    std::vector<QuarantineRow> m_quarantine; ///< The same for requests that are held back.
+    bool m_hasReadQuarantine = false;
 };
 
 } // namespace catkinloft
--- /dev/null
+++ b/src/Control/QuarantineRow.cpp
@@ -0,0 +1,87 @@
+#include "Control/QuarantineRow.h"
+
+#include "Base/Json.h"
+
+#include <algorithm>
+
+namespace catkinloft {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Json::ArrayIndex CrashFields = 3;
+
+std::optional<QuarantineRow::Crash> decodeCrash(const Json::Value &it)
+{
+    if (!it.isArray() || it.size() != CrashFields || !it[0U].isString() || !it[1U].isString()
+        || !it[2U].isInt64())
+        return std::nullopt;
+    return QuarantineRow::Crash{.replica = it[0U].asString(),
+                                .software = it[1U].asString(),
+                                .at = WallTime(std::chrono::milliseconds(it[2U].asInt64()))};
+}
+
+} // namespace
+
+QuarantineRow QuarantineRow::of(const CrashUpdate &record, WallTime now)
+{
+    QuarantineRow out{.fingerprint = record.fingerprint, .isHeld = record.isHeld};
+    for (const CrashUpdate::Crash &it : record.replicaCrashes)
+        out.crashes.push_back(
+                {.replica = it.replica,
+                 .software = it.software,
+                 .at = now - std::chrono::duration_cast<std::chrono::milliseconds>(it.age)});
+    return out;
+}
+
+CrashUpdate QuarantineRow::toUpdate(WallTime now) const
+{
+    CrashUpdate out{.fingerprint = fingerprint, .isHeld = isHeld};
+    for (const Crash &it : crashes)
+        out.replicaCrashes.push_back({.replica = it.replica,
+                                      .software = it.software,
+                                      .age = std::max<Duration>(Duration::zero(), now - it.at)});
+    return out;
+}
+
+bool QuarantineRow::hasSameEvidence(const QuarantineRow &other) const
+{
+    return fingerprint == other.fingerprint && isHeld == other.isHeld
+            && std::is_permutation(
+                    crashes.begin(), crashes.end(), other.crashes.begin(), other.crashes.end(),
+                    [](const Crash &a, const Crash &b) { return a.replica == b.replica; });
+}
+
+std::string QuarantineRow::encode() const
+{
+    Json::Value out(Json::objectValue);
+    out["held"] = isHeld;
+    out["crashes"] = Json::Value(Json::arrayValue);
+    for (const Crash &it : crashes) {
+        Json::Value item(Json::arrayValue);
+        item.append(it.replica);
+        item.append(it.software);
+        item.append(static_cast<Json::Int64>(it.at.time_since_epoch() / 1ms));
+        out["crashes"].append(item);
+    }
+    return printJson(out);
+}
+
+std::optional<QuarantineRow> QuarantineRow::decode(const std::string &fingerprint,
+                                                   const std::string &value)
+{
+    const Result<Json::Value> root = parseJsonObject(value);
+    if (!root || !root.value()["held"].isBool() || !root.value()["crashes"].isArray())
+        return std::nullopt;
+    QuarantineRow out{.fingerprint = fingerprint, .isHeld = root.value()["held"].asBool()};
+    for (const Json::Value &it : root.value()["crashes"]) {
+        const std::optional<Crash> crash = decodeCrash(it);
+        if (!crash)
+            return std::nullopt;
+        out.crashes.push_back(*crash);
+    }
+    return out;
+}
+
+} // namespace catkinloft
--- a/src/Control/RouterHeartbeat.cpp
+++ b/src/Control/RouterHeartbeat.cpp
@@ -118,6 +118,10 @@
         out.unreachableServices.push_back(it.asString());
     for (const Json::Value &it : root["x"])
         out.crashes.push_back(crashFromJson(it));
+    for (const Json::Value &it : root["xh"]) {
+        if (const auto i = it.asUInt(); i < out.crashes.size())
+            out.crashes[i].isHeld = true;
+    }
     for (const Json::Value &it : root["br"])
         out.brittle.push_back(brittleFromJson(it));
     return out;
@@ -199,8 +203,11 @@
         root["t"] = Json::Value(Json::arrayValue);
     for (const std::string &service : heartbeat.unreachableServices)
         root["t"].append(service);
-    for (const CrashUpdate &it : heartbeat.crashes)
-        root["x"].append(crashToJson(it));
+    for (std::size_t i = 0; i < heartbeat.crashes.size(); ++i) {
+        root["x"].append(crashToJson(heartbeat.crashes[i]));
+        if (heartbeat.crashes[i].isHeld)
+            root["xh"].append(static_cast<Json::UInt>(i)); // Older programs ignore it.
+    }
     for (const BrittleService &it : heartbeat.brittle)
         root["br"].append(brittleToJson(it));
     return internal::encodeNotification(Method, root);
--- a/src/Decide/RequestQuarantine.cpp
+++ b/src/Decide/RequestQuarantine.cpp
@@ -215,6 +215,7 @@
         return;
     if (!entry.record.clear(now))
         return;
+    entry.isHeldElsewhere = false;
     entry.trialEndsAt = TimePoint::min();
     update(entry);
     scheduleAnnouncement(entry, true);
@@ -332,7 +333,8 @@
     for (Records::value_type *it : parts) {
         Entry &entry = it->second;
         countIncidents(entry);
-        const bool isDistinct = entry.isHeld || !entry.tiedParts.empty() || hasClearedOther(*it);
+        const bool isDistinct = entry.isHeld || entry.isHeldElsewhere || !entry.tiedParts.empty()
+                || hasClearedOther(*it);
         setState(*it, entry.unexplainedIncidents >= MinIncidents && isDistinct);
     }
 }
@@ -416,6 +418,7 @@
                    entry.record.replicaCrashes().empty()
                            ? "a run completed"
                            : "another held request explains the crashes");
+    m_options.heldChanged();
 }
 
 RequestQuarantine::Entry &RequestQuarantine::findOrInsert(const std::string &fingerprint)
@@ -472,7 +475,8 @@
         if (received.lastEventAt() == TimePoint::min())
             continue;
         Entry &entry = findOrInsert(it.fingerprint);
-        if (entry.record.merge(received)) {
+        const bool isNewlyHeld = it.isHeld && !std::exchange(entry.isHeldElsewhere, true);
+        if (entry.record.merge(received) || isNewlyHeld) {
             update(entry);
             scheduleAnnouncement(entry, false);
         } else if (!received.replicaCrashes().empty()
@@ -560,7 +564,7 @@
 CrashUpdate RequestQuarantine::makeUpdate(const std::string &fingerprint, const Entry &entry) const
 {
     const TimePoint now = m_options.clock.now();
-    CrashUpdate out{.fingerprint = fingerprint};
+    CrashUpdate out{.fingerprint = fingerprint, .isHeld = entry.isHeld};
     if (entry.record.clearedAt() != TimePoint::min())
         out.clearedAge = ageAt(now, entry.record.clearedAt());
     for (const ReplicaCrash &it : entry.record.replicaCrashes())
@@ -584,6 +588,32 @@
     return out;
 }
 
+std::vector<CrashUpdate> RequestQuarantine::heldRecords(std::size_t n) const
+{
+    std::set<std::string_view> names;
+    for (const auto &[fingerprint, entry] : m_records) {
+        if (!entry.isHeld)
+            continue;
+        names.insert(fingerprint);
+        names.insert(entry.tiedParts.begin(), entry.tiedParts.end());
+    }
+    std::vector<const Records::value_type *> found;
+    for (const Records::value_type &it : m_records) {
+        if (names.contains(it.first))
+            found.push_back(&it);
+    }
+    std::sort(found.begin(), found.end(), [](const auto *a, const auto *b) {
+        return std::tuple(-a->second.incidents, a->first)
+                < std::tuple(-b->second.incidents, b->first);
+    });
+    found.resize(std::min(n, found.size()));
+    std::vector<CrashUpdate> out;
+    out.reserve(found.size());
+    for (const Records::value_type *it : found)
+        out.push_back(makeUpdate(it->first, it->second));
+    return out;
+}
+
 std::vector<RequestQuarantine::Hold> RequestQuarantine::held() const
 {
     std::vector<Hold> out;
--- a/src/Decide/RequestQuarantine.h
+++ b/src/Decide/RequestQuarantine.h
@@ -31,6 +31,7 @@
     std::string fingerprint = {}; ///< Of the request, or RequestQuarantine::partKey().
     std::optional<Duration> clearedAge = {}; ///< Time after the last completed run, if any.
     std::vector<Crash> replicaCrashes = {};
+    bool isHeld = false; ///< The sender holds back requests with it.
 };
 
 /// \brief Holds back requests that crash the replicas that run them, at every router of the fleet.
@@ -54,14 +55,16 @@
 /// - Parts that were in all crashed runs together can't be told apart, so they are held back as a
 ///   combination: only requests that contain all of them.
 /// - A single part is held back only if another part in requests to its service was cleared after
-///   its first crash. Without any completed run, it may be what all requests have in common.
+///   its first crash, here or at a router that holds it. Without any completed run, it may be what
+///   all requests have in common.
 /// A request that is held back explains its crashes, so that its parts are not held back for them.
 ///
 /// Routers announce evidence to each other and merge it; each router decides independently. The
 /// evidence of a first incident goes only to the few routers that hold the evidence of the request,
 /// because the loss of a rack makes tens of thousands of requests suspected. After a second
 /// incident the evidence goes to all routers, which forward it. Memory and message size are
-/// bounded; requests with more incidents have priority.
+/// bounded; requests with more incidents have priority. What is held back is also kept in the
+/// platform's store, for the case that all routers restart at once. \sa QuarantineRow
 class RequestQuarantine
 {
 public:
@@ -87,6 +90,8 @@
         std::function<int()> routers = [] { return 1; };
         /// Called when updates should be announced to the other routers at once.
         std::function<void()> announceNow = {};
+        /// Called when a request is held back, or not any more.
+        std::function<void()> heldChanged = [] {};
         std::size_t maxRecords = 4096; ///< Maximum number of stored requests.
     };
 
@@ -171,6 +176,10 @@
     /// goes only to the routers that hold the evidence of its request.
     std::vector<CrashUpdate> takeFirstCrashes();
 
+    /// \returns the evidence against the requests that are held back, and against the parts that
+    /// can't be told apart from held ones, at most \a n records; those with most incidents first.
+    std::vector<CrashUpdate> heldRecords(std::size_t n) const;
+
     /// \returns all requests that are held back.
     std::vector<Hold> held() const;
 
@@ -184,6 +193,7 @@
         int incidents = 0; ///< Number of incidents.
         int unexplainedIncidents = 0; ///< Incidents that no held request explains.
         bool isHeld = false;
+        bool isHeldElsewhere = false; ///< As announced by another router or found in the store.
         /// Parts that were in all of its crashed runs: only requests with all of them are held.
         std::vector<std::string> tiedParts = {};
         TimePoint heldAt = {}; ///< When it was last put on hold.
--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -78,6 +78,13 @@
 constexpr Duration LeavingAnnounceTime = 10s;
 constexpr std::size_t MaxAnnouncedLeaving = 8;
 
+/// Delay after which a change of the requests that are held back is stored. Several records change
+/// together.
+constexpr Duration QuarantineStoreDelay = 100ms;
+
+/// Records on requests that are held back in the store.
+constexpr std::size_t MaxQuarantineRows = 64;
+
 /// How long a crashed replica is excluded, unless its entry is removed earlier. An open connection
 /// doesn't prove that it runs again, because a proxy may be listening at its address.
 constexpr Duration CrashExclusionTime = 3s;
@@ -129,6 +136,8 @@
     void updateSoftware();
     void adoptSoftware(const std::vector<SoftwareHistory::Row> &rows, bool isFirstStart);
     void storeSoftware();
+    void adoptQuarantine(const std::vector<QuarantineRow> &rows);
+    void storeQuarantine();
     void discoverPrompts();
     void handlePromptList(const ReplicaRecord &engine, std::span<const PromptPart> prompts);
     bool isReady() const;
@@ -175,6 +184,7 @@
     HttpServer *callers = nullptr;
     PromptDiscovery discovery;
     Timer discoveryTimer;
+    Timer quarantineTimer;
     Timer registrationTimer;
     Timer drainTimer;
     TimePoint refuseFrom = TimePoint::max();
@@ -198,7 +208,8 @@
       quarantine({.clock = loop,
                   .random = random,
                   .routers = [this] { return fleet.view().sharingRouters(); },
-                  .announceNow = [this] { fleet.announceCrashes(); }}),
+                  .announceNow = [this] { fleet.announceCrashes(); },
+                  .heldChanged = [this] { quarantineTimer.start(QuarantineStoreDelay); }}),
       crashes({.loop = loop,
                .metrics = metrics,
                .sourceIp = settings.sourceIp,
@@ -331,6 +342,8 @@
                             },
                     .onSoftware = [this](const std::vector<SoftwareHistory::Row> &rows,
                                          bool isFirstStart) { adoptSoftware(rows, isFirstStart); },
+                    .onQuarantine =
+                            [this](const std::vector<QuarantineRow> &it) { adoptQuarantine(it); },
                     .onEnd = [this](bool answered) { registrationEnded(answered); }}),
       registrationPlan({.clock = loop, .random = random}),
       directory({.settings = settings,
@@ -381,6 +394,7 @@
                  .self = settings.peerAddress,
                  .maxAnnouncedParts = MaxAnnouncedPrompts}),
       discoveryTimer(loop, [this] { discoverPrompts(); }),
+      quarantineTimer(loop, [this] { storeQuarantine(); }),
       registrationTimer(loop, [this] { keepRegistered(); }),
       drainTimer(loop, [this] { checkDrained(); })
 {
@@ -552,6 +566,30 @@
         registration.writeSoftware(software.rows());
 }
 
+void EntryProcess::Private::adoptQuarantine(const std::vector<QuarantineRow> &rows)
+{
+    const WallTime now = loop.wallNow();
+    std::vector<CrashUpdate> records;
+    records.reserve(rows.size());
+    for (const QuarantineRow &it : rows)
+        records.push_back(it.toUpdate(now));
+    quarantine.merge(records);
+    if (!records.empty())
+        Log::info("quarantine_adopted",
+                  {{"records", records.size()}, {"held", quarantine.held().size()}});
+}
+
+void EntryProcess::Private::storeQuarantine()
+{
+    if (!fleet.isReader())
+        return;
+    const WallTime now = loop.wallNow();
+    std::vector<QuarantineRow> rows;
+    for (const CrashUpdate &it : quarantine.heldRecords(MaxQuarantineRows))
+        rows.push_back(QuarantineRow::of(it, now));
+    registration.writeQuarantine(rows);
+}
+
 void EntryProcess::Private::receiveUnverifiedHeartbeat(const RouterHeartbeat &heartbeat)
 {
     if (unverified.size() < MaxUnverifiedRouters)
@@ -637,6 +675,7 @@
     unverified.clear();
     storeAnswered(loop.now());
     storeSoftware();
+    storeQuarantine();
 }
 
 std::unique_ptr<HttpServer> EntryProcess::Private::makeServer(const std::string &address,
--- a/test/FleetRegistrationTest.cpp
+++ b/test/FleetRegistrationTest.cpp
@@ -25,12 +25,15 @@
                              [this](const std::vector<SoftwareHistory::Row> &it, bool isFirst) {
                                  software = it;
                                  isFirstStart = isFirstStart || isFirst;
-                             }})
+                             },
+                     .onQuarantine =
+                             [this](const std::vector<QuarantineRow> &it) { quarantine = it; }})
         { }
 
         std::string key;
         std::vector<RegisteredRouter> others;
         std::vector<SoftwareHistory::Row> software;
+        std::vector<QuarantineRow> quarantine;
         bool isFirstStart = false;
         FleetRegistration registration;
     };
@@ -196,3 +199,49 @@
     a.registration.writeSoftware({{.service = "svc", .software = "svc v2", .goneAt = WallTime()}});
     CHECK(table.pending.empty());
 }
+
+TEST_CASE_FIXTURE(FleetRegistrationFixture,
+                  "fleetRegistration_heldRequestIsStored_isReadAtTheNextStart")
+{
+    refresh(a);
+    const QuarantineRow held{.fingerprint = "part:svc:1f",
+                             .isHeld = true,
+                             .crashes = {{.replica = "i-1", .software = "svc v1", .at = {}}}};
+    a.registration.writeQuarantine({held});
+    table.endAll();
+    refresh(bb);
+    REQUIRE(bb.quarantine.size() == 1);
+    CHECK(bb.quarantine.front().hasSameEvidence(held));
+    CHECK(bb.quarantine.front().isHeld);
+    bb.quarantine.clear();
+    refresh(bb);
+    CHECK(bb.quarantine.empty()); // Only the first read is handed on.
+}
+
+TEST_CASE_FIXTURE(FleetRegistrationFixture,
+                  "fleetRegistration_sameHeldRequestsAreStoredAgain_nothingIsWritten")
+{
+    refresh(a);
+    QuarantineRow held{.fingerprint = "f",
+                       .isHeld = true,
+                       .crashes = {{.replica = "i-1", .software = "svc v1", .at = {}}}};
+    a.registration.writeQuarantine({held});
+    table.endAll();
+    const auto commits = table.commits;
+    held.crashes.front().at += std::chrono::milliseconds(1);
+    a.registration.writeQuarantine({held});
+    CHECK(table.commits == commits);
+    a.registration.writeQuarantine({});
+    table.endAll();
+    CHECK(table.commits == commits + 1);
+    refresh(bb);
+    CHECK(bb.quarantine.empty());
+}
+
+// Guards against a router that removes the rows of the others before it has read them.
+TEST_CASE_FIXTURE(FleetRegistrationFixture,
+                  "fleetRegistration_rowsWereNotReadYet_heldRequestsAreNotWritten")
+{
+    a.registration.writeQuarantine({{.fingerprint = "f", .isHeld = true}});
+    CHECK(table.commits == 0);
+}
--- a/test/RequestQuarantineTest.cpp
+++ b/test/RequestQuarantineTest.cpp
@@ -1,6 +1,7 @@
 #include "Decide/RequestQuarantine.h"
 #include "Base/Hash.h"
 #include "Base/ManualClock.h"
+#include "Control/QuarantineRow.h"
 #include "Control/RouterHeartbeat.h"
 
 #include <doctest/doctest.h>
@@ -69,6 +70,28 @@
             routers[i]->replicaCrashed(it, replica, software, clock.now());
     }
 
+    /// All routers are killed and started again. They read what router 0 has stored.
+    void restartAll(bool isStoreRead = true)
+    {
+        std::vector<std::pair<std::string, std::string>> rows;
+        for (const CrashUpdate &it : routers[0]->heldRecords(64))
+            rows.emplace_back(it.fingerprint, QuarantineRow::of(it, clock.wallNow()).encode());
+        const std::size_t n = routers.size();
+        routers.clear();
+        clock.advance(2s);
+        std::vector<CrashUpdate> stored;
+        for (const auto &[fingerprint, value] : rows) {
+            const auto row = QuarantineRow::decode(fingerprint, value);
+            REQUIRE(row);
+            stored.push_back(row->toUpdate(clock.wallNow()));
+        }
+        for (std::size_t i = 0; i < n; ++i) {
+            addRouter();
+            if (isStoreRead)
+                routers.back()->merge(stored);
+        }
+    }
+
     std::size_t heldBy(const std::string &request, const std::vector<std::string> &software = Old)
     {
         return static_cast<std::size_t>(
@@ -378,6 +401,84 @@
     CHECK(heldWith({Deadly}) == 0);
 }
 
+// Guards against a restart of all routers that forgets what is held back, so that it crashes
+// replicas again until it is found anew.
+TEST_CASE_FIXTURE(QuarantineFleetFixture, "requestQuarantine_allRoutersRestart_requestStaysHeld")
+{
+    for (std::size_t i = 0; i < 3; ++i) {
+        crash(i, {Fatal, Innocent});
+        exchangeUpdates();
+        clock.advance(400ms);
+        routers[3]->completed(Innocent);
+        exchangeUpdates();
+    }
+    REQUIRE(heldBy(Fatal) == 4);
+    restartAll();
+    CHECK(heldBy(Fatal) == 4);
+    CHECK(heldBy(Innocent) == 0);
+    restartAll();
+    CHECK(heldBy(Fatal) == 4);
+    CHECK(heldBy(Fatal, New) == 4);
+    clock.advance(9s);
+    CHECK(heldBy(Fatal, New) == 0); // Trials are allowed after the other software has left.
+    clock.advance(10min + 8s);
+    CHECK(heldBy(Fatal) == 0); // The hold time counts from the last crash.
+}
+
+TEST_CASE_FIXTURE(PromptPartFixture, "requestQuarantine_allRoutersRestart_partStaysHeld")
+{
+    for (std::size_t i = 0; i < 3; ++i) {
+        crashUnder(i, {request({System, Deadly})});
+        complete(3, {System});
+    }
+    REQUIRE(heldWith({System, Deadly}) == 4);
+    restartAll();
+    CHECK(heldWith({System, Deadly}) == 4);
+    CHECK(heldWith({Deadly}) == 4);
+    CHECK(heldWith({System, Other}) == 0);
+    complete(0, {System, Deadly});
+    CHECK(heldWith({System, Deadly}) == 0);
+}
+
+TEST_CASE_FIXTURE(PromptPartFixture, "requestQuarantine_allRoutersRestart_combinationStaysHeld")
+{
+    for (std::size_t i = 0; i < 3; ++i)
+        crashUnder(i, {request({System, Deadly})});
+    REQUIRE(heldWith({System, Deadly}) == 4);
+    REQUIRE(heldWith({System}) == 0);
+    restartAll();
+    CHECK(heldWith({System, Deadly}) == 4);
+    CHECK(heldWith({System}) == 0);
+}
+
+// Guards against a router that joins and lacks the evidence that a part crashes replicas alone.
+TEST_CASE_FIXTURE(PromptPartFixture, "requestQuarantine_routerJoins_holdsThePartThatOthersHold")
+{
+    for (std::size_t i = 0; i < 3; ++i) {
+        crashUnder(i, {request({System, Deadly})});
+        complete(3, {System});
+    }
+    REQUIRE(heldWith({Deadly}) == 4);
+    for (int i = 0; i < 20; ++i) {
+        exchangeUpdates();
+        clock.advance(400ms);
+    }
+    addRouter();
+    for (int i = 0; i < 20; ++i) {
+        exchangeUpdates();
+        clock.advance(400ms);
+    }
+    CHECK(heldWith({Deadly}) == 5);
+}
+
+TEST_CASE("quarantineRow_valueIsMalformed_isNotRead")
+{
+    for (const char *it : {"", "[]", "{}", R"({"held":1,"crashes":[]})",
+                           R"({"held":true,"crashes":[["i-1","svc v1"]]})",
+                           R"({"held":true,"crashes":[["i-1",2,3]]})", R"({"held":true})"})
+        CHECK_FALSE(QuarantineRow::decode(Fatal, it));
+}
+
 TEST_CASE("requestQuarantine_manySuspects_areBoundedAndTheWorstIsKept")
 {
     QuarantineFleetFixture fleet(2);
--- a/test/integration/PromptPartTest.cpp
+++ b/test/integration/PromptPartTest.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <csignal>
 #include <string>
 #include <thread>
 #include <vector>
@@ -43,8 +44,19 @@
         return answer && answer.value().head.status == 200;
     }
 
+    void killAllRouters()
+    {
+        for (std::size_t i = 0; i < fleet.routerCount(); ++i)
+            fleet.router(i).signal(SIGKILL);
+        for (std::size_t i = 0; i < fleet.routerCount(); ++i) {
+            fleet.router(i).wait();
+            fleet.startRouter(i);
+        }
+    }
+
     /// Sends fatal requests and, from \a soundFrom on, sound ones, and restarts crashed replicas.
-    void play(Duration length, Duration soundFrom)
+    /// \param killedAt when all routers are killed and started again, in ascending order.
+    void play(Duration length, Duration soundFrom, std::vector<Duration> killedAt = {})
     {
         const auto start = std::chrono::steady_clock::now();
         const auto until = start + length;
@@ -72,6 +84,10 @@
         }
         while (std::chrono::steady_clock::now() < until) {
             fleet.restartExitedReplicas(2s);
+            if (!killedAt.empty() && std::chrono::steady_clock::now() > start + killedAt.front()) {
+                killAllRouters();
+                killedAt.erase(killedAt.begin());
+            }
             std::this_thread::sleep_for(100ms);
         }
         for (std::thread &it : callers)
@@ -128,3 +144,11 @@
     play(15s, 5s);
     requireHeld();
 }
+
+// Guards against routers that forget what they held back when all of them restart at once, so that
+// it crashes replicas again until it is found anew.
+TEST_CASE_FIXTURE(PromptPartFixture, "fleet_allRoutersAreKilled_promptPartStaysHeld")
+{
+    play(16s, 0s, {6s, 10s});
+    requireHeld();
+}
