A held request whose crashes are explained in part stays held and is tried

Cause: the request with most incidents explains its crashes, and any other one was judged by what remains. One crashed replica on which both had run was enough to release a request with three incidents, although the other one can't have caused the rest. Begin and end of the hold had the same threshold.

Why it works: it stays held while it has crashes that no other request explains, and is tried soon, so that a harmless one is released by its completed run. If all crashes are explained, or shared with an equally suspected one, it is released at once, as before.

--- a/src/Decide/RequestQuarantine.cpp
+++ b/src/Decide/RequestQuarantine.cpp
@@ -150,10 +150,12 @@
 
 TimePoint RequestQuarantine::trialAllowedAt(const Entry &entry) const
 {
-    const TimePoint byTime = entry.record.lastEventAt() + holdTime(entry) + trialDelay(entry);
-    if (!entry.softwareGoneAt)
-        return byTime;
-    return std::min(byTime, *entry.softwareGoneAt + trialDelay(entry));
+    TimePoint out = entry.record.lastEventAt() + holdTime(entry);
+    if (entry.softwareGoneAt)
+        out = std::min(out, *entry.softwareGoneAt);
+    if (entry.doubtfulSince)
+        out = std::min(out, *entry.doubtfulSince);
+    return out + trialDelay(entry);
 }
 
 Duration RequestQuarantine::trialDelay(const Entry &entry) const
@@ -312,7 +314,8 @@
             continue;
         Entry &entry = it->second;
         countIncidents(entry);
-        setState(*it, entry.unexplainedIncidents >= MinIncidents && !isTied(entry, suspects));
+        setState(*it, entry.unexplainedIncidents >= MinIncidents && !isTied(entry, suspects),
+                 ownIncidents(entry, suspects));
     }
 }
 
@@ -335,15 +338,24 @@
         countIncidents(entry);
         const bool isDistinct = entry.isHeld || entry.isHeldElsewhere || !entry.tiedParts.empty()
                 || hasClearedOther(*it);
-        setState(*it, entry.unexplainedIncidents >= MinIncidents && isDistinct);
+        setState(*it, entry.unexplainedIncidents >= MinIncidents && isDistinct,
+                 entry.unexplainedIncidents);
     }
 }
 
-void RequestQuarantine::setState(Records::value_type &suspect, bool held)
+/// \param isProven whether enough crashes of \a suspect have no other explanation.
+/// \param ownIncidents \sa ownIncidents()
+void RequestQuarantine::setState(Records::value_type &suspect, bool isProven, int ownIncidents)
 {
-    if (held != suspect.second.isHeld)
-        setHeld(suspect.first, suspect.second, held);
-    if (!held)
+    Entry &entry = suspect.second;
+    const bool isDoubtful = !isProven && entry.isHeld && ownIncidents > 0;
+    if (!isDoubtful)
+        entry.doubtfulSince.reset();
+    else if (!entry.doubtfulSince)
+        entry.doubtfulSince = m_options.clock.now();
+    if (const bool held = isProven || isDoubtful; held != entry.isHeld)
+        setHeld(suspect.first, entry, held);
+    if (!isProven)
         return;
     for (const ReplicaCrash &it : suspect.second.record.replicaCrashes())
         m_explained.insert(it.replica);
@@ -380,20 +392,37 @@
     });
 }
 
-/// \returns whether another request shares crashes with \a entry and has at least as many
-/// incidents, so that only the next crash can show which one is the cause. With more than
-/// MinIncidents incidents the request that comes first in the order of decide() is held back.
+/// \returns whether another request was running on the same crashed replica and has at least as
+/// many incidents as \a entry, so that only the next crash can show which one is the cause. With
+/// more than MinIncidents incidents the request that comes first in the order of decide() is held
+/// back.
+bool RequestQuarantine::isShared(const ReplicaCrash &crash, const Entry &entry,
+                                 std::span<Records::value_type *const> suspects) const
+{
+    return entry.incidents <= MinIncidents
+            && std::any_of(suspects.begin(), suspects.end(), [&](const Records::value_type *it) {
+                   const Entry &other = it->second;
+                   return &other != &entry && !isPart(it->first)
+                           && other.incidents >= entry.incidents && other.record.has(crash.replica);
+               });
+}
+
 bool RequestQuarantine::isTied(const Entry &entry,
                                std::span<Records::value_type *const> suspects) const
 {
-    if (entry.incidents > MinIncidents)
-        return false;
-    const auto shares = [&](const ReplicaCrash &crash) { return entry.record.has(crash.replica); };
-    return std::any_of(suspects.begin(), suspects.end(), [&](const Records::value_type *it) {
-        const Entry &other = it->second;
-        const std::span<const ReplicaCrash> otherCrashes = other.record.replicaCrashes();
-        return &other != &entry && !isPart(it->first) && other.incidents >= entry.incidents
-                && std::any_of(otherCrashes.begin(), otherCrashes.end(), shares);
+    const std::span<const ReplicaCrash> crashes = entry.record.replicaCrashes();
+    return std::any_of(crashes.begin(), crashes.end(),
+                       [&](const ReplicaCrash &crash) { return isShared(crash, entry, suspects); });
+}
+
+/// \returns the number of incidents that neither a held request nor an equally suspected one could
+/// have caused.
+int RequestQuarantine::ownIncidents(const Entry &entry,
+                                    std::span<Records::value_type *const> suspects) const
+{
+    return entry.record.incidents([&](const ReplicaCrash &crash) {
+        return wasRunning(crash) && !m_explained.contains(crash.replica)
+                && !isShared(crash, entry, suspects);
     });
 }
 
@@ -417,7 +446,7 @@
         logRelease(fingerprint,
                    entry.record.replicaCrashes().empty()
                            ? "a run completed"
-                           : "another held request explains the crashes");
+                           : "other held requests explain the crashes");
     m_options.heldChanged();
 }
 
--- a/src/Decide/RequestQuarantine.h
+++ b/src/Decide/RequestQuarantine.h
@@ -47,7 +47,8 @@
 ///   cause any request to be held back.
 /// - If two requests share crashes, only the one with more incidents is held back, and only after
 ///   the updates of other routers had time to arrive. A request that was wrongly held back is
-///   released when another request has more incidents.
+///   released when other requests explain all its crashes. If they explain only some, it is tried
+///   soon: popular requests run on many replicas, so that a shared crash proves little.
 ///
 /// The cause may also be one part of a prompt that requests share, in requests of which no two are
 /// alike. Each shared part of a prompt is therefore a suspect of its own, with the same rules and
@@ -197,6 +198,9 @@
         /// Parts that were in all of its crashed runs: only requests with all of them are held.
         std::vector<std::string> tiedParts = {};
         TimePoint heldAt = {}; ///< When it was last put on hold.
+        /// Since when other requests may have caused so many of its crashes that it would not be
+        /// held for the remaining ones.
+        std::optional<TimePoint> doubtfulSince = {};
         bool announceToAll = false; ///< Has had at least two incidents.
         int remainingSends = 0; ///< Number of messages that still have to carry it.
         TimePoint lastSentAt = {};
@@ -221,11 +225,14 @@
     void decide();
     void decideRequests(std::span<Records::value_type *const> suspects);
     void decideParts(std::span<Records::value_type *const> suspects);
-    void setState(Records::value_type &suspect, bool held);
+    void setState(Records::value_type &suspect, bool isProven, int ownIncidents);
     std::vector<std::string> partsTiedWith(const Records::value_type &suspect,
                                            std::span<Records::value_type *const> suspects) const;
     bool hasClearedOther(const Records::value_type &suspect) const;
+    bool isShared(const ReplicaCrash &crash, const Entry &entry,
+                  std::span<Records::value_type *const> suspects) const;
     bool isTied(const Entry &entry, std::span<Records::value_type *const> suspects) const;
+    int ownIncidents(const Entry &entry, std::span<Records::value_type *const> suspects) const;
     void setHeld(const std::string &fingerprint, Entry &entry, bool held);
     Entry &findOrInsert(const std::string &fingerprint);
     void evictRecords();
--- a/test/RequestQuarantineTest.cpp
+++ b/test/RequestQuarantineTest.cpp
@@ -401,6 +401,64 @@
     CHECK(heldWith({Deadly}) == 0);
 }
 
+namespace {
+
+struct SharedCrashFixture : QuarantineFleetFixture
+{
+    void crashUnder(std::initializer_list<std::string> requests)
+    {
+        crash(0, requests);
+        exchangeUpdates();
+        exchangeUpdates();
+        clock.advance(400ms);
+    }
+};
+
+} // namespace
+
+// Guards against a fatal request that is released because another one with more incidents ran on
+// one of the replicas that it crashed.
+TEST_CASE_FIXTURE(SharedCrashFixture, "requestQuarantine_twoFatalRequestsShareACrash_bothStayHeld")
+{
+    const std::string other = "other";
+    crashUnder({Fatal, other});
+    crashUnder({Fatal});
+    crashUnder({Fatal});
+    REQUIRE(heldBy(Fatal) == 4);
+    for (int i = 0; i < 3; ++i)
+        crashUnder({other});
+    CHECK(heldBy(other) == 4);
+    CHECK(heldBy(Fatal) == 4);
+    clock.advance(9s);
+    CHECK(heldBy(Fatal) < 4); // A trial.
+    crashUnder({Fatal});
+    CHECK(heldBy(Fatal) == 4);
+    clock.advance(1min);
+    CHECK(heldBy(Fatal) == 4);
+    CHECK(heldBy(other) == 4);
+}
+
+// Guards against a harmless request that stays held for the whole hold time, although another one
+// explains so many of its crashes that it would not be held any more.
+TEST_CASE_FIXTURE(SharedCrashFixture,
+                  "requestQuarantine_anotherRequestExplainsACrash_harmlessOneIsTriedSoon")
+{
+    crashUnder({Innocent, Fatal});
+    crashUnder({Innocent});
+    crashUnder({Innocent});
+    REQUIRE(heldBy(Innocent) == 4);
+    for (int i = 0; i < 3; ++i)
+        crashUnder({Fatal});
+    CHECK(heldBy(Fatal) == 4);
+    clock.advance(9s);
+    CHECK(heldBy(Innocent) < 4); // A trial.
+    routers[0]->completed(Innocent);
+    exchangeUpdates();
+    exchangeUpdates();
+    CHECK(heldBy(Innocent) == 0);
+    CHECK(heldBy(Fatal) == 4);
+}
+
 // Guards against a restart of all routers that forgets what is held back, so that it crashes
 // replicas again until it is found anew.
 TEST_CASE_FIXTURE(QuarantineFleetFixture, "requestQuarantine_allRoutersRestart_requestStaysHeld")
