Routers that are killed in a burst don't make brittle replicas crash

A router that starts while a service is brittle knows nothing of it until the first heartbeat or answer.

--- a/test/integration/BrittleTest.cpp
+++ b/test/integration/BrittleTest.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <csignal>
 #include <map>
 #include <string>
 #include <thread>
@@ -144,6 +145,33 @@
             15s));
 }
 
+// Guards against routers that start within a burst and send what the others already hold back.
+TEST_CASE_FIXTURE(BrittleFleetFixture, "brittle_routersAreKilledInABurst_noReplicaCrashes")
+{
+    setFaults(R"(,"brittle":20,"brittle_queue":0,"brittle_after_ms":1000)");
+    callFor(1500ms, 4);
+    CHECK(Fleet::waitFor([&] { return routersWith("service_brittle") == fleet.routerCount(); }));
+    std::thread killer([&] {
+        for (std::size_t wave = 0; wave < 3; ++wave) {
+            std::this_thread::sleep_for(800ms);
+            for (std::size_t i = wave % 2; i < fleet.routerCount(); i += 2)
+                fleet.router(i).signal(SIGKILL);
+            for (std::size_t i = wave % 2; i < fleet.routerCount(); i += 2) {
+                fleet.router(i).wait();
+                fleet.startRouter(i);
+            }
+        }
+    });
+    const Served burst = callFor(4s, 96);
+    killer.join();
+    for (std::size_t i = 0; i < Replicas; ++i)
+        CHECK(fleet.replica(i).isRunning());
+    CHECK(mostRejections() <= 20);
+    CHECK(burst.ok > 100);
+    MESSAGE("served ", burst.ok, ", refused ", burst.refused, ", failed ", burst.other,
+            ", most rejections in a second ", mostRejections());
+}
+
 // Guards against a router that gets no answer from the service and does not learn of its state.
 TEST_CASE_FIXTURE(BrittleFleetFixture, "brittle_oneRouterSeesTheHeader_theOthersLearnOfIt")
 {
