--- a/src/Decide/RequestQuarantine.cpp
+++ b/src/Decide/RequestQuarantine.cpp
@@ -314,8 +314,7 @@
             continue;
         Entry &entry = it->second;
         countIncidents(entry);
-        setState(*it, entry.unexplainedIncidents >= MinIncidents && !isTied(entry, suspects),
-                 ownIncidents(entry, suspects));
+        setState(*it, entry.unexplainedIncidents >= MinIncidents && !isTied(entry, suspects));
     }
 }
 
@@ -338,17 +337,17 @@
         countIncidents(entry);
         const bool isDistinct = entry.isHeld || entry.isHeldElsewhere || !entry.tiedParts.empty()
                 || hasClearedOther(*it);
-        setState(*it, entry.unexplainedIncidents >= MinIncidents && isDistinct,
-                 entry.unexplainedIncidents);
+        setState(*it, entry.unexplainedIncidents >= MinIncidents && isDistinct);
     }
 }
 
 /// \param isProven whether enough crashes of \a suspect have no other explanation.
-/// \param ownIncidents \sa ownIncidents()
-void RequestQuarantine::setState(Records::value_type &suspect, bool isProven, int ownIncidents)
+void RequestQuarantine::setState(Records::value_type &suspect, bool isProven)
 {
     Entry &entry = suspect.second;
-    const bool isDoubtful = !isProven && entry.isHeld && ownIncidents > 0;
+    // Before that, updates on other requests that were running on the same replicas may be missing.
+    const bool wasSettled = entry.isHeld && m_options.clock.now() - entry.heldAt >= SettleTime;
+    const bool isDoubtful = !isProven && wasSettled && entry.unexplainedIncidents > 0;
     if (!isDoubtful)
         entry.doubtfulSince.reset();
     else if (!entry.doubtfulSince)
@@ -392,37 +391,20 @@
     });
 }
 
-/// \returns whether another request was running on the same crashed replica and has at least as
-/// many incidents as \a entry, so that only the next crash can show which one is the cause. With
-/// more than MinIncidents incidents the request that comes first in the order of decide() is held
-/// back.
-bool RequestQuarantine::isShared(const ReplicaCrash &crash, const Entry &entry,
-                                 std::span<Records::value_type *const> suspects) const
-{
-    return entry.incidents <= MinIncidents
-            && std::any_of(suspects.begin(), suspects.end(), [&](const Records::value_type *it) {
-                   const Entry &other = it->second;
-                   return &other != &entry && !isPart(it->first)
-                           && other.incidents >= entry.incidents && other.record.has(crash.replica);
-               });
-}
-
+/// \returns whether another request shares crashes with \a entry and has at least as many
+/// incidents, so that only the next crash can show which one is the cause. With more than
+/// MinIncidents incidents the request that comes first in the order of decide() is held back.
 bool RequestQuarantine::isTied(const Entry &entry,
                                std::span<Records::value_type *const> suspects) const
 {
-    const std::span<const ReplicaCrash> crashes = entry.record.replicaCrashes();
-    return std::any_of(crashes.begin(), crashes.end(),
-                       [&](const ReplicaCrash &crash) { return isShared(crash, entry, suspects); });
-}
-
-/// \returns the number of incidents that neither a held request nor an equally suspected one could
-/// have caused.
-int RequestQuarantine::ownIncidents(const Entry &entry,
-                                    std::span<Records::value_type *const> suspects) const
-{
-    return entry.record.incidents([&](const ReplicaCrash &crash) {
-        return wasRunning(crash) && !m_explained.contains(crash.replica)
-                && !isShared(crash, entry, suspects);
+    if (entry.incidents > MinIncidents)
+        return false;
+    const auto shares = [&](const ReplicaCrash &crash) { return entry.record.has(crash.replica); };
+    return std::any_of(suspects.begin(), suspects.end(), [&](const Records::value_type *it) {
+        const Entry &other = it->second;
+        const std::span<const ReplicaCrash> otherCrashes = other.record.replicaCrashes();
+        return &other != &entry && !isPart(it->first) && other.incidents >= entry.incidents
+                && std::any_of(otherCrashes.begin(), otherCrashes.end(), shares);
     });
 }
 
--- a/src/Decide/RequestQuarantine.h
+++ b/src/Decide/RequestQuarantine.h
@@ -47,8 +47,9 @@
 ///   cause any request to be held back.
 /// - If two requests share crashes, only the one with more incidents is held back, and only after
 ///   the updates of other routers had time to arrive. A request that was wrongly held back is
-///   released when other requests explain all its crashes. If they explain only some, it is tried
-///   soon: popular requests run on many replicas, so that a shared crash proves little.
+///   released when other held requests explain all its crashes. If they explain only some, or
+///   another one is equally suspected, it is tried soon: popular requests run on many replicas, so
+///   that a shared crash proves little.
 ///
 /// The cause may also be one part of a prompt that requests share, in requests of which no two are
 /// alike. Each shared part of a prompt is therefore a suspect of its own, with the same rules and
@@ -225,14 +226,11 @@
     void decide();
     void decideRequests(std::span<Records::value_type *const> suspects);
     void decideParts(std::span<Records::value_type *const> suspects);
-    void setState(Records::value_type &suspect, bool isProven, int ownIncidents);
+    void setState(Records::value_type &suspect, bool isProven);
     std::vector<std::string> partsTiedWith(const Records::value_type &suspect,
                                            std::span<Records::value_type *const> suspects) const;
     bool hasClearedOther(const Records::value_type &suspect) const;
-    bool isShared(const ReplicaCrash &crash, const Entry &entry,
-                  std::span<Records::value_type *const> suspects) const;
     bool isTied(const Entry &entry, std::span<Records::value_type *const> suspects) const;
-    int ownIncidents(const Entry &entry, std::span<Records::value_type *const> suspects) const;
     void setHeld(const std::string &fingerprint, Entry &entry, bool held);
     Entry &findOrInsert(const std::string &fingerprint);
     void evictRecords();
--- a/test/RequestQuarantineTest.cpp
+++ b/test/RequestQuarantineTest.cpp
@@ -438,6 +438,27 @@
     CHECK(heldBy(other) == 4);
 }
 
+// Guards against a fatal request that is released because harmless ones were running on the
+// replicas that it crashed and have as many crashes by now.
+TEST_CASE_FIXTURE(SharedCrashFixture,
+                  "requestQuarantine_harmlessOnesHaveAsManyCrashes_fatalOneStaysHeld")
+{
+    const std::string other = "other";
+    crashUnder({Fatal, Innocent});
+    crashUnder({Fatal, Innocent});
+    crashUnder({Fatal, other});
+    REQUIRE(heldBy(Fatal) == 4);
+    crashUnder({Innocent});
+    crashUnder({other});
+    crashUnder({other});
+    CHECK(heldBy(Fatal) >= 3); // The first trial may be due already.
+    clock.advance(9s);
+    CHECK(heldBy(Fatal) < 4); // A trial.
+    crashUnder({Fatal});
+    CHECK(heldBy(Fatal) == 4);
+    CHECK(heldBy(Innocent) == 0);
+}
+
 // Guards against a harmless request that stays held for the whole hold time, although another one
 // explains so many of its crashes that it would not be held any more.
 TEST_CASE_FIXTURE(SharedCrashFixture,
