--- a/src/Decide/FleetRetryBudget.cpp
+++ b/src/Decide/FleetRetryBudget.cpp
@@ -33,7 +33,10 @@
 FleetRetryBudget::FleetRetryBudget(Options options)
     : m_options(std::move(options)), m_threshold(drawThreshold(m_options.random)),
       m_startedAt(m_options.clock.now()), m_refilledAt(m_startedAt)
-{ }
+{
+    if (!m_options.followsOthers)
+        m_tokens = SavedFraction * m_options.slack;
+}
 
 std::int64_t FleetRetryBudget::slotNumber() const
 {
--- a/src/Decide/FleetRetryBudget.h
+++ b/src/Decide/FleetRetryBudget.h
@@ -19,10 +19,10 @@
 /// routers receive no messages from each other.
 ///
 /// Routers may be killed and replaced at any time, and their counts are lost with them. Therefore
-/// the budget is a token bucket that starts empty. In any interval the processes that succeed each
-/// other at one router spend at most what the first of them had saved and what all of them earned
-/// by the requests that they received. A full bucket and the earnings of a window together are less
-/// than the limit.
+/// the budget is a token bucket that starts empty (\sa Options::followsOthers). In any interval the
+/// processes that succeed each other at one router spend at most what the first of them had saved
+/// and what all of them earned by the requests that they received. A full bucket and the earnings
+/// of a window together are less than the limit.
 class FleetRetryBudget
 {
 public:
@@ -35,6 +35,9 @@
         double slack = 0; ///< Additional retries allowed per window, over all routers.
         Duration window =
                 std::chrono::seconds(10); ///< The limit holds in any interval of this length.
+        /// Whether other processes may have used the budget just before this one started. The
+        /// bucket starts empty then, otherwise full.
+        bool followsOthers = true;
     };
 
     /// \brief What this router has used of the budget in the last window. Summed over all routers,
--- a/src/Net/ServicePools.h
+++ b/src/Net/ServicePools.h
@@ -60,6 +60,7 @@
         std::function<bool(std::string_view replica, std::size_t n)> isColdSender =
                 [](std::string_view, std::size_t) { return true; };
         std::function<void()> pathChecksDue = [] {}; ///< \sa PathMonitor::Options::checksDue
+        bool followsOthers = false; ///< \sa FleetRetryBudget::Options::followsOthers
     };
 
     ServicePools(const Clock &clock, RandomSource random, const EntrySettings &settings)
--- a/test/FleetRetryBudgetTest.cpp
+++ b/test/FleetRetryBudgetTest.cpp
@@ -377,3 +377,23 @@
         CHECK(fleet.outcome().repaired >= 0.95 * fleet.outcome().failed);
     }
 }
+
+// Guards against the first requests of a router that is alone, or of a new fleet, not being
+// retried.
+TEST_CASE("fleetRetryBudget_noProcessCameBefore_firstFailuresAreRetried")
+{
+    const ManualClock clock;
+    for (const bool followsOthers : {false, true}) {
+        FleetRetryBudget budget({.clock = clock,
+                                 .random = seededRandom(3),
+                                 .share = 0,
+                                 .slack = 100,
+                                 .followsOthers = followsOthers});
+        budget.countRequest();
+        int allowed = 0;
+        for (int i = 0; i < 100; ++i)
+            allowed += budget.tryRetry(1) ? 1 : 0;
+        CHECK((allowed > 0) == !followsOthers);
+        CHECK(allowed <= 36);
+    }
+}
