A hold that is explained in part isn't released while updates arrive

Cause: a hold younger than 200 ms was released as before if another request explained one of its crashes; only older ones were kept for a trial.

Why it works: only an equally suspected request, which shares all evidence until the updates have arrived, releases a young hold.

Rows of held requests with times before 1970 or far in the future are malformed.

--- a/src/Control/QuarantineRow.cpp
+++ b/src/Control/QuarantineRow.cpp
@@ -3,6 +3,7 @@
 #include "Base/Json.h"
 
 #include <algorithm>
+#include <cstdint>
 
 namespace catkinloft {
 
@@ -12,10 +13,13 @@
 
 constexpr Json::ArrayIndex CrashFields = 3;
 
+/// Latest time of a crash, in milliseconds since 1970, for which no age overflows.
+constexpr std::int64_t MaxTimeMs = std::int64_t(1) << 42;
+
 std::optional<QuarantineRow::Crash> decodeCrash(const Json::Value &it)
 {
     if (!it.isArray() || it.size() != CrashFields || !it[0U].isString() || !it[1U].isString()
-        || !it[2U].isInt64())
+        || !it[2U].isInt64() || it[2U].asInt64() < 0 || it[2U].asInt64() > MaxTimeMs)
         return std::nullopt;
     return QuarantineRow::Crash{.replica = it[0U].asString(),
                                 .software = it[1U].asString(),
--- a/src/Decide/RequestQuarantine.cpp
+++ b/src/Decide/RequestQuarantine.cpp
@@ -345,9 +345,13 @@
 void RequestQuarantine::setState(Records::value_type &suspect, bool isProven)
 {
     Entry &entry = suspect.second;
-    // Before that, updates on other requests that were running on the same replicas may be missing.
+    // Two requests that were running on the same replicas are equally suspected until the updates
+    // of a crash have arrived; the one that was recorded first must not stay held.
     const bool wasSettled = entry.isHeld && m_options.clock.now() - entry.heldAt >= SettleTime;
-    const bool isDoubtful = !isProven && wasSettled && entry.unexplainedIncidents > 0;
+    const bool isExplainedInPart =
+            entry.unexplainedIncidents > 0 && entry.unexplainedIncidents < MinIncidents;
+    const bool isDoubtful = !isProven && entry.isHeld
+            && (isExplainedInPart || (wasSettled && entry.unexplainedIncidents > 0));
     if (!isDoubtful)
         entry.doubtfulSince.reset();
     else if (!entry.doubtfulSince)
--- a/test/RequestQuarantineTest.cpp
+++ b/test/RequestQuarantineTest.cpp
@@ -459,6 +459,28 @@
     CHECK(heldBy(Innocent) == 0);
 }
 
+// Guards against a fatal request that is released because the update on a harmless one, which other
+// crashes broke as well, arrives a moment later.
+TEST_CASE_FIXTURE(SharedCrashFixture,
+                  "requestQuarantine_updateOnAnotherComesLater_fatalOneStaysHeld")
+{
+    for (int i = 0; i < 3; ++i) {
+        crash(1, {Innocent}); // Not announced yet.
+        clock.advance(400ms);
+    }
+    crashUnder({Fatal});
+    crashUnder({Fatal});
+    const std::string shared = fmt::format("i-{}", ++crashedCount);
+    routers[1]->replicaCrashed(Innocent, shared, Old.front(), clock.now());
+    routers[0]->replicaCrashed(Fatal, shared, Old.front(), clock.now());
+    routers[1]->merge(routers[0]->takeUpdates());
+    clock.advance(20ms);
+    exchangeUpdates();
+    exchangeUpdates();
+    clock.advance(400ms);
+    CHECK(heldBy(Fatal) >= 3); // A first trial may be due already.
+}
+
 // Guards against a harmless request that stays held for the whole hold time, although another one
 // explains so many of its crashes that it would not be held any more.
 TEST_CASE_FIXTURE(SharedCrashFixture,
@@ -552,9 +574,12 @@
 
 TEST_CASE("quarantineRow_valueIsMalformed_isNotRead")
 {
-    for (const char *it : {"", "[]", "{}", R"({"held":1,"crashes":[]})",
-                           R"({"held":true,"crashes":[["i-1","svc v1"]]})",
-                           R"({"held":true,"crashes":[["i-1",2,3]]})", R"({"held":true})"})
+    for (const char *it :
+         {"", "[]", "{}", R"({"held":1,"crashes":[]})",
+          R"({"held":true,"crashes":[["i-1","svc v1"]]})",
+          R"({"held":true,"crashes":[["i-1",2,3]]})",
+          R"({"held":true,"crashes":[["i-1","svc v1",-1]]})",
+          R"({"held":true,"crashes":[["i-1","svc v1",9000000000000000000]]})", R"({"held":true})"})
         CHECK_FALSE(QuarantineRow::decode(Fatal, it));
 }
 
