A combination of prompt parts isn't announced as parts held alone

What callers would see: every request to a service refused as quarantined at a router that joins, for the time until it knows the second part.

Cause: a held combination was announced, and stored, as if each of its parts were held by itself, which lets a router hold a part without evidence of its own. One that knew only the part that all requests share held it alone.

requestQuarantine_othersHoldACombination_partIsNotHeldAlone failed before (1 of 5 routers held the shared part).

--- a/src/Decide/RequestQuarantine.cpp
+++ b/src/Decide/RequestQuarantine.cpp
@@ -579,7 +579,7 @@
 CrashUpdate RequestQuarantine::makeUpdate(const std::string &fingerprint, const Entry &entry) const
 {
     const TimePoint now = m_options.clock.now();
-    CrashUpdate out{.fingerprint = fingerprint, .isHeld = entry.isHeld};
+    CrashUpdate out{.fingerprint = fingerprint, .isHeld = entry.isHeld && entry.tiedParts.empty()};
     if (entry.record.clearedAt() != TimePoint::min())
         out.clearedAge = ageAt(now, entry.record.clearedAt());
     for (const ReplicaCrash &it : entry.record.replicaCrashes())
--- a/src/Decide/RequestQuarantine.h
+++ b/src/Decide/RequestQuarantine.h
@@ -31,7 +31,7 @@
     std::string fingerprint = {}; ///< Of the request, or RequestQuarantine::partKey().
     std::optional<Duration> clearedAge = {}; ///< Time after the last completed run, if any.
     std::vector<Crash> replicaCrashes = {};
-    bool isHeld = false; ///< The sender holds back requests with it.
+    bool isHeld = false; ///< The sender holds back all requests with it.
 };
 
 /// \brief Holds back requests that crash the replicas that run them, at every router of the fleet.
--- a/test/RequestQuarantineTest.cpp
+++ b/test/RequestQuarantineTest.cpp
@@ -552,6 +552,20 @@
     CHECK(heldWith({System}) == 0);
 }
 
+// Guards against a router that holds back a part that all requests share, because another one holds
+// it together with a part of which this router has no record yet.
+TEST_CASE_FIXTURE(PromptPartFixture, "requestQuarantine_othersHoldACombination_partIsNotHeldAlone")
+{
+    for (std::size_t i = 0; i < 3; ++i)
+        crashUnder(i, {request({System, Deadly})});
+    REQUIRE(heldWith({System, Deadly}) == 4);
+    std::vector<CrashUpdate> updates = routers[0]->heldRecords(64);
+    std::erase_if(updates, [](const CrashUpdate &it) { return it.fingerprint != System; });
+    addRouter();
+    routers.back()->merge(updates);
+    CHECK(heldWith({System}) == 0);
+}
+
 // Guards against a router that joins and lacks the evidence that a part crashes replicas alone.
 TEST_CASE_FIXTURE(PromptPartFixture, "requestQuarantine_routerJoins_holdsThePartThatOthersHold")
 {
