--- a/test/FleetRegistrationTest.cpp
+++ b/test/FleetRegistrationTest.cpp
@@ -200,6 +200,7 @@
     CHECK(table.pending.empty());
 }
 
+// Guards against routers that all restart and don't know what was held back.
 TEST_CASE_FIXTURE(FleetRegistrationFixture,
                   "fleetRegistration_heldRequestIsStored_isReadAtTheNextStart")
 {
@@ -218,6 +219,7 @@
     CHECK(bb.quarantine.empty()); // Only the first read is handed on.
 }
 
+// Guards against two routers that write in turn because each dates the crashes differently.
 TEST_CASE_FIXTURE(FleetRegistrationFixture,
                   "fleetRegistration_sameHeldRequestsAreStoredAgain_nothingIsWritten")
 {
--- a/test/FleetRetryBudgetTest.cpp
+++ b/test/FleetRetryBudgetTest.cpp
@@ -157,7 +157,7 @@
             kill(i);
     }
 
-    /// Adds \a n routers that the others don't know until setKnown() is called.
+    /// Adds \a n routers that the others don't know until learnOfAll() is called.
     void addRouters(std::size_t n)
     {
         m_known = size() == 0 ? n : size();
@@ -302,6 +302,7 @@
     }
 }
 
+// Guards against the same when nobody is left that knows what was spent.
 TEST_CASE("fleetRetryBudget_allRoutersAreKilledAtOnce_stayWithinTheLimit")
 {
     for (const RetryFleet::Options &options : RetryFleets) {
@@ -315,6 +316,7 @@
     }
 }
 
+// Guards against the same in a rollout, which restarts each router once.
 TEST_CASE("fleetRetryBudget_routersAreRestartedInTurn_stayWithinTheLimit")
 {
     for (const RetryFleet::Options &options : RetryFleets) {
@@ -358,6 +360,7 @@
     }
 }
 
+// Guards against a budget that refuses the retries of a few replicas that fail for long.
 TEST_CASE("fleetRetryBudget_oneInTwentyAttemptsFails_callersAreServedByRetries")
 {
     for (RetryFleet::Options options : RetryFleets) {
--- a/test/RequestQuarantineTest.cpp
+++ b/test/RequestQuarantineTest.cpp
@@ -526,6 +526,7 @@
     CHECK(heldBy(Fatal) == 0); // The hold time counts from the last crash.
 }
 
+// Guards against the same for a part, which needs completed runs that the routers have forgotten.
 TEST_CASE_FIXTURE(PromptPartFixture, "requestQuarantine_allRoutersRestart_partStaysHeld")
 {
     for (std::size_t i = 0; i < 3; ++i) {
@@ -541,6 +542,7 @@
     CHECK(heldWith({System, Deadly}) == 0);
 }
 
+// Guards against a restart after which one part of a held combination is held alone.
 TEST_CASE_FIXTURE(PromptPartFixture, "requestQuarantine_allRoutersRestart_combinationStaysHeld")
 {
     for (std::size_t i = 0; i < 3; ++i)
