--- a/src/Net/CrashEvidence.cpp
+++ b/src/Net/CrashEvidence.cpp
@@ -15,13 +15,6 @@
 
 using PathState = RelayClient::PathState;
 
-std::string_view textOf(std::optional<bool> arePathsWorking)
-{
-    if (!arePathsWorking)
-        return "pending";
-    return *arePathsWorking ? "working" : "lost";
-}
-
 std::string_view textOf(std::optional<PathState> state)
 {
     if (!state)
@@ -41,20 +34,30 @@
 
 } // namespace
 
+/// What the connections to other replicas show about the paths of this router.
+struct CrashEvidence::PathFinding
+{
+    bool areWorking = true;
+    bool areMostlyLost = false; ///< Known before, so that no controls were tried.
+    std::size_t controls = 0;
+    std::size_t openControls = 0;
+
+    std::string_view text() const { return areWorking ? "working" : "lost"; }
+};
+
 /// The controls of one check.
 struct CrashEvidence::PathCheck
 {
-    std::function<void(bool)> done; ///< Null after it was called.
-    std::size_t total = 0;
-    std::size_t open = 0;
+    std::function<void(const PathFinding &)> done; ///< Null after it was called.
+    PathFinding finding = {};
     std::size_t failed = 0;
 
     void add(bool stayedOpen)
     {
-        ++(stayedOpen ? open : failed);
-        const bool isWorking = 2 * open >= total;
-        if ((isWorking || 2 * failed > total) && done)
-            std::exchange(done, nullptr)(isWorking);
+        ++(stayedOpen ? finding.openControls : failed);
+        finding.areWorking = 2 * finding.openControls >= finding.controls;
+        if ((finding.areWorking || 2 * failed > finding.controls) && done)
+            std::exchange(done, nullptr)(finding);
     }
 };
 
@@ -64,7 +67,7 @@
     std::string id;
     std::string service;
     std::function<void(CrashWatch::Finding)> done; ///< Null after it was called.
-    std::optional<bool> arePathsWorking;
+    std::optional<PathFinding> paths;
     bool hasAskedRouters = false;
     std::optional<PathState> routers;
 };
@@ -87,21 +90,27 @@
 }
 
 void CrashEvidence::checkPaths(const std::string &id, std::function<void(bool working)> done)
+{
+    tryControls(id, [done = std::move(done)](const PathFinding &it) { done(it.areWorking); });
+}
+
+void CrashEvidence::tryControls(const std::string &id,
+                                std::function<void(const PathFinding &)> done)
 {
     const ReplicaRecord *replica = m_options.pools.findReplica(id);
     const std::string service = replica ? replica->service : std::string();
     if (replica && m_options.pools.of(service).paths.isMostlyLostBeside(id))
-        return done(false);
+        return done({.areWorking = false, .areMostlyLost = true});
     std::vector<ReplicaRecord> records;
     for (const std::string &it : controls(id, service)) {
         if (const ReplicaRecord *record = m_options.pools.findReplica(it))
             records.push_back(*record);
     }
     if (records.empty())
-        return done(true);
+        return done({});
     const auto check = std::make_shared<PathCheck>();
     check->done = std::move(done);
-    check->total = records.size();
+    check->finding.controls = records.size();
     for (const ReplicaRecord &it : records)
         m_options.connect(it, [check](bool stayedOpen) { check->add(stayedOpen); });
 }
@@ -119,8 +128,8 @@
             it->routers = state;
             decide(*it);
         });
-    checkPaths(id, [this, it](bool working) {
-        it->arePathsWorking = working;
+    tryControls(id, [this, it](const PathFinding &finding) {
+        it->paths = finding;
         decide(*it);
     });
 }
@@ -128,9 +137,9 @@
 void CrashEvidence::decide(Confirmation &it)
 {
     using Finding = CrashWatch::Finding;
-    const bool isLost = !it.arePathsWorking.value_or(true);
+    const bool isLost = it.paths && !it.paths->areWorking;
     const bool isReached = it.routers == PathState::Reached;
-    const bool isComplete = it.arePathsWorking && (!it.hasAskedRouters || it.routers);
+    const bool isComplete = it.paths && (!it.hasAskedRouters || it.routers);
     if (!it.done || (!isLost && !isReached && !isComplete))
         return;
     Finding finding = Finding::NotCrashed;
@@ -139,9 +148,13 @@
     else if (!isReached && it.routers.value_or(PathState::Refused) == PathState::Refused)
         finding = Finding::Crashed;
     if (finding != Finding::Crashed) {
+        const PathFinding paths = it.paths.value_or(PathFinding());
         Log::info("replica_crash_not_confirmed",
                   {{"replica", it.id},
-                   {"own_paths", textOf(it.arePathsWorking)},
+                   {"own_paths", it.paths ? paths.text() : "pending"},
+                   {"mostly_lost", paths.areMostlyLost},
+                   {"open_controls", paths.openControls},
+                   {"controls", paths.controls},
                    {"routers", it.hasAskedRouters ? textOf(it.routers) : "none"}});
         if (!it.service.empty())
             m_options.pools.of(it.service).pathLost(it.id);
--- a/src/Net/CrashEvidence.h
+++ b/src/Net/CrashEvidence.h
@@ -68,9 +68,11 @@
     void confirm(const std::string &id, std::function<void(CrashWatch::Finding)> done);
 
 private:
+    struct PathFinding;
     struct PathCheck;
     struct Confirmation;
 
+    void tryControls(const std::string &id, std::function<void(const PathFinding &)> done);
     std::vector<std::string> controls(const std::string &id, const std::string &service);
     void decide(Confirmation &it);
 
--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -470,11 +470,10 @@
     pools.noteBrittle(heartbeat.name, heartbeat.brittle);
     for (const std::string &it : heartbeat.replicas.leaving)
         replicas.markLeaving(it, ReplicaRegistry::LeavingSource::Router);
-    quarantine.merge(heartbeat.crashes);
     for (const CrashUpdate &update : heartbeat.crashes) {
-        for (const CrashUpdate::Crash &it : update.replicaCrashes) {
+        for (const CrashUpdate::Crash &it : update.replicaCrashes)
             noteToldCrash(heartbeat.name, it);
-        }
+        quarantine.merge({&update, 1});
     }
     notePrompts(heartbeat.prompts);
     for (const std::string &it : heartbeat.discovered)
@@ -489,8 +488,10 @@
 {
     if (crash.age >= CrashExclusionTime)
         return;
-    Log::info("replica_crash_told",
-              {{"replica", crash.replica}, {"router", router}, {"age_ms", crash.age / 1ms}});
+    // Heartbeats repeat a crash in the record of each request that it broke.
+    if (!quarantine.crashedAt(crash.replica))
+        Log::info("replica_crash_told",
+                  {{"replica", crash.replica}, {"router", router}, {"age_ms", crash.age / 1ms}});
     pools.noteCrashed(crash.replica, CrashExclusionTime - crash.age);
 }
 
