--- a/standin/fleet/EntryFleet.cpp
+++ b/standin/fleet/EntryFleet.cpp
@@ -115,6 +115,11 @@
     Replica &it = m_replicas[i];
     it.service = i < m_options.replicas ? "calls" : "streams";
     it.id = fmt::format("i-{}-{}", i, ++it.starts);
+    launchReplica(it);
+}
+
+void EntryFleet::launchReplica(Replica &it)
+{
     it.exitedAt.reset();
     std::vector<std::string> command{"catkinloft-standin", "--listen=" + it.address,
                                      "--name=" + it.id, "--software_version=" + it.version,
@@ -138,6 +143,12 @@
     registerReplica(i, "ready");
 }
 
+void EntryFleet::resumeReplica(std::size_t i)
+{
+    m_replicas[i].process.reset();
+    launchReplica(m_replicas[i]);
+}
+
 bool EntryFleet::hasExited(std::size_t i, Duration minDowntime)
 {
     Replica &it = m_replicas.at(i);
--- a/standin/fleet/EntryFleet.h
+++ b/standin/fleet/EntryFleet.h
@@ -87,6 +87,9 @@
     /// \brief Restarts replica \a i with a new id and registers it.
     void restartReplica(std::size_t i);
 
+    /// \brief Restarts replica \a i with its id, without a change of its registration.
+    void resumeReplica(std::size_t i);
+
     /// \returns whether replica \a i has exited and this was first noticed at least \a minDowntime
     /// ago.
     bool hasExited(std::size_t i, Duration minDowntime);
@@ -199,6 +202,7 @@
     void startStore();
     void startProxy(Proxy &proxy, const std::string &target, const std::string &name);
     void startReplica(std::size_t i);
+    void launchReplica(Replica &it);
     static std::string sourceIp(std::size_t router);
     void writeSettings(std::size_t i, const std::string &extra);
     void postRow(const std::string &table, const std::string &key, const Json::Value &value);
--- a/test/integration/PromptPartTest.cpp
+++ b/test/integration/PromptPartTest.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <atomic>
 #include <csignal>
+#include <cstdint>
 #include <string>
 #include <thread>
 #include <vector>
@@ -25,6 +26,22 @@
 /// key.
 struct PromptPartFixture
 {
+    enum class Return : std::uint8_t {
+        NewId, ///< With a new id and registration.
+        SameId, ///< Under their registration, which doesn't change.
+        Never,
+    };
+
+    struct Play
+    {
+        Duration length = 15s;
+        Duration soundFrom = 0s; ///< When callers start to send sound requests.
+        /// When all routers are killed and started again, in ascending order.
+        std::vector<Duration> killedAt = {};
+        std::size_t fatalCallers = 1; ///< Each sends a fatal request every 160 ms.
+        Return crashedReplicas = Return::NewId; ///< How they return, two seconds after the crash.
+    };
+
     PromptPartFixture() { fleet.start(); }
 
     bool isServed(std::size_t n, const std::string &prefix, const std::string &parts)
@@ -54,24 +71,37 @@
         }
     }
 
-    /// Sends fatal requests and, from \a soundFrom on, sound ones, and restarts crashed replicas.
-    /// \param killedAt when all routers are killed and started again, in ascending order.
-    void play(Duration length, Duration soundFrom, std::vector<Duration> killedAt = {})
+    void restartCrashedReplicas(Return how)
+    {
+        constexpr Duration Downtime = 2s;
+        if (how == Return::NewId)
+            return fleet.restartExitedReplicas(Downtime);
+        for (std::size_t i = 0; i < fleet.replicaCount(); ++i) {
+            if (how == Return::SameId && fleet.hasExited(i, Downtime))
+                fleet.resumeReplica(i);
+        }
+    }
+
+    /// Sends fatal requests and, after \a it.soundFrom, sound ones, and restarts crashed replicas.
+    void play(Play it)
     {
         const auto start = std::chrono::steady_clock::now();
-        const auto until = start + length;
+        const auto until = start + it.length;
         std::vector<std::thread> callers;
-        callers.emplace_back([&] {
-            for (std::size_t n = 0; std::chrono::steady_clock::now() < until; ++n) {
-                isServed(n, "fatal-",
-                         fmt::format("5c1e07a2:800,{}:300,{:x}:50", standin::FatalPart,
-                                     0x20000 + n));
-                std::this_thread::sleep_for(160ms);
-            }
-        });
+        for (std::size_t i = 0; i < it.fatalCallers; ++i) {
+            callers.emplace_back([&, i] {
+                for (std::size_t n = i; std::chrono::steady_clock::now() < until;
+                     n += it.fatalCallers) {
+                    isServed(n, "fatal-",
+                             fmt::format("5c1e07a2:800,{}:300,{:x}:50", standin::FatalPart,
+                                         0x20000 + n));
+                    std::this_thread::sleep_for(160ms);
+                }
+            });
+        }
         for (std::size_t i = 0; i < 2; ++i) {
             callers.emplace_back([&, i] {
-                std::this_thread::sleep_for(soundFrom);
+                std::this_thread::sleep_for(it.soundFrom);
                 for (std::size_t n = i; std::chrono::steady_clock::now() < until; n += 2) {
                     const bool isLate = std::chrono::steady_clock::now() > start + 10s;
                     const bool served = isServed(
@@ -83,15 +113,16 @@
             });
         }
         while (std::chrono::steady_clock::now() < until) {
-            fleet.restartExitedReplicas(2s);
-            if (!killedAt.empty() && std::chrono::steady_clock::now() > start + killedAt.front()) {
+            restartCrashedReplicas(it.crashedReplicas);
+            if (!it.killedAt.empty()
+                && std::chrono::steady_clock::now() > start + it.killedAt.front()) {
                 killAllRouters();
-                killedAt.erase(killedAt.begin());
+                it.killedAt.erase(it.killedAt.begin());
             }
             std::this_thread::sleep_for(100ms);
         }
-        for (std::thread &it : callers)
-            it.join();
+        for (std::thread &caller : callers)
+            caller.join();
     }
 
     /// \returns when fatal requests reached replicas, in milliseconds, in ascending order.
@@ -136,7 +167,7 @@
 // requests with it have the same content.
 TEST_CASE_FIXTURE(PromptPartFixture, "fleet_promptPartCrashesReplicas_requestsWithItAreRefused")
 {
-    play(15s, 0s);
+    play({});
     requireHeld();
 }
 
@@ -144,7 +175,7 @@
 // before the crashes.
 TEST_CASE_FIXTURE(PromptPartFixture, "fleet_promptPartCrashesReplicas_firstPartIsServedLater")
 {
-    play(15s, 5s);
+    play({.soundFrom = 5s});
     requireHeld();
 }
 
@@ -152,6 +183,26 @@
 // it crashes replicas again until it is found anew.
 TEST_CASE_FIXTURE(PromptPartFixture, "fleet_allRoutersAreKilled_promptPartStaysHeld")
 {
-    play(16s, 0s, {6s, 10s});
+    play({.length = 16s, .killedAt = {6s, 10s}});
+    requireHeld();
+}
+
+// Guards against routers that all take the crash of most replicas within a second for the loss of
+// their own network paths, so that nobody confirms a crash and the part crashes what comes back.
+TEST_CASE_FIXTURE(PromptPartFixture, "fleet_mostReplicasCrashWithinASecond_promptPartIsHeld")
+{
+    play({.fatalCallers = 4, .crashedReplicas = Return::SameId});
+    requireHeld();
+}
+
+TEST_CASE_FIXTURE(PromptPartFixture, "fleet_mostReplicasCrashAndReturnAsNew_promptPartIsHeld")
+{
+    play({.fatalCallers = 4});
+    requireHeld();
+}
+
+TEST_CASE_FIXTURE(PromptPartFixture, "fleet_crashedReplicasReturnUnderTheirIds_promptPartIsHeld")
+{
+    play({.crashedReplicas = Return::SameId});
     requireHeld();
 }
