Crashes that nobody can confirm count as evidence; a returned replica may crash again

Cause: a refused connection shows a crash as well as a lost path. The guard for the second decided whenever most controls were refused, dropped the requests in progress as evidence, and took the paths that it had declared lost for the reason of the next decision (mostly_lost true).

Change: requests in progress on a replica that refuses connections within 250 ms after a sign that it ran, and that no router reaches, are suspected with a crash that is not confirmed. It is announced and stored with that mark, excludes no replica, and a request without three confirmed crashes is tried soon after it is held. A crash after a sign that the replica ran since the last one is another crash.

--- a/src/Control/QuarantineRow.cpp
+++ b/src/Control/QuarantineRow.cpp
@@ -11,6 +11,7 @@
 
 using namespace std::chrono_literals;
 
+/// Fields of a crash; one that is not confirmed has another one.
 constexpr Json::ArrayIndex CrashFields = 3;
 
 /// Latest time of a crash, in milliseconds since 1970, for which no age overflows.
@@ -18,12 +19,15 @@
 
 std::optional<QuarantineRow::Crash> decodeCrash(const Json::Value &it)
 {
-    if (!it.isArray() || it.size() != CrashFields || !it[0U].isString() || !it[1U].isString()
-        || !it[2U].isInt64() || it[2U].asInt64() < 0 || it[2U].asInt64() > MaxTimeMs)
+    const bool hasFields =
+            it.isArray() && (it.size() == CrashFields || it.size() == CrashFields + 1);
+    if (!hasFields || !it[0U].isString() || !it[1U].isString() || !it[2U].isInt64()
+        || it[2U].asInt64() < 0 || it[2U].asInt64() > MaxTimeMs)
         return std::nullopt;
     return QuarantineRow::Crash{.replica = it[0U].asString(),
                                 .software = it[1U].asString(),
-                                .at = WallTime(std::chrono::milliseconds(it[2U].asInt64()))};
+                                .at = WallTime(std::chrono::milliseconds(it[2U].asInt64())),
+                                .isConfirmed = it.size() == CrashFields};
 }
 
 } // namespace
@@ -35,7 +39,8 @@
         out.crashes.push_back(
                 {.replica = it.replica,
                  .software = it.software,
-                 .at = now - std::chrono::duration_cast<std::chrono::milliseconds>(it.age)});
+                 .at = now - std::chrono::duration_cast<std::chrono::milliseconds>(it.age),
+                 .isConfirmed = it.isConfirmed});
     return out;
 }
 
@@ -45,16 +50,19 @@
     for (const Crash &it : crashes)
         out.replicaCrashes.push_back({.replica = it.replica,
                                       .software = it.software,
-                                      .age = std::max<Duration>(Duration::zero(), now - it.at)});
+                                      .age = std::max<Duration>(Duration::zero(), now - it.at),
+                                      .isConfirmed = it.isConfirmed});
     return out;
 }
 
 bool QuarantineRow::hasSameEvidence(const QuarantineRow &other) const
 {
     return fingerprint == other.fingerprint && isHeld == other.isHeld
-            && std::is_permutation(
-                    crashes.begin(), crashes.end(), other.crashes.begin(), other.crashes.end(),
-                    [](const Crash &a, const Crash &b) { return a.replica == b.replica; });
+            && std::is_permutation(crashes.begin(), crashes.end(), other.crashes.begin(),
+                                   other.crashes.end(), [](const Crash &a, const Crash &b) {
+                                       return a.replica == b.replica
+                                               && a.isConfirmed == b.isConfirmed;
+                                   });
 }
 
 std::string QuarantineRow::encode() const
@@ -67,6 +75,8 @@
         item.append(it.replica);
         item.append(it.software);
         item.append(static_cast<Json::Int64>(it.at.time_since_epoch() / 1ms));
+        if (!it.isConfirmed)
+            item.append(0);
         out["crashes"].append(item);
     }
     return printJson(out);
--- a/src/Control/QuarantineRow.h
+++ b/src/Control/QuarantineRow.h
@@ -19,6 +19,7 @@
         std::string replica = {}; ///< Incarnation of the replica.
         std::string software = {}; ///< \sa ReplicaRecord::software
         WallTime at = {};
+        bool isConfirmed = true; ///< \sa ReplicaCrash::isConfirmed
     };
 
     std::string fingerprint = {}; ///< \sa CrashUpdate::fingerprint
--- a/src/Control/RouterHeartbeat.cpp
+++ b/src/Control/RouterHeartbeat.cpp
@@ -37,6 +37,8 @@
         item.append(end.replica);
         item.append(end.software);
         item.append(ageToJson(end.age));
+        if (!end.isConfirmed)
+            item.append(0);
         out.append(item);
     }
     return out;
@@ -45,6 +47,7 @@
 CrashUpdate crashFromJson(const Json::Value &it)
 {
     constexpr Json::ArrayIndex FirstEnd = 2;
+    constexpr Json::ArrayIndex ConfirmedCrashFields = 3;
     CrashUpdate out{.fingerprint = it[0U].asString()};
     if (const Duration age = ageOf(it[1U]); age != Duration::max())
         out.clearedAge = age;
@@ -52,7 +55,8 @@
          ++i)
         out.replicaCrashes.push_back({.replica = it[i][0U].asString(),
                                       .software = it[i][1U].asString(),
-                                      .age = internal::ageFromMilliseconds(it[i][2U].asInt64())});
+                                      .age = internal::ageFromMilliseconds(it[i][2U].asInt64()),
+                                      .isConfirmed = it[i].size() <= ConfirmedCrashFields});
     return out;
 }
 
--- a/src/Decide/CrashRecord.cpp
+++ b/src/Decide/CrashRecord.cpp
@@ -1,13 +1,22 @@
 #include "Decide/CrashRecord.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace catkinloft {
 
 bool CrashRecord::add(const ReplicaCrash &crash)
 {
-    if (has(crash.replica) || crash.at <= m_clearedAt)
+    if (crash.at <= m_clearedAt)
         return false;
+    const auto known =
+            std::find_if(m_crashes.begin(), m_crashes.end(),
+                         [&](const ReplicaCrash &it) { return it.replica == crash.replica; });
+    if (known != m_crashes.end()) {
+        const bool wasConfirmed =
+                std::exchange(known->isConfirmed, known->isConfirmed || crash.isConfirmed);
+        return wasConfirmed != known->isConfirmed;
+    }
     const auto before = [](const ReplicaCrash &a, const ReplicaCrash &b) { return a.at < b.at; };
     const auto position = m_crashes.insert(
             std::upper_bound(m_crashes.begin(), m_crashes.end(), crash, before), crash);
--- a/src/Decide/CrashRecord.h
+++ b/src/Decide/CrashRecord.h
@@ -13,9 +13,12 @@
 /// \brief A replica process that terminated while it worked on a request.
 struct ReplicaCrash
 {
-    std::string replica = {}; ///< Incarnation of the replica.
+    std::string replica = {}; ///< Incarnation of the replica. \sa RequestQuarantine::crashName()
     std::string software = {}; ///< \sa ReplicaRecord::software
     TimePoint at = {};
+    /// Whether a router that reaches other replicas has observed it. Otherwise the paths to the
+    /// replica may have been lost. \sa CrashEvidence
+    bool isConfirmed = true;
 };
 
 /// \brief The replicas that crashed while they ran one request, after its last completed run.
@@ -36,7 +39,7 @@
     /// would crash replicas in close succession and count as a single incident.
     static constexpr Duration MaxIncidentTime = std::chrono::milliseconds(500);
 
-    /// \brief Adds \a crash.
+    /// \brief Adds \a crash, or confirms it if it is known without a confirmation.
     /// \returns whether the record changed.
     bool add(const ReplicaCrash &crash);
 
--- a/src/Decide/PathMonitor.cpp
+++ b/src/Decide/PathMonitor.cpp
@@ -41,6 +41,7 @@
     std::erase_if(m_crashed, isGone);
     std::erase_if(m_suspects, isGone);
     std::erase_if(m_checkedAt, [&](const auto &it) { return isGone(it.first); });
+    std::erase_if(m_provenAt, [&](const auto &it) { return isGone(it.first); });
     noteTransition(wasPartitioned);
 }
 
@@ -80,6 +81,7 @@
     m_suspects.erase(id);
     m_crashed.erase(id);
     m_checkedAt[id] = m_options.clock.now();
+    m_provenAt[id] = m_options.clock.now();
     const bool wasPartitioned = isPartitioned();
     if (m_broken.erase(id) == 0)
         return false;
@@ -100,6 +102,12 @@
         m_crashed.insert(id);
 }
 
+TimePoint PathMonitor::provenAt(const std::string &id) const
+{
+    const auto it = m_provenAt.find(id);
+    return it == m_provenAt.end() ? TimePoint::min() : it->second;
+}
+
 bool PathMonitor::isMostlyLostBeside(const std::string &id) const
 {
     std::size_t lost = 0;
--- a/src/Decide/PathMonitor.h
+++ b/src/Decide/PathMonitor.h
@@ -64,6 +64,10 @@
     /// isMostlyLostBeside() until a new connection to it is established.
     void crashed(const std::string &id);
 
+    /// \returns when a new connection to replica \a id was last established, TimePoint::min() if
+    /// none was. Open connections are no evidence: they may outlive the path.
+    TimePoint provenAt(const std::string &id) const;
+
     /// \brief Requests a check of the path to replica \a id, which has been silent for long.
     void suspect(const std::string &id);
 
@@ -108,6 +112,7 @@
     std::set<std::string> m_crashed; ///< Until a new connection is established.
     std::set<std::string> m_suspects;
     std::map<std::string, TimePoint> m_checkedAt; ///< Last evidence about the path.
+    std::map<std::string, TimePoint> m_provenAt; ///< \sa provenAt()
     std::string m_lastChecked; ///< Broken paths are checked in the order of their ids.
     TimePoint m_brokenCheckedAt = TimePoint::min();
     TimePoint m_suspectedAt = TimePoint::min(); ///< Last check that suspect() requested.
--- a/src/Decide/RequestQuarantine.cpp
+++ b/src/Decide/RequestQuarantine.cpp
@@ -68,6 +68,9 @@
 /// Distinguishes the key of a prompt part from the fingerprint of a request.
 constexpr std::string_view PartPrefix = "part:";
 
+/// Separates the incarnation of a replica from the number of its restarts in the name of a crash.
+constexpr char RestartSeparator = '+';
+
 bool isPart(std::string_view suspect)
 {
     return suspect.starts_with(PartPrefix);
@@ -154,7 +157,7 @@
     if (entry.softwareGoneAt)
         out = std::min(out, *entry.softwareGoneAt);
     if (entry.doubtfulSince)
-        out = std::min(out, *entry.doubtfulSince);
+        out = std::min(out, std::max(*entry.doubtfulSince, entry.record.lastEventAt()));
     return out + trialDelay(entry);
 }
 
@@ -179,18 +182,43 @@
     return entry.isHeld ? 2 * holdTime(entry) : SuspicionLifetime;
 }
 
-void RequestQuarantine::replicaCrashed(Suspects suspects, const std::string &replica,
-                                       const std::string &software, TimePoint at)
+void RequestQuarantine::replicaCrashed(Suspects suspects, const CrashReport &report)
 {
+    const ReplicaCrash crash{.replica = crashName(report.replica, report.provenAt),
+                             .software = report.software,
+                             .at = report.at,
+                             .isConfirmed = report.isConfirmed};
     for (const std::string &it : suspects)
-        recordCrash(it, replica, software, at);
+        recordCrash(it, crash);
+}
+
+/// \returns the name of the crash of \a replica that follows \a provenAt, when it was known to run:
+/// that of a known crash, or a new one if the replica has restarted since the last known crash.
+std::string RequestQuarantine::crashName(const std::string &replica, TimePoint provenAt) const
+{
+    for (int restarts = 0;; ++restarts) {
+        std::string out = crashName(replica, restarts);
+        const auto known = m_crashTimes.find(out);
+        // A connection may be read for a moment after another one to the same replica broke.
+        if (known == m_crashTimes.end() || provenAt <= known->second + CrashDetectionSpread)
+            return out;
+    }
+}
+
+std::string RequestQuarantine::crashName(const std::string &replica, int restarts)
+{
+    return restarts == 0 ? replica : fmt::format("{}{}{}", replica, RestartSeparator, restarts);
+}
+
+std::string_view RequestQuarantine::incarnationOf(std::string_view crashName)
+{
+    return crashName.substr(0, crashName.find(RestartSeparator));
 }
 
-void RequestQuarantine::recordCrash(const std::string &fingerprint, const std::string &replica,
-                                    const std::string &software, TimePoint at)
+void RequestQuarantine::recordCrash(const std::string &fingerprint, const ReplicaCrash &crash)
 {
     Entry &entry = findOrInsert(fingerprint);
-    if (!entry.record.add({.replica = replica, .software = software, .at = at}))
+    if (!entry.record.add(crash))
         return;
     entry.trialEndsAt = TimePoint::min();
     update(entry);
@@ -267,14 +295,21 @@
 
 std::optional<TimePoint> RequestQuarantine::crashedAt(const std::string &replica) const
 {
-    const auto known = m_crashTimes.find(replica);
-    return known == m_crashTimes.end() ? std::nullopt : std::optional(known->second);
+    std::optional<TimePoint> out;
+    for (int restarts = 0;; ++restarts) {
+        const auto known = m_crashTimes.find(crashName(replica, restarts));
+        if (known == m_crashTimes.end())
+            return out;
+        out = known->second;
+    }
 }
 
 void RequestQuarantine::countIncidents(Entry &entry) const
 {
     entry.incidents =
             entry.record.incidents([this](const ReplicaCrash &crash) { return wasRunning(crash); });
+    entry.confirmedIncidents = entry.record.incidents(
+            [this](const ReplicaCrash &crash) { return crash.isConfirmed && wasRunning(crash); });
     entry.unexplainedIncidents = entry.record.incidents([this](const ReplicaCrash &crash) {
         return wasRunning(crash) && !m_explained.contains(crash.replica);
     });
@@ -352,7 +387,8 @@
             entry.unexplainedIncidents > 0 && entry.unexplainedIncidents < MinIncidents;
     const bool isDoubtful = !isProven && entry.isHeld
             && (isExplainedInPart || (wasSettled && entry.unexplainedIncidents > 0));
-    if (!isDoubtful)
+    const bool isUnconfirmed = isProven && entry.confirmedIncidents < MinIncidents;
+    if (!isDoubtful && !isUnconfirmed)
         entry.doubtfulSince.reset();
     else if (!entry.doubtfulSince)
         entry.doubtfulSince = m_options.clock.now();
@@ -509,7 +545,10 @@
         out.clear(now - *crashUpdate.clearedAge);
     for (const CrashUpdate::Crash &it : crashUpdate.replicaCrashes) {
         if (it.age <= MaxReceivedAge)
-            out.add({.replica = it.replica, .software = it.software, .at = now - it.age});
+            out.add({.replica = it.replica,
+                     .software = it.software,
+                     .at = now - it.age,
+                     .isConfirmed = it.isConfirmed});
     }
     return out;
 }
@@ -583,8 +622,10 @@
     if (entry.record.clearedAt() != TimePoint::min())
         out.clearedAge = ageAt(now, entry.record.clearedAt());
     for (const ReplicaCrash &it : entry.record.replicaCrashes())
-        out.replicaCrashes.push_back(
-                {.replica = it.replica, .software = it.software, .age = ageAt(now, it.at)});
+        out.replicaCrashes.push_back({.replica = it.replica,
+                                      .software = it.software,
+                                      .age = ageAt(now, it.at),
+                                      .isConfirmed = it.isConfirmed});
     return out;
 }
 
--- a/src/Decide/RequestQuarantine.h
+++ b/src/Decide/RequestQuarantine.h
@@ -26,6 +26,7 @@
         std::string replica = {}; ///< Incarnation of the replica.
         std::string software = {}; ///< \sa ReplicaRecord::software
         Duration age = Duration::zero();
+        bool isConfirmed = true; ///< \sa ReplicaCrash::isConfirmed
     };
 
     std::string fingerprint = {}; ///< Of the request, or RequestQuarantine::partKey().
@@ -61,6 +62,11 @@
 ///   all requests have in common.
 /// A request that is held back explains its crashes, so that its parts are not held back for them.
 ///
+/// If most replicas of a service crash at the same moment, no router can tell this from the loss of
+/// its own paths, and nobody confirms the crashes. Crashes that are not confirmed count too,
+/// because otherwise a request that crashes all replicas would never be held back. A request
+/// without enough confirmed ones is tried soon, so that one that lost paths broke is released.
+///
 /// Routers announce evidence to each other and merge it; each router decides independently. The
 /// evidence of a first incident goes only to the few routers that hold the evidence of the request,
 /// because the loss of a rack makes tens of thousands of requests suspected. After a second
@@ -97,6 +103,17 @@
         std::size_t maxRecords = 4096; ///< Maximum number of stored requests.
     };
 
+    /// \brief What a router observed of a crash that broke a request.
+    struct CrashReport
+    {
+        std::string replica = {}; ///< Incarnation of the replica.
+        std::string software = {}; ///< That it ran.
+        TimePoint at = {};
+        /// When the replica was last known to run; after an earlier crash it has restarted.
+        TimePoint provenAt = TimePoint::min();
+        bool isConfirmed = true; ///< \sa ReplicaCrash::isConfirmed
+    };
+
     /// \brief The evidence and the remaining time of a request that is held back.
     struct Hold
     {
@@ -145,16 +162,26 @@
         return admit({&suspect, 1}, software);
     }
 
+    /// \brief Records a crash of a replica that worked on a request with \a suspects.
+    void replicaCrashed(Suspects suspects, const CrashReport &report);
+
     /// \brief Records that \a replica, which ran \a software, crashed at \a at while it worked on a
     /// request with \a suspects.
     void replicaCrashed(Suspects suspects, const std::string &replica, const std::string &software,
-                        TimePoint at);
+                        TimePoint at)
+    {
+        replicaCrashed(suspects, {.replica = replica, .software = software, .at = at});
+    }
     void replicaCrashed(const std::string &suspect, const std::string &replica,
                         const std::string &software, TimePoint at)
     {
         replicaCrashed({&suspect, 1}, replica, software, at);
     }
 
+    /// \returns the incarnation of the replica whose crash is recorded as \a crashName: a replica
+    /// that restarted without a change of its registration has several crashes.
+    static std::string_view incarnationOf(std::string_view crashName);
+
     /// \brief Records that a run of a request with \a suspects completed, which clears them.
     void completed(Suspects suspects);
     void completed(const std::string &suspect) { completed({&suspect, 1}); }
@@ -164,9 +191,12 @@
     int suspicion(Suspects suspects) const;
     int suspicion(const std::string &suspect) const { return suspicion({&suspect, 1}); }
 
-    /// \returns when \a replica crashed, if requests that it was running are stored.
+    /// \returns when \a replica last crashed, if requests that it was running are stored.
     std::optional<TimePoint> crashedAt(const std::string &replica) const;
 
+    /// \returns whether the crash \a crashName, as in CrashUpdate::Crash::replica, is recorded.
+    bool knowsCrash(const std::string &crashName) const { return m_crashTimes.contains(crashName); }
+
     /// \brief Merges the updates that another router sent.
     void merge(std::span<const CrashUpdate> updates);
 
@@ -193,14 +223,15 @@
     {
         CrashRecord record = {};
         int incidents = 0; ///< Number of incidents.
+        int confirmedIncidents = 0; ///< Incidents with a confirmed crash.
         int unexplainedIncidents = 0; ///< Incidents that no held request explains.
         bool isHeld = false;
         bool isHeldElsewhere = false; ///< As announced by another router or found in the store.
         /// Parts that were in all of its crashed runs: only requests with all of them are held.
         std::vector<std::string> tiedParts = {};
         TimePoint heldAt = {}; ///< When it was last put on hold.
-        /// Since when other requests may have caused so many of its crashes that it would not be
-        /// held for the remaining ones.
+        /// Since when other requests, or lost paths, may have caused so many of its crashes that it
+        /// would not be held for the remaining ones.
         std::optional<TimePoint> doubtfulSince = {};
         bool announceToAll = false; ///< Has had at least two incidents.
         int remainingSends = 0; ///< Number of messages that still have to carry it.
@@ -220,8 +251,9 @@
     bool applies(const Entry &entry, Suspects suspects) const;
     std::optional<Hold> admitOne(const std::string &suspect, Entry &entry,
                                  std::span<const std::string> software);
-    void recordCrash(const std::string &suspect, const std::string &replica,
-                     const std::string &software, TimePoint at);
+    std::string crashName(const std::string &replica, TimePoint provenAt) const;
+    static std::string crashName(const std::string &replica, int restarts);
+    void recordCrash(const std::string &suspect, const ReplicaCrash &crash);
     void recordCompletion(const std::string &suspect);
     void decide();
     void decideRequests(std::span<Records::value_type *const> suspects);
@@ -247,7 +279,7 @@
     Options m_options;
     Records m_records; ///< By fingerprint.
     std::set<std::string, std::less<>> m_explained; ///< Replicas that held requests crashed.
-    /// When each replica crashed, by incarnation: the earliest time that any router observed.
+    /// When each replica crashed, by crashName(): the earliest time that any router observed.
     std::unordered_map<std::string, TimePoint> m_crashTimes;
     TimePoint m_reannouncedAt = TimePoint::min(); ///< When reannounceOne() last chose a request.
 };
--- a/src/Net/CrashEvidence.cpp
+++ b/src/Net/CrashEvidence.cpp
@@ -13,6 +13,8 @@
 
 namespace {
 
+using namespace std::chrono_literals;
+
 using PathState = RelayClient::PathState;
 
 std::string_view textOf(std::optional<PathState> state)
@@ -32,6 +34,9 @@
     return {};
 }
 
+/// A crash that another router calls an earlier one is older than this.
+constexpr Duration RecentTime = 1s;
+
 } // namespace
 
 /// What the connections to other replicas show about the paths of this router.
@@ -67,9 +72,14 @@
     std::string id;
     std::string service;
     std::function<void(CrashWatch::Finding)> done; ///< Null after it was called.
+    std::function<void()> unreached; ///< Null if it was called or must not be called.
     std::optional<PathFinding> paths;
     bool hasAskedRouters = false;
     std::optional<PathState> routers;
+    bool hasRunLately = false; ///< The replica accepted a connection within RecentTime.
+
+    /// \returns whether a router knows of an earlier crash after which the replica has not run.
+    bool hasCrashedBefore() const { return routers == PathState::CrashedBefore && !hasRunLately; }
 };
 
 std::vector<std::string> CrashEvidence::controls(const std::string &id, const std::string &service)
@@ -115,13 +125,19 @@
         m_options.connect(it, [check](bool stayedOpen) { check->add(stayedOpen); });
 }
 
-void CrashEvidence::confirm(const std::string &id, std::function<void(CrashWatch::Finding)> done)
+void CrashEvidence::confirm(const std::string &id, std::function<void(CrashWatch::Finding)> done,
+                            std::function<void()> unreached)
 {
     const auto it = std::make_shared<Confirmation>();
     const ReplicaRecord *replica = m_options.pools.findReplica(id);
     it->id = id;
     it->service = replica ? replica->service : std::string();
     it->done = std::move(done);
+    it->unreached = std::move(unreached);
+    if (replica) {
+        const TimePoint provenAt = m_options.pools.of(it->service).paths.provenAt(id);
+        it->hasRunLately = provenAt >= m_options.clock.now() - RecentTime;
+    }
     it->hasAskedRouters = replica && m_options.hasRouters(it->service);
     if (it->hasAskedRouters)
         m_options.askRouters(it->service, id, [this, it](PathState state) {
@@ -140,14 +156,30 @@
     const bool isLost = it.paths && !it.paths->areWorking;
     const bool isReached = it.routers == PathState::Reached;
     const bool isComplete = it.paths && (!it.hasAskedRouters || it.routers);
-    if (!it.done || (!isLost && !isReached && !isComplete))
-        return;
-    Finding finding = Finding::NotCrashed;
-    if (isLost && !isReached)
-        finding = Finding::PathLost;
-    else if (!isReached && it.routers.value_or(PathState::Refused) == PathState::Refused)
-        finding = Finding::Crashed;
-    if (finding != Finding::Crashed) {
+    if (it.done && (isLost || isReached || isComplete)) {
+        Finding finding = Finding::NotCrashed;
+        if (isLost && !isReached)
+            finding = Finding::PathLost;
+        else if (!isReached && it.routers != PathState::Unknown && !it.hasCrashedBefore())
+            finding = Finding::Crashed;
+        if (finding != Finding::Crashed)
+            notConfirmed(it);
+        std::exchange(it.done, nullptr)(finding);
+        if (finding == Finding::Crashed || isReached)
+            it.unreached = nullptr;
+    }
+    if (it.unreached && isComplete) {
+        const auto unreached = std::exchange(it.unreached, nullptr);
+        if (!isReached && !it.hasCrashedBefore())
+            unreached();
+    }
+}
+
+void CrashEvidence::notConfirmed(const Confirmation &it)
+{
+    ServicePool *pool = it.service.empty() ? nullptr : &m_options.pools.of(it.service);
+    // Further requests are sent to a replica without a path if it has no other ones.
+    if (!pool || !pool->paths.isBroken(it.id)) {
         const PathFinding paths = it.paths.value_or(PathFinding());
         Log::info("replica_crash_not_confirmed",
                   {{"replica", it.id},
@@ -156,10 +188,9 @@
                    {"open_controls", paths.openControls},
                    {"controls", paths.controls},
                    {"routers", it.hasAskedRouters ? textOf(it.routers) : "none"}});
-        if (!it.service.empty())
-            m_options.pools.of(it.service).pathLost(it.id);
     }
-    std::exchange(it.done, nullptr)(finding);
+    if (pool)
+        pool->pathLost(it.id);
 }
 
 } // namespace catkinloft
--- a/src/Net/CrashEvidence.h
+++ b/src/Net/CrashEvidence.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Base/Clock.h"
 #include "Base/Random.h"
 #include "Base/ReplicaRecord.h"
 #include "Net/CrashWatch.h"
@@ -28,6 +29,7 @@
 public:
     struct Options
     {
+        const Clock &clock;
         ServicePools &pools;
         RandomSource random;
         /// Opens a connection to a replica and calls \a done with whether it stayed open.
@@ -62,10 +64,14 @@
     ///
     /// It has if the paths of this router work, and if the asked routers include one whose paths
     /// work and which is refused too, and none that reaches it or knows of an earlier crash.
-    /// Otherwise the path to it counts as lost.
+    /// Otherwise the path to it counts as lost. An earlier crash doesn't matter if the replica
+    /// has accepted a connection of this router since.
     ///
     /// \param done is called once, possibly from within this function.
-    void confirm(const std::string &id, std::function<void(CrashWatch::Finding)> done);
+    /// \param unreached is called once, not before \a done, if nobody can tell whether the replica
+    /// has crashed or all routers have lost their paths to it.
+    void confirm(const std::string &id, std::function<void(CrashWatch::Finding)> done,
+                 std::function<void()> unreached = {});
 
 private:
     struct PathFinding;
@@ -75,6 +81,7 @@
     void tryControls(const std::string &id, std::function<void(const PathFinding &)> done);
     std::vector<std::string> controls(const std::string &id, const std::string &service);
     void decide(Confirmation &it);
+    void notConfirmed(const Confirmation &it);
 
     Options m_options;
 };
--- a/src/Net/CrashWatch.cpp
+++ b/src/Net/CrashWatch.cpp
@@ -38,6 +38,11 @@
 /// incarnation does not change with each start may be running again later.
 constexpr Duration CrashMemory = 1s;
 
+/// Longest time between the last evidence that a replica runs and its refusal of connections for
+/// which the refusal is dated to when it began. All replicas of a lost path are found within it, so
+/// that they count as lost at the same moment.
+constexpr Duration MaxProofAge = 250ms;
+
 /// Time after which a request continues as after a crash although the evidence is not complete. A
 /// path that is lost closes the controls within a round trip; that they stay open takes 100 ms, and
 /// requests should not wait for it.
@@ -66,6 +71,13 @@
 
 using CheckPtr = std::shared_ptr<Check>;
 
+/// An attempt that broke when its replica began to refuse connections.
+struct Loss
+{
+    CrashWatch::BrokenAttempt attempt;
+    TimePoint refusedAt;
+};
+
 /// A replica that has crashed, or has refused a connection without a confirmation of its crash.
 struct Refusal
 {
@@ -84,11 +96,13 @@
     void conclude(const CheckPtr &check, Outcome result);
     void presume(Check &check);
     void notConfirmed(const Check &check);
+    std::vector<Loss> losses(const Check &check) const;
     void crashed(Check &check);
     void reportCrash(const BrokenAttempt &attempt, TimePoint crashedAt);
     void closeToAttempts(const CheckPtr &check);
     void finish(const CheckPtr &check);
     void forgetOld();
+    void forgetRestarted(const BrokenAttempt &attempt);
 
     Options options;
     /// Undecided checks by incarnation. Further broken attempts join them.
@@ -109,6 +123,7 @@
                               std::function<void(bool)> decided)
 {
     m_d->forgetOld();
+    m_d->forgetRestarted(attempt);
     const auto crashed = m_d->crashes.find(attempt.replica);
     if (crashed != m_d->crashes.end()) {
         m_d->reportCrash(attempt, crashed->second.since);
@@ -154,14 +169,21 @@
             presume(*held);
     });
     check->presumption->start(PresumptionDelay);
-    options.confirm(check->replica, [this, weak = std::weak_ptr<Check>(check)](Finding it) {
+    const auto lost = std::make_shared<std::vector<Loss>>();
+    const auto found = [this, weak = std::weak_ptr<Check>(check), lost](Finding it) {
         const CheckPtr held = weak.lock();
         if (!held)
             return;
         held->isPathLost = it == Finding::PathLost;
-        if (it != Finding::Crashed)
+        if (it != Finding::Crashed) {
             notConfirmed(*held);
+            *lost = losses(*held);
+        }
         conclude(held, it == Finding::Crashed ? Outcome::Closed : Outcome::Unreachable);
+    };
+    options.confirm(check->replica, found, [this, lost] {
+        for (const Loss &it : *lost)
+            options.attemptLost(it.attempt, it.refusedAt);
     });
 }
 
@@ -207,6 +229,20 @@
     unconfirmed.try_emplace(check.replica, Refusal{check.brokeAt, now}).first->second.foundAt = now;
 }
 
+/// \returns the attempts of \a check that were in progress when its replica first refused a
+/// connection, if it was running shortly before.
+std::vector<Loss> CrashWatch::Private::losses(const Check &check) const
+{
+    const TimePoint since = unconfirmed.at(check.replica).since;
+    std::vector<Loss> out;
+    for (const PendingCheck &it : check.attempts) {
+        const BrokenAttempt &attempt = it.attempt;
+        if (attempt.sentAt <= since && attempt.provenAt >= since - MaxProofAge)
+            out.push_back({attempt, since});
+    }
+    return out;
+}
+
 void CrashWatch::Private::crashed(Check &check)
 {
     const auto earlier = unconfirmed.find(check.replica);
@@ -270,4 +306,16 @@
     std::erase_if(unconfirmed, isOld);
 }
 
+/// Forgets earlier refusals of a replica that was known to run after them.
+void CrashWatch::Private::forgetRestarted(const BrokenAttempt &attempt)
+{
+    for (std::map<std::string, Refusal> *refusals : {&crashes, &unconfirmed}) {
+        const auto it = refusals->find(attempt.replica);
+        // A connection may be read for a moment after another one to the same replica broke.
+        if (it != refusals->end()
+            && attempt.provenAt > it->second.since + RequestQuarantine::CrashDetectionSpread)
+            refusals->erase(it);
+    }
+}
+
 } // namespace catkinloft
--- a/src/Net/CrashWatch.h
+++ b/src/Net/CrashWatch.h
@@ -33,6 +33,9 @@
         std::string software = {}; ///< \sa ReplicaRecord::software
         std::string address = {}; ///< Address of the replica, `ip:port`.
         TimePoint sentAt = {};
+        /// When the replica was last known to run: a new connection to it was established, or the
+        /// request was sent on an idle one.
+        TimePoint provenAt = TimePoint::min();
     };
 
     /// \brief What a replica has to do to count as alive.
@@ -57,15 +60,20 @@
         Metrics &metrics;
         std::string sourceIp = {}; ///< IP that connections are opened from; empty: any.
         /// Determines whether replica \a id, which looks crashed from here, has crashed or only
-        /// the path to it failed. \sa CrashEvidence::confirm()
-        std::function<void(const std::string &id, std::function<void(Finding)> done)> confirm =
-                [](const std::string &, const std::function<void(Finding)> &done) {
-                    done(Finding::Crashed);
-                };
+        /// the path to it failed. Calls \a unreached after \a done if nobody can tell.
+        /// \sa CrashEvidence::confirm()
+        std::function<void(const std::string &id, std::function<void(Finding)> done,
+                           std::function<void()> unreached)>
+                confirm = [](const std::string &, const std::function<void(Finding)> &done,
+                             const std::function<void()> &) { done(Finding::Crashed); };
         /// Called for each attempt that broke because its replica crashed, with the time of the
         /// crash.
         std::function<void(const BrokenAttempt &, TimePoint crashedAt)> attemptCrashed =
                 [](const BrokenAttempt &, TimePoint) {};
+        /// Called for each attempt that broke because its replica crashed or all paths to it were
+        /// lost, if the replica was running shortly before it first refused a connection.
+        std::function<void(const BrokenAttempt &, TimePoint refusedAt)> attemptLost =
+                [](const BrokenAttempt &, TimePoint) {};
         /// Called once for each replica that crashed.
         std::function<void(const std::string &replica)> replicaCrashed = [](const std::string &) {};
     };
--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -325,7 +325,10 @@
                                   .replica = m_incarnation,
                                   .software = m_replica.software(),
                                   .address = m_replica.address,
-                                  .sentAt = m_attemptStartedAt};
+                                  .sentAt = m_attemptStartedAt,
+                                  .provenAt = m_service->paths.provenAt(m_incarnation)};
+    if (m_call && m_call->idleTime() > Duration::zero())
+        out.provenAt = std::max(out.provenAt, m_attemptStartedAt);
     if (m_service->replicas.isServing(m_incarnation))
         out.suspects = suspects();
     return out;
@@ -333,11 +336,12 @@
 
 void EntryCall::checkForCrash(const Error &error)
 {
+    CrashWatch::BrokenAttempt attempt = describeAttempt();
     m_call.reset();
     const auto criterion = suspicion() > 0 ? CrashWatch::AliveCriterion::StaysOpen
                                            : CrashWatch::AliveCriterion::Accepts;
     m_context.crashes.checkReplica(
-            describeAttempt(), criterion,
+            std::move(attempt), criterion,
             [weak = weak_from_this(), number = m_attempt, error](bool crashed) {
                 const auto self = weak.lock();
                 if (self && self->m_attempting && self->m_attempt == number)
--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -130,6 +130,7 @@
     void storeAnswered(TimePoint at);
     std::vector<RelayPeer> relayPeers(const std::string &service);
     const ReplicaRecord *findRelayTarget(std::string_view incarnation) const;
+    void recordCrash(const CrashWatch::BrokenAttempt &attempt, TimePoint at, bool isConfirmed);
     void noteToldCrash(const std::string &router, const CrashUpdate::Crash &crash);
     StreamOriginReport streamOriginReport(const StreamOriginQuestion &question) const;
     void streamBegan(const StreamOrigin &origin, const StreamOriginQuestion &question);
@@ -215,15 +216,14 @@
                .metrics = metrics,
                .sourceIp = settings.sourceIp,
                .confirm =
-                       [this](const std::string &id,
-                              std::function<void(CrashWatch::Finding)> done) {
-                           evidence.confirm(id, std::move(done));
-                       },
-               .attemptCrashed =
-                       [this](const CrashWatch::BrokenAttempt &it, TimePoint crashedAt) {
-                           quarantine.replicaCrashed(it.suspects, it.replica, it.software,
-                                                     crashedAt);
+                       [this](const std::string &id, std::function<void(CrashWatch::Finding)> done,
+                              std::function<void()> unreached) {
+                           evidence.confirm(id, std::move(done), std::move(unreached));
                        },
+               .attemptCrashed = [this](const CrashWatch::BrokenAttempt &it,
+                                        TimePoint crashedAt) { recordCrash(it, crashedAt, true); },
+               .attemptLost = [this](const CrashWatch::BrokenAttempt &it,
+                                     TimePoint refusedAt) { recordCrash(it, refusedAt, false); },
                .replicaCrashed =
                        [this](const std::string &it) {
                            pools.noteCrashed(it, CrashExclusionTime);
@@ -295,7 +295,9 @@
                        [this](const ReplicaRecord &it) {
                            const std::optional<TimePoint> at =
                                    quarantine.crashedAt(it.incarnation());
-                           return at && loop.now() - *at > CrashReportTime;
+                           const PathMonitor &paths = pools.of(it.service).paths;
+                           return at && loop.now() - *at > CrashReportTime
+                                   && paths.provenAt(it.incarnation()) <= *at;
                        },
                .pathFailed =
                        [this](const ReplicaRecord &it) {
@@ -304,7 +306,8 @@
                .isProofFresh = [this] { return filters.isProofFresh(); },
                .isLeaving = [this] { return loop.now() >= refuseFrom; }}),
       prober({.loop = loop, .client = client, .pools = pools, .sourceIp = settings.sourceIp}),
-      evidence({.pools = pools,
+      evidence({.clock = loop,
+                .pools = pools,
                 .random = random,
                 .connect =
                         [this](const ReplicaRecord &it, std::function<void(bool)> done) {
@@ -483,16 +486,29 @@
         discovery.peerStateReceived();
 }
 
+void EntryProcess::Private::recordCrash(const CrashWatch::BrokenAttempt &attempt, TimePoint at,
+                                        bool isConfirmed)
+{
+    quarantine.replicaCrashed(attempt.suspects,
+                              {.replica = attempt.replica,
+                               .software = attempt.software,
+                               .at = at,
+                               .provenAt = attempt.provenAt,
+                               .isConfirmed = isConfirmed});
+}
+
 void EntryProcess::Private::noteToldCrash(const std::string &router,
                                           const CrashUpdate::Crash &crash)
 {
-    if (crash.age >= CrashExclusionTime)
+    // A replica to which other routers have lost their paths may be reached from here.
+    if (crash.age >= CrashExclusionTime || !crash.isConfirmed)
         return;
+    const std::string replica(RequestQuarantine::incarnationOf(crash.replica));
     // Heartbeats repeat a crash in the record of each request that it broke.
-    if (!quarantine.crashedAt(crash.replica))
+    if (!quarantine.knowsCrash(crash.replica))
         Log::info("replica_crash_told",
-                  {{"replica", crash.replica}, {"router", router}, {"age_ms", crash.age / 1ms}});
-    pools.noteCrashed(crash.replica, CrashExclusionTime - crash.age);
+                  {{"replica", replica}, {"router", router}, {"age_ms", crash.age / 1ms}});
+    pools.noteCrashed(replica, CrashExclusionTime - crash.age);
 }
 
 std::vector<RelayPeer> EntryProcess::Private::relayPeers(const std::string &service)
--- a/test/CrashEvidenceTest.cpp
+++ b/test/CrashEvidenceTest.cpp
@@ -43,6 +43,7 @@
         for (std::uint64_t i = 0; i < 4; ++i) {
             Router &it = *routers.emplace_back(std::make_unique<Router>(clock));
             it.evidence = std::make_unique<CrashEvidence>(CrashEvidence::Options{
+                    .clock = clock,
                     .pools = it.pools,
                     .random = seededRandom(i),
                     .connect =
@@ -84,6 +85,8 @@
     /// What the other routers answer, as RelayServer does.
     RelayClient::PathState ask(const Router &asking, const std::string &id)
     {
+        if (crashedBefore.contains(id))
+            return RelayClient::PathState::CrashedBefore;
         RelayClient::PathState out = RelayClient::PathState::Unknown;
         for (const auto &it : routers) {
             if (it.get() == &asking || !it->isReady)
@@ -103,7 +106,9 @@
     bool isCrash(std::size_t router, const std::string &id)
     {
         finding.reset();
-        routers[router]->evidence->confirm(id, [&](CrashWatch::Finding it) { finding = it; });
+        isUnreached = false;
+        routers[router]->evidence->confirm(
+                id, [&](CrashWatch::Finding it) { finding = it; }, [&] { isUnreached = true; });
         REQUIRE(finding.has_value());
         const bool crashed = *finding == CrashWatch::Finding::Crashed;
         if (crashed) {
@@ -122,8 +127,10 @@
     ManualClock clock;
     std::vector<ReplicaRecord> records;
     std::set<std::string> down;
+    std::set<std::string> crashedBefore; ///< Of which the asked routers know an earlier crash.
     std::vector<std::unique_ptr<Router>> routers;
     std::optional<CrashWatch::Finding> finding; ///< Of the last isCrash().
+    bool isUnreached = false; ///< No router could tell in the last isCrash().
 };
 
 } // namespace
@@ -235,3 +242,33 @@
     CHECK((finding == CrashWatch::Finding::NotCrashed));
     CHECK(routers[0]->pools.of("svc").paths.isBroken("i-2"));
 }
+
+// Guards against the loss of all evidence when all replicas crash at a time.
+TEST_CASE_FIXTURE(EvidenceFixture, "crashEvidence_allReplicasCrashTogether_nobodyCanTell")
+{
+    setReplicas(6);
+    for (const ReplicaRecord &it : records)
+        down.insert(it.incarnation());
+    CHECK_FALSE(isCrash(0, "i-0"));
+    CHECK(isUnreached);
+}
+
+TEST_CASE_FIXTURE(EvidenceFixture, "crashEvidence_onlyOwnPathsAreLost_otherRoutersCanTell")
+{
+    setReplicas(6);
+    cut(0, 0, 6);
+    CHECK_FALSE(isCrash(0, "i-0"));
+    CHECK_FALSE(isUnreached);
+}
+
+// Guards against overlooking a replica that returns under its registration and crashes again.
+TEST_CASE_FIXTURE(EvidenceFixture, "crashEvidence_replicaHasRunSinceItCrashed_nextCrashCounts")
+{
+    setReplicas(6);
+    down = {"i-2"};
+    crashedBefore = {"i-2"};
+    CHECK_FALSE(isCrash(0, "i-2"));
+    CHECK_FALSE(isUnreached);
+    routers[0]->pools.of("svc").pathRegained("i-2");
+    CHECK(isCrash(0, "i-2"));
+}
--- a/test/CrashWatchTest.cpp
+++ b/test/CrashWatchTest.cpp
@@ -99,12 +99,14 @@
 {
     /// The connection of request \a id to the replica breaks now.
     void breakAttempt(const std::string &id,
-                      CrashWatch::AliveCriterion criterion = CrashWatch::AliveCriterion::StaysOpen)
+                      CrashWatch::AliveCriterion criterion = CrashWatch::AliveCriterion::StaysOpen,
+                      TimePoint provenAt = TimePoint::min())
     {
         watch.checkReplica({.requestId = id,
                             .replica = "i-1",
                             .address = proxy.address(),
-                            .sentAt = loop.now() - 10ms},
+                            .sentAt = loop.now() - 10ms,
+                            .provenAt = provenAt},
                            criterion, [this](bool crashed) { decisions.push_back(crashed); });
     }
 
@@ -129,20 +131,27 @@
     std::vector<std::string> crashedRequests;
     std::vector<TimePoint> crashTimes;
     std::vector<std::string> crashedReplicas;
+    std::vector<std::string> lostRequests;
     CrashWatch::Finding finding = CrashWatch::Finding::Crashed;
+    bool isUnreached = false; ///< No router can tell whether the replica has crashed.
     CrashWatch watch{
             {.loop = loop,
              .metrics = metrics,
              .confirm =
                      [this](const std::string &,
-                            const std::function<void(CrashWatch::Finding)> &done) {
+                            const std::function<void(CrashWatch::Finding)> &done,
+                            const std::function<void()> &unreached) {
                          done(finding);
+                         if (isUnreached)
+                             unreached();
                      },
              .attemptCrashed =
                      [this](const CrashWatch::BrokenAttempt &it, TimePoint at) {
                          crashedRequests.push_back(it.requestId);
                          crashTimes.push_back(at);
                      },
+             .attemptLost = [this](const CrashWatch::BrokenAttempt &it,
+                                   TimePoint) { lostRequests.push_back(it.requestId); },
              .replicaCrashed = [this](const std::string &it) { crashedReplicas.push_back(it); }}};
 };
 
@@ -247,3 +256,38 @@
     runUntil([this] { return decisions.size() == 3; });
     CHECK(crashedRequests == std::vector<std::string>{"r3"});
 }
+
+// Guards against a request that crashes all replicas at a time and is never suspected, because no
+// router can tell that from the loss of its own paths.
+TEST_CASE_FIXTURE(CrashWatchFixture, "crashWatch_nobodyCanConfirm_requestInProgressIsReported")
+{
+    proxy.stopListening();
+    finding = CrashWatch::Finding::PathLost;
+    isUnreached = true;
+    breakAttempt("r1", CrashWatch::AliveCriterion::StaysOpen, loop.now() - 20ms);
+    breakAttempt("r2", CrashWatch::AliveCriterion::StaysOpen, loop.now() - 10s);
+    runUntil([this] { return decisions.size() == 2; });
+    CHECK(lostRequests == std::vector<std::string>{"r1"});
+    CHECK(crashedRequests.empty());
+    // It was sent to the replica that refused connections already.
+    runFor(100ms);
+    breakAttempt("r3", CrashWatch::AliveCriterion::StaysOpen, loop.now() - 110ms);
+    runUntil([this] { return decisions.size() == 3; });
+    CHECK(lostRequests.size() == 1);
+    // The replica has run in between.
+    runFor(400ms);
+    breakAttempt("r4", CrashWatch::AliveCriterion::StaysOpen, loop.now() - 20ms);
+    runUntil([this] { return decisions.size() == 4; });
+    CHECK(lostRequests == std::vector<std::string>{"r1", "r4"});
+}
+
+// Guards against suspecting what a router loses with its own paths while others reach the replica.
+TEST_CASE_FIXTURE(CrashWatchFixture, "crashWatch_anotherRouterReachesReplica_nothingIsReported")
+{
+    proxy.stopListening();
+    finding = CrashWatch::Finding::PathLost;
+    breakAttempt("r1", CrashWatch::AliveCriterion::StaysOpen, loop.now() - 20ms);
+    runUntil([this] { return decisions.size() == 1; });
+    CHECK(lostRequests.empty());
+    CHECK(crashedRequests.empty());
+}
--- a/test/RelayTest.cpp
+++ b/test/RelayTest.cpp
@@ -85,11 +85,9 @@
     CrashWatch crashes{
             {.loop = loop,
              .metrics = metrics,
-             .confirm =
-                     [this](const std::string &,
-                            const std::function<void(CrashWatch::Finding)> &done) {
-                         done(finding);
-                     },
+             .confirm = [this](const std::string &,
+                               const std::function<void(CrashWatch::Finding)> &done,
+                               const std::function<void()> &) { done(finding); },
              .attemptCrashed = [this](const CrashWatch::BrokenAttempt &it,
                                       TimePoint) { crashedWith = it.suspects.front(); }}};
     PeerGuard guard{{.clock = loop, .self = "a", .keys = {{.id = "k", .secret = "secret"}}}};
--- a/test/RequestQuarantineTest.cpp
+++ b/test/RequestQuarantineTest.cpp
@@ -70,6 +70,19 @@
             routers[i]->replicaCrashed(it, replica, software, clock.now());
     }
 
+    /// Router \a i loses the connections to \a replica, which ran \a request and was known to run
+    /// at \a provenAt.
+    void lose(std::size_t i, const std::string &request, const std::string &replica,
+              TimePoint provenAt, bool isConfirmed)
+    {
+        routers[i]->replicaCrashed({&request, 1},
+                                   {.replica = replica,
+                                    .software = Old.front(),
+                                    .at = clock.now(),
+                                    .provenAt = provenAt,
+                                    .isConfirmed = isConfirmed});
+    }
+
     /// All routers are killed and started again. They read what router 0 has stored.
     void restartAll(bool isStoreRead = true)
     {
@@ -502,6 +515,85 @@
     CHECK(heldBy(Fatal) == 4);
 }
 
+// Guards against a request that crashes replicas for as long as it is sent, because it crashes all
+// of them at a time and no router can tell that from the loss of its own paths.
+TEST_CASE_FIXTURE(QuarantineFleetFixture,
+                  "requestQuarantine_noCrashCanBeConfirmed_requestIsHeldAndTriedSoon")
+{
+    for (std::size_t i = 0; i < 3; ++i) {
+        lose(i, Fatal, fmt::format("i-{}", i), clock.now(), false);
+        exchangeUpdates();
+        clock.advance(400ms);
+    }
+    CHECK(heldBy(Fatal) >= 3); // The first trial may be due already.
+    clock.advance(9s);
+    REQUIRE(heldBy(Fatal) < 4); // A trial.
+    // A crash under the trial counts, and the next trial is not due at once.
+    lose(0, Fatal, "i-3", clock.now(), true);
+    exchangeUpdates();
+    CHECK(heldBy(Fatal) == 4);
+    clock.advance(9s);
+    REQUIRE(heldBy(Fatal) < 4);
+    routers[0]->completed(Fatal);
+    exchangeUpdates();
+    CHECK(heldBy(Fatal) == 0);
+}
+
+// Guards against a harmless request that is held back because all routers lose their paths to all
+// replicas, which none of them can tell from crashes.
+TEST_CASE_FIXTURE(QuarantineFleetFixture,
+                  "requestQuarantine_allPathsAreLostForAMoment_harmlessRequestIsServed")
+{
+    for (int cuts = 0; cuts < 5; ++cuts) {
+        for (std::size_t i = 0; i < 12; ++i) {
+            lose(i % 4, Innocent, fmt::format("i-{}", i), clock.now(), false);
+            clock.advance(10ms);
+        }
+        exchangeUpdates();
+        clock.advance(1s);
+        CHECK(heldBy(Innocent) == 0);
+        routers[0]->completed(Innocent);
+        exchangeUpdates();
+        clock.advance(100ms);
+    }
+}
+
+// Guards against counting only the first crash of a replica that returns under its registration.
+TEST_CASE_FIXTURE(QuarantineFleetFixture,
+                  "requestQuarantine_replicaReturnsUnderItsId_eachCrashCounts")
+{
+    for (std::size_t i = 0; i < 3; ++i) {
+        CHECK(heldBy(Fatal) == 0);
+        const TimePoint provenAt = clock.now();
+        clock.advance(100ms);
+        lose(i, Fatal, "i-1", provenAt, true);
+        // Another router sees the same crash a moment later.
+        clock.advance(20ms);
+        lose(3, Fatal, "i-1", provenAt, true);
+        exchangeUpdates();
+        clock.advance(2s);
+    }
+    CHECK(heldBy(Fatal) == 4);
+    const auto hold = routers[0]->admit(Fatal, Old);
+    REQUIRE(hold);
+    REQUIRE(hold->replicas.size() == 3);
+    for (const std::string &it : hold->replicas)
+        CHECK(RequestQuarantine::incarnationOf(it) == "i-1");
+}
+
+// Guards against several crashes counted for requests that are sent to one crashed replica.
+TEST_CASE_FIXTURE(QuarantineFleetFixture, "requestQuarantine_replicaStaysDown_itsCrashCountsOnce")
+{
+    const TimePoint provenAt = clock.now();
+    for (std::size_t i = 0; i < 4; ++i) {
+        lose(i, Fatal, "i-1", provenAt, true);
+        exchangeUpdates();
+        clock.advance(2s);
+    }
+    CHECK(heldBy(Fatal) == 0);
+    CHECK(routers[0]->suspicion(Fatal) == 1);
+}
+
 // Guards against a restart of all routers that forgets what is held back, so that it crashes
 // replicas again until it is found anew.
 TEST_CASE_FIXTURE(QuarantineFleetFixture, "requestQuarantine_allRoutersRestart_requestStaysHeld")
@@ -588,6 +680,24 @@
     CHECK(heldWith({Deadly}) == 5);
 }
 
+TEST_CASE("quarantineRow_crashIsNotConfirmed_isReadSo")
+{
+    const ManualClock clock;
+    const CrashUpdate record{
+            .fingerprint = Fatal,
+            .replicaCrashes = {{.replica = "i-1", .software = Old.front()},
+                               {.replica = "i-2", .software = Old.front(), .isConfirmed = false}},
+            .isHeld = true};
+    const QuarantineRow row = QuarantineRow::of(record, clock.wallNow());
+    const auto read = QuarantineRow::decode(Fatal, row.encode());
+    REQUIRE(read);
+    CHECK(read->hasSameEvidence(row));
+    const CrashUpdate adopted = read->toUpdate(clock.wallNow());
+    REQUIRE(adopted.replicaCrashes.size() == 2);
+    CHECK(adopted.replicaCrashes[0].isConfirmed);
+    CHECK_FALSE(adopted.replicaCrashes[1].isConfirmed);
+}
+
 TEST_CASE("quarantineRow_valueIsMalformed_isNotRead")
 {
     for (const char *it :
@@ -693,6 +803,18 @@
     CHECK(messages == 0);
 }
 
+TEST_CASE("crashRecord_crashIsConfirmedLater_staysConfirmed")
+{
+    const ManualClock clock;
+    CrashRecord record;
+    CHECK(record.add({.replica = "i-1", .at = clock.now(), .isConfirmed = false}));
+    CHECK_FALSE(record.add({.replica = "i-1", .at = clock.now(), .isConfirmed = false}));
+    CHECK(record.add({.replica = "i-1", .at = clock.now()}));
+    CHECK_FALSE(record.add({.replica = "i-1", .at = clock.now(), .isConfirmed = false}));
+    REQUIRE(record.replicaCrashes().size() == 1);
+    CHECK(record.replicaCrashes().front().isConfirmed);
+}
+
 TEST_CASE("crashRecord_mergedInAnyOrder_isTheSame")
 {
     ManualClock clock;
