The store keeps the evidence against all suspects of held crashes

The class is that of held-requests-forgotten: what outlives a restart is the conclusion, not the evidence for the alternatives. heldRecords() now has the other suspects of the same crashes with more than one incident, after what is held and within the same limit of rows.

requestQuarantine_allRoutersRestart_otherSuspectsAreKept fails before.

--- a/src/Decide/RequestQuarantine.cpp
+++ b/src/Decide/RequestQuarantine.cpp
@@ -670,20 +670,30 @@
 std::vector<CrashUpdate> RequestQuarantine::heldRecords(std::size_t n) const
 {
     std::set<std::string_view> names;
+    std::set<std::string_view> replicas;
     for (const auto &[fingerprint, entry] : m_records) {
         if (!entry.isHeld)
             continue;
         names.insert(fingerprint);
         names.insert(entry.tiedParts.begin(), entry.tiedParts.end());
+        for (const ReplicaCrash &it : entry.record.replicaCrashes())
+            replicas.insert(it.replica);
     }
+    const auto isAlternative = [&](const Entry &entry) {
+        const std::span<const ReplicaCrash> crashes = entry.record.replicaCrashes();
+        return entry.incidents > 1
+                && std::any_of(crashes.begin(), crashes.end(), [&](const ReplicaCrash &it) {
+                       return replicas.contains(it.replica);
+                   });
+    };
     std::vector<const Records::value_type *> found;
     for (const Records::value_type &it : m_records) {
-        if (names.contains(it.first))
+        if (names.contains(it.first) || isAlternative(it.second))
             found.push_back(&it);
     }
-    std::sort(found.begin(), found.end(), [](const auto *a, const auto *b) {
-        return std::tuple(-a->second.incidents, a->first)
-                < std::tuple(-b->second.incidents, b->first);
+    std::sort(found.begin(), found.end(), [&](const auto *a, const auto *b) {
+        return std::tuple(!names.contains(a->first), -a->second.incidents, a->first)
+                < std::tuple(!names.contains(b->first), -b->second.incidents, b->first);
     });
     found.resize(std::min(n, found.size()));
     std::vector<CrashUpdate> out;
--- a/src/Decide/RequestQuarantine.h
+++ b/src/Decide/RequestQuarantine.h
@@ -208,8 +208,10 @@
     /// goes only to the routers that hold the evidence of its request.
     std::vector<CrashUpdate> takeFirstCrashes();
 
-    /// \returns the evidence against the requests that are held back, and against the parts that
-    /// can't be told apart from held ones, at most \a n records; those with most incidents first.
+    /// \returns the evidence against the requests that are held back, against the parts that can't
+    /// be told apart from held ones, and against other suspects of the same crashes with more than
+    /// one incident: if a run clears what is held, they are the cause. At most \a n records; what
+    /// is held and has most incidents comes first.
     std::vector<CrashUpdate> heldRecords(std::size_t n) const;
 
     /// \returns all requests that are held back.
--- a/test/RequestQuarantineTest.cpp
+++ b/test/RequestQuarantineTest.cpp
@@ -675,6 +675,25 @@
     CHECK(heldWith({System, Deadly}) == 0);
 }
 
+// Guards against a fatal content whose crashes are forgotten by a restart of all routers because a
+// part that it has in common with harmless requests was held for them.
+TEST_CASE_FIXTURE(PromptPartFixture, "requestQuarantine_allRoutersRestart_otherSuspectsAreKept")
+{
+    const std::vector<std::string> fatal = request({System, Deadly});
+    crashUnder(0, {request({System, Deadly})});
+    crashUnder(1, {fatal});
+    complete(3, {System, Other});
+    crashUnder(2, {fatal});
+    REQUIRE(heldWith({Deadly}) == 4);
+    restartAll();
+    CHECK(heldWith({Deadly}) == 4);
+    // The part was held for the content: another request with it completes.
+    complete(0, {System, Deadly});
+    REQUIRE(heldWith({Deadly}) == 0);
+    crashUnder(3, {fatal});
+    CHECK(routers[0]->admit(fatal, Old));
+}
+
 // Guards against a restart after which one part of a held combination is held alone.
 TEST_CASE_FIXTURE(PromptPartFixture, "requestQuarantine_allRoutersRestart_combinationStaysHeld")
 {
