Interim answers and chunk size lines have a limit; interim answers are no progress

A chunk's size line without end had no bound but the silence timeout.

Cause: evhttp limits heads, bodies and trailers, but neither the number of interim answers nor the line with the size of a chunk, and reports each interim answer to the head callback, which counted it as progress.

Change: HttpConnection bounds the bytes of all heads of one answer (128 KB) and of a size line (16 KB), and ignores interim heads. Errors name what was too long.

--- a/src/Base/Reason.cpp
+++ b/src/Base/Reason.cpp
@@ -44,6 +44,9 @@
                    "The upstream made no progress in time."},
         ReasonInfo{Reason::UpstreamBroken, "upstream_broken", 502,
                    "The connection to the upstream broke before the answer was complete."},
+        ReasonInfo{Reason::UpstreamInvalid, "upstream_invalid", 502,
+                   "What the upstream sent is no answer in the protocol, or is longer than the "
+                   "limit."},
         ReasonInfo{Reason::AnswerMismatch, "answer_mismatch", 502,
                    "The upstream's answer belongs to another request and was discarded."},
         ReasonInfo{Reason::ClaimStoreUnavailable, "claim_store_down", 503,
--- a/src/Base/Reason.h
+++ b/src/Base/Reason.h
@@ -33,6 +33,7 @@
     UpstreamRefused,
     UpstreamTimeout,
     UpstreamBroken,
+    UpstreamInvalid,
     AnswerMismatch,
     ClaimStoreUnavailable,
     ClaimInProgress,
--- a/src/Decide/Dispatcher.cpp
+++ b/src/Decide/Dispatcher.cpp
@@ -280,7 +280,8 @@
     m_running.erase(running);
     release(it.workspace);
     const bool lost = report.reason == Reason::UpstreamUnreachable
-            || report.reason == Reason::UpstreamBroken || report.reason == Reason::UpstreamTimeout;
+            || report.reason == Reason::UpstreamBroken || report.reason == Reason::UpstreamInvalid
+            || report.reason == Reason::UpstreamTimeout;
     if (!it.owner.empty() && !report.succeeded && lost)
         suspect(it.owner, now);
     const std::size_t freed = m_placement.stop(it.placed, report);
--- a/src/Net/internal/HttpConnection.cpp
+++ b/src/Net/internal/HttpConnection.cpp
@@ -21,6 +21,14 @@
 
 constexpr std::size_t MaxAnswerHeaderBytes = 64 * 1024;
 
+/// Longest heads of one answer together: the final one, interim ones, and what is read with them.
+constexpr std::size_t MaxHeadBytes = 2 * MaxAnswerHeaderBytes;
+
+/// Longest line with the size of a chunk and its extensions, for which evhttp has no limit.
+constexpr std::size_t MaxChunkLineBytes = 16 * 1024;
+
+constexpr int Continue = 100;
+
 evhttp_cmd_type commandOf(std::string_view method)
 {
     if (method == "POST")
@@ -118,6 +126,13 @@
                 static_cast<HttpConnection *>(arg)->m_bytesSent += info->n_deleted;
             },
             this);
+    evbuffer_add_cb(
+            bufferevent_get_input(evhttp_connection_get_bufferevent(m_connection)),
+            [](evbuffer *, const evbuffer_cb_info *info, void *arg) {
+                if (info->n_added > 0)
+                    static_cast<HttpConnection *>(arg)->onArrived(info->n_added);
+            },
+            this);
 }
 
 HttpConnection::~HttpConnection()
@@ -140,6 +155,8 @@
     m_endGuard = std::make_shared<bool>(true);
     m_bytesSent = 0;
     m_bytesReceived = 0;
+    m_headBytes = 0;
+    m_hasHead = false;
     m_delimited = false;
     m_headOnly = call.method == "HEAD";
     m_acceptsUnframed = call.acceptsUnframed;
@@ -204,9 +221,34 @@
         bufferevent_disable(bev, EV_READ);
 }
 
+/// Bounds what evhttp buffers without a limit. Called before evhttp has read the \a n new bytes.
+void HttpConnection::onArrived(std::size_t n)
+{
+    if (!m_request || !m_events.onEnd)
+        return;
+    bufferevent *bev = evhttp_connection_get_bufferevent(m_connection);
+    std::string_view tooLong;
+    if (!m_hasHead) {
+        m_headBytes += n;
+        if (m_headBytes > MaxHeadBytes)
+            tooLong = "the heads of the answer are longer than the limit";
+    } else if (m_request->chunked && m_request->ntoread < 0
+               && evbuffer_get_length(bufferevent_get_input(bev)) > MaxChunkLineBytes + n) {
+        tooLong = "the size line of a chunk is longer than the limit";
+    }
+    if (tooLong.empty())
+        return;
+    m_reusable = false;
+    setReading(false);
+    fail(Reason::UpstreamInvalid, std::string(tooLong));
+}
+
 void HttpConnection::onHead(evhttp_request *request, HttpConnection *self)
 {
     HttpHead head = headOf(request);
+    if (head.status == Continue)
+        return;
+    self->m_hasHead = true;
     self->m_length = contentLength(head);
     self->m_delimited = self->m_headOnly || hasNoBody(head.status) || self->m_length
             || !head.header("Transfer-Encoding").empty();
@@ -228,9 +270,12 @@
         self->fail(Reason::UpstreamUnreachable, refusal);
     } else if (!request || self->m_errorCode >= 0) {
         self->m_reusable = false;
-        const bool tooLong = self->m_errorCode == EVREQ_HTTP_DATA_TOO_LONG;
-        self->fail(Reason::UpstreamBroken,
-                   tooLong ? "the answer is longer than the limit" : "the connection broke");
+        if (self->m_errorCode == EVREQ_HTTP_DATA_TOO_LONG)
+            self->fail(Reason::UpstreamInvalid, "the answer is longer than the limit");
+        else if (self->m_errorCode == EVREQ_HTTP_INVALID_HEADER)
+            self->fail(Reason::UpstreamInvalid, "the head of the answer is malformed");
+        else
+            self->fail(Reason::UpstreamBroken, "the connection broke");
     } else if (evhttp_request_get_response_code(request) == 0) {
         self->m_reusable = false;
         self->fail(Reason::UpstreamUnreachable, "the connection was not established");
--- a/src/Net/internal/HttpConnection.h
+++ b/src/Net/internal/HttpConnection.h
@@ -58,6 +58,7 @@
 private:
     HttpConnection(EventLoop &loop, const std::string &address, bufferevent *stream);
 
+    void onArrived(std::size_t n);
     static void onHead(evhttp_request *request, HttpConnection *self);
     static void onDone(evhttp_request *request, void *arg);
     void succeed(evhttp_request *request);
@@ -70,7 +71,9 @@
     evhttp_request *m_request = nullptr;
     HttpCallEvents m_events;
     std::size_t m_bytesSent = 0;
-    std::size_t m_bytesReceived = 0;
+    std::size_t m_bytesReceived = 0; ///< Of the body.
+    std::size_t m_headBytes = 0; ///< Received before the end of the head, with interim heads.
+    bool m_hasHead = false;
     bool m_delimited = false; ///< The answer ends before its connection does.
     bool m_headOnly = false;
     bool m_acceptsUnframed = false;
