Replicas that answer nothing valid are ejected after two failures, up to half of a pool

Cause: the largest share that may be ejected, 0.34, allows one of four, and each router needed three failures of its own. The share protects against a cause elsewhere, such as the network, which an invalid answer excludes.

Change: an answer that is invalid ejects its replica when it is the second failure in a row here, or the first one since another router has ejected it, as long as half of the pool stays in use. Such ejections are announced and tried again as all others.

Replicas of which one answer in twenty is invalid stay in use.

--- a/src/Decide/HealthTracker.cpp
+++ b/src/Decide/HealthTracker.cpp
@@ -86,6 +86,15 @@
     return true;
 }
 
+bool HealthTracker::ejectFaulty(Entry &it, std::size_t poolSize, TimePoint now)
+{
+    if (it.state != State::Healthy || 2 * (static_cast<std::size_t>(m_ejected) + 1) > poolSize)
+        return false;
+    ++m_ejected;
+    eject(it, now);
+    return true;
+}
+
 bool HealthTracker::isOutlier(const Entry &it) const
 {
     if (it.failuresInRow >= MaxFailuresInRow)
--- a/src/Decide/HealthTracker.h
+++ b/src/Decide/HealthTracker.h
@@ -56,6 +56,10 @@
     /// \returns whether it was healthy before and may be ejected.
     bool ejectImmediately(Entry &it, std::size_t poolSize, TimePoint now);
 
+    /// \brief Like ejectImmediately(), for a failure whose cause is certainly the upstream itself.
+    /// At least half of the pool stays in use, whatever share may be ejected otherwise.
+    bool ejectFaulty(Entry &it, std::size_t poolSize, TimePoint now);
+
     /// \brief Sets the median of \a costs as the cost that upstreams are compared with; call about
     /// once a second.
     void updateBaseline(std::vector<double> costs);
--- a/src/Decide/ReplicaPool.cpp
+++ b/src/Decide/ReplicaPool.cpp
@@ -66,6 +66,12 @@
 /// indicate a fault of the replica.
 constexpr int MinPeerEjections = 3;
 
+/// Failed attempts in a row after which a replica is ejected if the last answer was invalid. Unlike
+/// a broken connection, this is no fault of the path. The replica is idle all the while, so that it
+/// would attract most requests. One failure is enough if another router has ejected the replica
+/// since its last successful answer here.
+constexpr int MaxInvalidInRow = 2;
+
 /// Time during which an own successful answer takes precedence over ejections by other routers.
 constexpr Duration OwnSuccessLifetime = 2s;
 
@@ -208,13 +214,21 @@
 
 void ReplicaPool::add(const ReplicaStatusUpdate &update, int sign)
 {
+    const TimePoint now = m_options.clock.now();
     for (const auto &[id, n] : update.counts) {
         if (State *it = find(id))
             it->peersInProgress += sign * n;
     }
     for (const std::string &id : update.ejected) {
-        if (State *it = find(id))
-            it->ejectedByPeers += sign;
+        State *it = find(id);
+        if (!it)
+            continue;
+        it->ejectedByPeers += sign;
+        // A router replaces its update with each heartbeat.
+        if (sign > 0 && now - it->peerEjectionAt > UpdateLifetime)
+            it->peersEjectedSince = now;
+        if (sign > 0)
+            it->peerEjectionAt = now;
     }
 }
 
@@ -581,6 +595,10 @@
     const bool timedOut = !report.succeeded && report.reason == Reason::UpstreamTimeout;
     if (m_options.isEngine && timedOut)
         changed = m_health.ejectImmediately(it->health, m_states.size(), now) || changed;
+    if (!report.succeeded && report.reason == Reason::UpstreamInvalid
+        && (it->health.failuresInRow >= MaxInvalidInRow
+            || (it->ejectedByPeers > 0 && it->peersEjectedSince > it->lastSuccessAt)))
+        changed = m_health.ejectFaulty(it->health, m_states.size(), now) || changed;
     if (!changed)
         return false;
     const bool ejected = it->health.state == HealthTracker::State::Ejected;
--- a/src/Decide/ReplicaPool.h
+++ b/src/Decide/ReplicaPool.h
@@ -219,6 +219,8 @@
         std::uint64_t hash = 0;
         int ownInProgress = 0; ///< Requests in progress from this router.
         int peersInProgress = 0; ///< The same from the other routers, by their last updates.
+        TimePoint peerEjectionAt = {}; ///< Last update of a router that has ejected it.
+        TimePoint peersEjectedSince = {}; ///< Begin of the updates that have ejected it.
         int ejectedByPeers = 0; ///< Other routers that have ejected it, by their last updates.
         TimePoint lastSuccessAt = {}; ///< Last successful answer to this router.
         TimePoint excludedUntil = {};
--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -616,7 +616,7 @@
     if (m_relaying) {
         noteFirstEvent();
         if (!m_reader.feed(data, [this](const SseEvent &event) { relay(event); }))
-            failLater(Reason::UpstreamBroken, "an event of the stream is longer than the limit");
+            failLater(Reason::UpstreamInvalid, "an event of the stream is longer than the limit");
     } else if (m_head.status != 0) {
         m_body += data;
     }
--- a/test/ReplicaPoolTest.cpp
+++ b/test/ReplicaPoolTest.cpp
@@ -452,6 +452,118 @@
     CHECK(used > 20);
 }
 
+namespace {
+
+/// Four routers and four replicas; two of these answer every request at once with bytes that are no
+/// answer. An ejection is announced to all routers, as FleetTask does.
+struct InvalidAnswersFixture
+{
+    InvalidAnswersFixture()
+    {
+        for (std::size_t i = 0; i < 4; ++i) {
+            pools.push_back(std::make_unique<ReplicaPool>(
+                    ReplicaPool::Options{.clock = clock, .random = seededRandom(i)}));
+            pools.back()->setReplicas(replicas(4));
+        }
+    }
+
+    /// \returns whether a call through router \a i succeeds.
+    bool call(std::size_t i)
+    {
+        const std::string id = pools[i]->choose({.retryable = true}).replica->id;
+        pools[i]->started(id);
+        const bool isInvalid = invalid.contains(id) || uniform(random) < invalidShare;
+        const bool ejected = pools[i]->finished(
+                id,
+                {.succeeded = !isInvalid,
+                 .reason = isInvalid ? Reason::UpstreamInvalid : Reason::Internal,
+                 .total = isInvalid ? Duration(1ms) : Duration(20ms)});
+        if (ejected)
+            announce(i);
+        return !isInvalid;
+    }
+
+    void announce(std::size_t from)
+    {
+        for (const auto &it : pools) {
+            if (it != pools[from])
+                it->applyStatusUpdate(fmt::format("r{}", from), pools[from]->ownStatusUpdate(),
+                                      clock.now());
+        }
+    }
+
+    /// 20 calls a second over all routers. \returns how many fail.
+    int countFailedCalls(Duration time)
+    {
+        int failed = 0;
+        int n = 0;
+        for (const TimePoint end = clock.now() + time; clock.now() < end; clock.advance(50ms)) {
+            failed += call(below(random, pools.size())) ? 0 : 1;
+            if (++n % 8 == 0) {
+                for (std::size_t i = 0; i < pools.size(); ++i)
+                    announce(i);
+            }
+        }
+        return failed;
+    }
+
+    ManualClock clock;
+    RandomSource random = seededRandom(7);
+    std::vector<std::unique_ptr<ReplicaPool>> pools;
+    std::set<std::string> invalid = {"i-0", "i-1"};
+    double invalidShare = 0; ///< Of the answers of the other replicas.
+};
+
+} // namespace
+
+// Guards against replicas that answer every request with something that is no answer and go on
+// getting requests: being idle they attract them, and they were too many to be ejected.
+TEST_CASE_FIXTURE(InvalidAnswersFixture,
+                  "replicaPool_halfOfReplicasAnswerNothingValid_eachIsEjectedAtAllRoutersSoon")
+{
+    // About five failures for each of the two.
+    CHECK(countFailedCalls(4s) <= 11);
+    CHECK(countFailedCalls(1s) == 0);
+    // They are tried again, one request at a time.
+    CHECK(countFailedCalls(20s) <= 40);
+    invalid.clear();
+    countFailedCalls(90s);
+    std::map<std::string, int> used;
+    for (std::size_t i = 0; i < 400; ++i)
+        ++used[pools[i % 4]->choose({}).replica->id];
+    CHECK(used["i-0"] > 50);
+    CHECK(used["i-1"] > 50);
+}
+
+// Guards against ejecting replicas of which one answer in twenty is invalid.
+TEST_CASE_FIXTURE(InvalidAnswersFixture, "replicaPool_fewAnswersAreInvalid_replicasStayInUse")
+{
+    invalid.clear();
+    invalidShare = 0.05;
+    int unused = 0;
+    for (int second = 0; second < 60; ++second) {
+        countFailedCalls(1s);
+        std::set<std::string> used;
+        for (std::size_t i = 0; i < 200; ++i)
+            used.insert(pools[i % 4]->choose({}).replica->id);
+        unused += static_cast<int>(4 - used.size());
+    }
+    CHECK(unused == 0);
+}
+
+// Guards against ejecting the last replicas.
+TEST_CASE_FIXTURE(InvalidAnswersFixture, "replicaPool_allReplicasAnswerNothingValid_halfStayInUse")
+{
+    invalid = {"i-0", "i-1", "i-2", "i-3"};
+    countFailedCalls(10s);
+    for (const auto &pool : pools) {
+        std::set<std::string> used;
+        for (std::size_t i = 0; i < 100; ++i)
+            used.insert(pool->choose({}).replica->id);
+        CHECK(used.size() >= 2);
+    }
+}
+
 TEST_CASE_FIXTURE(FailingReplicaFixture,
                   "replicaPool_mostReplicasEjectedByPeers_ejectionsAreIgnored")
 {
