--- a/src/Decide/Decide.h
+++ b/src/Decide/Decide.h
@@ -5,6 +5,7 @@
 /// threads or system clock.
 
 #include "Decide/AdmissionQueue.h" // IWYU pragma: export
+#include "Decide/AnswerBuffers.h" // IWYU pragma: export
 #include "Decide/ChatOrder.h" // IWYU pragma: export
 #include "Decide/ColdRateLimit.h" // IWYU pragma: export
 #include "Decide/ConcurrencyLimit.h" // IWYU pragma: export
--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -485,7 +485,8 @@
             .timeout = m_deadline - m_context.loop.now() + 1s, // m_deadlineTimer expires first.
             .maxBodyBytes = MaxBufferedAnswer,
             .connectTimeout = ConnectTimeout,
-            .acceptsUnframed = true};
+            .acceptsUnframed = true,
+            .forwardsStream = isStreaming()};
     out.maxIdleAge = m_service->connectionReuse.limit(route.isIdempotent());
     const bool hasAnotherAttempt = m_history.mayRetry(route);
     if (hasAnotherAttempt && route.kind == CallKind::Idempotent)
--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -406,6 +406,7 @@
         it.set("catkinloft_requests_suspected", static_cast<double>(quarantine.size()));
         it.set("catkinloft_stream_origins", static_cast<double>(streamOrigins.size()));
         it.set("catkinloft_replica_paths_lost", static_cast<double>(pools.lostPaths()));
+        it.set("catkinloft_answer_buffer_bytes", static_cast<double>(client.bufferedBytes()));
         it.set("catkinloft_replica_lists_ignored", static_cast<double>(replicas.ignoredLists()));
         it.set("catkinloft_requests_quarantined", static_cast<double>(quarantine.held().size()));
         pools.forEach([&](ServicePool &pool) {
--- a/src/Net/HttpClient.cpp
+++ b/src/Net/HttpClient.cpp
@@ -1,5 +1,6 @@
 #include "Net/HttpClient.h"
 
+#include "Decide/AnswerBuffers.h"
 #include "Net/EventLoop.h"
 #include "Net/Timer.h"
 #include "Net/internal/HttpConnection.h"
@@ -61,6 +62,8 @@
     const TlsContext *tls;
     std::string sourceIp;
     std::map<std::string, std::deque<IdleConnection>> idle;
+    /// Shared with the calls, which may outlive the client.
+    std::shared_ptr<AnswerBuffers> buffers = std::make_shared<AnswerBuffers>();
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
     /// Secure and plain connections to one address are kept in separate pools.
@@ -123,8 +126,9 @@
     using GiveBack = std::function<void(std::unique_ptr<HttpConnection>)>;
 
     Call(EventLoop &loop, TakenConnection taken, HttpCall call, HttpCallEvents events,
-         GiveBack giveBack)
-        : m_connection(std::move(taken.connection)), m_idleTime(taken.idleTime),
+         std::shared_ptr<AnswerBuffers> buffers, GiveBack giveBack)
+        : m_buffers(std::move(buffers)), m_share(*m_buffers),
+          m_connection(std::move(taken.connection)), m_idleTime(taken.idleTime),
           m_events(std::move(events)), m_giveBack(std::move(giveBack)),
           m_progressTimeout(call.progressTimeout),
           m_silenceTimeout(std::max(call.progressTimeout, call.firstByteTimeout)), m_loop(loop),
@@ -137,7 +141,7 @@
         noteProgress();
         if (m_progressTimeout > Duration::zero())
             m_progress.start(m_silenceTimeout);
-        m_connection->start(call,
+        m_connection->start(call, m_share,
                             {.onHead =
                                      [this](const HttpHead &head) {
                                          noteProgress();
@@ -233,6 +237,8 @@
             onEnd(std::move(result)); // May destroy this call.
     }
 
+    std::shared_ptr<AnswerBuffers> m_buffers;
+    AnswerBuffers::Share m_share;
     std::unique_ptr<HttpConnection> m_connection;
     Duration m_idleTime;
     HttpCallEvents m_events;
@@ -267,7 +273,7 @@
             d->give(key, std::move(it));
     };
     return std::make_unique<Call>(m_d->loop, std::move(taken), std::move(call), std::move(events),
-                                  std::move(giveBack));
+                                  m_d->buffers, std::move(giveBack));
 }
 
 void HttpClient::fetch(HttpCall call, std::function<void(Result<HttpAnswer>)> done)
@@ -305,6 +311,11 @@
     m_d->idle.erase(it);
 }
 
+std::size_t HttpClient::bufferedBytes() const
+{
+    return m_d->buffers->used();
+}
+
 std::size_t HttpClient::idleConnections() const
 {
     std::size_t n = 0;
--- a/src/Net/HttpClient.h
+++ b/src/Net/HttpClient.h
@@ -34,6 +34,9 @@
     Duration maxIdleAge = std::chrono::seconds(20);
     /// Accepts an answer without a length that ends with its connection.
     bool acceptsUnframed = false;
+    /// The receiver forwards a successful answer without a length as it arrives; all others are
+    /// buffered as a whole and count towards AnswerBuffers.
+    bool forwardsStream = false;
     bool secure = false; ///< Uses TLS; the certificate of the upstream must name its address.
 };
 
@@ -103,6 +106,9 @@
     /// network path failed. They are not replaced: requests open new connections as needed.
     void dropIdle(const std::string &address);
 
+    /// \returns the bytes of answers that are buffered at the moment. \sa AnswerBuffers
+    std::size_t bufferedBytes() const;
+
     /// \returns the number of idle connections kept for reuse.
     std::size_t idleConnections() const;
 
--- a/src/Net/RelayServer.cpp
+++ b/src/Net/RelayServer.cpp
@@ -186,7 +186,8 @@
                                     .maxBodyBytes = MaxBufferedAnswer,
                                     .connectTimeout = ConnectTimeout,
                                     .maxIdleAge = 1s,
-                                    .acceptsUnframed = true},
+                                    .acceptsUnframed = true,
+                                    .forwardsStream = true},
                                    {.onHead =
                                             [this, weak](const HttpHead &head) {
                                                 if (const RelayPtr held = weak.lock())
--- a/src/Net/internal/HttpConnection.cpp
+++ b/src/Net/internal/HttpConnection.cpp
@@ -149,7 +149,7 @@
     evhttp_connection_set_local_address(m_connection, ip.c_str());
 }
 
-void HttpConnection::start(const HttpCall &call, HttpCallEvents events)
+void HttpConnection::start(const HttpCall &call, AnswerBuffers::Share &share, HttpCallEvents events)
 {
     m_events = std::move(events);
     m_endGuard = std::make_shared<bool>(true);
@@ -157,6 +157,10 @@
     m_bytesReceived = 0;
     m_headBytes = 0;
     m_hasHead = false;
+    m_answerBytes = 0;
+    m_status = 0;
+    m_forwardsStream = call.forwardsStream;
+    m_share = &share;
     m_delimited = false;
     m_headOnly = call.method == "HEAD";
     m_acceptsUnframed = call.acceptsUnframed;
@@ -209,6 +213,7 @@
 void HttpConnection::detach()
 {
     m_events = {};
+    m_share = nullptr;
     m_endGuard.reset();
 }
 
@@ -221,26 +226,37 @@
         bufferevent_disable(bev, EV_READ);
 }
 
-/// Bounds what evhttp buffers without a limit. Called before evhttp has read the \a n new bytes.
+/// Called before evhttp has read the \a n new bytes.
 void HttpConnection::onArrived(std::size_t n)
 {
     if (!m_request || !m_events.onEnd)
         return;
+    const std::string_view exceeded = exceededLimit(n);
+    if (exceeded.empty())
+        return;
+    m_reusable = false;
+    setReading(false);
+    fail(Reason::UpstreamInvalid, std::string(exceeded));
+}
+
+/// \returns which limit the answer exceeds with \a n new bytes, empty if none; only those that
+/// evhttp doesn't have.
+std::string_view HttpConnection::exceededLimit(std::size_t n)
+{
     bufferevent *bev = evhttp_connection_get_bufferevent(m_connection);
-    std::string_view tooLong;
+    const std::size_t unread = evbuffer_get_length(bufferevent_get_input(bev));
+    m_answerBytes += n;
     if (!m_hasHead) {
         m_headBytes += n;
         if (m_headBytes > MaxHeadBytes)
-            tooLong = "the heads of the answer are longer than the limit";
-    } else if (m_request->chunked && m_request->ntoread < 0
-               && evbuffer_get_length(bufferevent_get_input(bev)) > MaxChunkLineBytes + n) {
-        tooLong = "the size line of a chunk is longer than the limit";
+            return "the heads of the answer are longer than the limit";
+    } else if (m_request->chunked && m_request->ntoread < 0 && unread > MaxChunkLineBytes + n) {
+        return "the size line of a chunk is longer than the limit";
     }
-    if (tooLong.empty())
-        return;
-    m_reusable = false;
-    setReading(false);
-    fail(Reason::UpstreamInvalid, std::string(tooLong));
+    const bool isForwarded = m_forwardsStream && m_hasHead && !m_length && m_status / 100 == 2;
+    if (!m_share->resize(isForwarded ? unread : m_answerBytes))
+        return "the answer is longer than the memory that is left for answers";
+    return {};
 }
 
 void HttpConnection::onHead(evhttp_request *request, HttpConnection *self)
@@ -249,6 +265,7 @@
     if (head.status == Continue)
         return;
     self->m_hasHead = true;
+    self->m_status = head.status;
     self->m_length = contentLength(head);
     self->m_delimited = self->m_headOnly || hasNoBody(head.status) || self->m_length
             || !head.header("Transfer-Encoding").empty();
--- a/src/Net/internal/HttpConnection.h
+++ b/src/Net/internal/HttpConnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Decide/AnswerBuffers.h"
 #include "Net/HttpClient.h"
 
 #include <memory>
@@ -36,7 +37,8 @@
     void setSourceIp(const std::string &ip);
 
     /// \brief Sends \a call. onEnd is called once, unless detach() is called before.
-    void start(const HttpCall &call, HttpCallEvents events);
+    /// \param share for the bytes of the answer; used until then.
+    void start(const HttpCall &call, AnswerBuffers::Share &share, HttpCallEvents events);
 
     /// \brief Calls no more callbacks of the request in progress. After that the connection may be
     /// destroyed, but not from within one of its own callbacks.
@@ -59,6 +61,7 @@
     HttpConnection(EventLoop &loop, const std::string &address, bufferevent *stream);
 
     void onArrived(std::size_t n);
+    std::string_view exceededLimit(std::size_t n);
     static void onHead(evhttp_request *request, HttpConnection *self);
     static void onDone(evhttp_request *request, void *arg);
     void succeed(evhttp_request *request);
@@ -72,6 +75,10 @@
     HttpCallEvents m_events;
     std::size_t m_bytesSent = 0;
     std::size_t m_bytesReceived = 0; ///< Of the body.
+    AnswerBuffers::Share *m_share = nullptr; ///< Of the request in progress.
+    std::size_t m_answerBytes = 0; ///< Of the whole answer, as received.
+    bool m_forwardsStream = false;
+    int m_status = 0; ///< Of the final head, once it was received.
     std::size_t m_headBytes = 0; ///< Received before the end of the head, with interim heads.
     bool m_hasHead = false;
     bool m_delimited = false; ///< The answer ends before its connection does.
--- a/test/HttpClientTest.cpp
+++ b/test/HttpClientTest.cpp
@@ -1,10 +1,12 @@
 #include "Net/HttpClient.h"
+#include "Decide/AnswerBuffers.h"
 #include "Net/EventLoop.h"
 #include "Net/Timer.h"
 #include "ScriptedReplica.h"
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <functional>
 #include <optional>
 #include <string>
@@ -106,6 +108,53 @@
     }
 }
 
+// Guards against a process that is killed because many answers are buffered at a time, each of them
+// within its own limit.
+TEST_CASE_FIXTURE(EndlessAnswerFixture,
+                  "httpClient_manyAnswersNeverEnd_sumIsBoundedAndShortOnesFit")
+{
+    constexpr int Calls = 8;
+    answer = "HTTP/1.1 200 OK\r\n\r\n" + std::string(EndlessBytes, 'a');
+    std::vector<HttpCallPtr> calls;
+    int ended = 0;
+    std::size_t highest = 0;
+    for (int i = 0; i < Calls; ++i) {
+        calls.push_back(client.send(
+                {.address = upstream.address(), .timeout = CallTimeout, .acceptsUnframed = true},
+                {.onData =
+                         [&](std::string_view) {
+                             highest = std::max(highest, client.bufferedBytes());
+                         },
+                 .onEnd =
+                         [&](const Result<void> &it) {
+                             REQUIRE_FALSE(it);
+                             CHECK((it.error().reason == Reason::UpstreamInvalid));
+                             if (++ended == Calls)
+                                 loop.stop();
+                         }}));
+    }
+    ScriptedReplica sound{loop, [](const std::string &request, std::size_t) {
+                              return ScriptedReplica::Reply{
+                                      .bytes = ScriptedReplica::answer(request, 200, "ok")};
+                          }};
+    int served = 0;
+    std::function<void()> callSound = [&] {
+        client.fetch({.address = sound.address(), .timeout = CallTimeout},
+                     [&](const Result<HttpAnswer> &it) {
+                         REQUIRE(it);
+                         ++served;
+                         callSound();
+                     });
+    };
+    callSound();
+    loop.run();
+    CHECK(highest > AnswerBuffers::DefaultLimit / 2);
+    CHECK(highest <= AnswerBuffers::DefaultLimit + 1024 * 1024);
+    CHECK(served > 0);
+    calls.clear();
+    CHECK(client.bufferedBytes() < 1024);
+}
+
 // Guards against interim answers that are taken for the answer or for its progress.
 TEST_CASE_FIXTURE(EndlessAnswerFixture,
                   "httpClient_interimAnswersComeFirst_onlyFinalHeadIsReported")
