--- a/src/Decide/RequestQuarantine.cpp
+++ b/src/Decide/RequestQuarantine.cpp
@@ -65,6 +65,10 @@
 /// When there are too many records, one in this many is dropped.
 constexpr std::size_t EvictionDivisor = 4;
 
+/// Incidents without another explanation after which a request with MinIncidents in all is held in
+/// doubt. Popular harmless requests share most of their crashes with other suspects.
+constexpr int MinOwnIncidents = 2;
+
 /// Distinguishes the key of a prompt part from the fingerprint of a request.
 constexpr std::string_view PartPrefix = "part:";
 
@@ -352,7 +356,9 @@
         if (entry.unexplainedIncidents >= MinIncidents && !isTied(entry, suspects))
             setState(*it, Finding::Proven);
         else
-            setState(*it, hasOwnCrash(entry, suspects) ? Finding::Plausible : Finding::Unproven);
+            setState(*it,
+                     ownIncidents(entry, suspects) >= MinOwnIncidents ? Finding::Plausible
+                                                                      : Finding::Unproven);
     }
 }
 
@@ -453,9 +459,9 @@
     });
 }
 
-/// \returns whether a crash of \a entry has no other explanation: no held request, and no request
-/// with as many incidents, was running on that replica.
-bool RequestQuarantine::hasOwnCrash(const Entry &entry,
+/// \returns the number of incidents of \a entry without another explanation: no held request, and
+/// no request with as many incidents, was running on the crashed replicas.
+int RequestQuarantine::ownIncidents(const Entry &entry,
                                     std::span<Records::value_type *const> suspects) const
 {
     const auto isShared = [&](const ReplicaCrash &crash) {
@@ -465,8 +471,7 @@
                     && other.record.has(crash.replica);
         });
     };
-    const std::span<const ReplicaCrash> crashes = entry.record.replicaCrashes();
-    return std::any_of(crashes.begin(), crashes.end(), [&](const ReplicaCrash &crash) {
+    return entry.record.incidents([&](const ReplicaCrash &crash) {
         return wasRunning(crash) && !m_explained.contains(crash.replica) && !isShared(crash);
     });
 }
--- a/src/Decide/RequestQuarantine.h
+++ b/src/Decide/RequestQuarantine.h
@@ -48,8 +48,8 @@
 ///   cause any request to be held back.
 /// - If two requests share crashes, only the one with more incidents is held back, and only after
 ///   the updates of other routers had time to arrive. A request that was wrongly held back is
-///   released when other held requests explain all its crashes. One of whose crashes they explain
-///   only some, or that shares only some with equally suspected ones, is held too, and tried soon:
+///   released when other held requests explain all its crashes. One that shares a single crash with
+///   them, or with equally suspected ones, is held too, and tried soon:
 ///   popular requests run on many replicas, so that a shared crash proves little.
 ///
 /// The cause may also be one part of a prompt that requests share, in requests of which no two are
@@ -272,7 +272,7 @@
                                            std::span<Records::value_type *const> suspects) const;
     bool hasClearedOther(const Records::value_type &suspect) const;
     bool isTied(const Entry &entry, std::span<Records::value_type *const> suspects) const;
-    bool hasOwnCrash(const Entry &entry, std::span<Records::value_type *const> suspects) const;
+    int ownIncidents(const Entry &entry, std::span<Records::value_type *const> suspects) const;
     void setHeld(const std::string &fingerprint, Entry &entry, bool held);
     Entry &findOrInsert(const std::string &fingerprint);
     void evictRecords();
