--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -69,9 +69,6 @@
 /// Status of a request that reached another replica than the one it names.
 constexpr int Misdirected = 421;
 
-/// Longest answer that is buffered as a whole; streams are forwarded as they arrive.
-constexpr std::size_t MaxBufferedAnswer = 16 * 1024 * 1024;
-
 /// Delay after which a caller may retry if no replica was available, and the range of the random
 /// delay added to it so that callers do not retry at the same time.
 constexpr Duration RetryBase = 200ms;
@@ -319,7 +316,7 @@
     return m_context.quarantine.isEmpty() ? 0 : m_context.quarantine.suspicion(suspects());
 }
 
-CrashWatch::BrokenAttempt EntryCall::describeAttempt()
+CrashWatch::BrokenAttempt EntryCall::endCall()
 {
     CrashWatch::BrokenAttempt out{.requestId = id(),
                                   .replica = m_incarnation,
@@ -328,7 +325,8 @@
                                   .sentAt = m_attemptStartedAt,
                                   .provenAt = m_service->paths.provenAt(m_incarnation)};
     if (m_call && m_call->idleTime() > Duration::zero())
-        out.provenAt = std::max(out.provenAt, m_attemptStartedAt);
+        out.provenAt = m_attemptStartedAt;
+    m_call.reset();
     if (m_service->replicas.isServing(m_incarnation))
         out.suspects = suspects();
     return out;
@@ -336,12 +334,10 @@
 
 void EntryCall::checkForCrash(const Error &error)
 {
-    CrashWatch::BrokenAttempt attempt = describeAttempt();
-    m_call.reset();
     const auto criterion = suspicion() > 0 ? CrashWatch::AliveCriterion::StaysOpen
                                            : CrashWatch::AliveCriterion::Accepts;
     m_context.crashes.checkReplica(
-            std::move(attempt), criterion,
+            endCall(), criterion,
             [weak = weak_from_this(), number = m_attempt, error](bool crashed) {
                 const auto self = weak.lock();
                 if (self && self->m_attempting && self->m_attempt == number)
@@ -360,9 +356,8 @@
 /// crashes. A replica that still runs has completed it.
 void EntryCall::verifyEnd()
 {
-    m_call.reset();
     m_context.metrics.count("catkinloft_unframed_answers_total");
-    m_context.crashes.checkReplica(describeAttempt(), CrashWatch::AliveCriterion::Proven,
+    m_context.crashes.checkReplica(endCall(), CrashWatch::AliveCriterion::Proven,
                                    [weak = weak_from_this(), number = m_attempt](bool crashed) {
                                        const auto self = weak.lock();
                                        if (self && self->m_attempting && self->m_attempt == number)
@@ -483,7 +478,6 @@
                                                       .priority = m_admission.statedPriority()}),
             .body = std::string(m_exchange->body()),
             .timeout = m_deadline - m_context.loop.now() + 1s, // m_deadlineTimer expires first.
-            .maxBodyBytes = MaxBufferedAnswer,
             .connectTimeout = ConnectTimeout,
             .acceptsUnframed = true,
             .forwardsStream = isStreaming()};
--- a/src/Net/EntryCall.h
+++ b/src/Net/EntryCall.h
@@ -135,7 +135,7 @@
     std::optional<Error> quarantineError();
     bool mayHaveCrashedReplica(const Error &error) const;
     int suspicion(); ///< \sa RequestQuarantine::suspicion
-    CrashWatch::BrokenAttempt describeAttempt();
+    CrashWatch::BrokenAttempt endCall(); ///< \returns the attempt that it belongs to.
     void checkForCrash(const Error &error);
     void crashChecked(const Error &error, bool crashed);
     void verifyEnd();
--- a/src/Net/RelayServer.cpp
+++ b/src/Net/RelayServer.cpp
@@ -32,8 +32,6 @@
 /// The sender closes its connection at the deadline of the request.
 constexpr Duration CallTimeout = 10min;
 
-constexpr std::size_t MaxBufferedAnswer = 16 * 1024 * 1024;
-
 constexpr int BadGateway = 502;
 
 } // namespace
@@ -183,7 +181,6 @@
                                     .headers = std::move(headers),
                                     .body = std::string(exchange.body()),
                                     .timeout = CallTimeout,
-                                    .maxBodyBytes = MaxBufferedAnswer,
                                     .connectTimeout = ConnectTimeout,
                                     .maxIdleAge = 1s,
                                     .acceptsUnframed = true,
