--- a/test/HttpClientTest.cpp
+++ b/test/HttpClientTest.cpp
@@ -199,3 +199,28 @@
         CHECK((error->reason == Reason::UpstreamBroken));
     }
 }
+
+// Guards against buffering what an upstream sends without end on an idle connection.
+TEST_CASE_FIXTURE(EndlessAnswerFixture, "httpClient_bytesComeWithoutRequest_connectionIsClosed")
+{
+    constexpr std::size_t Unsolicited = 32 * 1024 * 1024;
+    answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    int answered = 0;
+    const auto call = [&] {
+        client.fetch({.address = upstream.address(), .timeout = CallTimeout},
+                     [&](const Result<HttpAnswer> &it) {
+                         answered += it ? 1 : 0;
+                         loop.stop();
+                     });
+        loop.run();
+    };
+    call();
+    upstream.sendUnsolicited(std::string(Unsolicited, 'a'));
+    Timer timer(loop, [this] { loop.stop(); });
+    timer.start(500ms);
+    loop.run();
+    CHECK(upstream.openConnections() == 0);
+    call();
+    CHECK(answered == 2);
+    CHECK(upstream.connections() == 2);
+}
