--- a/src/Decide/AnswerBuffers.h
+++ b/src/Decide/AnswerBuffers.h
@@ -14,8 +14,8 @@
 class AnswerBuffers
 {
 public:
-    /// A single answer can take half of it.
-    static constexpr std::size_t DefaultLimit = std::size_t(32) * 1024 * 1024;
+    /// A single answer can take half of it; the longest ones are the lists of engines.
+    static constexpr std::size_t DefaultLimit = std::size_t(128) * 1024 * 1024;
 
     explicit AnswerBuffers(std::size_t limit = DefaultLimit) : m_limit(limit) { }
 
--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -104,6 +104,9 @@
 /// heartbeats.
 constexpr std::size_t MaxUnverifiedRouters = 1000;
 
+/// Bytes of all answers that are buffered at a time. The smallest entry VMs have 160 MB.
+constexpr std::size_t MaxBufferedAnswers = std::size_t(32) * 1024 * 1024;
+
 /// Shortest idle timeout of caller connections. They are kept open for longer than the configured
 /// idle timeout, so that the router doesn't close one while a request is on its way.
 constexpr Duration MinIdleTimeout = 120s;
@@ -153,7 +156,7 @@
     EventLoop loop;
     LogWriter log{{.loop = loop}};
     Metrics metrics;
-    HttpClient client{loop, nullptr, settings.sourceIp};
+    HttpClient client{loop, nullptr, settings.sourceIp, MaxBufferedAnswers};
     RandomSource random = systemRandom();
     std::unique_ptr<FleetStore> store;
     std::unique_ptr<TableService> table;
--- a/src/Net/HttpClient.cpp
+++ b/src/Net/HttpClient.cpp
@@ -1,6 +1,5 @@
 #include "Net/HttpClient.h"
 
-#include "Decide/AnswerBuffers.h"
 #include "Net/EventLoop.h"
 #include "Net/Timer.h"
 #include "Net/internal/HttpConnection.h"
@@ -54,8 +53,10 @@
 
 struct HttpClient::Private
 {
-    Private(EventLoop &eventLoop, const TlsContext *context, std::string ip)
-        : loop(eventLoop), tls(context), sourceIp(std::move(ip))
+    Private(EventLoop &eventLoop, const TlsContext *context, std::string ip,
+            std::size_t maxBufferedBytes)
+        : loop(eventLoop), tls(context), sourceIp(std::move(ip)),
+          buffers(std::make_shared<AnswerBuffers>(maxBufferedBytes))
     { }
 
     EventLoop &loop;
@@ -63,7 +64,7 @@
     std::string sourceIp;
     std::map<std::string, std::deque<IdleConnection>> idle;
     /// Shared with the calls, which may outlive the client.
-    std::shared_ptr<AnswerBuffers> buffers = std::make_shared<AnswerBuffers>();
+    std::shared_ptr<AnswerBuffers> buffers;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
     /// Secure and plain connections to one address are kept in separate pools.
@@ -255,8 +256,9 @@
 
 } // namespace
 
-HttpClient::HttpClient(EventLoop &loop, const TlsContext *tls, std::string sourceIp)
-    : m_d(std::make_unique<Private>(loop, tls, std::move(sourceIp)))
+HttpClient::HttpClient(EventLoop &loop, const TlsContext *tls, std::string sourceIp,
+                       std::size_t maxBufferedBytes)
+    : m_d(std::make_unique<Private>(loop, tls, std::move(sourceIp), maxBufferedBytes))
 { }
 
 HttpClient::~HttpClient()
--- a/src/Net/HttpClient.h
+++ b/src/Net/HttpClient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Base/Error.h"
+#include "Decide/AnswerBuffers.h"
 #include "Net/HttpExchange.h"
 
 #include <functional>
@@ -90,8 +91,9 @@
 public:
     /// \param tls used for secure calls; without it they fail with Verdict::NotRun.
     /// \param sourceIp IP that connections are opened from; empty: the system chooses it.
-    explicit HttpClient(EventLoop &loop, const TlsContext *tls = nullptr,
-                        std::string sourceIp = {});
+    /// \param maxBufferedBytes limit of all answers together. \sa AnswerBuffers
+    explicit HttpClient(EventLoop &loop, const TlsContext *tls = nullptr, std::string sourceIp = {},
+                        std::size_t maxBufferedBytes = AnswerBuffers::DefaultLimit);
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
--- a/src/Net/internal/HttpConnection.h
+++ b/src/Net/internal/HttpConnection.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "Decide/AnswerBuffers.h"
 #include "Net/HttpClient.h"
 
 #include <memory>
--- a/test/HttpClientTest.cpp
+++ b/test/HttpClientTest.cpp
@@ -1,5 +1,4 @@
 #include "Net/HttpClient.h"
-#include "Decide/AnswerBuffers.h"
 #include "Net/EventLoop.h"
 #include "Net/Timer.h"
 #include "ScriptedReplica.h"
@@ -57,8 +56,10 @@
         return result->error();
     }
 
+    static constexpr std::size_t MaxBufferedBytes = 32 * 1024 * 1024;
+
     EventLoop loop;
-    HttpClient client{loop};
+    HttpClient client{loop, nullptr, {}, MaxBufferedBytes};
     std::string answer;
     ScriptedReplica upstream{loop, [this](const std::string &, std::size_t) {
                                  return ScriptedReplica::Reply{.bytes = answer};
@@ -148,8 +149,8 @@
     };
     callSound();
     loop.run();
-    CHECK(highest > AnswerBuffers::DefaultLimit / 2);
-    CHECK(highest <= AnswerBuffers::DefaultLimit + 1024 * 1024);
+    CHECK(highest > MaxBufferedBytes / 2);
+    CHECK(highest <= MaxBufferedBytes + 1024 * 1024);
     CHECK(served > 0);
     calls.clear();
     CHECK(client.bufferedBytes() < 1024);
