A fetch ends with its client

Cause: HttpClient::fetch kept the call in state that its own callbacks held, and these refer to the client. So a client that is destroyed during a fetch leaked the call, and the end of the answer was reported to a client that no longer existed.

The client owns the calls of its fetches now; destroying it closes their connections.

--- a/src/Net/HttpClient.cpp
+++ b/src/Net/HttpClient.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <list>
 #include <map>
 #include <strings.h>
 
@@ -66,6 +67,8 @@
     /// Shared with the calls, which may outlive the client.
     std::shared_ptr<AnswerBuffers> buffers;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+    /// Calls of fetch(). Their callbacks refer to the client, so they end with it.
+    std::list<HttpCallPtr> fetches;
 
     /// Secure and plain connections to one address are kept in separate pools.
     static std::string poolKey(const HttpCall &call)
@@ -280,27 +283,22 @@
 
 void HttpClient::fetch(HttpCall call, std::function<void(Result<HttpAnswer>)> done)
 {
-    struct Collector
-    {
-        HttpCallPtr handle;
-        HttpAnswer answer;
-    };
-    auto state = std::make_shared<Collector>();
-    state->handle =
-            send(std::move(call),
-                 {.onHead = [state](const HttpHead &head) { state->answer.head = head; },
-                  .onData = [state](std::string_view data) { state->answer.body += data; },
-                  .onEnd =
-                          [this, state, done = std::move(done)](const Result<void> &result) {
-                              // Destroyed later: the handle is still on the stack, and its
-                              // callbacks own this state.
-                              m_d->loop.post([held = std::shared_ptr<HttpCallHandle>(
-                                                      std::move(state->handle))] {});
-                              if (result)
-                                  done(std::move(state->answer));
-                              else
-                                  done(result.error());
-                          }});
+    auto answer = std::make_shared<HttpAnswer>();
+    const auto it = m_d->fetches.emplace(m_d->fetches.end());
+    *it = send(std::move(call),
+               {.onHead = [answer](const HttpHead &head) { answer->head = head; },
+                .onData = [answer](std::string_view data) { answer->body += data; },
+                .onEnd =
+                        [this, it, answer, done = std::move(done)](const Result<void> &result) {
+                            // Destroyed later: the call is still on the stack.
+                            m_d->loop.post(
+                                    [held = std::shared_ptr<HttpCallHandle>(std::move(*it))] {});
+                            m_d->fetches.erase(it);
+                            if (result)
+                                done(std::move(*answer)); // May destroy this client.
+                            else
+                                done(result.error());
+                        }});
 }
 
 void HttpClient::dropIdle(const std::string &address)
--- a/src/Net/HttpClient.h
+++ b/src/Net/HttpClient.h
@@ -101,7 +101,8 @@
     /// \brief Sends \a call. The callbacks are never called from within this function.
     HttpCallPtr send(HttpCall call, HttpCallEvents events);
 
-    /// \brief Sends \a call and collects the answer. The call cannot be cancelled.
+    /// \brief Sends \a call and collects the answer. The call ends with the client, then without
+    /// \a done.
     void fetch(HttpCall call, std::function<void(Result<HttpAnswer>)> done);
 
     /// \brief Closes the idle connections to \a address, used after a connection over the same
--- a/test/HttpClientTest.cpp
+++ b/test/HttpClientTest.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -225,3 +226,26 @@
     CHECK(answered == 2);
     CHECK(upstream.connections() == 2);
 }
+
+// Guards against a fetch that is never freed, or that reports to a client which no longer exists.
+TEST_CASE_FIXTURE(EndlessAnswerFixture, "httpClient_isDestroyedDuringFetch_callEndsWithoutReport")
+{
+    answer = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\npart";
+    const auto token = std::make_shared<int>();
+    bool reported = false;
+    {
+        HttpClient shortLived(loop);
+        shortLived.fetch({.address = upstream.address(), .timeout = 200ms},
+                         [token, &reported](const Result<HttpAnswer> &) { reported = true; });
+        Timer timer(loop, [this] { loop.stop(); });
+        timer.start(100ms);
+        loop.run();
+        REQUIRE(upstream.openConnections() == 1);
+    }
+    CHECK(token.use_count() == 1);
+    Timer timer(loop, [this] { loop.stop(); });
+    timer.start(300ms);
+    loop.run();
+    CHECK_FALSE(reported);
+    CHECK(upstream.openConnections() == 0);
+}
