Replicas that answer without a signature or for other requests are ejected as those that answer nothing valid

What callers saw: with two of four replicas that answer every request with an unsigned success, 28 of 40 requests were served in two seconds and 77 of 100 in the next five; with bytes that are no answer at all, 35 of 40 and 95 of 96. Cause: such answers have the reason answer_mismatch, which ejects after three failures in a row and at most a third of a pool, so one of the two was never ejected, and being idle it attracted the requests. Change: answer_mismatch counts as an invalid answer. It is no fault of the path either.

Model of four routers, replicaPool_halfOfReplicasAnswerNothingValid_* with this reason before: 32 failures in 4 s, 5 in the next second, 136 in 20 s; now at most 11, 0, 40.

--- a/src/Decide/ReplicaPool.cpp
+++ b/src/Decide/ReplicaPool.cpp
@@ -72,6 +72,12 @@
 /// since its last successful answer here.
 constexpr int MaxInvalidInRow = 2;
 
+/// \returns whether something answered that was not the replica's answer to the request.
+constexpr bool isInvalidAnswer(Reason reason)
+{
+    return reason == Reason::UpstreamInvalid || reason == Reason::AnswerMismatch;
+}
+
 /// Time during which an own successful answer takes precedence over ejections by other routers.
 constexpr Duration OwnSuccessLifetime = 2s;
 
@@ -595,7 +601,7 @@
     const bool timedOut = !report.succeeded && report.reason == Reason::UpstreamTimeout;
     if (m_options.isEngine && timedOut)
         changed = m_health.ejectImmediately(it->health, m_states.size(), now) || changed;
-    if (!report.succeeded && report.reason == Reason::UpstreamInvalid
+    if (!report.succeeded && isInvalidAnswer(report.reason)
         && (it->health.failuresInRow >= MaxInvalidInRow
             || (it->ejectedByPeers > 0 && it->peersEjectedSince > it->lastSuccessAt)))
         changed = m_health.ejectFaulty(it->health, m_states.size(), now) || changed;
--- a/test/ReplicaPoolTest.cpp
+++ b/test/ReplicaPoolTest.cpp
@@ -473,11 +473,11 @@
         const std::string id = pools[i]->choose({.retryable = true}).replica->id;
         pools[i]->started(id);
         const bool isInvalid = invalid.contains(id) || uniform(random) < invalidShare;
-        const bool ejected = pools[i]->finished(
-                id,
-                {.succeeded = !isInvalid,
-                 .reason = isInvalid ? Reason::UpstreamInvalid : Reason::Internal,
-                 .total = isInvalid ? Duration(1ms) : Duration(20ms)});
+        const bool ejected =
+                pools[i]->finished(id,
+                                   {.succeeded = !isInvalid,
+                                    .reason = isInvalid ? invalidReason : Reason::Internal,
+                                    .total = isInvalid ? Duration(1ms) : Duration(20ms)});
         if (ejected)
             announce(i);
         return !isInvalid;
@@ -512,6 +512,7 @@
     std::vector<std::unique_ptr<ReplicaPool>> pools;
     std::set<std::string> invalid = {"i-0", "i-1"};
     double invalidShare = 0; ///< Of the answers of the other replicas.
+    Reason invalidReason = Reason::UpstreamInvalid;
 };
 
 } // namespace
@@ -521,6 +522,14 @@
 TEST_CASE_FIXTURE(InvalidAnswersFixture,
                   "replicaPool_halfOfReplicasAnswerNothingValid_eachIsEjectedAtAllRoutersSoon")
 {
+    SUBCASE("bytes that are no answer")
+    {
+        invalidReason = Reason::UpstreamInvalid;
+    }
+    SUBCASE("answers without a signature or of other requests")
+    {
+        invalidReason = Reason::AnswerMismatch;
+    }
     // About five failures for each of the two.
     CHECK(countFailedCalls(4s) <= 11);
     CHECK(countFailedCalls(1s) == 0);
