--- a/src/Decide/ReplicaPool.h
+++ b/src/Decide/ReplicaPool.h
@@ -106,8 +106,8 @@
         std::span<const std::string> only = {}; ///< If not empty: the only incarnations allowed.
         /// If set: only replicas with this software. \sa ReplicaRecord::software
         std::optional<std::string_view> software = {};
-        /// The request may probe whether an ejected replica has recovered: it is a first attempt and
-        /// may be retried.
+        /// The request may probe whether an ejected replica has recovered: it is a first attempt
+        /// and may be retried.
         bool mayProbe = true;
         /// Regions of replicas that the route and the workspace allow; empty: all.
         std::span<const std::string> regions = {};
--- a/standin/LinkFaults.h
+++ b/standin/LinkFaults.h
@@ -16,8 +16,8 @@
     int loseAnswers = 0; ///< Number of further answers to drop; their connections are closed.
     std::size_t throttle = 0; ///< Bytes per second of each connection and direction; 0: no limit.
     /// What the proxy answers to each request instead of forwarding it: \a answerBegin once, then
-    /// \a answerRepeated until the client closes the connection. `{id}` in \a answerBegin stands for
-    /// the request's id. Empty: no such fault.
+    /// \a answerRepeated until the client closes the connection. `{id}` in \a answerBegin stands
+    /// for the request's id. Empty: no such fault.
     std::string answerBegin = {};
     std::string answerRepeated = {};
 };
