--- a/test/RelayTest.cpp
+++ b/test/RelayTest.cpp
@@ -1,3 +1,4 @@
+#include "ClosingProxy.h"
 #include "Control/PeerGuard.h"
 #include "Net/EventLoop.h"
 #include "Net/HttpServer.h"
@@ -368,6 +369,27 @@
     CHECK((ask() == RelayClient::PathState::Unknown));
 }
 
+// Guards against a crash behind a proxy that nobody confirms because the asked routers take the
+// proxy's connection for one of the replica: the request that caused it is sent again, and
+// harmless ones whose crashes were confirmed are quarantined instead.
+TEST_CASE_FIXTURE(RelayFixture, "relay_proxyClosesAfterRoundTrip_replicaIsNotReached")
+{
+    ClosingProxy proxy(loop);
+    record.address = proxy.address();
+    std::optional<RelayClient::PathState> state;
+    const auto ask = [&] {
+        state.reset();
+        relay.checkPath("svc", "i-1", [&](RelayClient::PathState it) { state = it; });
+        until([&] { return state.has_value(); });
+        REQUIRE(state);
+        return *state;
+    };
+    proxy.closeAfter(130ms);
+    CHECK((ask() == RelayClient::PathState::Refused));
+    proxy.closeAfter(Duration::max());
+    CHECK((ask() == RelayClient::PathState::Reached));
+}
+
 // Guards against a router that confirms a crash although all its new connections are refused, and
 // against one that started after the crash and blames the requests that it sent since then.
 TEST_CASE_FIXTURE(RelayFixture, "relay_refusedRouterIsAsked_crashNeedsWorkingPathsAndIsNew")
