A connection to a proxy proves a running replica only after the proxy's round trip

Cause: a router that was asked about a replica, and the check of a lost path, took a connection for proof after it had stayed open for 100 ms. A proxy accepts at once and closes after a round trip to the replica, 120 ms there. So every asked router answered reached for a replica that had crashed, nobody confirmed the crash, and the evidence against the request that caused it was dropped; the path counted as regained, and calls that were sent to the dead replica then became evidence against sound contents.

Change: both wait for the 250 ms in which CrashWatch also expects a proxy to close. An asker waits for 400 ms. The next lost path is still checked after 100 ms, so that the end of a partition is found as fast as before.

--- a/src/Decide/PathMonitor.cpp
+++ b/src/Decide/PathMonitor.cpp
@@ -85,8 +85,7 @@
     const bool wasPartitioned = isPartitioned();
     if (m_broken.erase(id) == 0)
         return false;
-    // The next broken path is checked at once, since a partition usually ends for all of them.
-    m_brokenCheckedAt = TimePoint::min();
+    stayedOpen();
     Log::info("replica_path_regained",
               {{"service", m_options.service},
                {"replica", id},
--- a/src/Decide/PathMonitor.h
+++ b/src/Decide/PathMonitor.h
@@ -60,6 +60,11 @@
     /// \returns whether its path was broken until now.
     bool connected(const std::string &id);
 
+    /// \brief Records that a new connection to a replica with a broken path was accepted and has
+    /// stayed open until now. The next broken path is checked at once, since a partition usually
+    /// ends for all of them.
+    void stayedOpen() { m_brokenCheckedAt = TimePoint::min(); }
+
     /// \brief Records that replica \a id has crashed, so that its path doesn't count as lost by
     /// isMostlyLostBeside() until a new connection to it is established.
     void crashed(const std::string &id);
--- a/src/Net/PathProber.cpp
+++ b/src/Net/PathProber.cpp
@@ -52,19 +52,24 @@
 
 void PathProber::found(const std::string &id, Outcome outcome)
 {
+    const ReplicaRecord *replica = m_options.pools.findReplica(id);
     // An accepted connection may still be closed by a proxy that can't reach the replica.
     if (outcome == Outcome::Connected)
         return;
+    if (outcome == Outcome::StayedOpen) {
+        if (replica)
+            m_options.pools.of(replica->service).paths.stayedOpen();
+        return;
+    }
     const auto it = m_probes.find(id);
     if (it == m_probes.end())
         return;
     m_options.loop.post([held = it->second] {});
     m_probes.erase(it);
-    const ReplicaRecord *replica = m_options.pools.findReplica(id);
     if (!replica)
         return;
     ServicePool &pool = m_options.pools.of(replica->service);
-    if (outcome == Outcome::StayedOpen)
+    if (outcome == Outcome::ProvenOpen)
         pool.pathRegained(id);
     else if (outcome != Outcome::Inconclusive)
         pool.pathLost(id);
--- a/src/Net/RelayClient.cpp
+++ b/src/Net/RelayClient.cpp
@@ -1,6 +1,7 @@
 #include "Net/RelayClient.h"
 
 #include "Net/EventLoop.h"
+#include "Net/internal/ConnectProbe.h"
 
 #include <algorithm>
 #include <memory>
@@ -27,9 +28,10 @@
 /// the same time.
 constexpr std::size_t AskedRouters = 3;
 
-/// Time in which a router answers whether it reaches a replica; it waits until a connection to it,
-/// or to other replicas, has stayed open for 100 ms.
-constexpr Duration CheckTimeout = 250ms;
+/// Time in which a router answers whether it reaches a replica: until a connection is established
+/// and has stayed open for so long that no proxy will close it.
+constexpr Duration CheckTimeout =
+        internal::ConnectProbe::ConnectTimeout + internal::ConnectProbe::CloseTimeout;
 
 constexpr int Success = 200;
 
--- a/src/Net/RelayServer.cpp
+++ b/src/Net/RelayServer.cpp
@@ -328,7 +328,9 @@
     check->exchange = exchange;
     check->hasCrashedBefore = hasCrashedBefore;
     const auto found = [this, check](ConnectProbe::Outcome outcome) {
-        if (outcome == ConnectProbe::Outcome::Connected || !check->probe)
+        // A proxy accepts connections also while the replica is down.
+        if (outcome == ConnectProbe::Outcome::Connected
+            || outcome == ConnectProbe::Outcome::StayedOpen || !check->probe)
             return;
         const std::shared_ptr<ConnectProbe> probe = std::exchange(check->probe, nullptr);
         check->outcome = outcome;
@@ -353,7 +355,7 @@
     if (!check.exchange || !check.outcome || (isClosed && !check.arePathsWorking))
         return;
     std::string_view text = "unknown";
-    if (check.outcome == ConnectProbe::Outcome::StayedOpen)
+    if (check.outcome == ConnectProbe::Outcome::ProvenOpen)
         text = "reached";
     else if (isClosed && *check.arePathsWorking)
         text = check.hasCrashedBefore ? "crashed_before" : "refused";
--- a/src/Net/internal/ConnectProbe.cpp
+++ b/src/Net/internal/ConnectProbe.cpp
@@ -13,7 +13,7 @@
 ConnectProbe::ConnectProbe(EventLoop &loop, const std::string &address, const std::string &sourceIp,
                            std::function<void(Outcome)> found)
     : m_found(std::move(found)), m_timeout(loop, [this] { m_found(m_outcomeAtTimeout); }),
-      m_closeTimeout(loop, [this] { readable(); })
+      m_closeTimeout(loop, [this] { readable(Outcome::ProvenOpen); })
 {
     const int error = connect(address, sourceIp);
     if (error != EINPROGRESS) {
@@ -70,7 +70,9 @@
         return m_found(error == ECONNREFUSED ? Outcome::Closed : Outcome::Unreachable);
     event_assign(
             m_ready, event_get_base(m_ready), m_socket, EV_READ,
-            [](evutil_socket_t, short, void *arg) { static_cast<ConnectProbe *>(arg)->readable(); },
+            [](evutil_socket_t, short, void *arg) {
+                static_cast<ConnectProbe *>(arg)->readable(Outcome::Inconclusive);
+            },
             this);
     event_add(m_ready, nullptr);
     m_outcomeAtTimeout = Outcome::StayedOpen;
@@ -81,12 +83,14 @@
 
 /// Nothing was requested, so the only expected event is that the connection is closed. If the loop
 /// is delayed, CloseTimeout may end before that event is processed.
-void ConnectProbe::readable()
+/// \param withoutData the outcome if the connection is open and no data was received.
+void ConnectProbe::readable(Outcome withoutData)
 {
     char byte = 0;
     const ssize_t n = recv(m_socket, &byte, 1, 0);
-    const bool isOpen = n == 1 || (n < 0 && errno == EAGAIN);
-    m_found(isOpen ? Outcome::Inconclusive : Outcome::Closed);
+    if (n == 1)
+        return m_found(Outcome::Inconclusive);
+    m_found(n < 0 && errno == EAGAIN ? withoutData : Outcome::Closed);
 }
 
 } // namespace catkinloft::internal
--- a/src/Net/internal/ConnectProbe.h
+++ b/src/Net/internal/ConnectProbe.h
@@ -19,7 +19,8 @@
     enum class Outcome : std::uint8_t {
         Unreachable, ///< No response, or an error other than a refusal.
         Connected, ///< A process accepted the connection; a further outcome follows.
-        StayedOpen, ///< The connection is open after DecisionTimeout.
+        StayedOpen, ///< The connection is open after DecisionTimeout; a further outcome follows.
+        ProvenOpen, ///< The connection is open after CloseTimeout.
         Closed, ///< Refused, or closed before a byte was sent.
         Inconclusive, ///< Unexpected data was received.
     };
@@ -27,7 +28,8 @@
     /// Opening a connection within a region takes milliseconds.
     static constexpr Duration ConnectTimeout = std::chrono::milliseconds(150);
 
-    /// Time after which an open connection counts as that of a running process.
+    /// Time after which an open connection counts as that of a running process, unless a proxy may
+    /// be in front of it.
     static constexpr Duration DecisionTimeout = std::chrono::milliseconds(100);
 
     /// Time in which a proxy finds that nothing listens behind it and closes the connection: a
@@ -47,7 +49,7 @@
 private:
     int connect(const std::string &address, const std::string &sourceIp);
     void connected();
-    void readable();
+    void readable(Outcome withoutData);
 
     std::function<void(Outcome)> m_found;
     Outcome m_outcomeAtTimeout = Outcome::Unreachable;
