A proxy that accepts a connection doesn't end the record of a refusal

Cause: CrashWatch forgot when the replica first refused connections as soon as a later connection was accepted. A proxy in front of a replica accepts connections while the replica is down.

Change: only a connection that is still open after the proxy's round trip ends the record.

crashWatch_proxyAcceptsAndCloses_laterAttemptIsNotBlamed fails before; the other crashWatch, crashEvidence, relay, pathProber and pathMonitor cases pass.

--- a/src/Net/CrashWatch.cpp
+++ b/src/Net/CrashWatch.cpp
@@ -159,7 +159,7 @@
 {
     if (check->confirming)
         return;
-    if (result == Outcome::Connected || result == Outcome::StayedOpen)
+    if (result == Outcome::ProvenOpen)
         unconfirmed.erase(check->replica);
     if (result != Outcome::Closed)
         return conclude(check, result);
--- a/test/CrashWatchTest.cpp
+++ b/test/CrashWatchTest.cpp
@@ -160,6 +160,20 @@
     CHECK(crashTimes.front() <= firstSeen);
 }
 
+// Guards against the same behind a proxy, which accepts connections while the replica is down.
+TEST_CASE_FIXTURE(CrashWatchFixture, "crashWatch_proxyAcceptsAndCloses_laterAttemptIsNotBlamed")
+{
+    proxy.closeAfter(30ms);
+    finding = CrashWatch::Finding::PathLost;
+    breakAttempt("r1");
+    runUntil([this] { return !decisions.empty(); });
+    runFor(600ms);
+    finding = CrashWatch::Finding::Crashed;
+    breakAttempt("r2");
+    runUntil([this] { return !crashedReplicas.empty(); });
+    CHECK(crashedRequests.empty());
+}
+
 // Guards against dating a crash back to a lost path that worked again in between.
 TEST_CASE_FIXTURE(CrashWatchFixture, "crashWatch_pathWorkedBeforeCrash_attemptIsBlamed")
 {
