A crash that another router tells counts for attempts that broke at that time here

Cause: each router reported only attempts of its own confirmed checks. Which router confirms a crash depends on delays and on what else has crashed; the evidence of the others was dropped. That is the class of docs/incidents/crashes-taken-for-lost-paths.md: missing evidence acts as proof of the opposite.

Change: CrashWatch keeps the attempts that broke within the last second. A crash that another router has confirmed is reported for those in progress that broke within 250 ms of it.

crashWatch_anotherRouterTellsTheCrash_brokenAttemptIsReported fails without the change, crashWatch_toldCrashIsAnotherOne_attemptIsNotReported guards the other direction; crashWatch, crashEvidence, relay, pathProber and pathMonitor cases pass (49).

--- a/src/Net/CrashWatch.cpp
+++ b/src/Net/CrashWatch.cpp
@@ -8,7 +8,9 @@
 #include "Net/internal/ConnectProbe.h"
 
 #include <algorithm>
+#include <chrono>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <set>
 #include <span>
@@ -48,9 +50,19 @@
 /// requests should not wait for it.
 constexpr Duration PresumptionDelay = 20ms;
 
-struct PendingCheck
+/// An attempt whose connection broke lately.
+struct RecentAttempt
 {
     CrashWatch::BrokenAttempt attempt;
+    TimePoint brokeAt;
+    bool isReported = false; ///< Options::attemptCrashed was called.
+};
+
+using AttemptPtr = std::shared_ptr<RecentAttempt>;
+
+struct PendingCheck
+{
+    AttemptPtr broken;
     CrashWatch::AliveCriterion criterion = CrashWatch::AliveCriterion::Accepts;
     std::function<void(bool)> decided; ///< Null after it was called.
 };
@@ -98,7 +110,8 @@
     void notConfirmed(const Check &check);
     std::vector<Loss> losses(const Check &check) const;
     void crashed(Check &check);
-    void reportCrash(const BrokenAttempt &attempt, TimePoint crashedAt);
+    void reportCrash(RecentAttempt &broken, TimePoint crashedAt);
+    void reportTold(RecentAttempt &broken);
     void closeToAttempts(const CheckPtr &check);
     void finish(const CheckPtr &check);
     void forgetOld();
@@ -113,6 +126,9 @@
     /// once, it looks like a lost path first, and the crash is confirmed only by a later check. The
     /// requests that were sent in the meantime must not be blamed.
     std::map<std::string, Refusal> unconfirmed;
+    /// Crashes that other routers have found, by incarnation.
+    std::map<std::string, Refusal> told;
+    std::deque<AttemptPtr> recentAttempts; ///< Attempts that broke within CrashMemory.
 };
 
 CrashWatch::CrashWatch(Options options) : m_d(std::make_unique<Private>(std::move(options))) { }
@@ -124,19 +140,46 @@
 {
     m_d->forgetOld();
     m_d->forgetRestarted(attempt);
-    const auto crashed = m_d->crashes.find(attempt.replica);
+    const auto broken = std::make_shared<RecentAttempt>(
+            RecentAttempt{.attempt = std::move(attempt), .brokeAt = m_d->options.loop.now()});
+    m_d->recentAttempts.push_back(broken);
+    const auto crashed = m_d->crashes.find(broken->attempt.replica);
     if (crashed != m_d->crashes.end()) {
-        m_d->reportCrash(attempt, crashed->second.since);
+        m_d->reportCrash(*broken, crashed->second.since);
         m_d->options.loop.post([decided = std::move(decided)] { decided(true); });
         return;
     }
-    const auto known = m_d->undecided.find(attempt.replica);
-    const CheckPtr check = known == m_d->undecided.end() ? m_d->start(attempt) : known->second;
+    m_d->reportTold(*broken);
+    const auto known = m_d->undecided.find(broken->attempt.replica);
+    const CheckPtr check =
+            known == m_d->undecided.end() ? m_d->start(broken->attempt) : known->second;
     if (check->connected && criterion == AliveCriterion::Accepts)
         m_d->options.loop.post([late = std::exchange(decided, nullptr)] { late(false); });
     else if (check->isPresumed && criterion != AliveCriterion::Proven)
         m_d->options.loop.post([late = std::exchange(decided, nullptr)] { late(true); });
-    check->attempts.push_back({std::move(attempt), criterion, std::move(decided)});
+    check->attempts.push_back({broken, criterion, std::move(decided)});
+}
+
+void CrashWatch::crashTold(const std::string &replica, TimePoint crashedAt)
+{
+    m_d->forgetOld();
+    const TimePoint now = m_d->options.loop.now();
+    const auto [it, isNew] = m_d->told.try_emplace(replica, Refusal{crashedAt, now});
+    if (!isNew)
+        it->second = {std::max(it->second.since, crashedAt), now};
+    for (const AttemptPtr &broken : m_d->recentAttempts)
+        m_d->reportTold(*broken);
+}
+
+/// Reports an attempt that broke when another router found that its replica crashed.
+void CrashWatch::Private::reportTold(RecentAttempt &broken)
+{
+    const auto it = told.find(broken.attempt.replica);
+    if (it == told.end())
+        return;
+    const Duration apart = broken.brokeAt - it->second.since;
+    if (std::chrono::abs(apart) <= RequestQuarantine::CrashDetectionSpread)
+        reportCrash(broken, it->second.since);
 }
 
 CheckPtr CrashWatch::Private::start(const BrokenAttempt &attempt)
@@ -236,7 +279,7 @@
     const TimePoint since = unconfirmed.at(check.replica).since;
     std::vector<Loss> out;
     for (const PendingCheck &it : check.attempts) {
-        const BrokenAttempt &attempt = it.attempt;
+        const BrokenAttempt &attempt = it.broken->attempt;
         if (attempt.sentAt <= since && attempt.provenAt >= since - MaxProofAge)
             out.push_back({attempt, since});
     }
@@ -257,12 +300,12 @@
         options.metrics.count("catkinloft_replica_ends_total");
         Log::warning("replica_ended",
                      {{"replica", check.replica},
-                      {"address", check.attempts.front().attempt.address},
+                      {"address", check.attempts.front().broken->attempt.address},
                       {"requests", check.attempts.size()}});
         options.replicaCrashed(check.replica);
     }
     for (const PendingCheck &it : check.attempts)
-        reportCrash(it.attempt, check.brokeAt);
+        reportCrash(*it.broken, check.brokeAt);
 }
 
 /// Ends the time in which broken attempts join \a check. Later ones get a probe of their own,
@@ -282,10 +325,11 @@
     options.loop.post([held = check] {});
 }
 
-void CrashWatch::Private::reportCrash(const BrokenAttempt &attempt, TimePoint crashedAt)
+void CrashWatch::Private::reportCrash(RecentAttempt &broken, TimePoint crashedAt)
 {
+    const BrokenAttempt &attempt = broken.attempt;
     // Requests sent after the crash only reached the proxy in front of the replica.
-    if (attempt.sentAt > crashedAt)
+    if (attempt.sentAt > crashedAt || std::exchange(broken.isReported, true))
         return;
     const std::span<const std::string> suspects = attempt.suspects;
     const std::size_t requests = std::min<std::size_t>(1, suspects.size());
@@ -304,6 +348,9 @@
     const auto isOld = [&](const auto &it) { return now - it.second.foundAt > CrashMemory; };
     std::erase_if(crashes, isOld);
     std::erase_if(unconfirmed, isOld);
+    std::erase_if(told, isOld);
+    while (!recentAttempts.empty() && now - recentAttempts.front()->brokeAt > CrashMemory)
+        recentAttempts.pop_front();
 }
 
 /// Forgets earlier refusals of a replica that was known to run after them.
--- a/src/Net/CrashWatch.h
+++ b/src/Net/CrashWatch.h
@@ -91,6 +91,13 @@
     void checkReplica(BrokenAttempt attempt, AliveCriterion criterion,
                       std::function<void(bool crashed)> decided);
 
+    /// \brief Records that another router has found that \a replica crashed at \a crashedAt.
+    ///
+    /// Options::attemptCrashed is called for attempts that were in progress and broke at that time,
+    /// although the checks of this router did not show the crash. Otherwise only routers whose
+    /// checks succeed by chance would suspect their requests, which may all be harmless.
+    void crashTold(const std::string &replica, TimePoint crashedAt);
+
 private:
     struct Private;
     std::unique_ptr<Private> m_d;
--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -135,6 +135,7 @@
     const ReplicaRecord *findRelayTarget(std::string_view incarnation) const;
     void recordCrash(const CrashWatch::BrokenAttempt &attempt, TimePoint at, bool isConfirmed);
     void noteToldCrash(const std::string &router, const CrashUpdate::Crash &crash);
+    void reportToldCrash(const CrashUpdate::Crash &crash);
     StreamOriginReport streamOriginReport(const StreamOriginQuestion &question) const;
     void streamBegan(const StreamOrigin &origin, const StreamOriginQuestion &question);
     void updateSoftware();
@@ -481,6 +482,8 @@
         for (const CrashUpdate::Crash &it : update.replicaCrashes)
             noteToldCrash(heartbeat.name, it);
         quarantine.merge({&update, 1});
+        for (const CrashUpdate::Crash &it : update.replicaCrashes)
+            reportToldCrash(it);
     }
     notePrompts(heartbeat.prompts);
     for (const std::string &it : heartbeat.discovered)
@@ -515,6 +518,13 @@
     pools.noteCrashed(replica, CrashExclusionTime - crash.age);
 }
 
+void EntryProcess::Private::reportToldCrash(const CrashUpdate::Crash &crash)
+{
+    if (crash.isConfirmed)
+        crashes.crashTold(std::string(RequestQuarantine::incarnationOf(crash.replica)),
+                          loop.now() - crash.age);
+}
+
 std::vector<RelayPeer> EntryProcess::Private::relayPeers(const std::string &service)
 {
     std::vector<RelayPeer> out;
--- a/test/CrashWatchTest.cpp
+++ b/test/CrashWatchTest.cpp
@@ -226,3 +226,58 @@
     CHECK(lostRequests.empty());
     CHECK(crashedRequests.empty());
 }
+
+// Guards against a request that goes on crashing replicas because only routers that sent harmless
+// ones to the crashed replica have confirmed the crash.
+TEST_CASE_FIXTURE(CrashWatchFixture,
+                  "crashWatch_anotherRouterTellsTheCrash_brokenAttemptIsReported")
+{
+    const TimePoint crashedAt = loop.now();
+    SUBCASE("after the attempt broke")
+    {
+        breakAttempt("r1");
+        runUntil([this] { return !decisions.empty(); });
+        watch.crashTold("i-1", crashedAt);
+    }
+    SUBCASE("before the attempt broke")
+    {
+        watch.crashTold("i-1", crashedAt);
+        breakAttempt("r1");
+        runUntil([this] { return !decisions.empty(); });
+    }
+    watch.crashTold("i-1", crashedAt);
+    CHECK(decisions == std::vector<bool>{false});
+    CHECK(crashedRequests == std::vector<std::string>{"r1"});
+    CHECK((crashTimes == std::vector<TimePoint>{crashedAt}));
+    // This router has not found the crash itself.
+    CHECK(crashedReplicas.empty());
+}
+
+// Guards against blaming a request whose connection broke at another time, or that was sent to the
+// replica after its crash.
+TEST_CASE_FIXTURE(CrashWatchFixture, "crashWatch_toldCrashIsAnotherOne_attemptIsNotReported")
+{
+    SUBCASE("earlier")
+    {
+        breakAttempt("r1");
+        watch.crashTold("i-1", loop.now() - 400ms);
+    }
+    SUBCASE("later")
+    {
+        breakAttempt("r1");
+        runFor(400ms);
+        watch.crashTold("i-1", loop.now());
+    }
+    SUBCASE("shortly before the request was sent")
+    {
+        watch.crashTold("i-1", loop.now() - 50ms);
+        breakAttempt("r1");
+    }
+    SUBCASE("of another replica")
+    {
+        breakAttempt("r1");
+        watch.crashTold("i-2", loop.now());
+    }
+    runFor(300ms);
+    CHECK(crashedRequests.empty());
+}
