A told crash has the time of its earliest report

Reports of one crash arrive with delays of the messages and of busy routers, each of which makes the crash look younger. With the latest of them, requests that were sent to the replica after it had crashed counted as in progress.

--- a/src/Net/CrashWatch.cpp
+++ b/src/Net/CrashWatch.cpp
@@ -164,11 +164,15 @@
 {
     m_d->forgetOld();
     const TimePoint now = m_d->options.loop.now();
-    const auto [it, isNew] = m_d->told.try_emplace(replica, Refusal{crashedAt, now});
-    if (!isNew)
-        it->second = {std::max(it->second.since, crashedAt), now};
-    for (const AttemptPtr &broken : m_d->recentAttempts)
-        m_d->reportTold(*broken);
+    Refusal &crash = m_d->told.try_emplace(replica, Refusal{crashedAt, now}).first->second;
+    crash.foundAt = now;
+    // Messages that are delayed make the same crash look younger.
+    const bool isLater = crashedAt > crash.since + RequestQuarantine::CrashDetectionSpread;
+    crash.since = isLater ? crashedAt : std::min(crash.since, crashedAt);
+    for (const AttemptPtr &broken : m_d->recentAttempts) {
+        if (broken->attempt.replica == replica)
+            m_d->reportTold(*broken);
+    }
 }
 
 /// Reports an attempt that broke when another router found that its replica crashed.
--- a/test/CrashWatchTest.cpp
+++ b/test/CrashWatchTest.cpp
@@ -273,6 +273,12 @@
         watch.crashTold("i-1", loop.now() - 50ms);
         breakAttempt("r1");
     }
+    SUBCASE("shortly before the request was sent, and told again with a delay")
+    {
+        watch.crashTold("i-1", loop.now() - 50ms);
+        watch.crashTold("i-1", loop.now());
+        breakAttempt("r1");
+    }
     SUBCASE("of another replica")
     {
         breakAttempt("r1");
