--- a/test/RelayTest.cpp
+++ b/test/RelayTest.cpp
@@ -61,6 +61,16 @@
         REQUIRE(result);
     }
 
+    /// \returns what the other router answers about its path to the replica.
+    RelayClient::PathState ask()
+    {
+        std::optional<RelayClient::PathState> state;
+        relay.checkPath("svc", "i-1", [&](RelayClient::PathState it) { state = it; });
+        until([&] { return state.has_value(); });
+        REQUIRE(state);
+        return *state;
+    }
+
     /// \returns the failure that the relaying router reported for the last call.
     std::optional<RelayFailure> failure() const
     {
@@ -352,14 +362,6 @@
 // Guards against a router that announces the crash of a replica that others reach.
 TEST_CASE_FIXTURE(RelayFixture, "relay_otherRouterReachesReplica_crashIsNotConfirmed")
 {
-    std::optional<RelayClient::PathState> state;
-    const auto ask = [&] {
-        state.reset();
-        relay.checkPath("svc", "i-1", [&](RelayClient::PathState it) { state = it; });
-        until([&] { return state.has_value(); });
-        REQUIRE(state);
-        return *state;
-    };
     CHECK((ask() == RelayClient::PathState::Reached));
     record.address = "127.0.0.1:1";
     CHECK((ask() == RelayClient::PathState::Refused));
@@ -376,14 +378,6 @@
 {
     ClosingProxy proxy(loop);
     record.address = proxy.address();
-    std::optional<RelayClient::PathState> state;
-    const auto ask = [&] {
-        state.reset();
-        relay.checkPath("svc", "i-1", [&](RelayClient::PathState it) { state = it; });
-        until([&] { return state.has_value(); });
-        REQUIRE(state);
-        return *state;
-    };
     proxy.closeAfter(130ms);
     CHECK((ask() == RelayClient::PathState::Refused));
     proxy.closeAfter(Duration::max());
@@ -395,14 +389,6 @@
 TEST_CASE_FIXTURE(RelayFixture, "relay_refusedRouterIsAsked_crashNeedsWorkingPathsAndIsNew")
 {
     record.address = "127.0.0.1:1";
-    std::optional<RelayClient::PathState> state;
-    const auto ask = [&] {
-        state.reset();
-        relay.checkPath("svc", "i-1", [&](RelayClient::PathState it) { state = it; });
-        until([&] { return state.has_value(); });
-        REQUIRE(state);
-        return *state;
-    };
     CHECK((ask() == RelayClient::PathState::Refused));
     arePathsWorking = false;
     CHECK((ask() == RelayClient::PathState::Unknown));
