Log what keeps a suspect with many crashes from being held back

A suspect with ten crashes that is not quarantined left no line, so that missing completed runs, crashes joined to one incident and a full record could not be told apart.

--- a/src/Decide/RequestQuarantine.cpp
+++ b/src/Decide/RequestQuarantine.cpp
@@ -69,6 +69,9 @@
 /// doubt. Popular harmless requests share most of their crashes with other suspects.
 constexpr int MinOwnIncidents = 2;
 
+/// Shortest time between two log lines about the same suspect that is not held.
+constexpr Duration NotHeldLogInterval = 1s;
+
 /// Distinguishes the key of a prompt part from the fingerprint of a request.
 constexpr std::string_view PartPrefix = "part:";
 
@@ -144,7 +147,13 @@
     if (now < trialAllowedAt(entry) || now < entry.trialEndsAt)
         return describe(fingerprint, entry);
     entry.trialEndsAt = now + TrialTimeout;
-    Log::info("quarantine_trial", {{"fingerprint", fingerprint}});
+    Log::info("quarantine_trial",
+              {{"fingerprint", fingerprint},
+               {"is_doubtful", entry.doubtfulSince.has_value()},
+               {"crashes", entry.record.replicaCrashes().size()},
+               {"incidents", entry.incidents},
+               {"confirmed", entry.confirmedIncidents},
+               {"unexplained", entry.unexplainedIncidents}});
     return std::nullopt;
 }
 
@@ -226,11 +235,35 @@
         return;
     entry.trialEndsAt = TimePoint::min();
     update(entry);
+    logNotHeld(fingerprint, entry);
     scheduleAnnouncement(entry, true);
     if (m_options.announceNow)
         m_options.announceNow();
 }
 
+/// Logs what is missing to hold back a suspect with many crashes.
+void RequestQuarantine::logNotHeld(const std::string &fingerprint, Entry &entry) const
+{
+    const TimePoint now = m_options.clock.now();
+    const std::size_t n = entry.record.replicaCrashes().size();
+    const bool isRecent = entry.notHeldLoggedAt != TimePoint::min()
+            && now - entry.notHeldLoggedAt < NotHeldLogInterval;
+    if (entry.isHeld || n < MinIncidents || isRecent)
+        return;
+    entry.notHeldLoggedAt = now;
+    const bool isSuspectPart = isPart(fingerprint);
+    Log::info("suspect_not_quarantined",
+              {{"fingerprint", fingerprint},
+               {"crashes", n},
+               {"is_full", n == CrashRecord::MaxCrashes},
+               {"incidents", entry.incidents},
+               {"confirmed", entry.confirmedIncidents},
+               {"unexplained", entry.unexplainedIncidents},
+               {"tied_parts", entry.tiedParts.size()},
+               {"is_part", isSuspectPart},
+               {"other_completed", isSuspectPart && hasClearedOther(fingerprint, entry)}});
+}
+
 void RequestQuarantine::completed(Suspects suspects)
 {
     for (const std::string &it : suspects)
@@ -380,7 +413,7 @@
         Entry &entry = it->second;
         countIncidents(entry);
         const bool isDistinct = entry.isHeld || entry.isHeldElsewhere || !entry.tiedParts.empty()
-                || hasClearedOther(*it);
+                || hasClearedOther(it->first, entry);
         const bool isProven = entry.unexplainedIncidents >= MinIncidents && isDistinct;
         setState(*it, isProven ? Finding::Proven : Finding::Unproven);
     }
@@ -430,14 +463,13 @@
 }
 
 /// \returns whether another part in requests to the same service was cleared after the first crash
-/// of \a suspect.
-bool RequestQuarantine::hasClearedOther(const Records::value_type &suspect) const
+/// of \a part.
+bool RequestQuarantine::hasClearedOther(std::string_view part, const Entry &entry) const
 {
-    const std::span<const ReplicaCrash> crashes = suspect.second.record.replicaCrashes();
-    const std::string_view service =
-            std::string_view(suspect.first).substr(0, suspect.first.rfind(':') + 1);
+    const std::span<const ReplicaCrash> crashes = entry.record.replicaCrashes();
+    const std::string_view service = part.substr(0, part.rfind(':') + 1);
     return !crashes.empty() && std::any_of(m_records.begin(), m_records.end(), [&](const auto &it) {
-        return &it != &suspect && it.first.starts_with(service)
+        return &it.second != &entry && it.first.starts_with(service)
                 && it.second.record.clearedAt() > crashes.front().at;
     });
 }
--- a/src/Decide/RequestQuarantine.h
+++ b/src/Decide/RequestQuarantine.h
@@ -241,6 +241,7 @@
         double trialPosition = 0; ///< Random share of the maximum trial delay, from 0 to 1.
         std::optional<TimePoint> softwareGoneAt = {}; ///< Since when no replica runs that software.
         TimePoint trialEndsAt = TimePoint::min(); ///< When the running trial times out.
+        TimePoint notHeldLoggedAt = TimePoint::min(); ///< \sa logNotHeld()
     };
     using Records = std::unordered_map<std::string, Entry>;
 
@@ -270,7 +271,8 @@
     void setState(Records::value_type &suspect, Finding finding);
     std::vector<std::string> partsTiedWith(const Records::value_type &suspect,
                                            std::span<Records::value_type *const> suspects) const;
-    bool hasClearedOther(const Records::value_type &suspect) const;
+    bool hasClearedOther(std::string_view part, const Entry &entry) const;
+    void logNotHeld(const std::string &fingerprint, Entry &entry) const;
     bool isTied(const Entry &entry, std::span<Records::value_type *const> suspects) const;
     int ownIncidents(const Entry &entry, std::span<Records::value_type *const> suspects) const;
     void setHeld(const std::string &fingerprint, Entry &entry, bool held);
--- a/src/Net/CrashWatch.cpp
+++ b/src/Net/CrashWatch.cpp
@@ -342,7 +342,8 @@
                {"fingerprint", fmt::format("{}", fmt::join(suspects.first(requests), " "))},
                {"prompt_parts", fmt::format("{}", fmt::join(suspects.subspan(requests), " "))},
                {"replica", attempt.replica},
-               {"software", attempt.software}});
+               {"software", attempt.software},
+               {"ran_ms", (crashedAt - attempt.sentAt) / std::chrono::milliseconds(1)}});
     options.attemptCrashed(attempt, crashedAt);
 }
 
