--- a/src/Decide/RequestQuarantine.h
+++ b/src/Decide/RequestQuarantine.h
@@ -109,6 +109,8 @@
         std::string replica = {}; ///< Incarnation of the replica.
         std::string software = {}; ///< That it ran.
         TimePoint at = {};
+        /// When the request was sent to the replica; TimePoint::min(): not known.
+        TimePoint sentAt = TimePoint::min();
         /// When the replica was last known to run; after an earlier crash it has restarted.
         TimePoint provenAt = TimePoint::min();
         bool isConfirmed = true; ///< \sa ReplicaCrash::isConfirmed
--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -500,6 +500,7 @@
                               {.replica = attempt.replica,
                                .software = attempt.software,
                                .at = at,
+                               .sentAt = attempt.sentAt,
                                .provenAt = attempt.provenAt,
                                .isConfirmed = isConfirmed});
 }
--- a/standin/fleet/EntryFleet.cpp
+++ b/standin/fleet/EntryFleet.cpp
@@ -129,7 +129,7 @@
         command.push_back(fmt::format("--replica_slots={}", capacity->slots));
         command.push_back(fmt::format("--replica_queue={}", capacity->queue));
     } else {
-        command.emplace_back("--service_ms=5");
+        command.push_back(fmt::format("--service_ms={}", toSeconds(m_options.serviceTime) * 1000));
     }
     command.emplace_back("replica");
     it.process = spawn(std::move(command), it.id);
--- a/standin/fleet/EntryFleet.h
+++ b/standin/fleet/EntryFleet.h
@@ -42,6 +42,8 @@
         std::size_t domains = 1; ///< Failure domains; replicas are assigned to them in turn.
         std::string extraSettings = {}; ///< Additional lines of each router's settings.
         std::optional<Capacity> capacity = {}; ///< Of each replica; none: not limited.
+        /// Time of a call, and until a replica crashes under a fatal request, without a capacity.
+        Duration serviceTime = std::chrono::milliseconds(5);
     };
 
     explicit EntryFleet(Options options);
--- a/test/RequestQuarantineTest.cpp
+++ b/test/RequestQuarantineTest.cpp
@@ -70,6 +70,20 @@
             routers[i]->replicaCrashed(it, replica, software, clock.now());
     }
 
+    /// Router \a i sends \a request to a replica, which crashes \a runTime later.
+    void runAndCrash(std::size_t i, const std::string &request, Duration runTime,
+                     bool isConfirmed = true)
+    {
+        const TimePoint sentAt = clock.now();
+        clock.advance(runTime);
+        routers[i]->replicaCrashed({&request, 1},
+                                   {.replica = fmt::format("i-{}", ++crashedCount),
+                                    .software = Old.front(),
+                                    .at = clock.now(),
+                                    .sentAt = sentAt,
+                                    .isConfirmed = isConfirmed});
+    }
+
     /// Router \a i loses the connections to \a replica, which ran \a request and was known to run
     /// at \a provenAt.
     void lose(std::size_t i, const std::string &request, const std::string &replica,
@@ -403,6 +417,26 @@
     CHECK(heldWith({System, Other}) == 0);
 }
 
+// Guards against holding back a harmless part of some deadly requests: a crash that the full record
+// of the deadly part has no room for looks like one without it.
+TEST_CASE_FIXTURE(PromptPartFixture, "requestQuarantine_deadlyPartHasAFullRecord_otherPartIsServed")
+{
+    for (std::size_t i = 0; i < 8; ++i) {
+        const std::string replica = fmt::format("i-{}", ++crashedCount);
+        routers[0]->replicaCrashed(i < 4 ? request({System, Deadly})
+                                         : request({System, Deadly, Other}),
+                                   replica, Old.front(), clock.now());
+    }
+    for (std::size_t i = 0; i < 3; ++i) {
+        exchangeUpdates();
+        clock.advance(1s);
+        complete(3, {System});
+        crashUnder(i, {request({System, Deadly, Other})});
+    }
+    CHECK(heldWith({System, Deadly}) == 4);
+    CHECK(heldWith({System, Other}) == 0);
+}
+
 TEST_CASE_FIXTURE(PromptPartFixture, "requestQuarantine_heldPartCompletes_isReleased")
 {
     for (std::size_t i = 0; i < 3; ++i) {
@@ -622,6 +656,87 @@
         CHECK(RequestQuarantine::incarnationOf(it) == "i-1");
 }
 
+// Guards against a fatal request that is held back late or never, because replicas that crash
+// within moments of each other count as one incident although each run began after the crash before
+// it.
+TEST_CASE_FIXTURE(QuarantineFleetFixture,
+                  "requestQuarantine_replicasCrashOneAfterTheOther_isHeldAfterThree")
+{
+    for (std::size_t i = 0; i < 3; ++i) {
+        CHECK(heldBy(Fatal) == 0);
+        runAndCrash(i, Fatal, 20ms);
+        exchangeUpdates();
+        clock.advance(50ms);
+    }
+    clock.advance(200ms);
+    CHECK(heldBy(Fatal) == 4);
+}
+
+// Guards against holding back a request that runs on many replicas when a rack is lost.
+TEST_CASE_FIXTURE(QuarantineFleetFixture, "requestQuarantine_runsBeganBeforeARackIsLost_isNotHeld")
+{
+    const TimePoint sentAt = clock.now();
+    clock.advance(100ms);
+    for (std::size_t i = 0; i < 6; ++i) {
+        routers[i % 4]->replicaCrashed({&Innocent, 1},
+                                       {.replica = fmt::format("i-{}", i),
+                                        .software = Old.front(),
+                                        .at = clock.now(),
+                                        .sentAt = sentAt + Duration(i * 10ms)});
+        exchangeUpdates();
+        clock.advance(60ms);
+    }
+    clock.advance(200ms);
+    CHECK(heldBy(Innocent) == 0);
+    CHECK(routers[0]->suspicion(Innocent) == 1);
+}
+
+// Guards against a fatal request that is never held back because the first incident fills its
+// record, so that later crashes don't count.
+TEST_CASE_FIXTURE(QuarantineFleetFixture,
+                  "requestQuarantine_firstIncidentFillsTheRecord_laterCrashesCount")
+{
+    for (int i = 0; i < 8; ++i)
+        crash(0, {Fatal});
+    for (std::size_t i = 1; i < 3; ++i) {
+        exchangeUpdates();
+        clock.advance(1s);
+        CHECK(heldBy(Fatal) == 0);
+        crash(i, {Fatal});
+    }
+    exchangeUpdates();
+    clock.advance(300ms);
+    CHECK(heldBy(Fatal) == 4);
+}
+
+// Guards against trials that crash one replica after the other: a request that is held in doubt is
+// tried within seconds, and a failed trial must end the doubt at all routers.
+TEST_CASE_FIXTURE(QuarantineFleetFixture,
+                  "requestQuarantine_trialsCrashReplicas_theyAreFewOverTheFleet")
+{
+    constexpr int MaxTrialsInAnHour = 4;
+    for (int i = 0; i < 9; ++i) {
+        runAndCrash(static_cast<std::size_t>(i) % 4, Fatal, 20ms, false);
+        exchangeUpdates();
+        clock.advance(100ms);
+    }
+    REQUIRE(heldBy(Fatal) >= 3); // The first trial may be due already.
+    int trials = 0;
+    const TimePoint until = clock.now() + 1h;
+    while (clock.now() < until) {
+        for (std::size_t k = 0; k < routers.size(); ++k) {
+            if (routers[k]->admit(Fatal, Old))
+                continue;
+            ++trials;
+            runAndCrash(k, Fatal, 20ms);
+            exchangeUpdates();
+        }
+        clock.advance(500ms);
+    }
+    CHECK(trials >= 1);
+    CHECK(trials <= MaxTrialsInAnHour);
+}
+
 // Guards against several crashes counted for requests that are sent to one crashed replica.
 TEST_CASE_FIXTURE(QuarantineFleetFixture, "requestQuarantine_replicaStaysDown_itsCrashCountsOnce")
 {
--- a/test/integration/PromptPartTest.cpp
+++ b/test/integration/PromptPartTest.cpp
@@ -32,17 +32,32 @@
         Never,
     };
 
+    static constexpr const char *FirstPart = "5c1e07a2:800";
+    static constexpr const char *SecondPart = ",aa1:60";
+
     struct Play
     {
         Duration length = 15s;
         Duration soundFrom = 0s; ///< When callers start to send sound requests.
         /// When all routers are killed and started again, in ascending order.
         std::vector<Duration> killedAt = {};
-        std::size_t fatalCallers = 1; ///< Each sends a fatal request every 160 ms.
+        std::size_t fatalCallers = 1;
+        Duration fatalPause = 160ms; ///< Of each caller, after the answer to a fatal request.
+        /// Half of the fatal requests and a third of the sound ones share a second harmless part.
+        bool isSecondPartShared = false;
         Return crashedReplicas = Return::NewId; ///< How they return, two seconds after the crash.
     };
 
-    PromptPartFixture() { fleet.start(); }
+    PromptPartFixture() : PromptPartFixture(5ms) { }
+
+    explicit PromptPartFixture(Duration serviceTime)
+        : fleet({.binaries = CATKINLOFT_BINARIES,
+                 .routers = 4,
+                 .replicas = 12,
+                 .serviceTime = serviceTime})
+    {
+        fleet.start();
+    }
 
     bool isServed(std::size_t n, const std::string &prefix, const std::string &parts)
     {
@@ -92,10 +107,12 @@
             callers.emplace_back([&, i] {
                 for (std::size_t n = i; std::chrono::steady_clock::now() < until;
                      n += it.fatalCallers) {
+                    const bool hasSecond = it.isSecondPartShared && n % 2 == 0;
                     isServed(n, "fatal-",
-                             fmt::format("5c1e07a2:800,{}:300,{:x}:50", standin::FatalPart,
+                             fmt::format("{}{},{}:300,{:x}:50", FirstPart,
+                                         hasSecond ? SecondPart : "", standin::FatalPart,
                                          0x20000 + n));
-                    std::this_thread::sleep_for(160ms);
+                    std::this_thread::sleep_for(it.fatalPause);
                 }
             });
         }
@@ -104,8 +121,11 @@
                 std::this_thread::sleep_for(it.soundFrom);
                 for (std::size_t n = i; std::chrono::steady_clock::now() < until; n += 2) {
                     const bool isLate = std::chrono::steady_clock::now() > start + 10s;
-                    const bool served = isServed(
-                            n, "sound-", fmt::format("5c1e07a2:800,{:x}:90", 0x30000 + n % 7));
+                    const bool hasSecond = it.isSecondPartShared && n % 3 == 0;
+                    const bool served =
+                            isServed(n, "sound-",
+                                     fmt::format("{}{},{:x}:90", FirstPart,
+                                                 hasSecond ? SecondPart : "", 0x30000 + n % 7));
                     sound += isLate ? 1 : 0;
                     soundServed += isLate && served ? 1 : 0;
                     std::this_thread::sleep_for(100ms);
@@ -156,11 +176,17 @@
         CHECK(2 * soundServed >= sound);
     }
 
-    EntryFleet fleet{{.binaries = CATKINLOFT_BINARIES, .routers = 4, .replicas = 12}};
+    EntryFleet fleet;
     std::atomic<int> sound = 0; ///< Sound requests later than twice StableWindow after the crashes.
     std::atomic<int> soundServed = 0;
 };
 
+/// Replicas crash some time after they have received a fatal request.
+struct SlowCrashFixture : PromptPartFixture
+{
+    SlowCrashFixture() : PromptPartFixture(50ms) { }
+};
+
 } // namespace
 
 // Guards against a part of prompts that crashes one replica after the other, because no two
@@ -206,3 +232,14 @@
     play({.crashedReplicas = Return::SameId});
     requireHeld();
 }
+
+// Guards against a fatal part that is never held: replicas that crash one after the other under
+// different requests count as one incident, and sound requests share parts with the fatal ones.
+TEST_CASE_FIXTURE(SlowCrashFixture, "fleet_fatalPartSharesPartsWithSoundRequests_isHeld")
+{
+    // Three crashes, and the requests that are sent until all routers hold the part.
+    constexpr std::size_t MaxCrashes = 8;
+    play({.fatalPause = 20ms, .isSecondPartShared = true, .crashedReplicas = Return::SameId});
+    requireHeld();
+    CHECK(fatalRuns().size() <= MaxCrashes);
+}
