Incidents are told apart by when the crashed runs began

Callers saw: eight crashes under six different requests, 70 to 100 ms apart, are two incidents, so that the request is held back late or, with a full record, never. Cause: crashes that follow each other within 100 ms were one incident, whatever ran. What joins them is meant for one cause that ends several replicas at once, and such a cause ends runs that are in progress. Now a run that began after the first crash of an incident belongs to another one. Routers tell how long each crashed run took, which is the same at any clock; the store keeps it. Programs without the field join crashes by time as before. A fourth incident puts a hold into force before the updates of a third one had time to arrive.

--- a/src/Control/QuarantineRow.cpp
+++ b/src/Control/QuarantineRow.cpp
@@ -30,6 +30,16 @@
                                 .isConfirmed = it.size() == CrashFields};
 }
 
+/// Reads what programs that don't know it ignore, in the order of the crashes.
+void readRunTimes(const Json::Value &list, std::vector<QuarantineRow::Crash> &crashes)
+{
+    for (Json::ArrayIndex i = 0; list.isArray() && i < list.size() && i < crashes.size(); ++i) {
+        const Json::Value &it = list[i];
+        if (it.isInt64() && it.asInt64() >= 0 && it.asInt64() <= MaxTimeMs)
+            crashes[i].runTime = std::chrono::milliseconds(it.asInt64());
+    }
+}
+
 } // namespace
 
 QuarantineRow QuarantineRow::of(const CrashUpdate &record, WallTime now)
@@ -40,6 +50,7 @@
                 {.replica = it.replica,
                  .software = it.software,
                  .at = now - std::chrono::duration_cast<std::chrono::milliseconds>(it.age),
+                 .runTime = it.runTime,
                  .isConfirmed = it.isConfirmed});
     return out;
 }
@@ -51,6 +62,7 @@
         out.replicaCrashes.push_back({.replica = it.replica,
                                       .software = it.software,
                                       .age = std::max<Duration>(Duration::zero(), now - it.at),
+                                      .runTime = it.runTime,
                                       .isConfirmed = it.isConfirmed});
     return out;
 }
@@ -78,6 +90,9 @@
         if (!it.isConfirmed)
             item.append(0);
         out["crashes"].append(item);
+        const bool isKnown = it.runTime != ReplicaCrash::UnknownRunTime;
+        out["run_ms"].append(isKnown ? static_cast<Json::Int64>(it.runTime / 1ms)
+                                     : Json::Int64(-1));
     }
     return printJson(out);
 }
@@ -95,6 +110,7 @@
             return std::nullopt;
         out.crashes.push_back(*crash);
     }
+    readRunTimes(root.value()["run_ms"], out.crashes);
     return out;
 }
 
--- a/src/Control/QuarantineRow.h
+++ b/src/Control/QuarantineRow.h
@@ -19,6 +19,7 @@
         std::string replica = {}; ///< Incarnation of the replica.
         std::string software = {}; ///< \sa ReplicaRecord::software
         WallTime at = {};
+        Duration runTime = ReplicaCrash::UnknownRunTime; ///< \sa ReplicaCrash::runTime
         bool isConfirmed = true; ///< \sa ReplicaCrash::isConfirmed
     };
 
@@ -32,7 +33,8 @@
     /// \returns the row as an update, with its ages at \a now.
     CrashUpdate toUpdate(WallTime now) const;
 
-    /// \returns whether \a other has the same crashes. Routers observe them at different times.
+    /// \returns whether \a other has the same crashes. Routers observe them at different times, and
+    /// their run times differ with that.
     bool hasSameEvidence(const QuarantineRow &other) const;
 
     /// \returns the value of the row in the store; the key is \a fingerprint.
--- a/src/Control/RouterHeartbeat.cpp
+++ b/src/Control/RouterHeartbeat.cpp
@@ -60,6 +60,32 @@
     return out;
 }
 
+Json::Value runTimeToJson(Duration runTime)
+{
+    return runTime == ReplicaCrash::UnknownRunTime ? Json::Value() : ageToJson(runTime);
+}
+
+/// Adds what programs that don't know it ignore, in the order of the crashes.
+void addRunTimes(Json::Value &root, const std::vector<CrashUpdate> &crashes)
+{
+    for (const CrashUpdate &it : crashes) {
+        Json::Value runTimes(Json::arrayValue);
+        for (const CrashUpdate::Crash &crash : it.replicaCrashes)
+            runTimes.append(runTimeToJson(crash.runTime));
+        root["xr"].append(runTimes);
+    }
+}
+
+void readRunTimes(const Json::Value &root, std::vector<CrashUpdate> &crashes)
+{
+    for (Json::ArrayIndex i = 0; i < root["xr"].size() && i < crashes.size(); ++i) {
+        const Json::Value &runTimes = root["xr"][i];
+        std::vector<CrashUpdate::Crash> &of = crashes[i].replicaCrashes;
+        for (Json::ArrayIndex k = 0; k < runTimes.size() && k < of.size(); ++k)
+            of[k].runTime = ageOf(runTimes[k]);
+    }
+}
+
 Json::Value brittleToJson(const BrittleService &it)
 {
     Json::Value out(Json::arrayValue);
@@ -126,6 +152,7 @@
         if (const auto i = it.asUInt(); i < out.crashes.size())
             out.crashes[i].isHeld = true;
     }
+    readRunTimes(root, out.crashes);
     for (const Json::Value &it : root["br"])
         out.brittle.push_back(brittleFromJson(it));
     return out;
@@ -212,6 +239,7 @@
         if (heartbeat.crashes[i].isHeld)
             root["xh"].append(static_cast<Json::UInt>(i)); // Older programs ignore it.
     }
+    addRunTimes(root, heartbeat.crashes);
     for (const BrittleService &it : heartbeat.brittle)
         root["br"].append(brittleToJson(it));
     return internal::encodeNotification(Method, root);
--- a/src/Decide/CrashRecord.cpp
+++ b/src/Decide/CrashRecord.cpp
@@ -6,6 +6,20 @@
 
 namespace catkinloft {
 
+TimePoint ReplicaCrash::sentAt() const
+{
+    return runTime == UnknownRunTime ? TimePoint::min() : at - runTime;
+}
+
+bool ReplicaCrash::merge(const ReplicaCrash &other)
+{
+    const auto known = [](const ReplicaCrash &it) { return std::pair(it.runTime, it.isConfirmed); };
+    const auto before = known(*this);
+    runTime = std::max(runTime, other.runTime);
+    isConfirmed = isConfirmed || other.isConfirmed;
+    return known(*this) != before;
+}
+
 bool CrashRecord::add(const ReplicaCrash &crash)
 {
     if (crash.at <= m_clearedAt)
@@ -13,11 +27,8 @@
     const auto known =
             std::find_if(m_crashes.begin(), m_crashes.end(),
                          [&](const ReplicaCrash &it) { return it.replica == crash.replica; });
-    if (known != m_crashes.end()) {
-        const bool wasConfirmed =
-                std::exchange(known->isConfirmed, known->isConfirmed || crash.isConfirmed);
-        return wasConfirmed != known->isConfirmed;
-    }
+    if (known != m_crashes.end())
+        return known->merge(crash);
     const auto before = [](const ReplicaCrash &a, const ReplicaCrash &b) { return a.at < b.at; };
     m_crashes.insert(std::upper_bound(m_crashes.begin(), m_crashes.end(), crash, before), crash);
     if (m_crashes.size() <= MaxCrashes)
@@ -77,7 +88,8 @@
     for (const ReplicaCrash &it : m_crashes) {
         if (!counts(it))
             continue;
-        const bool same = n > 0 && it.at - last < IncidentGap && it.at - began < MaxIncidentTime;
+        const bool same = n > 0 && it.at - last < IncidentGap && it.at - began < MaxIncidentTime
+                && it.sentAt() <= began + TimeTolerance;
         last = it.at;
         if (same)
             continue;
--- a/src/Decide/CrashRecord.h
+++ b/src/Decide/CrashRecord.h
@@ -16,9 +16,20 @@
     std::string replica = {}; ///< Incarnation of the replica. \sa RequestQuarantine::crashName()
     std::string software = {}; ///< \sa ReplicaRecord::software
     TimePoint at = {};
+    /// Time since the request was sent to the replica, the longest if it was sent several times.
+    Duration runTime = UnknownRunTime;
     /// Whether a router that reaches other replicas has observed it. Otherwise the paths to the
     /// replica may have been lost. \sa CrashEvidence
     bool isConfirmed = true;
+
+    static constexpr Duration UnknownRunTime = Duration::max();
+
+    /// \returns when the request was sent; TimePoint::min() if that is not known.
+    TimePoint sentAt() const;
+
+    /// \brief Adds what \a other, a report of the same crash, knows more.
+    /// \returns whether this changed.
+    bool merge(const ReplicaCrash &other);
 };
 
 /// \brief The replicas that crashed while they ran one request, after its last completed run.
@@ -41,7 +52,10 @@
     /// would crash replicas in close succession and count as a single incident.
     static constexpr Duration MaxIncidentTime = std::chrono::milliseconds(500);
 
-    /// \brief Adds \a crash, or confirms it if it is known without a confirmation.
+    /// Inaccuracy of the times in updates, which have whole milliseconds.
+    static constexpr Duration TimeTolerance = std::chrono::milliseconds(2);
+
+    /// \brief Adds \a crash, or what it tells more of a known one.
     /// \returns whether the record changed.
     bool add(const ReplicaCrash &crash);
 
@@ -54,6 +68,10 @@
     bool merge(const CrashRecord &other);
 
     /// \returns the number of incidents among the crashes for which \a counts returns true.
+    ///
+    /// A single cause, such as the loss of a rack, ends runs that are in progress. A run that began
+    /// after the first crash of an incident therefore belongs to another one, however soon its
+    /// replica crashed.
     int incidents(const std::function<bool(const ReplicaCrash &)> &counts) const;
 
     /// \returns whether the record contains a crash of \a replica.
--- a/src/Decide/RequestQuarantine.cpp
+++ b/src/Decide/RequestQuarantine.cpp
@@ -142,7 +142,8 @@
         entry.softwareGoneAt.reset();
     else if (!entry.softwareGoneAt)
         entry.softwareGoneAt = now;
-    if (now < settledAt(entry))
+    // A further incident while the updates arrive settles it as well.
+    if (entry.incidents <= MinIncidents && now < settledAt(entry))
         return std::nullopt;
     if (now < trialAllowedAt(entry) || now < entry.trialEndsAt)
         return describe(fingerprint, entry);
@@ -197,10 +198,14 @@
 
 void RequestQuarantine::replicaCrashed(Suspects suspects, const CrashReport &report)
 {
-    const ReplicaCrash crash{.replica = crashName(report.replica, report.provenAt),
-                             .software = report.software,
-                             .at = report.at,
-                             .isConfirmed = report.isConfirmed};
+    ReplicaCrash crash{.replica = crashName(report.replica, report.provenAt),
+                       .software = report.software,
+                       .at = report.at,
+                       .isConfirmed = report.isConfirmed};
+    // Routers exchange whole milliseconds, and the longest run time must not grow by rounding.
+    if (report.sentAt != TimePoint::min())
+        crash.runTime =
+                std::chrono::floor<std::chrono::milliseconds>(ageAt(report.at, report.sentAt));
     for (const std::string &it : suspects)
         recordCrash(it, crash);
 }
@@ -608,6 +613,7 @@
             out.add({.replica = it.replica,
                      .software = it.software,
                      .at = now - it.age,
+                     .runTime = it.runTime,
                      .isConfirmed = it.isConfirmed});
     }
     return out;
@@ -685,6 +691,7 @@
         out.replicaCrashes.push_back({.replica = it.replica,
                                       .software = it.software,
                                       .age = ageAt(now, it.at),
+                                      .runTime = it.runTime,
                                       .isConfirmed = it.isConfirmed});
     return out;
 }
--- a/src/Decide/RequestQuarantine.h
+++ b/src/Decide/RequestQuarantine.h
@@ -26,6 +26,7 @@
         std::string replica = {}; ///< Incarnation of the replica.
         std::string software = {}; ///< \sa ReplicaRecord::software
         Duration age = Duration::zero();
+        Duration runTime = ReplicaCrash::UnknownRunTime; ///< \sa ReplicaCrash::runTime
         bool isConfirmed = true; ///< \sa ReplicaCrash::isConfirmed
     };
 
