A failed trial ends the doubt at all routers, and trials run one at a time

Callers saw (the users' developers, real processes): a part that is held at all routers crashes ten replicas in ten seconds, one for each trial of one router. Cause: a request held in doubt is tried some seconds after its last crash, with a delay that is drawn once, so that the same router tries again and again. The crash of a trial counted as any other one, though nothing else like it ran. Now a confirmed crash of a run that was sent as a trial, unless another held request explains it, proves the request: the doubt ends, and routers tell each other which crashes were those of trials; the store keeps it. A router announces a trial when it begins, and the others wait for its outcome.

--- a/src/Control/QuarantineRow.cpp
+++ b/src/Control/QuarantineRow.cpp
@@ -30,13 +30,20 @@
                                 .isConfirmed = it.size() == CrashFields};
 }
 
-/// Reads what programs that don't know it ignore, in the order of the crashes.
-void readRunTimes(const Json::Value &list, std::vector<QuarantineRow::Crash> &crashes)
+/// Reads what programs that don't know it ignore, as arrays in the order of the crashes.
+void readRuns(const Json::Value &root, std::vector<QuarantineRow::Crash> &crashes)
 {
-    for (Json::ArrayIndex i = 0; list.isArray() && i < list.size() && i < crashes.size(); ++i) {
-        const Json::Value &it = list[i];
-        if (it.isInt64() && it.asInt64() >= 0 && it.asInt64() <= MaxTimeMs)
-            crashes[i].runTime = std::chrono::milliseconds(it.asInt64());
+    const Json::Value &runTimes = root["run_ms"];
+    const Json::Value &trials = root["trials"];
+    const auto at = [](const Json::Value &list, Json::ArrayIndex i) {
+        return list.isArray() && i < list.size() ? list[i] : Json::Value();
+    };
+    for (Json::ArrayIndex i = 0; i < crashes.size(); ++i) {
+        const Json::Value runTime = at(runTimes, i);
+        if (runTime.isInt64() && runTime.asInt64() >= 0 && runTime.asInt64() <= MaxTimeMs)
+            crashes[i].runTime = std::chrono::milliseconds(runTime.asInt64());
+        const Json::Value isTrial = at(trials, i);
+        crashes[i].isTrial = isTrial.isBool() && isTrial.asBool();
     }
 }
 
@@ -51,7 +58,8 @@
                  .software = it.software,
                  .at = now - std::chrono::duration_cast<std::chrono::milliseconds>(it.age),
                  .runTime = it.runTime,
-                 .isConfirmed = it.isConfirmed});
+                 .isConfirmed = it.isConfirmed,
+                 .isTrial = it.isTrial});
     return out;
 }
 
@@ -63,7 +71,8 @@
                                       .software = it.software,
                                       .age = std::max<Duration>(Duration::zero(), now - it.at),
                                       .runTime = it.runTime,
-                                      .isConfirmed = it.isConfirmed});
+                                      .isConfirmed = it.isConfirmed,
+                                      .isTrial = it.isTrial});
     return out;
 }
 
@@ -73,7 +82,8 @@
             && std::is_permutation(crashes.begin(), crashes.end(), other.crashes.begin(),
                                    other.crashes.end(), [](const Crash &a, const Crash &b) {
                                        return a.replica == b.replica
-                                               && a.isConfirmed == b.isConfirmed;
+                                               && a.isConfirmed == b.isConfirmed
+                                               && a.isTrial == b.isTrial;
                                    });
 }
 
@@ -93,6 +103,7 @@
         const bool isKnown = it.runTime != ReplicaCrash::UnknownRunTime;
         out["run_ms"].append(isKnown ? static_cast<Json::Int64>(it.runTime / 1ms)
                                      : Json::Int64(-1));
+        out["trials"].append(it.isTrial);
     }
     return printJson(out);
 }
@@ -110,7 +121,7 @@
             return std::nullopt;
         out.crashes.push_back(*crash);
     }
-    readRunTimes(root.value()["run_ms"], out.crashes);
+    readRuns(root.value(), out.crashes);
     return out;
 }
 
--- a/src/Control/QuarantineRow.h
+++ b/src/Control/QuarantineRow.h
@@ -21,6 +21,7 @@
         WallTime at = {};
         Duration runTime = ReplicaCrash::UnknownRunTime; ///< \sa ReplicaCrash::runTime
         bool isConfirmed = true; ///< \sa ReplicaCrash::isConfirmed
+        bool isTrial = false; ///< \sa ReplicaCrash::isTrial
     };
 
     std::string fingerprint = {}; ///< \sa CrashUpdate::fingerprint
--- a/src/Control/RouterHeartbeat.cpp
+++ b/src/Control/RouterHeartbeat.cpp
@@ -65,18 +65,33 @@
     return runTime == ReplicaCrash::UnknownRunTime ? Json::Value() : ageToJson(runTime);
 }
 
-/// Adds what programs that don't know it ignore, in the order of the crashes.
-void addRunTimes(Json::Value &root, const std::vector<CrashUpdate> &crashes)
+/// Adds what programs that don't know it ignore: the run times of the crashes and which of them
+/// ended trials, as arrays in the order of the crashes.
+void addRunsToJson(Json::Value &root, const std::vector<CrashUpdate> &crashes)
 {
-    for (const CrashUpdate &it : crashes) {
+    for (Json::ArrayIndex i = 0; i < crashes.size(); ++i) {
+        const CrashUpdate &it = crashes[i];
         Json::Value runTimes(Json::arrayValue);
-        for (const CrashUpdate::Crash &crash : it.replicaCrashes)
-            runTimes.append(runTimeToJson(crash.runTime));
+        for (Json::ArrayIndex k = 0; k < it.replicaCrashes.size(); ++k) {
+            runTimes.append(runTimeToJson(it.replicaCrashes[k].runTime));
+            if (it.replicaCrashes[k].isTrial) {
+                Json::Value position(Json::arrayValue);
+                position.append(i);
+                position.append(k);
+                root["xt"].append(position);
+            }
+        }
         root["xr"].append(runTimes);
+        if (it.trialAge) {
+            Json::Value trial(Json::arrayValue);
+            trial.append(i);
+            trial.append(ageToJson(*it.trialAge));
+            root["xa"].append(trial);
+        }
     }
 }
 
-void readRunTimes(const Json::Value &root, std::vector<CrashUpdate> &crashes)
+void readRuns(const Json::Value &root, std::vector<CrashUpdate> &crashes)
 {
     for (Json::ArrayIndex i = 0; i < root["xr"].size() && i < crashes.size(); ++i) {
         const Json::Value &runTimes = root["xr"][i];
@@ -84,6 +99,17 @@
         for (Json::ArrayIndex k = 0; k < runTimes.size() && k < of.size(); ++k)
             of[k].runTime = ageOf(runTimes[k]);
     }
+    for (const Json::Value &it : root["xt"]) {
+        const Json::ArrayIndex i = it[0U].asUInt();
+        const Json::ArrayIndex k = it[1U].asUInt();
+        if (i < crashes.size() && k < crashes[i].replicaCrashes.size())
+            crashes[i].replicaCrashes[k].isTrial = true;
+    }
+    for (const Json::Value &it : root["xa"]) {
+        const Json::ArrayIndex i = it[0U].asUInt();
+        if (const Duration age = ageOf(it[1U]); i < crashes.size() && age != Duration::max())
+            crashes[i].trialAge = age;
+    }
 }
 
 Json::Value brittleToJson(const BrittleService &it)
@@ -152,7 +178,7 @@
         if (const auto i = it.asUInt(); i < out.crashes.size())
             out.crashes[i].isHeld = true;
     }
-    readRunTimes(root, out.crashes);
+    readRuns(root, out.crashes);
     for (const Json::Value &it : root["br"])
         out.brittle.push_back(brittleFromJson(it));
     return out;
@@ -239,7 +265,7 @@
         if (heartbeat.crashes[i].isHeld)
             root["xh"].append(static_cast<Json::UInt>(i)); // Older programs ignore it.
     }
-    addRunTimes(root, heartbeat.crashes);
+    addRunsToJson(root, heartbeat.crashes);
     for (const BrittleService &it : heartbeat.brittle)
         root["br"].append(brittleToJson(it));
     return internal::encodeNotification(Method, root);
--- a/src/Decide/CrashRecord.cpp
+++ b/src/Decide/CrashRecord.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <tuple>
 #include <utility>
 
 namespace catkinloft {
@@ -13,10 +14,13 @@
 
 bool ReplicaCrash::merge(const ReplicaCrash &other)
 {
-    const auto known = [](const ReplicaCrash &it) { return std::pair(it.runTime, it.isConfirmed); };
+    const auto known = [](const ReplicaCrash &it) {
+        return std::tuple(it.runTime, it.isConfirmed, it.isTrial);
+    };
     const auto before = known(*this);
     runTime = std::max(runTime, other.runTime);
     isConfirmed = isConfirmed || other.isConfirmed;
+    isTrial = isTrial || other.isTrial;
     return known(*this) != before;
 }
 
@@ -40,7 +44,7 @@
 }
 
 /// \returns the crash without which the numbers of incidents change least, and of several ones the
-/// latest. The last crash determines how long the request is held back.
+/// latest. The last crash determines how long the request is held back, and a trial tells most.
 std::vector<ReplicaCrash>::iterator CrashRecord::leastInformative()
 {
     const auto count = [this](const ReplicaCrash *without) {
@@ -52,7 +56,8 @@
     const auto [all, confirmed] = count(nullptr);
     const auto loss = [&, all = all, confirmed = confirmed](const ReplicaCrash &it) {
         const auto [allOthers, confirmedOthers] = count(&it);
-        return std::pair(std::abs(confirmed - confirmedOthers), std::abs(all - allOthers));
+        return std::tuple(it.isTrial, std::abs(confirmed - confirmedOthers),
+                          std::abs(all - allOthers));
     };
     auto out = m_crashes.end() - 2;
     for (auto it = out; it != m_crashes.begin();) {
--- a/src/Decide/CrashRecord.h
+++ b/src/Decide/CrashRecord.h
@@ -21,6 +21,8 @@
     /// Whether a router that reaches other replicas has observed it. Otherwise the paths to the
     /// replica may have been lost. \sa CrashEvidence
     bool isConfirmed = true;
+    /// The request was sent as a trial, while all others like it were held back.
+    bool isTrial = false;
 
     static constexpr Duration UnknownRunTime = Duration::max();
 
--- a/src/Decide/RequestQuarantine.cpp
+++ b/src/Decide/RequestQuarantine.cpp
@@ -147,7 +147,14 @@
         return std::nullopt;
     if (now < trialAllowedAt(entry) || now < entry.trialEndsAt)
         return describe(fingerprint, entry);
-    entry.trialEndsAt = now + TrialTimeout;
+    beginTrial(fingerprint, entry);
+    return std::nullopt;
+}
+
+void RequestQuarantine::beginTrial(const std::string &fingerprint, Entry &entry)
+{
+    entry.ownTrialAt = m_options.clock.now();
+    entry.trialEndsAt = entry.ownTrialAt + TrialTimeout;
     Log::info("quarantine_trial",
               {{"fingerprint", fingerprint},
                {"is_doubtful", entry.doubtfulSince.has_value()},
@@ -155,7 +162,9 @@
                {"incidents", entry.incidents},
                {"confirmed", entry.confirmedIncidents},
                {"unexplained", entry.unexplainedIncidents}});
-    return std::nullopt;
+    scheduleAnnouncement(entry, true);
+    if (m_options.announceNow)
+        m_options.announceNow();
 }
 
 TimePoint RequestQuarantine::settledAt(const Entry &entry) const
@@ -207,7 +216,7 @@
         crash.runTime =
                 std::chrono::floor<std::chrono::milliseconds>(ageAt(report.at, report.sentAt));
     for (const std::string &it : suspects)
-        recordCrash(it, crash);
+        recordCrash(it, crash, report.sentAt);
 }
 
 /// \returns the name of the crash of \a replica that follows \a provenAt, when it was known to run:
@@ -233,11 +242,16 @@
     return crashName.substr(0, crashName.find(RestartSeparator));
 }
 
-void RequestQuarantine::recordCrash(const std::string &fingerprint, const ReplicaCrash &crash)
+void RequestQuarantine::recordCrash(const std::string &fingerprint, ReplicaCrash crash,
+                                    TimePoint sentAt)
 {
     Entry &entry = findOrInsert(fingerprint);
+    crash.isTrial = entry.ownTrialAt != TimePoint::min() && sentAt >= entry.ownTrialAt;
     if (!entry.record.add(crash))
         return;
+    if (crash.isTrial)
+        Log::info("quarantine_trial_failed",
+                  {{"fingerprint", fingerprint}, {"replica", crash.replica}});
     entry.trialEndsAt = TimePoint::min();
     update(entry);
     logNotHeld(fingerprint, entry);
@@ -289,6 +303,7 @@
         return;
     entry.isHeldElsewhere = false;
     entry.trialEndsAt = TimePoint::min();
+    entry.ownTrialAt = TimePoint::min();
     update(entry);
     scheduleAnnouncement(entry, true);
     if (wasSuspect && m_options.announceNow)
@@ -355,6 +370,15 @@
     entry.unexplainedIncidents = entry.record.incidents([this](const ReplicaCrash &crash) {
         return wasRunning(crash) && !m_explained.contains(crash.replica);
     });
+    entry.hasFailedTrial = hasFailedTrial(entry);
+}
+
+bool RequestQuarantine::hasFailedTrial(const Entry &entry) const
+{
+    const std::span<const ReplicaCrash> crashes = entry.record.replicaCrashes();
+    return std::any_of(crashes.begin(), crashes.end(), [this](const ReplicaCrash &it) {
+        return it.isTrial && it.isConfirmed && wasRunning(it) && !m_explained.contains(it.replica);
+    });
 }
 
 void RequestQuarantine::update(Entry &entry)
@@ -391,7 +415,8 @@
             continue;
         Entry &entry = it->second;
         countIncidents(entry);
-        if (entry.unexplainedIncidents >= MinIncidents && !isTied(entry, suspects))
+        if (entry.hasFailedTrial
+            || (entry.unexplainedIncidents >= MinIncidents && !isTied(entry, suspects)))
             setState(*it, Finding::Proven);
         else
             setState(*it,
@@ -419,7 +444,8 @@
         countIncidents(entry);
         const bool isDistinct = entry.isHeld || entry.isHeldElsewhere || !entry.tiedParts.empty()
                 || hasClearedOther(it->first, entry);
-        const bool isProven = entry.unexplainedIncidents >= MinIncidents && isDistinct;
+        const bool isProven =
+                entry.hasFailedTrial || (entry.unexplainedIncidents >= MinIncidents && isDistinct);
         setState(*it, isProven ? Finding::Proven : Finding::Unproven);
     }
 }
@@ -436,7 +462,8 @@
     const bool isDoubtful = finding == Finding::Plausible
             || (!isProven && entry.isHeld
                 && (isExplainedInPart || (wasSettled && entry.unexplainedIncidents > 0)));
-    const bool isUnconfirmed = isProven && entry.confirmedIncidents < MinIncidents;
+    const bool isUnconfirmed =
+            isProven && entry.confirmedIncidents < MinIncidents && !entry.hasFailedTrial;
     if (!isDoubtful && !isUnconfirmed)
         entry.doubtfulSince.reset();
     else if (!entry.doubtfulSince)
@@ -592,6 +619,9 @@
             continue;
         Entry &entry = findOrInsert(it.fingerprint);
         const bool isNewlyHeld = it.isHeld && !std::exchange(entry.isHeldElsewhere, true);
+        if (it.trialAge)
+            entry.trialEndsAt = std::max(entry.trialEndsAt,
+                                         m_options.clock.now() - *it.trialAge + TrialTimeout);
         if (entry.record.merge(received) || isNewlyHeld) {
             update(entry);
             scheduleAnnouncement(entry, false);
@@ -614,7 +644,8 @@
                      .software = it.software,
                      .at = now - it.age,
                      .runTime = it.runTime,
-                     .isConfirmed = it.isConfirmed});
+                     .isConfirmed = it.isConfirmed,
+                     .isTrial = it.isTrial});
     }
     return out;
 }
@@ -687,12 +718,17 @@
     CrashUpdate out{.fingerprint = fingerprint, .isHeld = entry.isHeld && entry.tiedParts.empty()};
     if (entry.record.clearedAt() != TimePoint::min())
         out.clearedAge = ageAt(now, entry.record.clearedAt());
+    const bool isOwnTrialRunning = entry.ownTrialAt != TimePoint::min()
+            && now - entry.ownTrialAt < TrialTimeout && now < entry.trialEndsAt;
+    if (isOwnTrialRunning)
+        out.trialAge = ageAt(now, entry.ownTrialAt);
     for (const ReplicaCrash &it : entry.record.replicaCrashes())
         out.replicaCrashes.push_back({.replica = it.replica,
                                       .software = it.software,
                                       .age = ageAt(now, it.at),
                                       .runTime = it.runTime,
-                                      .isConfirmed = it.isConfirmed});
+                                      .isConfirmed = it.isConfirmed,
+                                      .isTrial = it.isTrial});
     return out;
 }
 
--- a/src/Decide/RequestQuarantine.h
+++ b/src/Decide/RequestQuarantine.h
@@ -28,12 +28,14 @@
         Duration age = Duration::zero();
         Duration runTime = ReplicaCrash::UnknownRunTime; ///< \sa ReplicaCrash::runTime
         bool isConfirmed = true; ///< \sa ReplicaCrash::isConfirmed
+        bool isTrial = false; ///< \sa ReplicaCrash::isTrial
     };
 
     std::string fingerprint = {}; ///< Of the request, or RequestQuarantine::partKey().
     std::optional<Duration> clearedAge = {}; ///< Time after the last completed run, if any.
     std::vector<Crash> replicaCrashes = {};
     bool isHeld = false; ///< The sender holds back all requests with it.
+    std::optional<Duration> trialAge = {}; ///< Time since the sender began a trial that still runs.
 };
 
 /// \brief Holds back requests that crash the replicas that run them, at every router of the fleet.
@@ -74,6 +76,10 @@
 /// incident the evidence goes to all routers, which forward it. Memory and message size are
 /// bounded; requests with more incidents have priority. What is held back is also kept in the
 /// platform's store, for the case that all routers restart at once. \sa QuarantineRow
+///
+/// A trial shows what a request that is held in doubt does: if it completes, the request is
+/// released; if it crashes a replica, all routers hold the request for the whole hold time. Routers
+/// announce a trial, so that they run one at a time.
 class RequestQuarantine
 {
 public:
@@ -232,6 +238,7 @@
         int unexplainedIncidents = 0; ///< Incidents that no held request explains.
         bool isHeld = false;
         bool isHeldElsewhere = false; ///< As announced by another router or found in the store.
+        bool hasFailedTrial = false; ///< A trial crashed a replica, and nothing else explains it.
         /// Parts that were in all of its crashed runs: only requests with all of them are held.
         std::vector<std::string> tiedParts = {};
         TimePoint heldAt = {}; ///< When it was last put on hold.
@@ -243,7 +250,9 @@
         TimePoint lastSentAt = {};
         double trialPosition = 0; ///< Random share of the maximum trial delay, from 0 to 1.
         std::optional<TimePoint> softwareGoneAt = {}; ///< Since when no replica runs that software.
-        TimePoint trialEndsAt = TimePoint::min(); ///< When the running trial times out.
+        /// When the running trial, of this or another router, times out.
+        TimePoint trialEndsAt = TimePoint::min();
+        TimePoint ownTrialAt = TimePoint::min(); ///< When this router began its last trial.
         TimePoint notHeldLoggedAt = TimePoint::min(); ///< \sa logNotHeld()
     };
     using Records = std::unordered_map<std::string, Entry>;
@@ -266,7 +275,8 @@
                                  std::span<const std::string> software);
     std::string crashName(const std::string &replica, TimePoint provenAt) const;
     static std::string crashName(const std::string &replica, int restarts);
-    void recordCrash(const std::string &suspect, const ReplicaCrash &crash);
+    void recordCrash(const std::string &suspect, ReplicaCrash crash, TimePoint sentAt);
+    void beginTrial(const std::string &fingerprint, Entry &entry);
     void recordCompletion(const std::string &suspect);
     void decide();
     void decideRequests(std::span<Records::value_type *const> suspects);
@@ -275,6 +285,7 @@
     std::vector<std::string> partsTiedWith(const Records::value_type &suspect,
                                            std::span<Records::value_type *const> suspects) const;
     bool hasClearedOther(std::string_view part, const Entry &entry) const;
+    bool hasFailedTrial(const Entry &entry) const;
     void logNotHeld(const std::string &fingerprint, Entry &entry) const;
     bool isTied(const Entry &entry, std::span<Records::value_type *const> suspects) const;
     int ownIncidents(const Entry &entry, std::span<Records::value_type *const> suspects) const;
--- a/test/RequestQuarantineTest.cpp
+++ b/test/RequestQuarantineTest.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <initializer_list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -737,6 +738,56 @@
     CHECK(trials <= MaxTrialsInAnHour);
 }
 
+namespace {
+
+/// A request is held in doubt, because nobody has confirmed its crashes.
+struct DoubtfulHoldFixture : QuarantineFleetFixture
+{
+    DoubtfulHoldFixture()
+    {
+        for (std::size_t i = 0; i < 3; ++i) {
+            runAndCrash(i, Fatal, 20ms, false);
+            exchangeUpdates();
+            clock.advance(400ms);
+        }
+    }
+
+    /// \returns the first router that admits a trial within \a time, if any does.
+    std::optional<std::size_t> waitForTrial(Duration time)
+    {
+        for (const TimePoint until = clock.now() + time; clock.now() < until;
+             clock.advance(100ms)) {
+            for (std::size_t i = 0; i < routers.size(); ++i) {
+                if (!routers[i]->admit(Fatal, Old))
+                    return i;
+            }
+        }
+        return std::nullopt;
+    }
+};
+
+} // namespace
+
+// Guards against a hold that stays in doubt, and short, after a trial has crashed a replica.
+TEST_CASE_FIXTURE(DoubtfulHoldFixture,
+                  "requestQuarantine_trialCrashesAReplica_nextOneIsDueAfterTheHoldTime")
+{
+    const std::optional<std::size_t> trying = waitForTrial(10s);
+    REQUIRE(trying);
+    runAndCrash(*trying, Fatal, 20ms);
+    exchangeUpdates();
+    CHECK_FALSE(waitForTrial(RequestQuarantine::MinHoldTime));
+    CHECK(waitForTrial(2 * RequestQuarantine::MinHoldTime));
+}
+
+// Guards against trials of several routers at the same time, each of which may crash a replica.
+TEST_CASE_FIXTURE(DoubtfulHoldFixture, "requestQuarantine_trialIsRunning_otherRoutersWait")
+{
+    REQUIRE(waitForTrial(10s));
+    exchangeUpdates();
+    CHECK_FALSE(waitForTrial(4s));
+}
+
 // Guards against several crashes counted for requests that are sent to one crashed replica.
 TEST_CASE_FIXTURE(QuarantineFleetFixture, "requestQuarantine_replicaStaysDown_itsCrashCountsOnce")
 {
@@ -873,6 +924,29 @@
     CHECK_FALSE(adopted.replicaCrashes[1].isConfirmed);
 }
 
+// Guards against a restart of all routers after which crashes join to fewer incidents, or a failed
+// trial is forgotten.
+TEST_CASE("quarantineRow_runTimesAndTrials_areReadAsWritten")
+{
+    const WallTime now(1'700'000'000'000ms);
+    const CrashUpdate record{.fingerprint = "f",
+                             .replicaCrashes = {{.replica = "i-1", .age = 2s, .runTime = 70ms},
+                                                {.replica = "i-2", .age = 1s, .isTrial = true}},
+                             .isHeld = true};
+    const auto row = QuarantineRow::decode("f", QuarantineRow::of(record, now).encode());
+    REQUIRE(row);
+    const CrashUpdate read = row->toUpdate(now);
+    REQUIRE(read.replicaCrashes.size() == 2);
+    CHECK(read.replicaCrashes[0].runTime == 70ms);
+    CHECK_FALSE(read.replicaCrashes[0].isTrial);
+    CHECK(read.replicaCrashes[1].runTime == ReplicaCrash::UnknownRunTime);
+    CHECK(read.replicaCrashes[1].isTrial);
+    // As written by a program that doesn't know these fields.
+    const auto older = QuarantineRow::decode("f", R"({"held":true,"crashes":[["i-1","s",1]]})");
+    REQUIRE(older);
+    CHECK(older->crashes.front().runTime == ReplicaCrash::UnknownRunTime);
+}
+
 TEST_CASE("quarantineRow_valueIsMalformed_isNotRead")
 {
     for (const char *it :
