Untrusted JSON is read in one place, and a message that fails is dropped

Callers saw (reported, and measured by the users' developers): one row among the replicas with a sequence of 2^63 ends all routers at once and each that starts. Cause: the number was checked with isIntegral() and read with asInt64(), which is narrower; what it throws passes through libevent and ends the process.

--- a/fuzz/FuzzEntry.cpp
+++ b/fuzz/FuzzEntry.cpp
@@ -1,11 +1,16 @@
 #include "Base/YamlSection.h"
 #include "Control/ConfigTextCache.h"
 #include "Control/PeerState.h"
+#include "Control/QuarantineRow.h"
 #include "Control/RegisteredRouter.h"
 #include "Control/ReplicaUpdate.h"
 #include "Control/RouterHeartbeat.h"
+#include "Control/StreamOriginCodec.h"
+#include "platform/ConfigDecoder.h"
+#include "platform/EnginePrompts.h"
 #include "platform/ReplicaEntry.h"
 
+#include <chrono>
 #include <cstdint>
 #include <cstdlib>
 #include <string>
@@ -69,6 +74,24 @@
         std::abort();
 }
 
+/// A row of a held request must decode to one that can be told to other routers, or be rejected.
+void readQuarantineRow(const std::string &text)
+{
+    const auto row = QuarantineRow::decode("f", text);
+    if (!row)
+        return;
+    (void)row->toUpdate(WallTime(std::chrono::milliseconds(1'700'000'000'000)));
+    if (!QuarantineRow::decode("f", row->encode()))
+        std::abort();
+}
+
+void readStreamOrigins(const std::string &text)
+{
+    (void)StreamOriginCodec::decodeOrigins("stream-origins " + text);
+    (void)StreamOriginCodec::decodeQuestion(text);
+    (void)StreamOriginCodec::decodeReport(text);
+}
+
 } // namespace
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
@@ -78,6 +101,14 @@
     const std::string text(reinterpret_cast<const char *>(data) + 1, size - 1);
     if (data[0] == 'r')
         roundTripRouterRow(text);
+    else if (data[0] == 'q')
+        readQuarantineRow(text);
+    else if (data[0] == 's')
+        readStreamOrigins(text);
+    else if (data[0] == 'c')
+        (void)platform::decodeConfig(text);
+    else if (data[0] == 'p')
+        (void)platform::decodePromptList(text);
     else if (data[0] % 3 == 0)
         roundTripHeartbeat(text);
     else if (data[0] % 3 == 1)
--- a/src/Control/ConfigRecords.cpp
+++ b/src/Control/ConfigRecords.cpp
@@ -1,6 +1,7 @@
 #include "Control/ConfigRecords.h"
 
 #include "Base/Hash.h"
+#include "Base/Json.h"
 
 #include <limits>
 #include <memory>
@@ -38,21 +39,19 @@
 
 std::optional<ConfigRecord> decode(const std::string &text)
 {
-    const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
-    Json::Value root;
-    try {
-        if (!reader->parse(text.data(), text.data() + text.size(), &root, nullptr)
-            || !root.isObject())
-            return std::nullopt;
-        return ConfigRecord{.digest = {.revision = root["revision"].asUInt64(),
-                                       .hash = root["hash"].asUInt64()},
-                            .object = root["object"].asString(),
-                            .changeId = root["change_id"].asString(),
-                            .author = root["author"].asString(),
-                            .acceptedAt = root["accepted_at"].asUInt64()};
-    } catch (const Json::Exception &) {
+    const Result<Json::Value> root = parseJsonObject(text);
+    if (!root)
         return std::nullopt;
-    }
+    const Result<ConfigRecord> record = readJson<ConfigRecord>(
+            root.value(), Reason::MalformedRequest, [](const Json::Value &it) {
+                return ConfigRecord{.digest = {.revision = it["revision"].asUInt64(),
+                                               .hash = it["hash"].asUInt64()},
+                                    .object = it["object"].asString(),
+                                    .changeId = it["change_id"].asString(),
+                                    .author = it["author"].asString(),
+                                    .acceptedAt = it["accepted_at"].asUInt64()};
+            });
+    return record ? std::optional(record.value()) : std::nullopt;
 }
 
 const TableRow *find(const std::vector<TableRow> &rows, std::string_view key)
--- a/src/Control/ConfigTextCache.cpp
+++ b/src/Control/ConfigTextCache.cpp
@@ -37,16 +37,15 @@
     const Result<Json::Value> root = parseJsonObject(text);
     if (!root)
         return root.error();
-    try {
-        TextDelta out;
-        for (const Json::Value &it : root.value()["hunks"])
-            out.push_back({.at = it[0U].asUInt64(),
-                           .removed = it[1U].asUInt64(),
-                           .inserted = it[2U].asString()});
-        return out;
-    } catch (const Json::Exception &e) {
-        return Error{.reason = Reason::MalformedRequest, .detail = e.what()};
-    }
+    return readJson<TextDelta>(root.value(), Reason::MalformedRequest,
+                               [](const Json::Value &delta) {
+                                   TextDelta out;
+                                   for (const Json::Value &it : delta["hunks"])
+                                       out.push_back({.at = it[0U].asUInt64(),
+                                                      .removed = it[1U].asUInt64(),
+                                                      .inserted = it[2U].asString()});
+                                   return out;
+                               });
 }
 
 } // namespace
--- a/src/Control/FleetRegistration.cpp
+++ b/src/Control/FleetRegistration.cpp
@@ -26,6 +26,9 @@
 /// hashing it first.
 constexpr int KeyWords = 8;
 
+/// Latest time in a row, in milliseconds since 1970, for which no age overflows.
+constexpr std::int64_t MaxTimeMs = std::int64_t(1) << 42;
+
 std::string softwareKey(const SoftwareHistory::Row &row)
 {
     return std::string(SoftwareRows) + row.software;
@@ -48,7 +51,8 @@
         return std::nullopt;
     SoftwareHistory::Row out{.service = value.value()["service"].asString(),
                              .software = row.key.substr(SoftwareRows.size())};
-    if (const Json::Value &ms = value.value()["gone_ms"]; ms.isInt64())
+    if (const Json::Value &ms = value.value()["gone_ms"];
+        ms.isInt64() && ms.asInt64() >= 0 && ms.asInt64() <= MaxTimeMs)
         out.goneAt = WallTime(std::chrono::milliseconds(ms.asInt64()));
     return out;
 }
--- a/src/Control/LeaseManager.cpp
+++ b/src/Control/LeaseManager.cpp
@@ -1,5 +1,6 @@
 #include "Control/LeaseManager.h"
 
+#include "Base/Json.h"
 #include "Base/Log.h"
 
 #include <algorithm>
@@ -21,6 +22,9 @@
 
 using Milliseconds = std::chrono::milliseconds;
 
+/// Longest lease that is read; a larger value would overflow a Duration.
+constexpr Milliseconds MaxDuration = std::chrono::hours(24);
+
 } // namespace
 
 std::string Lease::encode() const
@@ -32,11 +36,13 @@
 
 std::optional<Lease> Lease::decode(std::string_view text)
 {
-    Json::Value root;
-    const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
-    if (!reader->parse(text.data(), text.data() + text.size(), &root, nullptr) || !root.isObject()
-        || !root["holder"].isString() || !root["fence"].isUInt64() || !root["attempt"].isUInt64()
-        || !root["duration_ms"].isInt64())
+    const Result<Json::Value> parsed = parseJsonObject(text);
+    if (!parsed)
+        return std::nullopt;
+    const Json::Value &root = parsed.value();
+    if (!root["holder"].isString() || !root["fence"].isUInt64() || !root["attempt"].isUInt64()
+        || !root["duration_ms"].isInt64() || root["duration_ms"].asInt64() < 0
+        || root["duration_ms"].asInt64() > MaxDuration.count())
         return std::nullopt;
     return Lease{.holder = root["holder"].asString(),
                  .fence = root["fence"].asUInt64(),
--- a/src/Control/PeerCodec.cpp
+++ b/src/Control/PeerCodec.cpp
@@ -1,5 +1,6 @@
 #include "Control/PeerCodec.h"
 
+#include "Base/Json.h"
 #include "Control/RpcClient.h"
 #include "Control/internal/NotificationReader.h"
 
@@ -157,13 +158,9 @@
 Result<PeerMessage> PeerCodec::decode(const std::string &text)
 {
     const std::optional<Json::Value> params = m_d->reader.read(text);
-    try {
-        if (params)
-            return messageOf(*params);
-    } catch (const Json::Exception &) {
-        // A field has an unexpected type: malformed like any other invalid input.
-    }
-    return Error{.reason = Reason::MalformedRequest, .detail = "not a message of a router"};
+    if (!params)
+        return Error{.reason = Reason::MalformedRequest, .detail = "not a message of a router"};
+    return readJson<PeerMessage>(*params, Reason::MalformedRequest, &messageOf);
 }
 
 } // namespace catkinloft
--- a/src/Control/PeerState.cpp
+++ b/src/Control/PeerState.cpp
@@ -117,20 +117,19 @@
     if (!head)
         return malformed(head.error().detail);
     std::string_view rest = body.substr(end + 1);
-    try {
-        PeerState out = stateIn(head.value());
+    const auto read = [&](const Json::Value &fields) -> Result<PeerState> {
+        PeerState out = stateIn(fields);
         const auto takeText = [&](const char *name, std::optional<Packed> &text) {
-            if (!head.value().isMember(name))
+            if (!fields.isMember(name))
                 return true;
-            text = take(rest, head.value()[name].asUInt64());
+            text = take(rest, fields[name].asUInt64());
             return text.has_value();
         };
         if (!takeText("config_bytes", out.config) || !takeText("replicas_bytes", out.replicas))
             return malformed("the state is shorter than its header announces");
         return out;
-    } catch (const Json::Exception &e) {
-        return malformed(e.what());
-    }
+    };
+    return readJson<PeerState>(head.value(), Reason::MalformedRequest, read);
 }
 
 } // namespace catkinloft
--- a/src/Control/RegisteredRouter.cpp
+++ b/src/Control/RegisteredRouter.cpp
@@ -23,19 +23,17 @@
     const Result<Json::Value> root = parseJsonObject(text);
     if (!root)
         return malformed;
-    try {
-        RegisteredRouter out{.name = std::string(name),
-                             .callerAddress = root.value()["caller"].asString(),
-                             .peerAddress = root.value()["peer"].asString(),
-                             .processorShare = root.value()["processor"].asDouble()};
-        const bool valid = parseEndpoint(out.callerAddress) && parseEndpoint(out.peerAddress)
-                && std::isfinite(out.processorShare) && out.processorShare > 0;
-        if (!valid)
-            return malformed;
-        return out;
-    } catch (const Json::Exception &) {
-        return malformed;
-    }
+    Result<RegisteredRouter> out = readJson<RegisteredRouter>(
+            root.value(), Reason::MalformedRequest, [&](const Json::Value &it) {
+                return RegisteredRouter{.name = std::string(name),
+                                        .callerAddress = it["caller"].asString(),
+                                        .peerAddress = it["peer"].asString(),
+                                        .processorShare = it["processor"].asDouble()};
+            });
+    const bool isValid = out && parseEndpoint(out.value().callerAddress)
+            && parseEndpoint(out.value().peerAddress) && std::isfinite(out.value().processorShare)
+            && out.value().processorShare > 0;
+    return isValid ? out : malformed;
 }
 
 } // namespace catkinloft
--- a/src/Control/ReplicaUpdate.cpp
+++ b/src/Control/ReplicaUpdate.cpp
@@ -42,6 +42,18 @@
             .coldDuration = ReplicaRecord::coldDurationFromMs(it["cold_ms"].asDouble())};
 }
 
+ReplicaUpdate updateOf(const Json::Value &root)
+{
+    ReplicaUpdate out{
+            .base = root["base"].asUInt64(),
+            .position = {.era = root["era"].asUInt64(), .version = root["ver"].asUInt64()}};
+    for (const Json::Value &it : root["removed"])
+        out.removed.push_back(it.asString());
+    for (const Json::Value &it : root["replicas"])
+        out.replicas.push_back(fromJson(it));
+    return out;
+}
+
 } // namespace
 
 std::string ReplicaUpdate::encode() const
@@ -63,18 +75,7 @@
     const Result<Json::Value> root = parseJsonObject(text);
     if (!root)
         return root.error();
-    try {
-        ReplicaUpdate out{.base = root.value()["base"].asUInt64(),
-                          .position = {.era = root.value()["era"].asUInt64(),
-                                       .version = root.value()["ver"].asUInt64()}};
-        for (const Json::Value &it : root.value()["removed"])
-            out.removed.push_back(it.asString());
-        for (const Json::Value &it : root.value()["replicas"])
-            out.replicas.push_back(fromJson(it));
-        return out;
-    } catch (const Json::Exception &e) {
-        return Error{.reason = Reason::MalformedRequest, .detail = e.what()};
-    }
+    return readJson<ReplicaUpdate>(root.value(), Reason::MalformedRequest, &updateOf);
 }
 
 } // namespace catkinloft
--- a/src/Control/RouterHeartbeat.cpp
+++ b/src/Control/RouterHeartbeat.cpp
@@ -1,6 +1,7 @@
 #include "Control/RouterHeartbeat.h"
 
 #include "Base/Compression.h"
+#include "Base/Json.h"
 #include "Control/RpcClient.h"
 #include "Control/internal/Age.h"
 #include "Control/internal/NotificationReader.h"
@@ -287,13 +288,9 @@
 Result<RouterHeartbeat> HeartbeatCodec::decode(const std::string &text)
 {
     const std::optional<Json::Value> params = m_d->reader.read(text);
-    try {
-        if (params)
-            return heartbeatOf(*params);
-    } catch (const Json::Exception &) {
-        // A field has an unexpected type: malformed like any other invalid input.
-    }
-    return Error{.reason = Reason::MalformedRequest, .detail = "not a heartbeat of a router"};
+    if (!params)
+        return Error{.reason = Reason::MalformedRequest, .detail = "not a heartbeat of a router"};
+    return readJson<RouterHeartbeat>(*params, Reason::MalformedRequest, &heartbeatOf);
 }
 
 } // namespace catkinloft
--- a/src/Control/StreamOriginCodec.cpp
+++ b/src/Control/StreamOriginCodec.cpp
@@ -15,31 +15,28 @@
 constexpr std::string_view Prefix = "stream-origins ";
 
 /// Longest time that a message may state; no stream is resumable for longer.
-constexpr Duration MaxTime = 24h;
+constexpr std::chrono::milliseconds MaxTime = 24h;
 
 Json::Value toMilliseconds(Duration d)
 {
-    return {static_cast<Json::Int64>(std::min(d, MaxTime) / 1ms)};
+    return {static_cast<Json::Int64>(std::min<Duration>(d, MaxTime) / 1ms)};
 }
 
 Duration toDuration(const Json::Value &ms)
 {
-    return std::min<Duration>(MaxTime, std::chrono::milliseconds(ms.asInt64()));
+    // Compared as milliseconds, because larger values would overflow a Duration.
+    return std::clamp<std::chrono::milliseconds>(std::chrono::milliseconds(ms.asInt64()), 0ms,
+                                                 MaxTime);
 }
 
 template<typename T>
 Result<T> decode(std::string_view text, const std::function<T(const Json::Value &)> &read)
 {
-    const Error error{.reason = Reason::MalformedRequest,
-                      .detail = "not a message about the origins of streams"};
     const Result<Json::Value> root = parseJsonObject(text);
     if (!root)
-        return error;
-    try {
-        return read(root.value());
-    } catch (const Json::Exception &) {
-        return error; // A field has an unexpected type.
-    }
+        return Error{.reason = Reason::MalformedRequest,
+                     .detail = "not a message about the origins of streams"};
+    return readJson<T>(root.value(), Reason::MalformedRequest, read);
 }
 
 } // namespace
--- a/src/Decide/Refusal.cpp
+++ b/src/Decide/Refusal.cpp
@@ -1,6 +1,7 @@
 #include "Decide/Refusal.h"
 
 #include "Base/Hash.h"
+#include "Base/Json.h"
 
 #include <fmt/chrono.h>
 #include <fmt/format.h>
@@ -33,36 +34,39 @@
     return Json::writeString(writer, root);
 }
 
+Error notAToken()
+{
+    return {.reason = Reason::MalformedRequest, .detail = "not a refusal token"};
+}
+
+Result<Refusal> refusalOf(const Json::Value &root)
+{
+    const auto reason = reasonFromCode(root["c"].asString());
+    if (!reason)
+        return notAToken();
+    Refusal out;
+    out.error.reason = *reason;
+    out.error.verdict = static_cast<Verdict>(root["v"].asInt());
+    out.error.detail = root["d"].asString();
+    out.error.rule = root["u"].asString();
+    if (root.isMember("a"))
+        out.error.retryAfter = std::chrono::milliseconds(root["a"].asInt64());
+    for (const std::string &it : root["f"].getMemberNames())
+        out.error.figures.push_back({.name = it, .value = root["f"][it].asDouble()});
+    out.revision = root["r"].asUInt64();
+    out.router = root["n"].asString();
+    out.workspace = root["w"].asString();
+    out.requestId = root["i"].asString();
+    out.at = WallTime(std::chrono::milliseconds(root["t"].asInt64()));
+    return out;
+}
+
 Result<Refusal> fromJson(const std::string &text)
 {
-    const Error broken{.reason = Reason::MalformedRequest, .detail = "not a refusal token"};
-    Json::Value root;
-    std::string problem;
-    const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
-    if (!reader->parse(text.data(), text.data() + text.size(), &root, &problem))
-        return broken;
-    try {
-        const auto reason = reasonFromCode(root["c"].asString());
-        if (!reason)
-            return broken;
-        Refusal out;
-        out.error.reason = *reason;
-        out.error.verdict = static_cast<Verdict>(root["v"].asInt());
-        out.error.detail = root["d"].asString();
-        out.error.rule = root["u"].asString();
-        if (root.isMember("a"))
-            out.error.retryAfter = std::chrono::milliseconds(root["a"].asInt64());
-        for (const std::string &it : root["f"].getMemberNames())
-            out.error.figures.push_back({.name = it, .value = root["f"][it].asDouble()});
-        out.revision = root["r"].asUInt64();
-        out.router = root["n"].asString();
-        out.workspace = root["w"].asString();
-        out.requestId = root["i"].asString();
-        out.at = WallTime(std::chrono::milliseconds(root["t"].asInt64()));
-        return out;
-    } catch (const Json::Exception &) {
-        return broken;
-    }
+    const Result<Json::Value> root = parseJsonObject(text);
+    if (!root)
+        return notAToken();
+    return readJson<Refusal>(root.value(), Reason::MalformedRequest, &refusalOf);
 }
 
 std::string_view verdictSentence(Verdict v)
@@ -95,7 +99,7 @@
     const std::size_t first = token.find('.');
     const std::size_t last = token.rfind('.');
     if (first == std::string_view::npos || first == last)
-        return Error{.reason = Reason::MalformedRequest, .detail = "not a refusal token"};
+        return notAToken();
     const std::string id = base64UrlDecode(token.substr(0, first));
     const std::string body = base64UrlDecode(token.substr(first + 1, last - first - 1));
     const std::string mac = base64UrlDecode(token.substr(last + 1));
--- a/src/Net/EventLoop.cpp
+++ b/src/Net/EventLoop.cpp
@@ -1,5 +1,6 @@
 #include "Net/EventLoop.h"
 
+#include "Net/internal/Dispatch.h"
 #include "Net/internal/Timeval.h"
 
 #include <cstdint>
@@ -47,7 +48,7 @@
         }
         shots.erase(key);
         for (const Callback &it : batch)
-            it();
+            internal::dispatch("timer", it);
     }
 
     void runPosted()
@@ -55,7 +56,7 @@
         // Callbacks posted meanwhile run in the next iteration, so that sockets aren't starved.
         const std::vector<Callback> batch = std::exchange(posted, {});
         for (const Callback &it : batch)
-            it();
+            internal::dispatch("posted", it);
     }
 };
 
--- a/src/Net/HttpEngineClient.cpp
+++ b/src/Net/HttpEngineClient.cpp
@@ -78,13 +78,10 @@
             done(root.error());
             return;
         }
-        try {
-            done(convert(root.value()));
-        } catch (const Json::Exception &) {
-            done(Error{.reason = Reason::UpstreamBroken,
-                       .verdict = Verdict::MayHaveRun,
-                       .detail = "the engine's answer has an unexpected JSON structure"});
-        }
+        Result<T> value = readJson<T>(root.value(), Reason::UpstreamBroken, convert);
+        if (!value)
+            value.error().verdict = Verdict::MayHaveRun;
+        done(std::move(value));
     };
 }
 
--- a/src/Net/HttpServer.cpp
+++ b/src/Net/HttpServer.cpp
@@ -4,6 +4,7 @@
 #include "Net/EventLoop.h"
 #include "Net/TlsContext.h"
 #include "Net/internal/ConnectionLimiter.h"
+#include "Net/internal/Dispatch.h"
 #include "Net/internal/Timeval.h"
 #include "Net/internal/TlsStream.h"
 
@@ -51,7 +52,8 @@
     static void onRequest(evhttp_request *request, void *arg)
     {
         auto *d = static_cast<Private *>(arg);
-        d->handler(std::make_shared<HttpExchange>(request));
+        const auto exchange = std::make_shared<HttpExchange>(request);
+        internal::dispatch("request", [&] { d->handler(exchange); });
     }
 
     bool usesTls() const { return options.tls && options.tls->hasCertificate(); }
--- a/src/Net/PeerTransport.cpp
+++ b/src/Net/PeerTransport.cpp
@@ -1,6 +1,7 @@
 #include "Net/PeerTransport.h"
 
 #include "Net/EventLoop.h"
+#include "Net/internal/Dispatch.h"
 
 #include <array>
 
@@ -65,7 +66,9 @@
             const ssize_t n = recvfrom(fd, buf.data(), buf.size(), 0, from.raw(), &length);
             if (n < 0)
                 return;
-            receiver(printAddress(from), {buf.data(), static_cast<std::size_t>(n)});
+            internal::dispatch("peer", [&] {
+                receiver(printAddress(from), {buf.data(), static_cast<std::size_t>(n)});
+            });
         }
     }
 };
--- a/src/Net/Timer.cpp
+++ b/src/Net/Timer.cpp
@@ -1,6 +1,7 @@
 #include "Net/Timer.h"
 
 #include "Net/EventLoop.h"
+#include "Net/internal/Dispatch.h"
 #include "Net/internal/Timeval.h"
 
 #include <event2/event.h>
@@ -22,7 +23,7 @@
         }
         // Copied, because the callback may destroy the timer.
         const std::function<void()> callback = d->callback;
-        callback();
+        internal::dispatch("timer", callback);
     }
 };
 
--- a/src/Net/internal/HttpConnection.cpp
+++ b/src/Net/internal/HttpConnection.cpp
@@ -2,6 +2,7 @@
 
 #include "Base/YamlSection.h"
 #include "Net/EventLoop.h"
+#include "Net/internal/Dispatch.h"
 #include "Net/internal/TlsStream.h"
 
 #include <charconv>
@@ -184,7 +185,10 @@
         const std::size_t n = evbuffer_get_length(buf);
         self->m_bytesReceived += n;
         if (self->m_events.onData && n > 0)
-            self->m_events.onData({reinterpret_cast<const char *>(evbuffer_pullup(buf, -1)), n});
+            dispatch("answer", [&] {
+                self->m_events.onData(
+                        {reinterpret_cast<const char *>(evbuffer_pullup(buf, -1)), n});
+            });
     });
     evhttp_request_set_error_cb(m_request, [](evhttp_request_error error, void *arg) {
         static_cast<HttpConnection *>(arg)->m_errorCode = error;
@@ -275,7 +279,7 @@
         self->m_reusable = false;
     self->m_keepAlive = keepAliveOf(head).value_or(self->m_keepAlive);
     if (self->m_events.onHead)
-        self->m_events.onHead(head);
+        dispatch("answer", [&] { self->m_events.onHead(head); });
 }
 
 void HttpConnection::onDone(evhttp_request *request, void *arg)
@@ -308,7 +312,9 @@
     if (n > 0) {
         m_bytesReceived += n;
         if (m_events.onData)
-            m_events.onData({reinterpret_cast<const char *>(evbuffer_pullup(rest, -1)), n});
+            dispatch("answer", [&] {
+                m_events.onData({reinterpret_cast<const char *>(evbuffer_pullup(rest, -1)), n});
+            });
     }
     if (!m_delimited)
         m_reusable = false; // The end of the connection ended the answer.
--- a/src/Net/internal/HttpTableService.cpp
+++ b/src/Net/internal/HttpTableService.cpp
@@ -87,8 +87,11 @@
                 done(root.error());
                 return;
             }
-            done(TableCommit{.committed = root.value()["committed"].asBool(),
-                             .current = rowsOf(root.value()["current"])});
+            done(readJson<TableCommit>(root.value(), Reason::StoreUnavailable,
+                                       [](const Json::Value &it) {
+                                           return TableCommit{.committed = it["committed"].asBool(),
+                                                              .current = rowsOf(it["current"])};
+                                       }));
         });
     }
 
@@ -108,7 +111,9 @@
             }
             const Result<Json::Value> root = parseJsonObject(answer.value().body);
             if (root)
-                done(rowsOf(root.value()["rows"]));
+                done(readJson<std::vector<TableRow>>(
+                        root.value(), Reason::StoreUnavailable,
+                        [](const Json::Value &it) { return rowsOf(it["rows"]); }));
             else
                 done(root.error());
         };
--- a/src/Net/internal/HttpVmList.cpp
+++ b/src/Net/internal/HttpVmList.cpp
@@ -1,4 +1,5 @@
 #include "Base/Json.h"
+#include "Base/Log.h"
 #include "Net/HttpClient.h"
 #include "Net/PlatformAdapters.h"
 
@@ -50,8 +51,12 @@
             return root.error();
         std::vector<VmEntry> out;
         for (const Json::Value &it : root.value()["vms"]) {
-            if (it.isObject() && it["name"].isString())
-                out.push_back(vmOf(it));
+            const Result<VmEntry> vm = readJson<VmEntry>(it, Reason::StoreUnavailable, &vmOf);
+            if (vm && !vm.value().name.empty())
+                out.push_back(vm.value());
+            else
+                Log::warning("vm_entry_malformed",
+                             {{"detail", vm ? "no name" : vm.error().detail}});
         }
         return out;
     }
--- a/src/Request/ClaimRow.cpp
+++ b/src/Request/ClaimRow.cpp
@@ -1,6 +1,7 @@
 #include "Request/ClaimRow.h"
 
 #include "Base/Hash.h"
+#include "Base/Json.h"
 #include "Base/Utf8.h"
 
 #include <array>
@@ -109,17 +110,11 @@
 
 Result<ClaimRow> ClaimRow::decode(std::string_view value)
 {
-    const Json::CharReaderBuilder builder;
-    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-    Json::Value root;
-    try {
-        if (reader->parse(value.data(), value.data() + value.size(), &root, nullptr)
-            && root.isObject())
-            return rowOf(root);
-    } catch (const Json::Exception &) {
+    const Result<Json::Value> root = parseJsonObject(value);
+    if (!root)
         return unknownFormat();
-    }
-    return unknownFormat();
+    const Result<ClaimRow> row = readJson<ClaimRow>(root.value(), Reason::OutcomeUnknown, &rowOf);
+    return row ? row : unknownFormat();
 }
 
 } // namespace catkinloft
--- a/standin/fleet/EntryFleet.cpp
+++ b/standin/fleet/EntryFleet.cpp
@@ -175,6 +175,11 @@
     postRow(table, key, value);
 }
 
+void EntryFleet::writeReplicaEntry(const std::string &id, const std::string &text)
+{
+    postRow("servers", id, std::optional(text));
+}
+
 void EntryFleet::rewriteRows()
 {
     for (const auto &[row, value] : m_rows)
@@ -182,12 +187,21 @@
 }
 
 void EntryFleet::postRow(const std::string &table, const std::string &key, const Json::Value &value)
+{
+    if (value.isNull())
+        postRow(table, key, std::optional<std::string>());
+    else
+        postRow(table, key, std::optional(printJson(value)));
+}
+
+void EntryFleet::postRow(const std::string &table, const std::string &key,
+                         const std::optional<std::string> &value)
 {
     Json::Value root(Json::objectValue);
     root["table"] = table;
     root["key"] = key;
-    if (!value.isNull())
-        root["value"] = printJson(value);
+    if (value)
+        root["value"] = *value;
     post(m_store, "/v1/operator", printJson(root));
 }
 
--- a/standin/fleet/EntryFleet.h
+++ b/standin/fleet/EntryFleet.h
@@ -104,6 +104,9 @@
     void registerReplica(std::size_t i, const std::string &state, Duration cold = Duration::zero());
     void removeReplica(std::size_t i);
 
+    /// \brief Writes \a text to the store as the entry of a replica \a id that doesn't exist.
+    void writeReplicaEntry(const std::string &id, const std::string &text);
+
     /// \brief Asks the routers to send nothing to replicas in \a domain, or revokes that.
     void evacuate(const std::string &domain);
     void endEvacuation(const std::string &domain);
@@ -208,6 +211,8 @@
     static std::string sourceIp(std::size_t router);
     void writeSettings(std::size_t i, const std::string &extra);
     void postRow(const std::string &table, const std::string &key, const Json::Value &value);
+    void postRow(const std::string &table, const std::string &key,
+                 const std::optional<std::string> &value);
     void writeRow(const std::string &table, const std::string &key, const Json::Value &value);
     static bool tryPost(const std::string &address, const std::string &target,
                         const std::string &body);
--- a/test/integration/EntryTest.cpp
+++ b/test/integration/EntryTest.cpp
@@ -7,9 +7,12 @@
 #include <algorithm>
 #include <atomic>
 #include <csignal>
+#include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <thread>
+#include <vector>
 
 #include <fmt/format.h>
 
@@ -567,6 +570,56 @@
         CHECK(Fleet::waitFor([&] { return status(i, "/safe/a") == 200; }));
 }
 
+// Guards against routers that end, or stop following the list of replicas, because another writer
+// left an entry with a number out of range, deep nesting or other values that no replica writes.
+TEST_CASE_FIXTURE(EntryFleetFixture, "entry_oddReplicaEntries_routersRunAndUseTheOthers")
+{
+    const auto entryWith = [](const std::string &field, const std::string &value) {
+        std::string out = R"({"service":"calls","zone":"hall","version":"v1","state":"ready",)";
+        for (const auto &[name, usual] :
+             std::map<std::string, std::string>{{"address", R"("127.0.0.1:9")"},
+                                                {"slots", "8"},
+                                                {"cold-remaining-ms", "0"},
+                                                {"sequence", "1"}})
+            out += fmt::format(R"("{}":{},)", name, name == field ? value : usual);
+        return out + R"("note":1})";
+    };
+    std::vector<std::string> texts = {std::string(30'000, '['),
+                                      std::string(30'000, '{'),
+                                      "",
+                                      "7",
+                                      entryWith("note", std::string(5000, '[')),
+                                      entryWith("address", R"("127.0.0.1:70000")"),
+                                      entryWith("address", R"("127.0.0.1:-1")"),
+                                      entryWith("address", R"("127.0.0.1:99999999999999999999")")};
+    for (const char *field : {"slots", "sequence", "cold-remaining-ms"}) {
+        for (const char *value : {"-1", "2147483648", "9223372036854775808", "18446744073709551615",
+                                  "18446744073709551616", "1e30", "1e400", "[[1]]", "null"})
+            texts.push_back(entryWith(field, value));
+    }
+    for (std::size_t i = 0; i < texts.size(); ++i)
+        fleet.writeReplicaEntry(fmt::format("odd-{}", i), texts[i]);
+    std::this_thread::sleep_for(2s);
+    for (std::size_t i = 0; i < fleet.routerCount(); ++i) {
+        CHECK(fleet.router(i).isRunning());
+        CHECK(Fleet::waitFor([&] { return status(i, "/safe/a") == 200; }));
+    }
+    // A replica that is added afterwards is found, and a router that starts reads the list.
+    fleet.restartReplica(0);
+    const std::string id = fleet.replicaId(0);
+    CHECK(Fleet::waitFor([&] {
+        status(0, "/safe/a");
+        const std::vector<Json::Value> all = fleet.executions();
+        return std::any_of(all.begin(), all.end(),
+                           [&](const Json::Value &it) { return it["replica"].asString() == id; });
+    }));
+    fleet.router(1).signal(SIGKILL);
+    fleet.router(1).wait();
+    fleet.startRouter(1);
+    CHECK(Fleet::waitFor([&] { return fleet.isReady(1); }));
+    CHECK(Fleet::waitFor([&] { return status(1, "/safe/a") == 200; }));
+}
+
 TEST_CASE_FIXTURE(EntryFleetFixture, "entry_failedRequest_isExplainedByItsLogLines")
 {
     for (std::size_t i = 0; i < 3; ++i)
