--- a/src/Decide/ReplicaPool.cpp
+++ b/src/Decide/ReplicaPool.cpp
@@ -578,9 +578,9 @@
     return out;
 }
 
-/// \returns whether the invalid answers of \a it, which \a report may add to, show that it is at
+/// Counts the invalid answers of \a it in a row. \returns whether they show that the replica is at
 /// fault. Answers that were in progress together count once: the path may have cut them all.
-bool ReplicaPool::isFaulty(State &it, const AttemptReport &report) const
+bool ReplicaPool::recordAnswer(State &it, const AttemptReport &report) const
 {
     if (report.succeeded)
         it.invalidInRow = 0;
@@ -617,7 +617,7 @@
     const bool timedOut = !report.succeeded && report.reason == Reason::UpstreamTimeout;
     if (m_options.isEngine && timedOut)
         changed = m_health.ejectImmediately(it->health, m_states.size(), now) || changed;
-    if (isFaulty(*it, report))
+    if (recordAnswer(*it, report))
         changed = m_health.ejectFaulty(it->health, m_states.size(), now) || changed;
     if (!changed)
         return false;
--- a/src/Decide/ReplicaPool.h
+++ b/src/Decide/ReplicaPool.h
@@ -233,7 +233,7 @@
         bool isColdSender = false; ///< \sa Options::isColdSender, as of senderCheckedAt.
         TimePoint senderCheckedAt = TimePoint::min();
         HealthTracker::Entry health = {};
-        int invalidInRow = 0; ///< Invalid answers since the last valid one. \sa isFaulty()
+        int invalidInRow = 0; ///< Invalid answers since the last valid one. \sa recordAnswer()
         TimePoint lastInvalidAt = TimePoint::min();
         ReplicaSpeed speed = {};
         int reportedLoad = 0; ///< Running and waiting requests by the last report.
@@ -255,7 +255,7 @@
         double slowness = 1; ///< \sa ReplicaSpeed::factor()
     };
 
-    bool isFaulty(State &it, const AttemptReport &report) const;
+    bool recordAnswer(State &it, const AttemptReport &report) const;
     State *find(std::string_view id);
     const State *find(std::string_view id) const;
     Choice makeChoice(const State &it, std::span<const PromptPart> prompt, double total,
