--- a/src/Control/ConfigRecords.cpp
+++ b/src/Control/ConfigRecords.cpp
@@ -4,7 +4,6 @@
 #include "Base/Json.h"
 
 #include <limits>
-#include <memory>
 
 #include <fmt/format.h>
 #include <json/json.h>
--- a/src/Request/ClaimRow.cpp
+++ b/src/Request/ClaimRow.cpp
@@ -5,7 +5,6 @@
 #include "Base/Utf8.h"
 
 #include <array>
-#include <memory>
 
 #include <fmt/format.h>
 #include <json/json.h>
