A trial is announced when it is sent, not when it is admitted

Cause: a held request was admitted as a trial and then refused, as no replica was left; the announcement of the trial made the other routers wait five seconds for its outcome.

--- a/src/Decide/RequestQuarantine.cpp
+++ b/src/Decide/RequestQuarantine.cpp
@@ -155,6 +155,7 @@
 {
     entry.ownTrialAt = m_options.clock.now();
     entry.trialEndsAt = entry.ownTrialAt + TrialTimeout;
+    entry.isOwnTrialSent = false;
     Log::info("quarantine_trial",
               {{"fingerprint", fingerprint},
                {"is_doubtful", entry.doubtfulSince.has_value()},
@@ -162,8 +163,27 @@
                {"incidents", entry.incidents},
                {"confirmed", entry.confirmedIncidents},
                {"unexplained", entry.unexplainedIncidents}});
-    scheduleAnnouncement(entry, true);
-    if (m_options.announceNow)
+}
+
+bool RequestQuarantine::isOwnTrialRunning(const Entry &entry) const
+{
+    const TimePoint now = m_options.clock.now();
+    return entry.ownTrialAt != TimePoint::min() && now - entry.ownTrialAt < TrialTimeout
+            && now < entry.trialEndsAt;
+}
+
+void RequestQuarantine::sent(Suspects suspects)
+{
+    bool isTrial = false;
+    for (const std::string &it : suspects) {
+        const auto found = m_records.find(it);
+        if (found == m_records.end() || !isOwnTrialRunning(found->second)
+            || std::exchange(found->second.isOwnTrialSent, true))
+            continue;
+        scheduleAnnouncement(found->second, true);
+        isTrial = true;
+    }
+    if (isTrial && m_options.announceNow)
         m_options.announceNow();
 }
 
@@ -718,9 +738,7 @@
     CrashUpdate out{.fingerprint = fingerprint, .isHeld = entry.isHeld && entry.tiedParts.empty()};
     if (entry.record.clearedAt() != TimePoint::min())
         out.clearedAge = ageAt(now, entry.record.clearedAt());
-    const bool isOwnTrialRunning = entry.ownTrialAt != TimePoint::min()
-            && now - entry.ownTrialAt < TrialTimeout && now < entry.trialEndsAt;
-    if (isOwnTrialRunning)
+    if (entry.isOwnTrialSent && isOwnTrialRunning(entry))
         out.trialAge = ageAt(now, entry.ownTrialAt);
     for (const ReplicaCrash &it : entry.record.replicaCrashes())
         out.replicaCrashes.push_back({.replica = it.replica,
--- a/src/Decide/RequestQuarantine.h
+++ b/src/Decide/RequestQuarantine.h
@@ -171,6 +171,11 @@
         return admit({&suspect, 1}, software);
     }
 
+    /// \brief Records that a request with \a suspects that was admitted is sent to a replica. If it
+    /// is a trial, the other routers wait for its outcome from now on.
+    void sent(Suspects suspects);
+    void sent(const std::string &suspect) { sent({&suspect, 1}); }
+
     /// \brief Records a crash of a replica that worked on a request with \a suspects.
     void replicaCrashed(Suspects suspects, const CrashReport &report);
 
@@ -252,7 +257,9 @@
         std::optional<TimePoint> softwareGoneAt = {}; ///< Since when no replica runs that software.
         /// When the running trial, of this or another router, times out.
         TimePoint trialEndsAt = TimePoint::min();
-        TimePoint ownTrialAt = TimePoint::min(); ///< When this router began its last trial.
+        TimePoint ownTrialAt = TimePoint::min(); ///< When this router admitted its last trial.
+        bool isOwnTrialSent =
+                false; ///< No trial has been sent if it was refused for another reason.
         TimePoint notHeldLoggedAt = TimePoint::min(); ///< \sa logNotHeld()
     };
     using Records = std::unordered_map<std::string, Entry>;
@@ -277,6 +284,7 @@
     static std::string crashName(const std::string &replica, int restarts);
     void recordCrash(const std::string &suspect, ReplicaCrash crash, TimePoint sentAt);
     void beginTrial(const std::string &fingerprint, Entry &entry);
+    bool isOwnTrialRunning(const Entry &entry) const;
     void recordCompletion(const std::string &suspect);
     void decide();
     void decideRequests(std::span<Records::value_type *const> suspects);
--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -418,6 +418,8 @@
         call = m_context.relay->relayed(std::move(call), *m_relay,
                                         {.replica = m_incarnation, .suspects = suspects()});
     }
+    if (!m_context.quarantine.isEmpty())
+        m_context.quarantine.sent(suspects());
     m_call = m_context.client.send(std::move(call), attemptEvents());
 }
 
--- a/test/RequestQuarantineTest.cpp
+++ b/test/RequestQuarantineTest.cpp
@@ -783,11 +783,25 @@
 // Guards against trials of several routers at the same time, each of which may crash a replica.
 TEST_CASE_FIXTURE(DoubtfulHoldFixture, "requestQuarantine_trialIsRunning_otherRoutersWait")
 {
-    REQUIRE(waitForTrial(10s));
+    const std::optional<std::size_t> trying = waitForTrial(10s);
+    REQUIRE(trying);
+    routers[*trying]->sent(Fatal);
     exchangeUpdates();
     CHECK_FALSE(waitForTrial(4s));
 }
 
+// Guards against routers that wait for the outcome of a trial that was refused for another reason,
+// so that a harmless request is held longer.
+TEST_CASE_FIXTURE(DoubtfulHoldFixture, "requestQuarantine_trialIsNotSent_otherRoutersTry")
+{
+    const std::optional<std::size_t> trying = waitForTrial(10s);
+    REQUIRE(trying);
+    exchangeUpdates();
+    const std::optional<std::size_t> next = waitForTrial(9s);
+    REQUIRE(next);
+    CHECK(*next != *trying);
+}
+
 // Guards against several crashes counted for requests that are sent to one crashed replica.
 TEST_CASE_FIXTURE(QuarantineFleetFixture, "requestQuarantine_replicaStaysDown_itsCrashCountsOnce")
 {
