--- a/src/Net/internal/HttpVmList.cpp
+++ b/src/Net/internal/HttpVmList.cpp
@@ -52,11 +52,11 @@
         std::vector<VmEntry> out;
         for (const Json::Value &it : root.value()["vms"]) {
             const Result<VmEntry> vm = readJson<VmEntry>(it, Reason::StoreUnavailable, &vmOf);
-            if (vm && !vm.value().name.empty())
+            if (vm && it["name"].isString())
                 out.push_back(vm.value());
             else
                 Log::warning("vm_entry_malformed",
-                             {{"detail", vm ? "no name" : vm.error().detail}});
+                             {{"detail", vm ? "the name is no text" : vm.error().detail}});
         }
         return out;
     }
