--- a/standin/fleet/EntryFleet.cpp
+++ b/standin/fleet/EntryFleet.cpp
@@ -4,12 +4,14 @@
 #include "fleet/Fleet.h"
 #include "fleet/PortAllocator.h"
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 namespace catkinloft::standin {
 
@@ -455,4 +457,23 @@
     return readFile(fmt::format("{}/router-{}.log", m_folder, i));
 }
 
+std::string EntryFleet::eventLog(std::span<const std::string_view> events,
+                                 std::size_t maxLines) const
+{
+    std::vector<std::string> found;
+    for (std::size_t i = 0; i < m_routers.size(); ++i) {
+        std::istringstream lines(routerLog(i));
+        for (std::string line; std::getline(lines, line);) {
+            if (std::any_of(events.begin(), events.end(), [&](std::string_view it) {
+                    return line.find(fmt::format("\"event\":\"{}\"", it)) != std::string::npos;
+                }))
+                found.push_back(std::move(line));
+        }
+    }
+    // The time is the first field of a line.
+    std::sort(found.begin(), found.end());
+    found.resize(std::min(found.size(), maxLines));
+    return fmt::format("{}", fmt::join(found, "\n"));
+}
+
 } // namespace catkinloft::standin
--- a/standin/fleet/EntryFleet.h
+++ b/standin/fleet/EntryFleet.h
@@ -8,7 +8,9 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -155,6 +157,10 @@
     /// \returns the log of router \a i so far.
     std::string routerLog(std::size_t i) const;
 
+    /// \returns the log lines of all routers with one of \a events, by time. Of more than
+    /// \a maxLines lines the first ones.
+    std::string eventLog(std::span<const std::string_view> events, std::size_t maxLines) const;
+
     const std::string &folder() const { return m_folder; }
 
     static constexpr const char *Host = "entry.example";
--- a/test/integration/PromptPartTest.cpp
+++ b/test/integration/PromptPartTest.cpp
@@ -5,14 +5,17 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <csignal>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 using namespace catkinloft;
 using namespace std::chrono_literals;
@@ -157,6 +160,20 @@
         return out;
     }
 
+    /// \returns what the routers logged about crashes and held requests.
+    std::string crashLog() const
+    {
+        constexpr std::array<std::string_view, 12> Events = {
+                "replica_ended",           "replica_crash_not_confirmed",
+                "run_ended_with_replica",  "request_quarantined",
+                "request_released",        "quarantine_trial",
+                "quarantine_trial_failed", "suspect_not_quarantined",
+                "service_partitioned",     "service_partition_ended",
+                "replica_path_lost",       "replica_path_regained"};
+        constexpr std::size_t MaxLines = 300;
+        return fleet.eventLog(Events, MaxLines);
+    }
+
     /// Checks the fatal runs later than StableWindow after the fifth. Routers that hold the part
     /// back sooner leave fewer runs.
     void requireHeld() const
@@ -172,6 +189,7 @@
         });
         MESSAGE(fmt::format("{} crashes, {} late; sound {} of {}", runs.size(), late,
                             soundServed.load(), sound.load()));
+        INFO(fmt::format("fatal runs at {}\n{}", fmt::join(runs, " "), crashLog()));
         CHECK(late <= MaxLateRuns);
         CHECK(2 * soundServed >= sound);
     }
@@ -250,5 +268,6 @@
           .fatalPause = 20ms,
           .isSecondPartShared = true,
           .crashedReplicas = Return::SameId});
+    INFO(crashLog());
     CHECK(fatalRuns().size() <= MaxCrashes);
 }
