--- a/test/RequestQuarantineTest.cpp
+++ b/test/RequestQuarantineTest.cpp
@@ -790,6 +790,35 @@
     CHECK_FALSE(waitForTrial(4s));
 }
 
+// Guards against trials of all routers at the same moment, each of which may crash a replica: they
+// wait for the outcome of one that can't be told, because nobody confirms the crash.
+TEST_CASE_FIXTURE(DoubtfulHoldFixture, "requestQuarantine_trialHasNoOutcome_nextOnesComeOneByOne")
+{
+    const std::optional<std::size_t> trying = waitForTrial(10s);
+    REQUIRE(trying);
+    routers[*trying]->sent(Fatal);
+    exchangeUpdates();
+    int trials = 0;
+    int trialsAtOnce = 0;
+    for (const TimePoint until = clock.now() + 15min; clock.now() < until; clock.advance(50ms)) {
+        int admitted = 0;
+        for (const auto &it : routers) {
+            if (it->admit(Fatal, Old))
+                continue;
+            it->sent(Fatal);
+            ++admitted;
+        }
+        trials += admitted;
+        trialsAtOnce = std::max(trialsAtOnce, admitted);
+        if (admitted > 0)
+            exchangeUpdates();
+    }
+    CHECK(trials >= 2);
+    CHECK(trialsAtOnce == 1);
+    // The time between two trials at least doubles, from five seconds to the hold time.
+    CHECK(trials <= 9);
+}
+
 // Guards against routers that wait for the outcome of a trial that was refused for another reason,
 // so that a harmless request is held longer.
 TEST_CASE_FIXTURE(DoubtfulHoldFixture, "requestQuarantine_trialIsNotSent_otherRoutersTry")
--- a/test/integration/VersionTest.cpp
+++ b/test/integration/VersionTest.cpp
@@ -45,7 +45,9 @@
 }
 
 /// \param leaveAfter number of events after which the caller leaves; 0: it stays.
-StreamAttempt readStream(const std::string &address, HttpHeaders headers, std::size_t leaveAfter)
+/// \param events number of events of the whole stream.
+StreamAttempt readStream(const std::string &address, HttpHeaders headers, std::size_t leaveAfter,
+                         int events = Events)
 {
     StreamAttempt out;
     EventLoop loop;
@@ -56,7 +58,7 @@
     headers.emplace_back("X-Request-Deadline", "3000");
     headers.emplace_back("Authorization", std::string("Bearer ") + EntryFleet::Key);
     HttpCallPtr call = client.send({.address = address,
-                                    .target = fmt::format("/stream/a?events={}", Events),
+                                    .target = fmt::format("/stream/a?events={}", events),
                                     .headers = std::move(headers),
                                     .timeout = 3500ms,
                                     .freshConnection = true},
@@ -238,3 +240,85 @@
     CHECK(resumed.isComplete);
     CHECK(resumed.versions.size() == Events - first.versions.size());
 }
+
+namespace {
+
+/// Replicas of two software versions that all keep running, so that each stream may go on.
+struct AllRoutersKilledFixture
+{
+    AllRoutersKilledFixture() { fleet.start(); }
+
+    /// Reads one stream, which all routers' restart interrupts, and resumes it at other routers.
+    void playStream(const std::string &first, std::size_t router)
+    {
+        constexpr int LongStream = 250;
+        constexpr int Tries = 12;
+        StreamAttempt attempt =
+                readStream(fleet.callerAddress(router), {{"X-Request-Id", first}}, 0, LongStream);
+        std::vector<std::string> versions = attempt.versions;
+        const bool isTakenUp = !versions.empty() && !attempt.isComplete;
+        for (int i = 1; isTakenUp && !attempt.isComplete && i <= Tries; ++i) {
+            std::this_thread::sleep_for(200ms);
+            attempt = readStream(
+                    fleet.callerAddress((router + static_cast<std::size_t>(i)) % Routers),
+                    {{"X-Request-Id", fmt::format("{}-{}", first, i)},
+                     {"Last-Event-Id", fmt::format("{}", versions.size())},
+                     {"Resumes", first}},
+                    0, LongStream);
+            versions.insert(versions.end(), attempt.versions.begin(), attempt.versions.end());
+        }
+        const std::lock_guard lock(mutex);
+        takenUp += isTakenUp ? 1 : 0;
+        wentOn += isTakenUp && attempt.isComplete ? 1 : 0;
+        mixed += std::set(versions.begin(), versions.end()).size() > 1 ? 1 : 0;
+    }
+
+    /// Kills all routers while streams run that began within half a second, well before.
+    void killAllRouters(int round)
+    {
+        constexpr std::size_t Callers = 20;
+        constexpr Duration CallerInterval = 25ms;
+        std::vector<std::thread> callers;
+        for (std::size_t i = 0; i < Callers; ++i) {
+            callers.emplace_back(
+                    [this, round, i] { playStream(fmt::format("r{}-{}", round, i), i % Routers); });
+            std::this_thread::sleep_for(CallerInterval);
+        }
+        std::this_thread::sleep_for(700ms);
+        for (std::size_t i = 0; i < Routers; ++i)
+            fleet.router(i).signal(SIGKILL);
+        for (std::size_t i = 0; i < Routers; ++i) {
+            fleet.router(i).wait();
+            fleet.startRouter(i);
+        }
+        for (std::thread &it : callers)
+            it.join();
+    }
+
+    static constexpr std::size_t Routers = 4;
+    EntryFleet fleet{{.binaries = CATKINLOFT_BINARIES,
+                      .routers = Routers,
+                      .replicas = 4,
+                      .versions = {"v1", "v1.1"}}};
+    std::mutex mutex;
+    int takenUp = 0; ///< Streams that were interrupted after their first event.
+    int wentOn = 0; ///< Of these, those that reached their end.
+    int mixed = 0; ///< Streams with events of several versions.
+};
+
+} // namespace
+
+// Guards against routers that all restart while two versions serve and no longer know which one
+// began a stream: its caller must neither get events of both nor be refused while replicas of the
+// right version run.
+TEST_CASE_FIXTURE(AllRoutersKilledFixture,
+                  "fleet_allRoutersAreKilledWhileTwoVersionsServe_streamsGoOn")
+{
+    constexpr int Rounds = 3;
+    for (int i = 0; i < Rounds; ++i)
+        killAllRouters(i);
+    MESSAGE(fmt::format("{} streams taken up, {} went on, {} mixed", takenUp, wentOn, mixed));
+    REQUIRE(takenUp >= 20);
+    CHECK(mixed == 0);
+    CHECK(10 * wentOn >= 9 * takenUp);
+}
