A trial without an outcome is followed by one at a time

Callers saw: requests with a held fatal part crash four replicas at the same moment, one under each router. Cause: all routers wait for the outcome of an announced trial. If nobody can tell it, because the crash isn't confirmed, they stop waiting at the same moment, and the random delays that keep trials apart are over by then.

--- a/src/Decide/RequestQuarantine.cpp
+++ b/src/Decide/RequestQuarantine.cpp
@@ -145,7 +145,7 @@
     // A further incident while the updates arrive settles it as well.
     if (entry.incidents <= MinIncidents && now < settledAt(entry))
         return std::nullopt;
-    if (now < trialAllowedAt(entry) || now < entry.trialEndsAt)
+    if (now < nextTrialAt(entry))
         return describe(fingerprint, entry);
     beginTrial(fingerprint, entry);
     return std::nullopt;
@@ -172,6 +172,21 @@
             && now < entry.trialEndsAt;
 }
 
+/// Notes that another router runs a trial that times out at \a endsAt.
+void RequestQuarantine::noteTrial(Entry &entry, TimePoint endsAt)
+{
+    // Routers announce a trial several times, and the delays of their messages differ.
+    if (endsAt > entry.trialEndsAt + TrialTimeout / 2)
+        ++entry.unresolvedTrials;
+    entry.trialEndsAt = std::max(entry.trialEndsAt, endsAt);
+}
+
+void RequestQuarantine::forgetTrials(Entry &entry)
+{
+    entry.trialEndsAt = TimePoint::min();
+    entry.unresolvedTrials = 0;
+}
+
 void RequestQuarantine::sent(Suspects suspects)
 {
     bool isTrial = false;
@@ -180,6 +195,7 @@
         if (found == m_records.end() || !isOwnTrialRunning(found->second)
             || std::exchange(found->second.isOwnTrialSent, true))
             continue;
+        ++found->second.unresolvedTrials;
         scheduleAnnouncement(found->second, true);
         isTrial = true;
     }
@@ -204,6 +220,19 @@
     return out + trialDelay(entry);
 }
 
+/// \returns when this router may begin a trial. After a trial without an outcome the routers wait
+/// for different times again, because its time-out ends for all of them at the same moment.
+TimePoint RequestQuarantine::nextTrialAt(const Entry &entry) const
+{
+    TimePoint out = std::max(trialAllowedAt(entry), entry.trialEndsAt);
+    if (entry.unresolvedTrials == 0)
+        return out;
+    Duration backoff = Duration::zero();
+    for (int n = 1; n < entry.unresolvedTrials && backoff < MinHoldTime; ++n)
+        backoff = 2 * backoff + TrialTimeout;
+    return std::max(out, entry.trialEndsAt + std::min(backoff, MinHoldTime) + trialDelay(entry));
+}
+
 Duration RequestQuarantine::trialDelay(const Entry &entry) const
 {
     const Duration maxDelay = std::min<Duration>(MinHoldTime, TrialSpacing * m_options.routers());
@@ -272,7 +301,7 @@
     if (crash.isTrial)
         Log::info("quarantine_trial_failed",
                   {{"fingerprint", fingerprint}, {"replica", crash.replica}});
-    entry.trialEndsAt = TimePoint::min();
+    forgetTrials(entry);
     update(entry);
     logNotHeld(fingerprint, entry);
     scheduleAnnouncement(entry, true);
@@ -322,7 +351,7 @@
     if (!entry.record.clear(now))
         return;
     entry.isHeldElsewhere = false;
-    entry.trialEndsAt = TimePoint::min();
+    forgetTrials(entry);
     entry.ownTrialAt = TimePoint::min();
     update(entry);
     scheduleAnnouncement(entry, true);
@@ -639,10 +668,12 @@
             continue;
         Entry &entry = findOrInsert(it.fingerprint);
         const bool isNewlyHeld = it.isHeld && !std::exchange(entry.isHeldElsewhere, true);
+        const bool isChanged = entry.record.merge(received);
+        if (isChanged)
+            entry.unresolvedTrials = 0;
         if (it.trialAge)
-            entry.trialEndsAt = std::max(entry.trialEndsAt,
-                                         m_options.clock.now() - *it.trialAge + TrialTimeout);
-        if (entry.record.merge(received) || isNewlyHeld) {
+            noteTrial(entry, m_options.clock.now() - *it.trialAge + TrialTimeout);
+        if (isChanged || isNewlyHeld) {
             update(entry);
             scheduleAnnouncement(entry, false);
         } else if (!received.replicaCrashes().empty()
@@ -760,8 +791,7 @@
         software.insert(it.software);
     }
     out.software.assign(software.begin(), software.end());
-    const TimePoint until = std::max(trialAllowedAt(entry), entry.trialEndsAt);
-    out.remaining = ageAt(until, m_options.clock.now());
+    out.remaining = ageAt(nextTrialAt(entry), m_options.clock.now());
     return out;
 }
 
--- a/src/Decide/RequestQuarantine.h
+++ b/src/Decide/RequestQuarantine.h
@@ -79,7 +79,8 @@
 ///
 /// A trial shows what a request that is held in doubt does: if it completes, the request is
 /// released; if it crashes a replica, all routers hold the request for the whole hold time. Routers
-/// announce a trial, so that they run one at a time.
+/// announce a trial, so that they run one at a time. A trial whose outcome nobody can tell may have
+/// crashed a replica too, so each further one comes later.
 class RequestQuarantine
 {
 public:
@@ -255,8 +256,10 @@
         TimePoint lastSentAt = {};
         double trialPosition = 0; ///< Random share of the maximum trial delay, from 0 to 1.
         std::optional<TimePoint> softwareGoneAt = {}; ///< Since when no replica runs that software.
-        /// When the running trial, of this or another router, times out.
+        /// When the last trial, of this or another router, times out; TimePoint::min() if there
+        /// was none or its outcome is known.
         TimePoint trialEndsAt = TimePoint::min();
+        int unresolvedTrials = 0; ///< Trials that were sent since the last known outcome.
         TimePoint ownTrialAt = TimePoint::min(); ///< When this router admitted its last trial.
         bool isOwnTrialSent =
                 false; ///< No trial has been sent if it was refused for another reason.
@@ -285,6 +288,8 @@
     void recordCrash(const std::string &suspect, ReplicaCrash crash, TimePoint sentAt);
     void beginTrial(const std::string &fingerprint, Entry &entry);
     bool isOwnTrialRunning(const Entry &entry) const;
+    static void noteTrial(Entry &entry, TimePoint endsAt);
+    static void forgetTrials(Entry &entry);
     void recordCompletion(const std::string &suspect);
     void decide();
     void decideRequests(std::span<Records::value_type *const> suspects);
@@ -304,6 +309,7 @@
     Hold describe(const std::string &fingerprint, const Entry &entry) const;
     TimePoint settledAt(const Entry &entry) const;
     TimePoint trialAllowedAt(const Entry &entry) const;
+    TimePoint nextTrialAt(const Entry &entry) const;
     Duration trialDelay(const Entry &entry) const;
     static Duration holdTime(const Entry &entry);
     static Duration lifetime(const Entry &entry);
