Origins of streams are kept in the store for a restart of all routers

Cause: what began a stream is known to its router and three others only, so that the loss of all of them loses it. Rows of the store were ruled out for each stream, but not for batches. Change: StreamOriginStore writes what a router tells its keepers, one row in an interval that keeps all routers within a twentieth of the store's write rate, where the settings give that rate. A resumption that nobody can place reads the rows. What was not written in time is refused as before.

--- a/src/Base/EntrySettings.cpp
+++ b/src/Base/EntrySettings.cpp
@@ -134,6 +134,7 @@
     updateField("cold_replicas.slack", &EntrySettings::coldRateSlack);
     checkUnchanged("regions", &EntrySettings::regions);
     checkUnchanged("repeats.window", &EntrySettings::fleetRetryWindow);
+    checkUnchanged("store_writes_per_second", &EntrySettings::storeWritesPerSecond);
     checkUnchanged("replica_return_time", &EntrySettings::replicaReregistrationTime);
     checkUnchanged("mechanisms", &EntrySettings::mechanisms);
     checkUnchanged("limits.max_header_bytes", &EntrySettings::maxHeaderBytes);
@@ -167,6 +168,8 @@
     out->stopTimeout = root.duration("stop_limit", 100ms, 1h, out->stopTimeout);
     out->replicaDrainTimeout =
             root.duration("replica_drain_limit", 100ms, 1h, out->replicaDrainTimeout);
+    out->storeWritesPerSecond =
+            root.number("store_writes_per_second", 0, 1e6, "writes", out->storeWritesPerSecond);
     out->replicaReregistrationTime =
             root.duration("replica_return_time", 0ms, 1h, out->replicaReregistrationTime);
     root.finish();
--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -7,6 +7,7 @@
 #include "Control/PromptDiscovery.h"
 #include "Control/ReplicaRegistry.h"
 #include "Control/StoreReadPlan.h"
+#include "Control/StreamOriginStore.h"
 #include "Decide/SoftwareHistory.h"
 #include "Decide/StreamOrigins.h"
 #include "Net/BrittlePage.h"
@@ -138,6 +139,8 @@
     void reportToldCrash(const CrashUpdate::Crash &crash);
     StreamOriginReport streamOriginReport(const StreamOriginQuestion &question) const;
     void streamBegan(const StreamOrigin &origin, const StreamOriginQuestion &question);
+    std::vector<StreamOrigin> takeStreamOrigins();
+    void pollStreamOriginStore();
     void updateSoftware();
     void adoptSoftware(const std::vector<SoftwareHistory::Row> &rows, bool isFirstStart);
     void storeSoftware();
@@ -173,6 +176,7 @@
     std::set<std::string> registeredSoftware; ///< Of the replicas of all services.
     StreamOrigins streamOrigins;
     FleetTask fleet;
+    StreamOriginStore streamOriginStore;
     StreamOriginTask streamOriginTask;
     RelayClient relay;
     RelayServer relayServer;
@@ -190,6 +194,7 @@
     PromptDiscovery discovery;
     Timer discoveryTimer;
     Timer quarantineTimer;
+    Timer streamOriginTimer;
     Timer registrationTimer;
     Timer drainTimer;
     TimePoint refuseFrom = TimePoint::max();
@@ -248,7 +253,7 @@
              .brittleServices = [this] { return pools.brittleServices(); },
              .takeCrashUpdates = [this] { return quarantine.takeUpdates(); },
              .takeFirstCrashes = [this] { return quarantine.takeFirstCrashes(); },
-             .takeStreamOrigins = [this] { return streamOrigins.takeAnnouncements(); },
+             .takeStreamOrigins = [this] { return takeStreamOrigins(); },
              .onStreamOrigins =
                      [this](std::span<const StreamOrigin> it) { streamOrigins.merge(it); },
              .onHeartbeat = [this](const RouterHeartbeat &it) { receiveHeartbeat(it); },
@@ -261,6 +266,15 @@
              .onRelay = [this](const HttpExchangePtr &it) { relayServer.handle(it); },
              .onStreamOriginQuestion =
                      [this](const HttpExchangePtr &it) { streamOriginTask.handle(it); }}),
+      streamOriginStore(
+              {.table = *table,
+               .clock = loop,
+               .router = settings.name,
+               .incarnation = fleet.incarnation(),
+               .writesPerSecond = settings.storeWritesPerSecond,
+               .routers = [this] { return knownRouters(); },
+               .isReader = [this] { return fleet.isReader(); },
+               .onRead = [this](std::span<const StreamOrigin> it) { streamOrigins.merge(it); }}),
       streamOriginTask(
               {.client = client,
                .metrics = metrics,
@@ -268,6 +282,10 @@
                        [this](const StreamOriginQuestion &it) { return streamOriginReport(it); },
                .keepers = [this](std::string_view stream,
                                  std::size_t n) { return fleet.view().holdersOf(stream, n); },
+               .readStored =
+                       [this](std::function<void()> done) {
+                           streamOriginStore.read(std::move(done));
+                       },
                .sign = [this](std::string_view it) { return fleet.sign(it); },
                .verify = [this](std::string_view signature,
                                 std::string_view text) { return fleet.verify(signature, text); }}),
@@ -403,6 +421,7 @@
                  .maxAnnouncedParts = MaxAnnouncedPrompts}),
       discoveryTimer(loop, [this] { discoverPrompts(); }),
       quarantineTimer(loop, [this] { storeQuarantine(); }),
+      streamOriginTimer(loop, [this] { pollStreamOriginStore(); }),
       registrationTimer(loop, [this] { keepRegistered(); }),
       drainTimer(loop, [this] { checkDrained(); })
 {
@@ -570,6 +589,21 @@
     streamOrigins.begin(origin, !isProvable && settings.mechanisms.streamOriginAnnouncements);
 }
 
+std::vector<StreamOrigin> EntryProcess::Private::takeStreamOrigins()
+{
+    std::vector<StreamOrigin> out = streamOrigins.takeAnnouncements();
+    streamOriginStore.add(out);
+    pollStreamOriginStore();
+    return out;
+}
+
+void EntryProcess::Private::pollStreamOriginStore()
+{
+    streamOriginStore.poll();
+    if (const TimePoint next = streamOriginStore.nextDeadline(); next != TimePoint::max())
+        streamOriginTimer.start(std::max(Duration::zero(), next - loop.now()));
+}
+
 void EntryProcess::Private::updateSoftware()
 {
     software.update(replicas.replicas());
--- a/src/Net/StreamOriginTask.cpp
+++ b/src/Net/StreamOriginTask.cpp
@@ -46,7 +46,7 @@
     const std::vector<std::string> addresses = m_options.keepers(question.stream, AskedRouters);
     inquiry->asked = inquiry->pending = addresses.size();
     if (addresses.empty())
-        return finish(*inquiry, proveOrigin(inquiry->reports, question.window), "list");
+        return conclude(inquiry);
     const std::string text = StreamOriginCodec::encodeQuestion(question);
     for (const std::string &it : addresses)
         ask(it, text, inquiry);
@@ -72,12 +72,22 @@
                                        return finish(*inquiry, report.value().software, "router");
                                }
                                if (inquiry->pending == 0)
-                                   finish(*inquiry,
-                                          proveOrigin(inquiry->reports, inquiry->question.window),
-                                          "list");
+                                   conclude(inquiry);
                            });
 }
 
+/// Ends an inquiry to which no router knows the answer.
+void StreamOriginTask::conclude(const std::shared_ptr<Inquiry> &inquiry)
+{
+    const StreamOriginQuestion &question = inquiry->question;
+    const auto proven = proveOrigin(inquiry->reports, question.window);
+    if (proven || question.stream.empty() || !inquiry->found)
+        return finish(*inquiry, proven, "list");
+    m_options.readStored([this, inquiry] {
+        finish(*inquiry, m_options.ownReport(inquiry->question).software, "store");
+    });
+}
+
 void StreamOriginTask::finish(Inquiry &inquiry, std::optional<std::string> software,
                               const char *how)
 {
--- a/src/Net/StreamOriginTask.h
+++ b/src/Net/StreamOriginTask.h
@@ -17,7 +17,8 @@
 /// \brief Finds out which software began a stream that a caller resumes, by asking the routers that
 /// keep its origin, and answers such questions.
 ///
-/// If no router knows the origin, their lists of replicas may still prove it. \sa proveOrigin()
+/// If no router knows the origin, their lists of replicas may still prove it, \sa proveOrigin(), or
+/// the platform's store may have it, \sa StreamOriginStore.
 class StreamOriginTask
 {
 public:
@@ -32,6 +33,10 @@
         std::function<StreamOriginReport(const StreamOriginQuestion &)> ownReport;
         /// Returns the addresses of the \a n routers that keep the origin of \a stream first.
         std::function<std::vector<std::string>(std::string_view stream, std::size_t n)> keepers;
+        /// Reads the origins that are kept in the platform's store and calls \a done, after which
+        /// \a ownReport contains them. Used if no router knows an origin.
+        std::function<void(std::function<void()> done)> readStored =
+                [](const std::function<void()> &done) { done(); };
         /// Signs a text with the key of the fleet.
         std::function<std::string(std::string_view text)> sign;
         /// Whether a signature of the key of the fleet is valid for a text.
@@ -57,6 +62,7 @@
 
     void ask(const std::string &address, const std::string &text,
              const std::shared_ptr<Inquiry> &inquiry);
+    void conclude(const std::shared_ptr<Inquiry> &inquiry);
     void finish(Inquiry &inquiry, std::optional<std::string> software, const char *how);
 
     Options m_options;
--- a/standin/fleet/EntryFleet.cpp
+++ b/standin/fleet/EntryFleet.cpp
@@ -17,6 +17,8 @@
 
 namespace {
 
+constexpr int StoreWritesPerSecond = 400;
+
 std::string loopbackAddress()
 {
     return fmt::format("127.0.0.1:{}", freePorts(1).front());
@@ -99,7 +101,8 @@
 {
     m_store = loopbackAddress();
     m_storeProcess = spawn({"catkinloft-standin", "--listen=" + m_store, "--name=store",
-                            "--writes_per_second=400", "--reads_per_second=2000", "rowstore"},
+                            fmt::format("--writes_per_second={}", StoreWritesPerSecond),
+                            "--reads_per_second=2000", "rowstore"},
                            "store");
 }
 
@@ -340,9 +343,10 @@
     out << fmt::format("name: \"router-{}\"\nfailure_domain: \"hall\"\ncaller_address: \"{}\"\n"
                        "readiness_address: \"{}\"\ndirectory_address: \"{}\"\n"
                        "peer_address: \"{}\"\nstore_address: \"{}\"\n"
+                       "store_writes_per_second: {}\n"
                        "source_ip: \"{}\"\nrepeats:\n  share: 0.2\n  slack: 60\n  window: 10s\n{}",
                        i, it.caller, it.readiness, it.directory, it.peer, it.store.listen,
-                       sourceIp(i), extra);
+                       StoreWritesPerSecond, sourceIp(i), extra);
 }
 
 void EntryFleet::startRouter(std::size_t i)
