Commands survive odd values in logs and reports

Change: trace skips and counts such a line, status reports it as an error. requestTrace_lineHasOddValues_isSkipped threw 'LargestUInt out of Int range' before; status has no test of its own for it.

--- a/src/Base/RequestTrace.cpp
+++ b/src/Base/RequestTrace.cpp
@@ -119,19 +119,12 @@
         && line.find(CrashEvent) == std::string_view::npos)
         return;
     const Result<Json::Value> parsed = parseJsonObject(line);
-    if (!parsed) {
+    Result<Event> read = parsed ? readEvent(parsed.value()) : Result<Event>(parsed.error());
+    if (!read) {
         ++m_skipped;
         return;
     }
-    const Json::Value &it = parsed.value();
-    Event event{.time = textOf(it, "time"),
-                .source = textOf(it, "source"),
-                .name = textOf(it, "event"),
-                .sentence = sentenceOf(it),
-                .cause = causeOf(it),
-                .replica = textOf(it, "replica"),
-                .requestId = textOf(it, "request_id"),
-                .fingerprint = textOf(it, "fingerprint")};
+    Event &event = read.value();
     if (event.name == CrashEvent)
         m_crashes.push_back(std::move(event));
     else if (event.requestId == m_requestId)
@@ -140,6 +133,20 @@
         m_replicaEvents.push_back(std::move(event));
 }
 
+Result<RequestTrace::Event> RequestTrace::readEvent(const Json::Value &line)
+{
+    return readJson<Event>(line, Reason::MalformedRequest, [](const Json::Value &it) {
+        return Event{.time = textOf(it, "time"),
+                     .source = textOf(it, "source"),
+                     .name = textOf(it, "event"),
+                     .sentence = sentenceOf(it),
+                     .cause = causeOf(it),
+                     .replica = textOf(it, "replica"),
+                     .requestId = textOf(it, "request_id"),
+                     .fingerprint = textOf(it, "fingerprint")};
+    });
+}
+
 std::vector<RequestTrace::Event> RequestTrace::relatedReplicaEvents() const
 {
     std::vector<Event> out;
--- a/src/Base/RequestTrace.h
+++ b/src/Base/RequestTrace.h
@@ -1,10 +1,14 @@
 #pragma once
 
+#include "Base/Error.h"
+
 #include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include <json/json.h>
+
 namespace catkinloft {
 
 /// \brief Merges the log lines of several routers into a readable history of one request.
@@ -40,6 +44,7 @@
     };
 
     void addLine(std::string_view line);
+    static Result<Event> readEvent(const Json::Value &line);
     std::vector<Event> relatedReplicaEvents() const;
     std::vector<Event> relatedCrashes() const;
 
--- a/src/Cli/StatusCommand.cpp
+++ b/src/Cli/StatusCommand.cpp
@@ -1,3 +1,4 @@
+#include "Base/Json.h"
 #include "Cli/Command.h"
 #include "Cli/Commands.h"
 #include "Cli/internal/Tools.h"
@@ -61,11 +62,19 @@
         internal::printError(report.error().detail);
         return exit_code::Failed;
     }
-    if (FLAGS_json)
+    if (FLAGS_json) {
         fmt::print("{}\n", Json::writeString(Json::StreamWriterBuilder(), report.value()));
-    else
-        printReport(report.value());
-    return exit_code::Ok;
+        return exit_code::Ok;
+    }
+    const Result<void> printed = readJson<void>(report.value(), Reason::Internal,
+                                                [](const Json::Value &it) -> Result<void> {
+                                                    printReport(it);
+                                                    return outcome::success();
+                                                });
+    if (printed)
+        return exit_code::Ok;
+    internal::printError(printed.error().detail);
+    return exit_code::Failed;
 }
 
 } // namespace
--- a/test/RequestTraceTest.cpp
+++ b/test/RequestTraceTest.cpp
@@ -7,6 +7,7 @@
 #include <doctest/doctest.h>
 
 #include <array>
+#include <string>
 
 #include <fcntl.h>
 #include <unistd.h>
@@ -155,3 +156,16 @@
     CHECK(read.find("log_lines_dropped") != read.npos);
     CHECK(read.size() < 20'000);
 }
+
+// Guards against a command that ends at one odd line of a log, so that the others explain nothing.
+TEST_CASE("requestTrace_lineHasOddValues_isSkipped")
+{
+    RequestTrace trace("r1");
+    for (const char *it : {R"("status":9223372036854775808)", R"("status":[1])", R"("status":"x")",
+                           R"("status":1e30)"})
+        trace.addLog(std::string(R"({"event":"request_answered","request_id":"r1",)") + it + "}\n");
+    trace.addLog(R"({"event":"request_sent","request_id":"r1","prompt_tokens":[]})");
+    CHECK(trace.skippedLines() == 5);
+    trace.addLog(R"({"event":"request_answered","request_id":"r1","status":200,"replica":"i-1"})");
+    CHECK(trace.summary().find("answered with status 200 by replica i-1") != std::string::npos);
+}
