A denied retry states its reason in the request's log lines

Cause: whether a retry was refused by the budget, the load, crashes or the route, and whether the other replicas were silent too, stood in no line of the request, so that an attempt that was given up before its retry was denied could not be told from a failed replica.

Change: attempt_failed, request_refused and request_broken_off have retry_denied, silent_replicas and busy_replicas; the counter catkinloft_retries_denied_total{reason} counts all denials. SilenceMonitor tracks for each service from which replicas no byte arrives. No decision depends on it yet.

--- /dev/null
+++ b/src/Decide/SilenceMonitor.cpp
@@ -0,0 +1,61 @@
+#include "Decide/SilenceMonitor.h"
+
+#include <algorithm>
+
+namespace catkinloft {
+
+void SilenceMonitor::sent(const std::string &id)
+{
+    Entry &it = m_entries[id];
+    if (it.inProgress++ == 0)
+        it.lastSign = m_clock.now();
+}
+
+void SilenceMonitor::received(const std::string &id)
+{
+    const auto it = m_entries.find(id);
+    if (it != m_entries.end())
+        it->second.lastSign = m_clock.now();
+}
+
+void SilenceMonitor::ended(const std::string &id)
+{
+    const auto it = m_entries.find(id);
+    if (it != m_entries.end() && it->second.inProgress > 0)
+        --it->second.inProgress;
+}
+
+void SilenceMonitor::retain(const std::set<std::string> &registered)
+{
+    std::erase_if(m_entries, [&](const auto &it) {
+        return it.second.inProgress == 0 && !registered.contains(it.first);
+    });
+}
+
+Duration SilenceMonitor::silence(const Entry &it) const
+{
+    return it.inProgress > 0 ? m_clock.now() - it.lastSign : Duration::zero();
+}
+
+Duration SilenceMonitor::silenceOf(const std::string &id) const
+{
+    const auto it = m_entries.find(id);
+    return it == m_entries.end() ? Duration::zero() : silence(it->second);
+}
+
+std::size_t SilenceMonitor::silentReplicas(Duration limit) const
+{
+    return static_cast<std::size_t>(
+            std::count_if(m_entries.begin(), m_entries.end(), [&](const auto &it) {
+                return it.second.inProgress > 0 && silence(it.second) >= limit;
+            }));
+}
+
+std::size_t SilenceMonitor::busyReplicas() const
+{
+    return static_cast<std::size_t>(
+            std::count_if(m_entries.begin(), m_entries.end(),
+                          [](const auto &it) { return it.second.inProgress > 0; }));
+}
+
+} // namespace catkinloft
--- /dev/null
+++ b/src/Decide/SilenceMonitor.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "Base/Clock.h"
+
+#include <cstddef>
+#include <map>
+#include <set>
+#include <string>
+
+namespace catkinloft {
+
+/// \brief Tracks from which replicas of one service no byte arrives while requests of this router
+/// are in progress there.
+///
+/// Handles replicas, network paths or this process itself that stand still for a time. Prevents
+/// that the silence of a whole service is taken for the failure of single replicas, so that
+/// requests are moved from one silent replica to the next.
+class SilenceMonitor
+{
+public:
+    explicit SilenceMonitor(const Clock &clock) : m_clock(clock) { }
+
+    /// \brief Records that a request was sent to replica \a id.
+    void sent(const std::string &id);
+
+    /// \brief Records that bytes of an answer of replica \a id arrived.
+    void received(const std::string &id);
+
+    /// \brief Records that a request at replica \a id has ended.
+    void ended(const std::string &id);
+
+    /// \brief Forgets all replicas without requests in progress that are not in \a registered.
+    void retain(const std::set<std::string> &registered);
+
+    /// \returns the time since the last byte from replica \a id, but at most the time for which
+    /// requests have been in progress there; zero if none is.
+    Duration silenceOf(const std::string &id) const;
+
+    /// \returns the number of replicas that have been silent for \a limit or longer.
+    std::size_t silentReplicas(Duration limit) const;
+
+    /// \returns the number of replicas with requests in progress.
+    std::size_t busyReplicas() const;
+
+private:
+    struct Entry
+    {
+        int inProgress = 0;
+        TimePoint lastSign = {}; ///< Last byte, or when the first of the requests was sent.
+    };
+
+    Duration silence(const Entry &it) const;
+
+    const Clock &m_clock;
+    std::map<std::string, Entry> m_entries;
+};
+
+} // namespace catkinloft
--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -410,6 +410,8 @@
     const std::string copyFrom = choice.copyFrom ? choice.copyFrom->address : std::string();
     reportSent(choice);
     m_service->replicas.started(m_incarnation, m_request.sharedPrompt());
+    if (!m_relay)
+        m_service->silence.sent(m_incarnation);
     if (m_context.promptSent)
         m_context.promptSent(m_incarnation, m_request.sharedPrompt());
     HttpCall call = composeCall(copyFrom);
@@ -545,9 +547,16 @@
                     }};
 }
 
-void EntryCall::onHead(const HttpHead &head)
+void EntryCall::noteReceived()
 {
     m_lastReceivedAt = m_context.loop.now();
+    if (!m_relay)
+        m_service->silence.received(m_incarnation);
+}
+
+void EntryCall::onHead(const HttpHead &head)
+{
+    noteReceived();
     if (m_relay)
         m_relayFailure = RelayCodec::decodeFailure(head);
     if (m_relayFailure)
@@ -617,7 +626,7 @@
 
 void EntryCall::onData(std::string_view data)
 {
-    m_lastReceivedAt = m_context.loop.now();
+    noteReceived();
     if (m_relaying) {
         noteFirstEvent();
         if (!m_reader.feed(data, [this](const SseEvent &event) { relay(event); }))
@@ -696,6 +705,8 @@
     if (!std::exchange(m_attempting, false))
         return;
     m_call.reset();
+    if (!m_relay)
+        m_service->silence.ended(m_incarnation);
     const Duration total = m_context.loop.now() - m_attemptStartedAt;
     const bool ejected =
             m_service->replicas.finished(m_incarnation,
@@ -800,27 +811,44 @@
     finish(RequestEvent::Kind::Answered, m_head.status, nullptr);
 }
 
-bool EntryCall::mayRetry(Verdict verdict)
+std::string_view EntryCall::retryDenial(Verdict verdict)
 {
-    if (!m_history.mayRetry(*m_request.route) || remaining() < MinRetryTime
-        || m_crashedReplicas >= MaxCrashedReplicas || (m_crashedReplicas > 0 && suspicion() > 1))
-        return false;
+    if (!m_history.mayRetry(*m_request.route))
+        return "attempts";
+    if (remaining() < MinRetryTime)
+        return "deadline";
+    if (m_crashedReplicas >= MaxCrashedReplicas || (m_crashedReplicas > 0 && suspicion() > 1))
+        return "crashes";
     if (!m_admission.mayRetry(verdict, m_hasForwardedEvent))
-        return false;
-    if (!m_service->retryBudget.tryRetry(m_context.sharingRouters())) {
+        return "overload";
+    if (!m_service->retryBudget.tryRetry(m_context.sharingRouters()))
+        return "budget";
+    return {};
+}
+
+bool EntryCall::mayRetry(Verdict verdict)
+{
+    m_retryDenied = retryDenial(verdict);
+    if (!m_retryDenied.empty())
+        m_context.metrics.count("catkinloft_retries_denied_total",
+                                Metrics::label("reason", m_retryDenied));
+    if (m_retryDenied == "budget")
         m_context.metrics.count("catkinloft_repeats_denied_total");
-        return false;
-    }
-    return true;
+    return m_retryDenied.empty();
 }
 
 void EntryCall::attemptFailed(const Error &error)
 {
+    const bool unreachable =
+            error.verdict == Verdict::NotRun && (hasRelayRefused() || isUnreachable(error));
+    // A missing event cannot be delivered any more after a later one was.
+    const bool safe = (error.verdict == Verdict::NotRun || m_request.route->isIdempotent())
+            && !m_order.hasLostEvent();
+    m_retryDenied = safe ? "" : "not_repeatable";
+    const bool isRetried = !unreachable && safe && mayRetry(error.verdict);
     m_context.report(describe(RequestEvent::Kind::AttemptFailed, error));
     m_context.metrics.retried(error.reason);
     m_verdict = combine(m_verdict, error.verdict);
-    const bool unreachable =
-            error.verdict == Verdict::NotRun && (hasRelayRefused() || isUnreachable(error));
     if (!hasRelayRefused())
         m_history.failedOn(m_incarnation);
     if (unreachable) {
@@ -828,10 +856,7 @@
         if (m_history.wasUnreachable(m_incarnation))
             return attempt();
     }
-    // A missing event cannot be delivered any more after a later one was.
-    const bool safe = (error.verdict == Verdict::NotRun || m_request.route->isIdempotent())
-            && !m_order.hasLostEvent();
-    if (!unreachable && safe && mayRetry(error.verdict))
+    if (isRetried)
         return attempt();
     if (m_crashedReplicas > 0) {
         if (const std::optional<Error> held = quarantineError())
@@ -965,6 +990,11 @@
     out.verdict = error.verdict;
     out.retryAfter = error.retryAfter;
     out.detail = error.detail;
+    out.retryDenied = m_retryDenied;
+    if (m_service) {
+        out.busyReplicas = m_service->silence.busyReplicas();
+        out.silentReplicas = m_service->silence.silentReplicas(CallSilenceLimit);
+    }
     if (error.reason == Reason::RequestQuarantined && !m_suspects.empty())
         out.fingerprint = m_suspects.front();
     for (const Figure &it : error.figures)
--- a/src/Net/EntryCall.h
+++ b/src/Net/EntryCall.h
@@ -107,6 +107,7 @@
     HttpCallEvents attemptEvents();
     void noteFirstEvent();
 
+    void noteReceived();
     void onHead(const HttpHead &head);
     void onData(std::string_view data);
     void onEnd(Result<void> result);
@@ -143,6 +144,8 @@
     void succeed();
     /// \param verdict of the attempt that failed.
     bool mayRetry(Verdict verdict);
+    /// \returns what denies another attempt, as in log lines; empty if nothing does.
+    std::string_view retryDenial(Verdict verdict);
     /// \param ignoredForHealth \sa AttemptReport::ignoredForHealth
     void endAttempt(bool succeeded, Reason reason, bool ignoredForHealth = false);
 
@@ -183,6 +186,7 @@
     bool m_receivedEvent = false; ///< This attempt has received an event of the stream.
     bool m_isPromptUncached = false; ///< The replica is not known to cache any part of the prompt.
     AttemptHistory m_history;
+    std::string_view m_retryDenied; ///< What denied the last retry that was requested.
     int m_crashedReplicas = 0; ///< Replicas that crashed during attempts of this request.
     /// \sa RequestQuarantine::Suspects. Computed on first use.
     std::vector<std::string> m_suspects;
--- a/src/Net/RequestEvent.cpp
+++ b/src/Net/RequestEvent.cpp
@@ -79,6 +79,12 @@
              {"verdict", toString(it.verdict)},
              {"retry_after_ms", it.retryAfter ? milliseconds(*it.retryAfter) : 0},
              {"detail", it.detail}});
+    if (!it.retryDenied.empty())
+        fields.emplace_back("retry_denied", it.retryDenied);
+    if (!succeeded) {
+        fields.emplace_back("silent_replicas", it.silentReplicas);
+        fields.emplace_back("busy_replicas", it.busyReplicas);
+    }
     if (it.isUnframed)
         fields.emplace_back("unframed", true);
     if (!it.fingerprint.empty())
--- a/src/Net/RequestEvent.h
+++ b/src/Net/RequestEvent.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace catkinloft {
 
@@ -53,6 +54,9 @@
     Verdict verdict = Verdict::NotRun; ///< Whether the request may have run.
     std::optional<Duration> retryAfter = {};
     std::string detail = {}; ///< Human-readable description.
+    std::string_view retryDenied = {}; ///< What denied another attempt; empty: nothing did.
+    std::size_t silentReplicas = 0; ///< Replicas of the service from which no byte arrives.
+    std::size_t busyReplicas = 0; ///< Replicas at which this router has requests in progress.
     std::string fingerprint = {}; ///< Fingerprint of the request if it is quarantined.
 };
 
--- a/src/Net/ServicePools.cpp
+++ b/src/Net/ServicePools.cpp
@@ -89,6 +89,10 @@
         const std::vector<ReplicaRecord> own = ofService(m_replicas, service);
         pool->replicas.setReplicas(own);
         pool->paths.setReplicas(own);
+        std::set<std::string> registered;
+        for (const ReplicaRecord &it : own)
+            registered.insert(it.incarnation());
+        pool->silence.retain(registered);
     }
 }
 
@@ -219,6 +223,7 @@
                                                .rejections = rejections}),
                 .paths = PathMonitor(
                         {.clock = m_clock, .service = service, .checksDue = m_fleet.pathChecksDue}),
+                .silence = SilenceMonitor(m_clock),
                 .rejections = rejections});
         pool->replicas.setEvacuated(m_evacuated);
         pool->replicas.setColdRateLimit(coldRateLimitOf(service));
--- a/src/Net/ServicePools.h
+++ b/src/Net/ServicePools.h
@@ -9,6 +9,7 @@
 #include "Decide/PathMonitor.h"
 #include "Decide/PrefillTimeout.h"
 #include "Decide/ReplicaPool.h"
+#include "Decide/SilenceMonitor.h"
 #include "Net/ServiceAdmission.h"
 
 #include <functional>
@@ -23,8 +24,8 @@
 
 namespace catkinloft {
 
-/// \brief Decision state of one service: placement, retries, connection reuse, admission and
-/// network paths.
+/// \brief Decision state of one service: placement, retries, connection reuse, admission, network
+/// paths and silent replicas.
 struct ServicePool
 {
     ReplicaPool replicas;
@@ -32,6 +33,7 @@
     ConnectionReusePolicy connectionReuse;
     ServiceAdmission admission;
     PathMonitor paths;
+    SilenceMonitor silence;
     std::shared_ptr<RejectionLimit> rejections; ///< Also used by replicas and admission.
 
     /// \returns why no replica of \a target, a service or its software, was chosen for a request.
--- a/test/EntryRequestTest.cpp
+++ b/test/EntryRequestTest.cpp
@@ -1083,6 +1083,21 @@
              "request_sent attempt_failed request_refused ");
     CHECK(events[0].replica != events[2].replica);
     CHECK(events[6].attempt == 4);
+    CHECK(events[5].retryDenied.empty());
+    CHECK(events[7].retryDenied == "attempts");
+    CHECK(events[8].retryDenied == "attempts");
+}
+
+// Guards against a denied retry whose cause the lines of the request don't tell.
+TEST_CASE_FIXTURE(EntryGatewayFixture, "requestEvents_mayNotRunTwice_retryIsDeniedWithReason")
+{
+    addReplica([](const std::string &, std::size_t) -> Reply { return {.end = End::Reset}; });
+    RawCaller caller(Port);
+    call(caller, get("/once/"), "may_have_run");
+    REQUIRE(kinds(events) == "request_sent attempt_failed request_refused ");
+    CHECK(events[1].retryDenied == "not_repeatable");
+    CHECK(events[2].retryDenied == "not_repeatable");
+    CHECK(events[1].silentReplicas == 0);
 }
 
 TEST_CASE_FIXTURE(EntryGatewayFixture, "requestEvents_failedAndRetried_statesTheReason")
