Test of a request that is answered 503 at the connection limit and runs

A connection beyond limits.max_connections is answered 503, which promises that its request has not run and never will.

--- a/test/ListenerInputTest.cpp
+++ b/test/ListenerInputTest.cpp
@@ -163,3 +163,22 @@
         return next.received.ends_with("fine");
     }));
 }
+
+// Guards against a request that is answered 503, which promises that it has not run, and is handled
+// nevertheless: it had arrived before the connection was accepted, as after a standstill of the
+// process.
+TEST_CASE_FIXTURE(ListenerFixture, "listener_overItsConnectionLimit_requestThatWaitsIsNotHandled")
+{
+    std::vector<std::unique_ptr<RawCaller>> held;
+    for (int i = 0; i < MaxConnections; ++i) {
+        held.push_back(std::make_unique<RawCaller>(port));
+        held.back()->send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+        CHECK(until([&] { return handled == i + 1; }));
+    }
+    RawCaller extra(port);
+    extra.send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc");
+    CHECK(until([&] { return extra.read(); }));
+    CHECK(extra.received.starts_with("HTTP/1.1 503"));
+    CHECK(tooMany == 1);
+    CHECK(handled == MaxConnections);
+}
