Discard requests of connections that are refused at the connection limit

What callers saw: 503 too_many_connections, which promises that the request has not run and never will, for a request that a replica ran (REFUSED).

Cause: the listener answers 503 to a connection beyond limits.max_connections and shuts the socket down, but bytes that the kernel had received before that can still be read. evhttp read a request that already waited there, before the end, and handed it to the gateway. This happens when the requests arrive before their connections are accepted, as after a standstill of the process.

The received bytes are now discarded after the shutdown. Data that arrives after it is reset by the kernel; the second test covers that.

--- a/src/Net/HttpServer.cpp
+++ b/src/Net/HttpServer.cpp
@@ -37,6 +37,16 @@
         "Content-Type: application/problem+json\r\nContent-Length: 53\r\n\r\n"
         R"({"reason":"too_many_connections","verdict":"not_run"})";
 
+/// Bytes that are discarded by one system call.
+constexpr std::size_t DiscardedAtOnce = 1 << 20;
+
+/// Discards what \a fd, which was shut down, has received; the kernel accepts nothing after that.
+void discardReceived(int fd)
+{
+    // With MSG_TRUNC, TCP discards the bytes without a copy.
+    while (recv(fd, nullptr, DiscardedAtOnce, MSG_DONTWAIT | MSG_TRUNC) > 0) { }
+}
+
 } // namespace
 
 struct HttpServer::Private
@@ -80,11 +90,14 @@
     {
         if (limiter.admit(fd))
             return;
+        // The answer promises that no request of this connection runs, but bytes that were received
+        // before the shutdown could still be read.
         if (!usesTls())
             send(fd, TooManyConnectionsAnswer.data(), TooManyConnectionsAnswer.size(),
                  MSG_DONTWAIT | MSG_NOSIGNAL);
         // evhttp reads the end and frees the connection by its own rules.
         shutdown(fd, SHUT_RDWR);
+        discardReceived(fd);
         if (options.onTooManyConnections)
             options.onTooManyConnections();
     }
--- a/test/ListenerInputTest.cpp
+++ b/test/ListenerInputTest.cpp
@@ -182,3 +182,20 @@
     CHECK(tooMany == 1);
     CHECK(handled == MaxConnections);
 }
+
+// Guards against the same for a request that arrives after the answer.
+TEST_CASE_FIXTURE(ListenerFixture, "listener_overItsConnectionLimit_requestAfterwardsIsNotHandled")
+{
+    std::vector<std::unique_ptr<RawCaller>> held;
+    for (int i = 0; i < MaxConnections; ++i) {
+        held.push_back(std::make_unique<RawCaller>(port));
+        held.back()->send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+        CHECK(until([&] { return handled == i + 1; }));
+    }
+    RawCaller extra(port);
+    CHECK(until([&] { return tooMany == 1; }));
+    extra.send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc");
+    CHECK(until([&] { return extra.read(); }));
+    loop.runOnce();
+    CHECK(handled == MaxConnections);
+}
