A log line begins with its time, event and reason

What operators saw: records cut off after 200 characters had `request_refused` with revision 0, but neither its reason nor its detail, because level, source, the id and empty fields of the unknown route came before them.

Change: Log writes `reason` right after `event`, within the first hundred characters, then `level` and `source`. The lines of a request go on with `retry_denied`, the id, the outcome and what was decided with; fields that depend on the route are left out until it is known.

--- a/src/Base/Log.cpp
+++ b/src/Base/Log.cpp
@@ -2,6 +2,7 @@
 
 #include "Base/Utf8.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdio>
 
@@ -51,6 +52,11 @@
     return fmt::format("{}", std::get<std::int64_t>(value));
 }
 
+std::string fieldText(const LogField &it)
+{
+    return fmt::format(",{}:{}", jsonQuoted(it.name), valueText(it.value));
+}
+
 std::string timestamp()
 {
     // Log lines are read by people, so they have the calendar time, also while tests use a
@@ -83,11 +89,17 @@
 {
     if (level < state().level)
         return;
-    std::string line =
-            fmt::format(R"({{"time":"{}","level":"{}","source":{},"event":{})", timestamp(),
-                        levelName(level), jsonQuoted(state().source), jsonQuoted(event));
-    for (const LogField &it : fields)
-        line += fmt::format(",{}:{}", jsonQuoted(it.name), valueText(it.value));
+    const auto reason = std::find_if(fields.begin(), fields.end(),
+                                     [](const LogField &it) { return it.name == "reason"; });
+    std::string line = fmt::format(R"({{"time":"{}","event":{})", timestamp(), jsonQuoted(event));
+    if (reason != fields.end())
+        line += fieldText(*reason);
+    line += fmt::format(R"(,"level":"{}","source":{})", levelName(level),
+                        jsonQuoted(state().source));
+    for (auto it = fields.begin(); it != fields.end(); ++it) {
+        if (it != reason)
+            line += fieldText(*it);
+    }
     line += "}\n";
     if (state().sink)
         state().sink(level, line);
--- a/src/Base/Log.h
+++ b/src/Base/Log.h
@@ -41,7 +41,7 @@
     }
 };
 
-/// \brief Writes log lines to standard error, each a JSON object.
+/// \brief Writes JSON objects to standard error, a line each. Time, event and reason come first.
 class Log
 {
 public:
--- a/src/Net/RequestEvent.cpp
+++ b/src/Net/RequestEvent.cpp
@@ -14,22 +14,67 @@
     return d / std::chrono::milliseconds(1);
 }
 
-/// \returns the fields of every log line about a request, followed by \a more.
-std::vector<LogField> withCommonFields(const RequestEvent &it, std::initializer_list<LogField> more)
+using Fields = std::vector<LogField>;
+
+void append(Fields &out, std::initializer_list<LogField> more)
 {
-    std::vector<LogField> out{{"request_id", it.requestId},
-                              {"route", it.route},
-                              {"service", it.service},
-                              {"workspace", it.workspace},
-                              {"revision", it.revision},
-                              {"proof_age_ms", milliseconds(it.proofAge)},
-                              {"elapsed_ms", milliseconds(it.elapsed)},
-                              {"remaining_ms", milliseconds(it.remaining)},
-                              {"attempt", it.attempt},
-                              {"replica", it.replica},
-                              {"address", it.address}};
     out.insert(out.end(), more);
-    return out;
+}
+
+/// Appends what the decision is about. Before a route is known, the fields that depend on it have
+/// no value and are left out.
+void appendContext(Fields &out, const RequestEvent &it)
+{
+    const bool hasRoute = it.revision != 0;
+    if (hasRoute)
+        append(out,
+               {{"route", it.route},
+                {"service", it.service},
+                {"workspace", it.workspace},
+                {"revision", it.revision}});
+    append(out,
+           {{"proof_age_ms", milliseconds(it.proofAge)}, {"elapsed_ms", milliseconds(it.elapsed)}});
+    if (hasRoute)
+        append(out,
+               {{"remaining_ms", milliseconds(it.remaining)},
+                {"attempt", it.attempt},
+                {"replica", it.replica},
+                {"address", it.address}});
+}
+
+void appendChoice(Fields &out, const RequestEvent &it)
+{
+    append(out,
+           {{"load", it.load},
+            {"mean_load", it.meanLoad},
+            {"candidates", it.candidates},
+            {"kept_tokens", it.cachedPromptTokens},
+            {"prompt_tokens", it.promptTokens},
+            {"copied_from", it.copiedFrom},
+            {"version", it.version},
+            {"resumes", it.resumes},
+            {"after_event", it.afterEvent.value_or(-1)},
+            {"relay", it.relay}});
+}
+
+bool isFailure(RequestEvent::Kind kind)
+{
+    return kind != RequestEvent::Kind::Sent && kind != RequestEvent::Kind::Answered
+            && kind != RequestEvent::Kind::CallerGone;
+}
+
+void appendOutcome(Fields &out, const RequestEvent &it)
+{
+    append(out, {{"status", it.status}, {"verdict", toString(it.verdict)}});
+    if (isFailure(it.kind) && it.revision != 0)
+        append(out, {{"silent_replicas", it.silentReplicas}, {"busy_replicas", it.busyReplicas}});
+    append(out,
+           {{"detail", it.detail},
+            {"retry_after_ms", it.retryAfter ? milliseconds(*it.retryAfter) : 0}});
+    if (it.isUnframed)
+        append(out, {{"unframed", true}});
+    if (!it.fingerprint.empty())
+        append(out, {{"fingerprint", it.fingerprint}});
 }
 
 } // namespace
@@ -55,41 +100,20 @@
 
 void logRequestEvent(const RequestEvent &it)
 {
-    if (it.kind == RequestEvent::Kind::Sent) {
-        Log::write(LogLevel::Info, requestEventName(it.kind),
-                   withCommonFields(it,
-                                    {{"load", it.load},
-                                     {"mean_load", it.meanLoad},
-                                     {"candidates", it.candidates},
-                                     {"kept_tokens", it.cachedPromptTokens},
-                                     {"prompt_tokens", it.promptTokens},
-                                     {"copied_from", it.copiedFrom},
-                                     {"version", it.version},
-                                     {"resumes", it.resumes},
-                                     {"after_event", it.afterEvent.value_or(-1)},
-                                     {"relay", it.relay}}));
-        return;
-    }
-    const bool succeeded =
-            it.kind == RequestEvent::Kind::Answered || it.kind == RequestEvent::Kind::CallerGone;
-    std::vector<LogField> fields = withCommonFields(
-            it,
-            {{"status", it.status},
-             {"reason", it.reason ? reasonInfo(*it.reason).code : std::string_view()},
-             {"verdict", toString(it.verdict)},
-             {"retry_after_ms", it.retryAfter ? milliseconds(*it.retryAfter) : 0},
-             {"detail", it.detail}});
+    // The cause and the outcome come first, so that a truncated line still has them.
+    Fields fields;
+    if (it.reason)
+        append(fields, {{"reason", reasonInfo(*it.reason).code}});
     if (!it.retryDenied.empty())
-        fields.emplace_back("retry_denied", it.retryDenied);
-    if (!succeeded) {
-        fields.emplace_back("silent_replicas", it.silentReplicas);
-        fields.emplace_back("busy_replicas", it.busyReplicas);
-    }
-    if (it.isUnframed)
-        fields.emplace_back("unframed", true);
-    if (!it.fingerprint.empty())
-        fields.emplace_back("fingerprint", it.fingerprint);
-    Log::write(succeeded ? LogLevel::Info : LogLevel::Warning, requestEventName(it.kind), fields);
+        append(fields, {{"retry_denied", it.retryDenied}});
+    append(fields, {{"request_id", it.requestId}});
+    if (it.kind != RequestEvent::Kind::Sent)
+        appendOutcome(fields, it);
+    appendContext(fields, it);
+    if (it.kind == RequestEvent::Kind::Sent)
+        appendChoice(fields, it);
+    Log::write(isFailure(it.kind) ? LogLevel::Warning : LogLevel::Info, requestEventName(it.kind),
+               fields);
 }
 
 } // namespace catkinloft
--- a/test/EntryRequestTest.cpp
+++ b/test/EntryRequestTest.cpp
@@ -1,3 +1,4 @@
+#include "Base/Log.h"
 #include "Control/ReplicaRegistry.h"
 #include "Net/EntryGateway.h"
 #include "Net/EventLoop.h"
@@ -1069,6 +1070,58 @@
     CHECK(events[0].detail.find("proof_age_ms 9000") != std::string::npos);
 }
 
+// Guards against a record of truncated log lines that does not tell why routers refused requests.
+TEST_CASE_FIXTURE(EntryGatewayFixture,
+                  "requestEvents_refusedUnsent_firstHundredCharactersOfTheLineHaveTheReason")
+{
+    addReplica(ok);
+    std::string bytes = get("/safe/");
+    std::string reason;
+    SUBCASE("no configuration has been read")
+    {
+        routes = nullptr;
+        reason = "not_ready";
+    }
+    SUBCASE("the router is shutting down")
+    {
+        isShuttingDown = true;
+        reason = "draining";
+    }
+    SUBCASE("the configuration is not proven to be the newest")
+    {
+        proofAge = 9s;
+        reason = "store_down";
+    }
+    SUBCASE("the request is malformed")
+    {
+        bytes = "GET /safe/ HTTP/1.1\r\nHost: h.example\r\n\r\n";
+        reason = "malformed_request";
+    }
+    SUBCASE("no route matches")
+    {
+        bytes = get("/nowhere/");
+        reason = "not_found";
+    }
+    SUBCASE("the key is not known")
+    {
+        bytes = "GET /safe/ HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r\r\n"
+                "Authorization: Bearer other\r\n\r\n";
+        reason = "unknown_key";
+    }
+    RawCaller caller(Port);
+    call(caller, bytes, "not_run");
+    REQUIRE(kinds(events) == "request_refused ");
+    std::string line;
+    Log::setSink([&line](LogLevel, std::string_view it) { line = it; });
+    logRequestEvent(events[0]);
+    Log::setSink([](LogLevel, std::string_view) {});
+    INFO(line);
+    const std::string beginning = line.substr(0, 100);
+    CHECK(beginning.find(R"("event":"request_refused")") != std::string::npos);
+    CHECK(beginning.find(fmt::format(R"("reason":"{}")", reason)) != std::string::npos);
+    CHECK((line.find(R"("revision":)") != std::string::npos) == !events[0].route.empty());
+}
+
 TEST_CASE_FIXTURE(EntryGatewayFixture, "requestEvents_brokenAndRetried_areReportedInOrder")
 {
     const auto broken = [](const std::string &, std::size_t) -> Reply {
--- a/test/RequestTraceTest.cpp
+++ b/test/RequestTraceTest.cpp
@@ -10,6 +10,7 @@
 #include <string>
 
 #include <fcntl.h>
+#include <fmt/format.h>
 #include <unistd.h>
 
 using namespace catkinloft;
@@ -97,6 +98,38 @@
     CHECK(summary.ends_with("cause: upstream_broken: the connection broke\n"));
 }
 
+// Guards against a reason code that is too long for a record of truncated lines.
+TEST_CASE_FIXTURE(RequestTraceFixture, "requestEvent_eachReason_isInTheFirstHundredCharacters")
+{
+    for (const ReasonInfo &it : allReasons()) {
+        for (const auto kind : {RequestEvent::Kind::AttemptFailed, RequestEvent::Kind::Refused,
+                                RequestEvent::Kind::BrokenOff}) {
+            log.clear();
+            RequestEvent failed = event(kind, "r1");
+            failed.reason = it.reason;
+            logRequestEvent(failed);
+            INFO(log);
+            CHECK(log.substr(0, 100).find(fmt::format(R"("reason":"{}")", it.code))
+                  != std::string::npos);
+        }
+    }
+}
+
+// Guards against records of lines truncated to two hundred characters that do not tell why a
+// request was not retried.
+TEST_CASE_FIXTURE(RequestTraceFixture, "requestEvent_retryDenied_precedesTheRequestId")
+{
+    RequestEvent failed = event(RequestEvent::Kind::BrokenOff, "88b96f6e75b62334");
+    failed.reason = Reason::UpstreamTimeout;
+    failed.retryDenied = "not_repeatable";
+    Log::setSource("front-de-cymru-a-10");
+    logRequestEvent(failed);
+    Log::setSource("catkinloft");
+    INFO(log);
+    CHECK(log.substr(0, 200).find(R"("retry_denied":"not_repeatable","request_id":)")
+          != std::string::npos);
+}
+
 // Guards against a trace that does not show which crashes led to the quarantine of a request. The
 // crashes are logged under the ids of other requests with the same content.
 TEST_CASE_FIXTURE(RequestTraceFixture, "requestTrace_quarantinedRequest_showsMatchingCrashes")
