stream_origin tells how old the lists are that prove a stream's version

A version that a list proves leaves the same line whether the list was read before or after a new version was registered, and whether the other routers were silent or this one stood still between its question and their answers. own_list_age_ms, newest_list_age_ms and took_ms tell these apart (docs/incidents/stream-origin-proven-by-an-old-list.md). No change of logic.

--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -276,7 +276,8 @@
                .isReader = [this] { return fleet.isReader(); },
                .onRead = [this](std::span<const StreamOrigin> it) { streamOrigins.merge(it); }}),
       streamOriginTask(
-              {.client = client,
+              {.loop = loop,
+               .client = client,
                .metrics = metrics,
                .ownReport =
                        [this](const StreamOriginQuestion &it) { return streamOriginReport(it); },
--- a/src/Net/StreamOriginTask.cpp
+++ b/src/Net/StreamOriginTask.cpp
@@ -1,7 +1,9 @@
 #include "Net/StreamOriginTask.h"
 
 #include "Base/Log.h"
+#include "Net/EventLoop.h"
 
+#include <algorithm>
 #include <memory>
 #include <utility>
 
@@ -24,11 +26,21 @@
 /// Time in which a router answers. The caller of the stream is waiting.
 constexpr Duration AnswerTimeout = 150ms;
 
+/// \returns the age of the newest list of replicas in \a reports.
+Duration newestListAge(std::span<const StreamOriginReport> reports)
+{
+    Duration out = Duration::max();
+    for (const StreamOriginReport &it : reports)
+        out = std::min(out, it.listAge);
+    return out;
+}
+
 } // namespace
 
 struct StreamOriginTask::Inquiry
 {
     StreamOriginQuestion question;
+    TimePoint startedAt;
     Found found; ///< Null after it was called.
     std::vector<StreamOriginReport> reports;
     std::size_t asked = 0;
@@ -39,6 +51,7 @@
 {
     auto inquiry = std::make_shared<Inquiry>();
     inquiry->question = question;
+    inquiry->startedAt = m_options.loop.now();
     inquiry->found = std::move(found);
     inquiry->reports = {m_options.ownReport(question)};
     if (const std::optional<std::string> known = inquiry->reports.front().software)
@@ -102,7 +115,10 @@
                {"origin", origin},
                {"software", software.value_or("")},
                {"asked_routers", inquiry.asked},
-               {"answers", inquiry.reports.size() - 1}});
+               {"answers", inquiry.reports.size() - 1},
+               {"own_list_age_ms", inquiry.reports.front().listAge / 1ms},
+               {"newest_list_age_ms", newestListAge(inquiry.reports) / 1ms},
+               {"took_ms", (m_options.loop.now() - inquiry.startedAt) / 1ms}});
     found(std::move(software));
 }
 
--- a/src/Net/StreamOriginTask.h
+++ b/src/Net/StreamOriginTask.h
@@ -14,6 +14,8 @@
 
 namespace catkinloft {
 
+class EventLoop;
+
 /// \brief Finds out which software began a stream that a caller resumes, by asking the routers that
 /// keep its origin, and answers such questions.
 ///
@@ -27,6 +29,7 @@
 
     struct Options
     {
+        EventLoop &loop;
         HttpClient &client;
         Metrics &metrics;
         /// Returns what this router knows.
