--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -276,9 +276,12 @@
                .isReader = [this] { return fleet.isReader(); },
                .onRead = [this](std::span<const StreamOrigin> it) { streamOrigins.merge(it); }}),
       streamOriginTask(
-              {.loop = loop,
-               .client = client,
+              {.clock = loop,
                .metrics = metrics,
+               .fetch =
+                       [this](HttpCall call, std::function<void(Result<HttpAnswer>)> done) {
+                           client.fetch(std::move(call), std::move(done));
+                       },
                .ownReport =
                        [this](const StreamOriginQuestion &it) { return streamOriginReport(it); },
                .keepers = [this](std::string_view stream,
--- a/src/Net/StreamOriginTask.cpp
+++ b/src/Net/StreamOriginTask.cpp
@@ -1,7 +1,6 @@
 #include "Net/StreamOriginTask.h"
 
 #include "Base/Log.h"
-#include "Net/EventLoop.h"
 
 #include <algorithm>
 #include <memory>
@@ -51,7 +50,7 @@
 {
     auto inquiry = std::make_shared<Inquiry>();
     inquiry->question = question;
-    inquiry->startedAt = m_options.loop.now();
+    inquiry->startedAt = m_options.clock.now();
     inquiry->found = std::move(found);
     inquiry->reports = {m_options.ownReport(question)};
     if (const std::optional<std::string> known = inquiry->reports.front().software)
@@ -68,25 +67,25 @@
 void StreamOriginTask::ask(const std::string &address, const std::string &text,
                            const std::shared_ptr<Inquiry> &inquiry)
 {
-    m_options.client.fetch({.address = address,
-                            .method = "POST",
-                            .target = Path,
-                            .headers = {{SignatureHeader, m_options.sign(text)}},
-                            .body = text,
-                            .timeout = AnswerTimeout},
-                           [this, inquiry](const Result<HttpAnswer> &answer) {
-                               --inquiry->pending;
-                               const bool isKnown = answer && answer.value().head.status == Success;
-                               if (const auto report = isKnown
-                                           ? StreamOriginCodec::decodeReport(answer.value().body)
-                                           : Result<StreamOriginReport>(Error{})) {
-                                   inquiry->reports.push_back(report.value());
-                                   if (report.value().software)
-                                       return finish(*inquiry, report.value().software, "router");
-                               }
-                               if (inquiry->pending == 0)
-                                   conclude(inquiry);
-                           });
+    m_options.fetch({.address = address,
+                     .method = "POST",
+                     .target = Path,
+                     .headers = {{SignatureHeader, m_options.sign(text)}},
+                     .body = text,
+                     .timeout = AnswerTimeout},
+                    [this, inquiry](const Result<HttpAnswer> &answer) {
+                        --inquiry->pending;
+                        const bool isKnown = answer && answer.value().head.status == Success;
+                        if (const auto report = isKnown
+                                    ? StreamOriginCodec::decodeReport(answer.value().body)
+                                    : Result<StreamOriginReport>(Error{})) {
+                            inquiry->reports.push_back(report.value());
+                            if (report.value().software)
+                                return finish(*inquiry, report.value().software, "router");
+                        }
+                        if (inquiry->pending == 0)
+                            conclude(inquiry);
+                    });
 }
 
 /// Ends an inquiry to which no router knows the answer.
@@ -118,7 +117,7 @@
                {"answers", inquiry.reports.size() - 1},
                {"own_list_age_ms", inquiry.reports.front().listAge / 1ms},
                {"newest_list_age_ms", newestListAge(inquiry.reports) / 1ms},
-               {"took_ms", (m_options.loop.now() - inquiry.startedAt) / 1ms}});
+               {"took_ms", (m_options.clock.now() - inquiry.startedAt) / 1ms}});
     found(std::move(software));
 }
 
--- a/src/Net/StreamOriginTask.h
+++ b/src/Net/StreamOriginTask.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Base/Clock.h"
 #include "Base/Metrics.h"
 #include "Control/StreamOriginCodec.h"
 #include "Net/HttpClient.h"
@@ -14,8 +15,6 @@
 
 namespace catkinloft {
 
-class EventLoop;
-
 /// \brief Finds out which software began a stream that a caller resumes, by asking the routers that
 /// keep its origin, and answers such questions.
 ///
@@ -29,9 +28,10 @@
 
     struct Options
     {
-        EventLoop &loop;
-        HttpClient &client;
+        const Clock &clock;
         Metrics &metrics;
+        /// Sends a question to another router. \sa HttpClient::fetch
+        std::function<void(HttpCall call, std::function<void(Result<HttpAnswer>)> done)> fetch;
         /// Returns what this router knows.
         std::function<StreamOriginReport(const StreamOriginQuestion &)> ownReport;
         /// Returns the addresses of the \a n routers that keep the origin of \a stream first.
