A line and metrics for a standstill of the event loop

Callers saw streams cut off and calls refused with upstream_timeout.

The loop compares the time between two of its checks, 100 ms apart, with the clocks. The clock is CLOCK_BOOTTIME, so that a suspended VM counts.

--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -22,6 +22,7 @@
 #include "Net/RelayClient.h"
 #include "Net/RelayServer.h"
 #include "Net/SettingsWatch.h"
+#include "Net/StallMonitor.h"
 #include "Net/StoreWatch.h"
 #include "Net/StreamOriginTask.h"
 
@@ -160,6 +161,7 @@
     EventLoop loop;
     LogWriter log{{.loop = loop}};
     Metrics metrics;
+    StallMonitor stalls{loop, metrics};
     HttpClient client{loop, nullptr, settings.sourceIp, MaxBufferedAnswers};
     RandomSource random = systemRandom();
     std::unique_ptr<FleetStore> store;
--- a/src/Net/EventLoop.cpp
+++ b/src/Net/EventLoop.cpp
@@ -13,8 +13,30 @@
 
 namespace catkinloft {
 
+namespace {
+
+/// Interval of the checks for stalls; the lateness of a stall is exact to this interval.
+constexpr Duration StallCheckInterval = std::chrono::milliseconds(100);
+
+Duration clockTime(clockid_t clock)
+{
+    timespec ts{};
+    clock_gettime(clock, &ts);
+    return std::chrono::seconds(ts.tv_sec) + Duration(ts.tv_nsec);
+}
+
+} // namespace
+
 struct EventLoop::Private
 {
+    /// The clocks at one moment.
+    struct Clocks
+    {
+        Duration boot = clockTime(CLOCK_BOOTTIME);
+        Duration monotonic = clockTime(CLOCK_MONOTONIC);
+        Duration processor = clockTime(CLOCK_PROCESS_CPUTIME_ID);
+    };
+
     struct Signal
     {
         Callback callback;
@@ -36,6 +58,28 @@
     std::uint64_t lastShot = 0;
     std::vector<Callback> posted;
     event *wake = nullptr;
+    event *stallCheck = nullptr;
+    Clocks checkedAt;
+    std::function<void(const Stall &)> stalled;
+
+    void startStallCheck()
+    {
+        const timeval tv = internal::toTimeval(StallCheckInterval);
+        event_add(stallCheck, &tv);
+    }
+
+    void checkStall()
+    {
+        const Clocks last = std::exchange(checkedAt, Clocks());
+        startStallCheck();
+        const Duration elapsed = checkedAt.boot - last.boot;
+        const Duration late = elapsed - StallCheckInterval;
+        if (!stalled || late < MinStall)
+            return;
+        stalled({.late = late,
+                 .suspended = elapsed - (checkedAt.monotonic - last.monotonic),
+                 .processorTime = checkedAt.processor - last.processor});
+    }
 
     /// Runs all callbacks up to \a key in the order of their keys. Needed because libevent timers
     /// that are due within one tick of its clock fire in any order.
@@ -66,6 +110,10 @@
             m_d->base, -1, 0,
             [](evutil_socket_t, short, void *arg) { static_cast<Private *>(arg)->runPosted(); },
             m_d.get());
+    m_d->stallCheck = event_new(
+            m_d->base, -1, 0,
+            [](evutil_socket_t, short, void *arg) { static_cast<Private *>(arg)->checkStall(); },
+            m_d.get());
 }
 
 EventLoop::~EventLoop()
@@ -78,6 +126,7 @@
     for (const auto &it : m_d->signals)
         event_free(it->ev);
     event_free(m_d->wake);
+    event_free(m_d->stallCheck);
     event_base_free(m_d->base);
 }
 
@@ -85,9 +134,7 @@
 {
     // CLOCK_MONOTONIC doesn't advance while a VM is suspended. Ages that protect something, such as
     // that of the proof that a key is still valid, have to include that time.
-    timespec ts{};
-    clock_gettime(CLOCK_BOOTTIME, &ts);
-    return TimePoint(std::chrono::seconds(ts.tv_sec) + Duration(ts.tv_nsec));
+    return TimePoint(clockTime(CLOCK_BOOTTIME));
 }
 
 WallTime EventLoop::wallNow() const
@@ -148,6 +195,13 @@
     m_d->signals.push_back(std::move(signal));
 }
 
+void EventLoop::onStall(std::function<void(const Stall &)> callback)
+{
+    m_d->stalled = std::move(callback);
+    m_d->checkedAt = {};
+    m_d->startStallCheck();
+}
+
 event_base *EventLoop::base() const
 {
     return m_d->base;
--- a/src/Net/EventLoop.h
+++ b/src/Net/EventLoop.h
@@ -44,6 +44,22 @@
     /// \brief Calls \a callback when the process receives signal \a number.
     void onSignal(int number, Callback callback);
 
+    /// \brief A time in which the loop processed no events although it should have.
+    struct Stall
+    {
+        Duration late = Duration::zero(); ///< Includes the time in which the machine was suspended.
+        Duration suspended = Duration::zero();
+        Duration processorTime = Duration::zero(); ///< Used by the process meanwhile.
+    };
+
+    /// Lateness from which on a stall is reported.
+    static constexpr Duration MinStall = std::chrono::milliseconds(200);
+
+    /// \brief Calls \a callback once after each stall of the loop: the process was stopped or got
+    /// no processor, the machine was suspended, or a callback took long. A null \a callback ends
+    /// this.
+    void onStall(std::function<void(const Stall &)> callback);
+
     event_base *base() const;
 
 private:
--- a/src/Net/RouterProcess.cpp
+++ b/src/Net/RouterProcess.cpp
@@ -8,6 +8,7 @@
 #include "Net/HttpServer.h"
 #include "Net/PeerTask.h"
 #include "Net/PlatformAdapters.h"
+#include "Net/StallMonitor.h"
 #include "Net/Timer.h"
 #include "Net/TlsTask.h"
 
@@ -186,6 +187,7 @@
     std::shared_ptr<const Settings> settings;
     EventLoop loop;
     Metrics metrics;
+    StallMonitor stalls{loop, metrics};
     TlsTask tls;
     HttpClient client{loop, &tls.context()};
     std::unique_ptr<TableService> table;
