Failing tests: a router that stood still gives up answers that wait in its sockets

Callers see streams cut off and calls refused although the replicas were sound and had answered: the router was stopped for longer than its time-outs. On waking, epoll_wait is interrupted, libevent takes that for "no events" and runs the timers that are due before any socket is read; it also reads at most 32 sockets per call at first, and the end of an answer is posted behind the timers of the same iteration.

The other new unit tests pass already; they hold the order of overdue timers, that timers run under constant lateness, and the connect and progress timeouts.

--- a/test/EventLoopTest.cpp
+++ b/test/EventLoopTest.cpp
@@ -19,8 +19,7 @@
 
 namespace {
 
-/// An event loop and the numbers that its callbacks recorded, in the order in
-/// which they ran.
+/// An event loop and the numbers that its callbacks recorded, in the order in which they ran.
 struct EventLoopFixture
 {
     void runUntil(std::size_t n)
@@ -38,8 +37,7 @@
 
 } // namespace
 
-// Guards against callbacks that are due in the same clock tick running in
-// arbitrary order.
+// Guards against callbacks that are due in the same clock tick running in arbitrary order.
 TEST_CASE_FIXTURE(EventLoopFixture, "eventLoop_callbacksOfOneDelay_runInTheirOrder")
 {
     constexpr int N = 300;
@@ -96,8 +94,7 @@
 
 } // namespace
 
-// Guards against a standstill of the process that leaves no trace, or one for
-// each check.
+// Guards against a standstill of the process that leaves no trace, or one for each check.
 TEST_CASE("eventLoop_callbackTakesLong_stallIsReportedOnce")
 {
     EventLoop loop;
@@ -118,3 +115,139 @@
     CHECK(StallMonitor::cause({.late = 1s, .processorTime = 900ms}) == "busy");
     CHECK(StallMonitor::cause({.late = 1s, .processorTime = 10ms}) == "not_running");
 }
+
+namespace {
+
+/// \brief A socket on which bytes wait and that calls a function for each byte.
+class WaitingSocket
+{
+public:
+    WaitingSocket(EventLoop &loop, std::size_t bytes, std::function<void()> read)
+        : m_read(std::move(read))
+    {
+        REQUIRE(socketpair(AF_UNIX, SOCK_STREAM, 0, m_fds) == 0);
+        const std::vector<char> waiting(bytes);
+        REQUIRE(write(m_fds[1], waiting.data(), bytes) == static_cast<ssize_t>(bytes));
+        m_event = event_new(
+                loop.base(), m_fds[0], EV_READ | EV_PERSIST,
+                [](evutil_socket_t fd, short, void *arg) {
+                    char c = 0;
+                    if (::read(fd, &c, 1) == 1)
+                        static_cast<WaitingSocket *>(arg)->m_read();
+                },
+                this);
+        event_add(m_event, nullptr);
+    }
+
+    ~WaitingSocket()
+    {
+        event_free(m_event);
+        close(m_fds[0]);
+        close(m_fds[1]);
+    }
+
+    WaitingSocket(const WaitingSocket &) = delete;
+    WaitingSocket &operator=(const WaitingSocket &) = delete;
+
+private:
+    int m_fds[2] = {};
+    std::function<void()> m_read;
+    event *m_event = nullptr;
+};
+
+} // namespace
+
+// Guards against time-outs that expire after a standstill of the process although the bytes which
+// end them wait in the sockets.
+TEST_CASE("eventLoop_timersAreOverdueAfterStandstill_socketsAreReadBefore")
+{
+    constexpr int Sockets = 200;
+    constexpr std::size_t Reads = 3;
+    EventLoop loop;
+    int expired = 0;
+    int answered = 0;
+    std::vector<std::unique_ptr<Timer>> timeouts;
+    std::vector<std::unique_ptr<WaitingSocket>> sockets;
+    loop.post([&] {
+        for (int i = 0; i < Sockets; ++i) {
+            timeouts.push_back(std::make_unique<Timer>(loop, [&] { ++expired; }));
+            timeouts.back()->start(Standstill / 2);
+            sockets.push_back(std::make_unique<WaitingSocket>(
+                    loop, Reads,
+                    [&, timeout = timeouts.back().get(), n = std::size_t(0)]() mutable {
+                        if (++n < Reads)
+                            return;
+                        timeout->stop();
+                        ++answered;
+                    }));
+        }
+        blockThread(Standstill);
+    });
+    loop.after(3 * Standstill, [&] { loop.stop(); });
+    loop.run();
+    CHECK(expired == 0);
+    CHECK(answered == Sockets);
+}
+
+// Guards against overdue timers that run in another order than that of their due times.
+TEST_CASE_FIXTURE(EventLoopFixture,
+                  "eventLoop_timersAreOverdueAfterStandstill_runInOrderOfDueTimes")
+{
+    Timer first(loop, [this] { ran.push_back(1); });
+    Timer third(loop, [this] { ran.push_back(3); });
+    Timer stopped(loop, [this] { ran.push_back(0); });
+    WaitingSocket socket(loop, 1, [&] { stopped.stop(); });
+    loop.post([&] {
+        third.start(30ms);
+        loop.after(20ms, [this] { ran.push_back(2); });
+        first.start(10ms);
+        stopped.start(15ms);
+        loop.after(40ms, [this] { ran.push_back(4); });
+        blockThread(Standstill);
+    });
+    runUntil(4);
+    CHECK(ran == std::vector{1, 2, 3, 4});
+    CHECK_FALSE(first.isPending());
+}
+
+// Guards against timers that never run while the process is short of time and its sockets always
+// have something to read.
+TEST_CASE("eventLoop_everyIterationIsLate_timersRun")
+{
+    constexpr std::size_t MaxIterations = 20;
+    EventLoop loop;
+    std::size_t iterations = 0;
+    int fired = 0;
+    WaitingSocket socket(loop, MaxIterations, [&] {
+        blockThread(Standstill);
+        if (++iterations == MaxIterations)
+            loop.stop();
+    });
+    Timer timer(loop, [&] {
+        if (++fired == 4)
+            loop.stop();
+    });
+    timer.startRepeating(10ms);
+    loop.run();
+    CHECK(fired == 4);
+    CHECK(iterations < MaxIterations);
+}
+
+// Guards against timers that are started late in a long iteration and expire at once.
+TEST_CASE("eventLoop_timerIsStartedAfterStandstill_itsWholeDelayPasses")
+{
+    EventLoop loop;
+    TimePoint startedAt;
+    TimePoint firedAt;
+    Timer timer(loop, [&] {
+        firedAt = loop.now();
+        loop.stop();
+    });
+    loop.post([&] {
+        blockThread(Standstill);
+        startedAt = loop.now();
+        timer.start(Standstill / 2);
+    });
+    loop.run();
+    CHECK(firedAt - startedAt >= Standstill / 2);
+}
--- a/test/HttpClientTest.cpp
+++ b/test/HttpClientTest.cpp
@@ -6,13 +6,19 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <thread>
 #include <vector>
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 using namespace catkinloft;
 using namespace std::chrono_literals;
 
@@ -250,3 +256,150 @@
     CHECK_FALSE(reported);
     CHECK(upstream.openConnections() == 0);
 }
+
+namespace {
+
+/// \brief An upstream on a thread of its own, which answers while the client's loop stands still.
+class ThreadedUpstream
+{
+public:
+    /// Accepts \a calls connections and answers all of them with \a answer after answerAll().
+    ThreadedUpstream(std::size_t calls, std::string answer)
+        : m_calls(calls), m_answer(std::move(answer)), m_listener(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t length = sizeof(address);
+        REQUIRE(bind(m_listener, reinterpret_cast<sockaddr *>(&address), length) == 0);
+        REQUIRE(listen(m_listener, static_cast<int>(calls)) == 0);
+        REQUIRE(getsockname(m_listener, reinterpret_cast<sockaddr *>(&address), &length) == 0);
+        m_address = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+        m_thread = std::thread([this] { serve(); });
+    }
+
+    ~ThreadedUpstream()
+    {
+        shutdown(m_listener, SHUT_RDWR);
+        m_mayAnswer = true;
+        m_thread.join();
+        for (const int it : m_connections)
+            close(it);
+        close(m_listener);
+    }
+
+    ThreadedUpstream(const ThreadedUpstream &) = delete;
+    ThreadedUpstream &operator=(const ThreadedUpstream &) = delete;
+
+    const std::string &address() const { return m_address; }
+
+    /// \returns whether all requests have arrived.
+    bool hasReceivedAll() const { return m_received == m_calls; }
+
+    /// \brief Returns when all answers wait in the sockets.
+    void answerAll()
+    {
+        m_mayAnswer = true;
+        while (m_answered < m_calls)
+            std::this_thread::sleep_for(1ms);
+    }
+
+private:
+    void serve()
+    {
+        for (std::size_t i = 0; i < m_calls; ++i) {
+            const int fd = accept(m_listener, nullptr, nullptr);
+            if (fd < 0)
+                return;
+            m_connections.push_back(fd);
+            std::string request;
+            char buf[1024];
+            while (request.find("\r\n\r\n") == std::string::npos) {
+                const ssize_t n = recv(fd, buf, sizeof(buf), 0);
+                if (n <= 0)
+                    return;
+                request.append(buf, static_cast<std::size_t>(n));
+            }
+            ++m_received;
+        }
+        while (!m_mayAnswer)
+            std::this_thread::sleep_for(1ms);
+        for (const int it : m_connections) {
+            send(it, m_answer.data(), m_answer.size(), MSG_NOSIGNAL);
+            ++m_answered;
+        }
+    }
+
+    std::size_t m_calls;
+    std::string m_answer;
+    int m_listener;
+    std::string m_address;
+    std::vector<int> m_connections;
+    std::atomic<std::size_t> m_received = 0;
+    std::atomic<std::size_t> m_answered = 0;
+    std::atomic<bool> m_mayAnswer = false;
+    std::thread m_thread;
+};
+
+/// Calls whose answers arrive while the loop of the client stands still for longer than a time-out.
+struct StandstillFixture
+{
+    static constexpr std::size_t Calls = 60;
+    static constexpr Duration Limit = 1s;
+    static constexpr Duration Standstill = 1500ms;
+
+    /// \returns the number of calls with a complete answer.
+    std::size_t answeredOf(const HttpCall &call)
+    {
+        std::size_t answered = 0;
+        std::size_t ended = 0;
+        std::vector<HttpCallPtr> calls;
+        for (std::size_t i = 0; i < Calls; ++i) {
+            calls.push_back(client.send(call, {.onEnd = [&](const Result<void> &result) {
+                                            answered += result ? 1 : 0;
+                                            if (++ended == Calls)
+                                                loop.stop();
+                                        }}));
+        }
+        const std::function<void()> standStill = [&] {
+            if (!upstream.hasReceivedAll())
+                return loop.after(1ms, standStill);
+            upstream.answerAll();
+            std::this_thread::sleep_for(Standstill);
+        };
+        standStill();
+        loop.run();
+        return answered;
+    }
+
+    EventLoop loop;
+    HttpClient client{loop};
+    std::string body = std::string(24 * 1024, 'a');
+    ThreadedUpstream upstream{Calls,
+                              "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size())
+                                      + "\r\n\r\n" + body};
+};
+
+} // namespace
+
+// Guards against answers that are given up although they wait in the sockets: the process stood
+// still for longer than the time-outs of its calls.
+TEST_CASE_FIXTURE(StandstillFixture, "httpClient_standsStillBeyondTimeout_waitingAnswersAreTaken")
+{
+    CHECK(answeredOf({.address = upstream.address(), .timeout = Limit}) == Calls);
+}
+
+TEST_CASE_FIXTURE(StandstillFixture,
+                  "httpClient_standsStillBeyondProgressTimeout_waitingAnswersAreTaken")
+{
+    CHECK(answeredOf({.address = upstream.address(), .progressTimeout = Limit}) == Calls);
+}
+
+// Guards against replicas that count as unreachable because the process stood still while their
+// connections were opened.
+TEST_CASE_FIXTURE(StandstillFixture,
+                  "httpClient_standsStillBeyondConnectTimeout_establishedConnectionsAreUsed")
+{
+    loop.post([] { std::this_thread::sleep_for(Standstill); });
+    CHECK(answeredOf({.address = upstream.address(), .connectTimeout = Limit}) == Calls);
+}
