Failing tests: streams are broken off although their replica is sound

Callers saw resumable streams cut off while replicas stood still for about a second. Each stream has request_broken_off with upstream_timeout at attempt 1.

The unit tests show the parts: a stream is ended although the retry budget is empty, streams move from one silent replica to the next, and a silent call is sent to its only replica again.

--- a/standin/fleet/EntryFleet.h
+++ b/standin/fleet/EntryFleet.h
@@ -46,6 +46,7 @@
         std::optional<Capacity> capacity = {}; ///< Of each replica; none: not limited.
         /// Time of a call, and until a replica crashes under a fatal request, without a capacity.
         Duration serviceTime = std::chrono::milliseconds(5);
+        int retrySlack = 60; ///< Retries that all routers together may make beyond their share.
     };
 
     explicit EntryFleet(Options options);
--- a/test/EntryRequestTest.cpp
+++ b/test/EntryRequestTest.cpp
@@ -115,6 +115,13 @@
         return caller.received;
     }
 
+    /// Sends the second and last event on all open connections of replicas.
+    void finishStreams()
+    {
+        for (const auto &it : replicas)
+            it->sendUnsolicited(ScriptedReplica::events(2, 2) + ScriptedReplica::streamEnd());
+    }
+
     std::size_t sent() const
     {
         std::size_t n = 0;
@@ -768,6 +775,68 @@
     CHECK(sent() == 2);
 }
 
+// Guards against a stream that is broken off because it stalls, though no retry is permitted and
+// its replica goes on.
+TEST_CASE_FIXTURE(EntryGatewayFixture,
+                  "entryRequest_stalledStreamWithoutRetryBudget_isNotBrokenOff")
+{
+    settings.fleetRetrySlack = 0;
+    pools.applySettings();
+    const auto script = [this](const std::string &request, std::size_t) -> Reply {
+        loop.after(1500ms, [this] { finishStreams(); });
+        return {.bytes = ScriptedReplica::streamHead(request) + ScriptedReplica::events(1, 1)};
+    };
+    addReplica(script);
+    addReplica(script);
+    RawCaller caller(Port);
+    const std::string answer = call(caller, get("/stream/"), "0\r\n\r\n");
+    CHECK(answer.find("e2") != answer.npos);
+    CHECK(answer.ends_with("0\r\n\r\n"));
+    CHECK(sent() == 1);
+}
+
+// Guards against streams that move from one silent replica to the next when all of them stand
+// still, which uses up the retry budget and gains nothing.
+TEST_CASE_FIXTURE(EntryGatewayFixture, "entryRequest_allReplicasFallSilent_streamsStayAtTheirs")
+{
+    const auto script = [](const std::string &request, std::size_t) -> Reply {
+        return {.bytes = ScriptedReplica::streamHead(request) + ScriptedReplica::events(1, 1)};
+    };
+    for (int i = 0; i < 3; ++i)
+        addReplica(script);
+    RawCaller first(Port);
+    RawCaller second(Port);
+    first.send(get("/stream/"));
+    second.send(get("/stream/"));
+    REQUIRE(until([&] { return sent() == 2; }));
+    loop.after(1500ms, [this] { finishStreams(); });
+    until([&] {
+        first.read();
+        second.read();
+        return first.received.ends_with("0\r\n\r\n") && second.received.ends_with("0\r\n\r\n");
+    });
+    for (const RawCaller *it : {&first, &second}) {
+        CHECK(it->received.find("e2") != std::string::npos);
+        CHECK(it->received.ends_with("0\r\n\r\n"));
+    }
+    CHECK(sent() == 2);
+}
+
+// Guards against an idempotent call that is given up and sent to the same replica again.
+TEST_CASE_FIXTURE(EntryGatewayFixture, "entryRequest_silentCallAndNoOtherReplica_isNotGivenUp")
+{
+    addReplica([this](const std::string &request, std::size_t) -> Reply {
+        loop.after(1300ms, [this, request] {
+            replicas[0]->sendUnsolicited(ScriptedReplica::answer(request, 200, "fine"));
+        });
+        return {};
+    });
+    RawCaller caller(Port);
+    const std::string answer = call(caller, get("/safe/"), "fine");
+    CHECK(answer.starts_with("HTTP/1.1 200"));
+    CHECK(sent() == 1);
+}
+
 TEST_CASE_FIXTURE(EntryGatewayFixture, "entryRequest_callerLeaves_closesTheReplicasConnection")
 {
     addReplica([](const std::string &request, std::size_t) -> Reply {
