A silent attempt is ended only when another one may begin

Callers saw resumable streams cut off although their replica was sound: all or most replicas stood still for about a second and went on, but the router had closed the streams after the stall timeout of 1.2 s.

Cause: the timeout was set because the route permits another attempt, and it ended the running attempt. Only then was the retry requested, and refused by the retry budget or because no replica was available. What one has was given up before it was known that the replacement may begin.

Now the silence only asks for a replacement (RetryGate). Attempts, remaining time, crashes, admission, the proof of the keys, the quarantine, a replica that is not silent itself and, last, the retry budget must all permit it; otherwise the attempt goes on, and the question is repeated every 100 ms. Nothing is spent when no replica can be chosen. If most replicas of the service are silent, no request is moved to another one, and the silence does not count against their health. The same holds for idempotent calls and on lost paths. After a standstill of this process one check is skipped, so that the answers in the sockets are read first. The first denial for an attempt is logged as attempt_silent and counted.

--- a/src/Base/RequestTrace.cpp
+++ b/src/Base/RequestTrace.cpp
@@ -54,6 +54,10 @@
     const std::string event = textOf(it, "event");
     if (event == "request_sent")
         return sentSentence(it);
+    if (event == "attempt_silent")
+        return outcomeSentence(it,
+                               fmt::format("no data from {}, kept: retry denied ({})",
+                                           textOf(it, "replica"), textOf(it, "retry_denied")));
     if (event == "attempt_failed")
         return outcomeSentence(it, fmt::format("attempt on {} failed", textOf(it, "replica")));
     if (event == "request_answered")
--- a/src/Decide/Decide.h
+++ b/src/Decide/Decide.h
@@ -6,6 +6,7 @@
 
 #include "Decide/AdmissionQueue.h" // IWYU pragma: export
 #include "Decide/AnswerBuffers.h" // IWYU pragma: export
+#include "Decide/AttemptSilence.h" // IWYU pragma: export
 #include "Decide/ChatOrder.h" // IWYU pragma: export
 #include "Decide/ColdRateLimit.h" // IWYU pragma: export
 #include "Decide/ConcurrencyLimit.h" // IWYU pragma: export
--- a/src/Decide/SilenceMonitor.h
+++ b/src/Decide/SilenceMonitor.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace catkinloft {
 
@@ -39,6 +40,14 @@
     /// \returns the number of replicas that have been silent for \a limit or longer.
     std::size_t silentReplicas(Duration limit) const;
 
+    /// \returns the replicas that have been silent for \a limit or longer.
+    std::vector<std::string> silent(Duration limit) const;
+
+    /// \returns whether several replicas have been silent for \a limit or longer, and fewer have
+    /// sent a byte within it. The cause is then more than the failure of one replica, and another
+    /// one would hardly answer sooner.
+    bool isMostlySilent(Duration limit) const;
+
     /// \returns the number of replicas with requests in progress.
     std::size_t busyReplicas() const;
 
@@ -47,9 +56,11 @@
     {
         int inProgress = 0;
         TimePoint lastSign = {}; ///< Last byte, or when the first of the requests was sent.
+        TimePoint lastByteAt = TimePoint::min();
     };
 
     Duration silence(const Entry &it) const;
+    bool isSilent(const Entry &it, Duration limit) const;
 
     const Clock &m_clock;
     std::map<std::string, Entry> m_entries;
--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -32,33 +32,9 @@
 /// is updated within this time.
 constexpr Duration MisdirectedPause = 3s;
 
-/// A resumable stream counts as stalled after StallFactor times the largest permitted gap between
-/// events, but not before MinStallTimeout. Callers give up after eight times that gap plus two
-/// seconds; half of it leaves the replica that resumes the stream enough time.
-constexpr int StallFactor = 3;
-constexpr Duration MinStallTimeout = 1200ms;
-
-/// An idempotent call is sent to another replica after its timeout divided by this number.
-constexpr int SilenceTimeoutDivisor = 2;
-
-/// Time without an answer to a call after which the network path is checked. Most calls are
-/// answered several times faster.
-constexpr Duration CallSilenceLimit = 300ms;
-
-/// The same for streams, as a fraction of their stall timeout.
-constexpr int StreamSilenceDivisor = 3;
-
 /// Connections to other routers that were idle for longer are not reused.
 constexpr Duration MaxRelayIdleAge = 5s;
 
-/// A retry needs at least this much time to be useful.
-constexpr Duration MinRetryTime = 20ms;
-
-/// Replicas that may crash during attempts of one request if no replica had crashed under it
-/// before. The second crash may be a coincidence; further crashes would harm the other callers of
-/// the service more than the request is worth.
-constexpr int MaxCrashedReplicas = 2;
-
 /// Prompt parts of one request that are suspected. Prompts have a few; the limit bounds the records
 /// that one request causes.
 constexpr std::size_t MaxSuspectParts = 32;
@@ -101,7 +77,8 @@
 
 EntryCall::EntryCall(EntryContext &context, HttpExchangePtr exchange, std::function<void()> done)
     : m_context(context), m_exchange(std::move(exchange)), m_done(std::move(done)),
-      m_deadlineTimer(context.loop, [this] { deadlineExpired(); }), m_admission(context.metrics)
+      m_deadlineTimer(context.loop, [this] { deadlineExpired(); }), m_silence(context.loop),
+      m_retries(context.metrics), m_admission(context.metrics)
 { }
 
 EntryCall::~EntryCall() = default;
@@ -235,7 +212,7 @@
     if (const std::optional<Error> held = quarantineError())
         return m_headSent ? breakOff(*held) : refuse(*held);
     m_service->replicas.setRelaying(isRelayAvailable());
-    const ReplicaPool::Choice choice = chooseReplica();
+    const ReplicaPool::Choice choice = RetryGate::choose(retryQuery());
     if (choice.replica)
         return send(choice);
     const Error error = m_service->refusal(m_streamSoftware ? *m_streamSoftware : m_serviceName,
@@ -243,30 +220,18 @@
     m_headSent ? breakOff(error) : refuse(error);
 }
 
-ReplicaPool::Choice EntryCall::chooseReplica()
+RetryGate::Query EntryCall::retryQuery()
 {
-    // Only first attempts probe. A retry that fails on a probed replica as well may use up the
-    // attempts that the route allows.
-    const bool mayProbe = m_request.route->isIdempotent() && m_history.failed().empty();
-    ReplicaPool::Query query{.prompt = m_request.sharedPrompt(),
-                             .excluded = m_history.failed(),
-                             .mayProbe = mayProbe,
-                             .regions = m_request.route->regions};
-    if (m_request.workspace)
-        query.workspaceRegions = m_request.workspace->regions;
-    if (m_streamSoftware)
-        query.software = *m_streamSoftware;
-    // The route limits how many replicas may get the request, not how often each one gets it.
-    if (m_history.isLimitedToReached(*m_request.route)) {
-        query.excluded = {};
-        query.only = m_history.reached();
-    }
-    const ReplicaPool::Choice choice = m_service->replicas.choose(query);
-    if (choice.replica || query.excluded.empty())
-        return choice;
-    // All other replicas failed or are unavailable; a replica that failed may answer this time.
-    query.excluded = {};
-    return m_service->replicas.choose(query);
+    return {.service = *m_service,
+            .request = m_request,
+            .history = m_history,
+            .admission = m_admission,
+            .remaining = remaining(),
+            .sharingRouters = m_context.sharingRouters(),
+            .crashedReplicas = m_crashedReplicas,
+            .isSuspect = m_crashedReplicas > 0 && suspicion() > 1,
+            .hasForwardedEvent = m_hasForwardedEvent,
+            .software = m_streamSoftware};
 }
 
 const std::vector<std::string> &EntryCall::suspects()
@@ -388,7 +353,6 @@
     m_replica = *choice.replica;
     m_incarnation = m_replica.incarnation();
     m_attemptStartedAt = m_context.loop.now();
-    m_lastReceivedAt = m_attemptStartedAt;
     m_firstByte.reset();
     m_head = {};
     m_answer = {};
@@ -396,11 +360,11 @@
     m_reader.reset();
     m_order.beginConnection();
     m_relaying = false;
-    m_receivedEvent = false;
     m_pace = {};
     m_attempting = true;
     ++m_attempt;
-    m_stallTimeout = stallTimeout();
+    m_silence.start(*m_request.route, prefillTimeout());
+    m_retries.reset();
     m_relay.reset();
     m_relayFailure.reset();
     if (isRelayAvailable() && m_service->paths.isBroken(m_incarnation))
@@ -438,22 +402,60 @@
 
 void EntryCall::checkSilence()
 {
-    if (!m_attempting || m_relay || m_finished)
+    if (!m_attempting || m_finished)
         return;
-    const Duration prefill = m_receivedEvent ? Duration::zero() : prefillTimeout();
-    const Duration limit =
-            isStreaming() ? m_stallTimeout / StreamSilenceDivisor + prefill : CallSilenceLimit;
-    if (m_context.loop.now() - m_lastReceivedAt < limit)
+    const bool isDoubtful = !m_relay && m_silence.isPathDoubtful();
+    const bool isLost = isDoubtful && isOnLostPath();
+    if (isDoubtful && !isLost)
+        m_service->paths.suspect(m_incarnation);
+    if (isLost || (m_call && m_silence.isStalled()))
+        replaceAttempt(isLost);
+}
+
+void EntryCall::replaceAttempt(bool isLost)
+{
+    // Otherwise it must not run twice, or an event is missing; the answer may still arrive.
+    if (!m_request.route->isIdempotent() || m_order.hasLostEvent())
         return;
-    if (!isOnLostPath())
-        return m_service->paths.suspect(m_incarnation);
-    if (!m_request.route->isIdempotent())
-        return; // It may have run; the answer may still arrive.
     const Error error{.reason = Reason::UpstreamTimeout,
                       .verdict = Verdict::MayHaveRun,
-                      .detail = "no answer on a lost network path"};
-    endAttempt(false, error.reason, true);
-    attemptFailed(error);
+                      .detail =
+                              isLost ? "no answer on a lost network path" : "the answer timed out"};
+    const bool wasDenied = !m_retries.denial().empty();
+    RetryGate::Query query = retryQuery();
+    query.blockedBy = attemptBlock();
+    m_service->replicas.setRelaying(isRelayAvailable());
+    const ReplicaPool::Choice next = m_retries.permitReplacement(query, silentAttempt());
+    if (!next.replica) {
+        if (!wasDenied)
+            m_context.report(describe(RequestEvent::Kind::AttemptSilent, error));
+        return;
+    }
+    m_context.report(describe(RequestEvent::Kind::AttemptFailed, error));
+    m_context.metrics.retried(error.reason);
+    m_verdict = combine(m_verdict, error.verdict);
+    m_history.failedOn(m_incarnation);
+    endAttempt(false, error.reason, isLost || hasRelayRefused());
+    send(next);
+}
+
+std::string_view EntryCall::attemptBlock()
+{
+    if (!m_context.filters.checkProof(m_request))
+        return "proof";
+    // Only asks whether it is held: admitting a trial that is not sent would delay the next one.
+    return m_context.settings.mechanisms.requestQuarantine && !m_context.quarantine.isEmpty()
+                    && m_context.quarantine.isHeld(suspects())
+            ? "quarantine"
+            : "";
+}
+
+RetryGate::SilentAttempt EntryCall::silentAttempt() const
+{
+    return {.replica = m_incarnation,
+            .stallLimit = m_silence.stallLimit(),
+            .isRelayed = m_relay.has_value(),
+            .isOnLostPath = isOnLostPath()};
 }
 
 void EntryCall::reportSent(const ReplicaPool::Choice &choice) const
@@ -494,13 +496,6 @@
             .acceptsUnframed = true,
             .forwardsStream = isStreaming()};
     out.maxIdleAge = m_service->connectionReuse.limit(route.isIdempotent());
-    const bool hasAnotherAttempt = m_history.mayRetry(route);
-    if (hasAnotherAttempt && route.kind == CallKind::Idempotent)
-        out.progressTimeout = route.timeout / SilenceTimeoutDivisor;
-    else if (hasAnotherAttempt && route.isIdempotent())
-        out.progressTimeout = m_stallTimeout;
-    if (out.progressTimeout > Duration::zero() && isStreaming())
-        out.firstByteTimeout = m_stallTimeout + prefillTimeout();
     return out;
 }
 
@@ -511,16 +506,10 @@
     return m_service->prefillEstimate.timeoutFor(m_request.facts.promptTokens);
 }
 
-Duration EntryCall::stallTimeout() const
-{
-    return std::max(MinStallTimeout,
-                    m_request.route->maxEventGap.value_or(Duration::zero()) * StallFactor);
-}
-
 void EntryCall::noteFirstEvent()
 {
     m_admission.firstEvent();
-    if (std::exchange(m_receivedEvent, true) || !m_isPromptUncached)
+    if (!m_silence.eventReceived() || !m_isPromptUncached)
         return;
     m_service->prefillEstimate.observe(m_request.facts.promptTokens,
                                        m_context.loop.now() - m_attemptStartedAt);
@@ -549,7 +538,7 @@
 
 void EntryCall::noteReceived()
 {
-    m_lastReceivedAt = m_context.loop.now();
+    m_silence.received();
     if (!m_relay)
         m_service->silence.received(m_incarnation);
 }
@@ -644,8 +633,10 @@
     m_headSent = true;
     m_exchange->onDrained([weak = weak_from_this()] {
         const auto self = weak.lock();
-        if (self && self->m_call)
-            self->m_call->resume();
+        if (!self || !self->m_call)
+            return;
+        self->m_silence.setPaused(false);
+        self->m_call->resume();
     });
     m_exchange->beginStream(m_head.status, m_context.codec.passedAnswerHeaders(m_head));
 }
@@ -672,8 +663,10 @@
     }
     bindToSoftware();
     m_exchange->write(event.text);
-    if (m_call && m_exchange->backlog() > m_context.settings.maxStreamBuffer)
+    if (m_call && m_exchange->backlog() > m_context.settings.maxStreamBuffer) {
+        m_silence.setPaused(true);
         m_call->pause();
+    }
 }
 
 /// The head of an answer binds nothing: the caller can't resume a stream without an event.
@@ -793,7 +786,7 @@
     // If the request cannot be retried, this error answer is delivered: it is better than none.
     const bool retryElsewhere = m_head.status >= 500 && m_request.route->isIdempotent()
             && m_service->replicas.usableCount() > 0;
-    if (retryElsewhere && mayRetry(m_verdict)) {
+    if (retryElsewhere && m_retries.permit(retryQuery(), m_verdict)) {
         m_context.report(describe(
                 RequestEvent::Kind::AttemptFailed,
                 {.reason = Reason::UpstreamBroken,
@@ -811,32 +804,6 @@
     finish(RequestEvent::Kind::Answered, m_head.status, nullptr);
 }
 
-std::string_view EntryCall::retryDenial(Verdict verdict)
-{
-    if (!m_history.mayRetry(*m_request.route))
-        return "attempts";
-    if (remaining() < MinRetryTime)
-        return "deadline";
-    if (m_crashedReplicas >= MaxCrashedReplicas || (m_crashedReplicas > 0 && suspicion() > 1))
-        return "crashes";
-    if (!m_admission.mayRetry(verdict, m_hasForwardedEvent))
-        return "overload";
-    if (!m_service->retryBudget.tryRetry(m_context.sharingRouters()))
-        return "budget";
-    return {};
-}
-
-bool EntryCall::mayRetry(Verdict verdict)
-{
-    m_retryDenied = retryDenial(verdict);
-    if (!m_retryDenied.empty())
-        m_context.metrics.count("catkinloft_retries_denied_total",
-                                Metrics::label("reason", m_retryDenied));
-    if (m_retryDenied == "budget")
-        m_context.metrics.count("catkinloft_repeats_denied_total");
-    return m_retryDenied.empty();
-}
-
 void EntryCall::attemptFailed(const Error &error)
 {
     const bool unreachable =
@@ -844,8 +811,10 @@
     // A missing event cannot be delivered any more after a later one was.
     const bool safe = (error.verdict == Verdict::NotRun || m_request.route->isIdempotent())
             && !m_order.hasLostEvent();
-    m_retryDenied = safe ? "" : "not_repeatable";
-    const bool isRetried = !unreachable && safe && mayRetry(error.verdict);
+    m_retries.reset();
+    if (!safe)
+        m_retries.denyRepeat();
+    const bool isRetried = !unreachable && safe && m_retries.permit(retryQuery(), error.verdict);
     m_context.report(describe(RequestEvent::Kind::AttemptFailed, error));
     m_context.metrics.retried(error.reason);
     m_verdict = combine(m_verdict, error.verdict);
@@ -905,7 +874,9 @@
         return;
     // A request that was sent and not answered may be running.
     const Verdict verdict = m_attempting ? Verdict::MayHaveRun : m_verdict;
-    endAttempt(false, Reason::UpstreamTimeout, (isStreaming() && !hasStalled()) || isOnLostPath());
+    endAttempt(false, Reason::UpstreamTimeout,
+               (isStreaming() && !m_silence.isStalled()) || isOnLostPath()
+                       || RetryGate::isSilentTogether(*m_service, silentAttempt()));
     const Error error{.reason = Reason::DeadlineExpired,
                       .verdict = verdict,
                       .detail = "no complete answer by the deadline",
@@ -918,20 +889,15 @@
     return m_request.route && m_request.route->kind == CallKind::Streaming;
 }
 
-bool EntryCall::hasStalled() const
-{
-    if (!isStreaming())
-        return false;
-    const Duration prefill = m_receivedEvent ? Duration::zero() : prefillTimeout();
-    return m_context.loop.now() - m_lastReceivedAt >= m_stallTimeout + prefill;
-}
-
 void EntryCall::callerGone()
 {
     if (m_finished)
         return;
-    // Callers leave a stream that stalls for two seconds or more; the replica is at fault then.
-    endAttempt(false, hasStalled() ? Reason::UpstreamTimeout : Reason::CallerGone);
+    // Callers leave a stream that stalls for two seconds or more; the replica is at fault then,
+    // unless most of them stall.
+    const bool isAtFault = isStreaming() && m_silence.isStalled()
+            && !RetryGate::isSilentTogether(*m_service, silentAttempt());
+    endAttempt(false, isAtFault ? Reason::UpstreamTimeout : Reason::CallerGone);
     finish(RequestEvent::Kind::CallerGone, 0, nullptr);
 }
 
@@ -990,10 +956,10 @@
     out.verdict = error.verdict;
     out.retryAfter = error.retryAfter;
     out.detail = error.detail;
-    out.retryDenied = m_retryDenied;
+    out.retryDenied = m_retries.denial();
     if (m_service) {
         out.busyReplicas = m_service->silence.busyReplicas();
-        out.silentReplicas = m_service->silence.silentReplicas(CallSilenceLimit);
+        out.silentReplicas = m_service->silence.silentReplicas(AttemptSilence::CallPathLimit);
     }
     if (error.reason == Reason::RequestQuarantined && !m_suspects.empty())
         out.fingerprint = m_suspects.front();
--- a/src/Net/EntryCall.h
+++ b/src/Net/EntryCall.h
@@ -4,6 +4,7 @@
 #include "Base/Metrics.h"
 #include "Base/Random.h"
 #include "Control/StreamOriginCodec.h"
+#include "Decide/AttemptSilence.h"
 #include "Decide/RequestQuarantine.h"
 #include "Net/CrashWatch.h"
 #include "Net/EntryAdmission.h"
@@ -11,6 +12,7 @@
 #include "Net/HttpExchange.h"
 #include "Net/RelayClient.h"
 #include "Net/RequestEvent.h"
+#include "Net/RetryGate.h"
 #include "Net/ServicePools.h"
 #include "Net/Timer.h"
 #include "Net/WireCodec.h"
@@ -85,7 +87,8 @@
     void start();
 
     /// \brief Requests a check of the network path if the replica is silent for long. If the path
-    /// is lost and the request may be repeated, sends it again.
+    /// is lost or the answer has stalled, sends the request to another replica if that may begin;
+    /// otherwise the attempt goes on.
     void checkSilence();
 
     const std::string &id() const { return m_request.facts.id; }
@@ -102,7 +105,6 @@
     void send(const ReplicaPool::Choice &choice);
     void reportSent(const ReplicaPool::Choice &choice) const;
     HttpCall composeCall(const std::string &copyFrom) const;
-    Duration stallTimeout() const;
     Duration prefillTimeout() const; ///< Time that a healthy engine may take to process the prompt.
     HttpCallEvents attemptEvents();
     void noteFirstEvent();
@@ -131,7 +133,13 @@
     void relayFailed(const Error &error);
     bool isRelayAvailable();
     bool isOnLostPath() const;
-    ReplicaPool::Choice chooseReplica();
+    RetryGate::Query retryQuery();
+    /// \returns what denies any attempt at this moment, as in log lines; empty if nothing does.
+    std::string_view attemptBlock();
+    RetryGate::SilentAttempt silentAttempt() const;
+    /// \brief Sends the request to another replica, and ends the attempt, if that is permitted.
+    /// \param isLost whether the path to the replica is lost.
+    void replaceAttempt(bool isLost);
     const std::vector<std::string> &suspects();
     std::optional<Error> quarantineError();
     bool mayHaveCrashedReplica(const Error &error) const;
@@ -142,10 +150,6 @@
     void verifyEnd();
     void endVerified(CrashWatch::State state);
     void succeed();
-    /// \param verdict of the attempt that failed.
-    bool mayRetry(Verdict verdict);
-    /// \returns what denies another attempt, as in log lines; empty if nothing does.
-    std::string_view retryDenial(Verdict verdict);
     /// \param ignoredForHealth \sa AttemptReport::ignoredForHealth
     void endAttempt(bool succeeded, Reason reason, bool ignoredForHealth = false);
 
@@ -159,7 +163,6 @@
 
     Duration remaining() const;
     bool isStreaming() const;
-    bool hasStalled() const;
 
     EntryContext &m_context;
     HttpExchangePtr m_exchange;
@@ -178,15 +181,11 @@
     std::optional<RelayFailure> m_relayFailure; ///< Why the router did not relay it.
     std::string m_incarnation; ///< Incarnation of m_replica.
     TimePoint m_attemptStartedAt;
-    /// When the last byte of the answer arrived, else when the attempt started.
-    TimePoint m_lastReceivedAt;
     std::optional<Duration> m_firstByte; ///< Time from the start of this attempt to its first byte.
-    /// Time without data after which the stream counts as stalled.
-    Duration m_stallTimeout = Duration::zero();
-    bool m_receivedEvent = false; ///< This attempt has received an event of the stream.
+    AttemptSilence m_silence;
     bool m_isPromptUncached = false; ///< The replica is not known to cache any part of the prompt.
     AttemptHistory m_history;
-    std::string_view m_retryDenied; ///< What denied the last retry that was requested.
+    RetryGate m_retries;
     int m_crashedReplicas = 0; ///< Replicas that crashed during attempts of this request.
     /// \sa RequestQuarantine::Suspects. Computed on first use.
     std::vector<std::string> m_suspects;
--- a/src/Net/EntryGateway.cpp
+++ b/src/Net/EntryGateway.cpp
@@ -1,5 +1,7 @@
 #include "Net/EntryGateway.h"
 
+#include "Net/EventLoop.h"
+
 #include <utility>
 
 namespace catkinloft {
@@ -36,18 +38,30 @@
     *key = call;
     m_calls.insert(call);
     if (!m_silenceTimer.isPending())
-        m_silenceTimer.start(SilenceCheckInterval);
+        startSilenceTimer();
     call->start();
 }
 
 void EntryGateway::checkSilence()
 {
+    // After a standstill of this process, answers may be waiting in the sockets. They are read
+    // before the next check.
+    const bool isLate = m_context.loop.now() - m_silenceCheckDue >= SilenceCheckInterval;
+    m_skippedCheck = isLate && !m_skippedCheck;
+    if (m_skippedCheck)
+        return startSilenceTimer();
     // A check may end calls.
     const std::vector<std::shared_ptr<EntryCall>> calls(m_calls.begin(), m_calls.end());
     for (const auto &it : calls)
         it->checkSilence();
     if (!m_calls.empty())
-        m_silenceTimer.start(SilenceCheckInterval);
+        startSilenceTimer();
+}
+
+void EntryGateway::startSilenceTimer()
+{
+    m_silenceCheckDue = m_context.loop.now() + SilenceCheckInterval;
+    m_silenceTimer.start(SilenceCheckInterval);
 }
 
 std::vector<std::string> EntryGateway::unfinished() const
--- a/src/Net/EntryGateway.h
+++ b/src/Net/EntryGateway.h
@@ -30,10 +30,13 @@
     std::vector<std::string> unfinished() const;
 
 private:
+    void startSilenceTimer();
     void checkSilence();
 
     EntryContext m_context;
     Timer m_silenceTimer;
+    TimePoint m_silenceCheckDue;
+    bool m_skippedCheck = false; ///< The last check was skipped.
     std::unordered_set<std::shared_ptr<EntryCall>> m_calls;
     bool m_leaving = false;
 };
--- a/src/Net/RequestEvent.cpp
+++ b/src/Net/RequestEvent.cpp
@@ -39,6 +39,8 @@
     switch (kind) {
     case RequestEvent::Kind::Sent:
         return "request_sent";
+    case RequestEvent::Kind::AttemptSilent:
+        return "attempt_silent";
     case RequestEvent::Kind::AttemptFailed:
         return "attempt_failed";
     case RequestEvent::Kind::Answered:
@@ -89,7 +91,8 @@
         fields.emplace_back("unframed", true);
     if (!it.fingerprint.empty())
         fields.emplace_back("fingerprint", it.fingerprint);
-    Log::write(succeeded ? LogLevel::Info : LogLevel::Warning, requestEventName(it.kind), fields);
+    const bool isInfo = succeeded || it.kind == RequestEvent::Kind::AttemptSilent;
+    Log::write(isInfo ? LogLevel::Info : LogLevel::Warning, requestEventName(it.kind), fields);
 }
 
 } // namespace catkinloft
--- a/src/Net/RequestEvent.h
+++ b/src/Net/RequestEvent.h
@@ -16,6 +16,7 @@
 {
     enum class Kind : std::uint8_t {
         Sent, ///< Sent to the chosen replica.
+        AttemptSilent, ///< No data arrives, but another attempt is not permitted now.
         AttemptFailed, ///< The replica did not answer or its answer was not valid.
         Answered, ///< The caller received the complete answer of the replica.
         Refused, ///< The caller received an error answer of this router.
--- a/test/SilenceMonitorTest.cpp
+++ b/test/SilenceMonitorTest.cpp
@@ -69,4 +69,45 @@
     CHECK(monitor.busyReplicas() == 1);
 }
 
+// Guards against a whole service that stands still and is taken for replicas that failed.
+TEST_CASE_FIXTURE(SilenceFixture, "silenceMonitor_mostReplicasAreSilent_isReported")
+{
+    for (const char *it : {"a", "b", "c", "d"})
+        monitor.sent(it);
+    clock.advance(1s);
+    for (const char *it : {"c", "d"})
+        monitor.received(it);
+    CHECK(!monitor.isMostlySilent(600ms));
+    CHECK(monitor.silent(600ms) == std::vector<std::string>{"a", "b"});
+    clock.advance(600ms);
+    CHECK(monitor.isMostlySilent(600ms));
+    monitor.received("a");
+    monitor.received("c");
+    CHECK(!monitor.isMostlySilent(600ms));
+}
+
+// Guards against prompt answers that are forgotten because their replicas are idle at the moment.
+TEST_CASE_FIXTURE(SilenceFixture, "silenceMonitor_idleReplicasAnsweredLately_serviceIsNotSilent")
+{
+    for (const char *it : {"a", "b", "c", "d"})
+        monitor.sent(it);
+    clock.advance(1s);
+    for (const char *it : {"c", "d"}) {
+        monitor.received(it);
+        monitor.ended(it);
+    }
+    clock.advance(100ms);
+    CHECK(monitor.silentReplicas(600ms) == 2);
+    CHECK(!monitor.isMostlySilent(600ms));
+}
+
+// Guards against one failed replica that is taken for a silent service because no other one has
+// requests in progress.
+TEST_CASE_FIXTURE(SilenceFixture, "silenceMonitor_onlyBusyReplicaIsSilent_serviceIsNotSilent")
+{
+    monitor.sent("a");
+    clock.advance(5s);
+    CHECK(!monitor.isMostlySilent(600ms));
+}
+
 TEST_SUITE_END();
