--- a/src/Net/RequestEvent.cpp
+++ b/src/Net/RequestEvent.cpp
@@ -84,6 +84,8 @@
     switch (kind) {
     case RequestEvent::Kind::Sent:
         return "request_sent";
+    case RequestEvent::Kind::AttemptSilent:
+        return "attempt_silent";
     case RequestEvent::Kind::AttemptFailed:
         return "attempt_failed";
     case RequestEvent::Kind::Answered:
@@ -112,8 +114,8 @@
     appendContext(fields, it);
     if (it.kind == RequestEvent::Kind::Sent)
         appendChoice(fields, it);
-    Log::write(isFailure(it.kind) ? LogLevel::Warning : LogLevel::Info, requestEventName(it.kind),
-               fields);
+    const bool isWarning = isFailure(it.kind) && it.kind != RequestEvent::Kind::AttemptSilent;
+    Log::write(isWarning ? LogLevel::Warning : LogLevel::Info, requestEventName(it.kind), fields);
 }
 
 } // namespace catkinloft
