--- a/test/integration/StaleOriginTest.cpp
+++ b/test/integration/StaleOriginTest.cpp
@@ -272,3 +272,21 @@
     report("one version", streams);
     CHECK(countComplete(streams) == streams.size());
 }
+
+// Guards against refused resumptions while one version serves and a router that began streams, and
+// keeps the origins of others, is lost.
+TEST_CASE_FIXTURE(StaleOriginFixture, "fleet_oneVersionServesAndARouterIsLost_streamsAreResumed")
+{
+    std::vector<Stream> streams = beginStreams("a", 30);
+    fleet.router(0).signal(SIGKILL);
+    fleet.router(0).wait();
+    resume(streams, X);
+    report("killed", streams);
+    CHECK(countComplete(streams) == streams.size());
+    streams = beginStreams("b", 40);
+    fleet.router(1).signal(SIGSTOP);
+    resume(streams, X);
+    report("stopped", streams);
+    CHECK(countComplete(streams) == streams.size());
+    fleet.router(1).signal(SIGCONT);
+}
