Soak: pauses of all or most replicas beside changes of the configuration

Level +++++++ plays waves of a change of the configuration followed by a pause of four to all six replicas for 1.0 to 1.3 s, some beside the pause of a router, while callers have about 80 streams of 1.3 s in progress and the retry budget is smaller than that. It has no overloads, whose limited replicas have no slots for long streams. Levels decide what is drawn, and generators of its own draw it, so that earlier seeds play as before.

A new check, for all levels: no answer is cut off before its deadline if its router was not killed or stopped and the replicas that it ran on had no fault but one such pause.

--- a/soak/SoakCheck.cpp
+++ b/soak/SoakCheck.cpp
@@ -36,6 +36,9 @@
 /// Includes a margin for the stand-in's own clock.
 constexpr Duration EvacuationLimit = 2s + 200ms;
 
+/// An answer that ends this shortly before the caller's timeout may have ended by its deadline.
+constexpr auto DeadlineMargin = 100ms;
+
 constexpr std::size_t MaxReportedLines = 20;
 constexpr std::size_t MaxPrintedBody = 400; ///< Bytes of an answer that are printed.
 
@@ -54,11 +57,12 @@
     return status == 503 || status == 429 || status == 408 || status == 421;
 }
 
-/// \returns the events of a whole stream after event \a last, from one software version.
-std::string completeStream(int last, const std::string &version)
+/// \returns the events of a whole stream of \a length events after event \a last, from one software
+/// version.
+std::string completeStream(int last, int length, const std::string &version)
 {
     std::string out;
-    for (int i = last + 1; i <= 6; ++i)
+    for (int i = last + 1; i <= length; ++i)
         out += standin::ReplicaStandin::eventText(i, version);
     return out;
 }
@@ -98,7 +102,7 @@
     if (isStream(it.route))
         return (it.body.empty() || versionsOf(it.body).size() == 1)
                 && it.body
-                == completeStream(it.afterEvent,
+                == completeStream(it.afterEvent, it.lastEvent,
                                   it.body.empty() ? std::string() : *versionsOf(it.body).begin())
                 && it.signature == standin::ReplicaStandin::signatureOf(id, {});
     return it.body.starts_with(id + " answered by ")
@@ -218,6 +222,51 @@
     }));
 }
 
+/// \returns whether a fault of \a replica or of its path may have cut off the answer \a it.
+bool mayBeCutOffBy(const std::string &replica, const Attempt &it, const RunHistory &history)
+{
+    return std::any_of(history.replicaDisturbances.begin(), history.replicaDisturbances.end(),
+                       [&](const ReplicaDisturbance &d) {
+                           return (d.replica.empty() || d.replica == replica)
+                                   && d.router.value_or(it.router) == it.router
+                                   && d.from <= it.cutOffAt && d.until >= it.sentAt;
+                       });
+}
+
+/// \returns whether \a router was killed or stopped, and not only paused, between \a from and \a
+/// to.
+bool hasEnded(std::size_t router, WallTime from, WallTime to, const RunHistory &history)
+{
+    return std::any_of(history.disturbances.begin(), history.disturbances.end(),
+                       [&](const RouterDisturbance &it) {
+                           return it.router == router && !it.isPause && it.from <= to
+                                   && it.until >= from;
+                       });
+}
+
+/// Checks that no answer is cut off before its deadline while its router ran or was only paused,
+/// and the replicas that it ran on were sound.
+void checkCutOffs(const std::map<std::string, Attempt> &attempts,
+                  const std::vector<Json::Value> &executions, const RunHistory &history,
+                  const std::function<void(std::string)> &broken)
+{
+    std::map<std::string, bool> ranOnSoundReplicas;
+    for (const Json::Value &it : executions) {
+        const auto attempt = attempts.find(it["id"].asString());
+        if (attempt == attempts.end() || attempt->second.cutOffAt == WallTime())
+            continue;
+        bool &isSound = ranOnSoundReplicas.try_emplace(attempt->first, true).first->second;
+        isSound = isSound && !mayBeCutOffBy(it["replica"].asString(), attempt->second, history);
+    }
+    for (const auto &[id, isSound] : ranOnSoundReplicas) {
+        const Attempt &it = attempts.at(id);
+        if (isSound && it.cutOffAt < it.sentAt + SoakLoad::CallerTimeout - DeadlineMargin
+            && !hasEnded(it.router, it.sentAt, it.cutOffAt, history))
+            broken(fmt::format("{} was cut off after {} ms though its replica was sound ({})", id,
+                               (it.cutOffAt - it.sentAt) / 1ms, describe(id, it, executions)));
+    }
+}
+
 /// Checks that nothing is sent to a failure domain while it is evacuated.
 void checkEvacuations(const std::map<std::string, Attempt> &attempts,
                       const std::vector<Json::Value> &arrivals, const RunHistory &history,
@@ -323,6 +372,7 @@
                                describe(id, it, executions)));
     }
     checkVersions(attempts, broken);
+    checkCutOffs(attempts, executions, history, broken);
     checkLeaving(attempts, arrivals, history, broken);
     checkPauses(attempts, arrivals, history, broken);
     checkEvacuations(attempts, arrivals, history, broken);
--- a/soak/SoakCheck.h
+++ b/soak/SoakCheck.h
@@ -3,6 +3,7 @@
 #include "SoakLoad.h"
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,17 @@
     std::size_t router = 0;
     WallTime from = {};
     WallTime until = WallTime::max();
+    bool isPause = false;
+};
+
+/// \brief A period in which answers of a replica could be cut off by a fault of its own or of its
+/// path. A single short pause is none.
+struct ReplicaDisturbance
+{
+    std::string replica = {}; ///< Its id; empty: all replicas.
+    std::optional<std::size_t> router = {}; ///< Affects only answers to this router.
+    WallTime from = {};
+    WallTime until = {};
 };
 
 /// \brief A period in which callers sent several times the capacity of the replicas.
@@ -58,6 +70,7 @@
 {
     std::vector<OperatorAct> acts = {};
     std::vector<RouterDisturbance> disturbances = {};
+    std::vector<ReplicaDisturbance> replicaDisturbances = {};
     std::vector<Evacuation> evacuations = {};
     std::vector<ColdPeriod> coldPeriods = {};
     std::vector<OverloadPhase> overloads = {};
--- a/soak/SoakLoad.cpp
+++ b/soak/SoakLoad.cpp
@@ -16,10 +16,13 @@
 /// Number of requests between two queries to the directory.
 constexpr std::size_t RequestsPerResolve = 60;
 
-/// Time that callers give a request, and how much longer they wait for an answer.
-constexpr auto CallerTimeout = 3000ms;
+/// How much longer than CallerTimeout callers wait for an answer.
 constexpr auto CallerGrace = 500ms;
 
+/// Time between two long streams. About 80 are in progress, more than the retry budget allows
+/// retries.
+constexpr Duration LongStreamInterval = 16ms;
+
 /// Requests per second of all additional workspaces without overload.
 constexpr double UsualWorkspaceRate = 20;
 
@@ -60,6 +63,7 @@
                             m_fatalNumber % m_options.fleet.routerCount());
                        ++m_fatalNumber;
                    }),
+      m_longStreamTimer(m_options.loop, [this] { sendLongStream(); }),
       m_workspaceTimer(m_options.loop, [this] { sendForWorkspaces(); }),
       m_canaryTimer(m_options.loop, [this] { sendCanaries(); }),
       m_workspaceRate(UsualWorkspaceRate), m_triesInProgress(m_options.fleet.routerCount())
@@ -70,6 +74,8 @@
         m_leaverRandom = seededRandom(*m_options.leaverSeed);
     if (m_options.workspaceSeed)
         m_workspaceRandom = seededRandom(*m_options.workspaceSeed);
+    if (m_options.longStreamSeed)
+        m_longStreamRandom = seededRandom(*m_options.longStreamSeed);
 }
 
 void SoakLoad::start()
@@ -78,12 +84,15 @@
     m_workspaceSentAt = m_options.loop.now();
     if (m_workspaceRandom)
         m_workspaceTimer.startRepeating(WorkspaceInterval);
+    if (m_longStreamRandom)
+        m_longStreamTimer.startRepeating(LongStreamInterval);
 }
 
 void SoakLoad::stop()
 {
     m_timer.stop();
     m_fatalTimer.stop();
+    m_longStreamTimer.stop();
     m_workspaceTimer.stop();
     m_canaryTimer.stop();
 }
@@ -147,6 +156,14 @@
         send(request, id, routerIndexOf(address));
 }
 
+void SoakLoad::sendLongStream()
+{
+    const std::string id = fmt::format("l{}", ++m_longStreamNumber);
+    m_attempts[id].lastEvent = LongStreamEvents;
+    send(LongStreamTemplate, id,
+         routerIndexOf(m_addresses[below(m_longStreamRandom, m_addresses.size())]));
+}
+
 HttpCall SoakLoad::composeCall(const RequestTemplate &request, const std::string &id,
                                std::size_t router)
 {
@@ -183,9 +200,12 @@
 
 void SoakLoad::record(const std::string &id, const Result<HttpAnswer> &answer)
 {
-    if (!answer)
-        return;
     Attempt &it = m_attempts[id];
+    if (!answer) {
+        if (answer.error().reason == Reason::UpstreamBroken)
+            it.cutOffAt = m_options.loop.wallNow();
+        return;
+    }
     it.status = answer.value().head.status;
     it.body = answer.value().body;
     it.signature = answer.value().head.header("X-Response-Signature");
--- a/soak/SoakLoad.h
+++ b/soak/SoakLoad.h
@@ -33,6 +33,8 @@
     std::string resumes = {}; ///< Attempt that began the stream, if the caller resumes it.
     int afterEvent = 0; ///< Last event of the stream that the caller had before.
     bool hasLeft = false; ///< The caller left the stream after some events.
+    int lastEvent = 6; ///< Of the whole stream.
+    WallTime cutOffAt = {}; ///< When the connection closed before the answer was complete.
     std::string retryAfter = {}; ///< As stated by the answer.
     std::string workspace = "archive";
     std::optional<int> priority = {}; ///< Of the route; none: a route of the only priority.
@@ -63,8 +65,13 @@
         /// Seed for callers of the additional workspaces, who can overload the fleet; empty: there
         /// are none. \sa setOverload()
         std::optional<std::uint64_t> workspaceSeed = {};
+        /// Seed for callers of streams that last over a second; empty: there are none.
+        std::optional<std::uint64_t> longStreamSeed = {};
     };
 
+    /// Time that callers give a request.
+    static constexpr auto CallerTimeout = std::chrono::milliseconds(3000);
+
     explicit SoakLoad(Options options);
 
     void start();
@@ -102,6 +109,10 @@
         std::string_view body;
     };
     static constexpr RequestTemplate StreamTemplate = {"stream", "GET", "/stream/a?events=6", ""};
+    /// Ends within the callers' timeout also if its replica is paused once.
+    static constexpr RequestTemplate LongStreamTemplate = {"stream", "GET",
+                                                           "/stream/a?events=16&gap_ms=80", ""};
+    static constexpr int LongStreamEvents = 16;
     /// A stream whose caller leaves after a few events.
     struct LeftStream
     {
@@ -128,6 +139,7 @@
     void send(const RequestTemplate &request, const std::string &id, std::size_t router);
     HttpCall composeCall(const RequestTemplate &request, const std::string &id, std::size_t router);
     void record(const std::string &id, const Result<HttpAnswer> &answer);
+    void sendLongStream();
     void sendForWorkspaces();
     void sendTry(const WorkspaceTry &it);
     void retry(WorkspaceTry it, const Attempt &failed);
@@ -144,6 +156,7 @@
     HttpClient m_client;
     Timer m_timer;
     Timer m_fatalTimer;
+    Timer m_longStreamTimer;
     std::string m_key = standin::EntryFleet::Key;
     std::vector<std::string> m_addresses;
     std::map<std::string, Attempt> m_attempts;
@@ -152,6 +165,8 @@
     std::size_t m_inProgress = 0;
     std::size_t m_number = 0;
     std::size_t m_fatalNumber = 0;
+    RandomSource m_longStreamRandom;
+    std::size_t m_longStreamNumber = 0;
     Timer m_workspaceTimer;
     Timer m_canaryTimer;
     RandomSource m_workspaceRandom; ///< Null: there are no additional workspaces.
--- a/soak/SoakPlan.cpp
+++ b/soak/SoakPlan.cpp
@@ -68,6 +68,10 @@
         KindInfo{FaultKind::Overload, "overload", false, 1s, 3s},
 };
 
+constexpr std::array PauseKinds = {
+        KindInfo{FaultKind::ReplicasPause, "replicas_pause", false, 1s, 1300ms},
+};
+
 /// Range of the load of an overload without the callers' retries, which triple it at most.
 constexpr double MinLoad = 2;
 constexpr double MaxLoad = 3;
@@ -105,7 +109,7 @@
          {std::span<const KindInfo>(Kinds), std::span<const KindInfo>(ReplicaKinds),
           std::span<const KindInfo>(DomainKinds), std::span<const KindInfo>(StoreKinds),
           std::span<const KindInfo>(PartitionKinds), std::span<const KindInfo>(VersionKinds),
-          std::span<const KindInfo>(OverloadKinds)}) {
+          std::span<const KindInfo>(OverloadKinds), std::span<const KindInfo>(PauseKinds)}) {
         if (const std::string_view name = nameIn(kinds, kind); !name.empty())
             return name;
     }
@@ -181,6 +185,28 @@
     return out;
 }
 
+std::vector<Fault> drawReplicasPauses(const RandomSource &random, Duration length,
+                                      std::size_t routers, std::size_t replicas)
+{
+    const KindInfo &info = PauseKinds.front();
+    std::vector<Fault> out;
+    for (Duration at = between(random, 1s, 2s); at < length; at += between(random, 3500ms, 5s)) {
+        out.push_back({.kind = FaultKind::ConfigChange, .at = at});
+        const Fault pause{.kind = info.kind,
+                          .at = at + between(random, 400ms, 700ms),
+                          .length = between(random, info.shortest, info.longest),
+                          .target = below(random, replicas),
+                          .count = replicas - below(random, replicas / 2)};
+        out.push_back(pause);
+        if (below(random, 3) == 0)
+            out.push_back({.kind = FaultKind::RouterPause,
+                           .at = pause.at + between(random, -300ms, 300ms),
+                           .length = between(random, 300ms, info.longest),
+                           .target = below(random, routers)});
+    }
+    return out;
+}
+
 bool isAlone(const Fault &overload, const std::vector<Fault> &plan, Duration before, Duration after)
 {
     const Duration from = overload.at - before;
--- a/soak/SoakPlan.h
+++ b/soak/SoakPlan.h
@@ -38,6 +38,7 @@
     ReplicaChangesVersion, ///< Restarts with the other software version.
     StoreRestored, ///< The store is down and returns from a copy that is some seconds old.
     Overload, ///< Callers send several times the capacity of the replicas.
+    ReplicasPause, ///< All or most replicas, with SIGSTOP at the same moment.
 };
 
 std::string_view faultName(FaultKind kind);
@@ -50,6 +51,7 @@
     Duration length = {}; ///< Until it is reverted.
     std::size_t target = 0; ///< Index of the router, replica, or workspace that sends most.
     double load = 0; ///< Overload: requests sent, as a multiple of the replicas' capacity.
+    std::size_t count = 1; ///< ReplicasPause: number of replicas, from the target on.
 };
 
 /// \returns faults that originate in replicas. They are drawn separately from drawFaults() so that
@@ -79,6 +81,11 @@
 std::vector<Fault> drawOverloads(const RandomSource &random, Duration length, Duration aloneAt,
                                  std::size_t workspaces);
 
+/// \returns pauses of all or most replicas, each shortly after a change of the configuration and
+/// some beside the pause of a router, drawn separately for the same reason.
+std::vector<Fault> drawReplicasPauses(const RandomSource &random, Duration length,
+                                      std::size_t routers, std::size_t replicas);
+
 /// \returns whether no fault of \a plan other than \a overload is active between \a before its
 /// begin and \a after its end.
 bool isAlone(const Fault &overload, const std::vector<Fault> &plan, Duration before,
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -47,6 +47,17 @@
 /// the faults.
 constexpr std::uint64_t OverloadSeed = 0x0F11;
 
+/// Separates the random numbers of pauses of most replicas and of the callers of long streams from
+/// those of the faults.
+constexpr std::uint64_t PauseSeed = 0x5111;
+
+/// Retry budget in runs with pauses of most replicas: less than the long streams in progress.
+constexpr double PauseRunRetryShare = 0.05;
+constexpr int PauseRunRetrySlack = 10;
+
+/// Time after a fault of a replica in which it may still cut off answers.
+constexpr std::chrono::milliseconds DisturbanceMargin = 5s;
+
 /// Time between two requests of the first workspace in runs with overloads. With those of the other
 /// workspaces about a quarter of the capacity is used, as little as in docs/design/overload.md: at
 /// half of it the engines already count as busy, and there would be no usual load to return to.
@@ -86,6 +97,32 @@
     return kind <= FaultKind::StorePathSilent || kind == FaultKind::StoreRestored;
 }
 
+/// \returns whether \a kind may cut off answers of its target.
+bool disturbsReplica(FaultKind kind)
+{
+    switch (kind) {
+    case FaultKind::ReplicaKill:
+    case FaultKind::ReplicaPause:
+    case FaultKind::ReplicaFails:
+    case FaultKind::ReplicaPathSilent:
+    case FaultKind::ReplicaPathDelay:
+    case FaultKind::ReplicaDrain:
+    case FaultKind::ReplicaSaysLeaving:
+    case FaultKind::ReplicaAsksForPause:
+    case FaultKind::ReplicaTurnsCold:
+    case FaultKind::ReplicaChangesVersion:
+        return true;
+    default:
+        return false;
+    }
+}
+
+bool isPartition(FaultKind kind)
+{
+    return kind == FaultKind::RouterPartitioned || kind == FaultKind::RouterReset
+            || kind == FaultKind::RouterRefused;
+}
+
 } // namespace
 
 SoakRun::SoakRun(Options options)
@@ -96,6 +133,12 @@
                .versions = m_options.withVersions ? std::vector<std::string>{"v1", "v2"}
                                                   : std::vector<std::string>(),
                .domains = m_options.withDomainFaults ? 3U : 1U,
+               .retryShare = m_options.withReplicasPauses
+                       ? PauseRunRetryShare
+                       : standin::EntryFleet::Options().retryShare,
+               .retrySlack = m_options.withReplicasPauses
+                       ? PauseRunRetrySlack
+                       : standin::EntryFleet::Options().retrySlack,
                .capacity = m_options.withOverloads ? std::optional(standin::EntryFleet::Capacity())
                                                    : std::nullopt}),
       m_random(seededRandom(m_options.seed))
@@ -132,6 +175,12 @@
              drawVersionChanges(faultRandom, m_options.length, 2 * m_options.replicas))
             m_plan.push_back(it);
     }
+    if (m_options.withReplicasPauses) {
+        const RandomSource faultRandom = seededRandom(m_options.seed ^ PauseSeed);
+        for (const Fault &it : drawReplicasPauses(faultRandom, m_options.length, m_options.routers,
+                                                  2 * m_options.replicas))
+            m_plan.push_back(it);
+    }
     if (m_options.withOverloads) {
         const RandomSource faultRandom = seededRandom(m_options.seed ^ OverloadSeed);
         Duration last = m_options.length;
@@ -158,6 +207,8 @@
         load.workspaceSeed = m_options.seed ^ ~OverloadSeed;
         load.interval = OverloadRunInterval;
     }
+    if (m_options.withReplicasPauses)
+        load.longStreamSeed = m_options.seed ^ ~PauseSeed;
     m_load.emplace(std::move(load));
     m_load->start();
     if (m_copyTimer) {
@@ -212,6 +263,7 @@
                     it.controlStable && m_loop.wallNow() > it.acknowledgedAt + ControlSettleTime;
         postponeUnreadColdPeriods();
     }
+    noteReplicaDisturbance(fault);
     switch (fault.kind) {
     case FaultKind::RouterPartitioned:
     case FaultKind::RouterReset:
@@ -228,7 +280,7 @@
         m_fleet.router(fault.target).signal(SIGTERM);
         break;
     case FaultKind::RouterPause:
-        beginDisturbance(fault.target);
+        beginDisturbance(fault.target, true);
         m_fleet.router(fault.target).signal(SIGSTOP);
         break;
     case FaultKind::FatalRequest:
@@ -308,6 +360,48 @@
     case FaultKind::Overload:
         beginOverload(fault);
         break;
+    case FaultKind::ReplicasPause:
+        pauseReplicas(fault);
+        break;
+    }
+}
+
+void SoakRun::noteReplicaDisturbance(const Fault &fault)
+{
+    const WallTime now = m_loop.wallNow();
+    const auto length = std::chrono::ceil<std::chrono::milliseconds>(fault.length);
+    ReplicaDisturbance it{.from = now, .until = now + length + DisturbanceMargin};
+    if (isPartition(fault.kind)) {
+        it.router = fault.target;
+        m_history.replicaDisturbances.push_back(it);
+    } else if (fault.kind == FaultKind::FatalRequest) {
+        // They are sent on a route of the first service.
+        for (std::size_t i = 0; i < m_options.replicas; ++i) {
+            it.replica = m_fleet.replicaId(i);
+            m_history.replicaDisturbances.push_back(it);
+        }
+    } else if (disturbsReplica(fault.kind)) {
+        it.replica = m_fleet.replicaId(fault.target);
+        m_history.replicaDisturbances.push_back(it);
+    }
+}
+
+void SoakRun::pauseReplicas(const Fault &fault)
+{
+    for (std::size_t k = 0; k < fault.count; ++k) {
+        const std::size_t i = (fault.target + k) % m_fleet.replicaCount();
+        ++m_replicaOutages[i];
+        interruptColdPeriods(i, fault.length + BacklogTime);
+        m_fleet.replica(i).signal(SIGSTOP);
+    }
+}
+
+void SoakRun::resumeReplicas(const Fault &fault)
+{
+    for (std::size_t k = 0; k < fault.count; ++k) {
+        const std::size_t i = (fault.target + k) % m_fleet.replicaCount();
+        m_fleet.replica(i).signal(SIGCONT);
+        endReplicaOutage(i);
     }
 }
 
@@ -427,9 +521,10 @@
     endDisturbance(i);
 }
 
-void SoakRun::beginDisturbance(std::size_t router)
+void SoakRun::beginDisturbance(std::size_t router, bool isPause)
 {
-    m_history.disturbances.push_back({.router = router, .from = m_loop.wallNow()});
+    m_history.disturbances.push_back(
+            {.router = router, .from = m_loop.wallNow(), .isPause = isPause});
 }
 
 void SoakRun::endDisturbance(std::size_t router)
@@ -514,6 +609,9 @@
     case FaultKind::Overload:
         endOverload();
         break;
+    case FaultKind::ReplicasPause:
+        resumeReplicas(fault);
+        break;
     case FaultKind::ReplicaChangesVersion:
     case FaultKind::StoreForgets:
     case FaultKind::StorePathSilent:
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -28,6 +28,7 @@
         bool withPartitions = true; ///< \sa drawPartitions
         bool withVersions = true; ///< Two software versions, and callers that resume their streams.
         bool withOverloads = true; ///< Replicas of limited capacity, and \sa drawOverloads
+        bool withReplicasPauses = false; ///< Long streams, and \sa drawReplicasPauses
         std::string keepFolder = {}; ///< Receives the logs of a run that violates a guarantee.
     };
 
@@ -48,7 +49,10 @@
     void begin(const Fault &fault);
     void end(const Fault &fault);
     void restartRouter(std::size_t i);
-    void beginDisturbance(std::size_t router);
+    void beginDisturbance(std::size_t router, bool isPause = false);
+    void noteReplicaDisturbance(const Fault &fault);
+    void pauseReplicas(const Fault &fault);
+    void resumeReplicas(const Fault &fault);
     void endDisturbance(std::size_t router);
     void restartExitedReplicas();
     void setReplicaFaults(std::size_t i, const std::string &faults);
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -17,7 +17,8 @@
         "cold replicas, +++: also with restores of the store from a copy, "
         "++++: also with routers that are partitioned from all replicas, "
         "+++++: also with two software versions and callers that resume their streams, "
-        "++++++: also with replicas of limited capacity and periods of overload");
+        "++++++: also with replicas of limited capacity and periods of overload, "
+        "+++++++: instead of these with long streams and pauses of all or most replicas");
 DEFINE_double(seconds, 10, "period of each run in which faults begin, in seconds");
 DEFINE_uint64(routers, 4, "routers");
 DEFINE_uint64(replicas, 3, "number of replicas of each of the two services");
@@ -37,8 +38,12 @@
     bool withPartitions = true;
     bool withVersions = true;
     bool withOverloads = true;
+    bool withReplicasPauses = false;
 };
 
+/// The limited replicas of an overload have no slots for long streams.
+constexpr std::string_view ReplicasPauseLevel = "+++++++";
+
 std::vector<RunPlan> runPlans()
 {
     std::vector<RunPlan> out;
@@ -57,7 +62,9 @@
                        .withStoreRestores = kinds.starts_with("+++"),
                        .withPartitions = kinds.starts_with("++++"),
                        .withVersions = kinds.starts_with("+++++"),
-                       .withOverloads = kinds.starts_with("++++++")});
+                       .withOverloads = kinds.starts_with("++++++")
+                               && !kinds.starts_with(ReplicasPauseLevel),
+                       .withReplicasPauses = kinds.starts_with(ReplicasPauseLevel)});
     }
     for (std::uint64_t i = 0; i < FLAGS_runs; ++i)
         out.push_back({.seed = FLAGS_seed + i, .length = fromSeconds(FLAGS_seconds)});
@@ -77,6 +84,7 @@
                  .withPartitions = it.withPartitions,
                  .withVersions = it.withVersions,
                  .withOverloads = it.withOverloads,
+                 .withReplicasPauses = it.withReplicasPauses,
                  .keepFolder = FLAGS_keep});
     const SoakRun::Outcome outcome = run.run();
     std::string faults;
--- a/standin/ReplicaStandin.cpp
+++ b/standin/ReplicaStandin.cpp
@@ -249,6 +249,8 @@
     stream->exchange = exchange;
     stream->last = std::atoi(exchange->queryValue("events").c_str());
     stream->next = last.empty() ? 1 : std::atoi(last.c_str()) + 1;
+    const int gap = std::atoi(exchange->queryValue("gap_ms").c_str());
+    stream->interval = gap > 0 ? std::chrono::milliseconds(gap) : m_options.eventInterval;
     if (shouldInject("cut"))
         stream->cutAt = stream->next + 1;
     HttpHeaders headers = headersOf(*exchange, {});
@@ -268,7 +270,7 @@
     const std::string event = eventText(stream->next, m_options.version);
     if (stream->next == stream->cutAt) {
         stream->exchange->write(event.substr(0, event.size() / 2));
-        m_options.loop.after(m_options.eventInterval, [this, stream] {
+        m_options.loop.after(stream->interval, [this, stream] {
             stream->exchange->abort();
             releaseSlot();
         });
@@ -276,7 +278,7 @@
     }
     stream->exchange->write(event);
     ++stream->next;
-    m_options.loop.after(m_options.eventInterval, [this, stream] { continueStream(stream); });
+    m_options.loop.after(stream->interval, [this, stream] { continueStream(stream); });
 }
 
 } // namespace catkinloft::standin
--- a/standin/ReplicaStandin.h
+++ b/standin/ReplicaStandin.h
@@ -58,6 +58,7 @@
         HttpExchangePtr exchange;
         int next = 1;
         int last = 0;
+        Duration interval = {}; ///< Between two events.
         int cutAt = 0; ///< Event within which the connection is closed; 0: none.
     };
 
--- a/standin/fleet/EntryFleet.cpp
+++ b/standin/fleet/EntryFleet.cpp
@@ -347,9 +347,10 @@
                        "readiness_address: \"{}\"\ndirectory_address: \"{}\"\n"
                        "peer_address: \"{}\"\nstore_address: \"{}\"\n"
                        "store_writes_per_second: {}\n"
-                       "source_ip: \"{}\"\nrepeats:\n  share: 0.2\n  slack: 60\n  window: 10s\n{}",
+                       "source_ip: \"{}\"\nrepeats:\n  share: {}\n  slack: {}\n  window: 10s\n{}",
                        i, it.caller, it.readiness, it.directory, it.peer, it.store.listen,
-                       RowWritesPerSecond, sourceIp(i), extra);
+                       RowWritesPerSecond, sourceIp(i), m_options.retryShare, m_options.retrySlack,
+                       extra);
 }
 
 void EntryFleet::startRouter(std::size_t i)
--- a/standin/fleet/EntryFleet.h
+++ b/standin/fleet/EntryFleet.h
@@ -42,6 +42,9 @@
         /// Software versions; replicas get them in turn. Empty: all run `v1` and no event names it.
         std::vector<std::string> versions = {};
         std::size_t domains = 1; ///< Failure domains; replicas are assigned to them in turn.
+        /// Retries that the routers may make in ten seconds: a share of the requests, and a slack.
+        double retryShare = 0.2;
+        int retrySlack = 60;
         std::string extraSettings = {}; ///< Additional lines of each router's settings.
         std::optional<Capacity> capacity = {}; ///< Of each replica; none: not limited.
         /// Time of a call, and until a replica crashes under a fatal request, without a capacity.
--- a/test/integration/SoakCheckTest.cpp
+++ b/test/integration/SoakCheckTest.cpp
@@ -42,7 +42,12 @@
         executions.push_back(it);
     }
 
-    RunHistory history() const { return {.acts = acts, .disturbances = disturbances}; }
+    RunHistory history() const
+    {
+        return {.acts = acts,
+                .disturbances = disturbances,
+                .replicaDisturbances = replicaDisturbances};
+    }
 
     /// Adds an execution of a request that crashes replicas, sent by router \a i, \a after the
     /// start.
@@ -61,6 +66,7 @@
     std::vector<Json::Value> executions;
     std::vector<OperatorAct> acts;
     std::vector<RouterDisturbance> disturbances;
+    std::vector<ReplicaDisturbance> replicaDisturbances;
 };
 
 } // namespace
@@ -188,6 +194,68 @@
         CHECK(lines[0].find(it) != std::string::npos);
 }
 
+// Guards against a soak that passes although routers cut off answers of replicas that were only
+// paused for a moment.
+TEST_CASE_FIXTURE(SoakCheckFixture, "soakCheck_answerIsCutOff_isReportedIfItsReplicaWasSound")
+{
+    attempts["l1"] = {.route = "stream", .sentAt = start, .cutOffAt = start + 1300ms};
+    addExecution("l1", "i-1");
+    std::size_t expected = 1;
+    SUBCASE("nothing else happened") { }
+    SUBCASE("its router was paused")
+    {
+        disturbances = {{.from = start, .until = start + 1s, .isPause = true}};
+    }
+    SUBCASE("another router was killed")
+    {
+        disturbances = {{.router = 1, .from = start, .until = start + 1s}};
+    }
+    SUBCASE("its router was killed")
+    {
+        disturbances = {{.from = start, .until = start + 1s}};
+        expected = 0;
+    }
+    SUBCASE("another replica was faulty")
+    {
+        replicaDisturbances = {{.replica = "i-2", .from = start, .until = start + 1s}};
+    }
+    SUBCASE("its replica was faulty before")
+    {
+        replicaDisturbances = {{.replica = "i-1", .from = start - 2s, .until = start - 1s}};
+    }
+    SUBCASE("its replica was faulty")
+    {
+        replicaDisturbances = {{.replica = "i-1", .from = start, .until = start + 1s}};
+        expected = 0;
+    }
+    SUBCASE("one of its replicas was faulty")
+    {
+        addExecution("l1", "i-2", 1200ms);
+        replicaDisturbances = {{.replica = "i-2", .from = start, .until = start + 1s}};
+        expected = 0;
+    }
+    SUBCASE("its router was partitioned from the replicas")
+    {
+        replicaDisturbances = {{.router = 0, .from = start, .until = start + 1s}};
+        expected = 0;
+    }
+    SUBCASE("another router was partitioned from the replicas")
+    {
+        replicaDisturbances = {{.router = 1, .from = start, .until = start + 1s}};
+    }
+    SUBCASE("its deadline had passed")
+    {
+        attempts["l1"].cutOffAt = start + 2950ms;
+        expected = 0;
+    }
+    SUBCASE("it reached no replica")
+    {
+        executions.pop_back();
+        expected = 0;
+    }
+    CHECK(broken() == expected);
+}
+
 // Guards against a soak that passes although a stream has events of two software versions.
 TEST_CASE_FIXTURE(SoakCheckFixture, "soakCheck_resumedStreamOfAnotherVersion_isReported")
 {
--- a/test/integration/SoakPlanTest.cpp
+++ b/test/integration/SoakPlanTest.cpp
@@ -60,6 +60,41 @@
     }
 }
 
+// Guards against pauses that are too short to expire the routers' timeouts, spare most replicas, or
+// lack the change of the configuration before them.
+TEST_CASE("soakPlan_replicasPauses_mostReplicasAfterAChangeOfTheConfiguration")
+{
+    constexpr std::size_t Replicas = 6;
+    std::size_t all = 0;
+    std::size_t besideRouterPause = 0;
+    for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+        const std::vector<Fault> plan = drawReplicasPauses(seededRandom(seed), Length, 4, Replicas);
+        TimePoint changedAt = {};
+        std::size_t pauses = 0;
+        for (const Fault &it : plan) {
+            if (it.kind == FaultKind::ConfigChange)
+                changedAt = TimePoint(it.at);
+            if (it.kind == FaultKind::RouterPause)
+                ++besideRouterPause;
+            if (it.kind != FaultKind::ReplicasPause)
+                continue;
+            ++pauses;
+            all += it.count == Replicas ? 1 : 0;
+            CHECK(faultName(it.kind) == "replicas_pause");
+            CHECK(TimePoint(it.at) - changedAt >= 400ms);
+            CHECK(TimePoint(it.at) - changedAt <= 700ms);
+            CHECK(it.length >= 1s);
+            CHECK(it.length <= 1300ms);
+            CHECK(it.target < Replicas);
+            CHECK(it.count <= Replicas);
+            CHECK(it.count > Replicas / 2);
+        }
+        CHECK(pauses >= 2);
+    }
+    CHECK(all > 0);
+    CHECK(besideRouterPause > 0);
+}
+
 // Guards against checks for an overload without other faults that are applied beside other faults,
 // and against a phase that counts itself as another fault, so that they would never be applied.
 TEST_CASE("soakPlan_overloadBesideOtherFaults_isAloneOnlyIfTheyAreFarAway")
