Due timers run only after the sockets have been read

Callers saw streams cut off and calls refused after a standstill of their router, although the answers waited in its sockets.

Cause: libevent runs the timers that are due before the sockets are read when epoll_wait was interrupted (SIGCONT), when more than 32 sockets are readable, or when an answer needs several reads; the posted end of an answer runs behind the timers of its iteration.

Fix: one queue for all timers of a loop. When its first timer is due, the queue waits for an iteration in which no socket is ready, by an event of the lowest priority, and then runs the due timers in order. It waits at most as long again as the timer is late, within 10 to 500 ms, so that timers run under constant load too. Clocks and the ages compared with them stay.

--- a/src/Net/EventLoop.cpp
+++ b/src/Net/EventLoop.cpp
@@ -1,11 +1,10 @@
 #include "Net/EventLoop.h"
 
 #include "Net/internal/Dispatch.h"
+#include "Net/internal/TimerQueue.h"
 #include "Net/internal/Timeval.h"
 
-#include <cstdint>
 #include <ctime>
-#include <map>
 #include <utility>
 #include <vector>
 
@@ -44,18 +43,8 @@
     };
 
     event_base *base = event_base_new();
-    using ShotKey = std::pair<TimePoint, std::uint64_t>; ///< Due time and sequence number.
-
-    struct OneShot
-    {
-        Private *owner;
-        ShotKey key;
-        Callback callback; ///< Empty once it has run.
-    };
-
     std::vector<std::unique_ptr<Signal>> signals;
-    std::map<ShotKey, std::unique_ptr<OneShot>> shots;
-    std::uint64_t lastShot = 0;
+    std::unique_ptr<internal::TimerQueue> timers;
     std::vector<Callback> posted;
     event *wake = nullptr;
     event *stallCheck = nullptr;
@@ -81,20 +70,6 @@
                  .processorTime = checkedAt.processor - last.processor});
     }
 
-    /// Runs all callbacks up to \a key in the order of their keys. Needed because libevent timers
-    /// that are due within one tick of its clock fire in any order.
-    void runUpTo(const ShotKey &key)
-    {
-        std::vector<Callback> batch;
-        for (auto it = shots.begin(); it != shots.end() && it->first <= key; ++it) {
-            if (it->second->callback)
-                batch.push_back(std::exchange(it->second->callback, nullptr));
-        }
-        shots.erase(key);
-        for (const Callback &it : batch)
-            internal::dispatch("timer", it);
-    }
-
     void runPosted()
     {
         // Callbacks posted meanwhile run in the next iteration, so that sockets aren't starved.
@@ -106,6 +81,8 @@
 
 EventLoop::EventLoop() : m_d(std::make_unique<Private>())
 {
+    event_base_priority_init(m_d->base, internal::TimerQueue::Priorities);
+    m_d->timers = std::make_unique<internal::TimerQueue>(m_d->base, *this);
     m_d->wake = event_new(
             m_d->base, -1, 0,
             [](evutil_socket_t, short, void *arg) { static_cast<Private *>(arg)->runPosted(); },
@@ -119,12 +96,11 @@
 EventLoop::~EventLoop()
 {
     // Pending callbacks may own connections, which have to be freed before the event base.
-    while (!m_d->posted.empty() || !m_d->shots.empty()) {
-        const auto shots = std::exchange(m_d->shots, {});
+    while (m_d->timers->clear() || !m_d->posted.empty())
         const auto posted = std::exchange(m_d->posted, {});
-    }
     for (const auto &it : m_d->signals)
         event_free(it->ev);
+    m_d->timers.reset();
     event_free(m_d->wake);
     event_free(m_d->stallCheck);
     event_base_free(m_d->base);
@@ -166,19 +142,7 @@
 
 void EventLoop::after(Duration delay, Callback callback)
 {
-    const timeval tv = internal::toTimeval(delay);
-    const Private::ShotKey key{now() + delay, ++m_d->lastShot};
-    auto shot = std::make_unique<Private::OneShot>(
-            Private::OneShot{m_d.get(), key, std::move(callback)});
-    Private::OneShot *waiting = shot.get();
-    m_d->shots.emplace(key, std::move(shot));
-    event_base_once(
-            m_d->base, -1, EV_TIMEOUT,
-            [](evutil_socket_t, short, void *arg) {
-                const auto *it = static_cast<Private::OneShot *>(arg);
-                it->owner->runUpTo(Private::ShotKey(it->key));
-            },
-            waiting, &tv);
+    m_d->timers->add(delay, std::move(callback));
 }
 
 void EventLoop::onSignal(int number, Callback callback)
@@ -202,6 +166,11 @@
     m_d->startStallCheck();
 }
 
+internal::TimerQueue &EventLoop::timers() const
+{
+    return *m_d->timers;
+}
+
 event_base *EventLoop::base() const
 {
     return m_d->base;
--- a/src/Net/EventLoop.h
+++ b/src/Net/EventLoop.h
@@ -9,6 +9,10 @@
 
 namespace catkinloft {
 
+namespace internal {
+class TimerQueue;
+}
+
 /// \brief The event loop of one thread; also its clock.
 ///
 /// The state of a task is accessed on this thread only. Other tasks pass it messages through
@@ -62,6 +66,9 @@
 
     event_base *base() const;
 
+    /// \returns the timers of the loop. \sa Timer
+    internal::TimerQueue &timers() const;
+
 private:
     struct Private;
     std::unique_ptr<Private> m_d;
--- a/src/Net/Timer.cpp
+++ b/src/Net/Timer.cpp
@@ -1,66 +1,73 @@
 #include "Net/Timer.h"
 
 #include "Net/EventLoop.h"
-#include "Net/internal/Dispatch.h"
-#include "Net/internal/Timeval.h"
+#include "Net/internal/TimerQueue.h"
 
-#include <event2/event.h>
+#include <optional>
 
 namespace catkinloft {
 
 struct Timer::Private
 {
-    event *ev = nullptr;
+    internal::TimerQueue &queue;
     std::function<void()> callback;
     Duration interval = Duration::zero();
+    std::optional<internal::TimerQueue::Key> key = {}; ///< Set while the timer runs.
 
-    static void fire(evutil_socket_t, short, void *arg)
+    void start(Duration delay)
     {
-        auto *d = static_cast<Private *>(arg);
-        if (d->interval > Duration::zero()) {
-            const timeval tv = internal::toTimeval(d->interval);
-            event_add(d->ev, &tv);
-        }
+        stop();
+        key = queue.add(delay, [this] { fire(); });
+    }
+
+    void stop()
+    {
+        if (key)
+            queue.remove(*key);
+        key.reset();
+    }
+
+    void fire()
+    {
+        key.reset();
+        if (interval > Duration::zero())
+            start(interval);
         // Copied, because the callback may destroy the timer.
-        const std::function<void()> callback = d->callback;
-        internal::dispatch("timer", callback);
+        const std::function<void()> current = callback;
+        current();
     }
 };
 
-Timer::Timer(EventLoop &loop, std::function<void()> callback) : m_d(std::make_unique<Private>())
-{
-    m_d->callback = std::move(callback);
-    m_d->ev = event_new(loop.base(), -1, 0, &Private::fire, m_d.get());
-}
+Timer::Timer(EventLoop &loop, std::function<void()> callback)
+    : m_d(new Private{.queue = loop.timers(), .callback = std::move(callback)})
+{ }
 
 Timer::~Timer()
 {
-    event_free(m_d->ev);
+    m_d->stop();
 }
 
 void Timer::start(Duration delay)
 {
     m_d->interval = Duration::zero();
-    const timeval tv = internal::toTimeval(delay);
-    event_add(m_d->ev, &tv);
+    m_d->start(delay);
 }
 
 void Timer::startRepeating(Duration interval)
 {
     m_d->interval = interval;
-    const timeval tv = internal::toTimeval(interval);
-    event_add(m_d->ev, &tv);
+    m_d->start(interval);
 }
 
 void Timer::stop()
 {
     m_d->interval = Duration::zero();
-    event_del(m_d->ev);
+    m_d->stop();
 }
 
 bool Timer::isPending() const
 {
-    return event_pending(m_d->ev, EV_TIMEOUT, nullptr) != 0;
+    return m_d->key.has_value();
 }
 
 } // namespace catkinloft
