Log line for connections refused at the limit

Connections beyond limits.max_connections are answered 503, and only the metric catkinloft_refusals_total counts them. The record of an incident that holds logs alone can't tell whether a router was at its limit. A line per second now names the listener, the limit and the number of connections.

--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -63,6 +63,10 @@
 
 constexpr Duration DrainPoll = 50ms;
 
+/// Shortest time between log lines about connections beyond the limit, of which there may be
+/// thousands in a second.
+constexpr Duration LimitLogInterval = 1s;
+
 /// Interval of checks which engines are due for prompt discovery, until the discovery is finished.
 constexpr Duration DiscoveryPoll = 50ms;
 
@@ -150,6 +154,7 @@
     void handlePromptList(const ReplicaRecord &engine, std::span<const PromptPart> prompts);
     bool isReady() const;
     void collectRetryBudget(const ServicePool &pool, Metrics &to);
+    void noteLimit(const std::string &address);
     void answerMetrics(const HttpExchangePtr &exchange);
     void drain();
     void checkDrained();
@@ -200,6 +205,8 @@
     TimePoint refuseFrom = TimePoint::max();
     TimePoint stopAt = TimePoint::max();
     bool draining = false;
+    int refusedConnections = 0; ///< Since the last log line about them.
+    TimePoint limitLoggedAt = TimePoint::min();
 };
 
 EntryProcess::Private::Private(const EntrySettings &s, std::string settingsFile, EntryAdapter a)
@@ -755,11 +762,25 @@
                                            .maxBodyBytes = settings.maxBodyBytes,
                                            .maxConnections = settings.maxConnections,
                                            .idleTimeout = MinIdleTimeout},
-                                .onTooManyConnections =
-                                        [this] { metrics.refused(Reason::TooManyConnections); }},
+                                .onTooManyConnections = [this, address] { noteLimit(address); }},
             std::move(handler));
 }
 
+/// Requests of refused connections are not read, so that no other line names them.
+void EntryProcess::Private::noteLimit(const std::string &address)
+{
+    metrics.refused(Reason::TooManyConnections);
+    ++refusedConnections;
+    const TimePoint now = loop.now();
+    if (now < limitLoggedAt + LimitLogInterval)
+        return;
+    limitLoggedAt = now;
+    Log::warning("connections_refused",
+                 {{"address", address},
+                  {"connections", std::exchange(refusedConnections, 0)},
+                  {"limit", settings.maxConnections}});
+}
+
 void EntryProcess::Private::listenAll()
 {
     servers.push_back(makeServer(settings.callerAddress,
--- a/test/integration/AtMostOnceTest.cpp
+++ b/test/integration/AtMostOnceTest.cpp
@@ -333,4 +333,5 @@
 {
     constexpr bool UsesNewConnections = true;
     requireAtMostOnce([] { std::this_thread::sleep_for(1s); }, UsesNewConnections);
+    CHECK(fleet.routerLog(0).find("\"event\":\"connections_refused\"") != std::string::npos);
 }
