A replica's failure is delivered if no other attempt may begin

A caller whose idempotent call was answered with a status of 500 or above got a refusal of the router instead of that answer, and the retry budget was spent, when the proof of the keys had become too old or the request's content was held meanwhile: the retry was permitted first, and attempt() then refused it.

RetryGate::permitAfterAnswer() asks for everything that an attempt needs, chooses the replica and takes the budget last; without it the answer is delivered.

entryRequest_callFailsAndNoAttemptMayBegin_getsTheAnswer failed on the code before both changes, with one retry spent.

--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -211,7 +211,6 @@
     }
     if (const std::optional<Error> held = quarantineError())
         return m_headSent ? breakOff(*held) : refuse(*held);
-    m_service->replicas.setRelaying(isRelayAvailable());
     const ReplicaPool::Choice choice = RetryGate::choose(retryQuery());
     if (choice.replica)
         return send(choice);
@@ -222,6 +221,7 @@
 
 RetryGate::Query EntryCall::retryQuery()
 {
+    m_service->replicas.setRelaying(isRelayAvailable());
     return {.service = *m_service,
             .request = m_request,
             .history = m_history,
@@ -231,7 +231,8 @@
             .crashedReplicas = m_crashedReplicas,
             .isSuspect = m_crashedReplicas > 0 && suspicion() > 1,
             .hasForwardedEvent = m_hasForwardedEvent,
-            .software = m_streamSoftware};
+            .software = m_streamSoftware,
+            .blockedBy = attemptBlock()};
 }
 
 const std::vector<std::string> &EntryCall::suspects()
@@ -422,10 +423,7 @@
                       .detail =
                               isLost ? "no answer on a lost network path" : "the answer timed out"};
     const bool wasDenied = !m_retries.denial().empty();
-    RetryGate::Query query = retryQuery();
-    query.blockedBy = attemptBlock();
-    m_service->replicas.setRelaying(isRelayAvailable());
-    const ReplicaPool::Choice next = m_retries.permitReplacement(query, silentAttempt());
+    const ReplicaPool::Choice next = m_retries.permitReplacement(retryQuery(), silentAttempt());
     if (!next.replica) {
         if (!wasDenied)
             m_context.report(describe(RequestEvent::Kind::AttemptSilent, error));
@@ -784,16 +782,18 @@
                  .detail = "the replica refused without stating that the request did not run"});
     m_verdict = Verdict::Ran;
     // If the request cannot be retried, this error answer is delivered: it is better than none.
-    const bool retryElsewhere = m_head.status >= 500 && m_request.route->isIdempotent()
-            && m_service->replicas.usableCount() > 0;
-    if (retryElsewhere && m_retries.permit(retryQuery(), m_verdict)) {
+    const bool mayRepeat = m_head.status >= 500 && m_request.route->isIdempotent();
+    const ReplicaPool::Choice next = mayRepeat
+            ? m_retries.permitAfterAnswer(retryQuery(), m_incarnation)
+            : ReplicaPool::Choice();
+    if (next.replica) {
         m_context.report(describe(
                 RequestEvent::Kind::AttemptFailed,
                 {.reason = Reason::UpstreamBroken,
                  .verdict = Verdict::Ran,
                  .detail = fmt::format("replica {} answered {}", m_replica.id, m_head.status)}));
         m_history.failedOn(m_incarnation);
-        return attempt();
+        return send(next);
     }
     deliver();
 }
--- a/src/Net/RetryGate.cpp
+++ b/src/Net/RetryGate.cpp
@@ -101,24 +101,37 @@
     const bool wasDenied = !m_denial.empty();
     m_denial = isSilentTogether(query.service, attempt) ? "silence"
                                                         : denialOf(query, Verdict::MayHaveRun);
+    std::vector<std::string> avoided;
+    if (!attempt.isRelayed && !attempt.isOnLostPath)
+        avoided = query.service.silence.silent(attempt.stallLimit / SilentReplicaDivisor);
+    avoided.push_back(attempt.replica);
+    // Another router reaches a replica to which the path is lost.
+    const ReplicaPool::Choice out = chooseAndTake(query, avoided, !attempt.isOnLostPath);
+    if (!out.replica && !wasDenied)
+        countDenial();
+    return out;
+}
+
+ReplicaPool::Choice RetryGate::permitAfterAnswer(const Query &query, const std::string &replica)
+{
+    m_denial = denialOf(query, Verdict::Ran);
+    const ReplicaPool::Choice out = chooseAndTake(query, {&replica, 1}, false);
+    if (!out.replica)
+        countDenial();
+    return out;
+}
+
+ReplicaPool::Choice RetryGate::chooseAndTake(const Query &query,
+                                             std::span<const std::string> avoided, bool isStrict)
+{
     if (m_denial.empty())
         m_denial = query.blockedBy;
-    ReplicaPool::Choice out;
-    if (m_denial.empty()) {
-        std::vector<std::string> avoided;
-        if (!attempt.isRelayed && !attempt.isOnLostPath)
-            avoided = query.service.silence.silent(attempt.stallLimit / SilentReplicaDivisor);
-        avoided.push_back(attempt.replica);
-        // Another router reaches a replica to which the path is lost.
-        out = choose(query, avoided, !attempt.isOnLostPath);
-        if (!out.replica)
-            m_denial = "no_replica";
-    }
-    if (m_denial.empty() && takeFromBudget(query))
-        return out;
-    if (!wasDenied)
-        countDenial();
-    return {};
+    if (!m_denial.empty())
+        return {};
+    const ReplicaPool::Choice out = choose(query, avoided, isStrict);
+    if (!out.replica)
+        m_denial = "no_replica";
+    return out.replica && takeFromBudget(query) ? out : ReplicaPool::Choice();
 }
 
 } // namespace catkinloft
--- a/src/Net/RetryGate.h
+++ b/src/Net/RetryGate.h
@@ -66,6 +66,11 @@
     /// \returns the replica for it; without one the attempt should go on.
     ReplicaPool::Choice permitReplacement(const Query &query, const SilentAttempt &attempt);
 
+    /// \brief Requests a retry after \a replica answered with a failure, and takes it from the
+    /// retry budget. \sa permitReplacement \returns the replica for it; without one the failure
+    /// should be delivered.
+    ReplicaPool::Choice permitAfterAnswer(const Query &query, const std::string &replica);
+
     /// \returns the replica for the next attempt after all earlier ones have ended.
     static ReplicaPool::Choice choose(const Query &query) { return choose(query, {}, false); }
 
@@ -77,6 +82,9 @@
     static ReplicaPool::Choice choose(const Query &query, std::span<const std::string> avoided,
                                       bool isStrict);
     static std::string_view denialOf(const Query &query, Verdict verdict);
+    /// \brief Chooses a replica and takes a retry from the budget, unless there is a denial.
+    ReplicaPool::Choice chooseAndTake(const Query &query, std::span<const std::string> avoided,
+                                      bool isStrict);
     bool takeFromBudget(const Query &query);
     void countDenial();
 
--- a/test/EntryRequestTest.cpp
+++ b/test/EntryRequestTest.cpp
@@ -837,6 +837,24 @@
     CHECK(sent() == 1);
 }
 
+// Guards against an answer that is discarded for a retry which may not begin: the caller would get
+// a refusal of this router instead.
+TEST_CASE_FIXTURE(EntryGatewayFixture, "entryRequest_callFailsAndNoAttemptMayBegin_getsTheAnswer")
+{
+    const auto failing = [this](const std::string &request, std::size_t) -> Reply {
+        proofAge = 5s;
+        return {.bytes = ScriptedReplica::answer(request, 500, "failed")};
+    };
+    addReplica(failing);
+    addReplica(failing);
+    RawCaller caller(Port);
+    const std::string answer = call(caller, get("/safe/"), "\r\n\r\n");
+    CHECK(answer.starts_with("HTTP/1.1 500"));
+    CHECK(answer.find("failed") != answer.npos);
+    CHECK(sent() == 1);
+    CHECK(pools.of("svc").retryBudget.usage(1).retries == 0);
+}
+
 TEST_CASE_FIXTURE(EntryGatewayFixture, "entryRequest_callerLeaves_closesTheReplicasConnection")
 {
     addReplica([](const std::string &request, std::size_t) -> Reply {
