--- a/src/Net/HttpClient.cpp
+++ b/src/Net/HttpClient.cpp
@@ -134,8 +134,7 @@
         : m_buffers(std::move(buffers)), m_share(*m_buffers),
           m_connection(std::move(taken.connection)), m_idleTime(taken.idleTime),
           m_events(std::move(events)), m_giveBack(std::move(giveBack)),
-          m_progressTimeout(call.progressTimeout),
-          m_silenceTimeout(std::max(call.progressTimeout, call.firstByteTimeout)), m_loop(loop),
+          m_progressTimeout(call.progressTimeout), m_loop(loop),
           m_deadline(loop, [this] { timedOut(); }), m_progress(loop, [this] { checkProgress(); }),
           m_connect(loop, [this] { checkConnected(); })
     {
@@ -144,7 +143,7 @@
             m_connect.start(call.connectTimeout);
         noteProgress();
         if (m_progressTimeout > Duration::zero())
-            m_progress.start(m_silenceTimeout);
+            m_progress.start(m_progressTimeout);
         m_connection->start(call, m_share,
                             {.onHead =
                                      [this](const HttpHead &head) {
@@ -155,7 +154,6 @@
                              .onData =
                                      [this](std::string_view data) {
                                          noteProgress();
-                                         noteFirstByte();
                                          if (m_events.onData)
                                              m_events.onData(data);
                                      },
@@ -194,21 +192,13 @@
     /// forwarding the token.
     void noteProgress() { m_lastProgress = m_loop.now(); }
 
-    void noteFirstByte()
-    {
-        if (m_silenceTimeout == m_progressTimeout)
-            return;
-        m_silenceTimeout = m_progressTimeout;
-        m_progress.start(m_silenceTimeout);
-    }
-
     void checkProgress()
     {
         const Duration silence = m_paused ? Duration::zero() : m_loop.now() - m_lastProgress;
-        if (silence >= m_silenceTimeout)
+        if (silence >= m_progressTimeout)
             timedOut();
         else
-            m_progress.start(m_silenceTimeout - silence);
+            m_progress.start(m_progressTimeout - silence);
     }
 
     void checkConnected()
@@ -252,7 +242,6 @@
     HttpCallEvents m_events;
     GiveBack m_giveBack;
     Duration m_progressTimeout;
-    Duration m_silenceTimeout; ///< Includes firstByteTimeout until the first byte of the body.
     bool m_paused = false;
     TimePoint m_lastProgress;
     EventLoop &m_loop;
--- a/src/Net/HttpClient.h
+++ b/src/Net/HttpClient.h
@@ -25,8 +25,6 @@
     Duration timeout = std::chrono::seconds(30); ///< Until the last byte of the answer.
     /// Longest time without data; zero: only `timeout`.
     Duration progressTimeout = Duration::zero();
-    /// Replaces a smaller `progressTimeout` before the body.
-    Duration firstByteTimeout = Duration::zero();
     std::size_t maxBodyBytes = 16 * 1024 * 1024; ///< Longest answer that is accepted.
     Duration connectTimeout = Duration::zero(); ///< Until the first byte is sent; zero: `timeout`.
     bool freshConnection = false; ///< Reuses no idle connection, which may be broken.
