--- a/test/integration/SilentReplicasTest.cpp
+++ b/test/integration/SilentReplicasTest.cpp
@@ -1,6 +1,5 @@
 #include "Net/EventLoop.h"
 #include "fleet/EntryFleet.h"
-#include "fleet/Fleet.h"
 
 #include <doctest/doctest.h>
 
@@ -21,7 +20,6 @@
 using namespace catkinloft;
 using namespace std::chrono_literals;
 using standin::EntryFleet;
-using standin::Fleet;
 
 namespace {
 
