A list of replicas proves a stream's version only if it is read after the resumption

Callers saw streams that began at a new version and went on at the old one: a router that had lost the store and the other routers, or whose questions no one answered in time, took its own list for a proof, up to 3 s after the last read of it. An absence of news counted as news.

Cause: proveOrigin() accepted any list of up to 3 s, and the task joined as many reports as came, at least its own.

What proves a single version now: this router's list, if its read began after the caller came (the stream had ended by then, so any version that it can have begun at was registered); or the answers of all three keepers of the stream, which remember the whole window and are in touch. The router that began the stream tells them if more than one version was registered. If neither holds and a newer list could help, the resumption waits for one: 0.3 s if no router answered, else 1 s, and the router reads the store, one read for all that wait, at most each 15 ms times the routers. With two versions, or without a router that has watched for the window, it is refused as soon as the stored origins were read, as before.

--- a/src/Control/ReplicaRegistry.cpp
+++ b/src/Control/ReplicaRegistry.cpp
@@ -79,8 +79,7 @@
     if (hash != m_hash)
         storePreviousList(hash);
     m_registered = std::move(list);
-    m_readAt = std::max(m_readAt, readStartedAt);
-    update();
+    noteRead(readStartedAt);
 }
 
 void ReplicaRegistry::logOlderList(const StorePosition &position)
@@ -325,11 +324,19 @@
         return false;
     detectOutage(readStartedAt);
     advanceTo(position);
-    m_readAt = std::max(m_readAt, readStartedAt);
-    update(); // The time for which missing replicas are retained may be over.
+    noteRead(readStartedAt);
     return true;
 }
 
+void ReplicaRegistry::noteRead(TimePoint startedAt)
+{
+    const bool isNewer = startedAt > m_readAt;
+    m_readAt = std::max(m_readAt, startedAt);
+    update(); // The time for which missing replicas are retained may be over.
+    if (isNewer)
+        m_confirmed.emit();
+}
+
 void ReplicaRegistry::detectOutage(TimePoint readStartedAt)
 {
     if (m_readAt == TimePoint::min() || readStartedAt - m_readAt <= m_options.outageThreshold)
--- a/src/Control/ReplicaRegistry.h
+++ b/src/Control/ReplicaRegistry.h
@@ -99,6 +99,9 @@
     /// \brief Emitted after the list or the state of a replica changed.
     sigc::signal<void()> &changed() { return m_changed; }
 
+    /// \brief Emitted after age() decreased, also if the list did not change.
+    sigc::signal<void()> &confirmed() { return m_confirmed; }
+
 private:
     void detectOutage(TimePoint readStartedAt);
     void replaceList(std::vector<ReplicaRecord> list, const StorePosition &position,
@@ -108,6 +111,7 @@
     void storeRestored(const StorePosition &position);
     void storePreviousList(std::uint64_t hash);
     void update();
+    void noteRead(TimePoint startedAt);
     void retain(const ReplicaRecord &record, std::vector<ReplicaRecord> &list);
     bool mayHaveCopiedEntries() const;
     bool isRestoredEntry(const ReplicaRecord &record) const;
@@ -155,6 +159,7 @@
     std::optional<TimePoint> m_restoredAt; ///< Of the last restore of the store.
     sigc::signal<void()> m_restored;
     sigc::signal<void()> m_changed;
+    sigc::signal<void()> m_confirmed;
 };
 
 } // namespace catkinloft
--- a/src/Control/StreamOriginCodec.cpp
+++ b/src/Control/StreamOriginCodec.cpp
@@ -117,6 +117,7 @@
         root["candidates"].append(it);
     root["observed_ms"] = toMilliseconds(report.observedFor);
     root["list_age_ms"] = toMilliseconds(report.listAge);
+    root["remembered_ms"] = toMilliseconds(report.rememberedFor);
     return printJson(root);
 }
 
@@ -124,7 +125,8 @@
 {
     return decode<StreamOriginReport>(text, [](const Json::Value &root) {
         StreamOriginReport out{.observedFor = toDuration(root["observed_ms"]),
-                               .listAge = toDuration(root["list_age_ms"])};
+                               .listAge = toDuration(root["list_age_ms"]),
+                               .rememberedFor = toDuration(root["remembered_ms"])};
         if (root.isMember("software"))
             out.software = root["software"].asString();
         for (const Json::Value &it : root["candidates"])
--- a/src/Decide/StreamOrigins.cpp
+++ b/src/Decide/StreamOrigins.cpp
@@ -105,27 +105,36 @@
     const TimePoint now = m_options.clock.now();
     while (!m_expiry.empty()
            && (m_expiry.begin()->first <= now || m_records.size() >= m_options.maxRecords)) {
+        if (m_expiry.begin()->first > now)
+            m_completeSince = now;
         m_records.erase(m_expiry.begin()->second);
         m_expiry.erase(m_expiry.begin());
     }
 }
 
-std::optional<std::string> proveOrigin(std::span<const StreamOriginReport> reports, Duration window)
+bool wouldKnowOrigin(const StreamOriginReport &report, Duration window)
+{
+    return report.rememberedFor >= window && report.listAge <= StreamOrigins::MaxListAge;
+}
+
+std::optional<std::string> proveOrigin(const StreamOriginEvidence &evidence)
 {
     std::set<std::string> known;
     std::set<std::string> candidates;
     bool isWatched = false;
-    for (const StreamOriginReport &it : reports) {
+    for (const StreamOriginReport &it : evidence.reports) {
         if (it.software)
             known.insert(*it.software);
         candidates.insert(it.candidates.begin(), it.candidates.end());
-        isWatched =
-                isWatched || (it.observedFor >= window && it.listAge <= StreamOrigins::MaxListAge);
+        isWatched = isWatched
+                || (it.observedFor >= evidence.window && it.listAge <= StreamOrigins::MaxListAge);
     }
     // The routers contradict each other only if callers use the same id for two streams.
     if (!known.empty())
         return known.size() == 1 ? std::optional(*known.begin()) : std::nullopt;
-    if (isWatched && candidates.size() == 1)
+    const bool isConfirmed = evidence.isListRead
+            || (evidence.keepers > 0 && evidence.answeredKeepers >= evidence.keepers);
+    if (isConfirmed && isWatched && candidates.size() == 1)
         return *candidates.begin();
     return std::nullopt;
 }
--- a/src/Decide/StreamOrigins.h
+++ b/src/Decide/StreamOrigins.h
@@ -32,6 +32,21 @@
     std::set<std::string> candidates = {};
     Duration observedFor = Duration::zero(); ///< How long the router has watched the services.
     Duration listAge = Duration::max(); ///< Age of its list of replicas.
+    /// How long the router has kept every origin that it was told.
+    Duration rememberedFor = Duration::zero();
+};
+
+/// \brief What a router has gathered about a stream that a caller resumes.
+struct StreamOriginEvidence
+{
+    std::span<const StreamOriginReport> reports = {};
+    /// Time in which the stream can have begun.
+    Duration window = Duration::zero();
+    /// Whether a list of replicas in \a reports was read after the caller resumed the stream.
+    bool isListRead = false;
+    std::size_t keepers = 0; ///< Routers that are told the origin of the stream; 0: not known.
+    /// Of these, those that answered, \sa wouldKnowOrigin().
+    std::size_t answeredKeepers = 0;
 };
 
 /// \brief Remembers which software began each resumable stream.
@@ -55,14 +70,16 @@
         std::function<void()> announceNow = {}; ///< Called when takeAnnouncements() has records.
     };
 
-    /// Oldest list of replicas that proves that no other version has been added. A router that
-    /// reads it through others confirms it more often.
+    /// Oldest list of replicas of a router that is in touch with the others. A router that reads it
+    /// through others confirms it more often.
     static constexpr Duration MaxListAge = std::chrono::seconds(3);
 
     /// Time in which a caller returns after its attempt has ended.
     static constexpr Duration ReturnTime = std::chrono::seconds(10);
 
-    explicit StreamOrigins(Options options) : m_options(std::move(options)) { }
+    explicit StreamOrigins(Options options)
+        : m_options(std::move(options)), m_completeSince(m_options.clock.now())
+    { }
 
     /// \returns the key of the stream that attempt \a id of a caller in \a workspace began. Callers
     /// of other workspaces can't refer to it.
@@ -88,6 +105,9 @@
 
     std::size_t size() const { return m_records.size(); }
 
+    /// \returns for how long no record was dropped before a caller could no longer resume it.
+    Duration rememberedFor() const { return m_options.clock.now() - m_completeSince; }
+
 private:
     struct Record
     {
@@ -105,11 +125,20 @@
     std::unordered_map<std::string, Record> m_records; ///< By key of the stream.
     std::set<std::pair<TimePoint, std::string>> m_expiry; ///< When each record expires.
     std::vector<std::string> m_pending; ///< Keys of the records to announce.
+    TimePoint m_completeSince; ///< \sa rememberedFor()
 };
 
-/// \returns the software that began a stream, if \a reports prove it: a router knows it, or only
-/// one version has been registered for \a window, the time in which the stream can have begun.
-std::optional<std::string> proveOrigin(std::span<const StreamOriginReport> reports,
-                                       Duration window);
+/// \returns whether the router of \a report would know the origin of a stream that it keeps. One
+/// that is out of touch with the others may have missed it.
+bool wouldKnowOrigin(const StreamOriginReport &report, Duration window);
+
+/// \returns the software that began a stream, if \a evidence proves it.
+///
+/// A router that knows it proves it. Otherwise only one version may have been registered in the
+/// window, and an older list of replicas does not prove that no other version was added since: a
+/// router that is cut off has such a list. Either a list was read after the caller resumed the
+/// stream, or all keepers of the stream answered: the router that began it tells them if more than
+/// one version was registered.
+std::optional<std::string> proveOrigin(const StreamOriginEvidence &evidence);
 
 } // namespace catkinloft
--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -290,6 +290,11 @@
                        [this](std::function<void()> done) {
                            streamOriginStore.read(std::move(done));
                        },
+               .refreshList = [this] { watch.refreshReplicas(); },
+               .pollAfter =
+                       [this](Duration delay) {
+                           loop.after(delay, [this] { streamOriginTask.poll(); });
+                       },
                .sign = [this](std::string_view it) { return fleet.sign(it); },
                .verify = [this](std::string_view signature,
                                 std::string_view text) { return fleet.verify(signature, text); }}),
@@ -453,6 +458,7 @@
         announceIfReader();
         discoverPrompts();
     });
+    replicas.confirmed().connect([this] { streamOriginTask.listRead(); });
 }
 
 void EntryProcess::Private::applyConfig(const RouteConfigPtr &it)
@@ -576,7 +582,9 @@
 StreamOriginReport
 EntryProcess::Private::streamOriginReport(const StreamOriginQuestion &question) const
 {
-    StreamOriginReport out{.observedFor = software.observedFor(), .listAge = replicas.age()};
+    StreamOriginReport out{.observedFor = software.observedFor(),
+                           .listAge = replicas.age(),
+                           .rememberedFor = streamOrigins.rememberedFor()};
     if (!question.stream.empty())
         out.software = streamOrigins.find(question.stream);
     for (const std::string &it : question.services)
@@ -589,7 +597,10 @@
 {
     StreamOriginReport own = streamOriginReport(question);
     own.software.reset();
-    const bool isProvable = proveOrigin({&own, 1}, question.window).has_value();
+    // Another router may need to read the list again for the proof.
+    const bool isProvable =
+            proveOrigin({.reports = {&own, 1}, .window = question.window, .isListRead = true})
+                    .has_value();
     streamOrigins.begin(origin, !isProvable && settings.mechanisms.streamOriginAnnouncements);
 }
 
--- a/src/Net/StoreWatch.cpp
+++ b/src/Net/StoreWatch.cpp
@@ -31,6 +31,10 @@
 constexpr double ReplicasOverdueFraction = 0.85;
 constexpr Duration CheckInterval = 200ms;
 
+/// Interval between two refreshes of the replicas, for each router of the fleet: as long as that
+/// between the calls of StoreReadPlan.
+constexpr Duration RefreshIntervalPerRouter = 15ms;
+
 } // namespace
 
 StoreWatch::StoreWatch(Options options)
@@ -38,6 +42,7 @@
       m_configPlan({.clock = m_options.loop, .random = m_options.random}),
       m_replicasPlan({.clock = m_options.loop, .random = m_options.random}),
       m_replicasTimer(m_options.loop, [this] { readReplicas(); }),
+      m_refreshTimer(m_options.loop, [this] { continueRefresh(); }),
       m_checkTimer(m_options.loop, [this] { check(); })
 { }
 
@@ -138,6 +143,23 @@
     m_replicasPlan.answeredElsewhere(at);
 }
 
+void StoreWatch::refreshReplicas()
+{
+    if (m_isRefreshDue || m_refreshTimer.isPending())
+        return;
+    const TimePoint now = m_options.loop.now();
+    m_refreshTimer.start(m_nextRefreshAt > now ? m_nextRefreshAt - now : Duration::zero());
+}
+
+void StoreWatch::continueRefresh()
+{
+    m_isRefreshDue = m_replicasPlan.isCalling();
+    if (m_isRefreshDue || !m_replicasPlan.isDue({.overdue = true, .routers = m_options.routers()}))
+        return;
+    m_nextRefreshAt = m_options.loop.now() + RefreshIntervalPerRouter * m_options.routers();
+    readReplicas();
+}
+
 void StoreWatch::readReplicas()
 {
     const TimePoint began = m_options.loop.now();
@@ -149,6 +171,8 @@
 void StoreWatch::replicasRead(const Result<ReplicaSnapshot> &read, TimePoint began)
 {
     noteResult(m_replicasPlan, "replicas", read ? nullptr : &read.error());
+    if (m_isRefreshDue)
+        continueRefresh();
     if (!read)
         return;
     m_options.replicas.apply(read.value(), began);
--- a/src/Net/StoreWatch.h
+++ b/src/Net/StoreWatch.h
@@ -50,6 +50,14 @@
     /// \returns for how long a router that reads the store has received no answer; zero for others.
     Duration unansweredFor() const { return m_configPlan.unansweredFor(); }
 
+    /// \brief Reads the replicas from the store as soon as the rate permits, in a call that begins
+    /// after this one. Requests until then share it.
+    ///
+    /// Handles callers that resume many streams whose origin no other router can confirm. The
+    /// routers of a fleet together call at most at the rate of StoreReadPlan, and a router whose
+    /// last call failed waits as long as for any other call.
+    void refreshReplicas();
+
     /// \brief Applies a configuration that a peer read.
     void applyConfigText(const std::string &text, TimePoint readStartedAt);
 
@@ -61,6 +69,7 @@
     void configRead(const Result<ConfigRead> &read, TimePoint began);
     void applyEvacuations(const ConfigRead &read);
     void readReplicas();
+    void continueRefresh();
     void replicasRead(const Result<ReplicaSnapshot> &read, TimePoint began);
     void check();
     StoreReadPlan::State configState() const;
@@ -74,6 +83,9 @@
     StoreReadPlan m_configPlan;
     StoreReadPlan m_replicasPlan;
     Timer m_replicasTimer; ///< Runs until the next read of a reader.
+    Timer m_refreshTimer; ///< Runs until a refresh is permitted.
+    TimePoint m_nextRefreshAt = TimePoint::min();
+    bool m_isRefreshDue = false; ///< Once the call in progress has ended.
     Timer m_checkTimer;
 };
 
--- a/src/Net/StreamOriginTask.cpp
+++ b/src/Net/StreamOriginTask.cpp
@@ -25,6 +25,14 @@
 /// Time in which a router answers. The caller of the stream is waiting.
 constexpr Duration AnswerTimeout = 150ms;
 
+/// Time for a newer list of replicas if other routers answered. A router that reads through others
+/// confirms its list within that time.
+constexpr Duration ListTimeout = 1s;
+
+/// The same if no other router answered: then only a call to the store, which usually takes a few
+/// milliseconds, can help. The caller may find a router that is in touch with the others.
+constexpr Duration IsolatedListTimeout = 300ms;
+
 /// \returns the age of the newest list of replicas in \a reports.
 Duration newestListAge(std::span<const StreamOriginReport> reports)
 {
@@ -44,6 +52,28 @@
     std::vector<StreamOriginReport> reports;
     std::size_t asked = 0;
     std::size_t pending = 0;
+    std::size_t keepers = 0; ///< \sa StreamOriginEvidence
+    std::size_t answeredKeepers = 0;
+    bool isStoreRead = false; ///< Options::readStored has ended.
+    TimePoint waitsUntil = TimePoint::max();
+
+    StreamOriginEvidence evidence(bool isListRead) const
+    {
+        return {.reports = reports,
+                .window = question.window,
+                .isListRead = isListRead,
+                .keepers = keepers,
+                .answeredKeepers = answeredKeepers};
+    }
+
+    /// \returns whether a newer list of replicas can prove the origin.
+    bool canBeProven() const
+    {
+        std::vector<StreamOriginReport> next = reports;
+        next.front().listAge = Duration::zero();
+        return proveOrigin({.reports = next, .window = question.window, .isListRead = true})
+                .has_value();
+    }
 };
 
 void StreamOriginTask::find(const StreamOriginQuestion &question, Found found)
@@ -57,14 +87,17 @@
         return finish(*inquiry, known, "local");
     const std::vector<std::string> addresses = m_options.keepers(question.stream, AskedRouters);
     inquiry->asked = inquiry->pending = addresses.size();
+    // A caller that does not name the stream has no key by which it could have been told.
+    if (!question.stream.empty())
+        inquiry->keepers = std::min(Keepers, addresses.size());
     if (addresses.empty())
         return conclude(inquiry);
     const std::string text = StreamOriginCodec::encodeQuestion(question);
-    for (const std::string &it : addresses)
-        ask(it, text, inquiry);
+    for (std::size_t i = 0; i < addresses.size(); ++i)
+        ask(addresses[i], text, i < inquiry->keepers, inquiry);
 }
 
-void StreamOriginTask::ask(const std::string &address, const std::string &text,
+void StreamOriginTask::ask(const std::string &address, const std::string &text, bool isKeeper,
                            const std::shared_ptr<Inquiry> &inquiry)
 {
     m_options.fetch({.address = address,
@@ -73,13 +106,16 @@
                      .headers = {{SignatureHeader, m_options.sign(text)}},
                      .body = text,
                      .timeout = AnswerTimeout},
-                    [this, inquiry](const Result<HttpAnswer> &answer) {
+                    [this, inquiry, isKeeper](const Result<HttpAnswer> &answer) {
                         --inquiry->pending;
                         const bool isKnown = answer && answer.value().head.status == Success;
                         if (const auto report = isKnown
                                     ? StreamOriginCodec::decodeReport(answer.value().body)
                                     : Result<StreamOriginReport>(Error{})) {
                             inquiry->reports.push_back(report.value());
+                            if (isKeeper
+                                && wouldKnowOrigin(report.value(), inquiry->question.window))
+                                ++inquiry->answeredKeepers;
                             if (report.value().software)
                                 return finish(*inquiry, report.value().software, "router");
                         }
@@ -88,16 +124,80 @@
                     });
 }
 
-/// Ends an inquiry to which no router knows the answer.
+/// Called after all routers have answered or failed to, if none of them knows the origin.
 void StreamOriginTask::conclude(const std::shared_ptr<Inquiry> &inquiry)
 {
-    const StreamOriginQuestion &question = inquiry->question;
-    const auto proven = proveOrigin(inquiry->reports, question.window);
-    if (proven || question.stream.empty() || !inquiry->found)
+    if (!inquiry->found)
+        return;
+    if (const auto proven = proveOrigin(inquiry->evidence(false)))
         return finish(*inquiry, proven, "list");
-    m_options.readStored([this, inquiry] {
-        finish(*inquiry, m_options.ownReport(inquiry->question).software, "store");
-    });
+    const Duration timeout = inquiry->reports.size() > 1 ? ListTimeout : IsolatedListTimeout;
+    inquiry->waitsUntil = m_options.clock.now() + timeout;
+    m_waiting.push_back(inquiry);
+    schedulePoll();
+    if (inquiry->question.stream.empty()) {
+        inquiry->isStoreRead = true;
+    } else {
+        m_options.readStored([this, inquiry] {
+            inquiry->isStoreRead = true;
+            settleAll();
+        });
+    }
+    if (inquiry->found && inquiry->canBeProven())
+        m_options.refreshList();
+    settleAll();
+}
+
+/// Ends \a inquiry unless a read in progress or a newer list may still prove the origin.
+void StreamOriginTask::settle(Inquiry &inquiry)
+{
+    const TimePoint now = m_options.clock.now();
+    inquiry.reports.front() = m_options.ownReport(inquiry.question);
+    const StreamOriginReport &own = inquiry.reports.front();
+    if (own.software)
+        return finish(inquiry, own.software, "store");
+    // The rows of the store may name a version that is no longer registered.
+    if (inquiry.isStoreRead) {
+        const bool isListRead = own.listAge < now - inquiry.startedAt;
+        if (const auto proven = proveOrigin(inquiry.evidence(isListRead)))
+            return finish(inquiry, proven, "list");
+    }
+    if (now >= inquiry.waitsUntil || (inquiry.isStoreRead && !inquiry.canBeProven()))
+        finish(inquiry, std::nullopt, "");
+}
+
+void StreamOriginTask::settleAll()
+{
+    // A callback may resume another stream, which is then added to m_waiting.
+    for (const auto &it : std::vector(m_waiting)) {
+        if (it->found)
+            settle(*it);
+    }
+    std::erase_if(m_waiting, [](const auto &it) { return !it->found; });
+}
+
+void StreamOriginTask::poll()
+{
+    m_nextPollAt = TimePoint::max();
+    settleAll();
+    schedulePoll(); // Timers use a coarse clock and may fire some milliseconds early.
+}
+
+void StreamOriginTask::schedulePoll()
+{
+    TimePoint next = TimePoint::max();
+    for (const auto &it : m_waiting)
+        next = std::min(next, it->waitsUntil);
+    if (next >= m_nextPollAt)
+        return;
+    m_nextPollAt = next;
+    m_options.pollAfter(std::max<Duration>(1ms, next - m_options.clock.now()));
+}
+
+void StreamOriginTask::listRead()
+{
+    if (!m_waiting.empty())
+        settleAll();
 }
 
 void StreamOriginTask::finish(Inquiry &inquiry, std::optional<std::string> software,
@@ -115,6 +215,7 @@
                {"software", software.value_or("")},
                {"asked_routers", inquiry.asked},
                {"answers", inquiry.reports.size() - 1},
+               {"answered_keepers", inquiry.answeredKeepers},
                {"own_list_age_ms", inquiry.reports.front().listAge / 1ms},
                {"newest_list_age_ms", newestListAge(inquiry.reports) / 1ms},
                {"took_ms", (m_options.clock.now() - inquiry.startedAt) / 1ms}});
--- a/src/Net/StreamOriginTask.h
+++ b/src/Net/StreamOriginTask.h
@@ -19,7 +19,8 @@
 /// keep its origin, and answers such questions.
 ///
 /// If no router knows the origin, their lists of replicas may still prove it, \sa proveOrigin(), or
-/// the platform's store may have it, \sa StreamOriginStore.
+/// the platform's store may have it, \sa StreamOriginStore. If only a newer list of replicas is
+/// missing for a proof, the answer waits for one, for a short time.
 class StreamOriginTask
 {
 public:
@@ -40,6 +41,10 @@
         /// \a ownReport contains them. Used if no router knows an origin.
         std::function<void(std::function<void()> done)> readStored =
                 [](const std::function<void()> &done) { done(); };
+        /// Reads the list of replicas again, after which listRead() is called.
+        std::function<void()> refreshList = [] {};
+        /// Calls poll() after a delay.
+        std::function<void(Duration delay)> pollAfter = [](Duration) {};
         /// Signs a text with the key of the fleet.
         std::function<std::string(std::string_view text)> sign;
         /// Whether a signature of the key of the fleet is valid for a text.
@@ -54,6 +59,12 @@
     /// \param found is called once, possibly from within this function.
     void find(const StreamOriginQuestion &question, Found found);
 
+    /// \brief Notes that the list of replicas was read from the store, here or by another router.
+    void listRead();
+
+    /// \brief Ends what has waited for too long. \sa Options::pollAfter
+    void poll();
+
     /// \returns whether \a exchange is meant for handle().
     static bool accepts(const HttpExchange &exchange);
 
@@ -63,12 +74,17 @@
 private:
     struct Inquiry;
 
-    void ask(const std::string &address, const std::string &text,
+    void ask(const std::string &address, const std::string &text, bool isKeeper,
              const std::shared_ptr<Inquiry> &inquiry);
     void conclude(const std::shared_ptr<Inquiry> &inquiry);
+    void settle(Inquiry &inquiry);
+    void settleAll();
+    void schedulePoll();
     void finish(Inquiry &inquiry, std::optional<std::string> software, const char *how);
 
     Options m_options;
+    std::vector<std::shared_ptr<Inquiry>> m_waiting; ///< For the store or a newer list.
+    TimePoint m_nextPollAt = TimePoint::max(); ///< \sa Options::pollAfter
 };
 
 } // namespace catkinloft
--- a/test/StoreWatchTest.cpp
+++ b/test/StoreWatchTest.cpp
@@ -20,7 +20,11 @@
         watchedFrom = position;
         watch = std::move(done);
     }
-    void readReplicas(Callback<ReplicaSnapshot>) override { }
+    void readReplicas(Callback<ReplicaSnapshot> done) override
+    {
+        ++replicaReads;
+        replicas = std::move(done);
+    }
     void dropConnections() override { }
     Result<RouteConfigPtr> decodeConfig(std::string_view) const override
     {
@@ -29,6 +33,8 @@
 
     Callback<ConfigRead> fullRead = {};
     Callback<ConfigRead> watch = {};
+    Callback<ReplicaSnapshot> replicas = {};
+    int replicaReads = 0;
     StorePosition watchedFrom;
 };
 
@@ -56,6 +62,21 @@
         std::exchange(store.watch, {})(read);
     }
 
+    void answerReplicas()
+    {
+        REQUIRE(store.replicas);
+        std::exchange(store.replicas, {})(ReplicaSnapshot{.position = {.era = 1, .version = 1}});
+    }
+
+    bool readsReplicas(int n)
+    {
+        for (int i = 0; i < 2000 && store.replicaReads < n; ++i) {
+            loop.runOnce();
+            usleep(500);
+        }
+        return store.replicaReads == n;
+    }
+
     EventLoop loop;
     FakeStore store;
     /// Paused, so that the age of the proof changes only with the proof.
@@ -104,3 +125,25 @@
     answerWatch({.position = {.era = 2, .version = 14}, .config = configOf(24)});
     CHECK(config.proofAge() < age);
 }
+
+// Guards against a refresh that shares a read which began before it, and against a read for each of
+// many refreshes.
+TEST_CASE_FIXTURE(StoreWatchFixture, "storeWatch_refreshes_shareAReadThatBeginsLater")
+{
+    REQUIRE(store.replicaReads == 1);
+    for (int i = 0; i < 5; ++i)
+        storeWatch.refreshReplicas();
+    for (int i = 0; i < 20; ++i) {
+        loop.runOnce();
+        usleep(500);
+    }
+    CHECK(store.replicaReads == 1);
+    answerReplicas();
+    REQUIRE(store.replicaReads == 2);
+    const Duration age = replicas.age();
+    answerReplicas();
+    CHECK(replicas.age() <= age);
+    for (int i = 0; i < 5; ++i)
+        storeWatch.refreshReplicas();
+    CHECK(readsReplicas(3));
+}
--- a/test/StreamOriginsTest.cpp
+++ b/test/StreamOriginsTest.cpp
@@ -33,6 +33,13 @@
     return {.candidates = candidates, .observedFor = 60s, .listAge = 1s};
 }
 
+/// \returns the origin that \a reports prove if a list was read after the caller resumed the
+/// stream.
+std::optional<std::string> prove(const std::vector<StreamOriginReport> &reports)
+{
+    return proveOrigin({.reports = reports, .window = Window, .isListRead = true});
+}
+
 } // namespace
 
 TEST_CASE_FIXTURE(StreamOriginsFixture, "streamOrigins_ambiguousStream_isAnnouncedOnce")
@@ -110,30 +117,70 @@
 {
     const std::vector<StreamOriginReport> reports = {
             watcher({"svc v1", "svc v2"}), {.software = "svc v2"}, watcher({"svc v1"})};
-    CHECK(proveOrigin(reports, Window) == "svc v2");
+    CHECK(prove(reports) == "svc v2");
+    CHECK(proveOrigin({.reports = reports, .window = Window}) == "svc v2");
 }
 
 // Guards against guessing: what can't be proven must be refused.
 TEST_CASE("proveOrigin_nobodyKnows_needsASingleVersionForTheWholeWindow")
 {
-    CHECK(proveOrigin(std::vector{watcher({"svc v1"})}, Window) == "svc v1");
-    CHECK_FALSE(proveOrigin({}, Window));
-    CHECK_FALSE(proveOrigin(std::vector{watcher({})}, Window));
-    CHECK_FALSE(proveOrigin(std::vector{watcher({"svc v1", "svc v2"})}, Window));
+    CHECK(prove({watcher({"svc v1"})}) == "svc v1");
+    CHECK_FALSE(prove({}));
+    CHECK_FALSE(prove({watcher({})}));
+    CHECK_FALSE(prove({watcher({"svc v1", "svc v2"})}));
     // Another router knows of a second version.
-    CHECK_FALSE(
-            proveOrigin(std::vector{watcher({"svc v1"}), watcher({"svc v1", "svc v2"})}, Window));
+    CHECK_FALSE(prove({watcher({"svc v1"}), watcher({"svc v1", "svc v2"})}));
     StreamOriginReport started = watcher({"svc v1"});
     started.observedFor = 5s;
-    CHECK_FALSE(proveOrigin(std::vector{started}, Window));
-    CHECK(proveOrigin(std::vector{started, watcher({"svc v1"})}, Window) == "svc v1");
+    CHECK_FALSE(prove({started}));
+    CHECK(prove({started, watcher({"svc v1"})}) == "svc v1");
     StreamOriginReport isolated = watcher({"svc v1"});
     isolated.listAge = StreamOrigins::MaxListAge + 1ms;
-    CHECK_FALSE(proveOrigin(std::vector{isolated}, Window));
+    CHECK_FALSE(prove({isolated}));
     // Two routers that contradict each other.
-    CHECK_FALSE(proveOrigin(
-            std::vector<StreamOriginReport>{{.software = "svc v1"}, {.software = "svc v2"}},
-            Window));
+    CHECK_FALSE(prove({{.software = "svc v1"}, {.software = "svc v2"}}));
+}
+
+// Guards against a proof by lists of replicas that were read before the new version of the stream
+// was registered.
+TEST_CASE("proveOrigin_noListIsReadAfterTheResumption_needsTheAnswersOfAllKeepers")
+{
+    const std::vector reports = {watcher({"svc v1"}), watcher({"svc v1"}), watcher({"svc v1"})};
+    StreamOriginEvidence evidence{.reports = reports, .window = Window};
+    CHECK_FALSE(proveOrigin(evidence));
+    evidence.keepers = 3;
+    evidence.answeredKeepers = 2;
+    CHECK_FALSE(proveOrigin(evidence));
+    evidence.answeredKeepers = 3;
+    CHECK(proveOrigin(evidence) == "svc v1");
+    evidence.answeredKeepers = 2;
+    evidence.isListRead = true;
+    CHECK(proveOrigin(evidence) == "svc v1");
+}
+
+TEST_CASE("wouldKnowOrigin_routerStartedOrIsOutOfTouch_isFalse")
+{
+    StreamOriginReport report = watcher({"svc v1"});
+    CHECK_FALSE(wouldKnowOrigin(report, Window));
+    report.rememberedFor = Window;
+    CHECK(wouldKnowOrigin(report, Window));
+    report.listAge = StreamOrigins::MaxListAge + 1ms;
+    CHECK_FALSE(wouldKnowOrigin(report, Window));
+}
+
+// Guards against a router that dropped an origin and answers as if there had been none.
+TEST_CASE_FIXTURE(StreamOriginsFixture, "streamOrigins_recordIsDroppedEarly_remembersSinceThen")
+{
+    clock.advance(40s);
+    CHECK(origins.rememberedFor() == 40s);
+    for (const char *it : {"a", "b", "c"})
+        origins.begin({it, "svc v1", 5s}, false);
+    clock.advance(5s);
+    origins.begin({"d", "svc v1", 5s}, false);
+    CHECK(origins.rememberedFor() == 45s); // The others had expired.
+    for (const char *it : {"e", "f", "g"})
+        origins.begin({it, "svc v1", 5s}, false);
+    CHECK(origins.rememberedFor() == Duration::zero());
 }
 
 TEST_CASE("softwareHistory_versionIsGone_isSeenForTheWindow")
@@ -195,12 +242,14 @@
 
     StreamOriginReport report = watcher({"svc v1", "svc v2"});
     report.listAge = Duration::max();
+    report.rememberedFor = 40s;
     const auto read = StreamOriginCodec::decodeReport(StreamOriginCodec::encodeReport(report));
     REQUIRE(read);
     CHECK_FALSE(read.value().software);
     CHECK(read.value().candidates == report.candidates);
     CHECK(read.value().observedFor == 60s);
     CHECK(read.value().listAge > StreamOrigins::MaxListAge);
+    CHECK(read.value().rememberedFor == 40s);
 }
 
 TEST_CASE("streamOriginCodec_invalidInput_isRefused")
--- a/test/integration/StaleOriginTest.cpp
+++ b/test/integration/StaleOriginTest.cpp
@@ -91,8 +91,6 @@
     static constexpr std::size_t Routers = 6;
     static constexpr std::size_t X = Routers - 1;
     static constexpr std::size_t Replicas = 4;
-    static constexpr const char *CutOff = R"({"refuse": true, "cut": true})";
-
     StaleOriginFixture()
     {
         fleet.start();
@@ -120,6 +118,7 @@
     {
         std::vector<Stream> out(n);
         std::vector<std::thread> callers;
+        callers.reserve(n);
         for (std::size_t i = 0; i < n; ++i) {
             out[i].id = fmt::format("{}{}", prefix, i);
             callers.emplace_back([this, i, &out] {
@@ -137,6 +136,7 @@
     void resume(std::vector<Stream> &streams, std::size_t router)
     {
         std::vector<std::thread> callers;
+        callers.reserve(streams.size());
         for (Stream &it : streams) {
             callers.emplace_back([this, &it, router] {
                 readEvents(fleet.callerAddress(router),
@@ -167,6 +167,32 @@
         });
     }
 
+    /// Cuts X off from the other routers and, by \a faults, from the store, while a new version
+    /// joins at the others. Streams that began there are resumed at X.
+    void playCutOff(const std::string &faults, const std::string &end)
+    {
+        // Neither X nor the others run while the other side does, so that no message passes between
+        // them; the store is reached through a proxy.
+        fleet.setStoreProxyFaults(X, faults);
+        fleet.router(X).signal(SIGSTOP);
+        replaceReplicas("v2");
+        std::this_thread::sleep_for(700ms);
+        std::vector<Stream> streams = beginStreams("a", 40);
+        REQUIRE(countNew(streams) >= 5);
+        signalOthers(SIGSTOP);
+        fleet.router(X).signal(SIGCONT);
+        resume(streams, X);
+        report("cut off", streams);
+        CHECK(countMixed(streams) == 0);
+
+        // A refusal ends with the cause.
+        fleet.setStoreProxyFaults(X, end);
+        signalOthers(SIGCONT);
+        CHECK(resumeUntilComplete(streams, X));
+        report("reached again", streams);
+        CHECK(countMixed(streams) == 0);
+    }
+
     static std::size_t countMixed(const std::vector<Stream> &streams)
     {
         return static_cast<std::size_t>(std::count_if(
@@ -215,26 +241,16 @@
 TEST_CASE_FIXTURE(StaleOriginFixture,
                   "fleet_newVersionJoinsWhileOneRouterIsCutOff_itContinuesNoStreamAtTheOldOne")
 {
-    // Neither X nor the others run while the other side does, so that no message passes between
-    // them; the store is reached through a proxy.
-    fleet.setStoreProxyFaults(X, CutOff);
-    fleet.router(X).signal(SIGSTOP);
-    replaceReplicas("v2");
-    std::this_thread::sleep_for(700ms);
-    std::vector<Stream> streams = beginStreams("a", 40);
-    REQUIRE(countNew(streams) >= 5);
-    signalOthers(SIGSTOP);
-    fleet.router(X).signal(SIGCONT);
-    resume(streams, X);
-    report("cut off", streams);
-    CHECK(countMixed(streams) == 0);
+    playCutOff(R"({"refuse": true, "cut": true})", R"({"refuse": false})");
+}
 
-    // A refusal ends with the cause.
-    fleet.setStoreProxyFaults(X, R"({"refuse": false})");
-    signalOthers(SIGCONT);
-    CHECK(resumeUntilComplete(streams, X));
-    report("reached again", streams);
-    CHECK(countMixed(streams) == 0);
+// Guards against the same while calls to the store get no answer, so that a read of the list never
+// ends.
+TEST_CASE_FIXTURE(StaleOriginFixture,
+                  "fleet_newVersionJoinsWhileTheStoreIsSilent_noStreamIsContinuedAtTheOldOne")
+{
+    playCutOff(R"({"partition": {"how": "accept_silent", "sources": ["127.0.1.15"]}})",
+               R"({"partition": {"how": "accept_silent", "sources": []}})");
 }
 
 // Guards against a router that stands still while a new version joins and, when it wakes, continues
@@ -272,3 +288,21 @@
     report("one version", streams);
     CHECK(countComplete(streams) == streams.size());
 }
+
+// Guards against refused resumptions while one version serves and a router that began streams, and
+// keeps the origins of others, is lost.
+TEST_CASE_FIXTURE(StaleOriginFixture, "fleet_oneVersionServesAndARouterIsLost_streamsAreResumed")
+{
+    std::vector<Stream> streams = beginStreams("a", 30);
+    fleet.router(0).signal(SIGKILL);
+    fleet.router(0).wait();
+    resume(streams, X);
+    report("killed", streams);
+    CHECK(countComplete(streams) == streams.size());
+    streams = beginStreams("b", 40);
+    fleet.router(1).signal(SIGSTOP);
+    resume(streams, X);
+    report("stopped", streams);
+    CHECK(countComplete(streams) == streams.size());
+    fleet.router(1).signal(SIGCONT);
+}
