--- a/src/Net/StreamOriginTask.cpp
+++ b/src/Net/StreamOriginTask.cpp
@@ -134,7 +134,7 @@
     const Duration timeout = inquiry->reports.size() > 1 ? ListTimeout : IsolatedListTimeout;
     inquiry->waitsUntil = m_options.clock.now() + timeout;
     m_waiting.push_back(inquiry);
-    m_options.pollAfter(timeout);
+    schedulePoll();
     if (inquiry->question.stream.empty()) {
         inquiry->isStoreRead = true;
     } else {
@@ -176,6 +176,24 @@
     std::erase_if(m_waiting, [](const auto &it) { return !it->found; });
 }
 
+void StreamOriginTask::poll()
+{
+    m_nextPollAt = TimePoint::max();
+    settleAll();
+    schedulePoll(); // Timers use a coarse clock and may fire some milliseconds early.
+}
+
+void StreamOriginTask::schedulePoll()
+{
+    TimePoint next = TimePoint::max();
+    for (const auto &it : m_waiting)
+        next = std::min(next, it->waitsUntil);
+    if (next >= m_nextPollAt)
+        return;
+    m_nextPollAt = next;
+    m_options.pollAfter(std::max<Duration>(1ms, next - m_options.clock.now()));
+}
+
 void StreamOriginTask::listRead()
 {
     if (!m_waiting.empty())
--- a/src/Net/StreamOriginTask.h
+++ b/src/Net/StreamOriginTask.h
@@ -63,7 +63,7 @@
     void listRead();
 
     /// \brief Ends what has waited for too long. \sa Options::pollAfter
-    void poll() { settleAll(); }
+    void poll();
 
     /// \returns whether \a exchange is meant for handle().
     static bool accepts(const HttpExchange &exchange);
@@ -79,10 +79,12 @@
     void conclude(const std::shared_ptr<Inquiry> &inquiry);
     void settle(Inquiry &inquiry);
     void settleAll();
+    void schedulePoll();
     void finish(Inquiry &inquiry, std::optional<std::string> software, const char *how);
 
     Options m_options;
     std::vector<std::shared_ptr<Inquiry>> m_waiting; ///< For the store or a newer list.
+    TimePoint m_nextPollAt = TimePoint::max(); ///< \sa Options::pollAfter
 };
 
 } // namespace catkinloft
--- a/test/StreamOriginTaskTest.cpp
+++ b/test/StreamOriginTaskTest.cpp
@@ -48,8 +48,10 @@
     {
         clock.advance(time);
         own.listAge += time;
-        if (pollAt <= clock.now())
+        if (pollAt <= clock.now()) {
+            pollAt = TimePoint::max();
             task.poll();
+        }
     }
 
     /// A list that names \a candidates is read from the store now.
@@ -119,6 +121,36 @@
     CHECK_FALSE(found);
 }
 
+// Guards against a caller that waits as long as the store is silent.
+TEST_CASE_FIXTURE(StreamOriginTaskFixture, "streamOriginTask_storeIsSilent_isRefusedInTime")
+{
+    find();
+    for (int i = 0; i < 3; ++i)
+        staySilent();
+    passTime(300ms);
+    CHECK(ends == 1);
+    CHECK_FALSE(found);
+    storeRead(); // Late.
+    CHECK(ends == 1);
+}
+
+// Guards against a caller that waits until its deadline because a timer fired early.
+TEST_CASE_FIXTURE(StreamOriginTaskFixture, "streamOriginTask_pollIsEarly_isPolledAgain")
+{
+    find();
+    for (int i = 0; i < 3; ++i)
+        staySilent();
+    storeRead();
+    passTime(298ms);
+    pollAt = TimePoint::max();
+    task.poll();
+    CHECK(ends == 0);
+    passTime(1ms);
+    CHECK(ends == 0);
+    passTime(1ms);
+    CHECK(ends == 1);
+}
+
 // Guards against a proof by routers that are as much out of touch as this one.
 TEST_CASE_FIXTURE(StreamOriginTaskFixture,
                   "streamOriginTask_oneKeeperIsSilent_oldListsProveNothing")
