A standstill of the own process is no silence of others

Callers saw attempts fail and sound replicas ejected after a standstill of their router, although due timers already waited for the sockets: the time in which the router didn't run counted as the time of the replicas.

TimerQueue::runningNow() leaves out stalls of 200 ms and more; progress timeouts and the times of attempts use it, and a deadline that passed within a stall is no failure of the replica. Ages, proofs and deadlines keep CLOCK_BOOTTIME.

--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -2,6 +2,7 @@
 
 #include "Base/Log.h"
 #include "Net/EventLoop.h"
+#include "Net/internal/TimerQueue.h"
 #include "Request/Problem.h"
 #include "Request/RequestFingerprint.h"
 
@@ -388,6 +389,7 @@
     m_replica = *choice.replica;
     m_incarnation = m_replica.incarnation();
     m_attemptStartedAt = m_context.loop.now();
+    m_attemptRunningSince = m_context.loop.timers().runningNow();
     m_lastReceivedAt = m_attemptStartedAt;
     m_firstByte.reset();
     m_head = {};
@@ -515,13 +517,19 @@
                     m_request.route->maxEventGap.value_or(Duration::zero()) * StallFactor);
 }
 
+/// \returns the time that the replica took. A standstill of this process doesn't count: it would
+/// eject sound replicas and lower the limits of their service.
+Duration EntryCall::attemptTime() const
+{
+    return std::max(Duration::zero(), m_context.loop.timers().runningNow() - m_attemptRunningSince);
+}
+
 void EntryCall::noteFirstEvent()
 {
     m_admission.firstEvent();
     if (std::exchange(m_receivedEvent, true) || !m_isPromptUncached)
         return;
-    m_service->prefillEstimate.observe(m_request.facts.promptTokens,
-                                       m_context.loop.now() - m_attemptStartedAt);
+    m_service->prefillEstimate.observe(m_request.facts.promptTokens, attemptTime());
 }
 
 HttpCallEvents EntryCall::attemptEvents()
@@ -552,7 +560,7 @@
         m_relayFailure = RelayCodec::decodeFailure(head);
     if (m_relayFailure)
         return;
-    m_firstByte = m_context.loop.now() - m_attemptStartedAt;
+    m_firstByte = attemptTime();
     m_head = head;
     m_answer = m_context.codec.decodeAnswer(head);
     if (head.status == Misdirected)
@@ -696,7 +704,7 @@
     if (!std::exchange(m_attempting, false))
         return;
     m_call.reset();
-    const Duration total = m_context.loop.now() - m_attemptStartedAt;
+    const Duration total = attemptTime();
     const bool ejected =
             m_service->replicas.finished(m_incarnation,
                                          {.succeeded = succeeded,
@@ -734,7 +742,7 @@
     m_admission.callAnswered({.replica = m_incarnation,
                               .facts = m_answer,
                               .status = m_head.status,
-                              .latency = m_context.loop.now() - m_attemptStartedAt,
+                              .latency = attemptTime(),
                               .target = m_request.route->targetLatency,
                               .usableReplicas = m_service->replicas.usableCount()});
     if (isSuccess(m_head.status) && !m_context.quarantine.isEmpty())
@@ -880,7 +888,11 @@
         return;
     // A request that was sent and not answered may be running.
     const Verdict verdict = m_attempting ? Verdict::MayHaveRun : m_verdict;
-    endAttempt(false, Reason::UpstreamTimeout, (isStreaming() && !hasStalled()) || isOnLostPath());
+    // The deadline passed while this process stood still, which is no failure of the replica.
+    const Duration elapsed = m_context.loop.now() - m_attemptStartedAt;
+    const bool stoodStill = elapsed - attemptTime() >= EventLoop::MinStall;
+    endAttempt(false, Reason::UpstreamTimeout,
+               (isStreaming() && !hasStalled()) || isOnLostPath() || stoodStill);
     const Error error{.reason = Reason::DeadlineExpired,
                       .verdict = verdict,
                       .detail = "no complete answer by the deadline",
--- a/src/Net/EntryCall.h
+++ b/src/Net/EntryCall.h
@@ -103,6 +103,7 @@
     void reportSent(const ReplicaPool::Choice &choice) const;
     HttpCall composeCall(const std::string &copyFrom) const;
     Duration stallTimeout() const;
+    Duration attemptTime() const;
     Duration prefillTimeout() const; ///< Time that a healthy engine may take to process the prompt.
     HttpCallEvents attemptEvents();
     void noteFirstEvent();
@@ -175,6 +176,7 @@
     std::optional<RelayFailure> m_relayFailure; ///< Why the router did not relay it.
     std::string m_incarnation; ///< Incarnation of m_replica.
     TimePoint m_attemptStartedAt;
+    TimePoint m_attemptRunningSince; ///< The same without stalls of the event loop.
     /// When the last byte of the answer arrived, else when the attempt started.
     TimePoint m_lastReceivedAt;
     std::optional<Duration> m_firstByte; ///< Time from the start of this attempt to its first byte.
--- a/src/Net/EventLoop.cpp
+++ b/src/Net/EventLoop.cpp
@@ -47,14 +47,13 @@
     std::unique_ptr<internal::TimerQueue> timers;
     std::vector<Callback> posted;
     event *wake = nullptr;
-    event *stallCheck = nullptr;
     Clocks checkedAt;
     std::function<void(const Stall &)> stalled;
 
+    /// Also bounds the error of TimerQueue::runningNow(), which sees a stall by its first timer.
     void startStallCheck()
     {
-        const timeval tv = internal::toTimeval(StallCheckInterval);
-        event_add(stallCheck, &tv);
+        timers->add(StallCheckInterval, [this] { checkStall(); });
     }
 
     void checkStall()
@@ -87,10 +86,7 @@
             m_d->base, -1, 0,
             [](evutil_socket_t, short, void *arg) { static_cast<Private *>(arg)->runPosted(); },
             m_d.get());
-    m_d->stallCheck = event_new(
-            m_d->base, -1, 0,
-            [](evutil_socket_t, short, void *arg) { static_cast<Private *>(arg)->checkStall(); },
-            m_d.get());
+    m_d->startStallCheck();
 }
 
 EventLoop::~EventLoop()
@@ -102,7 +98,6 @@
         event_free(it->ev);
     m_d->timers.reset();
     event_free(m_d->wake);
-    event_free(m_d->stallCheck);
     event_base_free(m_d->base);
 }
 
@@ -163,7 +158,6 @@
 {
     m_d->stalled = std::move(callback);
     m_d->checkedAt = {};
-    m_d->startStallCheck();
 }
 
 internal::TimerQueue &EventLoop::timers() const
--- a/src/Net/HttpClient.cpp
+++ b/src/Net/HttpClient.cpp
@@ -3,6 +3,7 @@
 #include "Net/EventLoop.h"
 #include "Net/Timer.h"
 #include "Net/internal/HttpConnection.h"
+#include "Net/internal/TimerQueue.h"
 
 #include <algorithm>
 #include <deque>
@@ -192,7 +193,7 @@
 private:
     /// Only stores the time: restarting a timer for every token of a stream would cost more than
     /// forwarding the token.
-    void noteProgress() { m_lastProgress = m_loop.now(); }
+    void noteProgress() { m_lastProgress = m_loop.timers().runningNow(); }
 
     void noteFirstByte()
     {
@@ -204,7 +205,8 @@
 
     void checkProgress()
     {
-        const Duration silence = m_paused ? Duration::zero() : m_loop.now() - m_lastProgress;
+        const Duration silence =
+                m_paused ? Duration::zero() : m_loop.timers().runningNow() - m_lastProgress;
         if (silence >= m_silenceTimeout)
             timedOut();
         else
@@ -254,7 +256,7 @@
     Duration m_progressTimeout;
     Duration m_silenceTimeout; ///< Includes firstByteTimeout until the first byte of the body.
     bool m_paused = false;
-    TimePoint m_lastProgress;
+    TimePoint m_lastProgress; ///< Without stalls of the loop, which are no silence of the upstream.
     EventLoop &m_loop;
     Timer m_deadline;
     Timer m_progress;
--- a/src/Net/internal/TimerQueue.cpp
+++ b/src/Net/internal/TimerQueue.cpp
@@ -1,5 +1,6 @@
 #include "Net/internal/TimerQueue.h"
 
+#include "Net/EventLoop.h"
 #include "Net/internal/Dispatch.h"
 #include "Net/internal/Timeval.h"
 
@@ -35,7 +36,7 @@
               this)),
       m_idle(event_new(
               base, -1, 0,
-              [](evutil_socket_t, short, void *arg) { static_cast<TimerQueue *>(arg)->run(); },
+              [](evutil_socket_t, short, void *arg) { static_cast<TimerQueue *>(arg)->proceed(); },
               this))
 {
     event_priority_set(m_idle, Priorities - 1);
@@ -70,6 +71,21 @@
     return !removed.empty();
 }
 
+TimePoint TimerQueue::runningNow() const
+{
+    const TimePoint now = m_clock.now();
+    return now - m_stalled - stall(now);
+}
+
+/// \returns how long the loop has stalled at \a now beyond m_stalled; zero if it hasn't.
+Duration TimerQueue::stall(TimePoint now) const
+{
+    if (m_isRunning || m_timers.empty())
+        return Duration::zero();
+    const Duration late = now - std::max(m_timers.begin()->first.first, m_countedUntil);
+    return late >= EventLoop::MinStall ? late : Duration::zero();
+}
+
 void TimerQueue::startAlarm(Duration delay)
 {
     const timeval tv = toTimeval(delay);
@@ -81,38 +97,66 @@
     const TimePoint now = m_clock.now();
     if (m_isDeferring) {
         if (now >= m_deferredUntil)
-            return run();
+            return proceed();
         return startAlarm(m_deferredUntil - now);
     }
     if (m_timers.empty())
         return;
-    // The alarm is early if the first timer was removed, or was added late in a
-    // long iteration.
-    const Duration late = now - m_timers.begin()->first.first;
-    if (late < Duration::zero())
-        return startAlarm(-late);
+    // The first timer may have been removed, and the clock of libevent is coarser.
+    if (now < m_timers.begin()->first.first)
+        return startAlarm(m_timers.begin()->first.first - now);
     m_isDeferring = true;
+    m_isExtended = false;
+    defer(now);
+}
+
+void TimerQueue::defer(TimePoint now)
+{
+    const Duration late = m_timers.empty() ? MinDeferral : now - m_timers.begin()->first.first;
     m_deferredUntil = now + std::clamp<Duration>(late, MinDeferral, MaxDeferral);
     startAlarm(m_deferredUntil - now);
-    // Events of a lower priority run only in an iteration without others, so at
-    // the earliest after the next poll of the sockets.
+    // Events of a lower priority run only in an iteration without others, so at the earliest after
+    // the next poll of the sockets.
     event_active(m_idle, EV_TIMEOUT, 1);
 }
 
+/// Ends the deferral, unless the loop stood still within it: the sockets were read before that. A
+/// single extension keeps timers running in a process that is always late.
+void TimerQueue::proceed()
+{
+    const TimePoint now = m_clock.now();
+    if (m_isExtended || now - m_deferredUntil < MinDeferral)
+        return run();
+    m_isExtended = true;
+    defer(now);
+}
+
 void TimerQueue::run()
 {
     event_del(m_idle);
-    // Timers that the callbacks add run after the next poll.
-    const Key last{m_clock.now(), m_lastNumber};
-    while (!m_timers.empty() && m_timers.begin()->first <= last) {
+    TimePoint now = m_clock.now();
+    m_stalled += stall(now);
+    m_countedUntil = now;
+    m_isRunning = true;
+    // Timers that the callbacks add run after the next poll; so do all others after a callback that
+    // took so long that it was a stall itself.
+    const Key last{now, m_lastNumber};
+    while (!m_timers.empty() && m_timers.begin()->first <= last
+           && now - m_countedUntil < EventLoop::MinStall) {
         const auto timer = m_timers.extract(m_timers.begin());
         dispatch("timer", timer.mapped());
+        now = m_clock.now();
+    }
+    if (now - m_countedUntil >= EventLoop::MinStall) {
+        m_stalled += now - m_countedUntil;
+        m_countedUntil = now;
     }
+    m_isRunning = false;
     m_isDeferring = false;
     if (m_timers.empty())
         event_del(m_alarm);
     else
-        startAlarm(m_timers.begin()->first.first - m_clock.now());
+        startAlarm(m_timers.begin()->first.first - now);
 }
 
 } // namespace catkinloft::internal
--- a/src/Net/internal/TimerQueue.h
+++ b/src/Net/internal/TimerQueue.h
@@ -51,8 +51,16 @@
     /// others.
     bool clear();
 
+    /// \returns the time without the stalls of the loop, in which no timer could run for
+    /// EventLoop::MinStall or longer. The time that others take is measured with it; ages that
+    /// limit how long something holds are not.
+    TimePoint runningNow() const;
+
 private:
+    Duration stall(TimePoint now) const;
     void due();
+    void defer(TimePoint now);
+    void proceed();
     void run();
     void startAlarm(Duration delay);
 
@@ -63,6 +71,10 @@
     event *m_idle; ///< Has the lowest priority: runs when no socket is ready.
     bool m_isDeferring = false; ///< Due timers wait until the sockets have been read.
     TimePoint m_deferredUntil;
+    bool m_isExtended = false; ///< The deferral was extended.
+    bool m_isRunning = false; ///< Due timers run.
+    Duration m_stalled = Duration::zero(); ///< Sum of the stalls until m_countedUntil.
+    TimePoint m_countedUntil; ///< When timers last ran.
 };
 
 } // namespace catkinloft::internal
--- a/test/EventLoopTest.cpp
+++ b/test/EventLoopTest.cpp
@@ -251,3 +251,24 @@
     loop.run();
     CHECK(firedAt - startedAt >= Standstill / 2);
 }
+
+// Guards against time-outs that expire in the same batch as a timer whose callback took long.
+TEST_CASE("eventLoop_timerCallbackTakesLong_socketsAreReadBeforeTheNextTimer")
+{
+    EventLoop loop;
+    bool expired = false;
+    Timer timeout(loop, [&] { expired = true; });
+    std::unique_ptr<WaitingSocket> socket;
+    Timer slow(loop, [&] {
+        socket = std::make_unique<WaitingSocket>(loop, 1, [&] { timeout.stop(); });
+        blockThread(Standstill);
+    });
+    loop.post([&] {
+        slow.start(1ms);
+        timeout.start(2ms);
+        blockThread(10ms);
+    });
+    loop.after(2 * Standstill, [&] { loop.stop(); });
+    loop.run();
+    CHECK_FALSE(expired);
+}
--- a/test/HttpClientTest.cpp
+++ b/test/HttpClientTest.cpp
@@ -403,3 +403,12 @@
     loop.post([] { std::this_thread::sleep_for(Standstill); });
     CHECK(answeredOf({.address = upstream.address(), .connectTimeout = Limit}) == Calls);
 }
+
+// Guards against upstreams that count as silent although the process stood still before it had sent
+// their requests.
+TEST_CASE_FIXTURE(StandstillFixture,
+                  "httpClient_standsStillBeforeRequestIsSent_isNoSilenceOfTheUpstream")
+{
+    loop.post([] { std::this_thread::sleep_for(Standstill); });
+    CHECK(answeredOf({.address = upstream.address(), .progressTimeout = Limit}) == Calls);
+}
