--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -2,6 +2,7 @@
 
 #include "Base/Log.h"
 #include "Net/EventLoop.h"
+#include "Net/internal/TimerQueue.h"
 #include "Request/Problem.h"
 #include "Request/RequestFingerprint.h"
 
@@ -354,6 +355,7 @@
     m_replica = *choice.replica;
     m_incarnation = m_replica.incarnation();
     m_attemptStartedAt = m_context.loop.now();
+    m_attemptRunningSince = m_context.loop.timers().runningNow();
     m_firstByte.reset();
     m_head = {};
     m_answer = {};
@@ -504,13 +506,19 @@
     return m_service->prefillEstimate.timeoutFor(m_request.facts.promptTokens);
 }
 
+/// \returns the time that the replica took. A standstill of this process doesn't count: it would
+/// eject sound replicas and lower the limits of their service.
+Duration EntryCall::attemptTime() const
+{
+    return std::max(Duration::zero(), m_context.loop.timers().runningNow() - m_attemptRunningSince);
+}
+
 void EntryCall::noteFirstEvent()
 {
     m_admission.firstEvent();
     if (!m_silence.eventReceived() || !m_isPromptUncached)
         return;
-    m_service->prefillEstimate.observe(m_request.facts.promptTokens,
-                                       m_context.loop.now() - m_attemptStartedAt);
+    m_service->prefillEstimate.observe(m_request.facts.promptTokens, attemptTime());
 }
 
 HttpCallEvents EntryCall::attemptEvents()
@@ -548,7 +556,7 @@
         m_relayFailure = RelayCodec::decodeFailure(head);
     if (m_relayFailure)
         return;
-    m_firstByte = m_context.loop.now() - m_attemptStartedAt;
+    m_firstByte = attemptTime();
     m_head = head;
     m_answer = m_context.codec.decodeAnswer(head);
     if (head.status == Misdirected)
@@ -698,7 +706,7 @@
     m_call.reset();
     if (!m_relay)
         m_service->silence.ended(m_incarnation);
-    const Duration total = m_context.loop.now() - m_attemptStartedAt;
+    const Duration total = attemptTime();
     const bool ejected =
             m_service->replicas.finished(m_incarnation,
                                          {.succeeded = succeeded,
@@ -736,7 +744,7 @@
     m_admission.callAnswered({.replica = m_incarnation,
                               .facts = m_answer,
                               .status = m_head.status,
-                              .latency = m_context.loop.now() - m_attemptStartedAt,
+                              .latency = attemptTime(),
                               .target = m_request.route->targetLatency,
                               .usableReplicas = m_service->replicas.usableCount()});
     if (isSuccess(m_head.status) && !m_context.quarantine.isEmpty())
@@ -874,8 +882,11 @@
         return;
     // A request that was sent and not answered may be running.
     const Verdict verdict = m_attempting ? Verdict::MayHaveRun : m_verdict;
+    // The deadline passed while this process stood still, which is no failure of the replica.
+    const Duration elapsed = m_context.loop.now() - m_attemptStartedAt;
+    const bool stoodStill = elapsed - attemptTime() >= EventLoop::MinStall;
     endAttempt(false, Reason::UpstreamTimeout,
-               (isStreaming() && !m_silence.isStalled()) || isOnLostPath()
+               (isStreaming() && !m_silence.isStalled()) || isOnLostPath() || stoodStill
                        || RetryGate::isSilentTogether(*m_service, silentAttempt()));
     const Error error{.reason = Reason::DeadlineExpired,
                       .verdict = verdict,
--- a/src/Net/EntryCall.h
+++ b/src/Net/EntryCall.h
@@ -105,6 +105,7 @@
     void send(const ReplicaPool::Choice &choice);
     void reportSent(const ReplicaPool::Choice &choice) const;
     HttpCall composeCall(const std::string &copyFrom) const;
+    Duration attemptTime() const;
     Duration prefillTimeout() const; ///< Time that a healthy engine may take to process the prompt.
     HttpCallEvents attemptEvents();
     void noteFirstEvent();
@@ -181,6 +182,7 @@
     std::optional<RelayFailure> m_relayFailure; ///< Why the router did not relay it.
     std::string m_incarnation; ///< Incarnation of m_replica.
     TimePoint m_attemptStartedAt;
+    TimePoint m_attemptRunningSince; ///< The same without stalls of the event loop.
     std::optional<Duration> m_firstByte; ///< Time from the start of this attempt to its first byte.
     AttemptSilence m_silence;
     bool m_isPromptUncached = false; ///< The replica is not known to cache any part of the prompt.
--- a/src/Net/HttpClient.cpp
+++ b/src/Net/HttpClient.cpp
@@ -3,6 +3,7 @@
 #include "Net/EventLoop.h"
 #include "Net/Timer.h"
 #include "Net/internal/HttpConnection.h"
+#include "Net/internal/TimerQueue.h"
 
 #include <algorithm>
 #include <deque>
@@ -190,11 +191,12 @@
 private:
     /// Only stores the time: restarting a timer for every token of a stream would cost more than
     /// forwarding the token.
-    void noteProgress() { m_lastProgress = m_loop.now(); }
+    void noteProgress() { m_lastProgress = m_loop.timers().runningNow(); }
 
     void checkProgress()
     {
-        const Duration silence = m_paused ? Duration::zero() : m_loop.now() - m_lastProgress;
+        const Duration silence =
+                m_paused ? Duration::zero() : m_loop.timers().runningNow() - m_lastProgress;
         if (silence >= m_progressTimeout)
             timedOut();
         else
@@ -243,7 +245,7 @@
     GiveBack m_giveBack;
     Duration m_progressTimeout;
     bool m_paused = false;
-    TimePoint m_lastProgress;
+    TimePoint m_lastProgress; ///< Without stalls of the loop, which are no silence of the upstream.
     EventLoop &m_loop;
     Timer m_deadline;
     Timer m_progress;
