Paths on which nothing returns are found by a request and by other routers

Cause: an accepted connection counted as a working path.

Change: while most replicas of a service are silent, their paths are checked by a request that each replica rejects at once, whatever its load. A path counts as lost if that stays unanswered and another router has received bytes from the replica meanwhile; if no router has, the replica stands still and its requests wait. A lost path of this kind is regained only by a byte.

--- a/src/Decide/PathMonitor.cpp
+++ b/src/Decide/PathMonitor.cpp
@@ -38,6 +38,7 @@
         return !std::binary_search(m_replicas.begin(), m_replicas.end(), id);
     };
     std::erase_if(m_broken, isGone);
+    std::erase_if(m_silent, isGone);
     std::erase_if(m_crashed, isGone);
     std::erase_if(m_suspects, isGone);
     std::erase_if(m_checkedAt, [&](const auto &it) { return isGone(it.first); });
@@ -69,6 +70,7 @@
     Log::info("replica_path_lost",
               {{"service", m_options.service},
                {"replica", id},
+               {"how", m_silent.contains(id) ? "silent" : "unreachable"},
                {"lost_paths", m_broken.size()},
                {"replicas", m_replicas.size()}});
     noteTransition(wasPartitioned);
@@ -82,6 +84,8 @@
     m_crashed.erase(id);
     m_checkedAt[id] = m_options.clock.now();
     m_provenAt[id] = m_options.clock.now();
+    if (m_silent.contains(id))
+        return false;
     const bool wasPartitioned = isPartitioned();
     if (m_broken.erase(id) == 0)
         return false;
@@ -95,6 +99,19 @@
     return true;
 }
 
+bool PathMonitor::silent(const std::string &id)
+{
+    if (std::binary_search(m_replicas.begin(), m_replicas.end(), id))
+        m_silent.insert(id);
+    return failed(id);
+}
+
+bool PathMonitor::answered(const std::string &id)
+{
+    m_silent.erase(id);
+    return connected(id);
+}
+
 void PathMonitor::crashed(const std::string &id)
 {
     if (std::binary_search(m_replicas.begin(), m_replicas.end(), id))
--- a/src/Decide/PathMonitor.h
+++ b/src/Decide/PathMonitor.h
@@ -26,8 +26,10 @@
 /// replicas that are down.
 ///
 /// Only new connections count as evidence of a working path, since open connections may outlive it.
-/// A failure starts checks of other replicas, so that a partition is found with few requests.
-/// Broken paths are checked one at a time until they work again.
+/// A path on which connections are accepted and no byte returns is lost too: it is found by
+/// silent(), and only a byte proves that it works again. A failure starts checks of other replicas,
+/// so that a partition is found with few requests. Broken paths are checked one at a time until
+/// they work again.
 class PathMonitor
 {
 public:
@@ -56,10 +58,24 @@
     /// \returns whether its path was not known to be broken.
     bool failed(const std::string &id);
 
-    /// \brief Records that a new connection to replica \a id was established.
-    /// \returns whether its path was broken until now.
+    /// \brief Records that a new connection to replica \a id was established. Doesn't end the loss
+    /// of a path that silent() reported. \returns whether its path was broken until now.
     bool connected(const std::string &id);
 
+    /// \brief Records that replica \a id accepts connections of this router and nothing arrives on
+    /// them, although another router receives bytes from it. Its path is broken until answered() is
+    /// called.
+    /// \returns whether its path was not known to be broken.
+    bool silent(const std::string &id);
+
+    /// \brief Records that bytes arrived from replica \a id on a new connection.
+    /// \returns whether its path was broken until now.
+    bool answered(const std::string &id);
+
+    /// \returns whether a path is broken because of silent(), so that checks have to wait for
+    /// bytes.
+    bool hasSilentPath() const { return !m_silent.empty(); }
+
     /// \brief Records that a new connection to a replica with a broken path was accepted and has
     /// stayed open until now. The next broken path is checked at once, since a partition usually
     /// ends for all of them.
@@ -114,6 +130,7 @@
     Options m_options;
     std::vector<std::string> m_replicas; ///< Registered and not draining.
     std::set<std::string> m_broken;
+    std::set<std::string> m_silent; ///< Those of m_broken that silent() reported.
     std::set<std::string> m_crashed; ///< Until a new connection is established.
     std::set<std::string> m_suspects;
     std::map<std::string, TimePoint> m_checkedAt; ///< Last evidence about the path.
--- a/src/Decide/SilenceMonitor.cpp
+++ b/src/Decide/SilenceMonitor.cpp
@@ -14,8 +14,10 @@
 void SilenceMonitor::received(const std::string &id)
 {
     const auto it = m_entries.find(id);
-    if (it != m_entries.end())
-        it->second.lastSign = m_clock.now();
+    if (it == m_entries.end())
+        return;
+    it->second.lastSign = m_clock.now();
+    it->second.receivedAt = m_clock.now();
 }
 
 void SilenceMonitor::ended(const std::string &id)
@@ -43,6 +45,14 @@
     return it == m_entries.end() ? Duration::zero() : silence(it->second);
 }
 
+std::optional<Duration> SilenceMonitor::sinceReceived(const std::string &id) const
+{
+    const auto it = m_entries.find(id);
+    if (it == m_entries.end() || !it->second.receivedAt)
+        return std::nullopt;
+    return m_clock.now() - *it->second.receivedAt;
+}
+
 std::size_t SilenceMonitor::silentReplicas(Duration limit) const
 {
     return static_cast<std::size_t>(
--- a/src/Decide/SilenceMonitor.h
+++ b/src/Decide/SilenceMonitor.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -36,6 +37,13 @@
     /// requests have been in progress there; zero if none is.
     Duration silenceOf(const std::string &id) const;
 
+    /// \returns the time since the last byte from replica \a id; std::nullopt if none has arrived.
+    std::optional<Duration> sinceReceived(const std::string &id) const;
+
+    /// \returns whether most replicas with requests in progress have been silent for \a limit or
+    /// longer.
+    bool isMostlySilent(Duration limit) const { return 2 * silentReplicas(limit) > busyReplicas(); }
+
     /// \returns the number of replicas that have been silent for \a limit or longer.
     std::size_t silentReplicas(Duration limit) const;
 
@@ -47,6 +55,7 @@
     {
         int inProgress = 0;
         TimePoint lastSign = {}; ///< Last byte, or when the first of the requests was sent.
+        std::optional<TimePoint> receivedAt = {}; ///< Last byte.
     };
 
     Duration silence(const Entry &it) const;
--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -321,13 +321,26 @@
                            return at && loop.now() - *at > CrashReportTime
                                    && paths.provenAt(it.incarnation()) <= *at;
                        },
+               .sinceReceived =
+                       [this](const ReplicaRecord &it) {
+                           return pools.of(it.service).silence.sinceReceived(it.incarnation());
+                       },
                .pathFailed =
                        [this](const ReplicaRecord &it) {
                            pools.of(it.service).pathLost(it.incarnation());
                        },
                .isProofFresh = [this] { return filters.isProofFresh(); },
                .isLeaving = [this] { return loop.now() >= refuseFrom; }}),
-      prober({.loop = loop, .client = client, .pools = pools, .sourceIp = settings.sourceIp}),
+      prober({.loop = loop,
+              .client = client,
+              .pools = pools,
+              .sourceIp = settings.sourceIp,
+              .probeHeaders = adapter.codec.pathProbeHeaders(),
+              .checkReceived =
+                      [this](const std::string &service, const std::string &id, Duration within,
+                             std::function<void(bool)> done) {
+                          relay.checkReceived(service, id, within, std::move(done));
+                      }}),
       evidence({.clock = loop,
                 .pools = pools,
                 .random = random,
--- a/src/Net/PathProber.cpp
+++ b/src/Net/PathProber.cpp
@@ -16,6 +16,17 @@
 /// Interval at which the paths that are due are collected.
 constexpr Duration CheckPoll = 50ms;
 
+/// Time for which a replica is silent before requests check its path. Most calls are answered
+/// several times faster.
+constexpr Duration SilenceLimit = 600ms;
+
+/// Time in which a replica rejects a request that is meant for another one.
+constexpr Duration AnswerTimeout = 400ms;
+
+/// Bytes that another router received within this time arrived while this router's request was
+/// unanswered, so that the replica was not standing still.
+constexpr Duration ReceivedWithin = 400ms;
+
 } // namespace
 
 PathProber::PathProber(Options options)
@@ -36,7 +47,7 @@
             probe(it);
         hasWork = hasWork || pool.paths.hasWork();
     });
-    if (hasWork || !m_probes.empty())
+    if (hasWork || !m_probes.empty() || !m_requested.empty())
         m_timer.start(CheckPoll);
 }
 
@@ -45,6 +56,9 @@
     const ReplicaRecord *replica = m_options.pools.findReplica(id);
     if (!replica || m_probes.contains(id))
         return;
+    const ServicePool &pool = m_options.pools.of(replica->service);
+    if (pool.paths.hasSilentPath() || pool.silence.isMostlySilent(SilenceLimit))
+        return requestAnswer(*replica);
     m_probes[id] = std::make_shared<internal::ConnectProbe>(
             m_options.loop, replica->address, m_options.sourceIp,
             [this, id](Outcome outcome) { found(id, outcome); });
@@ -70,13 +84,56 @@
         return;
     ServicePool &pool = m_options.pools.of(replica->service);
     if (outcome == Outcome::ProvenOpen)
-        pool.pathRegained(id);
+        pool.pathConnected(id);
     else if (outcome != Outcome::Inconclusive)
         pool.pathLost(id);
     if (outcome == Outcome::Unreachable)
         m_options.client.dropIdle(replica->address);
 }
 
+void PathProber::requestAnswer(const ReplicaRecord &replica)
+{
+    const std::string id = replica.incarnation();
+    if (!m_requested.insert(id).second)
+        return;
+    m_options.client.fetch({.address = replica.address,
+                            .headers = m_options.probeHeaders,
+                            .timeout = AnswerTimeout,
+                            .connectTimeout = internal::ConnectProbe::ConnectTimeout,
+                            .freshConnection = true},
+                           [this, id](const Result<HttpAnswer> &answer) {
+                               requestEnded(id,
+                                            answer ? Result<void>(outcome::success())
+                                                   : Result<void>(answer.error()));
+                           });
+}
+
+void PathProber::requestEnded(const std::string &id, const Result<void> &result)
+{
+    m_requested.erase(id);
+    const ReplicaRecord *replica = m_options.pools.findReplica(id);
+    if (!replica)
+        return;
+    const std::string service = replica->service;
+    ServicePool &pool = m_options.pools.of(service);
+    if (result)
+        return pool.pathRegained(id);
+    if (result.error().reason != Reason::UpstreamTimeout) {
+        pool.pathLost(id);
+        return m_options.client.dropIdle(replica->address);
+    }
+    m_options.checkReceived(service, id, ReceivedWithin, [this, service, id](bool received) {
+        const ReplicaRecord *silent = m_options.pools.findReplica(id);
+        ServicePool &lost = m_options.pools.of(service);
+        // The replica may have gone on since the request timed out.
+        const std::optional<Duration> since = lost.silence.sinceReceived(id);
+        if (!received || !silent || (since && *since < AnswerTimeout))
+            return;
+        lost.pathSilent(id);
+        m_options.client.dropIdle(silent->address);
+    });
+}
+
 /// A probe of check() that is in progress is not joined, because the path may have been lost after
 /// its connection was established. A failure is not recorded as a lost path: the replica may have
 /// crashed together with the one that is checked, and RelayServer confirms no crash of a replica
--- a/src/Net/PathProber.h
+++ b/src/Net/PathProber.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "Base/Error.h"
 #include "Base/ReplicaRecord.h"
+#include "Net/HttpExchange.h"
 #include "Net/Timer.h"
 #include "Net/internal/ConnectProbe.h"
 
@@ -17,6 +19,11 @@
 
 /// \brief Checks the paths to replicas that the PathMonitor of their service requests, by opening
 /// connections on which nothing is sent.
+///
+/// While most replicas of a service are silent, a connection that is accepted proves little. They
+/// get a request that each replica rejects at once, whatever its load. If it stays unanswered and
+/// another router receives bytes from the replica, the path is lost. If no other router does, the
+/// replica stands still, and its requests wait for it.
 class PathProber
 {
 public:
@@ -26,6 +33,14 @@
         HttpClient &client; ///< Its idle connections to unreachable replicas are closed.
         ServicePools &pools;
         std::string sourceIp = {}; ///< IP that connections are opened from; empty: any.
+        /// Headers of a request that each replica answers without running it.
+        HttpHeaders probeHeaders = {};
+        /// Asks other routers whether bytes of a replica arrived there recently.
+        /// \sa RelayClient::checkReceived
+        std::function<void(const std::string &service, const std::string &id, Duration within,
+                           std::function<void(bool received)> done)>
+                checkReceived = [](const std::string &, const std::string &, Duration,
+                                   const std::function<void(bool)> &done) { done(false); };
     };
 
     explicit PathProber(Options options);
@@ -41,11 +56,14 @@
     void check();
     void probe(const std::string &id);
     void found(const std::string &id, internal::ConnectProbe::Outcome outcome);
+    void requestAnswer(const ReplicaRecord &replica);
+    void requestEnded(const std::string &id, const Result<void> &result);
 
     Options m_options;
     Timer m_timer;
     std::map<std::string, std::shared_ptr<internal::ConnectProbe>> m_probes; ///< By incarnation.
     std::set<std::shared_ptr<internal::ConnectProbe>> m_connects; ///< Those of connect().
+    std::set<std::string> m_requested; ///< Replicas with an unanswered request of requestAnswer().
 };
 
 } // namespace catkinloft
--- a/src/Net/RelayClient.cpp
+++ b/src/Net/RelayClient.cpp
@@ -130,30 +130,63 @@
     return call;
 }
 
-void RelayClient::checkPath(const std::string &service, const std::string &id,
-                            std::function<void(PathState)> done)
+/// Sends a question to several routers that may relay requests for \a service.
+/// \param answered is called for each of them, with nothing if it doesn't answer.
+/// \returns their number.
+std::size_t RelayClient::ask(const std::string &service, const std::string &target,
+                             const std::function<void(std::string_view answer)> &answered)
 {
     std::vector<RelayPeer> asked = usable(service);
     for (std::size_t i = asked.size(); i > 1; --i)
         std::swap(asked[i - 1], asked[below(m_options.random, i)]);
     asked.resize(std::min(asked.size(), AskedRouters));
-    const auto check = std::make_shared<PathCheck>();
-    check->done = std::move(done);
-    check->pending = asked.size();
-    if (asked.empty())
-        return m_options.loop.post([check] { check->finish(PathState::Unknown); });
-    const std::string target = fmt::format("{}?replica={}", CheckPath, id);
     for (const RelayPeer &it : asked) {
         m_options.client.fetch({.address = it.address,
                                 .target = target,
                                 .headers = {{SignatureHeader, m_options.sign(target)}},
                                 .timeout = CheckTimeout},
-                               [check](const Result<HttpAnswer> &answer) {
+                               [answered](const Result<HttpAnswer> &answer) {
                                    const bool isKnown =
                                            answer && answer.value().head.status == Success;
-                                   check->add(isKnown ? answer.value().body : std::string_view());
+                                   answered(isKnown ? answer.value().body : std::string_view());
                                });
     }
+    return asked.size();
+}
+
+void RelayClient::checkPath(const std::string &service, const std::string &id,
+                            std::function<void(PathState)> done)
+{
+    const auto check = std::make_shared<PathCheck>();
+    check->done = std::move(done);
+    check->pending = ask(service, fmt::format("{}?replica={}", CheckPath, id),
+                         [check](std::string_view answer) { check->add(answer); });
+    if (check->pending == 0)
+        m_options.loop.post([check] { check->finish(PathState::Unknown); });
+}
+
+void RelayClient::checkReceived(const std::string &service, const std::string &id, Duration within,
+                                std::function<void(bool received)> done)
+{
+    struct Check
+    {
+        std::function<void(bool)> done; ///< Null after it was called.
+        std::size_t pending = 0;
+    };
+    const auto check = std::make_shared<Check>(Check{.done = std::move(done)});
+    const auto finish = [check](bool received) {
+        if (const auto callback = std::exchange(check->done, nullptr))
+            callback(received);
+    };
+    check->pending =
+            ask(service,
+                fmt::format("{}?replica={}&{}={}", CheckPath, id, ReceivedWithin, within / 1ms),
+                [check, finish](std::string_view answer) {
+                    if (--check->pending == 0 || answer == ReceivedAnswer)
+                        finish(answer == ReceivedAnswer);
+                });
+    if (check->pending == 0)
+        m_options.loop.post([finish] { finish(false); });
 }
 
 } // namespace catkinloft
--- a/src/Net/RelayClient.h
+++ b/src/Net/RelayClient.h
@@ -58,6 +58,13 @@
     /// Path of the requests that ask whether a router reaches a replica.
     static constexpr const char *CheckPath = "/v1/path";
 
+    /// Query parameter of such a request: it asks whether bytes arrived within so many
+    /// milliseconds.
+    static constexpr const char *ReceivedWithin = "received_within_ms";
+
+    /// Answer to such a question if they did.
+    static constexpr std::string_view ReceivedAnswer = "received";
+
     /// Header that contains the signature of such a request.
     static constexpr const char *SignatureHeader = "X-Catkinloft-Signature";
 
@@ -85,8 +92,15 @@
     void checkPath(const std::string &service, const std::string &id,
                    std::function<void(PathState)> done);
 
+    /// \brief Asks several routers whether bytes of replica \a id of \a service arrived there
+    /// within the time \a within. \param done is called once, not from within this function.
+    void checkReceived(const std::string &service, const std::string &id, Duration within,
+                       std::function<void(bool received)> done);
+
 private:
     std::vector<RelayPeer> usable(const std::string &service);
+    std::size_t ask(const std::string &service, const std::string &target,
+                    const std::function<void(std::string_view answer)> &answered);
 
     Options m_options;
     std::int64_t m_tickets = 0; ///< Number of tickets so far.
--- a/src/Net/RelayServer.cpp
+++ b/src/Net/RelayServer.cpp
@@ -324,6 +324,11 @@
     const bool hasCrashedBefore = replica && options.hasCrashedBefore(*replica);
     if (!replica || options.isPathLost(*replica))
         return answerCheck(exchange, hasCrashedBefore ? "crashed_before" : "unknown");
+    if (const std::uint64_t limit = exchange->queryNumber(RelayClient::ReceivedWithin); limit > 0) {
+        const std::optional<Duration> since = options.sinceReceived(*replica);
+        const bool received = since && static_cast<std::uint64_t>(*since / 1ms) <= limit;
+        return answerCheck(exchange, received ? RelayClient::ReceivedAnswer : "silent");
+    }
     const auto check = std::make_shared<Check>();
     check->exchange = exchange;
     check->hasCrashedBefore = hasCrashedBefore;
--- a/src/Net/RelayServer.h
+++ b/src/Net/RelayServer.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -50,6 +51,10 @@
         std::function<bool(const ReplicaRecord &)> hasCrashedBefore = [](const ReplicaRecord &) {
             return false;
         };
+        /// Time since the last byte from a replica arrived on a direct connection; std::nullopt:
+        /// none has arrived.
+        std::function<std::optional<Duration>(const ReplicaRecord &)> sinceReceived =
+                [](const ReplicaRecord &) { return std::nullopt; };
         /// Called when this router could not connect to a replica.
         std::function<void(const ReplicaRecord &)> pathFailed = [](const ReplicaRecord &) {};
         /// Whether the proof that API keys are valid is fresh enough. A router that was suspended
--- a/src/Net/ServicePools.cpp
+++ b/src/Net/ServicePools.cpp
@@ -47,7 +47,20 @@
 void ServicePool::pathLost(const std::string &id)
 {
     const bool wasPartitioned = paths.isPartitioned();
-    if (!paths.failed(id) || !paths.isPartitioned())
+    if (paths.failed(id))
+        forgetFailuresOnLostPaths(id, wasPartitioned);
+}
+
+void ServicePool::pathSilent(const std::string &id)
+{
+    const bool wasPartitioned = paths.isPartitioned();
+    if (paths.silent(id))
+        forgetFailuresOnLostPaths(id, wasPartitioned);
+}
+
+void ServicePool::forgetFailuresOnLostPaths(const std::string &id, bool wasPartitioned)
+{
+    if (!paths.isPartitioned())
         return;
     if (wasPartitioned)
         return replicas.forgetFailures(id);
@@ -55,13 +68,20 @@
         replicas.forgetFailures(it);
 }
 
-void ServicePool::pathRegained(const std::string &id)
+void ServicePool::pathConnected(const std::string &id)
 {
     const bool wasPartitioned = paths.isPartitioned();
     if (paths.connected(id) && wasPartitioned)
         replicas.forgetFailures(id);
 }
 
+void ServicePool::pathRegained(const std::string &id)
+{
+    const bool wasPartitioned = paths.isPartitioned();
+    if (paths.answered(id) && wasPartitioned)
+        replicas.forgetFailures(id);
+}
+
 ServicePools::ServicePools(const Clock &clock, RandomSource random, const EntrySettings &settings,
                            Fleet fleet)
     : m_clock(clock), m_random(std::move(random)), m_settings(settings), m_fleet(std::move(fleet))
--- a/src/Net/ServicePools.h
+++ b/src/Net/ServicePools.h
@@ -45,9 +45,19 @@
     /// is partitioned, what failed on lost paths doesn't count against the replicas.
     void pathLost(const std::string &id);
 
+    /// \brief Records that nothing returns on the path to replica \a id. \sa PathMonitor::silent
+    void pathSilent(const std::string &id);
+
     /// \brief Records that a new connection to replica \a id was established.
+    void pathConnected(const std::string &id);
+
+    /// \brief Records that bytes arrived from replica \a id on a new connection.
     void pathRegained(const std::string &id);
+
     PrefillTimeout prefillEstimate = {};
+
+private:
+    void forgetFailuresOnLostPaths(const std::string &id, bool wasPartitioned);
 };
 
 /// \brief Pools of all services. A pool is never removed, so that calls may hold a pointer to it.
--- a/src/Net/WireCodec.h
+++ b/src/Net/WireCodec.h
@@ -49,6 +49,8 @@
     /// Headers that the caller receives.
     std::function<HttpHeaders(const HttpHead &)> passedAnswerHeaders;
     std::function<HttpHeaders(const EntryRequest &)> ownAnswerHeaders; ///< Headers of a refusal.
+    /// Headers of a request that is meant for no replica, so that each one rejects it at once.
+    std::function<HttpHeaders()> pathProbeHeaders = [] { return HttpHeaders(); };
 };
 
 } // namespace catkinloft
--- a/test/PathMonitorTest.cpp
+++ b/test/PathMonitorTest.cpp
@@ -133,6 +133,23 @@
     CHECK(paths.isPartitioned());
 }
 
+// Guards against a path that counts as working because connections are accepted, although no byte
+// returns on it.
+TEST_CASE_FIXTURE(PathMonitorFixture, "pathMonitor_silentPathAcceptsConnections_staysBroken")
+{
+    setReplicas(4);
+    CHECK(paths.silent("i-1"));
+    runChecks(2s);
+    CHECK(paths.isBroken("i-1"));
+    CHECK(paths.hasSilentPath());
+    CHECK(paths.answered("i-1"));
+    CHECK_FALSE(paths.isBroken("i-1"));
+    CHECK_FALSE(paths.hasSilentPath());
+    CHECK(paths.silent("i-1"));
+    setReplicas(1);
+    CHECK_FALSE(paths.hasSilentPath());
+}
+
 // Guards against repeated checks of a replica that is merely slow.
 TEST_CASE_FIXTURE(PathMonitorFixture, "pathMonitor_replicaIsSilentForLong_pathIsCheckedRarely")
 {
--- a/test/PathProberTest.cpp
+++ b/test/PathProberTest.cpp
@@ -6,6 +6,7 @@
 #include "Net/HttpClient.h"
 #include "Net/ServicePools.h"
 #include "Net/Timer.h"
+#include "ScriptedReplica.h"
 
 #include <doctest/doctest.h>
 
@@ -45,6 +46,64 @@
     PathProber prober{{.loop = loop, .client = client, .pools = pools}};
 };
 
+/// Two replicas that accept connections and answer nothing until `answers` is set. Each has a
+/// request in progress.
+struct SilentPathFixture
+{
+    using Reply = ScriptedReplica::Reply;
+
+    SilentPathFixture()
+    {
+        pools.setReplicas(records);
+        for (const ReplicaRecord &it : records)
+            pool.silence.sent(it.id);
+    }
+
+    void runFor(Duration time)
+    {
+        Timer timer(loop, [this] { loop.stop(); });
+        timer.start(time);
+        loop.run();
+    }
+
+    /// Requests a check of each replica, as its waiting requests do.
+    void suspectFor(Duration time)
+    {
+        for (const TimePoint until = loop.now() + time; loop.now() < until;) {
+            for (const ReplicaRecord &it : records)
+                pool.paths.suspect(it.id);
+            prober.wake();
+            runFor(100ms);
+        }
+    }
+
+    EventLoop loop;
+    HttpClient client{loop};
+    bool answers = false;
+    bool received = true; ///< Whether bytes of the replicas arrive at another router.
+    int questions = 0;
+    ScriptedReplica::Script script = [this](const std::string &request, std::size_t) -> Reply {
+        return {.bytes = answers ? ScriptedReplica::answer(request, 421, "") : std::string()};
+    };
+    ScriptedReplica first{loop, script};
+    ScriptedReplica second{loop, script};
+    EntrySettings settings;
+    ServicePools pools{loop, seededRandom(1), settings};
+    std::vector<ReplicaRecord> records = {
+            {.id = "i-1", .service = "svc", .address = first.address()},
+            {.id = "i-2", .service = "svc", .address = second.address()}};
+    ServicePool &pool = pools.of("svc");
+    PathProber prober{{.loop = loop,
+                       .client = client,
+                       .pools = pools,
+                       .probeHeaders = {{"X-Target-Instance", "none"}},
+                       .checkReceived = [this](const std::string &, const std::string &, Duration,
+                                               const std::function<void(bool)> &done) {
+                           ++questions;
+                           done(received);
+                       }}};
+};
+
 } // namespace
 
 // Guards against requests that are sent to a crashed replica, and against a second crash that is
@@ -66,3 +125,38 @@
     CHECK_FALSE(pool.paths.isBroken("i-1"));
     CHECK((pool.paths.provenAt("i-1") != TimePoint::min()));
 }
+
+// Guards against requests that wait for replicas behind a path on which connections are accepted
+// and nothing returns, until the path delivers again.
+TEST_CASE_FIXTURE(SilentPathFixture, "pathProber_nothingReturnsThatOthersReceive_pathIsLost")
+{
+    suspectFor(2s);
+    CHECK(pool.paths.isBroken("i-1"));
+    CHECK(pool.paths.isBroken("i-2"));
+    CHECK(pool.paths.isPartitioned());
+    REQUIRE_FALSE(first.requests().empty());
+    CHECK(ScriptedReplica::headerOf(first.requests().front(), "X-Target-Instance") == "none");
+    answers = true;
+    runFor(1500ms);
+    CHECK_FALSE(pool.paths.isBroken("i-1"));
+    CHECK_FALSE(pool.paths.isBroken("i-2"));
+}
+
+// Guards against replicas that stand still for a moment and are taken for a lost path.
+TEST_CASE_FIXTURE(SilentPathFixture, "pathProber_nothingReturnsToAnyRouter_pathIsKept")
+{
+    received = false;
+    suspectFor(2s);
+    CHECK(questions > 0);
+    CHECK(pool.paths.broken().empty());
+}
+
+// Guards against a path that is taken for lost because its replicas need long for the requests.
+TEST_CASE_FIXTURE(SilentPathFixture, "pathProber_replicasRejectProbes_pathIsKept")
+{
+    answers = true;
+    suspectFor(2s);
+    CHECK_FALSE(first.requests().empty());
+    CHECK(questions == 0);
+    CHECK(pool.paths.broken().empty());
+}
--- a/test/RelayTest.cpp
+++ b/test/RelayTest.cpp
@@ -71,6 +71,16 @@
         return *state;
     }
 
+    /// \returns whether the other router answers that bytes of the replica arrived within 400 ms.
+    bool askReceived()
+    {
+        std::optional<bool> answer;
+        relay.checkReceived("svc", "i-1", 400ms, [&](bool it) { answer = it; });
+        until([&] { return answer.has_value(); });
+        REQUIRE(answer);
+        return *answer;
+    }
+
     /// \returns the failure that the relaying router reported for the last call.
     std::optional<RelayFailure> failure() const
     {
@@ -106,6 +116,7 @@
     ScriptedReplica replica{
             loop, [this](const std::string &request, std::size_t n) { return script(request, n); }};
     ReplicaRecord record{.id = "i-1", .service = "svc", .address = replica.address()};
+    std::optional<Duration> sinceReceived;
     bool isRegistered = true;
     bool isPathLost = false;
     CrashWatch::Finding finding = CrashWatch::Finding::Crashed;
@@ -128,6 +139,7 @@
              .checkPaths = [this](const ReplicaRecord &,
                                   const std::function<void(bool)> &done) { done(arePathsWorking); },
              .hasCrashedBefore = [this](const ReplicaRecord &) { return hasCrashedBefore; },
+             .sinceReceived = [this](const ReplicaRecord &) { return sinceReceived; },
              .isProofFresh = [this] { return isProofFresh; },
              .isLeaving = [this] { return isLeaving; }}};
     HttpServer server{loop,
@@ -149,6 +161,22 @@
 
 } // namespace
 
+// Guards against a path that is taken for silent because of bytes that another router received
+// before the replica stood still.
+TEST_CASE_FIXTURE(RelayFixture, "relay_otherRouterIsAskedForBytes_onlyRecentOnesCount")
+{
+    CHECK_FALSE(askReceived());
+    sinceReceived = 100ms;
+    CHECK(askReceived());
+    sinceReceived = 500ms;
+    CHECK_FALSE(askReceived());
+    sinceReceived = 100ms;
+    isPathLost = true;
+    CHECK_FALSE(askReceived());
+    peers.clear();
+    CHECK_FALSE(askReceived());
+}
+
 // Guards against a relayed request that differs from the one that the sender would send itself.
 TEST_CASE_FIXTURE(RelayFixture, "relay_call_reachesReplicaUnchangedAndIsAnswered")
 {
