--- a/src/Decide/SilenceMonitor.cpp
+++ b/src/Decide/SilenceMonitor.cpp
@@ -50,6 +50,14 @@
     return it == m_entries.end() ? Duration::zero() : silence(it->second);
 }
 
+std::optional<Duration> SilenceMonitor::sinceReceived(const std::string &id) const
+{
+    const auto it = m_entries.find(id);
+    if (it == m_entries.end() || it->second.lastByteAt == TimePoint::min())
+        return std::nullopt;
+    return m_clock.now() - it->second.lastByteAt;
+}
+
 std::size_t SilenceMonitor::silentReplicas(Duration limit) const
 {
     return static_cast<std::size_t>(
--- a/src/Decide/SilenceMonitor.h
+++ b/src/Decide/SilenceMonitor.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -37,6 +38,9 @@
     /// requests have been in progress there; zero if none is.
     Duration silenceOf(const std::string &id) const;
 
+    /// \returns the time since the last byte from replica \a id; std::nullopt if none has arrived.
+    std::optional<Duration> sinceReceived(const std::string &id) const;
+
     /// \returns the number of replicas that have been silent for \a limit or longer.
     std::size_t silentReplicas(Duration limit) const;
 
