A take-up settles only its own question

All of them are settled when a list was read or a wait ends.

Result: the unit tests of StreamOriginTask pass.

--- a/src/Net/StreamOriginTask.cpp
+++ b/src/Net/StreamOriginTask.cpp
@@ -140,17 +140,19 @@
     } else {
         m_options.readStored([this, inquiry] {
             inquiry->isStoreRead = true;
-            settleAll();
+            settle(*inquiry);
         });
     }
     if (inquiry->found && inquiry->canBeProven())
         m_options.refreshList();
-    settleAll();
+    settle(*inquiry);
 }
 
 /// Ends \a inquiry unless a read in progress or a newer list may still prove the origin.
 void StreamOriginTask::settle(Inquiry &inquiry)
 {
+    if (!inquiry.found)
+        return;
     const TimePoint now = m_options.clock.now();
     inquiry.reports.front() = m_options.ownReport(inquiry.question);
     const StreamOriginReport &own = inquiry.reports.front();
@@ -169,11 +171,8 @@
 void StreamOriginTask::settleAll()
 {
     // A callback may resume another stream, which is then added to m_waiting.
-    for (const auto &it : std::vector(m_waiting)) {
-        if (it->found)
-            settle(*it);
-    }
-    std::erase_if(m_waiting, [](const auto &it) { return !it->found; });
+    for (const auto &it : std::vector(m_waiting))
+        settle(*it);
 }
 
 void StreamOriginTask::poll()
@@ -185,6 +184,7 @@
 
 void StreamOriginTask::schedulePoll()
 {
+    std::erase_if(m_waiting, [](const auto &it) { return !it->found; });
     TimePoint next = TimePoint::max();
     for (const auto &it : m_waiting)
         next = std::min(next, it->waitsUntil);
