A failure in place of a resumed stream breaks the caller's stream off

After a part of a stream was delivered, the replica that was to resume it answered with a failure that isn't repeated. The answer was dropped, since the head of the stream had been sent, the request counted as answered and its deadline was stopped, so that the caller waited until it gave up.

The connection is closed now, as after each other failure of the last attempt. entryRequest_resumptionIsAnsweredWithFailure_isBrokenOff passes; it was not run on the code before.

--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -803,11 +803,12 @@
         m_history.failedOn(m_incarnation);
         return send(next);
     }
-    deliver();
-}
-
-void EntryCall::deliver()
-{
+    if (m_headSent) // Part of a stream was delivered by an earlier attempt.
+        return breakOff({.reason = Reason::UpstreamBroken,
+                         .verdict = m_verdict,
+                         .detail = fmt::format("replica {} answered {}, so that the stream can't "
+                                               "be resumed there",
+                                               m_replica.id, m_head.status)});
     m_exchange->respond(m_head.status, m_context.codec.passedAnswerHeaders(m_head), m_body);
     finish(RequestEvent::Kind::Answered, m_head.status, nullptr);
 }
--- a/src/Net/EntryCall.h
+++ b/src/Net/EntryCall.h
@@ -106,6 +106,7 @@
     void reportSent(const ReplicaPool::Choice &choice) const;
     HttpCall composeCall(const std::string &copyFrom) const;
     Duration attemptTime() const;
+    bool hasOtherCause() const;
     Duration prefillTimeout() const; ///< Time that a healthy engine may take to process the prompt.
     HttpCallEvents attemptEvents();
     void noteFirstEvent();
--- a/test/EntryRequestTest.cpp
+++ b/test/EntryRequestTest.cpp
@@ -776,6 +776,25 @@
     CHECK(sent() == 2);
 }
 
+// Guards against a caller that waits for the rest of a stream, without a deadline, after the
+// replica that was to resume it has answered with a failure.
+TEST_CASE_FIXTURE(EntryGatewayFixture, "entryRequest_resumptionIsAnsweredWithFailure_isBrokenOff")
+{
+    const auto script = [](const std::string &request, std::size_t) -> Reply {
+        if (ScriptedReplica::headerOf(request, "Last-Event-Id").empty())
+            return {.bytes = ScriptedReplica::streamHead(request) + ScriptedReplica::events(1, 1),
+                    .end = End::Reset};
+        return {.bytes = ScriptedReplica::answer(request, 404, "gone")};
+    };
+    addReplica(script);
+    addReplica(script);
+    RawCaller caller(Port);
+    call(caller, get("/stream/"), "nothing ever");
+    CHECK(closed);
+    REQUIRE(kinds(events) == "request_sent attempt_failed request_sent request_broken_off ");
+    CHECK(events.back().detail.find("answered 404") != std::string::npos);
+}
+
 // Guards against a stream that is broken off because it stalls, though no retry is permitted and
 // its replica goes on.
 TEST_CASE_FIXTURE(EntryGatewayFixture,
