Silence of a lost path or of this process is not the replica's

A silent attempt on a lost path was replaced by one on the same path although no other router could relay it; it is replaced only if one can, or by a replica that is not silent. A caller that leaves right after a stall of this process, or on a lost path, does not count against the replica, as its deadline does not. The replicas to avoid are listed only if nothing else denies the retry.

--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -392,7 +392,7 @@
     m_call = m_context.client.send(std::move(call), attemptEvents());
 }
 
-bool EntryCall::isRelayAvailable()
+bool EntryCall::isRelayAvailable() const
 {
     return m_context.relay && m_service->paths.isPartitioned()
             && m_context.relay->isAvailable(m_serviceName);
@@ -455,7 +455,7 @@
     return {.replica = m_incarnation,
             .stallLimit = m_silence.stallLimit(),
             .isRelayed = m_relay.has_value(),
-            .isOnLostPath = isOnLostPath()};
+            .isOnLostPath = isOnLostPath() && isRelayAvailable()};
 }
 
 void EntryCall::reportSent(const ReplicaPool::Choice &choice) const
@@ -883,12 +883,8 @@
         return;
     // A request that was sent and not answered may be running.
     const Verdict verdict = m_attempting ? Verdict::MayHaveRun : m_verdict;
-    // The deadline passed while this process stood still, which is no failure of the replica.
-    const Duration elapsed = m_context.loop.now() - m_attemptStartedAt;
-    const bool stoodStill = elapsed - attemptTime() >= EventLoop::MinStall;
     endAttempt(false, Reason::UpstreamTimeout,
-               (isStreaming() && !m_silence.isStalled()) || isOnLostPath() || stoodStill
-                       || RetryGate::isSilentTogether(*m_service, silentAttempt()));
+               (isStreaming() && !m_silence.isStalled()) || hasOtherCause());
     const Error error{.reason = Reason::DeadlineExpired,
                       .verdict = verdict,
                       .detail = "no complete answer by the deadline",
@@ -896,6 +892,15 @@
     m_headSent ? breakOff(error) : refuse(error);
 }
 
+/// \returns whether the silence has another cause than its replica: the path, a stall of this
+/// process, or one that most replicas share.
+bool EntryCall::hasOtherCause() const
+{
+    const Duration elapsed = m_context.loop.now() - m_attemptStartedAt;
+    return isOnLostPath() || elapsed - attemptTime() >= EventLoop::MinStall
+            || RetryGate::isSilentTogether(*m_service, silentAttempt());
+}
+
 bool EntryCall::isStreaming() const
 {
     return m_request.route && m_request.route->kind == CallKind::Streaming;
@@ -905,10 +910,8 @@
 {
     if (m_finished)
         return;
-    // Callers leave a stream that stalls for two seconds or more; the replica is at fault then,
-    // unless most of them stall.
-    const bool isAtFault = isStreaming() && m_silence.isStalled()
-            && !RetryGate::isSilentTogether(*m_service, silentAttempt());
+    // Callers leave a stream that stalls for two seconds or more.
+    const bool isAtFault = isStreaming() && m_silence.isStalled() && !hasOtherCause();
     endAttempt(false, isAtFault ? Reason::UpstreamTimeout : Reason::CallerGone);
     finish(RequestEvent::Kind::CallerGone, 0, nullptr);
 }
--- a/src/Net/EntryCall.h
+++ b/src/Net/EntryCall.h
@@ -126,14 +126,13 @@
     Duration retryDelay() const; ///< Time until a caller may retry if no replica was available.
     void noteStaleConnection(const Error &error);
     void handleAnswer();
-    void deliver();
     void attemptFailed(const Error &error);
     void noteUnreachable();
     /// \returns whether the router that was to relay this attempt refused to, or failed before it
     /// passed an answer on.
     bool hasRelayRefused() const;
     void relayFailed(const Error &error);
-    bool isRelayAvailable();
+    bool isRelayAvailable() const;
     bool isOnLostPath() const;
     RetryGate::Query retryQuery();
     /// \returns what denies any attempt at this moment, as in log lines; empty if nothing does.
--- a/src/Net/RetryGate.cpp
+++ b/src/Net/RetryGate.cpp
@@ -102,7 +102,7 @@
     m_denial = isSilentTogether(query.service, attempt) ? "silence"
                                                         : denialOf(query, Verdict::MayHaveRun);
     std::vector<std::string> avoided;
-    if (!attempt.isRelayed && !attempt.isOnLostPath)
+    if (m_denial.empty() && !attempt.isRelayed && !attempt.isOnLostPath)
         avoided = query.service.silence.silent(attempt.stallLimit / SilentReplicaDivisor);
     avoided.push_back(attempt.replica);
     // Another router reaches a replica to which the path is lost.
--- a/src/Net/RetryGate.h
+++ b/src/Net/RetryGate.h
@@ -43,7 +43,7 @@
         std::string replica = {}; ///< Incarnation.
         Duration stallLimit = Duration::zero(); ///< \sa AttemptSilence::stallLimit
         bool isRelayed = false;
-        bool isOnLostPath = false;
+        bool isOnLostPath = false; ///< And another router may relay the request.
     };
 
     explicit RetryGate(Metrics &metrics) : m_metrics(metrics) { }
