Statuses that promise that nothing ran are named in one place

EntryCall and Problem each had their own list, and that of Problem lacked 408 and 421: no refusal of a request that may have run has one of these today.

--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -61,19 +61,6 @@
     return status >= 200 && status < 300;
 }
 
-/// These statuses promise that the request did not run. They are forwarded only if the replica
-/// states it explicitly.
-bool promisesNotRun(int status)
-{
-    return status == 503 || status == 429 || status == 408 || status == 421;
-}
-
-/// Callers accept fractions of a second; a whole second would be a third of the time of a call.
-std::string retryAfterText(Duration d)
-{
-    return fmt::format("{:.3f}", toSeconds(d));
-}
-
 } // namespace
 
 EntryCall::EntryCall(EntryContext &context, HttpExchangePtr exchange, std::function<void()> done)
@@ -783,7 +770,7 @@
                               .detail = fmt::format("replica {} did not run the request: status {}",
                                                     m_replica.id, m_head.status)});
     }
-    if (promisesNotRun(m_head.status))
+    if (Problem::promisesNotRun(m_head.status))
         return attemptFailed(
                 {.reason = Reason::UpstreamRefused,
                  .verdict = Verdict::MayHaveRun,
@@ -928,7 +915,8 @@
         const Duration spread = error.reason == Reason::EnginesSaturated
                 ? Duration::zero()
                 : scaled(RetryJitter, uniform(m_context.random));
-        headers.emplace_back("Retry-After", retryAfterText(*error.retryAfter + spread));
+        headers.emplace_back("Retry-After",
+                             Problem::retryAfterFraction(*error.retryAfter + spread));
     }
     m_context.metrics.refused(error.reason);
     m_exchange->respond(status, headers, Problem::body(error, id(), {}));
--- a/src/Request/Problem.cpp
+++ b/src/Request/Problem.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+constexpr int RequestTimeout = 408;
+constexpr int Misdirected = 421;
 constexpr int TooManyRequests = 429;
 constexpr int BadGateway = 502;
 constexpr int Unavailable = 503;
@@ -22,8 +24,18 @@
     const int status = reasonInfo(error.reason).status;
     if (error.verdict == Verdict::NotRun)
         return status == BadGateway || status == GatewayTimeout ? Unavailable : status;
-    const bool promisesNotRun = status == Unavailable || status == TooManyRequests;
-    return promisesNotRun ? BadGateway : status;
+    return promisesNotRun(status) ? BadGateway : status;
+}
+
+bool Problem::promisesNotRun(int status)
+{
+    return status == Unavailable || status == TooManyRequests || status == RequestTimeout
+            || status == Misdirected;
+}
+
+std::string Problem::retryAfterFraction(Duration d)
+{
+    return fmt::format("{:.3f}", toSeconds(d));
 }
 
 std::string Problem::body(const Error &error, std::string_view requestId, std::string_view token)
--- a/src/Request/Problem.h
+++ b/src/Request/Problem.h
@@ -16,6 +16,10 @@
     /// 502 instead of 503 or 429.
     static int status(const Error &error);
 
+    /// \returns whether an answer with \a status promises that the request did not run. Such an
+    /// answer of a replica is forwarded only if the replica states that explicitly.
+    static bool promisesNotRun(int status);
+
     /// \param token result of encodeRefusal(); `refusal` is omitted if it is empty.
     /// \returns the JSON text with `type`, `title`, `status`, `detail`, `reason`, `verdict`,
     /// `retry_after_ms`, `rule`, `figures` and `refusal`.
@@ -24,6 +28,10 @@
     /// \returns the value of Retry-After: whole seconds, at least 1, or an empty text if \a error
     /// has no such value.
     static std::string retryAfter(const Error &error);
+
+    /// \returns the value of Retry-After with fractions of a second, which callers of the platform
+    /// accept: a whole second would be a third of the time of a call.
+    static std::string retryAfterFraction(Duration d);
 };
 
 } // namespace catkinloft
