--- a/src/Decide/PathMonitor.h
+++ b/src/Decide/PathMonitor.h
@@ -58,8 +58,9 @@
     /// \returns whether its path was not known to be broken.
     bool failed(const std::string &id);
 
-    /// \brief Records that a new connection to replica \a id was established. Doesn't end the loss
-    /// of a path that silent() reported. \returns whether its path was broken until now.
+    /// \brief Records that a new connection to replica \a id was established. A path that silent()
+    /// reported stays broken.
+    /// \returns whether its path was broken until now.
     bool connected(const std::string &id);
 
     /// \brief Records that replica \a id accepts connections of this router and nothing arrives on
--- a/src/Decide/SilenceMonitor.h
+++ b/src/Decide/SilenceMonitor.h
@@ -14,9 +14,9 @@
 /// \brief Tracks from which replicas of one service no byte arrives while requests of this router
 /// are in progress there.
 ///
-/// Handles replicas, network paths or this process itself that stand still for a time. Prevents
-/// that the silence of a whole service is taken for the failure of single replicas, so that
-/// requests are moved from one silent replica to the next.
+/// Handles replicas or network paths that stall for a time. Prevents that the silence of a whole
+/// service is taken for the failure of single replicas, so that requests are moved from one silent
+/// replica to the next.
 class SilenceMonitor
 {
 public:
--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -493,8 +493,8 @@
     return m_service->prefillEstimate.timeoutFor(m_request.facts.promptTokens);
 }
 
-/// \returns the time that the replica took. A standstill of this process doesn't count: it would
-/// eject sound replicas and lower the limits of their service.
+/// \returns the time that the replica took. A stall of this process doesn't count: it would eject
+/// healthy replicas and lower the limits of their service.
 Duration EntryCall::attemptTime() const
 {
     return std::max(Duration::zero(), m_context.loop.timers().runningNow() - m_attemptRunningSince);
--- a/src/Net/EntryCall.h
+++ b/src/Net/EntryCall.h
@@ -182,7 +182,7 @@
     std::optional<RelayFailure> m_relayFailure; ///< Why the router did not relay it.
     std::string m_incarnation; ///< Incarnation of m_replica.
     TimePoint m_attemptStartedAt;
-    TimePoint m_attemptRunningSince; ///< The same without stalls of the event loop.
+    TimePoint m_attemptRunningSince; ///< The start by TimerQueue::runningNow().
     std::optional<Duration> m_firstByte; ///< Time from the start of this attempt to its first byte.
     AttemptSilence m_silence;
     bool m_isPromptUncached = false; ///< The replica is not known to cache any part of the prompt.
--- a/src/Net/EntryGateway.cpp
+++ b/src/Net/EntryGateway.cpp
@@ -44,8 +44,8 @@
 
 void EntryGateway::checkSilence()
 {
-    // After a standstill of this process, answers may be waiting in the sockets. They are read
-    // before the next check.
+    // After a stall of this process, answers may be waiting in the sockets. They are read before
+    // the next check.
     const bool isLate = m_context.loop.now() - m_silenceCheckDue >= SilenceCheckInterval;
     m_skippedCheck = isLate && !m_skippedCheck;
     if (m_skippedCheck)
--- a/src/Net/PathProber.cpp
+++ b/src/Net/PathProber.cpp
@@ -24,11 +24,12 @@
 constexpr Duration AnswerTimeout = 400ms;
 
 /// Bytes that another router received within this time arrived while this router's request was
-/// unanswered, so that the replica was not standing still.
+/// unanswered, so that the replica was not stalled.
 constexpr Duration ReceivedWithin = 400ms;
 
-/// Unlike SilenceMonitor::isMostlySilent(), also true for a single replica with requests.
-bool isMostlySilent(const ServicePool &pool)
+/// \returns whether most replicas with requests are silent. Unlike for
+/// SilenceMonitor::isMostlySilent(), one replica suffices.
+bool areBusyReplicasSilent(const ServicePool &pool)
 {
     return 2 * pool.silence.silentReplicas(SilenceLimit) > pool.silence.busyReplicas();
 }
@@ -63,7 +64,7 @@
     if (!replica || m_probes.contains(id))
         return;
     const ServicePool &pool = m_options.pools.of(replica->service);
-    if (pool.paths.hasSilentPath() || isMostlySilent(pool))
+    if (pool.paths.hasSilentPath() || areBusyReplicasSilent(pool))
         return requestAnswer(*replica);
     m_probes[id] = std::make_shared<internal::ConnectProbe>(
             m_options.loop, replica->address, m_options.sourceIp,
@@ -131,7 +132,7 @@
     m_options.checkReceived(service, id, ReceivedWithin, [this, service, id](bool received) {
         const ReplicaRecord *silent = m_options.pools.findReplica(id);
         ServicePool &lost = m_options.pools.of(service);
-        // The replica may have gone on since the request timed out.
+        // The replica may have continued since the request timed out.
         const std::optional<Duration> since = lost.silence.sinceReceived(id);
         if (!received || !silent || (since && *since < AnswerTimeout))
             return;
--- a/src/Net/PathProber.h
+++ b/src/Net/PathProber.h
@@ -23,7 +23,7 @@
 /// While most replicas of a service are silent, a connection that is accepted proves little. They
 /// get a request that each replica rejects at once, whatever its load. If it stays unanswered and
 /// another router receives bytes from the replica, the path is lost. If no other router does, the
-/// replica stands still, and its requests wait for it.
+/// replica has stalled, and its requests wait for it.
 class PathProber
 {
 public:
--- a/src/Net/RelayClient.h
+++ b/src/Net/RelayClient.h
@@ -93,7 +93,8 @@
                    std::function<void(PathState)> done);
 
     /// \brief Asks several routers whether bytes of replica \a id of \a service arrived there
-    /// within the time \a within. \param done is called once, not from within this function.
+    /// within the time \a within.
+    /// \param done is called once, not from within this function.
     void checkReceived(const std::string &service, const std::string &id, Duration within,
                        std::function<void(bool received)> done);
 
--- a/src/Net/RetryGate.h
+++ b/src/Net/RetryGate.h
@@ -15,7 +15,7 @@
 
 /// \brief Decides whether one request may be sent once more, and to which replica.
 ///
-/// Handles a service of which a replica, several of them or all fail or stand still. Prevents that
+/// Handles a service of which a replica, several of them or all fail or stall. Prevents that
 /// a running attempt is given up before another one may begin, because its replica may still
 /// answer, and that requests are moved from one silent replica to the next.
 class RetryGate
--- a/src/Net/internal/TimerQueue.cpp
+++ b/src/Net/internal/TimerQueue.cpp
@@ -17,13 +17,13 @@
 /// Longest delay; the sum with the current time must not overflow.
 constexpr Duration MaxDelay = 24h * 365;
 
-/// Due timers wait for the sockets at most as long again as the first one is
-/// late, so that they also run if there is always something to read. The lower
-/// limit covers the few milliseconds for which every timer is late.
+/// Due timers wait for the sockets at most for the time by which the first one is late, within
+/// these limits, so that they also run if there is always something to read. Every timer is a few
+/// milliseconds late, which the lower limit covers.
 constexpr Duration MinDeferral = 10ms;
 
-/// Reading what arrived for a thousand streams takes a part of this. Drains and
-/// heartbeats are timers too and must not wait for longer.
+/// Reading what arrived for a thousand streams takes a part of this. Drains and heartbeats are
+/// timers too and must not wait for longer.
 constexpr Duration MaxDeferral = 500ms;
 
 } // namespace
@@ -120,7 +120,7 @@
     event_active(m_idle, EV_TIMEOUT, 1);
 }
 
-/// Ends the deferral, unless the loop stood still within it: the sockets were read before that. A
+/// Ends the deferral, unless the loop stalled within it: the sockets were read before that. A
 /// single extension keeps timers running in a process that is always late.
 void TimerQueue::proceed()
 {
--- a/src/Net/internal/TimerQueue.h
+++ b/src/Net/internal/TimerQueue.h
@@ -12,16 +12,13 @@
 
 namespace catkinloft::internal {
 
-/// \brief The timers of an event loop. They run in the order in which they are
-/// due.
+/// \brief The timers of an event loop. They run in the order in which they are due.
 ///
-/// Due timers run only after a poll of the sockets that found nothing to read.
-/// After a standstill of the process (a stopped process, a suspended VM, a
-/// callback that took long) many timers are due, and what would have stopped
-/// them waits in the sockets: a time-out that runs first gives up an answer
-/// that has arrived. libevent runs timers before that when epoll_wait was
-/// interrupted, when more sockets are readable than one call returns, or when
-/// one answer needs several reads.
+/// Due timers run only after a poll of the sockets that found nothing to read. After a stall (a
+/// stopped process, a suspended VM, a callback that took long) many timers are due, and what would
+/// have stopped them waits in the sockets: a timeout that runs first gives up an answer that has
+/// arrived. libevent runs timers before that when epoll_wait was interrupted, when more sockets are
+/// readable than one call returns, or when one answer needs several reads.
 class TimerQueue
 {
 public:
@@ -47,13 +44,12 @@
     void remove(const Key &key);
 
     /// \brief Removes all timers.
-    /// \returns whether there were any. Destroying their callbacks may add
-    /// others.
+    /// \returns whether there were any. Destroying their callbacks may add others.
     bool clear();
 
     /// \returns the time without the stalls of the loop, in which no timer could run for
-    /// EventLoop::MinStall or longer. The time that others take is measured with it; ages that
-    /// limit how long something holds are not.
+    /// EventLoop::MinStall or longer. Measures how long others take to answer. Expiry times use
+    /// EventLoop::now().
     TimePoint runningNow() const;
 
 private:
