--- a/review/kit/Kit.cpp
+++ b/review/kit/Kit.cpp
@@ -10,6 +10,7 @@
 #include <filesystem>
 #include <random>
 #include <set>
+#include <sstream>
 
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -295,7 +296,7 @@
 {
     std::string out = method + " " + target + " HTTP/1.1\r\n";
     for (const auto &[name, value] : headers)
-        out += name + ": " + value + "\r\n";
+        out.append(name).append(": ").append(value).append("\r\n");
     if (method == "POST")
         out += "Content-Length: " + std::to_string(body.size()) + "\r\n";
     return out + "\r\n" + body;
@@ -375,6 +376,29 @@
         kill(m_pid, number);
 }
 
+std::int64_t Process::processorMs() const
+{
+    std::ifstream in("/proc/" + std::to_string(m_pid) + "/stat");
+    std::string text;
+    std::getline(in, text);
+    // User and system time follow eleven other fields after the name in parentheses.
+    std::istringstream fields(text.substr(std::min(text.size(), text.rfind(')') + 1)));
+    std::string skipped;
+    for (int i = 0; i < 11; ++i)
+        fields >> skipped;
+    std::int64_t user = 0;
+    std::int64_t system = 0;
+    fields >> user >> system;
+    return (user + system) * 1000 / sysconf(_SC_CLK_TCK);
+}
+
+std::size_t Process::descriptors() const
+{
+    std::error_code ec;
+    const std::filesystem::directory_iterator it("/proc/" + std::to_string(m_pid) + "/fd", ec);
+    return static_cast<std::size_t>(std::distance(begin(it), end(it)));
+}
+
 bool Process::isRunning()
 {
     if (!m_ended && waitpid(m_pid, nullptr, WNOHANG) != 0) {
--- a/review/kit/Kit.h
+++ b/review/kit/Kit.h
@@ -115,6 +115,10 @@
     Process &operator=(const Process &) = delete;
 
     void signal(int number) const;
+
+    /// \returns the processor time that the process has used, in milliseconds.
+    std::int64_t processorMs() const;
+    std::size_t descriptors() const; ///< Open descriptors.
     bool isRunning();
     bool waitEnd(Milliseconds timeout);
 
