--- a/review/kit/Kit.cpp
+++ b/review/kit/Kit.cpp
@@ -212,6 +212,21 @@
     return out;
 }
 
+std::string Connection::readHead(TimePoint until)
+{
+    std::string text;
+    std::size_t end = std::string::npos;
+    while ((end = text.find("\r\n\r\n")) == std::string::npos) {
+        const auto part = readSome(4096, until);
+        if (!part || part->empty())
+            return text;
+        text += *part;
+    }
+    m_buffer.insert(0, text.substr(end + 4));
+    text.resize(end + 4);
+    return text;
+}
+
 Message Connection::read(TimePoint until, bool isAnswer)
 {
     Message out;
--- a/review/kit/Kit.h
+++ b/review/kit/Kit.h
@@ -75,6 +75,9 @@
     /// Reads the next message. \param isAnswer whether a body without framing is allowed.
     Message read(TimePoint until, bool isAnswer);
 
+    /// Reads a head up to its empty line. \returns it, or what came before the deadline or the end.
+    std::string readHead(TimePoint until);
+
     /// Reads at most \a most bytes. \returns nothing at the deadline, an empty text at the end.
     std::optional<std::string> readSome(std::size_t most, TimePoint until);
 
