--- a/review/kit/Kit.cpp
+++ b/review/kit/Kit.cpp
@@ -120,11 +120,15 @@
 std::uint16_t freePort()
 {
     static std::mt19937 random(std::random_device{}());
+    static std::set<std::uint16_t> given; // Those whose process does not listen yet.
     for (int i = 0; i < 1000; ++i) {
         const auto port = static_cast<std::uint16_t>(20'000 + random() % 10'000);
+        if (given.contains(port))
+            continue;
         const int fd = listenOn(port);
         if (fd < 0)
             continue;
+        given.insert(port);
         close(fd);
         return port;
     }
