--- a/review/kit/Kit.cpp
+++ b/review/kit/Kit.cpp
@@ -18,6 +18,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -373,6 +374,8 @@
         children.insert(m_pid);
         return;
     }
+    // The process ends with this one, however that ends.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     const int log = open(logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(log, STDOUT_FILENO);
     dup2(log, STDERR_FILENO);
