--- a/review/kit/Kit.cpp
+++ b/review/kit/Kit.cpp
@@ -475,11 +475,14 @@
     }
     // Routers hear of each other within a few heartbeats.
     std::this_thread::sleep_for(2s);
+    m_heartbeats = std::thread([this] { beat(); });
     m_record.add("fleet ready: " + std::to_string(routers) + " routers");
 }
 
 Fleet::~Fleet()
 {
+    m_isEnding = true;
+    m_heartbeats.join();
     m_routers.clear();
     m_storeProcess.reset();
     if (const char *keep = std::getenv("KEEP_LOGS"); keep && *keep != '\0') {
@@ -545,22 +548,51 @@
     }
 }
 
-void Fleet::registerReplica(const ReplicaEntry &it, const std::string &state)
+bool Fleet::writeEntry(const ReplicaEntry &it, const std::string &state)
 {
     const std::string text = R"({"service":")" + it.service + R"(","address":"127.0.0.1:)"
             + std::to_string(it.port) + R"(","zone":"hall-a","version":"v1","slots":)"
             + (it.service == "desk-app" ? "6" : "64") + R"(,"state":")" + state
             + R"(","cold-remaining-ms":0,"sequence":)" + std::to_string(++m_sequence) + "}";
-    if (!writeRow("servers", it.id, text))
+    return writeRow("servers", it.id, text);
+}
+
+void Fleet::registerReplica(const ReplicaEntry &it, const std::string &state)
+{
+    const std::lock_guard lock(m_entriesMutex);
+    m_entries[it.id] = {it, state};
+    if (!writeEntry(it, state))
         giveUp("the store refused an entry");
 }
 
+void Fleet::stopHeartbeats(const std::string &id)
+{
+    const std::lock_guard lock(m_entriesMutex);
+    m_entries.erase(id);
+}
+
 void Fleet::removeReplica(const std::string &id)
 {
+    const std::lock_guard lock(m_entriesMutex);
+    m_entries.erase(id);
     if (!writeRow("servers", id, std::nullopt))
         giveUp("the store refused to remove an entry");
 }
 
+void Fleet::beat()
+{
+    TimePoint next = now() + HeartbeatInterval;
+    while (!m_isEnding) {
+        std::this_thread::sleep_for(20ms);
+        if (now() < next)
+            continue;
+        next += HeartbeatInterval;
+        const std::lock_guard lock(m_entriesMutex);
+        for (const auto &[id, it] : m_entries)
+            writeEntry(it.first, it.second);
+    }
+}
+
 bool Fleet::writeRow(const std::string &table, const std::string &key,
                      const std::optional<std::string> &value) const
 {
--- a/review/kit/Kit.h
+++ b/review/kit/Kit.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <fstream>
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -158,10 +160,19 @@
     bool isReady(std::size_t i) const;
     const std::string &folder() const { return m_folder; }
 
-    /// \brief Writes the entry of a replica, or removes it.
+    /// \brief Writes the entry of a replica, which then writes it again with each heartbeat.
     void registerReplica(const ReplicaEntry &it, const std::string &state);
+
+    /// \brief Ends the heartbeats of a replica that was killed. Its entry stays for now.
+    void stopHeartbeats(const std::string &id);
+
+    /// \brief Removes the entry of a replica that has left, or was silent for ExpiryTime.
     void removeReplica(const std::string &id);
 
+    /// As `heartbeat-ms` of the pages, and three of them.
+    static constexpr Milliseconds HeartbeatInterval{1200};
+    static constexpr Milliseconds ExpiryTime{3600};
+
 private:
     struct Router
     {
@@ -173,6 +184,8 @@
         std::unique_ptr<Process> process;
     };
 
+    bool writeEntry(const ReplicaEntry &it, const std::string &state);
+    void beat();
     void writeSettings(std::size_t i) const;
     void writeConfig();
     bool writeRow(const std::string &table, const std::string &key,
@@ -183,7 +196,11 @@
     std::uint16_t m_store = 0;
     std::unique_ptr<Process> m_storeProcess;
     std::vector<Router> m_routers;
+    std::mutex m_entriesMutex;
+    std::map<std::string, std::pair<ReplicaEntry, std::string>> m_entries; ///< With their states.
     int m_sequence = 0;
+    std::atomic<bool> m_isEnding = false;
+    std::thread m_heartbeats;
 };
 
 /// \returns the headers of a client's request.
