Attempts are counted by their cause

Hypotheses about retries beyond the budget could not be told apart: nothing said which attempts were first ones, which were taken from the budget, and which followed an attempt of which no byte was sent. catkinloft_attempts_total{cause} counts them, and request_sent names the cause.

The routers of EntryFleet have an address for their metrics.

--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -423,6 +423,7 @@
     m_verdict = combine(m_verdict, error.verdict);
     m_history.failedOn(m_incarnation);
     endAttempt(false, error.reason, isLost || hasRelayRefused());
+    m_cause = AttemptCause::Retry;
     send(next);
 }
 
@@ -447,7 +448,10 @@
 
 void EntryCall::reportSent(const ReplicaPool::Choice &choice) const
 {
+    m_context.metrics.count("catkinloft_attempts_total",
+                            Metrics::label("cause", attemptCauseName(m_cause)));
     RequestEvent event = describe(RequestEvent::Kind::Sent);
+    event.cause = attemptCauseName(m_cause);
     event.load = choice.load;
     event.version = m_replica.version;
     event.resumes = m_request.facts.resumedId;
@@ -788,6 +792,7 @@
                  .verdict = Verdict::Ran,
                  .detail = fmt::format("replica {} answered {}", m_replica.id, m_head.status)}));
         m_history.failedOn(m_incarnation);
+        m_cause = AttemptCause::Retry;
         return send(next);
     }
     if (m_headSent) // Part of a stream was delivered by an earlier attempt.
@@ -818,9 +823,11 @@
         m_history.failedOn(m_incarnation);
     if (unreachable) {
         noteUnreachable();
+        m_cause = AttemptCause::Undelivered;
         if (m_history.wasUnreachable(m_incarnation))
             return attempt();
     }
+    m_cause = AttemptCause::Retry;
     if (isRetried)
         return attempt();
     if (m_crashedReplicas > 0) {
--- a/src/Net/EntryCall.h
+++ b/src/Net/EntryCall.h
@@ -187,6 +187,7 @@
     AttemptSilence m_silence;
     bool m_isPromptUncached = false; ///< The replica is not known to cache any part of the prompt.
     AttemptHistory m_history;
+    AttemptCause m_cause = AttemptCause::First; ///< Of the current or the next attempt.
     RetryGate m_retries;
     int m_crashedReplicas = 0; ///< Replicas that crashed during attempts of this request.
     /// \sa RequestQuarantine::Suspects. Computed on first use.
--- a/src/Net/RequestEvent.cpp
+++ b/src/Net/RequestEvent.cpp
@@ -45,7 +45,8 @@
 void appendChoice(Fields &out, const RequestEvent &it)
 {
     append(out,
-           {{"load", it.load},
+           {{"cause", it.cause},
+            {"load", it.load},
             {"mean_load", it.meanLoad},
             {"candidates", it.candidates},
             {"kept_tokens", it.cachedPromptTokens},
--- a/src/Net/RequestEvent.h
+++ b/src/Net/RequestEvent.h
@@ -34,6 +34,7 @@
     Duration elapsed = Duration::zero(); ///< Time since the request arrived.
     Duration remaining = Duration::zero(); ///< Time until its deadline.
     int attempt = 0; ///< Number of the attempt, from 1.
+    std::string_view cause = {}; ///< Why it was made, if it was sent. \sa AttemptCause
 
     std::string replica = {}; ///< Id of the replica.
     std::string address = {}; ///< Address of the replica.
--- a/src/Request/AttemptHistory.cpp
+++ b/src/Request/AttemptHistory.cpp
@@ -22,6 +22,19 @@
 
 } // namespace
 
+std::string_view attemptCauseName(AttemptCause cause)
+{
+    switch (cause) {
+    case AttemptCause::First:
+        return "first";
+    case AttemptCause::Retry:
+        return "retry";
+    case AttemptCause::Undelivered:
+        return "undelivered";
+    }
+    return "first";
+}
+
 void AttemptHistory::sent(const std::string &id)
 {
     ++m_count;
--- a/src/Request/AttemptHistory.h
+++ b/src/Request/AttemptHistory.h
@@ -2,12 +2,24 @@
 
 #include "Base/RouteConfig.h"
 
+#include <cstdint>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace catkinloft {
 
+/// \brief Why an attempt was made.
+enum class AttemptCause : std::uint8_t {
+    First, ///< The first attempt of a request.
+    Retry, ///< Permitted by the retry budget.
+    Undelivered, ///< No byte of the attempt before was sent to its replica.
+};
+
+/// \returns the name of \a cause in logs and metrics.
+std::string_view attemptCauseName(AttemptCause cause);
+
 /// \brief The replicas to which a request was sent, and whether its route allows another attempt.
 ///
 /// A route limits how many replicas may receive a request. Attempts that are known not to have
--- a/standin/fleet/EntryFleet.cpp
+++ b/standin/fleet/EntryFleet.cpp
@@ -345,12 +345,12 @@
     std::ofstream out(fmt::format("{}/router-{}.yaml", m_folder, i));
     out << fmt::format("name: \"router-{}\"\nfailure_domain: \"hall\"\ncaller_address: \"{}\"\n"
                        "readiness_address: \"{}\"\ndirectory_address: \"{}\"\n"
-                       "peer_address: \"{}\"\nstore_address: \"{}\"\n"
+                       "peer_address: \"{}\"\nmetrics_address: \"{}\"\nstore_address: \"{}\"\n"
                        "store_writes_per_second: {}\n"
                        "source_ip: \"{}\"\nrepeats:\n  share: {}\n  slack: {}\n  window: 10s\n{}",
-                       i, it.caller, it.readiness, it.directory, it.peer, it.store.listen,
-                       RowWritesPerSecond, sourceIp(i), m_options.retryShare, m_options.retrySlack,
-                       extra);
+                       i, it.caller, it.readiness, it.directory, it.peer, it.metrics,
+                       it.store.listen, RowWritesPerSecond, sourceIp(i), m_options.retryShare,
+                       m_options.retrySlack, extra);
 }
 
 void EntryFleet::startRouter(std::size_t i)
@@ -385,6 +385,7 @@
         it.directory = loopbackAddress();
         it.readiness = loopbackAddress();
         it.peer = loopbackAddress();
+        it.metrics = loopbackAddress();
         startProxy(it.store, m_store, fmt::format("store-path-{}", i));
         writeSettings(i, m_options.extraSettings);
         startRouter(i);
--- a/standin/fleet/EntryFleet.h
+++ b/standin/fleet/EntryFleet.h
@@ -67,6 +67,7 @@
     std::size_t routerCount() const { return m_routers.size(); }
     const std::string &callerAddress(std::size_t i) const { return m_routers.at(i).caller; }
     const std::string &directoryAddress(std::size_t i) const { return m_routers.at(i).directory; }
+    const std::string &metricsAddress(std::size_t i) const { return m_routers.at(i).metrics; }
     bool isReady(std::size_t i) const;
 
     ChildProcess &replica(std::size_t i) { return *m_replicas.at(i).process; }
@@ -198,6 +199,7 @@
         std::string directory;
         std::string readiness;
         std::string peer;
+        std::string metrics;
         Proxy store;
         std::unique_ptr<ChildProcess> process;
     };
--- a/test/integration/RetryBudgetTest.cpp
+++ b/test/integration/RetryBudgetTest.cpp
@@ -118,6 +118,22 @@
         CHECK(repeated.size() >= MinRepeated);
     }
 
+    /// \returns the sum of a counter over all routers.
+    double counted(const std::string &series) const
+    {
+        double out = 0;
+        for (std::size_t i = 0; i < fleet.routerCount(); ++i) {
+            const auto answer =
+                    Fleet::fetch({.address = fleet.metricsAddress(i), .target = "/metrics"});
+            REQUIRE(answer);
+            const std::string &text = answer.value().body;
+            const std::size_t at = text.find("\n" + series + " ");
+            if (at != std::string::npos)
+                out += std::stod(text.substr(at + series.size() + 2));
+        }
+        return out;
+    }
+
     static constexpr std::size_t Replicas = 12;
     static constexpr std::size_t MinRepeated = 100; ///< Otherwise nothing was shown.
 
@@ -148,3 +164,41 @@
     });
     requireWithinBudget();
 }
+
+// Guards against attempts that take nothing from the retry budget, because no byte of the attempt
+// before was sent, and arrive in addition to it.
+TEST_CASE_FIXTURE(RetryBudgetFixture, "retryBudget_replicasStopAndRestart_arrivalsHavePermits")
+{
+    callWhile([&] {
+        setFaults(R"({"lose":0.3,"refuse":0.2})");
+        // Connections to it are refused.
+        fleet.writeReplicaEntry("absent",
+                                R"({"service":"calls","zone":"hall","version":"v1","state":"ready",)"
+                                R"("address":"127.0.0.1:9","slots":8,"cold-remaining-ms":0,)"
+                                R"("sequence":1})");
+        for (std::size_t round = 0; round < 4; ++round) {
+            const std::size_t killed = round % Replicas;
+            const std::size_t stopped = (round + Replicas / 2) % Replicas;
+            fleet.replica(killed).signal(SIGKILL);
+            fleet.replica(killed).wait();
+            fleet.replica(stopped).signal(SIGSTOP);
+            for (std::size_t i = 0; i < fleet.routerCount(); ++i)
+                fleet.router(i).signal(SIGSTOP);
+            std::this_thread::sleep_for(300ms);
+            for (std::size_t i = 0; i < fleet.routerCount(); ++i)
+                fleet.router(i).signal(SIGCONT);
+            std::this_thread::sleep_for(900ms);
+            fleet.replica(stopped).signal(SIGCONT);
+            fleet.resumeReplica(killed);
+            std::this_thread::sleep_for(300ms);
+        }
+    });
+    const double permitted = counted(R"(catkinloft_attempts_total{cause="retry"})");
+    const double undelivered = counted(R"(catkinloft_attempts_total{cause="undelivered"})");
+    const auto repeated = static_cast<double>(repeatedArrivals().size());
+    MESSAGE(fmt::format("{} arrivals beyond the first, {} retries, {} attempts after an undelivered one",
+                        repeated, permitted, undelivered));
+    CHECK(repeated <= permitted);
+    CHECK(repeated >= 20); // Otherwise nothing was shown.
+    CHECK(undelivered >= 1);
+}
