Routers that stop answer the requests they still have

Callers saw: in a planned stop, requests that outlast the stop limit got no answer; their connections were closed, those of requests that may run once at most too. The process ended its event loop with the calls in it, and attempts that began late got the time of their route's deadline.

At its end a router answers what is in progress, 502 (may have run) or 503 (not run), and breaks streams off. After the window nothing is sent that has not reached a replica, and no replica gets more time than the process has left.

--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -46,6 +46,9 @@
 /// Status of a request that reached another replica than the one it names.
 constexpr int Misdirected = 421;
 
+/// Delay after which a caller may retry at another router.
+constexpr Duration ShutdownRetryDelay = 10ms;
+
 /// Delay after which a caller may retry if no replica was available, and the range of the random
 /// delay added to it so that callers do not retry at the same time.
 constexpr Duration RetryBase = 200ms;
@@ -85,9 +88,7 @@
     }
     if (m_context.isShuttingDown()) {
         m_exchange->closeAfterAnswer();
-        return refuse({.reason = Reason::Draining,
-                       .detail = "this router is shutting down",
-                       .retryAfter = 10ms});
+        return refuse(shutdownError(Verdict::NotRun));
     }
     if (isStreaming() && m_request.route->resumable)
         m_order = EventOrder(m_request.facts.lastEventId);
@@ -185,11 +186,24 @@
 
 Duration EntryCall::remaining() const
 {
-    return m_deadline - m_context.loop.now() - AnswerReserve;
+    return std::min(m_deadline, m_context.stopsAt()) - m_context.loop.now() - AnswerReserve;
+}
+
+Error EntryCall::shutdownError(Verdict verdict) const
+{
+    return {.reason = Reason::Draining,
+            .verdict = verdict,
+            .detail = "this router is shutting down",
+            .retryAfter = ShutdownRetryDelay};
 }
 
 void EntryCall::attempt()
 {
+    // What begins now might not end before the process does, and another router can run it.
+    if (m_verdict == Verdict::NotRun && m_context.isShuttingDown()) {
+        m_exchange->closeAfterAnswer();
+        return refuse(shutdownError(Verdict::NotRun));
+    }
     if (remaining() <= Duration::zero())
         return deadlineExpired();
     if (const Result<void> proven = m_context.filters.checkProof(m_request); !proven) {
@@ -886,6 +900,16 @@
     m_headSent ? breakOff(error) : refuse(error);
 }
 
+void EntryCall::stop()
+{
+    if (m_finished)
+        return;
+    const Error error = shutdownError(m_attempting ? Verdict::MayHaveRun : m_verdict);
+    endAttempt(false, error.reason, true);
+    m_exchange->closeAfterAnswer();
+    m_headSent ? breakOff(error) : refuse(error);
+}
+
 /// \returns whether the silence has another cause than its replica: the path, a stall of this
 /// process, or one that most replicas share.
 bool EntryCall::hasOtherCause() const
--- a/src/Net/EntryCall.h
+++ b/src/Net/EntryCall.h
@@ -47,6 +47,8 @@
     RandomSource random;
     std::function<int()> sharingRouters; ///< Routers that share the retry budget.
     std::function<bool()> isShuttingDown; ///< Whether new requests are refused.
+    /// When the process ends; TimePoint::max() unless it is shutting down.
+    std::function<TimePoint()> stopsAt = [] { return TimePoint::max(); };
     /// Called for each prompt that is sent to a replica, which caches it from then on.
     std::function<void(const std::string &replica, std::span<const PromptPart>)> promptSent = {};
     /// Called with the incarnation of a replica whose answer states that it is leaving.
@@ -91,6 +93,9 @@
     /// otherwise the attempt goes on.
     void checkSilence();
 
+    /// \brief Answers the caller because the process ends, or breaks off a stream.
+    void stop();
+
     const std::string &id() const { return m_request.facts.id; }
 
 private:
@@ -102,6 +107,7 @@
     void admitAndAttempt();
 
     void attempt();
+    Error shutdownError(Verdict verdict) const;
     void send(const ReplicaPool::Choice &choice);
     void reportSent(const ReplicaPool::Choice &choice) const;
     HttpCall composeCall(const std::string &copyFrom) const;
--- a/src/Net/EntryGateway.cpp
+++ b/src/Net/EntryGateway.cpp
@@ -64,6 +64,13 @@
     m_silenceTimer.start(SilenceCheckInterval);
 }
 
+void EntryGateway::stop()
+{
+    const std::vector<std::shared_ptr<EntryCall>> calls(m_calls.begin(), m_calls.end());
+    for (const auto &it : calls)
+        it->stop();
+}
+
 std::vector<std::string> EntryGateway::unfinished() const
 {
     std::vector<std::string> out;
--- a/src/Net/EntryGateway.h
+++ b/src/Net/EntryGateway.h
@@ -24,6 +24,9 @@
     /// \brief Closes connections after their answers from now on.
     void leave() { m_leaving = true; }
 
+    /// \brief Answers all requests in progress because the process ends. \sa EntryCall::stop
+    void stop();
+
     std::size_t inProgress() const { return m_calls.size(); }
 
     /// \returns the ids of the requests in progress.
--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -62,6 +62,10 @@
 /// Part of the stop timeout that is reserved for the shutdown of the process itself.
 constexpr Duration StopMargin = 300ms;
 
+/// Time in which the answers to the requests that are still in progress at the end of the stop timeout
+/// are written. It is a part of StopMargin.
+constexpr Duration LastAnswersTime = 100ms;
+
 constexpr Duration DrainPoll = 50ms;
 
 /// Shortest time between log lines about connections beyond the limit, of which there may be
@@ -420,6 +424,7 @@
                .random = random,
                .sharingRouters = [this] { return knownRouters(); },
                .isShuttingDown = [this] { return loop.now() >= refuseFrom; },
+               .stopsAt = [this] { return stopAt; },
                .promptSent =
                        [this](const std::string &replica, std::span<const PromptPart> prompt) {
                            if (settings.mechanisms.promptAnnouncements)
@@ -883,8 +888,12 @@
         return;
     for (const std::string &it : left)
         Log::warning("cut_off", {{"request_id", it}});
-    Log::info("stopped", {{"cut_off", left.size()}});
-    loop.stop();
+    Log::info("stopped", {{"cut_off", left.size()}, {"relays_cut_off", relayServer.inProgress()}});
+    gateway.stop();
+    drainTimer.stop();
+    if (left.empty())
+        return loop.stop();
+    loop.after(LastAnswersTime, [this] { loop.stop(); });
 }
 
 EntryProcess::EntryProcess(const EntrySettings &settings, std::string settingsFile,
--- a/test/EntryRequestTest.cpp
+++ b/test/EntryRequestTest.cpp
@@ -155,6 +155,7 @@
                      },
              .replicaCrashed = [this](const std::string &it) { pools.noteCrashed(it, 3s); }}};
     bool isShuttingDown = false;
+    TimePoint stopsAt = TimePoint::max();
     /// Software that began the streams which callers resume; by default that of all replicas.
     std::optional<std::string> origin = "svc ";
     std::vector<StreamOriginQuestion> questions;
@@ -174,6 +175,7 @@
              .random = seededRandom(2),
              .sharingRouters = [] { return 1; },
              .isShuttingDown = [this] { return isShuttingDown; },
+             .stopsAt = [this] { return stopsAt; },
              .replicaLeaving =
                      [this](const std::string &it) {
                          registry.markLeaving(it, ReplicaRegistry::LeavingSource::Answer);
@@ -1292,6 +1294,38 @@
     CHECK(kinds(events) == "request_sent caller_gone ");
 }
 
+// Guards against requests that are cut off without an answer when the process ends, and against
+// work that begins too late to end before it.
+TEST_CASE_FIXTURE(EntryGatewayFixture, "entryRequest_processStops_requestsAreAnswered")
+{
+    bool isSilent = true;
+    addReplica([&](const std::string &request, std::size_t) -> Reply {
+        return {.bytes = isSilent ? "" : ScriptedReplica::answer(request, 200, "late")};
+    });
+    SUBCASE("a request that may run is told so")
+    {
+        RawCaller caller(Port);
+        caller.send(request("POST", "/once/", {}, "x"));
+        REQUIRE(until([&] { return replicas.front()->requests().size() == 1; }));
+        gateway.stop();
+        CHECK(until([&] { return caller.read(); }));
+        CHECK(caller.received.starts_with("HTTP/1.1 502"));
+        CHECK(caller.received.find("may_have_run") != std::string::npos);
+        CHECK(gateway.inProgress() == 0);
+    }
+    SUBCASE("a replica gets no more time than the process has left")
+    {
+        stopsAt = loop.now() + 500ms;
+        isSilent = false;
+        RawCaller caller(Port);
+        CHECK(call(caller, request("POST", "/once/", {}, "x"), "late")
+                      .starts_with("HTTP/1.1 200"));
+        const std::string deadline = ScriptedReplica::headerOf(
+                replicas.front()->requests().front(), "X-Request-Deadline");
+        CHECK(std::atoi(deadline.c_str()) <= 500);
+    }
+}
+
 // Guards against a broken answer without a length and chunks that reaches its caller as a whole
 // one.
 TEST_CASE_FIXTURE(EntryGatewayFixture, "entryRequest_replicaCrashesInUnframedAnswer_isNotComplete")
--- a/test/integration/EntryTest.cpp
+++ b/test/integration/EntryTest.cpp
@@ -8,6 +8,7 @@
 #include <atomic>
 #include <csignal>
 #include <map>
+#include <mutex>
 #include <optional>
 #include <set>
 #include <string>
@@ -558,6 +559,52 @@
     CHECK(fleet.router(0).wait() == 0);
 }
 
+// Guards against requests that a router takes during a planned stop and cuts off without an answer
+// when it ends.
+TEST_CASE_FIXTURE(EntryFleetFixture, "entry_plannedStop_requestsThatOutlastItAreAnswered")
+{
+    constexpr int Phases = 3;
+    constexpr int CallersPerPhase = 6;
+    fleet.changeSettings(0, "stop_limit: 2500ms\n");
+    fleet.router(0).signal(SIGHUP);
+    std::this_thread::sleep_for(500ms);
+    for (std::size_t i = 0; i < fleet.replicaCount(); ++i)
+        REQUIRE(fleet.setReplicaFaults(i, R"({"call_ms":3500})"));
+    std::map<std::string, int> statuses; // Of each request; 0: none.
+    std::mutex mutex;
+    std::vector<std::thread> callers;
+    for (int phase = 0; phase < Phases; ++phase) {
+        for (int i = 0; i < CallersPerPhase; ++i) {
+            callers.emplace_back([&, id = fmt::format("p{}-{}", phase, i), i] {
+                const Result<HttpAnswer> answer =
+                        Fleet::fetch({.address = fleet.callerAddress(0),
+                                      .target = i % 2 == 0 ? "/once/a" : "/safe/a",
+                                      .headers = {{"Host", EntryFleet::Host},
+                                                  {"X-Request-Id", id},
+                                                  {"Authorization",
+                                                   std::string("Bearer ") + EntryFleet::Key}},
+                                      .timeout = 6s});
+                const std::lock_guard lock(mutex);
+                statuses[id] = answer ? answer.value().head.status : 0;
+            });
+        }
+        std::this_thread::sleep_for(300ms);
+        if (phase == 0)
+            fleet.router(0).signal(SIGTERM);
+    }
+    for (std::thread &it : callers)
+        it.join();
+    CHECK(fleet.router(0).wait() == 0);
+    REQUIRE(statuses.size() == Phases * CallersPerPhase);
+    for (const auto &[id, status] : statuses) {
+        CAPTURE(id);
+        CAPTURE(status);
+        CHECK(status != 0);
+        if (executionsOf(id) > 0)
+            CHECK(status == 502);
+    }
+}
+
 TEST_CASE_FIXTURE(EntryFleetFixture, "entry_allRoutersKilled_serveAgainAfterTheirRestart")
 {
     for (std::size_t i = 0; i < fleet.routerCount(); ++i)
