Long bodies on kept connections are read

HttpExchange limits what is read ahead while an answer is pending by a read watermark, and nothing took it back. evhttp takes a body with a length, or a chunk, only when all of it was read. The exchange now removes the watermark with the request.

--- a/src/Net/HttpExchange.cpp
+++ b/src/Net/HttpExchange.cpp
@@ -116,6 +116,8 @@
 {
     evhttp_connection *con = evhttp_request_get_connection(m_request);
     evhttp_connection_set_closecb(con, nullptr, nullptr);
+    // evhttp takes the body of the next request only when all of it was read.
+    bufferevent_setwatermark(evhttp_connection_get_bufferevent(con), EV_READ, 0, 0);
     m_onClosed = nullptr;
     m_onDrained = nullptr;
     m_body = {};
--- /dev/null
+++ b/test/KeptConnectionTest.cpp
@@ -0,0 +1,126 @@
+#include "Net/EventLoop.h"
+#include "Net/HttpServer.h"
+#include "RawCaller.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <fmt/format.h>
+#include <unistd.h>
+
+using namespace catkinloft;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t MaxBody = 4 * 1024 * 1024;
+
+/// A server that answers each request with the length of its body, some milliseconds later.
+struct KeptConnectionFixture
+{
+    KeptConnectionFixture()
+    {
+        for (port = 21'400; port < 21'800 && !server; ++port) {
+            auto it = std::make_unique<HttpServer>(
+                    loop,
+                    HttpServer::Options{.address = fmt::format("127.0.0.1:{}", port),
+                                        .limits = {.maxHeaderBytes = 8192,
+                                                   .maxBodyBytes = MaxBody,
+                                                   .maxConnections = 100,
+                                                   .idleTimeout = 10s}},
+                    [this](const HttpExchangePtr &exchange) {
+                        loop.after(5ms, [exchange] {
+                            const std::string text = fmt::format("<{}>", exchange->body().size());
+                            exchange->respond(200, {}, text);
+                        });
+                    });
+            if (it->listen())
+                server = std::move(it);
+        }
+        --port;
+        REQUIRE(server);
+    }
+
+    bool until(const std::function<bool()> &condition, Duration limit = 5s)
+    {
+        const TimePoint end = loop.now() + limit;
+        while (!condition() && loop.now() < end) {
+            loop.runOnce();
+            usleep(200);
+        }
+        return condition();
+    }
+
+    static std::string request(std::size_t bytes, bool inChunks)
+    {
+        const std::string head = "POST / HTTP/1.1\r\nHost: x\r\n";
+        const std::string body(bytes, 'a');
+        if (!inChunks)
+            return fmt::format("{}Content-Length: {}\r\n\r\n{}", head, bytes, body);
+        const std::string chunk =
+                bytes > 0 ? fmt::format("{:x}\r\n{}\r\n", bytes, body) : std::string();
+        return fmt::format("{}Transfer-Encoding: chunked\r\n\r\n{}0\r\n\r\n", head, chunk);
+    }
+
+    /// Sends \a text on \a caller in pieces of at most \a piece bytes.
+    /// \returns whether the answer to it arrives.
+    bool isAnswered(RawCaller &caller, const std::string &text, std::size_t piece,
+                    const std::string &answer)
+    {
+        caller.received.clear();
+        std::size_t sent = 0;
+        return until([&] {
+            if (sent < text.size())
+                sent += caller.sendSome(text.substr(sent, piece));
+            caller.read();
+            return caller.received.find(answer) != std::string::npos;
+        });
+    }
+
+    EventLoop loop;
+    std::unique_ptr<HttpServer> server;
+    std::uint16_t port = 0;
+};
+
+} // namespace
+
+// Guards against requests on a kept connection that are never read or answered, because the limit
+// for what is read while an answer is pending stays in force after the answer.
+TEST_CASE_FIXTURE(KeptConnectionFixture, "listener_longBodyOnAKeptConnection_isAnswered")
+{
+    for (const std::size_t bytes : {0UL, 1UL, 65'535UL, 65'536UL, 65'537UL, 72'000UL, MaxBody}) {
+        for (const bool inChunks : {false, true}) {
+            for (const std::size_t piece : {std::size_t(1) << 20, std::size_t(60'000)}) {
+                RawCaller caller(port);
+                const std::string text = request(bytes, inChunks);
+                for (int number = 1; number <= 10; ++number) {
+                    CAPTURE(bytes);
+                    CAPTURE(inChunks);
+                    CAPTURE(piece);
+                    CAPTURE(number);
+                    REQUIRE(isAnswered(caller, text, piece, fmt::format("<{}>", bytes)));
+                }
+            }
+        }
+    }
+}
+
+// Guards against the same for a request that waits behind one that is not answered yet.
+TEST_CASE_FIXTURE(KeptConnectionFixture, "listener_longBodyIsPipelined_bothAreAnswered")
+{
+    RawCaller caller(port);
+    const std::string text = request(1, false) + request(300'000, false);
+    std::size_t sent = 0;
+    CHECK(until([&] {
+        if (sent < text.size())
+            sent += caller.sendSome(text.substr(sent));
+        caller.read();
+        return caller.received.find("<300000>") != std::string::npos;
+    }));
+    CHECK(caller.received.find("<1>") != std::string::npos);
+}
--- a/test/RawCaller.h
+++ b/test/RawCaller.h
@@ -35,6 +35,13 @@
         ::send(m_fd, text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
     }
 
+    /// \returns the number of bytes that the system accepted.
+    std::size_t sendSome(const std::string &text) const
+    {
+        const ssize_t n = ::send(m_fd, text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+        return n > 0 ? static_cast<std::size_t>(n) : 0;
+    }
+
     void finish() const { shutdown(m_fd, SHUT_WR); }
 
     /// \returns whether the listener has closed the connection.
