Requests to replicas state the length of the bytes that follow

evhttp adds Content-Length for POST and PUT only, but writes the body of every method, and takes over a length that is given. HttpConnection now drops the framing headers of a call and states the length of its bytes, whatever the method is. A method that it doesn't know was sent as GET; it is not sent any more.

--- a/src/Net/internal/HttpConnection.cpp
+++ b/src/Net/internal/HttpConnection.cpp
@@ -30,8 +30,10 @@
 
 constexpr int Continue = 100;
 
-evhttp_cmd_type commandOf(std::string_view method)
+std::optional<evhttp_cmd_type> commandOf(std::string_view method)
 {
+    if (method == "GET")
+        return EVHTTP_REQ_GET;
     if (method == "POST")
         return EVHTTP_REQ_POST;
     if (method == "PUT")
@@ -44,7 +46,19 @@
         return EVHTTP_REQ_HEAD;
     if (method == "OPTIONS")
         return EVHTTP_REQ_OPTIONS;
-    return EVHTTP_REQ_GET;
+    return std::nullopt;
+}
+
+/// \returns whether a receiver expects a body after \a method, so that its absence is stated too.
+bool expectsBody(std::string_view method)
+{
+    return method == "POST" || method == "PUT" || method == "PATCH";
+}
+
+bool isFraming(const std::string &header)
+{
+    return strcasecmp(header.c_str(), "Content-Length") == 0
+            || strcasecmp(header.c_str(), "Transfer-Encoding") == 0;
 }
 
 HttpHead headOf(evhttp_request *request)
@@ -174,6 +188,12 @@
         fail(Reason::UpstreamUnreachable, "no certificates to verify the upstream with");
         return;
     }
+    const std::optional<evhttp_cmd_type> command = commandOf(call.method);
+    if (!command) {
+        m_reusable = false;
+        fail(Reason::Internal, "the method of the request is not known");
+        return;
+    }
     m_request = evhttp_request_new(&HttpConnection::onDone, this);
     evhttp_request_set_header_cb(m_request, [](evhttp_request *request, void *arg) {
         onHead(request, static_cast<HttpConnection *>(arg));
@@ -194,12 +214,18 @@
         static_cast<HttpConnection *>(arg)->m_errorCode = error;
     });
     evkeyvalq *out = evhttp_request_get_output_headers(m_request);
-    for (const auto &[name, value] : call.headers)
-        evhttp_add_header(out, name.c_str(), value.c_str());
+    // The length is that of the bytes that are sent. evhttp states it only for some methods, and
+    // takes over any that is given.
+    for (const auto &[name, value] : call.headers) {
+        if (!isFraming(name))
+            evhttp_add_header(out, name.c_str(), value.c_str());
+    }
+    if (!call.body.empty() || expectsBody(call.method))
+        evhttp_add_header(out, "Content-Length", std::to_string(call.body.size()).c_str());
     if (!evhttp_find_header(out, "Host"))
         evhttp_add_header(out, "Host", call.address.c_str());
     evbuffer_add(evhttp_request_get_output_buffer(m_request), call.body.data(), call.body.size());
-    if (evhttp_make_request(m_connection, m_request, commandOf(call.method), call.target.c_str())
+    if (evhttp_make_request(m_connection, m_request, *command, call.target.c_str())
         != 0) {
         // evhttp has freed the request.
         m_request = nullptr;
