Answers to HEAD have no body

HttpExchange::respond wrote the body whatever the method was; evhttp leaves out its length after HEAD.

--- a/src/Net/HttpExchange.cpp
+++ b/src/Net/HttpExchange.cpp
@@ -186,7 +186,9 @@
     if (!isOpen() || m_streaming)
         return;
     addHeaders(headers);
-    evbuffer_add(evhttp_request_get_output_buffer(m_request), body.data(), body.size());
+    // The caller reads no body after HEAD, and would take its bytes for the next answer.
+    if (m_method != "HEAD")
+        evbuffer_add(evhttp_request_get_output_buffer(m_request), body.data(), body.size());
     evhttp_send_reply(takeRequest(), status, nullptr, nullptr);
 }
 
--- a/test/KeptConnectionTest.cpp
+++ b/test/KeptConnectionTest.cpp
@@ -124,3 +124,16 @@
     }));
     CHECK(caller.received.find("<1>") != std::string::npos);
 }
+
+// Guards against bytes of a body after an answer to HEAD, which the caller takes for the next answer.
+TEST_CASE_FIXTURE(KeptConnectionFixture, "listener_headIsAnswered_hasNoBody")
+{
+    RawCaller caller(port);
+    caller.send("HEAD / HTTP/1.1\r\nHost: x\r\n\r\n" + request(2, false));
+    CHECK(until([&] {
+        caller.read();
+        return caller.received.find("<2>") != std::string::npos;
+    }));
+    CHECK(caller.received.find("<0>") == std::string::npos);
+    CHECK(caller.received.find("\r\n\r\nHTTP/1.1 200") != std::string::npos);
+}
