Answers without a length are whole only if their replica is known to run

The end of such an answer is the end of its connection. EntryCall and RelayServer took it for complete unless the replica was found to have crashed; where nobody could tell ("unknown", "crashed_before"), it counted as complete. Proof is now that the replica accepts a connection and keeps it open (State::Alive); all else breaks the answer off, or fails the call.

relay_replicaCrashesInUnframedAnswer_endIsNotRegular had a case that asked for the opposite: own path refused, another router reaches the replica, answer complete. That the replica runs doesn't prove that the lost path delivered all of the answer, so the case now asks for an irregular end; the check is as strict.

--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -328,7 +328,7 @@
 }
 
 /// An answer without a length and chunks ends with its connection, as does that of a replica that
-/// crashes. A replica that still runs has completed it.
+/// ends or of a lost path. Only a replica that is known to run has completed it.
 void EntryCall::verifyEnd()
 {
     m_context.metrics.count("catkinloft_unframed_answers_total");
@@ -343,11 +343,11 @@
 
 void EntryCall::endVerified(CrashWatch::State state)
 {
-    if (state != CrashWatch::State::Crashed)
+    if (state == CrashWatch::State::Alive)
         return succeed();
     crashChecked({.reason = Reason::UpstreamBroken,
                   .verdict = Verdict::MayHaveRun,
-                  .detail = "the replica crashed at the end of an answer without a length"},
+                  .detail = "an answer without a length ended, and its replica is not known to run"},
                  state, true);
 }
 
--- a/src/Net/RelayServer.cpp
+++ b/src/Net/RelayServer.cpp
@@ -72,7 +72,7 @@
     void onData(Relay &it, std::string_view data) const;
     void onEnd(const RelayPtr &it, const Result<void> &result);
     void checkForCrash(const RelayPtr &it, CrashWatch::AliveCriterion criterion,
-                       std::function<void(const RelayPtr &, bool crashed)> checked);
+                       std::function<void(const RelayPtr &, CrashWatch::State)> checked);
     void complete(const RelayPtr &it);
     void fail(const RelayPtr &it, const Error &error, bool hasReplicaCrashed);
     static void refuse(HttpExchange &exchange, const Error &error);
@@ -232,15 +232,15 @@
     // The sender gets the answer in chunks, so the end of one without framing is verified here.
     if (result && it->head.isUnframed && it->head.status / 100 == 2)
         return checkForCrash(it, CrashWatch::AliveCriterion::Proven,
-                             [this](const RelayPtr &held, bool crashed) {
-                                 if (!crashed)
+                             [this](const RelayPtr &held, CrashWatch::State state) {
+                                 if (state == CrashWatch::State::Alive)
                                      return complete(held);
                                  fail(held,
                                       {.reason = Reason::UpstreamBroken,
                                        .verdict = Verdict::MayHaveRun,
-                                       .detail = "the replica crashed at the end of an answer "
-                                                 "without a length"},
-                                      true);
+                                       .detail = "an answer without a length ended, and its "
+                                                 "replica is not known to run"},
+                                      state == CrashWatch::State::Crashed);
                              });
     if (result)
         return complete(it);
@@ -252,12 +252,14 @@
         return fail(it, error, false);
     checkForCrash(
             it, CrashWatch::AliveCriterion::Accepts,
-            [this, error](const RelayPtr &held, bool crashed) { fail(held, error, crashed); });
+            [this, error](const RelayPtr &held, CrashWatch::State state) {
+                fail(held, error, state == CrashWatch::State::Crashed);
+            });
 }
 
 void RelayServer::Private::checkForCrash(
         const RelayPtr &it, CrashWatch::AliveCriterion criterion,
-        std::function<void(const RelayPtr &, bool crashed)> checked)
+        std::function<void(const RelayPtr &, CrashWatch::State)> checked)
 {
     options.crashes.checkReplica({.requestId = {},
                                   .suspects = it->ticket.suspects,
@@ -269,7 +271,7 @@
                                  [weak = std::weak_ptr<Relay>(it),
                                   checked = std::move(checked)](CrashWatch::State state) {
                                      if (const RelayPtr held = weak.lock())
-                                         checked(held, state == CrashWatch::State::Crashed);
+                                         checked(held, state);
                                  });
 }
 
--- a/test/EntryRequestTest.cpp
+++ b/test/EntryRequestTest.cpp
@@ -146,9 +146,13 @@
     ReplicaRegistry registry{{.clock = loop}};
     std::uint64_t version = 0;
     RequestQuarantine quarantine{{.clock = loop, .random = seededRandom(3)}};
+    CrashWatch::Finding finding = CrashWatch::Finding::Crashed;
     CrashWatch crashes{
             {.loop = loop,
              .metrics = metrics,
+             .confirm = [this](const std::string &,
+                               const std::function<void(CrashWatch::Finding)> &done,
+                               const std::function<void()> &) { done(finding); },
              .attemptCrashed =
                      [this](const CrashWatch::BrokenAttempt &it, TimePoint crashedAt) {
                          quarantine.replicaCrashed(it.suspects, it.replica, it.software, crashedAt);
@@ -1353,6 +1357,19 @@
         CHECK(caller.received.find("e1") != std::string::npos);
         CHECK(caller.received.find("0\r\n\r\n") == std::string::npos);
     }
+    SUBCASE("call whose replica ends as a planned stop does, which nobody can confirm")
+    {
+        finding = CrashWatch::Finding::NotCrashed;
+        const std::string answer = call(caller, request("POST", "/once/", {}, "x"), "\r\n\r\n");
+        CHECK(answer.starts_with("HTTP/1.1 502"));
+    }
+    SUBCASE("stream whose replica ends as a planned stop does, which nobody can confirm")
+    {
+        finding = CrashWatch::Finding::NotCrashed;
+        call(caller, get("/whole/"), "0\r\n\r\n");
+        CHECK(closed);
+        CHECK(caller.received.find("0\r\n\r\n") == std::string::npos);
+    }
     SUBCASE("call whose replica goes on")
     {
         end = End::Close;
--- a/test/RelayTest.cpp
+++ b/test/RelayTest.cpp
@@ -339,11 +339,11 @@
         CHECK_FALSE(*result);
         CHECK(crashedWith.empty());
     }
-    SUBCASE("the path to the replica was lost, and another router reaches it")
+    SUBCASE("this router doesn't reach the replica any more, and it is not known to have crashed")
     {
         finding = CrashWatch::Finding::NotCrashed;
         send(relayedCall());
-        CHECK(*result);
+        CHECK_FALSE(*result);
         CHECK(crashedWith.empty());
     }
     SUBCASE("the replica goes on")
