Streams are read by the whole grammar of text/event-stream

SseReader knew one form of an id and one end of an event.

It now takes lines that end with CR, LF or both, at most one space after the colon, comments, fields without a value, a byte order mark and an id with NUL. A stream that delivered data after its last id isn't resumed: what would be repeated is not known.

--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -418,8 +418,9 @@
 
 void EntryCall::replaceAttempt(bool isLost)
 {
-    // Otherwise it must not run twice, or an event is missing; the answer may still arrive.
-    if (!m_request.route->isIdempotent() || m_order.hasLostEvent())
+    // Otherwise it must not run twice, or the stream can't go on elsewhere; the answer may still
+    // arrive.
+    if (!m_request.route->isIdempotent() || !m_order.isResumable())
         return;
     const Error error{.reason = Reason::UpstreamTimeout,
                       .verdict = Verdict::MayHaveRun,
@@ -658,7 +659,7 @@
         return; // An earlier event of the same chunk ended the attempt.
     m_pace.add(m_context.loop.now());
     const std::optional<std::int64_t> last = m_order.last();
-    switch (m_order.take(event.id)) {
+    switch (m_order.take(event.id, event.hasData)) {
     case EventOrder::Disposition::Deliver:
         break;
     case EventOrder::Disposition::Skip:
@@ -795,7 +796,8 @@
                  .detail = "the replica refused without stating that the request did not run"});
     m_verdict = Verdict::Ran;
     // If the request cannot be retried, this error answer is delivered: it is better than none.
-    const bool mayRepeat = m_head.status >= 500 && m_request.route->isIdempotent();
+    const bool mayRepeat = m_head.status >= 500 && m_request.route->isIdempotent()
+            && m_order.isResumable();
     const ReplicaPool::Choice next = mayRepeat
             ? m_retries.permitAfterAnswer(retryQuery(), m_incarnation)
             : ReplicaPool::Choice();
@@ -823,9 +825,8 @@
 {
     const bool unreachable =
             error.verdict == Verdict::NotRun && (hasRelayRefused() || isUnreachable(error));
-    // A missing event cannot be delivered any more after a later one was.
     const bool safe = (error.verdict == Verdict::NotRun || m_request.route->isIdempotent())
-            && !m_order.hasLostEvent();
+            && m_order.isResumable();
     m_retries.reset();
     if (!safe)
         m_retries.denyRepeat();
--- a/src/Request/EventOrder.cpp
+++ b/src/Request/EventOrder.cpp
@@ -15,10 +15,12 @@
     return m_last ? id - 1 == *m_last : id <= 1; // The first event of a stream has id 0 or 1.
 }
 
-EventOrder::Disposition EventOrder::take(std::optional<std::int64_t> id)
+EventOrder::Disposition EventOrder::take(std::optional<std::int64_t> id, bool hasData)
 {
-    if (!id)
+    if (!id) {
+        m_hasUnnumberedData = m_hasUnnumberedData || hasData;
         return Disposition::Deliver;
+    }
     if (m_lastOnConnection && *id <= *m_lastOnConnection) {
         m_hasLostEvent = m_hasLostEvent || m_deliveredOnConnection;
         return Disposition::Disorder;
@@ -32,6 +34,7 @@
     m_consecutive = m_consecutive && continues(*id);
     m_delivered = true;
     m_deliveredOnConnection = true;
+    m_hasUnnumberedData = false;
     m_last = id;
     return Disposition::Deliver;
 }
--- a/src/Request/EventOrder.h
+++ b/src/Request/EventOrder.h
@@ -31,8 +31,9 @@
 
     /// \brief Checks and records the next event.
     /// \param id id of the event; an event without one is always delivered.
+    /// \param hasData whether the event has data, unlike a comment.
     /// \returns what to do with the event.
-    Disposition take(std::optional<std::int64_t> id);
+    Disposition take(std::optional<std::int64_t> id, bool hasData = true);
 
     /// \returns the id of the last event that the caller has.
     std::optional<std::int64_t> last() const { return m_last; }
@@ -41,6 +42,10 @@
     /// can't be completed any more.
     bool hasLostEvent() const { return m_hasLostEvent; }
 
+    /// \returns whether another connection can go on where this one ended: the caller lacks no
+    /// event, and has no data after the last id.
+    bool isResumable() const { return !m_hasLostEvent && !m_hasUnnumberedData; }
+
 private:
     bool continues(std::int64_t id) const;
 
@@ -50,6 +55,7 @@
     bool m_deliveredOnConnection = false; ///< An event was delivered on the current connection.
     bool m_consecutive = true; ///< All ids delivered so far were consecutive.
     bool m_hasLostEvent = false;
+    bool m_hasUnnumberedData = false; ///< Data was delivered without an id since the last one.
 };
 
 } // namespace catkinloft
--- a/src/Request/SseReader.h
+++ b/src/Request/SseReader.h
@@ -14,17 +14,20 @@
 {
     std::string_view text; ///< As received, with the empty line that ends it.
     std::optional<std::int64_t> id = {}; ///< Number of the token; empty for heartbeats.
+    bool hasData = false; ///< Whether it has a field `data`; comments and heartbeats have none.
     bool isEnd = false; ///< Whether this is the marker after the last token.
 };
 
-/// \brief Splits a stream of bytes into server-sent events. Buffers an incomplete event, so that
-/// callers receive whole events only. Does no I/O.
+/// \brief Splits a stream of bytes into server-sent events, by the grammar of `text/event-stream`:
+/// lines end with CR, LF or both, and a field's value follows the colon and at most one space.
+/// Buffers an incomplete event, so that callers receive whole events only. Does no I/O.
 class SseReader
 {
 public:
     using Receiver = std::function<void(const SseEvent &)>;
 
-    /// \brief Calls \a receive for each event that is complete with \a data.
+    /// \brief Calls \a receive for each event that is complete with \a data. All events together
+    /// are the bytes of the stream.
     /// \param data next bytes of the stream, in pieces of any length.
     /// \returns false if an incomplete event exceeds the maximum size.
     bool feed(std::string_view data, const Receiver &receive);
@@ -32,11 +35,17 @@
     /// \returns whether an incomplete event is buffered.
     bool hasPartialEvent() const { return !m_partialEvent.empty(); }
 
+    /// \returns the size of the incomplete event that is buffered.
+    std::size_t bufferedBytes() const { return m_partialEvent.size(); }
+
     /// \brief Discards an incomplete event after the connection broke.
-    void reset() { m_partialEvent.clear(); }
+    void reset();
 
 private:
     std::string m_partialEvent;
+    std::size_t m_lineBegin = 0; ///< Of the incomplete line, within m_partialEvent.
+    std::size_t m_scanned = 0; ///< Bytes of m_partialEvent without another end of a line.
+    bool m_endedWithCr = false; ///< An LF that follows belongs to the last line.
 };
 
 } // namespace catkinloft
--- a/test/StreamResumeTest.cpp
+++ b/test/StreamResumeTest.cpp
@@ -4,6 +4,13 @@
 
 #include <doctest/doctest.h>
 
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
+
 #include <fmt/format.h>
 
 using namespace catkinloft;
@@ -39,6 +46,24 @@
     bool ended = false;
 };
 
+/// \returns the number of empty lines in \a text, each of which ends an event.
+int referenceEvents(const std::string &text)
+{
+    int out = 0;
+    bool isLineEmpty = true;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        if (text[i] != '\r' && text[i] != '\n') {
+            isLineEmpty = false;
+            continue;
+        }
+        if (text[i] == '\r' && i + 1 < text.size() && text[i + 1] == '\n')
+            ++i;
+        out += isLineEmpty ? 1 : 0;
+        isLineEmpty = true;
+    }
+    return out;
+}
+
 using Disposition = EventOrder::Disposition;
 
 /// \returns the results of \a order for the events \a ids on the current connection.
@@ -141,6 +166,90 @@
     }
 }
 
+// Guards against streams whose events aren't recognised, and are dropped or delivered twice, because
+// a replica uses another form that the grammar allows.
+TEST_CASE("sseReader_formsOfTheGrammar_areRead")
+{
+    struct Form
+    {
+        std::string text;
+        std::optional<std::int64_t> id;
+        bool hasData;
+    };
+    const std::vector<Form> forms = {
+            {"id: 7\ndata: a\n\n", 7, true},
+            {"id:7\ndata:a\n\n", 7, true},
+            {"id:7\r\ndata:a\r\n\r\n", 7, true},
+            {"id:7\rdata:a\r\r", 7, true},
+            {"id: 7\r\ndata: a\n\r\n", 7, true},
+            {"\xef\xbb\xbfid:7\ndata\n\n", 7, true},
+            {"data: a\ndata: b\nid: 7\n\n", 7, true},
+            {": comment\n\n", std::nullopt, false},
+            {"retry: 100\n\n", std::nullopt, false},
+            {"id\ndata:a\n\n", std::nullopt, true},
+            {"id:  7\ndata:a\n\n", std::nullopt, true}, // One space is removed at most.
+            {std::string("id:7\0\ndata:a\n\n", 14), std::nullopt, true},
+            {"data:a\n\n", std::nullopt, true},
+            {"ids: 7\nid : 7\n\n", std::nullopt, false},
+    };
+    for (const Form &it : forms) {
+        CAPTURE(it.text);
+        SseReader reader;
+        int events = 0;
+        CHECK(reader.feed(it.text, [&](const SseEvent &event) {
+            ++events;
+            CHECK(event.text == it.text);
+            CHECK(event.id == it.id);
+            CHECK(event.hasData == it.hasData);
+        }));
+        CHECK(events == 1);
+        CHECK(!reader.hasPartialEvent());
+    }
+}
+
+// Guards against a reader that loses or adds bytes, or joins events, depending on how the bytes
+// arrive. The reference reads the whole text at once, character by character.
+TEST_CASE("sseReader_randomTextInRandomPieces_matchesReference")
+{
+    constexpr std::string_view Alphabet = "\r\n\r\nid:7a ";
+    constexpr int Texts = 20'000;
+    std::mt19937 random(1);
+    const auto below = [&random](std::size_t n) { return random() % n; };
+    for (int round = 0; round < Texts; ++round) {
+        std::string text;
+        for (std::size_t i = below(24); i > 0; --i)
+            text += Alphabet[below(Alphabet.size())];
+        CAPTURE(text);
+        SseReader reader;
+        std::string read;
+        int events = 0;
+        for (std::size_t at = 0; at < text.size();) {
+            const std::size_t n = 1 + below(text.size() - at);
+            CHECK(reader.feed(std::string_view(text).substr(at, n), [&](const SseEvent &it) {
+                read += it.text;
+                events += it.text == "\n" && read.ends_with("\r\n") ? 0 : 1;
+            }));
+            at += n;
+        }
+        CHECK(read.size() + reader.bufferedBytes() == text.size());
+        CHECK(text.starts_with(read));
+        CHECK(events == referenceEvents(text));
+    }
+}
+
+TEST_CASE("eventOrder_dataWithoutAnId_isNotResumable")
+{
+    EventOrder order;
+    CHECK(order.isResumable());
+    order.take(1);
+    CHECK(order.take(std::nullopt, false) == Disposition::Deliver);
+    CHECK(order.isResumable());
+    CHECK(order.take(std::nullopt, true) == Disposition::Deliver);
+    CHECK(!order.isResumable());
+    CHECK(order.take(2) == Disposition::Deliver);
+    CHECK(order.isResumable());
+}
+
 TEST_CASE_FIXTURE(StreamFixture, "streamCursor_brokenAndResumed_deliversEachTokenOnce")
 {
     feed(streamOf(0, 5) + "id: 5\ndata: {\"tok");
