--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -345,10 +345,11 @@
 {
     if (state == CrashWatch::State::Alive)
         return succeed();
-    crashChecked({.reason = Reason::UpstreamBroken,
-                  .verdict = Verdict::MayHaveRun,
-                  .detail = "an answer without a length ended, and its replica is not known to run"},
-                 state, true);
+    crashChecked(
+            {.reason = Reason::UpstreamBroken,
+             .verdict = Verdict::MayHaveRun,
+             .detail = "an answer without a length ended, and its replica is not known to run"},
+            state, true);
 }
 
 void EntryCall::send(const ReplicaPool::Choice &choice)
@@ -799,8 +800,8 @@
                  .detail = "the replica refused without stating that the request did not run"});
     m_verdict = Verdict::Ran;
     // If the request cannot be retried, this error answer is delivered: it is better than none.
-    const bool mayRepeat = m_head.status >= 500 && m_request.route->isIdempotent()
-            && m_order.isResumable();
+    const bool mayRepeat =
+            m_head.status >= 500 && m_request.route->isIdempotent() && m_order.isResumable();
     const ReplicaPool::Choice next = mayRepeat
             ? m_retries.permitAfterAnswer(retryQuery(), m_incarnation)
             : ReplicaPool::Choice();
--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -62,8 +62,8 @@
 /// Part of the stop timeout that is reserved for the shutdown of the process itself.
 constexpr Duration StopMargin = 300ms;
 
-/// Time in which the answers to the requests that are still in progress at the end of the stop timeout
-/// are written. It is a part of StopMargin.
+/// Time in which the answers to the requests that are still in progress at the end of the stop
+/// timeout are written. It is a part of StopMargin.
 constexpr Duration LastAnswersTime = 100ms;
 
 constexpr Duration DrainPoll = 50ms;
--- a/src/Net/RelayServer.cpp
+++ b/src/Net/RelayServer.cpp
@@ -250,11 +250,10 @@
     if (error.reason != Reason::UpstreamBroken || error.verdict == Verdict::NotRun
         || it->ticket.suspects.empty())
         return fail(it, error, false);
-    checkForCrash(
-            it, CrashWatch::AliveCriterion::Accepts,
-            [this, error](const RelayPtr &held, CrashWatch::State state) {
-                fail(held, error, state == CrashWatch::State::Crashed);
-            });
+    checkForCrash(it, CrashWatch::AliveCriterion::Accepts,
+                  [this, error](const RelayPtr &held, CrashWatch::State state) {
+                      fail(held, error, state == CrashWatch::State::Crashed);
+                  });
 }
 
 void RelayServer::Private::checkForCrash(
--- a/src/Net/internal/HttpConnection.cpp
+++ b/src/Net/internal/HttpConnection.cpp
@@ -226,8 +226,7 @@
     if (!evhttp_find_header(out, "Host"))
         evhttp_add_header(out, "Host", call.address.c_str());
     evbuffer_add(evhttp_request_get_output_buffer(m_request), call.body.data(), call.body.size());
-    if (evhttp_make_request(m_connection, m_request, *command, call.target.c_str())
-        != 0) {
+    if (evhttp_make_request(m_connection, m_request, *command, call.target.c_str()) != 0) {
         // evhttp has freed the request.
         m_request = nullptr;
         m_reusable = false;
--- a/test/EntryRequestTest.cpp
+++ b/test/EntryRequestTest.cpp
@@ -1322,10 +1322,9 @@
         stopsAt = loop.now() + 500ms;
         isSilent = false;
         RawCaller caller(Port);
-        CHECK(call(caller, request("POST", "/once/", {}, "x"), "late")
-                      .starts_with("HTTP/1.1 200"));
-        const std::string deadline = ScriptedReplica::headerOf(
-                replicas.front()->requests().front(), "X-Request-Deadline");
+        CHECK(call(caller, request("POST", "/once/", {}, "x"), "late").starts_with("HTTP/1.1 200"));
+        const std::string deadline = ScriptedReplica::headerOf(replicas.front()->requests().front(),
+                                                               "X-Request-Deadline");
         CHECK(std::atoi(deadline.c_str()) <= 500);
     }
 }
--- a/test/KeptConnectionTest.cpp
+++ b/test/KeptConnectionTest.cpp
@@ -125,7 +125,8 @@
     CHECK(caller.received.find("<1>") != std::string::npos);
 }
 
-// Guards against bytes of a body after an answer to HEAD, which the caller takes for the next answer.
+// Guards against bytes of a body after an answer to HEAD, which the caller takes for the next
+// answer.
 TEST_CASE_FIXTURE(KeptConnectionFixture, "listener_headIsAnswered_hasNoBody")
 {
     RawCaller caller(port);
--- a/test/StreamResumeTest.cpp
+++ b/test/StreamResumeTest.cpp
@@ -166,8 +166,8 @@
     }
 }
 
-// Guards against streams whose events aren't recognised, and are dropped or delivered twice, because
-// a replica uses another form that the grammar allows.
+// Guards against streams whose events aren't recognised, and are dropped or delivered twice,
+// because a replica uses another form that the grammar allows.
 TEST_CASE("sseReader_formsOfTheGrammar_areRead")
 {
     struct Form
--- a/test/integration/EndlessAnswerTest.cpp
+++ b/test/integration/EndlessAnswerTest.cpp
@@ -195,13 +195,13 @@
 private:
     Result<HttpAnswer> call(const std::string &target, const std::string &id) const
     {
-        return Fleet::fetch({.address = m_fleet.callerAddress(0),
-                             .target = target,
-                             .headers = {{"Host", EntryFleet::Host},
-                                         {"X-Request-Id", id},
-                                         {"Authorization",
-                                          std::string("Bearer ") + EntryFleet::Key}},
-                             .timeout = 5s});
+        return Fleet::fetch(
+                {.address = m_fleet.callerAddress(0),
+                 .target = target,
+                 .headers = {{"Host", EntryFleet::Host},
+                             {"X-Request-Id", id},
+                             {"Authorization", std::string("Bearer ") + EntryFleet::Key}},
+                 .timeout = 5s});
     }
 
     EntryFleet m_fleet{{.binaries = CATKINLOFT_BINARIES, .routers = 1, .replicas = 2}};
--- a/test/integration/EntryTest.cpp
+++ b/test/integration/EntryTest.cpp
@@ -576,14 +576,13 @@
     for (int phase = 0; phase < Phases; ++phase) {
         for (int i = 0; i < CallersPerPhase; ++i) {
             callers.emplace_back([&, id = fmt::format("p{}-{}", phase, i), i] {
-                const Result<HttpAnswer> answer =
-                        Fleet::fetch({.address = fleet.callerAddress(0),
-                                      .target = i % 2 == 0 ? "/once/a" : "/safe/a",
-                                      .headers = {{"Host", EntryFleet::Host},
-                                                  {"X-Request-Id", id},
-                                                  {"Authorization",
-                                                   std::string("Bearer ") + EntryFleet::Key}},
-                                      .timeout = 6s});
+                const Result<HttpAnswer> answer = Fleet::fetch(
+                        {.address = fleet.callerAddress(0),
+                         .target = i % 2 == 0 ? "/once/a" : "/safe/a",
+                         .headers = {{"Host", EntryFleet::Host},
+                                     {"X-Request-Id", id},
+                                     {"Authorization", std::string("Bearer ") + EntryFleet::Key}},
+                         .timeout = 6s});
                 const std::lock_guard lock(mutex);
                 statuses[id] = answer ? answer.value().head.status : 0;
             });
--- a/test/integration/RetryBudgetTest.cpp
+++ b/test/integration/RetryBudgetTest.cpp
@@ -172,10 +172,11 @@
     callWhile([&] {
         setFaults(R"({"lose":0.3,"refuse":0.2})");
         // Connections to it are refused.
-        fleet.writeReplicaEntry("absent",
-                                R"({"service":"calls","zone":"hall","version":"v1","state":"ready",)"
-                                R"("address":"127.0.0.1:9","slots":8,"cold-remaining-ms":0,)"
-                                R"("sequence":1})");
+        fleet.writeReplicaEntry(
+                "absent",
+                R"({"service":"calls","zone":"hall","version":"v1","state":"ready",)"
+                R"("address":"127.0.0.1:9","slots":8,"cold-remaining-ms":0,)"
+                R"("sequence":1})");
         for (std::size_t round = 0; round < 4; ++round) {
             const std::size_t killed = round % Replicas;
             const std::size_t stopped = (round + Replicas / 2) % Replicas;
@@ -196,8 +197,9 @@
     const double permitted = counted(R"(catkinloft_attempts_total{cause="retry"})");
     const double undelivered = counted(R"(catkinloft_attempts_total{cause="undelivered"})");
     const auto repeated = static_cast<double>(repeatedArrivals().size());
-    MESSAGE(fmt::format("{} arrivals beyond the first, {} retries, {} attempts after an undelivered one",
-                        repeated, permitted, undelivered));
+    MESSAGE(fmt::format(
+            "{} arrivals beyond the first, {} retries, {} attempts after an undelivered one",
+            repeated, permitted, undelivered));
     CHECK(repeated <= permitted);
     CHECK(repeated >= 20); // Otherwise nothing was shown.
     CHECK(undelivered >= 1);
