Fields whose names or values two readers may take differently are refused

Sent by a caller: "Content-Length : 3" and "Transfer-Encoding : chunked" (a space before the colon) were passed on as they are, beside the router's own framing; a replica that trims names takes them for framing. Two keys got an answer by the first. RequestFraming compared names exactly, so that a name which is no token passed it.

Names have to be tokens, values hold no control characters, Host and Authorization stand once; else 400 and the connection ends. The new rows of requestFraming_eachAmbiguity_isReported don't compile with the code before.

--- a/src/Request/RequestFraming.cpp
+++ b/src/Request/RequestFraming.cpp
@@ -27,6 +27,22 @@
     return method != "POST" && method != "PUT" && method != "PATCH";
 }
 
+/// \returns whether \a name is a token by RFC 9110, 5.6.2.
+bool isToken(std::string_view name)
+{
+    constexpr std::string_view Others = "!#$%&'*+-.^_`|~";
+    return !name.empty() && std::all_of(name.begin(), name.end(), [&](unsigned char c) {
+        return (c < 0x80 && std::isalnum(c) != 0)
+                || Others.find(static_cast<char>(c)) != Others.npos;
+    });
+}
+
+bool hasControlCharacter(std::string_view value)
+{
+    return std::any_of(value.begin(), value.end(),
+                       [](unsigned char c) { return (c < 0x20 && c != '\t') || c == 0x7f; });
+}
+
 bool isPath(std::string_view target)
 {
     return target.starts_with('/')
@@ -53,6 +69,12 @@
         return "unread_body";
     case FramingFault::BadTarget:
         return "bad_target";
+    case FramingFault::BadName:
+        return "bad_name";
+    case FramingFault::BadValue:
+        return "bad_value";
+    case FramingFault::RepeatedField:
+        return "repeated_field";
     }
     return "none";
 }
@@ -64,8 +86,15 @@
         return FramingFault::BadTarget;
     int lengths = 0;
     int codings = 0;
+    int hosts = 0;
+    int authorizations = 0;
     std::string_view length;
     for (const auto &[name, value] : headers) {
+        // A receiver that trims names takes "Transfer-Encoding " for framing.
+        if (!isToken(name))
+            return FramingFault::BadName;
+        if (hasControlCharacter(value))
+            return FramingFault::BadValue;
         if (isNamed(name, "Content-Length")) {
             ++lengths;
             length = value;
@@ -73,8 +102,14 @@
             ++codings;
             if (strcasecmp(value.c_str(), "chunked") != 0)
                 return FramingFault::UnknownCoding;
+        } else if (isNamed(name, "Host")) {
+            ++hosts;
+        } else if (isNamed(name, "Authorization")) {
+            ++authorizations;
         }
     }
+    if (hosts > 1 || authorizations > 1)
+        return FramingFault::RepeatedField;
     if (lengths > 0 && codings > 0)
         return FramingFault::LengthAndChunked;
     if (lengths > 1)
--- a/src/Request/RequestFraming.h
+++ b/src/Request/RequestFraming.h
@@ -7,7 +7,7 @@
 
 namespace catkinloft {
 
-/// \brief Why the framing of a request is ambiguous.
+/// \brief Why two readers of a request may take it for two different ones.
 enum class FramingFault {
     None,
     LengthAndChunked, ///< Both Content-Length and Transfer-Encoding.
@@ -16,6 +16,9 @@
     UnknownCoding, ///< A transfer coding other than a single "chunked".
     UnreadBody, ///< A body with a method for which the listener reads none.
     BadTarget, ///< Not a path: absolute, empty, or with spaces or control characters.
+    BadName, ///< A field whose name is no token, such as one with a space before the colon.
+    BadValue, ///< A field with a control character in its value.
+    RepeatedField, ///< Two fields of which only one is allowed: Host or Authorization.
 };
 
 /// \returns the name of \a fault in logs and metrics.
--- a/test/RequestFramingTest.cpp
+++ b/test/RequestFramingTest.cpp
@@ -50,6 +50,19 @@
             {"GET", "http://h/", {}, FramingFault::BadTarget},
             {"GET", "", {}, FramingFault::BadTarget},
             {"GET", "/a b", {}, FramingFault::BadTarget},
+            {"POST", "/", {{"Content-Length ", "3"}}, FramingFault::BadName},
+            {"POST", "/", {{"Transfer-Encoding\t", "chunked"}}, FramingFault::BadName},
+            {"GET", "/", {{"", "x"}}, FramingFault::BadName},
+            {"GET", "/", {{"X(a)", "x"}}, FramingFault::BadName},
+            {"GET", "/", {{"X-A_b.c~1", "x"}}, FramingFault::None},
+            {"GET", "/", {{"X-A", "a\tb \xc3\xa9"}}, FramingFault::None},
+            {"GET", "/", {{"X-A", "a\rb"}}, FramingFault::BadValue},
+            {"GET", "/", {{"X-A", "a\x01"}}, FramingFault::BadValue},
+            {"GET", "/", {{"Host", "a"}, {"host", "a"}}, FramingFault::RepeatedField},
+            {"GET",
+             "/",
+             {{"Authorization", "Bearer a"}, {"authorization", "Bearer b"}},
+             FramingFault::RepeatedField},
     };
     for (const FramingCase &it : cases) {
         CAPTURE(it.method);
