Interim answers other than 100 are not taken for the final one

Such an answer is invalid now: the replica counts a failure, and the request is retried where that is allowed.

--- a/src/Net/internal/HttpConnection.cpp
+++ b/src/Net/internal/HttpConnection.cpp
@@ -96,9 +96,14 @@
     return std::chrono::seconds(seconds);
 }
 
+bool isInterim(int status)
+{
+    return status >= 100 && status < 200;
+}
+
 bool hasNoBody(int status)
 {
-    return status == 204 || status == 304 || (status >= 100 && status < 200);
+    return status == 204 || status == 304 || isInterim(status);
 }
 
 } // namespace
@@ -172,6 +177,7 @@
     m_bytesReceived = 0;
     m_headBytes = 0;
     m_hasHead = false;
+    m_isInterim = false;
     m_heldBytes = 0;
     m_answerBytes = 0;
     m_status = 0;
@@ -305,8 +311,12 @@
 void HttpConnection::onHead(evhttp_request *request, HttpConnection *self)
 {
     HttpHead head = headOf(request);
+    // evhttp goes on reading after 100 only, and takes any other interim answer for the final one.
     if (head.status == Continue)
         return;
+    self->m_isInterim = isInterim(head.status);
+    if (self->m_isInterim)
+        return;
     self->m_hasHead = true;
     self->m_status = head.status;
     self->m_length = contentLength(head);
@@ -346,6 +356,10 @@
 
 void HttpConnection::succeed(evhttp_request *request)
 {
+    if (m_isInterim) {
+        m_reusable = false;
+        return fail(Reason::UpstreamInvalid, "the answer begins with an interim answer");
+    }
     evbuffer *rest = evhttp_request_get_input_buffer(request);
     const std::size_t n = evbuffer_get_length(rest);
     if (n > 0) {
--- a/src/Net/internal/HttpConnection.h
+++ b/src/Net/internal/HttpConnection.h
@@ -88,6 +88,7 @@
     int m_status = 0; ///< Of the final head, once it was received.
     std::size_t m_headBytes = 0; ///< Received before the end of the head, with interim heads.
     bool m_hasHead = false;
+    bool m_isInterim = false; ///< The head is that of an interim answer.
     bool m_delimited = false; ///< The answer ends before its connection does.
     bool m_headOnly = false;
     bool m_acceptsUnframed = false;
--- a/test/RequestBytesTest.cpp
+++ b/test/RequestBytesTest.cpp
@@ -46,9 +46,9 @@
 
     EventLoop loop;
     HttpClient client{loop};
-    ScriptedReplica upstream{loop, [](const std::string &, std::size_t) {
-                                 return ScriptedReplica::Reply{
-                                         .bytes = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"};
+    std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    ScriptedReplica upstream{loop, [this](const std::string &, std::size_t) {
+                                 return ScriptedReplica::Reply{.bytes = answer};
                              }};
 };
 
@@ -98,3 +98,18 @@
     CHECK((error->verdict == Verdict::NotRun));
     CHECK(upstream.requests().empty());
 }
+
+// Guards against an interim answer that is passed on as the final one, while the final one is lost.
+TEST_CASE_FIXTURE(RequestBytesFixture, "httpClient_interimAnswer_isNotTheFinalOne")
+{
+    const std::string final = answer;
+    answer = "HTTP/1.1 100 Continue\r\n\r\n" + final;
+    CHECK_FALSE(send(upstreamCall("GET", {}, {})));
+    for (const char *status : {"102 Processing", "103 Early Hints"}) {
+        answer = std::string("HTTP/1.1 ") + status + "\r\nLink: a\r\n\r\n" + final;
+        const std::optional<Error> error = send(upstreamCall("GET", {}, {}));
+        REQUIRE(error);
+        CHECK((error->reason == Reason::UpstreamInvalid));
+        CHECK((error->verdict == Verdict::MayHaveRun));
+    }
+}
