--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -114,9 +114,7 @@
     m_request.receivedAt = m_context.loop.now();
     m_request.method = m_exchange->method();
     m_request.path = m_exchange->path();
-    m_request.target = m_exchange->path();
-    if (!m_exchange->query().empty())
-        m_request.target += "?" + m_exchange->query();
+    m_request.target = m_exchange->target();
     m_request.headers = m_exchange->headers();
     m_request.host = m_exchange->header("Host");
     m_request.facts = m_context.codec.decodeRequest(m_request.headers);
--- a/src/Net/HttpExchange.cpp
+++ b/src/Net/HttpExchange.cpp
@@ -57,9 +57,9 @@
 
 HttpExchange::HttpExchange(evhttp_request *request)
     : m_request(request), m_method(methodName(evhttp_request_get_command(request))),
-      m_body(bodyOf(request))
+      m_target(evhttp_request_get_uri(request)), m_body(bodyOf(request))
 {
-    const std::string_view target = evhttp_request_get_uri(request);
+    const std::string_view target = m_target;
     const std::size_t mark = target.find('?');
     m_path = target.substr(0, mark);
     if (mark != std::string_view::npos)
--- a/src/Net/HttpExchange.h
+++ b/src/Net/HttpExchange.h
@@ -32,6 +32,7 @@
     HttpExchange &operator=(const HttpExchange &) = delete;
 
     const std::string &method() const { return m_method; }
+    const std::string &target() const { return m_target; } ///< As received.
     const std::string &path() const { return m_path; } ///< Without the query, not decoded.
     const std::string &query() const { return m_query; }
     std::string_view body() const { return m_body; }
@@ -86,6 +87,7 @@
 
     evhttp_request *m_request;
     std::string m_method;
+    std::string m_target;
     std::string m_path;
     std::string m_query;
     std::string_view m_body;
--- a/src/Net/RelayServer.cpp
+++ b/src/Net/RelayServer.cpp
@@ -141,11 +141,9 @@
     const auto refusal = [](Reason reason, std::string detail) {
         return Error{.reason = reason, .verdict = Verdict::NotRun, .detail = std::move(detail)};
     };
-    const std::string target =
-            exchange.query().empty() ? exchange.path() : exchange.path() + "?" + exchange.query();
     if (!options.verify(ticket.signature,
-                        RelayCodec::signedText(ticket, exchange.method(), target, headers,
-                                               exchange.body())))
+                        RelayCodec::signedText(ticket, exchange.method(), exchange.target(),
+                                               headers, exchange.body())))
         return refusal(Reason::MalformedRequest, "the ticket is not signed by a router");
     const std::int64_t now = options.loop.wallNow().time_since_epoch() / 1ms;
     if (std::abs(now - ticket.sentAtMs) > TicketLifetimeMs
@@ -173,11 +171,9 @@
         if (const RelayPtr held = weak.lock())
             remove(held);
     });
-    const std::string target =
-            exchange.query().empty() ? exchange.path() : exchange.path() + "?" + exchange.query();
     it->call = options.client.send({.address = it->replica.address,
                                     .method = exchange.method(),
-                                    .target = target,
+                                    .target = exchange.target(),
                                     .headers = std::move(headers),
                                     .body = std::string(exchange.body()),
                                     .timeout = CallTimeout,
--- a/test/EntryRequestTest.cpp
+++ b/test/EntryRequestTest.cpp
@@ -1298,6 +1298,21 @@
     CHECK(kinds(events) == "request_sent caller_gone ");
 }
 
+// Guards against a replica that gets another target than the caller sent.
+TEST_CASE_FIXTURE(EntryGatewayFixture, "entryRequest_targetOfAnyForm_reachesReplicaUnchanged")
+{
+    addReplica([](const std::string &request, std::size_t) -> Reply {
+        return {.bytes = ScriptedReplica::answer(request, 200, "fine")};
+    });
+    RawCaller caller(Port);
+    for (const char *target : {"/once/a", "/once/a?", "/once/a?b=1", "/once/a??", "/once/a?b?"}) {
+        CAPTURE(target);
+        call(caller, request("POST", target, {}, "x"), "fine");
+        CHECK(replicas.front()->requests().back().starts_with(
+                fmt::format("POST {} HTTP/1.1\r\n", target)));
+    }
+}
+
 // Guards against requests that are cut off without an answer when the process ends, and against
 // work that begins too late to end before it.
 TEST_CASE_FIXTURE(EntryGatewayFixture, "entryRequest_processStops_requestsAreAnswered")
