--- a/test/KeptConnectionTest.cpp
+++ b/test/KeptConnectionTest.cpp
@@ -4,7 +4,6 @@
 
 #include <doctest/doctest.h>
 
-#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <memory>
--- a/test/RequestBytesTest.cpp
+++ b/test/RequestBytesTest.cpp
@@ -7,7 +7,6 @@
 
 #include <optional>
 #include <string>
-#include <string_view>
 #include <vector>
 
 using namespace catkinloft;
--- a/test/StreamResumeTest.cpp
+++ b/test/StreamResumeTest.cpp
@@ -237,6 +237,7 @@
     }
 }
 
+// Guards against data that comes twice, because a stream goes on behind an id before it.
 TEST_CASE("eventOrder_dataWithoutAnId_isNotResumable")
 {
     EventOrder order;
