Input of a caller is bounded until its answer was sent

The limit of 64 KiB for what is read ahead was removed together with the request, when the answer is handed to evhttp. evhttp reads on while it writes the answer, and doesn't look at the input meanwhile, so that all that the caller sends is kept in memory.

The watermark now stays until evhttp reports that the answer was sent. Then it sets the connection up for the next request in the same callback, so that long bodies are read as since.

--- a/src/Net/HttpExchange.cpp
+++ b/src/Net/HttpExchange.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-/// Bytes of a pipelined request that are read while the previous answer is pending. They are read
+/// Bytes of a pipelined request that are read until the previous answer was sent. They are read
 /// only so that a closed connection is detected.
 constexpr std::size_t MaxReadAhead = 64 * 1024;
 
@@ -95,6 +95,16 @@
     // The caller does not have to send anything while it waits, so there is no read timeout.
     bufferevent_set_timeouts(bev, nullptr, nullptr);
     bufferevent_enable(bev, EV_READ);
+    evhttp_request_set_on_complete_cb(m_request, &HttpExchange::answerSent, nullptr);
+}
+
+/// Sets the connection up for the next request. The watermark stays in force until the answer was
+/// sent: a caller that doesn't read it could otherwise fill the memory with what it sends.
+void HttpExchange::answerSent(evhttp_request *request, void *)
+{
+    bufferevent *bev = evhttp_connection_get_bufferevent(evhttp_request_get_connection(request));
+    // evhttp takes the body of a request only when all of it was read.
+    bufferevent_setwatermark(bev, EV_READ, 0, 0);
 }
 
 void HttpExchange::connectionClosed()
@@ -116,8 +126,6 @@
 {
     evhttp_connection *con = evhttp_request_get_connection(m_request);
     evhttp_connection_set_closecb(con, nullptr, nullptr);
-    // evhttp takes the body of the next request only when all of it was read.
-    bufferevent_setwatermark(evhttp_connection_get_bufferevent(con), EV_READ, 0, 0);
     m_onClosed = nullptr;
     m_onDrained = nullptr;
     m_body = {};
--- a/src/Net/HttpExchange.h
+++ b/src/Net/HttpExchange.h
@@ -81,6 +81,7 @@
 
 private:
     void watchConnection();
+    static void answerSent(evhttp_request *request, void *arg);
     void connectionClosed();
     evhttp_request *takeRequest();
     void addHeaders(const HttpHeaders &headers);
--- a/test/KeptConnectionTest.cpp
+++ b/test/KeptConnectionTest.cpp
@@ -19,7 +19,11 @@
 
 constexpr std::size_t MaxBody = 4 * 1024 * 1024;
 
-/// A server that answers each request with the length of its body, some milliseconds later.
+/// More than the sockets of a connection hold.
+constexpr std::size_t LongAnswer = 32 * 1024 * 1024;
+
+/// A server that answers each request with the length of its body, some milliseconds later, and GET
+/// with a long body.
 struct KeptConnectionFixture
 {
     KeptConnectionFixture()
@@ -34,6 +38,8 @@
                                                    .idleTimeout = 10s}},
                     [this](const HttpExchangePtr &exchange) {
                         loop.after(5ms, [exchange] {
+                            if (exchange->method() == "GET")
+                                return exchange->respond(200, {}, std::string(LongAnswer, 'b'));
                             const std::string text = fmt::format("<{}>", exchange->body().size());
                             exchange->respond(200, {}, text);
                         });
@@ -66,6 +72,23 @@
         return fmt::format("{}Transfer-Encoding: chunked\r\n\r\n{}0\r\n\r\n", head, chunk);
     }
 
+    /// Offers \a text on \a caller again and again, up to \a bytes in all, until \a caller is
+    /// closed or the system has accepted nothing for half a second. \returns the number of bytes
+    /// that the system accepted.
+    std::size_t offer(RawCaller &caller, const std::string &text, std::size_t bytes)
+    {
+        std::size_t sent = 0;
+        TimePoint acceptedAt = loop.now();
+        until([&] {
+            const std::size_t n = caller.sendSome(text.substr(sent % text.size()));
+            sent += n;
+            if (n > 0)
+                acceptedAt = loop.now();
+            return sent >= bytes || loop.now() - acceptedAt > 500ms;
+        });
+        return sent;
+    }
+
     /// Sends \a text on \a caller in pieces of at most \a piece bytes.
     /// \returns whether the answer to it arrives.
     bool isAnswered(RawCaller &caller, const std::string &text, std::size_t piece,
@@ -137,3 +160,30 @@
     CHECK(caller.received.find("<0>") == std::string::npos);
     CHECK(caller.received.find("\r\n\r\nHTTP/1.1 200") != std::string::npos);
 }
+
+// Guards against a process that runs out of memory because it reads on while a caller takes no
+// answer: only what waits behind a pending request may be buffered.
+TEST_CASE_FIXTURE(KeptConnectionFixture,
+                  "listener_callerSendsOnWithoutReadingItsAnswer_inputIsBoundedAndAllAreAnswered")
+{
+    constexpr std::size_t Offered = 3 * LongAnswer;
+    RawCaller caller(port);
+    caller.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    const std::string next = request(1'000'000, false);
+    const std::size_t sent = offer(caller, next, Offered);
+    CHECK(sent < LongAnswer);
+    const std::size_t requests = sent / next.size() + 1;
+    const std::string rest = next.substr(sent % next.size());
+    std::size_t restSent = 0;
+    std::size_t answered = 0;
+    std::size_t searched = 0;
+    CHECK(until([&] {
+        if (restSent < rest.size())
+            restSent += caller.sendSome(rest.substr(restSent));
+        caller.read();
+        for (std::size_t at = 0;
+             (at = caller.received.find("<1000000>", searched)) != std::string::npos; ++answered)
+            searched = at + 1;
+        return answered == requests;
+    }));
+}
