Connections have their idle timeout again after the first request

HttpExchange clears both timeouts of a connection while its answer is pending, and nothing set them again; only a connection without any request had one.

The write timeout comes back when the answer is handed over, the read timeout when it was sent.

listener_laterRequestIsIncomplete_connectionIsClosedAfterTheIdleTimeout (nothing, half a head, half a body) and listener_answerIsNotRead_connectionIsClosedAfterTheIdleTimeoutUnlessReadSlowly failed before: no connection was closed within ten times the timeout, and the whole answer was still delivered after it. listener_answerTakesLong_isDelivered passed before and passes.

--- a/src/Net/HttpExchange.cpp
+++ b/src/Net/HttpExchange.cpp
@@ -55,8 +55,9 @@
 
 } // namespace
 
-HttpExchange::HttpExchange(evhttp_request *request)
-    : m_request(request), m_method(methodName(evhttp_request_get_command(request))),
+HttpExchange::HttpExchange(evhttp_request *request, const timeval &idleTimeout)
+    : m_request(request), m_idleTimeout(idleTimeout),
+      m_method(methodName(evhttp_request_get_command(request))),
       m_target(evhttp_request_get_uri(request)), m_body(bodyOf(request))
 {
     const std::string_view target = m_target;
@@ -95,16 +96,20 @@
     // The caller does not have to send anything while it waits, so there is no read timeout.
     bufferevent_set_timeouts(bev, nullptr, nullptr);
     bufferevent_enable(bev, EV_READ);
-    evhttp_request_set_on_complete_cb(m_request, &HttpExchange::answerSent, nullptr);
+    evhttp_request_set_on_complete_cb(m_request, &HttpExchange::answerSent,
+                                      const_cast<timeval *>(&m_idleTimeout));
 }
 
-/// Sets the connection up for the next request. The watermark stays in force until the answer was
-/// sent: a caller that doesn't read it could otherwise fill the memory with what it sends.
-void HttpExchange::answerSent(evhttp_request *request, void *)
+/// Sets the connection up for the next request. What watchConnection() set stays in force until the
+/// answer was sent: a caller that doesn't read it could otherwise fill the memory with what it
+/// sends.
+void HttpExchange::answerSent(evhttp_request *request, void *arg)
 {
+    const auto *idleTimeout = static_cast<const timeval *>(arg);
     bufferevent *bev = evhttp_connection_get_bufferevent(evhttp_request_get_connection(request));
     // evhttp takes the body of a request only when all of it was read.
     bufferevent_setwatermark(bev, EV_READ, 0, 0);
+    bufferevent_set_timeouts(bev, idleTimeout, idleTimeout);
 }
 
 void HttpExchange::connectionClosed()
@@ -126,6 +131,8 @@
 {
     evhttp_connection *con = evhttp_request_get_connection(m_request);
     evhttp_connection_set_closecb(con, nullptr, nullptr);
+    // Nobody gives up an answer that the caller doesn't read after this.
+    bufferevent_set_timeouts(evhttp_connection_get_bufferevent(con), nullptr, &m_idleTimeout);
     m_onClosed = nullptr;
     m_onDrained = nullptr;
     m_body = {};
--- a/src/Net/HttpExchange.h
+++ b/src/Net/HttpExchange.h
@@ -10,6 +10,8 @@
 #include <utility>
 #include <vector>
 
+#include <sys/time.h>
+
 struct evhttp_request;
 
 namespace catkinloft {
@@ -26,7 +28,8 @@
 {
 public:
     /// \param request owned by evhttp until it is answered.
-    explicit HttpExchange(evhttp_request *request);
+    /// \param idleTimeout of the connection while no answer is pending; must outlive it.
+    HttpExchange(evhttp_request *request, const timeval &idleTimeout);
     ~HttpExchange();
     HttpExchange(const HttpExchange &) = delete;
     HttpExchange &operator=(const HttpExchange &) = delete;
@@ -87,6 +90,7 @@
     void addHeaders(const HttpHeaders &headers);
 
     evhttp_request *m_request;
+    const timeval &m_idleTimeout;
     std::string m_method;
     std::string m_target;
     std::string m_path;
--- a/src/Net/HttpServer.cpp
+++ b/src/Net/HttpServer.cpp
@@ -57,12 +57,13 @@
     evhttp *http = nullptr;
     evhttp_bound_socket *bound = nullptr;
     internal::ConnectionLimiter limiter;
+    timeval idleTimeout = internal::toTimeval(options.limits.idleTimeout);
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
     static void onRequest(evhttp_request *request, void *arg)
     {
         auto *d = static_cast<Private *>(arg);
-        const auto exchange = std::make_shared<HttpExchange>(request);
+        const auto exchange = std::make_shared<HttpExchange>(request, d->idleTimeout);
         internal::dispatch("request", [&] { d->handler(exchange); });
     }
 
@@ -114,8 +115,7 @@
     const ListenerLimits &limits = m_d->options.limits;
     evhttp_set_max_headers_size(m_d->http, static_cast<ev_ssize_t>(limits.maxHeaderBytes));
     evhttp_set_max_body_size(m_d->http, static_cast<ev_ssize_t>(limits.maxBodyBytes));
-    const timeval tv = internal::toTimeval(limits.idleTimeout);
-    evhttp_set_timeout_tv(m_d->http, &tv);
+    evhttp_set_timeout_tv(m_d->http, &m_d->idleTimeout);
     evhttp_set_allowed_methods(m_d->http, AllowedMethods);
     evhttp_set_default_content_type(m_d->http, nullptr);
     evhttp_set_bevcb(m_d->http, &Private::newStream, m_d.get());
@@ -141,8 +141,8 @@
 
 void HttpServer::setIdleTimeout(Duration timeout)
 {
-    const timeval tv = internal::toTimeval(timeout);
-    evhttp_set_timeout_tv(m_d->http, &tv);
+    m_d->idleTimeout = internal::toTimeval(timeout);
+    evhttp_set_timeout_tv(m_d->http, &m_d->idleTimeout);
 }
 
 void HttpServer::stopAccepting()
--- a/src/Net/HttpServer.h
+++ b/src/Net/HttpServer.h
@@ -37,7 +37,7 @@
     /// \returns an error if the address cannot be bound.
     Result<void> listen();
 
-    /// \brief Changes the idle timeout of connections that are accepted from now on.
+    /// \brief Changes the idle timeout of connections from their next request on.
     void setIdleTimeout(Duration timeout);
 
     /// \brief Accepts no more connections; open connections stay open.
--- a/test/KeptConnectionTest.cpp
+++ b/test/KeptConnectionTest.cpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include <fmt/format.h>
 #include <unistd.h>
@@ -26,7 +27,7 @@
 /// with a long body.
 struct KeptConnectionFixture
 {
-    KeptConnectionFixture()
+    explicit KeptConnectionFixture(Duration idleTimeout = 10s)
     {
         for (port = 21'400; port < 21'800 && !server; ++port) {
             auto it = std::make_unique<HttpServer>(
@@ -35,7 +36,7 @@
                                         .limits = {.maxHeaderBytes = 8192,
                                                    .maxBodyBytes = MaxBody,
                                                    .maxConnections = 100,
-                                                   .idleTimeout = 10s}},
+                                                   .idleTimeout = idleTimeout}},
                     [this](const HttpExchangePtr &exchange) {
                         loop.after(5ms, [exchange] {
                             if (exchange->method() == "GET")
@@ -187,3 +188,83 @@
         return answered == requests;
     }));
 }
+
+namespace {
+
+struct ShortIdleTimeoutFixture : KeptConnectionFixture
+{
+    static constexpr Duration IdleTimeout = 700ms;
+
+    ShortIdleTimeoutFixture() : KeptConnectionFixture(IdleTimeout) { }
+
+    void run(Duration time)
+    {
+        const TimePoint end = loop.now() + time;
+        until([&] { return loop.now() >= end; });
+    }
+};
+
+} // namespace
+
+// Guards against connections that are held for ever: the idle timeout of a connection ended with
+// its first request.
+TEST_CASE_FIXTURE(ShortIdleTimeoutFixture,
+                  "listener_laterRequestIsIncomplete_connectionIsClosedAfterTheIdleTimeout")
+{
+    for (const char *part : {"", "POST / HTTP/1.1\r\nHos",
+                             "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nabc"}) {
+        CAPTURE(std::string(part));
+        RawCaller caller(port);
+        REQUIRE(isAnswered(caller, request(1, false), 1 << 20, "<1>"));
+        caller.send(part);
+        CHECK(until([&] { return caller.read(); }, 10 * IdleTimeout));
+    }
+}
+
+// Guards against answers that are held for ever for a caller who doesn't read them, and against
+// closing the connection of one who reads slowly.
+TEST_CASE_FIXTURE(ShortIdleTimeoutFixture,
+                  "listener_answerIsNotRead_connectionIsClosedAfterTheIdleTimeoutUnlessReadSlowly")
+{
+    const std::string get = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+    RawCaller silent(port);
+    silent.send(get);
+    run(3 * IdleTimeout);
+    CHECK(until([&] { return silent.read(); }, 10 * IdleTimeout));
+    CHECK(silent.received.size() < LongAnswer);
+    RawCaller slow(port);
+    slow.send(get);
+    for (int i = 0; i < 8; ++i) {
+        run(IdleTimeout / 2);
+        slow.readSome(LongAnswer / 16);
+    }
+    CHECK(until([&] {
+        slow.read();
+        return slow.received.size() > LongAnswer;
+    }));
+}
+
+// Guards against an idle timeout that ends a request whose answer takes long.
+TEST_CASE_FIXTURE(ShortIdleTimeoutFixture, "listener_answerTakesLong_isDelivered")
+{
+    HttpExchangePtr pending;
+    server.reset();
+    server = std::make_unique<HttpServer>(
+            loop,
+            HttpServer::Options{.address = fmt::format("127.0.0.1:{}", port),
+                                .limits = {.idleTimeout = IdleTimeout}},
+            [&](const HttpExchangePtr &exchange) { pending = exchange; });
+    REQUIRE(server->listen());
+    RawCaller caller(port);
+    for (int number = 1; number <= 2; ++number) {
+        caller.received.clear();
+        caller.send(request(1, false));
+        REQUIRE(until([&] { return pending != nullptr; }));
+        run(3 * IdleTimeout);
+        std::exchange(pending, nullptr)->respond(200, {}, "late");
+        CHECK(until([&] {
+            caller.read();
+            return caller.received.ends_with("late");
+        }));
+    }
+}
--- a/test/RawCaller.h
+++ b/test/RawCaller.h
@@ -45,15 +45,20 @@
     void finish() const { shutdown(m_fd, SHUT_WR); }
 
     /// \returns whether the listener has closed the connection.
-    bool read()
+    bool read() { return readSome(SIZE_MAX); }
+
+    /// \brief Like read(), but reads about \a bytes at most.
+    bool readSome(std::size_t bytes)
     {
         std::array<char, 4096> buf{};
-        for (;;) {
+        for (std::size_t sum = 0; sum < bytes;) {
             const ssize_t n = recv(m_fd, buf.data(), buf.size(), MSG_DONTWAIT);
             if (n <= 0)
                 return n == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
             received.append(buf.data(), static_cast<std::size_t>(n));
+            sum += static_cast<std::size_t>(n);
         }
+        return false;
     }
 
     std::string received;
