Requests that can't end within the limits close their connection

Callers saw: nothing; a single caller that sends the size of a chunk, or its extension, without an end fills the memory of a router. evhttp 2.1 reads the size as a line and limits neither it nor what waits in the input buffer.

The listener now closes a connection whose input is longer than the longest request, and discards what the socket still holds, so that nothing of it is read as another request.

--- a/src/Net/HttpServer.cpp
+++ b/src/Net/HttpServer.cpp
@@ -9,9 +9,11 @@
 #include "Net/internal/TlsStream.h"
 
 #include <cstdlib>
+#include <unordered_map>
 
 #include <sys/socket.h>
 
+#include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
@@ -37,6 +39,9 @@
         "Content-Type: application/problem+json\r\nContent-Length: 53\r\n\r\n"
         R"({"reason":"too_many_connections","verdict":"not_run"})";
 
+/// Bytes beyond the largest request that may be read before evhttp takes it.
+constexpr std::size_t InputReserve = 64 * 1024;
+
 /// Bytes that are discarded by one system call.
 constexpr std::size_t DiscardedAtOnce = 1 << 20;
 
@@ -58,6 +63,9 @@
     evhttp_bound_socket *bound = nullptr;
     internal::ConnectionLimiter limiter;
     timeval idleTimeout = internal::toTimeval(options.limits.idleTimeout);
+    /// Streams of connections by their input buffer. Those of closed connections are replaced when
+    /// their buffer's address is used again.
+    std::unordered_map<const evbuffer *, bufferevent *> streams = {};
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
     static void onRequest(evhttp_request *request, void *arg)
@@ -78,6 +86,15 @@
         // exhausted.
         if (!out)
             std::abort();
+        evbuffer *input = bufferevent_get_input(out);
+        d->streams[input] = out;
+        evbuffer_add_cb(
+                input,
+                [](evbuffer *buf, const evbuffer_cb_info *info, void *server) {
+                    if (info->n_added > 0)
+                        static_cast<Private *>(server)->checkInput(buf);
+                },
+                d);
         // evhttp sets the descriptor right after this call and does not read before the next
         // iteration of the loop, so it cannot have freed the connection before the callback runs.
         d->loop.post([d, out, there = std::weak_ptr(d->alive)] {
@@ -87,6 +104,19 @@
         return out;
     }
 
+    /// Closes a connection whose next request can't end within the limits. evhttp has no limit for
+    /// the line with the size of a chunk.
+    void checkInput(const evbuffer *input)
+    {
+        const std::size_t limit =
+                options.limits.maxHeaderBytes + options.limits.maxBodyBytes + InputReserve;
+        if (evbuffer_get_length(input) <= limit)
+            return;
+        const int fd = bufferevent_getfd(streams.at(input));
+        shutdown(fd, SHUT_RDWR);
+        discardReceived(fd);
+    }
+
     void checkLimit(int fd)
     {
         if (limiter.admit(fd))
--- a/test/KeptConnectionTest.cpp
+++ b/test/KeptConnectionTest.cpp
@@ -189,6 +189,22 @@
     }));
 }
 
+// Guards against a process that runs out of memory because of a request that can't end: the size of
+// a chunk is read as a line, which has no limit of its own.
+TEST_CASE_FIXTURE(KeptConnectionFixture,
+                  "listener_lineOfAChunkNeverEnds_connectionIsClosedAndNothingIsHandled")
+{
+    constexpr std::size_t Offered = 64 * 1024 * 1024;
+    for (const char *begin : {"", "5;a="}) {
+        RawCaller caller(port);
+        caller.send(std::string("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n")
+                    + begin);
+        CHECK(offer(caller, std::string(1 << 20, '0'), Offered) < Offered);
+        CHECK(until([&] { return caller.read(); }, 5s));
+        CHECK(caller.received.find("200 OK") == std::string::npos);
+    }
+}
+
 namespace {
 
 struct ShortIdleTimeoutFixture : KeptConnectionFixture
