Answers that come before the body of their request is sent are taken

Callers saw: 502, or another attempt, for a request whose replica answers before it has read a long body, if the answer is longer than 128 KiB: evhttp reads it only when the body is sent, and until then all of it counted as a head without an end.

The limit of heads applies once the request is sent. Before that the limit of what is buffered for answers holds, as for any other bytes.

httpClient_answerComesBeforeTheBodyIsRead_bothAreWhole failed before with an answer of 500,000 bytes (one of 10 bytes passed). httpClient_callEndsBeforeItsBodyIsSent_nextUsesAnother passed before and passes.

--- a/src/Net/internal/HttpConnection.cpp
+++ b/src/Net/internal/HttpConnection.cpp
@@ -282,11 +282,14 @@
     bufferevent *bev = evhttp_connection_get_bufferevent(m_connection);
     const std::size_t unread = evbuffer_get_length(bufferevent_get_input(bev));
     m_answerBytes += n;
-    if (!m_hasHead) {
+    // evhttp reads an answer that comes early only when the whole request was sent.
+    const bool isSending = evbuffer_get_length(bufferevent_get_output(bev)) > 0;
+    if (!m_hasHead && !isSending) {
         m_headBytes += n;
         if (m_headBytes > MaxHeadBytes)
             return "the heads of the answer are longer than the limit";
-    } else if (m_request->chunked && m_request->ntoread < 0 && unread > MaxChunkLineBytes + n) {
+    } else if (m_hasHead && m_request->chunked && m_request->ntoread < 0
+               && unread > MaxChunkLineBytes + n) {
         return "the size line of a chunk is longer than the limit";
     }
     if (!countBuffered())
