Test: relayed requests of each method and body reach their replica unchanged

Seven methods, bodies of 0 to 300,000 bytes, each once refused by the relaying router and once relayed on the same kept connection.

--- a/test/RelayTest.cpp
+++ b/test/RelayTest.cpp
@@ -10,6 +10,9 @@
 
 #include <memory>
 #include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
 
 #include <fmt/format.h>
 #include <unistd.h>
@@ -194,6 +197,42 @@
     CHECK(ScriptedReplica::headerOf(request, RelayCodec::TicketHeader).empty());
 }
 
+// Guards against a relayed request whose body the relaying router or the replica reads as another
+// request, also after one that the relaying router refused on the same connection.
+TEST_CASE_FIXTURE(RelayFixture, "relay_eachMethodAndBody_reachesReplicaUnchanged")
+{
+    script = [](const std::string &request, std::size_t) {
+        const bool isHead = request.starts_with("HEAD ");
+        return Reply{.bytes = ScriptedReplica::answer(request, 200, isHead ? "" : "fine")};
+    };
+    const std::string disguised = "POST /b HTTP/1.1\r\nX-Request-Id: none\r\n\r\n";
+    const std::vector<std::string> bodies = {"", "a", disguised, std::string(65'536, 'x'),
+                                             std::string(300'000, 'y')};
+    std::size_t sent = 0;
+    for (const char *method : {"GET", "HEAD", "DELETE", "OPTIONS", "POST", "PUT", "PATCH"}) {
+        const bool hasBody = std::string_view(method).starts_with('P');
+        for (const std::string &text : hasBody ? bodies : std::vector<std::string>{""}) {
+            for (const bool isRefused : {true, false}) {
+                CAPTURE(method);
+                CAPTURE(text.size());
+                isLeaving = isRefused;
+                HttpCall it = call();
+                it.method = method;
+                it.body = text;
+                send(relay.relayed(std::move(it), peer, {.replica = "i-1"}));
+                CHECK(*result);
+                CHECK(failure().has_value() == isRefused);
+            }
+            REQUIRE(replica.requests().size() == ++sent);
+            const std::string &request = replica.requests().back();
+            CHECK(request.starts_with(std::string(method) + " /svc/a?b=1 HTTP/1.1\r\n"));
+            CHECK(request.substr(request.find("\r\n\r\n") + 4) == text);
+            CHECK(ScriptedReplica::headerOf(request, "Transfer-Encoding").empty());
+        }
+    }
+    CHECK(replica.connections() == 1);
+}
+
 // Guards against events of a relayed stream that are held back until it ends.
 TEST_CASE_FIXTURE(RelayFixture, "relay_stream_eventsArriveBeforeItEnds")
 {
