An event loop that spins is logged and counted

The loop counts what it reads, writes and runs. Where a second of processor time has less than one of these in 5 ms, it logs event_loop_spinning and adds the time to catkinloft_event_loop_spinning_seconds. Time within a stall doesn't count.

eventLoop_socketStaysReadable_isReportedAsSpinning and spinDetector_usage_onlyTimeWithoutProgressIsASpin.

--- a/src/Net/EventLoop.cpp
+++ b/src/Net/EventLoop.cpp
@@ -1,6 +1,7 @@
 #include "Net/EventLoop.h"
 
 #include "Net/internal/Dispatch.h"
+#include "Net/internal/SpinDetector.h"
 #include "Net/internal/TimerQueue.h"
 #include "Net/internal/Timeval.h"
 
@@ -47,8 +48,14 @@
     std::unique_ptr<internal::TimerQueue> timers;
     std::vector<Callback> posted;
     event *wake = nullptr;
+    EventLoop &loop;
     Clocks checkedAt;
+    std::uint64_t checkedProgress = 0; ///< m_progress at checkedAt.
+    internal::SpinDetector spinDetector;
     std::function<void(const Stall &)> stalled;
+    std::function<void(const Spin &)> spinning;
+
+    explicit Private(EventLoop &it) : loop(it) { }
 
     /// Also bounds the error of TimerQueue::runningNow(), which sees a stall by its first timer.
     void startStallCheck()
@@ -62,26 +69,42 @@
         startStallCheck();
         const Duration elapsed = checkedAt.boot - last.boot;
         const Duration late = elapsed - StallCheckInterval;
-        if (!stalled || late < MinStall)
+        const std::uint64_t progress =
+                loop.m_progress - std::exchange(checkedProgress, loop.m_progress);
+        // A callback that takes long is a stall.
+        if (late < MinStall)
+            return checkSpin(
+                    {.processorTime = checkedAt.processor - last.processor, .progress = progress});
+        if (!stalled)
             return;
         stalled({.late = late,
                  .suspended = elapsed - (checkedAt.monotonic - last.monotonic),
                  .processorTime = checkedAt.processor - last.processor});
     }
 
+    void checkSpin(const internal::SpinDetector::Usage &used)
+    {
+        const auto spin = spinDetector.add(used);
+        if (spin && spinning)
+            spinning({.processorTime = spin->processorTime, .progress = spin->progress});
+    }
+
     void runPosted()
     {
         // Callbacks posted meanwhile run in the next iteration, so that sockets aren't starved.
         const std::vector<Callback> batch = std::exchange(posted, {});
-        for (const Callback &it : batch)
+        for (const Callback &it : batch) {
+            loop.noteProgress();
             internal::dispatch("posted", it);
+        }
     }
 };
 
-EventLoop::EventLoop() : m_d(std::make_unique<Private>())
+EventLoop::EventLoop() : m_d(std::make_unique<Private>(*this))
 {
     event_base_priority_init(m_d->base, internal::TimerQueue::Priorities);
-    m_d->timers = std::make_unique<internal::TimerQueue>(m_d->base, *this);
+    m_d->timers =
+            std::make_unique<internal::TimerQueue>(m_d->base, *this, [this] { noteProgress(); });
     m_d->wake = event_new(
             m_d->base, -1, 0,
             [](evutil_socket_t, short, void *arg) { static_cast<Private *>(arg)->runPosted(); },
@@ -160,6 +183,11 @@
     m_d->checkedAt = {};
 }
 
+void EventLoop::onSpin(std::function<void(const Spin &)> callback)
+{
+    m_d->spinning = std::move(callback);
+}
+
 internal::TimerQueue &EventLoop::timers() const
 {
     return *m_d->timers;
--- a/src/Net/EventLoop.h
+++ b/src/Net/EventLoop.h
@@ -2,6 +2,7 @@
 
 #include "Base/Clock.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -64,6 +65,21 @@
     /// this.
     void onStall(std::function<void(const Stall &)> callback);
 
+    /// \brief Processor time that the loop used with little progress.
+    struct Spin
+    {
+        Duration processorTime = Duration::zero();
+        std::uint64_t progress = 0; ///< Units that were counted meanwhile.
+    };
+
+    /// \brief Counts a unit of progress: bytes that were read or written, a datagram. The loop
+    /// counts its own callbacks.
+    void noteProgress() { ++m_progress; }
+
+    /// \brief Calls \a callback while the loop spins, once for about a second of processor time. A
+    /// null \a callback ends this.
+    void onSpin(std::function<void(const Spin &)> callback);
+
     event_base *base() const;
 
     /// \returns the timers of the loop. \sa Timer
@@ -72,6 +88,7 @@
 private:
     struct Private;
     std::unique_ptr<Private> m_d;
+    std::uint64_t m_progress = 0;
 };
 
 } // namespace catkinloft
--- a/src/Net/HttpServer.cpp
+++ b/src/Net/HttpServer.cpp
@@ -95,6 +95,12 @@
                         static_cast<Private *>(server)->checkInput(buf);
                 },
                 d);
+        evbuffer_add_cb(
+                bufferevent_get_output(out),
+                [](evbuffer *, const evbuffer_cb_info *, void *server) {
+                    static_cast<Private *>(server)->loop.noteProgress();
+                },
+                d);
         // evhttp sets the descriptor right after this call and does not read before the next
         // iteration of the loop, so it cannot have freed the connection before the callback runs.
         d->loop.post([d, out, there = std::weak_ptr(d->alive)] {
@@ -108,6 +114,7 @@
     /// the line with the size of a chunk.
     void checkInput(const evbuffer *input)
     {
+        loop.noteProgress();
         const std::size_t limit =
                 options.limits.maxHeaderBytes + options.limits.maxBodyBytes + InputReserve;
         if (evbuffer_get_length(input) <= limit)
--- a/src/Net/PeerTransport.cpp
+++ b/src/Net/PeerTransport.cpp
@@ -66,6 +66,7 @@
             const ssize_t n = recvfrom(fd, buf.data(), buf.size(), 0, from.raw(), &length);
             if (n < 0)
                 return;
+            loop.noteProgress();
             internal::dispatch("peer", [&] {
                 receiver(printAddress(from), {buf.data(), static_cast<std::size_t>(n)});
             });
--- a/src/Net/StallMonitor.cpp
+++ b/src/Net/StallMonitor.cpp
@@ -17,13 +17,16 @@
 {
     m_metrics.addCollector([this](Metrics &it) {
         it.set("catkinloft_event_loop_longest_stall_seconds", toSeconds(m_longest));
+        it.set("catkinloft_event_loop_spinning_seconds", toSeconds(m_spinning));
     });
     m_loop.onStall([this](const EventLoop::Stall &it) { stalled(it); });
+    m_loop.onSpin([this](const EventLoop::Spin &it) { spinning(it); });
 }
 
 StallMonitor::~StallMonitor()
 {
     m_loop.onStall(nullptr);
+    m_loop.onSpin(nullptr);
 }
 
 std::string_view StallMonitor::cause(const EventLoop::Stall &stall)
@@ -53,4 +56,12 @@
                   {"unlogged", std::exchange(m_unlogged, 0)}});
 }
 
+void StallMonitor::spinning(const EventLoop::Spin &spin)
+{
+    m_spinning += spin.processorTime;
+    Log::warning("event_loop_spinning",
+                 {{"processor_ms", spin.processorTime / std::chrono::milliseconds(1)},
+                  {"progress", spin.progress}});
+}
+
 } // namespace catkinloft
--- a/src/Net/StallMonitor.h
+++ b/src/Net/StallMonitor.h
@@ -9,7 +9,7 @@
 
 class Metrics;
 
-/// \brief Logs the stalls of an event loop and counts them in the metrics.
+/// \brief Logs the stalls of an event loop, and when it spins, and counts them in the metrics.
 ///
 /// What the process does right after a stall looks like a failure of others: their answers are late
 /// by the length of the stall. The log line tells these apart.
@@ -28,10 +28,12 @@
 
 private:
     void stalled(const EventLoop::Stall &stall);
+    void spinning(const EventLoop::Spin &spin);
 
     EventLoop &m_loop;
     Metrics &m_metrics;
     Duration m_longest = Duration::zero();
+    Duration m_spinning = Duration::zero(); ///< Processor time of all spins.
     TimePoint m_loggedAt = TimePoint::min();
     Duration m_logged = Duration::zero(); ///< Lateness in the last line.
     std::uint64_t m_unlogged = 0; ///< Stalls since the last line.
--- a/src/Net/internal/HttpConnection.cpp
+++ b/src/Net/internal/HttpConnection.cpp
@@ -143,14 +143,19 @@
     evbuffer_add_cb(
             out,
             [](evbuffer *, const evbuffer_cb_info *info, void *arg) {
-                static_cast<HttpConnection *>(arg)->m_bytesSent += info->n_deleted;
+                auto *self = static_cast<HttpConnection *>(arg);
+                self->m_bytesSent += info->n_deleted;
+                self->m_loop.noteProgress();
             },
             this);
     evbuffer_add_cb(
             bufferevent_get_input(evhttp_connection_get_bufferevent(m_connection)),
             [](evbuffer *, const evbuffer_cb_info *info, void *arg) {
-                if (info->n_added > 0)
-                    static_cast<HttpConnection *>(arg)->onArrived(info->n_added);
+                if (info->n_added == 0)
+                    return;
+                auto *self = static_cast<HttpConnection *>(arg);
+                self->m_loop.noteProgress();
+                self->onArrived(info->n_added);
             },
             this);
 }
--- a/src/Net/internal/TimerQueue.cpp
+++ b/src/Net/internal/TimerQueue.cpp
@@ -28,8 +28,8 @@
 
 } // namespace
 
-TimerQueue::TimerQueue(event_base *base, const Clock &clock)
-    : m_clock(clock),
+TimerQueue::TimerQueue(event_base *base, const Clock &clock, std::function<void()> ran)
+    : m_clock(clock), m_ran(std::move(ran)),
       m_alarm(event_new(
               base, -1, 0,
               [](evutil_socket_t, short, void *arg) { static_cast<TimerQueue *>(arg)->due(); },
@@ -144,6 +144,7 @@
     while (!m_timers.empty() && m_timers.begin()->first <= last
            && now - m_countedUntil < EventLoop::MinStall) {
         const auto timer = m_timers.extract(m_timers.begin());
+        m_ran();
         dispatch("timer", timer.mapped());
         now = m_clock.now();
     }
--- a/src/Net/internal/TimerQueue.h
+++ b/src/Net/internal/TimerQueue.h
@@ -31,7 +31,8 @@
     /// the middle one.
     static constexpr int Priorities = 3;
 
-    TimerQueue(event_base *base, const Clock &clock);
+    /// \param ran is called before each timer that runs.
+    TimerQueue(event_base *base, const Clock &clock, std::function<void()> ran);
     ~TimerQueue();
     TimerQueue(const TimerQueue &) = delete;
     TimerQueue &operator=(const TimerQueue &) = delete;
@@ -61,6 +62,7 @@
     void startAlarm(Duration delay);
 
     const Clock &m_clock;
+    std::function<void()> m_ran;
     std::map<Key, Callback> m_timers;
     std::uint64_t m_lastNumber = 0;
     event *m_alarm; ///< Fires when the first timer is due, or at m_deferredUntil.
--- a/test/EventLoopTest.cpp
+++ b/test/EventLoopTest.cpp
@@ -1,10 +1,12 @@
 #include "Net/EventLoop.h"
 #include "Net/StallMonitor.h"
 #include "Net/Timer.h"
+#include "Net/internal/SpinDetector.h"
 
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <array>
 #include <functional>
 #include <memory>
 #include <numeric>
@@ -116,6 +118,48 @@
     CHECK(StallMonitor::cause({.late = 1s, .processorTime = 10ms}) == "not_running");
 }
 
+// Guards against a loop that spins on a socket that nobody reads: it costs a core and leaves no
+// trace.
+TEST_CASE("eventLoop_socketStaysReadable_isReportedAsSpinning")
+{
+    EventLoop loop;
+    std::array<int, 2> sockets{};
+    REQUIRE(socketpair(AF_UNIX, SOCK_STREAM, 0, sockets.data()) == 0);
+    REQUIRE(write(sockets[1], "a", 1) == 1);
+    event *readable = event_new(
+            loop.base(), sockets[0], EV_READ | EV_PERSIST, [](evutil_socket_t, short, void *) {},
+            nullptr);
+    event_add(readable, nullptr);
+    Duration processorTime = Duration::zero();
+    loop.onSpin([&](const EventLoop::Spin &it) {
+        processorTime = it.processorTime;
+        loop.stop();
+    });
+    Timer limit(loop, [&] { loop.stop(); });
+    limit.start(60s);
+    loop.run();
+    CHECK(processorTime >= internal::SpinDetector::Window);
+    event_free(readable);
+    for (const int it : sockets)
+        close(it);
+}
+
+// Guards against warnings about a loop that is busy with what it reads, or with a long callback.
+TEST_CASE("spinDetector_usage_onlyTimeWithoutProgressIsASpin")
+{
+    internal::SpinDetector subject;
+    for (int i = 0; i < 100; ++i)
+        CHECK_FALSE(subject.add({.processorTime = 100ms, .progress = 50}));
+    for (int i = 0; i < 9; ++i)
+        CHECK_FALSE(subject.add({.processorTime = 100ms, .progress = 5}));
+    const auto spin = subject.add({.processorTime = 100ms, .progress = 5});
+    REQUIRE(spin);
+    CHECK((spin->processorTime == 1s));
+    CHECK(spin->progress == 50);
+    CHECK_FALSE(subject.add({.processorTime = 500ms, .progress = 0}));
+    CHECK_FALSE(subject.add({.processorTime = 500ms, .progress = 1000}));
+}
+
 namespace {
 
 /// \brief A socket on which bytes wait and that calls a function for each byte.
