--- a/src/Net/HttpExchange.cpp
+++ b/src/Net/HttpExchange.cpp
@@ -131,7 +131,7 @@
 {
     evhttp_connection *con = evhttp_request_get_connection(m_request);
     evhttp_connection_set_closecb(con, nullptr, nullptr);
-    // Nobody gives up an answer that the caller doesn't read after this.
+    // From here on only the write timeout ends an answer that the caller doesn't read.
     bufferevent_set_timeouts(evhttp_connection_get_bufferevent(con), nullptr, &m_idleTimeout);
     m_onClosed = nullptr;
     m_onDrained = nullptr;
