A loop that comes to rest doesn't spin

Cause: processor time alone was taken for being busy.

The timer queue counts how often the loop found no socket ready while timers were due. A window in which it did is no spin: in a spin an event is always ready, and timers run by their time limit only. spinDetector_usage_onlyTimeWithoutProgressIsASpin asks for it (it doesn't compile with the code before).

--- a/src/Net/EventLoop.cpp
+++ b/src/Net/EventLoop.cpp
@@ -51,6 +51,7 @@
     EventLoop &loop;
     Clocks checkedAt;
     std::uint64_t checkedProgress = 0; ///< m_progress at checkedAt.
+    std::uint64_t checkedRests = 0; ///< Rests of the timers at checkedAt.
     internal::SpinDetector spinDetector;
     std::function<void(const Stall &)> stalled;
     std::function<void(const Spin &)> spinning;
@@ -71,10 +72,12 @@
         const Duration late = elapsed - StallCheckInterval;
         const std::uint64_t progress =
                 loop.m_progress - std::exchange(checkedProgress, loop.m_progress);
+        const bool hasRested = timers->rests() != std::exchange(checkedRests, timers->rests());
         // A callback that takes long is a stall.
         if (late < MinStall)
-            return checkSpin(
-                    {.processorTime = checkedAt.processor - last.processor, .progress = progress});
+            return checkSpin({.processorTime = checkedAt.processor - last.processor,
+                              .progress = progress,
+                              .hasRested = hasRested});
         if (!stalled)
             return;
         stalled({.late = late,
--- a/src/Net/internal/SpinDetector.h
+++ b/src/Net/internal/SpinDetector.h
@@ -8,7 +8,7 @@
 
 namespace catkinloft::internal {
 
-/// \brief Detects that an event loop uses the processor without progress.
+/// \brief Detects that an event loop uses the processor without progress and never comes to rest.
 ///
 /// Handles sockets and callbacks that stay ready although nothing is read, written or run, such as
 /// a connection whose input nobody takes. They cost a whole core, while timers still run and the
@@ -20,6 +20,7 @@
     {
         Duration processorTime = Duration::zero();
         std::uint64_t progress = 0; ///< Reads, writes, datagrams, timers and posted callbacks.
+        bool hasRested = false; ///< No socket or callback was ready at some moment.
     };
 
     /// Processor time over which progress is compared. A single callback may take a large part of a
@@ -36,10 +37,11 @@
     {
         m_window.processorTime += used.processorTime;
         m_window.progress += used.progress;
+        m_window.hasRested = m_window.hasRested || used.hasRested;
         if (m_window.processorTime < Window)
             return std::nullopt;
         const Usage out = std::exchange(m_window, {});
-        if (out.processorTime < MaxTimePerUnit * out.progress)
+        if (out.hasRested || out.processorTime < MaxTimePerUnit * out.progress)
             return std::nullopt;
         return out;
     }
--- a/src/Net/internal/TimerQueue.cpp
+++ b/src/Net/internal/TimerQueue.cpp
@@ -36,7 +36,11 @@
               this)),
       m_idle(event_new(
               base, -1, 0,
-              [](evutil_socket_t, short, void *arg) { static_cast<TimerQueue *>(arg)->proceed(); },
+              [](evutil_socket_t, short, void *arg) {
+                  auto *self = static_cast<TimerQueue *>(arg);
+                  ++self->m_rests;
+                  self->proceed();
+              },
               this))
 {
     event_priority_set(m_idle, Priorities - 1);
--- a/src/Net/internal/TimerQueue.h
+++ b/src/Net/internal/TimerQueue.h
@@ -48,6 +48,9 @@
     /// \returns whether there were any. Destroying their callbacks may add others.
     bool clear();
 
+    /// \returns how often the loop came to rest, with no socket ready, while timers were due.
+    std::uint64_t rests() const { return m_rests; }
+
     /// \returns the time without the stalls of the loop, in which no timer could run for
     /// EventLoop::MinStall or longer. Measures how long others take to answer. Expiry times use
     /// EventLoop::now().
@@ -67,6 +70,7 @@
     std::uint64_t m_lastNumber = 0;
     event *m_alarm; ///< Fires when the first timer is due, or at m_deferredUntil.
     event *m_idle; ///< Has the lowest priority: runs when no socket is ready.
+    std::uint64_t m_rests = 0;
     bool m_isDeferring = false; ///< Due timers wait until the sockets have been read.
     TimePoint m_deferredUntil;
     bool m_isExtended = false; ///< The deferral was extended.
--- a/test/EventLoopTest.cpp
+++ b/test/EventLoopTest.cpp
@@ -144,7 +144,8 @@
         close(it);
 }
 
-// Guards against warnings about a loop that is busy with what it reads, or with a long callback.
+// Guards against warnings about a loop that is busy with what it reads, or that waits while the
+// clock of the processor goes on, as where a process is simulated.
 TEST_CASE("spinDetector_usage_onlyTimeWithoutProgressIsASpin")
 {
     internal::SpinDetector subject;
@@ -156,6 +157,8 @@
     REQUIRE(spin);
     CHECK((spin->processorTime == 1s));
     CHECK(spin->progress == 50);
+    for (int i = 0; i < 100; ++i)
+        CHECK_FALSE(subject.add({.processorTime = 100ms, .progress = 5, .hasRested = i % 10 == 0}));
     CHECK_FALSE(subject.add({.processorTime = 500ms, .progress = 0}));
     CHECK_FALSE(subject.add({.processorTime = 500ms, .progress = 1000}));
 }
