Answers without a body may state a length

Callers saw: 502 for a 204 or 304 whose replica states a Content-Length. A 304 may state the length that the answer to an unconditional request has; evhttp reads no body after either, and the bytes that were read were compared with the length, as for any other answer.

The length counts only where a body follows. Bytes that a replica sends behind such an answer condemn the connection, as before.

entryRequest_answerOfOddFraming_isNotMixedWithTheNext: the rows of 204 and 304 failed before (502); the others (equal lengths, length beside chunks, length named in Connection, bytes behind the answer, a body with the length 0) passed before and pass.

--- a/src/Net/internal/HttpConnection.cpp
+++ b/src/Net/internal/HttpConnection.cpp
@@ -327,7 +327,9 @@
         return;
     self->m_hasHead = true;
     self->m_status = head.status;
-    self->m_length = contentLength(head);
+    // Without a body, the length is that of the answer to another method or condition.
+    if (!self->m_headOnly && !hasNoBody(head.status))
+        self->m_length = contentLength(head);
     self->m_delimited = self->m_headOnly || hasNoBody(head.status) || self->m_length
             || !head.header("Transfer-Encoding").empty();
     head.isUnframed = !self->m_delimited;
@@ -381,7 +383,7 @@
         m_reusable = false; // The end of the connection ended the answer.
     if (!m_delimited && !m_acceptsUnframed) {
         fail(Reason::UpstreamBroken, "the answer has neither a length nor chunks");
-    } else if (m_length && !m_headOnly && m_bytesReceived != *m_length) {
+    } else if (m_length && m_bytesReceived != *m_length) {
         m_reusable = false;
         fail(Reason::UpstreamBroken, "the length of the answer differs from its Content-Length");
     } else {
--- a/test/EntryRequestTest.cpp
+++ b/test/EntryRequestTest.cpp
@@ -11,6 +11,8 @@
 #include <doctest/doctest.h>
 
 #include <memory>
+#include <utility>
+#include <vector>
 
 #include <fmt/format.h>
 
@@ -1313,6 +1315,57 @@
     }
 }
 
+// Guards against bytes of an answer that a caller takes for the next one, and against answers
+// without a body that are rejected because they state the length of another one.
+TEST_CASE_FIXTURE(EntryGatewayFixture, "entryRequest_answerOfOddFraming_isNotMixedWithTheNext")
+{
+    struct Form
+    {
+        const char *name;
+        const char *status;
+        const char *fields;
+        const char *body;
+        const char *expected; ///< Body that the caller may get with the status; null: 502.
+    };
+    const std::vector<Form> forms = {
+            {"no content with a body", "204 No Content", "Content-Length: 5\r\n", "extra", ""},
+            {"not modified with a body", "304 Not Modified", "Content-Length: 5\r\n", "extra", ""},
+            {"two equal lengths", "200 OK", "Content-Length: 5\r\nContent-Length: 5\r\n", "whole",
+             "whole"},
+            {"length beside chunks", "200 OK",
+             "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n", "5\r\nwhole\r\n0\r\n\r\n",
+             nullptr},
+            {"length of one connection", "200 OK",
+             "Connection: Content-Length\r\nContent-Length: 5\r\n", "whole", "whole"},
+            {"bytes behind the answer", "200 OK", "Content-Length: 5\r\n", "wholeextra", "whole"},
+            {"empty with a body", "200 OK", "Content-Length: 0\r\n", "extra", ""},
+    };
+    const Form *form = nullptr;
+    addReplica([&form](const std::string &request, std::size_t) -> Reply {
+        const Form *it = std::exchange(form, nullptr);
+        if (!it)
+            return {.bytes = ScriptedReplica::answer(request, 200, "fine")};
+        return {.bytes = fmt::format("HTTP/1.1 {}\r\nX-Request-Id: r1\r\n"
+                                     "X-Response-Signature: s\r\n{}\r\n{}",
+                                     it->status, it->fields, it->body)};
+    });
+    for (const Form &it : forms) {
+        CAPTURE(std::string(it.name));
+        form = &it;
+        RawCaller caller(Port);
+        const std::string next = request("POST", "/once/", {}, "x");
+        const std::string answers = call(caller, next + next, "\r\n\r\nfine");
+        const std::size_t second = answers.find("HTTP/1.1", 1);
+        REQUIRE(second != answers.npos);
+        const std::string first = answers.substr(0, second);
+        CHECK(answers.substr(second).starts_with("HTTP/1.1 200"));
+        CHECK(answers.ends_with("\r\n\r\nfine"));
+        CHECK(first.starts_with(fmt::format("HTTP/1.1 {}", it.expected ? it.status : "502")));
+        if (it.expected)
+            CHECK(first.ends_with(std::string("\r\n\r\n") + it.expected));
+    }
+}
+
 // Guards against requests that are cut off without an answer when the process ends, and against
 // work that begins too late to end before it.
 TEST_CASE_FIXTURE(EntryGatewayFixture, "entryRequest_processStops_requestsAreAnswered")
