Answers that state two lengths are rejected

Callers saw: part of an answer as a whole 200, with its signature: evhttp takes the first of two Content-Length fields, and so did we. With 2 and 5 for a body of 5 bytes the caller got two of them.

HttpConnection rejects an answer whose lengths differ (RFC 9112, 6.3); equal ones count as one. All ways to a replica, the relay and the calls to the store go through it.

entryRequest_answerOfOddFraming_isNotMixedWithTheNext: the rows with two lengths failed before (200).

--- a/src/Net/internal/HttpConnection.cpp
+++ b/src/Net/internal/HttpConnection.cpp
@@ -5,6 +5,7 @@
 #include "Net/internal/Dispatch.h"
 #include "Net/internal/TlsStream.h"
 
+#include <algorithm>
 #include <charconv>
 #include <optional>
 #include <strings.h>
@@ -80,6 +81,15 @@
     return n;
 }
 
+/// \returns whether lengths are stated that differ. evhttp reads the body by the first of them.
+bool hasConflictingLengths(const HttpHead &head)
+{
+    const std::string_view first = head.header("Content-Length");
+    return std::any_of(head.headers.begin(), head.headers.end(), [&](const HttpHeader &it) {
+        return strcasecmp(it.first.c_str(), "Content-Length") == 0 && it.second != first;
+    });
+}
+
 /// \returns the `timeout` parameter of the Keep-Alive header, if there is one.
 std::optional<Duration> keepAliveOf(const HttpHead &head)
 {
@@ -327,6 +337,10 @@
         return;
     self->m_hasHead = true;
     self->m_status = head.status;
+    if (hasConflictingLengths(head)) {
+        self->m_reusable = false;
+        return self->fail(Reason::UpstreamInvalid, "the answer states two lengths");
+    }
     // Without a body, the length is that of the answer to another method or condition.
     if (!self->m_headOnly && !hasNoBody(head.status))
         self->m_length = contentLength(head);
--- a/test/EntryRequestTest.cpp
+++ b/test/EntryRequestTest.cpp
@@ -1315,8 +1315,9 @@
     }
 }
 
-// Guards against bytes of an answer that a caller takes for the next one, and against answers
-// without a body that are rejected because they state the length of another one.
+// Guards against bytes of an answer that a caller takes for the next one, against answers without a
+// body that are rejected because they state the length of another one, and against part of a body
+// that is taken for all of it because two lengths are stated.
 TEST_CASE_FIXTURE(EntryGatewayFixture, "entryRequest_answerOfOddFraming_isNotMixedWithTheNext")
 {
     struct Form
@@ -1332,6 +1333,10 @@
             {"not modified with a body", "304 Not Modified", "Content-Length: 5\r\n", "extra", ""},
             {"two equal lengths", "200 OK", "Content-Length: 5\r\nContent-Length: 5\r\n", "whole",
              "whole"},
+            {"two lengths", "200 OK", "Content-Length: 2\r\nContent-Length: 5\r\n", "whole",
+             nullptr},
+            {"two lengths, the longer first", "200 OK",
+             "Content-Length: 5\r\nContent-Length: 2\r\n", "whole", nullptr},
             {"length beside chunks", "200 OK",
              "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n", "5\r\nwhole\r\n0\r\n\r\n",
              nullptr},
