Why bodies of some methods are refused; retried bodies; wording

The comment said that the listener reads no body for GET, DELETE and OPTIONS; the fuzz target showed that evhttp 2.1.12 does (not for HEAD). The refusal stays, as its tests ask (entryRequest_ambiguousLength_isRefusedAndItsConnectionClosed): receivers differ on such bodies (RFC 9110, 9.3), and one that reads none takes them for the next request.

--- a/fuzz/FuzzListener.cpp
+++ b/fuzz/FuzzListener.cpp
@@ -121,11 +121,11 @@
         const auto first = line();
         if (!first)
             return std::nullopt;
+        constexpr std::string_view Version = " HTTP/1.1";
         const std::size_t mark = first->find(' ');
-        const std::size_t end = first->rfind(" HTTP/1.1");
-        if (mark == std::string_view::npos || end == std::string_view::npos || end <= mark
-            || end + 9 != first->size())
+        if (!first->ends_with(Version) || mark >= first->size() - Version.size())
             return unclear<Request>();
+        const std::size_t end = first->size() - Version.size();
         Request out{.method = std::string(first->substr(0, mark)),
                     .target = std::string(first->substr(mark + 1, end - mark - 1))};
         if (out.target.find(' ') != std::string::npos || !out.target.starts_with('/'))
@@ -290,7 +290,7 @@
         bindToNextAddress(fd);
         const sockaddr_in address = loopback(m_port);
         if (connect(fd, reinterpret_cast<const sockaddr *>(&address), sizeof address) != 0) {
-            if (errno != EINTR) // By the alarm of libFuzzer.
+            if (errno != EINTR) // libFuzzer's alarm interrupts system calls.
                 report(fmt::format("no connection to the listener: {}", std::strerror(errno)));
             close(fd);
             return;
@@ -443,7 +443,9 @@
 
 } // namespace
 
-/// Bytes of \a data stand for parts of requests; those beyond the table stand for themselves.
+/// Guards against requests that the listener, or the upstream to which they are forwarded, reads in
+/// another way than the caller sent them. Bytes of \a data stand for parts of requests; those
+/// beyond the table stand for themselves.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     static Front &front = *new Front; // Lives until the process ends.
--- a/src/Net/EventLoop.cpp
+++ b/src/Net/EventLoop.cpp
@@ -50,8 +50,8 @@
     event *wake = nullptr;
     EventLoop &loop;
     Clocks checkedAt;
-    std::uint64_t checkedProgress = 0; ///< m_progress at checkedAt.
-    std::uint64_t checkedRests = 0; ///< Rests of the timers at checkedAt.
+    std::uint64_t checkedProgress = 0; ///< Units of progress until checkedAt.
+    std::uint64_t checkedRests = 0; ///< Rests of the timers until checkedAt.
     internal::SpinDetector spinDetector;
     std::function<void(const Stall &)> stalled;
     std::function<void(const Spin &)> spinning;
@@ -73,7 +73,7 @@
         const std::uint64_t progress =
                 loop.m_progress - std::exchange(checkedProgress, loop.m_progress);
         const bool hasRested = timers->rests() != std::exchange(checkedRests, timers->rests());
-        // A callback that takes long is a stall.
+        // An interval with a stall is reported as one, and not as a spin.
         if (late < MinStall)
             return checkSpin({.processorTime = checkedAt.processor - last.processor,
                               .progress = progress,
--- a/src/Request/RequestFraming.cpp
+++ b/src/Request/RequestFraming.cpp
@@ -20,8 +20,8 @@
                            [](unsigned char c) { return std::isdigit(c) != 0; });
 }
 
-/// \returns whether evhttp reads no body for \a method. It would parse the bytes after the headers
-/// as the next request.
+/// \returns whether some receivers read no body for \a method (RFC 9110, 9.3), as evhttp does for
+/// HEAD. They parse the bytes after the headers as the next request.
 bool hasUnreadBody(std::string_view method)
 {
     return method != "POST" && method != "PUT" && method != "PATCH";
--- a/src/Request/RequestFraming.h
+++ b/src/Request/RequestFraming.h
@@ -14,7 +14,7 @@
     RepeatedLength,
     BadLength, ///< A Content-Length that is not a plain decimal number of at most 18 digits.
     UnknownCoding, ///< A transfer coding other than a single "chunked".
-    UnreadBody, ///< A body with a method for which the listener reads none.
+    UnreadBody, ///< A body with a method for which some receivers read none.
     BadTarget, ///< Not a path: absolute, empty, or with spaces or control characters.
     BadName, ///< A field whose name is no token, such as one with a space before the colon.
     BadValue, ///< A field with a control character in its value.
--- a/test/EntryRequestTest.cpp
+++ b/test/EntryRequestTest.cpp
@@ -1315,6 +1315,77 @@
     }
 }
 
+// Guards against a body that the listener or a replica reads as another request, at the first
+// attempt and at the next one.
+TEST_CASE("entryRequest_bodyOfEachMethod_reachesEachReplicaUnchangedWhenRetried")
+{
+    const std::string disguised = "POST /once/b HTTP/1.1\r\nX-Request-Id: r2\r\n\r\n";
+    for (const char *method : {"POST", "PUT", "PATCH"}) {
+        CAPTURE(std::string(method));
+        EntryGatewayFixture subject;
+        std::size_t attempts = 0;
+        const auto everySecond = [&attempts](const std::string &request, std::size_t) -> Reply {
+            const bool isFull = attempts++ % 2 == 0;
+            return {.bytes = isFull
+                            ? ScriptedReplica::answer(request, 503, "", "X-Not-Executed: 1\r\n")
+                            : ScriptedReplica::answer(request, 200, "fine")};
+        };
+        subject.addReplica(everySecond);
+        subject.addReplica(everySecond);
+        RawCaller caller(EntryGatewayFixture::Port);
+        const std::string longBody(30'000, 'x');
+        const std::vector<std::pair<std::string, std::string>> forms = {
+                {disguised, EntryGatewayFixture::request(method, "/once/a", {}, disguised)},
+                {longBody, EntryGatewayFixture::request(method, "/once/a", {}, longBody)},
+                {disguised,
+                 EntryGatewayFixture::request(method, "/once/a", "Transfer-Encoding: chunked\r\n",
+                                              {})
+                         + fmt::format("{:x}\r\n{}\r\n0\r\n\r\n", disguised.size(), disguised)},
+        };
+        for (const auto &[body, bytes] : forms) {
+            CAPTURE(body.size());
+            const std::size_t before = subject.sent();
+            CHECK(subject.call(caller, bytes, "fine").starts_with("HTTP/1.1 200"));
+            CHECK(subject.sent() == before + 2);
+            for (const auto &it : subject.replicas) {
+                REQUIRE_FALSE(it->requests().empty());
+                const std::string &received = it->requests().back();
+                CHECK(received.starts_with(fmt::format("{} /once/a HTTP/1.1\r\n", method)));
+                CHECK(received.ends_with("\r\n\r\n" + body));
+            }
+            // A replica that was full is excluded for a while.
+            const TimePoint end = subject.loop.now() + 150ms;
+            subject.until([&] { return subject.loop.now() >= end; });
+        }
+        for (const auto &it : subject.replicas)
+            CHECK(it->connections() == 1);
+    }
+}
+
+// Guards against a body for which receivers differ on whether it is one: it is neither forwarded
+// nor read as the next request.
+TEST_CASE("entryRequest_methodWithoutBodyHasOne_isRefusedAndConnectionIsClosed")
+{
+    const std::string hidden = EntryGatewayFixture::request("POST", "/once/b", {}, "x");
+    for (const char *method : {"HEAD", "GET", "DELETE", "OPTIONS"}) {
+        const std::string chunked = EntryGatewayFixture::request(
+                method, "/once/a", "Transfer-Encoding: chunked\r\n", {});
+        const std::string chunk = fmt::format("{:x}\r\n{}\r\n0\r\n\r\n", hidden.size(), hidden);
+        for (const std::string &bytes :
+             {EntryGatewayFixture::request(method, "/once/a", {}, hidden), chunked + chunk}) {
+            CAPTURE(bytes);
+            EntryGatewayFixture subject;
+            subject.addReplica(ok);
+            RawCaller caller(EntryGatewayFixture::Port);
+            const std::string answer = subject.call(caller, bytes, "no such text");
+            CHECK(answer.starts_with("HTTP/1.1 400"));
+            CHECK(answer.find("HTTP/1.1", 1) == answer.npos);
+            CHECK(subject.closed);
+            CHECK(subject.sent() == 0);
+        }
+    }
+}
+
 // Guards against bytes of an answer that a caller takes for the next one, against answers without a
 // body that are rejected because they state the length of another one, and against part of a body
 // that is taken for all of it because two lengths are stated.
--- a/test/EventLoopTest.cpp
+++ b/test/EventLoopTest.cpp
@@ -144,8 +144,8 @@
         close(it);
 }
 
-// Guards against warnings about a loop that is busy with what it reads, or that waits while the
-// clock of the processor goes on, as where a process is simulated.
+// Guards against warnings about a loop that is busy with what it reads, or that waits on a system
+// whose processor clock also counts waiting.
 TEST_CASE("spinDetector_usage_onlyTimeWithoutProgressIsASpin")
 {
     internal::SpinDetector subject;
