The gateway of catkinloft router refuses requests of ambiguous framing

What callers saw: heads that two receivers may frame differently (a space before the colon of Content-Length or Transfer-Encoding, two lengths, two keys, DELETE and GET with a body) were forwarded by catkinloft router.

Cause: only the filters of the entry checked the framing; the gateway has another chain.

Change: checkFraming() serves both; the gateway answers 400 and closes the connection.

Shown: security_framingIsAmbiguous_isRefusedAndConnectionIsClosed failed before (6 of 7 cases got no 400), passes now (x86-64).

--- a/src/Net/Gateway.cpp
+++ b/src/Net/Gateway.cpp
@@ -8,6 +8,7 @@
 #include "Request/ChatRequest.h"
 #include "Request/IdentifyFilter.h"
 #include "Request/Problem.h"
+#include "Request/RequestFraming.h"
 
 #include <map>
 
@@ -107,6 +108,12 @@
     context->body = exchange->body();
     context->header = [it = exchange.get()](const char *name) { return it->header(name); };
     context->receivedAt = options.loop.now();
+    const Result<void> framing =
+            checkFraming(exchange->method(), exchange->target(), exchange->headers());
+    if (!framing) {
+        exchange->closeAfterAnswer();
+        return refuse(context, exchange, framing.error());
+    }
     chain.run(context, [this, context, exchange](Result<void> result) {
         if (result)
             forwarder.forward(context, exchange);
--- a/src/Request/EntryFilters.cpp
+++ b/src/Request/EntryFilters.cpp
@@ -2,8 +2,6 @@
 
 #include "Request/RequestFraming.h"
 
-#include <fmt/format.h>
-
 namespace catkinloft {
 
 namespace {
@@ -34,10 +32,7 @@
 
 Result<void> EntryFilters::checkFraming(const EntryRequest &request)
 {
-    const FramingFault fault = framingFault(request.method, request.target, request.headers);
-    if (fault != FramingFault::None)
-        return Error{.reason = Reason::MalformedRequest,
-                     .detail = fmt::format("ambiguous framing: {}", framingFaultName(fault))};
+    BOOST_OUTCOME_TRYV(catkinloft::checkFraming(request.method, request.target, request.headers));
     if (request.facts.id.empty())
         return Error{.reason = Reason::MalformedRequest, .detail = "the request has no id"};
     return outcome::success();
--- a/src/Request/RequestFraming.cpp
+++ b/src/Request/RequestFraming.cpp
@@ -4,6 +4,8 @@
 #include <cctype>
 #include <strings.h>
 
+#include <fmt/format.h>
+
 namespace catkinloft {
 
 namespace {
@@ -125,4 +127,14 @@
     return FramingFault::None;
 }
 
+Result<void> checkFraming(std::string_view method, std::string_view target,
+                          std::span<const std::pair<std::string, std::string>> headers)
+{
+    const FramingFault fault = framingFault(method, target, headers);
+    if (fault == FramingFault::None)
+        return outcome::success();
+    return Error{.reason = Reason::MalformedRequest,
+                 .detail = fmt::format("ambiguous framing: {}", framingFaultName(fault))};
+}
+
 } // namespace catkinloft
--- a/src/Request/RequestFraming.h
+++ b/src/Request/RequestFraming.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Base/Error.h"
+
 #include <span>
 #include <string>
 #include <string_view>
@@ -33,4 +35,8 @@
 FramingFault framingFault(std::string_view method, std::string_view target,
                           std::span<const std::pair<std::string, std::string>> headers);
 
+/// \returns Reason::MalformedRequest if there is a fault. \sa framingFault()
+Result<void> checkFraming(std::string_view method, std::string_view target,
+                          std::span<const std::pair<std::string, std::string>> headers);
+
 } // namespace catkinloft
--- a/test/integration/SecurityTest.cpp
+++ b/test/integration/SecurityTest.cpp
@@ -1,8 +1,19 @@
+#include "RawCaller.h"
 #include "fleet/Fleet.h"
 
 #include <doctest/doctest.h>
 
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include <fmt/format.h>
+
 using namespace catkinloft;
+using namespace std::chrono_literals;
 using standin::Fleet;
 
 namespace {
@@ -33,6 +44,23 @@
         return answer.value();
     }
 
+    /// \returns what the router answered to \a request, after the end of its connection; empty if
+    /// the connection stays open.
+    std::string answerUntilClosed(const std::string &request) const
+    {
+        const std::string &address = fleet->routerAddress(0);
+        RawCaller caller(
+                static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1))));
+        caller.send(request);
+        const auto until = std::chrono::steady_clock::now() + 3s;
+        while (!caller.read()) {
+            if (std::chrono::steady_clock::now() > until)
+                return {};
+            std::this_thread::sleep_for(10ms);
+        }
+        return caller.received;
+    }
+
     std::unique_ptr<Fleet> fleet;
 };
 
@@ -60,3 +88,39 @@
             call("POST", "/services/dispatch/orders", Fleet::operatorKey(), "{}");
     CHECK(dispatch.head.status == 401);
 }
+
+// Guards against smuggling: a head that routers and upstreams may frame differently was forwarded,
+// so that part of its body could run as a request of another workspace.
+TEST_CASE_FIXTURE(SmallFleetFixture, "security_framingIsAmbiguous_isRefusedAndConnectionIsClosed")
+{
+    const std::string inner = "POST /services/dispatch/orders HTTP/1.1\r\n\r\n";
+    const std::string length = fmt::format("Content-Length: {}\r\n", inner.size());
+    const std::string key = fmt::format("Authorization: Bearer {}\r\n", Fleet::workspaceKey(0));
+    struct Case
+    {
+        std::string method;
+        std::string fields;
+        std::string body;
+    };
+    const std::array cases{
+            Case{"POST", "Content-Length : 3\r\n" + length, inner},
+            Case{"POST", "Transfer-Encoding : chunked\r\n" + length, inner},
+            Case{"POST", length + "Content-Length: 0\r\n", inner},
+            Case{"POST", "Transfer-Encoding: chunked\r\n" + length,
+                 fmt::format("{:x}\r\n{}\r\n0\r\n\r\n", inner.size(), inner)},
+            Case{"POST",
+                 fmt::format("Authorization: Bearer {}\r\n", Fleet::workspaceKey(1)) + length,
+                 inner},
+            Case{"DELETE", length, inner},
+            Case{"GET", length, inner},
+    };
+    for (const Case &it : cases) {
+        CAPTURE(it.method);
+        CAPTURE(it.fields);
+        const std::string answer = answerUntilClosed(
+                fmt::format("{} /services/dispatch/orders HTTP/1.1\r\nHost: a\r\n{}{}\r\n{}",
+                            it.method, key, it.fields, it.body));
+        CHECK(answer.substr(0, 12) == "HTTP/1.1 400");
+        CHECK(answer.find("HTTP/1.1", 12) == std::string::npos);
+    }
+}
