Answers of other replicas don't prove that a replica runs

Cause: after a store that returns from a copy, a crashed replica is registered again while the next one listens at its address. That one answers 421; the answer counted as a sign of life of the crashed replica, so requests that broke later at the address were recorded as its second crash (`i-2-1+1`, `i-0-1+1`). Checks of paths have the same fault where two registered replicas share an address.

Change: PathMonitor distinguishes evidence about the path from evidence about the replica.

Shown: entryRequest_misdirected_isNoProofThatTheReplicaRuns and pathProber_addressIsShared_isNoProofThatTheReplicaRuns failed before and pass now.

--- a/src/Decide/PathMonitor.cpp
+++ b/src/Decide/PathMonitor.cpp
@@ -78,12 +78,14 @@
     return true;
 }
 
-bool PathMonitor::connected(const std::string &id)
+bool PathMonitor::connected(const std::string &id, Listener listener)
 {
     m_suspects.erase(id);
-    m_crashed.erase(id);
     m_checkedAt[id] = m_options.clock.now();
-    m_provenAt[id] = m_options.clock.now();
+    if (listener == Listener::Replica) {
+        m_crashed.erase(id);
+        m_provenAt[id] = m_options.clock.now();
+    }
     if (m_silent.contains(id))
         return false;
     const bool wasPartitioned = isPartitioned();
@@ -106,10 +108,10 @@
     return failed(id);
 }
 
-bool PathMonitor::answered(const std::string &id)
+bool PathMonitor::answered(const std::string &id, Listener listener)
 {
     m_silent.erase(id);
-    return connected(id);
+    return connected(id, listener);
 }
 
 void PathMonitor::crashed(const std::string &id)
--- a/src/Decide/PathMonitor.h
+++ b/src/Decide/PathMonitor.h
@@ -40,6 +40,14 @@
         std::function<void()> checksDue = [] {}; ///< Called when dueChecks() has to be called.
     };
 
+    /// \brief Who is known to listen at the address of a replica.
+    ///
+    /// A replica that has ended may still be registered when its address belongs to the next one.
+    enum class Listener {
+        Replica, ///< The replica itself.
+        Unknown, ///< The replica or another one. Shows only that the path works.
+    };
+
     /// A service is partitioned when the paths to one in this many replicas are broken.
     static constexpr std::size_t PartitionDivisor = 3;
 
@@ -61,7 +69,7 @@
     /// \brief Records that a new connection to replica \a id was established. A path that silent()
     /// reported stays broken.
     /// \returns whether its path was broken until now.
-    bool connected(const std::string &id);
+    bool connected(const std::string &id, Listener listener = Listener::Replica);
 
     /// \brief Records that replica \a id accepts connections of this router and nothing arrives on
     /// them, although another router receives bytes from it. Its path is broken until answered() is
@@ -71,7 +79,7 @@
 
     /// \brief Records that bytes arrived from replica \a id on a new connection.
     /// \returns whether its path was broken until now.
-    bool answered(const std::string &id);
+    bool answered(const std::string &id, Listener listener = Listener::Replica);
 
     /// \returns whether a path is broken because of silent(), so that checks have to wait for
     /// bytes.
@@ -83,11 +91,11 @@
     void stayedOpen() { m_brokenCheckedAt = TimePoint::min(); }
 
     /// \brief Records that replica \a id has crashed, so that its path doesn't count as lost by
-    /// isMostlyLostBeside() until a new connection to it is established.
+    /// isMostlyLostBeside() until it is known to run again.
     void crashed(const std::string &id);
 
-    /// \returns when a new connection to replica \a id was last established, TimePoint::min() if
-    /// none was. Open connections are no evidence: they may outlive the path.
+    /// \returns when a new connection last showed that replica \a id runs, TimePoint::min() if none
+    /// did. Open connections are no evidence: they may outlive the path.
     TimePoint provenAt(const std::string &id) const;
 
     /// \brief Requests a check of the path to replica \a id, which has been silent for long.
@@ -132,7 +140,7 @@
     std::vector<std::string> m_replicas; ///< Registered and not draining.
     std::set<std::string> m_broken;
     std::set<std::string> m_silent; ///< Those of m_broken that silent() reported.
-    std::set<std::string> m_crashed; ///< Until a new connection is established.
+    std::set<std::string> m_crashed; ///< Until they are known to run again.
     std::set<std::string> m_suspects;
     std::map<std::string, TimePoint> m_checkedAt; ///< Last evidence about the path.
     std::map<std::string, TimePoint> m_provenAt; ///< \sa provenAt()
--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -570,7 +570,9 @@
     if (m_answer.load)
         m_service->replicas.loadReported(m_incarnation, *m_answer.load);
     if (!m_relay && m_call && m_call->idleTime() == Duration::zero())
-        m_service->pathRegained(m_incarnation);
+        m_service->pathRegained(m_incarnation,
+                                head.status == Misdirected ? PathMonitor::Listener::Unknown
+                                                           : PathMonitor::Listener::Replica);
     noteReplicaState();
     if (!m_answer.requestId.empty() && m_answer.requestId != m_request.facts.id)
         return failLater(Reason::AnswerMismatch, "the answer carries the id of another request");
--- a/src/Net/PathProber.cpp
+++ b/src/Net/PathProber.cpp
@@ -91,7 +91,7 @@
         return;
     ServicePool &pool = m_options.pools.of(replica->service);
     if (outcome == Outcome::ProvenOpen)
-        pool.pathConnected(id);
+        pool.pathConnected(id, m_options.pools.listenerAt(*replica));
     else if (outcome != Outcome::Inconclusive)
         pool.pathLost(id);
     if (outcome == Outcome::Unreachable)
@@ -124,7 +124,7 @@
     const std::string service = replica->service;
     ServicePool &pool = m_options.pools.of(service);
     if (result)
-        return pool.pathRegained(id);
+        return pool.pathRegained(id, m_options.pools.listenerAt(*replica));
     if (result.error().reason != Reason::UpstreamTimeout) {
         pool.pathLost(id);
         return m_options.client.dropIdle(replica->address);
--- a/src/Net/ServicePools.cpp
+++ b/src/Net/ServicePools.cpp
@@ -68,17 +68,17 @@
         replicas.forgetFailures(it);
 }
 
-void ServicePool::pathConnected(const std::string &id)
+void ServicePool::pathConnected(const std::string &id, PathMonitor::Listener listener)
 {
     const bool wasPartitioned = paths.isPartitioned();
-    if (paths.connected(id) && wasPartitioned)
+    if (paths.connected(id, listener) && wasPartitioned)
         replicas.forgetFailures(id);
 }
 
-void ServicePool::pathRegained(const std::string &id)
+void ServicePool::pathRegained(const std::string &id, PathMonitor::Listener listener)
 {
     const bool wasPartitioned = paths.isPartitioned();
-    if (paths.answered(id) && wasPartitioned)
+    if (paths.answered(id, listener) && wasPartitioned)
         replicas.forgetFailures(id);
 }
 
@@ -131,6 +131,15 @@
     return it == m_replicas.end() ? nullptr : &*it;
 }
 
+PathMonitor::Listener ServicePools::listenerAt(const ReplicaRecord &replica) const
+{
+    const bool isShared =
+            std::any_of(m_replicas.begin(), m_replicas.end(), [&](const ReplicaRecord &it) {
+                return it.address == replica.address && it.incarnation() != replica.incarnation();
+            });
+    return isShared ? PathMonitor::Listener::Unknown : PathMonitor::Listener::Replica;
+}
+
 std::vector<std::string> ServicePools::unreachableServices() const
 {
     std::vector<std::string> out;
--- a/src/Net/ServicePools.h
+++ b/src/Net/ServicePools.h
@@ -49,10 +49,12 @@
     void pathSilent(const std::string &id);
 
     /// \brief Records that a new connection to replica \a id was established.
-    void pathConnected(const std::string &id);
+    void pathConnected(const std::string &id,
+                       PathMonitor::Listener listener = PathMonitor::Listener::Replica);
 
     /// \brief Records that bytes arrived from replica \a id on a new connection.
-    void pathRegained(const std::string &id);
+    void pathRegained(const std::string &id,
+                      PathMonitor::Listener listener = PathMonitor::Listener::Replica);
 
     PrefillTimeout prefillEstimate = {};
 
@@ -117,6 +119,10 @@
     /// \returns the registration of replica \a incarnation, or null.
     const ReplicaRecord *findReplica(std::string_view incarnation) const;
 
+    /// \returns who answers at the address of \a replica: unknown if another registered replica has
+    /// the same address.
+    PathMonitor::Listener listenerAt(const ReplicaRecord &replica) const;
+
     /// \returns the services for which this router can't relay. \sa PathMonitor::isMostlyLost()
     std::vector<std::string> unreachableServices() const;
 
--- a/test/EntryRequestTest.cpp
+++ b/test/EntryRequestTest.cpp
@@ -1138,6 +1138,30 @@
     CHECK(prompts.occupancy() == 2);
 }
 
+// Guards against a crash that is recorded a second time, with the requests of that moment, for a
+// replica whose address another one has taken over.
+TEST_CASE_FIXTURE(EntryGatewayFixture, "entryRequest_misdirected_isNoProofThatTheReplicaRuns")
+{
+    int status = 421;
+    addReplica([&](const std::string &request, std::size_t) -> Reply {
+        return {.bytes = ScriptedReplica::answer(request, status, "",
+                                                 "X-Not-Executed: 1\r\nConnection: close\r\n")};
+    });
+    const PathMonitor &paths = pools.of("svc").paths;
+    RawCaller caller(Port);
+    CHECK(call(caller, get("/safe/"), "\"verdict\"").starts_with("HTTP/1.1 503"));
+    REQUIRE(sent() > 0);
+    CHECK((paths.provenAt("i-1") == TimePoint::min()));
+    status = 503;
+    const std::size_t before = sent();
+    REQUIRE(until([&] { // A replica that refuses is excluded for some time.
+        RawCaller next(Port);
+        call(next, get("/safe/"), "\"verdict\"");
+        return sent() > before;
+    }));
+    CHECK((paths.provenAt("i-1") != TimePoint::min()));
+}
+
 // Guards against a Retry-After that ends while all replicas still pause.
 TEST_CASE_FIXTURE(EntryGatewayFixture, "entryRequest_allReplicasPause_retryAfterIsTheShortestPause")
 {
--- a/test/PathProberTest.cpp
+++ b/test/PathProberTest.cpp
@@ -126,6 +126,19 @@
     CHECK((pool.paths.provenAt("i-1") != TimePoint::min()));
 }
 
+// Guards against a crash that is recorded a second time for a replica that is still registered
+// while the next one listens at its address.
+TEST_CASE_FIXTURE(PathProberFixture, "pathProber_addressIsShared_isNoProofThatTheReplicaRuns")
+{
+    records.push_back({.id = "i-2", .service = "other", .address = proxy.address()});
+    pools.setReplicas(records);
+    pool.pathLost("i-1");
+    prober.wake();
+    runFor(500ms);
+    CHECK_FALSE(pool.paths.isBroken("i-1"));
+    CHECK((pool.paths.provenAt("i-1") == TimePoint::min()));
+}
+
 // Guards against requests that wait for replicas behind a path on which connections are accepted
 // and nothing returns, until the path delivers again.
 TEST_CASE_FIXTURE(SilentPathFixture, "pathProber_nothingReturnsThatOthersReceive_pathIsLost")
