A byte order mark of a resumed connection isn't passed on within the stream

What callers saw (by a unit test): a resumed stream with the mark of its second connection in the middle. There it is part of a field's name: callers lose the id of that event and get it twice when they resume after it. A mark before a later event of a connection was skipped as well, and an id read that callers don't see.

Change: the reader knows the first event of a connection and of the stream; only that of the stream keeps its mark.

Shown: sseReader_byteOrderMark_isPassedOnlyAtTheBeginningOfTheStream failed before, passes now.

--- a/src/Request/SseReader.cpp
+++ b/src/Request/SseReader.cpp
@@ -42,12 +42,17 @@
     }
 }
 
-SseEvent parse(std::string_view text)
+} // namespace
+
+SseEvent SseReader::parse(std::string_view text)
 {
     SseEvent out{.text = text};
-    // Only the first event of a stream can begin with it.
-    if (text.starts_with(ByteOrderMark))
+    const bool isFirstOfStream = std::exchange(m_isFirstOfStream, false);
+    if (std::exchange(m_isFirstOfConnection, false) && text.starts_with(ByteOrderMark)) {
         text.remove_prefix(ByteOrderMark.size());
+        if (!isFirstOfStream)
+            out.text = text;
+    }
     while (!text.empty()) {
         const std::size_t end = std::min(text.find_first_of(LineEnds), text.size());
         readField(text.substr(0, end), out);
@@ -56,8 +61,6 @@
     return out;
 }
 
-} // namespace
-
 bool SseReader::feed(std::string_view data, const Receiver &receive)
 {
     // Most pieces consist of whole events, which need no copy.
@@ -107,6 +110,7 @@
     m_lineBegin = 0;
     m_scanned = 0;
     m_endedWithCr = false;
+    m_isFirstOfConnection = true;
 }
 
 } // namespace catkinloft
--- a/src/Request/SseReader.h
+++ b/src/Request/SseReader.h
@@ -12,7 +12,9 @@
 /// \brief One server-sent event.
 struct SseEvent
 {
-    std::string_view text; ///< As received, with the empty line that ends it.
+    /// As received, with the empty line that ends it. A byte order mark is left out if events were
+    /// received on an earlier connection: within a stream it would be part of a field's name.
+    std::string_view text;
     std::optional<std::int64_t> id = {}; ///< Number of the token; empty for heartbeats.
     bool hasData = false; ///< Whether it has a field `data`; comments and heartbeats have none.
     bool isEnd = false; ///< Whether this is the marker after the last token.
@@ -38,14 +40,19 @@
     /// \returns the size of the incomplete event that is buffered.
     std::size_t bufferedBytes() const { return m_partialEvent.size(); }
 
-    /// \brief Discards an incomplete event after the connection broke.
+    /// \brief Discards an incomplete event after the connection broke. The next bytes are the first
+    /// ones of another connection.
     void reset();
 
 private:
+    SseEvent parse(std::string_view text);
+
     std::string m_partialEvent;
     std::size_t m_lineBegin = 0; ///< Of the incomplete line, within m_partialEvent.
     std::size_t m_scanned = 0; ///< Bytes of m_partialEvent without another end of a line.
     bool m_endedWithCr = false; ///< An LF that follows belongs to the last line.
+    bool m_isFirstOfConnection = true; ///< The next event is the first one of its connection.
+    bool m_isFirstOfStream = true; ///< No event was received on any connection.
 };
 
 } // namespace catkinloft
--- a/test/StreamResumeTest.cpp
+++ b/test/StreamResumeTest.cpp
@@ -207,6 +207,34 @@
     }
 }
 
+// Guards against a byte order mark in the middle of a resumed stream: callers read it as part of a
+// field's name, lose the id of that event, and get the event twice when they resume after it.
+TEST_CASE("sseReader_byteOrderMark_isPassedOnlyAtTheBeginningOfTheStream")
+{
+    const std::string mark = "\xef\xbb\xbf";
+    const std::string event = "id: 7\ndata: a\n\n";
+    SseReader reader;
+    std::string text;
+    std::optional<std::int64_t> id;
+    const auto receive = [&](const SseEvent &it) {
+        text = it.text;
+        id = it.id;
+    };
+    reader.feed(mark + event.substr(0, 5), receive);
+    reader.reset();
+    reader.feed(mark + event, receive);
+    CHECK(text == mark + event);
+    CHECK(id == 7);
+    reader.feed(mark + event, receive);
+    CHECK(text == mark + event);
+    CHECK_FALSE(id);
+    reader.reset();
+    for (const char c : mark + event)
+        reader.feed(std::string_view(&c, 1), receive);
+    CHECK(text == event);
+    CHECK(id == 7);
+}
+
 // Guards against a reader that loses or adds bytes, or joins events, depending on how the bytes
 // arrive. The reference reads the whole text at once, character by character.
 TEST_CASE("sseReader_randomTextInRandomPieces_matchesReference")
