--- a/src/Request/SseReader.cpp
+++ b/src/Request/SseReader.cpp
@@ -92,8 +92,11 @@
             ++at;
             m_endedWithCr = false;
         }
-        const bool isEmpty = end == std::exchange(lineBegin, at);
-        if (!isEmpty)
+        const std::string_view line = data.substr(lineBegin, end - lineBegin);
+        const bool isMark =
+                m_isFirstOfConnection && lineBegin == eventBegin && line == ByteOrderMark;
+        lineBegin = at;
+        if (!line.empty() && !isMark)
             continue;
         receive(parse(data.substr(eventBegin, at - eventBegin)));
         eventBegin = at;
--- a/test/StreamResumeTest.cpp
+++ b/test/StreamResumeTest.cpp
@@ -233,6 +233,10 @@
         reader.feed(std::string_view(&c, 1), receive);
     CHECK(text == event);
     CHECK(id == 7);
+    reader.reset();
+    reader.feed(mark + "\r", receive);
+    CHECK(text == "\r");
+    CHECK_FALSE(id);
 }
 
 // Guards against a reader that loses or adds bytes, or joins events, depending on how the bytes
