An open connection to a crashed replica doesn't prove that it runs again

Change: a replica that has crashed is known to run again when it answers a request that names it.

Shown: the second case of pathProber_addressMayBeAnothers_isNoProofThatTheReplicaRuns failed before and passes now.

--- a/src/Decide/PathMonitor.h
+++ b/src/Decide/PathMonitor.h
@@ -94,6 +94,9 @@
     /// isMostlyLostBeside() until it is known to run again.
     void crashed(const std::string &id);
 
+    /// \returns whether replica \a id has crashed and isn't known to run again.
+    bool hasCrashed(const std::string &id) const { return m_crashed.contains(id); }
+
     /// \returns when a new connection last showed that replica \a id runs, TimePoint::min() if none
     /// did. Open connections are no evidence: they may outlive the path.
     TimePoint provenAt(const std::string &id) const;
--- a/src/Net/ServicePools.cpp
+++ b/src/Net/ServicePools.cpp
@@ -137,7 +137,10 @@
             std::any_of(m_replicas.begin(), m_replicas.end(), [&](const ReplicaRecord &it) {
                 return it.address == replica.address && it.incarnation() != replica.incarnation();
             });
-    return isShared ? PathMonitor::Listener::Unknown : PathMonitor::Listener::Replica;
+    const auto pool = m_pools.find(replica.service);
+    const bool hasCrashed =
+            pool != m_pools.end() && pool->second->paths.hasCrashed(replica.incarnation());
+    return isShared || hasCrashed ? PathMonitor::Listener::Unknown : PathMonitor::Listener::Replica;
 }
 
 std::vector<std::string> ServicePools::unreachableServices() const
--- a/src/Net/ServicePools.h
+++ b/src/Net/ServicePools.h
@@ -120,7 +120,8 @@
     const ReplicaRecord *findReplica(std::string_view incarnation) const;
 
     /// \returns who answers at the address of \a replica: unknown if another registered replica has
-    /// the same address.
+    /// the same address, or if the replica has crashed, since the next one there may not be
+    /// registered yet.
     PathMonitor::Listener listenerAt(const ReplicaRecord &replica) const;
 
     /// \returns the services for which this router can't relay. \sa PathMonitor::isMostlyLost()
--- a/test/PathProberTest.cpp
+++ b/test/PathProberTest.cpp
@@ -128,15 +128,24 @@
 
 // Guards against a crash that is recorded a second time for a replica that is still registered
 // while the next one listens at its address.
-TEST_CASE_FIXTURE(PathProberFixture, "pathProber_addressIsShared_isNoProofThatTheReplicaRuns")
+TEST_CASE_FIXTURE(PathProberFixture, "pathProber_addressMayBeAnothers_isNoProofThatTheReplicaRuns")
 {
-    records.push_back({.id = "i-2", .service = "other", .address = proxy.address()});
-    pools.setReplicas(records);
+    SUBCASE("another registered replica has the address")
+    {
+        records.push_back({.id = "i-2", .service = "other", .address = proxy.address()});
+        pools.setReplicas(records);
+    }
+    SUBCASE("the replica has crashed")
+    {
+        pools.noteCrashed("i-1", 3s);
+    }
     pool.pathLost("i-1");
     prober.wake();
     runFor(500ms);
     CHECK_FALSE(pool.paths.isBroken("i-1"));
     CHECK((pool.paths.provenAt("i-1") == TimePoint::min()));
+    pool.pathRegained("i-1");
+    CHECK((pool.paths.provenAt("i-1") != TimePoint::min()));
 }
 
 // Guards against requests that wait for replicas behind a path on which connections are accepted
