A crash is dated to the first attempt that it breaks at any asked router

Cause: each router dates a crash to the first of its own attempts that breaks, also when all requests that were in progress came from another router.

Shown: crashWatch_anotherRoutersAttemptBrokeEarlier_laterAttemptIsNotBlamed fails without dateBack() (two of its cases), relay_askedRoutersAttemptBroke_tellsSinceWhen covers the question.

--- a/src/Net/CrashWatch.cpp
+++ b/src/Net/CrashWatch.cpp
@@ -128,6 +128,7 @@
     void crashed(Check &check);
     void reportCrash(RecentAttempt &broken, TimePoint crashedAt);
     void reportTold(RecentAttempt &broken);
+    static void dateBack(Check &check, TimePoint brokeAt);
     void closeToAttempts(const CheckPtr &check);
     void finish(const CheckPtr &check);
     void forgetOld();
@@ -191,6 +192,41 @@
     }
 }
 
+std::optional<Duration> CrashWatch::brokenFor(const std::string &replica) const
+{
+    const TimePoint now = m_d->options.loop.now();
+    TimePoint since = TimePoint::max();
+    const auto note = [&](TimePoint it) {
+        if (now - it <= CrashMemory)
+            since = std::min(since, it);
+    };
+    for (const CheckPtr &it : m_d->checks) {
+        if (it->replica == replica && it->confirming)
+            note(it->brokeAt);
+    }
+    for (const std::map<std::string, Refusal> *refusals : {&m_d->crashes, &m_d->unconfirmed}) {
+        if (const auto it = refusals->find(replica); it != refusals->end())
+            note(it->second.since);
+    }
+    return since == TimePoint::max() ? std::nullopt : std::optional<Duration>(now - since);
+}
+
+void CrashWatch::brokenElsewhere(const std::string &replica, TimePoint brokeAt)
+{
+    for (const CheckPtr &it : m_d->checks) {
+        if (it->replica == replica)
+            Private::dateBack(*it, brokeAt);
+    }
+}
+
+/// Dates the end of the replica of \a check back to \a brokeAt, unless that is another one.
+void CrashWatch::Private::dateBack(Check &check, TimePoint brokeAt)
+{
+    const Duration earlier = check.brokeAt - brokeAt;
+    if (earlier > Duration::zero() && earlier <= RequestQuarantine::CrashDetectionSpread)
+        check.brokeAt = brokeAt;
+}
+
 /// Reports an attempt that broke when another router found that its replica crashed.
 void CrashWatch::Private::reportTold(RecentAttempt &broken)
 {
@@ -308,6 +344,8 @@
 
 void CrashWatch::Private::crashed(Check &check)
 {
+    if (const auto other = told.find(check.replica); other != told.end())
+        dateBack(check, other->second.since);
     const auto earlier = unconfirmed.find(check.replica);
     if (earlier != unconfirmed.end()) {
         check.brokeAt = std::min(check.brokeAt, earlier->second.since);
--- a/src/Net/CrashWatch.h
+++ b/src/Net/CrashWatch.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -104,6 +105,18 @@
     /// checks succeed by chance would suspect their requests, which may all be harmless.
     void crashTold(const std::string &replica, TimePoint crashedAt);
 
+    /// \returns the time since \a replica, which crashed or refuses connections, first broke an
+    /// attempt of this router; std::nullopt if none broke within the last second.
+    std::optional<Duration> brokenFor(const std::string &replica) const;
+
+    /// \brief Records that \a replica, whose check isn't complete, first broke an attempt of
+    /// another router at \a brokeAt.
+    ///
+    /// A crash is dated to the first attempt that it breaks. If all requests that were in progress
+    /// came from another router, the attempts of this one were sent to a replica that had ended,
+    /// behind a proxy that still accepts connections, and must not be blamed.
+    void brokenElsewhere(const std::string &replica, TimePoint brokeAt);
+
 private:
     struct Private;
     std::unique_ptr<Private> m_d;
--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -316,7 +316,11 @@
              .random = random,
              .failureDomain = settings.failureDomain,
              .peers = [this](const std::string &it) { return relayPeers(it); },
-             .sign = [this](std::string_view it) { return fleet.sign(it); }}),
+             .sign = [this](std::string_view it) { return fleet.sign(it); },
+             .brokenElsewhere =
+                     [this](const std::string &id, Duration brokenFor) {
+                         crashes.brokenElsewhere(id, loop.now() - brokenFor);
+                     }}),
       relayServer(
               {.loop = loop,
                .client = client,
--- a/src/Net/RelayClient.cpp
+++ b/src/Net/RelayClient.cpp
@@ -4,7 +4,10 @@
 #include "Net/internal/ConnectProbe.h"
 
 #include <algorithm>
+#include <charconv>
+#include <cstdint>
 #include <memory>
+#include <system_error>
 #include <utility>
 
 #include <fmt/format.h>
@@ -131,10 +134,10 @@
 }
 
 /// Sends a question to several routers that may relay requests for \a service.
-/// \param answered is called for each of them, with nothing if it doesn't answer.
+/// \param answered is called for each of them, with an empty answer if it doesn't answer.
 /// \returns their number.
 std::size_t RelayClient::ask(const std::string &service, const std::string &target,
-                             const std::function<void(std::string_view answer)> &answered)
+                             const std::function<void(const HttpAnswer &answer)> &answered)
 {
     std::vector<RelayPeer> asked = usable(service);
     for (std::size_t i = asked.size(); i > 1; --i)
@@ -148,7 +151,7 @@
                                [answered](const Result<HttpAnswer> &answer) {
                                    const bool isKnown =
                                            answer && answer.value().head.status == Success;
-                                   answered(isKnown ? answer.value().body : std::string_view());
+                                   answered(isKnown ? answer.value() : HttpAnswer());
                                });
     }
     return asked.size();
@@ -160,11 +163,23 @@
     const auto check = std::make_shared<PathCheck>();
     check->done = std::move(done);
     check->pending = ask(service, fmt::format("{}?replica={}", CheckPath, id),
-                         [check](std::string_view answer) { check->add(answer); });
+                         [this, check, id](const HttpAnswer &answer) {
+                             noteBrokenFor(id, answer);
+                             check->add(answer.body);
+                         });
     if (check->pending == 0)
         m_options.loop.post([check] { check->finish(PathState::Unknown); });
 }
 
+void RelayClient::noteBrokenFor(const std::string &id, const HttpAnswer &answer) const
+{
+    const std::string_view text = answer.head.header(BrokenForHeader);
+    std::uint32_t ms = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), ms);
+    if (ec == std::errc() && end == text.data() + text.size())
+        m_options.brokenElsewhere(id, std::chrono::milliseconds(ms));
+}
+
 void RelayClient::checkReceived(const std::string &service, const std::string &id, Duration within,
                                 std::function<void(bool received)> done)
 {
@@ -181,9 +196,9 @@
     check->pending =
             ask(service,
                 fmt::format("{}?replica={}&{}={}", CheckPath, id, ReceivedWithin, within / 1ms),
-                [check, finish](std::string_view answer) {
-                    if (--check->pending == 0 || answer == ReceivedAnswer)
-                        finish(answer == ReceivedAnswer);
+                [check, finish](const HttpAnswer &answer) {
+                    if (--check->pending == 0 || answer.body == ReceivedAnswer)
+                        finish(answer.body == ReceivedAnswer);
                 });
     if (check->pending == 0)
         m_options.loop.post([finish] { finish(false); });
--- a/src/Net/RelayClient.h
+++ b/src/Net/RelayClient.h
@@ -45,6 +45,10 @@
         std::function<std::vector<RelayPeer>(const std::string &service)> peers;
         /// Signs a text with the key of the fleet; empty before the key is known.
         std::function<std::string(std::string_view text)> sign;
+        /// Called before the result of checkPath() for each asked router whose own attempts at
+        /// replica \a id broke, with the time since the first one.
+        std::function<void(const std::string &id, Duration brokenFor)> brokenElsewhere =
+                [](const std::string &, Duration) {};
     };
 
     /// \brief Answer to checkPath().
@@ -65,6 +69,10 @@
     /// Answer to such a question if they did.
     static constexpr std::string_view ReceivedAnswer = "received";
 
+    /// Header of the answer to a question about a path: milliseconds since the replica first broke
+    /// an attempt of the asked router. \sa CrashWatch::brokenFor()
+    static constexpr const char *BrokenForHeader = "X-Catkinloft-Broken-For-Ms";
+
     /// Header that contains the signature of such a request.
     static constexpr const char *SignatureHeader = "X-Catkinloft-Signature";
 
@@ -101,7 +109,8 @@
 private:
     std::vector<RelayPeer> usable(const std::string &service);
     std::size_t ask(const std::string &service, const std::string &target,
-                    const std::function<void(std::string_view answer)> &answered);
+                    const std::function<void(const HttpAnswer &answer)> &answered);
+    void noteBrokenFor(const std::string &id, const HttpAnswer &answer) const;
 
     Options m_options;
     std::int64_t m_tickets = 0; ///< Number of tickets so far.
--- a/src/Net/RelayServer.cpp
+++ b/src/Net/RelayServer.cpp
@@ -10,6 +10,8 @@
 #include <set>
 #include <utility>
 
+#include <fmt/format.h>
+
 namespace catkinloft {
 
 namespace {
@@ -56,6 +58,7 @@
     struct Check
     {
         HttpExchangePtr exchange; ///< Null after it was answered.
+        std::string replica; ///< Incarnation of the replica.
         std::shared_ptr<ConnectProbe> probe; ///< Null after it ended.
         std::optional<ConnectProbe::Outcome> outcome;
         std::optional<bool> arePathsWorking;
@@ -79,7 +82,8 @@
     void remove(const RelayPtr &it);
     void checkPath(const HttpExchangePtr &exchange);
     void answerWhenKnown(Check &check) const;
-    void answerCheck(const HttpExchangePtr &exchange, std::string_view text) const;
+    static void answerCheck(const HttpExchangePtr &exchange, std::string_view text,
+                            std::optional<Duration> brokenFor = std::nullopt);
     void forgetOld();
 
     Options options;
@@ -328,6 +332,7 @@
     }
     const auto check = std::make_shared<Check>();
     check->exchange = exchange;
+    check->replica = replica->incarnation();
     check->hasCrashedBefore = hasCrashedBefore;
     const auto found = [this, check](ConnectProbe::Outcome outcome) {
         // A proxy accepts connections also while the replica is down.
@@ -361,12 +366,18 @@
         text = "reached";
     else if (isClosed && *check.arePathsWorking)
         text = check.hasCrashedBefore ? "crashed_before" : "refused";
-    answerCheck(std::exchange(check.exchange, nullptr), text);
+    const std::optional<Duration> brokenFor =
+            isClosed ? options.crashes.brokenFor(check.replica) : std::nullopt;
+    answerCheck(std::exchange(check.exchange, nullptr), text, brokenFor);
 }
 
-void RelayServer::Private::answerCheck(const HttpExchangePtr &exchange, std::string_view text) const
+void RelayServer::Private::answerCheck(const HttpExchangePtr &exchange, std::string_view text,
+                                       std::optional<Duration> brokenFor)
 {
-    exchange->respond(200, {{"Content-Type", "text/plain"}}, text);
+    HttpHeaders headers{{"Content-Type", "text/plain"}};
+    if (brokenFor)
+        headers.emplace_back(RelayClient::BrokenForHeader, fmt::format("{}", *brokenFor / 1ms));
+    exchange->respond(200, headers, text);
 }
 
 void RelayServer::Private::forgetOld()
--- a/test/CrashWatchTest.cpp
+++ b/test/CrashWatchTest.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -57,6 +58,9 @@
     std::vector<std::string> lostRequests;
     CrashWatch::Finding finding = CrashWatch::Finding::Crashed;
     bool isUnreached = false; ///< No router can tell whether the replica has crashed.
+    /// How long before the first attempt of this router the replica broke one of another router.
+    std::optional<Duration> brokeEarlierElsewhere;
+    TimePoint firstBrokeAt;
     CrashWatch watch{
             {.loop = loop,
              .metrics = metrics,
@@ -64,6 +68,8 @@
                      [this](const std::string &,
                             const std::function<void(CrashWatch::Finding)> &done,
                             const std::function<void()> &unreached) {
+                         if (brokeEarlierElsewhere)
+                             watch.brokenElsewhere("i-1", firstBrokeAt - *brokeEarlierElsewhere);
                          done(finding);
                          if (isUnreached)
                              unreached();
@@ -290,3 +296,40 @@
     runFor(300ms);
     CHECK(crashedRequests.empty());
 }
+
+// Guards against blaming requests that were sent to a replica after its crash, which a proxy in
+// front of it accepts: contents that are always in progress somewhere would share each crash.
+TEST_CASE_FIXTURE(CrashWatchFixture,
+                  "crashWatch_anotherRoutersAttemptBrokeEarlier_laterAttemptIsNotBlamed")
+{
+    proxy.stopListening();
+    firstBrokeAt = loop.now();
+    std::vector<std::string> blamed;
+    SUBCASE("told by an asked router: the request was sent after it")
+    {
+        brokeEarlierElsewhere = 20ms;
+    }
+    SUBCASE("told by an asked router: the request was in progress")
+    {
+        brokeEarlierElsewhere = 5ms;
+        blamed = {"r1"};
+    }
+    SUBCASE("told by an asked router: another crash")
+    {
+        brokeEarlierElsewhere = 300ms;
+        blamed = {"r1"};
+    }
+    SUBCASE("told by a heartbeat while the crash is checked")
+    {
+        breakAttempt("r0");
+        watch.crashTold("i-1", firstBrokeAt - 20ms);
+    }
+    breakAttempt("r1");
+    runUntil([this] { return !crashedReplicas.empty(); });
+    CHECK(crashedRequests == blamed);
+    const std::optional<Duration> brokenFor = watch.brokenFor("i-1");
+    REQUIRE(brokenFor);
+    CHECK(loop.now() - *brokenFor <= firstBrokeAt + 1ms);
+    runFor(1200ms);
+    CHECK_FALSE(watch.brokenFor("i-1"));
+}
--- a/test/RelayTest.cpp
+++ b/test/RelayTest.cpp
@@ -155,7 +155,10 @@
                        .random = seededRandom(1),
                        .failureDomain = "d0",
                        .peers = [this](const std::string &) { return peers; },
-                       .sign = [this](std::string_view text) { return guard.sign(text); }}};
+                       .sign = [this](std::string_view text) { return guard.sign(text); },
+                       .brokenElsewhere = [this](const std::string &,
+                                                 Duration it) { brokenElsewhere = it; }}};
+    std::optional<Duration> brokenElsewhere;
     HttpCallPtr handle;
     std::optional<HttpHead> head;
     std::string body;
@@ -197,6 +200,27 @@
     CHECK(ScriptedReplica::headerOf(request, RelayCodec::TicketHeader).empty());
 }
 
+// Guards against a crash that each router dates to its own first attempt that broke, so that
+// requests sent after the crash count as in progress.
+TEST_CASE_FIXTURE(RelayFixture, "relay_askedRoutersAttemptBroke_tellsSinceWhen")
+{
+    CHECK(ask() == RelayClient::PathState::Reached);
+    CHECK_FALSE(brokenElsewhere);
+    record.address = "127.0.0.1:1"; // Nothing listens there.
+    CHECK(ask() == RelayClient::PathState::Refused);
+    CHECK_FALSE(brokenElsewhere);
+    bool isDecided = false;
+    crashes.checkReplica(
+            {.suspects = {"f"}, .replica = "i-1", .address = record.address, .sentAt = loop.now()},
+            CrashWatch::AliveCriterion::StaysOpen, [&](CrashWatch::State) { isDecided = true; });
+    const TimePoint brokeAt = loop.now();
+    REQUIRE(until([&] { return isDecided; }));
+    CHECK(ask() == RelayClient::PathState::Refused);
+    REQUIRE(brokenElsewhere);
+    CHECK(*brokenElsewhere <= loop.now() - brokeAt);
+    CHECK(*brokenElsewhere >= 0ms);
+}
+
 // Guards against a relayed request whose body the relaying router or the replica reads as another
 // request, also after one that the relaying router refused on the same connection.
 TEST_CASE_FIXTURE(RelayFixture, "relay_eachMethodAndBody_reachesReplicaUnchanged")
