--- a/standin/ReplicaStandin.cpp
+++ b/standin/ReplicaStandin.cpp
@@ -234,7 +234,8 @@
     const std::string body =
             fmt::format("{} answered by {}", exchange->header("X-Request-Id"), m_options.id);
     const int status = shouldInject("fail") ? 500 : 200;
-    const double ms = faultValue("call_ms");
+    const auto work = static_cast<double>(exchange->queryNumber("work_ms"));
+    const double ms = work > 0 ? work : faultValue("call_ms");
     const Duration time = ms > 0 ? fromSeconds(ms / 1000) : m_options.serviceTime;
     m_options.loop.after(time, [this, exchange, status, body] {
         exchange->respond(status, headersOf(*exchange, body), body);
--- a/standin/ReplicaStandin.h
+++ b/standin/ReplicaStandin.h
@@ -22,7 +22,8 @@
 ///
 /// With a number of slots, requests beyond them wait, and those beyond the queue are refused as not
 /// executed. Its load reports then state the requests that run and wait. `slots` and `queue` set
-/// both at run time, `call_ms` the time that a call takes.
+/// both at run time, `call_ms` the time that a call takes, unless its query parameter `work_ms`
+/// states it.
 ///
 /// With `brittle` above 0 all answers to requests carry `Server-Brittle`; `brittle_after_ms` later
 /// the queue is `brittle_queue`, and the process exits if it has to reject more than `brittle`
