--- a/test/EntryRequestTest.cpp
+++ b/test/EntryRequestTest.cpp
@@ -1358,7 +1358,12 @@
         subject.addReplica(everySecond);
         RawCaller caller(EntryGatewayFixture::Port);
         const std::string longBody(30'000, 'x');
-        const std::vector<std::pair<std::string, std::string>> forms = {
+        struct Form
+        {
+            std::string body;
+            std::string bytes;
+        };
+        const std::vector<Form> forms = {
                 {disguised, EntryGatewayFixture::request(method, "/once/a", {}, disguised)},
                 {longBody, EntryGatewayFixture::request(method, "/once/a", {}, longBody)},
                 {disguised,
@@ -1366,16 +1371,16 @@
                                               {})
                          + fmt::format("{:x}\r\n{}\r\n0\r\n\r\n", disguised.size(), disguised)},
         };
-        for (const auto &[body, bytes] : forms) {
-            CAPTURE(body.size());
+        for (const Form &form : forms) {
+            CAPTURE(form.body.size());
             const std::size_t before = subject.sent();
-            CHECK(subject.call(caller, bytes, "fine").starts_with("HTTP/1.1 200"));
+            CHECK(subject.call(caller, form.bytes, "fine").starts_with("HTTP/1.1 200"));
             CHECK(subject.sent() == before + 2);
             for (const auto &it : subject.replicas) {
                 REQUIRE_FALSE(it->requests().empty());
                 const std::string &received = it->requests().back();
                 CHECK(received.starts_with(fmt::format("{} /once/a HTTP/1.1\r\n", method)));
-                CHECK(received.ends_with("\r\n\r\n" + body));
+                CHECK(received.ends_with("\r\n\r\n" + form.body));
             }
             // A replica that was full is excluded for a while.
             const TimePoint end = subject.loop.now() + 150ms;
--- a/test/integration/SlowCallTest.cpp
+++ b/test/integration/SlowCallTest.cpp
@@ -93,9 +93,9 @@
     for (const Json::Value &it : fleet.executions())
         ++runs[it["id"].asString()];
     REQUIRE(statuses.size() == 2 * WorkMs.size() * CallsEach);
-    for (const auto &[id, answered] : statuses) {
-        CAPTURE(id);
-        CHECK(answered == 200);
-        CHECK(runs[id] == 1);
+    for (const auto &it : statuses) {
+        CAPTURE(it.first);
+        CHECK(it.second == 200);
+        CHECK(runs[it.first] == 1);
     }
 }
