Soak: a replica that a fault's end replaces is disturbed then

By the logs all connections to i-5-2 broke at 51.974, 90 ms after it had joined, and i-5-3 answered 421 at its address 10 ms later.

Cause: the end of a drain restarts whatever replica runs at that place. The disturbance was recorded for the one that ran when the fault began; another fault had replaced it meanwhile, and the new one was ended by the run itself without a record. No fault of the product: a replica that ends may cut off its answers.

Change: the end of a fault records the replica that it ends, at that moment. Nothing else is excused.

--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -386,6 +386,16 @@
     }
 }
 
+/// Ends the replica that runs now, which may have replaced the one that noteReplicaDisturbance()
+/// has recorded when the fault began.
+void SoakRun::restartReplica(std::size_t i)
+{
+    const WallTime now = m_loop.wallNow();
+    m_history.replicaDisturbances.push_back(
+            {.replica = m_fleet.replicaId(i), .from = now, .until = now + DisturbanceMargin});
+    m_fleet.restartReplica(i);
+}
+
 void SoakRun::pauseReplicas(const Fault &fault)
 {
     for (std::size_t k = 0; k < fault.count; ++k) {
@@ -583,12 +593,12 @@
         m_fleet.setStoreProxyFaults(fault.target, R"({"clear":true})");
         break;
     case FaultKind::ReplicaKill:
-        m_fleet.restartReplica(fault.target);
+        restartReplica(fault.target);
         endReplicaOutage(fault.target);
         break;
     case FaultKind::ReplicaDrain:
     case FaultKind::ReplicaSaysLeaving:
-        m_fleet.restartReplica(fault.target);
+        restartReplica(fault.target);
         break;
     case FaultKind::ReplicaPause:
         m_fleet.replica(fault.target).signal(SIGCONT);
