Test: copies of refusals, met by the same request on the same connection

Cause: no stand-in sends a refusal twice. Servers may: the copy comes where the next answer is due and bears the refused request's id. Where a former replica is still registered at the present one's address, the next attempt of the same request takes the connection on which the copy waits.

Change: the proxy in front of a replica sends copies of refusals in front of the next answer, or some time after the refusal. The stand-in's 421 repeats the request's id, as other answers do. EntryFleet registers former replicas. The load and the check of AtMostOnceTest move to AtMostOnceLoad.

--- a/standin/FaultProxy.cpp
+++ b/standin/FaultProxy.cpp
@@ -131,6 +131,7 @@
     out["open"] = static_cast<Json::UInt64>(m_links.size());
     out["accepted"] = m_accepted;
     out["lose_answers"] = m_faults.loseAnswers;
+    out["copied_refusals"] = m_faults.copiedRefusals;
     respondJson(*exchange, 200, out);
 }
 
@@ -152,6 +153,11 @@
     }
     if (request["partial_answer"].isString())
         m_faults.answerPart = request["partial_answer"].asString();
+    if (request["copy_refusals"].isObject()) {
+        m_faults.copyRefusals = request["copy_refusals"]["share"].asDouble();
+        m_faults.copyAfter =
+                std::chrono::milliseconds(request["copy_refusals"]["after_ms"].asInt());
+    }
     if (request["throttle"].isUInt())
         m_faults.throttle = request["throttle"].asUInt();
 }
--- a/standin/FaultProxy.h
+++ b/standin/FaultProxy.h
@@ -25,6 +25,10 @@
 /// With `endless_answer` the proxy answers each request itself, with `begin` and then `repeated`
 /// until the client closes the connection; with `partial_answer` it answers with that text and
 /// closes the connection.
+///
+/// With `copy_refusals` the share `share` of the server's refusals (421, or any status with
+/// X-Not-Executed) is sent twice: the copy goes out in front of the next answer on the same
+/// connection, or `after_ms` milliseconds after the refusal if that is earlier and not 0.
 class FaultProxy final : public Standin
 {
 public:
--- a/standin/LinkFaults.h
+++ b/standin/LinkFaults.h
@@ -22,6 +22,11 @@
     std::string answerRepeated = {};
     /// What the proxy answers to each request before it closes the connection, also with `{id}`.
     std::string answerPart = {};
+    double copyRefusals = 0; ///< Share of the server's refusals that are sent a second time.
+    /// When the copy of a refusal is sent; at the latest in front of the next answer on its
+    /// connection. Zero: not before.
+    Duration copyAfter = Duration::zero();
+    int copiedRefusals = 0; ///< Number of copies that were sent.
 };
 
 } // namespace catkinloft::standin
--- a/standin/ReplicaStandin.cpp
+++ b/standin/ReplicaStandin.cpp
@@ -73,13 +73,22 @@
     exchange->respond(503, withStateHeaders(headers), {});
 }
 
+void ReplicaStandin::refuseMisdirected(const HttpExchangePtr &exchange)
+{
+    HttpHeaders headers{{"X-Instance-Id", m_options.id}};
+    // The probes of the routers have none.
+    if (const std::string id = toString(exchange->header("X-Request-Id")); !id.empty())
+        headers.emplace_back("X-Request-Id", id);
+    exchange->respond(421, withStateHeaders(headers), {});
+}
+
 void ReplicaStandin::handle(const HttpExchangePtr &exchange)
 {
     if (exchange->path() == "/v1/control")
         return control(exchange);
     const std::string targetId = toString(exchange->header("X-Target-Instance"));
     if (!targetId.empty() && targetId != m_options.id)
-        return exchange->respond(421, withStateHeaders({{"X-Instance-Id", m_options.id}}), {});
+        return refuseMisdirected(exchange);
     if (const double ms = faultValue("pause_ms"); ms > 0)
         return refuse(exchange, fmt::format("{:.3f}", ms / 1000));
     if (shouldInject("refuse"))
--- a/standin/ReplicaStandin.h
+++ b/standin/ReplicaStandin.h
@@ -69,6 +69,7 @@
     HttpHeaders withStateHeaders(HttpHeaders headers) const;
     int pacePercent() const; ///< How long work takes at this moment; 100 is usual.
     void refuse(const HttpExchangePtr &exchange, const std::string &retryAfter);
+    void refuseMisdirected(const HttpExchangePtr &exchange);
     void record(const HttpExchange &exchange, bool refused = false);
     void crash(const HttpExchangePtr &exchange);
     bool exceedsColdRateLimit();
--- a/standin/TcpLink.cpp
+++ b/standin/TcpLink.cpp
@@ -2,6 +2,8 @@
 
 #include "SocketAddress.h"
 
+#include <utility>
+
 #include <netinet/in.h>
 
 #include <event2/buffer.h>
@@ -36,6 +38,20 @@
     return answer.replace(at, Placeholder.size(), id.substr(0, id.find('\r')));
 }
 
+bool isAnswer(std::string_view bytes)
+{
+    return bytes.starts_with("HTTP/1.1 ");
+}
+
+/// \returns whether \a bytes begin with an answer which promises that its request did not run.
+bool isRefusal(std::string_view bytes)
+{
+    constexpr std::string_view Promise = "\r\nX-Not-Executed: ";
+    const std::string_view head = bytes.substr(0, bytes.find("\r\n\r\n"));
+    return isAnswer(bytes)
+            && (bytes.starts_with("HTTP/1.1 421 ") || head.find(Promise) != std::string_view::npos);
+}
+
 } // namespace
 
 TcpLink::TcpLink(Options options, int fd)
@@ -49,7 +65,13 @@
       m_toClient{.from = m_server,
                  .to = m_client,
                  .line = DelayLine(m_options.loop),
-                 .timer = Timer(m_options.loop, [this] { releaseDue(m_toClient); })}
+                 .timer = Timer(m_options.loop, [this] { releaseDue(m_toClient); })},
+      m_copyTimer(m_options.loop,
+                  [this] {
+                      releaseCopy();
+                      releaseDue(m_toClient);
+                  }),
+      m_random(seededRandom(static_cast<std::uint64_t>(fd)))
 {
     for (bufferevent *it : {m_client, m_server}) {
         bufferevent_setcb(it, &TcpLink::onRead, &TcpLink::onWritten, &TcpLink::onEvent, this);
@@ -128,10 +150,32 @@
         return startEndlessAnswer(bytes);
     if (direction.from == m_client && !m_options.faults.answerPart.empty())
         return breakOffAnswer(bytes);
+    if (direction.from == m_server && isAnswer(bytes))
+        releaseCopy();
+    if (direction.from == m_server && isRefusal(bytes))
+        copyRefusal(bytes);
     direction.line.add(std::move(bytes), m_options.faults.delay);
     releaseDue(direction);
 }
 
+void TcpLink::copyRefusal(const std::string &answer)
+{
+    if (uniform(m_random) >= m_options.faults.copyRefusals)
+        return;
+    m_copy = answer;
+    if (m_options.faults.copyAfter > Duration::zero())
+        m_copyTimer.start(m_options.faults.copyAfter);
+}
+
+void TcpLink::releaseCopy()
+{
+    m_copyTimer.stop();
+    if (m_copy.empty())
+        return;
+    ++m_options.faults.copiedRefusals;
+    m_toClient.line.add(std::exchange(m_copy, {}), m_options.faults.delay);
+}
+
 void TcpLink::startEndlessAnswer(std::string_view request)
 {
     constexpr std::size_t BlockSize = 64 * 1024;
--- a/standin/TcpLink.h
+++ b/standin/TcpLink.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Base/Random.h"
 #include "DelayLine.h"
 #include "LinkFaults.h"
 #include "Net/EventLoop.h"
@@ -58,6 +59,8 @@
     void startEndlessAnswer(std::string_view request);
     void breakOffAnswer(std::string_view request);
     void continueEndlessAnswer();
+    void copyRefusal(const std::string &answer);
+    void releaseCopy();
     Direction &directionFrom(bufferevent *it) { return it == m_client ? m_toServer : m_toClient; }
     Direction &directionTo(bufferevent *it) { return it == m_client ? m_toClient : m_toServer; }
 
@@ -69,6 +72,9 @@
     bool m_blackholed = false;
     bool m_cut = false;
     std::string m_repeated; ///< Written to the client whenever it has read all; may be empty.
+    std::string m_copy; ///< Of a refusal; sent in front of the next answer. Empty: none.
+    Timer m_copyTimer;
+    RandomSource m_random;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/standin/fleet/EntryFleet.cpp
+++ b/standin/fleet/EntryFleet.cpp
@@ -230,7 +230,7 @@
     return domainOf(std::stoul(id.substr(id.find('-') + 1)));
 }
 
-void EntryFleet::registerReplica(std::size_t i, const std::string &state, Duration cold)
+Json::Value EntryFleet::replicaEntry(std::size_t i, const std::string &state, Duration cold) const
 {
     const Replica &it = m_replicas.at(i);
     Json::Value entry(Json::objectValue);
@@ -242,7 +242,17 @@
     entry["cold-remaining-ms"] = static_cast<Json::Int64>(cold / std::chrono::milliseconds(1));
     entry["sequence"] = 1;
     entry["state"] = state;
-    writeRow("servers", it.id, entry);
+    return entry;
+}
+
+void EntryFleet::registerReplica(std::size_t i, const std::string &state, Duration cold)
+{
+    writeRow("servers", m_replicas.at(i).id, replicaEntry(i, state, cold));
+}
+
+void EntryFleet::registerFormerReplica(std::size_t i, const std::string &id)
+{
+    writeRow("servers", id, replicaEntry(i, "ready", Duration::zero()));
 }
 
 void EntryFleet::removeReplica(std::size_t i)
@@ -401,6 +411,16 @@
     post(m_replicas.at(i).proxy.control, "/v1/faults", faults);
 }
 
+int EntryFleet::copiedRefusals(std::size_t i) const
+{
+    const Result<HttpAnswer> answer =
+            Fleet::fetch({.address = m_replicas.at(i).proxy.control, .target = "/v1/faults"});
+    if (!answer)
+        throw std::runtime_error("proxy of replica " + replicaId(i) + " does not answer");
+    const Result<Json::Value> state = parseJsonObject(answer.value().body);
+    return state ? state.value()["copied_refusals"].asInt() : 0;
+}
+
 void EntryFleet::setStoreProxyFaults(std::size_t i, const std::string &faults)
 {
     post(m_routers.at(i).store.control, "/v1/faults", faults);
--- a/standin/fleet/EntryFleet.h
+++ b/standin/fleet/EntryFleet.h
@@ -113,6 +113,10 @@
     /// \brief Writes \a text to the store as the entry of a replica \a id that doesn't exist.
     void writeReplicaEntry(const std::string &id, const std::string &text);
 
+    /// \brief Registers a replica \a id at the address of replica \a i, which refuses what is sent
+    /// to \a id. Such entries remain when a replica is replaced at its address.
+    void registerFormerReplica(std::size_t i, const std::string &id);
+
     /// \brief Asks the routers to send nothing to replicas in \a domain, or revokes that.
     void evacuate(const std::string &domain);
     void endEvacuation(const std::string &domain);
@@ -127,6 +131,9 @@
     void setReplicaProxyFaults(std::size_t i, const std::string &faults);
     void setStoreProxyFaults(std::size_t i, const std::string &faults);
 
+    /// \returns the number of refusals of replica \a i that the proxy in front of it sent twice.
+    int copiedRefusals(std::size_t i) const;
+
     /// \brief Partitions the routers with the indices \a routers from the replicas from \a first to
     /// \a last, the second one excluded; no routers end the partition.
     /// \param how \sa FaultProxy
@@ -221,6 +228,7 @@
     void launchReplica(Replica &it);
     static std::string sourceIp(std::size_t router);
     void writeSettings(std::size_t i, const std::string &extra);
+    Json::Value replicaEntry(std::size_t i, const std::string &state, Duration cold) const;
     void postRow(const std::string &table, const std::string &key, const Json::Value &value);
     void postRow(const std::string &table, const std::string &key,
                  const std::optional<std::string> &value);
--- a/test/integration/AtMostOnceTest.cpp
+++ b/test/integration/AtMostOnceTest.cpp
@@ -1,26 +1,17 @@
+#include "AtMostOnceLoad.h"
 #include "Base/Random.h"
-#include "Net/EventLoop.h"
-#include "Net/HttpClient.h"
-#include "Net/Timer.h"
 #include "fleet/EntryFleet.h"
 
 #include <doctest/doctest.h>
 
-#include <algorithm>
 #include <array>
 #include <atomic>
 #include <csignal>
 #include <functional>
 #include <map>
 #include <set>
-#include <span>
-#include <sstream>
 #include <string>
 #include <thread>
-#include <vector>
-
-#include <fmt/format.h>
-#include <fmt/ranges.h>
 
 using namespace catkinloft;
 using namespace std::chrono_literals;
@@ -28,72 +19,10 @@
 
 namespace {
 
-/// \brief Sends requests that may run at most once, plain and streaming, to all routers in turn at
-/// a constant rate, and notes how each ended.
-class AtMostOnceLoad
-{
-public:
-    explicit AtMostOnceLoad(const EntryFleet &fleet, bool usesNewConnections = false)
-        : m_fleet(fleet), m_usesNewConnections(usesNewConnections)
-    { }
-
-    /// Sends until \a isDone, then waits for the answers that are due.
-    void run(const std::atomic<bool> &isDone)
-    {
-        m_timer.startRepeating(SendInterval);
-        Timer end(m_loop, [&] {
-            if (isDone)
-                m_timer.stop();
-            if (isDone && m_pending == 0)
-                m_loop.stop();
-        });
-        end.startRepeating(50ms);
-        m_loop.run();
-    }
-
-    /// \returns the status of each answer by request id; 0: none.
-    const std::map<std::string, int> &statuses() const { return m_statuses; }
-
-private:
-    void send()
-    {
-        static const std::array<std::string, 4> paths = {"/once/a", "/whole/a?events=6", "/once/b",
-                                                         "/whole/a?events=40"};
-        const std::string id = fmt::format("m{}", ++m_sent);
-        ++m_pending;
-        m_client.fetch({.address = m_fleet.callerAddress(m_sent % m_fleet.routerCount()),
-                        .method = "POST",
-                        .target = paths[m_sent / m_fleet.routerCount() % paths.size()],
-                        .headers = {{"Host", EntryFleet::Host},
-                                    {"X-Request-Id", id},
-                                    {"X-Request-Deadline", "2500"},
-                                    {"Authorization", std::string("Bearer ") + EntryFleet::Key}},
-                        .body = id,
-                        .timeout = 3s,
-                        .freshConnection = m_usesNewConnections},
-                       [this, id](const Result<HttpAnswer> &answer) {
-                           m_statuses[id] = answer ? answer.value().head.status : 0;
-                           --m_pending;
-                       });
-    }
-
-    static constexpr Duration SendInterval = 3ms;
-
-    const EntryFleet &m_fleet;
-    bool m_usesNewConnections;
-    EventLoop m_loop;
-    HttpClient m_client{m_loop};
-    Timer m_timer{m_loop, [this] { send(); }};
-    std::map<std::string, int> m_statuses;
-    std::size_t m_sent = 0;
-    int m_pending = 0;
-};
-
 /// Routers, and four replicas of each service.
 struct AtMostOnceFixture
 {
     static constexpr std::size_t Replicas = 8;
-    static constexpr std::size_t MaxRecords = 5; ///< Requests whose records a failure prints.
 
     explicit AtMostOnceFixture(std::size_t routers = 6,
                                const std::string &extraSettings = "stop_limit: 3s\n")
@@ -117,64 +46,11 @@
         isDone = true;
         sender.join();
         std::this_thread::sleep_for(500ms);
-        check(load.statuses());
-    }
-
-    void check(const std::map<std::string, int> &statuses) const
-    {
-        const std::set<int> promises = {408, 421, 429, 503};
-        std::map<std::string, int> runs;
-        for (const Json::Value &it : fleet.executions())
-            ++runs[it["id"].asString()];
-        std::map<int, int> counts;
-        std::vector<std::string> twice;
-        std::vector<std::string> refused;
-        for (const auto &[id, status] : statuses) {
-            ++counts[status];
-            const auto it = runs.find(id);
-            const int n = it == runs.end() ? 0 : it->second;
-            if (n > 1)
-                twice.push_back(id);
-            if (n > 0 && promises.contains(status))
-                refused.push_back(id);
-        }
-        std::size_t relayed = 0;
-        for (std::size_t i = 0; i < fleet.routerCount(); ++i)
-            relayed += fleet.routerLog(i).find("\"relay\":\"router") != std::string::npos ? 1 : 0;
-        MESSAGE(fmt::format("{} requests, by status {}; {} ran, {} routers relayed",
-                            statuses.size(), counts, runs.size(), relayed));
-        std::string lines;
-        for (const std::vector<std::string> *it : {&twice, &refused}) {
-            for (const std::string &id : std::span(*it).first(std::min(it->size(), MaxRecords)))
-                lines += recordOf(id);
-        }
-        INFO("ran twice: ", fmt::format("{}", twice));
-        INFO("refused and ran: ", fmt::format("{}", refused));
-        INFO(lines);
-        CHECK(twice.empty());
-        CHECK(refused.empty());
+        std::map<int, int> counts = requireAtMostOnceRun(fleet, load.statuses());
         CHECK(counts[200] > 0);
         CHECK(counts[503] > 0);
     }
 
-    /// \returns what the routers logged and the replicas recorded of request \a id.
-    std::string recordOf(const std::string &id) const
-    {
-        std::string out;
-        for (std::size_t i = 0; i < fleet.routerCount(); ++i) {
-            std::istringstream log(fleet.routerLog(i));
-            for (std::string line; std::getline(log, line);) {
-                if (line.find(fmt::format("\"{}\"", id)) != std::string::npos)
-                    out += line + "\n";
-            }
-        }
-        for (const Json::Value &it : fleet.arrivals()) {
-            if (it["id"].asString() == id)
-                out += it.toStyledString();
-        }
-        return out;
-    }
-
     /// Plays disturbances that overlap for \a length; \a seed determines kinds, targets and times.
     void disturb(std::uint64_t seed, Duration length);
 
