Soak: a level with copies of refusals

Cause: no level had replicas that send a refusal twice, nor a former replica that stays registered at the address of another one, so that no request could meet the copy of its own refusal on the connection of its next attempt. Change: with ++++++++, instead of overloads and pauses of most replicas, four periods in which a replica refuses a fifth of its requests and the proxy in front of it copies every refusal; beside three quarters of them a former replica is registered at its address. The checks are those that were there.

--- a/soak/SoakPlan.cpp
+++ b/soak/SoakPlan.cpp
@@ -72,6 +72,11 @@
         KindInfo{FaultKind::ReplicasPause, "replicas_pause", false, 1s, 1300ms},
 };
 
+constexpr std::array CopyKinds = {
+        KindInfo{FaultKind::ReplicaCopiesRefusals, "replica_copies_refusals", false, 3s, 6s},
+        KindInfo{FaultKind::FormerReplicaRegistered, "former_replica_registered", false, 1s, 3s},
+};
+
 /// Range of the load of an overload without the callers' retries, which triple it at most.
 constexpr double MinLoad = 2;
 constexpr double MaxLoad = 3;
@@ -109,7 +114,8 @@
          {std::span<const KindInfo>(Kinds), std::span<const KindInfo>(ReplicaKinds),
           std::span<const KindInfo>(DomainKinds), std::span<const KindInfo>(StoreKinds),
           std::span<const KindInfo>(PartitionKinds), std::span<const KindInfo>(VersionKinds),
-          std::span<const KindInfo>(OverloadKinds), std::span<const KindInfo>(PauseKinds)}) {
+          std::span<const KindInfo>(OverloadKinds), std::span<const KindInfo>(PauseKinds),
+          std::span<const KindInfo>(CopyKinds)}) {
         if (const std::string_view name = nameIn(kinds, kind); !name.empty())
             return name;
     }
@@ -207,6 +213,28 @@
     return out;
 }
 
+std::vector<Fault> drawRefusalCopies(const RandomSource &random, Duration length,
+                                     std::size_t replicas)
+{
+    constexpr std::size_t Periods = 4;
+    const auto &[copies, registration] = CopyKinds;
+    std::vector<Fault> out;
+    for (std::size_t i = 0; i < Periods; ++i) {
+        const Fault period{.kind = copies.kind,
+                           .at = between(random, 500ms, length),
+                           .length = between(random, copies.shortest, copies.longest),
+                           .target = below(random, replicas)};
+        out.push_back(period);
+        if (below(random, 4) == 0)
+            continue;
+        out.push_back({.kind = registration.kind,
+                       .at = period.at + between(random, 0ms, 1s),
+                       .length = between(random, registration.shortest, registration.longest),
+                       .target = period.target});
+    }
+    return out;
+}
+
 bool isAlone(const Fault &overload, const std::vector<Fault> &plan, Duration before, Duration after)
 {
     const Duration from = overload.at - before;
--- a/soak/SoakPlan.h
+++ b/soak/SoakPlan.h
@@ -39,6 +39,8 @@
     StoreRestored, ///< The store is down and returns from a copy that is some seconds old.
     Overload, ///< Callers send several times the capacity of the replicas.
     ReplicasPause, ///< All or most replicas, with SIGSTOP at the same moment.
+    ReplicaCopiesRefusals, ///< Refuses requests and sends a copy of each refusal later.
+    FormerReplicaRegistered, ///< A former replica stays registered at the address of another one.
 };
 
 std::string_view faultName(FaultKind kind);
@@ -86,6 +88,11 @@
 std::vector<Fault> drawReplicasPauses(const RandomSource &random, Duration length,
                                       std::size_t routers, std::size_t replicas);
 
+/// \returns periods in which a replica sends copies of its refusals, most of them beside the
+/// registration of a former replica at its address, drawn separately for the same reason.
+std::vector<Fault> drawRefusalCopies(const RandomSource &random, Duration length,
+                                     std::size_t replicas);
+
 /// \returns whether no fault of \a plan other than \a overload is active between \a before its
 /// begin and \a after its end.
 bool isAlone(const Fault &overload, const std::vector<Fault> &plan, Duration before,
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -21,6 +21,11 @@
 constexpr Duration ReplicaRestartDelay = 2s;
 constexpr Duration RestartCheckInterval = 250ms;
 
+/// Requests that a replica refuses while its refusals are copied.
+constexpr const char *RefusingReplica = R"({"refuse":0.2})";
+constexpr const char *CopyRefusals = R"({"copy_refusals":{"share":1}})";
+constexpr const char *CopyNoRefusals = R"({"copy_refusals":{"share":0}})";
+
 /// Time between two requests that crash replicas.
 constexpr Duration FatalInterval = 300ms;
 
@@ -51,6 +56,9 @@
 /// those of the faults.
 constexpr std::uint64_t PauseSeed = 0x5111;
 
+/// Separates the random numbers of copies of refusals from those of the other faults.
+constexpr std::uint64_t CopySeed = 0xC0F1;
+
 /// Retry budget in runs with pauses of most replicas: less than the long streams in progress.
 constexpr double PauseRunRetryShare = 0.05;
 constexpr int PauseRunRetrySlack = 10;
@@ -92,6 +100,12 @@
     return kind == FaultKind::RouterReset ? "reset" : "refuse_new";
 }
 
+/// \returns the id of a replica that was there before replica \a i. \sa EntryFleet::domainOfId()
+std::string formerReplicaId(std::size_t i)
+{
+    return fmt::format("i-{}-0", i);
+}
+
 bool disturbsControl(FaultKind kind)
 {
     return kind <= FaultKind::StorePathSilent || kind == FaultKind::StoreRestored;
@@ -181,6 +195,12 @@
                                                   2 * m_options.replicas))
             m_plan.push_back(it);
     }
+    if (m_options.withRefusalCopies) {
+        const RandomSource faultRandom = seededRandom(m_options.seed ^ CopySeed);
+        for (const Fault &it :
+             drawRefusalCopies(faultRandom, m_options.length, 2 * m_options.replicas))
+            m_plan.push_back(it);
+    }
     if (m_options.withOverloads) {
         const RandomSource faultRandom = seededRandom(m_options.seed ^ OverloadSeed);
         Duration last = m_options.length;
@@ -363,6 +383,13 @@
     case FaultKind::ReplicasPause:
         pauseReplicas(fault);
         break;
+    case FaultKind::ReplicaCopiesRefusals:
+        setReplicaFaults(fault.target, RefusingReplica);
+        m_fleet.setReplicaProxyFaults(fault.target, CopyRefusals);
+        break;
+    case FaultKind::FormerReplicaRegistered:
+        m_fleet.registerFormerReplica(fault.target, formerReplicaId(fault.target));
+        break;
     }
 }
 
@@ -622,6 +649,13 @@
     case FaultKind::ReplicasPause:
         resumeReplicas(fault);
         break;
+    case FaultKind::ReplicaCopiesRefusals:
+        setReplicaFaults(fault.target, "{}");
+        m_fleet.setReplicaProxyFaults(fault.target, CopyNoRefusals);
+        break;
+    case FaultKind::FormerReplicaRegistered:
+        m_fleet.removeFormerReplica(formerReplicaId(fault.target));
+        break;
     case FaultKind::ReplicaChangesVersion:
     case FaultKind::StoreForgets:
     case FaultKind::StorePathSilent:
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -29,6 +29,7 @@
         bool withVersions = true; ///< Two software versions, and callers that resume their streams.
         bool withOverloads = true; ///< Replicas of limited capacity, and \sa drawOverloads
         bool withReplicasPauses = false; ///< Long streams, and \sa drawReplicasPauses
+        bool withRefusalCopies = false; ///< \sa drawRefusalCopies
         std::string keepFolder = {}; ///< Receives the logs of a run that violates a guarantee.
     };
 
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -18,7 +18,8 @@
         "++++: also with routers that are partitioned from all replicas, "
         "+++++: also with two software versions and callers that resume their streams, "
         "++++++: also with replicas of limited capacity and periods of overload, "
-        "+++++++: instead of these with long streams and pauses of all or most replicas");
+        "+++++++: instead of these with long streams and pauses of all or most replicas, "
+        "++++++++: instead of both with copies of refusals");
 DEFINE_double(seconds, 10, "period of each run in which faults begin, in seconds");
 DEFINE_uint64(routers, 4, "routers");
 DEFINE_uint64(replicas, 3, "number of replicas of each of the two services");
@@ -39,11 +40,17 @@
     bool withVersions = true;
     bool withOverloads = true;
     bool withReplicasPauses = false;
+    bool withRefusalCopies = false;
 };
 
 /// The limited replicas of an overload have no slots for long streams.
+constexpr std::string_view OverloadLevel = "++++++";
 constexpr std::string_view ReplicasPauseLevel = "+++++++";
 
+/// Copies of refusals take answers away from calls, so that the share of served calls in an
+/// overload cannot be checked beside them.
+constexpr std::string_view RefusalCopiesLevel = "++++++++";
+
 std::vector<RunPlan> runPlans()
 {
     std::vector<RunPlan> out;
@@ -55,6 +62,7 @@
         const std::uint64_t seed = std::strtoull(line.c_str(), &end, 10);
         const double seconds = *end == '@' ? std::strtod(end + 1, &end) : FLAGS_seconds;
         const std::string_view kinds(end);
+        const std::string_view level = kinds.substr(0, kinds.find_first_not_of('+'));
         out.push_back({.seed = seed,
                        .length = fromSeconds(seconds),
                        .withReplicaFaults = kinds.starts_with('+'),
@@ -62,9 +70,9 @@
                        .withStoreRestores = kinds.starts_with("+++"),
                        .withPartitions = kinds.starts_with("++++"),
                        .withVersions = kinds.starts_with("+++++"),
-                       .withOverloads = kinds.starts_with("++++++")
-                               && !kinds.starts_with(ReplicasPauseLevel),
-                       .withReplicasPauses = kinds.starts_with(ReplicasPauseLevel)});
+                       .withOverloads = level == OverloadLevel,
+                       .withReplicasPauses = level == ReplicasPauseLevel,
+                       .withRefusalCopies = level == RefusalCopiesLevel});
     }
     for (std::uint64_t i = 0; i < FLAGS_runs; ++i)
         out.push_back({.seed = FLAGS_seed + i, .length = fromSeconds(FLAGS_seconds)});
@@ -85,6 +93,7 @@
                  .withVersions = it.withVersions,
                  .withOverloads = it.withOverloads,
                  .withReplicasPauses = it.withReplicasPauses,
+                 .withRefusalCopies = it.withRefusalCopies,
                  .keepFolder = FLAGS_keep});
     const SoakRun::Outcome outcome = run.run();
     std::string faults;
--- a/standin/fleet/EntryFleet.cpp
+++ b/standin/fleet/EntryFleet.cpp
@@ -255,6 +255,11 @@
     writeRow("servers", id, replicaEntry(i, "ready", Duration::zero()));
 }
 
+void EntryFleet::removeFormerReplica(const std::string &id)
+{
+    writeRow("servers", id, Json::Value());
+}
+
 void EntryFleet::removeReplica(std::size_t i)
 {
     writeRow("servers", m_replicas.at(i).id, Json::Value());
--- a/standin/fleet/EntryFleet.h
+++ b/standin/fleet/EntryFleet.h
@@ -116,6 +116,7 @@
     /// \brief Registers a replica \a id at the address of replica \a i, which refuses what is sent
     /// to \a id. Such entries remain when a replica is replaced at its address.
     void registerFormerReplica(std::size_t i, const std::string &id);
+    void removeFormerReplica(const std::string &id);
 
     /// \brief Asks the routers to send nothing to replicas in \a domain, or revokes that.
     void evacuate(const std::string &domain);
--- a/test/integration/SoakPlanTest.cpp
+++ b/test/integration/SoakPlanTest.cpp
@@ -95,6 +95,38 @@
     CHECK(besideRouterPause > 0);
 }
 
+// Guards against plans in which no request can meet the copy of its own refusal: a former replica
+// must be registered at the address of a replica that sends copies, while it sends them.
+TEST_CASE("soakPlan_refusalCopies_mostBesideARegistrationOfAFormerReplica")
+{
+    std::size_t copies = 0;
+    std::size_t registrations = 0;
+    for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+        Fault period;
+        for (const Fault &it : drawRefusalCopies(seededRandom(seed), Length, 6)) {
+            CHECK(it.target < 6);
+            if (it.kind == FaultKind::ReplicaCopiesRefusals) {
+                ++copies;
+                period = it;
+                CHECK(faultName(it.kind) == "replica_copies_refusals");
+                CHECK(it.at >= 500ms);
+                CHECK(it.at < Length);
+                CHECK(it.length >= 3s);
+                continue;
+            }
+            ++registrations;
+            CHECK(faultName(it.kind) == "former_replica_registered");
+            CHECK(it.target == period.target);
+            CHECK(it.at >= period.at);
+            CHECK(it.at + it.length > period.at + 1s);
+            CHECK(it.at + 1s <= period.at + period.length);
+        }
+    }
+    CHECK(copies == 400);
+    CHECK(registrations > 200);
+    CHECK(registrations < copies);
+}
+
 // Guards against checks for an overload without other faults that are applied beside other faults,
 // and against a phase that counts itself as another fault, so that they would never be applied.
 TEST_CASE("soakPlan_overloadBesideOtherFaults_isAloneOnlyIfTheyAreFarAway")
