Log lines of attempts name the connection

Cause: whether two attempts of a request met the same connection can't be seen, so that a copy of a refusal can't be told from a replica that refuses twice. Change: request_sent and the lines that follow it have the number of the connection. Result: observability only; no decision depends on it.

--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -375,7 +375,6 @@
     m_isPromptUncached = choice.cachedPromptTokens == 0 && !choice.copyFrom;
     m_history.sent(m_incarnation);
     const std::string copyFrom = choice.copyFrom ? choice.copyFrom->address : std::string();
-    reportSent(choice);
     m_service->replicas.started(m_incarnation, m_request.sharedPrompt());
     if (!m_relay)
         m_service->silence.sent(m_incarnation);
@@ -390,6 +389,8 @@
     if (!m_context.quarantine.isEmpty())
         m_context.quarantine.sent(suspects());
     m_call = m_context.client.send(std::move(call), attemptEvents());
+    m_connection = m_call->connectionNumber();
+    reportSent(choice);
 }
 
 bool EntryCall::isRelayAvailable() const
@@ -975,7 +976,8 @@
                      .elapsed = now - m_request.receivedAt,
                      .attempt = m_history.count(),
                      .replica = m_replica.id,
-                     .address = m_replica.address};
+                     .address = m_replica.address,
+                     .connection = m_connection};
     if (m_request.route) {
         out.route = m_request.route->name;
         out.revision = m_request.routes->config().revision;
--- a/src/Net/EntryCall.h
+++ b/src/Net/EntryCall.h
@@ -181,6 +181,7 @@
     std::string m_serviceName;
 
     HttpCallPtr m_call;
+    std::uint64_t m_connection = 0; ///< Number of the connection of the current or last attempt.
     unsigned m_attempt = 0; ///< Number of the current attempt; events of earlier ones are ignored.
     bool m_attempting = false;
     ReplicaRecord m_replica;
--- a/src/Net/HttpClient.cpp
+++ b/src/Net/HttpClient.cpp
@@ -134,8 +134,8 @@
          std::shared_ptr<AnswerBuffers> buffers, GiveBack giveBack)
         : m_buffers(std::move(buffers)), m_share(*m_buffers),
           m_connection(std::move(taken.connection)), m_idleTime(taken.idleTime),
-          m_events(std::move(events)), m_giveBack(std::move(giveBack)),
-          m_progressTimeout(call.progressTimeout), m_loop(loop),
+          m_connectionNumber(m_connection->number()), m_events(std::move(events)),
+          m_giveBack(std::move(giveBack)), m_progressTimeout(call.progressTimeout), m_loop(loop),
           m_deadline(loop, [this] { timedOut(); }), m_progress(loop, [this] { checkProgress(); }),
           m_connect(loop, [this] { checkConnected(); })
     {
@@ -171,6 +171,8 @@
 
     Duration idleTime() const override { return m_idleTime; }
 
+    std::uint64_t connectionNumber() const override { return m_connectionNumber; }
+
     bool hasReceivedBytes() const override { return m_hasReceivedBytes; }
 
     bool hold(std::size_t n) override { return !m_connection || m_connection->hold(n); }
@@ -242,6 +244,7 @@
     AnswerBuffers::Share m_share;
     std::unique_ptr<HttpConnection> m_connection;
     Duration m_idleTime;
+    std::uint64_t m_connectionNumber;
     bool m_hasReceivedBytes = false; ///< Valid after the end of the call.
     HttpCallEvents m_events;
     GiveBack m_giveBack;
--- a/src/Net/HttpClient.h
+++ b/src/Net/HttpClient.h
@@ -4,6 +4,7 @@
 #include "Decide/AnswerBuffers.h"
 #include "Net/HttpExchange.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -80,6 +81,9 @@
     /// \returns how long the connection was idle before the call; zero for a new connection.
     virtual Duration idleTime() const = 0;
 
+    /// \returns the number of the connection, unique within the process.
+    virtual std::uint64_t connectionNumber() const = 0;
+
     /// \returns whether any byte of the answer, also of an incomplete head, had arrived when the
     /// call ended.
     virtual bool hasReceivedBytes() const = 0;
--- a/src/Net/RequestEvent.cpp
+++ b/src/Net/RequestEvent.cpp
@@ -39,7 +39,8 @@
                {{"remaining_ms", milliseconds(it.remaining)},
                 {"attempt", it.attempt},
                 {"replica", it.replica},
-                {"address", it.address}});
+                {"address", it.address},
+                {"connection", it.connection}});
 }
 
 void appendChoice(Fields &out, const RequestEvent &it)
--- a/src/Net/RequestEvent.h
+++ b/src/Net/RequestEvent.h
@@ -38,6 +38,7 @@
 
     std::string replica = {}; ///< Id of the replica.
     std::string address = {}; ///< Address of the replica.
+    std::uint64_t connection = 0; ///< Number of the connection that the attempt was sent on.
     std::string version = {}; ///< Software version of the replica.
     std::string resumes =
             {}; ///< Id of the attempt that began the stream, if the caller resumes it.
--- a/src/Net/internal/HttpConnection.cpp
+++ b/src/Net/internal/HttpConnection.cpp
@@ -116,6 +116,12 @@
     return status == 204 || status == 304 || isInterim(status);
 }
 
+std::uint64_t nextNumber()
+{
+    static std::uint64_t last = 0;
+    return ++last;
+}
+
 } // namespace
 
 std::unique_ptr<HttpConnection> HttpConnection::open(EventLoop &loop, const std::string &address)
@@ -135,7 +141,7 @@
 }
 
 HttpConnection::HttpConnection(EventLoop &loop, const std::string &address, bufferevent *stream)
-    : m_loop(loop)
+    : m_loop(loop), m_number(nextNumber())
 {
     const Endpoint endpoint = parseEndpoint(address).value_or(Endpoint{"0.0.0.0", 0});
     m_connection = evhttp_connection_base_bufferevent_new(loop.base(), nullptr, stream,
--- a/src/Net/internal/HttpConnection.h
+++ b/src/Net/internal/HttpConnection.h
@@ -2,6 +2,7 @@
 
 #include "Net/HttpClient.h"
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -59,6 +60,9 @@
     /// one hour if it did not state that.
     Duration keepAlive() const { return m_keepAlive; }
 
+    /// \returns the number of the connection, unique within the process.
+    std::uint64_t number() const { return m_number; }
+
     /// \returns whether any byte of the answer in progress, or of the last one, has arrived.
     bool hasReceivedBytes() const { return m_answerBytes > 0; }
 
@@ -76,6 +80,7 @@
     void end(Result<void> result);
 
     EventLoop &m_loop;
+    std::uint64_t m_number;
     evhttp_connection *m_connection;
     evhttp_request *m_request = nullptr;
     HttpCallEvents m_events;
