A copy of a refusal is not taken for the answer to a later attempt

What callers saw: requests that may run once ran twice, and requests that were answered 503 ran. Cause: a replica may send its refusal twice; the copy arrives where the next answer is due and bears the id of the refused request. A replica that refused is excluded by its incarnation, but connections are pooled by address, so where two registrations share an address the same request was sent on the same connection again, and the copy passed for a refusal of the attempt that ran. An answer without an id passed for a match as well.

Change: HttpCall names the id that its answer repeats. A connection on which a request failed is not used for that request again, so that the id tells its answers apart; answers to other requests are discarded ahead of the own one, and the connection isn't reused. A refusal proves that a request did not run only if it bears its id (answerVerdict). Without an id, a connection that delivered a refusal isn't reused.

--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -1,6 +1,7 @@
 #include "Net/EntryCall.h"
 
 #include "Base/Log.h"
+#include "Net/AnswerVerdict.h"
 #include "Net/EventLoop.h"
 #include "Net/internal/TimerQueue.h"
 #include "Request/Problem.h"
@@ -43,9 +44,6 @@
 /// Part of the caller's time that is reserved for returning the answer.
 constexpr Duration AnswerReserve = 5ms;
 
-/// Status of a request that reached another replica than the one it names.
-constexpr int Misdirected = 421;
-
 /// Delay after which a caller may retry at another router.
 constexpr Duration ShutdownRetryDelay = 10ms;
 
@@ -500,7 +498,8 @@
             .timeout = m_deadline - m_context.loop.now() + 1s, // m_deadlineTimer expires first.
             .connectTimeout = ConnectTimeout,
             .acceptsUnframed = true,
-            .forwardsStream = isStreaming()};
+            .forwardsStream = isStreaming(),
+            .answerId = {m_context.codec.requestIdHeader, id()}};
     out.maxIdleAge = m_service->connectionReuse.limit(route.isIdempotent());
     return out;
 }
@@ -565,15 +564,15 @@
     m_firstByte = attemptTime();
     m_head = head;
     m_answer = m_context.codec.decodeAnswer(head);
-    if (head.status == Misdirected)
+    if (head.status == MisdirectedStatus)
         m_answer.load.reset(); // Another replica answered, which may be of another service.
     m_admission.headReceived(m_incarnation, m_answer, head.status);
     if (m_answer.load)
         m_service->replicas.loadReported(m_incarnation, *m_answer.load);
     if (!m_relay && m_call && m_call->idleTime() == Duration::zero())
         m_service->pathRegained(m_incarnation,
-                                head.status == Misdirected ? PathMonitor::Listener::Unknown
-                                                           : PathMonitor::Listener::Replica);
+                                head.status == MisdirectedStatus ? PathMonitor::Listener::Unknown
+                                                                 : PathMonitor::Listener::Replica);
     noteReplicaState();
     if (!m_answer.requestId.empty() && m_answer.requestId != m_request.facts.id)
         return failLater(Reason::AnswerMismatch, "the answer carries the id of another request");
@@ -592,7 +591,7 @@
 /// applied before the answer is complete, so that requests sent meanwhile respect it.
 void EntryCall::noteReplicaState()
 {
-    const bool isAnother = m_head.status == Misdirected;
+    const bool isAnother = m_head.status == MisdirectedStatus;
     if (m_answer.isLeaving && !isAnother)
         m_context.replicaLeaving(m_incarnation);
     if (m_answer.isLeaving && isAnother)
@@ -783,22 +782,18 @@
 
 void EntryCall::handleAnswer()
 {
-    const bool misdirected = m_head.status == Misdirected;
-    if (m_answer.notExecuted || misdirected) {
-        m_context.pools.of(m_serviceName)
-                .replicas.excludeFor(m_incarnation, misdirected ? MisdirectedPause : FullPause);
+    const bool misdirected = m_head.status == MisdirectedStatus;
+    const Verdict verdict = answerVerdict(m_answer, m_head.status, id());
+    if (verdict == Verdict::NotRun) {
+        m_service->replicas.excludeFor(m_incarnation, misdirected ? MisdirectedPause : FullPause);
         if (misdirected)
             m_history.didNotArrive(m_incarnation);
+    }
+    if (verdict != Verdict::Ran)
         return attemptFailed({.reason = Reason::UpstreamRefused,
-                              .verdict = Verdict::NotRun,
-                              .detail = fmt::format("replica {} did not run the request: status {}",
+                              .verdict = verdict,
+                              .detail = fmt::format("replica {} refused the request: status {}",
                                                     m_replica.id, m_head.status)});
-    }
-    if (Problem::promisesNotRun(m_head.status))
-        return attemptFailed(
-                {.reason = Reason::UpstreamRefused,
-                 .verdict = Verdict::MayHaveRun,
-                 .detail = "the replica refused without stating that the request did not run"});
     m_verdict = Verdict::Ran;
     // If the request cannot be retried, this error answer is delivered: it is better than none.
     const bool mayRepeat =
--- a/src/Net/ForwardTask.cpp
+++ b/src/Net/ForwardTask.cpp
@@ -168,7 +168,8 @@
                   .headers = m_headers,
                   .body = std::string(m_request.body),
                   .timeout = left,
-                  .freshConnection = m_freshConnection};
+                  .freshConnection = m_freshConnection,
+                  .answerId = {headers::RequestId, m_upstreamId}};
     call.headers.emplace_back(headers::RequestId, m_upstreamId);
     call.headers.emplace_back(
             headers::Deadline,
--- a/src/Net/HttpClient.cpp
+++ b/src/Net/HttpClient.cpp
@@ -83,12 +83,17 @@
         return std::min({MaxIdleAge, call.maxIdleAge, granted});
     }
 
+    /// The last used connection is taken first, so that the others close after their idle time.
     TakenConnection take(const HttpCall &call)
     {
         std::deque<IdleConnection> &list = idle[poolKey(call)];
-        while (!call.freshConnection && !list.empty()) {
-            IdleConnection it = std::move(list.back());
-            list.pop_back();
+        for (std::size_t i = list.size(); !call.freshConnection && i-- > 0;) {
+            // A copy of the earlier answer to this request could not be told from the next one.
+            if (list[i].connection->hasFailed(call.answerId.second))
+                continue;
+            const auto position = list.begin() + static_cast<std::ptrdiff_t>(i);
+            IdleConnection it = std::move(*position);
+            list.erase(position);
             const Duration idleTime = loop.now() - it.since;
             if (it.connection->isReusable() && idleTime < maxIdleTime(call, it))
                 return {std::move(it.connection), idleTime};
--- a/src/Net/HttpClient.h
+++ b/src/Net/HttpClient.h
@@ -38,6 +38,10 @@
     /// buffered as a whole and count towards AnswerBuffers.
     bool forwardsStream = false;
     bool secure = false; ///< Uses TLS; the certificate of the upstream must name its address.
+    /// The header that identifies the request, which the upstream repeats in its answer. Answers to
+    /// other requests are discarded, and the request is not sent on a connection on which it failed
+    /// before. Empty: answers can't be told apart.
+    HttpHeader answerId = {};
 };
 
 /// \brief Status and headers of an answer.
--- a/src/Net/RelayServer.cpp
+++ b/src/Net/RelayServer.cpp
@@ -171,6 +171,8 @@
 {
     HttpExchange &exchange = *it->exchange;
     const std::weak_ptr<Relay> weak = it;
+    const std::string &idHeader = options.requestIdHeader;
+    HttpHeader answerId{idHeader, std::string(exchange.header(idHeader.c_str()))};
     exchange.onClosed([this, weak] {
         if (const RelayPtr held = weak.lock())
             remove(held);
@@ -184,7 +186,8 @@
                                     .connectTimeout = ConnectTimeout,
                                     .maxIdleAge = 1s,
                                     .acceptsUnframed = true,
-                                    .forwardsStream = true},
+                                    .forwardsStream = true,
+                                    .answerId = std::move(answerId)},
                                    {.onHead =
                                             [this, weak](const HttpHead &head) {
                                                 if (const RelayPtr held = weak.lock())
--- a/src/Net/RelayServer.h
+++ b/src/Net/RelayServer.h
@@ -33,6 +33,7 @@
         Metrics &metrics;
         CrashWatch &crashes;
         std::string sourceIp = {}; ///< IP that connections are opened from; empty: any.
+        std::string requestIdHeader = {}; ///< \sa WireCodec::requestIdHeader
         std::size_t maxBacklog = 256 * 1024; ///< Bytes buffered for one slow sender.
         /// Whether a signature of the key of the fleet is valid for a text.
         std::function<bool(std::string_view signature, std::string_view text)> verify;
--- a/src/Net/WireCodec.h
+++ b/src/Net/WireCodec.h
@@ -11,6 +11,9 @@
 
 namespace catkinloft {
 
+/// Status of an answer to a request that reached another replica than the one it names.
+inline constexpr int MisdirectedStatus = 421;
+
 /// \brief Information in the headers of a replica's answer.
 struct AnswerFacts
 {
@@ -43,6 +46,7 @@
 /// callbacks so that only the platform adapter knows the names of the headers.
 struct WireCodec
 {
+    std::string requestIdHeader; ///< Name of the header that answers repeat.
     std::function<CallFacts(const HttpHeaders &)> decodeRequest;
     std::function<HttpHeaders(const OutgoingRequest &)> encodeRequest;
     std::function<AnswerFacts(const HttpHead &)> decodeAnswer;
--- a/src/Net/internal/HttpConnection.cpp
+++ b/src/Net/internal/HttpConnection.cpp
@@ -3,7 +3,9 @@
 #include "Base/YamlSection.h"
 #include "Net/EventLoop.h"
 #include "Net/internal/Dispatch.h"
+#include "Net/internal/ForeignAnswerFilter.h"
 #include "Net/internal/TlsStream.h"
+#include "Request/Problem.h"
 
 #include <algorithm>
 #include <charconv>
@@ -29,6 +31,9 @@
 /// Longest line with the size of a chunk and its extensions, for which evhttp has no limit.
 constexpr std::size_t MaxChunkLineBytes = 16 * 1024;
 
+/// Requests that a connection remembers as failed. After more it isn't used again.
+constexpr std::size_t MaxFailedIds = 64;
+
 constexpr int Continue = 100;
 
 std::optional<evhttp_cmd_type> commandOf(std::string_view method)
@@ -171,7 +176,7 @@
                     return;
                 auto *self = static_cast<HttpConnection *>(arg);
                 self->m_loop.noteProgress();
-                self->onArrived(info->n_added);
+                self->onInput(info->n_added);
             },
             this);
 }
@@ -206,6 +211,12 @@
     m_share = &share;
     m_delimited = false;
     m_headOnly = call.method == "HEAD";
+    m_answerId = call.answerId.second;
+    // The length of an answer to a HEAD request isn't that of its body.
+    if (!m_isFirstRequest && !m_answerId.empty() && !m_hasSentHeadOnly)
+        m_foreign = std::make_unique<ForeignAnswerFilter>(call.answerId.first, m_answerId);
+    m_isFirstRequest = false;
+    m_hasSentHeadOnly |= m_headOnly;
     m_acceptsUnframed = call.acceptsUnframed;
     m_length.reset();
     m_errorCode = -1;
@@ -267,6 +278,12 @@
     return m_reusable && !m_request && evbuffer_get_length(bufferevent_get_input(bev)) == 0;
 }
 
+bool HttpConnection::hasFailed(std::string_view id) const
+{
+    return !id.empty()
+            && std::find(m_failedIds.begin(), m_failedIds.end(), id) != m_failedIds.end();
+}
+
 void HttpConnection::detach()
 {
     m_events = {};
@@ -284,6 +301,36 @@
 }
 
 /// Called before evhttp has read the \a n new bytes.
+void HttpConnection::onInput(std::size_t n)
+{
+    if (m_isFiltering)
+        return;
+    evbuffer *input = bufferevent_get_input(evhttp_connection_get_bufferevent(m_connection));
+    if (m_request && m_foreign) {
+        if (!isReadable(input))
+            return;
+        n = evbuffer_get_length(input);
+    }
+    onArrived(n);
+}
+
+/// \returns whether the input is that of the own answer.
+bool HttpConnection::isReadable(evbuffer *input)
+{
+    m_isFiltering = true;
+    const bool out = m_foreign->filter(input);
+    m_isFiltering = false;
+    if (m_foreign->discarded() > 0)
+        m_reusable = false;
+    if (out)
+        m_foreign.reset();
+    else if (m_foreign->heldBytes() > MaxHeadBytes && m_events.onEnd) {
+        setReading(false);
+        fail(Reason::UpstreamInvalid, "the answer to another request is malformed");
+    }
+    return out;
+}
+
 void HttpConnection::onArrived(std::size_t n)
 {
     if (!m_request || !m_events.onEnd)
@@ -401,6 +448,7 @@
     }
     if (!m_delimited)
         m_reusable = false; // The end of the connection ended the answer.
+    noteFailure();
     if (!m_delimited && !m_acceptsUnframed) {
         fail(Reason::UpstreamBroken, "the answer has neither a length nor chunks");
     } else if (m_length && m_bytesReceived != *m_length) {
@@ -411,6 +459,17 @@
     }
 }
 
+/// Without an id nothing tells a late copy of a refusal from the answer to the next request.
+void HttpConnection::noteFailure()
+{
+    const bool isFailure = m_status / 100 != 2;
+    if (isFailure && !m_answerId.empty())
+        m_failedIds.push_back(m_answerId);
+    if (m_failedIds.size() > MaxFailedIds
+        || (m_answerId.empty() && Problem::promisesNotRun(m_status)))
+        m_reusable = false;
+}
+
 std::string HttpConnection::handshakeFailure() const
 {
     return m_bytesSent == 0 ? tlsHandshakeError(evhttp_connection_get_bufferevent(m_connection))
--- a/src/Net/internal/HttpConnection.h
+++ b/src/Net/internal/HttpConnection.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 struct bufferevent;
 struct evbuffer;
@@ -19,6 +20,8 @@
 
 namespace catkinloft::internal {
 
+class ForeignAnswerFilter;
+
 /// \brief One client connection over evhttp that handles one request at a time.
 class HttpConnection
 {
@@ -60,6 +63,10 @@
     /// one hour if it did not state that.
     Duration keepAlive() const { return m_keepAlive; }
 
+    /// \returns whether a request with \a id was answered with a failure on this connection. A copy
+    /// of that answer may still arrive, so that the same request must not be sent on it again.
+    bool hasFailed(std::string_view id) const;
+
     /// \returns the number of the connection, unique within the process.
     std::uint64_t number() const { return m_number; }
 
@@ -69,12 +76,15 @@
 private:
     HttpConnection(EventLoop &loop, const std::string &address, bufferevent *stream);
 
+    void onInput(std::size_t n);
+    bool isReadable(evbuffer *input);
     void onArrived(std::size_t n);
     std::string_view exceededLimit(std::size_t n);
     bool countBuffered(); ///< \returns whether the answer fits into what is left for answers.
     static void onHead(evhttp_request *request, HttpConnection *self);
     static void onDone(evhttp_request *request, void *arg);
     void succeed(evhttp_request *request);
+    void noteFailure();
     void fail(Reason reason, std::string detail);
     std::string handshakeFailure() const;
     void end(Result<void> result);
@@ -96,6 +106,13 @@
     bool m_isInterim = false; ///< The head is that of an interim answer.
     bool m_delimited = false; ///< The answer ends before its connection does.
     bool m_headOnly = false;
+    bool m_hasSentHeadOnly = false; ///< Any request on this connection was a HEAD request.
+    bool m_isFirstRequest = true;
+    std::string m_answerId; ///< \sa HttpCall::answerId
+    std::vector<std::string> m_failedIds; ///< \sa hasFailed
+    /// Until the own answer begins, on a connection that was used before.
+    std::unique_ptr<ForeignAnswerFilter> m_foreign;
+    bool m_isFiltering = false; ///< The filter changes the input at this moment.
     bool m_acceptsUnframed = false;
     Duration m_keepAlive = std::chrono::hours(1);
     std::optional<std::size_t> m_length; ///< Content-Length of the answer, if it has one.
