--- a/src/Net/HttpClient.cpp
+++ b/src/Net/HttpClient.cpp
@@ -83,12 +83,17 @@
         return std::min({MaxIdleAge, call.maxIdleAge, granted});
     }
 
+    /// The last used connection is taken first, so that the others close after their idle time.
     TakenConnection take(const HttpCall &call)
     {
         std::deque<IdleConnection> &list = idle[poolKey(call)];
-        while (!call.freshConnection && !list.empty()) {
-            IdleConnection it = std::move(list.back());
-            list.pop_back();
+        for (std::size_t i = list.size(); !call.freshConnection && i-- > 0;) {
+            // A copy of the earlier answer to this request could not be told from the next one.
+            if (list[i].connection->hasFailed(call.answerId.second))
+                continue;
+            const auto position = list.begin() + static_cast<std::ptrdiff_t>(i);
+            IdleConnection it = std::move(*position);
+            list.erase(position);
             const Duration idleTime = loop.now() - it.since;
             if (it.connection->isReusable() && idleTime < maxIdleTime(call, it))
                 return {std::move(it.connection), idleTime};
@@ -134,8 +139,8 @@
          std::shared_ptr<AnswerBuffers> buffers, GiveBack giveBack)
         : m_buffers(std::move(buffers)), m_share(*m_buffers),
           m_connection(std::move(taken.connection)), m_idleTime(taken.idleTime),
-          m_events(std::move(events)), m_giveBack(std::move(giveBack)),
-          m_progressTimeout(call.progressTimeout), m_loop(loop),
+          m_connectionNumber(m_connection->number()), m_events(std::move(events)),
+          m_giveBack(std::move(giveBack)), m_progressTimeout(call.progressTimeout), m_loop(loop),
           m_deadline(loop, [this] { timedOut(); }), m_progress(loop, [this] { checkProgress(); }),
           m_connect(loop, [this] { checkConnected(); })
     {
@@ -171,6 +176,8 @@
 
     Duration idleTime() const override { return m_idleTime; }
 
+    std::uint64_t connectionNumber() const override { return m_connectionNumber; }
+
     bool hasReceivedBytes() const override { return m_hasReceivedBytes; }
 
     bool hold(std::size_t n) override { return !m_connection || m_connection->hold(n); }
@@ -242,6 +249,7 @@
     AnswerBuffers::Share m_share;
     std::unique_ptr<HttpConnection> m_connection;
     Duration m_idleTime;
+    std::uint64_t m_connectionNumber;
     bool m_hasReceivedBytes = false; ///< Valid after the end of the call.
     HttpCallEvents m_events;
     GiveBack m_giveBack;
--- a/src/Net/HttpClient.h
+++ b/src/Net/HttpClient.h
@@ -4,6 +4,7 @@
 #include "Decide/AnswerBuffers.h"
 #include "Net/HttpExchange.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -37,6 +38,10 @@
     /// buffered as a whole and count towards AnswerBuffers.
     bool forwardsStream = false;
     bool secure = false; ///< Uses TLS; the certificate of the upstream must name its address.
+    /// The header that identifies the request, which the upstream repeats in its answer. Answers to
+    /// other requests are discarded, and the request is not sent on a connection on which it failed
+    /// before. Empty: answers can't be told apart.
+    HttpHeader answerId = {};
 };
 
 /// \brief Status and headers of an answer.
@@ -80,6 +85,9 @@
     /// \returns how long the connection was idle before the call; zero for a new connection.
     virtual Duration idleTime() const = 0;
 
+    /// \returns the number of the connection, unique within the process.
+    virtual std::uint64_t connectionNumber() const = 0;
+
     /// \returns whether any byte of the answer, also of an incomplete head, had arrived when the
     /// call ended.
     virtual bool hasReceivedBytes() const = 0;
