Soak: a registration names the version that its replica runs

Cause: a change of version during a pause sets the version with which the replica starts next and doesn't restart it. When its entry was written again, the entry named that version, though the process still ran the other one, and routers sent streams on to it: the operator's mistake, not theirs. Change: the entry names the version of the running process.

--- a/standin/fleet/EntryFleet.cpp
+++ b/standin/fleet/EntryFleet.cpp
@@ -54,6 +54,11 @@
     return out;
 }
 
+std::string orFirstVersion(const std::string &version)
+{
+    return version.empty() ? "v1" : version;
+}
+
 } // namespace
 
 EntryFleet::EntryFleet(Options options)
@@ -129,6 +134,7 @@
 void EntryFleet::launchReplica(Replica &it)
 {
     it.exitedAt.reset();
+    it.runningVersion = it.version;
     std::vector<std::string> command{"catkinloft-standin", "--listen=" + it.address,
                                      "--name=" + it.id, "--software_version=" + it.version,
                                      "--record_file=" + m_folder + "/" + it.id + ".executions"};
@@ -215,8 +221,7 @@
 
 std::string EntryFleet::versionOf(std::size_t i) const
 {
-    const std::string &version = m_replicas.at(i).version;
-    return version.empty() ? "v1" : version;
+    return orFirstVersion(m_replicas.at(i).version);
 }
 
 std::string EntryFleet::domainOf(std::size_t i) const
@@ -238,7 +243,7 @@
     entry["address"] = it.proxy.listen;
     entry["zone"] = domainOf(i);
     entry["slots"] = m_options.capacity ? m_options.capacity->slots : 8;
-    entry["version"] = versionOf(i);
+    entry["version"] = orFirstVersion(it.runningVersion);
     entry["cold-remaining-ms"] = static_cast<Json::Int64>(cold / std::chrono::milliseconds(1));
     entry["sequence"] = 1;
     entry["state"] = state;
--- a/standin/fleet/EntryFleet.h
+++ b/standin/fleet/EntryFleet.h
@@ -83,7 +83,7 @@
     /// \returns the failure domain of the replica with the current or former id \a id.
     std::string domainOfId(const std::string &id) const;
 
-    /// \returns the software version of replica \a i.
+    /// \returns the software version with which replica \a i starts next.
     std::string versionOf(std::size_t i) const;
 
     /// \brief Sets the software version with which replica \a i starts next.
@@ -216,7 +216,8 @@
         std::string service;
         std::string id;
         std::string address;
-        std::string version; ///< Empty: \sa Options::versions
+        std::string version; ///< With which it starts next. Empty: \sa Options::versions
+        std::string runningVersion = {}; ///< Of its process; the registration names this one.
         int starts = 0;
         std::optional<TimePoint> exitedAt = {}; ///< When its exit was first noticed.
         Proxy proxy;
