Unit tests: copies of refusals at the gateway and at HttpClient

Cause: the copies were only met in plays with processes, which show neither their forms nor the paths of an entry call.

Change: ScriptedReplica sends bytes in front of the next answer of the same connection, or some milliseconds later.

--- a/test/ScriptedReplica.cpp
+++ b/test/ScriptedReplica.cpp
@@ -82,7 +82,13 @@
     evbuffer_drain(in, whole);
     const Reply reply = m_script(request, m_requests.size());
     m_requests.push_back(request);
-    bufferevent_write(bev, reply.bytes.data(), reply.bytes.size());
+    const std::string bytes = std::exchange(m_beforeNext[bev], reply.beforeNext) + reply.bytes;
+    bufferevent_write(bev, bytes.data(), bytes.size());
+    if (!reply.later.empty())
+        m_loop.after(std::chrono::milliseconds(3), [this, bev, later = reply.later] {
+            if (std::find(m_open.begin(), m_open.end(), bev) != m_open.end())
+                bufferevent_write(bev, later.data(), later.size());
+        });
     if (reply.end == End::Keep)
         return;
     // Leaves time to send what was written.
@@ -102,6 +108,7 @@
     if (it == m_open.end())
         return;
     m_open.erase(it);
+    m_beforeNext.erase(bev);
     if (end == End::Reset) {
         const linger now{.l_onoff = 1, .l_linger = 0};
         setsockopt(bufferevent_getfd(bev), SOL_SOCKET, SO_LINGER, &now, sizeof now);
--- a/test/ScriptedReplica.h
+++ b/test/ScriptedReplica.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -30,6 +31,8 @@
     {
         std::string bytes = {};
         End end = End::Keep;
+        std::string beforeNext = {}; ///< Sent in front of the next answer on the same connection.
+        std::string later = {}; ///< Sent on the same connection some milliseconds later.
     };
 
     /// \param request head and body as received.
@@ -81,6 +84,7 @@
     std::string m_address;
     std::vector<std::string> m_requests;
     std::vector<bufferevent *> m_open;
+    std::map<bufferevent *, std::string> m_beforeNext; ///< \sa Reply::beforeNext
     int m_connections = 0;
 };
 
