Listener: pass requests on only when they are complete, within a limit of memory

Clients that sent many requests at a time and stopped short of their ends ended a process: 60 bodies of 15 MB took 988 MB, 200 heads of 64 KB in lines of five bytes 288 MB. evhttp parses what has arrived, at many times its length, and only each connection was limited.

A ListenerConnection now stands between stream and evhttp. What connections hold counts towards RequestBuffers, with requests in progress and answers that are not read. One that has to give way is answered 503 with the promise, drained and shut down; nothing of it was parsed, so that it can't run later. Malformed requests and those over a limit are refused without evhttp, which would parse the lines before the fault first.

Also ends heads that take too long (408), and stops accepting for 100 ms when no descriptor is left: evconnlistener would be called again at once, and print a line each time. The body of an exchange is made contiguous only when it is read, and freed when the answer is complete. The limit of input beyond the largest request is gone: it served for lines with the size of a chunk, which the scanner limits.

ListenerMemoryTest: crowds of four kinds, refusals whose rest arrives later, requests in progress, unread answers, slow heads, 150 series of requests in random pieces.

--- a/src/Base/Settings.h
+++ b/src/Base/Settings.h
@@ -17,6 +17,8 @@
     std::size_t maxBodyBytes = 4 * 1024 * 1024; ///< Large enough for a long finding aid.
     int maxConnections = 10'000;
     Duration idleTimeout = std::chrono::seconds(60); ///< Longest time without data on a connection.
+    /// Longest time from the first byte of a head to its end.
+    Duration headerTimeout = std::chrono::seconds(60);
 };
 
 /// \brief Addresses of the platform's services, each `ip:port`.
@@ -65,6 +67,8 @@
     Duration drainGrace = std::chrono::seconds(3);
     Duration drainTimeout = std::chrono::seconds(30); ///< Longest wait for requests in progress.
     std::size_t maxStreamBuffer = 256 * 1024; ///< Bytes buffered for one slow caller.
+    /// Bytes of memory for requests that callers and routers send and answers that they don't read.
+    std::size_t maxRequestMemory = 96 * 1024 * 1024;
     std::size_t maxBuffered = 128 * 1024 * 1024; ///< Bytes buffered for all callers together.
 
     /// \brief Parses and validates \a text and adds every error to \a problems.
--- a/src/Net/HttpExchange.cpp
+++ b/src/Net/HttpExchange.cpp
@@ -1,5 +1,7 @@
 #include "Net/HttpExchange.h"
 
+#include "Net/internal/ListenerConnection.h"
+
 #include <charconv>
 #include <sys/socket.h>
 
@@ -44,21 +46,12 @@
     return "UNKNOWN";
 }
 
-std::string_view bodyOf(evhttp_request *request)
-{
-    evbuffer *buf = evhttp_request_get_input_buffer(request);
-    const std::size_t n = evbuffer_get_length(buf);
-    if (n == 0)
-        return {};
-    return {reinterpret_cast<const char *>(evbuffer_pullup(buf, -1)), n};
-}
-
 } // namespace
 
-HttpExchange::HttpExchange(evhttp_request *request, const timeval &idleTimeout)
-    : m_request(request), m_idleTimeout(idleTimeout),
+HttpExchange::HttpExchange(evhttp_request *request, internal::ListenerConnection &connection)
+    : m_request(request), m_connection(&connection),
       m_method(methodName(evhttp_request_get_command(request))),
-      m_target(evhttp_request_get_uri(request)), m_body(bodyOf(request))
+      m_target(evhttp_request_get_uri(request))
 {
     const std::string_view target = m_target;
     const std::size_t mark = target.find('?');
@@ -77,16 +70,10 @@
 
 void HttpExchange::watchConnection()
 {
-    evhttp_connection *con = evhttp_request_get_connection(m_request);
-    evhttp_connection_set_closecb(
-            con,
-            [](evhttp_connection *, void *arg) {
-                static_cast<HttpExchange *>(arg)->connectionClosed();
-            },
-            this);
+    m_connection->handedOver(*this);
     // evhttp stops reading while it waits for the answer and would not detect that the caller
     // leaves. Without a read callback, data stays in the buffer and only the end is reported.
-    bufferevent *bev = evhttp_connection_get_bufferevent(con);
+    bufferevent *bev = evhttp_connection_get_bufferevent(evhttp_request_get_connection(m_request));
     bufferevent_data_cb onWrite = nullptr;
     bufferevent_event_cb onEvent = nullptr;
     void *arg = nullptr;
@@ -96,8 +83,7 @@
     // The caller does not have to send anything while it waits, so there is no read timeout.
     bufferevent_set_timeouts(bev, nullptr, nullptr);
     bufferevent_enable(bev, EV_READ);
-    evhttp_request_set_on_complete_cb(m_request, &HttpExchange::answerSent,
-                                      const_cast<timeval *>(&m_idleTimeout));
+    evhttp_request_set_on_complete_cb(m_request, &HttpExchange::answerSent, m_connection);
 }
 
 /// Sets the connection up for the next request. What watchConnection() set stays in force until the
@@ -105,11 +91,10 @@
 /// sends.
 void HttpExchange::answerSent(evhttp_request *request, void *arg)
 {
-    const auto *idleTimeout = static_cast<const timeval *>(arg);
+    auto *connection = static_cast<internal::ListenerConnection *>(arg);
     bufferevent *bev = evhttp_connection_get_bufferevent(evhttp_request_get_connection(request));
-    // evhttp takes the body of a request only when all of it was read.
-    bufferevent_setwatermark(bev, EV_READ, 0, 0);
-    bufferevent_set_timeouts(bev, idleTimeout, idleTimeout);
+    connection->answered();
+    bufferevent_set_timeouts(bev, &connection->idleTimeout(), &connection->idleTimeout());
 }
 
 void HttpExchange::connectionClosed()
@@ -118,7 +103,6 @@
     evhttp_request *request = std::exchange(m_request, nullptr);
     const auto closed = std::exchange(m_onClosed, nullptr);
     m_onDrained = nullptr;
-    m_body = {};
     // If evhttp detached the request before it closed the connection, ending the reply frees the
     // request; otherwise evhttp frees it itself.
     if (!evhttp_request_get_connection(request))
@@ -129,16 +113,28 @@
 
 evhttp_request *HttpExchange::takeRequest()
 {
-    evhttp_connection *con = evhttp_request_get_connection(m_request);
-    evhttp_connection_set_closecb(con, nullptr, nullptr);
+    m_connection->answerComplete();
     // From here on only the write timeout ends an answer that the caller doesn't read.
-    bufferevent_set_timeouts(evhttp_connection_get_bufferevent(con), nullptr, &m_idleTimeout);
+    bufferevent *bev = evhttp_connection_get_bufferevent(evhttp_request_get_connection(m_request));
+    bufferevent_set_timeouts(bev, nullptr, &m_connection->idleTimeout());
+    evbuffer *body = evhttp_request_get_input_buffer(m_request);
+    evbuffer_drain(body, evbuffer_get_length(body));
     m_onClosed = nullptr;
     m_onDrained = nullptr;
-    m_body = {};
     return std::exchange(m_request, nullptr);
 }
 
+std::string_view HttpExchange::body() const
+{
+    if (!m_request)
+        return {};
+    evbuffer *buf = evhttp_request_get_input_buffer(m_request);
+    const std::size_t n = evbuffer_get_length(buf);
+    if (n == 0)
+        return {};
+    return {reinterpret_cast<const char *>(evbuffer_pullup(buf, -1)), n};
+}
+
 std::string_view HttpExchange::header(const char *name) const
 {
     if (!m_request)
--- a/src/Net/HttpExchange.h
+++ b/src/Net/HttpExchange.h
@@ -10,12 +10,14 @@
 #include <utility>
 #include <vector>
 
-#include <sys/time.h>
-
 struct evhttp_request;
 
 namespace catkinloft {
 
+namespace internal {
+class ListenerConnection;
+}
+
 using HttpHeader = std::pair<std::string, std::string>;
 using HttpHeaders = std::vector<HttpHeader>;
 
@@ -28,8 +30,8 @@
 {
 public:
     /// \param request owned by evhttp until it is answered.
-    /// \param idleTimeout of the connection while no answer is pending; must outlive it.
-    HttpExchange(evhttp_request *request, const timeval &idleTimeout);
+    /// \param connection on which it was received.
+    HttpExchange(evhttp_request *request, internal::ListenerConnection &connection);
     ~HttpExchange();
     HttpExchange(const HttpExchange &) = delete;
     HttpExchange &operator=(const HttpExchange &) = delete;
@@ -38,7 +40,7 @@
     const std::string &target() const { return m_target; } ///< As received.
     const std::string &path() const { return m_path; } ///< Without the query, not decoded.
     const std::string &query() const { return m_query; }
-    std::string_view body() const { return m_body; }
+    std::string_view body() const;
 
     /// \returns the value of request header \a name, empty if it is missing.
     std::string_view header(const char *name) const;
@@ -83,6 +85,8 @@
     void onDrained(std::function<void()> drained) { m_onDrained = std::move(drained); }
 
 private:
+    friend class internal::ListenerConnection;
+
     void watchConnection();
     static void answerSent(evhttp_request *request, void *arg);
     void connectionClosed();
@@ -90,12 +94,11 @@
     void addHeaders(const HttpHeaders &headers);
 
     evhttp_request *m_request;
-    const timeval &m_idleTimeout;
+    internal::ListenerConnection *m_connection; ///< Valid until the request has been answered.
     std::string m_method;
     std::string m_target;
     std::string m_path;
     std::string m_query;
-    std::string_view m_body;
     bool m_streaming = false;
     bool m_closeAfter = false;
     std::shared_ptr<HttpExchange> m_keepAlive; ///< While a stream is open.
--- a/src/Net/HttpServer.cpp
+++ b/src/Net/HttpServer.cpp
@@ -1,15 +1,20 @@
 #include "Net/HttpServer.h"
 
 #include "Base/Log.h"
+#include "Decide/RequestBuffers.h"
 #include "Net/EventLoop.h"
+#include "Net/Timer.h"
 #include "Net/TlsContext.h"
 #include "Net/internal/ConnectionLimiter.h"
 #include "Net/internal/Dispatch.h"
+#include "Net/internal/ListenerConnection.h"
 #include "Net/internal/Timeval.h"
 #include "Net/internal/TlsStream.h"
 
 #include <cstdlib>
+#include <functional>
 #include <unordered_map>
+#include <utility>
 
 #include <sys/socket.h>
 
@@ -39,39 +44,81 @@
         "Content-Type: application/problem+json\r\nContent-Length: 53\r\n\r\n"
         R"({"reason":"too_many_connections","verdict":"not_run"})";
 
-/// Bytes beyond the largest request that may be read before evhttp takes it.
-constexpr std::size_t InputReserve = 64 * 1024;
+/// Interval of checks for heads that take too long.
+constexpr Duration HeadCheckInterval = std::chrono::milliseconds(250);
 
-/// Bytes that are discarded by one system call.
-constexpr std::size_t DiscardedAtOnce = 1 << 20;
+/// Time without accepting connections after a failure. The listening socket stays readable, so that
+/// the event loop would spin otherwise.
+constexpr Duration AcceptPause = std::chrono::milliseconds(100);
 
-/// Discards what \a fd, which was shut down, has received; the kernel accepts nothing after that.
-void discardReceived(int fd)
+/// \returns what to call when a listener can't accept. evhttp passes itself to the callback.
+std::unordered_map<const void *, std::function<void()>> &listeners()
 {
-    // With MSG_TRUNC, TCP discards the bytes without a copy.
-    while (recv(fd, nullptr, DiscardedAtOnce, MSG_DONTWAIT | MSG_TRUNC) > 0) { }
+    static thread_local std::unordered_map<const void *, std::function<void()>> all;
+    return all;
+}
+
+std::string_view endReason(internal::ListenerConnection::End it)
+{
+    switch (it) {
+    case internal::ListenerConnection::End::Memory:
+        return "request_memory";
+    case internal::ListenerConnection::End::HeaderTimeout:
+        return "header_timeout";
+    case internal::ListenerConnection::End::Rejected:
+        return "rejected";
+    }
+    return {};
 }
 
 } // namespace
 
 struct HttpServer::Private
 {
+    using Connection = internal::ListenerConnection;
+
+    Private(EventLoop &l, Options o, Handler h)
+        : loop(l), options(std::move(o)), handler(std::move(h)),
+          limiter(loop, options.limits.maxConnections)
+    { }
+
     EventLoop &loop;
     Options options;
     Handler handler;
     evhttp *http = nullptr;
     evhttp_bound_socket *bound = nullptr;
     internal::ConnectionLimiter limiter;
+    RequestBuffers ownBuffers{loop};
     timeval idleTimeout = internal::toTimeval(options.limits.idleTimeout);
-    /// Streams of connections by their input buffer. Those of closed connections are replaced when
-    /// their buffer's address is used again.
-    std::unordered_map<const evbuffer *, bufferevent *> streams = {};
-    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+    Connection::Context context{
+            .loop = loop,
+            .buffers = options.buffers ? *options.buffers : ownBuffers,
+            .limits = {.headerBytes = options.limits.maxHeaderBytes,
+                       .bodyBytes = options.limits.maxBodyBytes},
+            .idleTimeout = idleTimeout,
+            .onClosed = [this](const evbuffer *input) { connections.erase(input); },
+            .onEnded =
+                    [this](Connection::End reason) {
+                        if (options.onConnectionEnded)
+                            options.onConnectionEnded(endReason(reason));
+                    },
+            .onHeadBegun =
+                    [this] {
+                        if (!headTimer.isPending())
+                            startHeadTimer();
+                    }};
+    std::unordered_map<const evbuffer *, std::shared_ptr<Connection>> connections = {};
+    Timer headTimer{loop, [this] { checkHeads(); }};
+    TimePoint headCheckDue = {};
+    Timer acceptTimer{loop, [this] { setAccepting(true); }};
 
     static void onRequest(evhttp_request *request, void *arg)
     {
         auto *d = static_cast<Private *>(arg);
-        const auto exchange = std::make_shared<HttpExchange>(request, d->idleTimeout);
+        bufferevent *stream =
+                evhttp_connection_get_bufferevent(evhttp_request_get_connection(request));
+        const auto exchange = std::make_shared<HttpExchange>(
+                request, *d->connections.at(bufferevent_get_input(stream)));
         internal::dispatch("request", [&] { d->handler(exchange); });
     }
 
@@ -86,42 +133,52 @@
         // exhausted.
         if (!out)
             std::abort();
-        evbuffer *input = bufferevent_get_input(out);
-        d->streams[input] = out;
-        evbuffer_add_cb(
-                input,
-                [](evbuffer *buf, const evbuffer_cb_info *info, void *server) {
-                    if (info->n_added > 0)
-                        static_cast<Private *>(server)->checkInput(buf);
-                },
-                d);
-        evbuffer_add_cb(
-                bufferevent_get_output(out),
-                [](evbuffer *, const evbuffer_cb_info *, void *server) {
-                    static_cast<Private *>(server)->loop.noteProgress();
-                },
-                d);
+        const auto connection = std::make_shared<Connection>(d->context, out);
+        d->connections.insert_or_assign(bufferevent_get_input(out), connection);
         // evhttp sets the descriptor right after this call and does not read before the next
         // iteration of the loop, so it cannot have freed the connection before the callback runs.
-        d->loop.post([d, out, there = std::weak_ptr(d->alive)] {
-            if (!there.expired())
-                d->checkLimit(bufferevent_getfd(out));
+        d->loop.post([d, connection, there = std::weak_ptr(d->alive)] {
+            if (there.expired())
+                return;
+            connection->opened();
+            d->checkLimit(connection->fd());
         });
         return out;
     }
 
-    /// Closes a connection whose next request can't end within the limits. evhttp has no limit for
-    /// the line with the size of a chunk.
-    void checkInput(const evbuffer *input)
+    void startHeadTimer()
+    {
+        headCheckDue = loop.now() + HeadCheckInterval;
+        headTimer.start(HeadCheckInterval);
+    }
+
+    void checkHeads()
+    {
+        // After a stall of this process, the rest of a head may be waiting in its socket. It is
+        // read before the next check.
+        const TimePoint now = loop.now();
+        const bool isLate = now - headCheckDue >= HeadCheckInterval;
+        while (!isLate && !context.heads.empty()
+               && now - context.heads.front()->headSince() >= options.limits.headerTimeout)
+            context.heads.front()->end(Connection::End::HeaderTimeout);
+        if (!context.heads.empty())
+            startHeadTimer();
+    }
+
+    void setAccepting(bool isAccepting)
     {
-        loop.noteProgress();
-        const std::size_t limit =
-                options.limits.maxHeaderBytes + options.limits.maxBodyBytes + InputReserve;
-        if (evbuffer_get_length(input) <= limit)
+        if (!bound)
             return;
-        const int fd = bufferevent_getfd(streams.at(input));
-        shutdown(fd, SHUT_RDWR);
-        discardReceived(fd);
+        evconnlistener *listener = evhttp_bound_socket_get_listener(bound);
+        isAccepting ? evconnlistener_enable(listener) : evconnlistener_disable(listener);
+    }
+
+    void acceptFailed()
+    {
+        setAccepting(false);
+        acceptTimer.start(AcceptPause);
+        if (options.onAcceptFailed)
+            options.onAcceptFailed();
     }
 
     void checkLimit(int fd)
@@ -135,18 +192,16 @@
                  MSG_DONTWAIT | MSG_NOSIGNAL);
         // evhttp reads the end and frees the connection by its own rules.
         shutdown(fd, SHUT_RDWR);
-        discardReceived(fd);
+        internal::discardReceived(fd);
         if (options.onTooManyConnections)
             options.onTooManyConnections();
     }
+
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
 HttpServer::HttpServer(EventLoop &loop, Options options, Handler handler)
-    : m_d(std::make_unique<Private>(
-            Private{.loop = loop,
-                    .options = options,
-                    .handler = std::move(handler),
-                    .limiter = internal::ConnectionLimiter(loop, options.limits.maxConnections)}))
+    : m_d(std::make_unique<Private>(loop, std::move(options), std::move(handler)))
 {
     m_d->http = evhttp_new(loop.base());
     const ListenerLimits &limits = m_d->options.limits;
@@ -161,6 +216,7 @@
 
 HttpServer::~HttpServer()
 {
+    listeners().erase(m_d->http);
     evhttp_free(m_d->http);
 }
 
@@ -171,8 +227,15 @@
         m_d->bound =
                 evhttp_bind_socket_with_handle(m_d->http, endpoint->host.c_str(), endpoint->port);
     }
-    if (m_d->bound)
+    if (m_d->bound) {
+        evconnlistener_set_error_cb(
+                evhttp_bound_socket_get_listener(m_d->bound), [](evconnlistener *, void *http) {
+                    if (const auto it = listeners().find(http); it != listeners().end())
+                        it->second();
+                });
+        listeners()[m_d->http] = [d = m_d.get()] { d->acceptFailed(); };
         return outcome::success();
+    }
     return Error{.detail = fmt::format("cannot listen on '{}'", m_d->options.address)};
 }
 
@@ -182,6 +245,11 @@
     evhttp_set_timeout_tv(m_d->http, &m_d->idleTimeout);
 }
 
+void HttpServer::setHeaderTimeout(Duration timeout)
+{
+    m_d->options.limits.headerTimeout = timeout;
+}
+
 void HttpServer::stopAccepting()
 {
     if (m_d->bound)
--- a/src/Net/HttpServer.h
+++ b/src/Net/HttpServer.h
@@ -7,12 +7,15 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace catkinloft {
 
 class EventLoop;
 class TlsContext;
 
+class RequestBuffers;
+
 /// \brief An HTTP listener over evhttp.
 class HttpServer
 {
@@ -25,6 +28,13 @@
         ListenerLimits limits = {};
         /// Called for each connection that was closed because limits.maxConnections was reached.
         std::function<void()> onTooManyConnections = {};
+        /// Called for each connection that was closed before its request was handled. \a reason is
+        /// `request_memory`, `header_timeout` or `rejected` (malformed or over a limit).
+        std::function<void(std::string_view reason)> onConnectionEnded = {};
+        /// Called when connections can't be accepted for want of descriptors.
+        std::function<void()> onAcceptFailed = {};
+        /// Memory for the requests of all listeners; null: the listener has a limit of its own.
+        RequestBuffers *buffers = nullptr;
         const TlsContext *tls = nullptr; ///< If it has a certificate, callers must use TLS.
     };
 
@@ -40,6 +50,10 @@
     /// \brief Changes the idle timeout of connections from their next request on.
     void setIdleTimeout(Duration timeout);
 
+    /// \brief Changes the time after which a connection is closed whose head has begun and is not
+    /// complete.
+    void setHeaderTimeout(Duration timeout);
+
     /// \brief Accepts no more connections; open connections stay open.
     void stopAccepting();
 
--- /dev/null
+++ b/src/Net/internal/ListenerConnection.h
@@ -0,0 +1,138 @@
+#pragma once
+
+#include "Base/Clock.h"
+#include "Decide/RequestBuffers.h"
+#include "Net/internal/RequestScanner.h"
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include <sys/time.h>
+
+struct bufferevent;
+struct evbuffer;
+struct evbuffer_cb_entry;
+struct evhttp_connection;
+
+namespace catkinloft {
+class EventLoop;
+class HttpExchange;
+} // namespace catkinloft
+
+namespace catkinloft::internal {
+
+/// \brief Discards what \a fd, which was shut down, has received; the kernel accepts nothing after
+/// that.
+void discardReceived(int fd);
+
+/// \brief One accepted connection of a listener, between its stream and evhttp.
+///
+/// evhttp takes each header line and each small chunk into memory as it arrives, at many times its
+/// length, and tells of a request only when all of it was read. So it is given a request only when
+/// that is complete: until then its bytes stay in the input buffer of the stream, whose low
+/// watermark keeps evhttp from reading. A body in chunks is collected without its framing, and
+/// passed on as one chunk.
+///
+/// What the connection holds counts towards RequestBuffers. If it is ended, nothing of what evhttp
+/// has not been given can be handled any more.
+class ListenerConnection : public std::enable_shared_from_this<ListenerConnection>
+{
+public:
+    /// Why a connection was ended.
+    enum class End : std::uint8_t {
+        Memory, ///< It had to give way. \sa RequestBuffers
+        HeaderTimeout,
+        Rejected, ///< The request is malformed or over a limit.
+    };
+
+    /// What all connections of a listener share; outlives them.
+    struct Context
+    {
+        EventLoop &loop;
+        RequestBuffers &buffers;
+        RequestScanner::Limits limits;
+        const timeval &idleTimeout; ///< While no answer is pending.
+        /// Called when the connection is closed; destroys it.
+        std::function<void(const evbuffer *input)> onClosed;
+        std::function<void(End)> onEnded;
+        /// Called when an incomplete head begins.
+        std::function<void()> onHeadBegun;
+        std::list<ListenerConnection *> heads = {}; ///< With an incomplete head, oldest first.
+    };
+
+    ListenerConnection(Context &context, bufferevent *stream);
+    ~ListenerConnection();
+    ListenerConnection(const ListenerConnection &) = delete;
+    ListenerConnection &operator=(const ListenerConnection &) = delete;
+
+    /// \brief Called after evhttp has taken the stream.
+    void opened();
+
+    /// \brief Called when evhttp has read a request, which \a exchange answers.
+    void handedOver(HttpExchange &exchange);
+
+    /// \brief Called when the answer is complete, but not yet sent.
+    void answerComplete();
+
+    /// \brief Called when an answer was sent, before evhttp reads the next request.
+    void answered();
+
+    /// \brief Closes the connection. Refuses the request that is being received, if there is one,
+    /// with a promise that it does not run.
+    void end(End reason);
+
+    const timeval &idleTimeout() const { return m_context.idleTimeout; }
+    int fd() const;
+    TimePoint headSince() const { return m_headSince; }
+
+private:
+    enum class Stage : std::uint8_t {
+        Reading, ///< evhttp waits for a request.
+        Passed, ///< evhttp was given a request, or what it is to refuse.
+        Handling, ///< From the hand-over to the end of the answer.
+    };
+
+    void inputAdded();
+    void read();
+    void readHead();
+    void readChunks();
+    void noteHead();
+    void unlistHead();
+    void passOn();
+    void composeChunks();
+    void checkPassed();
+    void readAhead();
+    void updateShare();
+    void closed();
+    void setLowWatermark(std::size_t bytes);
+    std::string_view endAnswer(End reason) const;
+    void writeNow(std::string_view text);
+
+    Context &m_context;
+    bufferevent *m_stream;
+    evbuffer *m_input;
+    evbuffer *m_output;
+    evbuffer_cb_entry *m_inputEntry = nullptr;
+    evbuffer_cb_entry *m_outputEntry = nullptr;
+    evbuffer *m_head; ///< Of a request in chunks.
+    evbuffer *m_body; ///< Chunks without their framing.
+    evbuffer *m_readAhead; ///< Taken out of the input until evhttp waits for the next request.
+    std::string m_trailer;
+    RequestScanner m_scanner;
+    std::size_t m_scannedBytes = 0; ///< Of the head, at the begin of the input.
+    Stage m_stage = Stage::Reading;
+    bool m_isEnded = false;
+    bool m_isComposing = false;
+    HttpExchange *m_exchange = nullptr;
+    TimePoint m_headSince;
+    std::list<ListenerConnection *> m_headNode; ///< The only element, while no head is incomplete.
+    std::list<ListenerConnection *>::iterator m_headPosition;
+    bool m_isHeadListed = false;
+    RequestBuffers::Share m_share;
+};
+
+} // namespace catkinloft::internal
--- a/src/Net/internal/TlsStream.cpp
+++ b/src/Net/internal/TlsStream.cpp
@@ -38,6 +38,20 @@
     return newStream(base, tls.newClientSession(ip), BUFFEREVENT_SSL_CONNECTING);
 }
 
+bool usesTls(bufferevent *stream)
+{
+    return bufferevent_openssl_get_ssl(stream) != nullptr;
+}
+
+void writeTls(bufferevent *stream, std::string_view text)
+{
+    SSL *session = bufferevent_openssl_get_ssl(stream);
+    if (!session || !SSL_is_init_finished(session))
+        return;
+    if (SSL_write(session, text.data(), static_cast<int>(text.size())) <= 0)
+        ERR_clear_error(); // Belongs to no call of the stream.
+}
+
 std::string tlsHandshakeError(bufferevent *stream)
 {
     const SSL *session = bufferevent_openssl_get_ssl(stream);
--- a/src/Net/internal/TlsStream.h
+++ b/src/Net/internal/TlsStream.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <string>
+#include <string_view>
 
 struct bufferevent;
 struct event_base;
@@ -18,6 +19,13 @@
 /// it.
 bufferevent *newClientStream(event_base *base, const TlsContext &tls, const std::string &ip);
 
+/// \returns whether \a stream was made by one of the functions above.
+bool usesTls(bufferevent *stream);
+
+/// \brief Writes \a text to \a stream past its output buffer, if the handshake is complete and the
+/// socket accepts it at once. Nothing may be written to \a stream after an incomplete write.
+void writeTls(bufferevent *stream, std::string_view text);
+
 /// \returns why the handshake of \a stream failed; empty if it succeeded or \a stream has no TLS.
 std::string tlsHandshakeError(bufferevent *stream);
 
