Limit requests by the memory of the VM, at all listeners

Each listener had the limits of the callers' one, and none for their sum: 60 bodies of 15 MB took 988 MB at the directory, the readiness and the peers' listener alike. They share one limit now. Its default follows from the memory of the VM, which the deploy file renders: three eighths of it, 97 of 260 MB; the rest is for buffered answers (80 MB at their limit), connections and freed memory. Without it 96 MiB.

The listeners that only answer questions take bodies of 1 KB and fewer connections, as do the other routers' (512 instead of 10,000). Callers get six tenths of the descriptors, so that crowds at all listeners leave some for replicas, routers and the store. The header-timeout-ms of the configuration is read: a head is refused after twice that time, 10 s at least. A line of the log and metrics tell what is held and why connections were ended. catkinloft router has max_request_memory and limits.header_timeout.

--- a/src/Base/EntrySettings.cpp
+++ b/src/Base/EntrySettings.cpp
@@ -1,5 +1,7 @@
 #include "Base/EntrySettings.h"
 
+#include <algorithm>
+
 namespace catkinloft {
 
 using namespace std::chrono_literals;
@@ -7,6 +9,19 @@
 namespace {
 
 constexpr std::int64_t MebiByte = 1024 * 1024;
+constexpr std::size_t MegaByte = 1'000'000;
+
+/// Part of the memory of the VM for requests. Measured at its limit, the memory of buffered answers
+/// takes 80 MB; connections and freed memory that the allocator keeps take some 40 MB.
+constexpr double RequestMemoryFraction = 0.375;
+
+/// Enough for the largest request. \sa RequestBuffers
+constexpr std::size_t MinRequestMemory = 48 * MebiByte;
+constexpr std::size_t DefaultRequestMemory = 96 * MebiByte;
+
+/// Part of the descriptors for connections of callers. The other listeners take up to a thousand
+/// together, and connections to replicas, routers and the store need the rest.
+constexpr double CallerDescriptorFraction = 0.6;
 
 void readAddresses(YamlSection &root, EntrySettings &out)
 {
@@ -47,6 +62,19 @@
     out.maxStreamBuffer = bytes(it, "max_stream_buffer", 64 * MebiByte, out.maxStreamBuffer);
     out.maxConnections = static_cast<int>(
             it.integer("max_connections", 1, 1'000'000, "connections", out.maxConnections));
+    if (it.has("max_request_memory"))
+        out.maxRequestMemory =
+                bytes(it, "max_request_memory", 16 * 1024 * MebiByte, out.maxRequestMemory);
+    it.finish();
+}
+
+void readVm(YamlSection it, EntrySettings &out)
+{
+    constexpr std::int64_t MaxMegaBytes = 1'000'000;
+    out.vmMemory = MegaByte
+            * static_cast<std::size_t>(it.integer("memory_mb", 0, MaxMegaBytes, "megabytes", 0));
+    out.vmDescriptors =
+            static_cast<int>(it.integer("descriptors", 0, 10'000'000, "descriptors", 0));
     it.finish();
 }
 
@@ -140,9 +168,29 @@
     checkUnchanged("limits.max_header_bytes", &EntrySettings::maxHeaderBytes);
     checkUnchanged("limits.max_body_bytes", &EntrySettings::maxBodyBytes);
     checkUnchanged("limits.max_connections", &EntrySettings::maxConnections);
+    checkUnchanged("limits.max_request_memory", &EntrySettings::maxRequestMemory);
+    checkUnchanged("vm.memory_mb", &EntrySettings::vmMemory);
+    checkUnchanged("vm.descriptors", &EntrySettings::vmDescriptors);
     return out;
 }
 
+std::size_t EntrySettings::requestMemory() const
+{
+    if (maxRequestMemory > 0)
+        return maxRequestMemory;
+    if (vmMemory == 0)
+        return DefaultRequestMemory;
+    const double share = RequestMemoryFraction * static_cast<double>(vmMemory);
+    return std::max(MinRequestMemory, static_cast<std::size_t>(share));
+}
+
+int EntrySettings::callerConnections(double systemDescriptors) const
+{
+    const double descriptors = vmDescriptors > 0 ? vmDescriptors : systemDescriptors;
+    const double share = std::max(1.0, CallerDescriptorFraction * descriptors);
+    return static_cast<int>(std::min<double>(share, maxConnections));
+}
+
 std::shared_ptr<const EntrySettings>
 EntrySettings::parse(const std::string &text, const std::string &file, YamlProblems &problems)
 {
@@ -161,6 +209,7 @@
     readColdReplicas(root.section("cold_replicas"), *out);
     readRegions(root.sections("regions"), *out);
     readLimits(root.section("limits"), *out);
+    readVm(root.section("vm"), *out);
     readMechanisms(root.section("mechanisms"), out->mechanisms);
     out->configApplyTimeout =
             root.duration("config_apply_limit", 100ms, 1h, out->configApplyTimeout);
--- a/src/Base/EntrySettings.h
+++ b/src/Base/EntrySettings.h
@@ -61,6 +61,17 @@
     std::size_t maxStreamBuffer = 256 * 1024; ///< Bytes buffered for one slow caller.
     /// Connections of callers. The remaining file descriptors are for connections to replicas.
     int maxConnections = 3000;
+    /// Bytes of memory for requests that callers send and answers that they don't read, over all
+    /// listeners; 0: derived from the memory of the VM. \sa requestMemory()
+    std::size_t maxRequestMemory = 0;
+    std::size_t vmMemory = 0; ///< Bytes that this process may take; 0: unknown.
+    int vmDescriptors = 0; ///< File descriptors that this process may open; 0: unknown.
+
+    std::size_t requestMemory() const;
+
+    /// \param systemDescriptors limit of this process, which counts if vmDescriptors is unknown.
+    /// \returns maxConnections, or less if the descriptors don't suffice for it and the rest.
+    int callerConnections(double systemDescriptors) const;
 
     /// \returns the region of \a domain, or an empty string if it is not configured.
     std::string regionOf(const std::string &domain) const;
--- a/src/Base/RouteConfig.h
+++ b/src/Base/RouteConfig.h
@@ -77,6 +77,8 @@
     std::vector<ServiceConfig> services = {};
     std::vector<WorkspaceConfig> workspaces = {};
     Duration idleTimeout = std::chrono::seconds(60); ///< Of a caller's connection.
+    /// Time that callers take at most from the first byte of a head to its end.
+    Duration headerTimeout = std::chrono::seconds(30);
     /// The text that was decoded. It is sent to other routers, which decode it in the same way.
     std::string sourceText = {};
 };
--- a/src/Base/Settings.cpp
+++ b/src/Base/Settings.cpp
@@ -36,6 +36,7 @@
     out.maxConnections = static_cast<int>(
             it.integer("max_connections", 1, 1'000'000, "connections", d.maxConnections));
     out.idleTimeout = it.duration("idle_timeout", 100ms, 1h, d.idleTimeout);
+    out.headerTimeout = it.duration("header_timeout", 100ms, 1h, d.headerTimeout);
     it.finish();
 }
 
@@ -64,6 +65,9 @@
     out.maxStreamBuffer =
             static_cast<std::size_t>(root.integer("max_stream_buffer", 4096, 64 * MebiByte, "bytes",
                                                   static_cast<std::int64_t>(out.maxStreamBuffer)));
+    out.maxRequestMemory = static_cast<std::size_t>(
+            root.integer("max_request_memory", MebiByte, 16 * 1024 * MebiByte, "bytes",
+                         static_cast<std::int64_t>(out.maxRequestMemory)));
     out.maxBuffered = static_cast<std::size_t>(
             root.integer("max_buffered", MebiByte, 16 * 1024 * MebiByte, "bytes",
                          static_cast<std::int64_t>(out.maxBuffered)));
--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -8,6 +8,7 @@
 #include "Control/ReplicaRegistry.h"
 #include "Control/StoreReadPlan.h"
 #include "Control/StreamOriginStore.h"
+#include "Decide/RequestBuffers.h"
 #include "Decide/SoftwareHistory.h"
 #include "Decide/StreamOrigins.h"
 #include "Net/BrittlePage.h"
@@ -27,12 +28,17 @@
 #include "Net/StreamOriginTask.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <csignal>
+#include <cstring>
+#include <limits>
+#include <map>
 #include <optional>
 #include <set>
 #include <string_view>
 
 #include <fmt/format.h>
+#include <sys/resource.h>
 
 namespace catkinloft {
 
@@ -68,8 +74,8 @@
 
 constexpr Duration DrainPoll = 50ms;
 
-/// Shortest time between log lines about connections beyond the limit, of which there may be
-/// thousands in a second.
+/// Shortest time between log lines about connections beyond the limit, and of those about
+/// connections that were ended, of which there may be thousands in a second.
 constexpr Duration LimitLogInterval = 1s;
 
 /// Interval of checks which engines are due for prompt discovery, until the discovery is finished.
@@ -117,10 +123,33 @@
 /// Bytes of all answers that are buffered at a time. The smallest entry VMs have 160 MB.
 constexpr std::size_t MaxBufferedAnswers = std::size_t(32) * 1024 * 1024;
 
+/// Body of a request to a listener that only answers questions; they have none.
+constexpr std::size_t MaxQuestionBody = 1024;
+
+/// Connections of callers that look up addresses. Each has one for a moment.
+constexpr int MaxDirectoryConnections = 256;
+
+/// Connections for readiness checks and metrics.
+constexpr int MaxCheckConnections = 64;
+
+/// Multiple of the configured header timeout after which an incomplete head is refused, and the
+/// shortest such time: delays of links and of this process come on top of what the caller takes.
+constexpr int HeaderTimeoutFactor = 2;
+constexpr Duration MinHeaderTimeout = 10s;
+
 /// Shortest idle timeout of caller connections. They are kept open for longer than the configured
 /// idle timeout, so that the router doesn't close one while a request is on its way.
 constexpr Duration MinIdleTimeout = 120s;
 
+/// \returns the number of descriptors that the system lets this process open.
+double maxDescriptors()
+{
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY)
+        return std::numeric_limits<double>::infinity();
+    return static_cast<double>(limit.rlim_cur);
+}
+
 } // namespace
 
 struct EntryProcess::Private
@@ -159,11 +188,14 @@
     void handlePromptList(const ReplicaRecord &engine, std::span<const PromptPart> prompts);
     bool isReady() const;
     void collectRetryBudget(const ServicePool &pool, Metrics &to);
-    void noteLimit(const std::string &address);
+    void noteLimit(const std::string &address, int limit);
+    void noteEnded(const std::string &address, std::string_view reason);
+    void noteAcceptFailed(const std::string &address);
     void answerMetrics(const HttpExchangePtr &exchange);
     void drain();
     void checkDrained();
-    std::unique_ptr<HttpServer> makeServer(const std::string &address, HttpServer::Handler handler);
+    std::unique_ptr<HttpServer> makeServer(const std::string &address, ListenerLimits limits,
+                                           HttpServer::Handler handler);
 
     EntrySettings settings;
     EntryAdapter adapter;
@@ -171,6 +203,7 @@
     LogWriter log{{.loop = loop}};
     Metrics metrics;
     StallMonitor stalls{loop, metrics};
+    RequestBuffers requestBuffers{loop, settings.requestMemory()};
     HttpClient client{loop, nullptr, settings.sourceIp, MaxBufferedAnswers};
     RandomSource random = systemRandom();
     std::unique_ptr<FleetStore> store;
@@ -213,6 +246,9 @@
     bool draining = false;
     int refusedConnections = 0; ///< Since the last log line about them.
     TimePoint limitLoggedAt = TimePoint::min();
+    std::map<std::string, int, std::less<>> ended; ///< By reason, since the last log line.
+    TimePoint endedLoggedAt = TimePoint::min();
+    TimePoint acceptLoggedAt = TimePoint::min();
 };
 
 EntryProcess::Private::Private(const EntrySettings &s, std::string settingsFile, EntryAdapter a)
@@ -259,6 +295,11 @@
              .evacuated = evacuated,
              .replicas = replicas,
              .isReady = [this] { return isReady(); },
+             .makeServer =
+                     [this](const std::string &address, ListenerLimits limits,
+                            HttpServer::Handler handler) {
+                         return makeServer(address, limits, std::move(handler));
+                     },
              .storeFailing = [this] { return watch.isFailing(); },
              .storeUnansweredFor = [this] { return watch.unansweredFor(); },
              .ownStatusUpdate = [this] { return ownStatusUpdate(); },
@@ -470,6 +511,9 @@
         it.set("catkinloft_stream_origins", static_cast<double>(streamOrigins.size()));
         it.set("catkinloft_replica_paths_lost", static_cast<double>(pools.lostPaths()));
         it.set("catkinloft_answer_buffer_bytes", static_cast<double>(client.bufferedBytes()));
+        it.set("catkinloft_request_memory_bytes", static_cast<double>(requestBuffers.used()));
+        it.set("catkinloft_request_memory_limit_bytes",
+               static_cast<double>(requestBuffers.limit()));
         it.set("catkinloft_replica_lists_ignored", static_cast<double>(replicas.ignoredLists()));
         it.set("catkinloft_requests_quarantined", static_cast<double>(quarantine.held().size()));
         pools.forEach([&](ServicePool &pool) {
@@ -499,6 +543,7 @@
     announceIfReader();
     discoverPrompts();
     callers->setIdleTimeout(std::max(MinIdleTimeout, 2 * it->idleTimeout));
+    callers->setHeaderTimeout(std::max(MinHeaderTimeout, HeaderTimeoutFactor * it->headerTimeout));
 }
 
 void EntryProcess::Private::applySettings(const EntrySettings &next)
@@ -792,21 +837,27 @@
 }
 
 std::unique_ptr<HttpServer> EntryProcess::Private::makeServer(const std::string &address,
+                                                              ListenerLimits limits,
                                                               HttpServer::Handler handler)
 {
     return std::make_unique<HttpServer>(
             loop,
-            HttpServer::Options{.address = address,
-                                .limits = {.maxHeaderBytes = settings.maxHeaderBytes,
-                                           .maxBodyBytes = settings.maxBodyBytes,
-                                           .maxConnections = settings.maxConnections,
-                                           .idleTimeout = MinIdleTimeout},
-                                .onTooManyConnections = [this, address] { noteLimit(address); }},
+            HttpServer::Options{
+                    .address = address,
+                    .limits = limits,
+                    .onTooManyConnections =
+                            [this, address, limit = limits.maxConnections] {
+                                noteLimit(address, limit);
+                            },
+                    .onConnectionEnded = [this,
+                                          address](std::string_view it) { noteEnded(address, it); },
+                    .onAcceptFailed = [this, address] { noteAcceptFailed(address); },
+                    .buffers = &requestBuffers},
             std::move(handler));
 }
 
 /// Requests of refused connections are not read, so that no other line names them.
-void EntryProcess::Private::noteLimit(const std::string &address)
+void EntryProcess::Private::noteLimit(const std::string &address, int limit)
 {
     metrics.refused(Reason::TooManyConnections);
     ++refusedConnections;
@@ -817,24 +868,63 @@
     Log::warning("connections_refused",
                  {{"address", address},
                   {"connections", std::exchange(refusedConnections, 0)},
-                  {"limit", settings.maxConnections}});
+                  {"limit", limit}});
+}
+
+void EntryProcess::Private::noteEnded(const std::string &address, std::string_view reason)
+{
+    metrics.count("catkinloft_connections_ended_total", Metrics::label("reason", reason));
+    ++ended[std::string(reason)];
+    const TimePoint now = loop.now();
+    if (now < endedLoggedAt + LimitLogInterval)
+        return;
+    endedLoggedAt = now;
+    Log::warning("connections_ended",
+                 {{"reason", reason},
+                  {"address", address},
+                  {"request_memory", ended["request_memory"]},
+                  {"header_timeout", ended["header_timeout"]},
+                  {"rejected", ended["rejected"]},
+                  {"held_bytes", requestBuffers.used()},
+                  {"limit_bytes", requestBuffers.limit()}});
+    ended.clear();
+}
+
+void EntryProcess::Private::noteAcceptFailed(const std::string &address)
+{
+    metrics.count("catkinloft_accept_failures_total");
+    const TimePoint now = loop.now();
+    if (now < acceptLoggedAt + LimitLogInterval)
+        return;
+    acceptLoggedAt = now;
+    Log::error("accept_failed", {{"address", address}, {"detail", std::strerror(errno)}});
 }
 
 void EntryProcess::Private::listenAll()
 {
-    servers.push_back(makeServer(settings.callerAddress,
+    const ListenerLimits limits{.maxHeaderBytes = settings.maxHeaderBytes,
+                                .maxBodyBytes = settings.maxBodyBytes,
+                                .maxConnections = settings.callerConnections(maxDescriptors()),
+                                .idleTimeout = MinIdleTimeout};
+    const auto questions = [&](int maxConnections) {
+        return ListenerLimits{.maxHeaderBytes = settings.maxHeaderBytes,
+                              .maxBodyBytes = MaxQuestionBody,
+                              .maxConnections = std::min(maxConnections, settings.maxConnections),
+                              .idleTimeout = MinIdleTimeout};
+    };
+    servers.push_back(makeServer(settings.callerAddress, limits,
                                  [this](const HttpExchangePtr &it) { gateway.handle(it); }));
     callers = servers.front().get();
     if (!settings.readinessAddress.empty())
-        servers.push_back(makeServer(settings.readinessAddress, [this](const HttpExchangePtr &it) {
-            adapter.answerReadiness(it, isReady());
-        }));
+        servers.push_back(makeServer(
+                settings.readinessAddress, questions(MaxCheckConnections),
+                [this](const HttpExchangePtr &it) { adapter.answerReadiness(it, isReady()); }));
     if (!settings.directoryAddress.empty())
-        servers.push_back(makeServer(settings.directoryAddress, [this](const HttpExchangePtr &it) {
-            adapter.answerDirectory(it, directory);
-        }));
+        servers.push_back(makeServer(
+                settings.directoryAddress, questions(MaxDirectoryConnections),
+                [this](const HttpExchangePtr &it) { adapter.answerDirectory(it, directory); }));
     if (!settings.metricsAddress.empty())
-        servers.push_back(makeServer(settings.metricsAddress,
+        servers.push_back(makeServer(settings.metricsAddress, questions(MaxCheckConnections),
                                      [this](const HttpExchangePtr &it) { answerMetrics(it); }));
 }
 
--- a/src/Net/FleetTask.cpp
+++ b/src/Net/FleetTask.cpp
@@ -78,6 +78,10 @@
 
 constexpr std::size_t MaxStateBody = 32 * 1024 * 1024;
 
+/// Connections of other routers. Each has one at a time for questions, and a few for requests that
+/// it relays; routers that are refused ask another one, or the store.
+constexpr int MaxPeerConnections = 512;
+
 /// Space for the header that the sender of a relayed request adds.
 constexpr std::size_t MaxTicketBytes = 1024;
 
@@ -134,7 +138,7 @@
     HeartbeatCodec codec;
     FleetView view;
     PeerTransport transport;
-    HttpServer server;
+    std::unique_ptr<HttpServer> server;
     Timer timer;
     Timer askTimer;
     Timer crashTimer;
@@ -163,11 +167,11 @@
             .selfAddress = options.settings.peerAddress,
             .configApplyTimeout = options.settings.configApplyTimeout}),
       transport(options.loop, [this](const std::string &, std::string_view it) { received(it); }),
-      server(options.loop,
-             {.address = options.settings.peerAddress,
-              .limits = {.maxHeaderBytes = options.settings.maxHeaderBytes + MaxTicketBytes,
-                         .maxBodyBytes = options.settings.maxBodyBytes}},
-             [this](const HttpExchangePtr &it) { answerState(it); }),
+      server(options.makeServer(options.settings.peerAddress,
+                                {.maxHeaderBytes = options.settings.maxHeaderBytes + MaxTicketBytes,
+                                 .maxBodyBytes = options.settings.maxBodyBytes,
+                                 .maxConnections = MaxPeerConnections},
+                                [this](const HttpExchangePtr &it) { answerState(it); })),
       timer(options.loop, [this] { heartbeat(); }), askTimer(options.loop, [this] { ask(); }),
       crashTimer(options.loop, [this] { announceCrashes(); }),
       streamOriginTimer(options.loop, [this] { announceStreamOrigins(); }),
@@ -515,7 +519,7 @@
 {
     if (Result<void> bound = m_d->transport.bind(m_d->options.settings.peerAddress); !bound)
         return bound;
-    if (Result<void> listening = m_d->server.listen(); !listening)
+    if (Result<void> listening = m_d->server->listen(); !listening)
         return listening;
     m_d->timer.startRepeating(FleetView::HeartbeatInterval);
     applySettings();
--- a/src/Net/FleetTask.h
+++ b/src/Net/FleetTask.h
@@ -21,6 +21,7 @@
 class EvacuatedDomains;
 class EventLoop;
 class HttpClient;
+class HttpServer;
 class ReplicaRegistry;
 
 /// \brief Exchanges state with the other routers.
@@ -40,6 +41,10 @@
         EvacuatedDomains &evacuated;
         ReplicaRegistry &replicas;
         std::function<bool()> isReady;
+        /// Creates the listener at an address with limits for its requests.
+        std::function<std::unique_ptr<HttpServer>(const std::string &address, ListenerLimits,
+                                                  std::function<void(HttpExchangePtr)>)>
+                makeServer;
         std::function<bool()> storeFailing; ///< \sa RouterHeartbeat::storeFailing
         std::function<Duration()> storeUnansweredFor; ///< \sa RouterHeartbeat::storeUnansweredFor
         std::function<ReplicaStatusUpdate()> ownStatusUpdate;
--- a/src/Net/PeerTask.cpp
+++ b/src/Net/PeerTask.cpp
@@ -83,7 +83,9 @@
       transport(options.loop,
                 [this](const std::string &from, std::string_view it) { received(from, it); }),
       server(options.loop,
-             {.address = options.settings.peerAddress, .limits = {.maxBodyBytes = 64 * 1024}},
+             {.address = options.settings.peerAddress,
+              .limits = {.maxBodyBytes = 64 * 1024},
+              .buffers = options.requestBuffers},
              [this](const HttpExchangePtr &it) { answerLarge(it); }),
       timer(options.loop, [this] { wake(); })
 {
--- a/src/Net/PeerTask.h
+++ b/src/Net/PeerTask.h
@@ -12,6 +12,7 @@
 
 class EventLoop;
 class HttpClient;
+class RequestBuffers;
 class TrafficGovernor;
 
 /// \brief Communicates with the other routers.
@@ -29,6 +30,7 @@
         const Settings &settings;
         ConfigManager &config;
         RandomSource random;
+        RequestBuffers *requestBuffers = nullptr; ///< Of the listener. \sa HttpServer::Options
     };
 
     explicit PeerTask(Options options);
--- a/src/Net/RouterProcess.cpp
+++ b/src/Net/RouterProcess.cpp
@@ -1,6 +1,7 @@
 #include "Net/RouterProcess.h"
 
 #include "Base/Log.h"
+#include "Decide/RequestBuffers.h"
 #include "Net/EngineTask.h"
 #include "Net/EventLoop.h"
 #include "Net/Gateway.h"
@@ -63,7 +64,8 @@
                  .metrics = metrics,
                  .settings = *settings,
                  .config = config,
-                 .random = systemRandom()}),
+                 .random = systemRandom(),
+                 .requestBuffers = &requestBuffers}),
           directory({.name = settings->name,
                      .callerAddress = settings->callerAddress,
                      .peerAddress = settings->peerAddress,
@@ -97,14 +99,24 @@
                  {.address = settings->callerAddress,
                   .limits = settings->limits,
                   .onTooManyConnections = [this] { metrics.refused(Reason::TooManyConnections); },
+                  .onConnectionEnded = [this](std::string_view reason) { countEnded(reason); },
+                  .buffers = &requestBuffers,
                   .tls = &tls.context()},
                  [this](const HttpExchangePtr &it) { gateway.handle(it); }),
           poll(loop, [this] { readPlatform(); }), selfCheck(loop, [this] { checkSelf(); }),
           drainPoll(loop, [this] { checkDrained(); })
     {
+        metrics.addCollector([this](Metrics &it) {
+            it.set("catkinloft_request_memory_bytes", static_cast<double>(requestBuffers.used()));
+        });
         peers.membership().changed().connect([this](const Member &) { updateDirectory(); });
     }
 
+    void countEnded(std::string_view reason)
+    {
+        metrics.count("catkinloft_connections_ended_total", Metrics::label("reason", reason));
+    }
+
     void readPlatform()
     {
         config.refresh();
@@ -189,6 +201,7 @@
     Metrics metrics;
     StallMonitor stalls{loop, metrics};
     TlsTask tls;
+    RequestBuffers requestBuffers{loop, settings->maxRequestMemory};
     HttpClient client{loop, &tls.context()};
     std::unique_ptr<TableService> table;
     std::unique_ptr<ObjectStore> objects;
--- a/test/DecoderEdgeTest.cpp
+++ b/test/DecoderEdgeTest.cpp
@@ -153,7 +153,7 @@
                     R"("traffic-split":[{"service":"svc","weight":1}]}],)"
                     R"("services":[{"name":"svc","max-connections":300,"cold-per-s":20}],)"
                     R"("tenants":[{"name":"t","api-keys":["k"],"priority":2}],)"
-                    R"("limits":{"idle-timeout-ms":15000}})"),
+                    R"("limits":{"header-timeout-ms":5000,"idle-timeout-ms":15000}})"),
              [](const std::string &it) { (void)platform::decodeConfig(it); }});
     out.push_back({"record of a configuration",
                    parsed(config_rows::encode({.digest = {.revision = 3, .hash = 4},
--- a/test/EntrySettingsTest.cpp
+++ b/test/EntrySettingsTest.cpp
@@ -115,3 +115,34 @@
                                      "test.yaml", problems));
     CHECK(problems.size() == 1);
 }
+
+TEST_CASE("entrySettings_memoryOfVmIsGiven_limitsRequests")
+{
+    YamlProblems problems;
+    const std::string base = "name: a\n"
+                             "failure_domain: d\n"
+                             "caller_address: 127.0.0.1:80\n"
+                             "peer_address: 127.0.0.1:81\n"
+                             "store_address: 127.0.0.1:82\n";
+    const auto parse = [&](const std::string &text) {
+        const auto out = EntrySettings::parse(base + text, "test.yaml", problems);
+        REQUIRE(out);
+        return *out;
+    };
+    constexpr std::size_t MebiByte = 1024 * 1024;
+    CHECK(parse("vm:\n").requestMemory() == 96 * MebiByte);
+    CHECK(parse("vm:\n").callerConnections(1e6) == 3000);
+    CHECK(parse("vm:\n").callerConnections(1000) == 600);
+    const EntrySettings vm = parse("vm: {memory_mb: 260, descriptors: 4100}\n");
+    CHECK(vm.requestMemory() == 97'500'000);
+    CHECK(vm.callerConnections(1e6) == 2460);
+    CHECK(parse("vm: {memory_mb: 100}\n").requestMemory() == 48 * MebiByte);
+    CHECK(parse("limits: {max_connections: 20}\nvm: {descriptors: 4100}\n").callerConnections(1e6)
+          == 20);
+    CHECK(parse("limits: {max_request_memory: 1000000}\nvm: {memory_mb: 260}\n").requestMemory()
+          == 1'000'000);
+    CHECK(problems.empty());
+    CHECK_FALSE(EntrySettings::parse(base + "limits: {max_request_memory: 10}\n", "test.yaml",
+                                     problems));
+    CHECK(problems.size() == 1);
+}
--- a/test/PlatformCodecTest.cpp
+++ b/test/PlatformCodecTest.cpp
@@ -23,7 +23,7 @@
   "traffic-split":[{"service":"x","weight":90},{"service":"y","weight":10}],"no-auth":true},
  {"name":"r3","host":"a.example","prefix":"/c/","kind":"something new","service":"x"}],
  "services":[{"name":"llm","max-connections":370,"engine":{"slots":64}},{"name":"x"}],
- "limits":{"idle-timeout-ms":15000},
+ "limits":{"header-timeout-ms":2500,"idle-timeout-ms":15000},
  "tenants":[{"name":"w","api-keys":["k1","k2"],"priority":1},{"name":"v","api-keys":[]}]})";
 
 } // namespace
@@ -51,6 +51,7 @@
     CHECK(it.services[0].isEngine);
     CHECK_FALSE(it.services[1].isEngine);
     CHECK(it.idleTimeout == 15s);
+    CHECK(it.headerTimeout == 2500ms);
     CHECK(it.workspaces[0].apiKeys.size() == 2);
     CHECK(it.workspaces[0].priority == 1);
     CHECK_FALSE(it.workspaces[1].priority);
