Unit tests: HttpClient with the id that answers repeat

Change: a call that failed takes another connection when it is sent again, for 400, 408, 421, 429, 500 and 503; another call gets its own answer behind a copy; a connection is used again if nothing but the own answers came.

--- a/test/RefusalCopyTest.cpp
+++ b/test/RefusalCopyTest.cpp
@@ -3,7 +3,7 @@
 
 #include <doctest/doctest.h>
 
-#include <optional>
+#include <functional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -384,3 +384,75 @@
         CHECK(upstream.connections() == 2);
     }
 }
+
+namespace {
+
+/// An upstream that answers calls with an id, by the number of the call.
+struct IdentifiedCallFixture
+{
+    /// \returns the status of the answer to a call with \a id, 0 if it fails.
+    int statusOf(const std::string &id)
+    {
+        int out = -1;
+        client.fetch({.address = upstream.address(),
+                      .headers = {{"X-Request-Id", id}},
+                      .timeout = 2s,
+                      .answerId = {"X-Request-Id", id}},
+                     [&](const Result<HttpAnswer> &answer) {
+                         out = answer ? answer.value().head.status : 0;
+                         loop.stop();
+                     });
+        loop.run();
+        return out;
+    }
+
+    EventLoop loop;
+    HttpClient client{loop};
+    std::function<Reply(const std::string &request, std::size_t n)> script;
+    ScriptedReplica upstream{
+            loop, [this](const std::string &request, std::size_t n) { return script(request, n); }};
+};
+
+} // namespace
+
+// Guards against a connection that carries a request again on which an answer to it was a failure.
+TEST_CASE("httpClient_callFails_isNotSentOnItsConnectionAgain")
+{
+    for (const int status : {400, 408, 421, 429, 500, 503}) {
+        CAPTURE(status);
+        IdentifiedCallFixture it;
+        it.script = [=](const std::string &request, std::size_t n) -> Reply {
+            const std::string refusal = ScriptedReplica::answer(request, status, "");
+            if (n == 0)
+                return {.bytes = refusal, .beforeNext = refusal};
+            return {.bytes = ScriptedReplica::answer(request, 200, "fine")};
+        };
+        CHECK(it.statusOf("q1") == status);
+        CHECK(it.statusOf("q1") == 200);
+        CHECK(it.upstream.connections() == 2);
+    }
+}
+
+// Guards against a call that gets the copy of another one's answer, and against a connection that
+// is given up although nothing but the own answer came.
+TEST_CASE_FIXTURE(IdentifiedCallFixture, "httpClient_otherCallFailed_connectionIsUsedAgain")
+{
+    bool isCopied = false;
+    script = [&](const std::string &request, std::size_t n) -> Reply {
+        const std::string refusal = ScriptedReplica::answer(request, 503, "full");
+        if (n % 3 == 0)
+            return {.bytes = refusal, .beforeNext = isCopied ? refusal : ""};
+        return {.bytes = ScriptedReplica::answer(request, 200, "fine")};
+    };
+    CHECK(statusOf("a1") == 503);
+    CHECK(statusOf("a2") == 200);
+    CHECK(statusOf("a3") == 200);
+    CHECK(upstream.connections() == 1);
+    isCopied = true;
+    CHECK(statusOf("a4") == 503);
+    CHECK(statusOf("a5") == 200);
+    CHECK(upstream.connections() == 1);
+    // The connection on which an answer too many came is not used again.
+    CHECK(statusOf("a6") == 200);
+    CHECK(upstream.connections() == 2);
+}
