--- a/test/RelayTest.cpp
+++ b/test/RelayTest.cpp
@@ -133,6 +133,7 @@
              .client = client,
              .metrics = metrics,
              .crashes = crashes,
+             .requestIdHeader = "X-Request-Id",
              .verify = [this](std::string_view signature,
                               std::string_view text) { return guard.verify(signature, text); },
              .findReplica = [this](std::string_view id) -> const ReplicaRecord * {
@@ -514,3 +515,30 @@
     REQUIRE_FALSE(*result);
     CHECK((result->error().verdict == Verdict::NotRun));
 }
+
+// Guards against the copy of a refusal that the relaying router takes for the answer to another
+// relayed attempt, which meets its connection to the replica.
+TEST_CASE_FIXTURE(RelayFixture, "relay_replicaSendsItsRefusalTwice_nextAttemptGetsItsOwnAnswer")
+{
+    for (const char *id : {"r1", "r2"}) {
+        CAPTURE(id);
+        const std::size_t before = replica.requests().size();
+        script = [before](const std::string &request, std::size_t n) -> Reply {
+            if (n > before)
+                return {.bytes = ScriptedReplica::answer(request, 200, "fine")};
+            const std::string refusal =
+                    ScriptedReplica::answer(request, 503, "", "X-Not-Executed: 1\r\n");
+            return {.bytes = refusal, .beforeNext = refusal};
+        };
+        send(relayedCall());
+        CHECK(head->status == 503);
+        HttpCall next = call();
+        next.headers.back().second = id;
+        send(relay.relayed(std::move(next), peer, {.replica = "i-1"}));
+        CHECK(replica.requests().size() == before + 2);
+        REQUIRE(head);
+        CHECK(head->status == 200);
+        CHECK(head->header("X-Request-Id") == id);
+        CHECK(body == "fine");
+    }
+}
