Unit test, fails: copies of a store's 400, 409 and 412

Cause: HttpConnection::noteFailure() gives up a connection without an id only after 408, 421, 429 and 503. A store also refuses with 412, the table service with other 4xx; the copy of such an answer is taken for that to the next write, which took effect.

Change: copiedAnswer_storeDeniesAWrite_nextWriteIsKnownToTakeEffect.

--- a/test/CopiedAnswerTest.cpp
+++ b/test/CopiedAnswerTest.cpp
@@ -103,6 +103,16 @@
     }
 }
 
+// As above, for refusals because of what the store holds or of what the write contains.
+TEST_CASE("copiedAnswer_storeDeniesAWrite_nextWriteIsKnownToTakeEffect")
+{
+    for (const int status : {400, 409, 412}) {
+        CAPTURE(status);
+        CHECK_FALSE(isNextStoreWriteTakenForRefused(status));
+        CHECK_FALSE(isNextTableWriteTakenForRefused(status));
+    }
+}
+
 // Guards against a refused order of an engine whose copy is taken for the answer to the next one.
 TEST_CASE("copiedAnswer_engineRefusesAnOrder_nextOrderIsKnownToBeApplied")
 {
