Unit test, fails: copy of a failure without an id

Cause: HttpConnection::noteFailure() gives up a connection without an id only if the call had none. If the call has one and the failing answer doesn't repeat it, as of a service that repeats no ids, the connection is used for other calls. The copy names no request, so that it isn't discarded and is taken for the answer to the next call; ForwardTask accepts answers without an id to service calls.

Change: httpClient_failureHasNoId_connectionIsNotUsedAgain.

--- a/test/RefusalCopyTest.cpp
+++ b/test/RefusalCopyTest.cpp
@@ -456,3 +456,22 @@
     CHECK(statusOf("a6") == 200);
     CHECK(upstream.connections() == 2);
 }
+
+// Guards against the copy of a failure without an id that is taken for the answer to another call,
+// as of a service that repeats no ids.
+TEST_CASE_FIXTURE(IdentifiedCallFixture, "httpClient_failureHasNoId_connectionIsNotUsedAgain")
+{
+    for (const int status : {400, 409, 429, 503}) {
+        CAPTURE(status);
+        const std::size_t before = upstream.requests().size();
+        const std::string failure =
+                fmt::format("HTTP/1.1 {} X\r\nContent-Length: 0\r\n\r\n", status);
+        script = [=](const std::string &request, std::size_t n) -> Reply {
+            if (n == before)
+                return {.bytes = failure, .beforeNext = failure};
+            return {.bytes = ScriptedReplica::answer(request, 200, "fine")};
+        };
+        CHECK(statusOf(fmt::format("a{}", status)) == status);
+        CHECK(statusOf(fmt::format("b{}", status)) == 200);
+    }
+}
