Test: copies of refusals meet relayed attempts

Cause: a relay keeps connections to the replicas too, and no test sent copies of refusals to one. Change: one of two routers loses all replicas and relays by way of the other, while former replicas are registered at the addresses of present ones.

--- a/test/integration/RefusalCopyTest.cpp
+++ b/test/integration/RefusalCopyTest.cpp
@@ -101,3 +101,14 @@
         fleet.setReplicaFaults(i, R"({"refuse":0.3})");
     requireAtMostOnce([] { std::this_thread::sleep_for(Length); });
 }
+
+// Guards against copies that meet attempts relayed by another router, on its connections to the
+// replicas or on the connection to it.
+TEST_CASE_FIXTURE(RefusalCopyFixture,
+                  "refusalCopies_attemptsAreRelayed_nothingRunsTwiceOrAfterRefusal")
+{
+    copyRefusals(0);
+    fleet.partition({0}, "reset", 0, Replicas);
+    requireAtMostOnce([this] { registerFormerReplicas(); });
+    CHECK(fleet.routerLog(0).find("\"relay\":\"router") != std::string::npos);
+}
