Answers are told apart also behind HEAD, interim answers and failures without an id

Cause: whether a connection is used again was decided by the id of the request, not by that of the answer; the filter ended at the first head without an id, read white space in another way than evhttp, and what it kept was not counted. Change: a connection that delivered a failure without the id, or an answer to a HEAD request with one, isn't used again; calls without an id avoid connections on which any request failed.

--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -784,16 +784,18 @@
 {
     const bool misdirected = m_head.status == MisdirectedStatus;
     const Verdict verdict = answerVerdict(m_answer, m_head.status, id());
-    if (verdict == Verdict::NotRun) {
+    const bool isProven = verdict == Verdict::NotRun;
+    if (isProven || (m_answer.notExecuted && !misdirected))
         m_service->replicas.excludeFor(m_incarnation, misdirected ? MisdirectedPause : FullPause);
-        if (misdirected)
-            m_history.didNotArrive(m_incarnation);
-    }
+    if (isProven && misdirected)
+        m_history.didNotArrive(m_incarnation);
     if (verdict != Verdict::Ran)
-        return attemptFailed({.reason = Reason::UpstreamRefused,
-                              .verdict = verdict,
-                              .detail = fmt::format("replica {} refused the request: status {}",
-                                                    m_replica.id, m_head.status)});
+        return attemptFailed(
+                {.reason = Reason::UpstreamRefused,
+                 .verdict = verdict,
+                 .detail = fmt::format("replica {} {} the request: status {}", m_replica.id,
+                                       isProven ? "did not run" : "refused without proof",
+                                       m_head.status)});
     m_verdict = Verdict::Ran;
     // If the request cannot be retried, this error answer is delivered: it is better than none.
     const bool mayRepeat =
--- a/src/Net/WireCodec.h
+++ b/src/Net/WireCodec.h
@@ -46,7 +46,7 @@
 /// callbacks so that only the platform adapter knows the names of the headers.
 struct WireCodec
 {
-    std::string requestIdHeader; ///< Name of the header that answers repeat.
+    std::string requestIdHeader; ///< Header with the id of a request, which its answer repeats.
     std::function<CallFacts(const HttpHeaders &)> decodeRequest;
     std::function<HttpHeaders(const OutgoingRequest &)> encodeRequest;
     std::function<AnswerFacts(const HttpHead &)> decodeAnswer;
--- a/src/Net/internal/ForeignAnswerFilter.cpp
+++ b/src/Net/internal/ForeignAnswerFilter.cpp
@@ -6,6 +6,7 @@
 #include <charconv>
 #include <optional>
 #include <strings.h>
+#include <utility>
 
 #include <event2/buffer.h>
 
@@ -16,6 +17,13 @@
 /// Longer heads are left to evhttp, which rejects them.
 constexpr std::size_t MaxHeadBytes = 64 * 1024;
 
+/// Longest line with the size of a chunk and its extensions.
+constexpr std::size_t MaxChunkLineBytes = 16 * 1024;
+
+/// Foreign answers before the own one. More of them show that the upstream is out of step.
+constexpr std::size_t MaxDiscarded = 16;
+
+constexpr int Continue = 100;
 constexpr int NoContent = 204;
 constexpr int NotModified = 304;
 
@@ -35,16 +43,26 @@
 
 /// \returns the head at the begin of \a text with the empty line that ends it, or an empty text if
 /// that is missing.
-std::string_view headOf(std::string_view text)
+/// \param from where the search for its end begins.
+std::string_view headOf(std::string_view text, std::size_t from)
 {
-    std::string_view rest = text;
-    while (const std::optional<std::string_view> line = takeLine(rest)) {
-        if (line->empty())
-            return text.substr(0, text.size() - rest.size());
+    while ((from = text.find('\n', from)) != std::string_view::npos) {
+        const std::string_view next = text.substr(++from);
+        if (next.starts_with('\n'))
+            return text.substr(0, from + 1);
+        if (next.starts_with("\r\n"))
+            return text.substr(0, from + 2);
     }
     return {};
 }
 
+/// \returns \a text without the white space that evhttp removes from values too.
+std::string_view trimmed(std::string_view text)
+{
+    text.remove_prefix(std::min(text.find_first_not_of(' '), text.size()));
+    return text.substr(0, text.find_last_not_of(" \t") + 1);
+}
+
 /// \returns the value of the header \a name in \a head, if it is there.
 std::optional<std::string_view> valueOf(std::string_view head, std::string_view name)
 {
@@ -52,12 +70,7 @@
         if (line->size() <= name.size() || (*line)[name.size()] != ':'
             || strncasecmp(line->data(), name.data(), name.size()) != 0)
             continue;
-        std::string_view out = line->substr(name.size() + 1);
-        while (!out.empty() && out.front() == ' ')
-            out.remove_prefix(1);
-        while (!out.empty() && out.back() == ' ')
-            out.remove_suffix(1);
-        return out;
+        return trimmed(line->substr(name.size() + 1));
     }
     return std::nullopt;
 }
@@ -72,6 +85,25 @@
     return out;
 }
 
+bool isChunked(std::string_view head)
+{
+    constexpr std::string_view Chunked = "chunked";
+    const std::string_view it = valueOf(head, "Transfer-Encoding").value_or("");
+    return it.size() == Chunked.size() && strncasecmp(it.data(), Chunked.data(), it.size()) == 0;
+}
+
+/// \returns the number at the begin of \a text, if \a isWhole all of it; std::nullopt if there is
+/// none.
+std::optional<std::size_t> numberOf(std::string_view text, int base, bool isWhole)
+{
+    std::size_t out = 0;
+    const char *last = text.data() + text.size();
+    const auto [end, ec] = std::from_chars(text.data(), last, out, base);
+    if (ec != std::errc() || (isWhole && end != last))
+        return std::nullopt;
+    return out;
+}
+
 std::string_view contentOf(evbuffer *buf)
 {
     const std::size_t n = evbuffer_get_length(buf);
@@ -87,8 +119,8 @@
     evbuffer_free(it);
 }
 
-ForeignAnswerFilter::ForeignAnswerFilter(std::string name, std::string id)
-    : m_name(std::move(name)), m_id(std::move(id)), m_held(evbuffer_new())
+ForeignAnswerFilter::ForeignAnswerFilter(Options options)
+    : m_options(std::move(options)), m_held(evbuffer_new())
 { }
 
 ForeignAnswerFilter::~ForeignAnswerFilter() = default;
@@ -101,42 +133,61 @@
 bool ForeignAnswerFilter::filter(evbuffer *input)
 {
     evbuffer_prepend_buffer(input, m_held.get());
-    while (discardBody(input)) {
+    while (!m_hasFailed && discardBody(input)) {
+        const std::size_t before = m_drained;
         if (readHead(input))
             return true;
-        if (m_body == Body::None)
+        if (m_drained == before)
             break; // The rest of the head is missing.
     }
     evbuffer_add_buffer(m_held.get(), input);
     return false;
 }
 
+void ForeignAnswerFilter::drain(evbuffer *input, std::size_t n)
+{
+    evbuffer_drain(input, n);
+    m_drained += n;
+    if (m_drained > m_options.maxBytes)
+        m_hasFailed = true;
+}
+
 /// \returns whether the answer at the begin of \a input may be read.
 bool ForeignAnswerFilter::readHead(evbuffer *input)
 {
     const std::string_view text = contentOf(input);
-    const std::string_view head = headOf(text);
-    if (head.empty())
+    const std::string_view head = headOf(text, std::exchange(m_searched, 0));
+    if (head.empty()) {
+        // The end may begin with the last two bytes.
+        m_searched = text.size() - std::min<std::size_t>(text.size(), 2);
         return text.size() > MaxHeadBytes;
-    if (!isForeign(head))
+    }
+    // evhttp reads on after this interim answer too.
+    const bool isInterim = statusOf(head) == Continue;
+    if (!isInterim && !isForeign(head))
         return true;
-    ++m_discarded;
-    beginBody(head);
-    evbuffer_drain(input, head.size());
+    if (!isInterim)
+        beginBody(head);
+    drain(input, head.size());
     return false;
 }
 
 /// An answer without an id is left to the receiver, and so is one that ends with its connection.
 bool ForeignAnswerFilter::isForeign(std::string_view head)
 {
-    const std::optional<std::string_view> id = valueOf(head, m_name);
+    const std::optional<std::string_view> id = valueOf(head, m_options.header);
     const int status = statusOf(head);
-    const bool isFramed = valueOf(head, "Content-Length") || valueOf(head, "Transfer-Encoding")
-            || status == NoContent || status == NotModified;
-    if (!id || id->empty() || *id == m_id || !isFramed)
+    const bool isFramed = valueOf(head, "Content-Length") || isChunked(head) || status == NoContent
+            || status == NotModified;
+    if (!id || id->empty() || *id == m_options.id || !isFramed)
         return false;
-    Log::warning("foreign_answer_discarded",
-                 {{"request_id", m_id}, {"answer_id", std::string(*id)}, {"status", status}});
+    if (++m_discarded > MaxDiscarded)
+        m_hasFailed = true;
+    if (m_discarded == 1)
+        Log::warning("foreign_answer_discarded",
+                     {{"request_id", m_options.id},
+                      {"answer_id", std::string(*id)},
+                      {"status", status}});
     return true;
 }
 
@@ -147,12 +198,13 @@
     m_body = Body::Length;
     if (status == NoContent || status == NotModified)
         return;
-    if (valueOf(head, "Transfer-Encoding")) {
+    if (isChunked(head)) {
         m_body = Body::ChunkSize;
         return;
     }
-    const std::string_view length = valueOf(head, "Content-Length").value_or("");
-    std::from_chars(length.data(), length.data() + length.size(), m_left);
+    const auto length = numberOf(valueOf(head, "Content-Length").value_or(""), 10, true);
+    m_hasFailed = m_hasFailed || !length;
+    m_left = length.value_or(0);
 }
 
 /// \returns whether the foreign answer, if there is one, has ended.
@@ -168,10 +220,14 @@
         std::string_view text = contentOf(input);
         const std::size_t n = text.size();
         const std::optional<std::string_view> line = takeLine(text);
-        if (!line)
+        if (!line) {
+            m_hasFailed = m_hasFailed || n > MaxChunkLineBytes;
             return false;
+        }
         readChunkLine(*line);
-        evbuffer_drain(input, n - text.size());
+        drain(input, n - text.size());
+        if (m_hasFailed)
+            return false;
     }
     return true;
 }
@@ -179,7 +235,7 @@
 void ForeignAnswerFilter::skipBytes(evbuffer *input, Body next)
 {
     const std::size_t n = std::min(m_left, evbuffer_get_length(input));
-    evbuffer_drain(input, n);
+    drain(input, n);
     m_left -= n;
     if (m_left == 0)
         m_body = next;
@@ -190,7 +246,9 @@
     if (m_body == Body::ChunkEnd) {
         m_body = Body::ChunkSize;
     } else if (m_body == Body::ChunkSize) {
-        std::from_chars(line.data(), line.data() + line.size(), m_left, 16);
+        const auto size = numberOf(line, 16, false);
+        m_hasFailed = m_hasFailed || !size;
+        m_left = size.value_or(0);
         m_body = m_left > 0 ? Body::ChunkData : Body::Trailer;
     } else if (line.empty()) {
         m_body = Body::None;
--- a/src/Net/internal/ForeignAnswerFilter.h
+++ b/src/Net/internal/ForeignAnswerFilter.h
@@ -17,9 +17,14 @@
 class ForeignAnswerFilter
 {
 public:
-    /// \param name of the header that contains the id.
-    /// \param id of the own request.
-    ForeignAnswerFilter(std::string name, std::string id);
+    struct Options
+    {
+        std::string header; ///< Name of the header that contains the id.
+        std::string id; ///< Of the own request.
+        std::size_t maxBytes = 0; ///< Limit of all foreign answers together.
+    };
+
+    explicit ForeignAnswerFilter(Options options);
     ~ForeignAnswerFilter();
     ForeignAnswerFilter(const ForeignAnswerFilter &) = delete;
     ForeignAnswerFilter &operator=(const ForeignAnswerFilter &) = delete;
@@ -31,9 +36,16 @@
     /// \returns the number of foreign answers, of which the last may be incomplete.
     std::size_t discarded() const { return m_discarded; }
 
-    /// \returns the bytes of the incomplete head that was removed.
+    /// \returns whether the foreign answers are malformed or over a limit. Nothing more can be told
+    /// apart then.
+    bool hasFailed() const { return m_hasFailed; }
+
+    /// \returns the bytes of an incomplete head or line that was removed.
     std::size_t heldBytes() const;
 
+    /// \returns whether a part of a head was removed that may be that of the own answer.
+    bool holdsHead() const { return m_body == Body::None && heldBytes() > 0; }
+
 private:
     enum class Body { None, Length, ChunkSize, ChunkData, ChunkEnd, Trailer };
 
@@ -48,13 +60,16 @@
     bool discardBody(evbuffer *input);
     void skipBytes(evbuffer *input, Body next);
     void readChunkLine(std::string_view line);
+    void drain(evbuffer *input, std::size_t n);
 
-    std::string m_name;
-    std::string m_id;
+    Options m_options;
     std::unique_ptr<evbuffer, Deleter> m_held;
+    std::size_t m_searched = 0; ///< Bytes of the held head that don't contain its end.
     Body m_body = Body::None; ///< What comes next of a foreign answer.
     std::size_t m_left = 0; ///< Bytes of the body, or of the chunk, that are still to come.
     std::size_t m_discarded = 0;
+    std::size_t m_drained = 0; ///< Bytes of all foreign answers.
+    bool m_hasFailed = false;
 };
 
 } // namespace catkinloft::internal
--- a/src/Net/internal/HttpConnection.h
+++ b/src/Net/internal/HttpConnection.h
@@ -63,15 +63,16 @@
     /// one hour if it did not state that.
     Duration keepAlive() const { return m_keepAlive; }
 
-    /// \returns whether a request with \a id was answered with a failure on this connection. A copy
-    /// of that answer may still arrive, so that the same request must not be sent on it again.
+    /// \returns whether a request with \a id was answered with a failure on this connection, or any
+    /// request if it is empty. A copy of that answer may still arrive, which could not be told from
+    /// the answer to a request that is sent on it now.
     bool hasFailed(std::string_view id) const;
 
     /// \returns the number of the connection, unique within the process.
     std::uint64_t number() const { return m_number; }
 
     /// \returns whether any byte of the answer in progress, or of the last one, has arrived.
-    bool hasReceivedBytes() const { return m_answerBytes > 0; }
+    bool hasReceivedBytes() const;
 
 private:
     HttpConnection(EventLoop &loop, const std::string &address, bufferevent *stream);
@@ -106,9 +107,9 @@
     bool m_isInterim = false; ///< The head is that of an interim answer.
     bool m_delimited = false; ///< The answer ends before its connection does.
     bool m_headOnly = false;
-    bool m_hasSentHeadOnly = false; ///< Any request on this connection was a HEAD request.
     bool m_isFirstRequest = true;
-    std::string m_answerId; ///< \sa HttpCall::answerId
+    HttpHeader m_answerId; ///< \sa HttpCall::answerId
+    bool m_isIdentified = false; ///< The answer bears the id of the request.
     std::vector<std::string> m_failedIds; ///< \sa hasFailed
     /// Until the own answer begins, on a connection that was used before.
     std::unique_ptr<ForeignAnswerFilter> m_foreign;
