Crowd tests: gateway and half handshakes, less time spent on the test's side

The tests of chunks in segments of their own read /proc/net/tcp in each round, and bodies were sent through a send buffer smaller than a few segments, so that each segment waited for a delayed acknowledgement: 18 to 48 s for a body crowd. Crowds and bounds of the tests that were there are unchanged.

--- a/test/integration/Crowd.cpp
+++ b/test/integration/Crowd.cpp
@@ -20,8 +20,10 @@
 
 constexpr timeval ConnectTimeout = {.tv_sec = 2, .tv_usec = 0};
 
-/// Bounds what the kernel holds for one connection on the side of the test.
-constexpr int BufferBytes = 32 * 1024;
+/// Bound what the kernel holds for one connection on the side of the test. With less than a few
+/// segments to send, each one would wait for a delayed acknowledgement.
+constexpr int SendBufferBytes = 256 * 1024;
+constexpr int ReceiveBufferBytes = 32 * 1024;
 
 /// Bytes that one connection sends or reads before the next one has its turn.
 constexpr std::size_t BytesPerTurn = 256 * 1024;
@@ -61,8 +63,8 @@
 int Crowd::open() const
 {
     const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &BufferBytes, sizeof BufferBytes);
-    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &BufferBytes, sizeof BufferBytes);
+    setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &SendBufferBytes, sizeof SendBufferBytes);
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &ReceiveBufferBytes, sizeof ReceiveBufferBytes);
     constexpr int Enabled = 1;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &Enabled, sizeof Enabled);
     // Also bounds the time that connect() takes.
--- a/test/integration/CrowdTest.cpp
+++ b/test/integration/CrowdTest.cpp
@@ -1,15 +1,20 @@
 #include "Crowd.h"
-#include "Base/Json.h"
+#include "../Certificates.h"
+#include "Net/Net.h"
+#include "Net/TlsContext.h"
 #include "RawCaller.h"
 #include "SocketAddress.h"
 #include "fleet/EntryFleet.h"
 #include "fleet/Fleet.h"
+#include "fleet/PortAllocator.h"
 #include "fleet/ProcessUsage.h"
 
 #include <doctest/doctest.h>
 
 #include <algorithm>
 #include <cstdlib>
+#include <fstream>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -18,6 +23,7 @@
 #include <vector>
 
 #include <fmt/format.h>
+#include <openssl/ssl.h>
 #include <sys/resource.h>
 
 // Clients that do not stay inside the limits. Each test starts a router as a process and checks
@@ -32,9 +38,8 @@
 
 namespace {
 
-/// Memory of an entry VM of the deployments, in bytes. With the address sanitizer an allocation has
-/// red zones of at least 16 bytes, and shadow memory is an eighth of what is used; twice the memory
-/// allows for both.
+/// Memory of an entry VM of the deployments, in bytes. With the address sanitizer a router at rest
+/// takes nearly that much, for shadow memory and red zones; as much again is left for a crowd.
 #ifdef __SANITIZE_ADDRESS__
 constexpr double MaxMemory = 2 * 260e6;
 #else
@@ -53,8 +58,9 @@
 constexpr std::size_t IncompleteBody = 15'000'000; ///< Of a body that is inside the limit.
 constexpr std::size_t ChunkBytes = 64 * 1024;
 
-/// Connections with large incomplete bodies, and those with heads of the largest size.
+/// Connections with large bodies, and those with heads of the largest size.
 constexpr int Bodies = 40;
+constexpr int WholeBodies = 25; ///< Whole ones, which are held several times.
 constexpr int Heads = 250;
 
 /// Processes that start while this object lives get the descriptors of an entry VM. With the
@@ -165,7 +171,7 @@
                 break;
             isProgress = sum != unread;
             unread = sum;
-            std::this_thread::sleep_for(5ms);
+            std::this_thread::sleep_for(20ms);
         }
         if (isProgress)
             lastProgress = std::chrono::steady_clock::now();
@@ -173,16 +179,41 @@
     return std::max(sockets, standin::openSockets(pid));
 }
 
-/// \returns whether the router reads all that \a crowd has sent.
-bool isRead(const Crowd &crowd)
+using Crowds = std::vector<std::unique_ptr<Crowd>>;
+
+/// Lets \a crowds send, then checks the process \a router, which they are connected to.
+/// \param callOnce makes an ordinary request and returns whether it is served.
+void checkProcess(ChildProcess &router, const Crowds &crowds, const std::function<bool()> &callOnce)
 {
-    const auto until = std::chrono::steady_clock::now() + 20s;
-    while (std::chrono::steady_clock::now() < until) {
-        if (standin::unreadBytes(crowd.port()) == 0)
-            return true;
-        std::this_thread::sleep_for(1ms);
+    const int sockets = settle(crowds, router.pid());
+    double held = standin::residentBytes(router.pid());
+    double sent = 0;
+    int closed = 0;
+    for (const auto &it : crowds) {
+        // Bytes that were received and not yet read count for the memory of a VM.
+        held += standin::unreadBytes(it->port());
+        sent += it->sentBytes();
+        closed += it->closed();
     }
-    return false;
+    int calls = 0;
+    const bool isAnswered = Fleet::waitFor(
+            [&] {
+                ++calls;
+                return callOnce();
+            },
+            10s);
+    const double peak = standin::peakResidentBytes(router.pid());
+    const std::string report = fmt::format(
+            "{:.1f} MB sent, {} connections closed, memory at most {:.0f} MB, {:.0f} MB with "
+            "unread bytes at the end, {} sockets, {} calls until one was answered",
+            sent / 1e6, closed, peak / 1e6, held / 1e6, sockets, calls);
+    MESSAGE(report);
+    INFO(report);
+    CHECK(router.isRunning());
+    CHECK(isAnswered);
+    CHECK(peak < MaxMemory);
+    CHECK(held < MaxMemory);
+    CHECK(sockets <= MaxDescriptors - FileDescriptors);
 }
 
 /// One router with the limits of an entry VM, a replica of each service, and crowds of callers.
@@ -207,38 +238,22 @@
         add(fleet.callerAddress(0), connections, std::move(script));
     }
 
-    const std::vector<std::unique_ptr<Crowd>> &crowds() const { return m_crowds; }
+    const Crowds &crowds() const { return m_crowds; }
+
+    /// \brief Waits until the event loop of the router has taken its turn after what was sent last.
+    void awaitLoop() const
+    {
+        [[maybe_unused]] const auto answer =
+                Fleet::fetch({.address = fleet.readinessAddress(0), .target = "/v1/readiness"});
+    }
 
     /// \brief Lets the crowds send, then checks the router.
     /// \param target of the ordinary request.
     void check(const std::string &target = "/safe/a")
     {
-        ChildProcess &router = fleet.router(0);
-        const int sockets = settle(m_crowds, router.pid());
-        double held = standin::residentBytes(router.pid());
-        double sent = 0;
-        int closed = 0;
-        for (const auto &it : m_crowds) {
-            // Bytes that were received and not yet read count for the memory of a VM.
-            held += standin::unreadBytes(it->port());
-            sent += it->sentBytes();
-            closed += it->closed();
-        }
         int calls = 0;
-        const bool isAnswered = Fleet::waitFor(
-                [&] { return isServed(target, fmt::format("own-{}", calls++)); }, 10s);
-        const double peak = standin::peakResidentBytes(router.pid());
-        const std::string report = fmt::format(
-                "{:.1f} MB sent, {} connections closed, memory at most {:.0f} MB, {:.0f} MB with "
-                "unread bytes at the end, {} sockets, {} calls until one was answered",
-                sent / 1e6, closed, peak / 1e6, held / 1e6, sockets, calls);
-        MESSAGE(report);
-        INFO(report);
-        CHECK(router.isRunning());
-        CHECK(isAnswered);
-        CHECK(peak < MaxMemory);
-        CHECK(held < MaxMemory);
-        CHECK(sockets <= MaxDescriptors - FileDescriptors);
+        checkProcess(fleet.router(0), m_crowds,
+                     [&] { return isServed(target, fmt::format("own-{}", calls++)); });
     }
 
     bool isServed(const std::string &target, const std::string &id, std::string body = {})
@@ -258,7 +273,7 @@
     EntryFleet fleet{{.binaries = CATKINLOFT_BINARIES, .routers = 1, .replicas = 1}};
 
 private:
-    std::vector<std::unique_ptr<Crowd>> m_crowds;
+    Crowds m_crowds;
 };
 
 } // namespace
@@ -463,7 +478,7 @@
         crowd.poll();
     for (int i = 0; i < Segments; ++i) {
         // A segment that the router hasn't read yet would be read together with the next one.
-        CHECK(isRead(crowd));
+        play.awaitLoop();
         crowd.sendMore("\r\n1\r\na");
     }
     play.check();
@@ -482,7 +497,7 @@
     while (!crowd.isSent())
         crowd.poll();
     for (int i = 0; i < Segments; ++i) {
-        CHECK(isRead(crowd));
+        play.awaitLoop();
         crowd.sendMore(chunk);
     }
     play.check();
@@ -512,10 +527,9 @@
 // Guards against whole bodies that wait for replicas which don't read.
 TEST_CASE("crowd_replicasDoNotRead_processLivesWithinItsMemory")
 {
-    constexpr int Callers = 25;
     CrowdPlay play;
     play.fleet.partition({0}, "accept_silent", 0, 1);
-    play.addCallers(Callers, bodyWithLength(IncompleteBody, IncompleteBody));
+    play.addCallers(WholeBodies, bodyWithLength(IncompleteBody, IncompleteBody));
     play.check("/whole/a?events=3");
 }
 
@@ -541,3 +555,115 @@
                      .reads = false});
     play.check();
 }
+
+namespace {
+
+/// A gateway with the limits of an entry VM, and a crowd of its callers.
+void checkGateway(int connections, Crowd::Script script)
+{
+    standin::Deployment small = standin::deploymentNamed("sofiyska");
+    small.engines = 1;
+    small.replicas = 1;
+    small.routers = 1;
+    Fleet fleet(
+            {.deployment = small,
+             .binaries = CATKINLOFT_BINARIES,
+             .extraSettings = fmt::format("limits: {{max_header_bytes: {}, max_body_bytes: {}}}\n",
+                                          HeadBytes, BodyBytes)});
+    {
+        const VmLimits limits;
+        fleet.start();
+    }
+    Crowds crowds;
+    crowds.push_back(std::make_unique<Crowd>(Crowd::Options{.address = fleet.routerAddress(0),
+                                                            .connections = connections,
+                                                            .script = std::move(script)}));
+    checkProcess(fleet.router(0), crowds, [&] {
+        const Result<HttpAnswer> answer =
+                Fleet::fetch({.address = fleet.routerAddress(0),
+                              .method = "POST",
+                              .target = "/services/dispatch/orders",
+                              .headers = {{"Authorization", "Bearer " + Fleet::workspaceKey(0)}},
+                              .body = "{}",
+                              .timeout = 6s});
+        return answer && answer.value().head.status == 200;
+    });
+}
+
+} // namespace
+
+TEST_CASE("crowd_chunkedBodiesAtTheGateway_processLivesWithinItsMemory")
+{
+    checkGateway(Bodies, chunkedBody(IncompleteBody));
+}
+
+TEST_CASE("crowd_headsOfShortLinesAtTheGateway_processLivesWithinItsMemory")
+{
+    checkGateway(Heads, headOfShortLines());
+}
+
+namespace {
+
+/// \returns the first message of a TLS client.
+std::string clientHello()
+{
+    const std::unique_ptr<SSL_CTX, decltype(&SSL_CTX_free)> context(
+            SSL_CTX_new(TLS_client_method()), &SSL_CTX_free);
+    const std::unique_ptr<SSL, decltype(&SSL_free)> ssl(SSL_new(context.get()), &SSL_free);
+    BIO *output = BIO_new(BIO_s_mem());
+    SSL_set_bio(ssl.get(), BIO_new(BIO_s_mem()), output);
+    SSL_connect(ssl.get());
+    char *data = nullptr;
+    const long n = BIO_get_mem_data(output, &data);
+    return {data, static_cast<std::size_t>(n)};
+}
+
+} // namespace
+
+// Guards against handshakes that a client begins and doesn't end.
+TEST_CASE("crowd_handshakesStopHalfWay_processLivesWithinItsMemory")
+{
+    const Certificates files;
+    const Certificates::Pair authority = Certificates::make({});
+    const Certificates::Pair pair = Certificates::make({}, &authority);
+    const auto ports = standin::freePorts(3);
+    const std::string address = fmt::format("127.0.0.1:{}", ports[0]);
+    const std::string ca = files.writeCertificate("ca.pem", authority);
+    std::ofstream(files.path("router.yaml"))
+            << fmt::format("name: r\nfailure_domain: d\nregion: r\ncaller_address: {0}\n"
+                           "peer_address: 127.0.0.1:{1}\n"
+                           "peer_keys: [{{id: k, secret: peer-secret-of-the-tests}}]\n"
+                           "refusal_keys: [{{id: r, secret: refusal-secret-of-tests}}]\n"
+                           "platform: {{table_service: 127.0.0.1:{2}, object_store: 127.0.0.1:{2}, "
+                           "vm_list: 127.0.0.1:{2}}}\n"
+                           "tls: {{certificate_file: {3}, key_file: {4}, ca_file: {5}}}\n",
+                           address, ports[1], ports[2], files.writeCertificate("cert.pem", pair),
+                           files.writeKey("key.pem", pair), ca);
+    std::optional<ChildProcess> router;
+    {
+        const VmLimits limits;
+        router.emplace(std::vector<std::string>{CATKINLOFT_BINARIES "/catkinloft", "router",
+                                                files.path("router.yaml")},
+                       files.path("router.log"));
+    }
+    TlsContext tls({.certificateFile = {}, .keyFile = {}, .caFile = ca});
+    REQUIRE(tls.load(std::chrono::time_point_cast<std::chrono::milliseconds>(
+            std::chrono::system_clock::now())));
+    const auto isServed = [&] {
+        EventLoop loop;
+        HttpClient client(loop, &tls);
+        bool out = false;
+        client.fetch({.address = address, .target = "/healthz", .timeout = 6s, .secure = true},
+                     [&](const Result<HttpAnswer> &answer) {
+                         out = answer && answer.value().head.status == 200;
+                         loop.stop();
+                     });
+        loop.run();
+        return out;
+    };
+    REQUIRE(Fleet::waitFor(isServed));
+    Crowds crowds;
+    crowds.push_back(std::make_unique<Crowd>(Crowd::Options{
+            .address = address, .connections = 1500, .script = {.begin = clientHello()}}));
+    checkProcess(*router, crowds, isServed);
+}
