--- a/src/Base/EntrySettings.cpp
+++ b/src/Base/EntrySettings.cpp
@@ -11,8 +11,8 @@
 constexpr std::int64_t MebiByte = 1024 * 1024;
 constexpr std::size_t MegaByte = 1'000'000;
 
-/// Part of the memory of the VM for requests. Measured at its limit, the memory of buffered answers
-/// takes 80 MB; connections and freed memory that the allocator keeps take some 40 MB.
+/// Part of the memory of the VM for requests. Buffered answers, connections and freed memory that
+/// the allocator keeps need the rest.
 constexpr double RequestMemoryFraction = 0.375;
 
 /// Enough for the largest request. \sa RequestBuffers
