--- a/src/Net/internal/HttpConnection.cpp
+++ b/src/Net/internal/HttpConnection.cpp
@@ -7,6 +7,7 @@
 #include "Net/internal/TlsStream.h"
 
 #include <algorithm>
+#include <atomic>
 #include <charconv>
 #include <optional>
 #include <strings.h>
@@ -122,7 +123,7 @@
 
 std::uint64_t nextNumber()
 {
-    static std::uint64_t last = 0;
+    static std::atomic<std::uint64_t> last = 0;
     return ++last;
 }
 
