--- a/standin/fleet/PortAllocator.cpp
+++ b/standin/fleet/PortAllocator.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr std::uint16_t FirstPort = 12'000;
-constexpr std::uint16_t LastPort = 32'000;
+constexpr std::uint16_t LastPort = 20'000; ///< The cases of review/ listen on ports above it.
 constexpr std::uint16_t BlockSize =
         100; ///< Enough for two fleets of four routers and six replicas.
 constexpr std::uint16_t BlockCount = (LastPort - FirstPort) / BlockSize;
--- a/test/EntryGatewayFixture.h
+++ b/test/EntryGatewayFixture.h
@@ -144,7 +144,7 @@
         return n;
     }
 
-    static constexpr std::uint16_t Port = 18472;
+    static constexpr std::uint16_t Port = 11472; ///< Below those of PortAllocator.
 
     EventLoop loop;
     Metrics metrics;
--- a/test/RelayTest.cpp
+++ b/test/RelayTest.cpp
@@ -101,7 +101,7 @@
         return false;
     }
 
-    static constexpr std::uint16_t Port = 18474;
+    static constexpr std::uint16_t Port = 11474; ///< Below those of PortAllocator.
 
     EventLoop loop;
     Metrics metrics;
