Ended connections are logged by both programs

Cause: EntryProcess logged and counted connections that its listeners ended, refused or couldn't accept; RouterProcess counted some of them and wrote no line, and its listener for peers did neither.

Change: ConnectionLog writes the lines, at most one of each kind in a second, and counts the metrics. It gives a listener's options their callbacks; both processes and PeerTask use it.

--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -12,6 +12,7 @@
 #include "Decide/SoftwareHistory.h"
 #include "Decide/StreamOrigins.h"
 #include "Net/BrittlePage.h"
+#include "Net/ConnectionLog.h"
 #include "Net/CrashEvidence.h"
 #include "Net/EntryGateway.h"
 #include "Net/EventLoop.h"
@@ -28,11 +29,8 @@
 #include "Net/StreamOriginTask.h"
 
 #include <algorithm>
-#include <cerrno>
 #include <csignal>
-#include <cstring>
 #include <limits>
-#include <map>
 #include <optional>
 #include <set>
 #include <string_view>
@@ -74,10 +72,6 @@
 
 constexpr Duration DrainPoll = 50ms;
 
-/// Shortest time between log lines about connections beyond the limit, and of those about
-/// connections that were ended, of which there may be thousands in a second.
-constexpr Duration LimitLogInterval = 1s;
-
 /// Interval of checks which engines are due for prompt discovery, until the discovery is finished.
 constexpr Duration DiscoveryPoll = 50ms;
 
@@ -188,9 +182,6 @@
     void handlePromptList(const ReplicaRecord &engine, std::span<const PromptPart> prompts);
     bool isReady() const;
     void collectRetryBudget(const ServicePool &pool, Metrics &to);
-    void noteLimit(const std::string &address, int limit);
-    void noteEnded(const std::string &address, std::string_view reason);
-    void noteAcceptFailed(const std::string &address);
     void answerMetrics(const HttpExchangePtr &exchange);
     void drain();
     void checkDrained();
@@ -204,6 +195,7 @@
     Metrics metrics;
     StallMonitor stalls{loop, metrics};
     RequestBuffers requestBuffers{loop, settings.requestMemory()};
+    ConnectionLog connectionLog{{.clock = loop, .metrics = metrics, .buffers = requestBuffers}};
     HttpClient client{loop, nullptr, settings.sourceIp, MaxBufferedAnswers};
     RandomSource random = systemRandom();
     std::unique_ptr<FleetStore> store;
@@ -244,11 +236,6 @@
     TimePoint refuseFrom = TimePoint::max();
     TimePoint stopAt = TimePoint::max();
     bool draining = false;
-    int refusedConnections = 0; ///< Since the last log line about them.
-    TimePoint limitLoggedAt = TimePoint::min();
-    std::map<std::string, int, std::less<>> ended; ///< By reason, since the last log line.
-    TimePoint endedLoggedAt = TimePoint::min();
-    TimePoint acceptLoggedAt = TimePoint::min();
 };
 
 EntryProcess::Private::Private(const EntrySettings &s, std::string settingsFile, EntryAdapter a)
@@ -843,64 +830,11 @@
 {
     return std::make_unique<HttpServer>(
             loop,
-            HttpServer::Options{
-                    .address = address,
-                    .limits = limits,
-                    .onTooManyConnections =
-                            [this, address, limit = limits.maxConnections] {
-                                noteLimit(address, limit);
-                            },
-                    .onConnectionEnded = [this,
-                                          address](std::string_view it) { noteEnded(address, it); },
-                    .onAcceptFailed = [this, address] { noteAcceptFailed(address); },
-                    .buffers = &requestBuffers},
+            connectionLog.observed(
+                    {.address = address, .limits = limits, .buffers = &requestBuffers}),
             std::move(handler));
 }
 
-/// Requests of refused connections are not read, so that no other line names them.
-void EntryProcess::Private::noteLimit(const std::string &address, int limit)
-{
-    metrics.refused(Reason::TooManyConnections);
-    ++refusedConnections;
-    const TimePoint now = loop.now();
-    if (now < limitLoggedAt + LimitLogInterval)
-        return;
-    limitLoggedAt = now;
-    Log::warning("connections_refused",
-                 {{"address", address},
-                  {"connections", std::exchange(refusedConnections, 0)},
-                  {"limit", limit}});
-}
-
-void EntryProcess::Private::noteEnded(const std::string &address, std::string_view reason)
-{
-    metrics.count("catkinloft_connections_ended_total", Metrics::label("reason", reason));
-    ++ended[std::string(reason)];
-    const TimePoint now = loop.now();
-    if (now < endedLoggedAt + LimitLogInterval)
-        return;
-    endedLoggedAt = now;
-    Log::warning("connections_ended",
-                 {{"reason", reason},
-                  {"address", address},
-                  {"request_memory", ended["request_memory"]},
-                  {"header_timeout", ended["header_timeout"]},
-                  {"rejected", ended["rejected"]},
-                  {"held_bytes", requestBuffers.used()},
-                  {"limit_bytes", requestBuffers.limit()}});
-    ended.clear();
-}
-
-void EntryProcess::Private::noteAcceptFailed(const std::string &address)
-{
-    metrics.count("catkinloft_accept_failures_total");
-    const TimePoint now = loop.now();
-    if (now < acceptLoggedAt + LimitLogInterval)
-        return;
-    acceptLoggedAt = now;
-    Log::error("accept_failed", {{"address", address}, {"detail", std::strerror(errno)}});
-}
-
 void EntryProcess::Private::listenAll()
 {
     const ListenerLimits limits{.maxHeaderBytes = settings.maxHeaderBytes,
--- a/src/Net/PeerTask.cpp
+++ b/src/Net/PeerTask.cpp
@@ -2,6 +2,7 @@
 
 #include "Control/PeerGuard.h"
 #include "Control/TrafficGovernor.h"
+#include "Net/ConnectionLog.h"
 #include "Net/EventLoop.h"
 #include "Net/HttpClient.h"
 #include "Net/HttpServer.h"
@@ -83,9 +84,9 @@
       transport(options.loop,
                 [this](const std::string &from, std::string_view it) { received(from, it); }),
       server(options.loop,
-             {.address = options.settings.peerAddress,
-              .limits = {.maxBodyBytes = 64 * 1024},
-              .buffers = options.requestBuffers},
+             options.connectionLog.observed({.address = options.settings.peerAddress,
+                                             .limits = {.maxBodyBytes = 64 * 1024},
+                                             .buffers = options.requestBuffers}),
              [this](const HttpExchangePtr &it) { answerLarge(it); }),
       timer(options.loop, [this] { wake(); })
 {
--- a/src/Net/PeerTask.h
+++ b/src/Net/PeerTask.h
@@ -10,6 +10,7 @@
 
 namespace catkinloft {
 
+class ConnectionLog;
 class EventLoop;
 class HttpClient;
 class RequestBuffers;
@@ -30,6 +31,7 @@
         const Settings &settings;
         ConfigManager &config;
         RandomSource random;
+        ConnectionLog &connectionLog; ///< For the listener.
         RequestBuffers *requestBuffers = nullptr; ///< Of the listener. \sa HttpServer::Options
     };
 
--- a/src/Net/RouterProcess.cpp
+++ b/src/Net/RouterProcess.cpp
@@ -2,6 +2,7 @@
 
 #include "Base/Log.h"
 #include "Decide/RequestBuffers.h"
+#include "Net/ConnectionLog.h"
 #include "Net/EngineTask.h"
 #include "Net/EventLoop.h"
 #include "Net/Gateway.h"
@@ -65,6 +66,7 @@
                  .settings = *settings,
                  .config = config,
                  .random = systemRandom(),
+                 .connectionLog = connectionLog,
                  .requestBuffers = &requestBuffers}),
           directory({.name = settings->name,
                      .callerAddress = settings->callerAddress,
@@ -96,12 +98,10 @@
                                                               request.work);
                            }}),
           server(loop,
-                 {.address = settings->callerAddress,
-                  .limits = settings->limits,
-                  .onTooManyConnections = [this] { metrics.refused(Reason::TooManyConnections); },
-                  .onConnectionEnded = [this](std::string_view reason) { countEnded(reason); },
-                  .buffers = &requestBuffers,
-                  .tls = &tls.context()},
+                 connectionLog.observed({.address = settings->callerAddress,
+                                         .limits = settings->limits,
+                                         .buffers = &requestBuffers,
+                                         .tls = &tls.context()}),
                  [this](const HttpExchangePtr &it) { gateway.handle(it); }),
           poll(loop, [this] { readPlatform(); }), selfCheck(loop, [this] { checkSelf(); }),
           drainPoll(loop, [this] { checkDrained(); })
@@ -112,11 +112,6 @@
         peers.membership().changed().connect([this](const Member &) { updateDirectory(); });
     }
 
-    void countEnded(std::string_view reason)
-    {
-        metrics.count("catkinloft_connections_ended_total", Metrics::label("reason", reason));
-    }
-
     void readPlatform()
     {
         config.refresh();
@@ -202,6 +197,7 @@
     StallMonitor stalls{loop, metrics};
     TlsTask tls;
     RequestBuffers requestBuffers{loop, settings->maxRequestMemory};
+    ConnectionLog connectionLog{{.clock = loop, .metrics = metrics, .buffers = requestBuffers}};
     HttpClient client{loop, &tls.context()};
     std::unique_ptr<TableService> table;
     std::unique_ptr<ObjectStore> objects;
--- a/standin/fleet/Fleet.h
+++ b/standin/fleet/Fleet.h
@@ -50,6 +50,7 @@
     ChildProcess &platform(const std::string &role);
 
     const std::string &routerAddress(std::size_t i) const { return m_routerAddresses.at(i); }
+    const std::string &peerAddress(std::size_t i) const { return m_peerAddresses.at(i); }
     const std::string &engineAddress(std::size_t i) const { return m_engineAddresses.at(i); }
     const std::string &replicaAddress(std::size_t i) const { return m_replicaAddresses.at(i); }
     const std::string &platformAddress(const std::string &role) const
--- a/test/integration/SecurityTest.cpp
+++ b/test/integration/SecurityTest.cpp
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <sstream>
 #include <string>
 #include <thread>
 
@@ -48,7 +49,11 @@
     /// the connection stays open.
     std::string answerUntilClosed(const std::string &request) const
     {
-        const std::string &address = fleet->routerAddress(0);
+        return answerUntilClosed(fleet->routerAddress(0), request);
+    }
+
+    static std::string answerUntilClosed(const std::string &address, const std::string &request)
+    {
         RawCaller caller(
                 static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1))));
         caller.send(request);
@@ -124,3 +129,26 @@
         CHECK(answer.find("HTTP/1.1", 12) == std::string::npos);
     }
 }
+
+// Guards against connections that the router ends and only counts: operators see failed callers and
+// no line that explains them. Lines are limited to one a second, so that requests are repeated.
+TEST_CASE_FIXTURE(SmallFleetFixture, "security_requestIsMalformed_endOfConnectionIsLogged")
+{
+    for (const std::string &address : {fleet->routerAddress(0), fleet->peerAddress(0)}) {
+        CAPTURE(address);
+        CHECK(Fleet::waitFor(
+                [&] {
+                    CHECK(answerUntilClosed(address, "malformed\r\n\r\n").substr(0, 12)
+                          == "HTTP/1.1 400");
+                    std::istringstream log(fleet->routerLog(0));
+                    for (std::string line; std::getline(log, line);) {
+                        if (line.find(R"("event":"connections_ended","reason":"rejected")")
+                                    != std::string::npos
+                            && line.find(R"("address":")" + address + '"') != std::string::npos)
+                            return true;
+                    }
+                    return false;
+                },
+                5s));
+    }
+}
