The status 421 is declared once

Cause: WireCodec.h, EntryAdmission.cpp and Problem.cpp each declared it, the latter two under another name.

Change: MisdirectedStatus is in Request/Problem.h, the first module that needs it; the others use that. No change of behaviour.

--- a/src/Net/EntryAdmission.cpp
+++ b/src/Net/EntryAdmission.cpp
@@ -1,5 +1,7 @@
 #include "Net/EntryAdmission.h"
 
+#include "Request/Problem.h"
+
 #include <algorithm>
 #include <cstdint>
 
@@ -12,7 +14,6 @@
 using namespace std::chrono_literals;
 
 constexpr int Unavailable = 503;
-constexpr int Misdirected = 421;
 
 /// Least time after which a refused caller should retry. Retry-After is stated in milliseconds, and
 /// with 0 a caller would return at once.
@@ -101,7 +102,7 @@
 {
     // An answer of another replica at the same address says nothing about this one.
     if (const auto &rejections = m_service->options().rejections;
-        rejections && status != Misdirected)
+        rejections && status != MisdirectedStatus)
         rejections->answered(replica,
                              {.maxRejections = answer.maxRejections,
                               .isMalformed = answer.isMaxRejectionsMalformed,
--- a/src/Net/WireCodec.h
+++ b/src/Net/WireCodec.h
@@ -11,9 +11,6 @@
 
 namespace catkinloft {
 
-/// Status of an answer to a request that reached another replica than the one it names.
-inline constexpr int MisdirectedStatus = 421;
-
 /// \brief Information in the headers of a replica's answer.
 struct AnswerFacts
 {
--- a/src/Request/Problem.cpp
+++ b/src/Request/Problem.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr int RequestTimeout = 408;
-constexpr int Misdirected = 421;
 constexpr int TooManyRequests = 429;
 constexpr int BadGateway = 502;
 constexpr int Unavailable = 503;
@@ -30,7 +29,7 @@
 bool Problem::promisesNotRun(int status)
 {
     return status == Unavailable || status == TooManyRequests || status == RequestTimeout
-            || status == Misdirected;
+            || status == MisdirectedStatus;
 }
 
 std::string Problem::retryAfterFraction(Duration d)
--- a/src/Request/Problem.h
+++ b/src/Request/Problem.h
@@ -8,6 +8,9 @@
 
 namespace catkinloft {
 
+/// Status of an answer to a request that reached another replica than the one it names.
+inline constexpr int MisdirectedStatus = 421;
+
 /// \brief Formats the body of an error answer as application/problem+json (RFC 9457).
 struct Problem
 {
