Calls that take long are told from silent ones

Cause: a repeatable call without bytes for half of its route's timeout was taken for silent, ended and replaced by an attempt that couldn't end before the deadline. Nothing but the time without bytes was asked.

Change: SlowCallMonitor lets a call go on while its replica gives signs of life (bytes of any answer, or else the answer to a probe request that each replica rejects at once) and calls of its route have lately taken at least a third as long. RetryGate asks it before a replacement; the denial is "slow" in attempt_silent and catkinloft_retries_denied_total. Signs of life alone don't suffice: a replica that leaves a part of its requests unanswered gives them.

--- a/src/Decide/AttemptSilence.h
+++ b/src/Decide/AttemptSilence.h
@@ -38,12 +38,13 @@
     /// \returns whether the answer has stalled, so that another replica may be faster.
     bool isStalled() const { return time() >= stallLimit(); }
 
+    /// \returns the time without data; zero while this router has stopped reading.
+    Duration time() const;
+
     /// \returns the time without data after which the answer has stalled.
     Duration stallLimit() const { return m_stallLimit + m_prefill; }
 
 private:
-    Duration time() const;
-
     const Clock &m_clock;
     TimePoint m_lastDataAt; ///< When data last arrived or could not be read, else the start.
     Duration m_pathLimit = Duration::zero();
--- a/src/Decide/Decide.h
+++ b/src/Decide/Decide.h
@@ -29,6 +29,7 @@
 #include "Decide/RetryBudget.h" // IWYU pragma: export
 #include "Decide/RouterView.h" // IWYU pragma: export
 #include "Decide/SilenceMonitor.h" // IWYU pragma: export
+#include "Decide/SlowCallMonitor.h" // IWYU pragma: export
 #include "Decide/SoftwareHistory.h" // IWYU pragma: export
 #include "Decide/StreamOrigins.h" // IWYU pragma: export
 #include "Decide/WorkspaceShares.h" // IWYU pragma: export
--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -410,6 +410,8 @@
     const bool isLost = isDoubtful && isOnLostPath();
     if (isDoubtful && !isLost)
         m_service->paths.suspect(m_incarnation);
+    if (const auto call = isDoubtful ? RetryGate::slowCall(silentAttempt()) : std::nullopt)
+        m_service->slowCalls.watch(*call);
     if (isLost || (m_call && m_silence.isStalled()))
         replaceAttempt(isLost);
 }
@@ -453,10 +455,14 @@
 
 RetryGate::SilentAttempt EntryCall::silentAttempt() const
 {
+    const bool mayBeSlow =
+            m_request.route->kind == CallKind::Idempotent && !m_firstByte && !isOnLostPath();
     return {.replica = m_incarnation,
             .stallLimit = m_silence.stallLimit(),
             .isRelayed = m_relay.has_value(),
-            .isOnLostPath = isOnLostPath() && isRelayAvailable()};
+            .isOnLostPath = isOnLostPath() && isRelayAvailable(),
+            .callRoute = mayBeSlow ? m_request.route->name : std::string(),
+            .time = m_silence.time()};
 }
 
 void EntryCall::reportSent(const ReplicaPool::Choice &choice) const
@@ -550,8 +556,10 @@
 void EntryCall::noteReceived()
 {
     m_silence.received();
-    if (!m_relay)
-        m_service->silence.received(m_incarnation);
+    if (m_relay)
+        return;
+    m_service->silence.received(m_incarnation);
+    m_service->slowCalls.received(m_incarnation);
 }
 
 void EntryCall::onHead(const HttpHead &head)
@@ -759,6 +767,8 @@
                               .usableReplicas = m_service->replicas.usableCount()});
     if (isSuccess(m_head.status) && !m_context.quarantine.isEmpty())
         m_context.quarantine.completed(suspects());
+    if (isSuccess(m_head.status) && m_request.route->kind == CallKind::Idempotent)
+        m_service->slowCalls.answered(m_request.route->name, m_firstByte.value_or(attemptTime()));
     const bool failed = m_head.status >= 500 && !m_answer.notExecuted;
     endAttempt(!failed, failed ? Reason::UpstreamBroken : Reason::Internal, m_history.count() > 1);
     m_relaying ? endRelay() : handleAnswer();
@@ -894,6 +904,10 @@
         return;
     // A request that was sent and not answered may be running.
     const Verdict verdict = m_attempting ? Verdict::MayHaveRun : m_verdict;
+    if (m_attempting && m_cause == AttemptCause::Retry) {
+        if (const auto call = RetryGate::slowCall(silentAttempt()))
+            m_service->slowCalls.expired(*call);
+    }
     endAttempt(false, Reason::UpstreamTimeout,
                (isStreaming() && !m_silence.isStalled()) || hasOtherCause());
     const Error error{.reason = Reason::DeadlineExpired,
--- a/src/Net/PathProber.cpp
+++ b/src/Net/PathProber.cpp
@@ -52,6 +52,8 @@
     m_options.pools.forEach([&](ServicePool &pool) {
         for (const std::string &it : pool.paths.dueChecks())
             probe(it);
+        for (const std::string &it : pool.slowCalls.dueProbes())
+            requestSign(it);
         hasWork = hasWork || pool.paths.hasWork();
     });
     if (hasWork || !m_probes.empty() || !m_requested.empty())
@@ -103,15 +105,31 @@
     const std::string id = replica.incarnation();
     if (!m_requested.insert(id).second)
         return;
-    m_options.client.fetch({.address = replica.address,
-                            .headers = m_options.probeHeaders,
-                            .timeout = AnswerTimeout,
-                            .connectTimeout = internal::ConnectProbe::ConnectTimeout,
-                            .freshConnection = true},
-                           [this, id](const Result<HttpAnswer> &answer) {
-                               requestEnded(id,
-                                            answer ? Result<void>(outcome::success())
-                                                   : Result<void>(answer.error()));
+    m_options.client.fetch(probeCall(replica), [this, id](const Result<HttpAnswer> &answer) {
+        requestEnded(id, answer ? Result<void>(outcome::success()) : Result<void>(answer.error()));
+    });
+}
+
+HttpCall PathProber::probeCall(const ReplicaRecord &replica) const
+{
+    return {.address = replica.address,
+            .headers = m_options.probeHeaders,
+            .timeout = AnswerTimeout,
+            .connectTimeout = internal::ConnectProbe::ConnectTimeout,
+            .freshConnection = true};
+}
+
+void PathProber::requestSign(const std::string &id)
+{
+    const ReplicaRecord *replica = m_options.pools.findReplica(id);
+    if (!replica || !m_signsRequested.insert(id).second)
+        return;
+    const std::string service = replica->service;
+    m_options.client.fetch(probeCall(*replica),
+                           [this, service, id](const Result<HttpAnswer> &answer) {
+                               m_signsRequested.erase(id);
+                               if (answer)
+                                   m_options.pools.of(service).slowCalls.received(id);
                            });
 }
 
--- a/src/Net/PathProber.h
+++ b/src/Net/PathProber.h
@@ -16,6 +16,7 @@
 
 class HttpClient;
 class ServicePools;
+struct HttpCall;
 
 /// \brief Checks the paths to replicas that the PathMonitor of their service requests, by opening
 /// connections on which nothing is sent.
@@ -24,6 +25,8 @@
 /// get a request that each replica rejects at once, whatever its load. If it stays unanswered and
 /// another router receives bytes from the replica, the path is lost. If no other router does, the
 /// replica has stalled, and its requests wait for it.
+///
+/// The same request is sent to replicas for which SlowCallMonitor needs a sign of life.
 class PathProber
 {
 public:
@@ -57,6 +60,8 @@
     void probe(const std::string &id);
     void found(const std::string &id, internal::ConnectProbe::Outcome outcome);
     void requestAnswer(const ReplicaRecord &replica);
+    HttpCall probeCall(const ReplicaRecord &replica) const;
+    void requestSign(const std::string &id);
     void requestEnded(const std::string &id, const Result<void> &result);
 
     Options m_options;
@@ -64,6 +69,7 @@
     std::map<std::string, std::shared_ptr<internal::ConnectProbe>> m_probes; ///< By incarnation.
     std::set<std::shared_ptr<internal::ConnectProbe>> m_connects; ///< Those of connect().
     std::set<std::string> m_requested; ///< Replicas with an unanswered request of requestAnswer().
+    std::set<std::string> m_signsRequested; ///< Those with one of requestSign().
 };
 
 } // namespace catkinloft
--- a/src/Net/RetryGate.cpp
+++ b/src/Net/RetryGate.cpp
@@ -96,11 +96,26 @@
             && service.silence.isMostlySilent(attempt.stallLimit / SilentReplicaDivisor);
 }
 
+std::optional<SlowCallMonitor::Call> RetryGate::slowCall(const SilentAttempt &attempt)
+{
+    if (attempt.callRoute.empty() || attempt.isRelayed || attempt.isOnLostPath)
+        return std::nullopt;
+    return SlowCallMonitor::Call{.route = attempt.callRoute,
+                                 .replica = attempt.replica,
+                                 .time = attempt.time,
+                                 .stallLimit = attempt.stallLimit};
+}
+
 ReplicaPool::Choice RetryGate::permitReplacement(const Query &query, const SilentAttempt &attempt)
 {
     const bool wasDenied = !m_denial.empty();
-    m_denial = isSilentTogether(query.service, attempt) ? "silence"
-                                                        : denialOf(query, Verdict::MayHaveRun);
+    const std::optional<SlowCallMonitor::Call> call = slowCall(attempt);
+    if (call && query.service.slowCalls.isSlow(*call))
+        m_denial = "slow";
+    else if (isSilentTogether(query.service, attempt))
+        m_denial = "silence";
+    else
+        m_denial = denialOf(query, Verdict::MayHaveRun);
     std::vector<std::string> avoided;
     if (m_denial.empty() && !attempt.isRelayed && !attempt.isOnLostPath)
         avoided = query.service.silence.silent(attempt.stallLimit / SilentReplicaDivisor);
--- a/src/Net/RetryGate.h
+++ b/src/Net/RetryGate.h
@@ -44,6 +44,10 @@
         Duration stallLimit = Duration::zero(); ///< \sa AttemptSilence::stallLimit
         bool isRelayed = false;
         bool isOnLostPath = false; ///< And another router may relay the request.
+        /// Route of a repeatable call of which no byte has arrived; empty: it is none, or its path
+        /// is lost.
+        std::string callRoute = {};
+        Duration time = Duration::zero(); ///< \sa AttemptSilence::time
     };
 
     explicit RetryGate(Metrics &metrics) : m_metrics(metrics) { }
@@ -74,6 +78,9 @@
     /// \returns the replica for the next attempt after all earlier ones have ended.
     static ReplicaPool::Choice choose(const Query &query) { return choose(query, {}, false); }
 
+    /// \returns \a attempt as SlowCallMonitor needs it; std::nullopt if it is none of its calls.
+    static std::optional<SlowCallMonitor::Call> slowCall(const SilentAttempt &attempt);
+
     /// \returns whether most replicas of \a service are silent, which is not the fault of one.
     static bool isSilentTogether(const ServicePool &service, const SilentAttempt &attempt);
 
--- a/src/Net/ServicePools.cpp
+++ b/src/Net/ServicePools.cpp
@@ -113,6 +113,7 @@
         for (const ReplicaRecord &it : own)
             registered.insert(it.incarnation());
         pool->silence.retain(registered);
+        pool->slowCalls.retain(registered);
     }
 }
 
@@ -256,6 +257,8 @@
                 .paths = PathMonitor(
                         {.clock = m_clock, .service = service, .checksDue = m_fleet.pathChecksDue}),
                 .silence = SilenceMonitor(m_clock),
+                .slowCalls =
+                        SlowCallMonitor({.clock = m_clock, .probesDue = m_fleet.pathChecksDue}),
                 .rejections = rejections});
         pool->replicas.setEvacuated(m_evacuated);
         pool->replicas.setColdRateLimit(coldRateLimitOf(service));
--- a/src/Net/ServicePools.h
+++ b/src/Net/ServicePools.h
@@ -10,6 +10,7 @@
 #include "Decide/PrefillTimeout.h"
 #include "Decide/ReplicaPool.h"
 #include "Decide/SilenceMonitor.h"
+#include "Decide/SlowCallMonitor.h"
 #include "Net/ServiceAdmission.h"
 
 #include <functional>
@@ -25,7 +26,7 @@
 namespace catkinloft {
 
 /// \brief Decision state of one service: placement, retries, connection reuse, admission, network
-/// paths and silent replicas.
+/// paths, silent replicas and slow calls.
 struct ServicePool
 {
     ReplicaPool replicas;
@@ -34,6 +35,7 @@
     ServiceAdmission admission;
     PathMonitor paths;
     SilenceMonitor silence;
+    SlowCallMonitor slowCalls;
     std::shared_ptr<RejectionLimit> rejections; ///< Also used by replicas and admission.
 
     /// \returns why no replica of \a target, a service or its software, was chosen for a request.
@@ -73,7 +75,7 @@
         /// \sa ReplicaPool::Options::isColdSender
         std::function<bool(std::string_view replica, std::size_t n)> isColdSender =
                 [](std::string_view, std::size_t) { return true; };
-        std::function<void()> pathChecksDue = [] {}; ///< \sa PathMonitor::Options::checksDue
+        std::function<void()> pathChecksDue = [] {}; ///< For PathMonitor and SlowCallMonitor.
         bool followsOthers = false; ///< \sa FleetRetryBudget::Options::followsOthers
     };
 
--- a/test/PathProberTest.cpp
+++ b/test/PathProberTest.cpp
@@ -126,6 +126,25 @@
     CHECK((pool.paths.provenAt("i-1") != TimePoint::min()));
 }
 
+// Guards against a slow call that counts as silent because nothing else runs at its replica.
+TEST_CASE_FIXTURE(SilentPathFixture, "pathProber_slowCallAlone_replicaIsAskedForSignOfLife")
+{
+    const SlowCallMonitor::Call it{
+            .route = "/safe/", .replica = "i-1", .time = 1s, .stallLimit = 1s};
+    SUBCASE("replica answers")
+    {
+        answers = true;
+    }
+    SUBCASE("replica stands still") { }
+    pool.slowCalls.watch(it);
+    prober.wake();
+    runFor(200ms);
+    CHECK(first.requests().size() == 1);
+    CHECK(second.requests().empty());
+    CHECK(pool.slowCalls.isSlow(it) == answers);
+    CHECK(!pool.paths.isBroken("i-1"));
+}
+
 // Guards against a crash that is recorded a second time for a replica that is still registered
 // while the next one listens at its address.
 TEST_CASE_FIXTURE(PathProberFixture, "pathProber_addressMayBeAnothers_isNoProofThatTheReplicaRuns")
--- a/test/RetryGateTest.cpp
+++ b/test/RetryGateTest.cpp
@@ -181,3 +181,27 @@
     REQUIRE(next.replica);
     CHECK(next.replica->id == "i-0");
 }
+
+// Guards against a slow call that is ended for another attempt although its replica is alive.
+TEST_CASE_FIXTURE(RetryGateFixture, "retryGate_callAtLiveReplica_goesOnAndBudgetIsNotSpent")
+{
+    const auto replacementOf = [this](const RetryGate::SilentAttempt &it) {
+        gate.reset();
+        return gate.permitReplacement(query(), it).replica != nullptr;
+    };
+    RetryGate::SilentAttempt call{
+            .replica = ids[0], .stallLimit = StallLimit, .callRoute = "/safe/", .time = StallLimit};
+    stall({1, 2, 3});
+    service.slowCalls.received(ids[0]);
+    CHECK(!replacementOf(call));
+    CHECK(gate.denial() == "slow");
+    CHECK(spent() == 0);
+    call.callRoute.clear();
+    CHECK(replacementOf(call));
+    call.callRoute = "/safe/";
+    clock.advance(StallLimit / 2);
+    for (int i = 1; i < Replicas; ++i)
+        service.silence.received(ids[static_cast<std::size_t>(i)]);
+    CHECK(replacementOf(call));
+    CHECK(spent() == 2);
+}
