Answers that are cut off while they are sent are logged and counted

Callers lost answers on kept connections. A connection that ended with an answer in progress or not yet sent left no line and no counter, so that a stop, the memory limit, the idle timeout and a caller that leaves could not be told apart. Each such end now has answer_cut with the id of the request, the unsent bytes and the reason; catkinloft_answers_cut_total counts by reason.

--- a/src/Net/ConnectionLog.cpp
+++ b/src/Net/ConnectionLog.cpp
@@ -15,6 +15,9 @@
 /// Shortest time between two log lines of one kind.
 constexpr Duration LogInterval = std::chrono::seconds(1);
 
+/// Most answers that were cut off with a line of their own within LogInterval.
+constexpr int MaxCutLines = 50;
+
 } // namespace
 
 HttpServer::Options ConnectionLog::observed(HttpServer::Options options)
@@ -24,6 +27,9 @@
         refused(address, limit);
     };
     options.onConnectionEnded = [this, address](std::string_view it) { ended(address, it); };
+    options.onAnswerCut = [this, address](AnswerCut reason, const UnsentAnswer &it) {
+        answerCut(address, reason, it);
+    };
     options.onAcceptFailed = [this, address] { acceptFailed(address, errno); };
     return options;
 }
@@ -66,6 +72,35 @@
     m_ended.clear();
 }
 
+void ConnectionLog::answerCut(std::string_view address, AnswerCut reason,
+                              const UnsentAnswer &answer)
+{
+    const std::string_view name = answerCutName(reason);
+    m_options.metrics.count("catkinloft_answers_cut_total", Metrics::label("reason", name));
+    // The handler logs the end of an answer that it gives up or whose caller leaves.
+    const bool isLogged = reason == AnswerCut::BrokenOff || reason == AnswerCut::Caller;
+    if (isLogged && !answer.isComplete)
+        return;
+    const TimePoint now = m_options.clock.now();
+    if (now >= m_cutsSince + LogInterval) {
+        m_cutsSince = now;
+        m_cutLines = 0;
+    }
+    if (++m_cutLines > MaxCutLines) {
+        ++m_cutsNotLogged;
+        return;
+    }
+    Log::warning("answer_cut",
+                 {{"reason", name},
+                  {"request_id", answer.requestId},
+                  {"address", address},
+                  {"unsent_bytes", answer.bytes},
+                  {"complete", answer.isComplete},
+                  {"not_logged", std::exchange(m_cutsNotLogged, 0)},
+                  {"held_bytes", m_options.buffers.used()},
+                  {"limit_bytes", m_options.buffers.limit()}});
+}
+
 void ConnectionLog::acceptFailed(std::string_view address, int error)
 {
     m_options.metrics.count("catkinloft_accept_failures_total");
--- a/src/Net/ConnectionLog.h
+++ b/src/Net/ConnectionLog.h
@@ -17,7 +17,8 @@
 /// ended.
 ///
 /// A crowd of callers causes thousands of these in a second. Each kind is logged at once and then
-/// at most once in a second, with what happened since its last line; the metrics count all.
+/// at most once in a second, with what happened since its last line; the metrics count all. Answers
+/// that were cut off have a line each, up to a limit for a second.
 class ConnectionLog
 {
 public:
@@ -43,6 +44,9 @@
     /// \param reason as for HttpServer::Options::onConnectionEnded.
     void ended(std::string_view address, std::string_view reason);
 
+    /// \brief Called for a connection to \a address that was closed before \a answer was sent.
+    void answerCut(std::string_view address, AnswerCut reason, const UnsentAnswer &answer);
+
     /// \param error the errno of the attempt.
     void acceptFailed(std::string_view address, int error);
 
@@ -55,6 +59,9 @@
     TimePoint m_refusedLoggedAt = TimePoint::min();
     TimePoint m_endedLoggedAt = TimePoint::min();
     TimePoint m_acceptLoggedAt = TimePoint::min();
+    TimePoint m_cutsSince = TimePoint::min(); ///< Begin of the second that m_cutLines counts.
+    int m_cutLines = 0;
+    int m_cutsNotLogged = 0; ///< Since the last line.
 };
 
 } // namespace catkinloft
--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -185,6 +185,7 @@
     void answerMetrics(const HttpExchangePtr &exchange);
     void drain();
     void checkDrained();
+    void stop();
     std::unique_ptr<HttpServer> makeServer(const std::string &address, ListenerLimits limits,
                                            HttpServer::Handler handler);
 
@@ -195,6 +196,7 @@
     Metrics metrics;
     StallMonitor stalls{loop, metrics};
     RequestBuffers requestBuffers{loop, settings.requestMemory()};
+    std::vector<const HttpServer *> listeners; ///< Those of the servers and of the fleet.
     ConnectionLog connectionLog{{.clock = loop, .metrics = metrics, .buffers = requestBuffers}};
     HttpClient client{loop, nullptr, settings.sourceIp, MaxBufferedAnswers};
     RandomSource random = systemRandom();
@@ -828,11 +830,15 @@
                                                               ListenerLimits limits,
                                                               HttpServer::Handler handler)
 {
-    return std::make_unique<HttpServer>(
+    auto out = std::make_unique<HttpServer>(
             loop,
-            connectionLog.observed(
-                    {.address = address, .limits = limits, .buffers = &requestBuffers}),
+            connectionLog.observed({.address = address,
+                                    .limits = limits,
+                                    .requestIdHeader = adapter.codec.requestIdHeader,
+                                    .buffers = &requestBuffers}),
             std::move(handler));
+    listeners.push_back(out.get());
+    return out;
 }
 
 void EntryProcess::Private::listenAll()
@@ -921,8 +927,17 @@
     gateway.stop();
     drainTimer.stop();
     if (left.empty())
-        return loop.stop();
-    loop.after(LastAnswersTime, [this] { loop.stop(); });
+        return stop();
+    loop.after(LastAnswersTime, [this] { stop(); });
+}
+
+void EntryProcess::Private::stop()
+{
+    for (const HttpServer *listener : listeners) {
+        for (const UnsentAnswer &it : listener->unsentAnswers())
+            connectionLog.answerCut(listener->address(), AnswerCut::Stopped, it);
+    }
+    loop.stop();
 }
 
 EntryProcess::EntryProcess(const EntrySettings &settings, std::string settingsFile,
--- a/src/Net/HttpExchange.cpp
+++ b/src/Net/HttpExchange.cpp
@@ -248,6 +248,7 @@
     m_onDrained = nullptr;
     if (!m_keepAlive)
         m_keepAlive = shared_from_this();
+    m_connection->answerGivenUp();
     bufferevent *bev = evhttp_connection_get_bufferevent(evhttp_request_get_connection(m_request));
     // After the socket is shut down, evhttp reads the end and cleans up by its own rules.
     shutdown(bufferevent_getfd(bev), SHUT_RDWR);
--- a/src/Net/HttpServer.cpp
+++ b/src/Net/HttpServer.cpp
@@ -13,6 +13,7 @@
 
 #include <cstdlib>
 #include <functional>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 
@@ -87,6 +88,7 @@
     Handler handler;
     evhttp *http = nullptr;
     evhttp_bound_socket *bound = nullptr;
+    bool isClosing = false; ///< The listener is being destroyed.
     internal::ConnectionLimiter limiter;
     RequestBuffers ownBuffers{loop};
     timeval idleTimeout = internal::toTimeval(options.limits.idleTimeout);
@@ -96,12 +98,18 @@
             .limits = {.headerBytes = options.limits.maxHeaderBytes,
                        .bodyBytes = options.limits.maxBodyBytes},
             .idleTimeout = idleTimeout,
+            .requestIdHeader = options.requestIdHeader,
             .onClosed = [this](const evbuffer *input) { connections.erase(input); },
             .onEnded =
                     [this](Connection::End reason) {
                         if (options.onConnectionEnded)
                             options.onConnectionEnded(endReason(reason));
                     },
+            .onAnswerCut =
+                    [this](AnswerCut reason, const UnsentAnswer &it) {
+                        if (options.onAnswerCut && !isClosing)
+                            options.onAnswerCut(reason, it);
+                    },
             .onHeadBegun =
                     [this] {
                         if (!headTimer.isPending())
@@ -217,6 +225,7 @@
 HttpServer::~HttpServer()
 {
     listeners().erase(m_d->http);
+    m_d->isClosing = true;
     evhttp_free(m_d->http);
 }
 
@@ -250,6 +259,21 @@
     m_d->options.limits.headerTimeout = timeout;
 }
 
+const std::string &HttpServer::address() const
+{
+    return m_d->options.address;
+}
+
+std::vector<UnsentAnswer> HttpServer::unsentAnswers() const
+{
+    std::vector<UnsentAnswer> out;
+    for (const auto &it : m_d->connections) {
+        if (std::optional<UnsentAnswer> unsent = it.second->unsentAnswer())
+            out.push_back(std::move(*unsent));
+    }
+    return out;
+}
+
 void HttpServer::stopAccepting()
 {
     if (m_d->bound)
--- a/src/Net/HttpServer.h
+++ b/src/Net/HttpServer.h
@@ -3,11 +3,13 @@
 #include "Base/Error.h"
 #include "Base/Settings.h"
 #include "Net/HttpExchange.h"
+#include "Net/UnsentAnswer.h"
 
 #include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace catkinloft {
 
@@ -31,6 +33,12 @@
         /// Called for each connection that was closed before its request was handled. \a reason is
         /// `request_memory`, `header_timeout` or `rejected` (malformed or over a limit).
         std::function<void(std::string_view reason)> onConnectionEnded = {};
+        /// Header with the id of a request, for the reports on unsent answers; empty: there is
+        /// none.
+        std::string requestIdHeader = {};
+        /// Called for each connection that was closed before the answer to its request was sent,
+        /// except those that are open when the listener is destroyed. \sa unsentAnswers()
+        std::function<void(AnswerCut reason, const UnsentAnswer &)> onAnswerCut = {};
         /// Called when connections can't be accepted for want of descriptors.
         std::function<void()> onAcceptFailed = {};
         /// Memory for the requests of all listeners; null: the listener has a limit of its own.
@@ -54,6 +62,11 @@
     /// complete.
     void setHeaderTimeout(Duration timeout);
 
+    const std::string &address() const;
+
+    /// \returns the answers that are in progress, and those whose callers have not read them yet.
+    std::vector<UnsentAnswer> unsentAnswers() const;
+
     /// \brief Accepts no more connections; open connections stay open.
     void stopAccepting();
 
--- a/src/Net/RouterProcess.cpp
+++ b/src/Net/RouterProcess.cpp
@@ -13,6 +13,7 @@
 #include "Net/StallMonitor.h"
 #include "Net/Timer.h"
 #include "Net/TlsTask.h"
+#include "Request/IdentifyFilter.h"
 
 #include <algorithm>
 #include <csignal>
@@ -100,6 +101,7 @@
           server(loop,
                  connectionLog.observed({.address = settings->callerAddress,
                                          .limits = settings->limits,
+                                         .requestIdHeader = headers::RequestId,
                                          .buffers = &requestBuffers,
                                          .tls = &tls.context()}),
                  [this](const HttpExchangePtr &it) { gateway.handle(it); }),
@@ -187,6 +189,8 @@
             return;
         for (const std::string &it : left)
             Log::warning("cut_off", {{"request_id", it}});
+        for (const UnsentAnswer &it : server.unsentAnswers())
+            connectionLog.answerCut(server.address(), AnswerCut::Stopped, it);
         Log::info("stopped", {{"cut_off", left.size()}});
         loop.stop();
     }
--- a/src/Net/internal/ListenerConnection.cpp
+++ b/src/Net/internal/ListenerConnection.cpp
@@ -4,6 +4,7 @@
 #include "Net/HttpExchange.h"
 #include "Net/internal/TlsStream.h"
 
+#include <cerrno>
 #include <limits>
 #include <utility>
 
@@ -129,11 +130,35 @@
     evbuffer_remove_cb_entry(m_input, m_inputEntry);
     evbuffer_remove_cb_entry(m_output, m_outputEntry);
     const auto self = shared_from_this();
+    if (const std::optional<UnsentAnswer> unsent = unsentAnswer())
+        m_context.onAnswerCut(cutReason(), *unsent);
     if (m_exchange)
         std::exchange(m_exchange, nullptr)->connectionClosed();
     m_context.onClosed(m_input);
 }
 
+std::optional<UnsentAnswer> ListenerConnection::unsentAnswer() const
+{
+    if (m_stage != Stage::Handling)
+        return std::nullopt;
+    return UnsentAnswer{.requestId = m_requestId,
+                        .bytes = evbuffer_get_length(m_output),
+                        .isComplete = m_exchange == nullptr};
+}
+
+AnswerCut ListenerConnection::cutReason() const
+{
+    if (m_isEnded)
+        return AnswerCut::Memory;
+    if (m_isGivenUp)
+        return AnswerCut::BrokenOff;
+    // At the end of the input or after an error, the system would not ask to try again.
+    char byte = 0;
+    const bool isOpen = recv(fd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0 || errno == EAGAIN
+            || errno == EWOULDBLOCK;
+    return isOpen ? AnswerCut::Timeout : AnswerCut::Caller;
+}
+
 void ListenerConnection::inputAdded()
 {
     m_context.loop.noteProgress();
@@ -253,6 +278,10 @@
 {
     m_stage = Stage::Handling;
     m_exchange = &exchange;
+    m_isGivenUp = false;
+    m_requestId.clear();
+    if (!m_context.requestIdHeader.empty())
+        m_requestId = exchange.header(m_context.requestIdHeader.c_str());
 }
 
 void ListenerConnection::answerComplete()
--- a/src/Net/internal/ListenerConnection.h
+++ b/src/Net/internal/ListenerConnection.h
@@ -2,12 +2,14 @@
 
 #include "Base/Clock.h"
 #include "Decide/RequestBuffers.h"
+#include "Net/UnsentAnswer.h"
 #include "Net/internal/RequestScanner.h"
 
 #include <cstdint>
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -56,9 +58,12 @@
         RequestBuffers &buffers;
         RequestScanner::Limits limits;
         const timeval &idleTimeout; ///< While no answer is pending.
+        const std::string &requestIdHeader; ///< Empty: requests are not identified.
         /// Called when the connection is closed; destroys it.
         std::function<void(const evbuffer *input)> onClosed;
         std::function<void(End)> onEnded;
+        /// Called when the connection is closed before the answer to its request was sent.
+        std::function<void(AnswerCut, const UnsentAnswer &)> onAnswerCut;
         /// Called when an incomplete head begins.
         std::function<void()> onHeadBegun;
         std::list<ListenerConnection *> heads = {}; ///< With an incomplete head, oldest first.
@@ -78,6 +83,9 @@
     /// \brief Called when the answer is complete, but not yet sent.
     void answerComplete();
 
+    /// \brief Called when the handler gives the answer up, before the connection is closed.
+    void answerGivenUp() { m_isGivenUp = true; }
+
     /// \brief Called when an answer was sent, before evhttp reads the next request.
     void answered();
 
@@ -85,6 +93,9 @@
     /// with a promise that it does not run.
     void end(End reason);
 
+    /// \returns the answer that is in progress or not yet sent, if there is one.
+    std::optional<UnsentAnswer> unsentAnswer() const;
+
     const timeval &idleTimeout() const { return m_context.idleTimeout; }
     int fd() const;
     TimePoint headSince() const { return m_headSince; }
@@ -109,6 +120,7 @@
     void updateShare();
     void closed();
     void setLowWatermark(std::size_t bytes);
+    AnswerCut cutReason() const;
     std::string_view endAnswer(End reason) const;
     void writeNow(std::string_view text);
 
@@ -126,8 +138,10 @@
     std::size_t m_scannedBytes = 0; ///< Of the head, at the begin of the input.
     Stage m_stage = Stage::Reading;
     bool m_isEnded = false;
+    bool m_isGivenUp = false;
     bool m_isComposing = false;
     HttpExchange *m_exchange = nullptr;
+    std::string m_requestId; ///< Of the request that is handled.
     TimePoint m_headSince;
     std::list<ListenerConnection *> m_headNode; ///< The only element, while no head is incomplete.
     std::list<ListenerConnection *>::iterator m_headPosition;
--- a/test/ConnectionLogTest.cpp
+++ b/test/ConnectionLogTest.cpp
@@ -137,3 +137,33 @@
     CHECK(lastLineHas("accept_failed", "Too many open files in system"));
     CHECK(lines.size() == 3);
 }
+
+// Guards against answers that are lost without a trace, and against a line for each of them while a
+// crowd of callers doesn't read its answers.
+TEST_CASE_FIXTURE(ConnectionLogFixture, "connectionLog_answersAreCut_eachIsLoggedUpToALimit")
+{
+    const UnsentAnswer answer{.requestId = "r-1", .bytes = 700, .isComplete = true};
+    log.answerCut("127.0.0.1:1", AnswerCut::Stopped, answer);
+    CHECK(lastLineHas("answer_cut", R"("request_id":"r-1")"));
+    CHECK(lastLineHas("answer_cut", R"("reason":"stopped")"));
+    CHECK(lastLineHas("answer_cut", R"("unsent_bytes":700)"));
+    for (int i = 0; i < 1000; ++i)
+        log.answerCut("127.0.0.1:1", AnswerCut::Memory, answer);
+    CHECK(lines.size() == 50);
+    clock.advance(1s);
+    log.answerCut("127.0.0.1:1", AnswerCut::Caller, answer);
+    CHECK(lastLineHas("answer_cut", R"("not_logged":951)"));
+    CHECK(metrics.counter("catkinloft_answers_cut_total",
+                          Metrics::label("reason", "request_memory"))
+          == 1000);
+}
+
+// Guards against two lines for one end: the handler logs that it gave an answer up, or that the
+// caller left before it was complete.
+TEST_CASE_FIXTURE(ConnectionLogFixture, "connectionLog_handlerLogsTheEnd_cutIsOnlyCounted")
+{
+    for (const AnswerCut it : {AnswerCut::BrokenOff, AnswerCut::Caller})
+        log.answerCut("127.0.0.1:1", it, {.requestId = "r-1", .bytes = 700, .isComplete = false});
+    CHECK(lines.empty());
+    CHECK(metrics.counter("catkinloft_answers_cut_total", Metrics::label("reason", "caller")) == 1);
+}
