--- a/standin/ReplicaStandin.h
+++ b/standin/ReplicaStandin.h
@@ -10,7 +10,8 @@
 
 /// \brief Simulates a replica of a service on the users' platform. It answers calls, and streams as
 /// many numbered events as the query parameter `events` says; streams may be resumed. It records
-/// the requests that it executed or refused.
+/// the requests that it executed or refused. The query parameter `bytes` is the least length of the
+/// answer to a call.
 ///
 /// `POST /v1/control` sets the share, from 0 to 1, of requests with a fault: `fail` (executes and
 /// answers 500), `refuse` (answers that the request was not executed), `lose` (executes and closes
--- a/test/integration/CrowdTest.cpp
+++ b/test/integration/CrowdTest.cpp
@@ -3,6 +3,7 @@
 #include "Net/Net.h"
 #include "Net/TlsContext.h"
 #include "RawCaller.h"
+#include "SlowReader.h"
 #include "SocketAddress.h"
 #include "fleet/EntryFleet.h"
 #include "fleet/Fleet.h"
@@ -12,6 +13,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <atomic>
 #include <cstdlib>
 #include <fstream>
 #include <functional>
@@ -220,7 +222,11 @@
 class CrowdPlay
 {
 public:
-    CrowdPlay()
+    explicit CrowdPlay(std::string settings = {})
+        : fleet({.binaries = CATKINLOFT_BINARIES,
+                 .routers = 1,
+                 .replicas = 1,
+                 .extraSettings = std::move(settings)})
     {
         const VmLimits limits;
         fleet.start();
@@ -270,7 +276,7 @@
         return answer && answer.value().head.status == 200;
     }
 
-    EntryFleet fleet{{.binaries = CATKINLOFT_BINARIES, .routers = 1, .replicas = 1}};
+    EntryFleet fleet;
 
 private:
     Crowds m_crowds;
@@ -278,6 +284,54 @@
 
 } // namespace
 
+// Guards against answers to requests that ran which are cut off while their callers read them, in
+// favour of a crowd of incomplete requests.
+TEST_CASE("crowd_halfBodiesBesideAnswersThatAreRead_answersAreComplete")
+{
+    constexpr std::size_t AnswerBytes = 2'000'000;
+    constexpr std::size_t BytesPerSecond = 500'000;
+    constexpr std::size_t HalfBody = 1'000'000;
+    constexpr int Readers = 2;
+    constexpr int CrowdSize = 20;
+    // Both answers fit easily, the crowd does not.
+    CrowdPlay play("limits:\n  max_request_memory: 8000000\n");
+    std::vector<std::unique_ptr<SlowReader>> readers;
+    for (int i = 0; i < Readers; ++i) {
+        readers.push_back(std::make_unique<SlowReader>(play.fleet.callerAddress(0)));
+        REQUIRE(readers.back()->send(
+                fmt::format("GET /once/a?bytes={} HTTP/1.1\r\nHost: {}\r\nAuthorization: Bearer "
+                            "{}\r\nX-Request-Id: reader-{}\r\n\r\n",
+                            AnswerBytes, EntryFleet::Host, EntryFleet::Key, i)));
+        REQUIRE(readers.back()->readHead(10s));
+    }
+    std::vector<SlowReader::Answer> answers(readers.size());
+    std::atomic<int> reading = Readers;
+    std::vector<std::thread> threads;
+    for (std::size_t i = 0; i < readers.size(); ++i) {
+        threads.emplace_back([&, i] {
+            answers[i] = readers[i]->readBody(BytesPerSecond);
+            --reading;
+        });
+    }
+    while (reading > 0) {
+        Crowd crowd({.address = play.fleet.callerAddress(0),
+                     .connections = CrowdSize,
+                     .script = bodyWithLength(2 * HalfBody, HalfBody)});
+        for (int i = 0; i < 20 && reading > 0; ++i) {
+            crowd.poll();
+            std::this_thread::sleep_for(10ms);
+        }
+    }
+    for (std::thread &it : threads)
+        it.join();
+    for (const SlowReader::Answer &it : answers) {
+        CHECK(it.status == 200);
+        CHECK(it.bodyLength == AnswerBytes);
+        CHECK(it.bodyBytes == AnswerBytes);
+    }
+    CHECK(play.fleet.router(0).isRunning());
+}
+
 // Guards against a limit for crowds that refuses the largest head of a single caller.
 TEST_CASE("crowd_singleLargestHead_isServed")
 {
