A router that stops waits until its answers have arrived

Callers on slow links lost the rest of their answer when a router stopped. Cause: the process ended when its calls were over, and a call is over when its answer was handed to the listener, not when it was sent. The entry in the log of a stop names what is lost, by answer_cut.

--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -8,6 +8,7 @@
 #include "Control/ReplicaRegistry.h"
 #include "Control/StoreReadPlan.h"
 #include "Control/StreamOriginStore.h"
+#include "Decide/DrainPlan.h"
 #include "Decide/RequestBuffers.h"
 #include "Decide/SoftwareHistory.h"
 #include "Decide/StreamOrigins.h"
@@ -63,12 +64,9 @@
 /// that use an outdated address. Long streams need the rest of the time to finish.
 constexpr double AcceptFraction = 0.35;
 
-/// Part of the stop timeout that is reserved for the shutdown of the process itself.
+/// Part of the stop timeout that is reserved for the last answers and the end of the process.
 constexpr Duration StopMargin = 300ms;
-
-/// Time in which the answers to the requests that are still in progress at the end of the stop
-/// timeout are written. It is a part of StopMargin.
-constexpr Duration LastAnswersTime = 100ms;
+static_assert(2 * DrainPlan::LastAnswersTime < StopMargin, "the process would be killed meanwhile");
 
 constexpr Duration DrainPoll = 50ms;
 
@@ -181,10 +179,12 @@
     void discoverPrompts();
     void handlePromptList(const ReplicaRecord &engine, std::span<const PromptPart> prompts);
     bool isReady() const;
+    bool isRefusing() const { return loop.now() >= drainPlan.options().refuseFrom; }
     void collectRetryBudget(const ServicePool &pool, Metrics &to);
     void answerMetrics(const HttpExchangePtr &exchange);
     void drain();
     void checkDrained();
+    void flush();
     void stop();
     std::unique_ptr<HttpServer> makeServer(const std::string &address, ListenerLimits limits,
                                            HttpServer::Handler handler);
@@ -196,7 +196,7 @@
     Metrics metrics;
     StallMonitor stalls{loop, metrics};
     RequestBuffers requestBuffers{loop, settings.requestMemory()};
-    std::vector<const HttpServer *> listeners; ///< Those of the servers and of the fleet.
+    std::vector<HttpServer *> listeners; ///< Those of the servers and of the fleet.
     ConnectionLog connectionLog{{.clock = loop, .metrics = metrics, .buffers = requestBuffers}};
     HttpClient client{loop, nullptr, settings.sourceIp, MaxBufferedAnswers};
     RandomSource random = systemRandom();
@@ -235,8 +235,8 @@
     Timer streamOriginTimer;
     Timer registrationTimer;
     Timer drainTimer;
-    TimePoint refuseFrom = TimePoint::max();
-    TimePoint stopAt = TimePoint::max();
+    DrainPlan drainPlan;
+    std::size_t cutOff = 0; ///< Requests in progress at the end of the stop timeout.
     bool draining = false;
 };
 
@@ -387,7 +387,7 @@
                            pools.of(it.service).pathLost(it.incarnation());
                        },
                .isProofFresh = [this] { return filters.isProofFresh(); },
-               .isLeaving = [this] { return loop.now() >= refuseFrom; }}),
+               .isLeaving = [this] { return isRefusing(); }}),
       prober({.loop = loop,
               .client = client,
               .pools = pools,
@@ -458,8 +458,8 @@
                .crashes = crashes,
                .random = random,
                .sharingRouters = [this] { return knownRouters(); },
-               .isShuttingDown = [this] { return loop.now() >= refuseFrom; },
-               .stopsAt = [this] { return stopAt; },
+               .isShuttingDown = [this] { return isRefusing(); },
+               .stopsAt = [this] { return drainPlan.options().breakOffAt; },
                .promptSent =
                        [this](const std::string &replica, std::span<const PromptPart> prompt) {
                            if (settings.mechanisms.promptAnnouncements)
@@ -909,26 +909,41 @@
     fleet.leave();
     registration.leave();
     gateway.leave();
-    refuseFrom = loop.now() + scaled(settings.stopTimeout, AcceptFraction);
-    stopAt = loop.now() + settings.stopTimeout - StopMargin;
+    drainPlan = DrainPlan({.refuseFrom = loop.now() + scaled(settings.stopTimeout, AcceptFraction),
+                           .breakOffAt = loop.now() + settings.stopTimeout - StopMargin});
     drainTimer.startRepeating(DrainPoll);
 }
 
 void EntryProcess::Private::checkDrained()
 {
-    if (loop.now() < refuseFrom)
-        return;
     const std::vector<std::string> left = gateway.unfinished();
-    if ((!left.empty() || relayServer.inProgress() > 0) && loop.now() < stopAt)
+    std::size_t answers = 0;
+    for (const HttpServer *it : listeners)
+        answers += it->pendingAnswers();
+    switch (drainPlan.next(
+            loop.now(), {.requests = left.size() + relayServer.inProgress(), .answers = answers})) {
+    case DrainPlan::Step::Accept:
+    case DrainPlan::Step::Finish:
         return;
-    for (const std::string &it : left)
-        Log::warning("cut_off", {{"request_id", it}});
-    Log::info("stopped", {{"cut_off", left.size()}, {"relays_cut_off", relayServer.inProgress()}});
-    gateway.stop();
-    drainTimer.stop();
-    if (left.empty())
+    case DrainPlan::Step::Flush:
+        return flush();
+    case DrainPlan::Step::BreakOff:
+        for (const std::string &it : left)
+            Log::warning("cut_off", {{"request_id", it}});
+        cutOff = left.size();
+        return gateway.stop();
+    case DrainPlan::Step::End:
         return stop();
-    loop.after(LastAnswersTime, [this] { stop(); });
+    }
+}
+
+/// No further request can begin, so that the answers in progress are the last ones.
+void EntryProcess::Private::flush()
+{
+    for (HttpServer *it : listeners) {
+        it->stopAccepting();
+        it->closeIdle();
+    }
 }
 
 void EntryProcess::Private::stop()
@@ -937,6 +952,8 @@
         for (const UnsentAnswer &it : listener->unsentAnswers())
             connectionLog.answerCut(listener->address(), AnswerCut::Stopped, it);
     }
+    Log::info("stopped", {{"cut_off", cutOff}, {"relays_cut_off", relayServer.inProgress()}});
+    drainTimer.stop();
     loop.stop();
 }
 
--- a/src/Net/HttpServer.cpp
+++ b/src/Net/HttpServer.cpp
@@ -11,6 +11,7 @@
 #include "Net/internal/Timeval.h"
 #include "Net/internal/TlsStream.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <functional>
 #include <optional>
@@ -274,6 +275,19 @@
     return out;
 }
 
+std::size_t HttpServer::pendingAnswers() const
+{
+    return static_cast<std::size_t>(
+            std::count_if(m_d->connections.begin(), m_d->connections.end(),
+                          [](const auto &it) { return it.second->isAnswerPending(); }));
+}
+
+void HttpServer::closeIdle()
+{
+    for (const auto &it : m_d->connections)
+        it.second->closeIfIdle();
+}
+
 void HttpServer::stopAccepting()
 {
     if (m_d->bound)
--- a/src/Net/HttpServer.h
+++ b/src/Net/HttpServer.h
@@ -5,6 +5,7 @@
 #include "Net/HttpExchange.h"
 #include "Net/UnsentAnswer.h"
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -67,6 +68,12 @@
     /// \returns the answers that are in progress, and those whose callers have not read them yet.
     std::vector<UnsentAnswer> unsentAnswers() const;
 
+    /// \returns the number of answers that are in progress or have not been received completely.
+    std::size_t pendingAnswers() const;
+
+    /// \brief Closes the connections on which no request has begun.
+    void closeIdle();
+
     /// \brief Accepts no more connections; open connections stay open.
     void stopAccepting();
 
--- a/src/Net/RouterProcess.cpp
+++ b/src/Net/RouterProcess.cpp
@@ -1,6 +1,7 @@
 #include "Net/RouterProcess.h"
 
 #include "Base/Log.h"
+#include "Decide/DrainPlan.h"
 #include "Decide/RequestBuffers.h"
 #include "Net/ConnectionLog.h"
 #include "Net/EngineTask.h"
@@ -174,25 +175,33 @@
         directory.setLeaving();
         peers.leave();
         gateway.leave();
-        refuseFrom = loop.now() + settings->drainGrace;
-        drainDeadline = refuseFrom + settings->drainTimeout;
+        const TimePoint refuseFrom = loop.now() + settings->drainGrace;
+        drainPlan = DrainPlan(
+                {.refuseFrom = refuseFrom, .breakOffAt = refuseFrom + settings->drainTimeout});
         drainPoll.startRepeating(DrainPoll);
     }
 
     void checkDrained()
     {
-        if (loop.now() < refuseFrom)
-            return;
-        gateway.drain();
         const std::vector<std::string> left = gateway.unfinished();
-        if (!left.empty() && loop.now() < drainDeadline)
+        const DrainPlan::Step step = drainPlan.next(
+                loop.now(), {.requests = left.size(), .answers = server.pendingAnswers()});
+        if (step == DrainPlan::Step::Accept)
             return;
-        for (const std::string &it : left)
-            Log::warning("cut_off", {{"request_id", it}});
-        for (const UnsentAnswer &it : server.unsentAnswers())
-            connectionLog.answerCut(server.address(), AnswerCut::Stopped, it);
-        Log::info("stopped", {{"cut_off", left.size()}});
-        loop.stop();
+        gateway.drain();
+        if (step == DrainPlan::Step::Flush) {
+            server.stopAccepting();
+            server.closeIdle();
+        } else if (step == DrainPlan::Step::BreakOff) {
+            for (const std::string &it : left)
+                Log::warning("cut_off", {{"request_id", it}});
+            cutOff = left.size();
+        } else if (step == DrainPlan::Step::End) {
+            for (const UnsentAnswer &it : server.unsentAnswers())
+                connectionLog.answerCut(server.address(), AnswerCut::Stopped, it);
+            Log::info("stopped", {{"cut_off", cutOff}});
+            loop.stop();
+        }
     }
 
     std::shared_ptr<const Settings> settings;
@@ -217,8 +226,8 @@
     Timer poll;
     Timer selfCheck;
     Timer drainPoll;
-    TimePoint refuseFrom; ///< Callers may use outdated address answers until then.
-    TimePoint drainDeadline;
+    DrainPlan drainPlan;
+    std::size_t cutOff = 0; ///< Requests in progress at the end of the drain timeout.
     bool draining = false;
 };
 
--- a/src/Net/internal/ListenerConnection.cpp
+++ b/src/Net/internal/ListenerConnection.cpp
@@ -8,6 +8,8 @@
 #include <limits>
 #include <utility>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <event2/buffer.h>
@@ -146,6 +148,26 @@
                         .isComplete = m_exchange == nullptr};
 }
 
+bool ListenerConnection::isAnswerPending() const
+{
+    // Bytes that the caller has not acknowledged are lost if the VM ends with the process.
+    int unacknowledged = 0;
+    return m_stage == Stage::Handling
+            || (ioctl(fd(), SIOCOUTQ, &unacknowledged) == 0 && unacknowledged > 0);
+}
+
+void ListenerConnection::closeIfIdle()
+{
+    const bool hasInput = m_scanner.isStarted() || evbuffer_get_length(m_input) > 0
+            || evbuffer_get_length(m_readAhead) > 0;
+    if (m_isEnded || m_stage != Stage::Reading || hasInput || isAnswerPending())
+        return;
+    // What arrives now isn't handled, because it could not be answered.
+    m_isEnded = true;
+    shutdown(fd(), SHUT_RDWR);
+    discardReceived(fd());
+}
+
 AnswerCut ListenerConnection::cutReason() const
 {
     if (m_isEnded)
--- a/src/Net/internal/ListenerConnection.h
+++ b/src/Net/internal/ListenerConnection.h
@@ -96,6 +96,12 @@
     /// \returns the answer that is in progress or not yet sent, if there is one.
     std::optional<UnsentAnswer> unsentAnswer() const;
 
+    /// \returns whether an answer is in progress or has not been received completely.
+    bool isAnswerPending() const;
+
+    /// \brief Closes the connection if no request has begun on it.
+    void closeIfIdle();
+
     const timeval &idleTimeout() const { return m_context.idleTimeout; }
     int fd() const;
     TimePoint headSince() const { return m_headSince; }
