Answers that are being read do not give way to incomplete requests

Callers lost answers to requests that had run when a crowd filled the memory for requests. Cause: an answer that is being sent counted like an incomplete request, by size and age, so that a long answer to a caller with a slow link soon cost the most; and bytes of a next request counted while the first one was in progress, which could end a connection whose request a replica was running. Answers are kept in lists of their own now. They give way like requests only after five seconds without progress, else after all incomplete requests that free as much, which have not run. The next request counts from the end of the answer on; until then 4 KB of it are read.

--- a/src/Decide/RequestBuffers.cpp
+++ b/src/Decide/RequestBuffers.cpp
@@ -19,6 +19,14 @@
 /// beside them.
 constexpr std::size_t CalmFraction = 4;
 
+/// Bytes of an answer that count as progress. A caller that reads less of it now and then keeps its
+/// memory taken.
+constexpr std::size_t ProgressBytes = std::size_t(64) * 1024;
+
+/// Time without progress after which the caller of an answer counts as not reading it. The system
+/// accepts the bytes for a slow connection in bursts, which are seconds apart.
+constexpr Duration StallTime = std::chrono::seconds(5);
+
 /// \returns 0 for no bytes.
 std::size_t sizeClassOf(std::size_t size)
 {
@@ -44,20 +52,35 @@
     m_buffers.m_running -= std::exchange(m_running, 0);
 }
 
-void RequestBuffers::Share::hold(std::size_t size)
+void RequestBuffers::Share::hold(std::size_t size, Content content)
 {
-    if (m_isGivenUp || size == m_held)
+    if (m_isGivenUp || (size == m_held && content == m_content))
         return;
-    const bool isGrowing = size > m_held;
-    m_buffers.m_held += size - m_held;
-    m_held = size;
+    if (content != m_content) {
+        classify(0);
+        m_content = content;
+    }
+    const std::size_t before = std::exchange(m_held, size);
+    m_buffers.m_held += size - before;
     // A connection whose memory shrinks a little now and then does not become young again.
     if (const std::size_t it = sizeClassOf(size); it == 0 || it > m_class)
         classify(it);
-    if (isGrowing)
+    else if (content == Content::Answer && size < before)
+        noteSent(before - size);
+    if (size > before)
         m_buffers.makeRoom();
 }
 
+void RequestBuffers::Share::noteSent(std::size_t bytes)
+{
+    m_sent += bytes;
+    const std::size_t sizeClass = sizeClassOf(m_held);
+    if (m_sent < ProgressBytes && sizeClass == m_class)
+        return;
+    classify(0);
+    classify(sizeClass);
+}
+
 bool RequestBuffers::Share::run(std::size_t size)
 {
     if (m_isGivenUp)
@@ -76,39 +99,55 @@
 {
     if (sizeClass == m_class)
         return;
-    Node &from = m_class == 0 ? m_node : m_buffers.m_classes[m_class];
-    Node &to = sizeClass == 0 ? m_node : m_buffers.m_classes[sizeClass];
+    ShareLists &lists = m_buffers.lists(m_content);
+    Node &from = m_class == 0 ? m_node : lists[m_class];
+    Node &to = sizeClass == 0 ? m_node : lists[sizeClass];
     to.splice(to.end(), from, m_position);
     m_class = sizeClass;
     m_since = m_buffers.m_clock.now();
+    m_sent = 0;
 }
 
-RequestBuffers::Share *RequestBuffers::mostExpensive(std::size_t firstClass,
-                                                     std::size_t lastClass) const
+RequestBuffers::Candidate RequestBuffers::mostExpensive(const ShareLists &lists,
+                                                        std::size_t firstClass,
+                                                        std::size_t lastClass,
+                                                        Duration minAge) const
 {
     const TimePoint now = m_clock.now();
-    Share *out = nullptr;
-    double highest = 0;
+    Candidate out;
     for (std::size_t i = firstClass; i <= lastClass; ++i) {
-        if (m_classes[i].empty())
+        if (lists[i].empty())
             continue;
-        Share *it = m_classes[i].front();
-        const double cost = static_cast<double>(it->m_held) * toSeconds(now - it->m_since + MinAge);
-        if (out && cost <= highest)
+        Share *it = lists[i].front();
+        const Duration age = now - it->m_since;
+        const double cost = static_cast<double>(it->m_held) * toSeconds(age + MinAge);
+        if (age < minAge || (out.share && cost <= out.cost))
             continue;
-        out = it;
-        highest = cost;
+        out = {.share = it, .cost = cost};
     }
     return out;
 }
 
-void RequestBuffers::makeRoom()
+RequestBuffers::Share *RequestBuffers::nextToGiveWay() const
 {
     const std::size_t firstLarge = sizeClassOf(m_limit / SmallFraction) + 1;
+    const Candidate request = mostExpensive(m_requests, firstLarge, Classes - 1, Duration::zero());
+    const Candidate unread = mostExpensive(m_answers, firstLarge, Classes - 1, StallTime);
+    if (request.share || unread.share)
+        return request.cost > unread.cost ? request.share : unread.share;
+    const Candidate answer = mostExpensive(m_answers, firstLarge, Classes - 1, Duration::zero());
+    if (answer.share)
+        return answer.share;
+    const Candidate small = mostExpensive(m_requests, 1, firstLarge - 1, Duration::zero());
+    if (small.share)
+        return small.share;
+    return mostExpensive(m_answers, 1, firstLarge - 1, Duration::zero()).share;
+}
+
+void RequestBuffers::makeRoom()
+{
     while (used() > m_limit) {
-        Share *it = mostExpensive(firstLarge, Classes - 1);
-        if (!it)
-            it = mostExpensive(1, firstLarge - 1);
+        Share *it = nextToGiveWay();
         if (!it)
             return;
         it->clear();
--- a/src/Decide/RequestBuffers.h
+++ b/src/Decide/RequestBuffers.h
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <list>
 
@@ -23,7 +24,9 @@
 /// Addresses don't matter: callers behind one gateway share theirs, and a crowd may have many.
 ///
 /// A request that is being handled never gives way, because it may have run. It is refused before
-/// instead, if it doesn't fit beside the others that are being handled.
+/// instead, if it doesn't fit beside the others that are being handled. Its answer gives way only
+/// when the caller has stopped reading it, or when no incomplete request is left that frees as
+/// much: that one has not run and can be sent again.
 ///
 /// Updates take constant time.
 class RequestBuffers
@@ -39,6 +42,12 @@
     RequestBuffers(const RequestBuffers &) = delete;
     RequestBuffers &operator=(const RequestBuffers &) = delete;
 
+    /// What a connection holds that is not being handled.
+    enum class Content : std::uint8_t {
+        Request, ///< That is being received.
+        Answer, ///< That is not read yet.
+    };
+
     /// \brief The memory of one connection; empty again when it is destroyed.
     class Share
     {
@@ -52,7 +61,7 @@
 
         /// \brief Sets the bytes of a request that is being received, or of an answer that is not
         /// read. Shares that don't fit any more give way, which may include this one.
-        void hold(std::size_t size);
+        void hold(std::size_t size, Content content = Content::Request);
 
         /// \brief Sets the bytes of the request that is being handled, 0 at its end.
         /// \returns false if it doesn't fit; it must be refused then.
@@ -67,14 +76,18 @@
         using Node = std::list<Share *>;
 
         void classify(std::size_t sizeClass);
+        void noteSent(std::size_t bytes);
         void clear();
 
         RequestBuffers &m_buffers;
         std::function<void()> m_giveUp;
         std::size_t m_held = 0;
         std::size_t m_running = 0;
+        Content m_content = Content::Request; ///< Of m_held.
         std::size_t m_class = 0; ///< Of m_held; 0: nothing to give up.
-        TimePoint m_since; ///< Begin of the time in this size class.
+        /// Begin of the time in this size class, or of the time without progress of an answer.
+        TimePoint m_since;
+        std::size_t m_sent = 0; ///< Bytes of the answer since then.
         bool m_isGivenUp = false;
         Node m_node; ///< The only element, while the share is in no class.
         Node::iterator m_position;
@@ -87,14 +100,31 @@
 private:
     static constexpr std::size_t Classes = 8 * sizeof(std::size_t) + 1;
 
-    Share *mostExpensive(std::size_t firstClass, std::size_t lastClass) const;
+    /// Shares by size class, oldest first.
+    using ShareLists = std::array<Share::Node, Classes>;
+
+    /// A share that could give way.
+    struct Candidate
+    {
+        Share *share = nullptr;
+        double cost = 0;
+    };
+
+    ShareLists &lists(Content content)
+    {
+        return content == Content::Answer ? m_answers : m_requests;
+    }
+    Candidate mostExpensive(const ShareLists &lists, std::size_t firstClass, std::size_t lastClass,
+                            Duration minAge) const;
+    Share *nextToGiveWay() const;
     void makeRoom();
 
     const Clock &m_clock;
     std::size_t m_limit;
     std::size_t m_held = 0;
     std::size_t m_running = 0;
-    std::array<Share::Node, Classes> m_classes = {}; ///< By size class, oldest first.
+    ShareLists m_requests = {};
+    ShareLists m_answers = {};
 };
 
 } // namespace catkinloft
--- a/src/Net/HttpExchange.cpp
+++ b/src/Net/HttpExchange.cpp
@@ -18,8 +18,8 @@
 namespace {
 
 /// Bytes of a pipelined request that are read until the previous answer was sent. They are read
-/// only so that a closed connection is detected.
-constexpr std::size_t MaxReadAhead = 64 * 1024;
+/// only so that a closed connection is detected, and RequestBuffers doesn't count them.
+constexpr std::size_t MaxReadAhead = 4 * 1024;
 
 std::string_view methodName(evhttp_cmd_type type)
 {
--- a/src/Net/internal/ListenerConnection.cpp
+++ b/src/Net/internal/ListenerConnection.cpp
@@ -345,9 +345,12 @@
     // A request that was passed on counts as one that is being handled.
     if (m_isEnded || m_stage == Stage::Passed)
         return;
-    m_share.hold(evbuffer_get_length(m_input) + evbuffer_get_length(m_output)
-                 + evbuffer_get_length(m_head) + evbuffer_get_length(m_body)
-                 + evbuffer_get_length(m_readAhead) + m_trailer.size());
+    // The few bytes of a next request must not cost the answer to this one.
+    if (m_stage == Stage::Handling)
+        return m_share.hold(evbuffer_get_length(m_output), RequestBuffers::Content::Answer);
+    m_share.hold(evbuffer_get_length(m_input) + evbuffer_get_length(m_head)
+                 + evbuffer_get_length(m_body) + evbuffer_get_length(m_readAhead)
+                 + m_trailer.size());
 }
 
 /// Writes past the output buffer, whose end evhttp would take for the end of an answer.
--- a/test/RequestBuffersTest.cpp
+++ b/test/RequestBuffersTest.cpp
@@ -200,3 +200,56 @@
     CHECK_FALSE(caller->share->run(MebiByte));
     CHECK(buffers.used() == 0);
 }
+
+// Guards against answers to requests that ran which are cut off while they are read, in favour of a
+// crowd of incomplete requests.
+TEST_CASE_FIXTURE(RequestBuffersFixture, "requestBuffers_answerIsReadSlowly_crowdGivesWayBeforeIt")
+{
+    using Content = RequestBuffers::Content;
+    constexpr std::size_t BytesPerStep = 100 * KibiByte;
+    const CallerPtr reader = newCaller();
+    reader->share->hold(24 * MebiByte, Content::Answer);
+    while (reader->share->held() > 0) {
+        clock.advance(400ms);
+        crowd.clear();
+        addCrowd(60, 4 * MebiByte);
+        const std::size_t held = reader->share->held();
+        reader->share->hold(held - std::min(held, BytesPerStep), Content::Answer);
+        REQUIRE_FALSE(reader->isEnded);
+    }
+    CHECK(highest <= Limit);
+}
+
+// Guards against memory that is taken for good by callers that don't read their answers, or only a
+// byte now and then.
+TEST_CASE_FIXTURE(RequestBuffersFixture, "requestBuffers_answersAreNotRead_theyGiveWayToRequests")
+{
+    using Content = RequestBuffers::Content;
+    for (int i = 0; i < 20; ++i) {
+        crowd.push_back(newCaller());
+        crowd.back()->share->hold(5 * MebiByte, Content::Answer);
+    }
+    CHECK(buffers.used() <= Limit);
+    for (int i = 0; i < 20; ++i) {
+        clock.advance(1s);
+        for (const CallerPtr &it : crowd)
+            it->share->hold(it->share->held() - std::min<std::size_t>(it->share->held(), 1),
+                            Content::Answer);
+    }
+    const CallerPtr caller = newCaller();
+    CHECK(send(*caller, 16 * MebiByte, 64 * KibiByte, 1ms));
+    CHECK(highest <= Limit);
+}
+
+// Guards against a limit that answers exceed while all of them are being read.
+TEST_CASE_FIXTURE(RequestBuffersFixture, "requestBuffers_answersBeingReadExceedLimit_sumIsBounded")
+{
+    for (int i = 0; i < 40; ++i) {
+        crowd.push_back(newCaller());
+        crowd.back()->share->hold(5 * MebiByte, RequestBuffers::Content::Answer);
+        CHECK(buffers.used() <= Limit);
+    }
+    CHECK(endedOfCrowd() == 21);
+    const CallerPtr caller = newCaller();
+    CHECK(send(*caller, 8 * KibiByte, KibiByte, 1ms));
+}
