A connection that is closed behind its answer is not reset

Callers that send on while their answer is on its way lost the end of it. Cause: a connection that the router closes behind an answer (Connection: close, as every router that stops does) was closed with unread bytes, or received some after that; either resets it, and the reset discards what is still on its way. The sending side is closed first now, and what arrives is discarded until the caller closes its side too, two seconds at most and for 64 connections of a listener at a time.

--- a/src/Net/HttpServer.cpp
+++ b/src/Net/HttpServer.cpp
@@ -7,7 +7,9 @@
 #include "Net/TlsContext.h"
 #include "Net/internal/ConnectionLimiter.h"
 #include "Net/internal/Dispatch.h"
+#include "Net/internal/LingeringClose.h"
 #include "Net/internal/ListenerConnection.h"
+#include "Net/internal/SocketBytes.h"
 #include "Net/internal/Timeval.h"
 #include "Net/internal/TlsStream.h"
 
@@ -92,6 +94,7 @@
     bool isClosing = false; ///< The listener is being destroyed.
     internal::ConnectionLimiter limiter;
     RequestBuffers ownBuffers{loop};
+    internal::LingeringClose lingering{loop};
     timeval idleTimeout = internal::toTimeval(options.limits.idleTimeout);
     Connection::Context context{
             .loop = loop,
@@ -100,6 +103,7 @@
                        .bodyBytes = options.limits.maxBodyBytes},
             .idleTimeout = idleTimeout,
             .requestIdHeader = options.requestIdHeader,
+            .lingering = lingering,
             .onClosed = [this](const evbuffer *input) { connections.erase(input); },
             .onEnded =
                     [this](Connection::End reason) {
@@ -277,9 +281,10 @@
 
 std::size_t HttpServer::pendingAnswers() const
 {
-    return static_cast<std::size_t>(
+    const auto out = static_cast<std::size_t>(
             std::count_if(m_d->connections.begin(), m_d->connections.end(),
                           [](const auto &it) { return it.second->isAnswerPending(); }));
+    return out + m_d->lingering.pendingAnswers();
 }
 
 void HttpServer::closeIdle()
--- /dev/null
+++ b/src/Net/internal/LingeringClose.cpp
@@ -0,0 +1,88 @@
+#include "Net/internal/LingeringClose.h"
+
+#include "Net/EventLoop.h"
+#include "Net/internal/SocketBytes.h"
+
+#include <algorithm>
+
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <event2/event.h>
+
+namespace catkinloft::internal {
+
+namespace {
+
+/// Some round trips of a slow path, in which the last bytes are sent again if they were lost.
+constexpr Duration LingerTime = std::chrono::seconds(2);
+
+/// A crowd of callers that go on sending must not take the descriptors of others.
+constexpr std::size_t MaxSockets = 64;
+
+} // namespace
+
+LingeringClose::LingeringClose(EventLoop &loop)
+    : m_loop(loop), m_timer(loop, [this] { removeExpired(); })
+{ }
+
+LingeringClose::~LingeringClose()
+{
+    while (!m_sockets.empty())
+        remove(m_sockets.begin());
+}
+
+void LingeringClose::add(int fd)
+{
+    if (m_sockets.size() >= MaxSockets)
+        remove(m_sockets.begin());
+    const int own = fcntl(fd, F_DUPFD_CLOEXEC, 0);
+    if (own < 0)
+        return;
+    shutdown(own, SHUT_WR);
+    m_sockets.push_back({.owner = this, .fd = own, .readable = nullptr, .since = m_loop.now()});
+    Socket &it = m_sockets.back();
+    it.readable = event_new(
+            m_loop.base(), own, EV_READ | EV_PERSIST,
+            [](evutil_socket_t, short, void *arg) {
+                auto *socket = static_cast<Socket *>(arg);
+                socket->owner->read(*socket);
+            },
+            &it);
+    event_add(it.readable, nullptr);
+    if (!m_timer.isPending())
+        m_timer.start(LingerTime);
+}
+
+std::size_t LingeringClose::pendingAnswers() const
+{
+    return static_cast<std::size_t>(
+            std::count_if(m_sockets.begin(), m_sockets.end(),
+                          [](const Socket &it) { return unacknowledgedBytes(it.fd) > 0; }));
+}
+
+void LingeringClose::read(Socket &it)
+{
+    if (discardReceived(it.fd))
+        return;
+    remove(std::find_if(m_sockets.begin(), m_sockets.end(),
+                        [&](const Socket &other) { return &other == &it; }));
+}
+
+void LingeringClose::remove(Sockets::iterator it)
+{
+    event_free(it->readable);
+    close(it->fd);
+    m_sockets.erase(it);
+}
+
+void LingeringClose::removeExpired()
+{
+    while (!m_sockets.empty() && m_loop.now() - m_sockets.front().since >= LingerTime)
+        remove(m_sockets.begin());
+    if (!m_sockets.empty())
+        m_timer.start(m_sockets.front().since + LingerTime - m_loop.now());
+}
+
+} // namespace catkinloft::internal
--- /dev/null
+++ b/src/Net/internal/LingeringClose.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "Base/Clock.h"
+#include "Net/Timer.h"
+
+#include <cstddef>
+#include <list>
+#include <memory>
+
+struct event;
+
+namespace catkinloft {
+class EventLoop;
+}
+
+namespace catkinloft::internal {
+
+/// \brief Closes connections so that their last answer arrives although the caller is still
+/// sending.
+///
+/// A socket that is closed with unread bytes, or receives bytes after that, resets the connection,
+/// and the reset discards what the caller has not received yet. So only the sending side is closed
+/// at first, and what arrives is discarded until the caller closes its side, too.
+class LingeringClose
+{
+public:
+    explicit LingeringClose(EventLoop &loop);
+    ~LingeringClose();
+    LingeringClose(const LingeringClose &) = delete;
+    LingeringClose &operator=(const LingeringClose &) = delete;
+
+    /// \brief Closes the sending side of the socket \a fd and keeps a descriptor of its own. The
+    /// caller closes \a fd. Without a further descriptor, nothing is kept.
+    void add(int fd);
+
+    /// \returns the number of sockets whose last answer has not been received completely.
+    std::size_t pendingAnswers() const;
+
+private:
+    struct Socket
+    {
+        LingeringClose *owner;
+        int fd;
+        event *readable;
+        TimePoint since;
+    };
+    using Sockets = std::list<Socket>;
+
+    void read(Socket &it);
+    void remove(Sockets::iterator it);
+    void removeExpired();
+
+    EventLoop &m_loop;
+    Sockets m_sockets; ///< Oldest first.
+    Timer m_timer;
+};
+
+} // namespace catkinloft::internal
--- a/src/Net/internal/ListenerConnection.cpp
+++ b/src/Net/internal/ListenerConnection.cpp
@@ -2,14 +2,14 @@
 
 #include "Net/EventLoop.h"
 #include "Net/HttpExchange.h"
+#include "Net/internal/LingeringClose.h"
+#include "Net/internal/SocketBytes.h"
 #include "Net/internal/TlsStream.h"
 
 #include <cerrno>
 #include <limits>
 #include <utility>
 
-#include <linux/sockios.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <event2/buffer.h>
@@ -21,9 +21,6 @@
 
 namespace {
 
-/// Bytes that are discarded by one system call.
-constexpr std::size_t DiscardedAtOnce = 1 << 20;
-
 /// Low watermark at which evhttp is not called.
 constexpr std::size_t Hold = std::numeric_limits<std::size_t>::max();
 
@@ -66,12 +63,6 @@
 
 } // namespace
 
-void discardReceived(int fd)
-{
-    // With MSG_TRUNC, TCP discards the bytes without a copy.
-    while (recv(fd, nullptr, DiscardedAtOnce, MSG_DONTWAIT | MSG_TRUNC) > 0) { }
-}
-
 ListenerConnection::ListenerConnection(Context &context, bufferevent *stream)
     : m_context(context), m_stream(stream), m_input(bufferevent_get_input(stream)),
       m_output(bufferevent_get_output(stream)), m_head(evbuffer_new()), m_body(evbuffer_new()),
@@ -134,6 +125,8 @@
     const auto self = shared_from_this();
     if (const std::optional<UnsentAnswer> unsent = unsentAnswer())
         m_context.onAnswerCut(cutReason(), *unsent);
+    else if (m_isAnswered && (hasUnreadBytes(fd()) || unacknowledgedBytes(fd()) > 0))
+        m_context.lingering.add(fd());
     if (m_exchange)
         std::exchange(m_exchange, nullptr)->connectionClosed();
     m_context.onClosed(m_input);
@@ -151,9 +144,7 @@
 bool ListenerConnection::isAnswerPending() const
 {
     // Bytes that the caller has not acknowledged are lost if the VM ends with the process.
-    int unacknowledged = 0;
-    return m_stage == Stage::Handling
-            || (ioctl(fd(), SIOCOUTQ, &unacknowledged) == 0 && unacknowledged > 0);
+    return m_stage == Stage::Handling || unacknowledgedBytes(fd()) > 0;
 }
 
 void ListenerConnection::closeIfIdle()
@@ -186,6 +177,7 @@
     m_context.loop.noteProgress();
     if (m_isComposing)
         return;
+    m_isAnswered = false;
     if (m_isEnded)
         drain(m_input);
     else if (m_stage == Stage::Reading)
@@ -316,6 +308,7 @@
 void ListenerConnection::answered()
 {
     m_stage = Stage::Reading;
+    m_isAnswered = true;
     m_scanner = RequestScanner(m_context.limits);
     m_scannedBytes = 0;
     m_share.run(0);
--- a/src/Net/internal/ListenerConnection.h
+++ b/src/Net/internal/ListenerConnection.h
@@ -27,9 +27,7 @@
 
 namespace catkinloft::internal {
 
-/// \brief Discards what \a fd, which was shut down, has received; the kernel accepts nothing after
-/// that.
-void discardReceived(int fd);
+class LingeringClose;
 
 /// \brief One accepted connection of a listener, between its stream and evhttp.
 ///
@@ -59,6 +57,7 @@
         RequestScanner::Limits limits;
         const timeval &idleTimeout; ///< While no answer is pending.
         const std::string &requestIdHeader; ///< Empty: requests are not identified.
+        LingeringClose &lingering;
         /// Called when the connection is closed; destroys it.
         std::function<void(const evbuffer *input)> onClosed;
         std::function<void(End)> onEnded;
@@ -145,6 +144,7 @@
     Stage m_stage = Stage::Reading;
     bool m_isEnded = false;
     bool m_isGivenUp = false;
+    bool m_isAnswered = false; ///< No byte has arrived since the last answer was sent.
     bool m_isComposing = false;
     HttpExchange *m_exchange = nullptr;
     std::string m_requestId; ///< Of the request that is handled.
--- /dev/null
+++ b/src/Net/internal/SocketBytes.cpp
@@ -0,0 +1,43 @@
+#include "Net/internal/SocketBytes.h"
+
+#include <cerrno>
+
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+
+namespace catkinloft::internal {
+
+namespace {
+
+/// Bytes that are discarded by one system call, and calls in a row, so that a caller that sends
+/// faster than it is read doesn't hold up the others.
+constexpr std::size_t DiscardedAtOnce = 1 << 20;
+constexpr int MaxCalls = 16;
+
+} // namespace
+
+bool discardReceived(int fd)
+{
+    for (int i = 0; i < MaxCalls; ++i) {
+        // With MSG_TRUNC, TCP discards the bytes without a copy.
+        const ssize_t n = recv(fd, nullptr, DiscardedAtOnce, MSG_DONTWAIT | MSG_TRUNC);
+        if (n <= 0)
+            return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    }
+    return true;
+}
+
+std::size_t unacknowledgedBytes(int fd)
+{
+    int out = 0;
+    return ioctl(fd, SIOCOUTQ, &out) == 0 && out > 0 ? static_cast<std::size_t>(out) : 0;
+}
+
+bool hasUnreadBytes(int fd)
+{
+    char byte = 0;
+    return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+} // namespace catkinloft::internal
--- /dev/null
+++ b/src/Net/internal/SocketBytes.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <cstddef>
+
+namespace catkinloft::internal {
+
+/// \brief Discards what the socket \a fd has received.
+/// \returns false if its peer has closed it or it has failed.
+bool discardReceived(int fd);
+
+/// \returns the bytes that were written to the socket \a fd and that its peer has not acknowledged.
+std::size_t unacknowledgedBytes(int fd);
+
+/// \returns whether the socket \a fd has received bytes that were not read.
+bool hasUnreadBytes(int fd);
+
+} // namespace catkinloft::internal
--- a/test/KeptConnectionTest.cpp
+++ b/test/KeptConnectionTest.cpp
@@ -284,3 +284,22 @@
         }));
     }
 }
+
+// Guards against an answer that is cut off by the reset of a connection that is closed behind it
+// while bytes of the caller are unread.
+TEST_CASE_FIXTURE(KeptConnectionFixture, "listener_closesWithUnreadBytes_lastAnswerArrives")
+{
+    RawCaller caller(port);
+    const std::string next = request(1'000'000, false);
+    const std::string text = "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n" + next;
+    std::size_t sent = 0;
+    bool isClosed = false;
+    until([&] {
+        if (sent < text.size())
+            sent += caller.sendSome(text.substr(sent));
+        isClosed = caller.readSome(256 * 1024);
+        return isClosed;
+    });
+    CHECK(isClosed);
+    CHECK(caller.received.size() > LongAnswer);
+}
