Stand-ins: Crowd is usable outside of tests, and replicas answer with a given length

Cause: the soak needs crowds of half bodies and answers of some megabytes. Crowd was in test/integration, which only the integration tests compile.

Change: Crowd moves to standin/fleet and its namespace, unchanged otherwise. The answer of a replica stand-in to a call has at least the length that the query parameter `bytes` gives.

--- a/standin/ReplicaStandin.cpp
+++ b/standin/ReplicaStandin.cpp
@@ -2,6 +2,7 @@
 
 #include "Base/Hash.h"
 
+#include <algorithm>
 #include <cstdlib>
 
 #include <fmt/format.h>
@@ -240,8 +241,9 @@
 
 void ReplicaStandin::answerCall(const HttpExchangePtr &exchange)
 {
-    const std::string body =
+    std::string body =
             fmt::format("{} answered by {}", exchange->header("X-Request-Id"), m_options.id);
+    body.resize(std::max(body.size(), std::size_t(exchange->queryNumber("bytes"))), '.');
     const int status = shouldInject("fail") ? 500 : 200;
     const auto work = static_cast<double>(exchange->queryNumber("work_ms"));
     const double ms = work > 0 ? work : faultValue("call_ms");
--- a/test/integration/Crowd.cpp
+++ b/standin/fleet/Crowd.cpp
@@ -1,4 +1,4 @@
-#include "Crowd.h"
+#include "fleet/Crowd.h"
 
 #include "SocketAddress.h"
 
@@ -14,7 +14,7 @@
 #include <sys/time.h>
 #include <unistd.h>
 
-namespace catkinloft {
+namespace catkinloft::standin {
 
 namespace {
 
@@ -45,7 +45,7 @@
 
 Crowd::Crowd(Options options) : m_options(std::move(options))
 {
-    m_port = ntohs(standin::socketAddress(m_options.address).sin_port);
+    m_port = ntohs(socketAddress(m_options.address).sin_port);
     for (int i = 0; i < m_options.connections; ++i) {
         const int fd = open();
         if (fd < 0)
@@ -69,7 +69,7 @@
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &Enabled, sizeof Enabled);
     // Also bounds the time that connect() takes.
     setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &ConnectTimeout, sizeof ConnectTimeout);
-    const sockaddr_in address = standin::socketAddress(m_options.address);
+    const sockaddr_in address = socketAddress(m_options.address);
     if (connect(fd, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0)
         return fd;
     ::close(fd);
@@ -161,4 +161,4 @@
     return out;
 }
 
-} // namespace catkinloft
+} // namespace catkinloft::standin
--- a/test/integration/Crowd.h
+++ b/standin/fleet/Crowd.h
@@ -9,7 +9,7 @@
 
 #include <sys/types.h>
 
-namespace catkinloft {
+namespace catkinloft::standin {
 
 /// \brief Connections that all send the same bytes, from one thread and without blocking. They stay
 /// open until this object is destroyed.
@@ -78,4 +78,4 @@
     double m_sentMore = 0; ///< Bytes of sendMore().
 };
 
-} // namespace catkinloft
+} // namespace catkinloft::standin
--- a/test/integration/CrowdTest.cpp
+++ b/test/integration/CrowdTest.cpp
@@ -1,4 +1,4 @@
-#include "Crowd.h"
+#include "fleet/Crowd.h"
 #include "../Certificates.h"
 #include "Net/Net.h"
 #include "Net/TlsContext.h"
@@ -33,6 +33,7 @@
 using namespace catkinloft;
 using namespace std::chrono_literals;
 using standin::ChildProcess;
+using standin::Crowd;
 using standin::EntryFleet;
 using standin::Fleet;
 
