Requests are admitted beside the answers that are being read, not instead of them

Requests in progress leave an eighth of the limit to answers now, and are refused, with the promise that they did not run, if they don't fit beside answers that are being read; answers within that reserve never give way. Answers beyond half of the limit give way like requests, by size and age, so that a few callers who read very slowly don't keep others from sending.

--- a/src/Decide/RequestBuffers.cpp
+++ b/src/Decide/RequestBuffers.cpp
@@ -19,6 +19,12 @@
 /// beside them.
 constexpr std::size_t CalmFraction = 4;
 
+/// Part of the limit that requests in progress leave to answers.
+constexpr std::size_t ReserveFraction = 8;
+
+/// Part of the limit that answers take before those that are being read give way like requests.
+constexpr std::size_t AnswerFraction = 2;
+
 /// Bytes of an answer that count as progress. A caller that reads less of it now and then keeps its
 /// memory taken.
 constexpr std::size_t ProgressBytes = std::size_t(64) * 1024;
@@ -48,7 +54,7 @@
 void RequestBuffers::Share::clear()
 {
     classify(0);
-    m_buffers.m_held -= std::exchange(m_held, 0);
+    resize(0);
     m_buffers.m_running -= std::exchange(m_running, 0);
 }
 
@@ -56,12 +62,13 @@
 {
     if (m_isGivenUp || (size == m_held && content == m_content))
         return;
+    const std::size_t before = m_held;
     if (content != m_content) {
         classify(0);
+        resize(0);
         m_content = content;
     }
-    const std::size_t before = std::exchange(m_held, size);
-    m_buffers.m_held += size - before;
+    resize(size);
     // A connection whose memory shrinks a little now and then does not become young again.
     if (const std::size_t it = sizeClassOf(size); it == 0 || it > m_class)
         classify(it);
@@ -71,6 +78,14 @@
         m_buffers.makeRoom();
 }
 
+void RequestBuffers::Share::resize(std::size_t size)
+{
+    const std::size_t before = std::exchange(m_held, size);
+    m_buffers.m_held += size - before;
+    if (m_content == Content::Answer)
+        m_buffers.m_answerBytes += size - before;
+}
+
 void RequestBuffers::Share::noteSent(std::size_t bytes)
 {
     m_sent += bytes;
@@ -87,7 +102,7 @@
         return false;
     const std::size_t others = m_buffers.m_running - m_running;
     if (size > m_running && others > m_buffers.m_limit / CalmFraction
-        && others + size > m_buffers.m_limit)
+        && !m_buffers.makeRoomToRun(others + size))
         return false;
     m_buffers.m_running = others + size;
     m_running = size;
@@ -128,20 +143,41 @@
     return out;
 }
 
+std::size_t RequestBuffers::firstLarge() const
+{
+    return sizeClassOf(m_limit / SmallFraction) + 1;
+}
+
+std::size_t RequestBuffers::reserve() const
+{
+    return m_limit / ReserveFraction;
+}
+
+RequestBuffers::Candidate RequestBuffers::unprotectedAnswer() const
+{
+    const bool areTooMany = m_answerBytes > m_limit / AnswerFraction;
+    return mostExpensive(m_answers, firstLarge(), Classes - 1,
+                         areTooMany ? Duration::zero() : StallTime);
+}
+
 RequestBuffers::Share *RequestBuffers::nextToGiveWay() const
 {
-    const std::size_t firstLarge = sizeClassOf(m_limit / SmallFraction) + 1;
-    const Candidate request = mostExpensive(m_requests, firstLarge, Classes - 1, Duration::zero());
-    const Candidate unread = mostExpensive(m_answers, firstLarge, Classes - 1, StallTime);
-    if (request.share || unread.share)
-        return request.cost > unread.cost ? request.share : unread.share;
-    const Candidate answer = mostExpensive(m_answers, firstLarge, Classes - 1, Duration::zero());
-    if (answer.share)
-        return answer.share;
-    const Candidate small = mostExpensive(m_requests, 1, firstLarge - 1, Duration::zero());
-    if (small.share)
+    const Candidate request =
+            mostExpensive(m_requests, firstLarge(), Classes - 1, Duration::zero());
+    const Candidate answer = unprotectedAnswer();
+    if (request.share || answer.share)
+        return request.cost > answer.cost ? request.share : answer.share;
+    const Candidate small = mostExpensive(m_requests, 1, firstLarge() - 1, Duration::zero());
+    if (small.share || m_answerBytes <= reserve())
         return small.share;
-    return mostExpensive(m_answers, 1, firstLarge - 1, Duration::zero()).share;
+    return mostExpensive(m_answers, 1, Classes - 1, Duration::zero()).share;
+}
+
+void RequestBuffers::giveWay(Share &it)
+{
+    it.clear();
+    it.m_isGivenUp = true;
+    it.m_giveUp();
 }
 
 void RequestBuffers::makeRoom()
@@ -150,10 +186,20 @@
         Share *it = nextToGiveWay();
         if (!it)
             return;
-        it->clear();
-        it->m_isGivenUp = true;
-        it->m_giveUp();
+        giveWay(*it);
     }
 }
 
+/// \returns whether requests in progress may take \a size bytes together.
+bool RequestBuffers::makeRoomToRun(std::size_t size)
+{
+    while (size + std::max(m_answerBytes, reserve()) > m_limit) {
+        Share *it = unprotectedAnswer().share;
+        if (!it)
+            return false;
+        giveWay(*it);
+    }
+    return true;
+}
+
 } // namespace catkinloft
--- a/src/Decide/RequestBuffers.h
+++ b/src/Decide/RequestBuffers.h
@@ -24,9 +24,12 @@
 /// Addresses don't matter: callers behind one gateway share theirs, and a crowd may have many.
 ///
 /// A request that is being handled never gives way, because it may have run. It is refused before
-/// instead, if it doesn't fit beside the others that are being handled. Its answer gives way only
-/// when the caller has stopped reading it, or when no incomplete request is left that frees as
-/// much: that one has not run and can be sent again.
+/// instead, if it doesn't fit beside the others that are being handled, the answers, and a reserve
+/// for further answers.
+///
+/// An answer that its caller is reading gives way last, because its request has run, while an
+/// incomplete request can be sent again. That holds for half of the limit, so that callers who read
+/// slowly don't keep others from sending. Answers that fit into the reserve never give way.
 ///
 /// Updates take constant time.
 class RequestBuffers
@@ -76,6 +79,7 @@
         using Node = std::list<Share *>;
 
         void classify(std::size_t sizeClass);
+        void resize(std::size_t size);
         void noteSent(std::size_t bytes);
         void clear();
 
@@ -110,18 +114,24 @@
         double cost = 0;
     };
 
+    std::size_t firstLarge() const; ///< Size class of the smallest shares that are not small.
     ShareLists &lists(Content content)
     {
         return content == Content::Answer ? m_answers : m_requests;
     }
     Candidate mostExpensive(const ShareLists &lists, std::size_t firstClass, std::size_t lastClass,
                             Duration minAge) const;
+    Candidate unprotectedAnswer() const;
     Share *nextToGiveWay() const;
+    static void giveWay(Share &it);
     void makeRoom();
+    bool makeRoomToRun(std::size_t size);
+    std::size_t reserve() const; ///< For answers.
 
     const Clock &m_clock;
     std::size_t m_limit;
     std::size_t m_held = 0;
+    std::size_t m_answerBytes = 0; ///< The part of m_held that is answers.
     std::size_t m_running = 0;
     ShareLists m_requests = {};
     ShareLists m_answers = {};
--- a/test/ListenerMemoryTest.cpp
+++ b/test/ListenerMemoryTest.cpp
@@ -359,3 +359,31 @@
     CHECK(until([&] { return caller.read() || caller.received.ends_with(answer); }));
     CHECK(caller.received.starts_with("HTTP/1.1 200"));
 }
+
+// Guards against requests that ran and get no answer, because whole requests that were admitted
+// later fill the memory while replicas work on them.
+TEST_CASE_FIXTURE(ListenerMemoryFixture, "listener_requestsInProgressFillMemory_answersAreComplete")
+{
+    keepsExchanges = true;
+    RawCaller first(port);
+    first.send(Ordinary);
+    REQUIRE(until([&] { return exchanges.size() == 1; }));
+    const HttpExchangePtr stream = exchanges.front();
+    stream->beginStream(200, {});
+    std::vector<std::unique_ptr<RawCaller>> uploads;
+    for (std::size_t body = MaxBody; body >= 1024; body /= 4) {
+        for (int i = 0; i < 8; ++i) {
+            uploads.push_back(std::make_unique<RawCaller>(port));
+            const std::string head = "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: ";
+            sendAll(*uploads.back(),
+                    head + std::to_string(body) + "\r\n\r\n" + std::string(body, 'b'));
+            settle();
+        }
+    }
+    stream->write(std::string(8 * 1024, 'e'));
+    settle();
+    stream->end();
+    CHECK(until([&] { return first.read() || first.received.ends_with("0\r\n\r\n"); }));
+    CHECK(first.received.ends_with("0\r\n\r\n"));
+    CHECK(highest <= MaxMemory);
+}
