The reason for which an answer was cut off does not depend on the state of the socket

There is no timeout until an answer is complete; then the time since the last byte tells. Result: listener_callerLeaves_reasonAndRequestAreReported, and the existing test of the timeout checks the reason, too.

--- a/src/Net/internal/ListenerConnection.cpp
+++ b/src/Net/internal/ListenerConnection.cpp
@@ -4,9 +4,9 @@
 #include "Net/HttpExchange.h"
 #include "Net/internal/LingeringClose.h"
 #include "Net/internal/SocketBytes.h"
+#include "Net/internal/Timeval.h"
 #include "Net/internal/TlsStream.h"
 
-#include <cerrno>
 #include <limits>
 #include <utility>
 
@@ -80,6 +80,7 @@
             m_output,
             [](evbuffer *, const evbuffer_cb_info *, void *self) {
                 auto *it = static_cast<ListenerConnection *>(self);
+                it->m_sentAt = it->m_context.loop.now();
                 it->m_context.loop.noteProgress();
                 it->updateShare();
             },
@@ -165,11 +166,11 @@
         return AnswerCut::Memory;
     if (m_isGivenUp)
         return AnswerCut::BrokenOff;
-    // At the end of the input or after an error, the system would not ask to try again.
-    char byte = 0;
-    const bool isOpen = recv(fd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0 || errno == EAGAIN
-            || errno == EWOULDBLOCK;
-    return isOpen ? AnswerCut::Timeout : AnswerCut::Caller;
+    // Until the answer is complete there is no timeout. libevent counts it from the begin of a
+    // turn.
+    const Duration limit = toDuration(m_context.idleTimeout) * 9 / 10;
+    const bool isTimeout = !m_exchange && m_context.loop.now() - m_sentAt >= limit;
+    return isTimeout ? AnswerCut::Timeout : AnswerCut::Caller;
 }
 
 void ListenerConnection::inputAdded()
--- a/src/Net/internal/ListenerConnection.h
+++ b/src/Net/internal/ListenerConnection.h
@@ -149,6 +149,7 @@
     HttpExchange *m_exchange = nullptr;
     std::string m_requestId; ///< Of the request that is handled.
     TimePoint m_headSince;
+    TimePoint m_sentAt; ///< Last change of the bytes to send.
     std::list<ListenerConnection *> m_headNode; ///< The only element, while no head is incomplete.
     std::list<ListenerConnection *>::iterator m_headPosition;
     bool m_isHeadListed = false;
--- a/src/Net/internal/Timeval.h
+++ b/src/Net/internal/Timeval.h
@@ -15,4 +15,9 @@
             .tv_usec = static_cast<suseconds_t>(micros.count() % 1'000'000)};
 }
 
+inline Duration toDuration(const timeval &it)
+{
+    return std::chrono::seconds(it.tv_sec) + std::chrono::microseconds(it.tv_usec);
+}
+
 } // namespace catkinloft::internal
--- a/test/KeptConnectionTest.cpp
+++ b/test/KeptConnectionTest.cpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include <fmt/format.h>
 #include <unistd.h>
@@ -32,11 +33,18 @@
         for (port = 21'400; port < 21'800 && !server; ++port) {
             auto it = std::make_unique<HttpServer>(
                     loop,
-                    HttpServer::Options{.address = fmt::format("127.0.0.1:{}", port),
-                                        .limits = {.maxHeaderBytes = 8192,
-                                                   .maxBodyBytes = MaxBody,
-                                                   .maxConnections = 100,
-                                                   .idleTimeout = idleTimeout}},
+                    HttpServer::Options{
+                            .address = fmt::format("127.0.0.1:{}", port),
+                            .limits = {.maxHeaderBytes = 8192,
+                                       .maxBodyBytes = MaxBody,
+                                       .maxConnections = 100,
+                                       .idleTimeout = idleTimeout},
+                            .requestIdHeader = "X-Request-Id",
+                            .onAnswerCut =
+                                    [this](AnswerCut reason, const UnsentAnswer &answer) {
+                                        cuts.emplace_back(answerCutName(reason));
+                                        lastCut = answer;
+                                    }},
                     [this](const HttpExchangePtr &exchange) {
                         loop.after(5ms, [exchange] {
                             if (exchange->method() == "GET")
@@ -106,6 +114,8 @@
     }
 
     EventLoop loop;
+    std::vector<std::string> cuts; ///< Reasons.
+    UnsentAnswer lastCut;
     std::unique_ptr<HttpServer> server;
     std::uint16_t port = 0;
 };
@@ -248,6 +258,7 @@
     run(3 * IdleTimeout);
     CHECK(until([&] { return silent.read(); }, 10 * IdleTimeout));
     CHECK(silent.received.size() < LongAnswer);
+    CHECK(cuts == std::vector<std::string>{"timeout"});
     RawCaller slow(port);
     slow.send(get);
     for (int i = 0; i < 8; ++i) {
@@ -303,3 +314,25 @@
     CHECK(isClosed);
     CHECK(caller.received.size() > LongAnswer);
 }
+
+// Guards against a caller that leaves being taken for one that reads too slowly, or the reverse.
+TEST_CASE_FIXTURE(KeptConnectionFixture, "listener_callerLeaves_reasonAndRequestAreReported")
+{
+    for (const bool hasAnswer : {false, true}) {
+        CAPTURE(hasAnswer);
+        cuts.clear();
+        {
+            RawCaller caller(port);
+            caller.send("GET / HTTP/1.1\r\nHost: x\r\nX-Request-Id: r-7\r\n\r\n");
+            until([&] {
+                caller.readSome(1);
+                return hasAnswer ? !caller.received.empty() : !server->unsentAnswers().empty();
+            });
+        }
+        CHECK(until([&] { return !cuts.empty(); }));
+        CHECK(cuts == std::vector<std::string>{"caller"});
+        CHECK(lastCut.requestId == "r-7");
+        CHECK(lastCut.isComplete == hasAnswer);
+        CHECK((lastCut.bytes > 0) == hasAnswer);
+    }
+}
