A stop waits for answers whose connection is closed behind them

Each answer of a router that stops closes its connection. Evidence: listener_closesAfterAnswerThatIsReadSlowly_answerIsPending failed before and passes.

--- a/src/Net/internal/LingeringClose.cpp
+++ b/src/Net/internal/LingeringClose.cpp
@@ -15,16 +15,16 @@
 
 namespace {
 
-/// Some round trips of a slow path, in which the last bytes are sent again if they were lost.
+/// Time without progress. Some round trips of a slow path, in which lost bytes are sent again.
 constexpr Duration LingerTime = std::chrono::seconds(2);
 
 /// A crowd of callers that go on sending must not take the descriptors of others.
-constexpr std::size_t MaxSockets = 64;
+constexpr std::size_t MaxSockets = 512;
 
 } // namespace
 
 LingeringClose::LingeringClose(EventLoop &loop)
-    : m_loop(loop), m_timer(loop, [this] { removeExpired(); })
+    : m_loop(loop), m_timer(loop, [this] { checkProgress(); })
 { }
 
 LingeringClose::~LingeringClose()
@@ -41,7 +41,11 @@
     if (own < 0)
         return;
     shutdown(own, SHUT_WR);
-    m_sockets.push_back({.owner = this, .fd = own, .readable = nullptr, .since = m_loop.now()});
+    m_sockets.push_back({.owner = this,
+                         .fd = own,
+                         .readable = nullptr,
+                         .checkedAt = m_loop.now(),
+                         .unacknowledged = unacknowledgedBytes(own)});
     Socket &it = m_sockets.back();
     it.readable = event_new(
             m_loop.base(), own, EV_READ | EV_PERSIST,
@@ -77,12 +81,22 @@
     m_sockets.erase(it);
 }
 
-void LingeringClose::removeExpired()
+void LingeringClose::checkProgress()
 {
-    while (!m_sockets.empty() && m_loop.now() - m_sockets.front().since >= LingerTime)
-        remove(m_sockets.begin());
+    const TimePoint now = m_loop.now();
+    while (!m_sockets.empty() && now - m_sockets.front().checkedAt >= LingerTime) {
+        Socket &it = m_sockets.front();
+        const std::size_t left = unacknowledgedBytes(it.fd);
+        if (left == 0 || left >= it.unacknowledged) {
+            remove(m_sockets.begin());
+            continue;
+        }
+        it.checkedAt = now;
+        it.unacknowledged = left;
+        m_sockets.splice(m_sockets.end(), m_sockets, m_sockets.begin());
+    }
     if (!m_sockets.empty())
-        m_timer.start(m_sockets.front().since + LingerTime - m_loop.now());
+        m_timer.start(m_sockets.front().checkedAt + LingerTime - now);
 }
 
 } // namespace catkinloft::internal
--- a/src/Net/internal/LingeringClose.h
+++ b/src/Net/internal/LingeringClose.h
@@ -20,7 +20,8 @@
 ///
 /// A socket that is closed with unread bytes, or receives bytes after that, resets the connection,
 /// and the reset discards what the caller has not received yet. So only the sending side is closed
-/// at first, and what arrives is discarded until the caller closes its side, too.
+/// at first, and what arrives is discarded until the caller closes its side, too, or makes no
+/// progress for some seconds.
 class LingeringClose
 {
 public:
@@ -42,16 +43,17 @@
         LingeringClose *owner;
         int fd;
         event *readable;
-        TimePoint since;
+        TimePoint checkedAt;
+        std::size_t unacknowledged; ///< At that time.
     };
     using Sockets = std::list<Socket>;
 
     void read(Socket &it);
     void remove(Sockets::iterator it);
-    void removeExpired();
+    void checkProgress();
 
     EventLoop &m_loop;
-    Sockets m_sockets; ///< Oldest first.
+    Sockets m_sockets; ///< By time of the last check.
     Timer m_timer;
 };
 
--- a/test/KeptConnectionTest.cpp
+++ b/test/KeptConnectionTest.cpp
@@ -336,3 +336,66 @@
         CHECK((lastCut.bytes > 0) == hasAnswer);
     }
 }
+
+namespace {
+
+/// A listener whose handler keeps the exchange.
+struct StreamFixture : KeptConnectionFixture
+{
+    StreamFixture()
+    {
+        server.reset();
+        server = std::make_unique<HttpServer>(
+                loop, HttpServer::Options{.address = fmt::format("127.0.0.1:{}", port)},
+                [this](const HttpExchangePtr &it) { exchange = it; });
+        REQUIRE(server->listen());
+    }
+
+    /// Begins a stream to \a caller, which has sent \a ahead bytes of its next request.
+    void begin(RawCaller &caller, std::size_t ahead)
+    {
+        caller.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+        REQUIRE(until([&] { return exchange != nullptr; }));
+        exchange->beginStream(200, {});
+        exchange->write("event");
+        REQUIRE(until([&] {
+            caller.read();
+            return caller.received.find("event") != std::string::npos;
+        }));
+        const std::string next = request(ahead, false);
+        REQUIRE(caller.sendSome(next) == next.size());
+        const TimePoint end = loop.now() + 300ms;
+        until([&] { return loop.now() >= end; });
+    }
+
+    HttpExchangePtr exchange;
+};
+
+} // namespace
+
+// Guards against a process that ends while the last answer of a connection is still on its way. A
+// router that stops closes each connection behind its answer.
+TEST_CASE_FIXTURE(StreamFixture, "listener_closesAfterAnswerThatIsReadSlowly_answerIsPending")
+{
+    RawCaller caller(port);
+    caller.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    REQUIRE(until([&] { return exchange != nullptr; }));
+    const std::size_t length = 8 * 1024 * 1024;
+    exchange->closeAfterAnswer();
+    exchange->respond(200, {}, std::string(length, 'a'));
+    exchange.reset();
+    // The rest is in the buffers of the system then.
+    REQUIRE(until([&] {
+        caller.readSome(64 * 1024);
+        return server->unsentAnswers().empty();
+    }));
+    REQUIRE(caller.received.size() < length);
+    for (int i = 0; i < 8; ++i) {
+        CAPTURE(i);
+        const TimePoint end = loop.now() + 500ms;
+        until([&] { return loop.now() >= end; });
+        CHECK(server->pendingAnswers() > 0);
+        caller.readSome(64 * 1024);
+    }
+    REQUIRE(caller.received.size() < length);
+}
