--- a/src/Net/HttpExchange.cpp
+++ b/src/Net/HttpExchange.cpp
@@ -3,7 +3,6 @@
 #include "Net/internal/ListenerConnection.h"
 
 #include <charconv>
-#include <sys/socket.h>
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -17,10 +16,6 @@
 
 namespace {
 
-/// Bytes of a pipelined request that are read until the previous answer was sent. They are read
-/// only so that a closed connection is detected, and RequestBuffers doesn't count them.
-constexpr std::size_t MaxReadAhead = 4 * 1024;
-
 std::string_view methodName(evhttp_cmd_type type)
 {
     switch (type) {
@@ -79,7 +74,7 @@
     void *arg = nullptr;
     bufferevent_getcb(bev, nullptr, &onWrite, &onEvent, &arg);
     bufferevent_setcb(bev, nullptr, onWrite, onEvent, arg);
-    bufferevent_setwatermark(bev, EV_READ, 0, MaxReadAhead);
+    bufferevent_setwatermark(bev, EV_READ, 0, internal::ListenerConnection::MaxReadAhead);
     // The caller does not have to send anything while it waits, so there is no read timeout.
     bufferevent_set_timeouts(bev, nullptr, nullptr);
     bufferevent_enable(bev, EV_READ);
@@ -248,10 +243,7 @@
     m_onDrained = nullptr;
     if (!m_keepAlive)
         m_keepAlive = shared_from_this();
-    m_connection->answerGivenUp();
-    bufferevent *bev = evhttp_connection_get_bufferevent(evhttp_request_get_connection(m_request));
-    // After the socket is shut down, evhttp reads the end and cleans up by its own rules.
-    shutdown(bufferevent_getfd(bev), SHUT_RDWR);
+    m_connection->giveUpAnswer();
 }
 
 std::size_t HttpExchange::backlog() const
--- a/src/Net/internal/ListenerConnection.cpp
+++ b/src/Net/internal/ListenerConnection.cpp
@@ -91,6 +91,8 @@
 ListenerConnection::~ListenerConnection()
 {
     unlistHead();
+    if (m_endEvent)
+        event_free(m_endEvent);
     evbuffer_free(m_head);
     evbuffer_free(m_body);
     evbuffer_free(m_readAhead);
@@ -179,13 +181,45 @@
     if (m_isComposing)
         return;
     m_isAnswered = false;
-    if (m_isEnded)
+    if (m_isEnded || m_isDisconnected)
         drain(m_input);
     else if (m_stage == Stage::Reading)
         read();
+    else if (m_stage == Stage::Handling && evbuffer_get_length(m_input) >= MaxReadAhead)
+        watchForEnd();
     updateShare();
 }
 
+/// While reading is paused, the end of the connection is not read either.
+void ListenerConnection::watchForEnd()
+{
+    if (m_endEvent)
+        return;
+    m_endEvent = event_new(
+            m_context.loop.base(), fd(), EV_CLOSED,
+            [](evutil_socket_t, short, void *self) {
+                auto *it = static_cast<ListenerConnection *>(self);
+                if (it->m_stage == Stage::Handling)
+                    it->disconnect();
+            },
+            this);
+    event_add(m_endEvent, nullptr);
+}
+
+/// evhttp reads the end and frees the connection by its own rules.
+void ListenerConnection::disconnect()
+{
+    m_isDisconnected = true;
+    shutdown(fd(), SHUT_RDWR);
+    drain(m_input);
+}
+
+void ListenerConnection::giveUpAnswer()
+{
+    m_isGivenUp = true;
+    disconnect();
+}
+
 void ListenerConnection::read()
 {
     using State = RequestScanner::State;
--- a/src/Net/internal/ListenerConnection.h
+++ b/src/Net/internal/ListenerConnection.h
@@ -16,6 +16,7 @@
 #include <sys/time.h>
 
 struct bufferevent;
+struct event;
 struct evbuffer;
 struct evbuffer_cb_entry;
 struct evhttp_connection;
@@ -68,6 +69,11 @@
         std::list<ListenerConnection *> heads = {}; ///< With an incomplete head, oldest first.
     };
 
+    /// Bytes of a pipelined request that are read until the answer to the previous one was sent.
+    /// They are read only so that a closed connection is detected, and RequestBuffers doesn't count
+    /// them.
+    static constexpr std::size_t MaxReadAhead = std::size_t(4) * 1024;
+
     ListenerConnection(Context &context, bufferevent *stream);
     ~ListenerConnection();
     ListenerConnection(const ListenerConnection &) = delete;
@@ -82,8 +88,8 @@
     /// \brief Called when the answer is complete, but not yet sent.
     void answerComplete();
 
-    /// \brief Called when the handler gives the answer up, before the connection is closed.
-    void answerGivenUp() { m_isGivenUp = true; }
+    /// \brief Called when the handler gives the answer up. Closes the connection.
+    void giveUpAnswer();
 
     /// \brief Called when an answer was sent, before evhttp reads the next request.
     void answered();
@@ -113,6 +119,8 @@
     };
 
     void inputAdded();
+    void watchForEnd();
+    void disconnect();
     void read();
     void readHead();
     void readChunks();
@@ -135,6 +143,7 @@
     evbuffer *m_output;
     evbuffer_cb_entry *m_inputEntry = nullptr;
     evbuffer_cb_entry *m_outputEntry = nullptr;
+    event *m_endEvent = nullptr; ///< Exists once reading has paused before an answer was sent.
     evbuffer *m_head; ///< Of a request in chunks.
     evbuffer *m_body; ///< Chunks without their framing.
     evbuffer *m_readAhead; ///< Taken out of the input until evhttp waits for the next request.
@@ -144,6 +153,7 @@
     Stage m_stage = Stage::Reading;
     bool m_isEnded = false;
     bool m_isGivenUp = false;
+    bool m_isDisconnected = false; ///< Shut down, so that evhttp reads the end.
     bool m_isAnswered = false; ///< No byte has arrived since the last answer was sent.
     bool m_isComposing = false;
     HttpExchange *m_exchange = nullptr;
--- a/test/KeptConnectionTest.cpp
+++ b/test/KeptConnectionTest.cpp
@@ -373,6 +373,36 @@
 
 } // namespace
 
+// Guards against streams that go on for a caller who has left with a part of its next request sent.
+TEST_CASE_FIXTURE(StreamFixture, "listener_callerSendsAheadAndLeaves_handlerIsTold")
+{
+    for (const std::size_t ahead : {std::size_t(100), std::size_t(8 * 1024)}) {
+        CAPTURE(ahead);
+        exchange.reset();
+        bool isClosed = false;
+        {
+            RawCaller caller(port);
+            begin(caller, ahead);
+            exchange->onClosed([&] { isClosed = true; });
+        }
+        CHECK(until([&] { return isClosed; }, 3s));
+    }
+}
+
+// Guards against connections that stay open for good, and delay the stop of the process, because
+// the end of an answer that is given up is not noticed.
+TEST_CASE_FIXTURE(StreamFixture, "listener_streamIsGivenUpWithRequestAhead_connectionIsFreed")
+{
+    for (const std::size_t ahead : {std::size_t(100), std::size_t(8 * 1024)}) {
+        CAPTURE(ahead);
+        exchange.reset();
+        RawCaller caller(port);
+        begin(caller, ahead);
+        std::exchange(exchange, nullptr)->abort();
+        CHECK(until([&] { return server->unsentAnswers().empty(); }, 3s));
+    }
+}
+
 // Guards against a process that ends while the last answer of a connection is still on its way. A
 // router that stops closes each connection behind its answer.
 TEST_CASE_FIXTURE(StreamFixture, "listener_closesAfterAnswerThatIsReadSlowly_answerIsPending")
