Answers need a status from 100 to 599

Callers got answers with a status that no replica may give, such as 099, 20, -1, 1000 or 999, signed and as if the replica had answered, and 200 where the replica wrote 200x. A repeatable call had no other attempt, and a replica that answered 099 to each call stayed in use.

evhttp reads the status with atoi() and rejects only 0; nothing else looked at the text. ForeignAnswerFilter had its own lenient reader, which took 0100 for an interim answer and discarded it.

StatusLineCheck reads each status line, also behind interim answers and in pieces, before evhttp does. Without three digits from 100 to 599 the call ends as upstream_invalid, which may have run, and the connection is closed. Since all clients share HttpConnection, this holds for direct and relayed calls, streams and the store. What evhttp had buffered of a failed call is not reported any more: its head would count as an answer of the replica.

--- a/src/Net/internal/ForeignAnswerFilter.cpp
+++ b/src/Net/internal/ForeignAnswerFilter.cpp
@@ -1,6 +1,7 @@
 #include "Net/internal/ForeignAnswerFilter.h"
 
 #include "Base/Log.h"
+#include "Net/internal/StatusLineCheck.h"
 
 #include <algorithm>
 #include <charconv>
@@ -75,16 +76,6 @@
     return std::nullopt;
 }
 
-/// \returns the status in the first line of \a head, 0 if it is unreadable.
-int statusOf(std::string_view head)
-{
-    const std::size_t space = head.find(' ');
-    int out = 0;
-    if (space != std::string_view::npos)
-        std::from_chars(head.data() + space + 1, head.data() + head.size(), out);
-    return out;
-}
-
 bool isChunked(std::string_view head)
 {
     constexpr std::string_view Chunked = "chunked";
@@ -162,21 +153,23 @@
         m_searched = text.size() - std::min<std::size_t>(text.size(), 2);
         return text.size() > MaxHeadBytes;
     }
+    const std::optional<int> status = StatusLineCheck::statusOf(head);
+    if (!status)
+        return true; // The receiver rejects it.
     // evhttp reads on after this interim answer too.
-    const bool isInterim = statusOf(head) == Continue;
-    if (!isInterim && !isForeign(head))
+    const bool isInterim = *status == Continue;
+    if (!isInterim && !isForeign(head, *status))
         return true;
     if (!isInterim)
-        beginBody(head);
+        beginBody(head, *status);
     drain(input, head.size());
     return false;
 }
 
 /// An answer without an id is left to the receiver, and so is one that ends with its connection.
-bool ForeignAnswerFilter::isForeign(std::string_view head)
+bool ForeignAnswerFilter::isForeign(std::string_view head, int status)
 {
     const std::optional<std::string_view> id = valueOf(head, m_options.header);
-    const int status = statusOf(head);
     const bool isFramed = valueOf(head, "Content-Length") || isChunked(head) || status == NoContent
             || status == NotModified;
     if (!id || id->empty() || *id == m_options.id || !isFramed)
@@ -191,9 +184,8 @@
     return true;
 }
 
-void ForeignAnswerFilter::beginBody(std::string_view head)
+void ForeignAnswerFilter::beginBody(std::string_view head, int status)
 {
-    const int status = statusOf(head);
     m_left = 0;
     m_body = Body::Length;
     const bool answersHead = !m_options.headId.empty()
--- a/src/Net/internal/ForeignAnswerFilter.h
+++ b/src/Net/internal/ForeignAnswerFilter.h
@@ -58,8 +58,8 @@
     };
 
     bool readHead(evbuffer *input);
-    bool isForeign(std::string_view head);
-    void beginBody(std::string_view head);
+    bool isForeign(std::string_view head, int status);
+    void beginBody(std::string_view head, int status);
     bool discardBody(evbuffer *input);
     void skipBytes(evbuffer *input, Body next);
     void readChunkLine(std::string_view line);
--- a/src/Net/internal/HttpConnection.cpp
+++ b/src/Net/internal/HttpConnection.cpp
@@ -202,6 +202,7 @@
     m_bytesSent = 0;
     m_bytesReceived = 0;
     m_headBytes = 0;
+    m_statusLine = {};
     m_hasHead = false;
     m_isInterim = false;
     m_heldBytes = 0;
@@ -249,7 +250,7 @@
         evbuffer *buf = evhttp_request_get_input_buffer(request);
         const std::size_t n = evbuffer_get_length(buf);
         self->m_bytesReceived += n;
-        if (self->m_events.onData && n > 0)
+        if (self->m_events.onEnd && self->m_events.onData && n > 0)
             dispatch("answer", [&] {
                 self->m_events.onData(
                         {reinterpret_cast<const char *>(evbuffer_pullup(buf, -1)), n});
@@ -346,17 +347,34 @@
     return out;
 }
 
-/// Checks the limits before evhttp has read the \a n new bytes.
+/// Checks the limits and the status before evhttp has read the \a n new bytes.
 void HttpConnection::onArrived(std::size_t n)
 {
     if (!m_request || !m_events.onEnd)
         return;
-    const std::string_view exceeded = exceededLimit(n);
-    if (exceeded.empty())
+    std::string_view problem = exceededLimit(n);
+    if (problem.empty() && !checkStatusLine(n))
+        problem = "the status of the answer is not a number from 100 to 599";
+    if (problem.empty())
         return;
     m_reusable = false;
     setReading(false);
-    fail(Reason::UpstreamInvalid, std::string(exceeded));
+    fail(Reason::UpstreamInvalid, std::string(problem));
+}
+
+/// \returns whether the status lines in the last \a n bytes of the input, as far as they have
+/// arrived, state statuses.
+bool HttpConnection::checkStatusLine(std::size_t n)
+{
+    if (m_statusLine.isDone())
+        return true;
+    evbuffer *input = bufferevent_get_input(evhttp_connection_get_bufferevent(m_connection));
+    evbuffer_ptr begin;
+    if (evbuffer_ptr_set(input, &begin, evbuffer_get_length(input) - n, EVBUFFER_PTR_SET) != 0)
+        return false;
+    std::string bytes(n, '\0');
+    evbuffer_copyout_from(input, &begin, bytes.data(), n);
+    return m_statusLine.feed(bytes);
 }
 
 /// \returns which limit the answer exceeds with \a n new bytes, empty if none; only those that
@@ -397,6 +415,8 @@
 
 void HttpConnection::onHead(evhttp_request *request, HttpConnection *self)
 {
+    if (!self->m_events.onEnd)
+        return; // The call has failed; evhttp reads what had arrived before.
     HttpHead head = headOf(request);
     // evhttp goes on reading after 100 only, and takes any other interim answer for the final one.
     if (head.status == Continue)
@@ -430,6 +450,8 @@
 {
     auto *self = static_cast<HttpConnection *>(arg);
     self->m_request = nullptr;
+    if (!self->m_events.onEnd)
+        return; // The call has failed before.
     if (const std::string refusal = self->handshakeFailure(); !refusal.empty()) {
         self->m_reusable = false;
         self->fail(Reason::UpstreamUnreachable, refusal);
--- a/src/Net/internal/HttpConnection.h
+++ b/src/Net/internal/HttpConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Net/HttpClient.h"
+#include "Net/internal/StatusLineCheck.h"
 
 #include <cstdint>
 #include <memory>
@@ -81,6 +82,7 @@
     bool isReadable(evbuffer *input);
     void onArrived(std::size_t n);
     std::string_view exceededLimit(std::size_t n);
+    bool checkStatusLine(std::size_t n);
     bool countBuffered(); ///< \returns whether the answer fits into what is left for answers.
     static void onHead(evhttp_request *request, HttpConnection *self);
     static void onDone(evhttp_request *request, void *arg);
@@ -103,6 +105,7 @@
     bool m_forwardsStream = false;
     int m_status = 0; ///< Of the final head, once it was received.
     std::size_t m_headBytes = 0; ///< Received before the end of the head, with interim heads.
+    StatusLineCheck m_statusLine; ///< Of the answer in progress.
     bool m_hasHead = false;
     bool m_isInterim = false; ///< The head is that of an interim answer.
     bool m_delimited = false; ///< The answer ends before its connection does.
--- a/test/ForeignAnswerFilterTest.cpp
+++ b/test/ForeignAnswerFilterTest.cpp
@@ -73,6 +73,20 @@
     CHECK(filter.discarded() == 0);
 }
 
+// Guards against a head without a valid status that is discarded as that of an interim answer or of
+// an answer without a body; the receiver rejects it.
+TEST_CASE("foreignAnswers_statusIsInvalid_isPassed")
+{
+    for (const char *status : {"0100", "100x", "099", "204x", "1000", "+100"}) {
+        CAPTURE(std::string(status));
+        const std::string answer = std::string("HTTP/1.1 ") + status
+                + " X\r\nX-Request-Id: first\r\nContent-Length: 4\r\n\r\nfull";
+        ForeignAnswerFixture it;
+        CHECK(it.pass(answer, 5) == answer);
+        CHECK(it.filter.discarded() == 0);
+    }
+}
+
 // An answer that can't be told apart is left to the receiver, which decides what it proves.
 TEST_CASE_FIXTURE(ForeignAnswerFixture, "foreignAnswers_answerHasNoId_isPassed")
 {
--- a/test/RelayTest.cpp
+++ b/test/RelayTest.cpp
@@ -419,6 +419,26 @@
     }
 }
 
+// Guards against a status that no replica may give and that a relay passes on as an answer.
+TEST_CASE_FIXTURE(RelayFixture, "relay_statusOfReplicaIsInvalid_isFailureOfTheReplica")
+{
+    for (const char *status : {"099 X", "1000 X", "20 X"}) {
+        CAPTURE(std::string(status));
+        script = [status](const std::string &, std::size_t) {
+            return Reply{.bytes = fmt::format("HTTP/1.1 {}\r\nX-Request-Id: r1\r\n"
+                                              "X-Response-Signature: sig\r\n"
+                                              "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                                              status)};
+        };
+        send(relayedCall());
+        const std::optional<RelayFailure> it = failure();
+        REQUIRE(it);
+        CHECK(it->isReplicaAtFault);
+        CHECK((it->error.reason == Reason::UpstreamInvalid));
+        CHECK((it->error.verdict == Verdict::MayHaveRun));
+    }
+}
+
 // Guards against a replica whose answer makes the sender believe that its request did not run.
 TEST_CASE_FIXTURE(RelayFixture, "relay_replicaSendsFailureHeader_isNotPassedOn")
 {
