Fields of interim answers are not those of the final one

Callers could get a part of an answer as a whole one, or a field that its replica did not send with it: with Content-Length in the head of 100 Continue the body of a final answer without a length was cut to it.

evhttp keeps one list of fields for all heads of an answer.

The list is emptied when the head of an interim answer has been read, before evhttp reads on.

--- a/src/Net/internal/HttpConnection.cpp
+++ b/src/Net/internal/HttpConnection.cpp
@@ -425,8 +425,9 @@
         return; // The call has failed; evhttp reads what had arrived before.
     HttpHead head = headOf(request);
     // evhttp goes on reading after 100 only, and takes any other interim answer for the final one.
+    // The fields of its interim head would count as those of the final one.
     if (head.status == Continue)
-        return;
+        return evhttp_clear_headers(evhttp_request_get_input_headers(request));
     self->m_isInterim = isInterim(head.status);
     if (self->m_isInterim)
         return;
--- a/test/AnswerStatusTest.cpp
+++ b/test/AnswerStatusTest.cpp
@@ -43,6 +43,7 @@
     struct Outcome
     {
         std::vector<int> statuses; ///< Of the heads that were reported.
+        std::vector<HttpHead> heads;
         std::string body;
         std::optional<Error> error;
     };
@@ -53,21 +54,25 @@
         answer = std::move(bytes);
         pieceSize = size;
         Outcome out;
-        const HttpCallPtr call = client.send(
-                {.address = upstream.address(),
-                 .method = "POST",
-                 .body = "x",
-                 .timeout = 2s,
-                 .acceptsUnframed = true,
-                 .answerId = {"X-Request-Id", id}},
-                {.onHead = [&](const HttpHead &it) { out.statuses.push_back(it.status); },
-                 .onData = [&](std::string_view data) { out.body += data; },
-                 .onEnd =
-                         [&](const Result<void> &it) {
-                             if (!it)
-                                 out.error = it.error();
-                             loop.stop();
-                         }});
+        const HttpCallPtr call =
+                client.send({.address = upstream.address(),
+                             .method = "POST",
+                             .body = "x",
+                             .timeout = 2s,
+                             .acceptsUnframed = true,
+                             .answerId = {"X-Request-Id", id}},
+                            {.onHead =
+                                     [&](const HttpHead &it) {
+                                         out.statuses.push_back(it.status);
+                                         out.heads.push_back(it);
+                                     },
+                             .onData = [&](std::string_view data) { out.body += data; },
+                             .onEnd =
+                                     [&](const Result<void> &it) {
+                                         if (!it)
+                                             out.error = it.error();
+                                         loop.stop();
+                                     }});
         loop.run();
         answer.clear(); // Pieces that have not been sent yet are not sent any more.
         return out;
@@ -163,6 +168,29 @@
     }
 }
 
+// Guards against fields of an interim answer that frame the final one, or are taken for its own.
+TEST_CASE_FIXTURE(AnswerStatusFixture, "answerStatus_interimHeadHasFields_finalAnswerHasItsOwn")
+{
+    for (const char *field : {"Content-Length: 3", "Transfer-Encoding: chunked",
+                              "Connection: close", "X-Request-Id: r2", "X-Not-Executed: 1"}) {
+        for (const std::string_view id : {"", "r1"}) {
+            CAPTURE(std::string(field));
+            CAPTURE(std::string(id));
+            const Outcome it = call(std::string(id),
+                                    fmt::format("HTTP/1.1 100 Continue\r\n{}\r\n\r\n"
+                                                "HTTP/1.1 200 OK{}",
+                                                field, rest("r1", "whole")),
+                                    1000);
+            CHECK_FALSE(it.error);
+            CHECK(it.body == "whole");
+            REQUIRE(it.heads.size() == 1);
+            CHECK(it.heads[0].headers.size() == 3);
+            CHECK(it.heads[0].header("X-Request-Id") == "r1");
+            CHECK(client.idleConnections() == 1);
+        }
+    }
+}
+
 // Guards against an interim answer that is taken for the final one, and against one without an end
 // that is waited for until the deadline.
 TEST_CASE_FIXTURE(AnswerStatusFixture, "answerStatus_isThatOfAnotherInterimAnswer_callFails")
