--- a/src/Net/internal/HttpConnection.cpp
+++ b/src/Net/internal/HttpConnection.cpp
@@ -4,6 +4,7 @@
 #include "Net/EventLoop.h"
 #include "Net/internal/Dispatch.h"
 #include "Net/internal/ForeignAnswerFilter.h"
+#include "Net/internal/SocketBytes.h"
 #include "Net/internal/TlsStream.h"
 
 #include <algorithm>
@@ -18,8 +19,6 @@
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
-#include <linux/sockios.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace catkinloft::internal {
@@ -518,10 +517,9 @@
     const int fd = bufferevent_getfd(evhttp_connection_get_bufferevent(m_connection));
     if (fd < 0)
         return m_isClosedUnread;
-    int unacknowledged = 0;
     int error = 0;
     socklen_t size = sizeof error;
-    return (ioctl(fd, SIOCOUTQ, &unacknowledged) == 0 && unacknowledged > 0)
+    return unacknowledgedBytes(fd) > 0
             || (getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error != 0);
 }
 
