--- a/src/Decide/RequestBuffers.h
+++ b/src/Decide/RequestBuffers.h
@@ -29,7 +29,7 @@
 ///
 /// An answer that its caller is reading gives way last, because its request has run, while an
 /// incomplete request can be sent again. That holds for half of the limit, so that callers who read
-/// slowly don't keep others from sending. Answers that fit into the reserve never give way.
+/// slowly don't keep others from sending.
 ///
 /// Updates take constant time.
 class RequestBuffers
