Unit tests that run at the same time listen on ports of their own

Cause: two fixtures listened on fixed ports, so that two runs of the unit tests on one machine failed each other.

--- a/test/EntryGatewayFixture.h
+++ b/test/EntryGatewayFixture.h
@@ -5,6 +5,7 @@
 #include "Net/EventLoop.h"
 #include "Net/HttpServer.h"
 #include "Net/RequestEvent.h"
+#include "ProcessPort.h"
 #include "RawCaller.h"
 #include "ScriptedReplica.h"
 #include "platform/RequestCodec.h"
@@ -144,7 +145,7 @@
         return n;
     }
 
-    static constexpr std::uint16_t Port = 11472; ///< Below those of PortAllocator.
+    inline static const std::uint16_t Port = processPort(0);
 
     EventLoop loop;
     Metrics metrics;
--- a/test/RelayTest.cpp
+++ b/test/RelayTest.cpp
@@ -5,6 +5,7 @@
 #include "Net/HttpServer.h"
 #include "Net/RelayClient.h"
 #include "Net/RelayServer.h"
+#include "ProcessPort.h"
 #include "ScriptedReplica.h"
 
 #include <doctest/doctest.h>
@@ -103,7 +104,7 @@
         return false;
     }
 
-    static constexpr std::uint16_t Port = 11474; ///< Below those of PortAllocator.
+    inline static const std::uint16_t Port = processPort(1);
 
     EventLoop loop;
     Metrics metrics;
