The head of a stream is sent with its first event

What callers saw: a connection that was closed without an answer, or with nothing but a head, because the stream of a replica ended between its head and its first event, or no event came until the deadline. Cause: EntryCall sent the head as soon as the replica's head arrived. From then on a failure could only close the connection, and what was still in the output buffer, the head included, was discarded with it. Evidence: streamHead_streamEndsBeforeItsFirstEvent_callerGetsAnAnswer (closed, reset), ..._noEventUntilTheDeadline_... and ..._otherReplicaSendsFirstEvent_... failed before: closed instead of 502 and 504, and the head of one attempt in front of the events of another one. Fix: the head waits for the first event, or for the end of a stream without events. Until then a failure is answered like that of any other request, on a connection that stays open, and another attempt brings its own head.

--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -591,8 +591,7 @@
     if (!head.header("Content-Encoding").empty())
         return failLater(Reason::AnswerMismatch,
                          "the answer has a content encoding that was not requested");
-    if (isStreaming())
-        beginRelay();
+    m_relaying = isStreaming();
 }
 
 /// The state that a replica reports about itself is valid even if the answer is rejected. It is
@@ -649,12 +648,11 @@
     }
 }
 
-void EntryCall::beginRelay()
+/// The head waits for the first event: until then a failure can still be answered.
+void EntryCall::sendHead()
 {
-    m_relaying = true;
-    if (m_headSent)
+    if (std::exchange(m_headSent, true))
         return;
-    m_headSent = true;
     m_exchange->onDrained([weak = weak_from_this()] {
         const auto self = weak.lock();
         if (!self || !self->m_call)
@@ -686,6 +684,7 @@
                                      *event.id, *last));
     }
     bindToSoftware();
+    sendHead();
     m_exchange->write(event.text);
     if (m_call && m_exchange->backlog() > m_context.settings.maxStreamBuffer) {
         m_silence.setPaused(true);
@@ -693,7 +692,7 @@
     }
 }
 
-/// The head of an answer binds nothing: the caller can't resume a stream without an event.
+/// The caller can resume a stream from its first event on.
 void EntryCall::bindToSoftware()
 {
     if (std::exchange(m_hasForwardedEvent, true) || !m_request.route->resumable)
@@ -713,6 +712,7 @@
 {
     if (const std::optional<Duration> pace = m_pace.mean())
         m_service->replicas.eventTimeObserved(m_incarnation, *pace);
+    sendHead();
     m_exchange->end();
     finish(RequestEvent::Kind::Answered, m_head.status, nullptr);
 }
--- a/src/Net/EntryCall.h
+++ b/src/Net/EntryCall.h
@@ -123,7 +123,7 @@
     void onEnd(Result<void> result);
     void failLater(Reason reason, std::string detail);
 
-    void beginRelay();
+    void sendHead();
     void relay(const SseEvent &event);
     void bindToSoftware();
     void endRelay();
