Signals, connection probes and TLS alerts are handled through dispatch

Cause: these callbacks of libevent and OpenSSL ran the code of the process without dispatch(). An exception in them, such as one from the settings that SIGHUP reads again, passed through C frames and ended the process with all requests that it had in progress.

Change: they go through dispatch(), which also catches exceptions of other types, never throws itself, says whether its handler returned, and bounds its lines for each source: the first ten and then those whose number is a power of two.

Result: eventLoop_signalCallbackThrows_loopGoesOn failed before ("test case THREW exception: not handled") and passes.

--- a/src/Net/EventLoop.cpp
+++ b/src/Net/EventLoop.cpp
@@ -173,7 +173,7 @@
     signal->ev = evsignal_new(
             m_d->base, number,
             [](evutil_socket_t, short, void *arg) {
-                static_cast<Private::Signal *>(arg)->callback();
+                internal::dispatch("signal", static_cast<Private::Signal *>(arg)->callback);
             },
             signal.get());
     event_add(signal->ev, nullptr);
--- a/src/Net/TlsContext.cpp
+++ b/src/Net/TlsContext.cpp
@@ -1,5 +1,6 @@
 #include "Net/TlsContext.h"
 
+#include "Net/internal/Dispatch.h"
 #include "Net/internal/TlsFiles.h"
 
 #include <openssl/err.h>
@@ -56,7 +57,9 @@
             SSL_CTX_get_app_data(SSL_get_SSL_CTX(session)));
     const bool isFatal = value >> 8 == SSL3_AL_FATAL;
     if ((where & SSL_CB_ALERT) && isFatal && hook && *hook)
-        (*hook)((where & SSL_CB_WRITE) != 0, SSL_alert_desc_string_long(value));
+        internal::dispatch("tls_alert", [&] {
+            (*hook)((where & SSL_CB_WRITE) != 0, SSL_alert_desc_string_long(value));
+        });
 }
 
 } // namespace
--- a/src/Net/internal/ConnectProbe.cpp
+++ b/src/Net/internal/ConnectProbe.cpp
@@ -1,6 +1,7 @@
 #include "Net/internal/ConnectProbe.h"
 
 #include "Net/EventLoop.h"
+#include "Net/internal/Dispatch.h"
 
 #include <cerrno>
 
@@ -25,7 +26,7 @@
     m_ready = event_new(
             loop.base(), m_socket, EV_WRITE,
             [](evutil_socket_t, short, void *arg) {
-                static_cast<ConnectProbe *>(arg)->connected();
+                dispatch("connect_probe", [arg] { static_cast<ConnectProbe *>(arg)->connected(); });
             },
             this);
     event_add(m_ready, nullptr);
@@ -71,7 +72,9 @@
     event_assign(
             m_ready, event_get_base(m_ready), m_socket, EV_READ,
             [](evutil_socket_t, short, void *arg) {
-                static_cast<ConnectProbe *>(arg)->readable(Outcome::Inconclusive);
+                dispatch("connect_probe", [arg] {
+                    static_cast<ConnectProbe *>(arg)->readable(Outcome::Inconclusive);
+                });
             },
             this);
     event_add(m_ready, nullptr);
--- a/src/Net/internal/Dispatch.h
+++ b/src/Net/internal/Dispatch.h
@@ -1,24 +1,37 @@
 #pragma once
 
-#include "Base/Log.h"
-
+#include <cstdint>
 #include <exception>
 #include <string_view>
 
 namespace catkinloft::internal {
 
+/// \brief Logs that handling a message of \a source failed, at the first failures each time. Counts
+/// all of them.
+void noteDropped(std::string_view source, std::string_view detail) noexcept;
+
+/// \returns the number of calls of dispatch() in this process that failed.
+std::uint64_t droppedMessages() noexcept;
+
 /// \brief Handles one message with \a handle, called from libevent.
 ///
 /// The frames of libevent are C, so an exception that reaches them ends the process. A message that
-/// no decoder expected must cost no more than that message.
+/// no decoder expected must cost no more than that message. Each callback that is registered with a
+/// C library runs its code through this, unless it only assigns.
+/// \param source a literal; failures are counted for each.
+/// \returns whether \a handle returned without an exception.
 template<typename Handle>
-void dispatch(std::string_view source, const Handle &handle)
+bool dispatch(std::string_view source, const Handle &handle) noexcept
 {
     try {
         handle();
+        return true;
     } catch (const std::exception &e) {
-        Log::error("message_dropped", {{"source", source}, {"detail", e.what()}});
+        noteDropped(source, e.what());
+    } catch (...) {
+        noteDropped(source, "an exception of unknown type");
     }
+    return false;
 }
 
 } // namespace catkinloft::internal
--- a/test/EventLoopTest.cpp
+++ b/test/EventLoopTest.cpp
@@ -1,15 +1,19 @@
 #include "Net/EventLoop.h"
+#include "Base/Log.h"
 #include "Net/StallMonitor.h"
 #include "Net/Timer.h"
+#include "Net/internal/Dispatch.h"
 #include "Net/internal/SpinDetector.h"
 
 #include <doctest/doctest.h>
 
 #include <algorithm>
 #include <array>
+#include <csignal>
 #include <functional>
 #include <memory>
 #include <numeric>
+#include <stdexcept>
 #include <vector>
 
 #include <event2/event.h>
@@ -319,3 +323,31 @@
     loop.run();
     CHECK_FALSE(expired);
 }
+
+// Guards against a process that ends because the code that handles a signal, such as that of a
+// settings file that is read again, throws.
+TEST_CASE_FIXTURE(EventLoopFixture, "eventLoop_signalCallbackThrows_loopGoesOn")
+{
+    loop.onSignal(SIGUSR1, [this] {
+        ran.push_back(1);
+        throw std::runtime_error("not handled");
+    });
+    raise(SIGUSR1);
+    runUntil(1);
+    loop.post([this] { ran.push_back(2); });
+    runUntil(2);
+}
+
+// Guards against a failure that recurs with every message and fills the log.
+TEST_CASE("dispatch_sameSourceFailsAgainAndAgain_linesAreBounded")
+{
+    int lines = 0;
+    Log::setSink([&](LogLevel, std::string_view) { ++lines; });
+    const std::uint64_t before = internal::droppedMessages();
+    for (int i = 0; i < 10'000; ++i)
+        CHECK_FALSE(internal::dispatch("test", [] { throw std::runtime_error("malformed"); }));
+    CHECK_FALSE(internal::dispatch("test", [] { throw 1; }));
+    Log::setSink({});
+    CHECK(lines <= 20);
+    CHECK(internal::droppedMessages() - before == 10'001);
+}
