A call fails when handling a part of its answer throws

Cause: dispatch() dropped the exception of a receiver and the connection went on with the answer. The bytes were counted as received, so that the check of the Content-Length passed, and a chunked answer has none. The callbacks of evhttp that parse heads and input didn't go through dispatch() at all: an exception there ended the process.

Change: all of them do, and a callback that fails ends its call with upstream_invalid; the connection isn't used again.

What callers saw: an answer that ended as complete and lacked the part.

--- a/src/Net/internal/HttpConnection.cpp
+++ b/src/Net/internal/HttpConnection.cpp
@@ -180,7 +180,7 @@
                     return;
                 auto *self = static_cast<HttpConnection *>(arg);
                 self->m_loop.noteProgress();
-                self->onInput(info->n_added);
+                self->handle([&] { self->onInput(info->n_added); });
             },
             this);
 }
@@ -245,21 +245,21 @@
         fail(Reason::Internal, "the method of the request is not known");
         return;
     }
-    m_request = evhttp_request_new(&HttpConnection::onDone, this);
+    m_request = evhttp_request_new(
+            [](evhttp_request *request, void *arg) {
+                auto *self = static_cast<HttpConnection *>(arg);
+                self->m_request = nullptr;
+                self->handle([&] { self->onDone(request); });
+            },
+            this);
     evhttp_request_set_header_cb(m_request, [](evhttp_request *request, void *arg) {
-        onHead(request, static_cast<HttpConnection *>(arg));
+        auto *self = static_cast<HttpConnection *>(arg);
+        self->handle([&] { self->onHead(request); });
         return 0;
     });
     evhttp_request_set_chunked_cb(m_request, [](evhttp_request *request, void *arg) {
         auto *self = static_cast<HttpConnection *>(arg);
-        evbuffer *buf = evhttp_request_get_input_buffer(request);
-        const std::size_t n = evbuffer_get_length(buf);
-        self->m_bytesReceived += n;
-        if (self->m_events.onEnd && self->m_events.onData && n > 0)
-            dispatch("answer", [&] {
-                self->m_events.onData(
-                        {reinterpret_cast<const char *>(evbuffer_pullup(buf, -1)), n});
-            });
+        self->handle([&] { self->onData(evhttp_request_get_input_buffer(request)); });
     });
     evhttp_request_set_error_cb(m_request, [](evhttp_request_error error, void *arg) {
         static_cast<HttpConnection *>(arg)->m_errorCode = error;
@@ -318,6 +318,15 @@
         bufferevent_disable(bev, EV_READ);
 }
 
+/// Runs the code of a callback of evhttp. If that fails, the call can't go on: a part of its answer
+/// would be missing.
+template<typename Handle>
+void HttpConnection::handle(const Handle &it) noexcept
+{
+    if (!dispatch("answer", it))
+        dispatch("answer", [this] { failInvalid("handling the answer failed"); });
+}
+
 /// Removes what isn't for the request in progress from the \a n new bytes, before evhttp reads
 /// them.
 void HttpConnection::onInput(std::size_t n)
@@ -343,12 +352,8 @@
         m_reusable = false;
     if (out)
         m_foreign.reset();
-    else if (m_events.onEnd
-             && (m_foreign->hasFailed() || !m_share->resize(m_foreign->heldBytes()))) {
-        m_reusable = false;
-        setReading(false);
-        fail(Reason::UpstreamInvalid, "the answer to another request is malformed or too long");
-    }
+    else if (m_events.onEnd && (m_foreign->hasFailed() || !m_share->resize(m_foreign->heldBytes())))
+        failInvalid("the answer to another request is malformed or too long");
     return out;
 }
 
@@ -362,9 +367,7 @@
         problem = "the status of the answer is not a number from 100 to 599";
     if (problem.empty())
         return;
-    m_reusable = false;
-    setReading(false);
-    fail(Reason::UpstreamInvalid, std::string(problem));
+    failInvalid(std::string(problem));
 }
 
 /// \returns whether the status lines in the last \a n bytes of the input, as far as they have
@@ -418,62 +421,68 @@
     return !m_share || countBuffered();
 }
 
-void HttpConnection::onHead(evhttp_request *request, HttpConnection *self)
+void HttpConnection::onHead(evhttp_request *request)
 {
-    if (!self->m_events.onEnd)
+    if (!m_events.onEnd)
         return; // The call has failed; evhttp reads what had arrived before.
     HttpHead head = headOf(request);
     // evhttp goes on reading after 100 only, and takes any other interim answer for the final one.
     // The fields of its interim head would count as those of the final one.
     if (head.status == Continue)
         return evhttp_clear_headers(evhttp_request_get_input_headers(request));
-    self->m_isInterim = isInterim(head.status);
-    if (self->m_isInterim)
+    m_isInterim = isInterim(head.status);
+    if (m_isInterim)
         return;
-    self->m_hasHead = true;
-    self->m_status = head.status;
-    const std::string_view id = head.header(self->m_answerId.first);
-    self->m_isIdentified = !id.empty() && id == self->m_answerId.second;
+    m_hasHead = true;
+    m_status = head.status;
+    const std::string_view id = head.header(m_answerId.first);
+    m_isIdentified = !id.empty() && id == m_answerId.second;
     if (hasConflictingLengths(head)) {
-        self->m_reusable = false;
-        return self->fail(Reason::UpstreamInvalid, "the answer states two lengths");
+        m_reusable = false;
+        return fail(Reason::UpstreamInvalid, "the answer states two lengths");
     }
     // Without a body, the length is that of the answer to another method or condition.
-    if (!self->m_headOnly && !hasNoBody(head.status))
-        self->m_length = contentLength(head);
-    self->m_delimited = self->m_headOnly || hasNoBody(head.status) || self->m_length
+    if (!m_headOnly && !hasNoBody(head.status))
+        m_length = contentLength(head);
+    m_delimited = m_headOnly || hasNoBody(head.status) || m_length
             || !head.header("Transfer-Encoding").empty();
-    head.isUnframed = !self->m_delimited;
+    head.isUnframed = !m_delimited;
     if (!head.header("Connection").empty()
         && strcasecmp(std::string(head.header("Connection")).c_str(), "close") == 0)
-        self->m_reusable = false;
-    self->m_keepAlive = keepAliveOf(head).value_or(self->m_keepAlive);
-    if (self->m_events.onHead)
-        dispatch("answer", [&] { self->m_events.onHead(head); });
+        m_reusable = false;
+    m_keepAlive = keepAliveOf(head).value_or(m_keepAlive);
+    if (m_events.onHead)
+        m_events.onHead(head);
 }
 
-void HttpConnection::onDone(evhttp_request *request, void *arg)
+void HttpConnection::onData(evbuffer *body)
 {
-    auto *self = static_cast<HttpConnection *>(arg);
-    self->m_request = nullptr;
-    if (!self->m_events.onEnd)
+    const std::size_t n = evbuffer_get_length(body);
+    m_bytesReceived += n;
+    if (m_events.onEnd && m_events.onData && n > 0)
+        m_events.onData({reinterpret_cast<const char *>(evbuffer_pullup(body, -1)), n});
+}
+
+void HttpConnection::onDone(evhttp_request *request)
+{
+    if (!m_events.onEnd)
         return; // The call has failed before.
-    if (const std::string refusal = self->handshakeFailure(); !refusal.empty()) {
-        self->m_reusable = false;
-        self->fail(Reason::UpstreamUnreachable, refusal);
-    } else if (!request || self->m_errorCode >= 0) {
-        self->m_reusable = false;
-        if (self->m_errorCode == EVREQ_HTTP_DATA_TOO_LONG)
-            self->fail(Reason::UpstreamInvalid, "the answer is longer than the limit");
-        else if (self->m_errorCode == EVREQ_HTTP_INVALID_HEADER)
-            self->fail(Reason::UpstreamInvalid, "the head of the answer is malformed");
+    if (const std::string refusal = handshakeFailure(); !refusal.empty()) {
+        m_reusable = false;
+        fail(Reason::UpstreamUnreachable, refusal);
+    } else if (!request || m_errorCode >= 0) {
+        m_reusable = false;
+        if (m_errorCode == EVREQ_HTTP_DATA_TOO_LONG)
+            fail(Reason::UpstreamInvalid, "the answer is longer than the limit");
+        else if (m_errorCode == EVREQ_HTTP_INVALID_HEADER)
+            fail(Reason::UpstreamInvalid, "the head of the answer is malformed");
         else
-            self->fail(Reason::UpstreamBroken, "the connection broke");
+            fail(Reason::UpstreamBroken, "the connection broke");
     } else if (evhttp_request_get_response_code(request) == 0) {
-        self->m_reusable = false;
-        self->fail(Reason::UpstreamUnreachable, "the connection was not established");
+        m_reusable = false;
+        fail(Reason::UpstreamUnreachable, "the connection was not established");
     } else {
-        self->succeed(request);
+        succeed(request);
     }
 }
 
@@ -483,15 +492,7 @@
         m_reusable = false;
         return fail(Reason::UpstreamInvalid, "the answer begins with an interim answer");
     }
-    evbuffer *rest = evhttp_request_get_input_buffer(request);
-    const std::size_t n = evbuffer_get_length(rest);
-    if (n > 0) {
-        m_bytesReceived += n;
-        if (m_events.onData)
-            dispatch("answer", [&] {
-                m_events.onData({reinterpret_cast<const char *>(evbuffer_pullup(rest, -1)), n});
-            });
-    }
+    onData(evhttp_request_get_input_buffer(request));
     if (!m_delimited)
         m_reusable = false; // The end of the connection ended the answer.
     noteFailure();
@@ -546,6 +547,14 @@
             .reason = reason, .verdict = verdict(), .detail = std::move(detail), .retryAfter = {}});
 }
 
+/// Reads no more of an answer that can't be used.
+void HttpConnection::failInvalid(std::string detail)
+{
+    m_reusable = false;
+    setReading(false);
+    fail(Reason::UpstreamInvalid, std::move(detail));
+}
+
 void HttpConnection::end(Result<void> result)
 {
     const auto onEnd = std::exchange(m_events.onEnd, nullptr);
--- a/src/Net/internal/HttpConnection.h
+++ b/src/Net/internal/HttpConnection.h
@@ -78,6 +78,8 @@
 private:
     HttpConnection(EventLoop &loop, const std::string &address, bufferevent *stream);
 
+    template<typename Handle>
+    void handle(const Handle &it) noexcept;
     void onInput(std::size_t n);
     bool isReadable(evbuffer *input);
     void onArrived(std::size_t n);
@@ -85,10 +87,12 @@
     bool checkStatusLine(std::size_t n);
     bool isRequestUnread() const;
     bool countBuffered(); ///< \returns whether the answer fits into what is left for answers.
-    static void onHead(evhttp_request *request, HttpConnection *self);
-    static void onDone(evhttp_request *request, void *arg);
+    void onHead(evhttp_request *request);
+    void onData(evbuffer *body);
+    void onDone(evhttp_request *request);
     void succeed(evhttp_request *request);
     void noteFailure();
+    void failInvalid(std::string detail);
     void fail(Reason reason, std::string detail);
     std::string handshakeFailure() const;
     void end(Result<void> result);
--- a/test/HttpClientTest.cpp
+++ b/test/HttpClientTest.cpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -412,3 +413,35 @@
     loop.post([] { std::this_thread::sleep_for(Standstill); });
     CHECK(answeredOf({.address = upstream.address(), .progressTimeout = Limit}) == Calls);
 }
+
+// Guards against an answer that reaches the caller as complete although a part of it is missing,
+// because handling that part failed.
+TEST_CASE_FIXTURE(EndlessAnswerFixture, "httpClient_receiverThrows_callFailsAndOthersGoOn")
+{
+    const std::vector<std::string> forms = {
+            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n1\r\nb\r\n0\r\n\r\n"};
+    for (const std::string &form : forms) {
+        for (const bool isThrowing : {true, false}) {
+            answer = form;
+            std::optional<Result<void>> result;
+            const HttpCallPtr call =
+                    client.send({.address = upstream.address(), .timeout = CallTimeout},
+                                {.onData =
+                                         [&](std::string_view) {
+                                             if (isThrowing)
+                                                 throw std::runtime_error("unexpected data");
+                                         },
+                                 .onEnd =
+                                         [&](Result<void> it) {
+                                             result = std::move(it);
+                                             loop.stop();
+                                         }});
+            Timer limit(loop, [this] { loop.stop(); });
+            limit.start(2 * CallTimeout);
+            loop.run();
+            REQUIRE(result.has_value());
+            CHECK(result->has_value() != isThrowing);
+        }
+    }
+}
