Requests are freed when no socket can be bound for them

Cause: the documentation of evhttp_make_request() says that a request that can't be sent has been freed. libevent 2.1.12 frees it after some failures, but not if it can't create or bind a socket with the source address: it only takes the request out of its queue. While descriptors have run out, or the address is missing, each call with a source address lost its request with the body, until the limit of the memory.

Change: evhttp doesn't own the request until evhttp_make_request() has returned, so that it is freed here exactly once whatever has failed.

--- a/src/Net/internal/HttpConnection.cpp
+++ b/src/Net/internal/HttpConnection.cpp
@@ -276,12 +276,22 @@
     if (!evhttp_find_header(out, "Host"))
         evhttp_add_header(out, "Host", call.address.c_str());
     evbuffer_add(evhttp_request_get_output_buffer(m_request), call.body.data(), call.body.size());
-    if (evhttp_make_request(m_connection, m_request, *command, call.target.c_str()) != 0) {
-        // evhttp has freed the request.
-        m_request = nullptr;
-        m_reusable = false;
-        fail(Reason::UpstreamUnreachable, "no socket could be created for the connection");
+    // When evhttp can't send a request, it frees it after some failures but not if no socket can be
+    // bound, contrary to its documentation. It must not free it before that is known.
+    evhttp_request *request = m_request;
+    evhttp_request_own(request);
+    const bool isSent =
+            evhttp_make_request(m_connection, request, *command, call.target.c_str()) == 0;
+    if (isSent && m_request) {
+        request->flags &= ~EVHTTP_USER_OWNED;
+        return;
     }
+    evhttp_request_free(request);
+    if (isSent)
+        return; // The request has failed and onDone() was called.
+    m_request = nullptr;
+    m_reusable = false;
+    fail(Reason::UpstreamUnreachable, "no socket could be created for the connection");
 }
 
 bool HttpConnection::isReusable() const
--- a/test/HttpClientTest.cpp
+++ b/test/HttpClientTest.cpp
@@ -16,6 +16,7 @@
 #include <thread>
 #include <vector>
 
+#include <malloc.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -445,3 +446,34 @@
         }
     }
 }
+
+// Guards against a process that runs out of memory while no socket can be bound for its calls:
+// evhttp keeps no such request and doesn't free it either.
+TEST_CASE("httpClient_sourceAddressUnusable_failedCallsLeaveNoMemory")
+{
+    constexpr int Calls = 200;
+    constexpr std::size_t BodyBytes = 100'000;
+    EventLoop loop;
+    // Of a network for documentation, which no machine has.
+    HttpClient client{loop, nullptr, "192.0.2.1"};
+    const auto callOnce = [&] {
+        bool hasEnded = false;
+        const HttpCallPtr call = client.send(
+                {.address = "127.0.0.1:9", .method = "POST", .body = std::string(BodyBytes, 'a')},
+                {.onEnd = [&](const Result<void> &it) {
+                    CHECK((it.error().reason == Reason::UpstreamUnreachable));
+                    CHECK((it.error().verdict == Verdict::NotRun));
+                    hasEnded = true;
+                }});
+        for (int i = 0; i < 1000 && !hasEnded; ++i)
+            loop.runOnce();
+        REQUIRE(hasEnded);
+    };
+    callOnce();
+    const std::size_t before = mallinfo2().uordblks + mallinfo2().hblkhd;
+    for (int i = 0; i < Calls; ++i)
+        callOnce();
+    loop.runOnce();
+    const std::size_t after = mallinfo2().uordblks + mallinfo2().hblkhd;
+    CHECK(after < before + Calls * BodyBytes / 10);
+}
