A process that ends by itself leaves a log line

Cause: an end by an exception that nothing catches, abort(), a fatal signal or a failed assertion of libevent left nothing: the log stopped, up to 200 ms before, and the requests in progress had no line either. The hypothesis that processes end by themselves could not be checked.

Change: CrashHandler writes the buffered lines and one bounded line, process_crashed, with write(2) alone and from memory that was filled in advance, and the process ends as before. The line has the cause, signal, type and text of the exception, requests in progress, build id and place in the program. LogWriter keeps its buffer in memory that doesn't move and publishes it in atomics. A signal that has a handler already is left to it. What the system refuses to install is one warning. Errors of libevent end by SIGABRT instead of exit(1), after the line with its message; its warnings get lines. catkinloft_start_time_seconds shows restarts.

Result: a real router that gets SIGSEGV and SIGABRT with three requests in progress ends by that signal and leaves the line with that number, after the lines that were buffered. A test program that ends by an exception, a missing value, a fault, a stack overflow and an assertion of libevent leaves one line each and keeps its exit status.

--- a/src/Cli/Command.cpp
+++ b/src/Cli/Command.cpp
@@ -1,5 +1,6 @@
 #include "Cli/Command.h"
 
+#include "Base/Version.h"
 #include "Cli/Commands.h"
 
 #include <algorithm>
@@ -15,8 +16,6 @@
 
 namespace {
 
-constexpr std::string_view Version = "0.1.0";
-
 /// Prints the flags of the commands. Those of the flags library itself are left out; `--helpfull`
 /// lists them.
 void printFlags()
--- a/src/Net/EntryGateway.cpp
+++ b/src/Net/EntryGateway.cpp
@@ -1,5 +1,6 @@
 #include "Net/EntryGateway.h"
 
+#include "Base/CrashHandler.h"
 #include "Net/EventLoop.h"
 
 #include <utility>
@@ -34,9 +35,11 @@
     const auto call = std::make_shared<EntryCall>(m_context, exchange, [this, key] {
         if (const auto it = key->lock())
             m_calls.erase(it);
+        CrashHandler::setRequestsInProgress(m_calls.size());
     });
     *key = call;
     m_calls.insert(call);
+    CrashHandler::setRequestsInProgress(m_calls.size());
     if (!m_silenceTimer.isPending())
         startSilenceTimer();
     call->start();
--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -15,6 +15,7 @@
 #include "Net/BrittlePage.h"
 #include "Net/ConnectionLog.h"
 #include "Net/CrashEvidence.h"
+#include "Net/CrashReporter.h"
 #include "Net/EntryGateway.h"
 #include "Net/EventLoop.h"
 #include "Net/FleetTask.h"
@@ -195,6 +196,10 @@
     LogWriter log{{.loop = loop}};
     Metrics metrics;
     StallMonitor stalls{loop, metrics};
+    CrashReporter crashReporter{{.clock = loop,
+                                 .metrics = metrics,
+                                 .source = settings.name,
+                                 .unwritten = &log.unwritten()}};
     RequestBuffers requestBuffers{loop, settings.requestMemory()};
     std::vector<HttpServer *> listeners; ///< Those of the servers and of the fleet.
     ConnectionLog connectionLog{{.clock = loop, .metrics = metrics, .buffers = requestBuffers}};
@@ -969,6 +974,7 @@
     std::signal(SIGPIPE, SIG_IGN);
     Log::setSource(m_d->settings.name);
     Log::setSink([this](LogLevel level, std::string_view line) { m_d->log.write(level, line); });
+    m_d->crashReporter.install();
     m_d->listenAll();
     for (const auto &it : m_d->servers) {
         if (const Result<void> result = it->listen(); !result) {
--- a/src/Net/Forwarder.cpp
+++ b/src/Net/Forwarder.cpp
@@ -1,5 +1,6 @@
 #include "Net/Forwarder.h"
 
+#include "Base/CrashHandler.h"
 #include "Net/ClaimDriver.h"
 #include "Net/EventLoop.h"
 #include "Net/ForwardTask.h"
@@ -128,9 +129,11 @@
                                      // Destroyed later: its own callbacks may be on the stack.
                                      options.loop.post([it] {});
                                      tasks.erase(it);
+                                     CrashHandler::setRequestsInProgress(tasks.size());
                                      schedulePoll();
                                  }});
     tasks.insert(task);
+    CrashHandler::setRequestsInProgress(tasks.size());
     return task;
 }
 
--- a/src/Net/LogWriter.cpp
+++ b/src/Net/LogWriter.cpp
@@ -12,12 +12,21 @@
 
 namespace catkinloft {
 
+namespace {
+
+/// The line about dropped lines is shorter.
+constexpr std::size_t MaxOwnLineBytes = 128;
+
+} // namespace
+
 LogWriter::LogWriter(Options options)
     : m_options(options), m_timer(m_options.loop, [this] {
           m_scheduled = false;
           flush();
       })
-{ }
+{
+    m_buffer.reserve(m_options.capacity + MaxOwnLineBytes);
+}
 
 LogWriter::~LogWriter()
 {
@@ -31,11 +40,20 @@
         ++m_dropped;
     } else {
         m_buffer += line;
+        publish(0);
     }
     if (!std::exchange(m_scheduled, true))
         m_timer.start(m_options.interval);
 }
 
+/// Lets a signal handler write the buffer from \a begin on.
+void LogWriter::publish(std::size_t begin)
+{
+    m_unwritten.size = 0;
+    m_unwritten.data = m_buffer.data() + begin;
+    m_unwritten.size = m_buffer.size() - begin;
+}
+
 bool LogWriter::isWritable() const
 {
     pollfd it{.fd = m_options.fd, .events = POLLOUT, .revents = 0};
@@ -52,14 +70,17 @@
         if (written <= 0)
             break;
         done += static_cast<std::size_t>(written);
+        publish(done);
     }
+    m_unwritten.size = 0;
     m_buffer.erase(0, done);
     if (m_buffer.empty() && m_dropped > m_reported) {
-        m_buffer = fmt::format(R"({{"level":"warning","event":"log_lines_dropped","total":{}}})"
-                               "\n",
-                               m_dropped);
+        m_buffer += fmt::format(R"({{"level":"warning","event":"log_lines_dropped","total":{}}})"
+                                "\n",
+                                m_dropped);
         m_reported = m_dropped;
     }
+    publish(0);
     if (!m_buffer.empty() && !std::exchange(m_scheduled, true))
         m_timer.start(m_options.interval);
 }
--- a/src/Net/LogWriter.h
+++ b/src/Net/LogWriter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Base/CrashHandler.h"
 #include "Base/Log.h"
 #include "Net/Timer.h"
 
@@ -42,12 +43,17 @@
 
     std::uint64_t dropped() const { return m_dropped; }
 
+    /// \returns the lines that are in the buffer.
+    const CrashHandler::Unwritten &unwritten() const { return m_unwritten; }
+
 private:
     bool isWritable() const;
+    void publish(std::size_t begin);
 
     Options m_options;
     Timer m_timer;
-    std::string m_buffer;
+    std::string m_buffer; ///< Has room for all lines, so that it doesn't move.
+    CrashHandler::Unwritten m_unwritten;
     std::uint64_t m_dropped = 0;
     std::uint64_t m_reported = 0; ///< Dropped lines that were reported in the log.
     bool m_scheduled = false;
--- a/src/Net/RouterProcess.cpp
+++ b/src/Net/RouterProcess.cpp
@@ -4,6 +4,7 @@
 #include "Decide/DrainPlan.h"
 #include "Decide/RequestBuffers.h"
 #include "Net/ConnectionLog.h"
+#include "Net/CrashReporter.h"
 #include "Net/EngineTask.h"
 #include "Net/EventLoop.h"
 #include "Net/Gateway.h"
@@ -19,6 +20,8 @@
 #include <algorithm>
 #include <csignal>
 
+#include <unistd.h>
+
 namespace catkinloft {
 
 namespace {
@@ -208,6 +211,8 @@
     EventLoop loop;
     Metrics metrics;
     StallMonitor stalls{loop, metrics};
+    CrashReporter crashReporter{
+            {.clock = loop, .metrics = metrics, .source = settings->name, .fd = STDERR_FILENO}};
     TlsTask tls;
     RequestBuffers requestBuffers{loop, settings->maxRequestMemory};
     ConnectionLog connectionLog{{.clock = loop, .metrics = metrics, .buffers = requestBuffers}};
@@ -240,6 +245,7 @@
 int RouterProcess::run()
 {
     std::signal(SIGPIPE, SIG_IGN);
+    m_d->crashReporter.install();
     if (!m_d->tls.start())
         return 1;
     if (const Result<void> result = m_d->server.listen(); !result) {
