The rate limit of a cold replica is bounded before it is divided

Cause: a limit that a configuration states for the cold replicas of a service is any JSON number. From 3.7e19 on its half doesn't fit into an integer, so that no sender was left and the number of requests for each was divided by zero: SIGFPE at the next request while a replica of the service is cold, in all routers that have the configuration. Below 2e-10 the interval overflowed and was negative, so that nothing was limited.

Change: stated limits count as at least 1e-6 and at most 1e9 a second.

What callers would have seen: all connections of all routers closed without an answer, again after each restart.

Result: coldRateLimit_limitOutOfRange_partIsUsable crashed before (SIGFPE) and passes.

--- a/src/Decide/ColdRateLimit.cpp
+++ b/src/Decide/ColdRateLimit.cpp
@@ -10,11 +10,15 @@
 /// their way: one that has to open a connection arrives later than one that reuses an open one.
 constexpr Duration Window = std::chrono::milliseconds(1100);
 
+/// Stated limits beyond these count as them, because the numbers below could not hold the result.
+constexpr double MinFleetLimit = 1e-6;
+constexpr double MaxFleetLimit = 1e9;
+
 } // namespace
 
 ColdRateLimit ColdRateLimit::fromFleetLimit(double fleetLimit, int routers)
 {
-    const double half = fleetLimit / 2;
+    const double half = std::clamp(fleetLimit, MinFleetLimit, MaxFleetLimit) / 2;
     if (half < 1)
         return {.senders = 1, .minInterval = scaled(Window, 1 / half)};
     const auto whole = static_cast<std::size_t>(half);
--- a/test/ColdRateLimitTest.cpp
+++ b/test/ColdRateLimitTest.cpp
@@ -154,6 +154,21 @@
     }
 }
 
+// Guards against a stated limit that no counter can hold, which ended every router by a division by
+// zero at the next request for a cold replica.
+TEST_CASE("coldRateLimit_limitOutOfRange_partIsUsable")
+{
+    for (const double fleetLimit : {1e-300, 1e-9, 1e12, 1e19, 1e20, 1e300}) {
+        const ColdRateLimit limit = ColdRateLimit::fromFleetLimit(fleetLimit, 9);
+        CAPTURE(fleetLimit);
+        CHECK(limit.senders >= 1);
+        CHECK(limit.senders <= 9);
+        CHECK(limit.minInterval >= Duration::zero());
+        if (fleetLimit < 1)
+            CHECK(limit.minInterval > 1h);
+    }
+}
+
 // Guards against hundreds of routers that each send a few requests to a cold replica and together
 // overload it.
 TEST_CASE_FIXTURE(ColdReplicaFleetFixture,
