message_dropped keeps the name of the process

Cause: its field for the kind of callback was named source, as the field for the process. Parsers keep the last one, so that a collected line did not tell which router wrote it.

Change: the field is named callback.

--- a/src/Net/internal/Dispatch.cpp
+++ b/src/Net/internal/Dispatch.cpp
@@ -21,7 +21,7 @@
         it = samplers.emplace(source, LogSampler()).first;
     if (it->second.add())
         Log::error("message_dropped",
-                   {{"source", source}, {"detail", detail}, {"total", it->second.total()}});
+                   {{"callback", source}, {"detail", detail}, {"total", it->second.total()}});
 }
 
 } // namespace
--- a/test/EventLoopTest.cpp
+++ b/test/EventLoopTest.cpp
@@ -14,6 +14,7 @@
 #include <memory>
 #include <numeric>
 #include <stdexcept>
+#include <string>
 #include <vector>
 
 #include <event2/event.h>
@@ -342,12 +343,18 @@
 TEST_CASE("dispatch_sameSourceFailsAgainAndAgain_linesAreBounded")
 {
     int lines = 0;
-    Log::setSink([&](LogLevel, std::string_view) { ++lines; });
+    std::string line;
+    Log::setSink([&](LogLevel, std::string_view it) {
+        ++lines;
+        line = it;
+    });
     const std::uint64_t before = internal::droppedMessages();
     for (int i = 0; i < 10'000; ++i)
         CHECK_FALSE(internal::dispatch("test", [] { throw std::runtime_error("malformed"); }));
     CHECK_FALSE(internal::dispatch("test", [] { throw 1; }));
     Log::setSink({});
     CHECK(lines <= 20);
+    // A second field of this name would hide that of the process.
+    CHECK(line.find("\"source\":") == line.rfind("\"source\":"));
     CHECK(internal::droppedMessages() - before == 10'001);
 }
