--- a/test/HttpClientTest.cpp
+++ b/test/HttpClientTest.cpp
@@ -10,11 +10,13 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <thread>
 #include <vector>
 
+#include <malloc.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -412,3 +414,66 @@
     loop.post([] { std::this_thread::sleep_for(Standstill); });
     CHECK(answeredOf({.address = upstream.address(), .progressTimeout = Limit}) == Calls);
 }
+
+// Guards against an answer that reaches the caller as complete although a part of it is missing,
+// because handling that part failed.
+TEST_CASE_FIXTURE(EndlessAnswerFixture, "httpClient_receiverThrows_callFailsAndOthersGoOn")
+{
+    const std::vector<std::string> forms = {
+            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n1\r\nb\r\n0\r\n\r\n"};
+    for (const std::string &form : forms) {
+        for (const bool isThrowing : {true, false}) {
+            answer = form;
+            std::optional<Result<void>> result;
+            const HttpCallPtr call =
+                    client.send({.address = upstream.address(), .timeout = CallTimeout},
+                                {.onData =
+                                         [&](std::string_view) {
+                                             if (isThrowing)
+                                                 throw std::runtime_error("unexpected data");
+                                         },
+                                 .onEnd =
+                                         [&](Result<void> it) {
+                                             result = std::move(it);
+                                             loop.stop();
+                                         }});
+            Timer limit(loop, [this] { loop.stop(); });
+            limit.start(2 * CallTimeout);
+            loop.run();
+            REQUIRE(result.has_value());
+            CHECK(result->has_value() != isThrowing);
+        }
+    }
+}
+
+// Guards against a process that runs out of memory while no socket can be bound for its calls:
+// evhttp keeps no such request and doesn't free it either.
+TEST_CASE("httpClient_sourceAddressUnusable_failedCallsLeaveNoMemory")
+{
+    constexpr int Calls = 200;
+    constexpr std::size_t BodyBytes = 100'000;
+    EventLoop loop;
+    // Of a network for documentation, which no machine has.
+    HttpClient client{loop, nullptr, "192.0.2.1"};
+    const auto callOnce = [&] {
+        bool hasEnded = false;
+        const HttpCallPtr call = client.send(
+                {.address = "127.0.0.1:9", .method = "POST", .body = std::string(BodyBytes, 'a')},
+                {.onEnd = [&](const Result<void> &it) {
+                    CHECK((it.error().reason == Reason::UpstreamUnreachable));
+                    CHECK((it.error().verdict == Verdict::NotRun));
+                    hasEnded = true;
+                }});
+        for (int i = 0; i < 1000 && !hasEnded; ++i)
+            loop.runOnce();
+        REQUIRE(hasEnded);
+    };
+    callOnce();
+    const std::size_t before = mallinfo2().uordblks + mallinfo2().hblkhd;
+    for (int i = 0; i < Calls; ++i)
+        callOnce();
+    loop.runOnce();
+    const std::size_t after = mallinfo2().uordblks + mallinfo2().hblkhd;
+    CHECK(after < before + Calls * BodyBytes / 10);
+}
