Answers that are given up are ended behind what was written

Callers whose stream broke off early, or behind a slow link, saw the connection end without an answer although its head and events had been written: abort() shut both directions down at once, so that the output buffer was dropped and unread bytes of the caller reset the connection. An answer to HTTP/1.0 without a length was closed like a complete one, and so was one that its caller didn't read in time.

What was written is sent first now, with the idle timeout as write timeout and within RequestBuffers, then the connection is closed without a last chunk. Bytes of the caller are discarded meanwhile by LingeringClose. An incomplete answer without chunks and length ends by a reset, once its caller has received what was sent. evhttp does the flush, so that the answer counts as pending at a stop. write() and end() have no effect after abort(); end() added the last chunk before.

--- a/src/Net/HttpExchange.cpp
+++ b/src/Net/HttpExchange.cpp
@@ -187,6 +187,14 @@
         evhttp_add_header(out, "Connection", "close");
 }
 
+/// evhttp sends an answer with a length or in chunks unless HTTP/1.0 is used.
+bool HttpExchange::isFramed() const
+{
+    const bool isOld = m_request->major < 1 || (m_request->major == 1 && m_request->minor < 1);
+    return !isOld || m_method == "HEAD"
+            || evhttp_find_header(evhttp_request_get_output_headers(m_request), "Content-Length");
+}
+
 void HttpExchange::respond(int status, const HttpHeaders &headers, std::string_view body)
 {
     if (!isOpen() || m_streaming)
@@ -195,6 +203,7 @@
     // The caller reads no body after HEAD, and would take its bytes for the next answer.
     if (m_method != "HEAD")
         evbuffer_add(evhttp_request_get_output_buffer(m_request), body.data(), body.size());
+    m_connection->answerBegun(isFramed());
     evhttp_send_reply(takeRequest(), status, nullptr, nullptr);
 }
 
@@ -205,6 +214,7 @@
     addHeaders(headers);
     m_streaming = true;
     m_keepAlive = shared_from_this();
+    m_connection->answerBegun(isFramed());
     evhttp_send_reply_start(m_request, status, nullptr);
 }
 
@@ -239,11 +249,13 @@
 {
     if (!isOpen())
         return;
-    m_onClosed = nullptr;
-    m_onDrained = nullptr;
-    if (!m_keepAlive)
-        m_keepAlive = shared_from_this();
+    const HttpExchangePtr self = std::exchange(m_keepAlive, nullptr);
     m_connection->giveUpAnswer();
+    // evhttp sends what was written, then closes the connection because of the header, which is not
+    // sent itself, and adds no last chunk to an answer without chunks.
+    evhttp_add_header(evhttp_request_get_output_headers(m_request), "Connection", "close");
+    m_request->chunked = 0;
+    evhttp_send_reply_end(takeRequest());
 }
 
 std::size_t HttpExchange::backlog() const
--- a/src/Net/HttpExchange.h
+++ b/src/Net/HttpExchange.h
@@ -24,8 +24,8 @@
 /// \brief One request that a listener received, with the functions to answer it.
 ///
 /// Exists until it has been answered or dropped. After the caller has left, answering is allowed
-/// and has no effect. A stream exists until end() is called or its connection closes; an incomplete
-/// stream is given up by abort(). Views of the request are valid until the answer is complete.
+/// and has no effect. A stream exists until end() or abort() is called, or its connection closes.
+/// Views of the request are valid until the answer is complete or given up.
 class HttpExchange : public std::enable_shared_from_this<HttpExchange>
 {
 public:
@@ -65,7 +65,9 @@
     void write(std::string_view data);
     void end();
 
-    /// \brief Closes the connection, which shows the caller that the answer is incomplete.
+    /// \brief Gives the answer up. What was written is sent, then the connection is closed in a way
+    /// that shows the caller that the answer is incomplete: without the last chunk, or by a reset
+    /// if the answer has neither chunks nor a length.
     void abort();
 
     /// \returns the number of bytes written but not yet sent to the caller.
@@ -92,6 +94,7 @@
     void connectionClosed();
     evhttp_request *takeRequest();
     void addHeaders(const HttpHeaders &headers);
+    bool isFramed() const;
 
     evhttp_request *m_request;
     internal::ListenerConnection *m_connection; ///< Valid until the request has been answered.
--- a/src/Net/internal/LingeringClose.cpp
+++ b/src/Net/internal/LingeringClose.cpp
@@ -18,13 +18,17 @@
 /// Time without progress. Some round trips of a slow path, in which lost bytes are sent again.
 constexpr Duration LingerTime = std::chrono::seconds(2);
 
+/// Interval of checks whether a caller has received what comes before a reset.
+constexpr Duration ResetCheckInterval = std::chrono::milliseconds(20);
+
 /// A crowd of callers that go on sending must not take the descriptors of others.
 constexpr std::size_t MaxSockets = 512;
 
 } // namespace
 
 LingeringClose::LingeringClose(EventLoop &loop)
-    : m_loop(loop), m_timer(loop, [this] { checkProgress(); })
+    : m_loop(loop), m_timer(loop, [this] { checkProgress(); }),
+      m_resetTimer(loop, [this] { checkResets(); })
 { }
 
 LingeringClose::~LingeringClose()
@@ -35,17 +39,53 @@
 
 void LingeringClose::add(int fd)
 {
-    if (m_sockets.size() >= MaxSockets)
-        remove(m_sockets.begin());
     const int own = fcntl(fd, F_DUPFD_CLOEXEC, 0);
     if (own < 0)
         return;
     shutdown(own, SHUT_WR);
+    keep(own, false);
+}
+
+void LingeringClose::addReset(int fd)
+{
+    const int own = takeSocket(fd);
+    if (own < 0) {
+        // Linux resets the connection of a socket that is disconnected.
+        const sockaddr none = {.sa_family = AF_UNSPEC, .sa_data = {}};
+        static_cast<void>(connect(fd, &none, sizeof none));
+        return;
+    }
+    const linger reset = {.l_onoff = 1, .l_linger = 0};
+    setsockopt(own, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+    keep(own, true);
+    checkResets();
+}
+
+/// Moves the socket \a fd to another descriptor, because evhttp shuts \a fd down before it closes
+/// it.
+/// \returns the descriptor, -1 if there is none left.
+int LingeringClose::takeSocket(int fd)
+{
+    const int nothing = open("/dev/null", O_RDONLY | O_CLOEXEC);
+    if (nothing < 0)
+        return -1;
+    const int out = fcntl(fd, F_DUPFD_CLOEXEC, 0);
+    if (out >= 0)
+        dup3(nothing, fd, O_CLOEXEC);
+    close(nothing);
+    return out;
+}
+
+void LingeringClose::keep(int own, bool isReset)
+{
+    if (m_sockets.size() >= MaxSockets)
+        remove(m_sockets.begin());
     m_sockets.push_back({.owner = this,
                          .fd = own,
                          .readable = nullptr,
                          .checkedAt = m_loop.now(),
-                         .unacknowledged = unacknowledgedBytes(own)});
+                         .unacknowledged = unacknowledgedBytes(own),
+                         .isReset = isReset});
     Socket &it = m_sockets.back();
     it.readable = event_new(
             m_loop.base(), own, EV_READ | EV_PERSIST,
@@ -81,6 +121,20 @@
     m_sockets.erase(it);
 }
 
+void LingeringClose::checkResets()
+{
+    bool isAnyLeft = false;
+    for (auto it = m_sockets.begin(); it != m_sockets.end();) {
+        const auto at = it++;
+        if (at->isReset && unacknowledgedBytes(at->fd) == 0)
+            remove(at);
+        else
+            isAnyLeft = isAnyLeft || at->isReset;
+    }
+    if (isAnyLeft && !m_resetTimer.isPending())
+        m_resetTimer.start(ResetCheckInterval);
+}
+
 void LingeringClose::checkProgress()
 {
     const TimePoint now = m_loop.now();
--- a/src/Net/internal/LingeringClose.h
+++ b/src/Net/internal/LingeringClose.h
@@ -34,6 +34,12 @@
     /// caller closes \a fd. Without a further descriptor, nothing is kept.
     void add(int fd);
 
+    /// \brief Resets the connection of the socket \a fd once the caller has received what was sent,
+    /// so that it doesn't take the end of the connection for the end of an answer. The descriptor
+    /// \a fd refers to no connection any more then, and no event may be pending on it. Without a
+    /// further descriptor, the connection is reset at once.
+    void addReset(int fd);
+
     /// \returns the number of sockets whose last answer has not been received completely.
     std::size_t pendingAnswers() const;
 
@@ -45,16 +51,21 @@
         event *readable;
         TimePoint checkedAt;
         std::size_t unacknowledged; ///< At that time.
+        bool isReset;
     };
     using Sockets = std::list<Socket>;
 
+    void keep(int own, bool isReset);
+    static int takeSocket(int fd);
     void read(Socket &it);
     void remove(Sockets::iterator it);
     void checkProgress();
+    void checkResets();
 
     EventLoop &m_loop;
     Sockets m_sockets; ///< By time of the last check.
     Timer m_timer;
+    Timer m_resetTimer;
 };
 
 } // namespace catkinloft::internal
--- a/src/Net/internal/ListenerConnection.cpp
+++ b/src/Net/internal/ListenerConnection.cpp
@@ -128,20 +128,35 @@
     const auto self = shared_from_this();
     if (const std::optional<UnsentAnswer> unsent = unsentAnswer())
         m_context.onAnswerCut(cutReason(), *unsent);
-    else if (m_isAnswered && (hasUnreadBytes(fd()) || unacknowledgedBytes(fd()) > 0))
-        m_context.lingering.add(fd());
+    closeSocket();
     if (m_exchange)
         std::exchange(m_exchange, nullptr)->connectionClosed();
     m_context.onClosed(m_input);
 }
 
+/// Decides how evhttp's close of the socket ends the connection.
+void ListenerConnection::closeSocket()
+{
+    const bool isCut = m_stage == Stage::Handling;
+    // The caller would take the end of the connection for the end of the answer.
+    if (isCut && !m_isFramed) {
+        bufferevent_disable(m_stream, EV_READ | EV_WRITE);
+        if (m_endEvent)
+            event_del(m_endEvent);
+        return m_context.lingering.addReset(fd());
+    }
+    const bool isSent = m_isAnswered || (m_isGivenUp && evbuffer_get_length(m_output) == 0);
+    if (isSent && (hasUnreadBytes(fd()) || unacknowledgedBytes(fd()) > 0))
+        m_context.lingering.add(fd());
+}
+
 std::optional<UnsentAnswer> ListenerConnection::unsentAnswer() const
 {
     if (m_stage != Stage::Handling)
         return std::nullopt;
     return UnsentAnswer{.requestId = m_requestId,
                         .bytes = evbuffer_get_length(m_output),
-                        .isComplete = m_exchange == nullptr};
+                        .isComplete = !m_exchange && !m_isGivenUp};
 }
 
 bool ListenerConnection::isAnswerPending() const
@@ -214,12 +229,6 @@
     drain(m_input);
 }
 
-void ListenerConnection::giveUpAnswer()
-{
-    m_isGivenUp = true;
-    disconnect();
-}
-
 void ListenerConnection::read()
 {
     using State = RequestScanner::State;
@@ -328,6 +337,7 @@
     m_stage = Stage::Handling;
     m_exchange = &exchange;
     m_isGivenUp = false;
+    m_isFramed = true;
     m_requestId.clear();
     if (!m_context.requestIdHeader.empty())
         m_requestId = exchange.header(m_context.requestIdHeader.c_str());
@@ -342,6 +352,9 @@
 
 void ListenerConnection::answered()
 {
+    // evhttp closes the connection next.
+    if (m_isGivenUp)
+        return;
     m_stage = Stage::Reading;
     m_isAnswered = true;
     m_scanner = RequestScanner(m_context.limits);
@@ -426,8 +439,10 @@
     m_trailer = {};
     m_share.hold(0);
     m_share.run(0);
-    // evhttp reads the end and frees the connection by its own rules.
-    shutdown(fd(), SHUT_RDWR);
+    // evhttp reads the end and frees the connection by its own rules. The end of the sending side
+    // would show an unframed answer as complete.
+    const bool isCutUnframed = m_stage == Stage::Handling && !m_isFramed;
+    shutdown(fd(), isCutUnframed ? SHUT_RD : SHUT_RDWR);
     discardReceived(fd());
     m_context.onEnded(reason);
 }
--- a/src/Net/internal/ListenerConnection.h
+++ b/src/Net/internal/ListenerConnection.h
@@ -85,11 +85,17 @@
     /// \brief Called when evhttp has read a request, which \a exchange answers.
     void handedOver(HttpExchange &exchange);
 
-    /// \brief Called when the answer is complete, but not yet sent.
-    void answerComplete();
+    /// \brief Called when the handler begins the answer.
+    /// \param isFramed whether its end is told by a length or a last chunk, not by the end of the
+    /// connection.
+    void answerBegun(bool isFramed) { m_isFramed = isFramed; }
+
+    /// \brief Called when the handler gives the answer up. evhttp closes the connection when what
+    /// was written has been sent.
+    void giveUpAnswer() { m_isGivenUp = true; }
 
-    /// \brief Called when the handler gives the answer up. Closes the connection.
-    void giveUpAnswer();
+    /// \brief Called when the handler writes no more of the answer, which is not yet sent.
+    void answerComplete();
 
     /// \brief Called when an answer was sent, before evhttp reads the next request.
     void answered();
@@ -121,6 +127,7 @@
     void inputAdded();
     void watchForEnd();
     void disconnect();
+    void closeSocket();
     void read();
     void readHead();
     void readChunks();
@@ -152,7 +159,8 @@
     std::size_t m_scannedBytes = 0; ///< Of the head, at the begin of the input.
     Stage m_stage = Stage::Reading;
     bool m_isEnded = false;
-    bool m_isGivenUp = false;
+    bool m_isGivenUp = false; ///< The answer is incomplete.
+    bool m_isFramed = true; ///< The answer.
     bool m_isDisconnected = false; ///< Shut down, so that evhttp reads the end.
     bool m_isAnswered = false; ///< No byte has arrived since the last answer was sent.
     bool m_isComposing = false;
--- a/test/KeptConnectionTest.cpp
+++ b/test/KeptConnectionTest.cpp
@@ -24,6 +24,8 @@
 /// More than the sockets of a connection hold.
 constexpr std::size_t LongAnswer = 32 * 1024 * 1024;
 
+const std::string Get = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+
 /// A server that answers each request with the length of its body, some milliseconds later, and GET
 /// with a long body.
 struct KeptConnectionFixture
@@ -346,11 +348,25 @@
     {
         server.reset();
         server = std::make_unique<HttpServer>(
-                loop, HttpServer::Options{.address = fmt::format("127.0.0.1:{}", port)},
+                loop,
+                HttpServer::Options{.address = fmt::format("127.0.0.1:{}", port),
+                                    .limits = {.idleTimeout = 1s},
+                                    .onAnswerCut =
+                                            [this](AnswerCut reason, const UnsentAnswer &answer) {
+                                                cuts.emplace_back(answerCutName(reason));
+                                                lastCut = answer;
+                                            }},
                 [this](const HttpExchangePtr &it) { exchange = it; });
         REQUIRE(server->listen());
     }
 
+    /// Sends \a head on \a caller and waits for the handler to be called.
+    void receive(RawCaller &caller, const std::string &head)
+    {
+        caller.send(head);
+        REQUIRE(until([&] { return exchange != nullptr; }));
+    }
+
     /// Begins a stream to \a caller, which has sent \a ahead bytes of its next request.
     void begin(RawCaller &caller, std::size_t ahead)
     {
@@ -429,3 +445,89 @@
     }
     REQUIRE(caller.received.size() < length);
 }
+
+// Guards against a stream that breaks off early, or behind a slow link, and looks to its caller
+// like a request without an answer: what was written is discarded when the handler gives the stream
+// up.
+TEST_CASE_FIXTURE(StreamFixture, "listener_streamIsGivenUp_whatWasWrittenArrivesWithoutItsEnd")
+{
+    for (const std::size_t length : {std::size_t(0), std::size_t(5), LongAnswer}) {
+        for (const std::size_t ahead : {std::size_t(0), std::size_t(1'000'000)}) {
+            CAPTURE(length);
+            CAPTURE(ahead);
+            cuts.clear();
+            RawCaller caller(port);
+            receive(caller, Get);
+            exchange->beginStream(200, {});
+            exchange->write(std::string(length, 'a'));
+            exchange->abort();
+            exchange->write("late");
+            exchange->end();
+            exchange.reset();
+            const std::string next = request(ahead, false);
+            std::size_t sent = 0;
+            CHECK(until([&] {
+                if (ahead > 0 && sent < next.size())
+                    sent += caller.sendSome(next.substr(sent));
+                return caller.readSome(256 * 1024);
+            }));
+            CHECK(caller.received.starts_with("HTTP/1.1 200 OK\r\n"));
+            const std::string chunk = length > 0
+                    ? fmt::format("\r\n\r\n{:x}\r\n{}\r\n", length, std::string(length, 'a'))
+                    : std::string("\r\n\r\n");
+            CHECK(caller.received.ends_with(chunk));
+            CHECK_FALSE(caller.wasReset);
+            CHECK(until([&] { return server->unsentAnswers().empty(); }));
+            CHECK(cuts == std::vector<std::string>{"broken_off"});
+            CHECK_FALSE(lastCut.isComplete);
+            CHECK(exchange == nullptr);
+        }
+    }
+}
+
+// Guards against an incomplete answer that is taken for complete, because it has neither chunks nor
+// a length and its connection is closed like that of a complete one.
+TEST_CASE_FIXTURE(StreamFixture, "listener_unframedStreamIsGivenUp_connectionIsReset")
+{
+    for (const std::size_t length : {std::size_t(5), LongAnswer}) {
+        CAPTURE(length);
+        RawCaller caller(port);
+        receive(caller, "GET / HTTP/1.0\r\n\r\n");
+        exchange->beginStream(200, {});
+        exchange->write(std::string(length, 'a'));
+        std::exchange(exchange, nullptr)->abort();
+        CHECK(until([&] { return caller.readSome(256 * 1024); }));
+        CHECK(caller.received.ends_with("\r\n\r\n" + std::string(length, 'a')));
+        CHECK(caller.wasReset);
+    }
+}
+
+// Guards against the same for an answer that its caller doesn't read in time.
+TEST_CASE_FIXTURE(StreamFixture, "listener_unframedAnswerIsNotReadInTime_connectionIsReset")
+{
+    RawCaller caller(port);
+    receive(caller, "GET / HTTP/1.0\r\n\r\n");
+    std::exchange(exchange, nullptr)->respond(200, {}, std::string(LongAnswer, 'a'));
+    CHECK(until([&] { return server->unsentAnswers().empty(); }));
+    CHECK(until([&] { return caller.read(); }));
+    CHECK(caller.received.size() < LongAnswer);
+    CHECK(caller.wasReset);
+}
+
+// Guards against a stream that was given up and is held for ever for a caller who doesn't read it,
+// and against the end of the process before it was sent.
+TEST_CASE_FIXTURE(StreamFixture, "listener_streamIsGivenUpAndNotRead_isPendingUntilTheIdleTimeout")
+{
+    RawCaller caller(port);
+    receive(caller, Get);
+    exchange->beginStream(200, {});
+    exchange->write(std::string(LongAnswer, 'a'));
+    std::exchange(exchange, nullptr)->abort();
+    const TimePoint end = loop.now() + 500ms;
+    until([&] { return loop.now() >= end; });
+    REQUIRE(server->unsentAnswers().size() == 1);
+    CHECK(server->unsentAnswers().front().bytes > 0);
+    CHECK_FALSE(server->unsentAnswers().front().isComplete);
+    CHECK(server->pendingAnswers() == 1);
+    CHECK(until([&] { return server->unsentAnswers().empty(); }, 10s));
+}
--- a/test/RawCaller.h
+++ b/test/RawCaller.h
@@ -53,8 +53,12 @@
         std::array<char, 4096> buf{};
         for (std::size_t sum = 0; sum < bytes;) {
             const ssize_t n = recv(m_fd, buf.data(), buf.size(), MSG_DONTWAIT);
-            if (n <= 0)
-                return n == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+            if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+                return false;
+            if (n <= 0) {
+                wasReset = wasReset || n < 0;
+                return true;
+            }
             received.append(buf.data(), static_cast<std::size_t>(n));
             sum += static_cast<std::size_t>(n);
         }
@@ -62,6 +66,7 @@
     }
 
     std::string received;
+    bool wasReset = false; ///< The listener has closed the connection by a reset.
 
 private:
     int m_fd;
