The event that ends a listener's connection is its recorded reason

ListenerConnection puts callbacks in front of evhttp's and records the event with its errno; evhttp sets its own with each write, so they are put back after each call. cut() is the only place where a reason is set, and what happens first decides. A reset or broken path is "reset" with its error now, no longer "caller", and an answer that was given up and then not read is "timeout". "unknown" remains for a close without an event.

--- a/src/Net/ConnectionLog.cpp
+++ b/src/Net/ConnectionLog.cpp
@@ -78,7 +78,8 @@
     const std::string_view name = answerCutName(reason);
     m_options.metrics.count("catkinloft_answers_cut_total", Metrics::label("reason", name));
     // The handler logs the end of an answer that it gives up or whose caller leaves.
-    const bool isLogged = reason == AnswerCut::BrokenOff || reason == AnswerCut::Caller;
+    const bool isLogged = reason == AnswerCut::BrokenOff || reason == AnswerCut::Caller
+            || reason == AnswerCut::Reset;
     if (isLogged && !answer.isComplete)
         return;
     const TimePoint now = m_options.clock.now();
@@ -96,6 +97,7 @@
                   {"address", address},
                   {"unsent_bytes", answer.bytes},
                   {"complete", answer.isComplete},
+                  {"error", answer.error != 0 ? std::strerror(answer.error) : ""},
                   {"not_logged", std::exchange(m_cutsNotLogged, 0)},
                   {"held_bytes", m_options.buffers.used()},
                   {"limit_bytes", m_options.buffers.limit()}});
--- a/src/Net/HttpExchange.cpp
+++ b/src/Net/HttpExchange.cpp
@@ -66,14 +66,10 @@
 void HttpExchange::watchConnection()
 {
     m_connection->handedOver(*this);
+    m_connection->observeStream();
     // evhttp stops reading while it waits for the answer and would not detect that the caller
-    // leaves. Without a read callback, data stays in the buffer and only the end is reported.
+    // leaves.
     bufferevent *bev = evhttp_connection_get_bufferevent(evhttp_request_get_connection(m_request));
-    bufferevent_data_cb onWrite = nullptr;
-    bufferevent_event_cb onEvent = nullptr;
-    void *arg = nullptr;
-    bufferevent_getcb(bev, nullptr, &onWrite, &onEvent, &arg);
-    bufferevent_setcb(bev, nullptr, onWrite, onEvent, arg);
     bufferevent_setwatermark(bev, EV_READ, 0, internal::ListenerConnection::MaxReadAhead);
     // The caller does not have to send anything while it waits, so there is no read timeout.
     bufferevent_set_timeouts(bev, nullptr, nullptr);
@@ -205,6 +201,7 @@
         evbuffer_add(evhttp_request_get_output_buffer(m_request), body.data(), body.size());
     m_connection->answerBegun(isFramed());
     evhttp_send_reply(takeRequest(), status, nullptr, nullptr);
+    m_connection->observeStream();
 }
 
 void HttpExchange::beginStream(int status, const HttpHeaders &headers)
@@ -216,6 +213,7 @@
     m_keepAlive = shared_from_this();
     m_connection->answerBegun(isFramed());
     evhttp_send_reply_start(m_request, status, nullptr);
+    m_connection->observeStream();
 }
 
 void HttpExchange::write(std::string_view data)
@@ -235,6 +233,7 @@
             },
             this);
     evbuffer_free(buf);
+    m_connection->observeStream();
 }
 
 void HttpExchange::end()
@@ -242,7 +241,11 @@
     if (!isOpen() || !m_streaming)
         return;
     const HttpExchangePtr self = std::exchange(m_keepAlive, nullptr);
+    // evhttp may close the connection at once.
+    const auto connection = m_connection->weak_from_this();
     evhttp_send_reply_end(takeRequest());
+    if (const auto it = connection.lock())
+        it->observeStream();
 }
 
 void HttpExchange::abort()
--- a/src/Net/UnsentAnswer.cpp
+++ b/src/Net/UnsentAnswer.cpp
@@ -13,8 +13,12 @@
         return "timeout";
     case AnswerCut::Caller:
         return "caller";
+    case AnswerCut::Reset:
+        return "reset";
     case AnswerCut::Stopped:
         return "stopped";
+    case AnswerCut::Unknown:
+        return "unknown";
     }
     return {};
 }
--- a/src/Net/internal/ListenerConnection.cpp
+++ b/src/Net/internal/ListenerConnection.cpp
@@ -4,9 +4,9 @@
 #include "Net/HttpExchange.h"
 #include "Net/internal/LingeringClose.h"
 #include "Net/internal/SocketBytes.h"
-#include "Net/internal/Timeval.h"
 #include "Net/internal/TlsStream.h"
 
+#include <cerrno>
 #include <limits>
 #include <utility>
 
@@ -80,7 +80,6 @@
             m_output,
             [](evbuffer *, const evbuffer_cb_info *, void *self) {
                 auto *it = static_cast<ListenerConnection *>(self);
-                it->m_sentAt = it->m_context.loop.now();
                 it->m_context.loop.noteProgress();
                 it->updateShare();
             },
@@ -127,7 +126,7 @@
     evbuffer_remove_cb_entry(m_output, m_outputEntry);
     const auto self = shared_from_this();
     if (const std::optional<UnsentAnswer> unsent = unsentAnswer())
-        m_context.onAnswerCut(cutReason(), *unsent);
+        m_context.onAnswerCut(m_cut.value_or(AnswerCut::Unknown), *unsent);
     closeSocket();
     if (m_exchange)
         std::exchange(m_exchange, nullptr)->connectionClosed();
@@ -156,7 +155,8 @@
         return std::nullopt;
     return UnsentAnswer{.requestId = m_requestId,
                         .bytes = evbuffer_get_length(m_output),
-                        .isComplete = !m_exchange && !m_isGivenUp};
+                        .isComplete = !m_exchange && !m_isGivenUp,
+                        .error = m_cutError};
 }
 
 bool ListenerConnection::isAnswerPending() const
@@ -177,17 +177,49 @@
     discardReceived(fd());
 }
 
-AnswerCut ListenerConnection::cutReason() const
+void ListenerConnection::observeStream()
 {
-    if (m_isEnded)
-        return AnswerCut::Memory;
-    if (m_isGivenUp)
-        return AnswerCut::BrokenOff;
-    // Until the answer is complete there is no timeout. libevent counts it from the begin of a
-    // turn.
-    const Duration limit = toDuration(m_context.idleTimeout) * 9 / 10;
-    const bool isTimeout = !m_exchange && m_context.loop.now() - m_sentAt >= limit;
-    return isTimeout ? AnswerCut::Timeout : AnswerCut::Caller;
+    if (m_stage != Stage::Handling)
+        return;
+    StreamCallbacks evhttp;
+    bufferevent_getcb(m_stream, nullptr, &evhttp.written, &evhttp.ended, &evhttp.arg);
+    if (evhttp.arg == this)
+        return;
+    m_evhttp = evhttp;
+    // Without a read callback, data stays in the buffer and only the end is reported.
+    bufferevent_setcb(m_stream, nullptr, &streamWritten, &streamEnded, this);
+}
+
+void ListenerConnection::streamWritten(bufferevent *stream, void *self)
+{
+    // evhttp may free the connection.
+    const StreamCallbacks evhttp = static_cast<ListenerConnection *>(self)->m_evhttp;
+    if (evhttp.written)
+        evhttp.written(stream, evhttp.arg);
+}
+
+void ListenerConnection::streamEnded(bufferevent *stream, short what, void *self)
+{
+    const int error = errno;
+    auto *it = static_cast<ListenerConnection *>(self);
+    const StreamCallbacks evhttp = it->m_evhttp;
+    if ((what & BEV_EVENT_TIMEOUT) != 0)
+        it->cut(AnswerCut::Timeout);
+    else if ((what & BEV_EVENT_EOF) != 0)
+        it->cut(AnswerCut::Caller);
+    else if ((what & BEV_EVENT_ERROR) != 0)
+        it->cut(AnswerCut::Reset, error);
+    evhttp.ended(stream, what, evhttp.arg);
+}
+
+/// Records why the connection ends while a request is handled. What happens first decides; the
+/// events that follow are its consequences.
+void ListenerConnection::cut(AnswerCut reason, int error)
+{
+    if (m_stage != Stage::Handling || m_cut)
+        return;
+    m_cut = reason;
+    m_cutError = error;
 }
 
 void ListenerConnection::inputAdded()
@@ -214,8 +246,10 @@
             m_context.loop.base(), fd(), EV_CLOSED,
             [](evutil_socket_t, short, void *self) {
                 auto *it = static_cast<ListenerConnection *>(self);
-                if (it->m_stage == Stage::Handling)
-                    it->disconnect();
+                if (it->m_stage != Stage::Handling)
+                    return;
+                it->cut(AnswerCut::Caller);
+                it->disconnect();
             },
             this);
     event_add(m_endEvent, nullptr);
@@ -336,6 +370,8 @@
 {
     m_stage = Stage::Handling;
     m_exchange = &exchange;
+    m_cut.reset();
+    m_cutError = 0;
     m_isGivenUp = false;
     m_isFramed = true;
     m_requestId.clear();
@@ -354,7 +390,7 @@
 {
     // evhttp closes the connection next.
     if (m_isGivenUp)
-        return;
+        return cut(AnswerCut::BrokenOff);
     m_stage = Stage::Reading;
     m_isAnswered = true;
     m_scanner = RequestScanner(m_context.limits);
@@ -429,6 +465,7 @@
 {
     if (std::exchange(m_isEnded, true))
         return;
+    cut(AnswerCut::Memory);
     if (m_stage == Stage::Reading)
         writeNow(endAnswer(reason));
     if (m_stage != Stage::Handling)
--- a/src/Net/internal/ListenerConnection.h
+++ b/src/Net/internal/ListenerConnection.h
@@ -15,7 +15,8 @@
 
 #include <sys/time.h>
 
-struct bufferevent;
+#include <event2/bufferevent.h>
+
 struct event;
 struct evbuffer;
 struct evbuffer_cb_entry;
@@ -85,6 +86,10 @@
     /// \brief Called when evhttp has read a request, which \a exchange answers.
     void handedOver(HttpExchange &exchange);
 
+    /// \brief Installs callbacks in front of evhttp's, so that the event that ends the connection
+    /// while a request is handled is recorded. Called after each call that lets evhttp set its own.
+    void observeStream();
+
     /// \brief Called when the handler begins the answer.
     /// \param isFramed whether its end is told by a length or a last chunk, not by the end of the
     /// connection.
@@ -124,6 +129,13 @@
         Handling, ///< From the hand-over to the end of the answer.
     };
 
+    struct StreamCallbacks
+    {
+        bufferevent_data_cb written = nullptr;
+        bufferevent_event_cb ended = nullptr;
+        void *arg = nullptr;
+    };
+
     void inputAdded();
     void watchForEnd();
     void disconnect();
@@ -140,7 +152,9 @@
     void updateShare();
     void closed();
     void setLowWatermark(std::size_t bytes);
-    AnswerCut cutReason() const;
+    static void streamWritten(bufferevent *stream, void *self);
+    static void streamEnded(bufferevent *stream, short what, void *self);
+    void cut(AnswerCut reason, int error = 0);
     std::string_view endAnswer(End reason) const;
     void writeNow(std::string_view text);
 
@@ -150,6 +164,7 @@
     evbuffer *m_output;
     evbuffer_cb_entry *m_inputEntry = nullptr;
     evbuffer_cb_entry *m_outputEntry = nullptr;
+    StreamCallbacks m_evhttp; ///< Behind those of observeStream().
     event *m_endEvent = nullptr; ///< Exists once reading has paused before an answer was sent.
     evbuffer *m_head; ///< Of a request in chunks.
     evbuffer *m_body; ///< Chunks without their framing.
@@ -166,8 +181,9 @@
     bool m_isComposing = false;
     HttpExchange *m_exchange = nullptr;
     std::string m_requestId; ///< Of the request that is handled.
+    std::optional<AnswerCut> m_cut; ///< Why its connection ends.
+    int m_cutError = 0;
     TimePoint m_headSince;
-    TimePoint m_sentAt; ///< Last change of the bytes to send.
     std::list<ListenerConnection *> m_headNode; ///< The only element, while no head is incomplete.
     std::list<ListenerConnection *>::iterator m_headPosition;
     bool m_isHeadListed = false;
--- a/test/ConnectionLogTest.cpp
+++ b/test/ConnectionLogTest.cpp
@@ -162,7 +162,7 @@
 // caller left before it was complete.
 TEST_CASE_FIXTURE(ConnectionLogFixture, "connectionLog_handlerLogsTheEnd_cutIsOnlyCounted")
 {
-    for (const AnswerCut it : {AnswerCut::BrokenOff, AnswerCut::Caller})
+    for (const AnswerCut it : {AnswerCut::BrokenOff, AnswerCut::Caller, AnswerCut::Reset})
         log.answerCut("127.0.0.1:1", it, {.requestId = "r-1", .bytes = 700, .isComplete = false});
     CHECK(lines.empty());
     CHECK(metrics.counter("catkinloft_answers_cut_total", Metrics::label("reason", "caller")) == 1);
--- a/test/KeptConnectionTest.cpp
+++ b/test/KeptConnectionTest.cpp
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+#include <cerrno>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -318,6 +319,7 @@
 }
 
 // Guards against a caller that leaves being taken for one that reads too slowly, or the reverse.
+// The system resets the connection of a caller that leaves with a part of its answer unread.
 TEST_CASE_FIXTURE(KeptConnectionFixture, "listener_callerLeaves_reasonAndRequestAreReported")
 {
     for (const bool hasAnswer : {false, true}) {
@@ -332,7 +334,8 @@
             });
         }
         CHECK(until([&] { return !cuts.empty(); }));
-        CHECK(cuts == std::vector<std::string>{"caller"});
+        CHECK(cuts == std::vector<std::string>{hasAnswer ? "reset" : "caller"});
+        CHECK((lastCut.error != 0) == hasAnswer);
         CHECK(lastCut.requestId == "r-7");
         CHECK(lastCut.isComplete == hasAnswer);
         CHECK((lastCut.bytes > 0) == hasAnswer);
@@ -531,3 +534,76 @@
     CHECK(server->pendingAnswers() == 1);
     CHECK(until([&] { return server->unsentAnswers().empty(); }, 10s));
 }
+
+// Guards against a reason that is inferred from how long an answer has made no progress: a caller
+// that leaves after a pause counted as one that didn't read in time.
+TEST_CASE_FIXTURE(StreamFixture, "listener_callerLeavesAfterAPause_reasonIsTheCaller")
+{
+    for (const bool isHalfClosed : {false, true}) {
+        CAPTURE(isHalfClosed);
+        cuts.clear();
+        auto caller = std::make_unique<RawCaller>(port);
+        receive(*caller, Get);
+        std::exchange(exchange, nullptr)->respond(200, {}, std::string(LongAnswer, 'a'));
+        const TimePoint end = loop.now() + 950ms;
+        until([&] { return loop.now() >= end; });
+        REQUIRE(cuts.empty());
+        isHalfClosed ? caller->finish() : caller.reset();
+        CHECK(until([&] { return !cuts.empty(); }));
+        CHECK(cuts == std::vector<std::string>{isHalfClosed ? "caller" : "reset"});
+    }
+}
+
+// Guards against replicas that work on for a caller that has left: the end of its sending side
+// can't be told from the end of the connection, so a caller that only half-closes has left, too.
+TEST_CASE_FIXTURE(StreamFixture, "listener_callerClosesItsSendingSide_handlerIsTold")
+{
+    for (const bool isStream : {false, true}) {
+        CAPTURE(isStream);
+        cuts.clear();
+        RawCaller caller(port);
+        receive(caller, Get);
+        bool isClosed = false;
+        exchange->onClosed([&] { isClosed = true; });
+        if (isStream)
+            exchange->beginStream(200, {});
+        caller.finish();
+        CHECK(until([&] { return isClosed; }, 3s));
+        CHECK(cuts == std::vector<std::string>{"caller"});
+        exchange.reset();
+    }
+}
+
+// Guards against a caller that resets its connection being taken for one that closes it.
+TEST_CASE_FIXTURE(StreamFixture, "listener_callerResetsItsConnection_reasonAndErrorAreReported")
+{
+    for (const std::size_t ahead : {std::size_t(100)}) {
+        CAPTURE(ahead);
+        cuts.clear();
+        exchange.reset();
+        {
+            RawCaller caller(port);
+            begin(caller, ahead);
+            caller.resetOnClose();
+        }
+        CHECK(until([&] { return !cuts.empty(); }, 3s));
+        CHECK(cuts == std::vector<std::string>{"reset"});
+        CHECK(lastCut.error == ECONNRESET);
+        CHECK_FALSE(lastCut.isComplete);
+    }
+}
+
+// Guards against an answer that was given up and is reported as such although its caller, by not
+// reading, didn't receive what was written.
+TEST_CASE_FIXTURE(StreamFixture, "listener_streamIsGivenUpAndNotRead_reasonIsTheTimeout")
+{
+    RawCaller caller(port);
+    receive(caller, Get);
+    exchange->beginStream(200, {});
+    exchange->write(std::string(LongAnswer, 'a'));
+    std::exchange(exchange, nullptr)->abort();
+    CHECK(until([&] { return !cuts.empty(); }));
+    CHECK(cuts == std::vector<std::string>{"timeout"});
+    CHECK(lastCut.bytes > 0);
+    CHECK_FALSE(lastCut.isComplete);
+}
--- a/test/RawCaller.h
+++ b/test/RawCaller.h
@@ -44,6 +44,13 @@
 
     void finish() const { shutdown(m_fd, SHUT_WR); }
 
+    /// \brief Lets the end of this object reset the connection.
+    void resetOnClose() const
+    {
+        const linger reset = {.l_onoff = 1, .l_linger = 0};
+        setsockopt(m_fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+    }
+
     /// \returns whether the listener has closed the connection.
     bool read() { return readSome(SIZE_MAX); }
 
