--- a/src/Net/HttpExchange.cpp
+++ b/src/Net/HttpExchange.cpp
@@ -66,14 +66,10 @@
 void HttpExchange::watchConnection()
 {
     m_connection->handedOver(*this);
+    m_connection->observeStream();
     // evhttp stops reading while it waits for the answer and would not detect that the caller
-    // leaves. Without a read callback, data stays in the buffer and only the end is reported.
+    // leaves.
     bufferevent *bev = evhttp_connection_get_bufferevent(evhttp_request_get_connection(m_request));
-    bufferevent_data_cb onWrite = nullptr;
-    bufferevent_event_cb onEvent = nullptr;
-    void *arg = nullptr;
-    bufferevent_getcb(bev, nullptr, &onWrite, &onEvent, &arg);
-    bufferevent_setcb(bev, nullptr, onWrite, onEvent, arg);
     bufferevent_setwatermark(bev, EV_READ, 0, internal::ListenerConnection::MaxReadAhead);
     // The caller does not have to send anything while it waits, so there is no read timeout.
     bufferevent_set_timeouts(bev, nullptr, nullptr);
@@ -187,6 +183,14 @@
         evhttp_add_header(out, "Connection", "close");
 }
 
+/// evhttp sends an answer with a length or in chunks unless HTTP/1.0 is used.
+bool HttpExchange::isFramed() const
+{
+    const bool isOld = m_request->major < 1 || (m_request->major == 1 && m_request->minor < 1);
+    return !isOld || m_method == "HEAD"
+            || evhttp_find_header(evhttp_request_get_output_headers(m_request), "Content-Length");
+}
+
 void HttpExchange::respond(int status, const HttpHeaders &headers, std::string_view body)
 {
     if (!isOpen() || m_streaming)
@@ -195,7 +199,9 @@
     // The caller reads no body after HEAD, and would take its bytes for the next answer.
     if (m_method != "HEAD")
         evbuffer_add(evhttp_request_get_output_buffer(m_request), body.data(), body.size());
+    m_connection->answerBegun(isFramed());
     evhttp_send_reply(takeRequest(), status, nullptr, nullptr);
+    m_connection->observeStream();
 }
 
 void HttpExchange::beginStream(int status, const HttpHeaders &headers)
@@ -205,7 +211,9 @@
     addHeaders(headers);
     m_streaming = true;
     m_keepAlive = shared_from_this();
+    m_connection->answerBegun(isFramed());
     evhttp_send_reply_start(m_request, status, nullptr);
+    m_connection->observeStream();
 }
 
 void HttpExchange::write(std::string_view data)
@@ -225,6 +233,7 @@
             },
             this);
     evbuffer_free(buf);
+    m_connection->observeStream();
 }
 
 void HttpExchange::end()
@@ -232,18 +241,24 @@
     if (!isOpen() || !m_streaming)
         return;
     const HttpExchangePtr self = std::exchange(m_keepAlive, nullptr);
+    // evhttp may close the connection at once.
+    const auto connection = m_connection->weak_from_this();
     evhttp_send_reply_end(takeRequest());
+    if (const auto it = connection.lock())
+        it->observeStream();
 }
 
 void HttpExchange::abort()
 {
     if (!isOpen())
         return;
-    m_onClosed = nullptr;
-    m_onDrained = nullptr;
-    if (!m_keepAlive)
-        m_keepAlive = shared_from_this();
+    const HttpExchangePtr self = std::exchange(m_keepAlive, nullptr);
     m_connection->giveUpAnswer();
+    // evhttp sends what was written, then closes the connection because of the header, which is not
+    // sent itself, and adds no last chunk to an answer without chunks.
+    evhttp_add_header(evhttp_request_get_output_headers(m_request), "Connection", "close");
+    m_request->chunked = 0;
+    evhttp_send_reply_end(takeRequest());
 }
 
 std::size_t HttpExchange::backlog() const
--- a/src/Net/internal/ListenerConnection.h
+++ b/src/Net/internal/ListenerConnection.h
@@ -15,7 +15,8 @@
 
 #include <sys/time.h>
 
-struct bufferevent;
+#include <event2/bufferevent.h>
+
 struct event;
 struct evbuffer;
 struct evbuffer_cb_entry;
@@ -85,11 +86,21 @@
     /// \brief Called when evhttp has read a request, which \a exchange answers.
     void handedOver(HttpExchange &exchange);
 
-    /// \brief Called when the answer is complete, but not yet sent.
-    void answerComplete();
+    /// \brief Installs callbacks in front of evhttp's, so that the event that ends the connection
+    /// while a request is handled is recorded. Called after each call that lets evhttp set its own.
+    void observeStream();
+
+    /// \brief Called when the handler begins the answer.
+    /// \param isFramed whether its end is told by a length or a last chunk, not by the end of the
+    /// connection.
+    void answerBegun(bool isFramed) { m_isFramed = isFramed; }
+
+    /// \brief Called when the handler gives the answer up. evhttp closes the connection when what
+    /// was written has been sent.
+    void giveUpAnswer() { m_isGivenUp = true; }
 
-    /// \brief Called when the handler gives the answer up. Closes the connection.
-    void giveUpAnswer();
+    /// \brief Called when the handler writes no more of the answer, which is not yet sent.
+    void answerComplete();
 
     /// \brief Called when an answer was sent, before evhttp reads the next request.
     void answered();
@@ -118,9 +129,17 @@
         Handling, ///< From the hand-over to the end of the answer.
     };
 
+    struct StreamCallbacks
+    {
+        bufferevent_data_cb written = nullptr;
+        bufferevent_event_cb ended = nullptr;
+        void *arg = nullptr;
+    };
+
     void inputAdded();
     void watchForEnd();
     void disconnect();
+    void closeSocket();
     void read();
     void readHead();
     void readChunks();
@@ -133,7 +152,9 @@
     void updateShare();
     void closed();
     void setLowWatermark(std::size_t bytes);
-    AnswerCut cutReason() const;
+    static void streamWritten(bufferevent *stream, void *self);
+    static void streamEnded(bufferevent *stream, short what, void *self);
+    void cut(AnswerCut reason, int error = 0);
     std::string_view endAnswer(End reason) const;
     void writeNow(std::string_view text);
 
@@ -143,6 +164,7 @@
     evbuffer *m_output;
     evbuffer_cb_entry *m_inputEntry = nullptr;
     evbuffer_cb_entry *m_outputEntry = nullptr;
+    StreamCallbacks m_evhttp; ///< Behind those of observeStream().
     event *m_endEvent = nullptr; ///< Exists once reading has paused before an answer was sent.
     evbuffer *m_head; ///< Of a request in chunks.
     evbuffer *m_body; ///< Chunks without their framing.
@@ -152,14 +174,16 @@
     std::size_t m_scannedBytes = 0; ///< Of the head, at the begin of the input.
     Stage m_stage = Stage::Reading;
     bool m_isEnded = false;
-    bool m_isGivenUp = false;
+    bool m_isGivenUp = false; ///< The answer is incomplete.
+    bool m_isFramed = true; ///< The answer.
     bool m_isDisconnected = false; ///< Shut down, so that evhttp reads the end.
     bool m_isAnswered = false; ///< No byte has arrived since the last answer was sent.
     bool m_isComposing = false;
     HttpExchange *m_exchange = nullptr;
     std::string m_requestId; ///< Of the request that is handled.
+    std::optional<AnswerCut> m_cut; ///< Why its connection ends.
+    int m_cutError = 0;
     TimePoint m_headSince;
-    TimePoint m_sentAt; ///< Last change of the bytes to send.
     std::list<ListenerConnection *> m_headNode; ///< The only element, while no head is incomplete.
     std::list<ListenerConnection *>::iterator m_headPosition;
     bool m_isHeadListed = false;
--- a/test/RawCaller.h
+++ b/test/RawCaller.h
@@ -44,6 +44,13 @@
 
     void finish() const { shutdown(m_fd, SHUT_WR); }
 
+    /// \brief Lets the end of this object reset the connection.
+    void resetOnClose() const
+    {
+        const linger reset = {.l_onoff = 1, .l_linger = 0};
+        setsockopt(m_fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+    }
+
     /// \returns whether the listener has closed the connection.
     bool read() { return readSome(SIZE_MAX); }
 
@@ -53,8 +60,12 @@
         std::array<char, 4096> buf{};
         for (std::size_t sum = 0; sum < bytes;) {
             const ssize_t n = recv(m_fd, buf.data(), buf.size(), MSG_DONTWAIT);
-            if (n <= 0)
-                return n == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+            if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+                return false;
+            if (n <= 0) {
+                wasReset = wasReset || n < 0;
+                return true;
+            }
             received.append(buf.data(), static_cast<std::size_t>(n));
             sum += static_cast<std::size_t>(n);
         }
@@ -62,6 +73,7 @@
     }
 
     std::string received;
+    bool wasReset = false; ///< The listener has closed the connection by a reset.
 
 private:
     int m_fd;
