Soak reports router processes that end by themselves

Cause: the soak restarted what it had killed or stopped and looked at no other end of a router. A router that aborted between two faults was only noticed when it was missing in the probes at the end, and one that aborted after SIGTERM was not noticed at all.

Change: ChildProcess remembers the signals that it has sent and tells whether they explain the end of its process.

--- /dev/null
+++ b/soak/RouterCheck.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include "SoakCheck.h"
+
+namespace catkinloft::soak {
+
+/// \brief Checks that routers end only when the run ends them.
+void checkRouters(const RunHistory &history, const std::function<void(std::string)> &broken);
+
+} // namespace catkinloft::soak
--- a/soak/SoakCheck.cpp
+++ b/soak/SoakCheck.cpp
@@ -3,6 +3,7 @@
 #include "Base/Log.h"
 #include "OverloadCheck.h"
 #include "ReplicaStandin.h"
+#include "RouterCheck.h"
 
 #include <algorithm>
 #include <functional>
@@ -373,6 +374,7 @@
         if (out.size() < MaxReportedLines)
             out.push_back(std::move(line));
     };
+    checkRouters(history, broken);
     std::map<std::string, std::set<std::string>> ranAt;
     std::map<std::string, int> runs;
     for (const Json::Value &it : executions) {
--- a/soak/SoakCheck.h
+++ b/soak/SoakCheck.h
@@ -48,6 +48,14 @@
     bool isPlannedStop = false; ///< SIGTERM, after which answers must still end.
 };
 
+/// \brief The end of a router process that the run didn't cause.
+struct RouterExit
+{
+    std::size_t router = 0;
+    WallTime at = {};
+    int status = 0; ///< \sa standin::ChildProcess::wait()
+};
+
 /// \brief A period in which answers of a replica could be cut off by a fault of its own or of its
 /// path. A single short pause is none.
 struct ReplicaDisturbance
@@ -70,7 +78,9 @@
 struct RunHistory
 {
     std::vector<OperatorAct> acts = {};
+    WallTime startedAt = {}; ///< Begin of the load.
     std::vector<RouterDisturbance> disturbances = {};
+    std::vector<RouterExit> routerExits = {};
     std::vector<ReplicaDisturbance> replicaDisturbances = {};
     std::vector<Evacuation> evacuations = {};
     std::vector<ColdPeriod> coldPeriods = {};
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -261,12 +261,16 @@
     if (m_options.withSlowCallers)
         load.slowCallerSeed = m_options.seed ^ ~PlannedSeed;
     m_load.emplace(std::move(load));
+    m_history.startedAt = m_loop.wallNow();
     m_load->start();
     if (m_copyTimer) {
         m_fleet.copyStore();
         m_copyTimer->startRepeating(CopyInterval);
     }
-    m_restartTimer = std::make_unique<Timer>(m_loop, [this] { restartExitedReplicas(); });
+    m_restartTimer = std::make_unique<Timer>(m_loop, [this] {
+        restartExitedReplicas();
+        restartExitedRouters();
+    });
     m_restartTimer->startRepeating(RestartCheckInterval);
     Duration last = m_options.length;
     for (const Fault &it : m_plan) {
@@ -277,9 +281,12 @@
     m_loop.after(last + SettleTime, [this] { finish(); });
     m_loop.run();
     m_history.canaries = m_load->canaries();
-    out.broken = brokenPromises(m_load->attempts(), m_fleet.arrivals(), m_history);
-    for (std::string &it : probe())
-        out.broken.push_back(std::move(it));
+    const std::vector<Json::Value> arrivals = m_fleet.arrivals();
+    std::vector<std::string> unserved = probe();
+    restartExitedRouters();
+    out.routerExits = m_history.routerExits.size();
+    out.broken = brokenPromises(m_load->attempts(), arrivals, m_history);
+    std::move(unserved.begin(), unserved.end(), std::back_inserter(out.broken));
     out.requests = m_load->attempts().size();
     for (const auto &[id, it] : m_load->attempts())
         out.answered += it.status == 200 ? 1 : 0;
@@ -618,6 +625,7 @@
         m_loop.after(200ms, [this, i] { restartRouter(i); });
         return;
     }
+    noteRouterExit(i);
     m_fleet.startRouter(i);
     endDisturbance(i);
 }
@@ -648,6 +656,26 @@
     }
 }
 
+/// \returns whether router \a i has ended and the run didn't cause it.
+bool SoakRun::noteRouterExit(std::size_t i)
+{
+    const std::optional<int> status = m_fleet.router(i).unrequestedEnd();
+    if (status)
+        m_history.routerExits.push_back({.router = i, .at = m_loop.wallNow(), .status = *status});
+    return status.has_value();
+}
+
+/// Also before a restart that is due after SIGTERM or SIGKILL: the signal didn't end the process.
+void SoakRun::restartExitedRouters()
+{
+    for (std::size_t i = 0; i < m_options.routers; ++i) {
+        if (!noteRouterExit(i))
+            continue;
+        m_fleet.startRouter(i);
+        endDisturbance(i);
+    }
+}
+
 void SoakRun::end(const Fault &fault)
 {
     switch (fault.kind) {
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -41,6 +41,7 @@
         std::vector<std::string> broken; ///< Violated guarantees; empty if the run passed.
         std::size_t requests = 0;
         std::size_t answered = 0;
+        std::size_t routerExits = 0; ///< Not caused by the run.
     };
 
     explicit SoakRun(Options options);
@@ -59,6 +60,8 @@
     void resumeReplicas(const Fault &fault);
     void endDisturbance(std::size_t router, bool onlyPauses = false);
     void restartExitedReplicas();
+    bool noteRouterExit(std::size_t i);
+    void restartExitedRouters();
     void changeSettings(std::size_t router);
     void beginCrowd(std::size_t router);
     void setReplicaFaults(std::size_t i, const std::string &faults);
@@ -85,7 +88,7 @@
     std::vector<Fault> m_plan;
     RunHistory m_history;
     std::unique_ptr<Timer> m_copyTimer; ///< Makes the store take a copy of itself.
-    std::unique_ptr<Timer> m_restartTimer; ///< Restarts replicas that have exited on their own.
+    std::unique_ptr<Timer> m_restartTimer; ///< Restarts processes that have exited on their own.
     std::string m_key = standin::EntryFleet::Key;
     int m_keys = 0;
     std::set<std::size_t> m_partitioned; ///< Routers that are partitioned from all replicas.
--- a/standin/fleet/ChildProcess.cpp
+++ b/standin/fleet/ChildProcess.cpp
@@ -1,9 +1,11 @@
 #include "fleet/ChildProcess.h"
 
 #include <csignal>
+#include <cstring>
 #include <stdexcept>
 
 #include <fcntl.h>
+#include <fmt/format.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -52,10 +54,12 @@
     }
 }
 
-void ChildProcess::signal(int number) const
+void ChildProcess::signal(int number)
 {
-    if (!m_exited)
-        ::kill(m_pid, number);
+    if (!isRunning())
+        return;
+    ::kill(m_pid, number);
+    m_signals.insert(number);
 }
 
 int ChildProcess::wait()
@@ -74,4 +78,20 @@
     return !m_exited;
 }
 
+std::optional<int> ChildProcess::unrequestedEnd()
+{
+    if (isRunning())
+        return std::nullopt;
+    const int status = wait();
+    const bool isKilled = status == -SIGKILL && m_signals.contains(SIGKILL);
+    const bool isStopped = (status == 0 || status == -SIGTERM) && m_signals.contains(SIGTERM);
+    return isKilled || isStopped ? std::nullopt : std::optional(status);
+}
+
+std::string ChildProcess::describeEnd(int status)
+{
+    return status < 0 ? fmt::format("signal {} ({})", -status, strsignal(-status))
+                      : fmt::format("exit status {}", status);
+}
+
 } // namespace catkinloft::standin
--- a/standin/fleet/ChildProcess.h
+++ b/standin/fleet/ChildProcess.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -24,7 +26,7 @@
     pid_t pid() const { return m_pid; }
 
     /// \brief Sends signal \a number, such as SIGTERM, SIGKILL, SIGSTOP or SIGCONT.
-    void signal(int number) const;
+    void signal(int number);
 
     /// \brief Waits until the process exits.
     /// \returns the exit code, or the negated number of the signal that terminated it.
@@ -33,10 +35,18 @@
     /// \returns whether the process has not exited yet.
     bool isRunning();
 
+    /// \returns how the process ended, as wait() does, if no SIGKILL or SIGTERM sent by signal()
+    /// explains it. A process that got SIGTERM may exit with 0 or by the signal itself.
+    std::optional<int> unrequestedEnd();
+
+    /// \returns the exit status or signal in the result \a status of wait(), as text.
+    static std::string describeEnd(int status);
+
 private:
     pid_t m_pid = -1;
     bool m_exited = false;
     int m_status = 0;
+    std::set<int> m_signals; ///< Sent to the running process.
 };
 
 } // namespace catkinloft::standin
