Soak checks that routers log the end of each request

Cause: the soak checked what callers received and where requests ran, but not the logs of the routers. A request that a router had sent to a replica and then forgotten was only noticed if its caller had no answer.

Change: after each run, the logs of all routers are read.

--- a/soak/RouterCheck.cpp
+++ b/soak/RouterCheck.cpp
@@ -24,4 +24,14 @@
                            standin::ChildProcess::describeEnd(it.status)));
 }
 
+void checkRouterLogs(const RunHistory &history, const std::function<void(std::string)> &broken)
+{
+    for (std::size_t i = 0; i < history.routerLogs.size(); ++i) {
+        for (const RouterLog::Sent &it : history.routerLogs[i].unended())
+            broken(fmt::format("{} was sent to a replica by router {} at {}, which logged no end "
+                               "of it",
+                               it.id, i, secondOf(it.at, history)));
+    }
+}
+
 } // namespace catkinloft::soak
--- a/soak/SoakCheck.cpp
+++ b/soak/SoakCheck.cpp
@@ -431,6 +431,7 @@
     checkOverloads(attempts, runs, history, broken);
     if (const std::size_t n = lateFatalRuns(attempts, executions, history); n > MaxLateFatalRuns)
         broken(fmt::format("a request that had crashed three replicas ran {} more times", n));
+    checkRouterLogs(history, broken);
     return out;
 }
 
--- a/soak/SoakCheck.h
+++ b/soak/SoakCheck.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "RouterLog.h"
 #include "SoakLoad.h"
 
 #include <functional>
@@ -81,6 +82,7 @@
     WallTime startedAt = {}; ///< Begin of the load.
     std::vector<RouterDisturbance> disturbances = {};
     std::vector<RouterExit> routerExits = {};
+    std::vector<RouterLog> routerLogs = {}; ///< By router.
     std::vector<ReplicaDisturbance> replicaDisturbances = {};
     std::vector<Evacuation> evacuations = {};
     std::vector<ColdPeriod> coldPeriods = {};
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -284,6 +284,8 @@
     const std::vector<Json::Value> arrivals = m_fleet.arrivals();
     std::vector<std::string> unserved = probe();
     restartExitedRouters();
+    for (std::size_t i = 0; i < m_options.routers; ++i)
+        m_history.routerLogs.emplace_back(m_fleet.routerLog(i));
     out.routerExits = m_history.routerExits.size();
     out.broken = brokenPromises(m_load->attempts(), arrivals, m_history);
     std::move(unserved.begin(), unserved.end(), std::back_inserter(out.broken));
