--- a/src/Base/CrashHandler.cpp
+++ b/src/Base/CrashHandler.cpp
@@ -112,7 +112,7 @@
         crash.cause = "signal_received";
         crash.sender = info->si_pid;
     } else if (isSent) {
-        crash.cause = number == SIGABRT ? "abort" : "raise";
+        crash.cause = "abort";
     } else {
         crash.address = reinterpret_cast<std::uintptr_t>(info->si_addr);
         crash.code = codeAddress(context);
