--- a/src/Net/internal/ListenerConnection.cpp
+++ b/src/Net/internal/ListenerConnection.cpp
@@ -4,6 +4,7 @@
 #include "Net/HttpExchange.h"
 #include "Net/internal/LingeringClose.h"
 #include "Net/internal/SocketBytes.h"
+#include "Net/internal/Timeval.h"
 #include "Net/internal/TlsStream.h"
 
 #include <cerrno>
@@ -28,6 +29,10 @@
 /// received, in the call that forwards it, and in the output buffer of that call's connection.
 constexpr std::size_t HandledCopies = 3;
 
+/// Interval of checks for the end of a connection whose reading is paused. Work for a caller that
+/// has left must stop within half a second.
+constexpr Duration EndCheckInterval = std::chrono::milliseconds(100);
+
 constexpr std::string_view ContinueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
 
 // Sent before the connection is closed, as far as the socket accepts the bytes at once.
@@ -140,8 +145,6 @@
     // The caller would take the end of the connection for the end of the answer.
     if (isCut && !m_isFramed) {
         bufferevent_disable(m_stream, EV_READ | EV_WRITE);
-        if (m_endEvent)
-            event_del(m_endEvent);
         return m_context.lingering.addReset(fd());
     }
     const bool isSent = m_isAnswered || (m_isGivenUp && evbuffer_get_length(m_output) == 0);
@@ -237,22 +240,31 @@
     updateShare();
 }
 
-/// While reading is paused, the end of the connection is not read either.
+/// While reading is paused, the end of the connection is not read either. libevent reports a reset
+/// to events for reading and writing only, so that EV_CLOSED doesn't suffice.
 void ListenerConnection::watchForEnd()
 {
-    if (m_endEvent)
+    if (!m_endEvent) {
+        m_endEvent = event_new(
+                m_context.loop.base(), -1, EV_PERSIST,
+                [](evutil_socket_t, short, void *self) {
+                    static_cast<ListenerConnection *>(self)->checkForEnd();
+                },
+                this);
+    }
+    const timeval interval = toTimeval(EndCheckInterval);
+    if (!event_pending(m_endEvent, EV_TIMEOUT, nullptr))
+        event_add(m_endEvent, &interval);
+}
+
+void ListenerConnection::checkForEnd()
+{
+    if (m_stage != Stage::Handling || !hasPeerEnded(fd()))
         return;
-    m_endEvent = event_new(
-            m_context.loop.base(), fd(), EV_CLOSED,
-            [](evutil_socket_t, short, void *self) {
-                auto *it = static_cast<ListenerConnection *>(self);
-                if (it->m_stage != Stage::Handling)
-                    return;
-                it->cut(AnswerCut::Caller);
-                it->disconnect();
-            },
-            this);
-    event_add(m_endEvent, nullptr);
+    const int error = socketError(fd());
+    cut(error != 0 ? AnswerCut::Reset : AnswerCut::Caller, error);
+    event_del(m_endEvent);
+    disconnect();
 }
 
 /// evhttp reads the end and frees the connection by its own rules.
@@ -391,6 +403,8 @@
     // evhttp closes the connection next.
     if (m_isGivenUp)
         return cut(AnswerCut::BrokenOff);
+    if (m_endEvent)
+        event_del(m_endEvent);
     m_stage = Stage::Reading;
     m_isAnswered = true;
     m_scanner = RequestScanner(m_context.limits);
--- a/src/Net/internal/ListenerConnection.h
+++ b/src/Net/internal/ListenerConnection.h
@@ -138,6 +138,7 @@
 
     void inputAdded();
     void watchForEnd();
+    void checkForEnd();
     void disconnect();
     void closeSocket();
     void read();
--- a/src/Net/internal/SocketBytes.cpp
+++ b/src/Net/internal/SocketBytes.cpp
@@ -3,6 +3,7 @@
 #include <cerrno>
 
 #include <linux/sockios.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
@@ -40,4 +41,17 @@
     return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+bool hasPeerEnded(int fd)
+{
+    pollfd it = {.fd = fd, .events = POLLRDHUP, .revents = 0};
+    return poll(&it, 1, 0) > 0;
+}
+
+int socketError(int fd)
+{
+    int out = 0;
+    socklen_t length = sizeof out;
+    return getsockopt(fd, SOL_SOCKET, SO_ERROR, &out, &length) == 0 ? out : 0;
+}
+
 } // namespace catkinloft::internal
--- a/src/Net/internal/SocketBytes.h
+++ b/src/Net/internal/SocketBytes.h
@@ -14,4 +14,11 @@
 /// \returns whether the socket \a fd has received bytes that were not read.
 bool hasUnreadBytes(int fd);
 
+/// \returns whether the peer of the socket \a fd has closed or reset the connection, also behind
+/// bytes that were not read.
+bool hasPeerEnded(int fd);
+
+/// \returns the pending error of the socket \a fd, which is cleared; 0 if there is none.
+int socketError(int fd);
+
 } // namespace catkinloft::internal
--- a/test/KeptConnectionTest.cpp
+++ b/test/KeptConnectionTest.cpp
@@ -574,10 +574,11 @@
     }
 }
 
-// Guards against a caller that resets its connection being taken for one that closes it.
+// Guards against a caller that resets its connection being taken for one that closes it, and not
+// being noticed at all while reading is paused behind a part of its next request.
 TEST_CASE_FIXTURE(StreamFixture, "listener_callerResetsItsConnection_reasonAndErrorAreReported")
 {
-    for (const std::size_t ahead : {std::size_t(100)}) {
+    for (const std::size_t ahead : {std::size_t(100), std::size_t(8 * 1024)}) {
         CAPTURE(ahead);
         cuts.clear();
         exchange.reset();
