Callbacks of a listener's connection go through dispatch

One request whose callback throws, or one caller for whom no TLS session can be made, ended the process with all its requests. onClosed, onDrained, onAnswerCut, the end of an answer, the callbacks of the buffers, of LingeringClose and of a failed accept were called from libevent outside of dispatch(), as were connections.at() and the construction of HttpExchange. An exception leaves libevent's state halfway, or ends the process.

Each of them goes through dispatch() now. The steps of a close don't depend on each other, so that the connection is freed in any case. A request that can't be handed over is answered 500 by evhttp. newStream() aborted without a TLS session; the connection gets a plain stream that is closed before it is read, and is counted as a failed accept.

Evidence: listener_callbackThrows_nextCallerIsServed and listener_reportOfACutThrows_connectionIsFreed ended with SIGSEGV before, listener_noTlsSessionCanBeMade_connectionIsRefused with SIGABRT.

--- a/src/Net/HttpExchange.cpp
+++ b/src/Net/HttpExchange.cpp
@@ -1,5 +1,6 @@
 #include "Net/HttpExchange.h"
 
+#include "Net/internal/Dispatch.h"
 #include "Net/internal/ListenerConnection.h"
 
 #include <charconv>
@@ -84,7 +85,7 @@
 {
     auto *connection = static_cast<internal::ListenerConnection *>(arg);
     bufferevent *bev = evhttp_connection_get_bufferevent(evhttp_request_get_connection(request));
-    connection->answered();
+    internal::dispatch("answer_sent", [&] { connection->answered(); });
     bufferevent_set_timeouts(bev, &connection->idleTimeout(), &connection->idleTimeout());
 }
 
@@ -99,7 +100,7 @@
     if (!evhttp_request_get_connection(request))
         evhttp_send_reply_end(request);
     if (closed)
-        closed();
+        internal::dispatch("caller_left", closed);
 }
 
 evhttp_request *HttpExchange::takeRequest()
@@ -226,10 +227,11 @@
             m_request, buf,
             [](evhttp_connection *, void *arg) {
                 auto *self = static_cast<HttpExchange *>(arg);
-                if (self->m_onDrained) {
-                    const auto drained = self->m_onDrained;
-                    drained();
-                }
+                internal::dispatch("answer_drained", [&] {
+                    // The callback may replace itself, and destroy the exchange.
+                    if (const auto drained = self->m_onDrained)
+                        drained();
+                });
             },
             this);
     evbuffer_free(buf);
--- a/src/Net/HttpServer.cpp
+++ b/src/Net/HttpServer.cpp
@@ -14,7 +14,7 @@
 #include "Net/internal/TlsStream.h"
 
 #include <algorithm>
-#include <cstdlib>
+#include <cerrno>
 #include <functional>
 #include <optional>
 #include <unordered_map>
@@ -80,6 +80,7 @@
 struct HttpServer::Private
 {
     using Connection = internal::ListenerConnection;
+    using StreamPtr = std::unique_ptr<bufferevent, decltype(&bufferevent_free)>;
 
     Private(EventLoop &l, Options o, Handler h)
         : loop(l), options(std::move(o)), handler(std::move(h)),
@@ -127,36 +128,64 @@
 
     static void onRequest(evhttp_request *request, void *arg)
     {
-        auto *d = static_cast<Private *>(arg);
-        bufferevent *stream =
-                evhttp_connection_get_bufferevent(evhttp_request_get_connection(request));
-        const auto exchange = std::make_shared<HttpExchange>(
-                request, *d->connections.at(bufferevent_get_input(stream)));
-        internal::dispatch("request", [&] { d->handler(exchange); });
+        bool isTaken = false;
+        internal::dispatch("request", [&] {
+            auto *d = static_cast<Private *>(arg);
+            bufferevent *stream =
+                    evhttp_connection_get_bufferevent(evhttp_request_get_connection(request));
+            const auto it = d->connections.find(bufferevent_get_input(stream));
+            if (it == d->connections.end())
+                return;
+            const auto exchange = std::make_shared<HttpExchange>(request, *it->second);
+            isTaken = true;
+            d->handler(exchange);
+        });
+        if (!isTaken)
+            evhttp_send_error(request, HTTP_INTERNAL, nullptr);
     }
 
     bool usesTls() const { return options.tls && options.tls->hasCertificate(); }
 
     static bufferevent *newStream(event_base *base, void *arg)
     {
-        auto *d = static_cast<Private *>(arg);
-        bufferevent *out = d->usesTls() ? internal::newServerStream(base, *d->options.tls)
-                                        : bufferevent_socket_new(base, -1, 0);
-        // Without a stream evhttp would continue without TLS. This happens only if memory is
-        // exhausted.
+        bufferevent *out = nullptr;
+        internal::dispatch("accept", [&] { out = static_cast<Private *>(arg)->openStream(base); });
+        return out;
+    }
+
+    /// \returns nullptr only if memory is exhausted. evhttp would go on with a stream of its own,
+    /// whose requests onRequest() refuses.
+    bufferevent *openStream(event_base *base)
+    {
+        StreamPtr out(usesTls() ? internal::newServerStream(base, *options.tls) : nullptr,
+                      &bufferevent_free);
+        // A connection that can't use TLS gets a plain stream, and is closed before it is read.
+        const bool isRefused = usesTls() && !out;
         if (!out)
-            std::abort();
-        const auto connection = std::make_shared<Connection>(d->context, out);
-        d->connections.insert_or_assign(bufferevent_get_input(out), connection);
+            out.reset(bufferevent_socket_new(base, -1, 0));
+        if (!out)
+            return nullptr;
+        const auto connection = std::make_shared<Connection>(context, out.get());
+        connections.insert_or_assign(bufferevent_get_input(out.get()), connection);
         // evhttp sets the descriptor right after this call and does not read before the next
         // iteration of the loop, so it cannot have freed the connection before the callback runs.
-        d->loop.post([d, connection, there = std::weak_ptr(d->alive)] {
+        loop.post([this, connection, isRefused, there = std::weak_ptr(alive)] {
             if (there.expired())
                 return;
             connection->opened();
-            d->checkLimit(connection->fd());
+            isRefused ? refuseStream(connection->fd()) : checkLimit(connection->fd());
         });
-        return out;
+        return out.release();
+    }
+
+    void refuseStream(int fd)
+    {
+        // evhttp reads the end and frees the connection by its own rules.
+        shutdown(fd, SHUT_RDWR);
+        internal::discardReceived(fd);
+        errno = EPROTO;
+        if (options.onAcceptFailed)
+            options.onAcceptFailed();
     }
 
     void startHeadTimer()
@@ -245,7 +274,7 @@
         evconnlistener_set_error_cb(
                 evhttp_bound_socket_get_listener(m_d->bound), [](evconnlistener *, void *http) {
                     if (const auto it = listeners().find(http); it != listeners().end())
-                        it->second();
+                        internal::dispatch("accept_failed", it->second);
                 });
         listeners()[m_d->http] = [d = m_d.get()] { d->acceptFailed(); };
         return outcome::success();
--- a/src/Net/HttpServer.h
+++ b/src/Net/HttpServer.h
@@ -40,7 +40,8 @@
         /// Called for each connection that was closed before the answer to its request was sent,
         /// except those that are open when the listener is destroyed. \sa unsentAnswers()
         std::function<void(AnswerCut reason, const UnsentAnswer &)> onAnswerCut = {};
-        /// Called when connections can't be accepted for want of descriptors.
+        /// Called, with errno set, when connections can't be accepted for want of descriptors, or a
+        /// connection is closed because no TLS session can be made for it.
         std::function<void()> onAcceptFailed = {};
         /// Memory for the requests of all listeners; null: the listener has a limit of its own.
         RequestBuffers *buffers = nullptr;
--- a/src/Net/internal/LingeringClose.cpp
+++ b/src/Net/internal/LingeringClose.cpp
@@ -1,6 +1,7 @@
 #include "Net/internal/LingeringClose.h"
 
 #include "Net/EventLoop.h"
+#include "Net/internal/Dispatch.h"
 #include "Net/internal/SocketBytes.h"
 
 #include <algorithm>
@@ -91,7 +92,7 @@
             m_loop.base(), own, EV_READ | EV_PERSIST,
             [](evutil_socket_t, short, void *arg) {
                 auto *socket = static_cast<Socket *>(arg);
-                socket->owner->read(*socket);
+                dispatch("lingering_close", [&] { socket->owner->read(*socket); });
             },
             &it);
     event_add(it.readable, nullptr);
--- a/src/Net/internal/ListenerConnection.cpp
+++ b/src/Net/internal/ListenerConnection.cpp
@@ -2,6 +2,7 @@
 
 #include "Net/EventLoop.h"
 #include "Net/HttpExchange.h"
+#include "Net/internal/Dispatch.h"
 #include "Net/internal/LingeringClose.h"
 #include "Net/internal/SocketBytes.h"
 #include "Net/internal/Timeval.h"
@@ -77,8 +78,9 @@
     m_inputEntry = evbuffer_add_cb(
             m_input,
             [](evbuffer *, const evbuffer_cb_info *info, void *self) {
-                if (info->n_added > 0)
-                    static_cast<ListenerConnection *>(self)->inputAdded();
+                if (info->n_added == 0)
+                    return;
+                dispatch("input", [&] { static_cast<ListenerConnection *>(self)->inputAdded(); });
             },
             this);
     m_outputEntry = evbuffer_add_cb(
@@ -86,7 +88,7 @@
             [](evbuffer *, const evbuffer_cb_info *, void *self) {
                 auto *it = static_cast<ListenerConnection *>(self);
                 it->m_context.loop.noteProgress();
-                it->updateShare();
+                dispatch("output", [&] { it->updateShare(); });
             },
             this);
     setLowWatermark(Hold);
@@ -130,9 +132,12 @@
     evbuffer_remove_cb_entry(m_input, m_inputEntry);
     evbuffer_remove_cb_entry(m_output, m_outputEntry);
     const auto self = shared_from_this();
-    if (const std::optional<UnsentAnswer> unsent = unsentAnswer())
-        m_context.onAnswerCut(m_cut.value_or(AnswerCut::Unknown), *unsent);
-    closeSocket();
+    // Each step is needed whether or not those before it succeed.
+    dispatch("answer_cut", [&] {
+        if (const std::optional<UnsentAnswer> unsent = unsentAnswer())
+            m_context.onAnswerCut(m_cut.value_or(AnswerCut::Unknown), *unsent);
+    });
+    dispatch("connection_close", [&] { closeSocket(); });
     if (m_exchange)
         std::exchange(m_exchange, nullptr)->connectionClosed();
     m_context.onClosed(m_input);
@@ -248,7 +253,8 @@
         m_endEvent = event_new(
                 m_context.loop.base(), -1, EV_PERSIST,
                 [](evutil_socket_t, short, void *self) {
-                    static_cast<ListenerConnection *>(self)->checkForEnd();
+                    dispatch("end_check",
+                             [&] { static_cast<ListenerConnection *>(self)->checkForEnd(); });
                 },
                 this);
     }
@@ -380,15 +386,15 @@
 
 void ListenerConnection::handedOver(HttpExchange &exchange)
 {
+    m_requestId.clear();
+    if (!m_context.requestIdHeader.empty())
+        m_requestId = exchange.header(m_context.requestIdHeader.c_str());
     m_stage = Stage::Handling;
     m_exchange = &exchange;
     m_cut.reset();
     m_cutError = 0;
     m_isGivenUp = false;
     m_isFramed = true;
-    m_requestId.clear();
-    if (!m_context.requestIdHeader.empty())
-        m_requestId = exchange.header(m_context.requestIdHeader.c_str());
 }
 
 void ListenerConnection::answerComplete()
--- a/test/KeptConnectionTest.cpp
+++ b/test/KeptConnectionTest.cpp
@@ -1,5 +1,6 @@
 #include "Net/EventLoop.h"
 #include "Net/HttpServer.h"
+#include "Net/TlsContext.h"
 #include "RawCaller.h"
 
 #include <doctest/doctest.h>
@@ -8,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <utility>
 #include <vector>
@@ -608,3 +610,88 @@
     CHECK(lastCut.bytes > 0);
     CHECK_FALSE(lastCut.isComplete);
 }
+
+// Guards against a process that ends with all its requests because a callback of one connection
+// throws, and against a connection that is held for ever then.
+TEST_CASE_FIXTURE(StreamFixture, "listener_callbackThrows_nextCallerIsServed")
+{
+    const auto fail = [] { throw std::runtime_error("unexpected"); };
+    {
+        RawCaller caller(port);
+        receive(caller, Get);
+        exchange->onClosed(fail);
+        exchange->beginStream(200, {});
+    }
+    CHECK(until([&] { return server->unsentAnswers().empty(); }, 3s));
+    exchange.reset();
+    {
+        RawCaller caller(port);
+        receive(caller, Get);
+        exchange->onDrained(fail);
+        exchange->beginStream(200, {});
+        exchange->write("event");
+        CHECK(until([&] {
+            caller.read();
+            return caller.received.find("event") != std::string::npos;
+        }));
+        std::exchange(exchange, nullptr)->end();
+    }
+    CHECK(until([&] { return server->unsentAnswers().empty(); }, 3s));
+    RawCaller caller(port);
+    receive(caller, Get);
+    std::exchange(exchange, nullptr)->respond(200, {}, "served");
+    CHECK(until([&] {
+        caller.read();
+        return caller.received.ends_with("served");
+    }));
+}
+
+// Guards against the same when a close can't be reported.
+TEST_CASE_FIXTURE(KeptConnectionFixture, "listener_reportOfACutThrows_connectionIsFreed")
+{
+    HttpExchangePtr exchange;
+    server.reset();
+    server = std::make_unique<HttpServer>(
+            loop,
+            HttpServer::Options{.address = fmt::format("127.0.0.1:{}", port),
+                                .onAnswerCut =
+                                        [](AnswerCut, const UnsentAnswer &) {
+                                            throw std::runtime_error("unexpected");
+                                        }},
+            [&](const HttpExchangePtr &it) { exchange = it; });
+    REQUIRE(server->listen());
+    bool isClosed = false;
+    {
+        RawCaller caller(port);
+        caller.send(Get);
+        REQUIRE(until([&] { return exchange != nullptr; }));
+        exchange->onClosed([&] { isClosed = true; });
+    }
+    CHECK(until([&] { return isClosed; }, 3s));
+    CHECK(server->unsentAnswers().empty());
+}
+
+// Guards against a process that ends because no TLS session can be made for a caller, and against a
+// connection without TLS in its place.
+TEST_CASE_FIXTURE(KeptConnectionFixture, "listener_noTlsSessionCanBeMade_connectionIsRefused")
+{
+    const TlsContext unloaded({.certificateFile = "missing", .keyFile = "missing", .caFile = {}});
+    bool isHandled = false;
+    int failures = 0;
+    server.reset();
+    server = std::make_unique<HttpServer>(
+            loop,
+            HttpServer::Options{.address = fmt::format("127.0.0.1:{}", port),
+                                .onAcceptFailed = [&] { ++failures; },
+                                .tls = &unloaded},
+            [&](const HttpExchangePtr &) { isHandled = true; });
+    REQUIRE(server->listen());
+    for (int i = 1; i <= 2; ++i) {
+        RawCaller caller(port);
+        caller.send(Get);
+        CHECK(until([&] { return caller.read(); }, 3s));
+        CHECK(caller.received.empty());
+        CHECK(failures == i);
+    }
+    CHECK_FALSE(isHandled);
+}
