--- a/test/KeptConnectionTest.cpp
+++ b/test/KeptConnectionTest.cpp
@@ -695,3 +695,23 @@
     }
     CHECK_FALSE(isHandled);
 }
+
+// Guards against an answer that is cut off because a configuration shortens the idle timeout while
+// it is read slowly.
+TEST_CASE_FIXTURE(StreamFixture,
+                  "listener_idleTimeoutIsShortenedWhileAnswerIsSent_answerIsComplete")
+{
+    RawCaller caller(port);
+    receive(caller, Get);
+    std::exchange(exchange, nullptr)->respond(200, {}, std::string(LongAnswer, 'a'));
+    const TimePoint begin = loop.now();
+    until([&] { return loop.now() - begin >= 100ms; });
+    server->setIdleTimeout(50ms);
+    until([&] { return loop.now() - begin >= 700ms; });
+    CHECK(server->unsentAnswers().size() == 1);
+    CHECK(until([&] {
+        caller.readSome(1024 * 1024);
+        return caller.received.size() > LongAnswer;
+    }));
+    CHECK(cuts.empty());
+}
