Soak checks that requests on kept connections have an answer

Cause: the soak reported answers that were cut off after the request had run on a sound replica. It did not look at requests that a router had read and refused or forgotten, nor at those that timed out at their caller, and its report did not tell whether the connection had been in use before.

Change: callers record whether a request went on a connection that had carried an answer, and how it ended if no byte of an answer arrived. Such a request is reported, with id, router, second and how the connection ended, if its router was neither killed, stopped or paused nor partitioned near that time. Allowed is a connection that is closed before the router has read the request (neither its log nor a replica knows the id), or since a replica that it ran on had a fault. A time-out at the caller is never allowed. Slow callers tell the end of a connection from a reset; HttpClient reports both alike.

--- a/soak/SlowCallers.cpp
+++ b/soak/SlowCallers.cpp
@@ -105,6 +105,7 @@
     attempt.sentAt = m_options.loop.wallNow();
     attempt.timeout = Timeout;
     attempt.bytesPerSecond = BytesPerSecond;
+    attempt.isOnKeptConnection = it.isKept;
     attempt.length = MinLength + below(m_options.random, MaxLength - MinLength);
     const std::string text = fmt::format(
             "{} /{}/a?bytes={} HTTP/1.1\r\nHost: {}\r\nX-Request-Id: {}\r\n"
@@ -129,6 +130,7 @@
             break;
         if (n <= 0) {
             attempt.cutOffAt = m_options.loop.wallNow();
+            noteUnanswered(it, n == 0 ? Unanswered::Eof : Unanswered::Reset);
             disconnect(it);
             return finish(it);
         }
@@ -141,11 +143,21 @@
             return complete(it, attempt);
     }
     if (now >= it.deadline) {
+        noteUnanswered(it, Unanswered::TimedOut);
         disconnect(it);
         finish(it);
     }
 }
 
+void SlowCallers::noteUnanswered(const Caller &it, Unanswered how)
+{
+    if (!it.received.empty())
+        return;
+    Attempt &attempt = m_options.attempts[it.id];
+    attempt.unanswered = how;
+    attempt.unansweredAt = m_options.loop.wallNow();
+}
+
 void SlowCallers::parseHead(Caller &it, Attempt &attempt)
 {
     constexpr std::string_view Separator = "\r\n\r\n";
@@ -167,6 +179,7 @@
     attempt.retryAfter = headerOf(head, "Retry-After");
     attempt.saysLeaving = headerOf(head, "Server-Leaving") == "1";
     attempt.answeredAt = m_options.loop.wallNow();
+    it.isKept = true;
     if (headerOf(head, "Connection") == "close")
         disconnect(it);
     finish(it);
@@ -174,6 +187,7 @@
 
 void SlowCallers::disconnect(Caller &it)
 {
+    it.isKept = false;
     if (it.fd >= 0)
         close(std::exchange(it.fd, -1));
 }
--- a/soak/SlowCallers.h
+++ b/soak/SlowCallers.h
@@ -42,6 +42,7 @@
     {
         std::size_t router = 0;
         int fd = -1; ///< -1: not connected.
+        bool isKept = false; ///< A request was answered on this connection.
         std::string id = {}; ///< Of the request in progress; empty: none.
         std::string received = {};
         std::size_t bodyAt = 0; ///< Begin of the body; 0: the head is incomplete.
@@ -53,6 +54,7 @@
     void poll();
     void send(Caller &it);
     void read(Caller &it);
+    void noteUnanswered(const Caller &it, Unanswered how);
     void parseHead(Caller &it, Attempt &attempt);
     void complete(Caller &it, Attempt &attempt);
     void disconnect(Caller &it);
--- a/soak/SoakCheck.cpp
+++ b/soak/SoakCheck.cpp
@@ -115,23 +115,6 @@
             && it.signature == standin::ReplicaStandin::signatureOf(id, it.body);
 }
 
-/// \returns the answer to the request \a id and the replicas that it ran on, for the report.
-std::string describe(const std::string &id, const Attempt &attempt,
-                     const std::vector<Json::Value> &executions)
-{
-    const auto sentAt = attempt.sentAt.time_since_epoch() / 1ms;
-    std::string out =
-            fmt::format("route {}, sent at {} ms, status {}, signature {}, body {}", attempt.route,
-                        sentAt, attempt.status, jsonQuoted(attempt.signature),
-                        jsonQuoted(attempt.body.substr(0, MaxPrintedBody)));
-    for (const Json::Value &it : executions) {
-        if (it["id"].asString() == id)
-            out += fmt::format(", {} at {} {} ms later", it["resumed"].asBool() ? "resumed" : "ran",
-                               it["replica"].asString(), it["at_ms"].asInt64() - sentAt);
-    }
-    return out;
-}
-
 bool isUndisturbed(std::size_t router, WallTime at, const RunHistory &history)
 {
     return std::none_of(history.disturbances.begin(), history.disturbances.end(),
@@ -228,17 +211,6 @@
     }));
 }
 
-/// \returns whether a fault of \a replica or of its path may have cut off the answer \a it.
-bool mayBeCutOffBy(const std::string &replica, const Attempt &it, const RunHistory &history)
-{
-    return std::any_of(history.replicaDisturbances.begin(), history.replicaDisturbances.end(),
-                       [&](const ReplicaDisturbance &d) {
-                           return (d.replica.empty() || d.replica == replica)
-                                   && d.router.value_or(it.router) == it.router
-                                   && d.from <= it.cutOffAt && d.until >= it.sentAt;
-                       });
-}
-
 /// \returns whether the caller could not have read the rest of the answer \a it before a router
 /// that was stopped at \a stoppedAt had to end.
 bool endsAfterStop(const Attempt &it, WallTime stoppedAt)
@@ -304,7 +276,8 @@
         bool &isSound = ranOnSoundReplicas.try_emplace(attempt->first, true).first->second;
         isSound = isSound
                 && (attempt->second.bytes > 0
-                    || !mayBeCutOffBy(it["replica"].asString(), attempt->second, history));
+                    || !mayBeCutOffBy(it["replica"].asString(), attempt->second,
+                                      attempt->second.cutOffAt, history));
     }
     for (const auto &[id, isSound] : ranOnSoundReplicas) {
         const Attempt &it = attempts.at(id);
@@ -363,6 +336,33 @@
 
 } // namespace
 
+bool mayBeCutOffBy(const std::string &replica, const Attempt &it, WallTime end,
+                   const RunHistory &history)
+{
+    return std::any_of(history.replicaDisturbances.begin(), history.replicaDisturbances.end(),
+                       [&](const ReplicaDisturbance &d) {
+                           return (d.replica.empty() || d.replica == replica)
+                                   && d.router.value_or(it.router) == it.router && d.from <= end
+                                   && d.until >= it.sentAt;
+                       });
+}
+
+std::string describe(const std::string &id, const Attempt &attempt,
+                     const std::vector<Json::Value> &executions)
+{
+    const auto sentAt = attempt.sentAt.time_since_epoch() / 1ms;
+    std::string out =
+            fmt::format("route {}, sent at {} ms, status {}, signature {}, body {}", attempt.route,
+                        sentAt, attempt.status, jsonQuoted(attempt.signature),
+                        jsonQuoted(attempt.body.substr(0, MaxPrintedBody)));
+    for (const Json::Value &it : executions) {
+        if (it["id"].asString() == id)
+            out += fmt::format(", {} at {} {} ms later", it["resumed"].asBool() ? "resumed" : "ran",
+                               it["replica"].asString(), it["at_ms"].asInt64() - sentAt);
+    }
+    return out;
+}
+
 std::vector<std::string> brokenPromises(const std::map<std::string, Attempt> &attempts,
                                         const std::vector<Json::Value> &arrivals,
                                         const RunHistory &history)
@@ -374,7 +374,7 @@
         if (out.size() < MaxReportedLines)
             out.push_back(std::move(line));
     };
-    checkRouters(history, broken);
+    checkRouters(attempts, arrivals, history, broken);
     std::map<std::string, std::set<std::string>> ranAt;
     std::map<std::string, int> runs;
     for (const Json::Value &it : executions) {
--- a/soak/SoakCheck.h
+++ b/soak/SoakCheck.h
@@ -91,6 +91,15 @@
     std::function<std::string(const std::string &replica)> domainOf = {}; ///< By the replica's id.
 };
 
+/// \returns whether a fault of \a replica or of its path may have cut off the answer \a it, which
+/// ended at \a end.
+bool mayBeCutOffBy(const std::string &replica, const Attempt &it, WallTime end,
+                   const RunHistory &history);
+
+/// \returns the answer to the request \a id and the replicas that it ran on, for the report.
+std::string describe(const std::string &id, const Attempt &attempt,
+                     const std::vector<Json::Value> &executions);
+
 /// \brief Checks the documented guarantees against the answers that callers received and the
 /// requests that arrived at replicas.
 /// \returns one line for each violated guarantee, up to a limit on the number of lines.
--- a/soak/SoakLoad.cpp
+++ b/soak/SoakLoad.cpp
@@ -204,10 +204,28 @@
 void SoakLoad::send(const RequestTemplate &request, const std::string &id, std::size_t router)
 {
     ++m_inProgress;
-    m_client.fetch(composeCall(request, id, router), [this, id](const Result<HttpAnswer> &answer) {
-        --m_inProgress;
-        record(id, answer);
-    });
+    fetch(composeCall(request, id, router), id, [this] { --m_inProgress; });
+}
+
+void SoakLoad::fetch(HttpCall call, const std::string &id, std::function<void()> done)
+{
+    Call &it = m_calls[id];
+    it.handle = m_client.send(
+            std::move(call),
+            {.onHead = [&it](const HttpHead &head) { it.answer.head = head; },
+             .onData = [&it](std::string_view data) { it.answer.body += data; },
+             .onEnd =
+                     [this, id, done = std::move(done)](const Result<void> &result) {
+                         const auto ended =
+                                 std::make_shared<Call>(std::move(m_calls.extract(id).mapped()));
+                         m_attempts[id].noteEnd(*ended->handle, result, m_options.loop.wallNow());
+                         // Destroyed later: the call is still on the stack.
+                         m_options.loop.post([ended] {});
+                         record(id,
+                                result ? Result<HttpAnswer>(std::move(ended->answer))
+                                       : result.error());
+                         done();
+                     }});
 }
 
 void SoakLoad::record(const std::string &id, const Result<HttpAnswer> &answer)
@@ -285,10 +303,9 @@
     }
     call.timeout = left + CallerGrace;
     ++m_inProgress;
-    m_client.fetch(std::move(call), [this, it, id, router](const Result<HttpAnswer> &answer) {
+    fetch(std::move(call), id, [this, it, id, router] {
         --m_inProgress;
         --m_triesInProgress[router];
-        record(id, answer);
         retry(it, m_attempts[id]);
     });
 }
@@ -355,7 +372,10 @@
                      },
              .onData = [this, id, router](std::string_view it) { receive(id, router, it); },
              .onEnd =
-                     [this, id, router](const Result<void> &) {
+                     [this, id, router](const Result<void> &result) {
+                         if (const auto it = m_leftStreams.find(id); it != m_leftStreams.end())
+                             m_attempts[id].noteEnd(*it->second.call, result,
+                                                    m_options.loop.wallNow());
                          m_options.loop.post([this, id, router] { resume(id, router); });
                      }});
 }
--- a/soak/SoakLoad.h
+++ b/soak/SoakLoad.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "Attempt.h"
 #include "Base/Random.h"
 #include "Net/EventLoop.h"
 #include "Net/HttpClient.h"
 #include "Net/Timer.h"
 #include "fleet/EntryFleet.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -18,34 +20,6 @@
 /// Prefix of the ids of requests that crash replicas.
 inline constexpr std::string_view FatalIdPrefix = "fatal-";
 
-/// \brief One attempt and its answer, as the caller received it.
-struct Attempt
-{
-    std::string route = {};
-    std::string key = {};
-    std::size_t router = 0; ///< Index of the router that it was sent to.
-    WallTime sentAt = {};
-    int status = 0; ///< 0: no complete answer.
-    std::string body = {};
-    std::string signature = {};
-    bool saysLeaving = false; ///< The answer reports that its replica leaves.
-    WallTime answeredAt = {};
-    std::string resumes = {}; ///< Attempt that began the stream, if the caller resumes it.
-    int afterEvent = 0; ///< Last event of the stream that the caller had before.
-    bool hasLeft = false; ///< The caller left the stream after some events.
-    int lastEvent = 6; ///< Of the whole stream.
-    WallTime cutOffAt = {}; ///< When the connection closed before the answer was complete.
-    std::string retryAfter = {}; ///< As stated by the answer.
-    std::string workspace = "archive";
-    std::optional<int> priority = {}; ///< Of the route; none: a route of the only priority.
-    std::string firstTry = {}; ///< First attempt of the request, if this one repeats it.
-    static constexpr std::chrono::milliseconds DefaultTimeout{3000};
-    std::chrono::milliseconds timeout = DefaultTimeout; ///< That the caller gives it.
-    double bytesPerSecond = 0; ///< At which a slow caller reads the answer; 0: as fast as it can.
-    std::size_t bytes = 0; ///< Of the answer's body that a slow caller has.
-    std::size_t length = 0; ///< Of the answer's body that a slow caller expects.
-};
-
 /// \brief A request that a router or a replica answers at once, whatever its load. Its duration
 /// shows how long messages and processes are delayed at that moment.
 struct Canary
@@ -132,6 +106,12 @@
         int leaveAfter = 0;
     };
 
+    struct Call
+    {
+        HttpCallPtr handle = {};
+        HttpAnswer answer = {};
+    };
+
     /// One try of a request from an additional workspace.
     struct WorkspaceTry
     {
@@ -148,6 +128,7 @@
     void send();
     void send(const RequestTemplate &request, const std::string &id, std::size_t router);
     HttpCall composeCall(const RequestTemplate &request, const std::string &id, std::size_t router);
+    void fetch(HttpCall call, const std::string &id, std::function<void()> done);
     void record(const std::string &id, const Result<HttpAnswer> &answer);
     void sendLongStream();
     void sendForWorkspaces();
@@ -170,6 +151,7 @@
     std::string m_key = standin::EntryFleet::Key;
     std::vector<std::string> m_addresses;
     std::map<std::string, Attempt> m_attempts;
+    std::map<std::string, Call> m_calls; ///< In progress, by id.
     std::map<std::string, LeftStream> m_leftStreams; ///< In progress, by id.
     RandomSource m_leaverRandom; ///< Null: no caller leaves its stream.
     std::size_t m_inProgress = 0;
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -290,8 +290,10 @@
     out.broken = brokenPromises(m_load->attempts(), arrivals, m_history);
     std::move(unserved.begin(), unserved.end(), std::back_inserter(out.broken));
     out.requests = m_load->attempts().size();
-    for (const auto &[id, it] : m_load->attempts())
+    for (const auto &[id, it] : m_load->attempts()) {
         out.answered += it.status == 200 ? 1 : 0;
+        out.onKeptConnections += it.isOnKeptConnection ? 1 : 0;
+    }
     if (!out.broken.empty())
         keepLogs();
     return out;
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -41,6 +41,7 @@
         std::vector<std::string> broken; ///< Violated guarantees; empty if the run passed.
         std::size_t requests = 0;
         std::size_t answered = 0;
+        std::size_t onKeptConnections = 0; ///< Requests.
         std::size_t routerExits = 0; ///< Not caused by the run.
     };
 
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -107,10 +107,10 @@
     std::string faults;
     for (const Fault &fault : outcome.faults)
         faults += fmt::format(" {}@{:.1f}s", faultName(fault.kind), toSeconds(fault.at));
-    fmt::print("seed {}: {} requests, {} answered, {} routers ended by "
+    fmt::print("seed {}: {} requests, {} on kept connections, {} answered, {} routers ended by "
                "themselves, {} broken;{}\n",
-               it.seed, outcome.requests, outcome.answered, outcome.routerExits,
-               outcome.broken.size(), faults);
+               it.seed, outcome.requests, outcome.onKeptConnections, outcome.answered,
+               outcome.routerExits, outcome.broken.size(), faults);
     for (const std::string &line : outcome.broken)
         fmt::print("  broken: {}\n", line);
     std::fflush(stdout);
