SIGHUP doesn't end a process that has no handler for it

What callers saw: all requests in progress at a router were closed without an answer. Cause: the default action of SIGHUP ends the process, and a handler exists only where files are read again, while the loop runs. Evidence: router_hangupWithoutTls_routerGoesOn failed with the program as it was (the router had ended) and passes. Fix: both commands ignore the signal from their beginning; the handlers replace that, and their removal restores it.

--- a/src/Cli/EntryCommand.cpp
+++ b/src/Cli/EntryCommand.cpp
@@ -23,6 +23,7 @@
 
 int runEntry(std::span<char *const> arguments)
 {
+    internal::ignoreHangup();
     const char *path = settingsPath(arguments);
     if (arguments.size() > 1 || !path) {
         internal::printError("usage: catkinloft entry [SETTINGS], or with the path in "
--- a/src/Cli/RouterCommand.cpp
+++ b/src/Cli/RouterCommand.cpp
@@ -8,6 +8,7 @@
 
 int runRouter(std::span<char *const> arguments)
 {
+    internal::ignoreHangup();
     if (arguments.size() != 1) {
         internal::printError("usage: catkinloft router SETTINGS");
         return exit_code::Usage;
--- a/src/Cli/internal/Tools.cpp
+++ b/src/Cli/internal/Tools.cpp
@@ -4,6 +4,7 @@
 #include "Net/EventLoop.h"
 #include "Net/TlsContext.h"
 
+#include <csignal>
 #include <cstdlib>
 #include <fstream>
 #include <sstream>
@@ -82,4 +83,9 @@
     fmt::print(stderr, "catkinloft: {}\n", text);
 }
 
+void ignoreHangup()
+{
+    std::signal(SIGHUP, SIG_IGN);
+}
+
 } // namespace catkinloft::internal
--- a/src/Cli/internal/Tools.h
+++ b/src/Cli/internal/Tools.h
@@ -31,4 +31,8 @@
 /// \brief Prints the program's name and \a text to standard error.
 void printError(const std::string &text);
 
+/// \brief Lets SIGHUP have no effect until a handler is installed for it. It would end a process
+/// that is still starting, is ending, or has no files to read again.
+void ignoreHangup();
+
 } // namespace catkinloft::internal
--- a/test/integration/StopTest.cpp
+++ b/test/integration/StopTest.cpp
@@ -65,3 +65,19 @@
     }
     CHECK(Fleet::waitFor([&] { return !fleet.router(0).isRunning(); }));
 }
+
+// Guards against a router that ends with all of its requests in progress because it is told that a
+// file has changed and reads none again.
+TEST_CASE("router_hangupWithoutTls_routerGoesOn")
+{
+    standin::Deployment small = standin::deploymentNamed("sofiyska");
+    small.engines = 1;
+    small.replicas = 1;
+    small.routers = 1;
+    Fleet fleet({.deployment = small, .binaries = CATKINLOFT_BINARIES});
+    fleet.start();
+    fleet.router(0).signal(SIGHUP);
+    std::this_thread::sleep_for(200ms);
+    CHECK(fleet.router(0).isRunning());
+    CHECK(Fleet::isListening(fleet.routerAddress(0)));
+}
