Lost history in a complete read of the store counts as a failed read

Cause: a status that means lost history was taken as one for any call. After a read that needs no history there is no position that was watched, so that a missing value was read for the log line and the next read began at once, without a pause. What callers saw: nothing by itself; the calls of the router count towards the limits of the store. Evidence: storeWatch_historyLostInCompleteRead_isAFailedRead failed before (a further read had begun). No store is known to answer so. Fix: it is a failed read, after which the next one waits like after any failure.

--- a/src/Net/StoreWatch.cpp
+++ b/src/Net/StoreWatch.cpp
@@ -101,8 +101,13 @@
 
 void StoreWatch::configRead(const Result<ConfigRead> &read, TimePoint began)
 {
-    noteResult(m_configPlan, "config", read ? nullptr : &read.error());
-    if (!read)
+    // Only a watch depends on the history of the store.
+    static const Error unexpected{.detail = "the store reports lost history to a complete read"};
+    const Error *error = read ? nullptr : &read.error();
+    if (read && read.value().historyLost && !m_watchedFrom)
+        error = &unexpected;
+    noteResult(m_configPlan, "config", error);
+    if (error)
         return;
     const ConfigRead &it = read.value();
     if (it.historyLost) {
--- a/test/StoreWatchTest.cpp
+++ b/test/StoreWatchTest.cpp
@@ -110,6 +110,16 @@
     CHECK(store.watchedFrom == StorePosition{.era = 2, .version = 11});
 }
 
+// Guards against a router that reads the store again and again without a pause because the store
+// reports lost history to a read that needs none.
+TEST_CASE_FIXTURE(StoreWatchFixture, "storeWatch_historyLostInCompleteRead_isAFailedRead")
+{
+    REQUIRE(store.fullRead);
+    std::exchange(store.fullRead, {})(ConfigRead{.historyLost = true});
+    CHECK_FALSE(store.fullRead);
+    CHECK_FALSE(config.config());
+}
+
 // Guards against accepting a revoked key after the store was restored from a copy that is older
 // than the active configuration: reads of that copy do not prove that the configuration is current.
 TEST_CASE_FIXTURE(StoreWatchFixture, "storeWatch_restoredStoreHasOlderConfig_provesNothing")
