A stream to a kept connection without chunks ends with it

What callers saw: a caller with HTTP/1.0 and "Connection: keep-alive" got the head of a stream with "Content-Length: 0", which is a complete, empty answer, and then the events as bytes that belong to no answer. A stream that was given up stayed open until the idle timeout.

Cause: to keep such a connection, evhttp states the length of what it has when it writes the head, nothing, and keeps the connection behind the stream. The header "Connection: close" of abort() came second, behind evhttp's own "keep-alive", and evhttp decides by the first.

Evidence: the three tests with such a caller failed before.

Why it works: evhttp doesn't learn of the wish if the answer has neither a length nor chunks, so that it states no length and closes the connection behind the answer; abort() removes other Connection headers first.

--- a/src/Net/HttpExchange.cpp
+++ b/src/Net/HttpExchange.cpp
@@ -212,6 +212,9 @@
     addHeaders(headers);
     m_streaming = true;
     m_keepAlive = shared_from_this();
+    // evhttp would state a length of 0 to keep the connection, but only its end ends this answer.
+    if (!isFramed())
+        evhttp_remove_header(evhttp_request_get_input_headers(m_request), "Connection");
     m_connection->answerBegun(isFramed());
     evhttp_send_reply_start(m_request, status, nullptr);
     m_connection->observeStream();
@@ -258,7 +261,9 @@
     m_connection->giveUpAnswer();
     // evhttp sends what was written, then closes the connection because of the header, which is not
     // sent itself, and adds no last chunk to an answer without chunks.
-    evhttp_add_header(evhttp_request_get_output_headers(m_request), "Connection", "close");
+    evkeyvalq *out = evhttp_request_get_output_headers(m_request);
+    evhttp_remove_header(out, "Connection");
+    evhttp_add_header(out, "Connection", "close");
     m_request->chunked = 0;
     evhttp_send_reply_end(takeRequest());
 }
--- a/test/KeptConnectionTest.cpp
+++ b/test/KeptConnectionTest.cpp
@@ -29,6 +29,9 @@
 
 const std::string Get = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
 
+/// Of a caller that knows no chunks and wants to keep its connection.
+constexpr const char *GetOldKept = "GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n";
+
 /// A server that answers each request with the length of its body, some milliseconds later, and GET
 /// with a long body.
 struct KeptConnectionFixture
@@ -494,19 +497,51 @@
 // a length and its connection is closed like that of a complete one.
 TEST_CASE_FIXTURE(StreamFixture, "listener_unframedStreamIsGivenUp_connectionIsReset")
 {
-    for (const std::size_t length : {std::size_t(5), LongAnswer}) {
-        CAPTURE(length);
-        RawCaller caller(port);
-        receive(caller, "GET / HTTP/1.0\r\n\r\n");
-        exchange->beginStream(200, {});
-        exchange->write(std::string(length, 'a'));
-        std::exchange(exchange, nullptr)->abort();
-        CHECK(until([&] { return caller.readSome(256 * 1024); }));
-        CHECK(caller.received.ends_with("\r\n\r\n" + std::string(length, 'a')));
-        CHECK(caller.wasReset);
+    for (const char *head : {"GET / HTTP/1.0\r\n\r\n", GetOldKept}) {
+        for (const std::size_t length : {std::size_t(5), LongAnswer}) {
+            CAPTURE(std::string(head));
+            CAPTURE(length);
+            RawCaller caller(port);
+            receive(caller, head);
+            exchange->beginStream(200, {});
+            exchange->write(std::string(length, 'a'));
+            std::exchange(exchange, nullptr)->abort();
+            CHECK(until([&] { return caller.readSome(256 * 1024); }));
+            CHECK(caller.received.ends_with("\r\n\r\n" + std::string(length, 'a')));
+            CHECK(caller.received.find("Content-Length") == std::string::npos);
+            CHECK(caller.wasReset);
+        }
     }
 }
 
+// Guards against a stream that looks complete before its first byte, to a caller that wants to keep
+// its connection but knows no chunks.
+TEST_CASE_FIXTURE(StreamFixture, "listener_oldCallerKeepsConnection_streamEndsWithIt")
+{
+    RawCaller caller(port);
+    receive(caller, GetOldKept);
+    exchange->beginStream(200, {});
+    exchange->write("event");
+    std::exchange(exchange, nullptr)->end();
+    CHECK(until([&] { return caller.read(); }, 500ms));
+    CHECK(caller.received.ends_with("\r\n\r\nevent"));
+    CHECK(caller.received.find("Content-Length") == std::string::npos);
+    CHECK(caller.received.find("keep-alive") == std::string::npos);
+    CHECK_FALSE(caller.wasReset);
+}
+
+// Guards against a connection that stays open behind a stream with a length that was given up.
+TEST_CASE_FIXTURE(StreamFixture, "listener_oldCallerKeepsConnection_streamGivenUpIsClosed")
+{
+    RawCaller caller(port);
+    receive(caller, GetOldKept);
+    exchange->beginStream(200, {{"Content-Length", "10"}});
+    exchange->write("event");
+    std::exchange(exchange, nullptr)->abort();
+    CHECK(until([&] { return caller.read(); }, 500ms));
+    CHECK(caller.received.ends_with("\r\n\r\nevent"));
+}
+
 // Guards against the same for an answer that its caller doesn't read in time.
 TEST_CASE_FIXTURE(StreamFixture, "listener_unframedAnswerIsNotReadInTime_connectionIsReset")
 {
