A request is answered if handling it throws before it was sent

What callers saw: nothing was seen of it; if starting a call throws, its caller gets no answer as long as it waits, and a stop of the router waits for the call.

Cause: the gateway keeps the call and the call keeps the exchange, so that the exchange doesn't answer with 500 when the handler has thrown; the deadline of the call isn't set yet.

Evidence: the test got no answer before.

Why it works: the gateway ends a call whose start has failed, with 500 and the verdict of what was sent. A call that was sent goes on: its answer or its deadline ends it.

--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -927,6 +927,18 @@
     m_headSent ? breakOff(error) : refuse(error);
 }
 
+void EntryCall::startFailed()
+{
+    // An attempt that was sent ends by its answer or the deadline.
+    if (m_finished || m_call)
+        return;
+    const Error error{.reason = Reason::Internal,
+                      .verdict = m_attempting ? Verdict::MayHaveRun : m_verdict,
+                      .detail = "handling the request failed"};
+    endAttempt(false, error.reason, true);
+    refuse(error);
+}
+
 /// \returns whether the silence has another cause than its replica: the path, a stall of this
 /// process, or one that most replicas share.
 bool EntryCall::hasOtherCause() const
--- a/src/Net/EntryCall.h
+++ b/src/Net/EntryCall.h
@@ -96,6 +96,9 @@
     /// \brief Answers the caller because the process ends, or breaks off a stream.
     void stop();
 
+    /// \brief Answers the caller if start() has failed before it sent the request.
+    void startFailed();
+
     const std::string &id() const { return m_request.facts.id; }
 
 private:
--- a/src/Net/EntryGateway.cpp
+++ b/src/Net/EntryGateway.cpp
@@ -2,6 +2,7 @@
 
 #include "Base/CrashHandler.h"
 #include "Net/EventLoop.h"
+#include "Net/internal/Dispatch.h"
 
 #include <utility>
 
@@ -42,7 +43,9 @@
     CrashHandler::setRequestsInProgress(m_calls.size());
     if (!m_silenceTimer.isPending())
         startSilenceTimer();
-    call->start();
+    // The call keeps the exchange, which nothing else would answer.
+    if (!internal::dispatch("request", [&] { call->start(); }))
+        call->startFailed();
 }
 
 void EntryGateway::checkSilence()
--- a/test/EntryGatewayFixture.h
+++ b/test/EntryGatewayFixture.h
@@ -16,6 +16,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <utility>
 #include <vector>
@@ -173,6 +174,7 @@
                      },
              .replicaCrashed = [this](const std::string &it) { pools.noteCrashed(it, 3s); }}};
     bool isShuttingDown = false;
+    bool isNextToThrow = false; ///< Whether handling the next request throws.
     TimePoint stopsAt = TimePoint::max();
     /// Software that began the streams which callers resume; by default that of all replicas.
     std::optional<std::string> origin = "svc ";
@@ -192,7 +194,12 @@
              .crashes = crashes,
              .random = seededRandom(2),
              .sharingRouters = [] { return 1; },
-             .isShuttingDown = [this] { return isShuttingDown; },
+             .isShuttingDown =
+                     [this] {
+                         if (std::exchange(isNextToThrow, false))
+                             throw std::runtime_error("not handled");
+                         return isShuttingDown;
+                     },
              .stopsAt = [this] { return stopsAt; },
              .replicaLeaving =
                      [this](const std::string &it) {
--- a/test/EntryRequestTest.cpp
+++ b/test/EntryRequestTest.cpp
@@ -1362,3 +1362,17 @@
         CHECK_FALSE(closed);
     }
 }
+
+// Guards against a caller that never gets an answer because handling its request threw before it
+// was sent: the call holds the request, and its deadline is not set.
+TEST_CASE_FIXTURE(EntryGatewayFixture, "entry_handlingARequestThrows_callerGetsAnAnswer")
+{
+    addReplica(ok);
+    RawCaller caller(Port);
+    isNextToThrow = true;
+    const std::string answer = call(caller, get("/safe/"), "not_run");
+    CHECK(answer.starts_with("HTTP/1.1 500"));
+    CHECK(sent() == 0);
+    CHECK(until([&] { return gateway.inProgress() == 0; }));
+    CHECK(call(caller, withId(get("/safe/"), "r2"), "fine").starts_with("HTTP/1.1 200"));
+}
