--- a/test/ListenerInputTest.cpp
+++ b/test/ListenerInputTest.cpp
@@ -199,3 +199,27 @@
     loop.runOnce();
     CHECK(handled == MaxConnections);
 }
+
+// Guards against callers that are refused although hardly any connection is open, because the
+// descriptors of closed connections count: health checks and the question for an address come on a
+// new connection each.
+TEST_CASE_FIXTURE(ListenerFixture, "listener_callersComeAndLeaveOnNewDescriptors_eachIsAdmitted")
+{
+    std::vector<int> occupied;
+    for (int i = 0; i < 5 * MaxConnections; ++i) {
+        {
+            RawCaller caller(port);
+            caller.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+            CHECK(until([&] { return caller.read() || handled == i + 1; }));
+            caller.finish();
+            CHECK(until([&] { return caller.read(); }));
+            CHECK(caller.received.ends_with("fine"));
+        }
+        // Takes the descriptors that both ends have left.
+        for (int n = 0; n < 2; ++n)
+            occupied.push_back(dup(STDERR_FILENO));
+    }
+    CHECK(tooMany == 0);
+    for (const int fd : occupied)
+        close(fd);
+}
