Bytes of a socket are discarded through a buffer

Callers saw connections that were closed without an answer: the router had ended with SIGSEGV (code 139), with all its requests.

Cause: discardReceived() passed a null pointer to recv() with MSG_TRUNC, by which TCP on Linux discards without a copy. Other sockets copy to that address.

Result: a buffer of 64 KB takes what is discarded, and as many bytes in a row as before.

--- a/src/Net/internal/SocketBytes.cpp
+++ b/src/Net/internal/SocketBytes.cpp
@@ -1,5 +1,6 @@
 #include "Net/internal/SocketBytes.h"
 
+#include <array>
 #include <cerrno>
 
 #include <linux/sockios.h>
@@ -13,16 +14,18 @@
 
 /// Bytes that are discarded by one system call, and calls in a row, so that a caller that sends
 /// faster than it is read doesn't hold up the others.
-constexpr std::size_t DiscardedAtOnce = 1 << 20;
-constexpr int MaxCalls = 16;
+constexpr std::size_t DiscardedAtOnce = 64 * 1024;
+constexpr int MaxCalls = 256;
 
 } // namespace
 
 bool discardReceived(int fd)
 {
+    // Only TCP on Linux discards without a buffer (MSG_TRUNC). Other sockets write to the address
+    // that they are given, so that a null pointer is an error or ends the process.
+    static thread_local std::array<char, DiscardedAtOnce> buf;
     for (int i = 0; i < MaxCalls; ++i) {
-        // With MSG_TRUNC, TCP discards the bytes without a copy.
-        const ssize_t n = recv(fd, nullptr, DiscardedAtOnce, MSG_DONTWAIT | MSG_TRUNC);
+        const ssize_t n = recv(fd, buf.data(), buf.size(), MSG_DONTWAIT);
         if (n <= 0)
             return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
     }
