The limit of a listener counts its open connections

Cause: the limiter kept each descriptor that a connection had had, and the socket's cookie (SO_COOKIE) to tell a later connection with that descriptor from it.

Result: the listener counts the connections that it has admitted and not yet closed, which it knows exactly, without a system call. A further test asks that each way in which a connection ends is counted.

--- a/src/Net/HttpServer.cpp
+++ b/src/Net/HttpServer.cpp
@@ -5,7 +5,6 @@
 #include "Net/EventLoop.h"
 #include "Net/Timer.h"
 #include "Net/TlsContext.h"
-#include "Net/internal/ConnectionLimiter.h"
 #include "Net/internal/Dispatch.h"
 #include "Net/internal/LingeringClose.h"
 #include "Net/internal/ListenerConnection.h"
@@ -18,6 +17,7 @@
 #include <functional>
 #include <optional>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 
 #include <sys/socket.h>
@@ -83,8 +83,7 @@
     using StreamPtr = std::unique_ptr<bufferevent, decltype(&bufferevent_free)>;
 
     Private(EventLoop &l, Options o, Handler h)
-        : loop(l), options(std::move(o)), handler(std::move(h)),
-          limiter(loop, options.limits.maxConnections)
+        : loop(l), options(std::move(o)), handler(std::move(h))
     { }
 
     EventLoop &loop;
@@ -93,7 +92,6 @@
     evhttp *http = nullptr;
     evhttp_bound_socket *bound = nullptr;
     bool isClosing = false; ///< The listener is being destroyed.
-    internal::ConnectionLimiter limiter;
     RequestBuffers ownBuffers{loop};
     internal::LingeringClose lingering{loop};
     timeval idleTimeout = internal::toTimeval(options.limits.idleTimeout);
@@ -105,7 +103,7 @@
             .idleTimeout = idleTimeout,
             .requestIdHeader = options.requestIdHeader,
             .lingering = lingering,
-            .onClosed = [this](const evbuffer *input) { connections.erase(input); },
+            .onClosed = [this](const evbuffer *input) { connectionClosed(input); },
             .onEnded =
                     [this](Connection::End reason) {
                         if (options.onConnectionEnded)
@@ -122,6 +120,8 @@
                             startHeadTimer();
                     }};
     std::unordered_map<const evbuffer *, std::shared_ptr<Connection>> connections = {};
+    /// Those of the connections that count towards the limit, the others being refused.
+    std::unordered_set<const evbuffer *> admitted = {};
     Timer headTimer{loop, [this] { checkHeads(); }};
     TimePoint headCheckDue = {};
     Timer acceptTimer{loop, [this] { setAccepting(true); }};
@@ -166,18 +166,25 @@
         if (!out)
             return nullptr;
         const auto connection = std::make_shared<Connection>(context, out.get());
-        connections.insert_or_assign(bufferevent_get_input(out.get()), connection);
+        const evbuffer *input = bufferevent_get_input(out.get());
+        connections.insert_or_assign(input, connection);
         // evhttp sets the descriptor right after this call and does not read before the next
         // iteration of the loop, so it cannot have freed the connection before the callback runs.
-        loop.post([this, connection, isRefused, there = std::weak_ptr(alive)] {
+        loop.post([this, connection, input, isRefused, there = std::weak_ptr(alive)] {
             if (there.expired())
                 return;
             connection->opened();
-            isRefused ? refuseStream(connection->fd()) : checkLimit(connection->fd());
+            isRefused ? refuseStream(connection->fd()) : checkLimit(input, connection->fd());
         });
         return out.release();
     }
 
+    void connectionClosed(const evbuffer *input)
+    {
+        admitted.erase(input);
+        connections.erase(input);
+    }
+
     void refuseStream(int fd)
     {
         // evhttp reads the end and frees the connection by its own rules.
@@ -223,10 +230,12 @@
             options.onAcceptFailed();
     }
 
-    void checkLimit(int fd)
+    void checkLimit(const evbuffer *input, int fd)
     {
-        if (limiter.admit(fd))
+        if (admitted.size() < static_cast<std::size_t>(options.limits.maxConnections)) {
+            admitted.insert(input);
             return;
+        }
         // The answer promises that no request of this connection runs, but bytes that were received
         // before the shutdown could still be read.
         if (!usesTls())
--- a/test/ListenerInputTest.cpp
+++ b/test/ListenerInputTest.cpp
@@ -223,3 +223,46 @@
     for (const int fd : occupied)
         close(fd);
 }
+
+// Guards against connections that count for ever because of the way in which they ended.
+TEST_CASE_FIXTURE(ListenerFixture, "listener_connectionsEndInEachWay_noneCountsAfterwards")
+{
+    const std::string request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+    const std::vector<std::string> sent = {
+            "", // Nothing.
+            request,
+            "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",
+            "GET / HTTP/1.0\r\n\r\n",
+            "GET / HT", // A part of a head.
+            "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nabc",
+            "GET / HTTP/1.1\r\nnonsense\r\n\r\n",
+            "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 999999\r\n\r\n",
+            request + request,
+    };
+    for (const std::string &it : sent) {
+        for (const bool isReset : {false, true}) {
+            CAPTURE(it);
+            CAPTURE(isReset);
+            {
+                RawCaller caller(port);
+                caller.send(it);
+                for (int i = 0; i < 3; ++i)
+                    loop.runOnce();
+                if (isReset)
+                    caller.resetOnClose();
+            }
+            tooMany = 0;
+            // Each of those that stayed would take the place of one of these.
+            CHECK(until([&] {
+                std::vector<std::unique_ptr<RawCaller>> held;
+                const int before = tooMany;
+                for (int i = 0; i < MaxConnections; ++i) {
+                    held.push_back(std::make_unique<RawCaller>(port));
+                    held.back()->send(request);
+                    until([&] { return held.back()->read() || !held.back()->received.empty(); });
+                }
+                return tooMany == before;
+            }));
+        }
+    }
+}
