The line about a crash states null addresses, library code and the callback

In the incident of routers that end with code 139, no log line told where. And the line left out the address 0 and the place of faults outside of the program.

Now a fault always has `address`, and either `code_offset` or, in a library, `code_address`; `callback` names the kind of event that was being handled. crash_eachWay_oneLineNamesTheCauseAndTheExitStatusStays asks for them; the new rows failed before.

--- a/src/Base/CrashHandler.cpp
+++ b/src/Base/CrashHandler.cpp
@@ -41,6 +41,10 @@
 /// Longest time for which a full pipe delays the end of the process, for each piece written.
 constexpr int MaxWaitMs = 50;
 
+/// Time between the line and the end of the process. Where a library in the process forwards what
+/// is written, the last lines are lost if the process ends at once.
+constexpr int ForwardingMs = 10;
+
 struct State
 {
     int fd = 1;
@@ -51,6 +55,7 @@
     std::uintptr_t codeEnd = 0;
     std::atomic<const CrashHandler::Unwritten *> unwritten = nullptr;
     std::atomic<std::size_t> requestsInProgress = 0;
+    std::atomic<const char *> callback = nullptr;
     std::atomic<bool> isReported = false;
     std::terminate_handler previousTerminate = nullptr;
     /// Stack of the signal handlers: a stack overflow leaves no room on the other one.
@@ -114,6 +119,7 @@
     } else if (isSent) {
         crash.cause = "abort";
     } else {
+        crash.isFault = true;
         crash.address = reinterpret_cast<std::uintptr_t>(info->si_addr);
         crash.code = codeAddress(context);
     }
@@ -229,6 +235,11 @@
     state.requestsInProgress = n;
 }
 
+const char *CrashHandler::exchangeCallback(const char *name) noexcept
+{
+    return state.callback.exchange(name, std::memory_order_relaxed);
+}
+
 void CrashHandler::report(const Crash &crash) noexcept
 {
     if (state.isReported.exchange(true))
@@ -251,14 +262,19 @@
         line.add("exception", crash.exception);
     if (!crash.detail.empty())
         line.add("detail", crash.detail);
+    if (const char *callback = state.callback)
+        line.add("callback", callback);
     line.add("requests_in_progress", state.requestsInProgress.load());
     line.add("version", state.version.data());
     line.add("build", state.build.data());
-    if (crash.address != 0)
+    const bool isOwnCode = crash.code >= state.codeBegin && crash.code < state.codeEnd;
+    if (crash.isFault) {
         line.addHex("address", crash.address);
-    if (crash.code >= state.codeBegin && crash.code < state.codeEnd)
-        line.addHex("code_offset", crash.code - state.codeBegin);
+        line.addHex(isOwnCode ? "code_offset" : "code_address",
+                    isOwnCode ? crash.code - state.codeBegin : crash.code);
+    }
     writeBounded(line.finish());
+    poll(nullptr, 0, ForwardingMs);
 }
 
 } // namespace catkinloft
--- a/src/Base/CrashHandler.h
+++ b/src/Base/CrashHandler.h
@@ -38,8 +38,9 @@
         std::string_view exception = {}; ///< Type of the exception, if one caused it.
         std::string_view detail = {};
         int sender = 0; ///< Process that sent the signal; 0: none did.
+        bool isFault = false; ///< An instruction caused the signal; the next two are known.
         std::uintptr_t address = 0; ///< Address whose access caused the signal.
-        std::uintptr_t code = 0; ///< Address of the instruction that caused the signal.
+        std::uintptr_t code = 0; ///< Address of the instruction.
     };
 
     /// \brief Handles fatal signals and std::terminate() from now on. A signal that has a handler
@@ -53,6 +54,11 @@
 
     static void setRequestsInProgress(std::size_t n) noexcept;
 
+    /// \brief Names the callback that runs from now on, for the line; null: none.
+    /// \param name a literal.
+    /// \returns the name that it had before.
+    static const char *exchangeCallback(const char *name) noexcept;
+
     /// \brief Writes the lines that are not written yet and the line about \a crash. Only the first
     /// call has an effect. Async-signal-safe.
     static void report(const Crash &crash) noexcept;
--- a/src/Net/internal/Dispatch.h
+++ b/src/Net/internal/Dispatch.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Base/CrashHandler.h"
+
 #include <cstdint>
 #include <exception>
 #include <string_view>
@@ -13,6 +15,21 @@
 /// \returns the number of calls of dispatch() in this process that failed.
 std::uint64_t droppedMessages() noexcept;
 
+/// \brief Names the callback that runs, for the line about a crash, until it is destroyed.
+class CallbackName
+{
+public:
+    explicit CallbackName(std::string_view literal)
+        : m_outer(CrashHandler::exchangeCallback(literal.data()))
+    { }
+    ~CallbackName() { CrashHandler::exchangeCallback(m_outer); }
+    CallbackName(const CallbackName &) = delete;
+    CallbackName &operator=(const CallbackName &) = delete;
+
+private:
+    const char *m_outer;
+};
+
 /// \brief Handles one message with \a handle, called from libevent.
 ///
 /// The frames of libevent are C, so an exception that reaches them ends the process. A message that
@@ -23,6 +40,7 @@
 template<typename Handle>
 bool dispatch(std::string_view source, const Handle &handle) noexcept
 {
+    const CallbackName name(source);
     try {
         handle();
         return true;
--- a/test/crash/main.cpp
+++ b/test/crash/main.cpp
@@ -7,9 +7,12 @@
 #include "Base/ManualClock.h"
 #include "Base/Metrics.h"
 #include "Net/CrashReporter.h"
+#include "Net/internal/Dispatch.h"
 
 #include <array>
 #include <cstddef>
+#include <cstdint>
+#include <cstring>
 #include <map>
 #include <stdexcept>
 #include <string>
@@ -39,6 +42,23 @@
     *static_cast<volatile char *>(page) = 'a';
 }
 
+void accessNullPointerInCallback()
+{
+    internal::dispatch("request", [] {
+        volatile std::uintptr_t address = 0;
+        // NOLINTNEXTLINE(performance-no-int-to-ptr): the compiler must not know the address
+        *reinterpret_cast<volatile char *>(address) = 'a';
+    });
+}
+
+void copyToNullPointerInLibrary()
+{
+    // The compiler must not know the function.
+    void *(*volatile copy)(void *, const void *, std::size_t) = &std::memcpy;
+    const std::array<char, 4096> text{};
+    copy(nullptr, text.data(), text.size());
+}
+
 /// \returns a value that depends on each of \a depth calls, so that none is optimized away.
 int overflowStack(int depth) // NOLINT(misc-no-recursion)
 {
@@ -70,6 +90,8 @@
     const std::map<std::string, void (*)()> ways = {{"exception", &throwException},
                                                     {"missing_value", &readMissingValue},
                                                     {"fault", &accessProtectedPage},
+                                                    {"null_pointer", &accessNullPointerInCallback},
+                                                    {"library", &copyToNullPointerInLibrary},
                                                     {"stack_overflow", &overflowStack},
                                                     {"libevent", &useUninitializedEvent}};
     const auto way = ways.find(argc == 2 ? argv[1] : "");
--- a/test/integration/CrashTest.cpp
+++ b/test/integration/CrashTest.cpp
@@ -152,6 +152,9 @@
             {"exception", SIGABRT, "exception", "std::out_of_range", "exception"},
             {"missing_value", SIGABRT, "signal", "SIGABRT", "abort"},
             {"fault", SIGSEGV, "signal", "SIGSEGV", "fault"},
+            {"null_pointer", SIGSEGV, "address", "0x0", "fault"},
+            {"null_pointer", SIGSEGV, "callback", "request", "fault"},
+            {"library", SIGSEGV, "address", "0x0", "fault"},
             {"stack_overflow", SIGSEGV, "signal", "SIGSEGV", "fault"},
             {"libevent", SIGABRT, "source", "crash", "libevent"}};
     for (std::size_t i = 0; i < ways.size(); ++i) {
@@ -168,6 +171,9 @@
         REQUIRE(crashes.size() == 1);
         CHECK(crashes.front()["cause"].asString() == it.cause);
         CHECK(crashes.front()[it.field].asString() == it.value);
+        const bool isInLibrary = it.name == "library";
+        CHECK(crashes.front().isMember("code_address") == isInLibrary);
+        CHECK(crashes.front().isMember("code_offset") == (it.cause == "fault" && !isInLibrary));
     }
     std::filesystem::remove_all(folder);
 }
