Refusals: callers that are still sending are not reset

Callers saw: a write that fails (EPIPE, ECONNRESET) instead of the refusal, if they went on sending after 400, 408, 413, 417 or 503, which are sent before a request is handled. Many clients don't read the answer then, and some systems discard it with the reset.

Cause: a refused connection was shut down in both directions, so that evhttp reads its end and closes it. What arrives after that is answered by a reset.

Change: evhttp is told of the end by an event of the stream instead, and the socket passes to LingeringClose, as after an answer with Connection: close.

--- a/src/Net/HttpServer.cpp
+++ b/src/Net/HttpServer.cpp
@@ -41,8 +41,7 @@
 constexpr evhttp_cmd_type AllowedMethods = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT
         | EVHTTP_REQ_DELETE | EVHTTP_REQ_HEAD | EVHTTP_REQ_PATCH | EVHTTP_REQ_OPTIONS;
 
-/// Sent without TLS to a connection over the limit before it is closed, as far as the socket
-/// accepts the bytes at once.
+/// Sent to a connection over the limit, unless it uses TLS.
 constexpr std::string_view TooManyConnectionsAnswer =
         "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 1\r\n"
         "Content-Type: application/problem+json\r\nContent-Length: 53\r\n\r\n"
@@ -174,7 +173,7 @@
             if (there.expired())
                 return;
             connection->opened();
-            isRefused ? refuseStream(connection->fd()) : checkLimit(input, connection->fd());
+            isRefused ? refuseStream(connection->fd()) : checkLimit(input, *connection);
         });
         return out.release();
     }
@@ -230,20 +229,14 @@
             options.onAcceptFailed();
     }
 
-    void checkLimit(const evbuffer *input, int fd)
+    void checkLimit(const evbuffer *input, Connection &connection)
     {
         if (admitted.size() < static_cast<std::size_t>(options.limits.maxConnections)) {
             admitted.insert(input);
             return;
         }
-        // The answer promises that no request of this connection runs, but bytes that were received
-        // before the shutdown could still be read.
-        if (!usesTls())
-            send(fd, TooManyConnectionsAnswer.data(), TooManyConnectionsAnswer.size(),
-                 MSG_DONTWAIT | MSG_NOSIGNAL);
-        // evhttp reads the end and frees the connection by its own rules.
-        shutdown(fd, SHUT_RDWR);
-        internal::discardReceived(fd);
+        // Without a handshake, there is nothing that a caller with TLS could read.
+        connection.refuse(usesTls() ? std::string_view() : TooManyConnectionsAnswer);
         if (options.onTooManyConnections)
             options.onTooManyConnections();
     }
--- a/src/Net/internal/LingeringClose.cpp
+++ b/src/Net/internal/LingeringClose.cpp
@@ -22,6 +22,10 @@
 /// Interval of checks whether a caller has received what comes before a reset.
 constexpr Duration ResetCheckInterval = std::chrono::milliseconds(20);
 
+/// A caller that sends without end must not take the processor. More than the longest body that a
+/// listener accepts by default.
+constexpr std::size_t MaxDiscarded = std::size_t(20) * 1024 * 1024;
+
 /// A crowd of callers that go on sending must not take the descriptors of others.
 constexpr std::size_t MaxSockets = 512;
 
@@ -86,6 +90,7 @@
                          .readable = nullptr,
                          .checkedAt = m_loop.now(),
                          .unacknowledged = unacknowledgedBytes(own),
+                         .discarded = 0,
                          .isReset = isReset});
     Socket &it = m_sockets.back();
     it.readable = event_new(
@@ -109,7 +114,9 @@
 
 void LingeringClose::read(Socket &it)
 {
-    if (discardReceived(it.fd))
+    const Discarded now = discardReceived(it.fd);
+    it.discarded += now.bytes;
+    if (now.isOpen && it.discarded < MaxDiscarded)
         return;
     remove(std::find_if(m_sockets.begin(), m_sockets.end(),
                         [&](const Socket &other) { return &other == &it; }));
--- a/src/Net/internal/LingeringClose.h
+++ b/src/Net/internal/LingeringClose.h
@@ -21,7 +21,7 @@
 /// A socket that is closed with unread bytes, or receives bytes after that, resets the connection,
 /// and the reset discards what the caller has not received yet. So only the sending side is closed
 /// at first, and what arrives is discarded until the caller closes its side, too, or makes no
-/// progress for some seconds.
+/// progress for some seconds, or has sent more than a request takes.
 class LingeringClose
 {
 public:
@@ -51,6 +51,7 @@
         event *readable;
         TimePoint checkedAt;
         std::size_t unacknowledged; ///< At that time.
+        std::size_t discarded; ///< Bytes that have arrived.
         bool isReset;
     };
     using Sockets = std::list<Socket>;
--- a/src/Net/internal/ListenerConnection.cpp
+++ b/src/Net/internal/ListenerConnection.cpp
@@ -153,7 +153,8 @@
         return m_context.lingering.addReset(fd());
     }
     const bool isSent = m_isAnswered || (m_isGivenUp && evbuffer_get_length(m_output) == 0);
-    if (isSent && (hasUnreadBytes(fd()) || unacknowledgedBytes(fd()) > 0))
+    // The rest of a refused request may still be on its way.
+    if (m_isRefused || (isSent && (hasUnreadBytes(fd()) || unacknowledgedBytes(fd()) > 0)))
         m_context.lingering.add(fd());
 }
 
@@ -453,7 +454,7 @@
 /// Writes past the output buffer, whose end evhttp would take for the end of an answer.
 void ListenerConnection::writeNow(std::string_view text)
 {
-    if (evbuffer_get_length(m_output) > 0)
+    if (text.empty() || evbuffer_get_length(m_output) > 0)
         return;
     if (usesTls(m_stream))
         writeTls(m_stream, text);
@@ -481,13 +482,48 @@
     }
 }
 
+void ListenerConnection::refuse(std::string_view answer)
+{
+    if (std::exchange(m_isEnded, true))
+        return;
+    writeNow(answer);
+    release();
+    closeRefused();
+}
+
+/// Lets evhttp free the connection as if its caller had ended it. The socket must not be shut down
+/// for that, because a reset in reply to what the caller is still sending can overtake the answer.
+void ListenerConnection::closeRefused()
+{
+    m_isRefused = true;
+    bufferevent_trigger_event(m_stream, BEV_EVENT_READING | BEV_EVENT_EOF,
+                              BEV_TRIG_DEFER_CALLBACKS);
+}
+
 void ListenerConnection::end(End reason)
 {
     if (std::exchange(m_isEnded, true))
         return;
     cut(AnswerCut::Memory);
-    if (m_stage == Stage::Reading)
+    const bool isRefused = m_stage == Stage::Reading;
+    if (isRefused)
         writeNow(endAnswer(reason));
+    release();
+    if (isRefused) {
+        closeRefused();
+    } else {
+        // evhttp reads the end and frees the connection by its own rules. The end of the sending
+        // side would show an unframed answer as complete.
+        const bool isCutUnframed = m_stage == Stage::Handling && !m_isFramed;
+        shutdown(fd(), isCutUnframed ? SHUT_RD : SHUT_RDWR);
+        discardReceived(fd());
+    }
+    m_context.onEnded(reason);
+}
+
+/// Frees what was received, of which evhttp gets nothing more.
+void ListenerConnection::release()
+{
     if (m_stage != Stage::Handling)
         setLowWatermark(Hold);
     unlistHead();
@@ -496,12 +532,6 @@
     m_trailer = {};
     m_share.hold(0);
     m_share.run(0);
-    // evhttp reads the end and frees the connection by its own rules. The end of the sending side
-    // would show an unframed answer as complete.
-    const bool isCutUnframed = m_stage == Stage::Handling && !m_isFramed;
-    shutdown(fd(), isCutUnframed ? SHUT_RD : SHUT_RDWR);
-    discardReceived(fd());
-    m_context.onEnded(reason);
 }
 
 } // namespace catkinloft::internal
--- a/src/Net/internal/ListenerConnection.h
+++ b/src/Net/internal/ListenerConnection.h
@@ -109,6 +109,10 @@
     /// with a promise that it does not run.
     void end(End reason);
 
+    /// \brief Closes the connection, on which no request has been handled, with \a answer, as far
+    /// as the socket accepts the bytes at once. What the caller sends is discarded.
+    void refuse(std::string_view answer);
+
     /// \returns the answer that is in progress or not yet sent, if there is one.
     std::optional<UnsentAnswer> unsentAnswer() const;
 
@@ -140,6 +144,8 @@
     void watchForEnd();
     void checkForEnd();
     void disconnect();
+    void closeRefused();
+    void release();
     void closeSocket();
     void read();
     void readHead();
@@ -178,6 +184,7 @@
     bool m_isGivenUp = false; ///< The answer is incomplete.
     bool m_isFramed = true; ///< The answer.
     bool m_isDisconnected = false; ///< Shut down, so that evhttp reads the end.
+    bool m_isRefused = false; ///< Closed with an answer before a request was handled.
     bool m_isAnswered = false; ///< No byte has arrived since the last answer was sent.
     bool m_isComposing = false;
     HttpExchange *m_exchange = nullptr;
--- a/src/Net/internal/SocketBytes.cpp
+++ b/src/Net/internal/SocketBytes.cpp
@@ -19,17 +19,21 @@
 
 } // namespace
 
-bool discardReceived(int fd)
+Discarded discardReceived(int fd)
 {
     // Only TCP on Linux discards without a buffer (MSG_TRUNC). Other sockets write to the address
     // that they are given, so that a null pointer is an error or ends the process.
     static thread_local std::array<char, DiscardedAtOnce> buf;
+    Discarded out;
     for (int i = 0; i < MaxCalls; ++i) {
         const ssize_t n = recv(fd, buf.data(), buf.size(), MSG_DONTWAIT);
-        if (n <= 0)
-            return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+        if (n <= 0) {
+            out.isOpen = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+            break;
+        }
+        out.bytes += static_cast<std::size_t>(n);
     }
-    return true;
+    return out;
 }
 
 std::size_t unacknowledgedBytes(int fd)
--- a/src/Net/internal/SocketBytes.h
+++ b/src/Net/internal/SocketBytes.h
@@ -4,9 +4,14 @@
 
 namespace catkinloft::internal {
 
+struct Discarded
+{
+    std::size_t bytes = 0;
+    bool isOpen = true; ///< The peer has not closed the connection, and it has not failed.
+};
+
 /// \brief Discards what the socket \a fd has received.
-/// \returns false if its peer has closed it or it has failed.
-bool discardReceived(int fd);
+Discarded discardReceived(int fd);
 
 /// \returns the bytes that were written to the socket \a fd and that its peer has not acknowledged.
 std::size_t unacknowledgedBytes(int fd);
--- a/test/ListenerInputTest.cpp
+++ b/test/ListenerInputTest.cpp
@@ -200,6 +200,54 @@
     CHECK(handled == MaxConnections);
 }
 
+// Guards against a refusal that is lost because the connection is reset while its caller is still
+// sending. Many clients don't read the answer once a write has failed, and some systems discard it
+// with the reset.
+TEST_CASE_FIXTURE(ListenerFixture, "listener_callerSendsOnAfterARefusal_refusalArrives")
+{
+    struct Case
+    {
+        std::string begin;
+        bool isOverLimit = false;
+        const char *answer;
+    };
+    const std::string post = "POST / HTTP/1.1\r\nHost: x\r\n";
+    const std::vector<Case> cases = {
+            {.begin = post + "Content-Length: 999999\r\n\r\n", .answer = "HTTP/1.1 413"},
+            {.begin = post + "Expect: something\r\nContent-Length: 3000\r\n\r\n",
+             .answer = "HTTP/1.1 417"},
+            {.begin = "GET / HTTP/1.1\r\nX: " + std::string(2 * MaxHeader, 'a'),
+             .answer = "HTTP/1.1 400"},
+            {.begin = post, .answer = "HTTP/1.1 408"},
+            {.begin = post, .isOverLimit = true, .answer = "HTTP/1.1 503"},
+    };
+    server->setHeaderTimeout(300ms);
+    for (const Case &it : cases) {
+        CAPTURE(std::string(it.answer));
+        std::vector<std::unique_ptr<RawCaller>> held;
+        for (int i = 0; it.isOverLimit && i < MaxConnections; ++i) {
+            held.push_back(std::make_unique<RawCaller>(port));
+            held.back()->send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+            CHECK(until([&] { return held.back()->read() || !held.back()->received.empty(); }));
+        }
+        RawCaller caller(port);
+        caller.send(it.begin);
+        const TimePoint refusedBy = loop.now() + 1s;
+        until([&] { return loop.now() >= refusedBy; });
+        for (int i = 0; i < 20; ++i) {
+            CHECK(caller.sendSome(std::string(1000, 'a')) == 1000);
+            for (int n = 0; n < 5; ++n) {
+                loop.runOnce();
+                usleep(1000);
+            }
+        }
+        CHECK(until([&] { return caller.read(); }));
+        CHECK(caller.received.starts_with(it.answer));
+        CHECK_FALSE(caller.wasReset);
+    }
+    CHECK(handled == MaxConnections);
+}
+
 // Guards against callers that are refused although hardly any connection is open, because the
 // descriptors of closed connections count: health checks and the question for an address come on a
 // new connection each.
--- a/test/SocketBytesTest.cpp
+++ b/test/SocketBytesTest.cpp
@@ -42,7 +42,7 @@
 TEST_CASE_FIXTURE(LocalSockets, "discardReceived_systemCopiesWhatItDiscards_bytesAreDiscarded")
 {
     send(std::string(98, 'a'));
-    CHECK(discardReceived(receiver()));
+    CHECK(discardReceived(receiver()).isOpen);
     CHECK_FALSE(hasUnreadBytes(receiver()));
 }
 
@@ -50,7 +50,9 @@
 TEST_CASE_FIXTURE(LocalSockets, "discardReceived_moreThanOneBufferWaits_allIsDiscarded")
 {
     send(std::string(150'000, 'a'));
-    CHECK(discardReceived(receiver()));
+    const Discarded it = discardReceived(receiver());
+    CHECK(it.isOpen);
+    CHECK(it.bytes == 150'000);
     CHECK_FALSE(hasUnreadBytes(receiver()));
 }
 
@@ -58,11 +60,11 @@
 {
     send("abc");
     finish();
-    CHECK_FALSE(discardReceived(receiver()));
+    CHECK_FALSE(discardReceived(receiver()).isOpen);
     CHECK_FALSE(hasUnreadBytes(receiver()));
 }
 
 TEST_CASE_FIXTURE(LocalSockets, "discardReceived_nothingHasArrived_connectionIsOpen")
 {
-    CHECK(discardReceived(receiver()));
+    CHECK(discardReceived(receiver()).isOpen);
 }
