Crowd: read into a buffer

The same fault that ended routers, in the stand-in of callers: recv() was given a null pointer, which only TCP on Linux ignores with MSG_TRUNC.

--- a/standin/fleet/Crowd.cpp
+++ b/standin/fleet/Crowd.cpp
@@ -3,6 +3,7 @@
 #include "SocketAddress.h"
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <string_view>
 #include <utility>
@@ -111,8 +112,8 @@
 
 bool Crowd::read(Connection &it) const
 {
-    // With MSG_TRUNC, TCP discards the bytes.
-    const ssize_t n = recv(it.fd, nullptr, BytesPerTurn, MSG_DONTWAIT | MSG_TRUNC);
+    static thread_local std::array<char, BytesPerTurn> buf;
+    const ssize_t n = recv(it.fd, buf.data(), buf.size(), MSG_DONTWAIT);
     it.isAnswered = it.isAnswered || n > 0;
     it.isClosed = n == 0 || (n < 0 && !wouldBlock());
     return n > 0 || it.isClosed;
