Soak: faults that wait for a replica disturb the one that replaces it

By the logs of a play (two calls of route whole, which streams and is not repeatable), i-4-2 had broken the connections off 25 and 23 ms after they were sent, with no byte passed on.

Cause: the check, not the forwarding. replica_kill and replica_fails hit the same replica. Faults for a replica that doesn't run wait for the end of its outage and then act on its successor; the history named only the predecessor.

Change: a replica that is started while faults wait for its predecessor takes over what the history says of that one from then on. Nothing else is excused.

--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -474,7 +474,24 @@
     const WallTime now = m_loop.wallNow();
     m_history.replicaDisturbances.push_back(
             {.replica = m_fleet.replicaId(i), .from = now, .until = now + DisturbanceMargin});
+    replaceReplica(i);
+}
+
+/// Starts a replica in place of \a i. The faults that wait for \a i disturb the new one.
+void SoakRun::replaceReplica(std::size_t i)
+{
+    const std::string before = m_fleet.replicaId(i);
     m_fleet.restartReplica(i);
+    if (!m_pendingFaults.contains(i))
+        return;
+    const WallTime now = m_loop.wallNow();
+    std::vector<ReplicaDisturbance> inherited;
+    for (const ReplicaDisturbance &it : m_history.replicaDisturbances) {
+        if (it.replica == before && it.until > now + DisturbanceMargin)
+            inherited.push_back({.replica = m_fleet.replicaId(i), .from = now, .until = it.until});
+    }
+    m_history.replicaDisturbances.insert(m_history.replicaDisturbances.end(), inherited.begin(),
+                                         inherited.end());
 }
 
 void SoakRun::pauseReplicas(const Fault &fault)
@@ -654,7 +671,7 @@
     for (std::size_t i = 0; i < m_fleet.replicaCount(); ++i) {
         if (m_replicaOutages[i] > 0 || !m_fleet.hasExited(i, ReplicaRestartDelay))
             continue;
-        m_fleet.restartReplica(i);
+        replaceReplica(i);
         if (const auto it = m_pendingFaults.extract(i))
             m_fleet.setReplicaFaults(i, it.mapped());
     }
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -57,6 +57,7 @@
     void beginDisturbance(std::size_t router, bool isPause = false);
     void noteReplicaDisturbance(const Fault &fault);
     void restartReplica(std::size_t i);
+    void replaceReplica(std::size_t i);
     void pauseReplicas(const Fault &fault);
     void resumeReplicas(const Fault &fault);
     void endDisturbance(std::size_t router, bool onlyPauses = false);
