LingeringClose: discard a part at a time

Under several hundred refused callers that send as fast as they are read, one turn of the event loop could have read the whole receive buffer of each, up to 16 MB. Since refusals pass through this class, that can occur in a crowd.

Change: 256 KB of a connection are discarded before other events have their turn. Other callers of discardReceived() keep their limit of 16 MB.

--- a/src/Net/internal/LingeringClose.cpp
+++ b/src/Net/internal/LingeringClose.cpp
@@ -26,6 +26,10 @@
 /// listener accepts by default.
 constexpr std::size_t MaxDiscarded = std::size_t(20) * 1024 * 1024;
 
+/// Bytes that are discarded before other events have their turn. Several hundred callers may be
+/// sending as fast as they are read.
+constexpr std::size_t DiscardedAtOnce = std::size_t(256) * 1024;
+
 /// A crowd of callers that go on sending must not take the descriptors of others.
 constexpr std::size_t MaxSockets = 512;
 
@@ -114,7 +118,7 @@
 
 void LingeringClose::read(Socket &it)
 {
-    const Discarded now = discardReceived(it.fd);
+    const Discarded now = discardReceived(it.fd, DiscardedAtOnce);
     it.discarded += now.bytes;
     if (now.isOpen && it.discarded < MaxDiscarded)
         return;
--- a/src/Net/internal/SocketBytes.cpp
+++ b/src/Net/internal/SocketBytes.cpp
@@ -12,20 +12,18 @@
 
 namespace {
 
-/// Bytes that are discarded by one system call, and calls in a row, so that a caller that sends
-/// faster than it is read doesn't hold up the others.
+/// Bytes that are discarded by one system call.
 constexpr std::size_t DiscardedAtOnce = 64 * 1024;
-constexpr int MaxCalls = 256;
 
 } // namespace
 
-Discarded discardReceived(int fd)
+Discarded discardReceived(int fd, std::size_t atMost)
 {
     // Only TCP on Linux discards without a buffer (MSG_TRUNC). Other sockets write to the address
     // that they are given, so that a null pointer is an error or ends the process.
     static thread_local std::array<char, DiscardedAtOnce> buf;
     Discarded out;
-    for (int i = 0; i < MaxCalls; ++i) {
+    while (out.bytes < atMost) {
         const ssize_t n = recv(fd, buf.data(), buf.size(), MSG_DONTWAIT);
         if (n <= 0) {
             out.isOpen = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
--- a/src/Net/internal/SocketBytes.h
+++ b/src/Net/internal/SocketBytes.h
@@ -10,8 +10,8 @@
     bool isOpen = true; ///< The peer has not closed the connection, and it has not failed.
 };
 
-/// \brief Discards what the socket \a fd has received.
-Discarded discardReceived(int fd);
+/// \brief Discards what the socket \a fd has received, about \a atMost bytes.
+Discarded discardReceived(int fd, std::size_t atMost = std::size_t(16) * 1024 * 1024);
 
 /// \returns the bytes that were written to the socket \a fd and that its peer has not acknowledged.
 std::size_t unacknowledgedBytes(int fd);
--- a/test/SocketBytesTest.cpp
+++ b/test/SocketBytesTest.cpp
@@ -56,6 +56,17 @@
     CHECK_FALSE(hasUnreadBytes(receiver()));
 }
 
+// Guards against an event loop that discards for one caller only, which sends as fast as it is
+// read.
+TEST_CASE_FIXTURE(LocalSockets, "discardReceived_moreWaitsThanIsAskedFor_restStays")
+{
+    send(std::string(150'000, 'a'));
+    const Discarded it = discardReceived(receiver(), 1000);
+    CHECK(it.isOpen);
+    CHECK(it.bytes < 150'000);
+    CHECK(hasUnreadBytes(receiver()));
+}
+
 TEST_CASE_FIXTURE(LocalSockets, "discardReceived_peerEndsBehindItsBytes_endIsReported")
 {
     send("abc");
