Soak: a router that is partitioned doesn't know of a pause

The soak reported: "4 requests reached replica i-2-1 from router 3 in a pause".

Cause: the check, not the router. By the logs, most replicas stood still until 33.23 s and then answered what waited, with 503 and a pause of 1.5 s. Router 3 had been partitioned since 33.1 s: its paths counted as lost at 33.20 s, none of these answers reached it, and what it sent afterwards went through router 0, whose requests i-2-1 served.

Change: a pause is not checked for a router whose paths were disturbed at the moment in which the replica asked. Disturbances of other routers, of the replica itself, or before and after that moment excuse nothing.

--- a/soak/SoakCheck.cpp
+++ b/soak/SoakCheck.cpp
@@ -164,8 +164,17 @@
     }
 }
 
+/// \returns whether a fault may have lost an answer that a replica sent to \a router at \a at.
+bool isPartitioned(std::size_t router, WallTime at, const RunHistory &history)
+{
+    return std::any_of(history.replicaDisturbances.begin(), history.replicaDisturbances.end(),
+                       [&](const ReplicaDisturbance &it) {
+                           return it.router == router && it.from <= at && it.until >= at;
+                       });
+}
+
 /// Checks that a router sends at most MaxRequestsInPause requests to a replica during a pause that
-/// the replica asked for.
+/// the replica asked for. A router that was partitioned then doesn't know of the pause.
 void checkPauses(const std::map<std::string, Attempt> &attempts,
                  const std::vector<Json::Value> &arrivals, const RunHistory &history,
                  const std::function<void(std::string)> &broken)
@@ -175,6 +184,8 @@
         if (pauseRequest["pause_ms"].asDouble() <= 0 || first == attempts.end())
             continue;
         const std::size_t router = first->second.router;
+        if (isPartitioned(router, timeOf(pauseRequest), history))
+            continue;
         const WallTime from = timeOf(pauseRequest) + PauseGrace;
         const WallTime until = timeOf(pauseRequest)
                 + std::chrono::milliseconds(pauseRequest["pause_ms"].asInt64());
--- a/test/integration/SoakCheckTest.cpp
+++ b/test/integration/SoakCheckTest.cpp
@@ -167,6 +167,15 @@
     CHECK(broken() == 0);
     arrive("q3", 2s, 0);
     CHECK(broken() == 1);
+    // Another router was partitioned, this one before and after the replica had asked, and then
+    // when it asked.
+    replicaDisturbances = {{.router = 1, .from = start - 1s, .until = start + 1s},
+                           {.router = 0, .from = start - 2s, .until = start - 1s},
+                           {.router = 0, .from = start + 1s, .until = start + 2s},
+                           {.replica = "i-1", .from = start - 1s, .until = start + 1s}};
+    CHECK(broken() == 1);
+    replicaDisturbances.push_back({.router = 0, .from = start - 1s, .until = start + 100ms});
+    CHECK(broken() == 0);
 }
 
 TEST_CASE_FIXTURE(SoakCheckFixture, "soakCheck_requestThatCrashesReplicas_runsThreeTimesMoreAtMost")
