--- a/review/kit-2/Lab.cpp
+++ b/review/kit-2/Lab.cpp
@@ -205,7 +205,7 @@
 {
     while (m_buffer.size() < n && more(until)) { }
     isWhole = m_buffer.size() >= n;
-    const std::string out = m_buffer.substr(0, n);
+    std::string out = m_buffer.substr(0, n);
     m_buffer.erase(0, n);
     return out;
 }
@@ -274,7 +274,7 @@
         return {};
     std::string text = method + " " + target + " HTTP/1.1\r\n";
     for (const auto &[name, value] : headers)
-        text += name + ": " + value + "\r\n";
+        text.append(name).append(": ").append(value).append("\r\n");
     if (headers.empty())
         text += "Host: x\r\n";
     text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
@@ -286,7 +286,7 @@
 }
 
 Process::Process(const std::vector<std::string> &command, const std::string &logFile,
-                 const std::vector<std::string> &environment)
+                 const std::vector<std::string> &environment, int inherited)
 {
     std::vector<char *> arguments;
     arguments.reserve(command.size() + 1);
@@ -299,6 +299,8 @@
     const int log = open(logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     dup2(log, STDOUT_FILENO);
     dup2(log, STDERR_FILENO);
+    if (inherited >= 0)
+        fcntl(inherited, F_SETFD, 0);
     for (const std::string &it : environment)
         putenv(const_cast<char *>(it.c_str()));
     execv(arguments.front(), arguments.data());
@@ -463,11 +465,16 @@
     return false;
 }
 
-Process Lab::startSelf(const std::vector<std::string> &arguments)
+Process Lab::startSelf(const std::vector<std::string> &arguments, int inherited)
 {
     std::vector<std::string> command{m_self};
     command.insert(command.end(), arguments.begin(), arguments.end());
-    return {command, m_folder + "/self-" + std::to_string(++m_logs) + ".log"};
+    return {command, selfLog(++m_logs), {}, inherited};
+}
+
+std::string Lab::selfLog(int n) const
+{
+    return m_folder + "/self-" + std::to_string(n) + ".log";
 }
 
 std::vector<std::pair<std::string, std::string>> callerHeaders(const std::string &id,
@@ -479,9 +486,8 @@
             {"Authorization", std::string("Bearer ") + Key}};
 }
 
-void serve(int port, const std::function<void(int fd)> &connection)
+void serve(int listener, const std::function<void(int fd)> &connection)
 {
-    const int listener = listenAt(port);
     while (true) {
         const int fd = accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
         if (fd < 0)
--- a/review/kit-2/Lab.h
+++ b/review/kit-2/Lab.h
@@ -79,8 +79,9 @@
 {
 public:
     Process() = default;
+    /// \param inherited descriptor that the process shares with this one; -1: none.
     Process(const std::vector<std::string> &command, const std::string &logFile,
-            const std::vector<std::string> &environment = {});
+            const std::vector<std::string> &environment = {}, int inherited = -1);
     ~Process();
     Process(Process &&other) noexcept;
     Process &operator=(Process &&other) noexcept;
@@ -129,7 +130,9 @@
     bool waitUntilReady(std::size_t i, double time = 10);
 
     /// Starts this program again with \a arguments.
-    Process startSelf(const std::vector<std::string> &arguments);
+    Process startSelf(const std::vector<std::string> &arguments, int inherited = -1);
+    /// \returns the log of the \a n-th process that startSelf() has started, from 1.
+    std::string selfLog(int n) const;
 
     std::string folder() const { return m_folder; }
     std::vector<Router> &routers() { return m_routers; }
@@ -150,8 +153,8 @@
 std::vector<std::pair<std::string, std::string>> callerHeaders(const std::string &id,
                                                                int deadlineMs);
 
-/// \brief Serves HTTP connections in threads until the process ends.
-void serve(int port, const std::function<void(int fd)> &connection);
+/// \brief Serves the connections of the socket \a listener in threads until the process ends.
+void serve(int listener, const std::function<void(int fd)> &connection);
 
 /// Answers what is not meant for replica \a id, or is no caller's request. \returns whether it did.
 bool refusedAsReplica(int fd, const Message &request, const std::string &id);
