--- a/review/kit-2/Lab.cpp
+++ b/review/kit-2/Lab.cpp
@@ -12,6 +12,8 @@
 #include <filesystem>
 #include <fstream>
 #include <mutex>
+#include <random>
+#include <set>
 #include <stdexcept>
 #include <thread>
 #include <utility>
@@ -121,14 +123,24 @@
 
 int freePort()
 {
-    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address = loopback(0);
-    socklen_t size = sizeof address;
-    if (bind(fd, reinterpret_cast<sockaddr *>(&address), size) != 0
-        || getsockname(fd, reinterpret_cast<sockaddr *>(&address), &size) != 0)
-        throw std::runtime_error("no free port");
-    close(fd);
-    return ntohs(address.sin_port);
+    // Below the ports that the system draws for outgoing connections.
+    constexpr int First = 20000;
+    constexpr int Last = 32000;
+    static std::mt19937 random(std::random_device{}());
+    static std::set<int> drawn;
+    for (int i = 0; i < 1000; ++i) {
+        const int port = std::uniform_int_distribution<int>(First, Last)(random);
+        if (!drawn.insert(port).second)
+            continue;
+        const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const sockaddr_in address = loopback(port);
+        const bool isFree =
+                bind(fd, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0;
+        close(fd);
+        if (isFree)
+            return port;
+    }
+    throw std::runtime_error("no free port");
 }
 
 std::string addressOf(int port)
