Soak: retry budgets are counted in every run, and a level with retry storms

Each run now counts the arrivals beyond the first of each request by the words of the rule, for each service, and names beside them what the routers logged: retries, attempts after undelivered ones, and arrivals long after their sending.

The new level draws fleets of 3 to 9 routers, rates of 11 to 125 requests a second and budgets of 10 to 200 retries of slack. Most requests to a service fail for 4 to 12 s in one of eight ways, beside routers killed or paused in series, replicas paused, paths that stall and a store that is down. A path that stalls delivers later what was sent meanwhile, also on connections that were closed, as TCP does after a loss of packets; the proxy could only lose such bytes before.

No product code changed.

--- a/soak/RouterLog.cpp
+++ b/soak/RouterLog.cpp
@@ -66,10 +66,16 @@
         m_ids.insert(id);
         const std::string event = root.value()["event"].asString();
         const std::chrono::milliseconds left(root.value()["remaining_ms"].asInt64());
-        if (event == "request_sent")
+        if (event == "request_sent") {
             m_inProgress.try_emplace(id, Sent{.id = id, .at = last, .deadline = last + left});
-        else if (isEnd(event))
+            m_sendings.push_back({.id = id,
+                                  .service = root.value()["service"].asString(),
+                                  .replica = root.value()["replica"].asString(),
+                                  .cause = root.value()["cause"].asString(),
+                                  .at = last});
+        } else if (isEnd(event)) {
             m_inProgress.erase(id);
+        }
     }
     endProcess(last);
     std::sort(m_unended.begin(), m_unended.end(),
--- a/soak/RouterLog.h
+++ b/soak/RouterLog.h
@@ -21,6 +21,16 @@
         WallTime deadline = {};
     };
 
+    /// \brief One attempt of a request.
+    struct Sending
+    {
+        std::string id = {};
+        std::string service = {};
+        std::string replica = {};
+        std::string cause = {}; ///< \sa AttemptCause
+        WallTime at = {};
+    };
+
     RouterLog() = default;
 
     /// \param text log of one process after the other, a JSON object a line.
@@ -33,12 +43,16 @@
     /// second after their deadline, in order of sending.
     const std::vector<Sent> &unended() const { return m_unended; }
 
+    /// \returns all attempts in the order of their lines.
+    const std::vector<Sending> &sendings() const { return m_sendings; }
+
 private:
     void endProcess(WallTime lastLine);
 
     std::set<std::string> m_ids;
     std::map<std::string, Sent> m_inProgress; ///< By id.
     std::vector<Sent> m_unended;
+    std::vector<Sending> m_sendings;
 };
 
 } // namespace catkinloft::soak
--- a/soak/SoakCheck.cpp
+++ b/soak/SoakCheck.cpp
@@ -439,6 +439,7 @@
     checkPauses(attempts, arrivals, history, broken);
     checkEvacuations(attempts, arrivals, history, broken);
     checkColdReplicas(arrivals, history, broken);
+    checkRetryBudgets(attempts, arrivals, history, broken);
     checkOverloads(attempts, runs, history, broken);
     if (const std::size_t n = lateFatalRuns(attempts, executions, history); n > MaxLateFatalRuns)
         broken(fmt::format("a request that had crashed three replicas ran {} more times", n));
--- a/soak/SoakCheck.h
+++ b/soak/SoakCheck.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "RetryBudgetCheck.h"
 #include "RouterLog.h"
 #include "SoakLoad.h"
 
@@ -87,6 +88,7 @@
     std::vector<Evacuation> evacuations = {};
     std::vector<ColdPeriod> coldPeriods = {};
     std::vector<OverloadPhase> overloads = {};
+    std::optional<RetryBudget> retryBudget = {}; ///< Of each service; none: not checked.
     std::vector<Canary> canaries = {}; ///< In order of sending.
     std::function<std::string(const std::string &replica)> domainOf = {}; ///< By the replica's id.
 };
--- a/soak/SoakPlan.cpp
+++ b/soak/SoakPlan.cpp
@@ -87,6 +87,23 @@
         KindInfo{FaultKind::HalfBodyCrowd, "half_body_crowd", true, 800ms, 1200ms},
 };
 
+constexpr std::array StormKinds = {
+        KindInfo{FaultKind::ServiceFails, "service_fails", false, 4s, 12s},
+        KindInfo{FaultKind::PathsStall, "paths_stall", false, 300ms, 4s},
+};
+
+/// Faults of all replicas of a service.
+constexpr std::array<std::string_view, 8> ServiceFaults = {
+        R"({"lose":0.9})",
+        R"({"refuse":0.9})",
+        R"({"fail":0.9})",
+        R"({"hang":0.5,"lose":0.4})",
+        R"({"lose":0.3,"refuse":0.3,"fail":0.3,"cut":0.9})",
+        R"({"hang":0.9})",
+        R"({"cut":0.9,"lose":0.5})",
+        R"({"lose":0.5})",
+};
+
 /// Range of the load of an overload without the callers' retries, which triple it at most.
 constexpr double MinLoad = 2;
 constexpr double MaxLoad = 3;
@@ -126,7 +143,7 @@
           std::span<const KindInfo>(PartitionKinds), std::span<const KindInfo>(VersionKinds),
           std::span<const KindInfo>(OverloadKinds), std::span<const KindInfo>(PauseKinds),
           std::span<const KindInfo>(CopyKinds), std::span<const KindInfo>(PlannedKinds),
-          std::span<const KindInfo>(CrowdKinds)}) {
+          std::span<const KindInfo>(CrowdKinds), std::span<const KindInfo>(StormKinds)}) {
         if (const std::string_view name = nameIn(kinds, kind); !name.empty())
             return name;
     }
@@ -273,6 +290,119 @@
     return out;
 }
 
+RetryStormSetup drawRetryStormSetup(const RandomSource &random)
+{
+    constexpr std::array<Duration, 5> Intervals = {8ms, 15ms, 20ms, 40ms, 90ms};
+    constexpr std::array<double, 3> Shares = {0.05, 0.2, 0.3};
+    constexpr std::array<int, 4> Slacks = {10, 52, 60, 200};
+    return {.routers = 3 + below(random, 7),
+            .replicas = 3 + below(random, 2),
+            .interval = Intervals[below(random, Intervals.size())],
+            .share = Shares[below(random, Shares.size())],
+            .slack = Slacks[below(random, Slacks.size())]};
+}
+
+namespace {
+
+/// \returns kills of every router, of every second one or of one, in series.
+std::vector<Fault> drawRouterKills(const RandomSource &random, Duration length, std::size_t routers)
+{
+    const std::size_t step = std::array<std::size_t, 3>{1, 2, routers}[below(random, 3)];
+    std::vector<Fault> out;
+    std::size_t first = below(random, routers);
+    for (Duration at = between(random, 1s, 4s); at < length; at += between(random, 1500ms, 4s)) {
+        for (std::size_t i = 0; i < routers; i += step)
+            out.push_back({.kind = FaultKind::RouterKill,
+                           .at = at,
+                           .length = between(random, 100ms, 600ms),
+                           .target = (first + i) % routers});
+        ++first;
+    }
+    return out;
+}
+
+/// \returns pauses of single routers in series that overlap.
+std::vector<Fault> drawRouterPauses(const RandomSource &random, Duration length,
+                                    std::size_t routers)
+{
+    std::vector<Fault> out;
+    for (Duration at = between(random, 1s, 3s); at < length; at += between(random, 500ms, 2s))
+        out.push_back({.kind = FaultKind::RouterPause,
+                       .at = at,
+                       .length = between(random, 300ms, 3s),
+                       .target = below(random, routers)});
+    return out;
+}
+
+/// \returns pauses of replicas of one service, or stalls of the paths to them, in series.
+std::vector<Fault> drawStalls(const RandomSource &random, Duration length,
+                              const RetryStormSetup &setup, FaultKind kind)
+{
+    const std::size_t service = below(random, 2) * setup.replicas;
+    const std::size_t count = below(random, 2) == 0 ? setup.replicas : 1 + setup.replicas / 2;
+    const std::array<std::size_t, 3> routers = {1, (setup.routers + 1) / 2, setup.routers};
+    const Duration longest = StormKinds.back().longest;
+    std::vector<Fault> out;
+    for (Duration at = between(random, 1s, 4s); at < length; at += between(random, 1s, 5s))
+        out.push_back({.kind = kind,
+                       .at = at,
+                       .length = between(random, StormKinds.back().shortest, longest),
+                       .target = service,
+                       .count = count,
+                       .firstRouter = below(random, setup.routers),
+                       .routers = routers[below(random, routers.size())]});
+    return out;
+}
+
+} // namespace
+
+std::vector<Fault> drawRetryStorms(const RandomSource &random, Duration length,
+                                   const RetryStormSetup &setup)
+{
+    const KindInfo &fails = StormKinds.front();
+    std::vector<Fault> out;
+    const auto add = [&out](std::vector<Fault> faults) {
+        out.insert(out.end(), faults.begin(), faults.end());
+    };
+    for (const std::size_t service : {std::size_t{0}, setup.replicas}) {
+        const Duration at = between(random, 1s, 4s);
+        const Duration first = between(random, fails.shortest, fails.longest);
+        for (const Duration from : {at, at + first + between(random, 1s, 4s)})
+            out.push_back(
+                    {.kind = fails.kind,
+                     .at = from,
+                     .length = from == at ? first : between(random, fails.shortest, fails.longest),
+                     .target = service,
+                     .count = setup.replicas,
+                     .faults = ServiceFaults[below(random, ServiceFaults.size())]});
+    }
+    if (below(random, 2) == 0)
+        add(drawRouterKills(random, length, setup.routers));
+    if (below(random, 3) == 0)
+        add(drawRouterPauses(random, length, setup.routers));
+    if (below(random, 2) == 0)
+        add(drawStalls(random, length, setup, FaultKind::PathsStall));
+    if (below(random, 3) == 0)
+        add(drawStalls(random, length, setup, FaultKind::ReplicasPause));
+    if (below(random, 3) == 0)
+        out.push_back({.kind = FaultKind::StoreDown,
+                       .at = between(random, 1s, length),
+                       .length = between(random, 1s, 8s)});
+    return out;
+}
+
+bool mayAccompanyRetryStorms(FaultKind kind)
+{
+    switch (kind) {
+    case FaultKind::ReplicaFails:
+    case FaultKind::ReplicaDrain:
+    case FaultKind::KeyTaken:
+        return false;
+    default:
+        return true;
+    }
+}
+
 bool isAlone(const Fault &overload, const std::vector<Fault> &plan, Duration before, Duration after)
 {
     const Duration from = overload.at - before;
--- a/soak/SoakPlan.h
+++ b/soak/SoakPlan.h
@@ -43,6 +43,8 @@
     FormerReplicaRegistered, ///< A former replica stays registered at the address of another one.
     RouterHup, ///< SIGHUP after a change of the settings file.
     IdleTimeoutChange, ///< A configuration changes the idle timeout of callers' connections.
+    ServiceFails, ///< Most requests to all replicas of one service fail.
+    PathsStall, ///< Paths between routers and replicas deliver later what was sent meanwhile.
     HalfBodyCrowd, ///< Requests without end that exceed the memory for requests of one router.
 };
 
@@ -56,7 +58,20 @@
     Duration length = {}; ///< Until it is reverted.
     std::size_t target = 0; ///< Index of the router, replica, or workspace that sends most.
     double load = 0; ///< Overload: requests sent, as a multiple of the replicas' capacity.
-    std::size_t count = 1; ///< ReplicasPause: number of replicas, from the target on.
+    std::size_t count = 1; ///< ReplicasPause, PathsStall: number of replicas, from the target on.
+    std::string_view faults = {}; ///< ServiceFails: faults of each replica. \sa ReplicaStandin
+    std::size_t firstRouter = 0; ///< PathsStall.
+    std::size_t routers = 0; ///< PathsStall: number of routers, from the first on.
+};
+
+/// \brief Size, load and retry budget of a run with retry storms. \sa drawRetryStorms
+struct RetryStormSetup
+{
+    std::size_t routers = 4;
+    std::size_t replicas = 3; ///< Of each service.
+    Duration interval = {}; ///< Between two requests of all callers.
+    double share = 0; ///< Retries allowed per request.
+    int slack = 0; ///< Additional retries allowed per window.
 };
 
 /// \returns faults that originate in replicas. They are drawn separately from drawFaults() so that
@@ -101,6 +116,20 @@
 std::vector<Fault> drawPlannedWork(const RandomSource &random, Duration length,
                                    std::size_t routers);
 
+/// \returns a small or large fleet with few or many requests and a budget of which the slack is
+/// little or most.
+RetryStormSetup drawRetryStormSetup(const RandomSource &random);
+
+/// \returns periods in which most requests to a service fail, beside routers that are killed or
+/// paused in series, replicas that are paused, paths that stall and a store that is down, drawn
+/// separately for the same reason.
+std::vector<Fault> drawRetryStorms(const RandomSource &random, Duration length,
+                                   const RetryStormSetup &setup);
+
+/// \returns whether \a kind may be active beside retry storms. The others take replicas or callers
+/// away, or have time limits that paths which stall don't allow to check.
+bool mayAccompanyRetryStorms(FaultKind kind);
+
 /// \returns whether no fault of \a plan other than \a overload is active between \a before its
 /// begin and \a after its end.
 bool isAlone(const Fault &overload, const std::vector<Fault> &plan, Duration before,
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -60,6 +60,9 @@
 /// Separates the random numbers of copies of refusals from those of the other faults.
 constexpr std::uint64_t CopySeed = 0xC0F1;
 
+/// Separates the random numbers of retry storms from those of the other faults.
+constexpr std::uint64_t StormSeed = 0x5702;
+
 /// Separates the random numbers of planned work and of slow callers from those of the faults.
 constexpr std::uint64_t PlannedSeed = 0x5107;
 
@@ -147,6 +150,11 @@
     }
 }
 
+bool isSame(const Fault &a, const Fault &b)
+{
+    return a.kind == b.kind && a.at == b.at && a.target == b.target;
+}
+
 bool isPartition(FaultKind kind)
 {
     return kind == FaultKind::RouterPartitioned || kind == FaultKind::RouterReset
@@ -156,26 +164,35 @@
 } // namespace
 
 SoakRun::SoakRun(Options options)
-    : m_options(std::move(options)),
-      m_fleet({.binaries = m_options.binaries,
-               .routers = m_options.routers,
-               .replicas = m_options.replicas,
-               .versions = m_options.withVersions ? std::vector<std::string>{"v1", "v2"}
-                                                  : std::vector<std::string>(),
-               .domains = m_options.withDomainFaults ? 3U : 1U,
-               .retryShare = m_options.withReplicasPauses
-                       ? PauseRunRetryShare
-                       : standin::EntryFleet::Options().retryShare,
-               .retrySlack = m_options.withReplicasPauses
-                       ? PauseRunRetrySlack
-                       : standin::EntryFleet::Options().retrySlack,
-               .capacity = m_options.withOverloads ? std::optional(standin::EntryFleet::Capacity())
-                                                   : std::nullopt,
-               .routeTimeout = m_options.withSlowCallers
-                       ? SlowCallers::Timeout
-                       : standin::EntryFleet::Options().routeTimeout}),
-      m_random(seededRandom(m_options.seed))
-{ }
+    : m_options(std::move(options)), m_fleet(fleetOptions()), m_random(seededRandom(m_options.seed))
+{
+    const standin::EntryFleet::Options fleet = fleetOptions();
+    m_history.retryBudget = {.share = fleet.retryShare,
+                             .slack = static_cast<double>(fleet.retrySlack)};
+}
+
+standin::EntryFleet::Options SoakRun::fleetOptions() const
+{
+    standin::EntryFleet::Options out{.binaries = m_options.binaries,
+                                     .routers = m_options.routers,
+                                     .replicas = m_options.replicas,
+                                     .domains = m_options.withDomainFaults ? 3U : 1U};
+    if (m_options.withVersions)
+        out.versions = {"v1", "v2"};
+    if (m_options.withReplicasPauses) {
+        out.retryShare = PauseRunRetryShare;
+        out.retrySlack = PauseRunRetrySlack;
+    }
+    if (m_options.retryStorms) {
+        out.retryShare = m_options.retryStorms->share;
+        out.retrySlack = m_options.retryStorms->slack;
+    }
+    if (m_options.withOverloads)
+        out.capacity = standin::EntryFleet::Capacity();
+    if (m_options.withSlowCallers)
+        out.routeTimeout = SlowCallers::Timeout;
+    return out;
+}
 
 void SoakRun::drawPlan()
 {
@@ -230,6 +247,13 @@
         });
         m_crowdTimer->startRepeating(CrowdInterval);
     }
+    if (m_options.retryStorms) {
+        const RandomSource faultRandom = seededRandom(m_options.seed ^ StormSeed);
+        std::erase_if(m_plan, [](const Fault &it) { return !mayAccompanyRetryStorms(it.kind); });
+        for (const Fault &it :
+             drawRetryStorms(faultRandom, m_options.length, *m_options.retryStorms))
+            m_plan.push_back(it);
+    }
     if (m_options.withOverloads) {
         const RandomSource faultRandom = seededRandom(m_options.seed ^ OverloadSeed);
         Duration last = m_options.length;
@@ -256,6 +280,8 @@
         load.workspaceSeed = m_options.seed ^ ~OverloadSeed;
         load.interval = OverloadRunInterval;
     }
+    if (m_options.retryStorms)
+        load.interval = m_options.retryStorms->interval;
     if (m_options.withReplicasPauses)
         load.longStreamSeed = m_options.seed ^ ~PauseSeed;
     if (m_options.withSlowCallers)
@@ -289,6 +315,7 @@
     out.routerExits = m_history.routerExits.size();
     out.broken = brokenPromises(m_load->attempts(), arrivals, m_history);
     std::move(unserved.begin(), unserved.end(), std::back_inserter(out.broken));
+    out.retryBudgetUse = describeRetryBudgetUse(m_load->attempts(), arrivals, m_history);
     out.requests = m_load->attempts().size();
     for (const auto &[id, it] : m_load->attempts()) {
         out.answered += it.status == 200 ? 1 : 0;
@@ -441,6 +468,13 @@
     case FaultKind::HalfBodyCrowd:
         beginCrowd(fault.target);
         break;
+    case FaultKind::ServiceFails:
+        setServiceFaults(fault, std::string(fault.faults));
+        break;
+    case FaultKind::PathsStall:
+        m_pathStalls.push_back(fault);
+        applyPathStalls(fault);
+        break;
     case FaultKind::FormerReplicaRegistered:
         m_fleet.registerFormerReplica(fault.target, formerReplicaId(fault.target));
         break;
@@ -461,6 +495,9 @@
             it.replica = m_fleet.replicaId(i);
             m_history.replicaDisturbances.push_back(it);
         }
+    } else if (fault.kind == FaultKind::ServiceFails || fault.kind == FaultKind::PathsStall
+               || (m_options.retryStorms && fault.kind == FaultKind::ReplicasPause)) {
+        m_history.replicaDisturbances.push_back(it);
     } else if (disturbsReplica(fault.kind)) {
         it.replica = m_fleet.replicaId(fault.target);
         m_history.replicaDisturbances.push_back(it);
@@ -632,6 +669,26 @@
         m_pendingFaults[i] = faults;
 }
 
+void SoakRun::setServiceFaults(const Fault &fault, const std::string &faults)
+{
+    for (std::size_t i = fault.target; i < fault.target + fault.count; ++i)
+        setReplicaFaults(i, faults);
+}
+
+/// Stalls of the same path overlap, so it stalls until the last of them ends.
+void SoakRun::applyPathStalls(const Fault &fault)
+{
+    for (std::size_t i = fault.target; i < fault.target + fault.count; ++i) {
+        std::set<std::size_t> routers;
+        for (const Fault &it : m_pathStalls) {
+            for (std::size_t k = 0; k < it.routers && i >= it.target && i < it.target + it.count;
+                 ++k)
+                routers.insert((it.firstRouter + k) % m_options.routers);
+        }
+        m_fleet.stallPaths(routers, i);
+    }
+}
+
 void SoakRun::endReplicaOutage(std::size_t i)
 {
     if (--m_replicaOutages[i] > 0)
@@ -773,6 +830,13 @@
     case FaultKind::HalfBodyCrowd:
         m_crowds.erase(fault.target);
         break;
+    case FaultKind::ServiceFails:
+        setServiceFaults(fault, "{}");
+        break;
+    case FaultKind::PathsStall:
+        m_pathStalls.remove_if([&](const Fault &it) { return isSame(it, fault); });
+        applyPathStalls(fault);
+        break;
     case FaultKind::ReplicaChangesVersion:
     case FaultKind::RouterHup:
     case FaultKind::IdleTimeoutChange:
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -4,6 +4,7 @@
 #include "SoakPlan.h"
 #include "fleet/Crowd.h"
 
+#include <list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -31,6 +32,9 @@
         bool withOverloads = true; ///< Replicas of limited capacity, and \sa drawOverloads
         bool withReplicasPauses = false; ///< Long streams, and \sa drawReplicasPauses
         bool withRefusalCopies = false; ///< \sa drawRefusalCopies
+        /// Load and retry budget of a run with \a routers and \a replicas; empty: no retry storms.
+        /// \sa drawRetryStorms
+        std::optional<RetryStormSetup> retryStorms = {};
         bool withSlowCallers = false; ///< \sa SlowCallers, drawPlannedWork
         std::string keepFolder = {}; ///< Receives the logs of a run that violates a guarantee.
     };
@@ -43,6 +47,7 @@
         std::size_t answered = 0;
         std::size_t onKeptConnections = 0; ///< Requests.
         std::size_t routerExits = 0; ///< Not caused by the run.
+        std::string retryBudgetUse; ///< \sa describeRetryBudgetUse
     };
 
     explicit SoakRun(Options options);
@@ -50,6 +55,7 @@
     Outcome run();
 
 private:
+    standin::EntryFleet::Options fleetOptions() const;
     void drawPlan();
     void begin(const Fault &fault);
     void end(const Fault &fault);
@@ -66,6 +72,8 @@
     void restartExitedRouters();
     void changeSettings(std::size_t router);
     void beginCrowd(std::size_t router);
+    void setServiceFaults(const Fault &fault, const std::string &faults);
+    void applyPathStalls(const Fault &fault);
     void setReplicaFaults(std::size_t i, const std::string &faults);
     void endReplicaOutage(std::size_t i);
     void beginOverload(const Fault &fault);
@@ -93,6 +101,7 @@
     std::unique_ptr<Timer> m_restartTimer; ///< Restarts processes that have exited on their own.
     std::string m_key = standin::EntryFleet::Key;
     int m_keys = 0;
+    std::list<Fault> m_pathStalls; ///< In progress.
     std::set<std::size_t> m_partitioned; ///< Routers that are partitioned from all replicas.
     std::map<std::size_t, int> m_replicaOutages; ///< Pauses and kills in progress, by replica.
     std::map<std::size_t, std::string> m_pendingFaults; ///< Requested during an outage.
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -20,7 +20,9 @@
         "++++++: also with replicas of limited capacity and periods of overload, "
         "+++++++: instead of these with long streams and pauses of all or most replicas, "
         "++++++++: instead of both with copies of refusals, "
-        "+++++++++: instead of all three with slow callers and planned work");
+        "+++++++++: instead of all three with slow callers and planned work, "
+        "++++++++++: instead of all four, of replica faults and of restores with retry storms in "
+        "fleets of several sizes");
 DEFINE_double(seconds, 10, "period of each run in which faults begin, in seconds");
 DEFINE_uint64(routers, 4, "routers");
 DEFINE_uint64(replicas, 3, "number of replicas of each of the two services");
@@ -43,6 +45,7 @@
     bool withReplicasPauses = false;
     bool withRefusalCopies = false;
     bool withSlowCallers = false;
+    bool withRetryStorms = false;
 };
 
 /// The limited replicas of an overload have no slots for long streams.
@@ -57,6 +60,10 @@
 /// share of served calls in an overload nor pauses of all replicas can be checked beside them.
 constexpr std::string_view SlowCallersLevel = "+++++++++";
 
+/// Faults of single replicas end failures of their service, and limits on the time of arrivals
+/// don't hold for paths that stall.
+constexpr std::string_view RetryStormsLevel = "++++++++++";
+
 std::vector<RunPlan> runPlans()
 {
     std::vector<RunPlan> out;
@@ -69,17 +76,19 @@
         const double seconds = *end == '@' ? std::strtod(end + 1, &end) : FLAGS_seconds;
         const std::string_view kinds(end);
         const std::string_view level = kinds.substr(0, kinds.find_first_not_of('+'));
+        const bool hasStorms = level == RetryStormsLevel;
         out.push_back({.seed = seed,
                        .length = fromSeconds(seconds),
-                       .withReplicaFaults = kinds.starts_with('+'),
-                       .withDomainFaults = kinds.starts_with("++"),
-                       .withStoreRestores = kinds.starts_with("+++"),
+                       .withReplicaFaults = kinds.starts_with('+') && !hasStorms,
+                       .withDomainFaults = kinds.starts_with("++") && !hasStorms,
+                       .withStoreRestores = kinds.starts_with("+++") && !hasStorms,
                        .withPartitions = kinds.starts_with("++++"),
                        .withVersions = kinds.starts_with("+++++"),
                        .withOverloads = level == OverloadLevel,
                        .withReplicasPauses = level == ReplicasPauseLevel,
                        .withRefusalCopies = level == RefusalCopiesLevel,
-                       .withSlowCallers = level == SlowCallersLevel});
+                       .withSlowCallers = level == SlowCallersLevel,
+                       .withRetryStorms = hasStorms});
     }
     for (std::uint64_t i = 0; i < FLAGS_runs; ++i)
         out.push_back({.seed = FLAGS_seed + i, .length = fromSeconds(FLAGS_seconds)});
@@ -88,11 +97,14 @@
 
 bool execute(const RunPlan &it, const std::string &binaries)
 {
+    std::optional<RetryStormSetup> storms;
+    if (it.withRetryStorms)
+        storms = drawRetryStormSetup(seededRandom(~it.seed));
     SoakRun run({.binaries = binaries,
                  .seed = it.seed,
                  .length = it.length,
-                 .routers = FLAGS_routers,
-                 .replicas = FLAGS_replicas,
+                 .routers = storms ? storms->routers : FLAGS_routers,
+                 .replicas = storms ? storms->replicas : FLAGS_replicas,
                  .withReplicaFaults = it.withReplicaFaults,
                  .withDomainFaults = it.withDomainFaults,
                  .withStoreRestores = it.withStoreRestores,
@@ -101,6 +113,7 @@
                  .withOverloads = it.withOverloads,
                  .withReplicasPauses = it.withReplicasPauses,
                  .withRefusalCopies = it.withRefusalCopies,
+                 .retryStorms = storms,
                  .withSlowCallers = it.withSlowCallers,
                  .keepFolder = FLAGS_keep});
     const SoakRun::Outcome outcome = run.run();
@@ -108,9 +121,9 @@
     for (const Fault &fault : outcome.faults)
         faults += fmt::format(" {}@{:.1f}s", faultName(fault.kind), toSeconds(fault.at));
     fmt::print("seed {}: {} requests, {} on kept connections, {} answered, {} routers ended by "
-               "themselves, {} broken;{}\n",
+               "themselves, {} broken, {};{}\n",
                it.seed, outcome.requests, outcome.onKeptConnections, outcome.answered,
-               outcome.routerExits, outcome.broken.size(), faults);
+               outcome.routerExits, outcome.broken.size(), outcome.retryBudgetUse, faults);
     for (const std::string &line : outcome.broken)
         fmt::print("  broken: {}\n", line);
     std::fflush(stdout);
--- a/standin/FaultProxy.cpp
+++ b/standin/FaultProxy.cpp
@@ -68,6 +68,8 @@
                                                fd)});
     if (isSilent)
         m_links.back().link->blackhole();
+    if (m_stalled.contains(source))
+        m_links.back().link->setStalled(true);
 }
 
 void FaultProxy::setPartition(const Json::Value &partition)
@@ -91,6 +93,16 @@
     }
 }
 
+void FaultProxy::setStalled(const Json::Value &stall)
+{
+    m_stalled.clear();
+    for (const Json::Value &it : stall["sources"])
+        m_stalled.insert(inet_addr(it.asCString()));
+    filterSources();
+    for (const Link &it : m_links)
+        it.link->setStalled(m_stalled.contains(it.source));
+}
+
 /// The kernel drops packets for which the filter of the listening socket returns zero, so that
 /// connections from these sources are not established.
 void FaultProxy::filterSources()
@@ -99,11 +111,12 @@
     constexpr std::uint32_t WholePacket = 0xffffffff;
     std::vector<sock_filter> code = {BPF_STMT(
             BPF_LD | BPF_W | BPF_ABS, static_cast<std::uint32_t>(SKF_NET_OFF) + SourceIpOffset)};
-    if (m_partition == PartitionKind::Drop) {
-        for (const std::uint32_t it : m_partitioned) {
-            code.push_back(BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, ntohl(it), 0, 1));
-            code.push_back(BPF_STMT(BPF_RET | BPF_K, 0));
-        }
+    std::set<std::uint32_t> dropped = m_stalled;
+    if (m_partition == PartitionKind::Drop)
+        dropped.insert(m_partitioned.begin(), m_partitioned.end());
+    for (const std::uint32_t it : dropped) {
+        code.push_back(BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, ntohl(it), 0, 1));
+        code.push_back(BPF_STMT(BPF_RET | BPF_K, 0));
     }
     code.push_back(BPF_STMT(BPF_RET | BPF_K, WholePacket));
     const sock_fprog program{.len = static_cast<unsigned short>(code.size()),
@@ -125,6 +138,8 @@
         set(request);
         if (request["partition"].isObject())
             setPartition(request["partition"]);
+        if (request["stall"].isObject())
+            setStalled(request["stall"]);
         applyToOpenLinks(request);
     }
     Json::Value out;
--- a/standin/FaultProxy.h
+++ b/standin/FaultProxy.h
@@ -22,6 +22,10 @@
 /// connections live on and new ones are reset. With `accept_silent` open connections stall, and new
 /// ones are accepted, stay open and carry nothing, even after the partition has ended.
 ///
+/// Between clients at the IPs in `stall`.`sources` and the target all packets are lost until the
+/// next `stall`: new connections are not established, and open ones deliver later what was sent
+/// meanwhile, even if the client has closed them.
+///
 /// With `endless_answer` the proxy answers each request itself, with `begin` and then `repeated`
 /// until the client closes the connection; with `partial_answer` it answers with that text and
 /// closes the connection.
@@ -58,6 +62,7 @@
 
     void accepted(int fd, std::uint32_t source);
     void setPartition(const Json::Value &partition);
+    void setStalled(const Json::Value &stall);
     void filterSources();
     bool isPartitioned(std::uint32_t source) const { return m_partitioned.contains(source); }
     void set(const Json::Value &request);
@@ -70,6 +75,7 @@
     std::list<Link> m_links;
     PartitionKind m_partition = PartitionKind::None;
     std::set<std::uint32_t> m_partitioned; ///< IPs in network byte order.
+    std::set<std::uint32_t> m_stalled; ///< IPs in network byte order.
     int m_accepted = 0;
 };
 
--- a/standin/TcpLink.cpp
+++ b/standin/TcpLink.cpp
@@ -96,6 +96,15 @@
         bufferevent_disable(it, EV_READ | EV_WRITE);
 }
 
+void TcpLink::setStalled(bool isStalled)
+{
+    if (m_blackholed)
+        return;
+    for (bufferevent *it : {m_client, m_server})
+        isStalled ? bufferevent_disable(it, EV_READ | EV_WRITE)
+                  : bufferevent_enable(it, EV_READ | EV_WRITE);
+}
+
 void TcpLink::cut()
 {
     if (m_cut)
--- a/standin/TcpLink.h
+++ b/standin/TcpLink.h
@@ -36,6 +36,10 @@
     /// \brief Stops forwarding in both directions without closing either connection.
     void blackhole();
 
+    /// \brief Stops forwarding while \a isStalled. What arrives meanwhile is forwarded afterwards,
+    /// as by TCP after a loss of packets.
+    void setStalled(bool isStalled);
+
     /// \brief Closes both connections.
     void cut();
 
--- a/standin/fleet/EntryFleet.cpp
+++ b/standin/fleet/EntryFleet.cpp
@@ -348,18 +348,31 @@
     return fmt::format("127.0.1.{}", FirstHost + router);
 }
 
+Json::Value EntryFleet::sourceIps(const std::set<std::size_t> &routers)
+{
+    Json::Value out(Json::arrayValue);
+    for (const std::size_t it : routers)
+        out.append(sourceIp(it));
+    return out;
+}
+
 void EntryFleet::partition(const std::set<std::size_t> &routers, const std::string &how,
                            std::size_t first, std::size_t last)
 {
     Json::Value root(Json::objectValue);
     root["partition"]["how"] = how;
-    root["partition"]["sources"] = Json::Value(Json::arrayValue);
-    for (const std::size_t it : routers)
-        root["partition"]["sources"].append(sourceIp(it));
+    root["partition"]["sources"] = sourceIps(routers);
     for (std::size_t i = first; i < last; ++i)
         setReplicaProxyFaults(i, printJson(root));
 }
 
+void EntryFleet::stallPaths(const std::set<std::size_t> &routers, std::size_t i)
+{
+    Json::Value root(Json::objectValue);
+    root["stall"]["sources"] = sourceIps(routers);
+    setReplicaProxyFaults(i, printJson(root));
+}
+
 void EntryFleet::writeSettings(std::size_t i, const std::string &extra)
 {
     const Router &it = m_routers[i];
--- a/standin/fleet/EntryFleet.h
+++ b/standin/fleet/EntryFleet.h
@@ -147,6 +147,10 @@
     void partition(const std::set<std::size_t> &routers, const std::string &how, std::size_t first,
                    std::size_t last);
 
+    /// \brief Stalls the paths of the routers with the indices \a routers to replica \a i, and ends
+    /// the stall of its other paths. \sa FaultProxy
+    void stallPaths(const std::set<std::size_t> &routers, std::size_t i);
+
     /// \brief Sets the faults of ReplicaStandin at replica \a i.
     /// \param shares JSON object with the share of requests for each fault.
     /// \returns false if the replica exited before it accepted them.
@@ -235,6 +239,7 @@
     void startReplica(std::size_t i);
     void launchReplica(Replica &it);
     static std::string sourceIp(std::size_t router);
+    static Json::Value sourceIps(const std::set<std::size_t> &routers);
     void writeSettings(std::size_t i, const std::string &extra);
     Json::Value replicaEntry(std::size_t i, const std::string &state, Duration cold) const;
     void postRow(const std::string &table, const std::string &key, const Json::Value &value);
--- a/test/integration/RetryBudgetTest.cpp
+++ b/test/integration/RetryBudgetTest.cpp
@@ -1,3 +1,4 @@
+#include "RetryBudgetCheck.h"
 #include "fleet/EntryFleet.h"
 #include "fleet/Fleet.h"
 
@@ -8,8 +9,6 @@
 #include <chrono>
 #include <csignal>
 #include <functional>
-#include <limits>
-#include <map>
 #include <string>
 #include <thread>
 #include <vector>
@@ -26,9 +25,7 @@
 /// Four routers with a retry budget of 0.2 a request and 60 in ten seconds, and twelve replicas.
 struct RetryBudgetFixture
 {
-    static constexpr double Share = 0.2;
-    static constexpr double Slack = 60;
-    static constexpr std::int64_t WindowMs = 10'000;
+    static constexpr soak::RetryBudget Budget = {.share = 0.2, .slack = 60};
     static constexpr std::size_t Callers = 12;
 
     RetryBudgetFixture() { fleet.start(); }
@@ -49,7 +46,7 @@
             threads.emplace_back([&, i] {
                 for (std::size_t k = 0; !done; ++k) {
                     const std::string id = fmt::format("r{}-{}", i, k);
-                    sentAt[i].push_back(wallMs());
+                    sentAt[i].push_back(wallNow());
                     const auto answer = Fleet::fetch(
                             {.address = fleet.callerAddress((i + k) % fleet.routerCount()),
                              .target = "/safe/a",
@@ -69,52 +66,29 @@
             it.join();
     }
 
-    static std::int64_t wallMs()
+    static WallTime wallNow()
     {
-        return std::chrono::system_clock::now().time_since_epoch() / 1ms;
+        return std::chrono::time_point_cast<std::chrono::milliseconds>(
+                std::chrono::system_clock::now());
     }
 
-    /// \returns the times of the arrivals of each request beyond its first, in ascending order.
-    std::vector<std::int64_t> repeatedArrivals() const
+    std::vector<WallTime> repeatedArrivals() const
     {
-        std::map<std::string, std::vector<std::int64_t>> byId;
-        for (const Json::Value &it : fleet.arrivals())
-            byId[it["id"].asString()].push_back(it["at_ms"].asInt64());
-        std::vector<std::int64_t> out;
-        for (auto &[id, times] : byId) {
-            std::sort(times.begin(), times.end());
-            out.insert(out.end(), times.begin() + 1, times.end());
-        }
-        std::sort(out.begin(), out.end());
-        return out;
+        return soak::repeatedArrivals(fleet.arrivals(), [](const std::string &) { return true; });
     }
 
     void requireWithinBudget() const
     {
-        std::vector<std::int64_t> requests;
-        for (const std::vector<std::int64_t> &it : sentAt)
+        std::vector<WallTime> requests;
+        for (const std::vector<WallTime> &it : sentAt)
             requests.insert(requests.end(), it.begin(), it.end());
-        const std::vector<std::int64_t> repeated = repeatedArrivals();
-        const auto within = [](const std::vector<std::int64_t> &times, std::int64_t from) {
-            return std::count_if(times.begin(), times.end(), [&](std::int64_t it) {
-                return it >= from && it < from + WindowMs;
-            });
-        };
-        double worstExcess = std::numeric_limits<double>::lowest();
-        std::string worst;
-        for (const std::int64_t from : repeated) {
-            const auto sent = std::max({within(requests, from), within(requests, from - WindowMs),
-                                        within(requests, from - WindowMs / 2)});
-            const double limit = Share * static_cast<double>(sent) + Slack;
-            const auto n = static_cast<double>(within(repeated, from));
-            if (n - limit <= worstExcess)
-                continue;
-            worstExcess = n - limit;
-            worst = fmt::format("{} arrivals beyond the first, {} requests, {} allowed", n, sent,
-                                limit);
-        }
-        MESSAGE(fmt::format("{}; {} of {} served", worst, served.load(), requests.size()));
-        CHECK(worstExcess <= 0);
+        std::sort(requests.begin(), requests.end());
+        const std::vector<WallTime> repeated = repeatedArrivals();
+        const soak::RetryBudgetUse worst = soak::worstRetryBudgetUse(requests, repeated, Budget);
+        MESSAGE(fmt::format(
+                "{} arrivals beyond the first, {} requests, {} allowed; {} of {} served",
+                worst.repeated, worst.requests, worst.allowed, served.load(), requests.size()));
+        CHECK(worst.excess() <= 0);
         CHECK(repeated.size() >= MinRepeated);
     }
 
@@ -138,7 +112,7 @@
     static constexpr std::size_t MinRepeated = 100; ///< Otherwise nothing was shown.
 
     EntryFleet fleet{{.binaries = CATKINLOFT_BINARIES, .routers = 4, .replicas = Replicas}};
-    std::vector<std::vector<std::int64_t>> sentAt{Callers}; ///< By caller, wall time.
+    std::vector<std::vector<WallTime>> sentAt{Callers}; ///< By caller.
     std::atomic<int> served = 0;
 };
 
--- a/test/integration/SoakPlanTest.cpp
+++ b/test/integration/SoakPlanTest.cpp
@@ -181,3 +181,34 @@
     const Fault another{.kind = FaultKind::Overload, .at = 25s, .length = 1s};
     CHECK_FALSE(isAlone(overload, {overload, another}, 10s, 5s));
 }
+
+// Guards against retry storms that are too short to use up a budget, spare replicas of a service,
+// or exceed the fleet.
+TEST_CASE("soakPlan_retryStorms_everyReplicaOfAServiceFails")
+{
+    std::map<std::string_view, std::size_t> kinds;
+    for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+        const RetryStormSetup setup = drawRetryStormSetup(seededRandom(~seed));
+        CHECK(setup.routers >= 3);
+        CHECK(setup.routers <= 9);
+        for (const Fault &it : drawRetryStorms(seededRandom(seed), Length, setup)) {
+            ++kinds[faultName(it.kind)];
+            CHECK(mayAccompanyRetryStorms(it.kind));
+            if (it.kind == FaultKind::RouterKill)
+                CHECK(it.target < setup.routers);
+            if (it.kind == FaultKind::PathsStall)
+                CHECK(it.firstRouter < setup.routers);
+            if (it.kind == FaultKind::PathsStall || it.kind == FaultKind::ServiceFails)
+                CHECK(it.target + it.count <= 2 * setup.replicas);
+            if (it.kind != FaultKind::ServiceFails)
+                continue;
+            CHECK(it.count == setup.replicas);
+            CHECK(it.length >= 4s);
+            CHECK_FALSE(it.faults.empty());
+        }
+    }
+    CHECK(kinds["service_fails"] == 400);
+    for (const char *it :
+         {"router_kill", "router_pause", "paths_stall", "replicas_pause", "store_down"})
+        CHECK(kinds[it] >= 20);
+}
--- a/test/integration/StandinTest.cpp
+++ b/test/integration/StandinTest.cpp
@@ -7,6 +7,7 @@
 #include <doctest/doctest.h>
 
 #include <map>
+#include <optional>
 #include <thread>
 #include <utility>
 
@@ -264,6 +265,38 @@
     CHECK(answers == std::vector<bool>{true, false, true});
 }
 
+// Guards against a stall that loses what was sent during it: on a network, a request arrives after
+// a loss of packets although its client has given it up.
+TEST_CASE_FIXTURE(StandinFixture, "proxy_stall_deliversLaterWhatWasSentMeanwhile")
+{
+    start("service");
+    startProxy();
+    EventLoop loop;
+    HttpClient client(loop);
+    const auto call = [&](const std::string &target, bool fresh) {
+        std::optional<bool> isAnswered;
+        client.fetch({.address = address,
+                      .method = "POST",
+                      .target = target,
+                      .timeout = 300ms,
+                      .freshConnection = fresh},
+                     [&](const Result<HttpAnswer> &answer) { isAnswered = bool(answer); });
+        Fleet::waitFor([&] {
+            loop.runOnce();
+            return isAnswered.has_value();
+        });
+        return isAnswered.value_or(false);
+    };
+    CHECK(call("/before", false));
+    fault(R"({"stall":{"sources":["127.0.0.1"]}})");
+    CHECK_FALSE(call("/open", false));
+    CHECK_FALSE(call("/new", true));
+    fault(R"({"stall":{"sources":[]}})");
+    CHECK(Fleet::waitFor([&] { return contains(text("GET", "/v1/executions"), "/open"); }));
+    CHECK_FALSE(contains(text("GET", "/v1/executions"), "/new"));
+    CHECK(call("/after", true));
+}
+
 TEST_CASE_FIXTURE(StandinFixture, "proxy_refuse_closesNewConnectionsUntilCleared")
 {
     start("service");
