An answer without a length is whole only if its own replica is still there

What callers saw: a replica crashes while it writes an answer without a length, and the next one starts at its address.

Cause: CrashWatch took whatever accepts connections at the address for the replica that had answered. The class is a proof about an address taken for a proof about one incarnation.

The criterion Proven now also needs a health check, sent after the end of the answer, that names the replica and is answered by it; another replica there answers 421, and without an answer within a second the end is unproven. Both EntryCall and RelayServer ask so. A line replica_not_identified tells the finding.

--- a/src/Base/RouteConfig.h
+++ b/src/Base/RouteConfig.h
@@ -56,6 +56,7 @@
     /// Connections that one replica accepts from all routers together; 0: not configured.
     int maxConnections = 0;
     bool isEngine = false; ///< Its replicas run models and cache prompts.
+    std::string healthPath = {}; ///< Where a replica tells its id; empty: not configured.
     double coldRequestsPerSecond = 0; ///< Rate limit of a cold replica; 0: replicas are never cold.
 };
 
--- a/src/Net/CrashWatch.cpp
+++ b/src/Net/CrashWatch.cpp
@@ -129,6 +129,8 @@
     void reportCrash(RecentAttempt &broken, TimePoint crashedAt);
     void reportTold(RecentAttempt &broken);
     static void dateBack(Check &check, TimePoint brokeAt);
+    std::function<void(State)> requiringIdentity(const BrokenAttempt &attempt,
+                                                 std::function<void(State)> decided) const;
     void closeToAttempts(const CheckPtr &check);
     void finish(const CheckPtr &check);
     void forgetOld();
@@ -157,6 +159,8 @@
 {
     m_d->forgetOld();
     m_d->forgetRestarted(attempt);
+    if (criterion == AliveCriterion::Proven)
+        decided = m_d->requiringIdentity(attempt, std::move(decided));
     const auto broken = std::make_shared<RecentAttempt>(
             RecentAttempt{.attempt = std::move(attempt), .brokeAt = m_d->options.loop.now()});
     m_d->recentAttempts.push_back(broken);
@@ -366,6 +370,27 @@
         reportCrash(*it.broken, check.brokeAt);
 }
 
+/// \returns \a decided with the state of the replica of \a attempt itself. Whatever listens at its
+/// address is alive for the probe: also the next replica there, or a socket that nobody reads.
+std::function<void(CrashWatch::State)>
+CrashWatch::Private::requiringIdentity(const BrokenAttempt &attempt,
+                                       std::function<void(State)> decided) const
+{
+    return [identify = options.identify, attempt, decided = std::move(decided)](State state) {
+        if (state != State::Alive)
+            return decided(state);
+        identify(attempt, [attempt, decided](std::optional<bool> isSame) {
+            if (!isSame.value_or(false))
+                Log::warning("replica_not_identified",
+                             {{"request_id", attempt.requestId},
+                              {"replica", attempt.replica},
+                              {"address", attempt.address},
+                              {"finding", isSame ? "another_replica" : "no_answer"}});
+            decided(!isSame ? State::Unknown : *isSame ? State::Alive : State::Crashed);
+        });
+    };
+}
+
 /// Ends the time in which broken attempts join \a check. Later ones get a probe of their own,
 /// because the replica may have crashed only after the probe of \a check had connected.
 void CrashWatch::Private::closeToAttempts(const CheckPtr &check)
--- a/src/Net/CrashWatch.h
+++ b/src/Net/CrashWatch.h
@@ -31,6 +31,8 @@
         /// replica was leaving and stops on purpose. \sa RequestQuarantine::Suspects
         std::vector<std::string> suspects = {};
         std::string replica = {}; ///< Incarnation of the replica.
+        std::string replicaId = {}; ///< \sa ReplicaRecord::id
+        std::string service = {}; ///< \sa ReplicaRecord::service
         std::string software = {}; ///< \sa ReplicaRecord::software
         std::string address = {}; ///< Address of the replica, `ip:port`.
         TimePoint sentAt = {};
@@ -43,7 +45,8 @@
     enum class AliveCriterion : std::uint8_t {
         Accepts, ///< Accept a connection; a proxy in front of a crashed replica does so too.
         StaysOpen, ///< Accept a connection and not close it within the time that a proxy needs.
-        /// As StaysOpen, unless the paths of this router are found to be lost, which may have cut
+        /// As StaysOpen, and be the same replica still, not one that was started at its address
+        /// since. Not alive if the paths of this router are found to be lost, which may have cut
         /// an answer off.
         Proven,
     };
@@ -74,6 +77,13 @@
                            std::function<void()> unreached)>
                 confirm = [](const std::string &, const std::function<void(Finding)> &done,
                              const std::function<void()> &) { done(Finding::Crashed); };
+        /// Asks whether the process at the address of an attempt is the replica that it was sent
+        /// to; std::nullopt if it doesn't answer. Only asked for AliveCriterion::Proven.
+        /// \sa PathProber::identify()
+        std::function<void(const BrokenAttempt &,
+                           std::function<void(std::optional<bool> isSame)> done)>
+                identify = [](const BrokenAttempt &,
+                              const std::function<void(std::optional<bool>)> &done) { done(true); };
         /// Called for each attempt that broke because its replica crashed, with the time of the
         /// crash.
         std::function<void(const BrokenAttempt &, TimePoint crashedAt)> attemptCrashed =
--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -287,6 +287,8 @@
 {
     CrashWatch::BrokenAttempt out{.requestId = id(),
                                   .replica = m_incarnation,
+                                  .replicaId = m_replica.id,
+                                  .service = m_replica.service,
                                   .software = m_replica.software(),
                                   .address = m_replica.address,
                                   .sentAt = m_attemptStartedAt,
--- a/src/Net/EntryProcess.cpp
+++ b/src/Net/EntryProcess.cpp
@@ -272,6 +272,14 @@
                               std::function<void()> unreached) {
                            evidence.confirm(id, std::move(done), std::move(unreached));
                        },
+               .identify =
+                       [this](const CrashWatch::BrokenAttempt &it,
+                              std::function<void(std::optional<bool>)> done) {
+                           prober.identify({.id = it.replicaId,
+                                            .service = it.service,
+                                            .address = it.address},
+                                           std::move(done));
+                       },
                .attemptCrashed = [this](const CrashWatch::BrokenAttempt &it,
                                         TimePoint crashedAt) { recordCrash(it, crashedAt, true); },
                .attemptLost = [this](const CrashWatch::BrokenAttempt &it,
@@ -398,6 +406,8 @@
               .pools = pools,
               .sourceIp = settings.sourceIp,
               .probeHeaders = adapter.codec.pathProbeHeaders(),
+              .identityHeaders = adapter.codec.identityProbeHeaders,
+              .isFromReplica = adapter.codec.isFromReplica,
               .checkReceived =
                       [this](const std::string &service, const std::string &id, Duration within,
                              std::function<void(bool)> done) {
--- a/src/Net/PathProber.cpp
+++ b/src/Net/PathProber.cpp
@@ -23,6 +23,10 @@
 /// Time in which a replica rejects a request that is meant for another one.
 constexpr Duration AnswerTimeout = 400ms;
 
+/// The same for a request by which a replica is identified. An answer whose end depends on it is
+/// delayed that long at most.
+constexpr Duration IdentityTimeout = 1s;
+
 /// Bytes that another router received within this time arrived while this router's request was
 /// unanswered, so that the replica was not stalled.
 constexpr Duration ReceivedWithin = 400ms;
@@ -105,27 +109,45 @@
     const std::string id = replica.incarnation();
     if (!m_requested.insert(id).second)
         return;
-    m_options.client.fetch(probeCall(replica), [this, id](const Result<HttpAnswer> &answer) {
-        requestEnded(id, answer ? Result<void>(outcome::success()) : Result<void>(answer.error()));
-    });
+    m_options.client.fetch(probeCall(replica.address, m_options.probeHeaders, AnswerTimeout),
+                           [this, id](const Result<HttpAnswer> &answer) {
+                               requestEnded(id,
+                                            answer ? Result<void>(outcome::success())
+                                                   : Result<void>(answer.error()));
+                           });
 }
 
-HttpCall PathProber::probeCall(const ReplicaRecord &replica) const
+HttpCall PathProber::probeCall(const std::string &address, const HttpHeaders &headers,
+                               Duration timeout)
 {
-    return {.address = replica.address,
-            .headers = m_options.probeHeaders,
-            .timeout = AnswerTimeout,
+    return {.address = address,
+            .headers = headers,
+            .timeout = timeout,
             .connectTimeout = internal::ConnectProbe::ConnectTimeout,
             .freshConnection = true};
 }
 
+void PathProber::identify(const ReplicaRecord &replica,
+                          std::function<void(std::optional<bool>)> done)
+{
+    HttpCall call =
+            probeCall(replica.address, m_options.identityHeaders(replica.id), IdentityTimeout);
+    call.target = m_options.pools.healthPath(replica.service);
+    m_options.client.fetch(std::move(call),
+                           [isFromReplica = m_options.isFromReplica, id = replica.id,
+                            done = std::move(done)](const Result<HttpAnswer> &answer) {
+                               done(answer ? std::optional(isFromReplica(answer.value().head, id))
+                                           : std::nullopt);
+                           });
+}
+
 void PathProber::requestSign(const std::string &id)
 {
     const ReplicaRecord *replica = m_options.pools.findReplica(id);
     if (!replica || !m_signsRequested.insert(id).second)
         return;
     const std::string service = replica->service;
-    m_options.client.fetch(probeCall(*replica),
+    m_options.client.fetch(probeCall(replica->address, m_options.probeHeaders, AnswerTimeout),
                            [this, service, id](const Result<HttpAnswer> &answer) {
                                m_signsRequested.erase(id);
                                if (answer)
--- a/src/Net/PathProber.h
+++ b/src/Net/PathProber.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -17,6 +18,7 @@
 class HttpClient;
 class ServicePools;
 struct HttpCall;
+struct HttpHead;
 
 /// \brief Checks the paths to replicas that the PathMonitor of their service requests, by opening
 /// connections on which nothing is sent.
@@ -38,6 +40,12 @@
         std::string sourceIp = {}; ///< IP that connections are opened from; empty: any.
         /// Headers of a request that each replica answers without running it.
         HttpHeaders probeHeaders = {};
+        /// \sa WireCodec::identityProbeHeaders
+        std::function<HttpHeaders(const std::string &id)> identityHeaders =
+                [](const std::string &) { return HttpHeaders(); };
+        /// \sa WireCodec::isFromReplica
+        std::function<bool(const HttpHead &, const std::string &id)> isFromReplica =
+                [](const HttpHead &, const std::string &) { return true; };
         /// Asks other routers whether bytes of a replica arrived there recently.
         /// \sa RelayClient::checkReceived
         std::function<void(const std::string &service, const std::string &id, Duration within,
@@ -55,12 +63,19 @@
     /// \param done is called once, not from within this function, with whether it stayed open.
     void connect(const ReplicaRecord &replica, std::function<void(bool stayedOpen)> done);
 
+    /// \brief Asks the process at the address of \a replica whether it is that replica, by a health
+    /// check.
+    /// \param done is called once with the answer; std::nullopt if there is none in time.
+    void identify(const ReplicaRecord &replica,
+                  std::function<void(std::optional<bool> isSame)> done);
+
 private:
     void check();
     void probe(const std::string &id);
     void found(const std::string &id, internal::ConnectProbe::Outcome outcome);
     void requestAnswer(const ReplicaRecord &replica);
-    HttpCall probeCall(const ReplicaRecord &replica) const;
+    static HttpCall probeCall(const std::string &address, const HttpHeaders &headers,
+                              Duration timeout);
     void requestSign(const std::string &id);
     void requestEnded(const std::string &id, const Result<void> &result);
 
--- a/src/Net/RelayServer.cpp
+++ b/src/Net/RelayServer.cpp
@@ -266,6 +266,8 @@
     options.crashes.checkReplica({.requestId = {},
                                   .suspects = it->ticket.suspects,
                                   .replica = it->ticket.replica,
+                                  .replicaId = it->replica.id,
+                                  .service = it->replica.service,
                                   .software = it->replica.software(),
                                   .address = it->replica.address,
                                   .sentAt = it->sentAt},
--- a/src/Net/ServicePools.cpp
+++ b/src/Net/ServicePools.cpp
@@ -162,6 +162,13 @@
     return n;
 }
 
+std::string ServicePools::healthPath(const std::string &service) const
+{
+    const auto it = m_services.find(service);
+    const bool isPath = it != m_services.end() && it->second.healthPath.starts_with('/');
+    return isPath ? it->second.healthPath : "/";
+}
+
 void ServicePools::setEvacuated(const std::set<std::string> &domains)
 {
     m_evacuated = domains;
--- a/src/Net/ServicePools.h
+++ b/src/Net/ServicePools.h
@@ -118,6 +118,9 @@
     /// \brief Calls \a visit for the pool of each service.
     void forEach(const std::function<void(ServicePool &)> &visit);
 
+    /// \returns the path of health checks of \a service; the root if none is configured.
+    std::string healthPath(const std::string &service) const;
+
     /// \returns the registration of replica \a incarnation, or null.
     const ReplicaRecord *findReplica(std::string_view incarnation) const;
 
--- a/src/Net/WireCodec.h
+++ b/src/Net/WireCodec.h
@@ -52,6 +52,12 @@
     std::function<HttpHeaders(const EntryRequest &)> ownAnswerHeaders; ///< Headers of a refusal.
     /// Headers of a request that is meant for no replica, so that each one rejects it at once.
     std::function<HttpHeaders()> pathProbeHeaders = [] { return HttpHeaders(); };
+    /// Headers of a health check that is meant for the replica with this id.
+    std::function<HttpHeaders(const std::string &id)> identityProbeHeaders =
+            [](const std::string &) { return HttpHeaders(); };
+    /// Whether an answer to such a check comes from that replica.
+    std::function<bool(const HttpHead &, const std::string &id)> isFromReplica =
+            [](const HttpHead &, const std::string &) { return true; };
 };
 
 } // namespace catkinloft
--- a/standin/ReplicaStandin.cpp
+++ b/standin/ReplicaStandin.cpp
@@ -92,6 +92,8 @@
     const std::string targetId = toString(exchange->header("X-Target-Instance"));
     if (!targetId.empty() && targetId != m_options.id)
         return refuseMisdirected(exchange);
+    if (exchange->path() == "/health")
+        return exchange->respond(200, {{"X-Instance-Id", m_options.id}}, {});
     if (const double ms = faultValue("pause_ms"); ms > 0)
         return refuse(exchange, fmt::format("{:.3f}", ms / 1000));
     if (shouldInject("refuse"))
--- a/standin/fleet/EntryFleet.cpp
+++ b/standin/fleet/EntryFleet.cpp
@@ -322,6 +322,7 @@
         service["name"] = it;
         service["max-connections"] = 300;
         service["cold-per-s"] = ColdPerSecond;
+        service["health-path"] = "/health";
         root["services"].append(service);
     }
     root["limits"]["idle-timeout-ms"] = static_cast<Json::Int64>(m_idleTimeout.count());
--- a/test/CrashWatchTest.cpp
+++ b/test/CrashWatchTest.cpp
@@ -31,6 +31,7 @@
                             .sentAt = brokeAt - 10ms,
                             .provenAt = provenAt},
                            criterion, [this](CrashWatch::State it) {
+                               states.push_back(it);
                                decisions.push_back(it == CrashWatch::State::Crashed);
                            });
     }
@@ -53,6 +54,9 @@
     Metrics metrics;
     ClosingProxy proxy{loop};
     std::vector<bool> decisions;
+    std::vector<CrashWatch::State> states;
+    std::optional<bool> isSameReplica = true; ///< What the process at the address answers.
+    int identified = 0; ///< How often it was asked.
     std::vector<std::string> crashedRequests;
     std::vector<TimePoint> crashTimes;
     std::vector<std::string> crashedReplicas;
@@ -75,6 +79,12 @@
                          if (isUnreached)
                              unreached();
                      },
+             .identify =
+                     [this](const CrashWatch::BrokenAttempt &,
+                            const std::function<void(std::optional<bool>)> &done) {
+                         ++identified;
+                         done(isSameReplica);
+                     },
              .attemptCrashed =
                      [this](const CrashWatch::BrokenAttempt &it, TimePoint at) {
                          crashedRequests.push_back(it.requestId);
@@ -335,3 +345,38 @@
     runFor(1200ms);
     CHECK_FALSE(watch.brokenFor("i-1"));
 }
+
+// Guards against an answer without a length that looks whole after its replica has crashed, as the
+// next replica at its address, or a socket that nobody reads, accepts connections.
+TEST_CASE_FIXTURE(CrashWatchFixture, "crashWatch_anotherReplicaAccepts_isNoProofOfTheFirst")
+{
+    using State = CrashWatch::State;
+    State expected = State::Alive;
+    SUBCASE("the same replica") { }
+    SUBCASE("another replica")
+    {
+        isSameReplica = false;
+        expected = State::Crashed;
+    }
+    SUBCASE("nobody answers")
+    {
+        isSameReplica.reset();
+        expected = State::Unknown;
+    }
+    breakAttempt("r1", CrashWatch::AliveCriterion::Proven);
+    runUntil([&] { return states.size() == 1; });
+    REQUIRE(states.size() == 1);
+    CHECK((states[0] == expected));
+    CHECK(identified == 1);
+}
+
+TEST_CASE_FIXTURE(CrashWatchFixture, "crashWatch_noProofIsNeeded_replicaIsNotIdentified")
+{
+    isSameReplica = false;
+    breakAttempt("r1", CrashWatch::AliveCriterion::Accepts);
+    breakAttempt("r2", CrashWatch::AliveCriterion::StaysOpen);
+    runUntil([&] { return states.size() == 2; });
+    for (const CrashWatch::State it : states)
+        CHECK((it == CrashWatch::State::Alive));
+    CHECK(identified == 0);
+}
--- a/test/PathProberTest.cpp
+++ b/test/PathProberTest.cpp
@@ -7,9 +7,13 @@
 #include "Net/ServicePools.h"
 #include "Net/Timer.h"
 #include "ScriptedReplica.h"
+#include "platform/RequestCodec.h"
+#include "platform/WireNames.h"
 
 #include <doctest/doctest.h>
 
+#include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -201,3 +205,94 @@
     CHECK(questions == 0);
     CHECK(pool.paths.broken().empty());
 }
+
+namespace {
+
+/// A replica at an address where another one ran before.
+struct IdentityFixture
+{
+    IdentityFixture()
+    {
+        RouteConfig config;
+        config.services = {{.name = "svc", .healthPath = "/health"}};
+        pools.setServices(config);
+    }
+
+    std::optional<bool> identify(const std::string &id)
+    {
+        std::optional<bool> out;
+        prober.identify({.id = id, .service = "svc", .address = replica.address()},
+                        [&](std::optional<bool> it) {
+                            out = it;
+                            loop.stop();
+                        });
+        loop.run();
+        return out;
+    }
+
+    /// \returns the answer to a health check of a replica that names itself \a id.
+    static std::string answer(int status, const std::string &id = {})
+    {
+        return ScriptedReplica::answer({}, status, {},
+                                       id.empty() ? "" : "X-Instance-Id: " + id + "\r\n");
+    }
+
+    EventLoop loop;
+    HttpClient client{loop};
+    ScriptedReplica::Reply reply; ///< To a health check of i-2; that of another one gets 421.
+    ScriptedReplica replica{
+            loop, [this](const std::string &request, std::size_t) {
+                const std::string id =
+                        ScriptedReplica::headerOf(request, platform::headers::Replica);
+                return id == "i-2" ? reply : ScriptedReplica::Reply{.bytes = answer(421)};
+            }};
+    EntrySettings settings;
+    ServicePools pools{loop, seededRandom(1), settings};
+    PathProber prober{{.loop = loop,
+                       .client = client,
+                       .pools = pools,
+                       .identityHeaders = platform::identityProbeHeaders,
+                       .isFromReplica = platform::isFromReplica}};
+};
+
+} // namespace
+
+// Guards against taking the next replica at an address for the one that ran there before.
+TEST_CASE_FIXTURE(IdentityFixture, "pathProber_identify_onlyTheNamedReplicaIsTheSame")
+{
+    SUBCASE("it is healthy")
+    {
+        reply.bytes = answer(200, "i-2");
+        CHECK(identify("i-2") == std::optional(true));
+        REQUIRE(replica.requests().size() == 1);
+        CHECK(replica.requests()[0].starts_with("GET /health "));
+    }
+    SUBCASE("it is leaving")
+    {
+        reply.bytes = answer(503, "i-2");
+        CHECK(identify("i-2") == std::optional(true));
+    }
+    SUBCASE("it is full")
+    {
+        reply.bytes = answer(503);
+        CHECK(identify("i-2") == std::optional(true));
+    }
+    SUBCASE("another replica answers for it")
+    {
+        reply.bytes = answer(200, "i-3");
+        CHECK(identify("i-2") == std::optional(false));
+    }
+    SUBCASE("another replica was meant")
+    {
+        CHECK(identify("i-1") == std::optional(false));
+    }
+    SUBCASE("nothing is answered")
+    {
+        CHECK(identify("i-2") == std::nullopt);
+    }
+    SUBCASE("the connection is closed")
+    {
+        reply.end = ScriptedReplica::End::Close;
+        CHECK(identify("i-2") == std::nullopt);
+    }
+}
