Failing test: retries beyond the budget after paths have stalled

Paths to 11 of 12 replicas stall one after the other for up to 4.4 s and go on together; from then on nine in ten answers are lost.

--- a/test/integration/RetryBudgetTest.cpp
+++ b/test/integration/RetryBudgetTest.cpp
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <csignal>
 #include <functional>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -26,37 +27,38 @@
 struct RetryBudgetFixture
 {
     static constexpr soak::RetryBudget Budget = {.share = 0.2, .slack = 60};
-    static constexpr std::size_t Callers = 12;
 
     RetryBudgetFixture() { fleet.start(); }
 
     void setFaults(const std::string &faults)
     {
         for (std::size_t i = 0; i < Replicas; ++i)
-            REQUIRE(fleet.setReplicaFaults(i, faults));
+            REQUIRE(fleet.setReplicaFaults(first + i, faults));
     }
 
-    /// Sends idempotent calls, each caller every 110 ms, while \a disturb runs.
-    void callWhile(const std::function<void()> &disturb)
+    /// Sends idempotent calls while \a disturb runs. \a callers wait \a pause after each answer.
+    void callWhile(const std::function<void()> &disturb, std::size_t callers = 12,
+                   std::chrono::milliseconds pause = 110ms)
     {
         std::atomic<bool> done = false;
         std::vector<std::thread> threads;
-        threads.reserve(Callers);
-        for (std::size_t i = 0; i < Callers; ++i) {
+        threads.reserve(callers);
+        sentAt.resize(callers);
+        for (std::size_t i = 0; i < callers; ++i) {
             threads.emplace_back([&, i] {
                 for (std::size_t k = 0; !done; ++k) {
                     const std::string id = fmt::format("r{}-{}", i, k);
                     sentAt[i].push_back(wallNow());
                     const auto answer = Fleet::fetch(
                             {.address = fleet.callerAddress((i + k) % fleet.routerCount()),
-                             .target = "/safe/a",
+                             .target = target,
                              .headers = {{"Host", EntryFleet::Host},
                                          {"X-Request-Id", id},
                                          {"Authorization",
                                           std::string("Bearer ") + EntryFleet::Key}},
                              .timeout = 2s});
                     served += answer && answer.value().head.status == 200 ? 1 : 0;
-                    std::this_thread::sleep_for(110ms);
+                    std::this_thread::sleep_for(pause);
                 }
             });
         }
@@ -111,8 +113,10 @@
     static constexpr std::size_t Replicas = 12;
     static constexpr std::size_t MinRepeated = 100; ///< Otherwise nothing was shown.
 
+    std::string target = "/safe/a";
+    std::size_t first = 0; ///< Replica of the service of \a target.
     EntryFleet fleet{{.binaries = CATKINLOFT_BINARIES, .routers = 4, .replicas = Replicas}};
-    std::vector<std::vector<WallTime>> sentAt{Callers}; ///< By caller.
+    std::vector<std::vector<WallTime>> sentAt; ///< By caller.
     std::atomic<int> served = 0;
 };
 
@@ -178,3 +182,32 @@
     CHECK(repeated >= 20); // Otherwise nothing was shown.
     CHECK(undelivered >= 1);
 }
+
+// Guards against attempts that a path holds back for seconds, and that arrive together with the
+// retries of a later window: a permit counts when it is given, the budget when the request arrives.
+TEST_CASE_FIXTURE(RetryBudgetFixture, "retryBudget_pathsStallBeforeAnswersAreLost_isKept")
+{
+    SUBCASE("calls") { }
+    SUBCASE("streams")
+    {
+        target = "/stream/a?events=6";
+        first = Replicas;
+    }
+    constexpr std::size_t Callers = 120;
+    constexpr auto Pause = 900ms;
+    const std::set<std::size_t> routers = {0, 1, 2, 3};
+    const auto disturb = [&] {
+        std::this_thread::sleep_for(11s);
+        for (std::size_t i = 1; i < Replicas; ++i) {
+            fleet.stallPaths(routers, first + i);
+            std::this_thread::sleep_for(400ms);
+        }
+        setFaults(R"({"lose":0.9})");
+        for (std::size_t i = 1; i < Replicas; ++i)
+            fleet.stallPaths({}, first + i);
+        std::this_thread::sleep_for(11s);
+        setFaults("{}");
+    };
+    callWhile(disturb, Callers, Pause);
+    requireWithinBudget();
+}
