Retry budget: what was given up unanswered is reserved in the bucket

Cause: the budget counts a retry when it is permitted, the rule when a request arrives. A path or a replica that stalls holds attempts back; they are replaced by retries, whose permits are counted then, and arrive together when the path goes on, beside the retries of that window. Meanwhile the bucket has been refilled. The class is a limit whose counted event is not the one that the rule counts.

An attempt that is given up without a byte of an answer, and that is a retry or is replaced by one, now reduces the size of the bucket for a window. So what may arrive later is taken from what can be saved, and arrivals, saved tokens and earnings together stay below the limit. A bucket keeps the size of one token, so that earned retries stay usable while most attempts are silent.

--- a/src/Decide/FleetRetryBudget.cpp
+++ b/src/Decide/FleetRetryBudget.cpp
@@ -60,6 +60,7 @@
         if (it.number < 0 || now - it.number > SlotsPerWindow)
             continue;
         out.retries += it.retries;
+        out.unanswered += it.unanswered;
         // One slot fewer than for retries, since a window may begin anywhere within a slot.
         if (now - it.number < SlotsPerWindow)
             out.requests += it.requests;
@@ -68,8 +69,10 @@
     const double windows =
             toSeconds(m_options.clock.now() - m_refilledAt) / toSeconds(m_options.window);
     out.limit = m_options.share * out.requests + slack;
-    out.available =
-            std::min(m_tokens + EarnedFraction * slack * windows, SavedFraction * out.limit);
+    // One token keeps what is earned usable while many attempts are unanswered.
+    const double size = SavedFraction * out.limit;
+    const double unreserved = std::max(size - out.unanswered, std::min(size, 1.0));
+    out.available = std::min(m_tokens + EarnedFraction * slack * windows, unreserved);
     return out;
 }
 
@@ -79,6 +82,11 @@
     m_tokens += EarnedFraction * m_options.share;
 }
 
+void FleetRetryBudget::noteUnanswered()
+{
+    ++currentSlot().unanswered;
+}
+
 bool FleetRetryBudget::tryRetry(int routers)
 {
     const Usage used = usage(routers);
@@ -104,6 +112,7 @@
               {{"service", m_options.service},
                {"requests", usage.requests},
                {"retries", usage.retries},
+               {"unanswered", usage.unanswered},
                {"limit", usage.limit},
                {"available", usage.available},
                {"routers", routers},
--- a/src/Decide/FleetRetryBudget.h
+++ b/src/Decide/FleetRetryBudget.h
@@ -23,6 +23,11 @@
 /// processes that succeed each other at one router spend at most what the first of them had saved
 /// and what all of them earned by the requests that they received. A full bucket and the earnings
 /// of a window together are less than the limit.
+///
+/// The limit counts arrivals at replicas, the budget permits. A path or a replica that stalls holds
+/// attempts back and releases them in a later window, beside the retries of that window. Attempts
+/// that were given up unanswered therefore reduce the size of the bucket for a window: if they
+/// arrive meanwhile, less than the limit was saved for other retries.
 class FleetRetryBudget
 {
 public:
@@ -46,6 +51,7 @@
     {
         int requests = 0;
         int retries = 0;
+        int unanswered = 0; ///< \sa noteUnanswered
         double limit = 0; ///< This router's part of the limit.
         double available = 0; ///< Retries that it may make now.
     };
@@ -60,6 +66,10 @@
     /// \returns whether the retry is allowed.
     bool tryRetry(int routers);
 
+    /// \brief Records that an attempt was given up of which no byte of an answer has arrived, and
+    /// that is a retry or is replaced by one. Its request may still arrive.
+    void noteUnanswered();
+
     /// \param routers \sa tryRetry
     Usage usage(int routers) const;
 
@@ -74,6 +84,7 @@
         std::int64_t number = -1;
         int requests = 0;
         int retries = 0;
+        int unanswered = 0;
     };
 
     std::int64_t slotNumber() const;
--- a/src/Net/EntryCall.cpp
+++ b/src/Net/EntryCall.cpp
@@ -439,11 +439,19 @@
     m_context.metrics.retried(error.reason);
     m_verdict = combine(m_verdict, error.verdict);
     m_history.failedOn(m_incarnation);
+    noteUnanswered(true);
     endAttempt(false, error.reason, isLost || hasRelayRefused());
     m_cause = AttemptCause::Retry;
     send(next);
 }
 
+/// Tells the retry budget of an attempt that is given up and may still arrive.
+void EntryCall::noteUnanswered(bool isReplaced)
+{
+    if (m_attempting && !m_firstByte && (isReplaced || m_cause == AttemptCause::Retry))
+        m_service->retryBudget.noteUnanswered();
+}
+
 std::string_view EntryCall::attemptBlock()
 {
     if (!m_context.filters.checkProof(m_request))
@@ -910,6 +918,7 @@
         if (const auto call = RetryGate::slowCall(silentAttempt()))
             m_service->slowCalls.expired(*call);
     }
+    noteUnanswered(false);
     endAttempt(false, Reason::UpstreamTimeout,
                (isStreaming() && !m_silence.isStalled()) || hasOtherCause());
     const Error error{.reason = Reason::DeadlineExpired,
@@ -961,6 +970,7 @@
         return;
     // Callers leave a stream that stalls for two seconds or more.
     const bool isAtFault = isStreaming() && m_silence.isStalled() && !hasOtherCause();
+    noteUnanswered(false);
     endAttempt(false, isAtFault ? Reason::UpstreamTimeout : Reason::CallerGone);
     finish(RequestEvent::Kind::CallerGone, 0, nullptr);
 }
--- a/src/Net/EntryCall.h
+++ b/src/Net/EntryCall.h
@@ -150,6 +150,7 @@
     /// \brief Sends the request to another replica, and ends the attempt, if that is permitted.
     /// \param isLost whether the path to the replica is lost.
     void replaceAttempt(bool isLost);
+    void noteUnanswered(bool isReplaced);
     const std::vector<std::string> &suspects();
     std::optional<Error> quarantineError();
     bool mayHaveCrashedReplica(const Error &error) const;
--- a/test/FleetRetryBudgetTest.cpp
+++ b/test/FleetRetryBudgetTest.cpp
@@ -55,6 +55,27 @@
         return worst;
     }
 
+    /// Sends \a requestsPerTick requests to each router in a tick of 100 ms, of which every router
+    /// replaces one by a retry if \a isStalled and the budget allows it. \returns the number of
+    /// attempts that are replaced and may arrive later.
+    int tick(int requestsPerTick, bool isStalled)
+    {
+        int out = 0;
+        for (FleetRetryBudget &it : routers) {
+            for (int k = 0; k < requestsPerTick; ++k)
+                it.countRequest();
+            requests.back() += requestsPerTick;
+            if (!isStalled || !it.tryRetry(static_cast<int>(routers.size())))
+                continue;
+            it.noteUnanswered();
+            ++out;
+        }
+        clock.advance(100ms);
+        requests.push_back(0);
+        retries.push_back(0);
+        return out;
+    }
+
     double excess() const
     {
         double requestSum = 0;
@@ -92,6 +113,38 @@
     }
 }
 
+// Guards against a budget that counts permits only: attempts that stalled paths have held back
+// arrive together, beside the retries of the next window.
+TEST_CASE_FIXTURE(FleetRetryBudgetFixture,
+                  "fleetRetryBudget_heldBackAttemptsArriveTogether_staysWithinTheLimit")
+{
+    constexpr int RequestsPerTick = 3;
+    for (int i = 0; i < 150; ++i)
+        tick(RequestsPerTick, false);
+    int heldBack = 0;
+    for (int i = 0; i < 40; ++i)
+        heldBack += tick(RequestsPerTick, i % 4 == 0);
+    CHECK(heldBack == 90);
+    retries.back() += heldBack;
+    CHECK(run(12, RequestsPerTick) <= 0);
+}
+
+// Guards against a budget that many unanswered attempts close: what is earned stays usable.
+TEST_CASE_FIXTURE(FleetRetryBudgetFixture,
+                  "fleetRetryBudget_manyAttemptsAreUnanswered_earnedRetriesAreAllowed")
+{
+    for (int i = 0; i < 150; ++i)
+        tick(3, false);
+    for (int i = 0; i < 200; ++i)
+        routers[0].noteUnanswered();
+    int allowed = 0;
+    for (int i = 0; i < 50; ++i) {
+        tick(3, false);
+        allowed += routers[0].tryRetry(9) ? 1 : 0;
+    }
+    CHECK(allowed >= 15);
+}
+
 TEST_CASE_FIXTURE(FleetRetryBudgetFixture, "fleetRetryBudget_singleFailures_areRetried")
 {
     int allowed = 0;
